SIGHUP rereads the configuration and moves discovery instead of ending the process

Cause: daemon.rs signals() took TERM, INT and USR1 only, so HUP kept its default. Besides, config.rs let the environment's RELAY_DISCOVERY win over the file, which a reread and a next life after it would both have got wrong. Change: HUP is a command. The platform's instance reads the file again and tells the watch and the notices, each over a channel of its own; what is under way at the old address is dropped at once. The new address is asked for the whole list, since versions are the old one's count. What is owed goes to the new address. A file that cannot be read changes nothing. The fleet's daemon looks at what is applied again.

--- a/courier/src/config.rs
+++ b/courier/src/config.rs
@@ -3,6 +3,7 @@
 use crate::net::discovery::List;
 use marblefall_settings::BootInfo;
 use serde::Deserialize;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// The limits that the platform sets.
@@ -44,11 +45,16 @@
         let text = std::fs::read(&path).map_err(|error| format!("{path}: {error}"))?;
         let mut told: Platform = serde_json::from_slice(&text).map_err(|error| format!("{path}: {error}"))?;
         told.state = var("RELAY_STATE")?.into();
-        for (name, place) in [("RELAY_LISTEN", &mut told.listen), ("RELAY_DISCOVERY", &mut told.discovery)] {
-            if let Ok(value) = var(name) {
-                *place = value;
-            }
+        // The environment stays as it was when the process started, while the file may be replaced under it:
+        // where discovery is, the file says.
+        if let Ok(listen) = var("RELAY_LISTEN") {
+            told.listen = listen;
         }
         Ok(told)
     }
+
+    /// Where discovery is.
+    pub fn discovery_address(&self) -> Result<SocketAddr, String> {
+        self.discovery.parse().map_err(|error| format!("{}: {error}", self.discovery))
+    }
 }
--- a/courier/src/daemon.rs
+++ b/courier/src/daemon.rs
@@ -7,7 +7,7 @@
 use crate::counters::{add, Counters};
 use crate::front::cloudevents::{self, Events};
 use crate::front::relay::{self, Relay};
-use crate::net::discovery::{self, Names};
+use crate::net::discovery::{self, Home, Names};
 use crate::net::pool::{Call, Ended, Limits, Pool};
 use crate::net::server::{self, unix_ms, Desk, Patience, Spawner};
 use crate::say;
@@ -85,8 +85,9 @@
     pub front: Relay,
     /// Where ends are told.
     pub notices: SocketAddr,
-    /// Where the list is watched, from which version on; otherwise the list is the one given.
-    pub watch: Option<(SocketAddr, Names, u64)>,
+    /// The names by which the list is watched there, and from which version on; otherwise the list is the one
+    /// given.
+    pub watch: Option<(Names, u64)>,
 }
 
 /// What an instance is told from outside.
@@ -94,6 +95,10 @@
 pub enum Command {
     /// Print the counters.
     Print,
+    /// Read the configuration again.
+    Reread,
+    /// Discovery is at another address now.
+    Moved(SocketAddr),
     /// End.
     Stop {
         /// As late as this from now.
@@ -110,7 +115,8 @@
 pub fn run(told: Platform) -> Result<(), String> {
     let signals = signals()?;
     let address = |text: &str| text.parse::<SocketAddr>().map_err(|error| format!("{text}: {error}"));
-    let (listen, discovery) = (address(&told.listen)?, address(&told.discovery)?);
+    let listen = address(&told.listen)?;
+    let discovery = told.discovery_address()?;
     let boot = told.settings;
     let names = Names { kinds: boot.host_types.clone(), zones: boot.zones.clone() };
     let classes: Vec<String> = boot.classes.iter().map(|class| class.name.clone()).collect();
@@ -127,7 +133,7 @@
         listener: TcpListener::bind(listen).map_err(|error| format!("{listen}: {error}"))?,
         front: Relay { classes: classes.clone(), numbers: None },
         notices: discovery,
-        watch: Some((discovery, names, since)),
+        watch: Some((names, since)),
     };
     let build = Build {
         name: told.name,
@@ -141,15 +147,17 @@
         relay: Some(relay),
         events: None,
     };
+    let (signalled, heard) = async_channel::unbounded();
     let (commands, told) = async_channel::unbounded();
     let tasks = Rc::new(LocalExecutor::new());
-    tasks.spawn(watch_signals(signals, commands)).detach();
+    tasks.spawn(watch_signals(signals, signalled)).detach();
+    tasks.spawn(reread(heard, commands)).detach();
     async_io::block_on(tasks.run(instance(build, told, Spawner::new(&tasks))))
 }
 
 /// The signals that are commands. Taken before anything else starts: until then they would kill the process.
 pub fn signals() -> Result<Signals, String> {
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1]);
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup]);
     signals.map_err(|error| format!("signals cannot be watched: {error}"))
 }
 
@@ -158,6 +166,7 @@
     while let Some(Ok(signal)) = signals.next().await {
         let command = match signal {
             Signal::Usr1 => Command::Print,
+            Signal::Hup => Command::Reread,
             _ => Command::Stop { left: LEAVE, hand_over: false },
         };
         if commands.send(command).await.is_err() {
@@ -166,6 +175,29 @@
     }
 }
 
+/// Passes commands on; to read the configuration again is to tell where discovery is now. One that cannot be
+/// read changes nothing: what runs goes on with what it has.
+async fn reread(heard: Receiver<Command>, commands: Sender<Command>) {
+    while let Ok(command) = heard.recv().await {
+        let command = match command {
+            Command::Reread => match Platform::from_env().and_then(|told| told.discovery_address()) {
+                Ok(to) => {
+                    say!("configuration read again: discovery is at {to}");
+                    Command::Moved(to)
+                }
+                Err(cause) => {
+                    say!("configuration kept as it was, {cause}");
+                    continue;
+                }
+            },
+            other => other,
+        };
+        if commands.send(command).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Runs one instance until it is told to end.
 pub async fn instance(build: Build, commands: Receiver<Command>, tasks: Spawner) -> Result<(), String> {
     let clock = Clock::start();
@@ -195,10 +227,16 @@
     };
     tasks.spawn(retiring);
     let open = |listener: TcpListener| Async::new(listener).map_err(|error| error.to_string());
+    let mut movers = Vec::new();
     if let Some(relay) = build.relay {
-        tasks.spawn(discovery::notices(relay.notices, notices, queue.clone()));
-        if let Some((at, names, since)) = relay.watch {
-            tasks.spawn(discovery::watch(at, names, since, news.clone()));
+        let mut home = || {
+            let (moved, moves) = async_channel::unbounded();
+            movers.push(moved);
+            Home { address: relay.notices, moves }
+        };
+        tasks.spawn(discovery::notices(home(), notices, queue.clone()));
+        if let Some((names, since)) = relay.watch {
+            tasks.spawn(discovery::watch(home(), names, since, news.clone()));
         }
         let (listener, front) = (open(relay.listener)?, Rc::new(relay.front));
         say!("{}: listens at {}", build.name, address_of(&listener));
@@ -214,7 +252,8 @@
     }
     let addresses = RefCell::default();
     let tasks_too = tasks.clone();
-    let hands = Hands { desk, pool, owed, queue, clock, addresses, counters, events, tasks: tasks_too };
+    let hands =
+        Hands { desk, pool, owed, queue, clock, addresses, counters, events, movers, tasks: tasks_too };
     let hands = Rc::new(hands);
     let stop = Rc::new(Cell::new(None));
     tasks.spawn(obey(hands.clone(), commands, stop.clone()));
@@ -233,6 +272,11 @@
     while let Ok(command) = commands.recv().await {
         match command {
             Command::Print => say!("{}", hands.counters),
+            Command::Moved(to) => hands.movers.iter().for_each(|mover| {
+                let _ = mover.try_send(to);
+            }),
+            // What has no configuration of its own to read has nothing to take up.
+            Command::Reread => {}
             Command::Stop { left, hand_over } if stop.get().is_none() => {
                 let now = Instant::now();
                 say!("told to end");
@@ -257,6 +301,8 @@
     addresses: RefCell<BTreeMap<EndpointId, Rc<str>>>,
     counters: Rc<Counters>,
     events: Rc<Events>,
+    /// Where the tasks that speak with discovery hear of its new address.
+    movers: Vec<Sender<SocketAddr>>,
     tasks: Spawner,
 }
 
--- a/courier/src/net/discovery.rs
+++ b/courier/src/net/discovery.rs
@@ -8,6 +8,7 @@
 use crate::say;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
+use futures_lite::future;
 use marblefall_decisions::{DestinationId, KindId, Listing, ZoneId};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -88,15 +89,50 @@
     }
 }
 
+/// Where discovery is: an address, and where news of another one comes from.
+pub struct Home {
+    /// Where it is now.
+    pub address: SocketAddr,
+    /// Where it is from now on.
+    pub moves: Receiver<SocketAddr>,
+}
+
+impl Home {
+    /// Waits for something, unless discovery moves meanwhile: nothing that is under way at the old address is
+    /// worth waiting for, as that one no longer answers.
+    async fn unless_moved<T>(&mut self, what: impl future::Future<Output = T>) -> Option<T> {
+        let moved = async {
+            match self.moves.recv().await {
+                Ok(to) => Err(to),
+                Err(_) => future::pending().await,
+            }
+        };
+        match future::or(moved, async { Ok(what.await) }).await {
+            Ok(done) => Some(done),
+            Err(to) => {
+                say!("discovery {}: connection ended, moved to {to}", self.address);
+                self.address = to;
+                None
+            }
+        }
+    }
+}
+
 /// Watches the list for ever, from a version on; each watch that ends is followed by another.
-pub async fn watch(address: SocketAddr, names: Names, mut since: u64, news: Sender<Input>) {
+pub async fn watch(mut home: Home, names: Names, mut since: u64, news: Sender<Input>) {
     let mut wait = BACKOFF.0;
     loop {
-        let before = since;
-        let code = follow(address, &names, &mut since, &news).await;
-        say!("discovery {address}: watch ended, {code}");
-        wait = if since > before { BACKOFF.0 } else { (wait * 2).min(BACKOFF.1) };
-        Timer::after(wait).await;
+        let (before, address) = (since, home.address);
+        let turn = async {
+            let code = follow(address, &names, &mut since, &news).await;
+            say!("discovery {address}: watch ended, {code}");
+            wait = if since > before { BACKOFF.0 } else { (wait * 2).min(BACKOFF.1) };
+            Timer::after(wait).await;
+        };
+        if home.unless_moved(turn).await.is_none() {
+            // Versions are the old address's own count: the new one is asked for the whole list.
+            (since, wait) = (0, BACKOFF.0);
+        }
     }
 }
 
@@ -156,56 +192,57 @@
 }
 
 /// Tells the platform of ends, each until it is taken.
-pub async fn notices(address: SocketAddr, owed: Receiver<(Seq, Vec<u8>, End)>, taken: Sender<Input>) {
+pub async fn notices(mut home: Home, owed: Receiver<(Seq, Vec<u8>, End)>, taken: Sender<Input>) {
     let mut kept: Option<Link> = None;
     let mut wait = BACKOFF.0;
     let mut due: Vec<(Seq, String)> = Vec::new();
     loop {
-        if due.is_empty() {
-            let Ok((seq, id, end)) = owed.recv().await else { return };
-            due.push((seq, relay::notice(&id, end)));
-        }
-        while due.len() < NOTICES {
-            let Ok((seq, id, end)) = owed.try_recv() else { break };
-            due.push((seq, relay::notice(&id, end)));
-        }
-        let mut link = match kept.take().filter(Link::is_fresh) {
-            Some(link) => link,
-            None => match until(Instant::now() + NOTICE_PATIENCE, Link::connect(address)).await {
-                Some(Ok(link)) => link,
-                _ => {
-                    say!("discovery {address}: no connection for notices");
-                    Timer::after(wait).await;
-                    wait = (wait * 2).min(BACKOFF.1);
-                    continue;
+        let address = home.address;
+        let turn = async {
+            if due.is_empty() {
+                let (seq, id, end) = owed.recv().await.ok()?;
+                due.push((seq, relay::notice(&id, end)));
+            }
+            while due.len() < NOTICES {
+                let Ok((seq, id, end)) = owed.try_recv() else { break };
+                due.push((seq, relay::notice(&id, end)));
+            }
+            let body: String = due.iter().map(|(_, line)| line.as_str()).collect();
+            let told = until(Instant::now() + NOTICE_PATIENCE, tell(&mut kept, address, &body)).await;
+            let code = match told.unwrap_or(Err(Stop::Late)) {
+                Ok(204) => {
+                    wait = BACKOFF.0;
+                    return Some(true);
                 }
-            },
+                Ok(status) => status.to_string(),
+                Err(stop) => stop.code().to_owned(),
+            };
+            kept = None;
+            say!("discovery {address}: {} notices not taken, {code}", due.len());
+            Timer::after(wait).await;
+            wait = (wait * 2).min(BACKOFF.1);
+            Some(false)
         };
-        let body: String = due.iter().map(|(_, line)| line.as_str()).collect();
-        let told = until(Instant::now() + NOTICE_PATIENCE, tell(&mut link, address, &body)).await;
-        match told.unwrap_or(Err(Stop::Late)) {
-            Ok((204, keeps)) => {
-                wait = BACKOFF.0;
-                kept = Some(link).filter(|_| keeps);
+        match home.unless_moved(turn).await {
+            Some(None) => return,
+            Some(Some(false)) => {}
+            Some(Some(true)) => {
                 for (seq, _) in due.drain(..) {
                     let _ = taken.send(Input::NoticeTaken(seq)).await;
                 }
             }
-            Ok((status, _)) => {
-                say!("discovery {address}: {} notices answered {status}", due.len());
-                Timer::after(wait).await;
-                wait = (wait * 2).min(BACKOFF.1);
-            }
-            Err(stop) => {
-                say!("discovery {address}: connection for notices ended, {}", stop.code());
-                Timer::after(wait).await;
-                wait = (wait * 2).min(BACKOFF.1);
-            }
+            // What is due goes to the new address, also what the old one may have taken: a notice does no harm.
+            None => (kept, wait) = (None, BACKOFF.0),
         }
     }
 }
 
-async fn tell(link: &mut Link, address: SocketAddr, body: &str) -> Result<(u16, bool), Stop> {
+/// Tells it over the connection that is kept or a new one, which is kept then if it can be.
+async fn tell(kept: &mut Option<Link>, address: SocketAddr, body: &str) -> Result<u16, Stop> {
+    let mut link = match kept.take().filter(Link::is_fresh) {
+        Some(link) => link,
+        None => Link::connect(address).await.map_err(Stop::Broke)?,
+    };
     let len = body.len();
     let head = format!("POST /status HTTP/1.1\r\nHost: {address}\r\nContent-Length: {len}\r\n\r\n");
     link.write(head.as_bytes(), body.as_bytes()).await.map_err(Stop::Broke)?;
@@ -214,5 +251,6 @@
     let (status, framing, keeps) = (read.status, read.framing, read.keeps);
     let len = link.body(head, framing, HEAD).await?;
     link.consume(head + len);
-    Ok((status, keeps))
+    *kept = Some(link).filter(|_| keeps);
+    Ok(status)
 }
--- a/courier/src/supervise.rs
+++ b/courier/src/supervise.rs
@@ -72,6 +72,11 @@
             }
         }
         while let Ok(command) = told.try_recv() {
+            if matches!(command, Command::Reread) {
+                // Looked at again even if its time of change is the same.
+                seen = None;
+                continue;
+            }
             for one in running.values_mut() {
                 let _ = one.commands.try_send(command);
                 one.told_to_end |= matches!(command, Command::Stop { .. });
--- a/courier/tests/events.rs
+++ b/courier/tests/events.rs
@@ -295,6 +295,8 @@
     let at = program.address(MARKER, 0);
     assert_eq!(event(at, "1", "order", "a", "k", b"1").unwrap().status(), 204);
 
+    // To read again what is applied harms nothing that runs.
+    program.signal("HUP");
     // A plan made now is stale once another one was applied.
     let home = folder.0.join("home");
     let (path, stale) = (folder.file("other.toml", &file(old.at, old.at, 5000)), folder.0.join("stale"));
--- a/courier/tests/relay.rs
+++ b/courier/tests/relay.rs
@@ -57,26 +57,37 @@
 struct Site {
     folder: Folder,
     discovery: Discovery,
+    host: SocketAddr,
+    window_ms: String,
 }
 
 impl Site {
     fn new(name: &str, host: SocketAddr, window_ms: &str, refusals: usize) -> Site {
         let (folder, discovery) = (Folder::new(name), Discovery::start(refusals));
-        let settings = SETTINGS.replace("WINDOW", window_ms);
+        let site = Site { folder, discovery, host, window_ms: window_ms.to_owned() };
+        site.configure(&site.discovery);
+        site
+    }
+
+    /// Writes the configuration, with discovery at some place.
+    fn configure(&self, discovery: &Discovery) {
+        let settings = SETTINGS.replace("WINDOW", &self.window_ms);
         let config = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":256,"disk_mb":3}},
             "known":{{"revision":41,"complete":true,"members":[{}]}},"settings":{settings}}}"#,
             discovery.server.at,
-            member(host, "SERVING"),
+            member(self.host, "SERVING"),
         );
-        folder.file("config.json", &config);
-        Site { folder, discovery }
+        self.folder.file("config.json", &config);
     }
 
     fn start(&self) -> Program {
         let (config, state) = (self.folder.0.join("config.json"), self.folder.0.join("state"));
-        Program::start(&[], &[("RELAY_CONFIG", text(&config)), ("RELAY_STATE", text(&state))])
+        // The environment keeps naming the first address, whatever the file says later.
+        let at = self.discovery.server.at.to_string();
+        let env = [("RELAY_CONFIG", text(&config)), ("RELAY_STATE", text(&state)), ("RELAY_DISCOVERY", &at)];
+        Program::start(&[], &env)
     }
 }
 
@@ -156,6 +167,45 @@
     assert_eq!(host.count(), 3);
 }
 
+#[test]
+fn a_new_configuration_moves_discovery_and_nothing_held_is_lost() {
+    let refusing = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let site = Site::new("moves", refusing, "6000", usize::MAX);
+    let program = site.start();
+    let at = program.address(MARKER, 0);
+    assert_eq!(hand(at, "owed", "refill-status", "3000").unwrap().status(), 202);
+    wait_for("a notice that is not taken", || program.log().contains("notices not taken"));
+    // One that cannot be read changes nothing.
+    site.folder.file("config.json", "{");
+    program.signal("HUP");
+    wait_for("the failed reading", || program.log().contains("configuration kept as it was"));
+    assert_eq!(raw(at, b"GET /ready HTTP/1.1\r\n\r\n").unwrap().status(), 200);
+
+    let second = Discovery::start(0);
+    site.configure(&second);
+    program.signal("HUP");
+    wait_for("the notice at the new address", || second.told().contains("\"owed\""));
+    let host = StandIn::start(|_| ok());
+    let news = format!("{{\"revision\":1,\"complete\":true,\"members\":[{}]}}\n", member(host.at, "SERVING"));
+    second.lines.lock().unwrap().extend(news.into_bytes());
+    wait_for("the watch at the new address", || second.server.count() >= 2);
+    assert!(second.server.seen.lock().unwrap().iter().any(|seen| seen.first.contains("since=0 ")));
+    // Once the news is in, the listed host is the one that is called.
+    let mut n = 0;
+    wait_for("a leg to the host listed there", || {
+        n += 1;
+        hand(at, &format!("m-{n}"), "refill-status", "3000").unwrap();
+        host.count() > 0
+    });
+
+    // The next life starts from the file, not from the environment that names the first address.
+    let before = second.server.count();
+    program.kill();
+    let program = site.start();
+    program.address(MARKER, 0);
+    wait_for("the next life's watch", || second.server.count() > before);
+}
+
 #[test]
 fn nothing_new_goes_to_a_host_that_drains() {
     let host = StandIn::start(|_| ok());
