--- a/courier/src/daemon.rs
+++ b/courier/src/daemon.rs
@@ -26,6 +26,10 @@
 
 /// Inputs that wait for the engine at most; beyond that, socket code waits.
 const QUEUE: usize = 1024;
+/// On the platform, clients are close by: what has not come by then is not going to.
+const RELAY_PATIENCE: Patience = Patience(Duration::from_millis(2500));
+/// Events come from farther off.
+const EVENTS_PATIENCE: Patience = Patience(Duration::from_secs(10));
 /// Connections of clients are closed once new ones no longer come.
 const CLOSE_IDLE: Duration = Duration::from_millis(500);
 /// What those who still wait at the end are told.
@@ -240,15 +244,16 @@
         }
         let (listener, front) = (open(relay.listener)?, Rc::new(relay.front));
         say!("{}: listens at {}", build.name, address_of(&listener));
-        tasks.spawn(server::serve(listener, front, desk.clone(), Patience::default(), tasks.clone()));
+        tasks.spawn(server::serve(listener, front, desk.clone(), RELAY_PATIENCE, tasks.clone()));
     }
+    tasks.spawn(server::thin_out(desk.clone()));
     let mut events = Rc::new(Events::default());
     if let Some((listener, front)) = build.events {
         events = Rc::new(front);
         let listener = open(listener)?;
         say!("{}: takes events at {}", build.name, address_of(&listener));
         let front = events.clone();
-        tasks.spawn(server::serve(listener, front, desk.clone(), Patience::default(), tasks.clone()));
+        tasks.spawn(server::serve(listener, front, desk.clone(), EVENTS_PATIENCE, tasks.clone()));
     }
     let addresses = RefCell::default();
     let tasks_too = tasks.clone();
@@ -282,7 +287,13 @@
                 say!("told to end");
                 stop.set(Some(now + left));
                 // Whoever takes over listens on at once, so connections are let go without a pause.
-                hands.desk.leaving.set(Some(if hand_over { now } else { now + CLOSE_IDLE }));
+                let leaving = if hand_over { now } else { now + CLOSE_IDLE };
+                hands.desk.leaving.set(Some(leaving));
+                let desk = hands.desk.clone();
+                hands.tasks.spawn(async move {
+                    Timer::at(leaving).await;
+                    desk.close_idle();
+                });
                 let by = hands.clock.now().mono + Span(left.as_micros() as i64);
                 hands.desk.put(Input::Stop { by, hand_over }).await;
             }
--- a/courier/src/front/mod.rs
+++ b/courier/src/front/mod.rs
@@ -49,6 +49,11 @@
     /// Reads a request that arrived at a Unix time in milliseconds.
     fn take(&self, request: &Request<'_>, body: &[u8], now_ms: i64) -> Take;
 
+    /// Whether its clients wait for each answer before they send the next request on a connection.
+    fn one_at_a_time(&self) -> bool {
+        false
+    }
+
     /// Words what the core says of a message; `None` waits for what it says next.
     fn settled(&self, answer: Answer) -> Option<Reply>;
 }
--- a/courier/src/front/relay.rs
+++ b/courier/src/front/relay.rs
@@ -34,6 +34,10 @@
         }
     }
 
+    fn one_at_a_time(&self) -> bool {
+        true
+    }
+
     fn settled(&self, answer: Answer) -> Option<Reply> {
         Some(match answer {
             Answer::TakenOn | Answer::Ended(End::Delivered) => Reply::of(202),
--- a/courier/src/net/link.rs
+++ b/courier/src/net/link.rs
@@ -5,7 +5,7 @@
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// What a read asks the system for at once.
 const READ: usize = 16 * 1024;
@@ -202,6 +202,11 @@
         self.bytes().is_empty() && self.stream.get_ref().peek(&mut [0]).err().is_some_and(silent)
     }
 
+    /// Whether more than so many bytes have come.
+    pub fn has_more_than(&self, len: usize) -> bool {
+        self.bytes().len() > len || self.stream.get_ref().peek(&mut [0]).is_ok_and(|more| more > 0)
+    }
+
     /// Waits until the far side ends the connection; bytes that come meanwhile are kept.
     pub async fn ended(&mut self) {
         while matches!(self.fill().await, Ok(true)) {
@@ -212,15 +217,15 @@
         }
     }
 
-    /// Ends the sending and reads what still comes for a moment, so that the far side gets the last answer
-    /// instead of a reset.
-    pub async fn linger(&mut self) {
+    /// Ends the sending and reads what still comes until a time, so that the far side gets the last answer
+    /// instead of a reset, however much it had set out to send.
+    pub async fn linger(&mut self, by: Instant) {
         let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Write);
-        let mut left = 64;
-        let _ = until(Instant::now() + Duration::from_millis(500), async {
-            while left > 0 && matches!(self.fill().await, Ok(true)) {
+        let _ = until(by, async {
+            while matches!(self.fill().await, Ok(true)) {
                 self.consume(self.bytes().len());
-                left -= 1;
+                // Where there is always more to read, a read never waits, and nobody else would be served.
+                future::yield_now().await;
             }
         })
         .await;
--- a/courier/src/net/server.rs
+++ b/courier/src/net/server.rs
@@ -13,7 +13,7 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::TcpListener;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -22,8 +22,19 @@
 const HEAD: usize = 16 * 1024;
 /// The longest body; the protocol's bound.
 pub const BODY: usize = 64 * 1024;
-/// A connection may stand idle so long between requests.
+/// A connection may stand idle so long between requests ...
 const IDLE: Duration = Duration::from_secs(75);
+/// ... but where they become many, those go that have been idle for so long.
+const IDLE_LEAST: Duration = Duration::from_millis(2050);
+/// Many are more than this part of all that there may be: who asks once and stays must not use up the places
+/// of those who still want to ask.
+const MANY: usize = 4;
+/// How often they are counted.
+const LOOK: Duration = Duration::from_millis(100);
+/// What is turned away may go on sending for so long, so that the answer reaches it ...
+const LINGER: Duration = Duration::from_millis(5000);
+/// ... and what has been answered for so long.
+const LINGER_ANSWERED: Duration = Duration::from_millis(500);
 
 /// Spawns tasks without keeping their executor alive: tasks that held it would hold each other, and sockets of
 /// an instance that ended would stay open for as long as the process runs.
@@ -44,13 +55,98 @@
     }
 }
 
-/// How long a request may take from its first byte to its last.
+/// How long a request may take from its first byte to its last; a connection's first one from when it opened.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience(pub Duration);
 
-impl Default for Patience {
-    fn default() -> Patience {
-        Patience(Duration::from_secs(10))
+/// What a connection is at. Those without an open request make room for new ones, the least useful first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    /// Turned away; reads out what the far side still sends.
+    Lingering,
+    /// Nothing has come on it yet.
+    Silent,
+    /// Its last request is answered.
+    Idle,
+    /// A part of a request has come.
+    Reading,
+    /// A request waits for its answer.
+    Open,
+}
+
+impl Phase {
+    /// How long a connection must have been at it before it makes room: what has only just come may be about
+    /// to ask, and its request may stand unread in the system's buffer.
+    fn spares(self) -> Option<Duration> {
+        match self {
+            Phase::Lingering => Some(Duration::from_millis(100)),
+            Phase::Silent => Some(Duration::from_millis(250)),
+            Phase::Idle => Some(Duration::from_millis(300)),
+            Phase::Reading => Some(Duration::from_millis(1000)),
+            Phase::Open => None,
+        }
+    }
+}
+
+/// The place of one connection among all.
+struct Seat {
+    phase: Phase,
+    since: Instant,
+    leave: Sender<&'static str>,
+}
+
+/// All connections of the acquirer side, by the order in which they came.
+#[derive(Default)]
+struct Seats {
+    seats: RefCell<BTreeMap<u64, Seat>>,
+    next: Cell<u64>,
+}
+
+impl Seats {
+    /// Takes a place; gives its number and where the reason to leave it comes from.
+    fn take(&self) -> (u64, Receiver<&'static str>) {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let (leave, told) = async_channel::bounded(1);
+        let seat = Seat { phase: Phase::Silent, since: Instant::now(), leave };
+        self.seats.borrow_mut().insert(number, seat);
+        (number, told)
+    }
+
+    fn leave(&self, number: u64) {
+        self.seats.borrow_mut().remove(&number);
+    }
+
+    fn is_at(&self, number: u64, phase: Phase) {
+        if let Some(seat) = self.seats.borrow_mut().get_mut(&number) {
+            (seat.phase, seat.since) = (phase, Instant::now());
+        }
+    }
+
+    fn len(&self) -> usize {
+        self.seats.borrow().len()
+    }
+
+    /// Tells the connection to leave that is the least use and has been so for longest, if one can be spared.
+    fn make_room(&self) {
+        let (seats, now) = (self.seats.borrow(), Instant::now());
+        let spared = |seat: &&Seat| seat.phase.spares().is_some_and(|least| now - seat.since >= least);
+        let least = seats.values().filter(spared).min_by_key(|seat| (seat.phase, seat.since));
+        if let Some(seat) = least {
+            let _ = seat.leave.try_send("made-room");
+        }
+    }
+
+    /// Tells the connections to leave that have been idle for so long, the longest first, as far as there are
+    /// more than so many.
+    fn thin_out(&self, idle_for: Duration, most: usize, code: &'static str) {
+        let (seats, now) = (self.seats.borrow(), Instant::now());
+        let idle = |seat: &&Seat| seat.phase == Phase::Idle && now - seat.since >= idle_for;
+        let mut idle: Vec<&Seat> = seats.values().filter(idle).collect();
+        idle.sort_by_key(|seat| seat.since);
+        for seat in idle.into_iter().take(seats.len().saturating_sub(most)) {
+            let _ = seat.leave.try_send(code);
+        }
     }
 }
 
@@ -66,7 +162,7 @@
     next: Cell<u64>,
     /// Set once the process is about to end: connections are then closed with their next answer.
     pub leaving: Cell<Option<Instant>>,
-    connections: Cell<usize>,
+    seats: Seats,
     most_connections: usize,
     /// What is counted.
     pub counters: Rc<Counters>,
@@ -75,8 +171,8 @@
 impl Desk {
     /// A desk in front of a queue, for so many connections at once.
     pub fn new(queue: Sender<Input>, most_connections: usize, counters: Rc<Counters>) -> Desk {
-        let (answers, next, leaving, connections) = Default::default();
-        Desk { queue, answers, next, leaving, connections, most_connections, counters }
+        let (answers, next, leaving, seats) = Default::default();
+        Desk { queue, answers, next, leaving, seats, most_connections, counters }
     }
 
     /// Passes an answer of the engine on to whoever waits for it.
@@ -100,7 +196,12 @@
 
     /// Connections of the acquirer side.
     pub fn connections(&self) -> usize {
-        self.connections.get()
+        self.seats.len()
+    }
+
+    /// Ends the connections that have no open request, as a process does that is about to end.
+    pub fn close_idle(&self) {
+        self.seats.thin_out(Duration::ZERO, 0, "leaving");
     }
 
     fn ticket(&self) -> (Ticket, Receiver<Answer>) {
@@ -122,18 +223,20 @@
     tasks: Spawner,
 ) {
     loop {
-        // At the cap, further connections wait in the system's queue.
-        while desk.connections.get() >= desk.most_connections {
-            Timer::after(Duration::from_millis(20)).await;
+        // At the cap those without an open request make room; until one has, new ones wait in the system's queue.
+        while desk.seats.len() >= desk.most_connections {
+            desk.seats.make_room();
+            Timer::after(Duration::from_millis(5)).await;
         }
         match listener.accept().await {
             Ok((stream, from)) => {
                 let (front, desk) = (front.clone(), desk.clone());
-                desk.connections.set(desk.connections.get() + 1);
+                let (seat, told) = desk.seats.take();
                 let serving = async move {
                     let mut link = Link::new(stream);
-                    let code = converse(&mut link, &*front, &desk, patience).await;
-                    desk.connections.set(desk.connections.get() - 1);
+                    let told = async { told.recv().await.unwrap_or("leaving") };
+                    let code = future::or(told, converse(&mut link, &*front, &desk, seat, patience)).await;
+                    desk.seats.leave(seat);
                     say!("acquirer side {from}: connection ended, {code}");
                 };
                 tasks.spawn(serving);
@@ -147,17 +250,48 @@
     }
 }
 
-/// Serves one connection to its end and gives the reason code.
-async fn converse<F: Front>(link: &mut Link, front: &F, desk: &Desk, patience: Patience) -> &'static str {
+/// Thins out idle connections for ever, where there are many.
+pub async fn thin_out(desk: Rc<Desk>) {
+    loop {
+        Timer::after(LOOK).await;
+        desk.seats.thin_out(IDLE_LEAST, desk.most_connections / MANY, "idle-among-many");
+    }
+}
+
+/// Serves one connection to its end and gives the reason code. Until a request is open, it may be dropped at any
+/// point where it waits, to make room.
+async fn converse<F: Front>(
+    link: &mut Link,
+    front: &F,
+    desk: &Desk,
+    seat: u64,
+    patience: Patience,
+) -> &'static str {
+    // Who connects and says nothing holds a place just as long as who does not finish what it says.
+    let mut by = Instant::now() + patience.0;
+    let mut asked = false;
     loop {
         if link.bytes().is_empty() {
-            match first_byte(link, desk).await {
-                Ok(true) => {}
-                Ok(false) => return "far-end",
-                Err(code) => return code,
+            let wait = if asked { Instant::now() + IDLE } else { by };
+            match until(wait, link.fill()).await {
+                Some(Ok(true)) => {}
+                Some(Ok(false)) => return "far-end",
+                Some(Err(_)) => return "reset",
+                None => return if asked { "idle" } else { "silent" },
             }
         }
-        let read = until(Instant::now() + patience.0, request(link)).await.unwrap_or(Err(Stop::Late));
+        if std::mem::replace(&mut asked, true) {
+            by = Instant::now() + patience.0;
+        }
+        desk.seats.is_at(seat, Phase::Reading);
+        let read = match until(by, request(link)).await.unwrap_or(Err(Stop::Late)) {
+            // What stands behind a request before its answer would be the next one's start, or a body longer
+            // than was said; where one request at a time is agreed, neither can be trusted.
+            Ok((head, len)) if front.one_at_a_time() && link.has_more_than(head + len) => {
+                Err(Stop::Fault(Fault::Malformed))
+            }
+            read => read,
+        };
         let (head, len) = match read {
             Ok(read) => read,
             Err(stop) => {
@@ -167,8 +301,9 @@
                     Stop::End | Stop::Cut | Stop::Broke(_) => return stop.code(),
                 };
                 add(&desk.counters.rejected);
+                desk.seats.is_at(seat, Phase::Lingering);
                 let _ = until(Instant::now() + patience.0, write(link, &Reply::of(status), false)).await;
-                link.linger().await;
+                link.linger(Instant::now() + LINGER).await;
                 return stop.code();
             }
         };
@@ -177,6 +312,7 @@
         let keeps = parsed.keeps;
         let taken = front.take(&parsed, &link.bytes()[head..head + len], unix_ms());
         link.consume(head + len);
+        desk.seats.is_at(seat, Phase::Open);
         let (reply, ticket) = match taken {
             Take::Reply(reply) => {
                 if reply.status >= 400 {
@@ -211,9 +347,10 @@
         };
         let keeps = keeps && desk.leaving.get().is_none();
         match until(Instant::now() + patience.0, write(link, &reply, keeps)).await {
-            Some(Ok(())) if keeps => {}
+            Some(Ok(())) if keeps => desk.seats.is_at(seat, Phase::Idle),
             Some(Ok(())) => {
-                link.linger().await;
+                desk.seats.is_at(seat, Phase::Lingering);
+                link.linger(Instant::now() + LINGER_ANSWERED).await;
                 return "closed-after-answer";
             }
             _ => {
@@ -226,21 +363,6 @@
     }
 }
 
-/// Waits for a request to begin; a leaving process closes what is idle.
-async fn first_byte(link: &mut Link, desk: &Desk) -> Result<bool, &'static str> {
-    let leaving = async {
-        loop {
-            match desk.leaving.get() {
-                Some(at) if at <= Instant::now() => return Err("leaving"),
-                Some(at) => drop(Timer::at(at).await),
-                None => drop(Timer::after(Duration::from_millis(200)).await),
-            }
-        }
-    };
-    let first = async { link.fill().await.map_err(|_| "reset") };
-    until(Instant::now() + IDLE, future::or(first, leaving)).await.unwrap_or(Err("idle"))
-}
-
 async fn request(link: &mut Link) -> Result<(usize, usize), Stop> {
     let head = link.head(HEAD).await?;
     let parsed = http::request(&link.bytes()[..head])?;
--- a/courier/tests/common/mod.rs
+++ b/courier/tests/common/mod.rs
@@ -80,6 +80,33 @@
     raw(to, &[text.as_bytes(), body].concat())
 }
 
+/// What clients without manners do to a front must not keep others from it, nor its answers from themselves.
+pub fn bears_bad_clients(at: SocketAddr, path: &str) {
+    let ready = || raw(at, b"GET /ready HTTP/1.1\r\n\r\n").map(|answer| answer.status());
+    // More silent connections than there are places, and then half requests.
+    for said in ["", "POST /"] {
+        let crowd: Vec<TcpStream> = (0..200).map(|_| TcpStream::connect(at).unwrap()).collect();
+        crowd.iter().for_each(|mut one| drop(one.write(said.as_bytes())));
+        assert_eq!(ready(), Some(200), "behind 200 connections that said {said:?}");
+    }
+    // One that writes all that it has before it reads anything.
+    let head = format!("POST {path} HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n");
+    let large = [head.as_bytes(), &vec![b'x'; 60_000_000]].concat();
+    assert_eq!(raw(at, &large).map(|answer| answer.status()), Some(413));
+    // Those that ask once and stay give way in the end, where they are many.
+    let ask = |_| {
+        let mut stream = TcpStream::connect(at).unwrap();
+        stream.write_all(b"GET /ready HTTP/1.1\r\n\r\n").unwrap();
+        assert_eq!(Message::read(&mut BufReader::new(&stream)).unwrap().status(), 200);
+        stream.set_nonblocking(true).unwrap();
+        stream
+    };
+    let staying: Vec<TcpStream> = (0..60).map(ask).collect();
+    let ended = || staying.iter().filter(|one| one.peek(&mut [0]).is_ok_and(|read| read == 0)).count();
+    wait_for("room among those who stay", || ended() >= 30);
+    assert_eq!(ready(), Some(200));
+}
+
 /// What a stand-in does with a request.
 pub enum Act {
     /// Answers: status, header lines with their ends.
--- a/courier/tests/events.rs
+++ b/courier/tests/events.rs
@@ -322,6 +322,21 @@
     wait_for("the instance's end", || std::net::TcpStream::connect(at).is_err());
 }
 
+#[test]
+fn clients_without_manners_keep_nobody_else_out() {
+    let host = StandIn::start(|_| ok());
+    let folder = Folder::new("manners");
+    apply(&folder, &format!("[limits]\nsockets = 256\n{}", file(host.at, host.at, 6000)));
+    let program = daemon(&folder);
+    let at = program.address(MARKER, 0);
+    bears_bad_clients(at, "/events");
+    // Several requests may stand on a connection at once; each is served.
+    let fields = "ce-specversion: 1.0\r\nce-source: /s\r\nce-type: status\r\nce-clinic: a";
+    let one = |id| format!("POST /events HTTP/1.1\r\n{fields}\r\nce-id: {id}\r\nContent-Length: 1\r\n\r\nx");
+    assert_eq!(raw(at, format!("{}{}", one(1), one(2)).as_bytes()).unwrap().status(), 204);
+    wait_for("both legs", || host.count() == 2);
+}
+
 #[test]
 fn both_fronts_of_one_instance_serve_the_same_destinations() {
     let host = StandIn::start(|_| ok());
--- a/courier/tests/relay.rs
+++ b/courier/tests/relay.rs
@@ -268,6 +268,24 @@
     assert_eq!(site.discovery.told(), "");
 }
 
+#[test]
+fn clients_without_manners_keep_nobody_else_out() {
+    let host = StandIn::start(|_| ok());
+    let site = Site::new("manners", host.at, "6000", 0);
+    let program = site.start();
+    let at = program.address(MARKER, 0);
+    bears_bad_clients(at, "/api");
+    // Here clients send one request at a time: what stands behind one makes it unreadable.
+    let fields = "X-Call-Id: c\r\nX-Call-Class: refill-status\r\nX-Budget-Ms: 900\r\nX-Envelope: dest=3";
+    let one = format!("POST /api HTTP/1.1\r\n{fields}\r\nContent-Length: 1\r\n\r\nx");
+    for more in ["y".to_owned(), one.repeat(300)] {
+        assert_eq!(raw(at, format!("{one}{more}").as_bytes()).unwrap().status(), 400);
+    }
+    assert_eq!(host.count(), 0);
+    assert_eq!(raw(at, one.as_bytes()).unwrap().status(), 202);
+    wait_for("the leg", || host.count() == 1);
+}
+
 #[test]
 fn what_cannot_be_read_or_used_is_answered_and_harms_nobody() {
     let host = StandIn::start(|_| ok());
