--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,8 +45,8 @@
 const PACE_CUT: f64 = 0.8; // A pace is cut to this part by a refused call that was sent after the last cut.
 const PACE_CREEP: f64 = 0.04; // Each success lets a pace creep back by this part of its full rate ...
 const PACE_MOST: f64 = 1.5; // ... up to this multiple of it: the first refusal may have come in a lull ...
-/// ... or at the start, or from one endpoint that drains: with no refusal for so long, times each cut so far and
-/// one, successes let the full rate itself grow by this part a second, or a backlog would wait behind it until
+/// ... or at the start, or from one endpoint that drains: with no refusal for so long, longer with each cut,
+/// successes let the full rate itself grow by this part a second, or a backlog would wait behind it until
 /// the pace is forgotten.
 const PACE_QUIET: Span = Span(1_000_000);
 const PACE_GROWTH: f64 = 0.3;
