A spoilt answer may have run, and a first line that says delivered stands

Seen by reading and by a probe over sockets (the new test): a 503 whose body never came in full was judged by its head as never run, so its message could go out twice; a 200 whose body was shorter than announced was waited for until the leg timed out, and its message went out again; noise without a line end was waited for until then too; a report with one unreadable half was believed in the other. Cause, net/pool.rs answer() and report(): 'What the head says stands, whatever becomes of the body', and no bound but the leg's own. Change: the first line is read by itself and refused at its first wrong byte; the rest gets 400 ms. Unreadable, overlong or unfinished means an error that may have run, except where the first line says delivered. Bytes behind an answer end its connection. Interim answers are bounded, told waits and reports too.

--- a/courier/src/net/http.rs
+++ b/courier/src/net/http.rs
@@ -127,6 +127,13 @@
     pub keeps: bool,
 }
 
+impl Response<'_> {
+    /// One of which no more than the status is known.
+    pub fn of(status: u16) -> Response<'static> {
+        Response { status, fields: Fields::default(), framing: Framing::UntilEnd, keeps: false }
+    }
+}
+
 /// The length of the head at the start of a buffer, with its blank line; `seen` bytes were looked at before.
 pub fn head_end(buffer: &[u8], seen: usize) -> Option<usize> {
     let from = seen.saturating_sub(3);
@@ -194,16 +201,37 @@
     Ok(Request { method, path, fields, framing, keeps })
 }
 
-/// Reads the head of an answer; `head` ends with its blank line.
-pub fn response(head: &[u8]) -> Result<Response<'_>, Fault> {
-    let (first, fields) = lines(head)?;
-    let (proto, rest) = first.split_once(' ').ok_or(Fault::Malformed)?;
-    let current = version(proto)?;
-    let digits = rest.get(..3).filter(|code| code.bytes().all(|byte| byte.is_ascii_digit()));
-    let status: u16 = digits.and_then(|code| code.parse().ok()).ok_or(Fault::Malformed)?;
-    if !(100..600).contains(&status) || !(rest.len() == 3 || rest.as_bytes()[3] == b' ') {
+/// The longest first line of an answer.
+const LONGEST_STATUS_LINE: usize = 1024;
+
+/// What the first line of an answer says, as far as it has come: the version and the status. What cannot become
+/// one is found out at its first wrong byte, as a host that sends noise may never end a line.
+pub fn status_line(input: &[u8]) -> Result<Option<(bool, u16)>, Fault> {
+    let shape = b"HTTP/1.v sss";
+    let fits = |(byte, want): (&u8, &u8)| match want {
+        b'v' => matches!(byte, b'0' | b'1'),
+        b's' => byte.is_ascii_digit(),
+        _ => byte == want,
+    };
+    if !input.iter().zip(shape).all(fits) {
+        return Err(Fault::Malformed);
+    }
+    let Some(end) = input.iter().position(|byte| *byte == b'\n') else {
+        return if input.len() > LONGEST_STATUS_LINE { Err(Fault::Malformed) } else { Ok(None) };
+    };
+    let line = input[..end].strip_suffix(b"\r").ok_or(Fault::Malformed)?;
+    let digits = line.get(shape.len() - 3..shape.len()).ok_or(Fault::Malformed)?;
+    let status = digits.iter().fold(0, |status, digit| status * 10 + u16::from(digit - b'0'));
+    if !(100..600).contains(&status) || line.get(shape.len()).is_some_and(|byte| *byte != b' ') {
         return Err(Fault::Malformed);
     }
+    Ok(Some((line[7] == b'1', status)))
+}
+
+/// Reads the head of an answer; `head` ends with its blank line.
+pub fn response(head: &[u8]) -> Result<Response<'_>, Fault> {
+    let (current, status) = status_line(head)?.ok_or(Fault::Malformed)?;
+    let (_, fields) = lines(head)?;
     let none = matches!(status, 100..=199 | 204 | 304);
     let framing = if none { Framing::Length(0) } else { fields.framing()?.unwrap_or(Framing::UntilEnd) };
     let keeps = current && !fields.closes() && framing != Framing::UntilEnd;
--- a/courier/src/net/link.rs
+++ b/courier/src/net/link.rs
@@ -128,6 +128,22 @@
         Ok(())
     }
 
+    /// Reads the first line of an answer and gives its status; all stays in the buffer.
+    pub async fn status_line(&mut self, most: usize) -> Result<u16, Stop> {
+        loop {
+            if let Some((_, status)) = http::status_line(self.bytes())? {
+                return Ok(status);
+            }
+            if self.bytes().len() > most {
+                return Err(Fault::HeadTooLarge.into());
+            }
+            let none = self.bytes().is_empty();
+            if !self.fill().await.map_err(Stop::Broke)? {
+                return Err(if none { Stop::End } else { Stop::Cut });
+            }
+        }
+    }
+
     /// Reads up to the end of a head and gives its length; it stays in the buffer.
     pub async fn head(&mut self, most: usize) -> Result<usize, Stop> {
         let mut seen = 0;
--- a/courier/src/net/pool.rs
+++ b/courier/src/net/pool.rs
@@ -2,7 +2,7 @@
 //! sent again by itself, since once its last byte is out it may have run.
 
 use super::http;
-use super::link::{until, Link};
+use super::link::{until, Link, Stop};
 use crate::counters::{add, Counters};
 use crate::say;
 use async_channel::{Receiver, Sender};
@@ -18,7 +18,17 @@
 /// An issuer host's answer has no use for a longer head.
 const HEAD: usize = 16 * 1024;
 /// Answers mean nothing beyond their head; a longer body than this is not worth its connection.
-const BODY: usize = 256 * 1024;
+const BODY: usize = 64 * 1024;
+/// Hosts write an answer at once: what has not come so long after its first line is not going to.
+const REST: Duration = Duration::from_millis(400);
+/// ... nor is it waited for so long after the leg's time is up: its message's end may be due.
+const REST_LATE: Duration = Duration::from_millis(100);
+/// Interim answers before the one that counts.
+const INTERIM: usize = 32;
+/// A wait that is told for longer is taken for this: it must not overflow a clock, nor outlast the day.
+const LONGEST_WAIT_S: f64 = 3600.0;
+/// A report of more calls a second than this is noise.
+const MOST_RATE: f64 = 1e6;
 
 struct Place {
     address: String,
@@ -188,20 +198,16 @@
             say!("issuer host {}: connection ended, write-failed", id.0);
             return Outcome::ConnectFailed.into();
         }
-        let answer = race(cancelled, until(cut_at, answer(&mut link, call.judge))).await;
-        let (code, ended) = match answer {
-            Some(Some(Ok((ended, keeps)))) => {
-                self.keep(id, link, keeps);
+        let (ended, code) = match race(cancelled, answer(&mut link, call.judge, cut_at)).await {
+            Some((ended, Ok(()))) => {
+                self.keep(id, link, true);
                 return ended;
             }
-            Some(Some(Err(code))) => {
-                (code, if code == "malformed" { Outcome::Error } else { Outcome::Reset })
-            }
-            Some(None) => ("timed-out", Outcome::TimedOut),
-            None => ("called-off", Outcome::Cancelled),
+            Some((ended, Err(code))) => (ended, code),
+            None => (Outcome::Cancelled.into(), "called-off"),
         };
         say!("issuer host {}: connection ended, {code}", id.0);
-        ended.into()
+        ended
     }
 
     /// A connection that is kept, or a new one; and whether it was kept.
@@ -271,28 +277,71 @@
     .await
 }
 
-/// Reads an answer; gives how the leg ended and whether the connection can be kept, or a reason code.
+/// Reads an answer: what it says of the leg, and whether its connection can be kept. An answer that cannot be
+/// read to its end proves nothing, also one whose head says that the leg never ran: the host may have run it and
+/// spoilt its answer on the way. The one exception is a first line that says delivered, which stands whatever
+/// comes after it. What has begun is waited for a moment only, also past the time at which a silent leg is cut.
 async fn answer(
     link: &mut Link,
     judge: fn(&http::Response<'_>) -> Ended,
-) -> Result<(Ended, bool), &'static str> {
-    loop {
-        let head = link.head(HEAD).await.map_err(|stop| match stop {
-            super::link::Stop::Fault(_) => "malformed",
-            _ => "reset",
-        })?;
-        let read = http::response(&link.bytes()[..head]).map_err(|_| "malformed")?;
-        if read.status < 200 {
-            link.consume(head);
-            continue;
+    cut_at: Instant,
+) -> (Ended, Result<(), &'static str>) {
+    for _ in 0..INTERIM {
+        let status = match until(cut_at, link.status_line(HEAD)).await {
+            Some(Ok(status)) => status,
+            Some(Err(stop)) => return (unread(&stop).into(), Err(stop.code())),
+            None => return (Outcome::TimedOut.into(), Err("timed-out")),
+        };
+        let by = (Instant::now() + REST).min(cut_at + REST_LATE);
+        let read = until(by, rest(link, judge)).await.unwrap_or(Err(Stop::Late));
+        match read {
+            Ok(None) => continue,
+            Ok(Some((ended, true))) => return (ended, Ok(())),
+            Ok(Some((ended, false))) => return (ended, Err("not-kept")),
+            Err(stop) => {
+                let alone = http::Response::of(status);
+                let said = judge(&alone).outcome;
+                let outcome = if said == Outcome::Delivered { said } else { unread(&stop) };
+                return (outcome.into(), Err(stop.code()));
+            }
         }
-        let (ended, framing, keeps) = (judge(&read), read.framing, read.keeps);
-        // What the head says stands, whatever becomes of the body.
-        let body = if keeps { link.body(head, framing, BODY).await } else { Ok(0) };
-        if let Ok(len) = body {
+    }
+    (Outcome::Error.into(), Err("interim-without-end"))
+}
+
+/// What an answer that cannot be read says of its leg.
+fn unread(stop: &Stop) -> Outcome {
+    match stop {
+        Stop::Fault(_) | Stop::Late => Outcome::Error,
+        Stop::End | Stop::Cut | Stop::Broke(_) => Outcome::Reset,
+    }
+}
+
+/// Reads what follows a status line; `None` where the answer proper is still to come.
+async fn rest(
+    link: &mut Link,
+    judge: fn(&http::Response<'_>) -> Ended,
+) -> Result<Option<(Ended, bool)>, Stop> {
+    let head = link.head(HEAD).await?;
+    let read = http::response(&link.bytes()[..head])?;
+    if read.status < 200 {
+        link.consume(head);
+        return Ok(None);
+    }
+    let (ended, framing, keeps) = (judge(&read), read.framing, read.keeps);
+    if !keeps && ended.outcome == Outcome::Delivered {
+        return Ok(Some((ended, false)));
+    }
+    let whole = link.body(head, framing, BODY).await;
+    match whole {
+        Ok(len) => {
             link.consume(head + len);
+            // What comes behind an answer belongs to no leg, and the next leg must not take it for its own.
+            Ok(Some((ended, keeps && link.bytes().is_empty())))
         }
-        return Ok((ended, keeps && body.is_ok()));
+        // The report in a head that could be read counts even where the body is of no use.
+        Err(_) if ended.outcome == Outcome::Delivered => Ok(Some((ended, false))),
+        Err(stop) => Err(stop),
     }
 }
 
@@ -304,17 +353,92 @@
         Some(date.duration_since(SystemTime::now()).map_or(0.0, |left| left.as_secs_f64()))
     };
     let secs = text.parse::<f64>().ok().or_else(|| until_date(text))?;
-    Some(secs).filter(|secs| secs.is_finite() && *secs > 0.0).map(|secs| Span::from_ms(secs * 1000.0))
+    let secs = Some(secs).filter(|secs| secs.is_finite() && *secs > 0.0)?;
+    Some(Span::from_ms(secs.min(LONGEST_WAIT_S) * 1000.0))
 }
 
-/// Reads a report such as `TEXT x0=0.4, x1=25`; what cannot be read is left out.
+/// Reads a report such as `TEXT x0=0.4, x1=25`. One that cannot be read in full is left out in full: half of it
+/// may be as wrong as the rest.
 pub fn report(text: &str) -> Report {
-    let values = text.trim().strip_prefix("TEXT").unwrap_or_default();
-    let value = |name: &str| {
-        let pairs = values.split(',').filter_map(|pair| pair.split_once('='));
-        let found =
-            pairs.filter(|(key, _)| key.trim() == name).find_map(|(_, value)| value.trim().parse().ok());
-        found.filter(|value: &f64| value.is_finite())
+    let read = || {
+        let mut report = Report::default();
+        for pair in text.trim().strip_prefix("TEXT")?.split(',') {
+            let (name, value) = pair.split_once('=')?;
+            let value: f64 = value.trim().parse().ok()?;
+            match name.trim() {
+                "x0" if (0.0..=1.0).contains(&value) => report.left = Some(value),
+                "x1" if (0.0..=MOST_RATE).contains(&value) => report.limit = Some(value),
+                "x0" | "x1" => return None,
+                _ => {}
+            }
+        }
+        Some(report)
     };
-    Report { left: value("x0"), limit: value("x1") }
+    read().unwrap_or_default()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::front::{cloudevents, relay};
+    use async_io::Async;
+    use futures_lite::AsyncWriteExt;
+    use std::net::TcpListener;
+
+    /// What a host's bytes, on a connection that stays open, say of their leg; and whether it is kept.
+    fn read(bytes: &[u8], judge: fn(&http::Response<'_>) -> Ended) -> (Outcome, bool) {
+        async_io::block_on(async {
+            let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+            let dialled = Link::connect(listener.get_ref().local_addr().unwrap());
+            let (near, far) = future::zip(dialled, listener.accept()).await;
+            let (mut near, mut far) = (near.unwrap(), far.unwrap().0);
+            far.write_all(bytes).await.unwrap();
+            let cut_at = Instant::now() + Duration::from_secs(20);
+            let (ended, keeps) = answer(&mut near, judge, cut_at).await;
+            (ended.outcome, keeps.is_ok())
+        })
+    }
+
+    /// A 503 that could not be read to its end was taken for one that never ran, and its message went out twice; a
+    /// 200 whose body was shorter than it said was waited for until the leg timed out, and went out twice as well.
+    #[test]
+    fn a_spoilt_answer_may_have_run_unless_its_first_line_says_delivered() {
+        let (may, full) = (Outcome::Error, Outcome::Full(None));
+        let long = [b"HTTP/1.1 503 x\r\nX: ", &b"y".repeat(40_000)[..]].concat();
+        let copy = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".repeat(2);
+        let cases: [(&[u8], Outcome, bool); 12] = [
+            (b"HTTP/1.1 503 x\r\nContent-Length: 2\r\n\r\nab", full, true),
+            (b"HTTP/1.1 503 x\r\nContent-Length: 9\r\n\r\nab", may, false),
+            (b"HTTP/1.1 503 x\r\nContent-Length: -1\r\n\r\nab", may, false),
+            (b"HTTP/1.1 429 x\r\nRetry-After: 1\r\nContent-Length: 3000000000\r\n\r\nab", may, false),
+            (b"HTTP/1.1 503 x\r\nno field\r\nContent-Length: 0\r\n\r\n", may, false),
+            (&long, may, false),
+            (b"\x00\x17noise", may, false),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", Outcome::Delivered, false),
+            (b"HTTP/1.1 200 OK\r\nno field\r\n\r\n", Outcome::Delivered, false),
+            (b"HTTP/1.1 200 OK\r\nX: never ends", Outcome::Delivered, false),
+            (&copy, Outcome::Delivered, false),
+            (
+                b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                Outcome::Delivered,
+                true,
+            ),
+        ];
+        for (bytes, outcome, keeps) in cases {
+            for judge in [relay::judge, cloudevents::judge] {
+                let said = String::from_utf8_lossy(&bytes[..bytes.len().min(70)]);
+                assert_eq!(read(bytes, judge), (outcome, keeps), "{said}");
+            }
+        }
+    }
+
+    #[test]
+    fn a_report_that_cannot_be_read_is_left_out_in_full() {
+        assert_eq!(report("TEXT x0=0.4, x1=25"), Report { left: Some(0.4), limit: Some(25.0) });
+        for spoilt in
+            ["", "x0=0.4", "TEXT x0=0.4, x1=", "TEXT x0=0.4; x1=25", "TEXT x0=7, x1=25", "TEXT x1=1e99"]
+        {
+            assert_eq!(report(spoilt), Report::default(), "{spoilt}");
+        }
+    }
 }
--- a/courier/tests/parsers.rs
+++ b/courier/tests/parsers.rs
@@ -52,6 +52,8 @@
         assert_eq!(http::head_end(&REQUEST[..cut], 0), None);
         assert_eq!(http::head_end(&[REQUEST, b"body\r\n\r\n"].concat(), cut), Some(REQUEST.len()));
         assert!(http::request(&REQUEST[..cut]).is_err() && http::response(&RESPONSE[..cut.min(70)]).is_err());
+        let line = http::status_line(&RESPONSE[..cut.min(70)]);
+        assert_eq!(line, Ok((cut > 22).then_some((true, 429))), "a first line is not a fault before its end");
         true
     }
     holds(1, 500, property as fn(usize) -> bool);
