Ids and destinations of strangers harm nobody; hosts that are gone leave nothing behind

Cause: relay.rs passed on any bytes as an id or key, read '+900' as a number and took keyed classes without a key; the engine took on messages for destinations that no list ever named. By reading: engine.rs registered who brought a known id as one that waits, so after a restart its going away withdrew the message of another client, and an id that came again after its message's end was sent again. Pool::gone, Hands.addresses, Engine.hosts and the module's endpoints kept every host there ever was. Change: ids and keys are plain text of 256 characters at most, numbers are digits, a keyed class needs a key (as for events). An unknown destination is declined, since the list may be late. A known id is answered and changes nothing; ids that ended are known for 20 s more. Hosts that are gone are forgotten at once in engine, pool and module. The ledger counts open messages instead of looking through them; the end of a notice writes one record instead of two.

--- a/courier/src/core/engine.rs
+++ b/courier/src/core/engine.rs
@@ -1,6 +1,7 @@
 //! Owns the decision module: inputs go in, orders come out. Keeps the module's events and the ledger in step,
 //! so that everything the module is told is in the journal and everything it decides is carried out once.
 
+use super::lately::Lately;
 use super::ledger::{Ledger, Leg};
 use super::{Answer, Authorisation, End, Origin, Seq, Stamp, Ticket};
 use marblefall_decisions as m;
@@ -141,7 +142,13 @@
     remember_ms: Vec<i64>,
     remember_most: usize,
     names: HashMap<String, m::EndpointId>,
-    hosts: Vec<String>,
+    /// The issuer hosts that are listed or that a held message was at, by the module's numbers for them.
+    hosts: BTreeMap<m::EndpointId, String>,
+    next_host: u32,
+    /// Destinations that have had a host.
+    destinations: BTreeSet<m::DestinationId>,
+    /// Identities of the platform's messages that are over.
+    lately: Lately,
     waiting: BTreeMap<Seq, Vec<Ticket>>,
     wakes: BTreeSet<(m::Time, u64)>,
     /// Events that the next batch starts with: what became clear only while a batch was carried out.
@@ -175,7 +182,10 @@
             remember_ms: setup.remember_ms,
             remember_most: setup.remember_most,
             names: HashMap::new(),
-            hosts: Vec::new(),
+            hosts: BTreeMap::new(),
+            next_host: 0,
+            destinations: BTreeSet::new(),
+            lately: Lately::default(),
             waiting: BTreeMap::new(),
             wakes: BTreeSet::new(),
             backlog: Vec::new(),
@@ -225,9 +235,10 @@
         if let Some(id) = self.names.get(name) {
             return *id;
         }
-        let id = m::EndpointId(self.hosts.len() as u32);
+        let id = m::EndpointId(self.next_host);
+        self.next_host += 1;
         self.names.insert(name.to_owned(), id);
-        self.hosts.push(name.to_owned());
+        self.hosts.insert(id, name.to_owned());
         id
     }
 
@@ -244,6 +255,7 @@
 
     /// Takes what came in since the last step, lets the module decide, and says what is to be done.
     pub fn step(&mut self, now: Stamp, inputs: Vec<Input>, orders: &mut Vec<Order>) {
+        self.lately.sweep(now.mono);
         let mut events = Vec::new();
         let mut offered = Vec::new();
         // News of the list goes first: nothing queued behind it may go to a host that drains.
@@ -295,6 +307,13 @@
         match input {
             Input::Offered(ticket, authorisation) => {
                 let past = match self.known(&authorisation, offered) {
+                    // The platform's clients give each hand-in an id of its own: who brings a known one is not the
+                    // client that waits for it, and must not withdraw it by going away.
+                    Known::Joins(seq) if authorisation.origin == Origin::Relay => {
+                        let taken_on = self.ledger.get(seq).is_some();
+                        let answer = if taken_on { Answer::TakenOn } else { Answer::Conflict };
+                        return orders.push(Order::Answer(ticket, answer));
+                    }
                     Known::Joins(seq) => {
                         self.waiting.entry(seq).or_default().push(ticket);
                         match offered.iter_mut().find(|offer| offer.seq == seq) {
@@ -315,7 +334,9 @@
                 };
                 let full = self.ledger.open_count() + offered.len() >= self.max_open;
                 let leaving = self.hand_over || self.stop.is_some_and(|stop| stop - now.mono <= LAST_TAKEN);
-                if full || leaving || !self.ledger.has_room(&authorisation) {
+                // The list may be late, so a destination that it has not named is declined, not refused for good.
+                let unknown = !self.destinations.contains(&authorisation.destination);
+                if unknown || full || leaving || !self.ledger.has_room(&authorisation) {
                     return orders.push(Order::Answer(ticket, Answer::Declined(COME_BACK_MS)));
                 }
                 let seq = self.ledger.number();
@@ -340,7 +361,7 @@
                 let relay = self.ledger.get(seq).filter(|e| e.authorisation.origin == Origin::Relay);
                 if unwatched && relay.is_some_and(|entry| entry.end.is_none()) {
                     events.push(m::Event::Gone(m::MessageId(seq)));
-                    self.over(seq, orders);
+                    self.over(now, seq, orders);
                 }
             }
             Input::LegEnded { seq, copy, outcome, took, over, report } => {
@@ -356,12 +377,11 @@
                 if delivered {
                     self.finish(now, seq, End::Delivered, orders);
                 } else if over {
-                    self.over(seq, orders);
+                    self.over(now, seq, orders);
                 }
             }
             Input::NoticeTaken(seq) => {
-                let told = self.ledger.told(seq).and_then(|()| self.ledger.forget(seq));
-                log_fault(told, orders);
+                self.over(now, seq, orders);
             }
             Input::Stop { by, hand_over } => {
                 self.stop = Some(by);
@@ -390,7 +410,9 @@
         let by_key = || self.ledger.by_key(authorisation.destination, key?);
         let seq = self.ledger.by_identity(&authorisation.identity).or_else(by_key);
         let Some((seq, entry)) = seq.and_then(|seq| Some((seq, self.ledger.get(seq)?))) else {
-            return Known::No(None);
+            // Sent again, what was delivered would run twice.
+            let was = !events && self.lately.has(&authorisation.identity);
+            return if was { Known::Says(Answer::Conflict) } else { Known::No(None) };
         };
         if entry.authorisation.repeat_key != authorisation.repeat_key {
             return Known::Says(Answer::Conflict);
@@ -456,7 +478,7 @@
         match action {
             m::Action::Send { message, endpoint, cut_at } => {
                 let seq = message.0;
-                let name = self.hosts[endpoint.0 as usize].clone();
+                let name = self.hosts.get(&endpoint).cloned().unwrap_or_default();
                 let leg = Leg { at_ms: now.unix_ms, host: name };
                 let attempts = self.ledger.get(seq).map_or(0, |entry| entry.attempts);
                 let begun = if lost.contains(&seq) { Ok(()) } else { self.ledger.leg_begins(seq, leg) };
@@ -539,13 +561,17 @@
         if owed {
             orders.push(Order::Notice(seq, authorisation, end));
         } else if relay {
-            log_fault(self.ledger.forget(seq), orders);
+            self.over(now, seq, orders);
         }
     }
 
     /// Forgets a message for which nothing is owed.
-    fn over(&mut self, seq: Seq, orders: &mut Vec<Order>) {
+    fn over(&mut self, now: Stamp, seq: Seq, orders: &mut Vec<Order>) {
         self.waiting.remove(&seq);
+        let relay = self.ledger.get(seq).filter(|entry| entry.authorisation.origin == Origin::Relay);
+        if let Some(entry) = relay {
+            self.lately.note(now.mono, &entry.authorisation.identity);
+        }
         log_fault(self.ledger.forget(seq), orders);
     }
 
@@ -553,6 +579,7 @@
         let mut entries = Vec::new();
         for host in hosts {
             let endpoint = self.host(&host.name);
+            self.destinations.insert(host.destination);
             entries.push(m::Entry {
                 endpoint,
                 destination: host.destination,
@@ -563,10 +590,18 @@
             });
             orders.push(Order::Host(endpoint, host));
         }
-        if whole {
-            let kept: BTreeSet<u32> = entries.iter().map(|entry| entry.endpoint.0).collect();
-            let gone = (0..self.hosts.len() as u32).filter(|id| !kept.contains(id));
-            orders.extend(gone.map(|id| Order::HostGone(m::EndpointId(id))));
+        let listed = |entry: &&m::Entry| entry.listing != m::Listing::Gone;
+        let kept: BTreeSet<_> = entries.iter().filter(listed).map(|entry| entry.endpoint).collect();
+        let gone: Vec<_> = match whole {
+            true => self.hosts.keys().copied().filter(|id| !kept.contains(id)).collect(),
+            false => entries.iter().filter(|entry| !listed(entry)).map(|entry| entry.endpoint).collect(),
+        };
+        // Hosts come under new names for as long as the process runs: what is gone must leave nothing behind.
+        for id in gone {
+            if let Some(name) = self.hosts.remove(&id) {
+                self.names.remove(&name);
+            }
+            orders.push(Order::HostGone(id));
         }
         entries
     }
--- a/courier/src/core/ledger.rs
+++ b/courier/src/core/ledger.rs
@@ -71,6 +71,8 @@
     identities: HashMap<Vec<u8>, Seq>,
     keys: HashMap<(DestinationId, Vec<u8>), Seq>,
     live: u64,
+    /// Messages that have not ended.
+    open: usize,
     next: Seq,
     /// Messages that ended and are only remembered, those first that may be forgotten first.
     remembered: BTreeSet<(i64, Seq)>,
@@ -99,7 +101,7 @@
                 entry.ran.get_or_insert(leg);
             }
         }
-        let (identities, keys, live, remembered, remembered_cost) = Default::default();
+        let (identities, keys, live, open, remembered, remembered_cost) = Default::default();
         let budget = disk.saturating_sub(MARGIN);
         let mut ledger = Ledger {
             journal,
@@ -109,6 +111,7 @@
             identities,
             keys,
             live,
+            open,
             next,
             remembered,
             remembered_cost,
@@ -124,6 +127,7 @@
     fn index(&mut self, seq: Seq) {
         let entry = &self.entries[&seq];
         self.live += entry.cost();
+        self.open += usize::from(entry.end.is_none());
         self.identities.insert(entry.authorisation.identity.clone(), seq);
         self.identities.extend(entry.aliases.iter().map(|alias| (alias.clone(), seq)));
         if let Some(key) = &entry.authorisation.repeat_key {
@@ -163,7 +167,7 @@
 
     /// Messages that have not ended.
     pub fn open_count(&self) -> usize {
-        self.entries.values().filter(|entry| entry.end.is_none()).count()
+        self.open
     }
 
     /// Whether one more message of this size may be taken on: what is live must leave room for ends and for
@@ -240,6 +244,7 @@
             return Ok(false);
         };
         let before = entry.cost();
+        self.open -= 1;
         let written = self.note(seq, Record::Ended(end, owed, keep_until_ms));
         self.live = self.live.saturating_sub(before) + self.entries[&seq].cost();
         if !owed {
@@ -248,15 +253,11 @@
         written.map(|()| true)
     }
 
-    /// The platform has taken the notice of a message's end.
-    pub fn told(&mut self, seq: Seq) -> io::Result<()> {
-        self.note(seq, Record::Told)
-    }
-
     /// Forgets a message altogether.
     pub fn forget(&mut self, seq: Seq) -> io::Result<()> {
         let Some(entry) = self.entries.get(&seq) else { return Ok(()) };
         let a = entry.authorisation.clone();
+        self.open -= usize::from(entry.end.is_none());
         if self.remembered.remove(&(entry.keep_until_ms, seq)) {
             self.remembered_cost = self.remembered_cost.saturating_sub(entry.cost());
         }
@@ -330,7 +331,6 @@
     Begins(Leg),
     LegEnded(bool),
     Ended(End, bool, i64),
-    Told,
     Forgotten,
     Alias(Vec<u8>),
 }
@@ -364,7 +364,6 @@
                 entry.authorisation = Rc::new(slim);
                 (entry.end, entry.owed, entry.keep_until_ms) = (Some(end), owed, keep_until_ms);
             }
-            Record::Told => entry.owed = false,
             Record::Alias(identity) => entry.aliases.push(identity),
             Record::Forgotten => {
                 entries.remove(&seq);
@@ -398,9 +397,6 @@
             Record::Ended(end, owed, until) => {
                 out.byte(3).end(*end).byte((*owed).into()).number(*until);
             }
-            Record::Told => {
-                out.byte(4);
-            }
             Record::Forgotten => {
                 out.byte(5);
             }
@@ -449,7 +445,6 @@
             1 => Record::Begins(from.leg()?),
             2 => Record::LegEnded(from.byte()? == 1),
             3 => Record::Ended(from.end()?, from.byte()? == 1, from.number()?),
-            4 => Record::Told,
             5 => Record::Forgotten,
             6 => Record::Alias(from.bytes()?),
             _ => return None,
--- a/courier/src/core/mod.rs
+++ b/courier/src/core/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod engine;
 pub mod journal;
+pub mod lately;
 pub mod ledger;
 
 use marblefall_decisions::{ClassId, DestinationId, Time};
--- a/courier/src/daemon.rs
+++ b/courier/src/daemon.rs
@@ -16,7 +16,7 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{future, StreamExt};
-use marblefall_decisions::{EndpointId, Listing, Outcome, Span, Time};
+use marblefall_decisions::{Class, Effect, EndpointId, Listing, Outcome, Span, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
@@ -127,15 +127,18 @@
     let ms = |ms: f64, or: f64| Duration::from_secs_f64(if ms > 0.0 { ms } else { or } / 1000.0);
     let since = told.known.as_ref().map_or(0, |known| known.revision);
     let hosts = told.known.map_or(Input::Listed(Vec::new()), |known| known.input(&names));
+    let settings = boot.settings();
+    let is_keyed = |class: &Class| matches!(class.effect, Effect::Token { .. });
+    let keyed = settings.classes.iter().map(is_keyed).collect();
     let setup = Setup {
-        settings: boot.settings(),
+        settings,
         seed: u64::from_str_radix(&told.seed, 16).unwrap_or_default(),
         remember_ms: vec![0; classes.len()],
         remember_most: 0,
     };
     let relay = RelayPart {
         listener: TcpListener::bind(listen).map_err(|error| format!("{listen}: {error}"))?,
-        front: Relay { classes: classes.clone(), numbers: None },
+        front: Relay { classes: classes.clone(), keyed, numbers: None },
         notices: discovery,
         watch: Some((names, since)),
     };
@@ -406,7 +409,10 @@
                 self.addresses.borrow_mut().insert(id, host.address.as_str().into());
                 self.pool.place(id, &host.address, host.listing == Listing::On);
             }
-            Order::HostGone(id) => self.pool.gone(id),
+            Order::HostGone(id) => {
+                self.addresses.borrow_mut().remove(&id);
+                self.pool.gone(id);
+            }
             Order::Log(text) => say!("{text}"),
         }
     }
--- a/courier/src/front/relay.rs
+++ b/courier/src/front/relay.rs
@@ -13,10 +13,15 @@
 /// A time to live longer than this is taken for this, lest sums with it overflow.
 const LONGEST_BUDGET_MS: i64 = 24 * 3600 * 1000;
 
+/// Ids and keys longer than this are noise.
+const LONGEST_NAME: usize = 256;
+
 /// The acquirer side of the platform's protocol.
 pub struct Relay {
     /// The names of the classes, in their order.
     pub classes: Vec<String>,
+    /// For each of them, whether its receivers drop repeats by key, so that a message must bring one.
+    pub keyed: Vec<bool>,
     /// The destinations that clients' numbers stand for, where they are not the numbers themselves.
     pub numbers: Option<BTreeMap<u64, DestinationId>>,
 }
@@ -56,15 +61,25 @@
         now_ms: i64,
     ) -> Result<Authorisation, &'static str> {
         let fields = &request.fields;
-        let identity = fields.get("x-call-id").filter(|id| !id.is_empty()).ok_or("no X-Call-Id")?;
+        // What is passed on must come out as it came in, on the wire of a leg as in the line of a notice.
+        let plain = |name| fields.get(name).filter(|text| text.len() <= LONGEST_NAME && is_plain(text));
+        let identity = plain("x-call-id").ok_or("no X-Call-Id")?;
         let class = fields.text("x-call-class").ok_or("no X-Call-Class")?;
         let class = self.classes.iter().position(|name| name == class).ok_or("unknown class")?;
-        let budget = fields.text("x-budget-ms").and_then(|text| text.parse::<u64>().ok());
+        let budget = fields.text("x-budget-ms").and_then(digits);
         let budget = budget.ok_or("no X-Budget-Ms in whole milliseconds")?;
+        let repeat_key = match fields.get("idempotency-key") {
+            None => None,
+            Some(_) => Some(plain("idempotency-key").ok_or("an Idempotency-Key that cannot be passed on")?),
+        };
+        if repeat_key.is_none() && self.keyed.get(class) == Some(&true) {
+            // Without it no receiver could tell a repeat.
+            return Err("no Idempotency-Key in a class with keys");
+        }
         let envelope = fields.text("x-envelope").ok_or("no X-Envelope")?;
         let pairs = envelope.split([',', ';', ' ']).filter_map(|pair| pair.split_once('='));
         let mut named = pairs.filter(|(name, _)| name.trim() == "dest");
-        let number: Option<u64> = named.next().and_then(|(_, number)| number.trim().parse().ok());
+        let number = named.next().and_then(|(_, number)| digits(number.trim()));
         let number = number.ok_or("no dest in X-Envelope")?;
         let destination = match &self.numbers {
             None => DestinationId(number),
@@ -73,7 +88,7 @@
         Ok(Authorisation {
             origin: Origin::Relay,
             identity: identity.to_vec(),
-            repeat_key: fields.get("idempotency-key").map(<[u8]>::to_vec),
+            repeat_key: repeat_key.map(<[u8]>::to_vec),
             class: ClassId(class),
             destination,
             expires_ms: now_ms
@@ -84,6 +99,15 @@
     }
 }
 
+/// A number as the protocol writes it: digits alone, where Rust would read a sign as well.
+fn digits(text: &str) -> Option<u64> {
+    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok())?
+}
+
+fn is_plain(text: &[u8]) -> bool {
+    !text.is_empty() && text.iter().all(u8::is_ascii_graphic)
+}
+
 /// The head and the body of a leg.
 pub fn leg<'a>(authorisation: &'a Authorisation, address: &str, budget_ms: u64) -> (Vec<u8>, Cow<'a, [u8]>) {
     let mut head = format!("POST /receive HTTP/1.1\r\nHost: {address}\r\nX-Call-Id: ").into_bytes();
--- a/courier/src/net/pool.rs
+++ b/courier/src/net/pool.rs
@@ -127,8 +127,7 @@
 
     /// The list no longer names an issuer host.
     pub fn gone(&self, id: EndpointId) {
-        if let Some(place) = self.places.borrow_mut().get_mut(&id) {
-            place.open = false;
+        if let Some(mut place) = self.places.borrow_mut().remove(&id) {
             place.end_idle(id, Instant::now(), "not-listed");
         }
     }
--- a/courier/src/net/server.rs
+++ b/courier/src/net/server.rs
@@ -405,7 +405,7 @@
             let desk = Rc::new(Desk::new(queue, 4, Rc::default()));
             let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
             let at = listener.get_ref().local_addr().unwrap();
-            let front = Rc::new(Relay { classes: vec![], numbers: None });
+            let front = Rc::new(Relay { classes: vec![], keyed: vec![], numbers: None });
             let patience = Patience(Duration::from_millis(50));
             spawner.clone().spawn(serve(listener, front, desk, patience, spawner));
             for half in ["POST /api HT", "POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"] {
--- a/courier/src/supervise.rs
+++ b/courier/src/supervise.rs
@@ -204,7 +204,11 @@
             let numbers = Some(numbers.collect());
             Some(RelayPart {
                 listener: listener("relay", front.listen)?,
-                front: Relay { classes: classes.clone(), numbers },
+                front: Relay {
+                    classes: classes.clone(),
+                    keyed: share.classes.values().map(|class| class.repeats == Repeats::Keyed).collect(),
+                    numbers,
+                },
                 notices: front.notices,
                 watch: None,
             })
--- a/courier/tests/core.rs
+++ b/courier/tests/core.rs
@@ -190,6 +190,51 @@
     assert!(notices(&Bed::life(bed.dir.clone(), 7200).1).is_empty());
 }
 
+/// Whoever brings another client's id must neither withdraw that message by going away nor have it sent again.
+#[test]
+fn an_id_of_the_platform_that_is_known_belongs_to_the_first_who_brought_it() {
+    let (mut bed, _) = Bed::life(folder("stranger"), 0);
+    let offer = |ticket| Input::Offered(Ticket(ticket), message("m", Origin::Relay, 1, 9));
+    let orders = bed.step(0, vec![offer(1), offer(2)]);
+    assert_eq!(answers(&orders), [(2, Answer::Conflict), (1, Answer::TakenOn)]);
+    let (mut bed, orders) = Bed::life(bed.dir.clone(), 100);
+    let leg = legs(&orders)[0];
+    assert_eq!(answers(&bed.step(10, vec![offer(3)])), [(3, Answer::TakenOn)]);
+    bed.step(20, vec![Input::Withdrawn(Ticket(3))]);
+    assert_eq!(bed.engine.load().0, 1, "still owed to the first");
+    bed.step(30, vec![ended(leg, Outcome::Delivered)]);
+    let orders = bed.step(40, vec![offer(4)]);
+    assert_eq!((answers(&orders), legs(&orders).len()), (vec![(4, Answer::Conflict)], 0));
+    let orders = bed.step(30_000, vec![offer(5)]);
+    assert_eq!(answers(&orders), [(5, Answer::Ended(End::Expired))], "no longer known, and past its time");
+}
+
+#[test]
+fn a_destination_that_no_list_has_named_is_declined() {
+    let (mut bed, _) = Bed::life(folder("nowhere"), 0);
+    let mut nowhere = message("m", Origin::Relay, 1, 9);
+    nowhere.destination = DestinationId(8);
+    let orders = bed.step(0, vec![Input::Offered(Ticket(1), nowhere)]);
+    assert!(matches!(answers(&orders)[..], [(1, Answer::Declined(_))]));
+    assert_eq!(bed.engine.load().0, 0);
+}
+
+#[test]
+fn hosts_that_are_gone_leave_nothing_behind() {
+    let (mut bed, _) = Bed::life(folder("gone"), 0);
+    let host = |n: u32, listing| {
+        let Input::Listed(mut hosts) = list() else { unreachable!() };
+        Host { name: format!("h-{n}"), listing, ..hosts.remove(0) }
+    };
+    let gone = |orders: &[Order]| orders.iter().filter(|order| matches!(order, Order::HostGone(_))).count();
+    for n in 1..100 {
+        let changed = vec![host(n, Listing::On), host(n - 1, Listing::Gone)];
+        assert_eq!(gone(&bed.step(n.into(), vec![Input::Changed(changed)])), 1);
+    }
+    // A whole list ends what is still known and not in it: the first list's host.
+    assert_eq!(gone(&bed.step(200, vec![Input::Listed(vec![host(99, Listing::On)])])), 1);
+}
+
 #[test]
 fn a_repeat_of_an_event_never_makes_a_second_message() {
     let (mut bed, _) = Bed::life(folder("repeat"), 0);
@@ -315,7 +360,7 @@
             // An end is always written, however full the folder is.
             let seq = live.pop_front().unwrap();
             assert!(ledger.end(seq, End::Failed, true, 0).unwrap());
-            ledger.told(seq).and_then(|()| ledger.forget(seq)).unwrap();
+            ledger.forget(seq).unwrap();
         }
         assert!(used() <= disk, "{} bytes after {n}", used());
     }
--- a/courier/tests/relay.rs
+++ b/courier/tests/relay.rs
@@ -99,7 +99,7 @@
         ("X-Call-Class", class),
         ("X-Budget-Ms", budget),
         ("X-Envelope", "dest=3"),
-        ("Idempotency-Key", "k-1"),
+        ("Idempotency-Key", &format!("key of {id}")),
     ];
     post(to, "/api", &fields, b"two boxes\0\xff")
 }
@@ -115,7 +115,7 @@
     wait_for("the leg", || host.count() == 1);
     let leg = host.first();
     assert_eq!(leg.first, "POST /receive HTTP/1.1");
-    assert_eq!((leg.field("x-call-id"), leg.field("idempotency-key")), (Some("m-1"), Some("k-1")));
+    assert_eq!((leg.field("x-call-id"), leg.field("idempotency-key")), (Some("m-1"), Some("key of m-1")));
     assert_eq!(leg.body, b"two boxes\0\xff");
     assert!(leg.field("x-budget-ms").unwrap().parse::<u64>().unwrap() <= 9000);
     program.signal("USR1");
@@ -309,7 +309,15 @@
         assert_eq!(answer, Some(status), "{}", String::from_utf8_lossy(&bytes[..bytes.len().min(80)]));
     }
     assert_eq!(hand(at, "m", "no-such-class", "900").unwrap().status(), 400);
-    assert_eq!(hand(at, "m", "refill-order", "soon").unwrap().status(), 400);
+    for budget in ["soon", "-1", "+900", "9e2", "900.5", "99999999999999999999999"] {
+        assert_eq!(hand(at, "m", "refill-order", budget).unwrap().status(), 400, "{budget}");
+    }
+    for id in ["a b", "\u{e9}", &"x".repeat(300)] {
+        assert_eq!(hand(at, id, "refill-order", "900").unwrap().status(), 400, "{id}");
+    }
+    let keyless = b"POST /api HTTP/1.1\r\nX-Call-Id: c\r\nX-Call-Class: refill-order\r\nX-Budget-Ms: 900\r\n\
+        X-Envelope: dest=3\r\nContent-Length: 0\r\n\r\n";
+    assert_eq!(raw(at, keyless).unwrap().status(), 400);
     let chunked =
         b"POST /api HTTP/1.1\r\nX-Call-Id: c\r\nX-Call-Class: refill-status\r\nX-Budget-Ms: 900\r\n\
         X-Envelope: dest=3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n";
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -204,6 +204,7 @@
     began: Option<Time>,
     next_call: u64,
     outs: BTreeSet<RouteId>, // Routes that are out.
+    some_gone: bool,         // Endpoints may be gone and not forgotten yet.
     /// For each kind, the moving share of calls that got no connection where others were served.
     crowded: BTreeMap<KindId, f64>,
     timer: Option<(Time, u64)>,
@@ -229,6 +230,7 @@
         }
         self.began.get_or_insert(now);
         events.iter().for_each(|event| self.absorb(now, event, actions));
+        self.forget_gone();
         self.give_up(now, actions);
         self.probe(now, actions);
         self.release(now, actions);
@@ -280,6 +282,7 @@
     }
 
     fn list(&mut self, entries: &[Entry]) {
+        self.some_gone = true;
         for entry in entries {
             let apart = self.set.kinds.get(entry.kind.0).is_some_and(|kind| kind.apart);
             let route = RouteId(entry.destination, Some(entry.endpoint).filter(|_| apart));
@@ -296,6 +299,27 @@
         }
     }
 
+    /// Endpoints come under new ids for as long as a courier runs: what is gone and carries no call is forgotten,
+    /// with its route where that is its own. What a destination's shared route has learned stays.
+    fn forget_gone(&mut self) {
+        if !std::mem::take(&mut self.some_gone) {
+            return;
+        }
+        for (id, endpoint) in &self.endpoints {
+            if endpoint.listing != Listing::Gone || endpoint.out > 0 {
+                self.some_gone |= endpoint.listing == Listing::Gone;
+                continue;
+            }
+            let all = self.destinations.get_mut(&endpoint.route.0).expect("each endpoint has a destination");
+            all.retain(|other| other != id);
+            if endpoint.route.1.is_some() {
+                self.routes.remove(&endpoint.route);
+                self.outs.remove(&endpoint.route);
+            }
+        }
+        self.endpoints.retain(|_, endpoint| endpoint.listing != Listing::Gone || endpoint.out > 0);
+    }
+
     fn accept(&mut self, now: Time, handed: &Handed, past: Option<&Past>, actions: &mut Vec<Action>) {
         let Some(class) = self.set.classes.get(handed.class.0) else {
             return actions.push(Action::Fail(handed.message));
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -107,7 +107,7 @@
     for step in 1..=180 {
         bed.at(start + f64::from(step) * 50.0);
         // Four messages a second, answered as delivered by the next step.
-        let mut events: Vec<Event> = out.drain(..).collect();
+        let mut events: Vec<Event> = std::mem::take(&mut out);
         events.extend((step % 5 == 0).then(|| bed.message(0, 0).1));
         for (message, _) in sends(&bed.say_all(&events)) {
             late += usize::from(step > 140);
@@ -117,6 +117,22 @@
     assert!(late >= 8, "{late} sent in the last 2 s, in which 8 came");
 }
 
+/// Endpoints under ever new ids made each decision dearer than the one before.
+#[test]
+fn an_endpoint_that_is_gone_is_forgotten() {
+    let mut bed = Bed::new(settings());
+    let apart = |listing| Event::Listed(vec![Entry { listing, ..entry(0, 0, 1, 0) }]);
+    bed.say(apart(Listing::On));
+    bed.meet(0);
+    let out: Vec<Event> = (0..6).map(|_| bed.message(0, 0).1).collect();
+    assert_eq!(sends(&bed.say_all(&out)).len(), 3, "the share of one that is met");
+    bed.say(Event::Listed(vec![]));
+    for message in 2..=4 {
+        bed.say(closed(MessageId(message), 0, Outcome::Delivered));
+    }
+    assert_eq!(sends(&bed.say(apart(Listing::On))).len(), 2, "as many as go to one that is not");
+}
+
 #[test]
 fn a_courier_that_knows_nothing_does_not_send_all_its_calls_to_one_new_destination() {
     let mut bed = Bed::with_destinations(settings(), 2);
