A pace grows also while its route is just back, within the fail-back budget

Ruled out: the fail-back budget (spaced() would have let 23 to 57 a second go), slots (12 of 31), the trials (return found within 1 s). Change: it is enough that a route is not out; spaced() binds all the same while it is back.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -969,7 +969,9 @@
         if let Some(pace) = &mut self.pace {
             pace.tokens = pace.tokens(now);
             pace.filled = now;
-            if self.health == Health::Well && now - pace.refused > Span(PACE_QUIET.0 * (1 + pace.cuts)) {
+            if !matches!(self.health, Health::Out(_))
+                && now - pace.refused > Span(PACE_QUIET.0 * (1 + pace.cuts))
+            {
                 pace.full *= 1.0 + PACE_GROWTH * gap.min(1.0);
             }
             pace.rate = (pace.rate + PACE_CREEP * pace.full).min(PACE_MOST * pace.full);
