A receiver's 4xx ends its event at once; dials count against the cap; cheaper decisions

Seen by reading, confirmed by the tests: legs that came up together were counted only once each was up and passed the cap together (net/pool.rs open); an event that its receiver will not have was sent again until its time ran out, and each answer counted against the host. Change: a dial counts from its start. An answer bears a verdict: 400 to 499 fail an event for good, except those about the moment or about who asks; its host has answered, so its health and call time learn from it. The module asks what all messages of a destination share once a batch, not for each of hundreds held: same decisions.

--- a/courier/src/core/engine.rs
+++ b/courier/src/core/engine.rs
@@ -3,7 +3,7 @@
 
 use super::lately::Lately;
 use super::ledger::{Ledger, Leg};
-use super::{Answer, Authorisation, End, Origin, Seq, Stamp, Ticket};
+use super::{Answer, Authorisation, End, Origin, Seq, Stamp, Ticket, Verdict};
 use marblefall_decisions as m;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
@@ -49,8 +49,8 @@
         outcome: m::Outcome,
         /// How long it was out.
         took: m::Span,
-        /// Whether nothing more is owed for the message.
-        over: bool,
+        /// What becomes of the message.
+        verdict: Verdict,
         /// What its answer told of the limit.
         report: m::Report,
     },
@@ -364,7 +364,7 @@
                     self.over(now, seq, orders);
                 }
             }
-            Input::LegEnded { seq, copy, outcome, took, over, report } => {
+            Input::LegEnded { seq, copy, outcome, took, verdict, report } => {
                 self.out = self.out.saturating_sub(1);
                 let never =
                     matches!(outcome, m::Outcome::Full(_) | m::Outcome::ConnectFailed | m::Outcome::Moot);
@@ -372,11 +372,15 @@
                 log_fault(noted, orders);
                 let (message, copy) = (m::MessageId(seq), m::Copy(copy));
                 let delivered = outcome == m::Outcome::Delivered;
-                let last = delivered || over;
+                let last = delivered || verdict != Verdict::Open;
+                // A host that will not have a message has answered: nothing is wrong with the host.
+                let outcome = if verdict == Verdict::Failed { m::Outcome::Delivered } else { outcome };
                 events.push(m::Event::Closed { message, copy, outcome, took, last, report });
                 if delivered {
                     self.finish(now, seq, End::Delivered, orders);
-                } else if over {
+                } else if verdict == Verdict::Failed {
+                    self.finish(now, seq, End::Failed, orders);
+                } else if verdict == Verdict::Over {
                     self.over(now, seq, orders);
                 }
             }
--- a/courier/src/core/mod.rs
+++ b/courier/src/core/mod.rs
@@ -76,6 +76,17 @@
     Expired,
 }
 
+/// What the answer to a leg makes of its message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// What its outcome makes of it.
+    Open,
+    /// Nothing more is owed for it.
+    Over,
+    /// It has failed for good: no other attempt could be answered otherwise.
+    Failed,
+}
+
 /// What a hand-in is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
--- a/courier/src/daemon.rs
+++ b/courier/src/daemon.rs
@@ -439,7 +439,7 @@
         };
         let call = Call { word: &word, judge };
         let (cut_at, write_by) = (self.clock.instant(cut_at), self.clock.instant(write_by));
-        let Ended { outcome, over, report } = self.pool.leg(seq, host, call, cut_at, write_by).await;
+        let Ended { outcome, verdict, report } = self.pool.leg(seq, host, call, cut_at, write_by).await;
         let counters = &self.counters;
         add(match outcome {
             Outcome::Delivered => &counters.delivered,
@@ -452,6 +452,6 @@
             Outcome::Moot => &counters.not_begun,
         });
         let took = self.clock.now().mono - begun;
-        Input::LegEnded { seq, copy, outcome, took, over, report }
+        Input::LegEnded { seq, copy, outcome, took, verdict, report }
     }
 }
--- a/courier/src/front/cloudevents/mod.rs
+++ b/courier/src/front/cloudevents/mod.rs
@@ -4,7 +4,7 @@
 pub mod event;
 
 use super::{Front, Reply, Take};
-use crate::core::{Answer, Authorisation, End, Origin};
+use crate::core::{Answer, Authorisation, End, Origin, Verdict};
 use crate::net::http::{Request, Response};
 use crate::net::pool::{told_wait, Ended};
 use event::{Context, Fault, Mode};
@@ -151,12 +151,16 @@
 }
 
 /// What a receiver's answer says of its leg. Only a decline proves that the event was not taken in; a gateway
-/// in front of the receiver may answer for it after it ran.
+/// in front of the receiver may answer for it after it ran. What else begins with 4 is about the event itself and
+/// would be answered alike each time, but for those that are about the moment (408, 423, 425) or about who asks
+/// (401, 403, 407), which an operator may put right while the event has time.
 pub fn judge(read: &Response<'_>) -> Ended {
-    let outcome = match read.status {
-        200..=299 => Outcome::Delivered,
-        429 | 503 => Outcome::Full(told_wait(read)),
-        _ => Outcome::Error,
+    let (outcome, verdict) = match read.status {
+        200..=299 => (Outcome::Delivered, Verdict::Open),
+        429 | 503 => (Outcome::Full(told_wait(read)), Verdict::Open),
+        401 | 403 | 407 | 408 | 423 | 425 => (Outcome::Error, Verdict::Open),
+        400..=499 => (Outcome::Error, Verdict::Failed),
+        _ => (Outcome::Error, Verdict::Open),
     };
-    Ended { outcome, over: false, report: Report::default() }
+    Ended { outcome, verdict, report: Report::default() }
 }
--- a/courier/src/front/relay.rs
+++ b/courier/src/front/relay.rs
@@ -2,7 +2,7 @@
 //! `POST /receive`, ends go out as notices. Nothing but translation.
 
 use super::{Front, Reply, Take};
-use crate::core::{Answer, Authorisation, End, Origin};
+use crate::core::{Answer, Authorisation, End, Origin, Verdict};
 use crate::net::http::{Request, Response};
 use crate::net::pool::{report, told_wait, Ended};
 use marblefall_decisions::{ClassId, DestinationId, Outcome};
@@ -123,16 +123,16 @@
 
 /// The protocol's table of outcomes: what an answer says of its leg.
 pub fn judge(read: &Response<'_>) -> Ended {
-    let (outcome, over) = match read.status {
-        200 => (Outcome::Delivered, false),
-        503 if read.fields.get("x-no-slot").is_some() => (Outcome::Moot, false),
-        429 | 503 => (Outcome::Full(told_wait(read)), false),
-        504 => (Outcome::Moot, false),
-        410 => (Outcome::Moot, true),
-        _ => (Outcome::Error, false),
+    let (outcome, verdict) = match read.status {
+        200 => (Outcome::Delivered, Verdict::Open),
+        503 if read.fields.get("x-no-slot").is_some() => (Outcome::Moot, Verdict::Open),
+        429 | 503 => (Outcome::Full(told_wait(read)), Verdict::Open),
+        504 => (Outcome::Moot, Verdict::Open),
+        410 => (Outcome::Moot, Verdict::Over),
+        _ => (Outcome::Error, Verdict::Open),
     };
     let report = read.fields.text("x-load-report").map(report).unwrap_or_default();
-    Ended { outcome, over, report }
+    Ended { outcome, verdict, report }
 }
 
 /// The notice of how a message ended, as one line.
--- a/courier/src/net/pool.rs
+++ b/courier/src/net/pool.rs
@@ -3,6 +3,7 @@
 
 use super::http;
 use super::link::{until, Link, Stop};
+use crate::core::Verdict;
 use crate::counters::{add, Counters};
 use crate::say;
 use async_channel::{Receiver, Sender};
@@ -62,15 +63,15 @@
 pub struct Ended {
     /// Its outcome.
     pub outcome: Outcome,
-    /// Whether nothing more is owed for the message.
-    pub over: bool,
+    /// What becomes of the message.
+    pub verdict: Verdict,
     /// What the answer told of the limit.
     pub report: Report,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Ended {
-        Ended { outcome, over: false, report: Report::default() }
+        Ended { outcome, verdict: Verdict::Open, report: Report::default() }
     }
 }
 
@@ -228,13 +229,13 @@
             place.address.parse().map_err(|_| Outcome::ConnectFailed)?
         };
         self.make_room()?;
+        // Counted from here on: many that come up together must not pass the cap together.
+        self.connections.set(self.connections.get() + 1);
+        let counted = Counted(self.connections.clone());
         add(&self.counters.dialled);
         let dial_by = cut_at.min(Instant::now() + self.limits.dial);
         match race(cancelled, until(dial_by, Link::connect(address))).await {
-            Some(Some(Ok(link))) => {
-                self.connections.set(self.connections.get() + 1);
-                Ok((link.with(Box::new(Counted(self.connections.clone()))), false))
-            }
+            Some(Some(Ok(link))) => Ok((link.with(Box::new(counted)), false)),
             // Called off before anything was written.
             None => Err(Outcome::Moot),
             Some(late) => {
@@ -431,6 +432,30 @@
         }
     }
 
+    #[test]
+    fn connections_that_come_up_together_keep_to_the_cap() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let limits = Limits { dial: Duration::from_secs(20), idle: Duration::from_secs(20), connections: 2 };
+        let pool = Pool::new(limits, Rc::default());
+        pool.place(EndpointId(0), &listener.local_addr().unwrap().to_string(), true);
+        let word = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(&b""[..]));
+        let by = Instant::now() + Duration::from_secs(20);
+        let leg = |seq| {
+            let call = Call { word: &word, judge: relay::judge };
+            pool.leg(seq, EndpointId(0), call, by, by)
+        };
+        let all = async {
+            let two = async {
+                let (first, _) = future::zip(leg(1), leg(2)).await;
+                first.outcome
+            };
+            // The third finds both places taken by legs that are still on the way up.
+            future::or(two, async { leg(3).await.outcome }).await
+        };
+        assert_eq!(async_io::block_on(all), Outcome::ConnectFailed);
+        assert_eq!(pool.counters.dialled.get(), 2);
+    }
+
     #[test]
     fn a_report_that_cannot_be_read_is_left_out_in_full() {
         assert_eq!(report("TEXT x0=0.4, x1=25"), Report { left: Some(0.4), limit: Some(25.0) });
--- a/courier/tests/core.rs
+++ b/courier/tests/core.rs
@@ -3,7 +3,7 @@
 use marblefall::core::engine::{Engine, Host, Input, Order, Setup};
 use marblefall::core::journal::Journal;
 use marblefall::core::ledger::{Ledger, Leg};
-use marblefall::core::{Answer, Authorisation, End, Origin, Stamp, Ticket};
+use marblefall::core::{Answer, Authorisation, End, Origin, Stamp, Ticket, Verdict};
 use marblefall_decisions::*;
 use std::fs;
 use std::io::Write;
@@ -133,7 +133,7 @@
 
 fn ended((seq, copy): (u64, u32), outcome: Outcome) -> Input {
     let took = Span::from_ms(100.0);
-    Input::LegEnded { seq, copy, outcome, took, over: false, report: Report::default() }
+    Input::LegEnded { seq, copy, outcome, took, verdict: Verdict::Open, report: Report::default() }
 }
 
 #[test]
--- a/courier/tests/events.rs
+++ b/courier/tests/events.rs
@@ -174,6 +174,27 @@
     assert_eq!(a.count(), 1, "told to wait, nothing more goes there");
 }
 
+/// Each further try would have been answered alike, until the event's time ran out.
+#[test]
+fn an_event_that_its_receiver_will_not_have_ends_at_once() {
+    let a = StandIn::start(|leg| match leg.field("ce-id") {
+        Some("bad") => Act::Answer(422, String::new()),
+        _ => ok(),
+    });
+    let folder = Folder::new("refused");
+    apply(&folder, &file(a.at, a.at, 6000));
+    let program = daemon(&folder);
+    let at = program.address(MARKER, 0);
+    assert_eq!(event(at, "bad", "status", "a", "", b"1").unwrap().status(), 502);
+    assert_eq!(
+        event(at, "bad", "status", "a", "", b"1").unwrap().status(),
+        502,
+        "known, and not tried again"
+    );
+    assert_eq!(event(at, "good", "status", "a", "", b"1").unwrap().status(), 204);
+    assert_eq!(a.count(), 2);
+}
+
 /// The window that the courier is told, and the one that partners keep: a busy machine may bring a leg late.
 const TOLD: Duration = Duration::from_millis(3000);
 const WINDOW: Duration = Duration::from_millis(4000);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -154,6 +154,11 @@
     conn_cap: Option<usize>,
 }
 
+struct Outlook {
+    shut_until: Option<Time>, // The first of its routes opens then; `None` while an outcome may open one.
+    quickest: Span,
+}
+
 struct Message {
     class: ClassId,
     destination: DestinationId,
@@ -804,8 +809,20 @@
 
     /// Ends what can no longer be delivered, and what there is no room to hold.
     fn give_up(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let lost = |id: &MessageId| self.hopeless_at(id) <= now || self.shut_out(now, id);
-        for id in self.held.iter().copied().filter(lost).collect::<Vec<_>>() {
+        let mut outlooks = BTreeMap::new();
+        let mut lost = Vec::new();
+        for &id in &self.held {
+            let message = &self.messages[&id];
+            let to = message.destination;
+            let outlook = outlooks.entry(to).or_insert_with(|| self.outlook(now, to));
+            // Another courier may find one open, so the client of a message that never ran is told at once;
+            // one that may have run waits for an outcome to open its route.
+            let shut_out = message.ran.is_none() && outlook.shut_until > Some(message.expires);
+            if shut_out || self.hopeless_at(message, outlook.quickest) <= now {
+                lost.push(id);
+            }
+        }
+        for id in lost {
             self.end(now, id, actions);
         }
         let room = (self.set.caps.max_open as f64 * HOLD_PART) as usize;
@@ -817,22 +834,23 @@
         }
     }
 
-    /// Whether all routes of a message that never ran open too late for it: another courier may find one
-    /// open, so its client is told at once. One that may have run waits for an outcome to open its route.
-    fn shut_out(&self, now: Time, id: &MessageId) -> bool {
-        let message = &self.messages[id];
-        let mut routes = self.routes_of(message.destination).peekable();
-        let late = |route| self.open(now, route).is_some_and(|at| at > message.expires);
-        message.ran.is_none() && routes.peek().is_some() && routes.all(late)
+    /// What all messages of a destination share in one batch: hundreds may be held, in a few destinations.
+    fn outlook(&self, now: Time, id: DestinationId) -> Outlook {
+        let opens = self.routes_of(id).map(|route| self.open(now, route));
+        let shut_until = opens.reduce(|a, b| Some(a?.min(b?))).flatten();
+        Outlook { shut_until, quickest: self.quickest(id) }
+    }
+
+    /// The call time to expect of a destination's quickest route.
+    fn quickest(&self, id: DestinationId) -> Span {
+        let least = self.routes_of(id).map(|route| self.mean(route)).fold(f64::INFINITY, f64::min);
+        Span::from_ms(if least.is_finite() { least } else { 0.0 })
     }
 
     /// When a held message is lost: the late gate, the end of its key's window, its attempts used up.
-    fn hopeless_at(&self, id: &MessageId) -> Time {
-        let message = &self.messages[id];
+    fn hopeless_at(&self, message: &Message, quickest: Span) -> Time {
         let (past, used_up) = (Time(i64::MIN), message.attempts >= self.set.caps.max_attempts);
-        let means = self.routes_of(message.destination).map(|route| self.mean(route));
-        let quickest = means.fold(f64::INFINITY, f64::min);
-        let late = message.expires - Span::from_ms(if quickest.is_finite() { quickest } else { 0.0 });
+        let late = message.expires - quickest;
         match (self.set.classes[message.class.0].effect, message.ran) {
             _ if used_up => past,
             (Effect::SideEffect, Some(_)) => past,
@@ -891,16 +909,17 @@
     /// Sets the one timer for the next moment at which something can change without an event.
     fn arm(&mut self, now: Time, actions: &mut Vec<Action>) {
         let mut times: Vec<Time> = self.resubscribe.into_iter().collect();
-        let mut wanted: BTreeSet<DestinationId> = BTreeSet::new();
+        let mut wanted: BTreeMap<DestinationId, Span> = BTreeMap::new();
         for id in &self.held {
             let message = &self.messages[id];
-            times.push(self.hopeless_at(id));
+            let to = message.destination;
+            let quickest = *wanted.entry(to).or_insert_with(|| self.quickest(to));
+            times.push(self.hopeless_at(message, quickest));
             times.extend(self.key_rest(*id, message).filter(|at| *at > now));
-            wanted.insert(message.destination);
         }
         let opens = |route: &Route| self.open(now, route).filter(|at| *at > now);
         if self.calls.len() < self.set.caps.slots {
-            times.extend(wanted.iter().flat_map(|id| self.routes_of(*id)).filter_map(opens));
+            times.extend(wanted.keys().flat_map(|id| self.routes_of(*id)).filter_map(opens));
         }
         if self.set.caps.probes {
             let outs = self.outs.iter().filter(|route| self.probe_place(**route).is_some());
