A kept connection that breaks as it is used again says nothing of its host

Destinations that served every leg over a new connection were judged out four times in 14 s, and then held to what a cold one bears. Ruled out: the peek before use (it finds 996 closed ones; these were not closed yet), fewer kept connections (22% resets at a quarter of all uses cost less than a handshake each). Cause: pool.rs told the module of a reset as for any connection, and choice.rs learn() counts three running as an outage. Change: a kept connection that breaks within 100 ms of its next use is Stale: it may have run, and nothing is learned of the route. One on which a leg could not be written in full is Moot.

--- a/courier/src/daemon.rs
+++ b/courier/src/daemon.rs
@@ -447,7 +447,7 @@
             Outcome::Full(_) => &counters.turned_away,
             Outcome::TimedOut => &counters.timed_out,
             Outcome::ConnectFailed => &counters.unconnected,
-            Outcome::Reset => &counters.resets,
+            Outcome::Reset | Outcome::Stale => &counters.resets,
             Outcome::Cancelled => &counters.cancelled,
             Outcome::Moot => &counters.not_begun,
         });
--- a/courier/src/net/pool.rs
+++ b/courier/src/net/pool.rs
@@ -24,6 +24,8 @@
 const REST: Duration = Duration::from_millis(400);
 /// ... nor is it waited for so long after the leg's time is up: its message's end may be due.
 const REST_LATE: Duration = Duration::from_millis(100);
+/// A kept connection that breaks within this time of its next use had been given up by its host before.
+const AT_ONCE: Duration = Duration::from_millis(100);
 /// Interim answers before the one that counts.
 const INTERIM: usize = 32;
 /// A wait that is told for longer is taken for this: it must not overflow a clock, nor outlast the day.
@@ -194,15 +196,21 @@
         let (head, body) = (call.word)((cut_at - now).as_millis() as u64);
         let written = race(cancelled, until(cut_at, link.write(&head, &body))).await;
         if !matches!(written, Some(Some(Ok(())))) {
-            // Its last byte was never written, so it never ran.
+            // Its last byte was never written, so it never ran; on a kept connection that tells nothing else.
             say!("issuer host {}: connection ended, write-failed", id.0);
-            return Outcome::ConnectFailed.into();
+            return if kept { Outcome::Moot } else { Outcome::ConnectFailed }.into();
         }
+        let written = Instant::now();
         let (ended, code) = match race(cancelled, answer(&mut link, call.judge, cut_at)).await {
             Some((ended, Ok(()))) => {
                 self.keep(id, link, true);
                 return ended;
             }
+            Some((ended, Err(_)))
+                if ended.outcome == Outcome::Reset && kept && written.elapsed() < AT_ONCE =>
+            {
+                (Outcome::Stale.into(), "reset-when-used-again")
+            }
             Some((ended, Err(code))) => (ended, code),
             None => (Outcome::Cancelled.into(), "called-off"),
         };
@@ -432,25 +440,52 @@
         }
     }
 
-    #[test]
-    fn connections_that_come_up_together_keep_to_the_cap() {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let limits = Limits { dial: Duration::from_secs(20), idle: Duration::from_secs(20), connections: 2 };
+    fn pool(connections: usize, listener: &TcpListener) -> Pool {
+        let limits = Limits { dial: Duration::from_secs(20), idle: Duration::from_secs(20), connections };
         let pool = Pool::new(limits, Rc::default());
         pool.place(EndpointId(0), &listener.local_addr().unwrap().to_string(), true);
+        pool
+    }
+
+    async fn leg(pool: &Pool, seq: u64) -> Outcome {
         let word = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(&b""[..]));
         let by = Instant::now() + Duration::from_secs(20);
-        let leg = |seq| {
-            let call = Call { word: &word, judge: relay::judge };
-            pool.leg(seq, EndpointId(0), call, by, by)
-        };
+        pool.leg(seq, EndpointId(0), Call { word: &word, judge: relay::judge }, by, by).await.outcome
+    }
+
+    /// Taken for failures of their host, the resets of kept connections had hosts judged out that were well.
+    #[test]
+    fn a_reset_is_told_apart_by_whether_its_connection_was_kept() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let pool = pool(9, &listener);
+        std::thread::spawn(move || {
+            // Each connection ends with its second request, the last one with its first.
+            for answers in [1, 0] {
+                let (mut stream, mut bytes) = (listener.accept().unwrap().0, [0; 256]);
+                for _ in 0..answers {
+                    let _ = std::io::Read::read(&mut stream, &mut bytes);
+                    let _ =
+                        std::io::Write::write(&mut stream, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                }
+                let _ = std::io::Read::read(&mut stream, &mut bytes);
+            }
+        });
+        let outcomes =
+            async_io::block_on(async { [leg(&pool, 1).await, leg(&pool, 2).await, leg(&pool, 3).await] });
+        assert_eq!(outcomes, [Outcome::Delivered, Outcome::Stale, Outcome::Reset]);
+    }
+
+    #[test]
+    fn connections_that_come_up_together_keep_to_the_cap() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let pool = pool(2, &listener);
         let all = async {
             let two = async {
-                let (first, _) = future::zip(leg(1), leg(2)).await;
-                first.outcome
+                let (first, _) = future::zip(leg(&pool, 1), leg(&pool, 2)).await;
+                first
             };
             // The third finds both places taken by legs that are still on the way up.
-            future::or(two, async { leg(3).await.outcome }).await
+            future::or(two, leg(&pool, 3)).await
         };
         assert_eq!(async_io::block_on(all), Outcome::ConnectFailed);
         assert_eq!(pool.counters.dialled.get(), 2);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -396,7 +396,8 @@
         if !never_ran && message.ran.is_none() {
             message.ran = Some((attempt.sent, attempt.endpoint));
         }
-        let running = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
+        let ended = matches!(outcome, Outcome::Delivered | Outcome::Error);
+        let running = !never_ran && !ended;
         if let (Some(line), true) = (message.key.and_then(|key| self.keys.get_mut(&key)), running) {
             line.rest_until = now + self.set.rules.order_pause;
         }
@@ -502,7 +503,8 @@
                 route.timeouts += i32::from(timed_out && Some(sent) >= route.last_good_send);
                 route.failed(sent, 1.0);
             }
-            Outcome::Cancelled | Outcome::Moot => {}
+            // Hosts drop kept connections by the dozen; taken for failures, routes would go out by chance.
+            Outcome::Cancelled | Outcome::Moot | Outcome::Stale => {}
         }
         let route = endpoint.route;
         self.judge(now, route, sent, outcome == Outcome::Delivered);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -302,6 +302,9 @@
     ConnectFailed,
     /// The connection broke.
     Reset,
+    /// A connection that was kept from earlier broke as soon as it was used: it may have run, but the
+    /// endpoint may be as well as ever.
+    Stale,
     /// Called off.
     Cancelled,
     /// Never sent.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -117,6 +117,19 @@
     assert!(late >= 8, "{late} sent in the last 2 s, in which 8 came");
 }
 
+/// Kept connections that broke when used again had a destination judged out, and for 10 s it got what a cold one
+/// bears, though every call over a new connection was served.
+#[test]
+fn stale_connections_do_not_put_a_route_out() {
+    let mut bed = Bed::with_destinations(settings(), 1);
+    bed.meet(0);
+    let (message, _) = bed.hand(0, 0);
+    for copy in 0..5 {
+        let actions = bed.at(bed.now.ms() + 20.0).say(closed(message, copy, Outcome::Stale));
+        assert_eq!(sends(&actions).len(), 1, "sent again at once, {copy}");
+    }
+}
+
 /// Endpoints under ever new ids made each decision dearer than the one before.
 #[test]
 fn an_endpoint_that_is_gone_is_forgotten() {
