A cap on an endpoint's connections grows back, and a told limit bounds its pace

Ruled out: health (well), the crowd hold (none), per-route slots (three of 30). Route::good: the growth of a pace waits longer with each cut, and the limit that answers tell was used for nothing but the fail-back budget. Change: a second after the refusal each success lets one more out; a pace's full rate stays between 0.8 of the even part of a told limit and all of it, its rate above 0.64 of that part.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -50,6 +50,7 @@
 /// the pace is forgotten.
 const PACE_QUIET: Span = Span(1_000_000);
 const PACE_GROWTH: f64 = 0.3;
+const PACE_EVEN: f64 = 0.8; // Part of its even part of a limit that is told, which a courier may count on.
 /// A pace never sinks under this part of a call a second, shared by all couriers: refusals must not starve
 /// a route for good, but where many couriers meet, their least paces together must not fill its limit.
 const PACE_LEAST: f64 = 1.2;
@@ -78,6 +79,9 @@
 const CROWD_JUMP: f64 = 5.0;
 const REAP_JUMP: f64 = 2.0; // ... as does one lost after a pause, though calls get lost otherwise too.
 const CROWDED: f64 = 0.03; // ... and above this the kind's connections are not kept.
+/// A connection refused while others are up caps the calls out at its endpoint; after this, each success lets
+/// one more out. Connections also fail by chance, and the cap of a crowded moment must not outlast it.
+const CAP_REST: Span = Span(1_000_000);
 const PAUSE: Span = Span(500_000); // A connection unused for longer may have been dropped unseen.
 /// An endpoint that failed last is passed over for this long while another one works.
 const SHUN: Span = Span(4_000_000);
@@ -151,7 +155,7 @@
     conns: usize,
     used: Option<Time>,
     failed: Option<Time>,
-    conn_cap: Option<usize>,
+    conn_cap: Option<(usize, Time)>, // Calls out at most, and since when.
 }
 
 struct Outlook {
@@ -252,7 +256,8 @@
                 if let Some(was) = self.closed(now, *message, *outcome, *last) {
                     let route = self.routes.get_mut(&self.endpoints[&was.endpoint].route);
                     let told = report.limit.filter(|limit| *limit > 0.0 && limit.is_finite());
-                    route.into_iter().for_each(|route| route.limit = told.or(route.limit));
+                    let even = 1.0 / self.set.couriers.max(1) as f64;
+                    route.into_iter().for_each(|route| route.told_limit(told, even));
                     // A call cut short by its message's deadline says nothing of its route.
                     let short = was.hurried && *outcome == Outcome::TimedOut;
                     let outcome = if short { Outcome::Cancelled } else { *outcome };
@@ -473,7 +478,9 @@
                     means.into_iter().for_each(|mean| blend(mean, took.ms()));
                 }
                 endpoint.failed = None;
-                endpoint.conn_cap = endpoint.conn_cap.map(|cap| cap.max(endpoint.out + 1));
+                if let Some((cap, since)) = &mut endpoint.conn_cap {
+                    *cap += usize::from(now - *since > CAP_REST);
+                }
                 route.good(now, sent);
                 self.crowds.remove(&endpoint.route.0);
             }
@@ -494,7 +501,7 @@
                 *until = now + hold;
             }
             Outcome::ConnectFailed if endpoint.out > 0 && endpoint.failed.is_none() => {
-                endpoint.conn_cap = Some(endpoint.out);
+                endpoint.conn_cap = Some((endpoint.out, now));
             }
             Outcome::Error | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => {
                 endpoint.failed = Some(now);
@@ -661,7 +668,7 @@
         for &id in all {
             let endpoint = &self.endpoints[&id];
             let route = &self.routes[&endpoint.route];
-            let capped = endpoint.conn_cap.is_some_and(|cap| endpoint.out >= cap);
+            let capped = endpoint.conn_cap.is_some_and(|(cap, _)| endpoint.out >= cap);
             if endpoint.listing != Listing::On
                 || capped
                 || !self.permitted(now, message, id, endpoint)
@@ -974,6 +981,16 @@
         self.usual.min(2.0 / gap.max(1e-3))
     }
 
+    /// What a pace has learned gives way to a limit that is told: to all of it at most, as others may leave
+    /// this courier more than its even part, and to most of that part at least. Limits change in a day.
+    fn told_limit(&mut self, told: Option<f64>, even: f64) {
+        self.limit = told.or(self.limit);
+        if let (Some(limit), Some(pace)) = (told, &mut self.pace) {
+            pace.full = pace.full.clamp(PACE_EVEN * even * limit, limit);
+            pace.rate = pace.rate.max(PACE_EVEN * PACE_CUT * even * limit);
+        }
+    }
+
     fn told(&mut self, until: Time) {
         self.wait_until = self.wait_until.max(Some(until));
     }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -130,6 +130,50 @@
     }
 }
 
+/// One connection refused by chance held a destination to three calls at once for the rest of the day, with 270
+/// messages waiting and two thirds of the slots free.
+#[test]
+fn a_cap_on_connections_grows_back() {
+    let mut bed = Bed::with_destinations(settings(), 1);
+    bed.meet(0);
+    let two: Vec<Event> = (0..2).map(|_| bed.message(0, 0).1).collect();
+    assert_eq!(sends(&bed.say_all(&two)).len(), 2);
+    assert!(
+        sends(&bed.say(closed(MessageId(2), 0, Outcome::ConnectFailed))).is_empty(),
+        "one out, and no more"
+    );
+    bed.at(bed.now.ms() + 2000.0).say(closed(MessageId(3), 0, Outcome::Delivered));
+    let more: Vec<Event> = (0..2).map(|_| bed.message(0, 0).1).collect();
+    assert_eq!(sends(&bed.say_all(&more)).len(), 1, "two at once again");
+}
+
+/// When a destination's limit had fallen for a while and came back, its pace took ten seconds to follow.
+#[test]
+fn a_limit_that_is_told_bounds_what_a_pace_has_learned() {
+    let mut bed = Bed::with_destinations(settings(), 1);
+    bed.meet(0);
+    let (refused, _) = bed.hand(0, 0);
+    bed.at(bed.now.ms() + 50.0).say(closed(refused, 0, Outcome::Full(None)));
+    let Event::Closed { message, copy, outcome, took, last, .. } = closed(refused, 1, Outcome::Delivered)
+    else {
+        unreachable!()
+    };
+    let report = Report { left: Some(0.9), limit: Some(60.0) };
+    assert_eq!(sends(&bed.idle(bed.now.ms() + 2000.0)).len(), 1);
+    bed.at(bed.now.ms() + 100.0).say(Event::Closed { message, copy, outcome, took, last, report });
+    let (start, mut out, mut sent) = (bed.now.ms(), Vec::new(), 0);
+    for step in 1..=20 {
+        bed.at(start + f64::from(step) * 100.0);
+        let mut events: Vec<Event> = std::mem::take(&mut out);
+        events.push(bed.message(0, 0).1);
+        for (message, _) in sends(&bed.say_all(&events)) {
+            sent += 1;
+            out.push(closed(message, 0, Outcome::Delivered));
+        }
+    }
+    assert!(sent >= 18, "{sent} of 20 sent in 2 s, at half of an even part of the limit");
+}
+
 /// Endpoints under ever new ids made each decision dearer than the one before.
 #[test]
 fn an_endpoint_that_is_gone_is_forgotten() {
