A shut destination is judged out after 2.5 s of refusals, and its pace is cut only once

Ruled out: spoilt answers themselves (136, of which none put a route out), fail-back budget (23 a second at once where a route was judged out), slots. Cause, choice.rs Route::refused: a cut for each refusal sent after the last cut, success or not; and 30 refusals to be judged out, which the crowd hold spreads over more than the outage. Change: a further cut needs a success since the last one; six refusals over 2.5 s without a success put a route out, so that the fail-back budget and not the pace governs its return.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -65,6 +65,9 @@
 const FAILS_OUT: f64 = 3.0;
 /// A refusal counts for less: only a long unbroken run of them says that a route is shut.
 const REFUSED_PART: f64 = 0.1;
+/// ... unless so many come for so long: no limit refuses all for more than one span of its window.
+const SHUT_CALLS: u32 = 6;
+const SHUT_AFTER: Span = Span(2_500_000);
 /// Trials of one route that may be out at once: one that hangs must not hide the return.
 const TRIALS: usize = 2;
 const LISTED_PART: f64 = 0.67; // A rate may be half too high, unless the list tells exact ones.
@@ -124,7 +127,8 @@
 #[derive(Default)]
 struct Route {
     mean: Option<f64>,
-    timeouts: i32, // Attempts abandoned since the last answer.
+    timeouts: i32,                 // Attempts abandoned since the last answer.
+    refusals: Option<(Time, u32)>, // Refusals since the last success: the first one's time, and how many.
     pace: Option<Pace>,
     wait_until: Option<Time>,
     /// Sends and probes within the longer of `RECENT` and the span of the fail-back rule.
@@ -997,6 +1001,7 @@
 
     fn good(&mut self, now: Time, sent: Time) {
         self.timeouts = 0;
+        self.refusals = None;
         self.last_good_send = self.last_good_send.max(Some(sent));
         self.streak = 0.0;
         let gap = self.usual_at.map_or(0.0, |at| (now - at).secs());
@@ -1021,6 +1026,12 @@
 
     fn refused(&mut self, now: Time, sent: Time, least: f64) {
         self.failed(sent, REFUSED_PART);
+        let (since, count) = self.refusals.get_or_insert((now, 0));
+        *count += 1;
+        if *count >= SHUT_CALLS && now - *since >= SHUT_AFTER {
+            self.streak = self.streak.max(FAILS_OUT);
+        }
+        let served = self.last_good_send;
         match &mut self.pace {
             None => {
                 let recent = self.sends.iter().filter(|sent| now - **sent < RECENT);
@@ -1032,7 +1043,8 @@
             Some(pace) => {
                 pace.tokens = pace.tokens(now).min(0.0);
                 pace.filled = now;
-                if sent > pace.refused {
+                // While nothing is served, cuts only leave the pace at its least for when it opens.
+                if sent > pace.refused && served >= Some(pace.refused) {
                     pace.rate = (pace.rate * PACE_CUT).max(least);
                     pace.refused = now;
                     pace.cuts += 1;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use marblefall_decisions::*;
+use std::collections::BTreeMap;
 
 fn one_slot() -> Settings {
     let mut set = settings();
@@ -130,6 +131,26 @@
     }
 }
 
+/// A partner shut for 8 s refused every trial, each cut its pace, and when it opened it got one call a second.
+#[test]
+fn a_destination_that_was_shut_is_served_again_soon() {
+    let mut bed = Bed::with_destinations(settings(), 1);
+    bed.meet(0);
+    let (start, mut out, mut copies, mut late) = (bed.now.ms(), Vec::new(), BTreeMap::new(), 0);
+    for step in 1..=300 {
+        bed.at(start + f64::from(step) * 50.0);
+        let mut events: Vec<Event> = std::mem::take(&mut out);
+        events.extend((step % 2 == 0).then(|| bed.message(0, 0).1));
+        let shut = (60..220).contains(&step);
+        for (message, _) in sends(&bed.say_all(&events)) {
+            late += usize::from(step >= 260);
+            let copy = copies.entry(message).and_modify(|copy| *copy += 1).or_insert(0u32);
+            out.push(closed(message, *copy, if shut { Outcome::Full(None) } else { Outcome::Delivered }));
+        }
+    }
+    assert!(late >= 10, "{late} sent from 2 s to 4 s after it opened, of 10 a second");
+}
+
 /// One connection refused by chance held a destination to three calls at once for the rest of the day, with 270
 /// messages waiting and two thirds of the slots free.
 #[test]
