Crowds of connections make room many at a time, and a sixth of the clients' third stays free

Tested with counts of what connections are at: first 180 answered ones, each spared for 300 ms, one leaving each 5 ms; then, with places to spare, 128 answered ones, which is all that clients may hold of 384 descriptors: they wait for one of theirs to be closed, and the cap of 180 is never met. Change: clients have a third of the descriptors, issuer hosts the rest but 24; a sixth of the third is kept free by those that are the least use, as many at once as are short: answered ones after 20 ms, silent ones after 5 ms, half requests after 500 ms; none on which unread bytes wait. rustix sets the queue's length.

--- a/courier/src/daemon.rs
+++ b/courier/src/daemon.rs
@@ -209,9 +209,11 @@
 pub async fn instance(build: Build, commands: Receiver<Command>, tasks: Spawner) -> Result<(), String> {
     let clock = Clock::start();
     let counters = Rc::new(Counters::default());
-    let half = (build.sockets.saturating_sub(OTHER_SOCKETS) / 2).max(1);
+    // Clients hold a third of the descriptors at most, so at that many, places are what they wait for.
+    let clients = (build.sockets / 3).max(1);
+    let hosts = build.sockets.saturating_sub(OTHER_SOCKETS + clients).max(1);
     // Idle connections go well before the far side's own limit: what is on the way when it closes is lost.
-    let limits = Limits { dial: build.dial, idle: build.idle.mul_f64(0.85), connections: half };
+    let limits = Limits { dial: build.dial, idle: build.idle.mul_f64(0.85), connections: hosts };
     let (folder, disk) = &build.state;
     let ledger = Ledger::open(folder, *disk, build.classes)
         .map_err(|error| format!("{}: {error}", folder.display()))?;
@@ -222,7 +224,7 @@
     let (queue, inputs) = async_channel::bounded(QUEUE);
     let (news, listed) = async_channel::unbounded();
     let (owed, notices) = async_channel::unbounded();
-    let desk = Rc::new(Desk::new(queue.clone(), half, counters.clone()));
+    let desk = Rc::new(Desk::new(queue.clone(), clients, counters.clone()));
     let _ = news.send(build.hosts).await;
     let pool = Rc::new(Pool::new(limits, counters.clone()));
     let retire = pool.clone();
--- a/courier/src/net/link.rs
+++ b/courier/src/net/link.rs
@@ -5,6 +5,7 @@
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
 use std::time::Instant;
 
 /// What a read asks the system for at once.
@@ -55,7 +56,7 @@
 
 /// A connection and what was read of it but not yet used.
 pub struct Link {
-    stream: Async<TcpStream>,
+    stream: Rc<Async<TcpStream>>,
     buffer: Vec<u8>,
     used: usize,
     /// The buffer holds what was read up to here; beyond it is room.
@@ -64,12 +65,22 @@
     guard: Option<Box<dyn std::any::Any>>,
 }
 
+/// Looks at a connection from beside.
+pub struct Glance(Rc<Async<TcpStream>>);
+
+impl Glance {
+    /// Whether bytes have come that nobody has read yet.
+    pub fn has_unread(&self) -> bool {
+        self.0.get_ref().peek(&mut [0]).is_ok_and(|more| more > 0)
+    }
+}
+
 impl Link {
     /// Wraps a connection.
     pub fn new(stream: Async<TcpStream>) -> Link {
         // Without it an answer's last part may wait for the far side's acknowledgement.
         let _ = stream.get_ref().set_nodelay(true);
-        Link { stream, buffer: Vec::new(), used: 0, filled: 0, guard: None }
+        Link { stream: Rc::new(stream), buffer: Vec::new(), used: 0, filled: 0, guard: None }
     }
 
     /// Ties something to the connection that is dropped with it.
@@ -109,7 +120,7 @@
         if self.buffer.len() < self.filled + READ {
             self.buffer.resize(self.filled + READ, 0);
         }
-        let read = self.stream.read(&mut self.buffer[self.filled..]).await?;
+        let read = (&*self.stream).read(&mut self.buffer[self.filled..]).await?;
         self.filled += read;
         Ok(read > 0)
     }
@@ -118,7 +129,7 @@
     pub async fn write(&mut self, mut head: &[u8], mut body: &[u8]) -> io::Result<()> {
         while !head.is_empty() || !body.is_empty() {
             let parts = [io::IoSlice::new(head), io::IoSlice::new(body)];
-            let written = self.stream.write_vectored(&parts).await?;
+            let written = (&*self.stream).write_vectored(&parts).await?;
             if written == 0 {
                 return Err(io::ErrorKind::WriteZero.into());
             }
@@ -220,7 +231,12 @@
 
     /// Whether more than so many bytes have come.
     pub fn has_more_than(&self, len: usize) -> bool {
-        self.bytes().len() > len || self.stream.get_ref().peek(&mut [0]).is_ok_and(|more| more > 0)
+        self.bytes().len() > len || self.glance().has_unread()
+    }
+
+    /// What tells of unread bytes also while somebody else waits for them.
+    pub fn glance(&self) -> Glance {
+        Glance(self.stream.clone())
     }
 
     /// Waits until the far side ends the connection; bytes that come meanwhile are kept.
--- a/courier/src/net/server.rs
+++ b/courier/src/net/server.rs
@@ -29,6 +29,11 @@
 /// Many are more than this part of all that there may be: who asks once and stays must not use up the places
 /// of those who still want to ask.
 const MANY: usize = 4;
+/// This part of all places is kept free: hundreds who connect at once, and say nothing or ask once and stay, must
+/// not keep those waiting who have something to ask and go away after 400 ms.
+const MARGIN: usize = 6;
+/// Connections that may wait in the system's queue; what finds it full comes again a second later.
+const BACKLOG: i32 = 1024;
 /// How often they are counted.
 const LOOK: Duration = Duration::from_millis(100);
 /// What is turned away may go on sending for so long, so that the answer reaches it ...
@@ -76,13 +81,13 @@
 
 impl Phase {
     /// How long a connection must have been at it before it makes room: what has only just come may be about
-    /// to ask, and its request may stand unread in the system's buffer.
+    /// to ask. A crowd that says nothing must leave faster than it comes.
     fn spares(self) -> Option<Duration> {
         match self {
             Phase::Lingering => Some(Duration::from_millis(100)),
-            Phase::Silent => Some(Duration::from_millis(250)),
-            Phase::Idle => Some(Duration::from_millis(300)),
-            Phase::Reading => Some(Duration::from_millis(1000)),
+            Phase::Silent => Some(Duration::from_millis(5)),
+            Phase::Idle => Some(Duration::from_millis(20)),
+            Phase::Reading => Some(Duration::from_millis(500)),
             Phase::Open => None,
         }
     }
@@ -123,16 +128,24 @@
         }
     }
 
+    /// Whether a connection waits for a request to begin.
+    fn waits(&self, number: u64) -> bool {
+        let phase = self.seats.borrow().get(&number).map(|seat| seat.phase);
+        matches!(phase, Some(Phase::Silent | Phase::Idle))
+    }
+
     fn len(&self) -> usize {
         self.seats.borrow().len()
     }
 
-    /// Tells the connection to leave that is the least use and has been so for longest, if one can be spared.
-    fn make_room(&self) {
+    /// Tells so many connections to leave that are the least use and have been so for longest, as far as they
+    /// can be spared.
+    fn make_room(&self, places: usize) {
         let (seats, now) = (self.seats.borrow(), Instant::now());
         let spared = |seat: &&Seat| seat.phase.spares().is_some_and(|least| now - seat.since >= least);
-        let least = seats.values().filter(spared).min_by_key(|seat| (seat.phase, seat.since));
-        if let Some(seat) = least {
+        let mut spared: Vec<&Seat> = seats.values().filter(spared).collect();
+        spared.sort_by_key(|seat| (seat.phase, seat.since));
+        for seat in spared.into_iter().take(places) {
             let _ = seat.leave.try_send("made-room");
         }
     }
@@ -222,11 +235,17 @@
     patience: Patience,
     tasks: Spawner,
 ) {
+    let _ = rustix::net::listen(listener.get_ref(), BACKLOG);
+    let margin = desk.most_connections / MARGIN;
     loop {
-        // At the cap those without an open request make room; until one has, new ones wait in the system's queue.
-        while desk.seats.len() >= desk.most_connections {
-            desk.seats.make_room();
-            Timer::after(Duration::from_millis(5)).await;
+        // Close to the cap those without an open request make room; at it, new ones wait in the system's queue.
+        let short = (desk.seats.len() + margin).saturating_sub(desk.most_connections);
+        if short > 0 {
+            desk.seats.make_room(short);
+        }
+        if desk.seats.len() >= desk.most_connections {
+            Timer::after(Duration::from_millis(1)).await;
+            continue;
         }
         match listener.accept().await {
             Ok((stream, from)) => {
@@ -234,7 +253,16 @@
                 let (seat, told) = desk.seats.take();
                 let serving = async move {
                     let mut link = Link::new(stream);
-                    let told = async { told.recv().await.unwrap_or("leaving") };
+                    let glance = link.glance();
+                    let told = async {
+                        loop {
+                            let code = told.recv().await.unwrap_or("leaving");
+                            // Its request crossed the word to leave, or waits to be read behind a crowd's.
+                            if !(desk.seats.waits(seat) && glance.has_unread()) {
+                                return code;
+                            }
+                        }
+                    };
                     let code = future::or(told, converse(&mut link, &*front, &desk, seat, patience)).await;
                     desk.seats.leave(seat);
                     say!("acquirer side {from}: connection ended, {code}");
@@ -396,6 +424,20 @@
     use super::*;
     use crate::front::relay::Relay;
 
+    /// One at a time was too slow for a crowd that came at 300 a second.
+    #[test]
+    fn as_many_silent_connections_make_room_at_once_as_are_asked() {
+        let seats = Seats::default();
+        let told: Vec<_> = (0..10).map(|_| seats.take().1).collect();
+        let left = || told.iter().filter(|told| !told.is_empty()).count();
+        let earlier = Instant::now().checked_sub(Duration::from_secs(1)).unwrap();
+        seats.seats.borrow_mut().values_mut().for_each(|seat| seat.since = earlier);
+        seats.is_at(0, Phase::Open);
+        seats.make_room(4);
+        assert_eq!(left(), 4);
+        assert!(told[0].is_empty(), "a request is open there");
+    }
+
     #[test]
     fn a_peer_that_does_not_finish_its_request_is_timed_out() {
         let tasks = Rc::new(LocalExecutor::new());
