Endpoints and weights from watched rosters, taken up live; roster check, show and diff

Change: [roster] in the operators' file names a file or a folder; destinations without endpoints are listed there. One thread per daemon watches it (notify, with a slow look behind it), weighs what it finds, keeps what is good in HOME/rosters, and only then takes it into the book. Changes reach running instances by the queue of discovery's news, ahead of all other work and in parts of 250 hosts; nothing is restarted, listeners and connections stay. A bad, missing or unreadable file leaves the last good list in force, also over a restart; a renamed file takes over from the missing one. marblefall roster check, show and diff, text or JSON, exit codes 0, 1, 2. The engine's longest step is counted.

--- /dev/null
+++ b/cli/examples/measure.rs
@@ -0,0 +1,328 @@
+//! Measures whole processes over loopback, against a stand-in partner of its own:
+//!
+//!     cargo build --release --workspace --bins --examples
+//!     target/release/examples/measure message target/release/marblefall [OTHER ...]
+//!     target/release/examples/measure roster target/release/marblefall
+//!
+//! `message`: CPU and memory for each message, of one build or of several in turn. `roster`: what a roster of 10,000
+//! destinations and 20,000 endpoints costs to plan, to start with and to take up while messages are delivered.
+
+use std::error::Error;
+use std::fmt::Write as _;
+use std::fs;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+type Done<T> = Result<T, Box<dyn Error + Send + Sync>>;
+
+const ROUNDS: usize = 5;
+const CLIENTS: usize = 8;
+const MESSAGES: usize = 20_000;
+const DESTINATIONS: usize = 10_000;
+/// Times that the roster is changed.
+const CHANGES: u64 = 5;
+/// The unit of CPU times in `/proc`, in seconds: fixed for programs on Linux.
+const TICK_S: f64 = 0.01;
+
+fn main() -> Done<()> {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    match words.split_first() {
+        Some((word, builds)) if word == "message" && !builds.is_empty() => messages(builds),
+        Some((word, [build])) if word == "roster" => roster(build),
+        _ => Err("usage: measure message BUILD... | measure roster BUILD".into()),
+    }
+}
+
+/// Takes requests at once and answers 200 to each; counts them.
+fn partner() -> Done<(SocketAddr, Arc<AtomicUsize>)> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let (at, calls) = (listener.local_addr()?, Arc::<AtomicUsize>::default());
+    let counted = calls.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let counted = counted.clone();
+            thread::spawn(move || -> Done<()> {
+                let (mut reader, mut writer) = (BufReader::new(stream.try_clone()?), stream);
+                while let Some(length) = head(&mut reader)?.1 {
+                    reader.read_exact(&mut vec![0; length])?;
+                    counted.fetch_add(1, Ordering::Relaxed);
+                    writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")?;
+                }
+                Ok(())
+            });
+        }
+    });
+    Ok((at, calls))
+}
+
+/// The first line of a message and the length of what follows its head; no length where the connection ended.
+fn head(from: &mut impl BufRead) -> Done<(String, Option<usize>)> {
+    let (mut first, mut length) = (String::new(), 0);
+    loop {
+        let mut line = String::new();
+        if from.read_line(&mut line)? == 0 {
+            return Ok((first, None));
+        }
+        let line = line.trim_end();
+        if line.is_empty() {
+            return Ok((first, Some(length)));
+        }
+        if first.is_empty() {
+            line.clone_into(&mut first);
+        } else if let Some((_, value)) =
+            line.split_once(": ").filter(|(name, _)| name.eq_ignore_ascii_case("content-length"))
+        {
+            length = value.parse()?;
+        }
+    }
+}
+
+/// A folder that is made anew.
+fn folder(name: &str) -> Done<PathBuf> {
+    let path = std::env::temp_dir().join(format!("marblefall-measure-{}-{name}", std::process::id()));
+    let _ = fs::remove_dir_all(&path);
+    fs::create_dir_all(&path)?;
+    Ok(path)
+}
+
+/// A daemon that is killed when this goes.
+struct Daemon {
+    child: Child,
+    log: PathBuf,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Daemon {
+    /// Plans and applies a file, then runs it; gives the seconds that `plan` took and those until it listened.
+    fn start(build: &str, folder: &Path, file: &str) -> Done<(Daemon, SocketAddr, f64, f64)> {
+        let (path, plan, home) = (folder.join("fleet.toml"), folder.join("plan"), folder.join("home"));
+        fs::write(&path, file)?;
+        let begun = Instant::now();
+        run(Command::new(build).arg("plan").args([&path, &home]).arg("--out").arg(&plan))?;
+        let planned = begun.elapsed().as_secs_f64();
+        run(Command::new(build).arg("apply").args([&plan, &home]))?;
+        let (log, begun) = (folder.join("log"), Instant::now());
+        let child = Command::new(build)
+            .arg("run")
+            .arg(&home)
+            .stderr(fs::File::create(&log)?)
+            .stdin(Stdio::null())
+            .spawn()?;
+        let daemon = Daemon { child, log };
+        let at = daemon.wait("listens at ")?.parse()?;
+        Ok((daemon, at, planned, begun.elapsed().as_secs_f64()))
+    }
+
+    /// What stands behind some words in its log, once they are there.
+    fn wait(&self, marker: &str) -> Done<String> {
+        let until = Instant::now() + Duration::from_secs(60);
+        loop {
+            let log = fs::read_to_string(&self.log)?;
+            if let Some((_, rest)) = log.rsplit_once(marker) {
+                if let Some((word, _)) = rest.split_once('\n') {
+                    return Ok(word.trim().to_owned());
+                }
+            }
+            if Instant::now() > until {
+                return Err(format!("waited in vain for {marker:?}:\n{log}").into());
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// CPU time so far in seconds, and the memory that is resident in kB.
+    fn cost(&self) -> Done<(f64, u64)> {
+        let proc = PathBuf::from(format!("/proc/{}", self.child.id()));
+        let stat = fs::read_to_string(proc.join("stat"))?;
+        let fields: Vec<&str> = stat.rsplit_once(')').ok_or("no stat")?.1.split_whitespace().collect();
+        let ticks: f64 = fields[11].parse::<f64>()? + fields[12].parse::<f64>()?;
+        let status = fs::read_to_string(proc.join("status"))?;
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).ok_or("no VmRSS")?;
+        Ok((ticks * TICK_S, resident.trim().trim_end_matches(" kB").parse()?))
+    }
+
+    /// One of its counters, as they are now.
+    fn counter(&self, name: &str) -> Done<u64> {
+        let before = fs::read_to_string(&self.log)?.matches(&format!("{name}=")).count();
+        run(Command::new("kill").args(["-s", "USR1", &self.child.id().to_string()]))?;
+        let until = Instant::now() + Duration::from_secs(10);
+        while fs::read_to_string(&self.log)?.matches(&format!("{name}=")).count() == before {
+            if Instant::now() > until {
+                return Err("no counters".into());
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        Ok(self.wait(&format!("{name}="))?.split(' ').next().unwrap_or_default().parse()?)
+    }
+}
+
+fn run(command: &mut Command) -> Done<()> {
+    let done = command.output()?;
+    match done.status.success() {
+        true => Ok(()),
+        false => Err(format!("{command:?}: {}", String::from_utf8_lossy(&done.stderr)).into()),
+    }
+}
+
+const CLASS: &str = "[class.status]\nrepeats = \"free\"\nwanted_ms = 2000\ngive_up_ms = 20000\n";
+
+fn instance(numbers: &str) -> String {
+    format!(
+        "[instance.one]\nrelay = {{ listen = \"127.0.0.1:0\", notices = \"127.0.0.1:9\", numbers = {{ {numbers} }} }}\n"
+    )
+}
+
+/// Hands messages in by the platform's protocol, each client its part over a kept connection, or each over its own.
+fn hand_in(at: SocketAddr, client: usize, kept: bool, over: &dyn Fn(usize) -> bool) -> Done<usize> {
+    let mut link: Option<BufReader<TcpStream>> = None;
+    let mut taken = 0;
+    for turn in 0.. {
+        if over(turn) {
+            break;
+        }
+        let mut reader = match link.take().filter(|_| kept) {
+            Some(link) => link,
+            None => BufReader::new(TcpStream::connect(at)?),
+        };
+        let text = format!(
+            "POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: {client}-{turn}\r\nX-Call-Class: status\r\nX-Budget-Ms: 20000\r\n\
+             X-Envelope: dest=0\r\nContent-Length: 4\r\n\r\nbody"
+        );
+        reader.get_mut().write_all(text.as_bytes())?;
+        let (first, _) = head(&mut reader)?;
+        match first.split(' ').nth(1) {
+            Some("202") => taken += 1,
+            Some("503" | "429") => thread::sleep(Duration::from_millis(5)),
+            _ => return Err(format!("answered {first:?}").into()),
+        }
+        link = Some(reader);
+    }
+    Ok(taken)
+}
+
+fn messages(builds: &[String]) -> Done<()> {
+    println!("{MESSAGES} messages by {CLIENTS} clients to one partner, {ROUNDS} rounds in turn; medians");
+    for kept in [true, false] {
+        let mut figures = vec![Vec::new(); builds.len()];
+        for round in 0..ROUNDS {
+            for (build, figures) in builds.iter().zip(&mut figures) {
+                let folder = folder(&format!("message-{round}"))?;
+                let (partner, calls) = partner()?;
+                let destination = format!(
+                    "[destination.a]\nrate = 100000\nendpoints = [{{ name = \"a-1\", address = \"{partner}\" }}]\n"
+                );
+                let file = format!("{CLASS}{destination}{}", instance("0 = \"a\""));
+                let (daemon, at, ..) = Daemon::start(build, &folder, &file)?;
+                let (before, idle) = daemon.cost()?;
+                let clients: Vec<_> = (0..CLIENTS)
+                    .map(|client| {
+                        thread::spawn(move || hand_in(at, client, kept, &|turn| turn >= MESSAGES / CLIENTS))
+                    })
+                    .collect();
+                let mut taken = 0;
+                for client in clients {
+                    taken += client.join().map_err(|_| "a client died")??;
+                }
+                let until = Instant::now() + Duration::from_secs(30);
+                while calls.load(Ordering::Relaxed) < taken && Instant::now() < until {
+                    thread::sleep(Duration::from_millis(2));
+                }
+                let (after, resident) = daemon.cost()?;
+                figures.push(((after - before) * 1e6 / taken as f64, resident, idle));
+                drop(daemon);
+                fs::remove_dir_all(&folder)?;
+            }
+        }
+        let way = if kept { "kept connections" } else { "a connection for each message" };
+        for (build, mut figures) in builds.iter().zip(figures) {
+            figures.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let (least, most) = (figures[0].0, figures[ROUNDS - 1].0);
+            let (cpu, resident, idle) = figures[ROUNDS / 2];
+            println!(
+                "{way}: {build}: {cpu:.1} us of CPU a message ({least:.1} to {most:.1}), resident {idle} kB idle, \
+                 {resident} kB after"
+            );
+        }
+    }
+    Ok(())
+}
+
+/// Many destinations with two endpoints each, the first of them the partner.
+fn list(revision: u64, partner: SocketAddr, weight: u32) -> String {
+    let mut text = format!("revision = {revision}\n");
+    for number in 0..DESTINATIONS {
+        let (high, low) = (number >> 8, number & 255);
+        let first = if number == 0 { partner.to_string() } else { format!("127.1.{high}.{low}:8080") };
+        let _ = write!(
+            text,
+            "\n[destination.clinic-{number}]\nendpoints = [\n    {{ name = \"{number}-1\", address = \"{first}\", weight = {weight} }},\n    \
+             {{ name = \"{number}-2\", address = \"127.2.{high}.{low}:8080\", weight = 1, draining = true }},\n]\n"
+        );
+    }
+    text + &format!("\n[end]\nrevision = {revision}\n")
+}
+
+fn roster(build: &str) -> Done<()> {
+    let folder = folder("roster")?;
+    let (partner, calls) = partner()?;
+    let mut file = format!("{CLASS}[roster]\npath = \"roster.toml\"\n");
+    for number in 0..DESTINATIONS {
+        let _ = write!(file, "[destination.clinic-{number}]\nrate = 1000\n");
+    }
+    file += &instance("0 = \"clinic-0\"");
+    let path = folder.join("roster.toml");
+    fs::write(&path, list(1, partner, 1))?;
+    let (daemon, at, planned, started) = Daemon::start(build, &folder, &file)?;
+    let (_, resident) = daemon.cost()?;
+    println!("{DESTINATIONS} destinations, {} endpoints", 2 * DESTINATIONS);
+    println!("plan: {planned:.3} s; start until it listens: {started:.3} s; resident then: {resident} kB");
+    let over = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..4)
+        .map(|client| {
+            let over = over.clone();
+            thread::spawn(move || hand_in(at, client, true, &|_| over.load(Ordering::Relaxed)))
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    let first = daemon.counter("longest_step_us")?;
+    println!("longest step of the engine in 0.5 s of traffic: {:.1} ms", first as f64 / 1000.0);
+    for revision in 2..=1 + CHANGES {
+        let (text, before) = (list(revision, partner, revision as u32), calls.load(Ordering::Relaxed));
+        let begun = Instant::now();
+        fs::write(folder.join("beside"), text)?;
+        fs::rename(folder.join("beside"), &path)?;
+        daemon.wait(&format!("revision={revision}"))?;
+        let (_, resident) = daemon.cost()?;
+        let (took, delivered) = (begun.elapsed(), calls.load(Ordering::Relaxed) - before);
+        // The changes reach the engine in parts after they are in force.
+        thread::sleep(Duration::from_millis(500));
+        let longest = daemon.counter("longest_step_us")?;
+        println!(
+            "revision {revision}, 10,000 endpoints change: in force after {:.0} ms, {delivered} delivered meanwhile; \
+             longest step so far {:.1} ms; resident {resident} kB",
+            took.as_secs_f64() * 1000.0,
+            longest as f64 / 1000.0
+        );
+    }
+    let (_, resident) = daemon.cost()?;
+    println!("resident after {CHANGES} changes: {resident} kB");
+    over.store(true, Ordering::Relaxed);
+    for client in clients {
+        client.join().map_err(|_| "a client died")??;
+    }
+    drop(daemon);
+    fs::remove_dir_all(&folder)?;
+    Ok(())
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The program: one courier on the platform, or the operators' tool for a fleet of them.
 
+mod roster;
 mod words;
 
 use clap::{CommandFactory, Parser};
@@ -21,7 +22,10 @@
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => {
-            eprintln!("marblefall: {cause}");
+            // What has said all by itself ends without a word.
+            if !cause.is_empty() {
+                eprintln!("marblefall: {cause}");
+            }
             ExitCode::FAILURE
         }
     }
@@ -38,6 +42,7 @@
             });
             marblefall_fleet::supervise::run(&home)
         }
+        Command::Roster(what) => roster::obey(what),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Words::command(), "marblefall", &mut std::io::stdout());
             Ok(())
--- a/cli/src/words.rs
+++ b/cli/src/words.rs
@@ -48,6 +48,9 @@
         #[arg(long, value_name = "FORM", default_value = "text")]
         log: Form,
     },
+    /// Check, show and compare rosters: lists of endpoints that are watched.
+    #[command(subcommand)]
+    Roster(Roster),
     /// Print completions for a shell.
     #[command(after_help = "Example:\n  marblefall completions bash > /etc/bash_completion.d/marblefall")]
     Completions {
@@ -56,6 +59,55 @@
     },
 }
 
+/// What is done with rosters.
+#[derive(Debug, Subcommand)]
+pub enum Roster {
+    /// Say whether rosters would be taken, and why not; what a pre-commit job calls.
+    #[command(after_help = "Examples:
+  marblefall roster check rosters/                              by their form alone
+  marblefall roster check bole.toml --fleet partners.toml       also against the operators' file
+  marblefall roster check bole.toml --home /var/lib/marblefall  also against what is applied and in force
+
+All files given are checked together: a destination in two of them is a fault.")]
+    Check {
+        /// Rosters, or folders of them.
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+        /// The operators' file whose partners and limits count.
+        #[arg(long, value_name = "FILE", conflicts_with = "home")]
+        fleet: Option<PathBuf>,
+        /// The fleet's folder: what is applied and in force there counts.
+        #[arg(long)]
+        home: Option<PathBuf>,
+        /// How the outcome is printed.
+        #[arg(long, value_name = "FORM", default_value = "text")]
+        format: Form,
+    },
+    /// Show which lists are in force in HOME, and what became of newer ones.
+    #[command(after_help = "Example:\n  marblefall roster show /var/lib/marblefall --endpoints")]
+    Show {
+        /// The fleet's folder.
+        home: PathBuf,
+        /// Each endpoint as well.
+        #[arg(long)]
+        endpoints: bool,
+        /// How it is printed.
+        #[arg(long, value_name = "FORM", default_value = "text")]
+        format: Form,
+    },
+    /// Print what leads from one roster to another.
+    #[command(after_help = "Example:\n  marblefall roster diff bole.toml.orig bole.toml")]
+    Diff {
+        /// The roster before.
+        old: PathBuf,
+        /// The roster after.
+        new: PathBuf,
+        /// How it is printed.
+        #[arg(long, value_name = "FORM", default_value = "text")]
+        format: Form,
+    },
+}
+
 /// How something is printed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum Form {
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -29,6 +29,8 @@
     pub first: String,
     pub fields: Vec<(String, String)>,
     pub body: Vec<u8>,
+    /// When its first byte was there to be read.
+    pub came: Option<Instant>,
 }
 
 impl Message {
@@ -43,12 +45,14 @@
 
     /// Reads one message with a length; `None` where the connection ends first.
     pub fn read(from: &mut impl BufRead) -> Option<Message> {
+        from.fill_buf().ok()?;
+        let came = Some(Instant::now());
         let mut line = || {
             let mut text = String::new();
             let len = from.read_line(&mut text).ok()?;
             (len > 0).then(|| text.trim_end().to_owned())
         };
-        let mut message = Message { first: line()?, ..Message::default() };
+        let mut message = Message { first: line()?, came, ..Message::default() };
         loop {
             let text = line()?;
             if text.is_empty() {
@@ -290,10 +294,48 @@
     }
 }
 
-/// Runs the program to its end and gives what it printed.
-pub fn run(words: &[&str]) -> (bool, String) {
+/// Runs the program to its end and gives its exit code and what it printed.
+pub fn run_coded(words: &[&str]) -> (i32, String) {
     let done = Command::new(env!("CARGO_BIN_EXE_marblefall")).args(words).output().unwrap();
-    (done.status.success(), String::from_utf8_lossy(&[done.stdout, done.stderr].concat()).into_owned())
+    let said = String::from_utf8_lossy(&[done.stdout, done.stderr].concat()).into_owned();
+    (done.status.code().unwrap_or(-1), said)
+}
+
+/// The same where only success counts.
+pub fn run(words: &[&str]) -> (bool, String) {
+    let (code, said) = run_coded(words);
+    (code == 0, said)
+}
+
+/// Plans and applies an operators' file in a folder; gives what the plan said.
+pub fn apply(folder: &Folder, file: &str) -> String {
+    let (path, plan, home) = (folder.file("fleet.toml", file), folder.0.join("plan"), folder.0.join("home"));
+    let (done, said) = run(&["plan", text(&path), text(&home), "--out", text(&plan)]);
+    assert!(done, "{said}");
+    let (done, printed) = run(&["apply", text(&plan), text(&home)]);
+    assert!(done, "{printed}");
+    said
+}
+
+/// A daemon that runs what is applied in a folder.
+pub fn daemon(folder: &Folder) -> Program {
+    Program::start(&["run", text(&folder.0.join("home"))], &[])
+}
+
+/// Hands an event in, in binary mode, and waits for its end; `None` where the connection breaks first.
+pub fn event(to: SocketAddr, id: &str, kind: &str, clinic: &str, key: &str, body: &[u8]) -> Option<Message> {
+    let mut fields = vec![
+        ("ce-specversion", "1.0"),
+        ("ce-id", id),
+        ("ce-source", "/clinic"),
+        ("ce-type", kind),
+        ("ce-clinic", clinic),
+        ("Content-Type", "application/json"),
+    ];
+    if !key.is_empty() {
+        fields.push(("Idempotency-Key", key));
+    }
+    post(to, "/events", &fields, body)
 }
 
 pub fn text(path: &Path) -> &str {
--- a/cli/tests/events.rs
+++ b/cli/tests/events.rs
@@ -42,36 +42,6 @@
     )
 }
 
-/// Plans and applies a file in a folder.
-fn apply(folder: &Folder, file: &str) -> String {
-    let (path, plan, home) = (folder.file("fleet.toml", file), folder.0.join("plan"), folder.0.join("home"));
-    let (done, said) = run(&["plan", text(&path), text(&home), "--out", text(&plan)]);
-    assert!(done, "{said}");
-    let (done, printed) = run(&["apply", text(&plan), text(&home)]);
-    assert!(done, "{printed}");
-    said
-}
-
-fn daemon(folder: &Folder) -> Program {
-    Program::start(&["run", text(&folder.0.join("home"))], &[])
-}
-
-/// Hands an event in, in binary mode, and waits for its end; `None` where the connection breaks first.
-fn event(to: SocketAddr, id: &str, kind: &str, clinic: &str, key: &str, body: &[u8]) -> Option<Message> {
-    let mut fields = vec![
-        ("ce-specversion", "1.0"),
-        ("ce-id", id),
-        ("ce-source", "/clinic"),
-        ("ce-type", kind),
-        ("ce-clinic", clinic),
-        ("Content-Type", "application/json"),
-    ];
-    if !key.is_empty() {
-        fields.push(("Idempotency-Key", key));
-    }
-    post(to, "/events", &fields, body)
-}
-
 #[test]
 fn events_change_their_mode_on_the_way_and_keep_their_meaning() {
     let (a, b) = (StandIn::start(|_| ok()), StandIn::start(|_| Act::Answer(204, String::new())));
--- a/courier/src/counters.rs
+++ b/courier/src/counters.rs
@@ -61,6 +61,8 @@
     expired,
     /// Notices that the platform has taken.
     notices,
+    /// The longest that the engine kept everything else of the instance waiting, in microseconds: no count.
+    longest_step_us,
 }
 
 /// Adds one.
--- a/courier/src/daemon.rs
+++ b/courier/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Puts the core, the network and the fronts of one instance together and runs them on one thread.
 
 use crate::config::Platform;
-use crate::core::engine::{Engine, Input, Order, Setup};
+use crate::core::engine::{Engine, Host, Input, Order, Setup};
 use crate::core::ledger::Ledger;
 use crate::core::{Answer, Authorisation, End, Origin, Seq, Stamp};
 use crate::counters::{add, Counters};
@@ -32,6 +32,10 @@
 const EVENTS_PATIENCE: Patience = Patience(Duration::from_secs(10));
 /// Connections of clients are closed once new ones no longer come.
 const CLOSE_IDLE: Duration = Duration::from_millis(500);
+/// Issuer hosts in one piece of news at most.
+const NEWS: usize = 250;
+/// Pieces of news that one step takes up at most.
+const NEWS_AT_ONCE: usize = 4;
 /// What those who still wait at the end are told.
 const COME_BACK_MS: u64 = 1000;
 /// Descriptors kept for the journal, discovery, notices and the runtime.
@@ -95,7 +99,7 @@
 }
 
 /// What an instance is told from outside.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub enum Command {
     /// Print the counters.
     Print,
@@ -103,6 +107,8 @@
     Reread,
     /// Discovery is at another address now.
     Moved(SocketAddr),
+    /// Issuer hosts changed; those that are not named stay as they were.
+    Hosts(Vec<Host>),
     /// End.
     Stop {
         /// As late as this from now.
@@ -267,16 +273,12 @@
         tasks.spawn(server::serve(listener, front, desk.clone(), EVENTS_PATIENCE, tasks.clone()));
     }
     let addresses = RefCell::default();
-    let tasks_too = tasks.clone();
-    let hands =
-        Hands { desk, pool, owed, queue, clock, addresses, counters, events, movers, tasks: tasks_too };
+    let hands = Hands { desk, pool, owed, queue, news, clock, addresses, counters, events, movers, tasks };
     let hands = Rc::new(hands);
     let stop = Rc::new(Cell::new(None));
-    tasks.spawn(obey(hands.clone(), commands, stop.clone()));
+    hands.tasks.spawn(obey(hands.clone(), commands, stop.clone()));
     hands.work(engine, orders, inputs, listed, &stop).await;
     say!("{}", hands.counters);
-    // Kept until here, lest the engine take a list without a watch for one that has ended.
-    drop(news);
     Ok(())
 }
 
@@ -291,6 +293,11 @@
             Command::Moved(to) => hands.movers.iter().for_each(|mover| {
                 let _ = mover.try_send(to);
             }),
+            Command::Hosts(hosts) => {
+                for some in hosts.chunks(NEWS) {
+                    let _ = hands.news.send(Input::Changed(some.to_vec())).await;
+                }
+            }
             // What has no configuration of its own to read has nothing to take up.
             Command::Reread => {}
             Command::Stop { left, hand_over } if stop.get().is_none() => {
@@ -319,6 +326,8 @@
     pool: Rc<Pool>,
     owed: Sender<(Seq, Vec<u8>, End)>,
     queue: Sender<Input>,
+    /// Goes ahead of the queue.
+    news: Sender<Input>,
     clock: Clock,
     addresses: RefCell<BTreeMap<EndpointId, Rc<str>>>,
     counters: Rc<Counters>,
@@ -338,9 +347,11 @@
         listed: Receiver<Input>,
         stop: &Cell<Option<Instant>>,
     ) {
-        let mut batch = Vec::new();
+        let (mut batch, mut serving) = (Vec::new(), false);
         loop {
-            while let Ok(news) = listed.try_recv() {
+            // A list of thousands comes in parts, lest one step keep all else waiting.
+            while batch.len() < NEWS_AT_ONCE {
+                let Ok(news) = listed.try_recv() else { break };
                 batch.push(news);
             }
             while let Ok(input) = inputs.try_recv() {
@@ -348,10 +359,15 @@
             }
             let taken = batch.iter().filter(|input| matches!(input, Input::NoticeTaken(_))).count();
             self.counters.notices.set(self.counters.notices.get() + taken as u64);
+            let begun = Instant::now();
             engine.step(self.clock.now(), std::mem::take(&mut batch), &mut orders);
             for order in orders.drain(..) {
                 self.carry_out(order);
             }
+            // What is taken up before anybody is served keeps nobody waiting.
+            let longest = &self.counters.longest_step_us;
+            let step = if std::mem::replace(&mut serving, true) { begun.elapsed() } else { Duration::ZERO };
+            longest.set(longest.get().max(step.as_micros() as u64));
             if let Some(by) = stop.get() {
                 let (open, out) = engine.load();
                 let (now, idle) = (Instant::now(), out == 0 && open == 0 && self.desk.connections() == 0);
@@ -365,7 +381,7 @@
                     return;
                 }
             }
-            if engine.has_backlog() {
+            if engine.has_backlog() || !listed.is_empty() {
                 // The next batch must not bear the same time as this one's last.
                 future::yield_now().await;
                 continue;
--- a/fleet/src/file.rs
+++ b/fleet/src/file.rs
@@ -2,11 +2,12 @@
 //! serve. What is unknown or contradicts itself is an error that names the line.
 
 use marblefall_courier::front::cloudevents::event::Mode;
+use marblefall_roster::{Standing, Terms};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::ops::Range;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use toml::Spanned;
 
 /// What a repeat does at a class's receivers.
@@ -79,7 +80,8 @@
     /// Calls a second that it takes from all couriers together, as far as known.
     #[serde(default = "one")]
     pub rate: f64,
-    /// Its receivers.
+    /// Its receivers; none where rosters list them.
+    #[serde(default)]
     pub endpoints: Vec<Endpoint>,
 }
 
@@ -169,6 +171,38 @@
     pub limits: Option<Limits>,
 }
 
+/// Where rosters are, and what they must keep to.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RosterSource {
+    /// A roster, or a folder of them; in the file itself, a relative path starts from the file's folder.
+    pub path: PathBuf,
+    /// How often it is looked at where the file system tells nothing, in milliseconds.
+    #[serde(default = "poll")]
+    pub poll_ms: u64,
+    /// The largest roster, in units of 1,024 bytes.
+    #[serde(default = "max_kb")]
+    pub max_kb: usize,
+    /// The part of a destination's weight, 0 to 1, that one change may take away unsaid.
+    #[serde(default = "half")]
+    pub most_weight_lost: f64,
+    /// The part of a roster's endpoints, 0 to 1, that one change may take away unsaid.
+    #[serde(default = "half")]
+    pub most_endpoints_lost: f64,
+}
+
+fn poll() -> u64 {
+    2000
+}
+
+fn max_kb() -> usize {
+    8192
+}
+
+fn half() -> f64 {
+    0.5
+}
+
 /// All that an operator's file says.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Fleet {
@@ -184,6 +218,9 @@
     /// Instances by name.
     #[serde(default)]
     pub instances: BTreeMap<String, Instance>,
+    /// Where the endpoints of the destinations that have none here are listed.
+    #[serde(default)]
+    pub roster: Option<RosterSource>,
     /// In an instance's share: how many couriers serve the same destinations, for their parts of a rate.
     #[serde(skip)]
     pub couriers: usize,
@@ -201,6 +238,8 @@
     destinations: BTreeMap<String, Spanned<Destination>>,
     #[serde(default, rename = "instance")]
     instances: BTreeMap<String, Spanned<Instance>>,
+    #[serde(default)]
+    roster: Option<Spanned<RosterSource>>,
 }
 
 /// The number by which the core knows a destination: from its name, so that it stays the same when others
@@ -215,7 +254,14 @@
     /// Reads an operator's file from disk; errors name it.
     pub fn read(path: &Path) -> Result<Fleet, String> {
         let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
-        Fleet::parse(&text).map_err(|cause| format!("{}:\n{cause}", path.display()))
+        let mut fleet = Fleet::parse(&text).map_err(|cause| format!("{}:\n{cause}", path.display()))?;
+        if let Some(roster) = &mut fleet.roster {
+            // The daemon may run in another folder than the operator who plans.
+            let folder = path.parent().unwrap_or(Path::new(""));
+            roster.path =
+                std::path::absolute(folder.join(&roster.path)).map_err(|error| error.to_string())?;
+        }
+        Ok(fleet)
     }
 
     /// Reads an operator's file.
@@ -235,8 +281,8 @@
             let at = line(destination.span());
             let mut say = |why: String| wrong.push(format!("line {at}: destination {name}: {why}"));
             let destination = destination.get_ref();
-            if destination.endpoints.is_empty() {
-                say("no endpoints".to_owned());
+            if destination.endpoints.is_empty() && file.roster.is_none() {
+                say("no endpoints, and no [roster] that could list them".to_owned());
             }
             if !is_path(&destination.path) {
                 say(format!("{:?} is no path", destination.path));
@@ -248,6 +294,9 @@
                 say("shares its number with another; it needs another name".to_owned());
             }
             for endpoint in &destination.endpoints {
+                if endpoint.name.contains('/') && file.roster.is_some() {
+                    say(format!("endpoint {}: with rosters, a name holds no /", endpoint.name));
+                }
                 if !endpoints.insert(endpoint.name.clone()) {
                     say(format!("endpoint {} stands in the file twice", endpoint.name));
                 }
@@ -260,6 +309,10 @@
                 wrong.push(format!("line {at}: instance {name}: {why}"));
             }
         }
+        if let Some(roster) = &file.roster {
+            let at = line(roster.span());
+            wrong.extend(roster_fault(roster.get_ref()).map(|why| format!("line {at}: roster: {why}")));
+        }
         wrong.extend(limits_fault(&file.limits).map(|why| format!("limits: {why}")));
         if !wrong.is_empty() {
             return Err(wrong.join("\n"));
@@ -272,6 +325,7 @@
             classes: bare(file.classes),
             destinations: bare(file.destinations),
             instances: bare(file.instances),
+            roster: file.roster.map(Spanned::into_inner),
             couriers: 0,
         })
     }
@@ -282,7 +336,28 @@
         let limits = instance.limits.take().unwrap_or_else(|| self.limits.clone());
         let instances = BTreeMap::from([(name.to_owned(), instance)]);
         let (classes, destinations) = (self.classes.clone(), self.destinations.clone());
-        Some(Fleet { limits, classes, destinations, instances, couriers: self.instances.len() })
+        // Where rosters are is the daemon's own matter: an instance takes their changes up as it runs.
+        let (roster, couriers) = (None, self.instances.len());
+        Some(Fleet { limits, classes, destinations, instances, roster, couriers })
+    }
+
+    /// What rosters must keep to under this file.
+    pub fn terms(&self) -> Terms {
+        let standing = |destination: &Destination| match destination.endpoints.is_empty() {
+            true => Standing::Rostered,
+            false => Standing::Fixed,
+        };
+        let partners = self.destinations.iter().map(|(name, to)| (name.clone(), standing(to))).collect();
+        let terms = Terms { partners: Some(partners), ..Terms::default() };
+        match &self.roster {
+            None => terms,
+            Some(source) => Terms {
+                most_bytes: source.max_kb * 1024,
+                most_weight_lost: source.most_weight_lost,
+                most_endpoints_lost: source.most_endpoints_lost,
+                ..terms
+            },
+        }
     }
 }
 
@@ -308,6 +383,20 @@
     (!(class.worth.is_finite() && class.worth > 0.0)).then_some("worth is not above 0")
 }
 
+fn roster_fault(roster: &RosterSource) -> Option<&'static str> {
+    let share = |value: f64| (0.0..=1.0).contains(&value);
+    if !share(roster.most_weight_lost) || !share(roster.most_endpoints_lost) {
+        return Some("most_weight_lost and most_endpoints_lost are within 0 and 1");
+    }
+    if roster.path.as_os_str().is_empty() {
+        return Some("path is empty");
+    }
+    if !(1..=1 << 20).contains(&roster.max_kb) {
+        return Some("max_kb is 1 at least and 1,048,576 at most");
+    }
+    (!(50..=3_600_000).contains(&roster.poll_ms)).then_some("poll_ms is 50 at least and an hour at most")
+}
+
 fn limits_fault(limits: &Limits) -> Option<&'static str> {
     if limits.slots == 0 || limits.max_open == 0 || limits.max_attempts == 0 {
         return Some("slots, max_open and max_attempts are 1 at least");
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod file;
 pub mod plan;
 pub mod supervise;
+pub mod watch;
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -89,6 +89,9 @@
     if !all.is_empty() {
         all.insert("limits".to_owned(), whole["limits"].clone());
     }
+    if fleet.roster.is_some() {
+        all.insert("roster".to_owned(), whole["roster"].clone());
+    }
     all
 }
 
--- a/fleet/src/supervise.rs
+++ b/fleet/src/supervise.rs
@@ -3,9 +3,11 @@
 
 use crate::file::{number_of, Class, Fleet, Repeats};
 use crate::plan::Applied;
+use crate::watch::Watch;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use futures_lite::future;
 use marblefall_courier::core::engine::{Host, Input, Setup};
 use marblefall_courier::daemon::{self, Build, Command, RelayPart, LEAVE};
 use marblefall_courier::front::cloudevents::{EventClass, Events, Target};
@@ -13,6 +15,7 @@
 use marblefall_courier::net::server::Spawner;
 use marblefall_courier::say;
 use marblefall_decisions as m;
+use marblefall_roster::{Change, Endpoint, Step};
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
@@ -59,6 +62,8 @@
     let mut rest: BTreeMap<String, Instant> = BTreeMap::new();
     let mut listeners: Listeners = BTreeMap::new();
     let mut ending = false;
+    let mut rosters: Option<Watch> = None;
+    let mut first: Option<Vec<Change>> = None;
     loop {
         let changed = std::fs::metadata(home.join("applied.json")).and_then(|file| file.modified()).ok();
         if changed != seen && !ending {
@@ -67,6 +72,14 @@
                 Ok(applied) => {
                     say!("fleet: revision {}, {} instances", applied.revision, applied.fleet.instances.len());
                     fleet = applied.fleet;
+                    match &rosters {
+                        Some(watch) => watch.hold_to(&fleet),
+                        None if fleet.roster.is_some() => match Watch::start(home, &fleet) {
+                            Ok(watch) => rosters = Some(watch),
+                            Err(cause) => say!(code = "no-rosters", "rosters are not watched: {cause}"),
+                        },
+                        None => {}
+                    }
                 }
                 Err(cause) => say!("fleet: kept as it was, {cause}"),
             }
@@ -75,14 +88,23 @@
             if matches!(command, Command::Reread) {
                 // Looked at again even if its time of change is the same.
                 seen = None;
+                rosters.iter().for_each(Watch::look);
                 continue;
             }
             for one in running.values_mut() {
-                let _ = one.commands.try_send(command);
+                let _ = one.commands.try_send(command.clone());
                 one.told_to_end |= matches!(command, Command::Stop { .. });
             }
             ending |= matches!(command, Command::Stop { .. });
         }
+        let next = || rosters.as_ref().and_then(|watch| watch.news.try_recv().ok());
+        while let Some(changes) = first.take().or_else(next) {
+            let hosts = || changes.iter().filter_map(|change| changed_host(&fleet, change)).collect();
+            // An instance that hands over is followed by one that begins with all that is in force.
+            for one in running.values().filter(|one| !one.told_to_end) {
+                let _ = one.commands.try_send(Command::Hosts(hosts()));
+            }
+        }
         running.retain(|name, one| {
             let over = one.done.is_closed();
             if over && !one.told_to_end {
@@ -115,7 +137,13 @@
                     continue;
                 }
                 let Some(share) = fleet.share_of(name) else { continue };
-                match start(home, name, &share, &mut listeners) {
+                let listed = rosters.as_ref().map_or_else(Vec::new, |watch| {
+                    watch.with_book(|book| {
+                        let all = book.endpoints();
+                        all.filter_map(|(to, endpoint)| rostered_host(&fleet, to, endpoint)).collect()
+                    })
+                });
+                match start(home, name, &share, listed, &mut listeners) {
                     Ok(one) => drop(running.insert(name.clone(), one)),
                     Err(cause) => {
                         say!("{name}: not started, {cause}");
@@ -124,16 +152,49 @@
                 }
             }
         }
-        Timer::after(LOOK).await;
+        let look = async {
+            Timer::after(LOOK).await;
+            None
+        };
+        first = match &rosters {
+            Some(watch) => future::or(look, async { watch.news.recv().await.ok() }).await,
+            None => look.await,
+        };
     }
 }
 
+/// A roster's endpoint as an instance takes it: known by its destination's name and its own together.
+fn rostered_host(fleet: &Fleet, destination: &str, endpoint: &Endpoint) -> Option<Host> {
+    Some(Host {
+        name: format!("{destination}/{}", endpoint.name),
+        address: endpoint.address.to_string(),
+        destination: m::DestinationId(number_of(destination)),
+        kind: m::KindId(0),
+        zone: m::ZoneId(0),
+        listing: if endpoint.serves() { m::Listing::On } else { m::Listing::Draining },
+        share: fleet.destinations.get(destination)?.rate,
+        weight: Some(endpoint.weight).filter(|weight| *weight > 0.0),
+    })
+}
+
+fn changed_host(fleet: &Fleet, change: &Change) -> Option<Host> {
+    let host = rostered_host(fleet, &change.destination, &change.endpoint)?;
+    let listing = if change.step == Step::Removed { m::Listing::Gone } else { host.listing };
+    Some(Host { listing, ..host })
+}
+
 fn listens((name, instance): (&String, &crate::file::Instance)) -> Vec<(String, &'static str, SocketAddr)> {
     let events = instance.events.iter().map(|front| (name.clone(), "events", front.listen));
     events.chain(instance.relay.iter().map(|front| (name.clone(), "relay", front.listen))).collect()
 }
 
-fn start(home: &Path, name: &str, share: &Fleet, listeners: &mut Listeners) -> Result<Running, String> {
+fn start(
+    home: &Path,
+    name: &str,
+    share: &Fleet,
+    listed: Vec<Host>,
+    listeners: &mut Listeners,
+) -> Result<Running, String> {
     let mut listener = |front: &'static str, at: SocketAddr| {
         let listener = match listeners.entry((name.to_owned(), front, at)) {
             Entry::Occupied(kept) => kept.into_mut(),
@@ -143,7 +204,7 @@
         };
         listener.try_clone().map_err(|error| format!("{at}: {error}"))
     };
-    let build = build(home.join("instances").join(name), name, share, &mut listener)?;
+    let build = build(home.join("instances").join(name), name, share, listed, &mut listener)?;
     let (commands, told) = async_channel::unbounded();
     let (alive, done) = async_channel::bounded::<()>(1);
     let thread = std::thread::Builder::new().name(name.to_owned());
@@ -162,11 +223,12 @@
     Ok(Running { share: share.clone(), commands, done, told_to_end: false })
 }
 
-/// What an instance is made of according to its share of the file.
+/// What an instance is made of according to its share of the file, and to the rosters in force.
 pub fn build(
     state: PathBuf,
     name: &str,
     share: &Fleet,
+    listed: Vec<Host>,
     listener: &mut dyn FnMut(&'static str, SocketAddr) -> Result<TcpListener, String>,
 ) -> Result<Build, String> {
     let instance = share.instances.get(name).ok_or("it is not in the fleet")?;
@@ -242,7 +304,7 @@
         classes,
         dial: Duration::from_millis(limits.dial_ms),
         idle: Duration::from_millis(limits.idle_ms),
-        hosts: Input::Listed(hosts.collect()),
+        hosts: Input::Listed(hosts.chain(listed).collect()),
         relay,
         events,
     })
--- a/roster/src/book.rs
+++ b/roster/src/book.rs
@@ -5,13 +5,16 @@
 use crate::diff::{diff, Change};
 use crate::fault::{Fault, Report};
 use crate::form::{Endpoint, Roster};
-use std::collections::BTreeMap;
+use std::borrow::Cow;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The lists in force.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Book {
     terms: Terms,
     good: BTreeMap<String, Roster>,
+    /// Files that are missing now; what they said holds until another file says it.
+    absent: BTreeSet<String>,
 }
 
 /// A list that was found good in the place that it would take.
@@ -30,12 +33,17 @@
     pub fn revision(&self) -> u64 {
         self.roster.revision
     }
+
+    /// Whether it is in force already, to the letter of what it says.
+    pub fn is_in(&self, book: &Book) -> bool {
+        book.good.get(&self.file) == Some(&self.roster)
+    }
 }
 
 impl Book {
     /// An empty one.
     pub fn new(terms: Terms) -> Book {
-        Book { terms, good: BTreeMap::new() }
+        Book { terms, ..Book::default() }
     }
 
     /// What its lists must keep to.
@@ -49,23 +57,76 @@
         self.terms = terms;
     }
 
+    /// Says which files there are. What a missing one said stays in force, but a file that was renamed or split may
+    /// name its destinations.
+    pub fn see(&mut self, present: &BTreeSet<String>) {
+        self.absent = self.good.keys().filter(|file| !present.contains(*file)).cloned().collect();
+    }
+
+    /// Files that are missing, with a list of theirs in force.
+    pub fn missing(&self) -> impl Iterator<Item = &str> {
+        self.absent.iter().map(String::as_str)
+    }
+
+    /// The list that a file's new one is held against: its own, and of missing files what the new one takes over.
+    fn before(&self, file: &str, new: &Roster) -> Cow<'_, Roster> {
+        let own = self.good.get(file);
+        let mut before = own.map_or_else(|| Cow::Owned(Roster::default()), Cow::Borrowed);
+        for roster in
+            self.absent.iter().filter(|absent| *absent != file).filter_map(|file| self.good.get(file))
+        {
+            let taken = roster.destinations.iter().filter(|(name, _)| new.destinations.contains_key(*name));
+            let mut taken = taken.map(|(name, to)| (name.clone(), to.clone())).peekable();
+            // A list may have thousands: copied only where it must be.
+            if taken.peek().is_some() {
+                before.to_mut().destinations.extend(taken);
+            }
+        }
+        before
+    }
+
     /// Weighs what a file holds; a roster that is wrong comes back as the report of what is.
     pub fn weigh(&self, file: &str, bytes: &[u8]) -> Result<Offer, Report> {
         let refuse = |faults| Report::new(file, bytes, faults);
         let read = Roster::read(bytes, self.terms.most_bytes).map_err(refuse)?;
-        let before = self.good.get(file);
-        let others = self.good.iter().filter(|(other, _)| *other != file);
+        let before = self.before(file, &read.roster);
+        let others = self.good.iter().filter(|(other, _)| *other != file && !self.absent.contains(*other));
         let others = others.map(|(other, roster)| (other.clone(), roster)).collect();
-        let report = refuse(check::faults(&self.terms, &read, before, &others));
+        let known = self.good.contains_key(file) || !before.destinations.is_empty();
+        let report = refuse(check::faults(&self.terms, &read, Some(&*before).filter(|_| known), &others));
         if report.is_refusal() {
             return Err(report);
         }
-        let changes = diff(before.unwrap_or(&Roster::default()), &read.roster);
+        let changes = diff(&before, &read.roster);
         Ok(Offer { file: file.to_owned(), roster: read.roster, report, changes })
     }
 
+    /// What missing files say once a list has taken over its destinations: their rosters as they are then, empty
+    /// ones included. Kept copies must follow before the list itself is kept.
+    pub fn taken_over(&self, offer: &Offer) -> Vec<(String, Roster)> {
+        let mut left = Vec::new();
+        for file in self.absent.iter().filter(|absent| **absent != offer.file) {
+            let Some(mut roster) = self.good.get(file).cloned() else { continue };
+            let before = roster.destinations.len();
+            roster.destinations.retain(|name, _| !offer.roster.destinations.contains_key(name));
+            if roster.destinations.len() < before {
+                left.push((file.clone(), roster));
+            }
+        }
+        left
+    }
+
     /// Puts a list in force.
     pub fn take(&mut self, offer: Offer) {
+        for (file, left) in self.taken_over(&offer) {
+            if left.destinations.is_empty() {
+                self.good.remove(&file);
+                self.absent.remove(&file);
+            } else {
+                self.good.insert(file, left);
+            }
+        }
+        self.absent.remove(&offer.file);
         self.good.insert(offer.file, offer.roster);
     }
 
--- a/roster/src/fault.rs
+++ b/roster/src/fault.rs
@@ -1,7 +1,7 @@
 //! What is wrong with a roster, where, and what to do about it.
 
 use annotate_snippets::{AnnotationKind, Group, Level, Renderer, Snippet};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::ops::Range;
 
@@ -12,7 +12,7 @@
 const WIDEST: usize = 240;
 
 /// Whether a roster with such a fault is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Severity {
     /// It is.
--- a/roster/src/keep.rs
+++ b/roster/src/keep.rs
@@ -42,6 +42,15 @@
         File::open(&self.0).and_then(|folder| folder.sync_all()).map_err(fault)
     }
 
+    /// Forgets the list of a file.
+    pub fn remove(&self, file: &str) -> Result<(), KeepError> {
+        let path = self.0.join(format!("{file}.{GOOD}"));
+        match fs::remove_file(&path) {
+            Err(cause) if cause.kind() != io::ErrorKind::NotFound => Err(KeepError { path, cause }),
+            _ => Ok(()),
+        }
+    }
+
     /// All lists that are kept, by file name. What was still being written when a process died is passed over.
     pub fn read(&self) -> Result<Vec<(String, Vec<u8>)>, KeepError> {
         let fault = |path: &Path| {
