--- a/cli/examples/measure.rs
+++ b/cli/examples/measure.rs
@@ -3,9 +3,13 @@
 //!     cargo build --release --workspace --bins --examples
 //!     target/release/examples/measure message target/release/marblefall [OTHER ...]
 //!     target/release/examples/measure roster target/release/marblefall
+//!     target/release/examples/measure idle target/release/marblefall
+//!     target/release/examples/measure return target/release/marblefall
 //!
 //! `message`: CPU and memory for each message, of one build or of several in turn. `roster`: what a roster of 10,000
-//! destinations and 20,000 endpoints costs to plan, to start with and to take up while messages are delivered.
+//! destinations and 20,000 endpoints costs to plan, to start with and to take up while messages are delivered. `idle`:
+//! what destinations cost that nobody asks for. `return`: how a partner that was out is eased back by three couriers
+//! that all saw it fail, among 10,000 idle ones; once as they are, once with their process killed during the outage.
 
 use std::error::Error;
 use std::fmt::Write as _;
@@ -15,7 +19,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -35,7 +39,14 @@
     match words.split_first() {
         Some((word, builds)) if word == "message" && !builds.is_empty() => messages(builds),
         Some((word, [build])) if word == "roster" => roster(build),
-        _ => Err("usage: measure message BUILD... | measure roster BUILD".into()),
+        Some((word, builds)) if word == "idle" && !builds.is_empty() => {
+            println!("destinations with one endpoint each, a fleet of one");
+            builds
+                .iter()
+                .try_for_each(|build| [10, 10_000, 100_000].into_iter().try_for_each(|n| idle(build, n)))
+        }
+        Some((word, [build])) if word == "return" => [false, true].into_iter().try_for_each(|kill| comes_back(build, kill)),
+        _ => Err("usage: measure message BUILD... | measure roster BUILD | measure idle BUILD... | measure return BUILD".into()),
     }
 }
 
@@ -326,3 +337,174 @@
     fs::remove_dir_all(&folder)?;
     Ok(())
 }
+
+/// What so many destinations cost that are never used, and what a message costs beside them: one that is delivered at
+/// once, and one that waits for an endpoint that is dead.
+fn idle(build: &str, destinations: usize) -> Done<()> {
+    let folder = folder("idle")?;
+    let (partner, calls) = partner()?;
+    let mut file = format!(
+        "{CLASS}[destination.a]\nrate = 1000\nendpoints = [{{ name = \"a-1\", address = \"{partner}\" }}]\n"
+    );
+    file += "[destination.dead]\nendpoints = [{ name = \"dead-1\", address = \"127.0.0.1:9\" }]\n";
+    for number in 2..destinations {
+        let (high, low) = (number >> 8 & 255, number & 255);
+        let _ = write!(
+            file,
+            "[destination.clinic-{number}]\nrate = 2\npath = \"/notices\"\nendpoints = [{{ name = \"clinic-{number}-1\", \
+             address = \"127.{}.{high}.{low}:8080\" }}]\n",
+            1 + (number >> 16)
+        );
+    }
+    file += &instance("0 = \"a\", 1 = \"dead\"");
+    let (daemon, at, planned, started) = Daemon::start(build, &folder, &file)?;
+    let (before, resident) = daemon.cost()?;
+    println!("{build}: {destinations} destinations: plan {planned:.3} s, start {started:.3} s, resident {resident} kB");
+    let taken = hand_in(at, 0, true, &|turn| turn >= 10_000)?;
+    let until = Instant::now() + Duration::from_secs(30);
+    while calls.load(Ordering::Relaxed) < taken && Instant::now() < until {
+        thread::sleep(Duration::from_millis(2));
+    }
+    let (after, _) = daemon.cost()?;
+    println!("    {:.1} us of CPU a message, one after the other", (after - before) * 1e6 / taken as f64);
+    let mut waiting = TcpStream::connect(at)?;
+    waiting.write_all(
+        b"POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: waits\r\nX-Call-Class: status\r\nX-Budget-Ms: 20000\r\n\
+          X-Envelope: dest=1\r\nContent-Length: 0\r\n\r\n",
+    )?;
+    thread::sleep(Duration::from_secs(5));
+    let (waited, resident) = daemon.cost()?;
+    println!("    {:.2} s of CPU while one message waits 5 s; resident {resident} kB", waited - after);
+    drop(daemon);
+    fs::remove_dir_all(&folder)?;
+    Ok(())
+}
+
+/// Calls a second that the partner takes when it is warm.
+const FULL: f64 = 20.0;
+/// Where it begins when it comes back, and how long it takes to warm up.
+const COLD: (f64, Duration) = (0.27, Duration::from_secs(10));
+/// More than this multiple of what it can do, over this time, would push it over.
+const TOPPLES: (f64, Duration) = (1.5, Duration::from_secs(2));
+
+/// When calls came.
+type Times = Arc<Mutex<Vec<Instant>>>;
+
+/// A partner that can be switched off; notes when each call came that found it on.
+fn switched() -> Done<(SocketAddr, Arc<AtomicBool>, Times)> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let (at, on) = (listener.local_addr()?, Arc::new(AtomicBool::new(true)));
+    let came = Times::default();
+    let (switch, noted) = (on.clone(), came.clone());
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (switch, noted) = (switch.clone(), noted.clone());
+            thread::spawn(move || -> Done<()> {
+                let (mut reader, mut writer) = (BufReader::new(stream.try_clone()?), stream);
+                while let Some(length) = head(&mut reader)?.1 {
+                    if !switch.load(Ordering::SeqCst) {
+                        return Ok(());
+                    }
+                    noted.lock().map_err(|_| "poisoned")?.push(Instant::now());
+                    reader.read_exact(&mut vec![0; length])?;
+                    thread::sleep(Duration::from_millis(20));
+                    writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")?;
+                }
+                Ok(())
+            });
+        }
+    });
+    Ok((at, on, came))
+}
+
+fn comes_back(build: &str, kill: bool) -> Done<()> {
+    let folder = folder("return")?;
+    let (partner, on, came) = switched()?;
+    let mut file = format!("{CLASS}[destination.a]\nrate = {FULL}\nendpoints = [{{ name = \"a-1\", address = \"{partner}\" }}]\n");
+    for number in 1..DESTINATIONS {
+        let (high, low) = (number >> 8, number & 255);
+        let _ = write!(
+            file,
+            "[destination.a-{number}]\nendpoints = [{{ name = \"a-{number}-1\", address = \"127.1.{high}.{low}:8080\" }}]\n"
+        );
+    }
+    // Ports of their own, as they must be the same in the next life.
+    let ports: Vec<u16> =
+        (0..3).map(|_| Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())).collect::<Done<_>>()?;
+    for (number, port) in ports.iter().enumerate() {
+        let front = instance("0 = \"a\"").replace("127.0.0.1:0", &format!("127.0.0.1:{port}"));
+        file += &front.replace("instance.one", &format!("instance.courier-{number}"));
+    }
+    let (mut daemon, ..) = Daemon::start(build, &folder, &file)?;
+    let over = Arc::new(AtomicBool::new(false));
+    // A fifth more than the partner takes, by the three couriers together.
+    let every = Duration::from_secs_f64(3.0 / (1.2 * FULL));
+    let clients: Vec<_> = ports
+        .iter()
+        .enumerate()
+        .map(|(client, port)| {
+            let (over, at) = (over.clone(), SocketAddr::from(([127, 0, 0, 1], *port)));
+            thread::spawn(move || {
+                let mut life = 0;
+                while !over.load(Ordering::Relaxed) {
+                    life += 1;
+                    // A courier that is being started again is asked again.
+                    let pause = |_| {
+                        thread::sleep(every);
+                        over.load(Ordering::Relaxed)
+                    };
+                    let _ = hand_in(at, client + 10 * life, true, &pause);
+                    thread::sleep(every);
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(8));
+    on.store(false, Ordering::SeqCst);
+    thread::sleep(Duration::from_secs(4));
+    if kill {
+        drop(daemon);
+        let (log, home) = (folder.join("log"), folder.join("home"));
+        let stderr = fs::File::create(&log)?;
+        let child = Command::new(build).arg("run").arg(&home).stderr(stderr).stdin(Stdio::null()).spawn()?;
+        daemon = Daemon { child, log };
+        daemon.wait("listens at ")?;
+    }
+    thread::sleep(Duration::from_secs(3));
+    on.store(true, Ordering::SeqCst);
+    let back = Instant::now();
+    thread::sleep(Duration::from_secs(18));
+    over.store(true, Ordering::Relaxed);
+    for client in clients {
+        client.join().map_err(|_| "a client died")?;
+    }
+    let came = came.lock().map_err(|_| "poisoned")?;
+    let after: Vec<f64> = came
+        .iter()
+        .filter_map(|at| at.checked_duration_since(back))
+        .map(|since| since.as_secs_f64())
+        .collect();
+    // It warms up from its first call on, as a partner does whose caches are cold.
+    let first = after.first().copied().unwrap_or(0.0);
+    let can =
+        |at: f64| FULL * (COLD.0 + (1.0 - COLD.0) * ((at - first) / COLD.1.as_secs_f64()).clamp(0.0, 1.0));
+    let span = TOPPLES.1.as_secs_f64();
+    let load = |end: f64| after.iter().filter(|at| **at > end - span && **at <= end).count() as f64 / span;
+    let worst = after.iter().map(|end| load(*end) / can(*end)).fold(0.0, f64::max);
+    let full = after.iter().find(|end| load(**end) >= 0.9 * FULL);
+    let seconds: Vec<usize> =
+        (0..18).map(|second| after.iter().filter(|at| **at as usize == second).count()).collect();
+    println!(
+        "{}: calls by second after the return: {seconds:?}",
+        if kill { "killed during the outage" } else { "all three live" }
+    );
+    println!(
+        "    first after {first:.2} s; at worst {worst:.2} times what it can do, over any 2 s ({} topples it); nine tenths of \
+         its full load after {}",
+        TOPPLES.0,
+        full.map_or("more than 18 s".to_owned(), |at| format!("{at:.1} s"))
+    );
+    drop(daemon);
+    fs::remove_dir_all(&folder)?;
+    Ok(())
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The program: one courier on the platform, or the operators' tool for a fleet of them.
 
+mod destinations;
 mod roster;
 mod words;
 
@@ -42,6 +43,7 @@
             });
             marblefall_fleet::supervise::run(&home)
         }
+        Command::Destinations { home, state, format } => destinations::show(&home, state, format),
         Command::Roster(what) => roster::obey(what),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Words::command(), "marblefall", &mut std::io::stdout());
--- a/cli/src/words.rs
+++ b/cli/src/words.rs
@@ -48,6 +48,18 @@
         #[arg(long, value_name = "FORM", default_value = "text")]
         log: Form,
     },
+    /// Show how destinations stand, as the instances wrote it down within the last second.
+    #[command(after_help = "Example:\n  marblefall destinations /var/lib/marblefall --state out")]
+    Destinations {
+        /// The fleet's folder.
+        home: PathBuf,
+        /// Only those that stand so.
+        #[arg(long)]
+        state: Option<State>,
+        /// How it is printed.
+        #[arg(long, value_name = "FORM", default_value = "text")]
+        format: Form,
+    },
     /// Check, show and compare rosters: lists of endpoints that are watched.
     #[command(subcommand)]
     Roster(Roster),
@@ -59,6 +71,34 @@
     },
 }
 
+/// How a destination stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum State {
+    /// It asked to be left alone.
+    Waiting,
+    /// It does not answer.
+    Out,
+    /// It is back and gets a little more each moment.
+    Easing,
+    /// It is well, and messages went there lately.
+    InUse,
+    /// Nothing went there lately.
+    Idle,
+}
+
+impl State {
+    /// The word for it.
+    pub fn word(self) -> &'static str {
+        match self {
+            State::Waiting => "waiting",
+            State::Out => "out",
+            State::Easing => "easing",
+            State::InUse => "in-use",
+            State::Idle => "idle",
+        }
+    }
+}
+
 /// What is done with rosters.
 #[derive(Debug, Subcommand)]
 pub enum Roster {
--- /dev/null
+++ b/cli/tests/destinations.rs
@@ -0,0 +1,80 @@
+//! What staff are shown of destinations, while the daemon runs and when it is down.
+
+mod common;
+
+use common::*;
+use std::fs;
+use std::net::TcpListener;
+use std::thread;
+
+#[test]
+fn a_partner_that_is_out_is_shown_also_when_the_daemon_is_down() {
+    let well = StandIn::start(|_| ok());
+    // Nobody listens there.
+    let dead = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let folder = Folder::new("destinations");
+    let mut file = format!(
+        r#"[class.status]
+repeats = "free"
+wanted_ms = 1000
+give_up_ms = 8000
+[destination.well]
+endpoints = [{{ name = "well-1", address = "{}" }}]
+[destination.dead]
+endpoints = [{{ name = "dead-1", address = "{dead}" }}]
+[instance.one]
+events = {{ listen = "127.0.0.1:0", path = "/events", destination_attribute = "clinic", types = {{ status = "status" }} }}
+"#,
+        well.at
+    );
+    for number in 0..100 {
+        file += &format!(
+            "[destination.idle-{number}]\nendpoints = [{{ name = \"i{number}\", address = \"{dead}\" }}]\n"
+        );
+    }
+    apply(&folder, &file);
+    let program = daemon(&folder);
+    let at = program.address("takes events at ", 0);
+    assert_eq!(event(at, "1", "status", "well", "", b"").unwrap().status(), 204);
+    let asked: Vec<_> = (0..4)
+        .map(|n| {
+            thread::spawn(move || {
+                event(at, &format!("dead-{n}"), "status", "dead", "", b"").map(|a| a.status())
+            })
+        })
+        .collect();
+    let home = folder.0.join("home");
+    let shown = |words: &[&str]| run_coded(&[&["destinations", text(&home)], words].concat());
+    wait_for("the outage", || shown(&["--state", "out"]).1.contains("dead at one: out"));
+    let (code, all) = shown(&[]);
+    assert!(code == 0 && all.contains("well at one: in-use"), "{all}");
+    assert!(all.contains("102 destinations, 100 of them idle"), "{all}");
+    for one in asked {
+        assert_eq!(one.join().unwrap(), Some(503), "given up with when to come back");
+    }
+
+    program.kill();
+    let (code, said) = shown(&["--format", "json", "--state", "out"]);
+    let told: serde_json::Value = serde_json::from_str(&said).unwrap();
+    assert_eq!(
+        (code, &told["destinations"][0]["destination"], &told["idle"]),
+        (0, &"dead".into(), &100.into())
+    );
+
+    // Known in the next life as well, before anything was sent there.
+    let program = daemon(&folder);
+    program.address("takes events at ", 0);
+    assert!(shown(&["--state", "out"]).1.contains("dead at one"));
+    program.kill();
+    // A torn one is no reason not to serve.
+    let path = home.join("instances/one/destinations.bin");
+    let bytes = fs::read(&path).unwrap();
+    fs::write(&path, &bytes[..bytes.len() - 1]).unwrap();
+    let (code, said) = shown(&[]);
+    assert!(code == 1 && said.contains("torn"), "{said}");
+    let program = daemon(&folder);
+    let at = program.address("takes events at ", 0);
+    assert_eq!(event(at, "2", "status", "well", "", b"").unwrap().status(), 204);
+    assert_eq!(program.log().matches("snapshot-ignored").count(), 1, "{}", program.log());
+    wait_for("a new one", || shown(&[]).1.contains("well at one"));
+}
--- a/courier/src/core/engine.rs
+++ b/courier/src/core/engine.rs
@@ -1,12 +1,16 @@
 //! Owns the decision module: inputs go in, orders come out. Keeps the module's events and the ledger in step,
 //! so that everything the module is told is in the journal and everything it decides is carried out once.
 
+use super::directory::Directory;
 use super::lately::Lately;
 use super::ledger::{Ledger, Leg};
+use super::snapshot::Record;
+use super::warmth::Warmth;
 use super::{Answer, Authorisation, End, Origin, Seq, Stamp, Ticket, Verdict};
 use marblefall_decisions as m;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// What a decline tells an acquirer side where nothing better is known.
 const COME_BACK_MS: u64 = 1000;
@@ -60,6 +64,8 @@
     Listed(Vec<Host>),
     /// Changes to it.
     Changed(Vec<Host>),
+    /// All destinations there are, from now on. Only those in use are made known to the module.
+    Directory(Arc<Directory>),
     /// The platform has taken the notice of a message's end.
     NoticeTaken(Seq),
     /// This life ends.
@@ -149,6 +155,9 @@
     next_host: u32,
     /// Destinations that have had a host.
     destinations: BTreeSet<m::DestinationId>,
+    /// All destinations, where most of them are idle, and which are not.
+    directory: Option<Arc<Directory>>,
+    warmth: Warmth,
     /// Identities of the platform's messages that are over.
     lately: Lately,
     waiting: BTreeMap<Seq, Vec<Ticket>>,
@@ -161,6 +170,8 @@
     out: usize,
 }
 
+/// Destinations that one step folds at most.
+const COOLED_AT_ONCE: usize = 16;
 /// How long before the end of the process the last leg is begun, and the last message taken on.
 const LAST_LEG: m::Span = m::Span(1_200_000);
 const LAST_TAKEN: m::Span = m::Span(2_200_000);
@@ -187,6 +198,8 @@
             hosts: BTreeMap::new(),
             next_host: 0,
             destinations: BTreeSet::new(),
+            directory: None,
+            warmth: Warmth::default(),
             lately: Lately::default(),
             waiting: BTreeMap::new(),
             wakes: BTreeSet::new(),
@@ -215,7 +228,7 @@
 
     /// When the engine wants to be stepped even if nothing comes in.
     pub fn next_wake(&self) -> Option<m::Time> {
-        self.wakes.first().map(|(at, _)| *at)
+        self.wakes.first().map(|(at, _)| *at).into_iter().chain(self.warmth.next_due()).min()
     }
 
     /// Messages that have not ended, and legs that are out.
@@ -261,8 +274,9 @@
         let mut events = Vec::new();
         let mut offered = Vec::new();
         // News of the list goes first: nothing queued behind it may go to a host that drains.
-        let (news, rest): (Vec<_>, Vec<_>) =
-            inputs.into_iter().partition(|input| matches!(input, Input::Listed(_) | Input::Changed(_)));
+        let is_news =
+            |input: &Input| matches!(input, Input::Listed(_) | Input::Changed(_) | Input::Directory(_));
+        let (news, rest): (Vec<_>, Vec<_>) = inputs.into_iter().partition(is_news);
         for input in news {
             match input {
                 Input::Listed(hosts) => {
@@ -273,6 +287,7 @@
                     let entries = self.listed(hosts, false, orders);
                     events.push(m::Event::Changed(entries));
                 }
+                Input::Directory(directory) => self.redirect(now, directory, &mut events, orders),
                 _ => {}
             }
         }
@@ -296,6 +311,138 @@
         for action in actions {
             self.carry_out(now, action, &lost, orders);
         }
+        self.cool(now, orders);
+    }
+
+    /// Takes up another directory: what changes of destinations in use is news of the list.
+    fn redirect(
+        &mut self,
+        now: Stamp,
+        directory: Arc<Directory>,
+        events: &mut Vec<m::Event>,
+        orders: &mut Vec<Order>,
+    ) {
+        let old = self.directory.replace(directory.clone());
+        let warm: Vec<_> = self.warmth.warm().collect();
+        for id in warm {
+            let mut hosts = directory.hosts(id);
+            let was = old.as_ref().map_or_else(Vec::new, |old| old.hosts(id));
+            if hosts == was {
+                continue;
+            }
+            let gone = was.into_iter().filter(|was| !hosts.iter().any(|host| host.name == was.name));
+            let gone: Vec<_> = gone.map(|host| Host { listing: m::Listing::Gone, ..host }).collect();
+            hosts.extend(gone);
+            let listed = !hosts.iter().all(|host| host.listing == m::Listing::Gone);
+            let entries = self.listed(hosts, false, orders);
+            events.push(m::Event::Changed(entries));
+            if !listed {
+                self.destinations.remove(&id);
+            }
+        }
+        // What an earlier life took on waits for this.
+        let open = self.ledger.entries().values().filter(|entry| entry.end.is_none());
+        let open: BTreeSet<_> = open.map(|entry| entry.authorisation.destination).collect();
+        for id in open {
+            self.use_of(now, id, events, orders);
+        }
+    }
+
+    /// Makes a destination known to the module if it is not, with what is kept of it, and notes its use.
+    fn use_of(
+        &mut self,
+        now: Stamp,
+        id: m::DestinationId,
+        events: &mut Vec<m::Event>,
+        orders: &mut Vec<Order>,
+    ) {
+        let Some(directory) = self.directory.as_ref().filter(|directory| directory.entry(id).is_some())
+        else {
+            return;
+        };
+        let directory = directory.clone();
+        if self.warmth.touch(now.mono, id) {
+            let entries = self.listed(directory.hosts(id), false, orders);
+            events.push(m::Event::Changed(entries));
+            events.extend(self.warmth.recall(id).map(|cold| m::Event::Recalled(id, cold)));
+        }
+    }
+
+    /// Folds destinations that have been idle for long, a few with each step.
+    fn cool(&mut self, now: Stamp, orders: &mut Vec<Order>) {
+        for _ in 0..COOLED_AT_ONCE {
+            let Some(id) = self.warmth.idle(now.mono) else { return };
+            let Some((hosts, cold)) = self.module.fold(now.mono, id) else {
+                self.warmth.stay(now.mono, id);
+                continue;
+            };
+            self.warmth.cool(id, cold);
+            self.destinations.remove(&id);
+            for host in hosts {
+                if let Some(name) = self.hosts.remove(&host) {
+                    self.names.remove(&name);
+                }
+                orders.push(Order::HostGone(host));
+            }
+        }
+    }
+
+    /// How the destinations stand of which something is known, for a record that outlasts the process. Nothing where
+    /// there is no directory.
+    pub fn records(&self, now: Stamp) -> Vec<Record> {
+        let unix = |at: m::Time| now.unix_ms + (at - now.mono).0.div_euclid(1000);
+        let warm = self.warmth.warm().filter_map(|id| {
+            let standing = self.module.standing(now.mono, id)?;
+            Some(Record {
+                destination: id.0,
+                out_since_ms: standing.out_since.map(unix),
+                back_since_ms: standing.back_since.map(unix),
+                wait_until_ms: standing.wait_until.map(unix),
+                mean_ms: standing.mean_ms.map(|mean| mean as f32),
+                // Coarse: it moves with every delivery, and each change is written to disk.
+                usual: (standing.usual as f32 * 4.0).round() / 4.0,
+                held: standing.held as u32,
+                out: standing.out as u32,
+                warm: true,
+            })
+        });
+        let cold = self.warmth.cold().map(|(id, cold)| Record {
+            destination: id.0,
+            out_since_ms: cold.out_since.map(unix),
+            back_since_ms: cold.back_since.map(unix),
+            wait_until_ms: cold.wait_until.filter(|until| *until > now.mono).map(unix),
+            mean_ms: cold.mean_ms.map(|mean| mean as f32),
+            usual: cold.usual as f32,
+            ..Record::default()
+        });
+        let mut records: Vec<Record> = warm.chain(cold).collect();
+        records.sort_unstable_by_key(|record| record.destination);
+        records
+    }
+
+    /// Takes up what an earlier life knew of destinations. A restart ends a told wait; an outage that was seen is
+    /// remembered. A clock that was set back makes nothing later than now.
+    pub fn remember(&mut self, now: Stamp, records: &[Record]) {
+        let past = |ms: i64| now.mono_of(ms.min(now.unix_ms));
+        for record in records {
+            let cold = m::Cold {
+                wait_until: None,
+                out_since: record.out_since_ms.map(past),
+                back_since: record.back_since_ms.map(past),
+                mean_ms: record.mean_ms.map(f64::from).filter(|mean| mean.is_finite() && *mean > 0.0),
+                usual: Some(f64::from(record.usual))
+                    .filter(|usual| usual.is_finite())
+                    .unwrap_or(0.0)
+                    .max(0.0),
+            };
+            self.warmth.keep(record.id(), cold);
+        }
+    }
+
+    /// Whether a destination could be served now or, as far as is known, later.
+    fn is_listed(&self, id: m::DestinationId) -> bool {
+        let listed = |directory: &Arc<Directory>| directory.places(id).next().is_some();
+        self.destinations.contains(&id) || self.directory.as_ref().is_some_and(listed)
     }
 
     fn take(
@@ -337,10 +484,11 @@
                 let full = self.ledger.open_count() + offered.len() >= self.max_open;
                 let leaving = self.hand_over || self.stop.is_some_and(|stop| stop - now.mono <= LAST_TAKEN);
                 // The list may be late, so a destination that it has not named is declined, not refused for good.
-                let unknown = !self.destinations.contains(&authorisation.destination);
+                let unknown = !self.is_listed(authorisation.destination);
                 if unknown || full || leaving || !self.ledger.has_room(&authorisation) {
                     return orders.push(Order::Answer(ticket, Answer::Declined(COME_BACK_MS)));
                 }
+                self.use_of(now, authorisation.destination, events, orders);
                 let seq = self.ledger.number();
                 let handed = self.handed(seq, &authorisation, now);
                 events.push(match &past {
@@ -368,6 +516,9 @@
             }
             Input::LegEnded { seq, copy, outcome, took, verdict, report } => {
                 self.out = self.out.saturating_sub(1);
+                if let Some(id) = self.ledger.get(seq).map(|entry| entry.authorisation.destination) {
+                    self.use_of(now, id, events, orders);
+                }
                 let never =
                     matches!(outcome, m::Outcome::Full(_) | m::Outcome::ConnectFailed | m::Outcome::Moot);
                 let noted = self.ledger.leg_ended(seq, !never);
@@ -394,7 +545,7 @@
                 self.hand_over = hand_over;
                 self.wakes.insert((by - LAST_LEG, u64::MAX));
             }
-            Input::Listed(_) | Input::Changed(_) => {}
+            Input::Listed(_) | Input::Changed(_) | Input::Directory(_) => {}
         }
     }
 
--- a/courier/src/core/mod.rs
+++ b/courier/src/core/mod.rs
@@ -2,10 +2,13 @@
 //! outlives the process. Fronts hand in [`Authorisation`]s and get [`Answer`]s; nothing here knows how either
 //! travels. Time enters as a [`Stamp`], so that tests can feed the clock by hand.
 
+pub mod directory;
 pub mod engine;
 pub mod journal;
 pub mod lately;
 pub mod ledger;
+pub mod snapshot;
+pub mod warmth;
 
 use marblefall_decisions::{ClassId, DestinationId, Time};
 
--- a/courier/src/daemon.rs
+++ b/courier/src/daemon.rs
@@ -1,12 +1,14 @@
 //! Puts the core, the network and the fronts of one instance together and runs them on one thread.
 
 use crate::config::Platform;
-use crate::core::engine::{Engine, Host, Input, Order, Setup};
+use crate::core::directory::Directory;
+use crate::core::engine::{Engine, Input, Order, Setup};
 use crate::core::ledger::Ledger;
 use crate::core::{Answer, Authorisation, End, Origin, Seq, Stamp};
 use crate::counters::{add, Counters};
-use crate::front::cloudevents::{self, Events};
+use crate::front::cloudevents::{self, Events, Target};
 use crate::front::relay::{self, Relay};
+use crate::keep::Keep;
 use crate::net::discovery::{self, Home, Names};
 use crate::net::pool::{Call, Ended, Limits, Pool};
 use crate::net::server::{self, unix_ms, Desk, Patience, Spawner};
@@ -22,6 +24,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Inputs that wait for the engine at most; beyond that, socket code waits.
@@ -32,10 +35,8 @@
 const EVENTS_PATIENCE: Patience = Patience(Duration::from_secs(10));
 /// Connections of clients are closed once new ones no longer come.
 const CLOSE_IDLE: Duration = Duration::from_millis(500);
-/// Issuer hosts in one piece of news at most.
-const NEWS: usize = 250;
-/// Pieces of news that one step takes up at most.
-const NEWS_AT_ONCE: usize = 4;
+/// How often what is known of destinations is written down, at most.
+const KEEP: Duration = Duration::from_secs(1);
 /// What those who still wait at the end are told.
 const COME_BACK_MS: u64 = 1000;
 /// Descriptors kept for the journal, discovery, notices and the runtime.
@@ -107,8 +108,8 @@
     Reread,
     /// Discovery is at another address now.
     Moved(SocketAddr),
-    /// Issuer hosts changed; those that are not named stay as they were.
-    Hosts(Vec<Host>),
+    /// The destinations are these now, and how events leave to them.
+    Listing(Arc<Directory>, Arc<Vec<Target>>),
     /// End.
     Stop {
         /// As late as this from now.
@@ -230,7 +231,13 @@
     let ledger = Ledger::open(folder, *disk, build.classes)
         .map_err(|error| format!("{}: {error}", folder.display()))?;
     let mut orders = Vec::new();
-    let engine = Engine::new(build.setup, ledger, clock.now(), &mut orders);
+    let mut engine = Engine::new(build.setup, ledger, clock.now(), &mut orders);
+    // On the platform the list is known as a whole, and its disk is small.
+    let keep =
+        matches!(build.hosts, Input::Directory(_)).then(|| Keep::open(folder)).map(|(keep, records)| {
+            engine.remember(clock.now(), &records);
+            keep
+        });
     counters.resumed.set(engine.load().0 as u64);
 
     let (queue, inputs) = async_channel::bounded(QUEUE);
@@ -277,7 +284,7 @@
     let hands = Rc::new(hands);
     let stop = Rc::new(Cell::new(None));
     hands.tasks.spawn(obey(hands.clone(), commands, stop.clone()));
-    hands.work(engine, orders, inputs, listed, &stop).await;
+    hands.work(engine, orders, inputs, listed, &stop, keep).await;
     say!("{}", hands.counters);
     Ok(())
 }
@@ -293,10 +300,9 @@
             Command::Moved(to) => hands.movers.iter().for_each(|mover| {
                 let _ = mover.try_send(to);
             }),
-            Command::Hosts(hosts) => {
-                for some in hosts.chunks(NEWS) {
-                    let _ = hands.news.send(Input::Changed(some.to_vec())).await;
-                }
+            Command::Listing(directory, targets) => {
+                hands.events.listed.replace((directory.clone(), targets));
+                let _ = hands.news.send(Input::Directory(directory)).await;
             }
             // What has no configuration of its own to read has nothing to take up.
             Command::Reread => {}
@@ -346,12 +352,12 @@
         inputs: Receiver<Input>,
         listed: Receiver<Input>,
         stop: &Cell<Option<Instant>>,
+        mut keep: Option<Keep>,
     ) {
+        let mut kept = Instant::now();
         let (mut batch, mut serving) = (Vec::new(), false);
         loop {
-            // A list of thousands comes in parts, lest one step keep all else waiting.
-            while batch.len() < NEWS_AT_ONCE {
-                let Ok(news) = listed.try_recv() else { break };
+            while let Ok(news) = listed.try_recv() {
                 batch.push(news);
             }
             while let Ok(input) = inputs.try_recv() {
@@ -360,6 +366,7 @@
             let taken = batch.iter().filter(|input| matches!(input, Input::NoticeTaken(_))).count();
             self.counters.notices.set(self.counters.notices.get() + taken as u64);
             let begun = Instant::now();
+            let changed = !batch.is_empty();
             engine.step(self.clock.now(), std::mem::take(&mut batch), &mut orders);
             for order in orders.drain(..) {
                 self.carry_out(order);
@@ -368,6 +375,10 @@
             let longest = &self.counters.longest_step_us;
             let step = if std::mem::replace(&mut serving, true) { begun.elapsed() } else { Duration::ZERO };
             longest.set(longest.get().max(step.as_micros() as u64));
+            if let Some(keep) = keep.as_mut().filter(|_| kept.elapsed() >= KEEP) {
+                keep.write(&engine.records(self.clock.now()));
+                kept = Instant::now();
+            }
             if let Some(by) = stop.get() {
                 let (open, out) = engine.load();
                 let (now, idle) = (Instant::now(), out == 0 && open == 0 && self.desk.connections() == 0);
@@ -376,20 +387,23 @@
                 let closed = self.desk.leaving.get().is_some_and(|at| at <= now);
                 if now >= by || idle && closed {
                     self.desk.answer_all(Answer::Declined(COME_BACK_MS));
+                    keep.iter_mut().for_each(|keep| keep.write(&engine.records(self.clock.now())));
                     // What is answered here is still to be written.
                     Timer::after(Duration::from_millis(30)).await;
                     return;
                 }
             }
-            if engine.has_backlog() || !listed.is_empty() {
+            if engine.has_backlog() {
                 // The next batch must not bear the same time as this one's last.
                 future::yield_now().await;
                 continue;
             }
             let wake = engine.next_wake().map(|at| self.clock.instant(at));
             let tick = stop.get().map(|_| Instant::now() + Duration::from_millis(50));
+            // What has just changed is kept also if nothing else happens.
+            let keeps = (keep.is_some() && changed).then_some(kept + KEEP);
             let sleep = async {
-                match wake.into_iter().chain(tick).min() {
+                match wake.into_iter().chain(tick).chain(keeps).min() {
                     Some(at) => drop(Timer::at(at).await),
                     None => future::pending().await,
                 }
--- a/courier/src/front/cloudevents/event.rs
+++ b/courier/src/front/cloudevents/event.rs
@@ -31,7 +31,7 @@
 }
 
 /// How an event travels.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Mode {
     /// Attributes as header fields, the data as the body.
--- a/courier/src/front/cloudevents/mod.rs
+++ b/courier/src/front/cloudevents/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod event;
 
+use crate::core::directory::Directory;
 use crate::core::{Answer, Authorisation, End, Origin, Verdict};
 use crate::net::http::{Request, Response};
 use crate::net::pool::{told_wait, Ended};
@@ -10,7 +11,9 @@
 use event::{Context, Fault, Mode};
 use marblefall_decisions::{ClassId, DestinationId, Outcome, Report};
 use std::borrow::Cow;
+use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// A deadline farther off than this is taken for this.
 const LONGEST_MS: i64 = 7 * 24 * 3600 * 1000;
@@ -44,10 +47,10 @@
     pub types: BTreeMap<String, ClassId>,
     /// The classes, in their order.
     pub classes: Vec<EventClass>,
-    /// Destinations by name.
-    pub destinations: BTreeMap<String, DestinationId>,
-    /// How events leave to them.
-    pub targets: BTreeMap<DestinationId, Target>,
+    /// The destinations, and how events leave to them by their forms; both change while the front is on.
+    pub listed: RefCell<(Arc<Directory>, Arc<Vec<Target>>)>,
+    /// What stands for a name in the core.
+    pub number: Option<fn(&str) -> u64>,
 }
 
 impl Front for Events {
@@ -91,8 +94,7 @@
         let class = *self.types.get(kind.as_ref()).ok_or_else(|| unknown("type", &kind))?;
         let attribute = &self.destination_attribute;
         let name = context.text(attribute).ok_or_else(|| (422, format!("no attribute {attribute}")))?;
-        let destination =
-            *self.destinations.get(name.as_ref()).ok_or_else(|| unknown("destination", &name))?;
+        let destination = self.destination(&name).ok_or_else(|| unknown("destination", &name))?;
         let mut keys = request.fields.all("idempotency-key");
         let repeat_key = keys.next().filter(|key| !key.is_empty()).map(<[u8]>::to_vec);
         if keys.next().is_some() {
@@ -125,9 +127,18 @@
         })
     }
 
+    fn destination(&self, name: &str) -> Option<DestinationId> {
+        let number = DestinationId(self.number?(name));
+        let listed = self.listed.borrow();
+        // Another name may stand behind the same number.
+        listed.0.entry(number).filter(|entry| entry.name == name).map(|entry| entry.number)
+    }
+
     /// The head and the body of a leg.
     pub fn leg<'a>(&self, authorisation: &'a Authorisation, address: &str) -> (Vec<u8>, Cow<'a, [u8]>) {
-        let target = self.targets.get(&authorisation.destination).cloned().unwrap_or_default();
+        let (directory, targets) = self.listed.borrow().clone();
+        let form = directory.entry(authorisation.destination).map(|entry| usize::from(entry.form));
+        let target = form.and_then(|form| targets.get(form)).cloned().unwrap_or_default();
         let context: Context = serde_json::from_slice(&authorisation.attributes).unwrap_or_default();
         let (fields, body) = event::write(&context, &authorisation.body, target.mode);
         let mut head = format!("POST {} HTTP/1.1\r\nHost: {address}\r\n", target.path).into_bytes();
--- a/courier/src/lib.rs
+++ b/courier/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod counters;
 pub mod daemon;
 pub mod front;
+pub mod keep;
 pub mod log;
 pub mod net;
 pub mod seam;
--- a/fleet/src/file.rs
+++ b/fleet/src/file.rs
@@ -221,6 +221,9 @@
     /// Where the endpoints of the destinations that have none here are listed.
     #[serde(default)]
     pub roster: Option<RosterSource>,
+    /// How rosters stand to the destinations, once these themselves are kept elsewhere.
+    #[serde(skip)]
+    pub rostered: Option<BTreeMap<String, Standing>>,
     /// In an instance's share: how many couriers serve the same destinations, for their parts of a rate.
     #[serde(skip)]
     pub couriers: usize,
@@ -326,6 +329,7 @@
             destinations: bare(file.destinations),
             instances: bare(file.instances),
             roster: file.roster.map(Spanned::into_inner),
+            rostered: None,
             couriers: 0,
         })
     }
@@ -335,10 +339,11 @@
         let mut instance = self.instances.get(name)?.clone();
         let limits = instance.limits.take().unwrap_or_else(|| self.limits.clone());
         let instances = BTreeMap::from([(name.to_owned(), instance)]);
-        let (classes, destinations) = (self.classes.clone(), self.destinations.clone());
+        // Destinations are in the directory, which changes while an instance runs.
+        let (classes, destinations) = (self.classes.clone(), BTreeMap::new());
         // Where rosters are is the daemon's own matter: an instance takes their changes up as it runs.
-        let (roster, couriers) = (None, self.instances.len());
-        Some(Fleet { limits, classes, destinations, instances, roster, couriers })
+        let (roster, rostered, couriers) = (None, None, self.instances.len());
+        Some(Fleet { limits, classes, destinations, instances, roster, rostered, couriers })
     }
 
     /// What rosters must keep to under this file.
@@ -347,7 +352,8 @@
             true => Standing::Rostered,
             false => Standing::Fixed,
         };
-        let partners = self.destinations.iter().map(|(name, to)| (name.clone(), standing(to))).collect();
+        let own = || self.destinations.iter().map(|(name, to)| (name.clone(), standing(to))).collect();
+        let partners = self.rostered.clone().unwrap_or_else(own);
         let terms = Terms { partners: Some(partners), ..Terms::default() };
         match &self.roster {
             None => terms,
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -2,6 +2,7 @@
 //! daemon that runs it all.
 
 pub mod file;
+pub mod listing;
 pub mod plan;
 pub mod supervise;
 pub mod watch;
--- /dev/null
+++ b/fleet/src/listing.rs
@@ -0,0 +1,150 @@
+//! The operators' file and the rosters in force as the couriers take them: one directory of all destinations for
+//! every instance of the process, and how events leave to them.
+
+use crate::file::{number_of, Class, Destination, Fleet, Instance, Limits, RosterSource};
+use crate::plan::APPLIED;
+use marblefall_courier::core::directory::{Directory, Entry, Full, Place};
+use marblefall_courier::front::cloudevents::event::Mode;
+use marblefall_courier::front::cloudevents::Target;
+use marblefall_decisions::DestinationId;
+use marblefall_roster::{Book, Endpoint, Standing};
+use serde::de::{Deserializer, Error, MapAccess, Visitor};
+use serde::Deserialize;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::fs::File;
+use std::io::{self, BufReader};
+use std::path::Path;
+use std::sync::Arc;
+
+/// What is read of a file at once.
+const READ: usize = 64 * 1024;
+
+/// All destinations, and the few forms in which their legs are worded.
+#[derive(Clone, Debug, Default)]
+pub struct Listing {
+    /// The destinations.
+    pub directory: Arc<Directory>,
+    /// What their forms stand for.
+    pub targets: Arc<Vec<Target>>,
+}
+
+/// A listing while it is made.
+struct Making {
+    forms: HashMap<(Mode, String), u16>,
+    targets: Vec<Target>,
+    directory: Directory,
+}
+
+impl Making {
+    fn add(&mut self, name: &str, to: &Destination) -> Result<(), Full> {
+        let next = u16::try_from(self.targets.len()).map_err(|_| Full::Forms)?;
+        let form = *self.forms.entry((to.mode, to.path.clone())).or_insert_with(|| {
+            self.targets.push(Target { mode: to.mode, path: to.path.clone() });
+            next
+        });
+        self.directory.add(entry(name, to, form), to.endpoints.iter().map(fixed))
+    }
+}
+
+impl<'de> Deserialize<'de> for Listing {
+    /// Takes the destinations of an applied file one by one: a hundred thousand of them as values of their own would
+    /// take up ten times the room that they need here, and an allocator does not give all of it back.
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Listing, D::Error> {
+        struct OneByOne;
+        impl<'de> Visitor<'de> for OneByOne {
+            type Value = Listing;
+
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("destinations by name")
+            }
+
+            fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Listing, A::Error> {
+                let directory = Directory::roomy();
+                let mut making = Making { forms: HashMap::new(), targets: Vec::new(), directory };
+                while let Some((name, to)) = map.next_entry::<String, Destination>()? {
+                    making.add(&name, &to).map_err(A::Error::custom)?;
+                }
+                let Making { targets, directory, .. } = making;
+                Ok(Listing { directory: Arc::new(directory.settle()), targets: Arc::new(targets) })
+            }
+        }
+        from.deserialize_map(OneByOne)
+    }
+}
+
+/// What is applied, with its destinations in as little room as will do.
+#[derive(Deserialize)]
+struct Lean {
+    revision: u64,
+    fleet: LeanFleet,
+}
+
+#[derive(Deserialize)]
+struct LeanFleet {
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    classes: BTreeMap<String, Class>,
+    #[serde(default)]
+    destinations: Listing,
+    #[serde(default)]
+    instances: BTreeMap<String, Instance>,
+    #[serde(default)]
+    roster: Option<RosterSource>,
+}
+
+/// Reads what is applied in a folder: its revision, the fleet without its destinations, and these.
+pub fn read(home: &Path) -> Result<(u64, Fleet, Listing), String> {
+    let path = home.join(APPLIED);
+    let file = match File::open(&path) {
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(Default::default()),
+        file => file.map_err(|error| format!("{}: {error}", path.display()))?,
+    };
+    let lean: Result<Lean, _> = serde_json::from_reader(BufReader::with_capacity(READ, file));
+    let Lean { revision, fleet } = lean.map_err(|error| format!("{}: {error}", path.display()))?;
+    let LeanFleet { limits, classes, destinations, instances, roster } = fleet;
+    let mut fleet = Fleet { limits, classes, instances, roster, ..Fleet::default() };
+    if fleet.roster.is_some() {
+        let standing = |entry: &Entry<'_>| if entry.rostered { Standing::Rostered } else { Standing::Fixed };
+        let partners =
+            destinations.directory.entries().map(|entry| (entry.name.to_owned(), standing(&entry)));
+        fleet.rostered = Some(partners.collect());
+    }
+    Ok((revision, fleet, destinations))
+}
+
+impl Listing {
+    /// The same with what the rosters in force say now.
+    pub fn with_rosters(&self, book: &Book) -> Result<Listing, Full> {
+        let mut listed: HashMap<&str, Vec<&Endpoint>> = HashMap::new();
+        for (to, endpoint) in book.endpoints() {
+            listed.entry(to).or_default().push(endpoint);
+        }
+        let mut directory = Directory::roomy();
+        for entry in self.directory.entries() {
+            match entry.rostered {
+                true => {
+                    let endpoints = listed.get(entry.name).into_iter().flatten();
+                    directory.add(entry, endpoints.map(|endpoint| rostered(endpoint)))?;
+                }
+                false => directory.add(entry, self.directory.places(entry.number))?,
+            }
+        }
+        Ok(Listing { directory: Arc::new(directory.settle()), targets: self.targets.clone() })
+    }
+}
+
+fn entry<'a>(name: &'a str, to: &Destination, form: u16) -> Entry<'a> {
+    let number = DestinationId(number_of(name));
+    Entry { name, number, form, rate: to.rate as f32, rostered: to.endpoints.is_empty() }
+}
+
+fn fixed(endpoint: &crate::file::Endpoint) -> Place<'_> {
+    Place { name: &endpoint.name, address: endpoint.address, weight: None, serves: !endpoint.draining }
+}
+
+fn rostered(endpoint: &Endpoint) -> Place<'_> {
+    let (address, weight) = (endpoint.address, Some(endpoint.weight as f32));
+    Place { name: &endpoint.name, address, weight, serves: endpoint.serves() }
+}
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -19,7 +19,8 @@
     pub fleet: Fleet,
 }
 
-const APPLIED: &str = "applied.json";
+/// The file that holds it.
+pub const APPLIED: &str = "applied.json";
 
 impl Applied {
     /// Reads what is applied in a folder; nothing at all where no apply has been.
--- a/fleet/src/supervise.rs
+++ b/fleet/src/supervise.rs
@@ -2,20 +2,21 @@
 //! shared, and takes up what is applied later.
 
 use crate::file::{number_of, Class, Fleet, Repeats};
-use crate::plan::Applied;
+use crate::listing::{self, Listing};
 use crate::watch::Watch;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use futures_lite::future;
-use marblefall_courier::core::engine::{Host, Input, Setup};
+use marblefall_courier::core::engine::{Input, Setup};
 use marblefall_courier::daemon::{self, Build, Command, RelayPart, LEAVE};
-use marblefall_courier::front::cloudevents::{EventClass, Events, Target};
+use marblefall_courier::front::cloudevents::{EventClass, Events};
 use marblefall_courier::front::relay::Relay;
 use marblefall_courier::net::server::Spawner;
 use marblefall_courier::say;
 use marblefall_decisions as m;
-use marblefall_roster::{Change, Endpoint, Step};
+use marblefall_roster::Change;
+use std::cell::RefCell;
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
@@ -43,7 +44,7 @@
 /// Runs the fleet until the process is told to end.
 pub fn run(home: &Path) -> Result<(), String> {
     let signals = daemon::signals()?;
-    Applied::read(home)?;
+    listing::read(home)?;
     // Two daemons over one folder would write into each other's journals.
     let lock = std::fs::File::create(home.join("run.lock")).map_err(|error| error.to_string())?;
     lock.try_lock()
@@ -64,14 +65,15 @@
     let mut ending = false;
     let mut rosters: Option<Watch> = None;
     let mut first: Option<Vec<Change>> = None;
+    let (mut listing, mut moved) = (Listing::default(), false);
     loop {
         let changed = std::fs::metadata(home.join("applied.json")).and_then(|file| file.modified()).ok();
         if changed != seen && !ending {
             seen = changed;
-            match Applied::read(home) {
-                Ok(applied) => {
-                    say!("fleet: revision {}, {} instances", applied.revision, applied.fleet.instances.len());
-                    fleet = applied.fleet;
+            match listing::read(home) {
+                Ok((revision, applied, destinations)) => {
+                    say!("fleet: revision {revision}, {} instances", applied.instances.len());
+                    (fleet, listing, moved) = (applied, destinations, true);
                     match &rosters {
                         Some(watch) => watch.hold_to(&fleet),
                         None if fleet.roster.is_some() => match Watch::start(home, &fleet) {
@@ -98,11 +100,19 @@
             ending |= matches!(command, Command::Stop { .. });
         }
         let next = || rosters.as_ref().and_then(|watch| watch.news.try_recv().ok());
-        while let Some(changes) = first.take().or_else(next) {
-            let hosts = || changes.iter().filter_map(|change| changed_host(&fleet, change)).collect();
+        while first.take().or_else(next).is_some() {
+            moved = true;
+        }
+        if std::mem::take(&mut moved) {
+            let with_rosters = |watch: &Watch| watch.with_book(|book| listing.with_rosters(book));
+            match rosters.as_ref().map_or_else(|| Ok(listing.clone()), with_rosters) {
+                Ok(now) => listing = now,
+                Err(cause) => say!(code = "no-room", "destinations kept as they were: {cause}"),
+            }
             // An instance that hands over is followed by one that begins with all that is in force.
             for one in running.values().filter(|one| !one.told_to_end) {
-                let _ = one.commands.try_send(Command::Hosts(hosts()));
+                let (directory, targets) = (listing.directory.clone(), listing.targets.clone());
+                let _ = one.commands.try_send(Command::Listing(directory, targets));
             }
         }
         running.retain(|name, one| {
@@ -137,13 +147,7 @@
                     continue;
                 }
                 let Some(share) = fleet.share_of(name) else { continue };
-                let listed = rosters.as_ref().map_or_else(Vec::new, |watch| {
-                    watch.with_book(|book| {
-                        let all = book.endpoints();
-                        all.filter_map(|(to, endpoint)| rostered_host(&fleet, to, endpoint)).collect()
-                    })
-                });
-                match start(home, name, &share, listed, &mut listeners) {
+                match start(home, name, &share, &listing, &mut listeners) {
                     Ok(one) => drop(running.insert(name.clone(), one)),
                     Err(cause) => {
                         say!("{name}: not started, {cause}");
@@ -163,26 +167,6 @@
     }
 }
 
-/// A roster's endpoint as an instance takes it: known by its destination's name and its own together.
-fn rostered_host(fleet: &Fleet, destination: &str, endpoint: &Endpoint) -> Option<Host> {
-    Some(Host {
-        name: format!("{destination}/{}", endpoint.name),
-        address: endpoint.address.to_string(),
-        destination: m::DestinationId(number_of(destination)),
-        kind: m::KindId(0),
-        zone: m::ZoneId(0),
-        listing: if endpoint.serves() { m::Listing::On } else { m::Listing::Draining },
-        share: fleet.destinations.get(destination)?.rate,
-        weight: Some(endpoint.weight).filter(|weight| *weight > 0.0),
-    })
-}
-
-fn changed_host(fleet: &Fleet, change: &Change) -> Option<Host> {
-    let host = rostered_host(fleet, &change.destination, &change.endpoint)?;
-    let listing = if change.step == Step::Removed { m::Listing::Gone } else { host.listing };
-    Some(Host { listing, ..host })
-}
-
 fn listens((name, instance): (&String, &crate::file::Instance)) -> Vec<(String, &'static str, SocketAddr)> {
     let events = instance.events.iter().map(|front| (name.clone(), "events", front.listen));
     events.chain(instance.relay.iter().map(|front| (name.clone(), "relay", front.listen))).collect()
@@ -192,7 +176,7 @@
     home: &Path,
     name: &str,
     share: &Fleet,
-    listed: Vec<Host>,
+    listing: &Listing,
     listeners: &mut Listeners,
 ) -> Result<Running, String> {
     let mut listener = |front: &'static str, at: SocketAddr| {
@@ -204,7 +188,7 @@
         };
         listener.try_clone().map_err(|error| format!("{at}: {error}"))
     };
-    let build = build(home.join("instances").join(name), name, share, listed, &mut listener)?;
+    let build = build(home.join("instances").join(name), name, share, listing, &mut listener)?;
     let (commands, told) = async_channel::unbounded();
     let (alive, done) = async_channel::bounded::<()>(1);
     let thread = std::thread::Builder::new().name(name.to_owned());
@@ -228,7 +212,7 @@
     state: PathBuf,
     name: &str,
     share: &Fleet,
-    listed: Vec<Host>,
+    listing: &Listing,
     listener: &mut dyn FnMut(&'static str, SocketAddr) -> Result<TcpListener, String>,
 ) -> Result<Build, String> {
     let instance = share.instances.get(name).ok_or("it is not in the fleet")?;
@@ -243,18 +227,14 @@
                 give_up_ms: class.give_up_ms as i64,
                 keyed: class.repeats == Repeats::Keyed,
             };
-            let target = |destination: &crate::file::Destination| Target {
-                mode: destination.mode,
-                path: destination.path.clone(),
-            };
             let types = front.types.iter().filter_map(|(kind, class)| Some((kind.clone(), class_id(class)?)));
             let events = Events {
                 path: front.path.clone(),
                 destination_attribute: front.destination_attribute.clone(),
                 types: types.collect(),
                 classes: share.classes.values().map(known).collect(),
-                destinations: share.destinations.keys().map(|name| (name.clone(), number(name))).collect(),
-                targets: share.destinations.iter().map(|(name, to)| (number(name), target(to))).collect(),
+                listed: RefCell::new((listing.directory.clone(), listing.targets.clone())),
+                number: Some(number_of),
             };
             Some((listener("events", front.listen)?, events))
         }
@@ -277,18 +257,6 @@
             })
         }
     };
-    let host = |destination: &String, endpoint: &crate::file::Endpoint, share: f64| Host {
-        name: endpoint.name.clone(),
-        address: endpoint.address.to_string(),
-        destination: number(destination),
-        kind: m::KindId(0),
-        zone: m::ZoneId(0),
-        listing: if endpoint.draining { m::Listing::Draining } else { m::Listing::On },
-        share,
-        weight: None,
-    };
-    let all = share.destinations.iter();
-    let hosts = all.flat_map(|(name, to)| to.endpoints.iter().map(move |one| host(name, one, to.rate)));
     let seed =
         SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |since| since.as_nanos() as u64);
     Ok(Build {
@@ -304,7 +272,7 @@
         classes,
         dial: Duration::from_millis(limits.dial_ms),
         idle: Duration::from_millis(limits.idle_ms),
-        hosts: Input::Listed(hosts.chain(listed).collect()),
+        hosts: Input::Directory(listing.directory.clone()),
         relay,
         events,
     })
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,12 +6,13 @@
 //! Everything else guards that path: `open` says what a route may be sent, `send` is the only way out,
 //! `end` the only way to give a message up.
 
+mod fold;
+
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Decay follows the way worth falls once the aim has passed: by half with each further aim, or, where it
-/// falls in a line, as the exponential from the start to what is left at the deadline; this at least, as an
-/// exponential never comes to nothing.
+/// Decay follows the way worth falls after the aim: by half with each further one, or, if in a line, as the
+/// exponential from the start to what is left at the deadline; this at least, as none comes to nothing.
 const LEAST_LATE: f64 = 0.05;
 const FIRST_GUESS_MS: f64 = 400.0; // Call time taken for granted before any call has come back, in ms.
 const MEAN_WEIGHT: f64 = 0.12; // Weight of the newest call time in a mean: about the last eight count.
@@ -255,19 +256,19 @@
                 }
             }
             Event::Gone(message) => self.gone(*message, actions),
+            Event::Recalled(id, cold) => self.recall(now, *id, cold),
             Event::Due(token) => self.timer = self.timer.filter(|(_, set)| set != token),
             Event::Probed { endpoint, outcome, .. } => {
                 let route = self.endpoints.get(endpoint).and_then(|e| self.routes.get_mut(&e.route));
                 route.into_iter().for_each(|route| route.probing = false);
                 self.learn(now, *endpoint, now, None, *outcome);
             }
-            Event::Listed(entries) => {
-                self.list_failures = 0;
-                self.endpoints.values_mut().for_each(|endpoint| endpoint.listing = Listing::Gone);
-                self.list(entries);
-            }
-            Event::Changed(entries) => {
+            Event::Listed(entries) | Event::Changed(entries) => {
                 self.list_failures = 0;
+                if matches!(event, Event::Listed(_)) {
+                    self.endpoints.values_mut().for_each(|endpoint| endpoint.listing = Listing::Gone);
+                    self.some_gone = true;
+                }
                 self.list(entries);
             }
             Event::ListFailed => {
@@ -281,8 +282,8 @@
     }
 
     fn list(&mut self, entries: &[Entry]) {
-        self.some_gone = true;
         for entry in entries {
+            self.some_gone |= entry.listing == Listing::Gone;
             let apart = self.set.kinds.get(entry.kind.0).is_some_and(|kind| kind.apart);
             let route = RouteId(entry.destination, Some(entry.endpoint).filter(|_| apart));
             let phase = self.draw(u64::from(entry.endpoint.0) << 32);
--- /dev/null
+++ b/src/choice/fold.rs
@@ -0,0 +1,69 @@
+//! What a courier keeps of destinations that are idle: all that it learned of one folds into a small record, and
+//! unfolds when the next message for it comes. Nothing is decided here.
+
+use super::{Courier, Health, RouteId};
+use crate::interface::*;
+
+impl Courier {
+    /// Forgets a destination with nothing held and nothing out, but for what is given back; with it its endpoints.
+    /// `None` if it is in use, unknown, or has endpoints that are routes of their own. The embedding courier lists
+    /// its endpoints again, then says [`Event::Recalled`], before it hands in the next message for it.
+    pub fn fold(&mut self, now: Time, id: DestinationId) -> Option<(Vec<EndpointId>, Cold)> {
+        let all = self.destinations.get(&id)?;
+        let route = RouteId(id, None);
+        let shared = |id: &EndpointId| self.endpoints[id].route == route && self.endpoints[id].out == 0;
+        if !all.iter().all(shared) || self.messages.values().any(|message| message.destination == id) {
+            return None;
+        }
+        let all = self.destinations.remove(&id)?;
+        for endpoint in &all {
+            self.endpoints.remove(endpoint);
+        }
+        self.crowds.remove(&id);
+        self.outs.remove(&route);
+        let learned = self.routes.remove(&route)?;
+        let (out_since, back_since) = match learned.health {
+            Health::Out(since) => (Some(since), None),
+            Health::Back(since) if now - since < self.set.rules.cold => (None, Some(since)),
+            Health::Back(_) | Health::Well => (None, None),
+        };
+        let wait_until = learned.wait_until.filter(|until| *until > now);
+        let (mean_ms, usual) = (learned.mean, learned.usual(now));
+        Some((all, Cold { wait_until, out_since, back_since, mean_ms, usual }))
+    }
+
+    /// Takes up again what was known of a destination; its endpoints are listed already.
+    pub(super) fn recall(&mut self, now: Time, id: DestinationId, cold: &Cold) {
+        let id = RouteId(id, None);
+        let Some(route) = self.routes.get_mut(&id) else { return };
+        (route.wait_until, route.mean) = (cold.wait_until, cold.mean_ms);
+        (route.usual, route.usual_at) = (cold.usual, Some(now));
+        route.health = match (cold.out_since, cold.back_since) {
+            (Some(since), _) => Health::Out(since),
+            (None, Some(since)) => Health::Back(since),
+            (None, None) => Health::Well,
+        };
+        if cold.out_since.is_some() {
+            self.outs.insert(id);
+        }
+    }
+
+    /// How a destination that is listed stands, for people and for a record that outlasts the process.
+    pub fn standing(&self, now: Time, id: DestinationId) -> Option<Standing> {
+        let route = self.routes.get(&RouteId(id, None))?;
+        let held = self.messages.values().filter(|message| message.destination == id).count();
+        let cold = self.set.rules.cold;
+        Some(Standing {
+            out_since: if let Health::Out(since) = route.health { Some(since) } else { None },
+            back_since: match route.health {
+                Health::Back(since) if now - since < cold => Some(since),
+                _ => None,
+            },
+            wait_until: route.wait_until.filter(|until| *until > now),
+            mean_ms: route.mean,
+            usual: route.usual(now),
+            held,
+            out: route.out.len(),
+        })
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -350,6 +350,50 @@
     pub ran: Option<(Time, EndpointId)>,
 }
 
+/// What is kept of a destination while it is idle.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Cold {
+    /// It asked to be left alone until then.
+    pub wait_until: Option<Time>,
+    /// It has been out since then.
+    pub out_since: Option<Time>,
+    /// It came back then, not long ago.
+    pub back_since: Option<Time>,
+    /// Its usual call time, in milliseconds.
+    pub mean_ms: Option<f64>,
+    /// Calls a second that this courier used to deliver there.
+    pub usual: f64,
+}
+
+impl Cold {
+    /// Whether it says more of a destination than would be taken for granted of any.
+    pub fn says_something(&self) -> bool {
+        self.wait_until.is_some()
+            || self.out_since.is_some()
+            || self.back_since.is_some()
+            || self.mean_ms.is_some()
+    }
+}
+
+/// How a destination stands that is listed.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Standing {
+    /// It has been out since then.
+    pub out_since: Option<Time>,
+    /// It came back then and is being eased into service.
+    pub back_since: Option<Time>,
+    /// It asked to be left alone until then.
+    pub wait_until: Option<Time>,
+    /// Its usual call time, in milliseconds.
+    pub mean_ms: Option<f64>,
+    /// Calls a second that this courier delivers there as a rule.
+    pub usual: f64,
+    /// Messages for it that have not ended.
+    pub held: usize,
+    /// Calls that are out.
+    pub out: usize,
+}
+
 /// Something that happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -389,6 +433,8 @@
     Listed(Vec<Entry>),
     /// Changes to the list.
     Changed(Vec<Entry>),
+    /// What was kept of a destination that was folded; its endpoints are listed again already.
+    Recalled(DestinationId, Cold),
     /// Asking for the list failed, or the subscription broke.
     ListFailed,
 }
