Read what is applied once at a start; the rosters' news is a signal, its status derived

Need: read again, the change did work twice and kept state that could be derived. The watcher passed on each list of changes, and the supervisor only asked whether one had come, since the directory is made from the book. The last status was kept twice.

Change: the first reading is handed to the supervisor, unless the file changed since; news is a queue of one signal; only the written status is kept. Behaviour is as it was.

--- a/fleet/src/supervise.rs
+++ b/fleet/src/supervise.rs
@@ -3,6 +3,7 @@
 
 use crate::file::{number_of, Class, Fleet, Repeats};
 use crate::listing::{self, Listing};
+use crate::plan::APPLIED;
 use crate::watch::Watch;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -15,7 +16,6 @@
 use marblefall_courier::net::server::Spawner;
 use marblefall_courier::say;
 use marblefall_decisions as m;
-use marblefall_roster::Change;
 use std::cell::RefCell;
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
@@ -44,7 +44,7 @@
 /// Runs the fleet until the process is told to end.
 pub fn run(home: &Path) -> Result<(), String> {
     let signals = daemon::signals()?;
-    listing::read(home)?;
+    let early = (applied_at(home), listing::read(home)?);
     // Two daemons over one folder would write into each other's journals.
     let lock = std::fs::File::create(home.join("run.lock")).map_err(|error| error.to_string())?;
     lock.try_lock()
@@ -52,11 +52,18 @@
     let (commands, told) = async_channel::unbounded();
     let tasks = LocalExecutor::new();
     tasks.spawn(daemon::watch_signals(signals, commands)).detach();
-    async_io::block_on(tasks.run(supervise(home, told)));
+    async_io::block_on(tasks.run(supervise(home, told, early)));
     Ok(())
 }
 
-async fn supervise(home: &Path, told: Receiver<Command>) {
+/// When what is applied last changed.
+fn applied_at(home: &Path) -> Option<SystemTime> {
+    std::fs::metadata(home.join(APPLIED)).and_then(|file| file.modified()).ok()
+}
+
+/// Runs the fleet; `early` is what was read before, and when it had changed by then.
+async fn supervise(home: &Path, told: Receiver<Command>, early: (Option<SystemTime>, (u64, Fleet, Listing))) {
+    let mut early = Some(early);
     let mut fleet = Fleet::default();
     let mut seen: Option<SystemTime> = None;
     let mut running: BTreeMap<String, Running> = BTreeMap::new();
@@ -64,13 +71,13 @@
     let mut listeners: Listeners = BTreeMap::new();
     let mut ending = false;
     let mut rosters: Option<Watch> = None;
-    let mut first: Option<Vec<Change>> = None;
     let (mut listing, mut moved) = (Listing::default(), false);
     loop {
-        let changed = std::fs::metadata(home.join("applied.json")).and_then(|file| file.modified()).ok();
+        let changed = applied_at(home);
         if changed != seen && !ending {
             seen = changed;
-            match listing::read(home) {
+            let read = early.take().filter(|(at, _)| *at == changed);
+            match read.map_or_else(|| listing::read(home), |(_, read)| Ok(read)) {
                 Ok((revision, applied, destinations)) => {
                     say!("fleet: revision {revision}, {} instances", applied.instances.len());
                     (fleet, listing, moved) = (applied, destinations, true);
@@ -99,10 +106,7 @@
             }
             ending |= matches!(command, Command::Stop { .. });
         }
-        let next = || rosters.as_ref().and_then(|watch| watch.news.try_recv().ok());
-        while first.take().or_else(next).is_some() {
-            moved = true;
-        }
+        moved |= rosters.as_ref().is_some_and(|watch| watch.news.try_recv().is_ok());
         if std::mem::take(&mut moved) {
             let with_rosters = |watch: &Watch| watch.with_book(|book| listing.with_rosters(book));
             match rosters.as_ref().map_or_else(|| Ok(listing.clone()), with_rosters) {
@@ -158,10 +162,10 @@
         }
         let look = async {
             Timer::after(LOOK).await;
-            None
+            false
         };
-        first = match &rosters {
-            Some(watch) => future::or(look, async { watch.news.recv().await.ok() }).await,
+        moved = match &rosters {
+            Some(watch) => future::or(look, async { watch.news.recv().await.is_ok() }).await,
             None => look.await,
         };
     }
--- a/fleet/src/watch.rs
+++ b/fleet/src/watch.rs
@@ -8,7 +8,7 @@
 use async_channel::{Receiver, Sender};
 use marblefall_courier::say;
 use marblefall_roster::keep::Keep;
-use marblefall_roster::{Book, Change, Fault, Report, Roster};
+use marblefall_roster::{Book, Fault, Report, Roster};
 use notify::event::{AccessKind, AccessMode};
 use notify::{EventKind, RecommendedWatcher, RecursiveMode, Watcher};
 use serde::{Deserialize, Serialize};
@@ -154,8 +154,8 @@
 pub struct Watch {
     book: Arc<RwLock<Book>>,
     stirs: mpsc::Sender<Stir>,
-    /// What was taken up since the book was last looked at.
-    pub news: Receiver<Vec<Change>>,
+    /// Filled when something was taken up since it was last emptied.
+    pub news: Receiver<()>,
     thread: Option<thread::JoinHandle<()>>,
 }
 
@@ -168,7 +168,7 @@
         }
         let book = Arc::new(RwLock::new(book));
         let (stirs, stirred) = mpsc::channel();
-        let (passed_on, news) = async_channel::unbounded();
+        let (passed_on, news) = async_channel::bounded(1);
         let mut scout = Scout {
             keep: Keep::at(&home.join(FOLDER)),
             status_at: home.join(FOLDER).join(STATUS),
@@ -180,7 +180,6 @@
             watcher: None,
             looked: BTreeMap::new(),
             found: BTreeMap::new(),
-            status: Status::default(),
             written: None,
         };
         // The first look is on the thread as well: what reading takes up for a moment, an allocator keeps by thread.
@@ -231,7 +230,7 @@
     keep: Keep,
     status_at: PathBuf,
     book: Arc<RwLock<Book>>,
-    news: Sender<Vec<Change>>,
+    news: Sender<()>,
     source: Option<RosterSource>,
     stirs: mpsc::Sender<Stir>,
     stirred: mpsc::Receiver<Stir>,
@@ -240,7 +239,6 @@
     looked: BTreeMap<String, Look>,
     /// For each file what was last said of it, so that it is said once.
     found: BTreeMap<String, Standing>,
-    status: Status,
     written: Option<Status>,
 }
 
@@ -274,7 +272,7 @@
     /// Looks at all files once; at `whole`, also at those that have not changed.
     fn look(&mut self, whole: bool) {
         let Some(source) = self.source.clone() else {
-            (self.watcher, self.status) = (None, Status::default());
+            self.watcher = None;
             return;
         };
         self.watch_folders(&source.path);
@@ -334,7 +332,7 @@
             }
         };
         self.looked.insert(file.to_owned(), Look::of(&told));
-        let mut offer = match self.with_book(|book| book.weigh(file, &bytes)) {
+        let offer = match self.with_book(|book| book.weigh(file, &bytes)) {
             Ok(offer) => offer,
             Err(report) => {
                 self.note(file, Standing::Refused { report: report.to_string() });
@@ -360,11 +358,10 @@
         if let Err(error) = self.keep.write(file, &bytes) {
             say!(code = "roster-not-kept", file, "taken up, but not kept for the next start: {error}");
         }
-        let (revision, changes) = (offer.revision(), std::mem::take(&mut offer.changes));
-        let lines = changes.len();
+        let (revision, lines) = (offer.revision(), offer.changes.len());
         self.book_mut(|book| book.take(offer));
         say!(code = "roster-taken", file, revision, "roster taken up: {lines} endpoints change");
-        let _ = self.news.try_send(changes);
+        let _ = self.news.try_send(());
         self.found.insert(file.to_owned(), Standing::InForce);
         Seen::Taken
     }
@@ -398,9 +395,11 @@
     }
 
     fn say_unlisted(&self) {
-        for name in &self.status.unlisted {
-            say!(code = "no-roster", destination = %name, "no roster lists it: nothing is served there");
-        }
+        self.with_book(|book| {
+            for name in book.unlisted() {
+                say!(code = "no-roster", destination = %name, "no roster lists it: nothing is served there");
+            }
+        });
     }
 
     /// Puts the system's watch on the folders that matter: the path's own, the one that it is in (it may be renamed
@@ -459,18 +458,18 @@
             (file.clone(), FileStatus { standing: standing.clone(), revision })
         });
         let unlisted = self.with_book(|book| book.unlisted().into_iter().map(str::to_owned).collect());
-        self.status = Status { files: files.collect(), unlisted };
-        if self.written.as_ref() == Some(&self.status) {
+        let status = Status { files: files.collect(), unlisted };
+        if self.written.as_ref() == Some(&status) {
             return;
         }
         let write = || -> io::Result<()> {
             let beside = self.status_at.with_extension("new");
             fs::create_dir_all(self.status_at.parent().unwrap_or(Path::new(".")))?;
-            fs::write(&beside, serde_json::to_vec_pretty(&self.status)?)?;
+            fs::write(&beside, serde_json::to_vec_pretty(&status)?)?;
             fs::rename(&beside, &self.status_at)
         };
         match write() {
-            Ok(()) => self.written = Some(self.status.clone()),
+            Ok(()) => self.written = Some(status),
             Err(error) => say!(code = "status-not-written", "{}: {error}", self.status_at.display()),
         }
     }
