--- a/src/choice.rs
+++ b/src/choice.rs
@@ -48,8 +48,8 @@
 /// A pace never sinks under this part of a call a second, shared by all couriers: refusals must not starve
 /// a route for good, but where many couriers meet, their least paces together must not fill its limit.
 const PACE_LEAST: f64 = 1.2;
-/// A refusal holds a destination back for this part of the time between two calls of this courier's share: where
-/// each refused call uses the limit up, a hundred that come back sooner keep it used up ...
+/// A refusal holds a destination back for this part of the time between two calls of this courier's share:
+/// where each refused call uses the limit up, a hundred that come back sooner keep it used up ...
 const CROWD_PART: f64 = 0.25;
 /// ... twice as long with each further one running, over all its routes, up to this many times.
 const CROWD_MOST: u32 = 2;
