--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -9,7 +9,7 @@
 use crate::interface::{Span, Time};
 
 /// Calls that a courier may save up: messages do not come evenly, and one of a pair must not wait for the other.
-const DEPTH: f64 = 2.0;
+const DEPTH: f64 = 1.5;
 
 /// Calls that were sent of late, as far as the rate has not worked them off.
 #[derive(Clone, Copy, Debug, Default)]
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -48,11 +48,16 @@
 /// A pace never sinks under this part of a call a second, shared by all couriers: refusals must not starve
 /// a route for good, but where many couriers meet, their least paces together must not fill its limit.
 const PACE_LEAST: f64 = 1.2;
-/// A refusal holds a destination back for this part of the time between two calls of this courier's share:
-/// where each refused call uses the limit up, a hundred that come back sooner keep it used up ...
-const CROWD_PART: f64 = 0.25;
+/// A refusal holds a destination back for this part of the time between two calls of this courier's share,
+/// if a limit is told or listed: where each refused call uses the limit up, a hundred that come back sooner,
+/// each within its part, keep it used up for seconds ...
+const CROWD_PART: f64 = 1.0;
+const CROWD_GUESSED: f64 = 0.25; // ... and for this part of it where the share is a guess ...
 /// ... twice as long with each further one running, over all its routes, up to this many times.
 const CROWD_MOST: u32 = 2;
+/// So does an answer that tells that less than this share of the allowance is left: the next to call would be
+/// refused, whoever it is.
+const LEFT_LEAST: f64 = 0.3;
 /// Failed calls running, with no success among the calls sent since, after which a route is out. Fewer
 /// would take lost calls, which strike at random, for an outage.
 const FAILS_OUT: f64 = 3.0;
@@ -233,6 +238,10 @@
                     let short = was.hurried && *outcome == Outcome::TimedOut;
                     let outcome = if short { Outcome::Cancelled } else { *outcome };
                     self.learn(now, was.endpoint, was.sent, Some(*took), outcome);
+                    let low = report.left.is_some_and(|left| left < LEFT_LEAST);
+                    if low && outcome == Outcome::Delivered {
+                        self.spare(now, self.endpoints[&was.endpoint].route);
+                    }
                     self.learn_connections(now, &was, outcome, actions);
                 }
             }
@@ -440,6 +449,14 @@
         }
     }
 
+    /// Leaves a destination alone for about the time between two calls of this courier's part of its limit.
+    fn spare(&mut self, now: Time, id: RouteId) {
+        let Some(rate) = self.allowed(&self.routes[&id]) else { return };
+        self.refusals += 1;
+        let phase = self.draw(self.refusals << 20);
+        self.crowds.insert(id.0, (0, now + Span::from_ms(1000.0 / rate * CROWD_PART * (0.5 + phase))));
+    }
+
     /// What the end of a call, which took some time, or of a probe tells of its endpoint and its route.
     fn learn(&mut self, now: Time, id: EndpointId, sent: Time, call: Option<Span>, outcome: Outcome) {
         let (phase, vary) = (self.draw(self.refusals << 20), self.vary());
@@ -447,6 +464,7 @@
         // Time between two calls, in ms, if this courier kept to its part of all of the destination's routes.
         let routes = endpoint.route.1.map_or(1, |_| self.destinations[&endpoint.route.0].len());
         let interval = 1000.0 / (self.own_rate(now, &self.routes[&endpoint.route]) * routes as f64);
+        let part = self.allowed(&self.routes[&endpoint.route]).map_or(CROWD_GUESSED, |_| CROWD_PART);
         let sight = self.sight(&self.routes[&endpoint.route]).filter(|_| vary == 0.0);
         let endpoint = self.endpoints.get_mut(&id).expect("just found");
         let route = self.routes.get_mut(&endpoint.route).expect("an endpoint has a route");
@@ -491,7 +509,7 @@
                 let times = f64::from(1u32 << (*running).min(CROWD_MOST));
                 *running += 1;
                 let told = wait.map_or(0.0, Span::ms);
-                let hold = Span::from_ms(vary * (told + interval * CROWD_PART * times * (0.5 + phase)));
+                let hold = Span::from_ms(vary * (told + interval * part * times * (0.5 + phase)));
                 *until = now + hold;
             }
             Outcome::ConnectFailed if endpoint.out > 0 && endpoint.failed.is_none() => {
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -204,6 +204,27 @@
     assert!(told >= 8, "{told} calls in the first 8 s of a return, {guessed} with no limit told");
 }
 
+/// The allowance was all but used up, each answer said so, and every courier that heard it sent its next call at once,
+/// which was refused and used it up further (`join+vast`).
+#[test]
+fn an_answer_that_tells_of_little_left_holds_the_next_call_back() {
+    let waits = |left: f64| {
+        let mut bed = Bed::with_destinations(fleet_settings(), 1);
+        let (met, _) = bed.hand(0, 0);
+        let report = Report { left: Some(left), limit: Some(COURIERS as f64) };
+        let (message, copy, outcome, took) = (met, Copy(0), Outcome::Delivered, Span::from_ms(50.0));
+        bed.at(3000.0).say(Event::Closed { message, copy, outcome, took, last: true, report });
+        let (_, mut said) = bed.hand(0, 0);
+        while sends(&said).is_empty() {
+            said = bed.idle(bed.now.ms() + 20.0);
+        }
+        bed.now.ms() - 3000.0
+    };
+    assert_eq!(waits(0.8), 0.0);
+    let held = waits(0.1);
+    assert!((400.0..=1700.0).contains(&held), "{held} ms, where a part of the limit is one call a second");
+}
+
 /// All couriers favoured the one cheapest endpoint, whose own limit filled while its others idled.
 #[test]
 fn couriers_split_a_destination_over_its_endpoints_by_the_listed_rates() {
