--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -8,7 +8,8 @@
 
 use crate::interface::{Span, Time};
 
-/// Calls that a courier may save up: messages do not come evenly, and one of a pair must not wait for the other.
+/// Calls that a courier may save up: messages do not come evenly, and of a pair the second waits for half a call's time,
+/// not a whole one. What a hundred save up they may send at once, so it is kept low.
 const DEPTH: f64 = 1.5;
 
 /// Calls that were sent of late, as far as the rate has not worked them off.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -153,13 +153,18 @@
 }
 
 pub fn closed(message: MessageId, copy: u32, outcome: Outcome) -> Event {
+    reported(message, copy, outcome, Report::default())
+}
+
+/// The same with what the answer told of the limit.
+pub fn reported(message: MessageId, copy: u32, outcome: Outcome, report: Report) -> Event {
     Event::Closed {
         message,
         copy: Copy(copy),
         outcome,
         took: Span::from_ms(100.0),
         last: outcome == Outcome::Delivered,
-        report: Report::default(),
+        report,
     }
 }
 
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -176,13 +176,9 @@
 fn what_comes_back_is_eased_by_the_told_limit_where_there_is_one() {
     let sent = |limit: Option<f64>| {
         let mut bed = Bed::with_destinations(Settings { weights: Weights::Off, ..fleet_settings() }, 1);
-        let answered = |message, copy, limit| {
-            let (took, report) = (Span::from_ms(50.0), Report { left: None, limit });
-            let (copy, outcome, last) = (Copy(copy), Outcome::Delivered, true);
-            Event::Closed { message, copy, outcome, took, last, report }
-        };
+        let report = Report { left: None, limit };
         let (met, _) = bed.hand(0, 0);
-        bed.say(answered(met, 0, limit));
+        bed.say(reported(met, 0, Outcome::Delivered, report));
         let mut tries = BTreeMap::new();
         let (mut count, down, back) = (0, 2000.0, 6000.0);
         for step in 0..1000 {
@@ -194,7 +190,7 @@
                 count += usize::from(now >= back && now < back + 8000.0);
                 said = bed.say(match now >= down && now < back {
                     true => closed(message, *copy, Outcome::ConnectFailed),
-                    false => answered(message, *copy, limit),
+                    false => reported(message, *copy, Outcome::Delivered, report),
                 });
             }
         }
@@ -212,8 +208,7 @@
         let mut bed = Bed::with_destinations(fleet_settings(), 1);
         let (met, _) = bed.hand(0, 0);
         let report = Report { left: Some(left), limit: Some(COURIERS as f64) };
-        let (message, copy, outcome, took) = (met, Copy(0), Outcome::Delivered, Span::from_ms(50.0));
-        bed.at(3000.0).say(Event::Closed { message, copy, outcome, took, last: true, report });
+        bed.at(3000.0).say(reported(met, 0, Outcome::Delivered, report));
         let (_, mut said) = bed.hand(0, 0);
         while sends(&said).is_empty() {
             said = bed.idle(bed.now.ms() + 20.0);
@@ -314,9 +309,7 @@
         set.weights = Weights::Off;
         let mut bed = Bed::with_destinations(set, 1);
         let (met, _) = bed.hand(0, 0);
-        let (took, copy, report) = (Span::from_ms(100.0), Copy(0), Report { left: None, limit });
-        let (message, outcome) = (met, Outcome::Delivered);
-        bed.say(Event::Closed { message, copy, outcome, took, last: true, report });
+        bed.say(reported(met, 0, Outcome::Delivered, Report { left: None, limit }));
         // Refusals of calls that were out together, so that the pace is cut no further.
         let calls: Vec<MessageId> = (0..2).map(|_| bed.hand(0, 0).0).collect();
         bed.at(bed.now.ms() + 50.0);
