--- a/courier/src/config.rs
+++ b/courier/src/config.rs
@@ -24,6 +24,9 @@
     pub listen: String,
     /// Where discovery is.
     pub discovery: String,
+    /// Where operators call, if anywhere; `RELAY_MGMT` goes before it.
+    #[serde(default)]
+    pub mgmt: Option<String>,
     /// For random numbers, in hexadecimal.
     pub seed: String,
     /// What it may use.
@@ -50,6 +53,9 @@
         if let Ok(listen) = var("RELAY_LISTEN") {
             told.listen = listen;
         }
+        if let Ok(mgmt) = var("RELAY_MGMT") {
+            told.mgmt = Some(mgmt);
+        }
         Ok(told)
     }
 
--- a/courier/src/core/engine.rs
+++ b/courier/src/core/engine.rs
@@ -68,6 +68,8 @@
     Directory(Arc<Directory>),
     /// The platform has taken the notice of a message's end.
     NoticeTaken(Seq),
+    /// Operators keep these issuer hosts out by name, whatever the list says of them, from now on.
+    HeldOut(BTreeSet<String>),
     /// This life ends.
     Stop {
         /// At this time at the latest.
@@ -155,6 +157,10 @@
     next_host: u32,
     /// Destinations that have had a host.
     destinations: BTreeSet<m::DestinationId>,
+    /// Issuer hosts as the list has them last, so that one held out or let in again can be told anew.
+    listing: BTreeMap<m::EndpointId, Host>,
+    /// Names of the issuer hosts that operators keep out.
+    held_out: BTreeSet<String>,
     /// All destinations, where most of them are idle, and which are not.
     directory: Option<Arc<Directory>>,
     warmth: Warmth,
@@ -198,6 +204,8 @@
             hosts: BTreeMap::new(),
             next_host: 0,
             destinations: BTreeSet::new(),
+            listing: BTreeMap::new(),
+            held_out: BTreeSet::new(),
             directory: None,
             warmth: Warmth::default(),
             lately: Lately::default(),
@@ -274,8 +282,9 @@
         let mut events = Vec::new();
         let mut offered = Vec::new();
         // News of the list goes first: nothing queued behind it may go to a host that drains.
-        let is_news =
-            |input: &Input| matches!(input, Input::Listed(_) | Input::Changed(_) | Input::Directory(_));
+        let is_news = |input: &Input| {
+            matches!(input, Input::Listed(_) | Input::Changed(_) | Input::Directory(_) | Input::HeldOut(_))
+        };
         let (news, rest): (Vec<_>, Vec<_>) = inputs.into_iter().partition(is_news);
         for input in news {
             match input {
@@ -288,6 +297,12 @@
                     events.push(m::Event::Changed(entries));
                 }
                 Input::Directory(directory) => self.redirect(now, directory, &mut events, orders),
+                Input::HeldOut(names) => {
+                    let entries = self.hold_out(names, orders);
+                    if !entries.is_empty() {
+                        events.push(m::Event::Changed(entries));
+                    }
+                }
                 _ => {}
             }
         }
@@ -382,6 +397,7 @@
                 if let Some(name) = self.hosts.remove(&host) {
                     self.names.remove(&name);
                 }
+                self.listing.remove(&host);
                 orders.push(Order::HostGone(host));
             }
         }
@@ -545,10 +561,19 @@
                 self.hand_over = hand_over;
                 self.wakes.insert((by - LAST_LEG, u64::MAX));
             }
-            Input::Listed(_) | Input::Changed(_) | Input::Directory(_) => {}
+            Input::Listed(_) | Input::Changed(_) | Input::Directory(_) | Input::HeldOut(_) => {}
         }
     }
 
+    /// Takes up which hosts operators keep out, and tells the module anew of those that it changes.
+    fn hold_out(&mut self, names: BTreeSet<String>, orders: &mut Vec<Order>) -> Vec<m::Entry> {
+        let changed: Vec<String> = names.symmetric_difference(&self.held_out).cloned().collect();
+        self.held_out = names;
+        let listed = changed.iter().filter_map(|name| self.names.get(name));
+        let hosts: Vec<Host> = listed.filter_map(|id| self.listing.get(id).cloned()).collect();
+        self.listed(hosts, false, orders)
+    }
+
     /// Whether a hand-in repeats an earlier one.
     fn known(&self, authorisation: &Authorisation, offered: &[Offer]) -> Known {
         let events = authorisation.origin == Origin::Events;
@@ -734,9 +759,16 @@
 
     fn listed(&mut self, hosts: Vec<Host>, whole: bool, orders: &mut Vec<Order>) -> Vec<m::Entry> {
         let mut entries = Vec::new();
-        for host in hosts {
+        for mut host in hosts {
             let endpoint = self.host(&host.name);
             self.destinations.insert(host.destination);
+            match host.listing {
+                m::Listing::Gone => drop(self.listing.remove(&endpoint)),
+                _ => drop(self.listing.insert(endpoint, host.clone())),
+            }
+            if host.listing == m::Listing::On && self.held_out.contains(&host.name) {
+                host.listing = m::Listing::Draining;
+            }
             entries.push(m::Entry {
                 endpoint,
                 destination: host.destination,
@@ -759,6 +791,7 @@
             if let Some(name) = self.hosts.remove(&id) {
                 self.names.remove(&name);
             }
+            self.listing.remove(&id);
             orders.push(Order::HostGone(id));
         }
         entries
--- a/courier/src/daemon.rs
+++ b/courier/src/daemon.rs
@@ -12,7 +12,10 @@
 use crate::net::discovery::{self, Home, Names};
 use crate::net::pool::{Call, Ended, Limits, Pool};
 use crate::net::server::{self, unix_ms, Desk, Patience, Spawner};
+use crate::net::{listen, manage};
+use crate::operators::Steward;
 use crate::say;
+use crate::turn::Turn;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -85,6 +88,10 @@
     pub relay: Option<RelayPart>,
     /// The events front, if it is on.
     pub events: Option<(TcpListener, Events)>,
+    /// Whether another life of the process may hold the lasting folder: this one then waits for it.
+    pub turn: bool,
+    /// Where operators call, if anywhere.
+    pub mgmt: Option<TcpListener>,
 }
 
 /// The platform's front of an instance.
@@ -144,8 +151,12 @@
         remember_ms: vec![0; classes.len()],
         remember_most: 0,
     };
+    let mgmt = match told.mgmt.as_deref().filter(|at| !at.is_empty()) {
+        Some(text) => Some(TcpListener::bind(address(text)?).map_err(|error| format!("{text}: {error}"))?),
+        None => None,
+    };
     let relay = RelayPart {
-        listener: TcpListener::bind(listen).map_err(|error| format!("{listen}: {error}"))?,
+        listener: listen::shared(listen).map_err(|error| format!("{listen}: {error}"))?,
         front: Relay { classes: classes.clone(), keyed, numbers: None },
         notices: discovery,
         watch: Some((names, since)),
@@ -161,12 +172,15 @@
         hosts,
         relay: Some(relay),
         events: None,
+        turn: true,
+        mgmt,
     };
     let (signalled, heard) = async_channel::unbounded();
     let (commands, told) = async_channel::unbounded();
     let _span = instance_span(&build.name).entered();
     let tasks = Rc::new(LocalExecutor::new());
-    tasks.spawn(watch_signals(signals, signalled)).detach();
+    let folder = build.state.0.clone();
+    tasks.spawn(watch_signals(signals, signalled, move || Turn::awaited(&folder))).detach();
     tasks.spawn(reread(heard, commands)).detach();
     async_io::block_on(tasks.run(instance(build, told, Spawner::new(&tasks))))
 }
@@ -182,13 +196,14 @@
     signals.map_err(|error| format!("signals cannot be watched: {error}"))
 }
 
-/// Turns the process's signals into commands.
-pub async fn watch_signals(mut signals: Signals, commands: Sender<Command>) {
+/// Turns the process's signals into commands; at the end, `successor` tells whether another life waits to take
+/// over.
+pub async fn watch_signals(mut signals: Signals, commands: Sender<Command>, successor: impl Fn() -> bool) {
     while let Some(Ok(signal)) = signals.next().await {
         let command = match signal {
             Signal::Usr1 => Command::Print,
             Signal::Hup => Command::Reread,
-            _ => Command::Stop { left: LEAVE, hand_over: false },
+            _ => Command::Stop { left: LEAVE, hand_over: successor() },
         };
         if commands.send(command).await.is_err() {
             return;
@@ -228,23 +243,11 @@
     let hosts = build.sockets.saturating_sub(OTHER_SOCKETS + clients).max(1);
     // Idle connections go well before the far side's own limit: what is on the way when it closes is lost.
     let limits = Limits { dial: build.dial, idle: build.idle.mul_f64(0.85), connections: hosts };
-    let (folder, disk) = &build.state;
-    let ledger = Ledger::open(folder, *disk, build.classes)
-        .map_err(|error| format!("{}: {error}", folder.display()))?;
-    let mut orders = Vec::new();
     let set = &build.setup.settings;
     let must_ask = Duration::from_micros(set.rules.must_ask.0.max(0) as u64);
     let asking = discovery::Asking::new(set.couriers, build.setup.seed, must_ask);
-    let mut engine = Engine::new(build.setup, ledger, clock.now(), &mut orders);
     // On the platform the list is known as a whole, and its disk is small.
-    let keep = matches!(build.hosts, Input::Directory(_)).then(|| Keep::open(Real, folder)).map(
-        |(keep, records)| {
-            engine.remember(clock.now(), &records);
-            keep
-        },
-    );
-    counters.resumed.set(engine.load().0 as u64);
-
+    let keeps = matches!(build.hosts, Input::Directory(_));
     let (queue, inputs) = async_channel::bounded(QUEUE);
     let (news, listed) = async_channel::unbounded();
     let (owed, notices) = async_channel::unbounded();
@@ -276,6 +279,13 @@
         tasks.spawn(server::serve(listener, front, desk.clone(), RELAY_PATIENCE, tasks.clone()));
     }
     tasks.spawn(server::thin_out(desk.clone()));
+    let steward = Rc::new(Steward::new(desk.clone(), news.clone(), &build.state.0));
+    steward.ready.set(true);
+    if let Some(listener) = build.mgmt {
+        let listener = open(listener)?;
+        say!("operators call at {}", address_of(&listener));
+        tasks.spawn(manage::listen(listener, steward.clone(), tasks.clone()));
+    }
     let mut events = Rc::new(Events::default());
     if let Some((listener, front)) = build.events {
         events = Rc::new(front);
@@ -284,8 +294,30 @@
         let front = events.clone();
         tasks.spawn(server::serve(listener, front, desk.clone(), EVENTS_PATIENCE, tasks.clone()));
     }
+    // Clients are read from now on; what they hand in waits in the queue until the folder is this life's.
+    let _turn = match build.turn {
+        true => {
+            let folder = &build.state.0;
+            Some(Turn::take(folder).await.map_err(|error| format!("{}: {error}", folder.display()))?)
+        }
+        false => None,
+    };
+    let (folder, disk) = &build.state;
+    let ledger = Ledger::open(folder, *disk, build.classes)
+        .map_err(|error| format!("{}: {error}", folder.display()))?;
+    let mut orders = Vec::new();
+    let mut engine = Engine::new(build.setup, ledger, clock.now(), &mut orders);
+    let keep = keeps.then(|| Keep::open(Real, folder)).map(|(keep, records)| {
+        engine.remember(clock.now(), &records);
+        keep
+    });
+    counters.resumed.set(engine.load().0 as u64);
+    // The life before may have changed what is held out until it let go.
+    steward.reread();
+    steward.started.set(true);
     let addresses = RefCell::default();
-    let hands = Hands { desk, pool, owed, queue, news, clock, addresses, counters, events, movers, tasks };
+    let hands =
+        Hands { desk, pool, owed, queue, news, clock, addresses, counters, events, movers, tasks, steward };
     let hands = Rc::new(hands);
     let stop = Rc::new(Cell::new(None));
     hands.tasks.spawn(obey(hands.clone(), commands, stop.clone()));
@@ -318,6 +350,10 @@
                 // Whoever takes over listens on at once, so connections are let go without a pause.
                 let leaving = if hand_over { now } else { now + CLOSE_IDLE };
                 hands.desk.leaving.set(Some(leaving));
+                if hand_over {
+                    // New connections go to the one that takes over.
+                    hands.desk.stop_accepting();
+                }
                 let desk = hands.desk.clone();
                 hands.tasks.spawn(async move {
                     Timer::at(leaving).await;
@@ -346,6 +382,7 @@
     /// Where the tasks that speak with discovery hear of its new address.
     movers: Vec<Sender<SocketAddr>>,
     tasks: Spawner,
+    steward: Rc<Steward>,
 }
 
 impl Hands {
@@ -450,10 +487,12 @@
             }
             Order::Host(id, host) => {
                 self.addresses.borrow_mut().insert(id, host.address.as_str().into());
+                self.steward.listed(id, &host.name);
                 self.pool.place(id, &host.address, host.listing == Listing::On);
             }
             Order::HostGone(id) => {
                 self.addresses.borrow_mut().remove(&id);
+                self.steward.gone(id);
                 self.pool.gone(id);
             }
             Order::Log(text) => say!("{text}"),
--- a/courier/src/front/cloudevents/mod.rs
+++ b/courier/src/front/cloudevents/mod.rs
@@ -60,7 +60,7 @@
             ("POST", path) if path == self.path => {
                 self.authorisation(request, body, now_ms).map_or_else(reply, Take::Offer)
             }
-            ("GET", "/ready") => Take::Reply(Reply::of(200)),
+            ("GET", "/ready") => Take::Ready,
             (_, path) if path == self.path || path == "/ready" => Take::Reply(Reply::of(405)),
             _ => Take::Reply(Reply::of(404)),
         }
--- a/courier/src/front/relay.rs
+++ b/courier/src/front/relay.rs
@@ -29,7 +29,7 @@
 impl Front for Relay {
     fn take(&self, request: &Request<'_>, body: &[u8], now_ms: i64) -> Take {
         match (request.method, request.path) {
-            ("GET", "/ready") => Take::Reply(Reply::of(200)),
+            ("GET", "/ready") => Take::Ready,
             ("POST", "/api") => match self.authorisation(request, body, now_ms) {
                 Ok(authorisation) => Take::Offer(authorisation),
                 Err(why) => Take::Reply(Reply::because(400, why)),
--- a/courier/src/lib.rs
+++ b/courier/src/lib.rs
@@ -9,4 +9,6 @@
 pub mod keep;
 pub mod log;
 pub mod net;
+pub mod operators;
 pub mod seam;
+pub mod turn;
--- a/courier/src/net/mod.rs
+++ b/courier/src/net/mod.rs
@@ -3,5 +3,7 @@
 pub mod discovery;
 pub mod http;
 pub mod link;
+pub mod listen;
+pub mod manage;
 pub mod pool;
 pub mod server;
--- a/courier/src/net/server.rs
+++ b/courier/src/net/server.rs
@@ -14,7 +14,7 @@
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tracing::Instrument;
@@ -180,13 +180,38 @@
     most_connections: usize,
     /// What is counted.
     pub counters: Rc<Counters>,
+    /// Closed once no connection is to be accepted any more.
+    accepting: (Sender<()>, Receiver<()>),
+    /// Whether operators send clients away: each connection is then closed with its next answer.
+    drained: Cell<bool>,
 }
 
 impl Desk {
     /// A desk in front of a queue, for so many connections at once.
     pub fn new(queue: Sender<Input>, most_connections: usize, counters: Rc<Counters>) -> Desk {
         let (answers, next, leaving, seats) = Default::default();
-        Desk { queue, answers, next, leaving, seats, most_connections, counters }
+        let accepting = async_channel::bounded(1);
+        let drained = Cell::new(false);
+        Desk { queue, answers, next, leaving, seats, most_connections, counters, accepting, drained }
+    }
+
+    /// Sends clients away, or takes them again. Connections without an open request are closed at once, as
+    /// clients keep using those that are open.
+    pub fn drain(&self, drained: bool) {
+        self.drained.set(drained);
+        if drained {
+            self.seats.thin_out(Duration::ZERO, 0, "drained");
+        }
+    }
+
+    /// Whether clients are sent away.
+    pub fn is_drained(&self) -> bool {
+        self.drained.get()
+    }
+
+    /// Lets the listeners go, once the connections that wait in their queues are taken: those would be reset.
+    pub fn stop_accepting(&self) {
+        self.accepting.0.close();
     }
 
     /// Passes an answer of the engine on to whoever waits for it.
@@ -248,38 +273,61 @@
             Timer::after(Duration::from_millis(1)).await;
             continue;
         }
-        match listener.accept().await {
-            Ok((stream, from)) => {
-                let (front, desk) = (front.clone(), desk.clone());
-                let (seat, told) = desk.seats.take();
-                let span = tracing::info_span!("connection", peer = %from);
-                let serving = async move {
-                    let mut link = Link::new(stream);
-                    let glance = link.glance();
-                    let told = async {
-                        loop {
-                            let code = told.recv().await.unwrap_or("leaving");
-                            // Its request crossed the word to leave, or waits to be read behind a crowd's.
-                            if !(desk.seats.waits(seat) && glance.has_unread()) {
-                                return code;
-                            }
-                        }
-                    };
-                    let code = future::or(told, converse(&mut link, &*front, &desk, seat, patience)).await;
-                    desk.seats.leave(seat);
-                    say!(code, "acquirer side: connection ended");
-                };
-                tasks.spawn(serving.instrument(span));
-            }
-            Err(error) => {
+        let stopped = async {
+            let _ = desk.accepting.1.recv().await;
+            None
+        };
+        match future::or(async { Some(listener.accept().await) }, stopped).await {
+            Some(Ok((stream, from))) => welcome(stream, from, &front, &desk, patience, &tasks),
+            Some(Err(error)) => {
                 // Out of descriptors, say: trying at once again would only spin.
                 say!("no connection accepted: {error}");
                 Timer::after(Duration::from_millis(50)).await;
             }
+            None => {
+                while let Ok((stream, from)) = listener.get_ref().accept() {
+                    if let Ok(stream) = Async::new(stream) {
+                        welcome(stream, from, &front, &desk, patience, &tasks);
+                    }
+                }
+                say!("no longer accepts connections");
+                return;
+            }
         }
     }
 }
 
+/// Serves a connection that has just been accepted, in a task of its own.
+fn welcome<F: Front + 'static>(
+    stream: Async<TcpStream>,
+    from: SocketAddr,
+    front: &Rc<F>,
+    desk: &Rc<Desk>,
+    patience: Patience,
+    tasks: &Spawner,
+) {
+    let (front, desk) = (front.clone(), desk.clone());
+    let (seat, told) = desk.seats.take();
+    let span = tracing::info_span!("connection", peer = %from);
+    let serving = async move {
+        let mut link = Link::new(stream);
+        let glance = link.glance();
+        let told = async {
+            loop {
+                let code = told.recv().await.unwrap_or("leaving");
+                // Its request crossed the word to leave, or waits to be read behind a crowd's.
+                if !(desk.seats.waits(seat) && glance.has_unread()) {
+                    return code;
+                }
+            }
+        };
+        let code = future::or(told, converse(&mut link, &*front, &desk, seat, patience)).await;
+        desk.seats.leave(seat);
+        say!(code, "acquirer side: connection ended");
+    };
+    tasks.spawn(serving.instrument(span));
+}
+
 /// Thins out idle connections for ever, where there are many.
 pub async fn thin_out(desk: Rc<Desk>) {
     loop {
@@ -344,6 +392,7 @@
         link.consume(head + len);
         desk.seats.is_at(seat, Phase::Open);
         let (reply, ticket) = match taken {
+            Take::Ready => (Reply::of(if desk.is_drained() { 503 } else { 200 }), None),
             Take::Reply(reply) => {
                 if reply.status >= 400 {
                     add(&desk.counters.rejected);
@@ -375,7 +424,7 @@
                 (reply, Some(ticket))
             }
         };
-        let keeps = keeps && desk.leaving.get().is_none();
+        let keeps = keeps && desk.leaving.get().is_none() && !desk.is_drained();
         match until(Instant::now() + patience.0, write(link, &reply, keeps)).await {
             Some(Ok(())) if keeps => desk.seats.is_at(seat, Phase::Idle),
             Some(Ok(())) => {
--- /dev/null
+++ b/courier/src/operators.rs
@@ -0,0 +1,124 @@
+//! What operators' calls do to an instance: whether it is ready, clients sent away, issuer hosts kept out by
+//! hand. Which hosts are out lasts in the instance's folder, so that the next life of the process, beside
+//! which this one may still run, keeps them out from its start.
+
+use crate::core::engine::Input;
+use crate::net::manage::{Call, Operators};
+use crate::net::server::Desk;
+use crate::say;
+use async_channel::Sender;
+use marblefall_decisions::EndpointId;
+use marblefall_files::{replace, Outlasts, Real};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+/// The file in the lasting folder: one id a line.
+const FILE: &str = "held-out.txt";
+
+/// Answers operators for one instance.
+pub struct Steward {
+    desk: Rc<Desk>,
+    /// Where the engine hears of what is held out, ahead of other inputs.
+    news: Sender<Input>,
+    path: PathBuf,
+    held: RefCell<BTreeSet<String>>,
+    /// The issuer hosts that are listed now, by the module's numbers.
+    listed: RefCell<BTreeMap<EndpointId, String>>,
+    /// Set once clients are read.
+    pub ready: Cell<bool>,
+    /// Set once the engine runs: before, nobody knows which hosts there are.
+    pub started: Cell<bool>,
+}
+
+impl Steward {
+    /// One for an instance whose lasting folder is `folder`, with what an earlier life held out there.
+    pub fn new(desk: Rc<Desk>, news: Sender<Input>, folder: &Path) -> Steward {
+        let path = folder.join(FILE);
+        let steward = Steward {
+            desk,
+            news,
+            path,
+            held: RefCell::default(),
+            listed: RefCell::default(),
+            ready: Cell::new(false),
+            started: Cell::new(false),
+        };
+        steward.reread();
+        steward
+    }
+
+    /// Reads again what is held out, as another life may have changed it, and tells the engine.
+    pub fn reread(&self) {
+        let held = match std::fs::read_to_string(&self.path) {
+            Ok(text) => text.lines().map(str::trim).filter(|id| !id.is_empty()).map(String::from).collect(),
+            Err(error) if error.kind() == std::io::ErrorKind::NotFound => BTreeSet::new(),
+            Err(error) => {
+                say!(code = "held-out-unread", "{}: {error}; none held out", self.path.display());
+                BTreeSet::new()
+            }
+        };
+        let _ = self.news.try_send(Input::HeldOut(held.clone()));
+        self.held.replace(held);
+    }
+
+    /// An issuer host is listed now.
+    pub fn listed(&self, id: EndpointId, name: &str) {
+        self.listed.borrow_mut().insert(id, name.to_owned());
+    }
+
+    /// An issuer host is no longer listed.
+    pub fn gone(&self, id: EndpointId) {
+        self.listed.borrow_mut().remove(&id);
+    }
+
+    fn hold(&self, id: &str, out: bool) -> u16 {
+        if !self.started.get() {
+            return 503;
+        }
+        let known = self.listed.borrow().values().any(|name| name == id);
+        let mut held = self.held.borrow_mut();
+        let changed = if out { known && held.insert(id.to_owned()) } else { held.remove(id) };
+        if !known && !changed {
+            return 404;
+        }
+        if changed {
+            let text: String = held.iter().map(|id| format!("{id}\n")).collect();
+            if let Err(error) = replace(&Real, &self.path, text.as_bytes(), Outlasts::Process) {
+                say!(code = "held-out-unwritten", "{}: {error}", self.path.display());
+                // Undone, so that what is said and what lasts stay the same.
+                if out {
+                    held.remove(id);
+                } else {
+                    held.insert(id.to_owned());
+                }
+                return 503;
+            }
+            let _ = self.news.try_send(Input::HeldOut(held.clone()));
+            say!(code = "held-out", "issuer host {id} {}", if out { "held out" } else { "let in" });
+        }
+        200
+    }
+}
+
+impl Operators for Steward {
+    fn call(&self, call: Call<'_>) -> u16 {
+        match call {
+            Call::Ready if self.ready.get() && !self.desk.is_drained() => 200,
+            Call::Ready => 503,
+            Call::Disable(id) => self.hold(id, true),
+            Call::Enable(id) => self.hold(id, false),
+            Call::Drain => {
+                self.desk.drain(true);
+                say!(code = "drained", "clients are sent away");
+                200
+            }
+            Call::Undrain => {
+                self.desk.drain(false);
+                say!(code = "undrained", "clients are taken again");
+                200
+            }
+        }
+    }
+}
--- a/courier/src/seam.rs
+++ b/courier/src/seam.rs
@@ -40,6 +40,8 @@
     Reply(Reply),
     /// It hands a message in.
     Offer(Authorisation),
+    /// It asks whether the instance takes clients: yes unless operators send them away.
+    Ready,
 }
 
 /// What translates one wire.
--- a/fleet/src/supervise.rs
+++ b/fleet/src/supervise.rs
@@ -51,7 +51,7 @@
         .map_err(|error| format!("{}: another daemon runs this fleet ({error})", home.display()))?;
     let (commands, told) = async_channel::unbounded();
     let tasks = LocalExecutor::new();
-    tasks.spawn(daemon::watch_signals(signals, commands)).detach();
+    tasks.spawn(daemon::watch_signals(signals, commands, || false)).detach();
     async_io::block_on(tasks.run(supervise(home, told, early)));
     Ok(())
 }
@@ -279,6 +279,9 @@
         hosts: Input::Directory(listing.directory.clone()),
         relay,
         events,
+        // The daemon holds its home as a whole, and hands over between instances itself.
+        turn: false,
+        mgmt: None,
     })
 }
 
