--- a/courier/src/net/manage.rs
+++ b/courier/src/net/manage.rs
@@ -108,3 +108,55 @@
         Err(status) => (status, "not-a-call"),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use async_executor::LocalExecutor;
+    use std::cell::RefCell;
+
+    /// Says yes to all, and notes what it was asked.
+    #[derive(Default)]
+    struct Yes(RefCell<Vec<String>>);
+
+    impl Operators for Yes {
+        fn call(&self, call: Call<'_>) -> u16 {
+            self.0.borrow_mut().push(format!("{call:?}"));
+            200
+        }
+    }
+
+    async fn status(link: &mut Link) -> u16 {
+        let head = link.head(MOST).await.unwrap();
+        http::response(&link.bytes()[..head]).unwrap().status
+    }
+
+    #[test]
+    fn who_sends_nothing_or_half_holds_up_nobody_and_is_answered_itself() {
+        let tasks = Rc::new(LocalExecutor::new());
+        let spawner = Spawner::new(&tasks);
+        async_io::block_on(tasks.run(async {
+            let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+            let at = listener.get_ref().local_addr().unwrap();
+            let yes = Rc::new(Yes::default());
+            spawner.clone().spawn(listen(listener, yes.clone(), spawner));
+            let mut silent = Link::connect(at).await.unwrap();
+            let mut half = Link::connect(at).await.unwrap();
+            half.write(b"POST /endpoints/disable HTTP/1.1\r\nContent-Length: 8\r\n\r\ns-", b"")
+                .await
+                .unwrap();
+            let mut whole = Link::connect(at).await.unwrap();
+            whole
+                .write(b"POST /endpoints/disable HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-1", b"")
+                .await
+                .unwrap();
+            assert_eq!(status(&mut whole).await, 200);
+            assert_eq!(*yes.0.borrow(), ["Disable(\"s-1\")"], "answered while two others wait");
+            assert_eq!(status(&mut half).await, 408);
+            assert_eq!(status(&mut silent).await, 408);
+            let mut wrong = Link::connect(at).await.unwrap();
+            wrong.write(b"DELETE /ready HTTP/1.1\r\n\r\n", b"").await.unwrap();
+            assert_eq!(status(&mut wrong).await, 405);
+        }));
+    }
+}
--- a/courier/src/net/server.rs
+++ b/courier/src/net/server.rs
@@ -509,4 +509,39 @@
             }
         }));
     }
+
+    #[test]
+    fn a_drained_desk_says_no_when_asked_if_ready_and_closes_with_its_answer() {
+        let tasks = Rc::new(LocalExecutor::new());
+        let spawner = Spawner::new(&tasks);
+        async_io::block_on(tasks.run(async {
+            let (queue, _inputs) = async_channel::bounded(1);
+            let desk = Rc::new(Desk::new(queue, 8, Rc::default()));
+            let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+            let at = listener.get_ref().local_addr().unwrap();
+            let front = Rc::new(Relay { classes: vec![], keyed: vec![], numbers: None });
+            let patience = Patience(Duration::from_secs(5));
+            spawner.clone().spawn(serve(listener, front, desk.clone(), patience, spawner));
+            const ASK: &[u8] = b"GET /ready HTTP/1.1\r\n\r\n";
+            let mut open = Link::connect(at).await.unwrap();
+            open.write(ASK, b"").await.unwrap();
+            let head = open.head(HEAD).await.unwrap();
+            let read = http::response(&open.bytes()[..head]).unwrap();
+            assert_eq!((read.status, read.keeps), (200, true));
+            open.consume(head);
+            desk.drain(true);
+            // The idle connection is closed at the call; a new one hears no, and the end of the connection.
+            assert!(!open.fill().await.unwrap_or(false));
+            let mut late = Link::connect(at).await.unwrap();
+            late.write(ASK, b"").await.unwrap();
+            let head = late.head(HEAD).await.unwrap();
+            let read = http::response(&late.bytes()[..head]).unwrap();
+            assert_eq!((read.status, read.keeps), (503, false));
+            desk.drain(false);
+            let mut again = Link::connect(at).await.unwrap();
+            again.write(ASK, b"").await.unwrap();
+            let head = again.head(HEAD).await.unwrap();
+            assert_eq!(http::response(&again.bytes()[..head]).unwrap().status, 200);
+        }));
+    }
 }
--- a/courier/tests/core.rs
+++ b/courier/tests/core.rs
@@ -327,6 +327,18 @@
     assert!(legs(&orders).is_empty());
 }
 
+/// Operators hold a host out by hand: the list saying it serves changes nothing until they let it in again.
+#[test]
+fn a_host_held_out_gets_nothing_new_whatever_the_list_says_until_it_is_let_in() {
+    let (mut bed, _) = Bed::life(folder("held-out"), 0);
+    let held = Input::HeldOut(["h".to_owned()].into());
+    let offer = |n| Input::Offered(Ticket(n), message(&format!("m{n}"), Origin::Relay, 1, 9));
+    assert!(legs(&bed.step(10, vec![offer(1), held])).is_empty(), "held out ahead of what was queued");
+    assert!(legs(&bed.step(20, vec![list(), offer(2)])).is_empty(), "the list does not let it in");
+    let orders = bed.step(30, vec![Input::HeldOut(Default::default())]);
+    assert_eq!(legs(&orders).len(), 2, "let in, it serves both that wait: {orders:?}");
+}
+
 #[test]
 fn a_leaving_engine_begins_no_leg_and_keeps_what_it_holds() {
     let (mut bed, _) = Bed::life(folder("leaving"), 0);
--- a/courier/tests/parsers.rs
+++ b/courier/tests/parsers.rs
@@ -4,6 +4,7 @@
 use marblefall_courier::front::cloudevents::event;
 use marblefall_courier::net::discovery::List;
 use marblefall_courier::net::http::{self, Chunks, Piece};
+use marblefall_courier::net::manage::{self, Call};
 use marblefall_courier::net::pool;
 use quickcheck::{Gen, QuickCheck, Testable};
 
@@ -106,3 +107,30 @@
     }
     holds(4, 50, property as fn(Vec<u8>) -> bool);
 }
+
+#[test]
+fn operators_calls_are_read_and_garbage_is_refused_with_a_status() {
+    assert_eq!(manage::call("GET", "/ready", b""), Ok(Call::Ready));
+    assert_eq!(
+        manage::call("POST", "/endpoints/disable", b"s-5be2a07c\r\n"),
+        Ok(Call::Disable("s-5be2a07c"))
+    );
+    assert_eq!(manage::call("POST", "/endpoints/enable", b" s-1 "), Ok(Call::Enable("s-1")));
+    assert_eq!(manage::call("POST", "/drain", b""), Ok(Call::Drain));
+    assert_eq!(manage::call("POST", "/undrain", b""), Ok(Call::Undrain));
+    assert_eq!(manage::call("GET", "/drain", b""), Err(405));
+    assert_eq!(manage::call("POST", "/endpoints/disable", b""), Err(400));
+    assert_eq!(manage::call("POST", "/endpoints/disable", b"a b"), Err(400));
+    assert_eq!(manage::call("POST", "/nothing", b""), Err(404));
+    fn property(at: usize, with: Vec<u8>, cut: usize) -> bool {
+        let valid = b"POST /endpoints/disable HTTP/1.1\r\nContent-Length: 4\r\n\r\n";
+        let bytes = spoil(valid, at, &with);
+        let bytes = &bytes[..cut % (bytes.len() + 1)];
+        if let Ok(request) = http::request(bytes) {
+            let call = manage::call(request.method, request.path, &with);
+            assert!(call.is_ok() || matches!(call, Err(400 | 404 | 405)));
+        }
+        true
+    }
+    holds(9, 500, property as fn(usize, Vec<u8>, usize) -> bool);
+}
