--- a/courier/src/core/engine.rs
+++ b/courier/src/core/engine.rs
@@ -498,7 +498,8 @@
                     Known::No(past) => past,
                 };
                 let full = self.ledger.open_count() + offered.len() >= self.max_open;
-                let leaving = self.hand_over || self.stop.is_some_and(|stop| stop - now.mono <= LAST_TAKEN);
+                // What is taken on while another life waits to take over is delivered by that one.
+                let leaving = !self.hand_over && self.stop.is_some_and(|stop| stop - now.mono <= LAST_TAKEN);
                 // The list may be late, so a destination that it has not named is declined, not refused for good.
                 let unknown = !self.is_listed(authorisation.destination);
                 if unknown || full || leaving || !self.ledger.has_room(&authorisation) {
--- a/courier/src/daemon.rs
+++ b/courier/src/daemon.rs
@@ -127,6 +127,9 @@
     },
 }
 
+/// A process that hands over closes client connections that have waited so long for a request.
+const QUIET: Duration = Duration::from_millis(150);
+
 /// From SIGTERM on a process has so long.
 pub const LEAVE: Duration = Duration::from_millis(3400);
 
@@ -356,8 +359,14 @@
                 }
                 let desk = hands.desk.clone();
                 hands.tasks.spawn(async move {
-                    Timer::at(leaving).await;
-                    desk.close_idle();
+                    if !hand_over {
+                        Timer::at(leaving).await;
+                        return desk.close_idle();
+                    }
+                    loop {
+                        desk.close_quiet(QUIET);
+                        Timer::after(QUIET / 4).await;
+                    }
                 });
                 let by = hands.clock.now().mono + Span(left.as_micros() as i64);
                 hands.desk.put(Input::Stop { by, hand_over }).await;
@@ -424,7 +433,9 @@
             if let Some(by) = stop.get() {
                 let (open, out) = engine.load();
                 let (now, idle) = (Instant::now(), out == 0 && open == 0 && self.desk.connections() == 0);
-                let idle = idle || out == 0 && engine.hands_over();
+                // One that hands over also keeps what is handed in now, for the next life: it waits only for its
+                // legs and for the connections that clients still use.
+                let idle = idle || out == 0 && engine.hands_over() && self.desk.connections() == 0;
                 // Clients that have not heard of the end yet still come.
                 let closed = self.desk.leaving.get().is_some_and(|at| at <= now);
                 if now >= by || idle && closed {
--- a/courier/src/net/server.rs
+++ b/courier/src/net/server.rs
@@ -154,8 +154,13 @@
     /// Tells the connections to leave that have been idle for so long, the longest first, as far as there are
     /// more than so many.
     fn thin_out(&self, idle_for: Duration, most: usize, code: &'static str) {
+        self.thin_out_at(&[Phase::Idle], idle_for, most, code);
+    }
+
+    /// The same for connections at any of `phases`.
+    fn thin_out_at(&self, phases: &[Phase], idle_for: Duration, most: usize, code: &'static str) {
         let (seats, now) = (self.seats.borrow(), Instant::now());
-        let idle = |seat: &&Seat| seat.phase == Phase::Idle && now - seat.since >= idle_for;
+        let idle = |seat: &&Seat| phases.contains(&seat.phase) && now - seat.since >= idle_for;
         let mut idle: Vec<&Seat> = seats.values().filter(idle).collect();
         idle.sort_by_key(|seat| seat.since);
         for seat in idle.into_iter().take(seats.len().saturating_sub(most)) {
@@ -243,6 +248,13 @@
         self.seats.thin_out(Duration::ZERO, 0, "leaving");
     }
 
+    /// Ends the connections that have waited for a request for so long, as a process does that hands over: a
+    /// client that has only just been answered is likely to ask again at once, and a connection closed under
+    /// its request turns that request back unheard. The others are closed with their next answer.
+    pub fn close_quiet(&self, for_at_least: Duration) {
+        self.seats.thin_out_at(&[Phase::Silent, Phase::Idle], for_at_least, 0, "handed-over");
+    }
+
     fn ticket(&self) -> (Ticket, Receiver<Answer>) {
         let ticket = Ticket(self.next.get());
         self.next.set(ticket.0 + 1);
