--- a/courier/src/daemon.rs
+++ b/courier/src/daemon.rs
@@ -283,7 +283,6 @@
     }
     tasks.spawn(server::thin_out(desk.clone()));
     let steward = Rc::new(Steward::new(desk.clone(), news.clone(), &build.state.0));
-    steward.ready.set(true);
     if let Some(listener) = build.mgmt {
         let listener = open(listener)?;
         say!("operators call at {}", address_of(&listener));
@@ -315,7 +314,7 @@
         keep
     });
     counters.resumed.set(engine.load().0 as u64);
-    // The life before may have changed what is held out until it let go.
+    // The lives before may have changed what is held out until the last let go.
     steward.reread();
     steward.started.set(true);
     let addresses = RefCell::default();
--- a/courier/src/operators.rs
+++ b/courier/src/operators.rs
@@ -26,30 +26,20 @@
     held: RefCell<BTreeSet<String>>,
     /// The issuer hosts that are listed now, by the module's numbers.
     listed: RefCell<BTreeMap<EndpointId, String>>,
-    /// Set once clients are read.
-    pub ready: Cell<bool>,
     /// Set once the engine runs: before, nobody knows which hosts there are.
     pub started: Cell<bool>,
 }
 
 impl Steward {
-    /// One for an instance whose lasting folder is `folder`, with what an earlier life held out there.
+    /// One for an instance whose lasting folder is `folder`. What an earlier life held out there is read once
+    /// this one holds the folder: until then another life may still change it.
     pub fn new(desk: Rc<Desk>, news: Sender<Input>, folder: &Path) -> Steward {
         let path = folder.join(FILE);
-        let steward = Steward {
-            desk,
-            news,
-            path,
-            held: RefCell::default(),
-            listed: RefCell::default(),
-            ready: Cell::new(false),
-            started: Cell::new(false),
-        };
-        steward.reread();
-        steward
+        let (held, listed, started) = Default::default();
+        Steward { desk, news, path, held, listed, started }
     }
 
-    /// Reads again what is held out, as another life may have changed it, and tells the engine.
+    /// Reads what is held out, as the lives before left it, and tells the engine.
     pub fn reread(&self) {
         let held = match std::fs::read_to_string(&self.path) {
             Ok(text) => text.lines().map(str::trim).filter(|id| !id.is_empty()).map(String::from).collect(),
@@ -105,7 +95,8 @@
 impl Operators for Steward {
     fn call(&self, call: Call<'_>) -> u16 {
         match call {
-            Call::Ready if self.ready.get() && !self.desk.is_drained() => 200,
+            // Operators can call only once clients are read: the listener for calls starts after theirs.
+            Call::Ready if !self.desk.is_drained() => 200,
             Call::Ready => 503,
             Call::Disable(id) => self.hold(id, true),
             Call::Enable(id) => self.hold(id, false),
