Split the ledger's records and the engine's list and words into files of their own

Both files had grown past where one concern is found in them, and the change of lives needs room in each. Moved as they were; nothing is decided differently.

--- a/courier/src/core/engine.rs
+++ b/courier/src/core/engine.rs
@@ -1,10 +1,14 @@
 //! Owns the decision module: inputs go in, orders come out. Keeps the module's events and the ledger in step,
 //! so that everything the module is told is in the journal and everything it decides is carried out once.
 
+mod places;
+mod words;
+
+pub use words::{Host, Input, Order, Setup};
+
 use super::directory::Directory;
 use super::lately::Lately;
 use super::ledger::{Ledger, Leg};
-use super::snapshot::Record;
 use super::warmth::Warmth;
 use super::{Answer, Authorisation, End, Origin, Seq, Stamp, Ticket, Verdict};
 use marblefall_decisions as m;
@@ -17,116 +21,6 @@
 /// A repeat within a receiver's window must have arrived before it closes: left for the way there.
 const WAY: m::Span = m::Span(200_000);
 
-/// An issuer host as discovery lists it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Host {
-    /// The name that stays the same.
-    pub name: String,
-    /// Where it is reached.
-    pub address: String,
-    /// Whose it is.
-    pub destination: m::DestinationId,
-    /// Its destination's kind.
-    pub kind: m::KindId,
-    /// Where it stands.
-    pub zone: m::ZoneId,
-    /// Whether it may be used.
-    pub listing: m::Listing,
-    /// The rate that the list tells.
-    pub share: f64,
-    /// Its part of its destination's calls against the other hosts' weights, where the list gives such parts.
-    pub weight: Option<f64>,
-}
-
-/// Something that happened outside.
-#[derive(Debug)]
-pub enum Input {
-    /// A message is handed in.
-    Offered(Ticket, Authorisation),
-    /// Whoever handed it in has gone without its answer.
-    Withdrawn(Ticket),
-    /// A leg is over.
-    LegEnded {
-        /// The message.
-        seq: Seq,
-        /// Which leg of it.
-        copy: u32,
-        /// How it ended.
-        outcome: m::Outcome,
-        /// How long it was out.
-        took: m::Span,
-        /// What becomes of the message.
-        verdict: Verdict,
-        /// What its answer told of the limit.
-        report: m::Report,
-    },
-    /// The whole list of issuer hosts.
-    Listed(Vec<Host>),
-    /// Changes to it.
-    Changed(Vec<Host>),
-    /// All destinations there are, from now on. Only those in use are made known to the module.
-    Directory(Arc<Directory>),
-    /// The platform has taken the notice of a message's end.
-    NoticeTaken(Seq),
-    /// Operators keep these issuer hosts out by name, whatever the list says of them, from now on.
-    HeldOut(BTreeSet<String>),
-    /// This life ends.
-    Stop {
-        /// At this time at the latest.
-        by: m::Time,
-        /// Another one takes over once no leg is out.
-        hand_over: bool,
-    },
-}
-
-/// What is to be done outside.
-#[derive(Debug)]
-pub enum Order {
-    /// Tell a hand-in what became of it.
-    Answer(Ticket, Answer),
-    /// Start a leg.
-    Leg {
-        /// The message.
-        seq: Seq,
-        /// Which leg of it.
-        copy: u32,
-        /// Where to.
-        host: m::EndpointId,
-        /// What to send.
-        authorisation: Rc<Authorisation>,
-        /// Abandon it then.
-        cut_at: m::Time,
-        /// Its first byte goes out before then or not at all.
-        write_by: m::Time,
-    },
-    /// Stop waiting for the leg of a message.
-    Abandon(Seq),
-    /// Close idle connections to an issuer host.
-    CloseIdle(m::EndpointId),
-    /// Count an end.
-    Ended(End),
-    /// Tell the platform how a message ended, until it is taken.
-    Notice(Seq, Rc<Authorisation>, End),
-    /// What is known of an issuer host.
-    Host(m::EndpointId, Host),
-    /// An issuer host is no longer listed.
-    HostGone(m::EndpointId),
-    /// A line for those on call.
-    Log(String),
-}
-
-/// What an engine is set up with.
-pub struct Setup {
-    /// The module's settings.
-    pub settings: m::Settings,
-    /// For the module's draws.
-    pub seed: u64,
-    /// How long an ended message of the events front is remembered for each class, in milliseconds.
-    pub remember_ms: Vec<i64>,
-    /// How many of them at most.
-    pub remember_most: usize,
-}
-
 /// A message handed in within the batch at hand, and what an earlier try of it may have done.
 struct Offer {
     seq: Seq,
@@ -176,8 +70,6 @@
     out: usize,
 }
 
-/// Destinations that one step folds at most.
-const COOLED_AT_ONCE: usize = 16;
 /// How long before the end of the process the last leg is begun, and the last message taken on.
 const LAST_LEG: m::Span = m::Span(1_200_000);
 const LAST_TAKEN: m::Span = m::Span(2_200_000);
@@ -254,17 +146,6 @@
         !self.backlog.is_empty()
     }
 
-    fn host(&mut self, name: &str) -> m::EndpointId {
-        if let Some(id) = self.names.get(name) {
-            return *id;
-        }
-        let id = m::EndpointId(self.next_host);
-        self.next_host += 1;
-        self.names.insert(name.to_owned(), id);
-        self.hosts.insert(id, name.to_owned());
-        id
-    }
-
     fn handed(&self, seq: Seq, authorisation: &Authorisation, now: Stamp) -> m::Handed {
         m::Handed {
             message: m::MessageId(seq),
@@ -329,138 +210,6 @@
         self.cool(now, orders);
     }
 
-    /// Takes up another directory: what changes of destinations in use is news of the list.
-    fn redirect(
-        &mut self,
-        now: Stamp,
-        directory: Arc<Directory>,
-        events: &mut Vec<m::Event>,
-        orders: &mut Vec<Order>,
-    ) {
-        let old = self.directory.replace(directory.clone());
-        let warm: Vec<_> = self.warmth.warm().collect();
-        for id in warm {
-            let mut hosts = directory.hosts(id);
-            let was = old.as_ref().map_or_else(Vec::new, |old| old.hosts(id));
-            if hosts == was {
-                continue;
-            }
-            let gone = was.into_iter().filter(|was| !hosts.iter().any(|host| host.name == was.name));
-            let gone: Vec<_> = gone.map(|host| Host { listing: m::Listing::Gone, ..host }).collect();
-            hosts.extend(gone);
-            let listed = !hosts.iter().all(|host| host.listing == m::Listing::Gone);
-            let entries = self.listed(hosts, false, orders);
-            events.push(m::Event::Changed(entries));
-            if !listed {
-                self.destinations.remove(&id);
-            }
-        }
-        // What an earlier life took on waits for this.
-        let open = self.ledger.entries().values().filter(|entry| entry.end.is_none());
-        let open: BTreeSet<_> = open.map(|entry| entry.authorisation.destination).collect();
-        for id in open {
-            self.use_of(now, id, events, orders);
-        }
-    }
-
-    /// Makes a destination known to the module if it is not, with what is kept of it, and notes its use.
-    fn use_of(
-        &mut self,
-        now: Stamp,
-        id: m::DestinationId,
-        events: &mut Vec<m::Event>,
-        orders: &mut Vec<Order>,
-    ) {
-        let Some(directory) = self.directory.as_ref().filter(|directory| directory.entry(id).is_some())
-        else {
-            return;
-        };
-        let directory = directory.clone();
-        if self.warmth.touch(now.mono, id) {
-            let entries = self.listed(directory.hosts(id), false, orders);
-            events.push(m::Event::Changed(entries));
-            events.extend(self.warmth.recall(id).map(|cold| m::Event::Recalled(id, cold)));
-        }
-    }
-
-    /// Folds destinations that have been idle for long, a few with each step.
-    fn cool(&mut self, now: Stamp, orders: &mut Vec<Order>) {
-        for _ in 0..COOLED_AT_ONCE {
-            let Some(id) = self.warmth.idle(now.mono) else { return };
-            let Some((hosts, cold)) = self.module.fold(now.mono, id) else {
-                self.warmth.stay(now.mono, id);
-                continue;
-            };
-            self.warmth.cool(id, cold);
-            self.destinations.remove(&id);
-            for host in hosts {
-                if let Some(name) = self.hosts.remove(&host) {
-                    self.names.remove(&name);
-                }
-                self.listing.remove(&host);
-                orders.push(Order::HostGone(host));
-            }
-        }
-    }
-
-    /// How the destinations stand of which something is known, for a record that outlasts the process. Nothing where
-    /// there is no directory.
-    pub fn records(&self, now: Stamp) -> Vec<Record> {
-        let unix = |at: m::Time| now.unix_ms + (at - now.mono).0.div_euclid(1000);
-        let warm = self.warmth.warm().filter_map(|id| {
-            let standing = self.module.standing(now.mono, id)?;
-            Some(Record {
-                destination: id.0,
-                out_since_ms: standing.out_since.map(unix),
-                back_since_ms: standing.back_since.map(unix),
-                wait_until_ms: standing.wait_until.map(unix),
-                mean_ms: standing.mean_ms.map(|mean| mean as f32),
-                // Coarse: it moves with every delivery, and each change is written to disk.
-                usual: (standing.usual as f32 * 4.0).round() / 4.0,
-                held: standing.held as u32,
-                out: standing.out as u32,
-                warm: true,
-            })
-        });
-        let cold = self.warmth.cold().map(|(id, cold)| Record {
-            destination: id.0,
-            out_since_ms: cold.out_since.map(unix),
-            back_since_ms: cold.back_since.map(unix),
-            wait_until_ms: cold.wait_until.filter(|until| *until > now.mono).map(unix),
-            mean_ms: cold.mean_ms.map(|mean| mean as f32),
-            usual: cold.usual as f32,
-            ..Record::default()
-        });
-        let mut records: Vec<Record> = warm.chain(cold).collect();
-        records.sort_unstable_by_key(|record| record.destination);
-        records
-    }
-
-    /// Takes up what an earlier life knew of destinations. A restart ends a told wait; an outage that was seen is
-    /// remembered. A clock that was set back makes nothing later than now.
-    pub fn remember(&mut self, now: Stamp, records: &[Record]) {
-        let past = |ms: i64| now.mono_of(ms.min(now.unix_ms));
-        for record in records {
-            let cold = m::Cold {
-                wait_until: None,
-                out_since: record.out_since_ms.map(past),
-                back_since: record.back_since_ms.map(past),
-                mean_ms: record.mean_ms.map(f64::from).filter(|mean| mean.is_finite() && *mean > 0.0),
-                usual: Some(f64::from(record.usual))
-                    .filter(|usual| usual.is_finite())
-                    .unwrap_or(0.0)
-                    .max(0.0),
-            };
-            self.warmth.keep(record.id(), cold);
-        }
-    }
-
-    /// Whether a destination could be served now or, as far as is known, later.
-    fn is_listed(&self, id: m::DestinationId) -> bool {
-        let listed = |directory: &Arc<Directory>| directory.places(id).next().is_some();
-        self.destinations.contains(&id) || self.directory.as_ref().is_some_and(listed)
-    }
-
     fn take(
         &mut self,
         now: Stamp,
@@ -566,15 +315,6 @@
         }
     }
 
-    /// Takes up which hosts operators keep out, and tells the module anew of those that it changes.
-    fn hold_out(&mut self, names: BTreeSet<String>, orders: &mut Vec<Order>) -> Vec<m::Entry> {
-        let changed: Vec<String> = names.symmetric_difference(&self.held_out).cloned().collect();
-        self.held_out = names;
-        let listed = changed.iter().filter_map(|name| self.names.get(name));
-        let hosts: Vec<Host> = listed.filter_map(|id| self.listing.get(id).cloned()).collect();
-        self.listed(hosts, false, orders)
-    }
-
     /// Whether a hand-in repeats an earlier one.
     fn known(&self, authorisation: &Authorisation, offered: &[Offer]) -> Known {
         let events = authorisation.origin == Origin::Events;
@@ -757,46 +497,6 @@
         }
         log_fault(self.ledger.forget(seq), orders);
     }
-
-    fn listed(&mut self, hosts: Vec<Host>, whole: bool, orders: &mut Vec<Order>) -> Vec<m::Entry> {
-        let mut entries = Vec::new();
-        for mut host in hosts {
-            let endpoint = self.host(&host.name);
-            self.destinations.insert(host.destination);
-            match host.listing {
-                m::Listing::Gone => drop(self.listing.remove(&endpoint)),
-                _ => drop(self.listing.insert(endpoint, host.clone())),
-            }
-            if host.listing == m::Listing::On && self.held_out.contains(&host.name) {
-                host.listing = m::Listing::Draining;
-            }
-            entries.push(m::Entry {
-                endpoint,
-                destination: host.destination,
-                kind: host.kind,
-                zone: host.zone,
-                listing: host.listing,
-                share: host.share,
-                weight: host.weight,
-            });
-            orders.push(Order::Host(endpoint, host));
-        }
-        let listed = |entry: &&m::Entry| entry.listing != m::Listing::Gone;
-        let kept: BTreeSet<_> = entries.iter().filter(listed).map(|entry| entry.endpoint).collect();
-        let gone: Vec<_> = match whole {
-            true => self.hosts.keys().copied().filter(|id| !kept.contains(id)).collect(),
-            false => entries.iter().filter(|entry| !listed(entry)).map(|entry| entry.endpoint).collect(),
-        };
-        // Hosts come under new names for as long as the process runs: what is gone must leave nothing behind.
-        for id in gone {
-            if let Some(name) = self.hosts.remove(&id) {
-                self.names.remove(&name);
-            }
-            self.listing.remove(&id);
-            orders.push(Order::HostGone(id));
-        }
-        entries
-    }
 }
 
 /// A journal that does not take a note is said; the message goes on as far as memory carries it.
