--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -2,6 +2,8 @@
 //! client. All waits are for a condition, within a bound that only a failure meets.
 #![allow(dead_code)]
 
+pub mod platform;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
--- a/cli/tests/relay.rs
+++ b/cli/tests/relay.rs
@@ -2,108 +2,11 @@
 
 mod common;
 
+use common::platform::*;
 use common::*;
-use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 
-/// Discovery with its watch and notices; the first notices are not taken.
-struct Discovery {
-    server: StandIn,
-    lines: Arc<Mutex<Vec<u8>>>,
-    told: Arc<Mutex<Vec<String>>>,
-}
-
-impl Discovery {
-    fn start(refusals: usize) -> Discovery {
-        let (lines, told) = (Arc::<Mutex<Vec<u8>>>::default(), Arc::<Mutex<Vec<String>>>::default());
-        let (stream, notices, left) = (lines.clone(), told.clone(), Mutex::new(refusals));
-        let server = StandIn::start(move |message| {
-            if message.first.starts_with("GET /v1/endpoints?follow=1&since=") {
-                return Act::Stream(stream.clone());
-            }
-            assert_eq!(message.first, "POST /status HTTP/1.1");
-            let mut left = left.lock().unwrap();
-            if *left > 0 {
-                *left -= 1;
-                return Act::Drop;
-            }
-            notices.lock().unwrap().push(String::from_utf8(message.body.clone()).unwrap());
-            Act::Answer(204, String::new())
-        });
-        Discovery { server, lines, told }
-    }
-
-    fn told(&self) -> String {
-        self.told.lock().unwrap().concat()
-    }
-}
-
-fn member(at: SocketAddr, phase: &str) -> String {
-    format!(
-        r#"{{"id":"s-1","host_port":"{at}","locality":"a","flavor":"clinic","cell":3,"phase":"{phase}","size":4.0,"up_since_ms":0}}"#
-    )
-}
-
-const SETTINGS: &str = r#"{"caps":{"conn_idle_ms":10000.0,"dial_timeout_ms":500.0,"max_attempts":8,"max_open":40,
-    "max_retry_after_ms":3000.0,"may_cancel":true,"retry_after":true,"streams_per_conn":1},
-    "classes":[{"dedup_scope":"all","effect":"token","give_up_ms":24000.0,"importance":1.0,"late_value":0.3,
-    "name":"refill-order","promise_ms":2500.0,"window_ms":WINDOW},{"dedup_scope":"all","effect":"pure",
-    "give_up_ms":20000.0,"importance":2.0,"late_value":0.1,"name":"refill-status","promise_ms":1000.0}],
-    "domain":{"kind_apart":[false],"late":"line","per_call":[1],"toll":[0.0],"workers":9},
-    "host_types":["clinic"],"peers_total":1,"rules":{"cold_from":0.27,"cold_ms":10000.0,"fall_multiple":1.5,
-    "tip_after_ms":2000.0},"tick_ms":5.0,"weights":"rough","zones":["a"]}"#;
-
-struct Site {
-    folder: Folder,
-    discovery: Discovery,
-    host: SocketAddr,
-    window_ms: String,
-}
-
-impl Site {
-    fn new(name: &str, host: SocketAddr, window_ms: &str, refusals: usize) -> Site {
-        let (folder, discovery) = (Folder::new(name), Discovery::start(refusals));
-        let site = Site { folder, discovery, host, window_ms: window_ms.to_owned() };
-        site.configure(&site.discovery);
-        site
-    }
-
-    /// Writes the configuration, with discovery at some place.
-    fn configure(&self, discovery: &Discovery) {
-        let settings = SETTINGS.replace("WINDOW", &self.window_ms);
-        let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":256,"disk_mb":3}},
-            "known":{{"revision":41,"complete":true,"members":[{}]}},"settings":{settings}}}"#,
-            discovery.server.at,
-            member(self.host, "SERVING"),
-        );
-        self.folder.file("config.json", &config);
-    }
-
-    fn start(&self) -> Program {
-        let (config, state) = (self.folder.0.join("config.json"), self.folder.0.join("state"));
-        // The environment keeps naming the first address, whatever the file says later.
-        let at = self.discovery.server.at.to_string();
-        let env = [("RELAY_CONFIG", text(&config)), ("RELAY_STATE", text(&state)), ("RELAY_DISCOVERY", &at)];
-        Program::start(&[], &env)
-    }
-}
-
-const MARKER: &str = "listens at ";
-
-fn hand(to: SocketAddr, id: &str, class: &str, budget: &str) -> Option<Message> {
-    let fields = [
-        ("X-Call-Id", id),
-        ("X-Call-Class", class),
-        ("X-Budget-Ms", budget),
-        ("X-Envelope", "dest=3"),
-        ("Idempotency-Key", &format!("key-of-{id}")),
-    ];
-    post(to, "/api", &fields, b"two boxes\0\xff")
-}
-
 #[test]
 fn a_message_passes_unchanged_and_the_program_ends_cleanly() {
     let host = StandIn::start(|_| ok());
--- a/courier/src/core/engine.rs
+++ b/courier/src/core/engine.rs
@@ -1,6 +1,7 @@
 //! Owns the decision module: inputs go in, orders come out. Keeps the module's events and the ledger in step,
 //! so that everything the module is told is in the journal and everything it decides is carried out once.
 
+mod lives;
 mod places;
 mod words;
 
@@ -8,9 +9,10 @@
 
 use super::directory::Directory;
 use super::lately::Lately;
-use super::ledger::{Ledger, Leg};
+use super::ledger::{Ledger, Leg, TakenUp};
 use super::warmth::Warmth;
 use super::{Answer, Authorisation, End, Origin, Seq, Stamp, Ticket, Verdict};
+use lives::Stage;
 use marblefall_decisions as m;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
@@ -65,7 +67,11 @@
     /// Events that the next batch starts with: what became clear only while a batch was carried out.
     backlog: Vec<m::Event>,
     stop: Option<m::Time>,
-    hand_over: bool,
+    stage: Stage,
+    /// Messages whose leg is out at another life, which the module knows ...
+    away: BTreeSet<Seq>,
+    /// ... and those which it is not told of before, as their host is not listed any more.
+    parked: BTreeSet<Seq>,
     quiet: bool,
     out: usize,
 }
@@ -75,8 +81,15 @@
 const LAST_TAKEN: m::Span = m::Span(2_200_000);
 
 impl Engine {
-    /// Takes up what the ledger holds from an earlier life; owed notices are ordered at once.
+    /// Serves at once, with what the ledger holds from earlier lives; owed notices are ordered at once.
     pub fn new(setup: Setup, ledger: Ledger, now: Stamp, orders: &mut Vec<Order>) -> Engine {
+        let mut engine = Engine::beside(setup, ledger);
+        engine.serve(now, &TakenUp::default(), orders);
+        engine
+    }
+
+    /// Stands beside another life: takes messages on, and decides nothing until it is told to take up.
+    pub fn beside(setup: Setup, ledger: Ledger) -> Engine {
         let mut settings = setup.settings;
         let classes = settings.classes.clone();
         for class in &mut settings.classes {
@@ -85,7 +98,7 @@
             }
         }
         let max_open = settings.caps.max_open;
-        let mut engine = Engine {
+        Engine {
             module: m::Courier::new(settings, setup.seed),
             ledger,
             classes,
@@ -105,29 +118,19 @@
             wakes: BTreeSet::new(),
             backlog: Vec::new(),
             stop: None,
-            hand_over: false,
+            stage: Stage::Beside,
+            away: BTreeSet::new(),
+            parked: BTreeSet::new(),
             quiet: false,
             out: 0,
-        };
-        let found: Vec<Seq> = engine.ledger.entries().keys().copied().collect();
-        for seq in found {
-            let entry = engine.ledger.entries()[&seq].clone();
-            match entry.end {
-                Some(end) if entry.owed => orders.push(Order::Notice(seq, entry.authorisation, end)),
-                Some(_) => {}
-                None => {
-                    let ran = entry.ran.map(|leg| (now.mono_of(leg.at_ms), engine.host(&leg.host)));
-                    let handed = engine.handed(seq, &entry.authorisation, now);
-                    let past = m::Past { attempts: entry.attempts, ran };
-                    engine.backlog.push(m::Event::Resumed(handed, past));
-                }
-            }
         }
-        engine
     }
 
     /// When the engine wants to be stepped even if nothing comes in.
     pub fn next_wake(&self) -> Option<m::Time> {
+        if self.stage != Stage::Serving {
+            return None;
+        }
         self.wakes.first().map(|(at, _)| *at).into_iter().chain(self.warmth.next_due()).min()
     }
 
@@ -136,11 +139,6 @@
         (self.ledger.open_count(), self.out)
     }
 
-    /// Whether another life takes over once no leg is out.
-    pub fn hands_over(&self) -> bool {
-        self.hand_over
-    }
-
     /// Whether an earlier life left messages that the module has not seen yet.
     pub fn has_backlog(&self) -> bool {
         !self.backlog.is_empty()
@@ -159,34 +157,18 @@
 
     /// Takes what came in since the last step, lets the module decide, and says what is to be done.
     pub fn step(&mut self, now: Stamp, inputs: Vec<Input>, orders: &mut Vec<Order>) {
+        if self.stage != Stage::Serving || inputs.iter().any(lives::is_change) {
+            return self.step_between_lives(now, inputs, orders);
+        }
+        self.decide(now, inputs, orders);
+    }
+
+    /// A step of the life that decides.
+    fn decide(&mut self, now: Stamp, inputs: Vec<Input>, orders: &mut Vec<Order>) {
         self.lately.sweep(now.mono);
         let mut events = Vec::new();
         let mut offered = Vec::new();
-        // News of the list goes first: nothing queued behind it may go to a host that drains.
-        let is_news = |input: &Input| {
-            matches!(input, Input::Listed(_) | Input::Changed(_) | Input::Directory(_) | Input::HeldOut(_))
-        };
-        let (news, rest): (Vec<_>, Vec<_>) = inputs.into_iter().partition(is_news);
-        for input in news {
-            match input {
-                Input::Listed(hosts) => {
-                    let entries = self.listed(hosts, true, orders);
-                    events.push(m::Event::Listed(entries));
-                }
-                Input::Changed(hosts) => {
-                    let entries = self.listed(hosts, false, orders);
-                    events.push(m::Event::Changed(entries));
-                }
-                Input::Directory(directory) => self.redirect(now, directory, &mut events, orders),
-                Input::HeldOut(names) => {
-                    let entries = self.hold_out(names, orders);
-                    if !entries.is_empty() {
-                        events.push(m::Event::Changed(entries));
-                    }
-                }
-                _ => {}
-            }
-        }
+        let rest = self.take_news(now, inputs, &mut events, orders);
         events.append(&mut self.backlog);
         for input in rest {
             self.take(now, input, &mut events, &mut offered, orders);
@@ -195,7 +177,7 @@
             self.wakes.remove(&(at, token));
             events.push(m::Event::Due(token));
         }
-        self.quiet |= self.hand_over || self.stop.is_some_and(|stop| stop - now.mono <= LAST_LEG);
+        self.quiet |= self.stop.is_some_and(|stop| stop - now.mono <= LAST_LEG);
         if self.quiet {
             // A list without hosts keeps the module from beginning what could not finish in this life.
             events.push(m::Event::Listed(Vec::new()));
@@ -246,9 +228,11 @@
                     Known::Says(answer) => return orders.push(Order::Answer(ticket, answer)),
                     Known::No(past) => past,
                 };
-                let full = self.ledger.open_count() + offered.len() >= self.max_open;
-                // What is taken on while another life waits to take over is delivered by that one.
-                let leaving = !self.hand_over && self.stop.is_some_and(|stop| stop - now.mono <= LAST_TAKEN);
+                let full = self.stage != Stage::HandedOver
+                    && self.ledger.open_count() + offered.len() >= self.max_open;
+                // What is taken on while another life decides is delivered by that one.
+                let serving = self.stage == Stage::Serving;
+                let leaving = serving && self.stop.is_some_and(|stop| stop - now.mono <= LAST_TAKEN);
                 // The list may be late, so a destination that it has not named is declined, not refused for good.
                 let unknown = !self.is_listed(authorisation.destination);
                 if unknown || full || leaving || !self.ledger.has_room(&authorisation) {
@@ -261,7 +245,7 @@
                     None => m::Event::Accepted(handed),
                     Some(leg) => {
                         let ran = Some((now.mono_of(leg.at_ms), self.host(&leg.host)));
-                        m::Event::Resumed(handed, m::Past { attempts: 0, ran })
+                        m::Event::Resumed(handed, m::Past { attempts: 0, ran, out: None })
                     }
                 });
                 self.waiting.insert(seq, vec![ticket]);
@@ -282,6 +266,7 @@
             }
             Input::LegEnded { seq, copy, outcome, took, verdict, report } => {
                 self.out = self.out.saturating_sub(1);
+                self.note_wait(now, seq, outcome, orders);
                 if let Some(id) = self.ledger.get(seq).map(|entry| entry.authorisation.destination) {
                     self.use_of(now, id, events, orders);
                 }
@@ -306,12 +291,13 @@
             Input::NoticeTaken(seq) => {
                 self.over(now, seq, orders);
             }
-            Input::Stop { by, hand_over } => {
+            Input::Stop { by, .. } => {
                 self.stop = Some(by);
-                self.hand_over = hand_over;
                 self.wakes.insert((by - LAST_LEG, u64::MAX));
             }
+            // News of the list is taken before; what goes between lives, in a step of its own.
             Input::Listed(_) | Input::Changed(_) | Input::Directory(_) | Input::HeldOut(_) => {}
+            Input::TakeUp { .. } | Input::Follow | Input::Settle(_) | Input::Adopt(_) => {}
         }
     }
 
--- a/courier/src/core/engine/places.rs
+++ b/courier/src/core/engine/places.rs
@@ -1,7 +1,7 @@
 //! The engine's view of issuer hosts and destinations: the list, what operators hold out, which destinations are in
 //! use, and what is kept of those that are not.
 
-use super::{Engine, Host, Order};
+use super::{Engine, Host, Input, Order};
 use crate::core::directory::Directory;
 use crate::core::snapshot::Record;
 use crate::core::Stamp;
@@ -13,6 +13,42 @@
 const COOLED_AT_ONCE: usize = 16;
 
 impl Engine {
+    /// Takes what is news of the list, which goes first: nothing queued behind it may go to a host that drains. The other
+    /// inputs are given back.
+    pub(super) fn take_news(
+        &mut self,
+        now: Stamp,
+        inputs: Vec<Input>,
+        events: &mut Vec<m::Event>,
+        orders: &mut Vec<Order>,
+    ) -> Vec<Input> {
+        let is_news = |input: &Input| {
+            matches!(input, Input::Listed(_) | Input::Changed(_) | Input::Directory(_) | Input::HeldOut(_))
+        };
+        let (news, rest): (Vec<_>, Vec<_>) = inputs.into_iter().partition(is_news);
+        for input in news {
+            match input {
+                Input::Listed(hosts) => {
+                    let entries = self.listed(hosts, true, orders);
+                    events.push(m::Event::Listed(entries));
+                }
+                Input::Changed(hosts) => {
+                    let entries = self.listed(hosts, false, orders);
+                    events.push(m::Event::Changed(entries));
+                }
+                Input::Directory(directory) => self.redirect(now, directory, events, orders),
+                Input::HeldOut(names) => {
+                    let entries = self.hold_out(names, orders);
+                    if !entries.is_empty() {
+                        events.push(m::Event::Changed(entries));
+                    }
+                }
+                _ => {}
+            }
+        }
+        rest
+    }
+
     pub(super) fn host(&mut self, name: &str) -> m::EndpointId {
         if let Some(id) = self.names.get(name) {
             return *id;
--- a/courier/src/core/engine/words.rs
+++ b/courier/src/core/engine/words.rs
@@ -1,6 +1,7 @@
 //! What goes into the engine and what comes out: types only.
 
 use crate::core::directory::Directory;
+use crate::core::journal::Generation;
 use crate::core::{Answer, Authorisation, End, Seq, Ticket, Verdict};
 use marblefall_decisions as m;
 use std::collections::BTreeSet;
@@ -60,11 +61,25 @@
     NoticeTaken(Seq),
     /// Operators keep these issuer hosts out by name, whatever the list says of them, from now on.
     HeldOut(BTreeSet<String>),
+    /// This life decides from now on: it takes up what earlier ones left.
+    TakeUp {
+        /// Those that still run and have handed over.
+        living: Vec<Generation>,
+        /// The first of those that ran when this one began.
+        beside: Option<Generation>,
+    },
+    /// Lives that have handed over may have written more.
+    Follow,
+    /// A life that was followed has ended.
+    Settle(Generation),
+    /// A life that came up beside this one ended before it took over: this one goes on under a later generation, with
+    /// what that one had taken on.
+    Adopt(Generation),
     /// This life ends.
     Stop {
         /// At this time at the latest.
         by: m::Time,
-        /// Another one takes over once no leg is out.
+        /// Another one takes over, beside this one or after it.
         hand_over: bool,
     },
 }
@@ -101,6 +116,10 @@
     Host(m::EndpointId, Host),
     /// An issuer host is no longer listed.
     HostGone(m::EndpointId),
+    /// This life decides from now on, with so many messages of earlier ones.
+    TookUp(usize),
+    /// This life decides no more: another one may take up.
+    HandedOver,
     /// A line for those on call.
     Log(String),
 }
--- a/courier/src/core/ledger.rs
+++ b/courier/src/core/ledger.rs
@@ -1,7 +1,12 @@
 //! The state of every message the courier has taken on, kept in memory and in the journal alike. A message
 //! has exactly one end here; one that ended stays until its notice was taken and no repeat can harm.
 
-use super::journal::Journal;
+mod lives;
+
+use lives::Place;
+pub use lives::{Known, TakenUp, Told};
+
+use super::journal::{self, Generation, Journal, Tail};
 use super::record::Record;
 use super::{Authorisation, End, Seq};
 use marblefall_decisions::DestinationId;
@@ -65,7 +70,9 @@
 /// All messages of one courier.
 pub struct Ledger {
     journal: Journal,
+    /// Bytes that this life's part of the journal may take; beyond `soft` it is compacted.
     budget: u64,
+    soft: u64,
     entries: BTreeMap<Seq, Entry>,
     /// The segment that holds each message's latest full record.
     places: BTreeMap<Seq, u64>,
@@ -80,48 +87,26 @@
     /// What these take of what is live.
     remembered_cost: u64,
     classes: Vec<String>,
+    /// Waits that hosts told which still run, until a Unix time in milliseconds.
+    waits: BTreeMap<(DestinationId, String), i64>,
+    /// The logs of lives that have handed over and still run.
+    tails: Vec<Tail>,
+    place: Place,
+    /// What this life's part may take while it is the only one.
+    alone: u64,
 }
 
 impl Ledger {
-    /// Opens the journal in a folder that may hold `disk` bytes, and reads what an earlier life left. Classes
-    /// are journalled by name, as their order may change between two lives.
+    /// Opens the journal in a folder that may hold `disk` bytes and that no other life writes to, and reads what earlier
+    /// ones left. Classes are journalled by name, as their order may change between two lives.
+    ///
+    /// # Errors
+    /// Of the disk.
     pub fn open(dir: &Path, disk: u64, classes: Vec<String>) -> io::Result<Ledger> {
-        let (mut entries, mut places, mut next) = (BTreeMap::<Seq, Entry>::new(), BTreeMap::new(), 1);
-        let journal = Journal::open(dir, SEGMENT, |segment, payload| {
-            let Some((seq, record)) = Record::decode(payload, &classes) else { return };
-            next = next.max(seq + 1);
-            if matches!(record, Record::Full(_)) {
-                places.insert(seq, segment);
-            }
-            record.apply(seq, &mut entries);
-        })?;
-        places.retain(|seq, _| entries.contains_key(seq));
-        for entry in entries.values_mut() {
-            // A leg that was out when the process ended may have run.
-            if let Some(leg) = entry.out.take() {
-                entry.ran.get_or_insert(leg);
-            }
-        }
-        let (identities, keys, live, open, remembered, remembered_cost) = Default::default();
-        let budget = disk.saturating_sub(MARGIN);
-        let mut ledger = Ledger {
-            journal,
-            budget,
-            entries,
-            places,
-            identities,
-            keys,
-            live,
-            open,
-            next,
-            remembered,
-            remembered_cost,
-            classes,
-        };
-        let found: Vec<Seq> = ledger.entries.keys().copied().collect();
-        for seq in found {
-            ledger.index(seq);
-        }
+        std::fs::create_dir_all(dir)?;
+        let latest = journal::segments(dir)?.last().map_or(Generation(0), |last| Generation::of(*last));
+        let mut ledger = Ledger::begin(dir, disk, classes, latest.next())?;
+        ledger.take_up(&[], None)?;
         Ok(ledger)
     }
 
@@ -181,11 +166,7 @@
 
     /// What live records may take.
     fn room(&self) -> u64 {
-        self.soft() * LIVE_PART / 100
-    }
-
-    fn soft(&self) -> u64 {
-        self.budget.saturating_sub(2 * SEGMENT)
+        self.soft * LIVE_PART / 100
     }
 
     /// A number for a message; not used again even if it is never taken on.
@@ -256,7 +237,16 @@
 
     /// Forgets a message altogether.
     pub fn forget(&mut self, seq: Seq) -> io::Result<()> {
-        let Some(entry) = self.entries.get(&seq) else { return Ok(()) };
+        if !self.entries.contains_key(&seq) {
+            return Ok(());
+        }
+        self.unindex(seq);
+        self.note(seq, Record::Forgotten)
+    }
+
+    /// Undoes [`Ledger::index`].
+    fn unindex(&mut self, seq: Seq) {
+        let entry = &self.entries[&seq];
         let a = entry.authorisation.clone();
         self.open -= usize::from(entry.end.is_none());
         if self.remembered.remove(&(entry.keep_until_ms, seq)) {
@@ -273,12 +263,12 @@
             self.keys.remove(&key);
         }
         self.places.remove(&seq);
-        self.note(seq, Record::Forgotten)
     }
 
     /// Forgets what ended so long ago that no repeat can harm, and the oldest beyond a number of them or beyond
     /// half of the room: what is remembered must not keep new messages out.
     pub fn sweep(&mut self, now_ms: i64, most: usize) -> io::Result<()> {
+        self.waits.retain(|_, until| *until > now_ms);
         while let Some(&(until, seq)) = self.remembered.first() {
             let much = self.remembered.len() > most || self.remembered_cost > self.room() / 2;
             if until > now_ms && !much {
@@ -301,7 +291,9 @@
 
     fn write(&mut self, payload: &[u8]) -> io::Result<u64> {
         for _ in 0..self.journal.segments() {
-            if self.journal.size() + (payload.len() as u64) <= self.soft() || !self.clean()? {
+            let fits = self.journal.size() + payload.len() as u64 <= self.soft;
+            // Another life reads what this one has handed over.
+            if fits || self.place == Place::HandedOver || !self.clean()? {
                 break;
             }
         }
@@ -322,6 +314,10 @@
             self.places.insert(seq, segment);
         }
         self.journal.drop_oldest()?;
+        // What was told may have stood there; there are no more of these than hosts.
+        for ((destination, host), until) in self.waits.clone() {
+            self.journal.append(&Record::Told(destination, host, until).encode(0, &self.classes))?;
+        }
         Ok(true)
     }
 }
--- a/courier/src/core/mod.rs
+++ b/courier/src/core/mod.rs
@@ -7,7 +7,7 @@
 pub mod journal;
 pub mod lately;
 pub mod ledger;
-mod record;
+pub mod record;
 pub mod snapshot;
 pub mod warmth;
 
--- a/courier/src/core/record.rs
+++ b/courier/src/core/record.rs
@@ -1,8 +1,8 @@
 //! What a record of the journal says, and how it is spelled.
 
 use super::ledger::{Entry, Leg};
-use super::{Authorisation, End, Origin, Seq};
-use marblefall_decisions::{ClassId, DestinationId};
+use super::{Authorisation, End, Origin, Seq, Verdict};
+use marblefall_decisions::{ClassId, Cold, DestinationId, Outcome, Report, Span, Time};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -14,6 +14,37 @@
     Ended(End, bool, i64),
     Forgotten,
     Alias(Vec<u8>),
+    /// A destination's host told to be left alone until a Unix time in milliseconds. Of no message.
+    Told(DestinationId, String, i64),
+    /// How a leg ended that a life began which has handed its messages over since.
+    Closed(Box<Closed>),
+    /// How a route stands, its host named where it is a route of its own; times are Unix times in microseconds. Of no
+    /// message.
+    Known(DestinationId, Option<String>, Cold),
+}
+
+/// The end of a leg, told by the life that began it to the one that decides now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Closed {
+    /// Which leg of its message.
+    pub copy: u32,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// How long it was out.
+    pub took: Span,
+    /// What becomes of the message.
+    pub verdict: Verdict,
+    /// What its answer told of the limit.
+    pub report: Report,
+    /// Unix time in milliseconds until which the message is remembered if that was its end.
+    pub keep_until_ms: i64,
+}
+
+impl Closed {
+    /// Whether the leg may have run.
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self.outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot)
+    }
 }
 
 impl Record {
@@ -47,6 +78,21 @@
                 (entry.end, entry.owed, entry.keep_until_ms) = (Some(end), owed, keep_until_ms);
             }
             Record::Alias(identity) => entry.aliases.push(identity),
+            Record::Closed(closed) => {
+                // Read again by a later life: the one that it was told to may have taken it up, or died before.
+                let Some(leg) = entry.out.take() else { return };
+                if closed.may_have_run() {
+                    entry.ran.get_or_insert(leg);
+                }
+                let over = closed.outcome == Outcome::Delivered || closed.verdict == Verdict::Over;
+                if over && entry.authorisation.origin == Origin::Relay {
+                    entries.remove(&seq);
+                } else if closed.outcome == Outcome::Delivered {
+                    Record::Ended(End::Delivered, false, closed.keep_until_ms).apply(seq, entries);
+                }
+            }
+            // Of no message.
+            Record::Told(..) | Record::Known(..) => {}
             Record::Forgotten => {
                 entries.remove(&seq);
             }
@@ -85,6 +131,30 @@
             Record::Alias(identity) => {
                 out.byte(6).bytes(identity);
             }
+            Record::Told(destination, host, until) => {
+                out.byte(7).number(destination.0 as i64).bytes(host.as_bytes()).number(*until);
+            }
+            Record::Closed(closed) => {
+                let (kind, wait) = match closed.outcome {
+                    Outcome::Full(wait) => (2, wait),
+                    other => (OUTCOMES.iter().position(|known| *known == other).unwrap_or(0) as u8, None),
+                };
+                let verdict = VERDICTS.iter().position(|known| *known == closed.verdict).unwrap_or(0);
+                out.byte(8)
+                    .number(closed.copy.into())
+                    .byte(kind)
+                    .option(wait, |out, wait| out.number(wait.0));
+                out.number(closed.took.0).byte(verdict as u8).number(closed.keep_until_ms);
+                out.option(closed.report.left, Out::real).option(closed.report.limit, Out::real);
+            }
+            Record::Known(destination, host, cold) => {
+                out.byte(9).number(destination.0 as i64);
+                out.option(host.as_ref(), |out, host| out.bytes(host.as_bytes()));
+                for at in [cold.wait_until, cold.out_since, cold.back_since] {
+                    out.option(at, |out, at| out.number(at.0));
+                }
+                out.option(cold.mean_ms, Out::real).real(cold.usual);
+            }
         }
         out.0
     }
@@ -129,12 +199,49 @@
             3 => Record::Ended(from.end()?, from.byte()? == 1, from.number()?),
             5 => Record::Forgotten,
             6 => Record::Alias(from.bytes()?),
+            7 => Record::Told(DestinationId(from.number()? as u64), from.text()?, from.number()?),
+            8 => {
+                let (copy, kind) = (from.number()? as u32, from.byte()?);
+                let wait = from.option(From::number)?.map(Span);
+                let outcome = *OUTCOMES.get(kind as usize)?;
+                Record::Closed(Box::new(Closed {
+                    copy,
+                    outcome: if let Outcome::Full(_) = outcome { Outcome::Full(wait) } else { outcome },
+                    took: Span(from.number()?),
+                    verdict: *VERDICTS.get(from.byte()? as usize)?,
+                    keep_until_ms: from.number()?,
+                    report: Report { left: from.option(From::real)?, limit: from.option(From::real)? },
+                }))
+            }
+            9 => {
+                let (destination, host) = (from.number()? as u64, from.option(From::text)?);
+                let mut time = || from.option(|from| from.number().map(Time));
+                let (wait_until, out_since, back_since) = (time()?, time()?, time()?);
+                let (mean_ms, usual) = (from.option(From::real)?, from.real()?);
+                let cold = Cold { wait_until, out_since, back_since, mean_ms, usual };
+                Record::Known(DestinationId(destination), host, cold)
+            }
             _ => return None,
         };
         Some((seq, record))
     }
 }
 
+/// Outcomes in the order of their numbers in the journal.
+const OUTCOMES: [Outcome; 9] = [
+    Outcome::Delivered,
+    Outcome::Error,
+    Outcome::Full(None),
+    Outcome::TimedOut,
+    Outcome::ConnectFailed,
+    Outcome::Reset,
+    Outcome::Stale,
+    Outcome::Cancelled,
+    Outcome::Moot,
+];
+/// Verdicts in the order of theirs.
+const VERDICTS: [Verdict; 3] = [Verdict::Open, Verdict::Over, Verdict::Failed];
+
 struct Out(Vec<u8>);
 
 impl Out {
@@ -154,6 +261,10 @@
         self
     }
 
+    fn real(&mut self, real: f64) -> &mut Out {
+        self.number(real.to_bits() as i64)
+    }
+
     fn option<T>(&mut self, value: Option<T>, put: impl FnOnce(&mut Out, T) -> &mut Out) -> &mut Out {
         match value {
             None => self.byte(0),
@@ -198,6 +309,14 @@
         self.take(len as usize).map(<[u8]>::to_vec)
     }
 
+    fn real(&mut self) -> Option<f64> {
+        self.number().map(|bits| f64::from_bits(bits as u64)).filter(|real| real.is_finite())
+    }
+
+    fn text(&mut self) -> Option<String> {
+        String::from_utf8(self.bytes()?).ok()
+    }
+
     fn option<T>(&mut self, get: impl FnOnce(&mut Self) -> Option<T>) -> Option<Option<T>> {
         match self.byte()? {
             0 => Some(None),
@@ -206,7 +325,7 @@
     }
 
     fn leg(&mut self) -> Option<Leg> {
-        Some(Leg { at_ms: self.number()?, host: String::from_utf8(self.bytes()?).ok()? })
+        Some(Leg { at_ms: self.number()?, host: self.text()? })
     }
 
     fn end(&mut self) -> Option<End> {
--- a/courier/src/daemon.rs
+++ b/courier/src/daemon.rs
@@ -9,13 +9,14 @@
 use crate::front::cloudevents::{self, Events, Target};
 use crate::front::relay::{self, Relay};
 use crate::keep::Keep;
+use crate::life::drive;
+use crate::life::folder::Life;
 use crate::net::discovery::{self, Home, Names};
 use crate::net::pool::{Call, Ended, Limits, Pool};
 use crate::net::server::{self, unix_ms, Desk, Patience, Spawner};
 use crate::net::{listen, manage};
 use crate::operators::Steward;
 use crate::say;
-use crate::turn::Turn;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -88,8 +89,6 @@
     pub relay: Option<RelayPart>,
     /// The events front, if it is on.
     pub events: Option<(TcpListener, Events)>,
-    /// Whether another life of the process may hold the lasting folder: this one then waits for it.
-    pub turn: bool,
     /// Where operators call, if anywhere.
     pub mgmt: Option<TcpListener>,
 }
@@ -122,13 +121,19 @@
     Stop {
         /// As late as this from now.
         left: Duration,
-        /// Another life takes over as soon as no leg is out: none is begun any more.
-        hand_over: bool,
+        /// Another life is started once this one has ended: no leg is begun any more.
+        goes_on: bool,
     },
 }
 
-/// A process that hands over closes client connections that have waited so long for a request.
+/// An instance that is to be started again closes client connections that have waited so long for a request.
 const QUIET: Duration = Duration::from_millis(150);
+/// One that another process has taken over from answers on those that clients keep, each for the last time. So long
+/// after it was told to end it begins to close those that have waited for a while ...
+const SEE_OUT: Duration = Duration::from_millis(2200);
+const QUIET_LATE: Duration = Duration::from_millis(400);
+/// ... and closes what still waits.
+const SEEN_OUT: Duration = Duration::from_millis(3100);
 
 /// From SIGTERM on a process has so long.
 pub const LEAVE: Duration = Duration::from_millis(3400);
@@ -175,15 +180,13 @@
         hosts,
         relay: Some(relay),
         events: None,
-        turn: true,
         mgmt,
     };
     let (signalled, heard) = async_channel::unbounded();
     let (commands, told) = async_channel::unbounded();
     let _span = instance_span(&build.name).entered();
     let tasks = Rc::new(LocalExecutor::new());
-    let folder = build.state.0.clone();
-    tasks.spawn(watch_signals(signals, signalled, move || Turn::awaited(&folder))).detach();
+    tasks.spawn(watch_signals(signals, signalled)).detach();
     tasks.spawn(reread(heard, commands)).detach();
     async_io::block_on(tasks.run(instance(build, told, Spawner::new(&tasks))))
 }
@@ -199,14 +202,13 @@
     signals.map_err(|error| format!("signals cannot be watched: {error}"))
 }
 
-/// Turns the process's signals into commands; at the end, `successor` tells whether another life waits to take
-/// over.
-pub async fn watch_signals(mut signals: Signals, commands: Sender<Command>, successor: impl Fn() -> bool) {
+/// Turns the process's signals into commands.
+pub async fn watch_signals(mut signals: Signals, commands: Sender<Command>) {
     while let Some(Ok(signal)) = signals.next().await {
         let command = match signal {
             Signal::Usr1 => Command::Print,
             Signal::Hup => Command::Reread,
-            _ => Command::Stop { left: LEAVE, hand_over: successor() },
+            _ => Command::Stop { left: LEAVE, goes_on: false },
         };
         if commands.send(command).await.is_err() {
             return;
@@ -240,6 +242,12 @@
 /// Runs one instance until it is told to end.
 pub async fn instance(build: Build, commands: Receiver<Command>, tasks: Spawner) -> Result<(), String> {
     let clock = Clock::start();
+    // A place among the lives of the process comes first: operators may call as soon as something listens.
+    let (folder, disk) = &build.state;
+    let at = |error: std::io::Error| format!("{}: {error}", folder.display());
+    let mut life = Life::claim(folder).map_err(at)?;
+    let beside = drive::greet(&mut life).map_err(at)?;
+    let mut ledger = Ledger::begin(folder, *disk, build.classes, life.generation()).map_err(at)?;
     let counters = Rc::new(Counters::default());
     // Clients hold a third of the descriptors at most, so at that many, places are what they wait for.
     let clients = (build.sockets / 3).max(1);
@@ -277,6 +285,11 @@
         if let Some((names, since)) = relay.watch {
             tasks.spawn(discovery::watch(home(), names, since, asking, news.clone()));
         }
+        if let Some(others) = beside {
+            if let Err(error) = listen::prefer(&relay.listener, others.number) {
+                say!(code = "not-preferred", "the process before still gets new connections: {error}");
+            }
+        }
         let (listener, front) = (open(relay.listener)?, Rc::new(relay.front));
         say!("listens at {}", address_of(&listener));
         tasks.spawn(server::serve(listener, front, desk.clone(), RELAY_PATIENCE, tasks.clone()));
@@ -296,30 +309,40 @@
         let front = events.clone();
         tasks.spawn(server::serve(listener, front, desk.clone(), EVENTS_PATIENCE, tasks.clone()));
     }
-    // Clients are read from now on; what they hand in waits in the queue until the folder is this life's.
-    let _turn = match build.turn {
-        true => {
-            let folder = &build.state.0;
-            Some(Turn::take(folder).await.map_err(|error| format!("{}: {error}", folder.display()))?)
+    let mut orders = Vec::new();
+    let mut engine = match beside {
+        None => {
+            ledger.take_up(&[], None).map_err(at)?;
+            Engine::new(build.setup, ledger, clock.now(), &mut orders)
         }
-        false => None,
+        Some(_) => Engine::beside(build.setup, ledger),
     };
-    let (folder, disk) = &build.state;
-    let ledger = Ledger::open(folder, *disk, build.classes)
-        .map_err(|error| format!("{}: {error}", folder.display()))?;
-    let mut orders = Vec::new();
-    let mut engine = Engine::new(build.setup, ledger, clock.now(), &mut orders);
     let keep = keeps.then(|| Keep::open(Real, folder)).map(|(keep, records)| {
         engine.remember(clock.now(), &records);
         keep
     });
-    counters.resumed.set(engine.load().0 as u64);
-    // The lives before may have changed what is held out until the last let go.
     steward.reread();
-    steward.started.set(true);
+    let life = Rc::new(RefCell::new(life));
+    if let Some(beside) = beside {
+        tasks.spawn(drive::come_up(life.clone(), beside.first, clock, steward.clone(), news.clone()));
+    }
+    tasks.spawn(drive::heed(life.clone(), steward.clone(), news.clone()));
     let addresses = RefCell::default();
-    let hands =
-        Hands { desk, pool, owed, queue, news, clock, addresses, counters, events, movers, tasks, steward };
+    let hands = Hands {
+        desk,
+        pool,
+        owed,
+        queue,
+        news,
+        clock,
+        addresses,
+        counters,
+        events,
+        movers,
+        tasks,
+        steward,
+        life,
+    };
     let hands = Rc::new(hands);
     let stop = Rc::new(Cell::new(None));
     hands.tasks.spawn(obey(hands.clone(), commands, stop.clone()));
@@ -345,30 +368,9 @@
             }
             // What has no configuration of its own to read has nothing to take up.
             Command::Reread => {}
-            Command::Stop { left, hand_over } if stop.get().is_none() => {
-                let now = Instant::now();
+            Command::Stop { left, goes_on } if stop.get().is_none() => {
                 say!("told to end");
-                stop.set(Some(now + left));
-                // Whoever takes over listens on at once, so connections are let go without a pause.
-                let leaving = if hand_over { now } else { now + CLOSE_IDLE };
-                hands.desk.leaving.set(Some(leaving));
-                if hand_over {
-                    // New connections go to the one that takes over.
-                    hands.desk.stop_accepting();
-                }
-                let desk = hands.desk.clone();
-                hands.tasks.spawn(async move {
-                    if !hand_over {
-                        Timer::at(leaving).await;
-                        return desk.close_idle();
-                    }
-                    loop {
-                        desk.close_quiet(QUIET);
-                        Timer::after(QUIET / 4).await;
-                    }
-                });
-                let by = hands.clock.now().mono + Span(left.as_micros() as i64);
-                hands.desk.put(Input::Stop { by, hand_over }).await;
+                hands.leave(left, goes_on, &stop).await;
             }
             Command::Stop { .. } => {}
         }
@@ -391,9 +393,42 @@
     movers: Vec<Sender<SocketAddr>>,
     tasks: Spawner,
     steward: Rc<Steward>,
+    life: Rc<RefCell<Life>>,
 }
 
 impl Hands {
+    /// Begins to end this life: at once towards clients, and within `left` altogether.
+    async fn leave(self: &Rc<Self>, left: Duration, goes_on: bool, stop: &Cell<Option<Instant>>) {
+        let now = Instant::now();
+        let replaced = drive::must_hand_over(&self.life) || self.life.borrow().has_successor();
+        stop.set(Some(now + left));
+        // Whoever takes over listens on at once, so connections are let go without a pause.
+        let leaving = if replaced || goes_on { now } else { now + CLOSE_IDLE };
+        self.desk.leaving.set(Some(leaving));
+        if replaced || goes_on {
+            // New connections go to the one that takes over.
+            self.desk.stop_accepting();
+        }
+        let desk = self.desk.clone();
+        self.tasks.spawn(async move {
+            if replaced {
+                // A connection closed under a request turns it back unheard; answered, its client goes elsewhere.
+                Timer::at(now + SEE_OUT).await;
+            } else if !goes_on {
+                Timer::at(leaving).await;
+                return desk.close_idle();
+            }
+            let (quiet, last) = if replaced { (QUIET_LATE, now + SEEN_OUT) } else { (QUIET, now + left) };
+            while Instant::now() < last {
+                desk.close_quiet(quiet);
+                Timer::after(QUIET / 4).await;
+            }
+            desk.close_idle();
+        });
+        let by = self.clock.now().mono + Span(left.as_micros() as i64);
+        self.desk.put(Input::Stop { by, hand_over: replaced || goes_on }).await;
+    }
+
     /// The engine's task: all that waits goes in as one batch, news of the list first.
     async fn work(
         self: &Rc<Self>,
@@ -401,7 +436,7 @@
         mut orders: Vec<Order>,
         inputs: Receiver<Input>,
         listed: Receiver<Input>,
-        stop: &Cell<Option<Instant>>,
+        stop: &Rc<Cell<Option<Instant>>>,
         mut keep: Option<Keep>,
     ) {
         let mut kept = Instant::now();
@@ -413,6 +448,16 @@
             while let Ok(input) = inputs.try_recv() {
                 batch.push(input);
             }
+            if !engine.has_handed_over() && drive::must_hand_over(&self.life) {
+                // Found before anything is decided: another life may decide already.
+                let by = self.clock.now().mono + Span(LEAVE.as_micros() as i64);
+                batch.insert(0, Input::Stop { by, hand_over: true });
+                if stop.get().is_none() {
+                    say!("asked to hand over");
+                    let (hands, stop) = (self.clone(), stop.clone());
+                    self.tasks.spawn(async move { hands.leave(LEAVE, false, &stop).await });
+                }
+            }
             let taken = batch.iter().filter(|input| matches!(input, Input::NoticeTaken(_))).count();
             self.counters.notices.set(self.counters.notices.get() + taken as u64);
             let begun = Instant::now();
@@ -432,9 +477,9 @@
             if let Some(by) = stop.get() {
                 let (open, out) = engine.load();
                 let (now, idle) = (Instant::now(), out == 0 && open == 0 && self.desk.connections() == 0);
-                // One that hands over also keeps what is handed in now, for the next life: it waits only for its
+                // One that has handed over also keeps what is handed in now, for the next life: it waits only for its
                 // legs and for the connections that clients still use.
-                let idle = idle || out == 0 && engine.hands_over() && self.desk.connections() == 0;
+                let idle = idle || out == 0 && engine.has_handed_over() && self.desk.connections() == 0;
                 // Clients that have not heard of the end yet still come.
                 let closed = self.desk.leaving.get().is_some_and(|at| at <= now);
                 if now >= by || idle && closed {
@@ -505,6 +550,21 @@
                 self.steward.gone(id);
                 self.pool.gone(id);
             }
+            Order::TookUp(messages) => {
+                self.counters.resumed.set(messages as u64);
+                self.steward.started.set(true);
+            }
+            Order::HandedOver => {
+                if let Err(error) = self.life.borrow_mut().over() {
+                    say!(
+                        code = "not-marked",
+                        "the next process does not see that this one has handed over: {error}"
+                    );
+                }
+                self.steward.started.set(false);
+                self.pool.leave();
+                say!(code = "handed-over", "another process decides from now on");
+            }
             Order::Log(text) => say!("{text}"),
         }
     }
--- a/courier/src/net/pool.rs
+++ b/courier/src/net/pool.rs
@@ -95,6 +95,8 @@
     limits: Limits,
     connections: Rc<Cell<usize>>,
     counters: Rc<Counters>,
+    /// No connection is kept any more.
+    leaving: Cell<bool>,
 }
 
 /// Counts a connection for as long as it lasts.
@@ -110,7 +112,7 @@
     /// An empty pool.
     pub fn new(limits: Limits, counters: Rc<Counters>) -> Pool {
         let (places, cancels) = Default::default();
-        Pool { places, cancels, limits, connections: Rc::default(), counters }
+        Pool { places, cancels, limits, connections: Rc::default(), counters, leaving: Cell::new(false) }
     }
 
     /// What discovery says of an issuer host.
@@ -142,6 +144,14 @@
         }
     }
 
+    /// Keeps no connection from here on: the process that takes over needs the places that hosts have for them.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+        for (id, place) in self.places.borrow_mut().iter_mut() {
+            place.end_idle(*id, Instant::now(), "handed-over");
+        }
+    }
+
     /// Closes what has been idle too long: a leg written to a connection that the far side is closing ends as
     /// a reset, and nobody can tell whether it ran.
     pub fn retire(&self) {
@@ -269,7 +279,7 @@
 
     fn keep(&self, id: EndpointId, link: Link, keeps: bool) {
         let mut places = self.places.borrow_mut();
-        match places.get_mut(&id).filter(|place| keeps && place.open) {
+        match places.get_mut(&id).filter(|place| keeps && place.open && !self.leaving.get()) {
             Some(place) => place.idle.push((link, Instant::now())),
             None => say!(host = id.0, code = "not-kept", "issuer host: connection ended"),
         }
--- a/courier/src/operators.rs
+++ b/courier/src/operators.rs
@@ -26,7 +26,7 @@
     held: RefCell<BTreeSet<String>>,
     /// The issuer hosts that are listed now, by the module's numbers.
     listed: RefCell<BTreeMap<EndpointId, String>>,
-    /// Set once the engine runs: before, nobody knows which hosts there are.
+    /// Whether the engine decides: before, nobody knows which hosts there are, and after, another process does.
     pub started: Cell<bool>,
 }
 
--- a/courier/tests/core.rs
+++ b/courier/tests/core.rs
@@ -1,13 +1,13 @@
 //! The core without any wire, with a clock fed by hand.
 
 use marblefall_courier::core::engine::{Engine, Host, Input, Order, Setup};
-use marblefall_courier::core::journal::Journal;
+use marblefall_courier::core::journal::{segments, Journal};
 use marblefall_courier::core::ledger::{Ledger, Leg};
 use marblefall_courier::core::{Answer, Authorisation, End, Origin, Stamp, Ticket, Verdict};
 use marblefall_decisions::*;
 use std::fs;
 use std::io::Write;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
 const START_MS: i64 = 1_800_000_000_000;
@@ -386,6 +386,11 @@
         .all(|entry| entry.attempts == 1 && entry.authorisation.body.len() == 60_000));
 }
 
+/// The segment so many after the first one of a folder's journal.
+fn segment(dir: &Path, after: u64) -> PathBuf {
+    dir.join(format!("journal-{:010}", segments(dir).unwrap()[0] + after))
+}
+
 #[test]
 fn a_torn_tail_is_cut_off_and_what_stands_before_it_is_kept() {
     let dir = folder("torn");
@@ -393,7 +398,7 @@
     journal.append(b"first").unwrap();
     journal.append(b"second").unwrap();
     drop(journal);
-    let path = dir.join("journal-0000000001");
+    let path = segment(&dir, 0);
     let whole = fs::metadata(&path).unwrap().len();
     for torn in [&b"\x06\0"[..], b"\x06\0\0\0\xff\xff\xff\xffsecond", b"\xff\xff\xff\xff"] {
         fs::OpenOptions::new().append(true).open(&path).unwrap().write_all(torn).unwrap();
@@ -408,8 +413,8 @@
 fn a_journal_that_does_not_write_declines() {
     let (mut bed, _) = Bed::life(folder("unwritable"), 0);
     // A folder in the place of the next segment makes the next roll fail.
-    for number in 0..200 {
-        let _ = fs::create_dir(bed.dir.join(format!("journal-{number:010}")));
+    for after in 1..200 {
+        fs::create_dir(segment(&bed.dir, after)).unwrap();
     }
     let mut declined = false;
     for n in 0..10 {
@@ -430,7 +435,7 @@
     let seq = ledger.number();
     ledger.take_on(seq, Rc::new(message("m", Origin::Relay, 0, 60_000)), None).unwrap();
     // A folder in the place of the next segment: the first note that does not fit into this one is not taken.
-    fs::create_dir(dir.join("journal-0000000002")).unwrap();
+    fs::create_dir(segment(&dir, 1)).unwrap();
     let leg = |n| Leg { at_ms: START_MS + n, host: "h".repeat(1000) };
     let refused = (0..100).find(|n| {
         let refused = ledger.leg_begins(seq, leg(*n)).is_err();
--- /dev/null
+++ b/courier/tests/lives.rs
@@ -0,0 +1,556 @@
+//! Two lives of the core over one folder, beside each other, with a clock fed by hand: what one takes over from the
+//! other, and whole random histories of starts, hand-overs and deaths.
+
+use marblefall_courier::core::engine::{Engine, Host, Input, Order, Setup};
+use marblefall_courier::core::journal::{segments, Generation};
+use marblefall_courier::core::ledger::Ledger;
+use marblefall_courier::core::{Answer, Authorisation, End, Origin, Seq, Stamp, Ticket, Verdict};
+use marblefall_decisions::*;
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+const START_MS: i64 = 1_800_000_000_000;
+const DISK: u64 = 3_000_000;
+/// A class whose repeats receivers drop by key, one that may be repeated freely, and one that may never be.
+const KEYED: usize = 0;
+const FREE: usize = 1;
+const NEVER: usize = 2;
+
+fn folder(name: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("marblefall-lives-{}-{name}", std::process::id()));
+    let _ = fs::remove_dir_all(&path);
+    path
+}
+
+fn classes() -> Vec<String> {
+    ["keyed", "free", "never"].map(String::from).to_vec()
+}
+
+fn setup() -> Setup {
+    let class = |effect| Class {
+        worth: 1.0,
+        promise: Span::from_ms(2000.0),
+        give_up: Span::from_ms(20_000.0),
+        late_value: 0.3,
+        effect,
+        ordered: false,
+    };
+    let keyed = Effect::Token { scope: Scope::All, window: Span::from_ms(6000.0) };
+    let caps = Caps {
+        slots: 4,
+        max_open: 200,
+        max_attempts: 8,
+        max_retry_after: Span::from_ms(3000.0),
+        ..Caps::default()
+    };
+    let settings = Settings {
+        classes: vec![class(keyed), class(Effect::Pure), class(Effect::SideEffect)],
+        kinds: vec![Kind { apart: false, per_call: 1 }],
+        late: LateForm::Line,
+        caps,
+        couriers: 1,
+        ..Settings::default()
+    };
+    Setup { settings, seed: 1, remember_ms: vec![0; 3], remember_most: 0 }
+}
+
+fn list(hosts: &[&str]) -> Input {
+    let host = |name: &&str| Host {
+        name: (*name).to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        destination: DestinationId(7),
+        kind: KindId(0),
+        zone: ZoneId(0),
+        listing: Listing::On,
+        share: 50.0,
+        weight: None,
+    };
+    Input::Listed(hosts.iter().map(host).collect())
+}
+
+/// One life.
+struct Life {
+    engine: Engine,
+    generation: Generation,
+    born_ms: i64,
+}
+
+impl Life {
+    /// One that begins alone.
+    fn alone(dir: &Path, ms: i64) -> (Life, Vec<Order>) {
+        let ledger = Ledger::open(dir, DISK, classes()).unwrap();
+        let generation = Generation::of(*segments(dir).unwrap().last().unwrap());
+        let mut orders = Vec::new();
+        let now = Stamp { mono: Time(0), unix_ms: START_MS + ms };
+        let mut life =
+            Life { engine: Engine::new(setup(), ledger, now, &mut orders), generation, born_ms: ms };
+        orders.extend(life.step(ms, vec![list(&["h"])]));
+        (life, orders)
+    }
+
+    /// One that comes up beside others.
+    fn beside(dir: &Path, ms: i64) -> Life {
+        let generation = Generation::of(*segments(dir).unwrap().last().unwrap()).next();
+        let ledger = Ledger::begin(dir, DISK, classes(), generation).unwrap();
+        let mut life = Life { engine: Engine::beside(setup(), ledger), generation, born_ms: ms };
+        life.step(ms, vec![list(&["h"])]);
+        life
+    }
+
+    fn step(&mut self, ms: i64, inputs: Vec<Input>) -> Vec<Order> {
+        let now = Stamp { mono: Time((ms - self.born_ms) * 1000), unix_ms: START_MS + ms };
+        let mut orders = Vec::new();
+        self.engine.step(now, inputs, &mut orders);
+        while self.engine.has_backlog() {
+            self.engine.step(now, Vec::new(), &mut orders);
+        }
+        orders
+    }
+
+    fn offer(&mut self, ms: i64, name: &str, class: usize) -> Vec<Order> {
+        let ticket = Ticket(name.bytes().fold(0, |sum, byte| sum * 257 + u64::from(byte)));
+        self.step(ms, vec![Input::Offered(ticket, message(name, class, ms, 10))])
+    }
+
+    fn hand_over(&mut self, ms: i64) -> Vec<Order> {
+        let by = Time((ms - self.born_ms) * 1000 + 3_400_000);
+        self.step(ms, vec![Input::Stop { by, hand_over: true }])
+    }
+
+    fn take_up(&mut self, ms: i64, living: &[Generation], beside: Generation) -> Vec<Order> {
+        self.step(ms, vec![Input::TakeUp { living: living.to_vec(), beside: Some(beside) }])
+    }
+}
+
+fn message(name: &str, class: usize, ms: i64, body: usize) -> Authorisation {
+    Authorisation {
+        origin: Origin::Relay,
+        identity: name.into(),
+        repeat_key: (class == KEYED).then(|| format!("key of {name}").into_bytes()),
+        class: ClassId(class),
+        destination: DestinationId(7),
+        expires_ms: START_MS + ms + 20_000,
+        attributes: Vec::new(),
+        body: vec![b'x'; body],
+    }
+}
+
+/// The legs that are ordered: number, copy, and the name of the message.
+fn legs(orders: &[Order]) -> Vec<(Seq, u32, String)> {
+    let leg = |order: &Order| match order {
+        Order::Leg { seq, copy, authorisation, .. } => {
+            Some((*seq, *copy, String::from_utf8(authorisation.identity.clone()).unwrap()))
+        }
+        _ => None,
+    };
+    orders.iter().filter_map(leg).collect()
+}
+
+fn taken_on(orders: &[Order]) -> bool {
+    orders.iter().any(|order| matches!(order, Order::Answer(_, Answer::TakenOn)))
+}
+
+fn ended(seq: Seq, copy: u32, outcome: Outcome) -> Input {
+    let took = Span::from_ms(100.0);
+    Input::LegEnded { seq, copy, outcome, took, verdict: Verdict::Open, report: Report::default() }
+}
+
+#[test]
+fn what_is_held_goes_on_at_once_and_what_is_out_only_when_its_leg_is_over() {
+    let dir = folder("goes-on");
+    let (mut old, _) = Life::alone(&dir, 0);
+    // A route that has not answered yet is given two calls: the third message waits.
+    let out: Vec<_> = ["a", "b", "c"].iter().flat_map(|name| legs(&old.offer(10, name, FREE))).collect();
+    assert_eq!(out.len(), 2);
+    let mut new = Life::beside(&dir, 100);
+    assert!(taken_on(&new.offer(110, "d", FREE)), "taken on beside the old life");
+    old.hand_over(200);
+    assert!(taken_on(&old.offer(210, "e", FREE)), "a client that has not moved yet is still served");
+    let first = new.take_up(220, &[old.generation], old.generation);
+    assert_eq!(legs(&first), [], "two calls are out already, whoever made them");
+    // The old life's legs end: one is delivered, the other is turned away and may go out again.
+    old.step(300, vec![ended(out[0].0, out[0].1, Outcome::Delivered)]);
+    old.step(310, vec![ended(out[1].0, out[1].1, Outcome::Error)]);
+    let mut names = Vec::new();
+    let mut inputs = vec![Input::Follow];
+    for ms in 320..600 {
+        for (seq, copy, name) in legs(&new.step(ms, std::mem::take(&mut inputs))) {
+            inputs.push(ended(seq, copy, Outcome::Delivered));
+            names.push(name);
+        }
+    }
+    names.sort_unstable();
+    assert_eq!(names, ["b", "c", "d", "e"], "what was delivered is not sent again, the others are once");
+    let _ = fs::remove_dir_all(&dir);
+}
+
+#[test]
+fn a_wait_that_the_old_life_was_told_binds_the_one_beside_it_but_not_one_after_it() {
+    for dies in [false, true] {
+        let dir = folder(&format!("wait-{dies}"));
+        let (mut old, _) = Life::alone(&dir, 0);
+        let (seq, copy, _) = legs(&old.offer(10, "a", FREE))[0].clone();
+        let mut new = Life::beside(&dir, 50);
+        let wait = Outcome::Full(Some(Span::from_ms(4000.0)));
+        let mut first = Vec::new();
+        if dies {
+            // Killed in the step after it was told.
+            old.step(100, vec![ended(seq, copy, wait)]);
+            first.extend(new.take_up(110, &[], old.generation));
+        } else {
+            // Told only after it has handed over.
+            old.hand_over(60);
+            first.extend(new.take_up(70, &[old.generation], old.generation));
+            old.step(100, vec![ended(seq, copy, wait)]);
+            first.extend(new.step(110, vec![Input::Follow]));
+            first.extend(new.step(120, vec![Input::Settle(old.generation)]));
+        }
+        first.extend(new.offer(130, "b", FREE));
+        let mut at = None;
+        for ms in (130..8000).step_by(10) {
+            first.extend(new.step(ms, vec![]));
+            if at.is_none() && !legs(&first).is_empty() {
+                at = Some(ms);
+            }
+        }
+        assert!(at.is_some_and(|at| at >= 4100), "sent within the wait, or never: {at:?}");
+        // A plain restart ends it.
+        let _ = fs::remove_dir_all(&dir);
+        let (mut old, _) = Life::alone(&dir, 9000);
+        let (seq, copy, _) = legs(&old.offer(9010, "c", FREE)).pop().unwrap();
+        old.step(9100, vec![ended(seq, copy, wait)]);
+        let (mut next, mut orders) = Life::alone(&dir, 9200);
+        orders.extend(next.step(9210, vec![]));
+        assert!(!legs(&orders).is_empty(), "a restart ends a wait");
+        let _ = fs::remove_dir_all(&dir);
+    }
+}
+
+#[test]
+fn a_leg_whose_host_is_gone_from_the_list_is_not_sent_a_second_time_while_it_is_out() {
+    let dir = folder("gone");
+    let (mut old, _) = Life::alone(&dir, 0);
+    let (seq, copy, _) = legs(&old.offer(10, "a", FREE))[0].clone();
+    let mut new = Life::beside(&dir, 50);
+    new.step(60, vec![list(&["other"])]);
+    old.hand_over(70);
+    let mut orders = new.take_up(80, &[old.generation], old.generation);
+    orders.extend((90..1000).step_by(10).flat_map(|ms| new.step(ms, vec![Input::Follow])));
+    assert_eq!(legs(&orders), []);
+    old.step(1000, vec![ended(seq, copy, Outcome::Error)]);
+    let mut orders = new.step(1010, vec![Input::Follow]);
+    orders.extend((1020..3000).step_by(10).flat_map(|ms| new.step(ms, vec![])));
+    assert_eq!(legs(&orders).len(), 1, "then it goes on");
+    let _ = fs::remove_dir_all(&dir);
+}
+
+#[test]
+fn two_lives_keep_to_the_disk_and_a_full_journal_is_taken_up_whole() {
+    let dir = folder("disk");
+    let size = || -> u64 {
+        let len = |file: fs::DirEntry| file.metadata().unwrap().len().div_ceil(512) * 512;
+        fs::read_dir(&dir).unwrap().map(|file| len(file.unwrap())).sum()
+    };
+    let (mut old, _) = Life::alone(&dir, 0);
+    // Nothing is listed for it, so all is held.
+    let mut held = 0;
+    let mut fill = |life: &mut Life, name: &str, ms: i64| {
+        let mut taken = 0;
+        for n in 0..150 {
+            let ticket = Ticket(n);
+            let authorisation = message(&format!("{name}-{n}"), FREE, ms, 20_000);
+            taken += usize::from(taken_on(&life.step(ms, vec![Input::Offered(ticket, authorisation)])));
+        }
+        held += taken;
+        taken
+    };
+    assert!(fill(&mut old, "old", 10) > 60, "the old life uses its part");
+    let mut new = Life::beside(&dir, 100);
+    assert!(fill(&mut new, "new", 110) > 5, "there is room for another beside it");
+    old.hand_over(120);
+    fill(&mut old, "late", 130);
+    assert!(size() <= DISK, "{}", size());
+    let taken = new.take_up(140, &[old.generation], old.generation);
+    let took = |orders: &[Order]| {
+        orders.iter().find_map(|order| match order {
+            Order::TookUp(count) => Some(*count),
+            _ => None,
+        })
+    };
+    new.step(150, vec![Input::Follow]);
+    new.step(160, vec![Input::Settle(old.generation)]);
+    assert_eq!(took(&taken), Some(held));
+    drop(old);
+    for ms in 170..400 {
+        let more = vec![Input::Offered(Ticket(1), message(&format!("more-{ms}"), FREE, ms, 1000))];
+        new.step(ms, more);
+        assert!(size() <= DISK, "{} at {ms}", size());
+    }
+    let _ = fs::remove_dir_all(&dir);
+}
+
+/// A world of one partner and one courier, whose lives come and go by a seed. The partner and the clients know the truth.
+struct World {
+    dir: PathBuf,
+    rng: fastrand::Rng,
+    /// The old life and the new one beside it.
+    old: Option<Life>,
+    new: Option<Life>,
+    new_serves: bool,
+    ms: i64,
+    /// Legs that are out: number, copy, message, whether the old life has it, and when it ends.
+    out: Vec<(Seq, u32, String, bool, i64)>,
+    /// Runs at the partner, by message, with when.
+    runs: BTreeMap<String, Vec<i64>>,
+    owed: BTreeMap<String, usize>,
+    notices: BTreeMap<String, End>,
+    wait_until: i64,
+    next: usize,
+    trace: Vec<String>,
+}
+
+impl World {
+    fn note(&mut self, what: impl Into<String>) {
+        self.trace.push(format!("{:5} {}", self.ms, what.into()));
+    }
+
+    /// Carries out what a life orders; breaches of the rules are panics that show the trace.
+    fn carry_out(&mut self, orders: Vec<Order>, by_old: bool) {
+        for order in orders {
+            match order {
+                Order::Leg { seq, copy, authorisation, .. } => {
+                    let name = String::from_utf8(authorisation.identity.clone()).unwrap();
+                    self.note(format!("leg of {name} copy {copy} by {}", if by_old { "old" } else { "new" }));
+                    assert!(!self.out.iter().any(|out| out.2 == name), "two legs out of {name}");
+                    assert!(self.ms >= self.wait_until, "sent within a told wait");
+                    let took = self.rng.i64(5..400);
+                    self.out.push((seq, copy, name, by_old, self.ms + took));
+                }
+                Order::Notice(_, authorisation, end) => {
+                    let name = String::from_utf8(authorisation.identity.clone()).unwrap();
+                    self.note(format!("notice of {name}: {end:?}"));
+                    self.notices.insert(name, end);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn step(&mut self, of_old: bool, inputs: Vec<Input>) -> Vec<Order> {
+        let life = if of_old { self.old.as_mut() } else { self.new.as_mut() };
+        life.map_or_else(Vec::new, |life| life.step(self.ms, inputs))
+    }
+
+    fn run(&mut self, of_old: bool, inputs: Vec<Input>) {
+        let orders = self.step(of_old, inputs);
+        self.carry_out(orders, of_old);
+    }
+
+    /// The life that serves clients alone becomes the old one as soon as its predecessor has ended.
+    fn settle(&mut self) {
+        if self.old.is_none() && self.new.is_some() && self.new_serves {
+            self.old = self.new.take();
+            self.new_serves = false;
+            self.out.iter_mut().for_each(|out| out.3 = true);
+        }
+    }
+
+    fn kill_old(&mut self) {
+        let Some(old) = self.old.take() else { return };
+        self.note("the old one is killed");
+        self.partner_after(true);
+        let generation = old.generation;
+        drop(old);
+        match (self.new.is_some(), self.new_serves) {
+            (true, true) => self.run(false, vec![Input::Settle(generation)]),
+            (true, false) => {
+                self.new_serves = true;
+                self.run(false, vec![Input::TakeUp { living: vec![], beside: Some(generation) }]);
+            }
+            (false, _) => {
+                let (life, orders) = Life::alone(&self.dir, self.ms);
+                self.note("another one starts alone");
+                // A restart ends a wait.
+                self.wait_until = 0;
+                self.old = Some(life);
+                self.carry_out(orders, true);
+            }
+        }
+        self.settle();
+    }
+
+    /// Legs of a life that died run on at the partner, or never came there; nobody hears of it.
+    fn partner_after(&mut self, of_old: bool) {
+        let (gone, kept) = std::mem::take(&mut self.out).into_iter().partition(|out| out.3 == of_old);
+        self.out = kept;
+        let gone: Vec<(Seq, u32, String, bool, i64)> = gone;
+        for (_, _, name, ..) in gone {
+            if self.rng.bool() {
+                self.runs.entry(name).or_default().push(self.ms);
+            }
+        }
+    }
+
+    fn kill_new(&mut self) {
+        if self.new.is_none() {
+            return;
+        }
+        self.note("the new one is killed");
+        self.partner_after(false);
+        let took_over = std::mem::take(&mut self.new_serves);
+        self.new = None;
+        if took_over {
+            // The old one has handed over and ends; a third life finds what both left.
+            self.partner_after(true);
+            self.old = None;
+            let (life, orders) = Life::alone(&self.dir, self.ms);
+            self.note("a third one starts alone");
+            self.wait_until = 0;
+            self.old = Some(life);
+            self.carry_out(orders, true);
+        } else {
+            let latest = Generation::of(*segments(&self.dir).unwrap().last().unwrap()).next();
+            self.run(true, vec![Input::Adopt(latest)]);
+            self.old.iter_mut().for_each(|old| old.generation = latest);
+        }
+    }
+
+    fn answer_legs(&mut self) {
+        let ms = self.ms;
+        while let Some(at) = self.out.iter().position(|out| out.4 <= ms) {
+            let (seq, copy, name, by_old, _) = self.out.remove(at);
+            let outcome = match self.rng.u8(0..10) {
+                0 => Outcome::Error,
+                1 => Outcome::Reset,
+                2 => Outcome::Full(Some(Span::from_ms(self.rng.i64(100..900) as f64))),
+                3 => Outcome::ConnectFailed,
+                _ => Outcome::Delivered,
+            };
+            let ran = match outcome {
+                Outcome::Delivered => true,
+                Outcome::Error | Outcome::Reset => self.rng.bool(),
+                _ => false,
+            };
+            if ran {
+                self.runs.entry(name.clone()).or_default().push(ms);
+            }
+            if let Outcome::Full(Some(wait)) = outcome {
+                self.wait_until = self.wait_until.max(ms + wait.0 / 1000);
+            }
+            self.note(format!("leg of {name} ends: {outcome:?}, ran {ran}"));
+            self.run(by_old, vec![ended(seq, copy, outcome)]);
+            if by_old && self.new_serves {
+                // Heard within a look of the new life, before anything else happens here.
+                self.run(false, vec![Input::Follow]);
+            }
+        }
+    }
+
+    fn hand_in(&mut self) {
+        let (name, class) = (format!("m{}", self.next), self.next % 3);
+        self.next += 1;
+        let to_old = self.new.is_none() || self.old.is_some() && self.rng.bool();
+        let input = Input::Offered(Ticket(self.next as u64), message(&name, class, self.ms, 50));
+        let orders = self.step(to_old, vec![input]);
+        if taken_on(&orders) {
+            self.owed.insert(name.clone(), class);
+            self.note(format!("{name} taken on by the {} one", if to_old { "old" } else { "new" }));
+        }
+        self.carry_out(orders, to_old);
+        if to_old && self.new_serves {
+            self.run(false, vec![Input::Follow]);
+        }
+    }
+
+    fn turn(&mut self) {
+        self.ms += 10;
+        self.answer_legs();
+        if self.ms < 8000 && self.rng.u8(0..3) == 0 {
+            self.hand_in();
+        }
+        if self.ms < 9000 {
+            match self.rng.u16(0..600) {
+                0..=5 if self.new.is_none() => {
+                    self.note("a new one comes up beside");
+                    self.new = Some(Life::beside(&self.dir, self.ms));
+                }
+                6..=25 if self.new.is_some() && !self.new_serves => {
+                    self.note("hands over");
+                    let orders = self.old.as_mut().unwrap().hand_over(self.ms);
+                    self.carry_out(orders, true);
+                    let generation = self.old.as_ref().unwrap().generation;
+                    self.new_serves = true;
+                    let orders = self.new.as_mut().unwrap().take_up(self.ms, &[generation], generation);
+                    self.carry_out(orders, false);
+                }
+                26..=28 => self.kill_old(),
+                29..=31 => self.kill_new(),
+                _ => {}
+            }
+        }
+        if self.new_serves && !self.out.iter().any(|out| out.3) && self.rng.u8(0..20) == 0 {
+            self.note("the old one ends");
+            let generation = self.old.take().unwrap().generation;
+            self.run(false, vec![Input::Settle(generation)]);
+            self.settle();
+        }
+        self.run(true, vec![]);
+        self.run(false, if self.new_serves { vec![Input::Follow] } else { vec![] });
+    }
+
+    fn check(&self) {
+        for (name, class) in &self.owed {
+            let none = Vec::new();
+            let runs = self.runs.get(name).unwrap_or(&none);
+            let noticed = self.notices.get(name);
+            assert!(!runs.is_empty() || noticed.is_some(), "{name} is lost");
+            match *class {
+                NEVER => assert!(runs.len() <= 1, "{name} ran {} times", runs.len()),
+                KEYED => {
+                    let spread = runs.last().unwrap_or(&0) - runs.first().unwrap_or(&0);
+                    assert!(spread < 6000 + 400, "{name} ran again after its window");
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Whole histories of lives that come up, hand over and die at any moment: every message has an end, none is out twice,
+/// none runs more often than its class allows, nothing is sent within a wait that binds.
+#[test]
+fn no_history_of_lives_breaks_a_rule() {
+    for seed in 0..150 {
+        let dir = folder(&format!("history-{seed}"));
+        let (old, _) = Life::alone(&dir, 0);
+        let (out, runs, owed, notices, trace) = Default::default();
+        let rng = fastrand::Rng::with_seed(seed);
+        let mut world = World {
+            dir: dir.clone(),
+            rng,
+            old: Some(old),
+            new: None,
+            new_serves: false,
+            ms: 0,
+            out,
+            runs,
+            owed,
+            notices,
+            wait_until: 0,
+            next: 0,
+            trace,
+        };
+        let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+            while world.ms < 40_000 {
+                world.turn();
+            }
+            world.check();
+        }));
+        if played.is_err() {
+            panic!("seed {seed}:\n{}", world.trace.join("\n"));
+        }
+        assert!(world.owed.len() > 100, "too little was taken on to tell");
+        let _ = fs::remove_dir_all(&dir);
+    }
+}
--- a/fleet/src/supervise.rs
+++ b/fleet/src/supervise.rs
@@ -51,7 +51,7 @@
         .map_err(|error| format!("{}: another daemon runs this fleet ({error})", home.display()))?;
     let (commands, told) = async_channel::unbounded();
     let tasks = LocalExecutor::new();
-    tasks.spawn(daemon::watch_signals(signals, commands, || false)).detach();
+    tasks.spawn(daemon::watch_signals(signals, commands)).detach();
     async_io::block_on(tasks.run(supervise(home, told, early)));
     Ok(())
 }
@@ -137,7 +137,7 @@
                     let goes_on = share.is_some();
                     say!("{name}: {}", if goes_on { "takes up a change" } else { "leaves the fleet" });
                     let left = if goes_on { HAND_OVER } else { LEAVE };
-                    let _ = one.commands.try_send(Command::Stop { left, hand_over: goes_on });
+                    let _ = one.commands.try_send(Command::Stop { left, goes_on });
                     one.told_to_end = true;
                 }
             }
@@ -279,8 +279,6 @@
         hosts: Input::Directory(listing.directory.clone()),
         relay,
         events,
-        // The daemon holds its home as a whole, and hands over between instances itself.
-        turn: false,
         mgmt: None,
     })
 }
--- a/lab/src/cored.rs
+++ b/lab/src/cored.rs
@@ -137,6 +137,8 @@
             | Event::Gone(_)
             | Event::Probed { .. }
             | Event::Recalled(..)
+            | Event::Taught(..)
+            | Event::Waits(..)
             | Event::ListFailed => return None,
         })
     }
@@ -183,6 +185,8 @@
                 Order::Log(text) => actions.push(Action::Log(text)),
                 // Nothing is called off under the lab's settings, and numbers of hosts are not used again.
                 Order::Abandon(_) | Order::Ended(_) | Order::HostGone(_) => {}
+                // No two lives of a courier run beside each other here.
+                Order::TookUp(_) | Order::HandedOver => {}
             }
         }
         told
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -266,7 +266,7 @@
         owed.sort_unstable();
         for id in owed {
             let message = &self.messages[&id];
-            let past = Past { attempts: message.attempts, ran: message.ran };
+            let past = Past { attempts: message.attempts, ran: message.ran, out: None };
             events.push(Event::Resumed(handed(id, message), past));
         }
         self.tell(courier, &events);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,6 +6,7 @@
 //! Everything else guards that path: `open` says what a route may be sent, `send` is the only way out,
 //! `end` the only way to give a message up.
 
+mod carry;
 mod fold;
 
 use crate::allowance::{self, Allowance};
@@ -246,7 +247,8 @@
                 }
             }
             Event::Gone(message) => self.gone(*message, actions),
-            Event::Recalled(id, cold) => self.recall(now, *id, cold),
+            Event::Recalled(id, cold) => self.recall(now, RouteId(*id, None), cold),
+            Event::Taught(..) | Event::Waits(..) => self.taught(now, event),
             Event::Due(token) => self.timer = self.timer.filter(|(_, set)| set != token),
             Event::Probed { endpoint, outcome, .. } => {
                 let route = self.endpoints.get(endpoint).and_then(|e| self.routes.get_mut(&e.route));
@@ -338,11 +340,13 @@
                 route.usual_at.get_or_insert(now - SILENT_LONG);
             }
         }
-        let (out, ended) = (None, false);
+        let (out, ended) = (past.and_then(|past| self.still_out(past.out?)), false);
         if let Some(known) = self.messages.get(&handed.message) {
             self.held.remove(known.destination, known.expires, handed.message);
         }
-        self.held.insert(destination, expires, handed.message, attempts > 0 || ran.is_some());
+        if out.is_none() {
+            self.held.insert(destination, expires, handed.message, attempts > 0 || ran.is_some());
+        }
         let message = Message { class, destination, key, worth, born, expires, attempts, out, ran, ended };
         self.messages.insert(handed.message, message);
     }
--- /dev/null
+++ b/src/choice/carry.rs
@@ -0,0 +1,53 @@
+//! What one life of a courier takes from another that runs beside it: what it knows of routes, the waits it was told, and
+//! the calls of its that are out. Nothing is decided here.
+
+use super::{Attempt, Courier, RouteId};
+use crate::interface::*;
+
+impl Courier {
+    /// What is known of each route that is listed, for a life that takes over: its destination, its endpoint where that
+    /// is a route of its own, and how it stands.
+    pub fn known(&self, now: Time) -> Vec<(DestinationId, Option<EndpointId>, Cold)> {
+        let known = self.routes.iter().map(|(id, route)| {
+            let (out_since, back_since) = self.since(now, &route.health, self.held.line(id.0).is_some());
+            let wait_until = route.wait_until.filter(|until| *until > now);
+            let (mean_ms, usual) = (route.mean, route.usual(now));
+            (id.0, id.1, Cold { wait_until, out_since, back_since, mean_ms, usual })
+        });
+        known.filter(|(.., cold)| cold.says_something()).collect()
+    }
+
+    /// Takes up what another life knew; what this one was told itself stays.
+    pub(super) fn taught(&mut self, now: Time, event: &Event) {
+        match event {
+            Event::Taught(to, endpoint, cold) => {
+                let id = RouteId(*to, *endpoint);
+                let told = self.routes.get(&id).and_then(|route| route.wait_until);
+                self.recall(now, id, cold);
+                if let (Some(route), Some(until)) = (self.routes.get_mut(&id), told) {
+                    route.told(until);
+                }
+            }
+            Event::Waits(to, endpoint, until) => {
+                // An endpoint may have gone from the list meanwhile; what it said binds for what it shared a route with.
+                let known = self.endpoints.get(endpoint).map(|endpoint| endpoint.route);
+                if let Some(route) = self.routes.get_mut(&known.unwrap_or(RouteId(*to, None))) {
+                    route.told(*until);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Counts a call of another life as out: it holds a slot and a place at its route like one of this life's own. None
+    /// where its endpoint is not known.
+    pub(super) fn still_out(&mut self, (sent, id): (Time, EndpointId)) -> Option<Attempt> {
+        let endpoint = self.endpoints.get_mut(&id)?;
+        let call = self.next_call;
+        self.next_call += 1;
+        endpoint.out += 1;
+        self.calls.insert(call, (endpoint.route, 1));
+        self.routes.get_mut(&endpoint.route).expect("an endpoint has a route").out.push(sent);
+        Some(Attempt { call, endpoint: id, sent, idled: false, hurried: false })
+    }
+}
--- a/src/choice/fold.rs
+++ b/src/choice/fold.rs
@@ -30,7 +30,7 @@
     }
 
     /// Since when a route is out, or being eased: for its cold time, and on while messages are held for it.
-    fn since(&self, now: Time, health: &Comeback, held: bool) -> (Option<Time>, Option<Time>) {
+    pub(super) fn since(&self, now: Time, health: &Comeback, held: bool) -> (Option<Time>, Option<Time>) {
         match health.stage() {
             Stage::Down(since) => (Some(since), None),
             Stage::Easing(since) if held || now - since < self.set.rules.cold => (None, Some(since)),
@@ -39,8 +39,7 @@
     }
 
     /// Takes up again what was known of a destination; its endpoints are listed already.
-    pub(super) fn recall(&mut self, now: Time, id: DestinationId, cold: &Cold) {
-        let id = RouteId(id, None);
+    pub(super) fn recall(&mut self, now: Time, id: RouteId, cold: &Cold) {
         let Some(route) = self.routes.get_mut(&id) else { return };
         (route.wait_until, route.mean) = (cold.wait_until, cold.mean_ms);
         (route.usual, route.usual_at) = (cold.usual, Some(now));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -348,6 +348,9 @@
     /// When and where the first attempt that may have run was sent. One that was out when the earlier
     /// life ended may have run.
     pub ran: Option<(Time, EndpointId)>,
+    /// When and where its latest attempt was sent, if the life that sent it still waits for the answer: its end
+    /// will be reported as if this life had sent it.
+    pub out: Option<(Time, EndpointId)>,
 }
 
 /// What is kept of a destination while it is idle.
@@ -435,6 +438,10 @@
     Changed(Vec<Entry>),
     /// What was kept of a destination that was folded; its endpoints are listed again already.
     Recalled(DestinationId, Cold),
+    /// What another life of this courier knows of a destination, or of one endpoint where that is a route of its own.
+    Taught(DestinationId, Option<EndpointId>, Cold),
+    /// Another life of this courier was told by an endpoint to leave its route alone until then.
+    Waits(DestinationId, EndpointId, Time),
     /// Asking for the list failed, or the subscription broke.
     ListFailed,
 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -563,9 +563,9 @@
     let mut set = settings();
     set.caps.slots = 30;
     let bed = || Bed::with_destinations(set.clone(), 1);
-    let tried = Past { attempts: 1, ran: None };
+    let tried = Past { attempts: 1, ran: None, out: None };
     assert!(let_go_by_an_answer(&mut bed(), 12, Some(tried)) <= 1);
-    let untried = Past { attempts: 0, ran: None };
+    let untried = Past { attempts: 0, ran: None, out: None };
     assert!(let_go_by_an_answer(&mut bed(), 12, Some(untried)) > 5);
     assert!(let_go_by_an_answer(&mut bed(), 12, None) > 5);
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -303,7 +303,7 @@
 fn resumed(bed: &mut Bed, class: usize, attempts: u32, ran: Option<(Time, EndpointId)>) -> Vec<Action> {
     let (_, event) = bed.message(class, 0);
     let Event::Accepted(handed) = event else { unreachable!() };
-    bed.say(Event::Resumed(handed, Past { attempts, ran }))
+    bed.say(Event::Resumed(handed, Past { attempts, ran, out: None }))
 }
 
 #[test]
