--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,6 +29,10 @@
 const BACKOFF: f64 = 1.7;
 const BACKOFF_MOST: i32 = 3; // ... up to this many times over.
 const UNSAFE_PATIENCE: f64 = 3.0; // As many times the patience for what may not be repeated once abandoned.
+/// From this moving share of calls on that get lost while later ones at their route are answered, as where
+/// connections fall silent, patience is cut to a part. Some are then only slow: each counts for half.
+const LOSSY: f64 = 0.022;
+const LOSSY_PART: f64 = 0.35;
 const SILENCE: f64 = 3.0; // A route is silent if a call is out for so many means and none sent since is back.
 const SILENT_CALLS: usize = 2; // Calls that must be overdue: one alone may be lost, or one of the long tail.
 /// A route that answered nothing for so long may have been out, though too few calls failed to judge it so:
@@ -196,6 +200,7 @@
     next_token: u64,
     resubscribe: Option<Time>,
     list_failures: i32, // Calls for the list that failed, running.
+    lost: f64, // Moving share of calls that later ones at their route overtook and that never came back.
     notes: Vec<String>,
 }
 
@@ -481,6 +486,7 @@
         }
         match outcome {
             Outcome::Delivered => {
+                self.lost -= CROWD_WEIGHT * self.lost;
                 if let Some(took) = call {
                     let means = [&mut endpoint.mean, &mut route.mean, &mut self.typical];
                     means.into_iter().for_each(|mean| blend(mean, took.ms()));
@@ -523,7 +529,12 @@
                 endpoint.failed = Some(now);
                 endpoint.conns = endpoint.out;
                 let timed_out = call.is_some() && outcome == Outcome::TimedOut;
-                route.timeouts += i32::from(timed_out && Some(sent) >= route.last_good_send);
+                let overtaken = Some(sent) < route.last_good_send;
+                route.timeouts += i32::from(timed_out && !overtaken);
+                if timed_out && overtaken {
+                    let counts = if self.lost > LOSSY { 0.5 } else { 1.0 };
+                    self.lost += CROWD_WEIGHT * (counts - self.lost);
+                }
                 route.failed(sent, 1.0);
             }
             // Hosts drop kept connections by the dozen; taken for failures, routes would go out by chance.
@@ -821,7 +832,8 @@
             actions.push(Action::Close(id));
         }
         let backoff = BACKOFF.powi(route.timeouts.min(BACKOFF_MOST));
-        let patience = (PATIENCE * mean).max(LEAST_PATIENCE_MS) * backoff;
+        let part = if self.lost > LOSSY { LOSSY_PART } else { 1.0 };
+        let patience = (PATIENCE * mean).max(LEAST_PATIENCE_MS) * backoff * part;
         for &message_id in load {
             let message = self.messages.get_mut(&message_id).expect("held messages are known");
             let once = self.set.classes[message.class.0].effect == Effect::SideEffect;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -231,6 +231,56 @@
     assert_eq!(patience(bed.now, &bed.hand(0, 0).1.clone()), before);
 }
 
+/// A call that stays out while a later one at its route is answered: a connection that fell silent.
+fn lose_one(bed: &mut Bed) {
+    let (lost, actions) = bed.hand(0, 0);
+    let patience = patience(bed.now, &actions);
+    let (other, _) = bed.at(bed.now.ms() + 10.0).hand(0, 0);
+    bed.at(bed.now.ms() + 100.0).say(closed(other, 0, Outcome::Delivered));
+    bed.at(bed.now.ms() + patience).say(closed(lost, 0, Outcome::TimedOut));
+    bed.at(bed.now.ms() + 100.0).say(closed(lost, 1, Outcome::Delivered));
+}
+
+/// pieces+silent+leave: calls on connections that had fallen silent held a quarter of the slots until patience ended.
+#[test]
+fn patience_is_cut_while_single_calls_get_lost_and_is_given_again_after() {
+    let mut bed = Bed::with_destinations(settings(), 2);
+    bed.meet(0);
+    let told = |bed: &mut Bed, destination: u64| {
+        let (message, actions) = bed.hand(0, destination);
+        let told = patience(bed.now, &actions);
+        bed.at(bed.now.ms() + 100.0).say(closed(message, 0, Outcome::Delivered));
+        told
+    };
+    let before = told(&mut bed, 0);
+    lose_one(&mut bed);
+    assert_eq!(told(&mut bed, 0), before, "one lost call is chance");
+    (0..3).for_each(|_| lose_one(&mut bed));
+    assert!(told(&mut bed, 0) < 0.5 * before);
+    assert!(told(&mut bed, 1) < 0.5 * before, "connections fall silent everywhere");
+    for _ in 0..200 {
+        told(&mut bed, 0);
+    }
+    assert_eq!(told(&mut bed, 0), before);
+}
+
+/// A route that hangs says nothing of single connections: no later call overtakes those that are lost there.
+#[test]
+fn a_route_that_hangs_does_not_cut_the_patience_of_others() {
+    let mut bed = Bed::with_destinations(settings(), 2);
+    (0..2).for_each(|destination| bed.meet(destination));
+    let (hung, actions) = bed.hand(0, 0);
+    let before = patience(bed.now, &actions);
+    let mut now = bed.now.ms();
+    for copy in 0..4 {
+        now += 8.0 * before;
+        bed.at(now).say(closed(hung, copy, Outcome::TimedOut));
+        bed.idle(now + 20.0 * before);
+    }
+    let (_, actions) = bed.hand(0, 1);
+    assert_eq!(patience(bed.now, &actions), before);
+}
+
 /// A slow route must get the time that it needs, or every call to it is wasted.
 #[test]
 fn patience_grows_while_nothing_answers() {
