--- a/courier/src/core/engine/lives.rs
+++ b/courier/src/core/engine/lives.rs
@@ -245,6 +245,8 @@
             }
         }
         self.take_on(now, offered, &[], orders);
+        // What the journal did not take is declined, and the module has not heard of it.
+        self.backlog.clear();
     }
 
     /// Tells the life that decides how a leg of this one ended, and who waits here for a delivery.
--- a/courier/tests/lives.rs
+++ b/courier/tests/lives.rs
@@ -290,6 +290,26 @@
     let _ = fs::remove_dir_all(&dir);
 }
 
+#[test]
+fn one_that_has_handed_over_declines_what_its_last_room_does_not_take_and_rests() {
+    let dir = folder("last-room");
+    let (mut old, _) = Life::alone(&dir, 0);
+    old.hand_over(10);
+    let (mut taken, mut declined) = (0, 0);
+    for n in 0..20 {
+        let offer = Input::Offered(Ticket(n), message(&format!("m{n}"), FREE, 20, 20_000));
+        let mut orders = Vec::new();
+        let now = Stamp { mono: Time(20_000), unix_ms: START_MS + 20 };
+        old.engine.step(now, vec![offer], &mut orders);
+        taken += usize::from(taken_on(&orders));
+        declined += orders.iter().filter(|o| matches!(o, Order::Answer(_, Answer::Declined(_)))).count();
+        assert!(!old.engine.has_backlog(), "it would be stepped again and again");
+        assert_eq!(old.engine.next_wake(), None);
+    }
+    assert!(taken > 2 && declined > 2 && taken + declined == 20, "{taken} taken on, {declined} declined");
+    let _ = fs::remove_dir_all(&dir);
+}
+
 /// A world of one partner and one courier, whose lives come and go by a seed. The partner and the clients know the truth.
 struct World {
     dir: PathBuf,
