Terms and the switch of a policy change for a group of daemons, as machines without I/O

Need: a change of what couriers decide by is to take hold at every one or at none, also while some are down.

Change: group/ has a member, which acts only on a term that it asked for in this life, and a leader, which takes a proposal through check, stop and decide; the log of outcomes is an input. Histories of 3 to 5 members with words lost, late and twice, cuts, stops, restarts, deposed leaders and clocks apart try mixture, outcomes, noes and members left behind; six faults put in on purpose are each found.

--- /dev/null
+++ b/group/src/words.rs
@@ -0,0 +1,121 @@
+//! What members and the leader say to each other, and what stands in the log.
+
+use marblefall_decisions::{Span, Time};
+use std::rc::Rc;
+
+/// A member, by its place in the group's file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Member(pub u32);
+
+/// A policy that is or was in force; each is one more than the one before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Revision(pub u64);
+
+/// A proposed change, in the order of the log. One that was withdrawn leaves its revision to the next.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Proposal(pub u64);
+
+/// Which leader; later ones have higher numbers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Epoch(pub u64);
+
+/// One life of a member's process, drawn at its start: an answer to an earlier life is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Life(pub u64);
+
+/// What a policy says is nobody's affair here.
+pub type Policy = Rc<[u8]>;
+
+/// What a cut costs, by the operators' choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OnCut {
+    /// A member that has lost the group for longer than its term does not act; changes go through without it then.
+    Stop,
+    /// It acts on; changes wait for it.
+    Serve,
+}
+
+/// The figures of a group.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// What a cut costs.
+    pub on_cut: OnCut,
+    /// How long a term lasts, under [`OnCut::Stop`].
+    pub term: Span,
+    /// Part by which two clocks may differ in speed, in hundredths.
+    pub drift_percent: i64,
+    /// How long a change may wait for the members' word on it, under [`OnCut::Stop`].
+    pub check_for: Span,
+    /// How long members may be held still before the change is withdrawn.
+    pub stop_for: Span,
+    /// What was not answered is said again after this.
+    pub again: Span,
+}
+
+impl Terms {
+    /// At most so much passes on one clock while a span passes on another.
+    pub fn longest(&self, span: Span) -> Span {
+        Span(span.0 + span.0 * self.drift_percent / 100 + 1)
+    }
+
+    /// At least so much does.
+    pub fn shortest(&self, span: Span) -> Span {
+        Span(span.0 - span.0 * self.drift_percent / 100 - 1)
+    }
+}
+
+/// An entry of the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Entry {
+    /// The policy that follows the one in force.
+    Proposed(Proposal, Policy),
+    /// The proposed one is in force.
+    InForce(Proposal),
+    /// It never will be, and why.
+    Withdrawn(Proposal, String),
+    /// Operators say of a member that it is stopped.
+    Without(Member),
+    /// It has asked again, and counts as one that may act from now on.
+    Back(Member),
+}
+
+/// From a member to the leader.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ToLeader {
+    /// May it act? Says which life asks and when by its own clock, which the answer repeats.
+    Ask {
+        /// Its life.
+        life: Life,
+        /// Its clock.
+        asked: Time,
+    },
+    /// Its word on a proposed policy, or why not.
+    Checked(Proposal, Result<(), String>),
+    /// It does not act any more, and will not before it hears what became of the proposal. Answers this leader's word: what
+    /// an earlier one was told may come from a life that is over, while a later one has a term.
+    Still(Proposal, Epoch),
+}
+
+/// From the leader to a member.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ToMember {
+    /// It may act under the policy in force.
+    Term {
+        /// The life that asked.
+        life: Life,
+        /// Its clock when it did.
+        asked: Time,
+        /// For so long from then, less the drift; without end under [`OnCut::Serve`].
+        length: Option<Span>,
+        /// The policy.
+        holds: (Revision, Policy),
+        /// The last proposal of which the outcome is known.
+        resolved: Proposal,
+    },
+    /// What does it say of this policy?
+    Check(Proposal, Policy),
+    /// It is not to act any more until it hears the outcome.
+    Stop(Proposal),
+    /// Proposals up to this one have their outcome: it may ask again.
+    Resolved(Proposal),
+}
