--- /dev/null
+++ b/courier/src/daemon/build.rs
@@ -0,0 +1,48 @@
+//! What an instance is made of.
+
+use crate::core::engine::{Input, Setup};
+use crate::front::cloudevents::Events;
+use crate::front::relay::Relay;
+use crate::net::discovery::Names;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// What an instance is made of, whoever describes it.
+pub struct Build {
+    /// Its name.
+    pub name: String,
+    /// The folder that lasts, and how many bytes it may hold.
+    pub state: (PathBuf, u64),
+    /// Descriptors it may hold.
+    pub sockets: usize,
+    /// For the module.
+    pub setup: Setup,
+    /// The names of the classes, in their order.
+    pub classes: Vec<String>,
+    /// A connection that takes longer to come up has failed.
+    pub dial: Duration,
+    /// Issuer hosts close a connection that has been idle for so long.
+    pub idle: Duration,
+    /// The issuer hosts as far as they are known.
+    pub hosts: Input,
+    /// The platform's front, if it is on.
+    pub relay: Option<RelayPart>,
+    /// The events front, if it is on.
+    pub events: Option<(TcpListener, Events)>,
+    /// Where operators call, if anywhere.
+    pub mgmt: Option<TcpListener>,
+}
+
+/// The platform's front of an instance.
+pub struct RelayPart {
+    /// Where clients connect.
+    pub listener: TcpListener,
+    /// What reads their requests.
+    pub front: Relay,
+    /// Where ends are told.
+    pub notices: SocketAddr,
+    /// The names by which the list is watched there, and from which version on; otherwise the list is the one
+    /// given.
+    pub watch: Option<(Names, u64)>,
+}
