The lab's deliberate faults are looked for on eight seeds instead of one

Seen: the courier that forgets its legs over a restart was no longer found on seed 1 once patience is cut where calls get lost: no leg that may not run twice was out at that restart. Ruled out: the checker, which is unchanged.

--- a/lab/tests/worlds.rs
+++ b/lab/tests/worlds.rs
@@ -64,11 +64,14 @@
 
 #[test]
 fn each_fault_of_a_courier_is_found_by_the_checker_meant_for_it() {
-    let scenario = Scenario::read(&named("faults"), &[], 1).unwrap();
+    // A leg that a restart forgets must be out at that moment: not on every seed is one that may not run twice.
     for fault in Fault::ALL {
-        let verdict = judge(&scenario, 1, &|life| fault.courier(life.settings, life.seed));
-        let found: Vec<_> = verdict.breaches.iter().map(|breach| breach.rule).collect();
-        assert!(found.contains(&fault.breaks()), "{fault:?}: found {found:?}");
+        let found = (1..=8).any(|seed| {
+            let scenario = Scenario::read(&named("faults"), &[], seed).unwrap();
+            let verdict = judge(&scenario, seed, &|life| fault.courier(life.settings, life.seed));
+            verdict.breaches.iter().any(|breach| breach.rule == fault.breaks())
+        });
+        assert!(found, "{fault:?} is not found on any seed");
     }
 }
 
