One piece for what the change of lives had written again; one way for a leg's end

On reading the change back. What proves that a call never ran stood in six places: Outcome::never_ran. A route's record for an idle destination, for staff and for a hand-over was put together three times: Courier::cold. Taught was Recalled with an endpoint: one event. The last generation in a folder was worked out three times:

A leg of another life whose host is gone from the list had an end of its own (unpark) beside the engine's; it now takes the same road. To begin to end gives the engine's input instead of queueing it, so that one that is fenced off tells it once; what operators hold out is read once by a life that comes up beside another.

--- a/courier/src/core/engine.rs
+++ b/courier/src/core/engine.rs
@@ -270,10 +270,7 @@
                 if let Some(id) = self.ledger.get(seq).map(|entry| entry.authorisation.destination) {
                     self.use_of(now, id, events, orders);
                 }
-                let never =
-                    matches!(outcome, m::Outcome::Full(_) | m::Outcome::ConnectFailed | m::Outcome::Moot);
-                let noted = self.ledger.leg_ended(seq, !never);
-                log_fault(noted, orders);
+                log_fault(self.ledger.leg_ended(seq, !outcome.never_ran()), orders);
                 let (message, copy) = (m::MessageId(seq), m::Copy(copy));
                 let delivered = outcome == m::Outcome::Delivered;
                 let last = delivered || verdict != Verdict::Open;
@@ -286,7 +283,10 @@
                     self.finish(now, seq, End::Failed, orders);
                 } else if verdict == Verdict::Over {
                     self.over(now, seq, orders);
+                } else if self.parked.contains(&seq) {
+                    self.resume(now, seq, false, orders);
                 }
+                self.parked.remove(&seq);
             }
             Input::NoticeTaken(seq) => {
                 self.over(now, seq, orders);
--- a/courier/src/core/engine/lives.rs
+++ b/courier/src/core/engine/lives.rs
@@ -43,14 +43,8 @@
         self.stage = Stage::Serving;
         for (destination, host, cold) in &taken.known {
             let host = host.as_ref().map(|host| self.host(host));
-            let mono = |at: Option<m::Time>| at.map(|at| now.mono_of(at.0.div_euclid(1000)));
-            let cold = m::Cold {
-                wait_until: mono(cold.wait_until),
-                out_since: mono(cold.out_since),
-                back_since: mono(cold.back_since),
-                ..*cold
-            };
-            self.backlog.push(m::Event::Taught(*destination, host, cold));
+            let cold = cold.told_by(|at| now.mono_of(at.0.div_euclid(1000)));
+            self.backlog.push(m::Event::Recalled(*destination, host, cold));
         }
         for ((destination, host), until) in self.ledger.waits().clone() {
             let host = self.host(&host);
@@ -65,7 +59,7 @@
     }
 
     /// Gives the module a message of an earlier life, or orders the notice that is owed.
-    fn resume(&mut self, now: Stamp, seq: Seq, away: bool, orders: &mut Vec<Order>) {
+    pub(super) fn resume(&mut self, now: Stamp, seq: Seq, away: bool, orders: &mut Vec<Order>) {
         let entry = self.ledger.entries()[&seq].clone();
         match entry.end {
             Some(end) if entry.owed => orders.push(Order::Notice(seq, entry.authorisation, end)),
@@ -137,10 +131,8 @@
             match told {
                 Told::TakenOn(seq) => self.resume(now, seq, false, orders),
                 Told::Closed(seq, Closed { copy, outcome, took, verdict, report, .. }) => {
-                    if self.away.remove(&seq) {
+                    if self.away.remove(&seq) || self.parked.contains(&seq) {
                         rest.push(Input::LegEnded { seq, copy, outcome, took, verdict, report });
-                    } else if self.parked.remove(&seq) {
-                        self.unpark(now, seq, outcome, verdict, orders);
                     }
                 }
             }
@@ -149,7 +141,8 @@
 
     /// Legs of lives that ended without a word: they may have run.
     fn give_up_away(&mut self, now: Stamp, rest: &mut Vec<Input>) {
-        for seq in std::mem::take(&mut self.away) {
+        let away = std::mem::take(&mut self.away);
+        for seq in away.into_iter().chain(self.parked.iter().copied()) {
             let Some(entry) = self.ledger.get(seq) else { continue };
             let began = entry.out.as_ref().map_or(now.unix_ms, |leg| leg.at_ms);
             let took = m::Span((now.unix_ms - began).max(0) * 1000);
@@ -157,29 +150,6 @@
             let (outcome, verdict, report) = (m::Outcome::Reset, Verdict::Open, m::Report::default());
             rest.push(Input::LegEnded { seq, copy, outcome, took, verdict, report });
         }
-        for seq in std::mem::take(&mut self.parked) {
-            self.unpark(now, seq, m::Outcome::Reset, Verdict::Open, &mut Vec::new());
-        }
-    }
-
-    /// The leg of a message ended of which the module has not heard yet.
-    fn unpark(
-        &mut self,
-        now: Stamp,
-        seq: Seq,
-        outcome: m::Outcome,
-        verdict: Verdict,
-        orders: &mut Vec<Order>,
-    ) {
-        self.out = self.out.saturating_sub(1);
-        let never = matches!(outcome, m::Outcome::Full(_) | m::Outcome::ConnectFailed | m::Outcome::Moot);
-        log_fault(self.ledger.leg_ended(seq, !never), orders);
-        match (outcome, verdict) {
-            (m::Outcome::Delivered, _) => self.finish(now, seq, End::Delivered, orders),
-            (_, Verdict::Failed) => self.finish(now, seq, End::Failed, orders),
-            (_, Verdict::Over) => self.over(now, seq, orders),
-            (_, Verdict::Open) => self.resume(now, seq, false, orders),
-        }
     }
 
     /// Goes on under a later generation with what a life left that never decided.
@@ -198,13 +168,7 @@
         if self.stage == Stage::Serving {
             let unix = |at: m::Time| m::Time(now.unix_ms * 1000 + (at - now.mono).0);
             let known = self.module.known(now.mono).into_iter().map(|(destination, host, cold)| -> Known {
-                let cold = m::Cold {
-                    wait_until: cold.wait_until.map(unix),
-                    out_since: cold.out_since.map(unix),
-                    back_since: cold.back_since.map(unix),
-                    ..cold
-                };
-                (destination, host.and_then(|host| self.hosts.get(&host).cloned()), cold)
+                (destination, host.and_then(|host| self.hosts.get(&host).cloned()), cold.told_by(unix))
             });
             let known = known.collect();
             log_fault(self.ledger.hand_over(known), orders);
@@ -272,8 +236,9 @@
     /// A wait that a host told is written down before anything else is done with its answer.
     pub(super) fn note_wait(&mut self, now: Stamp, seq: Seq, outcome: m::Outcome, orders: &mut Vec<Order>) {
         let m::Outcome::Full(Some(wait)) = outcome else { return };
-        let Some(host) = self.ledger.leg_out(seq).map(|leg| leg.host.clone()) else { return };
-        let Some(to) = self.ledger.get(seq).map(|entry| entry.authorisation.destination) else { return };
+        let Some(entry) = self.ledger.get(seq) else { return };
+        let Some(leg) = &entry.out else { return };
+        let (to, host) = (entry.authorisation.destination, leg.host.clone());
         let until = now.unix_ms + wait.0.div_euclid(1000) + 1;
         log_fault(self.ledger.told(to, host, until), orders);
     }
--- a/courier/src/core/engine/places.rs
+++ b/courier/src/core/engine/places.rs
@@ -110,7 +110,7 @@
         if self.warmth.touch(now.mono, id) {
             let entries = self.listed(directory.hosts(id), false, orders);
             events.push(m::Event::Changed(entries));
-            events.extend(self.warmth.recall(id).map(|cold| m::Event::Recalled(id, cold)));
+            events.extend(self.warmth.recall(id).map(|cold| m::Event::Recalled(id, None, cold)));
         }
     }
 
--- a/courier/src/core/journal.rs
+++ b/courier/src/core/journal.rs
@@ -57,6 +57,14 @@
     Ok(numbers)
 }
 
+/// The last generation that wrote segments in a folder.
+///
+/// # Errors
+/// The folder cannot be read.
+pub fn latest(dir: &Path) -> io::Result<Generation> {
+    Ok(segments(dir)?.last().map_or(Generation(0), |last| Generation::of(*last)))
+}
+
 /// Where the log of another life that still runs was read up to.
 #[derive(Debug)]
 pub struct Tail {
@@ -93,8 +101,7 @@
     /// Of the disk.
     pub fn open(dir: &Path, segment_len: u64, replay: impl FnMut(u64, &[u8])) -> io::Result<Journal> {
         fs::create_dir_all(dir)?;
-        let latest = segments(dir)?.last().map_or(Generation(0), |last| Generation::of(*last));
-        let mut journal = Journal::begin(dir, segment_len, latest.next())?;
+        let mut journal = Journal::begin(dir, segment_len, latest(dir)?.next())?;
         journal.take_up(&[], replay)?;
         Ok(journal)
     }
--- a/courier/src/core/ledger.rs
+++ b/courier/src/core/ledger.rs
@@ -3,10 +3,9 @@
 
 mod lives;
 
-use lives::Place;
 pub use lives::{Known, TakenUp, Told};
 
-use super::journal::{self, Generation, Journal, Tail};
+use super::journal::{self, Journal, Tail};
 use super::record::Record;
 use super::{Authorisation, End, Seq};
 use marblefall_decisions::DestinationId;
@@ -91,7 +90,8 @@
     waits: BTreeMap<(DestinationId, String), i64>,
     /// The logs of lives that have handed over and still run.
     tails: Vec<Tail>,
-    place: Place,
+    /// Another life reads what this one still writes.
+    handed_over: bool,
     /// What this life's part may take while it is the only one.
     alone: u64,
 }
@@ -104,8 +104,7 @@
     /// Of the disk.
     pub fn open(dir: &Path, disk: u64, classes: Vec<String>) -> io::Result<Ledger> {
         std::fs::create_dir_all(dir)?;
-        let latest = journal::segments(dir)?.last().map_or(Generation(0), |last| Generation::of(*last));
-        let mut ledger = Ledger::begin(dir, disk, classes, latest.next())?;
+        let mut ledger = Ledger::begin(dir, disk, classes, journal::latest(dir)?.next())?;
         ledger.take_up(&[], None)?;
         Ok(ledger)
     }
@@ -292,8 +291,7 @@
     fn write(&mut self, payload: &[u8]) -> io::Result<u64> {
         for _ in 0..self.journal.segments() {
             let fits = self.journal.size() + payload.len() as u64 <= self.soft;
-            // Another life reads what this one has handed over.
-            if fits || self.place == Place::HandedOver || !self.clean()? {
+            if fits || self.handed_over || !self.clean()? {
                 break;
             }
         }
--- a/courier/src/core/ledger/lives.rs
+++ b/courier/src/core/ledger/lives.rs
@@ -1,7 +1,7 @@
 //! The ledger between two lives of the process: what a new one takes up, what it follows of one that still runs, and
 //! what the old one leaves behind.
 
-use super::{Ledger, Leg, MARGIN, SEGMENT};
+use super::{Ledger, MARGIN, SEGMENT};
 use crate::core::journal::{Generation, Journal};
 use crate::core::record::{Closed, Record};
 use crate::core::Seq;
@@ -17,17 +17,6 @@
 /// Bits of a message's number that count within one life.
 const OWN_BITS: u32 = 40;
 
-/// How this life stands to others in the folder.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Place {
-    /// Another one decides; this one only writes down what it takes on.
-    Beside,
-    /// This one decides.
-    Serving,
-    /// Another one decides now and reads what this one still writes.
-    HandedOver,
-}
-
 /// What an earlier life knew of a route: its destination, its host where that is a route of its own.
 pub type Known = (DestinationId, Option<String>, Cold);
 
@@ -82,7 +71,7 @@
             classes,
             waits: BTreeMap::new(),
             tails: Vec::new(),
-            place: Place::Beside,
+            handed_over: false,
             alone: whole.saturating_sub(successor),
         })
     }
@@ -122,7 +111,6 @@
         let living = !tails.is_empty();
         self.tails.extend(tails);
         (self.budget, self.soft) = (self.alone, self.alone.saturating_sub(2 * SEGMENT));
-        self.place = Place::Serving;
         places.retain(|seq, _| self.entries.contains_key(seq));
         self.places.extend(places);
         let found: Vec<Seq> =
@@ -205,7 +193,7 @@
     /// # Errors
     /// Of the disk; it is handed over all the same.
     pub fn hand_over(&mut self, known: Vec<Known>) -> io::Result<()> {
-        self.place = Place::HandedOver;
+        self.handed_over = true;
         self.budget = self.journal.size() + LAST;
         self.journal.roll()?;
         for (destination, host, cold) in known {
@@ -247,9 +235,4 @@
         self.next = (generation.0 << OWN_BITS) + 1;
         Ok(())
     }
-
-    /// The leg of a message that is out, wherever it was begun.
-    pub fn leg_out(&self, seq: Seq) -> Option<&Leg> {
-        self.get(seq)?.out.as_ref()
-    }
 }
--- a/courier/src/core/record.rs
+++ b/courier/src/core/record.rs
@@ -40,13 +40,6 @@
     pub keep_until_ms: i64,
 }
 
-impl Closed {
-    /// Whether the leg may have run.
-    pub fn may_have_run(&self) -> bool {
-        !matches!(self.outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot)
-    }
-}
-
 impl Record {
     /// Does to the messages what the record says of one.
     pub(super) fn apply(self, seq: Seq, entries: &mut BTreeMap<Seq, Entry>) {
@@ -81,7 +74,7 @@
             Record::Closed(closed) => {
                 // Read again by a later life: the one that it was told to may have taken it up, or died before.
                 let Some(leg) = entry.out.take() else { return };
-                if closed.may_have_run() {
+                if !closed.outcome.never_ran() {
                     entry.ran.get_or_insert(leg);
                 }
                 let over = closed.outcome == Outcome::Delivered || closed.verdict == Verdict::Over;
--- a/courier/src/daemon.rs
+++ b/courier/src/daemon.rs
@@ -277,6 +277,8 @@
     let mut engine = match beside {
         None => {
             ledger.take_up(&[], None).map_err(at)?;
+            // Beside another life it is read once that one no longer changes it.
+            steward.reread();
             Engine::new(build.setup, ledger, clock.now(), &mut orders)
         }
         Some(_) => Engine::beside(build.setup, ledger),
@@ -285,7 +287,6 @@
         engine.remember(clock.now(), &records);
         keep
     });
-    steward.reread();
     let life = Rc::new(RefCell::new(life));
     if let Some(beside) = beside {
         tasks.spawn(drive::come_up(life.clone(), beside.first, clock, steward.clone(), news.clone()));
@@ -334,7 +335,8 @@
             Command::Reread => {}
             Command::Stop { left, goes_on } if stop.get().is_none() => {
                 say!("told to end");
-                hands.leave(left, goes_on, &stop).await;
+                let ends = hands.leave(left, goes_on, &stop);
+                hands.desk.put(ends).await;
             }
             Command::Stop { .. } => {}
         }
@@ -361,8 +363,8 @@
 }
 
 impl Hands {
-    /// Begins to end this life: at once towards clients, and within `left` altogether.
-    async fn leave(self: &Rc<Self>, left: Duration, goes_on: bool, stop: &Cell<Option<Instant>>) {
+    /// Begins to end this life: at once towards clients, and within `left` altogether. Gives what the engine is to hear.
+    fn leave(&self, left: Duration, goes_on: bool, stop: &Cell<Option<Instant>>) -> Input {
         let now = Instant::now();
         let replaced = drive::must_hand_over(&self.life) || self.life.borrow().has_successor();
         stop.set(Some(now + left));
@@ -389,8 +391,11 @@
             }
             desk.close_idle();
         });
-        let by = self.clock.now().mono + Span(left.as_micros() as i64);
-        self.desk.put(Input::Stop { by, hand_over: replaced || goes_on }).await;
+        self.ends(left, replaced || goes_on)
+    }
+
+    fn ends(&self, left: Duration, hand_over: bool) -> Input {
+        Input::Stop { by: self.clock.now().mono + Span(left.as_micros() as i64), hand_over }
     }
 
     /// The engine's task: all that waits goes in as one batch, news of the list first.
@@ -400,7 +405,7 @@
         mut orders: Vec<Order>,
         inputs: Receiver<Input>,
         listed: Receiver<Input>,
-        stop: &Rc<Cell<Option<Instant>>>,
+        stop: &Cell<Option<Instant>>,
         mut keep: Option<Keep>,
     ) {
         let mut kept = Instant::now();
@@ -414,13 +419,13 @@
             }
             if !engine.has_handed_over() && drive::must_hand_over(&self.life) {
                 // Found before anything is decided: another life may decide already.
-                let by = self.clock.now().mono + Span(LEAVE.as_micros() as i64);
-                batch.insert(0, Input::Stop { by, hand_over: true });
-                if stop.get().is_none() {
-                    say!("asked to hand over");
-                    let (hands, stop) = (self.clone(), stop.clone());
-                    self.tasks.spawn(async move { hands.leave(LEAVE, false, &stop).await });
-                }
+                batch.push(match stop.get() {
+                    Some(_) => self.ends(LEAVE, true),
+                    None => {
+                        say!("asked to hand over");
+                        self.leave(LEAVE, false, stop)
+                    }
+                });
             }
             let taken = batch.iter().filter(|input| matches!(input, Input::NoticeTaken(_))).count();
             self.counters.notices.set(self.counters.notices.get() + taken as u64);
--- a/courier/src/life/folder.rs
+++ b/courier/src/life/folder.rs
@@ -2,7 +2,7 @@
 //! for as long as it runs; the system lets go of it however the process ends, SIGKILL included. In that file stand the
 //! marks that it and those after it leave, a byte each, only ever added to.
 
-use crate::core::journal::{segments, Generation};
+use crate::core::journal::{latest, Generation};
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, Read, Seek, Write};
 use std::path::{Path, PathBuf};
@@ -190,8 +190,7 @@
 
 /// Makes and locks the file of the next generation.
 fn place(folder: &Path, after: Generation) -> io::Result<(Generation, File)> {
-    let written = segments(folder)?.last().map_or(Generation(0), |last| Generation::of(*last));
-    let mut generation = locks(folder)?.into_iter().chain([written, after]).max().unwrap_or_default();
+    let mut generation = locks(folder)?.into_iter().chain([latest(folder)?, after]).max().unwrap_or_default();
     loop {
         generation = generation.next();
         let made = OpenOptions::new().create_new(true).read(true).append(true).open(path(folder, generation));
--- a/courier/tests/core.rs
+++ b/courier/tests/core.rs
@@ -1,23 +1,18 @@
 //! The core without any wire, with a clock fed by hand.
 
+mod common;
+
+use common::{caps, folder, host, setup, KEYED, START_MS};
 use marblefall_courier::core::engine::{Engine, Host, Input, Order, Setup};
 use marblefall_courier::core::journal::{segments, Journal};
 use marblefall_courier::core::ledger::{Ledger, Leg};
-use marblefall_courier::core::{Answer, Authorisation, End, Origin, Stamp, Ticket, Verdict};
+use marblefall_courier::core::{Answer, Authorisation, End, Origin, Stamp, Ticket};
 use marblefall_decisions::*;
 use std::fs;
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
-const START_MS: i64 = 1_800_000_000_000;
-
-fn folder(name: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("marblefall-core-{}-{name}", std::process::id()));
-    let _ = fs::remove_dir_all(&path);
-    path
-}
-
 fn classes() -> Vec<String> {
     vec!["keyed".to_owned(), "free".to_owned()]
 }
@@ -35,46 +30,13 @@
     }
 }
 
-fn setup() -> Setup {
-    let class = |effect| Class {
-        worth: 1.0,
-        promise: Span::from_ms(2000.0),
-        give_up: Span::from_ms(20_000.0),
-        late_value: 0.3,
-        effect,
-        ordered: false,
-    };
-    let keyed = Effect::Token { scope: Scope::All, window: Span::from_ms(6000.0) };
-    let caps = Caps {
-        slots: 4,
-        max_open: 50,
-        max_attempts: 8,
-        may_cancel: true,
-        max_retry_after: Span::from_ms(3000.0),
-        ..Caps::default()
-    };
-    let settings = Settings {
-        classes: vec![class(keyed), class(Effect::Pure)],
-        kinds: vec![Kind { apart: false, per_call: 1 }],
-        late: LateForm::Line,
-        caps,
-        couriers: 1,
-        ..Settings::default()
-    };
-    Setup { settings, seed: 1, remember_ms: vec![60_000; 2], remember_most: 100 }
+fn engine_setup() -> Setup {
+    let caps = Caps { may_cancel: true, ..caps(50) };
+    Setup { remember_ms: vec![60_000; 2], remember_most: 100, ..setup(&[KEYED, Effect::Pure], caps) }
 }
 
 fn list() -> Input {
-    Input::Listed(vec![Host {
-        name: "h".to_owned(),
-        address: "127.0.0.1:1".to_owned(),
-        destination: DestinationId(7),
-        kind: KindId(0),
-        zone: ZoneId(0),
-        listing: Listing::On,
-        share: 50.0,
-        weight: None,
-    }])
+    Input::Listed(vec![host("h")])
 }
 
 /// An engine over a folder, with a clock.
@@ -90,7 +52,7 @@
         let mut orders = Vec::new();
         // Each life's monotonic clock begins anew.
         let now = Stamp { mono: Time(0), unix_ms: START_MS + ms };
-        let mut bed = Bed { engine: Engine::new(setup(), ledger, now, &mut orders), dir, ms };
+        let mut bed = Bed { engine: Engine::new(engine_setup(), ledger, now, &mut orders), dir, ms };
         orders.extend(bed.step_at(now, vec![list()]));
         (bed, orders)
     }
@@ -133,8 +95,7 @@
 }
 
 fn ended((seq, copy): (u64, u32), outcome: Outcome) -> Input {
-    let took = Span::from_ms(100.0);
-    Input::LegEnded { seq, copy, outcome, took, verdict: Verdict::Open, report: Report::default() }
+    common::ended(seq, copy, outcome)
 }
 
 #[test]
--- a/courier/tests/idle.rs
+++ b/courier/tests/idle.rs
@@ -1,6 +1,9 @@
 //! Many idle destinations: only those in use are known to the module, and what must not be forgotten of the others
 //! is not.
 
+mod common;
+
+use common::{class, START_MS};
 use marblefall_courier::core::directory::{Directory, Entry, Place};
 use marblefall_courier::core::engine::{Engine, Input, Order, Setup};
 use marblefall_courier::core::ledger::Ledger;
@@ -10,17 +13,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
-const START_MS: i64 = 1_800_000_000_000;
-
 fn setup() -> Setup {
-    let class = Class {
-        worth: 1.0,
-        promise: Span::from_ms(2000.0),
-        give_up: Span::from_ms(20_000.0),
-        late_value: 0.3,
-        effect: Effect::Pure,
-        ordered: false,
-    };
     let caps = Caps {
         slots: 64,
         max_open: 20_000,
@@ -38,7 +31,7 @@
         ..Rules::default()
     };
     let settings = Settings {
-        classes: vec![class],
+        classes: vec![class(Effect::Pure)],
         kinds: vec![Kind { apart: false, per_call: 1 }],
         late: LateForm::Line,
         caps,
--- a/courier/tests/lives.rs
+++ b/courier/tests/lives.rs
@@ -1,72 +1,34 @@
 //! Two lives of the core over one folder, beside each other, with a clock fed by hand: what one takes over from the
 //! other, and whole random histories of starts, hand-overs and deaths.
 
-use marblefall_courier::core::engine::{Engine, Host, Input, Order, Setup};
-use marblefall_courier::core::journal::{segments, Generation};
+mod common;
+
+use common::{caps, ended, folder, host, setup, START_MS};
+use marblefall_courier::core::engine::{Engine, Input, Order, Setup};
+use marblefall_courier::core::journal::{latest, Generation};
 use marblefall_courier::core::ledger::Ledger;
-use marblefall_courier::core::{Answer, Authorisation, End, Origin, Seq, Stamp, Ticket, Verdict};
+use marblefall_courier::core::{Answer, Authorisation, End, Origin, Seq, Stamp, Ticket};
 use marblefall_decisions::*;
 use std::collections::BTreeMap;
 use std::fs;
 use std::path::{Path, PathBuf};
 
-const START_MS: i64 = 1_800_000_000_000;
 const DISK: u64 = 3_000_000;
 /// A class whose repeats receivers drop by key, one that may be repeated freely, and one that may never be.
 const KEYED: usize = 0;
 const FREE: usize = 1;
 const NEVER: usize = 2;
 
-fn folder(name: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("marblefall-lives-{}-{name}", std::process::id()));
-    let _ = fs::remove_dir_all(&path);
-    path
-}
-
 fn classes() -> Vec<String> {
     ["keyed", "free", "never"].map(String::from).to_vec()
 }
 
-fn setup() -> Setup {
-    let class = |effect| Class {
-        worth: 1.0,
-        promise: Span::from_ms(2000.0),
-        give_up: Span::from_ms(20_000.0),
-        late_value: 0.3,
-        effect,
-        ordered: false,
-    };
-    let keyed = Effect::Token { scope: Scope::All, window: Span::from_ms(6000.0) };
-    let caps = Caps {
-        slots: 4,
-        max_open: 200,
-        max_attempts: 8,
-        max_retry_after: Span::from_ms(3000.0),
-        ..Caps::default()
-    };
-    let settings = Settings {
-        classes: vec![class(keyed), class(Effect::Pure), class(Effect::SideEffect)],
-        kinds: vec![Kind { apart: false, per_call: 1 }],
-        late: LateForm::Line,
-        caps,
-        couriers: 1,
-        ..Settings::default()
-    };
-    Setup { settings, seed: 1, remember_ms: vec![0; 3], remember_most: 0 }
+fn engine_setup() -> Setup {
+    setup(&[common::KEYED, Effect::Pure, Effect::SideEffect], caps(200))
 }
 
 fn list(hosts: &[&str]) -> Input {
-    let host = |name: &&str| Host {
-        name: (*name).to_owned(),
-        address: "127.0.0.1:1".to_owned(),
-        destination: DestinationId(7),
-        kind: KindId(0),
-        zone: ZoneId(0),
-        listing: Listing::On,
-        share: 50.0,
-        weight: None,
-    };
-    Input::Listed(hosts.iter().map(host).collect())
+    Input::Listed(hosts.iter().map(|name| host(name)).collect())
 }
 
 /// One life.
@@ -80,20 +42,20 @@
     /// One that begins alone.
     fn alone(dir: &Path, ms: i64) -> (Life, Vec<Order>) {
         let ledger = Ledger::open(dir, DISK, classes()).unwrap();
-        let generation = Generation::of(*segments(dir).unwrap().last().unwrap());
+        let generation = latest(dir).unwrap();
         let mut orders = Vec::new();
         let now = Stamp { mono: Time(0), unix_ms: START_MS + ms };
         let mut life =
-            Life { engine: Engine::new(setup(), ledger, now, &mut orders), generation, born_ms: ms };
+            Life { engine: Engine::new(engine_setup(), ledger, now, &mut orders), generation, born_ms: ms };
         orders.extend(life.step(ms, vec![list(&["h"])]));
         (life, orders)
     }
 
     /// One that comes up beside others.
     fn beside(dir: &Path, ms: i64) -> Life {
-        let generation = Generation::of(*segments(dir).unwrap().last().unwrap()).next();
+        let generation = latest(dir).unwrap().next();
         let ledger = Ledger::begin(dir, DISK, classes(), generation).unwrap();
-        let mut life = Life { engine: Engine::beside(setup(), ledger), generation, born_ms: ms };
+        let mut life = Life { engine: Engine::beside(engine_setup(), ledger), generation, born_ms: ms };
         life.step(ms, vec![list(&["h"])]);
         life
     }
@@ -151,11 +113,6 @@
     orders.iter().any(|order| matches!(order, Order::Answer(_, Answer::TakenOn)))
 }
 
-fn ended(seq: Seq, copy: u32, outcome: Outcome) -> Input {
-    let took = Span::from_ms(100.0);
-    Input::LegEnded { seq, copy, outcome, took, verdict: Verdict::Open, report: Report::default() }
-}
-
 #[test]
 fn what_is_held_goes_on_at_once_and_what_is_out_only_when_its_leg_is_over() {
     let dir = folder("goes-on");
@@ -430,9 +387,9 @@
             self.old = Some(life);
             self.carry_out(orders, true);
         } else {
-            let latest = Generation::of(*segments(&self.dir).unwrap().last().unwrap()).next();
-            self.run(true, vec![Input::Adopt(latest)]);
-            self.old.iter_mut().for_each(|old| old.generation = latest);
+            let renewed = latest(&self.dir).unwrap().next();
+            self.run(true, vec![Input::Adopt(renewed)]);
+            self.old.iter_mut().for_each(|old| old.generation = renewed);
         }
     }
 
--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -238,8 +238,7 @@
         }
         let Some(open) = self.open.get_mut(&message) else { return };
         if let Some((_, sent)) = open.out.take() {
-            let never_ran = matches!(outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot);
-            if !never_ran {
+            if !outcome.never_ran() {
                 open.ran.get_or_insert(sent);
             }
         }
--- a/lab/src/cored.rs
+++ b/lab/src/cored.rs
@@ -137,7 +137,6 @@
             | Event::Gone(_)
             | Event::Probed { .. }
             | Event::Recalled(..)
-            | Event::Taught(..)
             | Event::Waits(..)
             | Event::ListFailed => return None,
         })
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -441,8 +441,7 @@
             return;
         }
         let Some((endpoint, sent)) = message.out.take() else { return };
-        let never_ran = matches!(outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot);
-        if !never_ran {
+        if !outcome.never_ran() {
             message.ran.get_or_insert((sent, endpoint));
         }
         if std::mem::take(&mut message.wired) {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -252,8 +252,8 @@
                 }
             }
             Event::Gone(message) => self.gone(*message, actions),
-            Event::Recalled(id, cold) => self.recall(now, RouteId(*id, None), cold),
-            Event::Taught(..) | Event::Waits(..) => self.taught(now, event),
+            Event::Recalled(id, endpoint, cold) => self.recall(now, RouteId(*id, *endpoint), cold),
+            Event::Waits(to, endpoint, until) => self.waits(*to, *endpoint, *until),
             Event::Due(token) => self.timer = self.timer.filter(|(_, set)| set != token),
             Event::Probed { endpoint, outcome, .. } => {
                 let route = self.endpoints.get(endpoint).and_then(|e| self.routes.get_mut(&e.route));
@@ -399,7 +399,7 @@
     fn closed(&mut self, now: Time, id: MessageId, outcome: Outcome, last: bool) -> Option<Attempt> {
         let message = self.messages.get_mut(&id)?;
         let attempt = message.out.take()?;
-        let never_ran = matches!(outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot);
+        let never_ran = outcome.never_ran();
         if !never_ran && message.ran.is_none() {
             message.ran = Some((attempt.sent, attempt.endpoint));
         }
--- a/src/choice/carry.rs
+++ b/src/choice/carry.rs
@@ -9,33 +9,18 @@
     /// is a route of its own, and how it stands.
     pub fn known(&self, now: Time) -> Vec<(DestinationId, Option<EndpointId>, Cold)> {
         let known = self.routes.iter().map(|(id, route)| {
-            let (out_since, back_since) = self.since(now, &route.health, self.held.line(id.0).is_some());
-            let wait_until = route.wait_until.filter(|until| *until > now);
-            let (mean_ms, usual) = (route.mean, route.usual(now));
-            (id.0, id.1, Cold { wait_until, out_since, back_since, mean_ms, usual })
+            let held = self.held.line(id.0).is_some();
+            (id.0, id.1, self.cold(now, route, held))
         });
         known.filter(|(.., cold)| cold.says_something()).collect()
     }
 
-    /// Takes up what another life knew; what this one was told itself stays.
-    pub(super) fn taught(&mut self, now: Time, event: &Event) {
-        match event {
-            Event::Taught(to, endpoint, cold) => {
-                let id = RouteId(*to, *endpoint);
-                let told = self.routes.get(&id).and_then(|route| route.wait_until);
-                self.recall(now, id, cold);
-                if let (Some(route), Some(until)) = (self.routes.get_mut(&id), told) {
-                    route.told(until);
-                }
-            }
-            Event::Waits(to, endpoint, until) => {
-                // An endpoint may have gone from the list meanwhile; what it said binds for what it shared a route with.
-                let known = self.endpoints.get(endpoint).map(|endpoint| endpoint.route);
-                if let Some(route) = self.routes.get_mut(&known.unwrap_or(RouteId(*to, None))) {
-                    route.told(*until);
-                }
-            }
-            _ => {}
+    /// Keeps to a wait that another life was told. The endpoint may have gone from the list meanwhile; what it said binds
+    /// for what it shared a route with.
+    pub(super) fn waits(&mut self, to: DestinationId, endpoint: EndpointId, until: Time) {
+        let known = self.endpoints.get(&endpoint).map(|endpoint| endpoint.route);
+        if let Some(route) = self.routes.get_mut(&known.unwrap_or(RouteId(to, None))) {
+            route.told(until);
         }
     }
 
--- a/src/choice/fold.rs
+++ b/src/choice/fold.rs
@@ -1,7 +1,7 @@
 //! What a courier keeps of destinations that are idle: all that it learned of one folds into a small record, and
 //! unfolds when the next message for it comes. Nothing is decided here.
 
-use super::{Courier, RouteId};
+use super::{Courier, Route, RouteId};
 use crate::interface::*;
 use crate::recovery::{Comeback, Stage};
 
@@ -23,14 +23,18 @@
         self.crowds.remove(&id);
         self.outs.remove(&route);
         let learned = self.routes.remove(&route)?;
-        let (out_since, back_since) = self.since(now, &learned.health, false);
-        let wait_until = learned.wait_until.filter(|until| *until > now);
-        let (mean_ms, usual) = (learned.mean, learned.usual(now));
-        Some((all, Cold { wait_until, out_since, back_since, mean_ms, usual }))
+        Some((all, self.cold(now, &learned, false)))
+    }
+
+    /// What is worth keeping of a route, for which messages may be held.
+    pub(super) fn cold(&self, now: Time, route: &Route, held: bool) -> Cold {
+        let (out_since, back_since) = self.since(now, &route.health, held);
+        let wait_until = route.wait_until.filter(|until| *until > now);
+        Cold { wait_until, out_since, back_since, mean_ms: route.mean, usual: route.usual(now) }
     }
 
     /// Since when a route is out, or being eased: for its cold time, and on while messages are held for it.
-    pub(super) fn since(&self, now: Time, health: &Comeback, held: bool) -> (Option<Time>, Option<Time>) {
+    fn since(&self, now: Time, health: &Comeback, held: bool) -> (Option<Time>, Option<Time>) {
         match health.stage() {
             Stage::Down(since) => (Some(since), None),
             Stage::Easing(since) if held || now - since < self.set.rules.cold => (None, Some(since)),
@@ -38,10 +42,10 @@
         }
     }
 
-    /// Takes up again what was known of a destination; its endpoints are listed already.
+    /// Takes up again what was known of a route; its endpoints are listed already. A wait that was told meanwhile stays.
     pub(super) fn recall(&mut self, now: Time, id: RouteId, cold: &Cold) {
         let Some(route) = self.routes.get_mut(&id) else { return };
-        (route.wait_until, route.mean) = (cold.wait_until, cold.mean_ms);
+        (route.wait_until, route.mean) = (route.wait_until.max(cold.wait_until), cold.mean_ms);
         (route.usual, route.usual_at) = (cold.usual, Some(now));
         route.health = Comeback::at(match (cold.out_since, cold.back_since) {
             (Some(since), _) => Stage::Down(since),
@@ -57,15 +61,7 @@
     pub fn standing(&self, now: Time, id: DestinationId) -> Option<Standing> {
         let route = self.routes.get(&RouteId(id, None))?;
         let held = self.messages.values().filter(|message| message.destination == id).count();
-        let (out_since, back_since) = self.since(now, &route.health, held > 0);
-        Some(Standing {
-            out_since,
-            back_since,
-            wait_until: route.wait_until.filter(|until| *until > now),
-            mean_ms: route.mean,
-            usual: route.usual(now),
-            held,
-            out: route.out.len(),
-        })
+        let Cold { wait_until, out_since, back_since, mean_ms, usual } = self.cold(now, route, held > 0);
+        Some(Standing { out_since, back_since, wait_until, mean_ms, usual, held, out: route.out.len() })
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -314,6 +314,13 @@
     Moot,
 }
 
+impl Outcome {
+    /// Whether it proves that the call never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot)
+    }
+}
+
 /// What an answer told of the route's limit; late and not exact.
 #[derive(Clone, Copy, Debug, PartialEq, Default)]
 pub struct Report {
@@ -369,6 +376,16 @@
 }
 
 impl Cold {
+    /// The same with its times told by another clock.
+    pub fn told_by(self, clock: impl Fn(Time) -> Time) -> Cold {
+        Cold {
+            wait_until: self.wait_until.map(&clock),
+            out_since: self.out_since.map(&clock),
+            back_since: self.back_since.map(&clock),
+            ..self
+        }
+    }
+
     /// Whether it says more of a destination than would be taken for granted of any.
     pub fn says_something(&self) -> bool {
         self.wait_until.is_some()
@@ -436,10 +453,9 @@
     Listed(Vec<Entry>),
     /// Changes to the list.
     Changed(Vec<Entry>),
-    /// What was kept of a destination that was folded; its endpoints are listed again already.
-    Recalled(DestinationId, Cold),
-    /// What another life of this courier knows of a destination, or of one endpoint where that is a route of its own.
-    Taught(DestinationId, Option<EndpointId>, Cold),
+    /// What was kept of a destination that was folded, or what another life knew of it, or of one endpoint where that is a
+    /// route of its own; its endpoints are listed already.
+    Recalled(DestinationId, Option<EndpointId>, Cold),
     /// Another life of this courier was told by an endpoint to leave its route alone until then.
     Waits(DestinationId, EndpointId, Time),
     /// Asking for the list failed, or the subscription broke.
