--- a/courier/src/core/ledger/lives.rs
+++ b/courier/src/core/ledger/lives.rs
@@ -107,7 +107,8 @@
             }
         });
         self.entries = entries;
-        let tails = tails?;
+        // What was read before a fault is this life's, and nothing of it is known to be out elsewhere.
+        let (tails, read) = tails.map_or_else(|fault| (Vec::new(), Err(fault)), |tails| (tails, Ok(())));
         let living = !tails.is_empty();
         self.tails.extend(tails);
         (self.budget, self.soft) = (self.alone, self.alone.saturating_sub(2 * SEGMENT));
@@ -133,7 +134,7 @@
         for ((destination, host), until) in waits {
             self.told(destination, host, until)?;
         }
-        Ok(taken)
+        read.map(|()| taken)
     }
 
     /// Reads on what lives that have handed over still write. Given are messages that they took on, which are this
--- a/courier/tests/lives.rs
+++ b/courier/tests/lives.rs
@@ -5,7 +5,7 @@
 
 use common::{caps, ended, folder, host, setup, START_MS};
 use marblefall_courier::core::engine::{Engine, Input, Order, Setup};
-use marblefall_courier::core::journal::{latest, Generation};
+use marblefall_courier::core::journal::{latest, segments, Generation};
 use marblefall_courier::core::ledger::Ledger;
 use marblefall_courier::core::{Answer, Authorisation, End, Origin, Seq, Stamp, Ticket};
 use marblefall_decisions::*;
@@ -247,6 +247,27 @@
     let _ = fs::remove_dir_all(&dir);
 }
 
+#[test]
+fn a_journal_that_cannot_be_read_to_its_end_is_taken_up_as_far_as_it_can_be() {
+    let dir = folder("unreadable");
+    let (mut old, _) = Life::alone(&dir, 0);
+    assert_eq!(legs(&old.offer(10, "a", FREE)).len(), 1);
+    let mut new = Life::beside(&dir, 50);
+    let first = *segments(&dir).unwrap().iter().find(|n| Generation::of(**n) == old.generation).unwrap();
+    // A folder in the place of a segment cannot be read.
+    fs::create_dir(dir.join(format!("journal-{:010}", first + 7))).unwrap();
+    let mut orders = new.take_up(60, &[], old.generation);
+    assert!(orders.iter().any(|order| matches!(order, Order::Log(_))), "it is said");
+    // What was read goes on: its leg may have run, and it ends here once.
+    let mut open = Vec::new();
+    for ms in 70..400 {
+        open.extend(legs(&orders).into_iter().map(|(seq, copy, _)| ended(seq, copy, Outcome::Delivered)));
+        orders = new.step(ms, std::mem::take(&mut open));
+    }
+    assert_eq!(new.engine.load(), (0, 0));
+    let _ = fs::remove_dir_all(&dir);
+}
+
 #[test]
 fn one_that_has_handed_over_declines_what_its_last_room_does_not_take_and_rests() {
     let dir = folder("last-room");
