--- a/courier/tests/common/mod.rs
+++ b/courier/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! What the tests of the core share: a folder of their own, classes and limits, a host, the end of a leg.
 #![allow(dead_code)]
 
-use marblefall_courier::core::engine::{Host, Input, Setup};
-use marblefall_courier::core::{Seq, Verdict};
+use marblefall_courier::core::engine::{Host, Input, Order, Setup};
+use marblefall_courier::core::{Answer, Seq, Verdict};
 use marblefall_decisions::*;
 use std::path::PathBuf;
 
@@ -67,3 +67,21 @@
     let took = Span::from_ms(100.0);
     Input::LegEnded { seq, copy, outcome, took, verdict: Verdict::Open, report: Report::default() }
 }
+
+/// The legs that are begun, each a message's number and which leg of it.
+pub fn legs(orders: &[Order]) -> Vec<(u64, u32)> {
+    let leg = |order: &Order| match order {
+        Order::Leg { seq, copy, .. } => Some((*seq, *copy)),
+        _ => None,
+    };
+    orders.iter().filter_map(leg).collect()
+}
+
+/// The answers to hand-ins, by ticket.
+pub fn answers(orders: &[Order]) -> Vec<(u64, Answer)> {
+    let answer = |order: &Order| match order {
+        Order::Answer(ticket, answer) => Some((ticket.0, *answer)),
+        _ => None,
+    };
+    orders.iter().filter_map(answer).collect()
+}
--- a/courier/tests/core.rs
+++ b/courier/tests/core.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{caps, folder, host, setup, KEYED, START_MS};
+use common::{answers, caps, folder, host, legs, setup, KEYED, START_MS};
 use marblefall_courier::core::engine::{Engine, Host, Input, Order, Setup};
 use marblefall_courier::core::journal::{segments, Journal};
 use marblefall_courier::core::ledger::{Ledger, Leg};
@@ -70,22 +70,6 @@
     }
 }
 
-fn legs(orders: &[Order]) -> Vec<(u64, u32)> {
-    let leg = |order: &Order| match order {
-        Order::Leg { seq, copy, .. } => Some((*seq, *copy)),
-        _ => None,
-    };
-    orders.iter().filter_map(leg).collect()
-}
-
-fn answers(orders: &[Order]) -> Vec<(u64, Answer)> {
-    let answer = |order: &Order| match order {
-        Order::Answer(ticket, answer) => Some((ticket.0, *answer)),
-        _ => None,
-    };
-    orders.iter().filter_map(answer).collect()
-}
-
 fn notices(orders: &[Order]) -> Vec<End> {
     let notice = |order: &Order| match order {
         Order::Notice(_, _, end) => Some(*end),
--- a/courier/tests/policy.rs
+++ b/courier/tests/policy.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{caps, ended, folder, host, setup, KEYED, START_MS};
+use common::{answers, caps, ended, folder, host, legs, setup, KEYED, START_MS};
 use marblefall_courier::core::engine::{Change, Engine, Input, Order, Proposed, Setup, Standing};
 use marblefall_courier::core::ledger::Ledger;
 use marblefall_courier::core::{Answer, Authorisation, End, Origin, Stamp, Ticket};
@@ -70,22 +70,6 @@
     }
 }
 
-fn legs(orders: &[Order]) -> Vec<(u64, u32)> {
-    let leg = |order: &Order| match order {
-        Order::Leg { seq, copy, .. } => Some((*seq, *copy)),
-        _ => None,
-    };
-    orders.iter().filter_map(leg).collect()
-}
-
-fn answers(orders: &[Order]) -> Vec<(u64, Answer)> {
-    let answer = |order: &Order| match order {
-        Order::Answer(ticket, answer) => Some((ticket.0, *answer)),
-        _ => None,
-    };
-    orders.iter().filter_map(answer).collect()
-}
-
 #[test]
 fn while_it_is_still_nothing_is_taken_on_or_sent_and_what_waited_goes_on_after() {
     let mut bed = Bed::new("still");
--- a/group/tests/seats.rs
+++ b/group/tests/seats.rs
@@ -534,7 +534,7 @@
 fn three_hundred_members_take_a_change_up_within_a_second() {
     let mut world = World::new(3, 300, 5, OnCut::Stop, Broken::Nothing);
     world.faults = false;
-    let mut until = |world: &mut World, revision: u64| {
+    let until = |world: &mut World, revision: u64| {
         let began = world.now;
         while world.in_step() != Some(Revision(revision)) {
             world.turn();
