A drain right after a change of policy holds; a full queue no longer ends a link

Read back: after a change in place the list as the engine knew it waited in the backlog, which the next step gives the module after that step's news. The new module is told the list at once, by the piece that a life beside another uses, and the list that comes with a policy takes its place among the news instead of two rules that dropped earlier ones.

A link that came up while 1,024 events waited took the full queue for the daemon's end and never opened again; it waits now.

--- a/courier/src/core/engine.rs
+++ b/courier/src/core/engine.rs
@@ -171,15 +171,13 @@
 
     /// Takes what came in since the last step, lets the module decide, and says what is to be done.
     pub fn step(&mut self, now: Stamp, mut inputs: Vec<Input>, orders: &mut Vec<Order>) {
-        while let Some(at) = inputs.iter().position(|input| matches!(input, Input::Change(_))) {
-            if let Input::Change(change) = inputs.remove(at) {
-                if change.directory.is_some() {
-                    // What came before it is of the policy before.
-                    let later = inputs.split_off(at);
-                    inputs.retain(|input| !matches!(input, Input::Directory(_)));
-                    inputs.extend(later);
-                }
-                self.change(now, *change, orders);
+        for input in &mut inputs {
+            if !matches!(input, Input::Change(_)) {
+                continue;
+            }
+            if let Input::Change(change) = std::mem::replace(input, Input::Look) {
+                // Its list is news like any other, in its place among them.
+                *input = self.change(now, *change, orders).map_or(Input::Look, Input::Directory);
             }
         }
         if self.stage != Stage::Serving || inputs.iter().any(lives::is_change) {
--- a/courier/src/core/engine/lives.rs
+++ b/courier/src/core/engine/lives.rs
@@ -181,16 +181,21 @@
         self.wakes.clear();
     }
 
+    /// Tells the module of the list while it holds nothing that it could send.
+    pub(super) fn tell(&mut self, now: Stamp, events: &[m::Event], orders: &mut Vec<Order>) {
+        let mut actions = Vec::new();
+        self.module.handle(now.mono, events, &mut actions);
+        for action in actions {
+            self.carry_out(now, action, &BTreeSet::new(), orders);
+        }
+    }
+
     /// A step without decisions: the list is kept up with, what is handed in is written down, legs are reported.
     fn write_down(&mut self, now: Stamp, inputs: Vec<Input>, orders: &mut Vec<Order>) {
         let (mut events, mut offered) = (Vec::new(), Vec::new());
         let rest = self.take_news(now, inputs, &mut events, orders);
         if self.stage == Stage::Beside && !events.is_empty() {
-            let mut actions = Vec::new();
-            self.module.handle(now.mono, &events, &mut actions);
-            for action in actions {
-                self.carry_out(now, action, &BTreeSet::new(), orders);
-            }
+            self.tell(now, &events, orders);
         }
         let mut unheard = Vec::new();
         for input in rest {
--- a/courier/src/core/engine/policy.rs
+++ b/courier/src/core/engine/policy.rs
@@ -149,12 +149,18 @@
     }
 
     /// Takes another policy up in place: a module that decides by it gets all that is held, the legs that are out, what
-    /// was learned of routes and the waits that were told.
-    pub(super) fn change(&mut self, now: Stamp, change: Change, orders: &mut Vec<Order>) {
+    /// was learned of routes and the waits that were told. Gives the list that came with it.
+    pub(super) fn change(
+        &mut self,
+        now: Stamp,
+        change: Change,
+        orders: &mut Vec<Order>,
+    ) -> Option<Arc<Directory>> {
         let Change { revision, setup, classes, directory } = change;
         if self.stage != Stage::Serving {
             // Another life decides, and reads for itself what it decides by.
-            return orders.push(Order::Changed(revision));
+            orders.push(Order::Changed(revision));
+            return directory;
         }
         let unix = |at: m::Time| m::Time(now.unix_ms * 1000 + (at - now.mono).0);
         let known = self.module.known(now.mono).into_iter().map(|(destination, host, cold)| -> Known {
@@ -170,12 +176,9 @@
         self.wakes.extend(self.stop.map(|by| (by - LAST_LEG, u64::MAX)));
         let hosts = self.listing.values().cloned().collect();
         let entries = self.listed(hosts, false, orders);
-        let mut events = vec![m::Event::Changed(entries)];
-        if directory.is_some() {
-            self.deferred.retain(|(_, input)| !matches!(input, Input::Directory(_)));
-        }
-        directory.into_iter().for_each(|directory| self.redirect(now, directory, &mut events, orders));
-        self.backlog = events;
+        // Told at once: what waits for the next step is news that came later.
+        self.backlog.clear();
+        self.tell(now, &[m::Event::Changed(entries)], orders);
         let (away, parked, out) = (self.away.clone(), self.parked.clone(), self.out);
         let open = self.ledger.entries().iter().filter(|(_, entry)| entry.out.is_some());
         let ours = open.map(|(seq, _)| *seq).collect();
@@ -186,5 +189,6 @@
         (self.away, self.out) = (away, out);
         self.parked.extend(parked);
         orders.push(Order::Changed(revision));
+        directory
     }
 }
--- a/courier/tests/policy.rs
+++ b/courier/tests/policy.rs
@@ -4,11 +4,13 @@
 mod common;
 
 use common::{answers, caps, ended, folder, host, legs, setup, KEYED, START_MS};
-use marblefall_courier::core::engine::{Change, Engine, Input, Order, Proposed, Setup, Standing};
+use marblefall_courier::core::directory::{Directory, Entry, Place};
+use marblefall_courier::core::engine::{Change, Engine, Host, Input, Order, Proposed, Setup, Standing};
 use marblefall_courier::core::ledger::Ledger;
 use marblefall_courier::core::{Answer, Authorisation, End, Origin, Stamp, Ticket};
 use marblefall_decisions::*;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 fn message(name: &str, class: usize, give_up_ms: i64) -> Authorisation {
     Authorisation {
@@ -212,3 +214,79 @@
     let small = Proposed { max_open: 1, ..whole };
     assert!(asks(small).unwrap_err().contains("2 messages are held"));
 }
+
+#[test]
+fn what_is_held_is_joined_also_where_nobody_knows_what_holds() {
+    let mut bed = Bed::new("joins");
+    bed.offer(10, 1, message("held", 0, 20_000));
+    bed.engine.stands(Standing::Shut);
+    // Told to come again it would go elsewhere, and two couriers would have it.
+    assert_eq!(answers(&bed.offer(20, 2, message("held", 0, 20_000))), [(2, Answer::TakenOn)]);
+    assert_eq!(answers(&bed.offer(30, 3, message("new", 0, 20_000))), [(3, Answer::Declined(1000))]);
+}
+
+/// Destination 7 with these hosts; each says whether it serves.
+fn directory(hosts: &[(&str, bool)]) -> Arc<Directory> {
+    let mut directory = Directory::roomy();
+    let entry = Entry { name: "seven", number: DestinationId(7), form: 0, rate: 50.0, rostered: false };
+    let place = |(name, serves): &(&'static str, bool)| {
+        let address = "127.0.0.1:1".parse().unwrap();
+        Place { name, address, weight: None, serves: *serves }
+    };
+    let hosts: Vec<(&'static str, bool)> =
+        hosts.iter().map(|(name, serves)| (if *name == "a" { "a" } else { "b" }, *serves)).collect();
+    directory.add(entry, hosts.iter().map(place)).unwrap();
+    Arc::new(directory.settle())
+}
+
+/// The hosts to which legs are begun, by the numbers that the orders gave them.
+fn to(orders: &[Order], hosts: &mut std::collections::BTreeMap<EndpointId, String>) -> Vec<String> {
+    let mut begun = Vec::new();
+    for order in orders {
+        match order {
+            Order::Host(id, Host { name, .. }) => drop(hosts.insert(*id, name.clone())),
+            Order::Leg { host, .. } => begun.push(hosts[host].clone()),
+            _ => {}
+        }
+    }
+    begun
+}
+
+#[test]
+fn the_list_that_comes_with_a_policy_goes_before_an_earlier_and_after_it_goes_a_later_one() {
+    let both = [("a", true), ("b", true)];
+    for (name, before, with, later, serves) in [
+        // An instance that starts is given its first list, and another policy with the next one, in one step.
+        ("first", Some(&both[..]), [("a", false), ("b", true)], None, "b"),
+        // A roster drains a host while the policy that still lists it is taken up.
+        ("roster", None, both, Some([("a", false), ("b", true)]), "b"),
+    ] {
+        let mut bed = Bed::new(&format!("lists-{name}"));
+        let mut hosts = Default::default();
+        to(&bed.step(5, vec![Input::Directory(directory(&both))]), &mut hosts);
+        // In use, so that the module knows its hosts.
+        let used = bed.offer(10, 1, message("used", 1, 20_000));
+        let leg = legs(&used)[0];
+        to(&used, &mut hosts);
+        to(&bed.step(20, vec![ended(leg.0, leg.1, Outcome::Delivered)]), &mut hosts);
+        bed.engine.stands(Standing::Still);
+        let classes = names(&["keyed", "free"]);
+        let setup = engine_setup(4, &[KEYED, Effect::Pure]);
+        let change = Change { revision: 2, setup, classes, directory: Some(directory(&with)) };
+        let first = before.map(|hosts| Input::Directory(directory(hosts)));
+        let inputs = first.into_iter().chain([Input::Change(Box::new(change))]).collect();
+        to(&bed.step(30, inputs), &mut hosts);
+        let later = later.map(|hosts| Input::Directory(directory(&hosts)));
+        to(&bed.step(40, later.into_iter().collect()), &mut hosts);
+        bed.engine.stands(Standing::Acts);
+        let mut begun = to(&bed.step(50, vec![]), &mut hosts);
+        for n in 0..8 {
+            let orders = bed.offer(60 + n, 10 + n as u64, message(&format!("m{n}"), 1, 20_000));
+            begun.extend(to(&orders, &mut hosts));
+            for (seq, copy) in legs(&orders) {
+                bed.step(60 + n, vec![ended(seq, copy, Outcome::Delivered)]);
+            }
+        }
+        assert!(begun.len() > 4 && begun.iter().all(|host| host == serves), "{name}: {begun:?}");
+    }
+}
--- a/fleet/src/group/drive.rs
+++ b/fleet/src/group/drive.rs
@@ -18,7 +18,6 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -308,7 +307,7 @@
             .ways
             .entry(to)
             .or_insert_with(|| Way::open(group, me, (to, at), events.clone(), draw.u64(..), tasks));
-        way.send(Rc::new(link::encode(frame)));
+        way.send(link::encode(frame));
     }
 
     /// Whether a proposed policy can be read, is one that this member could take up, and has room for what is held.
--- a/fleet/src/group/link.rs
+++ b/fleet/src/group/link.rs
@@ -169,7 +169,7 @@
 
 /// The way to one member.
 pub struct Way {
-    queue: Sender<Rc<Vec<u8>>>,
+    queue: Sender<Vec<u8>>,
     broken: Rc<Cell<bool>>,
 }
 
@@ -194,9 +194,7 @@
                 while frames.try_recv().is_ok() {}
                 full.set(false);
                 let begun = Instant::now();
-                if let Ok(()) =
-                    carry(&hello, at, &frames, &full, || events.try_send(Event::Linked(to)).is_ok()).await
-                {
+                if let Ok(()) = carry(&hello, (to, at), &frames, &full, &events).await {
                     return;
                 }
                 if begun.elapsed() > AGAIN_MOST {
@@ -210,7 +208,7 @@
     }
 
     /// Sends a frame, unless the link is not open. One that does not keep up is opened anew.
-    pub fn send(&self, frame: Rc<Vec<u8>>) {
+    pub fn send(&self, frame: Vec<u8>) {
         if self.queue.try_send(frame).is_err() {
             self.broken.set(true);
         }
@@ -220,10 +218,10 @@
 /// Carries frames until the link breaks; `Ok` once nobody sends any more.
 async fn carry(
     hello: &[u8],
-    at: SocketAddr,
-    frames: &Receiver<Rc<Vec<u8>>>,
+    (to, at): (Member, SocketAddr),
+    frames: &Receiver<Vec<u8>>,
     full: &Cell<bool>,
-    linked: impl FnOnce() -> bool,
+    events: &Sender<Event>,
 ) -> std::io::Result<()> {
     let late = || std::io::Error::from(std::io::ErrorKind::TimedOut);
     let dial = async { Some(Async::<TcpStream>::connect(at).await) };
@@ -236,7 +234,8 @@
     (&stream).write_all(hello).await?;
     // Frames that were written and not acknowledged, and since when.
     let owed: Cell<(u64, Option<Instant>)> = Cell::new((1, Some(Instant::now())));
-    if !linked() {
+    // Waits where much has come in: the link is not given up for that.
+    if events.send(Event::Linked(to)).await.is_err() {
         return Ok(());
     }
     let write = async {
@@ -349,3 +348,30 @@
         stream.write_all(&encode(&told)).await?;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use async_executor::LocalExecutor;
+    use marblefall_group::words::{Epoch, Proposal, ToMember};
+
+    /// A daemon that has much to take in does not lose its links for that.
+    #[test]
+    fn a_link_that_opens_while_much_has_come_in_carries_what_follows() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        let (events, heard) = async_channel::bounded(1);
+        events.try_send(Event::Linked(Member(5))).unwrap();
+        let tasks = Rc::new(LocalExecutor::new());
+        let way = Way::open("g", Member(0), (Member(1), at), events, 1, &Spawner::new(&tasks));
+        async_io::block_on(tasks.run(async {
+            let listener = Async::new(listener).unwrap();
+            let (mut stream, _) = listener.accept().await.unwrap();
+            assert_eq!(read::<Hello>(&mut stream).await.unwrap().member(), Some(0));
+            assert!(matches!(heard.recv().await, Ok(Event::Linked(Member(5)))));
+            assert!(matches!(heard.recv().await, Ok(Event::Linked(Member(1)))));
+            way.send(encode(&Frame::Down(Epoch(1), ToMember::Resolved(Proposal(2)))));
+            assert!(matches!(read::<Frame>(&mut stream).await, Ok(Frame::Down(Epoch(1), _))));
+        }));
+    }
+}
