--- a/cli/src/group.rs
+++ b/cli/src/group.rs
@@ -1,15 +1,18 @@
 //! What operators ask of a group: they speak to the daemon of their own home, which passes it on to whoever leads.
 
 use crate::words::{Form, Group};
+use futures_lite::future::block_on;
+use futures_lite::io::AssertAsync;
+use futures_lite::StreamExt;
 use marblefall_courier::daemon;
 use marblefall_fleet::group::link::{self, Told};
 use marblefall_fleet::group::Membership;
 use marblefall_fleet::plan::Plan;
 use marblefall_group::book::Past;
-use marblefall_group::seat::{Progress, Reply, Request, Standing};
+use marblefall_group::seat::{Place, Progress, Reply, Request, Standing};
 use marblefall_group::words::{Author, Member, Revision};
 use serde_json::{json, Value};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::TcpStream;
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -20,8 +23,6 @@
 const ASK: Duration = Duration::from_millis(40);
 /// A change that nobody knows any more is proposed again after this.
 const AGAIN: Duration = Duration::from_millis(400);
-/// A member that was not heard for so long, in terms, takes a policy up later.
-const LATE_TERMS: u64 = 1;
 
 /// A connection to the daemon of a home.
 struct Line {
@@ -51,15 +52,15 @@
     fn ask(&mut self, request: &Request) -> Result<Told, String> {
         let fault = |error: std::io::Error| format!("the daemon of this home does not answer: {error}");
         self.stream.write_all(&link::encode(request)).map_err(fault)?;
-        let mut head = [0; 8];
-        self.stream.read_exact(&mut head).map_err(fault)?;
-        let length = u32::from_le_bytes([head[0], head[1], head[2], head[3]]) as usize;
-        let mut bytes = head.to_vec();
-        (&mut self.stream).take(length as u64).read_to_end(&mut bytes).map_err(fault)?;
-        let read = futures_lite::future::block_on(link::read::<Told>(&mut &bytes[..]));
+        let read = block_on(link::read::<Told>(&mut AssertAsync::new(&mut self.stream)));
         read.map_err(|fault| format!("the daemon of this home answers with {fault}"))
     }
 
+    /// Whether the leader has heard a member within its term; `None` where it never did.
+    fn is_heard(&self, place: &Place) -> Option<bool> {
+        place.heard.map(|micros| micros / 1000 <= self.member.group.term_ms as i64)
+    }
+
     fn name(&self, member: Member) -> String {
         self.member.names().get(member.0 as usize).cloned().unwrap_or_else(|| member.0.to_string())
     }
@@ -75,7 +76,7 @@
     let home = home.to_owned();
     std::thread::spawn(move || {
         let Ok(mut signals) = daemon::signals() else { return };
-        let heard = futures_lite::future::block_on(futures_lite::StreamExt::next(&mut signals));
+        let heard = block_on(signals.next());
         if heard.is_some() {
             eprintln!(
                 "not waited for any more: what becomes of the change is the group's to say; \
@@ -148,17 +149,15 @@
     };
     // Nobody acts under another one any more; those that are there take it up within moments.
     let by = Instant::now() + Duration::from_millis(line.member.group.term_ms);
-    let late = line.member.group.term_ms as i64 * 1000;
     let mut behind;
     loop {
         let told = line.ask(&Request::Status)?;
         let Some(Reply::Status(standing)) = told.reply else { continue };
-        let has = |place: &marblefall_group::seat::Place| place.has >= Some(revision);
+        let has = |place: &Place| place.has >= Some(revision);
         behind =
             standing.members.iter().filter(|place| !has(place)).map(|place| place.member).collect::<Vec<_>>();
         // One that is not heard is not waited for: it learns what holds before it acts.
-        let there = |place: &marblefall_group::seat::Place| place.heard.is_some_and(|heard| heard < late);
-        let waits = standing.members.iter().any(|place| !has(place) && there(place));
+        let waits = standing.members.iter().any(|place| !has(place) && line.is_heard(place) == Some(true));
         if !waits || Instant::now() >= by {
             break;
         }
@@ -225,12 +224,11 @@
     "nobody leads the group just now: most of its voters cannot be reached from here".to_owned()
 }
 
-fn word(late_ms: u64, place: &marblefall_group::seat::Place, holds: Revision) -> &'static str {
-    let heard = place.heard.map(|heard| heard as u64 / 1000);
-    match (place.without, heard) {
+fn word(line: &Line, place: &Place, holds: Revision) -> &'static str {
+    match (place.without, line.is_heard(place)) {
         (true, _) => "stopped",
         (_, None) => "not heard",
-        (_, Some(heard)) if heard > late_ms => "cut off",
+        (_, Some(false)) => "cut off",
         _ if place.has != Some(holds) => "behind",
         _ => "in step",
     }
@@ -258,13 +256,12 @@
     if let Some((author, progress, waits)) = &standing.open {
         println!("open: a change by {}, {}; waits for: {}", author.by, stage(*progress), line.names(waits));
     }
-    let late_ms = line.member.group.term_ms * LATE_TERMS;
     for place in &standing.members {
         let has = place.has.map_or("-".to_owned(), |has| has.0.to_string());
         let heard = place.heard.map_or("never".to_owned(), |heard| format!("{} ms ago", heard / 1000));
         let votes = if place.votes { ", votes" } else { "" };
         let name = line.name(place.member);
-        println!("  {name}: {}, revision {has}, heard {heard}{votes}", word(late_ms, place, standing.holds));
+        println!("  {name}: {}, revision {has}, heard {heard}{votes}", word(line, place, standing.holds));
     }
 }
 
@@ -277,12 +274,11 @@
 
 fn status_json(line: &Line, told: &Told, standing: Option<&Standing>) -> Value {
     let local = &told.local;
-    let late_ms = line.member.group.term_ms * LATE_TERMS;
     let group = standing.map(|standing| {
-        let place = |place: &marblefall_group::seat::Place| {
+        let place = |place: &Place| {
             json!({
                 "name": line.name(place.member),
-                "state": word(late_ms, place, standing.holds),
+                "state": word(line, place, standing.holds),
                 "revision": place.has.map(|has| has.0),
                 "heard_ms_ago": place.heard.map(|heard| heard / 1000),
                 "votes": place.votes,
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -4,70 +4,22 @@
 
 pub mod platform;
 
-use std::io::{BufRead, BufReader, Read, Write};
+use marblefall_lab::rig::daemons::Daemon;
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-/// No test waits longer than this for anything.
-pub const BOUND: Duration = Duration::from_secs(40);
+pub use marblefall_lab::rig::http::Message;
+pub use marblefall_lab::rig::BOUND;
 
 /// Waits until something is so.
-pub fn wait_for(what: &str, mut so: impl FnMut() -> bool) {
-    let until = Instant::now() + BOUND;
-    while !so() {
-        assert!(Instant::now() < until, "waited in vain for {what}");
-        thread::sleep(Duration::from_millis(5));
-    }
-}
-
-/// An HTTP message as the stand-ins and the client see it.
-#[derive(Clone, Debug, Default)]
-pub struct Message {
-    pub first: String,
-    pub fields: Vec<(String, String)>,
-    pub body: Vec<u8>,
-    /// When its first byte was there to be read.
-    pub came: Option<Instant>,
-}
-
-impl Message {
-    pub fn field(&self, name: &str) -> Option<&str> {
-        let found = self.fields.iter().find(|(have, _)| have.eq_ignore_ascii_case(name));
-        found.map(|(_, value)| value.as_str())
-    }
-
-    pub fn status(&self) -> u16 {
-        self.first.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
-    }
-
-    /// Reads one message with a length; `None` where the connection ends first.
-    pub fn read(from: &mut impl BufRead) -> Option<Message> {
-        from.fill_buf().ok()?;
-        let came = Some(Instant::now());
-        let mut line = || {
-            let mut text = String::new();
-            let len = from.read_line(&mut text).ok()?;
-            (len > 0).then(|| text.trim_end().to_owned())
-        };
-        let mut message = Message { first: line()?, came, ..Message::default() };
-        loop {
-            let text = line()?;
-            if text.is_empty() {
-                break;
-            }
-            let (name, value) = text.split_once(": ")?;
-            message.fields.push((name.to_owned(), value.to_owned()));
-        }
-        let len = message.field("content-length").and_then(|len| len.parse().ok()).unwrap_or(0);
-        message.body.resize(len, 0);
-        from.read_exact(&mut message.body).ok()?;
-        Some(message)
-    }
+pub fn wait_for(what: &str, so: impl FnMut() -> bool) {
+    marblefall_lab::rig::wait_for(what, so).unwrap();
 }
 
 /// Sends raw bytes on a connection of its own and reads the answer, if one comes.
@@ -243,32 +195,15 @@
 }
 
 /// The program under test; killed with the test.
-pub struct Program {
-    child: Child,
-    log: Arc<Mutex<String>>,
-}
+pub struct Program(Daemon);
 
 impl Program {
     pub fn start(words: &[&str], env: &[(&str, &str)]) -> Program {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_marblefall"));
-        command.args(words).envs(env.iter().copied()).stdin(Stdio::null()).stderr(Stdio::piped());
-        let mut child = command.spawn().unwrap();
-        let (log, from) = (Arc::<Mutex<String>>::default(), child.stderr.take().unwrap());
-        let into = log.clone();
-        thread::spawn(move || {
-            for line in BufReader::new(from).lines().map_while(Result::ok) {
-                into.lock().unwrap().push_str(&format!("{line}\n"));
-            }
-        });
-        Program { child, log }
-    }
-
-    pub fn pid(&self) -> u32 {
-        self.child.id()
+        Program(Daemon::start(Path::new(env!("CARGO_BIN_EXE_marblefall")), words, env).unwrap())
     }
 
     pub fn log(&self) -> String {
-        self.log.lock().unwrap().clone()
+        self.0.log()
     }
 
     /// Where it says that it listens, the nth time that it says so.
@@ -284,30 +219,16 @@
     }
 
     pub fn kill(mut self) {
-        self.child.kill().unwrap();
-        self.child.wait().unwrap();
+        self.0.kill().unwrap();
     }
 
     pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
+        assert!(self.0.signal(name));
     }
 
     /// Waits until it has ended by itself; gives whether it did so well.
     pub fn ended(&mut self) -> bool {
-        let mut status = None;
-        wait_for("the program's end", || {
-            status = self.child.try_wait().unwrap();
-            status.is_some()
-        });
-        status.unwrap().success()
-    }
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.0.ended().unwrap()
     }
 }
 
--- a/courier/src/daemon.rs
+++ b/courier/src/daemon.rs
@@ -68,7 +68,8 @@
         Stamp { mono: Time(self.0.elapsed().as_micros() as i64), unix_ms: unix_ms() }
     }
 
-    fn instant(self, at: Time) -> Instant {
+    /// The moment at which it shows a time; its start for what lies before.
+    pub fn instant(self, at: Time) -> Instant {
         self.0 + Duration::from_micros(at.0.max(0) as u64)
     }
 }
@@ -85,7 +86,7 @@
     /// The destinations are these now, and how events leave to them.
     Listing(Arc<Directory>, Arc<Vec<Target>>),
     /// Another policy, which its fronts and its core take up as they run; made on the instance's own thread.
-    Switch(Arc<dyn Fn() -> Option<Switch> + Send + Sync>),
+    Switch(Arc<dyn Fn() -> Switch + Send + Sync>),
     /// Has a policy that is proposed room for what is held?
     Fits(Proposed, Sender<Result<(), String>>),
     /// Whether it may act has changed.
@@ -347,11 +348,7 @@
                 hands.events.get().listed.replace((directory.clone(), targets));
                 let _ = hands.news.send(Input::Directory(directory)).await;
             }
-            Command::Switch(of) => {
-                if let Some(to) = of() {
-                    hands.switch(to).await;
-                }
-            }
+            Command::Switch(to) => hands.switch(to()).await,
             Command::Fits(proposed, answer) => {
                 let _ = hands.news.send(Input::Fits(proposed, answer)).await;
             }
--- a/courier/src/daemon/carry.rs
+++ b/courier/src/daemon/carry.rs
@@ -5,7 +5,7 @@
 use crate::core::{Answer, Authorisation, End, Origin, Seq};
 use crate::counters::add;
 use crate::front::{cloudevents, relay};
-use crate::gate;
+use crate::gate::{self, Act};
 use crate::net::pool::{Call, Ended};
 use crate::say;
 use marblefall_decisions::{EndpointId, Listing, Outcome, Time};
@@ -21,9 +21,9 @@
     ) -> bool {
         let revision = self.revision.get();
         // Held until all that was decided is carried out: the gate is shut only between two steps.
-        let act = self.gate.as_ref().map(|gate| gate.enter(revision));
-        let standing = match (&self.gate, &act) {
-            (Some(gate), Some(None)) => match gate.standing(revision) {
+        let act = self.enter();
+        let standing = match &self.gate {
+            Some(gate) if act.is_none() => match gate.standing(revision) {
                 gate::Standing::Still | gate::Standing::Open(_) => Standing::Still,
                 gate::Standing::Shut => Standing::Shut,
             },
@@ -33,13 +33,22 @@
         engine.step(self.clock.now(), batch, orders);
         for order in orders.drain(..) {
             // While nobody acts, this is said only of what was taken on before.
-            let acts = standing == Standing::Acts;
-            if let (Some(gate), Order::Answer(_, Answer::TakenOn), true) = (&self.gate, &order, acts) {
-                gate.note(&self.name, "takes", revision);
+            if act.is_some() && matches!(order, Order::Answer(_, Answer::TakenOn)) {
+                self.note("takes");
             }
             self.carry_out(order);
         }
-        standing == Standing::Acts
+        act.is_some()
+    }
+
+    /// The pass under which something is done by the policy, if it may be at this moment.
+    fn enter(&self) -> Option<Act<'_>> {
+        self.gate.as_ref().map_or(Some(Act::free()), |gate| gate.enter(self.revision.get()))
+    }
+
+    /// Writes what is done into the history, if there is one.
+    fn note(&self, what: &str) {
+        self.gate.iter().for_each(|gate| gate.note(&self.name, what, self.revision.get()));
     }
 
     /// Takes up another policy: the fronts at once, the core with its next step.
@@ -136,13 +145,7 @@
             Origin::Relay => relay::judge,
             Origin::Events => cloudevents::judge,
         };
-        let may = || match &self.gate {
-            None => Some(None),
-            Some(gate) => gate.enter(self.revision.get()).map(|act| {
-                gate.note(&self.name, "leg", self.revision.get());
-                Some(act)
-            }),
-        };
+        let may = || self.enter().inspect(|_| self.note("leg"));
         let call = Call { word: &word, judge, may: &may };
         let (cut_at, write_by) = (self.clock.instant(cut_at), self.clock.instant(write_by));
         let Ended { outcome, verdict, report } = self.pool.leg(seq, host, call, cut_at, write_by).await;
--- a/courier/src/gate.rs
+++ b/courier/src/gate.rs
@@ -31,7 +31,16 @@
 }
 
 /// Held while something is done behind the gate: it is shut only once no act is under way.
-pub struct Act<'a>(#[allow(dead_code)] RwLockReadGuard<'a, Pass>);
+pub struct Act<'a> {
+    _pass: Option<RwLockReadGuard<'a, Pass>>,
+}
+
+impl Act<'_> {
+    /// One that nobody holds back.
+    pub fn free() -> Act<'static> {
+        Act { _pass: None }
+    }
+}
 
 impl Gate {
     /// A gate that is shut. All that passes is written to `history`, if there is one: a line each with the system's
@@ -59,7 +68,7 @@
             Standing::Open(until) => until.is_none_or(|until| Instant::now() < until),
             Standing::Still | Standing::Shut => false,
         };
-        (open && pass.revision == revision).then_some(Act(pass))
+        (open && pass.revision == revision).then_some(Act { _pass: Some(pass) })
     }
 
     /// How it stands towards whoever has this revision. One that is about to take up the revision in force is still.
--- a/courier/src/net/pool.rs
+++ b/courier/src/net/pool.rs
@@ -60,7 +60,7 @@
     /// What an answer says of the leg.
     pub judge: fn(&http::Response<'_>) -> Ended,
     /// Whether it may begin at this very moment; held while its first bytes go out.
-    pub may: &'a dyn Fn() -> Option<Option<Act<'a>>>,
+    pub may: &'a dyn Fn() -> Option<Act<'a>>,
 }
 
 /// How a leg ended.
@@ -209,15 +209,14 @@
         let (head, body) = (call.word)((cut_at - now).as_millis() as u64);
         let begun = {
             let mut writing = std::pin::pin!(race(cancelled, until(cut_at, link.write(&head, &body))));
+            // What the first bytes do not take with them goes on without.
             let first = match (call.may)() {
                 None => None,
-                // What the first bytes do not take with them goes on without.
                 Some(_act) => Some(future::poll_once(&mut writing).await),
             };
             match first {
-                None => None,
-                Some(Some(written)) => Some(written),
                 Some(None) => Some(writing.await),
+                first => first.flatten(),
             }
         };
         let Some(written) = begun else {
@@ -479,9 +478,15 @@
     async fn leg(pool: &Pool, seq: u64) -> Outcome {
         let word = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(&b""[..]));
         let by = Instant::now() + Duration::from_secs(20);
-        pool.leg(seq, EndpointId(0), Call { word: &word, judge: relay::judge, may: &|| Some(None) }, by, by)
-            .await
-            .outcome
+        pool.leg(
+            seq,
+            EndpointId(0),
+            Call { word: &word, judge: relay::judge, may: &|| Some(Act::free()) },
+            by,
+            by,
+        )
+        .await
+        .outcome
     }
 
     /// Taken for failures of their host, the resets of kept connections had hosts judged out that were well.
--- a/fleet/src/group/drive.rs
+++ b/fleet/src/group/drive.rs
@@ -7,8 +7,10 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
+use marblefall_courier::core::Stamp;
+use marblefall_courier::daemon::Clock;
 use marblefall_courier::gate::{Gate, Standing};
-use marblefall_courier::net::server::{unix_ms, Spawner};
+use marblefall_courier::net::server::Spawner;
 use marblefall_courier::say;
 use marblefall_decisions::Time;
 use marblefall_files::{replace, Disk, Outlasts, Real};
@@ -47,7 +49,7 @@
     membership: Membership,
     home: PathBuf,
     seat: Seat,
-    began: Instant,
+    clock: Clock,
     gate: Arc<Gate>,
     shown: Option<(u64, Standing)>,
     ways: BTreeMap<Member, Way>,
@@ -111,7 +113,7 @@
             seat: Seat::new(setup, Time(0)),
             membership: self,
             home: home.to_owned(),
-            began: Instant::now(),
+            clock: Clock::start(),
             gate,
             shown: None,
             ways: BTreeMap::new(),
@@ -157,21 +159,16 @@
 }
 
 impl Driver {
-    fn now(&self) -> Time {
-        Time(self.began.elapsed().as_micros() as i64)
-    }
-
     async fn run(mut self, heard: Receiver<Event>, checked: Receiver<(Proposal, Result<(), String>)>) {
         loop {
-            let (now, mut todo) = (self.now(), Vec::new());
-            self.seat.tick(now, unix_ms(), &mut todo);
+            let (now, mut todo) = (self.clock.now(), Vec::new());
+            self.seat.tick(now.mono, now.unix_ms, &mut todo);
             self.carry_out(todo);
             self.forget_unanswered();
             if let Some((revision, policy)) = self.untaken.take() {
                 self.take_up(revision, &policy);
             }
-            let wake = self.seat.wakes(self.now());
-            let wake = self.began + Duration::from_micros(wake.0.max(0) as u64);
+            let wake = self.clock.instant(self.seat.wakes(self.clock.now().mono));
             let wake =
                 self.asked.values().map(|(since, _)| *since + ANSWER).chain([wake]).min().unwrap_or(wake);
             let event = async { heard.recv().await.map_or(Input::Woken, Input::Event) };
@@ -195,10 +192,11 @@
     }
 
     fn take(&mut self, input: Input) {
-        let (now, mut todo) = (self.now(), Vec::new());
+        let Stamp { mono: now, unix_ms } = self.clock.now();
+        let mut todo = Vec::new();
         match input {
-            Input::Event(Event::Frame(from, frame)) => self.seat.hear(now, unix_ms(), from, frame, &mut todo),
-            Input::Event(Event::Linked(to)) => self.seat.linked(now, unix_ms(), to, &mut todo),
+            Input::Event(Event::Frame(from, frame)) => self.seat.hear(now, unix_ms, from, frame, &mut todo),
+            Input::Event(Event::Linked(to)) => self.seat.linked(now, unix_ms, to, &mut todo),
             Input::Event(Event::Operator(request, answer)) => {
                 self.tokens += 1;
                 self.asked.insert(self.tokens, (Instant::now(), answer));
@@ -212,11 +210,9 @@
 
     /// The gate first: what is said below may rest on nobody acting any more.
     fn show(&mut self) {
-        let now = self.now();
-        let until =
-            |until: Option<Time>| until.map(|at| self.began + Duration::from_micros(at.0.max(0) as u64));
-        let standing = match (self.seat.may_act(now), self.seat.pass()) {
-            (Some(_), Some((_, at))) => Standing::Open(until(at)),
+        let now = self.clock.now().mono;
+        let standing = match (self.seat.may_act(now), self.seat.until()) {
+            (Some(_), Some(until)) => Standing::Open(until.map(|at| self.clock.instant(at))),
             _ if self.seat.is_still(now) => Standing::Still,
             _ => Standing::Shut,
         };
@@ -266,8 +262,8 @@
             }
         }
         for frame in own {
-            let (now, mut todo) = (self.now(), Vec::new());
-            self.seat.hear(now, unix_ms(), self.membership.me, frame, &mut todo);
+            let (now, mut todo) = (self.clock.now(), Vec::new());
+            self.seat.hear(now.mono, now.unix_ms, self.membership.me, frame, &mut todo);
             self.carry_out(todo);
         }
     }
@@ -370,7 +366,7 @@
         let names = self.membership.names();
         let (has, leader) = self.seat.view();
         let leader = leader.and_then(|(member, at)| {
-            Some((names.get(member.0 as usize)?.clone(), (self.now() - at).0.max(0) as u64 / 1000))
+            Some((names.get(member.0 as usize)?.clone(), (self.clock.now().mono - at).0.max(0) as u64 / 1000))
         });
         let local = Local {
             member: self.membership.name.clone(),
--- a/fleet/src/supervise.rs
+++ b/fleet/src/supervise.rs
@@ -81,14 +81,6 @@
     news: Receiver<News>,
 }
 
-impl Common {
-    /// Whether this daemon is the one that runs an instance.
-    fn runs(&self, fleet: &Fleet, instance: &str) -> bool {
-        let member = fleet.group.as_ref().and_then(|group| group.members.get(&self.member));
-        member.is_some_and(|member| member.instances.contains(instance))
-    }
-}
-
 /// How long an instance may take to say whether a proposed policy has room for what it holds.
 const FITS: Duration = Duration::from_secs(1);
 
@@ -215,7 +207,7 @@
                     (one.share, one.revision) = (share, revision);
                     let (name, share, classes) = (name.clone(), one.share.clone(), one.classes.clone());
                     let listing = listing.clone();
-                    let to = move || Some(build::switch(revision, &name, &share, &classes, &listing));
+                    let to = move || build::switch(revision, &name, &share, &classes, &listing);
                     let _ = one.commands.try_send(Command::Switch(Arc::new(to)));
                     continue;
                 }
@@ -288,7 +280,10 @@
 
 /// Whether this daemon runs an instance: all of them, unless it is one of a group.
 fn runs(common: &Option<Common>, fleet: &Fleet, instance: &str) -> bool {
-    common.as_ref().is_none_or(|common| common.runs(fleet, instance))
+    common.as_ref().is_none_or(|common| {
+        let member = fleet.group.as_ref().and_then(|group| group.members.get(&common.member));
+        member.is_some_and(|member| member.instances.contains(instance))
+    })
 }
 
 fn listens((name, instance): (&String, &crate::file::Instance)) -> Vec<(String, &'static str, SocketAddr)> {
--- a/group/src/book.rs
+++ b/group/src/book.rs
@@ -73,8 +73,9 @@
 }
 
 impl Book {
-    /// An empty log of these voters, with this policy as revision 0.
-    pub fn new(policy: Policy, voters: BTreeMap<Member, Incarnation>) -> Book {
+    /// An empty log of these voters; revision 0 is a policy that says nothing.
+    pub fn new(voters: BTreeMap<Member, Incarnation>) -> Book {
+        let policy = Policy::from(&b""[..]);
         let (epoch, holds, resolved, open) = Default::default();
         let (without, past) = Default::default();
         Book { epoch, holds, policy, resolved, open, without, past, voters }
--- a/group/src/seat.rs
+++ b/group/src/seat.rs
@@ -167,14 +167,13 @@
 
 impl Seat {
     /// One life of a daemon in a group.
-    pub fn new(setup: Setup, now: Time) -> Seat {
+    pub fn new(mut setup: Setup, now: Time) -> Seat {
         let member = MemberState::new(setup.terms, setup.life);
         let voters: BTreeSet<Member> =
             setup.members.iter().filter(|(_, votes)| **votes).map(|(member, _)| *member).collect();
-        let voter = setup.kept.clone().filter(|_| voters.contains(&setup.me)).map(|kept| {
-            let first = Policy::from(&b""[..]);
-            Voter::new(setup.me, voters, first, setup.terms.term, kept, setup.life.0, now)
-        });
+        // What is kept is the voter's from here on.
+        let voter = setup.kept.take().filter(|_| voters.contains(&setup.me));
+        let voter = voter.map(|kept| Voter::new(setup.me, voters, setup.terms.term, kept, setup.life.0, now));
         let (leader, proposed, heard, places) = Default::default();
         Seat { setup, member, voter, leader, proposed, heard, places, found_at: now }
     }
@@ -184,9 +183,9 @@
         self.member.may_act(now)
     }
 
-    /// Until when it may act, and under what; `None` for the time is without end.
-    pub fn pass(&self) -> Option<(Revision, Option<Time>)> {
-        Some((self.member.holds()?, self.member.until()?))
+    /// Until when it may act, if it may: `Some(None)` is without end.
+    pub fn until(&self) -> Option<Option<Time>> {
+        self.member.until()
     }
 
     /// Whether it is held still by a change under way.
@@ -411,13 +410,17 @@
             true => Progress::Stopping,
             false => Progress::Checking,
         };
+        let outcome = |key| match book.of_key(key)? {
+            Some(past) => Some(Reply::Done(past.clone())),
+            None => Some(Reply::Open(progress(), leader.waits_for(now))),
+        };
         Some(match request {
             Request::Propose { base, policy, author } => {
-                match (book.of_key(author.key), &book.open) {
-                    (Some(Some(past)), _) => return Some(Reply::Done(past.clone())),
-                    (Some(None), _) => return Some(Reply::Open(progress(), leader.waits_for(now))),
-                    (None, Some(open)) => return Some(Reply::Busy(open.author.clone())),
-                    (None, None) => {}
+                if let Some(reply) = outcome(author.key) {
+                    return Some(reply);
+                }
+                if let Some(open) = &book.open {
+                    return Some(Reply::Busy(open.author.clone()));
                 }
                 if base != book.holds {
                     return Some(Reply::Stale(book.holds));
@@ -428,11 +431,7 @@
                 }
                 Reply::Busy(Author { by: "another operator".to_owned(), key: 0 })
             }
-            Request::Outcome(key) => match book.of_key(key) {
-                Some(Some(past)) => Reply::Done(past.clone()),
-                Some(None) => Reply::Open(progress(), leader.waits_for(now)),
-                None => Reply::Unknown,
-            },
+            Request::Outcome(key) => outcome(key).unwrap_or(Reply::Unknown),
             Request::Withdraw => {
                 if book.open.is_none() {
                     return Some(Reply::NothingOpen);
--- a/group/src/store.rs
+++ b/group/src/store.rs
@@ -6,7 +6,7 @@
 use omnipaxos::ballot_leader_election::Ballot;
 use omnipaxos::storage::{Entry, NoSnapshot, StopSign, Storage, StorageOp, StorageResult};
 use serde::{Deserialize, Serialize};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -76,6 +76,11 @@
         *self = Kept { stand, seen, config, base: Some(base), ..Kept::new(name, incarnation) };
     }
 
+    /// What the log began with: an empty book before there was a configuration.
+    pub fn book(&self) -> Book {
+        self.base.clone().unwrap_or_else(|| Book::new(BTreeMap::new()))
+    }
+
     /// Lines of the log, decided or not.
     pub fn length(&self) -> usize {
         self.lines.len()
@@ -130,7 +135,7 @@
     /// What is kept.
     pub kept: Rc<RefCell<Kept>>,
     /// Whether something was changed that must be on disk before anybody hears of it.
-    pub dirty: Rc<RefCell<bool>>,
+    pub dirty: Rc<Cell<bool>>,
 }
 
 impl Store {
@@ -142,12 +147,12 @@
     /// Adds a line without the library, where there is nobody to agree with.
     pub fn put(&self, line: Line) {
         self.kept.borrow_mut().lines.push(line);
-        self.dirty.replace(true);
+        self.dirty.set(true);
     }
 
     fn change(&self, with: impl FnOnce(&mut Kept)) -> StorageResult<()> {
         with(&mut self.kept.borrow_mut());
-        self.dirty.replace(true);
+        self.dirty.set(true);
         Ok(())
     }
 }
--- a/group/src/voter.rs
+++ b/group/src/voter.rs
@@ -110,7 +110,6 @@
 pub struct Voter {
     me: Member,
     voters: BTreeSet<Member>,
-    first: Policy,
     term: Span,
     store: Store,
     part: Part,
@@ -137,29 +136,18 @@
 }
 
 impl Voter {
-    /// One that starts with what its folder holds. `first` is revision 0, the same for all; `draw` is drawn anew for each
-    /// life.
-    pub fn new(
-        me: Member,
-        voters: BTreeSet<Member>,
-        first: Policy,
-        term: Span,
-        kept: Kept,
-        draw: u64,
-        now: Time,
-    ) -> Voter {
-        let book = kept.base.clone().unwrap_or_else(|| Book::new(first.clone(), BTreeMap::new()));
+    /// One that starts with what its folder holds; `draw` is drawn anew for each life.
+    pub fn new(me: Member, voters: BTreeSet<Member>, term: Span, kept: Kept, draw: u64, now: Time) -> Voter {
         let alone = voters.len() == 1;
         let mut voter = Voter {
             me,
             voters,
-            first,
             term,
+            book: kept.book(),
             store: Store::new(kept),
             part: Part::Asking(BTreeSet::new()),
             paxos: None,
             alone,
-            book,
             applied: 0,
             next_tick: now,
             next_ask: now,
@@ -171,7 +159,7 @@
             draw,
         };
         // The first writing binds the folder to its incarnation before anybody hears of it.
-        voter.store.dirty.replace(true);
+        voter.store.dirty.set(true);
         if alone {
             voter.enough(now, &mut Vec::new());
         }
@@ -190,10 +178,10 @@
 
     /// The bytes that must be on disk before anything that was handed out since is said. Counted as written.
     pub fn unwritten(&mut self) -> Option<Vec<u8>> {
-        if !*self.store.dirty.borrow() {
+        if !self.store.dirty.get() {
             return None;
         }
-        self.store.dirty.replace(false);
+        self.store.dirty.set(false);
         let mut kept = self.store.kept.borrow_mut();
         kept.stand += 1;
         Some(kept.encode())
@@ -201,7 +189,7 @@
 
     /// The disk did not take what [`Voter::unwritten`] gave.
     pub fn not_written(&mut self) {
-        self.store.dirty.replace(true);
+        self.store.dirty.set(true);
     }
 
     fn others(&self) -> impl Iterator<Item = Member> + '_ {
@@ -313,7 +301,7 @@
     fn build(&mut self, now: Time) {
         let kept = self.store.kept.borrow();
         let config = kept.config;
-        self.book = kept.base.clone().unwrap_or_else(|| Book::new(self.first.clone(), BTreeMap::new()));
+        self.book = kept.book();
         drop(kept);
         (self.applied, self.begun, self.next_tick, self.next_confirm) = (0, None, now, now);
         self.asked.clear();
@@ -390,7 +378,7 @@
         let mut said = Vec::new();
         paxos.take_outgoing_messages(&mut said);
         // The writing that these rest on is the next one, if there is one to come.
-        let dirty = *self.store.dirty.borrow();
+        let dirty = self.store.dirty.get();
         let kept = self.store.kept.borrow();
         let (config, stand) = (kept.config, kept.stand + u64::from(dirty));
         for message in said {
@@ -425,17 +413,20 @@
     }
 
     fn apply(&mut self, now: Time, out: &mut Vec<Out>) {
-        let decided = match &self.paxos {
-            None => {
-                let lines = self.store.kept.borrow().since(self.applied);
-                lines.into_iter().map(LogEntry::Decided).collect()
+        let decided: Vec<Line> = match &self.paxos {
+            None => self.store.kept.borrow().since(self.applied),
+            Some(paxos) => {
+                let read = paxos.read_decided_suffix(self.applied).unwrap_or_default();
+                // Nothing but lines is ever put into this log.
+                let line = |entry| match entry {
+                    LogEntry::Decided(line) => Some(line),
+                    _ => None,
+                };
+                read.into_iter().filter_map(line).collect()
             }
-            Some(paxos) => paxos.read_decided_suffix(self.applied).unwrap_or_default(),
         };
-        for entry in decided {
+        for line in decided {
             self.applied += 1;
-            // Nothing but lines is ever put into this log.
-            let LogEntry::Decided(line) = entry else { continue };
             let (began, ends) = match &line {
                 Line::Begins(epoch) => (Some(*epoch), false),
                 Line::Says(..) => (None, false),
--- a/group/src/voter/folder.rs
+++ b/group/src/voter/folder.rs
@@ -30,7 +30,7 @@
         let new = !kept.seen.contains_key(&from);
         let known = kept.seen.entry(from).or_insert((incarnation, stand));
         if new {
-            self.store.dirty.replace(true);
+            self.store.dirty.set(true);
         } else if known.0 == incarnation {
             known.1 = known.1.max(stand);
         }
@@ -62,7 +62,7 @@
             *kept = Kept::new(name, Incarnation(self.draw));
             drop(kept);
             self.draw = self.draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
-            self.store.dirty.replace(true);
+            self.store.dirty.set(true);
             self.part = Part::Out;
             self.next_ask = now;
             let what = format!("another voter knows {why}: no vote from here until it is let in as new");
@@ -70,7 +70,7 @@
         }
         if let Entry::Vacant(unknown) = kept.seen.entry(from) {
             unknown.insert((incarnation, 0));
-            self.store.dirty.replace(true);
+            self.store.dirty.set(true);
         }
         let founded = kept.config > 0;
         drop(kept);
@@ -93,9 +93,8 @@
             let mut voters: BTreeMap<Member, Incarnation> =
                 kept.seen.iter().map(|(member, seen)| (*member, seen.0)).collect();
             voters.insert(self.me, kept.incarnation);
-            let book = Book::new(self.first.clone(), voters);
-            kept.begin(1, book);
-            self.store.dirty.replace(true);
+            kept.begin(1, Book::new(voters));
+            self.store.dirty.set(true);
         }
         drop(kept);
         self.part = Part::In;
@@ -136,7 +135,7 @@
             out.push(Out::Deposed);
         }
         self.store.kept.borrow_mut().begin(config, book);
-        self.store.dirty.replace(true);
+        self.store.dirty.set(true);
         self.part = Part::In;
         self.build(now);
     }
@@ -161,7 +160,7 @@
         let rests = matches!(message, Message::SequencePaxos(word)
             if matches!(word.msg, PaxosMsg::Accepted(_) | PaxosMsg::Promise(_)));
         if rests {
-            self.store.dirty.replace(true);
+            self.store.dirty.set(true);
         }
     }
 }
--- a/group/tests/model.rs
+++ b/group/tests/model.rs
@@ -171,7 +171,7 @@
         let member = |life| MemberState::new(terms(), Life(life));
         let mut world = World {
             now: 0,
-            book: Book::new(Policy::from(&b"first"[..]), BTreeMap::new()),
+            book: Book::new(BTreeMap::new()),
             leaders: Vec::new(),
             leased_until: 0,
             appended: Vec::new(),
--- a/group/tests/switch.rs
+++ b/group/tests/switch.rs
@@ -95,10 +95,6 @@
     (0..count).map(Member).collect()
 }
 
-fn first() -> Policy {
-    Policy::from(&b"first"[..])
-}
-
 impl World {
     fn new(seed: u64, count: u32, on_cut: OnCut, broken: Broken) -> World {
         let mut rng = Pcg64::seed_from_u64(seed);
@@ -212,7 +208,7 @@
         }
         let all: Vec<Member> = self.places.keys().copied().collect();
         let now = Time(self.now);
-        let mut book = Book::new(first(), BTreeMap::new());
+        let mut book = Book::new(BTreeMap::new());
         log.into_iter().for_each(|entry| drop(book.take(Line::Says(Epoch(0), 0, entry))));
         let leader = Leader::elected(self.terms, Epoch(self.epoch), now, &all, &book);
         self.leaders.push(leader);
--- a/lab/src/rig/clients.rs
+++ b/lab/src/rig/clients.rs
@@ -11,7 +11,7 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 /// Tries of one event, at most.
 const TRIES: usize = 150;
-/// What is told to come again comes after this, or after what it was told if that is less.
+/// What was not taken on, or not answered, comes again after this, whatever was told.
 const AGAIN: Duration = Duration::from_millis(100);
 
 /// An answer to one hand-in; status 0 is none.
--- a/lab/src/rig/daemons.rs
+++ b/lab/src/rig/daemons.rs
@@ -36,9 +36,18 @@
 }
 
 impl Daemon {
-    fn start(program: &Path, words: &[&str]) -> Result<Daemon, Fault> {
+    /// Starts a program with words and variables.
+    ///
+    /// # Errors
+    /// Where the machine refuses the process.
+    pub fn start(program: &Path, words: &[&str], env: &[(&str, &str)]) -> Result<Daemon, Fault> {
         let mut command = Command::new(program);
-        command.args(words).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        command
+            .args(words)
+            .envs(env.iter().copied())
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped());
         let mut child = command.spawn().map_err(Fault::at(program.display().to_string()))?;
         let log = Arc::<Mutex<String>>::default();
         if let Some(from) = child.stderr.take() {
@@ -62,18 +71,40 @@
         self.child.id()
     }
 
-    /// Sends it a signal by its name without `SIG`.
-    pub fn signal(&self, name: &str) {
-        // One that has ended meanwhile takes none.
-        let _ =
+    /// Sends it a signal by its name without `SIG`; whether it took it, as one that has ended takes none.
+    pub fn signal(&self, name: &str) -> bool {
+        let kill =
             Command::new("kill").args(["-s", name, &self.pid().to_string()]).stderr(Stdio::null()).status();
+        kill.is_ok_and(|status| status.success())
+    }
+
+    /// Kills it, and waits until it is gone.
+    ///
+    /// # Errors
+    /// Where the machine does not let it be killed.
+    pub fn kill(&mut self) -> Result<(), Fault> {
+        let killed = self.child.kill().and_then(|()| self.child.wait());
+        killed.map(drop).map_err(Fault::at("a process's end"))
+    }
+
+    /// Waits until it has ended by itself; gives whether it did so well.
+    ///
+    /// # Errors
+    /// Where it does not end.
+    pub fn ended(&mut self) -> Result<bool, Fault> {
+        let mut status = None;
+        wait_for("the program's end", || {
+            status = self.child.try_wait().ok().flatten();
+            status.is_some()
+        })?;
+        Ok(status.is_some_and(|status| status.success()))
     }
 }
 
 impl Drop for Daemon {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        // What has ended meanwhile is gone as well.
+        let _ = self.kill();
     }
 }
 
@@ -201,7 +232,7 @@
         let history = self.history_file(member).display().to_string();
         let (home, link) = (self.home(member), self.links[member].to_string());
         let words = ["run", &home, "--history", &history, "--link", &link];
-        self.daemons[member] = Some(Daemon::start(&self.setting.program, &words)?);
+        self.daemons[member] = Some(Daemon::start(&self.setting.program, &words, &[])?);
         Ok(())
     }
 
--- a/lab/src/rig/http.rs
+++ b/lab/src/rig/http.rs
@@ -2,27 +2,43 @@
 
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// Bodies longer than this are not read.
-const LONGEST: usize = 1 << 20;
-
-/// A message with its first line and fields; what follows is read and forgotten.
+/// A message as stand-ins and clients see it.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
     /// The first line.
     pub first: String,
-    fields: Vec<(String, String)>,
+    /// The fields.
+    pub fields: Vec<(String, String)>,
+    /// What follows.
+    pub body: Vec<u8>,
+    /// When its first byte was there to be read.
+    pub came: Option<Instant>,
 }
 
 impl Message {
+    /// The value of a field.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let found = self.fields.iter().find(|(have, _)| have.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// The status of an answer; 0 where there is none.
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
+    }
+
     /// Reads one message with a length; `None` where the connection ends first.
     pub fn read(from: &mut impl BufRead) -> Option<Message> {
+        from.fill_buf().ok()?;
+        let came = Some(Instant::now());
         let mut line = || {
             let mut text = String::new();
-            (from.read_line(&mut text).ok()? > 0).then(|| text.trim_end().to_owned())
+            let len = from.read_line(&mut text).ok()?;
+            (len > 0).then(|| text.trim_end().to_owned())
         };
-        let mut message = Message { first: line()?, fields: Vec::new() };
+        let mut message = Message { first: line()?, came, ..Message::default() };
         loop {
             let text = line()?;
             if text.is_empty() {
@@ -31,24 +47,11 @@
             let (name, value) = text.split_once(": ")?;
             message.fields.push((name.to_owned(), value.to_owned()));
         }
-        let length = message.field("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
-        if length > LONGEST {
-            return None;
-        }
-        from.read_exact(&mut vec![0; length]).ok()?;
+        let len = message.field("content-length").and_then(|len| len.parse().ok()).unwrap_or(0);
+        message.body.resize(len, 0);
+        from.read_exact(&mut message.body).ok()?;
         Some(message)
     }
-
-    /// The value of a field.
-    pub fn field(&self, name: &str) -> Option<&str> {
-        let found = self.fields.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
-        found.map(|(_, value)| value.as_str())
-    }
-
-    /// The status of an answer; 0 where there is none.
-    pub fn status(&self) -> u16 {
-        self.first.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
-    }
 }
 
 /// Hands an event in and waits for its end; `None` where none comes within `patience`.
--- a/lab/src/rig/relay.rs
+++ b/lab/src/rig/relay.rs
@@ -1,6 +1,8 @@
 //! Relays before the members' links, which do to what one member says to another what the schedule has.
 
 use super::Fault;
+use futures_lite::future::block_on;
+use futures_lite::io::AssertAsync;
 use marblefall_fleet::group::link::{self, Hello};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -88,13 +90,9 @@
 
 /// Passes one connection on; who opened it is read from its first frame.
 fn pass(mut near: TcpStream, to: u32, member: SocketAddr, ways: &Ways) -> std::io::Result<()> {
-    let mut first = vec![0; 8];
-    near.read_exact(&mut first)?;
-    let length = u32::from_le_bytes([first[0], first[1], first[2], first[3]]) as usize;
-    first.resize(8 + length.min(4096), 0);
-    near.read_exact(&mut first[8..])?;
-    let hello = futures_lite::future::block_on(link::read::<Hello>(&mut &first[..]));
-    let from = hello.ok().and_then(|hello| hello.member());
+    let hello = block_on(link::read::<Hello>(&mut AssertAsync::new(&mut near)));
+    let hello = hello.map_err(|_| ErrorKind::InvalidData)?;
+    let from = hello.member();
     let (forth, back) = (ways.clone(), ways.clone());
     let does = move || forth.of(from, to);
     if does() == Does::Refuses {
@@ -104,7 +102,7 @@
     far.set_nodelay(true)?;
     near.set_nodelay(true)?;
     if does() != Does::Swallows {
-        far.write_all(&first)?;
+        far.write_all(&link::encode(&hello))?;
     }
     let (from_far, to_near) = (far.try_clone()?, near.try_clone()?);
     let counted = back.clone();
