--- /dev/null
+++ b/courier/src/net/pool/tests.rs
@@ -0,0 +1,119 @@
+use super::*;
+use crate::front::{cloudevents, relay};
+use async_io::Async;
+use futures_lite::AsyncWriteExt;
+use std::net::TcpListener;
+
+/// What a host's bytes, on a connection that stays open, say of their leg; and whether it is kept.
+fn read(bytes: &[u8], judge: fn(&http::Response<'_>) -> Ended) -> (Outcome, bool) {
+    async_io::block_on(async {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+        let dialled = Link::connect(listener.get_ref().local_addr().unwrap());
+        let (near, far) = future::zip(dialled, listener.accept()).await;
+        let (mut near, mut far) = (near.unwrap(), far.unwrap().0);
+        far.write_all(bytes).await.unwrap();
+        let cut_at = Instant::now() + Duration::from_secs(20);
+        let (ended, keeps) = answer(&mut near, judge, cut_at).await;
+        (ended.outcome, keeps.is_ok())
+    })
+}
+
+/// A 503 that could not be read to its end was taken for one that never ran, and its message went out twice; a
+/// 200 whose body was shorter than it said was waited for until the leg timed out, and went out twice as well.
+#[test]
+fn a_spoilt_answer_may_have_run_unless_its_first_line_says_delivered() {
+    let (may, full) = (Outcome::Error, Outcome::Full(None));
+    let long = [b"HTTP/1.1 503 x\r\nX: ", &b"y".repeat(40_000)[..]].concat();
+    let copy = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".repeat(2);
+    let cases: [(&[u8], Outcome, bool); 12] = [
+        (b"HTTP/1.1 503 x\r\nContent-Length: 2\r\n\r\nab", full, true),
+        (b"HTTP/1.1 503 x\r\nContent-Length: 9\r\n\r\nab", may, false),
+        (b"HTTP/1.1 503 x\r\nContent-Length: -1\r\n\r\nab", may, false),
+        (b"HTTP/1.1 429 x\r\nRetry-After: 1\r\nContent-Length: 3000000000\r\n\r\nab", may, false),
+        (b"HTTP/1.1 503 x\r\nno field\r\nContent-Length: 0\r\n\r\n", may, false),
+        (&long, may, false),
+        (b"\x00\x17noise", may, false),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", Outcome::Delivered, false),
+        (b"HTTP/1.1 200 OK\r\nno field\r\n\r\n", Outcome::Delivered, false),
+        (b"HTTP/1.1 200 OK\r\nX: never ends", Outcome::Delivered, false),
+        (&copy, Outcome::Delivered, false),
+        (
+            b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+            Outcome::Delivered,
+            true,
+        ),
+    ];
+    for (bytes, outcome, keeps) in cases {
+        for judge in [relay::judge, cloudevents::judge] {
+            let said = String::from_utf8_lossy(&bytes[..bytes.len().min(70)]);
+            assert_eq!(read(bytes, judge), (outcome, keeps), "{said}");
+        }
+    }
+}
+
+fn pool(connections: usize, listener: &TcpListener) -> Pool {
+    let limits = Limits { dial: Duration::from_secs(20), idle: Duration::from_secs(20), connections };
+    let pool = Pool::new(limits, Rc::default());
+    pool.place(EndpointId(0), &listener.local_addr().unwrap().to_string(), true);
+    pool
+}
+
+async fn leg(pool: &Pool, seq: u64) -> Outcome {
+    let word = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(&b""[..]));
+    let by = Instant::now() + Duration::from_secs(20);
+    pool.leg(
+        seq,
+        EndpointId(0),
+        Call { word: &word, judge: relay::judge, may: &|| Some(Act::free()) },
+        by,
+        by,
+    )
+    .await
+    .outcome
+}
+
+/// Taken for failures of their host, the resets of kept connections had hosts judged out that were well.
+#[test]
+fn a_reset_is_told_apart_by_whether_its_connection_was_kept() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let pool = pool(9, &listener);
+    std::thread::spawn(move || {
+        // Each connection ends with its second request, the last one with its first.
+        for answers in [1, 0] {
+            let (mut stream, mut bytes) = (listener.accept().unwrap().0, [0; 256]);
+            for _ in 0..answers {
+                let _ = std::io::Read::read(&mut stream, &mut bytes);
+                let _ = std::io::Write::write(&mut stream, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            }
+            let _ = std::io::Read::read(&mut stream, &mut bytes);
+        }
+    });
+    let outcomes =
+        async_io::block_on(async { [leg(&pool, 1).await, leg(&pool, 2).await, leg(&pool, 3).await] });
+    assert_eq!(outcomes, [Outcome::Delivered, Outcome::Stale, Outcome::Reset]);
+}
+
+#[test]
+fn connections_that_come_up_together_keep_to_the_cap() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let pool = pool(2, &listener);
+    let all = async {
+        let two = async {
+            let (first, _) = future::zip(leg(&pool, 1), leg(&pool, 2)).await;
+            first
+        };
+        // The third finds both places taken by legs that are still on the way up.
+        future::or(two, leg(&pool, 3)).await
+    };
+    assert_eq!(async_io::block_on(all), Outcome::ConnectFailed);
+    assert_eq!(pool.counters.dialled.get(), 2);
+}
+
+#[test]
+fn a_report_that_cannot_be_read_is_left_out_in_full() {
+    assert_eq!(report("TEXT x0=0.4, x1=25"), Report { left: Some(0.4), limit: Some(25.0) });
+    for spoilt in ["", "x0=0.4", "TEXT x0=0.4, x1=", "TEXT x0=0.4; x1=25", "TEXT x0=7, x1=25", "TEXT x1=1e99"]
+    {
+        assert_eq!(report(spoilt), Report::default(), "{spoilt}");
+    }
+}
