--- a/courier/src/net/discovery.rs
+++ b/courier/src/net/discovery.rs
@@ -6,12 +6,14 @@
 pub use notices::notices;
 pub use watch::{watch, Asking};
 
+use super::pool::MOST_RATE;
 use crate::core::engine::{Host, Input};
 use crate::say;
 use async_channel::Receiver;
 use futures_lite::future;
 use marblefall_decisions::{DestinationId, KindId, Listing, ZoneId};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -26,14 +28,14 @@
     /// Whether it is the whole list.
     #[serde(default)]
     pub complete: bool,
-    /// Its entries.
+    /// Its entries. One that cannot be read must not keep the others from being taken.
     #[serde(default)]
-    pub members: Vec<Member>,
+    pub members: Vec<Box<RawValue>>,
 }
 
 /// One entry of the list.
 #[derive(Debug, Deserialize)]
-pub struct Member {
+struct Member<'a> {
     id: String,
     host_port: String,
     #[serde(default)]
@@ -43,8 +45,16 @@
     #[serde(default)]
     cell: u64,
     phase: String,
-    #[serde(default)]
-    size: f64,
+    #[serde(default, borrow)]
+    size: Option<&'a RawValue>,
+}
+
+impl Member<'_> {
+    /// The rate that it tells; 0 where that is none.
+    fn rate(&self) -> f64 {
+        let told = self.size.and_then(|size| size.get().parse::<f64>().ok());
+        told.filter(|rate| (0.0..=MOST_RATE).contains(rate)).unwrap_or(0.0)
+    }
 }
 
 /// The names that stand for numbers in the settings.
@@ -60,7 +70,7 @@
     /// The same as the core takes it.
     pub fn input(self, names: &Names) -> Input {
         let place = |all: &[String], name: &str| all.iter().position(|have| have == name);
-        let host = |member: Member| Host {
+        let host = |member: Member<'_>| Host {
             destination: DestinationId(member.cell),
             kind: KindId(place(&names.kinds, &member.flavor).unwrap_or(usize::MAX)),
             zone: ZoneId(place(&names.zones, &member.locality).unwrap_or(usize::MAX)),
@@ -70,12 +80,19 @@
                 // What is not known to be served gets nothing new.
                 _ => Listing::Draining,
             },
-            share: member.size,
+            share: member.rate(),
             weight: None,
             name: member.id,
             address: member.host_port,
         };
-        let hosts = self.members.into_iter().map(host).collect();
+        let read = |entry: &Box<RawValue>| match serde_json::from_str::<Member<'_>>(entry.get()) {
+            Ok(member) => Some(host(member)),
+            Err(error) => {
+                say!(code = "entry-malformed", "an entry of the list is left out: {error}");
+                None
+            }
+        };
+        let hosts = self.members.iter().filter_map(read).collect();
         if self.complete {
             Input::Listed(hosts)
         } else {
--- a/courier/src/net/pool.rs
+++ b/courier/src/net/pool.rs
@@ -32,7 +32,7 @@
 /// A wait that is told for longer is taken for this: it must not overflow a clock, nor outlast the day.
 const LONGEST_WAIT_S: f64 = 3600.0;
 /// A report of more calls a second than this is noise.
-const MOST_RATE: f64 = 1e6;
+pub const MOST_RATE: f64 = 1e6;
 
 struct Place {
     address: String,
