A partly written attempt keeps to waits and windows; none goes to an address that was left

Read against the crossings: Pool::run looked at waits and the window before the first byte only, while a call begins with its last, which an endpoint that reads slowly may hold up; keep() and a dial that was under way took no notice that an endpoint had moved, so that the next attempt went to whoever listens at the old address now.

Ruled out: drains in mid-write (a send counts from its first byte there), and idle connections at a move (closed already).

Change: the write is held to the window, and to the waits each time that it could go on; what is cut off so never ran and says nothing of its endpoint. An attempt and a kept connection know the address that they lead to. A new connection whose attempt was held back is kept, as its handshake is paid for.

Tests over loopback, both fail with the code before (the endpoint had read all of it; no answer at the new address).

--- a/courier/src/net/pool.rs
+++ b/courier/src/net/pool.rs
@@ -106,6 +106,15 @@
     leaving: Cell<bool>,
 }
 
+/// A connection for a leg.
+struct Opened {
+    link: Link,
+    /// Whether it was kept from an earlier one.
+    kept: bool,
+    /// Where it leads.
+    to: SocketAddr,
+}
+
 /// Counts a connection for as long as it lasts.
 struct Counted(Rc<Cell<usize>>);
 
@@ -213,21 +222,25 @@
         write_by: Instant,
         cancelled: &Receiver<()>,
     ) -> Ended {
-        let (mut link, kept) = match self.open(id, cut_at, cancelled).await {
+        let Opened { mut link, kept, to } = match self.open(id, cut_at, cancelled).await {
             Ok(opened) => opened,
             Err(outcome) => return outcome.into(),
         };
-        // The way up may have taken long: a host may have begun to drain or told another call to wait, a window may
-        // have closed.
+        // The way up may have taken long: a host may have begun to drain, moved or told another call to wait, a window
+        // may have closed.
         let now = Instant::now();
-        let open = self.places.borrow().get(&id).is_some_and(|place| place.open);
-        if !open || now >= write_by || now >= cut_at || self.must_wait(call.route, now) {
-            self.keep(id, link, open && kept);
+        if !self.is_open_at(id, to) || now >= write_by || now >= cut_at || self.must_wait(call.route, now) {
+            self.keep(id, to, link);
             return Outcome::Moot.into();
         }
         let (head, body) = (call.word)((cut_at - now).as_millis() as u64);
         let begun = {
-            let mut writing = std::pin::pin!(race(cancelled, until(cut_at, link.write(&head, &body))));
+            // Where the host reads slowly, its last byte may be held up as long.
+            let whole = async {
+                let write = until(cut_at.min(write_by), link.write(&head, &body));
+                matches!(race(cancelled, write).await, Some(Some(Ok(()))))
+            };
+            let mut writing = std::pin::pin!(unless(|| self.must_wait(call.route, Instant::now()), whole));
             // What the first bytes do not take with them goes on without.
             let first = match (call.may)() {
                 None => None,
@@ -239,13 +252,15 @@
             }
         };
         let Some(written) = begun else {
-            self.keep(id, link, kept);
+            self.keep(id, to, link);
             return Outcome::Moot.into();
         };
-        if !matches!(written, Some(Some(Ok(())))) {
+        if written != Some(true) {
             // Its last byte was never written, so it never ran; on a kept connection that tells nothing else.
-            say!(host = id.0, code = "write-failed", "issuer host: connection ended");
-            return if kept { Outcome::Moot } else { Outcome::ConnectFailed }.into();
+            let held_back = written.is_none() || Instant::now() >= write_by;
+            let code = if held_back { "held-back-in-mid-write" } else { "write-failed" };
+            say!(host = id.0, code, "issuer host: connection ended");
+            return if kept || held_back { Outcome::Moot } else { Outcome::ConnectFailed }.into();
         }
         let written = Instant::now();
         let answered = race(cancelled, answer(&mut link, call.judge, cut_at)).await;
@@ -254,7 +269,7 @@
         }
         let (ended, code) = match answered {
             Some((ended, Ok(()))) => {
-                self.keep(id, link, true);
+                self.keep(id, to, link);
                 return ended;
             }
             Some((ended, Err(_)))
@@ -269,23 +284,24 @@
         ended
     }
 
-    /// A connection that is kept, or a new one; and whether it was kept.
+    /// A connection that is kept, or a new one.
     async fn open(
         &self,
         id: EndpointId,
         cut_at: Instant,
         cancelled: &Receiver<()>,
-    ) -> Result<(Link, bool), Outcome> {
-        let address: SocketAddr = {
+    ) -> Result<Opened, Outcome> {
+        let to: SocketAddr = {
             let mut places = self.places.borrow_mut();
             let place = places.get_mut(&id).filter(|place| place.open).ok_or(Outcome::Moot)?;
+            let to = place.address.parse().map_err(|_| Outcome::ConnectFailed)?;
             while let Some((link, since)) = place.idle.pop() {
                 if since.elapsed() < self.limits.idle && link.is_fresh() {
-                    return Ok((link, true));
+                    return Ok(Opened { link, kept: true, to });
                 }
                 say!(host = id.0, code = "closed-while-idle", "issuer host: connection ended");
             }
-            place.address.parse().map_err(|_| Outcome::ConnectFailed)?
+            to
         };
         self.make_room()?;
         // Counted from here on: many that come up together must not pass the cap together.
@@ -293,8 +309,8 @@
         let counted = Counted(self.connections.clone());
         add(&self.counters.dialled);
         let dial_by = cut_at.min(Instant::now() + self.limits.dial);
-        match race(cancelled, until(dial_by, Link::connect(address))).await {
-            Some(Some(Ok(link))) => Ok((link.with(Box::new(counted)), false)),
+        match race(cancelled, until(dial_by, Link::connect(to))).await {
+            Some(Some(Ok(link))) => Ok(Opened { link: link.with(Box::new(counted)), kept: false, to }),
             // Called off before anything was written.
             None => Err(Outcome::Moot),
             Some(late) => {
@@ -318,15 +334,31 @@
         Ok(())
     }
 
-    fn keep(&self, id: EndpointId, link: Link, keeps: bool) {
-        let mut places = self.places.borrow_mut();
-        match places.get_mut(&id).filter(|place| keeps && place.open && !self.leaving.get()) {
+    /// Whether a host takes new legs, at that address: one that has moved may have left its own to another.
+    fn is_open_at(&self, id: EndpointId, to: SocketAddr) -> bool {
+        let places = self.places.borrow();
+        places.get(&id).is_some_and(|place| place.open && place.address.parse() == Ok(to))
+    }
+
+    fn keep(&self, id: EndpointId, to: SocketAddr, link: Link) {
+        let keeps = self.is_open_at(id, to) && !self.leaving.get();
+        match self.places.borrow_mut().get_mut(&id).filter(|_| keeps) {
             Some(place) => place.idle.push((link, Instant::now())),
             None => say!(host = id.0, code = "not-kept", "issuer host: connection ended"),
         }
     }
 }
 
+/// Waits for something unless this is so when it could go on.
+async fn unless<T>(so: impl Fn() -> bool, what: impl future::Future<Output = T>) -> Option<T> {
+    let mut what = std::pin::pin!(what);
+    future::poll_fn(|context| match so() {
+        true => std::task::Poll::Ready(None),
+        false => what.as_mut().poll(context).map(Some),
+    })
+    .await
+}
+
 /// Waits for something unless the leg is called off.
 async fn race<T>(cancelled: &Receiver<()>, what: impl future::Future<Output = T>) -> Option<T> {
     future::or(async { Some(what.await) }, async {
--- a/courier/src/net/pool/tests.rs
+++ b/courier/src/net/pool/tests.rs
@@ -67,17 +67,21 @@
 }
 
 async fn attempt(pool: &Pool, seq: u64, endpoint: EndpointId, route: Route) -> Outcome {
-    let word = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(&b""[..]));
-    let by = Instant::now() + Duration::from_secs(20);
-    pool.leg(
-        seq,
-        endpoint,
-        Call { route, word: &word, judge: relay::judge, may: &|| Some(Act::free()) },
-        by,
-        by,
-    )
-    .await
-    .outcome
+    attempt_with(pool, seq, endpoint, route, b"", Instant::now() + Duration::from_secs(20)).await
+}
+
+async fn attempt_with(
+    pool: &Pool,
+    seq: u64,
+    endpoint: EndpointId,
+    route: Route,
+    body: &[u8],
+    write_by: Instant,
+) -> Outcome {
+    let word = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(body));
+    let cut_at = Instant::now() + Duration::from_secs(20);
+    let call = Call { route, word: &word, judge: relay::judge, may: &|| Some(Act::free()) };
+    pool.leg(seq, endpoint, call, cut_at, write_by).await.outcome
 }
 
 /// Taken for failures of their host, the resets of kept connections had hosts judged out that were well.
@@ -160,3 +164,104 @@
         assert_eq!(hosts.join().unwrap() > 0, expected == Outcome::Delivered, "bytes at the first endpoint");
     }
 }
+
+/// Reads an endpoint's first connection to its end; gives how many bytes came.
+fn read_out(listener: &TcpListener) -> usize {
+    let (mut stream, mut bytes, mut all) = (listener.accept().unwrap().0, vec![0; 1 << 16], 0);
+    while let Ok(read @ 1..) = std::io::Read::read(&mut stream, &mut bytes) {
+        all += read;
+    }
+    all
+}
+
+/// More than the system holds for an endpoint that does not read.
+const LARGE: usize = 32 << 20;
+
+/// Once its first bytes were out, an attempt was written to its end whatever was told or had passed meanwhile: its last
+/// byte, at which the call begins, came within another call's wait, or after the window for repeats.
+#[test]
+fn what_is_partly_written_is_not_finished_within_a_wait_nor_after_its_window() {
+    let body = vec![b'x'; LARGE];
+    for waits in [true, false] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let pool = pool(9, &listener);
+        let outcome = async_io::block_on(async {
+            let window = Duration::from_millis(if waits { 20_000 } else { 300 });
+            let write_by = Instant::now() + window;
+            let leg = attempt_with(&pool, 1, EndpointId(0), SHARED, &body, write_by);
+            let mut leg = std::pin::pin!(leg);
+            if !waits {
+                return leg.await;
+            }
+            // Some of it is on its way once the endpoint has bytes to read.
+            let (stream, _) = future::or(
+                async {
+                    Async::<TcpListener>::new(listener.try_clone().unwrap()).unwrap().accept().await.unwrap()
+                },
+                async { panic!("ended with {:?} before anything was read", (&mut leg).await) },
+            )
+            .await;
+            let begun = async { stream.readable().await.unwrap() };
+            future::or(begun, async { panic!("ended early with {:?}", (&mut leg).await) }).await;
+            pool.told(SHARED, Instant::now() + Duration::from_secs(60));
+            let reading = std::thread::spawn(move || {
+                let (mut stream, mut all) = (stream.into_inner().unwrap(), 0);
+                stream.set_nonblocking(false).unwrap();
+                let mut bytes = vec![0; 1 << 16];
+                while let Ok(read @ 1..) = std::io::Read::read(&mut stream, &mut bytes) {
+                    all += read;
+                }
+                all
+            });
+            let outcome = leg.await;
+            assert!(reading.join().unwrap() < LARGE, "the endpoint has read all of it");
+            outcome
+        });
+        assert_eq!(outcome, Outcome::Moot, "{}", if waits { "told to wait" } else { "after its window" });
+        if !waits {
+            drop(pool);
+            assert!(read_out(&listener) < LARGE, "the endpoint has read all of it");
+        }
+    }
+}
+
+/// A connection that was out or on its way up when its endpoint moved was used again for the next attempt: what listens
+/// at the old address now may be anybody's.
+#[test]
+fn no_attempt_goes_to_the_address_that_an_endpoint_has_left() {
+    let [old, new] = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
+    let at = new.local_addr().unwrap().to_string();
+    let pool = pool(9, &old);
+    let (moved, has_moved) = std::sync::mpsc::channel();
+    let (read, has_read) = async_channel::bounded(1);
+    let ok = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    let hosts = std::thread::spawn(move || {
+        let serve = |listener: &TcpListener, wait: &dyn Fn()| {
+            let (mut stream, mut bytes) = (listener.accept().unwrap().0, [0; 256]);
+            let _ = std::io::Read::read(&mut stream, &mut bytes);
+            wait();
+            let _ = std::io::Write::write(&mut stream, ok);
+            stream
+        };
+        let _first = serve(&old, &|| {
+            read.send_blocking(()).unwrap();
+            has_moved.recv().unwrap();
+        });
+        let _second = serve(&new, &|| ());
+        read_out(&old)
+    });
+    async_io::block_on(async {
+        let mut first = std::pin::pin!(leg(&pool, 1));
+        let out = async { has_read.recv().await.unwrap() };
+        future::or(async { panic!("ended with {:?}", (&mut first).await) }, out).await;
+        let mut rising = std::pin::pin!(leg(&pool, 2));
+        assert!(future::poll_once(&mut rising).await.is_none(), "its connection is on the way up");
+        pool.place(EndpointId(0), &at, true);
+        moved.send(()).unwrap();
+        assert_eq!(first.await, Outcome::Delivered);
+        assert_eq!(leg(&pool, 3).await, Outcome::Delivered, "at the new address");
+        assert_eq!(rising.await, Outcome::Moot);
+    });
+    drop(pool);
+    assert_eq!(hosts.join().unwrap(), 0, "bytes at the old address");
+}
