--- a/cli/tests/relay.rs
+++ b/cli/tests/relay.rs
@@ -4,6 +4,8 @@
 
 use common::platform::*;
 use common::*;
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 
@@ -56,10 +58,23 @@
     program.kill();
     *silent.lock().unwrap() = false;
     let program = site.start();
-    program.address(MARKER, 0);
+    let at = program.address(MARKER, 0);
     wait_for("the free one's repeat", || host.count() == 3);
     wait_for("the keyed one's end", || site.discovery.told().contains("\"order\""));
     assert_eq!(host.seen.lock().unwrap()[2].field("x-call-id"), Some("status"));
+    // Killed before it has noted the answer that the host gave, it would rightly resume what may have run.
+    wait_for("the answer to be read", || {
+        program.signal("USR1");
+        program.log().contains("delivered=1 ")
+    });
+    // What is handed in now is looked at after that answer.
+    let fields = [
+        ("X-Call-Id", "nowhere"),
+        ("X-Call-Class", "refill-status"),
+        ("X-Budget-Ms", "20000"),
+        ("X-Envelope", "dest=99"),
+    ];
+    assert_eq!(post(at, "/api", &fields, b"").unwrap().status(), 503);
     program.kill();
     // All is over: a third life has nothing to do.
     let mut program = site.start();
@@ -171,6 +186,31 @@
     assert_eq!(site.discovery.told(), "");
 }
 
+/// A process that ended took no leave of its listener: whoever had just been let in by the system, or connected in the
+/// last moments and asked, was reset.
+#[test]
+fn a_process_stops_listening_and_answers_all_that_wait_before_it_ends() {
+    let host = StandIn::start(|_| ok());
+    for busy in [true, false] {
+        let site = Site::new("last-clients", host.at, "6000", 0);
+        let mut program = site.start();
+        let at = program.address(MARKER, 0);
+        // Half a request holds the process to the last moment that it has.
+        let mut half = TcpStream::connect(at).unwrap();
+        half.write_all(if busy { b"POST /api HTTP/1.1\r\n" } else { b"" }).unwrap();
+        if !busy {
+            drop(half);
+        }
+        program.signal("TERM");
+        // Who comes before that is answered.
+        let answer = hand(at, "late", "refill-status", "20000").unwrap();
+        assert!([202, 503].contains(&answer.status()));
+        wait_for("its listener to be let go", || program.log().contains("no longer accepts connections"));
+        assert!(TcpStream::connect(at).is_err(), "it listens on after it said that it does not");
+        assert!(program.ended(), "{}", program.log());
+    }
+}
+
 #[test]
 fn clients_without_manners_keep_nobody_else_out() {
     let host = StandIn::start(|_| ok());
--- a/courier/src/daemon.rs
+++ b/courier/src/daemon.rs
@@ -46,6 +46,9 @@
 const EVENTS_PATIENCE: Patience = Patience(Duration::from_secs(10));
 /// Connections of clients are closed once new ones no longer come.
 const CLOSE_IDLE: Duration = Duration::from_millis(500);
+/// So long before its end a process stops listening: what waits in the system's queue is taken and answered first, as the
+/// end would reset it.
+const LAST_CLIENTS: Duration = Duration::from_millis(400);
 /// How often what is known of destinations is written down, at most.
 const KEEP: Duration = Duration::from_secs(1);
 /// What those who still wait at the end are told.
@@ -410,10 +413,14 @@
                 Timer::at(now + SEE_OUT).await;
             } else if !goes_on {
                 Timer::at(leaving).await;
-                return desk.close_idle();
+                desk.close_idle();
             }
             let (quiet, last) = if replaced { (QUIET_LATE, now + SEEN_OUT) } else { (QUIET, now + left) };
+            let deaf = last.checked_sub(LAST_CLIENTS).unwrap_or(now);
             while Instant::now() < last {
+                if Instant::now() >= deaf {
+                    desk.stop_accepting();
+                }
                 desk.close_quiet(quiet);
                 Timer::after(QUIET / 4).await;
             }
@@ -475,8 +482,12 @@
                 // legs and for the connections that clients still use.
                 let idle = idle || out == 0 && engine.has_handed_over() && self.desk.connections() == 0;
                 // Clients that have not heard of the end yet still come.
-                let closed = self.desk.leaving.get().is_some_and(|at| at <= now);
-                if now >= by || idle && closed {
+                let done = idle && self.desk.leaving.get().is_some_and(|at| at <= now);
+                if done {
+                    // Whoever waits to be accepted is still served.
+                    self.desk.stop_accepting();
+                }
+                if now >= by || done && !self.desk.listens() {
                     self.desk.answer_all(Answer::Declined(COME_BACK_MS));
                     keep.iter_mut().for_each(|keep| keep.write(&engine.records(self.clock.now())));
                     // What is answered here is still to be written.
--- a/courier/src/daemon/carry.rs
+++ b/courier/src/daemon/carry.rs
@@ -6,6 +6,7 @@
 use crate::counters::add;
 use crate::front::{cloudevents, relay};
 use crate::gate::{self, Act};
+use crate::life::drive;
 use crate::net::pool::{Call, Ended};
 use crate::say;
 use marblefall_decisions::{EndpointId, Listing, Outcome, Time};
@@ -31,7 +32,14 @@
         };
         engine.stands(standing);
         engine.step(self.clock.now(), batch, orders);
+        // The process may have been stopped in the midst of the step, and another one decide since.
+        let replaced = !engine.has_handed_over() && drive::must_hand_over(&self.life);
         for order in orders.drain(..) {
+            if replaced && matches!(order, Order::Notice(..)) {
+                // It is in the journal, where whoever took over before does not look for it.
+                say!(code = "fenced-off", "a notice is left to the process that took over");
+                continue;
+            }
             // While nobody acts, this is said only of what was taken on before.
             if act.is_some() && matches!(order, Order::Answer(_, Answer::TakenOn)) {
                 self.note("takes");
@@ -145,7 +153,9 @@
             Origin::Relay => relay::judge,
             Origin::Events => cloudevents::judge,
         };
-        let may = || self.enter().inspect(|_| self.note("leg"));
+        // Looked at as late as can be: a process that was stopped since this was decided finds the fence here.
+        let may =
+            || drive::leg_may_begin(&self.life).then(|| self.enter()).flatten().inspect(|_| self.note("leg"));
         let call = Call { route, word: &word, judge, may: &may };
         let (cut_at, write_by) = (self.clock.instant(cut_at), self.clock.instant(write_by));
         let Ended { outcome, verdict, report } = self.pool.leg(seq, host, call, cut_at, write_by).await;
--- a/courier/src/life/drive.rs
+++ b/courier/src/life/drive.rs
@@ -149,3 +149,9 @@
 pub fn must_hand_over(life: &RefCell<Life>) -> bool {
     life.borrow_mut().wanted().hand_over
 }
+
+/// Whether a leg of this life may still begin at this very moment. What did not begin is reported as such, and whoever
+/// took over, or is about to, sends it.
+pub fn leg_may_begin(life: &RefCell<Life>) -> bool {
+    !must_hand_over(life)
+}
--- a/courier/src/net/pool/tests.rs
+++ b/courier/src/net/pool/tests.rs
@@ -1,5 +1,7 @@
 use super::*;
 use crate::front::{cloudevents, relay};
+use crate::life::drive;
+use crate::life::folder::Life;
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
 use marblefall_decisions::DestinationId;
@@ -265,3 +267,44 @@
     drop(pool);
     assert_eq!(hosts.join().unwrap(), 0, "bytes at the old address");
 }
+
+/// A process that was stopped after it had chosen, and that goes on after another one has taken over, began what it had
+/// chosen: two attempts of one message were out at once.
+#[test]
+fn what_was_chosen_before_another_process_fenced_this_one_off_does_not_begin() {
+    let folder = std::env::temp_dir().join(format!("marblefall-pool-fence-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    let life = RefCell::new(Life::claim(&folder).unwrap());
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let pool = pool(9, &listener);
+    let serving = listener.try_clone().unwrap();
+    let host = std::thread::spawn(move || {
+        let (mut stream, mut bytes) = (serving.accept().unwrap().0, [0; 256]);
+        let _ = std::io::Read::read(&mut stream, &mut bytes);
+        let _ = std::io::Write::write(&mut stream, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        std::io::Read::read(&mut stream, &mut bytes).unwrap_or(0)
+    });
+    let word = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(&b""[..]));
+    let may = || drive::leg_may_begin(&life).then(Act::free);
+    let by = Instant::now() + Duration::from_secs(20);
+    let run = |seq| {
+        let call = Call { route: SHARED, word: &word, judge: relay::judge, may: &may };
+        pool.leg(seq, EndpointId(0), call, by, by)
+    };
+    async_io::block_on(async {
+        assert_eq!(run(1).await.outcome, Outcome::Delivered);
+        let later = Life::claim(&folder).unwrap();
+        let before = life.borrow().generation();
+        let kept = run(2);
+        later.fence(before).unwrap();
+        assert_eq!(kept.await.outcome, Outcome::Moot, "over a connection that is kept");
+        let mut rising = std::pin::pin!(async {
+            pool.close_idle(EndpointId(0));
+            run(3).await.outcome
+        });
+        assert_eq!((&mut rising).await, Outcome::Moot, "over a new one");
+    });
+    drop(pool);
+    assert_eq!(host.join().unwrap(), 0, "bytes after the fence");
+    let _ = std::fs::remove_dir_all(&folder);
+}
