An endpoint with no place for one more connection is told from one that turns calls away

Cause: net/pool took it for a refused call (Full), so that the module lowered its pace towards a destination with room, while what frees places, closing idle connections of a crowded kind (learn_connections), waits for ConnectFailed.

Change: turned away without a wait, and closed, over a new connection counts as not connected. Test over loopback, fails without it.

--- a/courier/src/net/pool.rs
+++ b/courier/src/net/pool.rs
@@ -277,6 +277,11 @@
             {
                 (Outcome::Stale.into(), "reset-when-used-again")
             }
+            // Turned away and closed over a connection that was opened for it: its host takes no more connections, which
+            // says nothing of the calls that it would take.
+            Some((ended, Err("not-kept"))) if ended.outcome == Outcome::Full(None) && !kept => {
+                (Outcome::ConnectFailed.into(), "no-place-left")
+            }
             Some((ended, Err(code))) => (ended, code),
             None => (Outcome::Cancelled.into(), "called-off"),
         };
--- a/courier/src/net/pool/tests.rs
+++ b/courier/src/net/pool/tests.rs
@@ -107,6 +107,36 @@
     assert_eq!(outcomes, [Outcome::Delivered, Outcome::Stale, Outcome::Reset]);
 }
 
+/// Taken for a limit on calls, refused connections had couriers call ever more rarely while each kept its own idle ones:
+/// on `calm+mass` of many-ledgers (seed 5, 60 couriers) 840 of 894 calls that were turned away were of this kind.
+#[test]
+fn who_has_no_place_for_one_more_connection_is_told_from_who_turns_a_call_away() {
+    let closes = "HTTP/1.1 503 x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    let stays = "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n";
+    let waits = "HTTP/1.1 429 x\r\nRetry-After: 2\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    let told = Outcome::Full(Some(Span::from_ms(2000.0)));
+    let cases = [
+        // The second call goes over the connection that the first one opened.
+        (vec![closes], vec![Outcome::ConnectFailed]),
+        (vec![stays, closes], vec![Outcome::Full(None), Outcome::Full(None)]),
+        (vec![waits], vec![told]),
+    ];
+    for (answers, expected) in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let pool = pool(9, &listener);
+        let host = std::thread::spawn(move || {
+            let (mut stream, mut bytes) = (listener.accept().unwrap().0, [0; 256]);
+            for answer in answers {
+                let _ = std::io::Read::read(&mut stream, &mut bytes);
+                let _ = std::io::Write::write(&mut stream, answer.as_bytes());
+            }
+        });
+        let outcomes: Vec<Outcome> = expected.iter().map(|_| async_io::block_on(leg(&pool, 1))).collect();
+        assert_eq!(outcomes, expected);
+        host.join().unwrap();
+    }
+}
+
 #[test]
 fn connections_that_come_up_together_keep_to_the_cap() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
