--- a/courier/src/net/discovery.rs
+++ b/courier/src/net/discovery.rs
@@ -85,14 +85,14 @@
             name: member.id,
             address: member.host_port,
         };
-        let read = |entry: &Box<RawValue>| match serde_json::from_str::<Member<'_>>(entry.get()) {
+        let read = |entry: &RawValue| match serde_json::from_str::<Member<'_>>(entry.get()) {
             Ok(member) => Some(host(member)),
             Err(error) => {
                 say!(code = "entry-malformed", "an entry of the list is left out: {error}");
                 None
             }
         };
-        let hosts = self.members.iter().filter_map(read).collect();
+        let hosts = self.members.iter().filter_map(|entry| read(entry)).collect();
         if self.complete {
             Input::Listed(hosts)
         } else {
