What was taken on and never ran is owed a try: not ended early for a far return or a newcomer

Seen (courier/tests/restart.rs, a clock fed by hand): of 30 untried messages that a restart had found, 30 were given up in one step with most of their time left where 300 couriers share an endpoint that does not answer; a courier that came back with a backlog of 45 gave all of it up, message by message, to new ones that were handed in.

Lines: give_up's shut_out took a route that opens too late for one that never opens, and make_room weighed what was taken on like what had only just come. Ruled out: deadlines counted from the start (they go by the clock).

Change: for seven tenths of its time, what was taken on and never ran ends early only where a told wait lasts beyond it; what must make room for others is chosen with the price of going back on it, and what a restart found is not outbid for its age. New messages are told at once, as before.

--- a/courier/src/net/link.rs
+++ b/courier/src/net/link.rs
@@ -234,6 +234,12 @@
         self.bytes().len() > len || self.glance().has_unread()
     }
 
+    /// The socket itself, for tests that write past the executor.
+    #[cfg(test)]
+    pub fn socket(&self) -> &TcpStream {
+        self.stream.get_ref()
+    }
+
     /// What tells of unread bytes also while somebody else waits for them.
     pub fn glance(&self) -> Glance {
         Glance(self.stream.clone())
--- a/courier/src/net/server/tests.rs
+++ b/courier/src/net/server/tests.rs
@@ -70,3 +70,86 @@
         assert_eq!(ask(&mut again, READY).await.0, 200);
     });
 }
+
+const READY: &[u8] = b"GET /ready HTTP/1.1\r\n\r\n";
+
+/// A connection that has been answered once, from a client that writes without giving way to anybody.
+async fn rested(at: SocketAddr) -> (Link, TcpStream) {
+    let mut link = Link::connect(at).await.unwrap();
+    assert_eq!(ask(&mut link, READY).await, (200, true));
+    let beside = link.socket().try_clone().unwrap();
+    (link, beside)
+}
+
+#[test]
+fn a_request_that_crosses_the_close_of_its_resting_connection_is_answered() {
+    use std::io::Write;
+    served(8, Duration::from_secs(5), |at, desk| async move {
+        for (first, rest) in [(READY, &b""[..]), READY.split_at(9), READY.split_at(1)] {
+            let (mut link, mut beside) = rested(at).await;
+            // Both come between two steps of the connection's task: bytes first, then the word to leave.
+            beside.write_all(first).unwrap();
+            desk.leaving.set(Some(Instant::now()));
+            desk.close_idle();
+            desk.close_quiet(Duration::ZERO);
+            for _ in 0..100 {
+                future::yield_now().await;
+            }
+            desk.close_idle();
+            let last = ask(&mut link, rest).await;
+            assert_eq!(last, (200, false), "its first {} bytes had come", first.len());
+            assert!(!link.fill().await.unwrap(), "and the end of its connection after that");
+            desk.leaving.set(None);
+        }
+        // The other way round, it is closed, and the client knows that nothing of it was read.
+        let (mut link, mut beside) = rested(at).await;
+        desk.close_idle();
+        assert!(!link.fill().await.unwrap_or(false));
+        let _ = beside.write_all(READY);
+        assert_eq!(desk.connections(), 0);
+    });
+}
+
+#[test]
+fn who_waits_in_the_listeners_queue_at_its_end_is_answered_and_who_comes_later_refused() {
+    use std::io::Write;
+    served(8, Duration::from_secs(5), |at, desk| async move {
+        // The task that accepts has not run since: these wait in the system's queue.
+        let waiting: Vec<TcpStream> = (0..20)
+            .map(|_| {
+                let mut stream = TcpStream::connect(at).unwrap();
+                stream.write_all(READY).unwrap();
+                stream
+            })
+            .collect();
+        desk.leaving.set(Some(Instant::now()));
+        desk.stop_accepting();
+        for stream in waiting {
+            let mut link = Link::new(Async::new(stream).unwrap());
+            assert_eq!(ask(&mut link, b"").await, (200, false));
+        }
+        assert!(!desk.listens());
+        assert!(TcpStream::connect(at).is_err());
+    });
+}
+
+#[test]
+fn a_client_that_sends_on_after_its_last_answer_still_gets_that_answer() {
+    use std::io::Write;
+    served(8, Duration::from_secs(5), |at, desk| async move {
+        let (mut link, mut beside) = rested(at).await;
+        desk.leaving.set(Some(Instant::now()));
+        beside.write_all(READY).unwrap();
+        // The answer is on its way once the courier has ended its sending; what comes now is read and sent nowhere.
+        while desk.seats.seats.borrow().values().any(|seat| seat.phase != Phase::Lingering) {
+            future::yield_now().await;
+        }
+        beside.write_all(&READY.repeat(2000)).unwrap();
+        while desk.connections() > 0 {
+            future::yield_now().await;
+        }
+        assert_eq!(ask(&mut link, b"").await, (200, false));
+        assert!(!link.fill().await.unwrap(), "an end, no reset");
+        assert_eq!(desk.counters.offered.get(), 0);
+    });
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,47 +24,39 @@
 const TAIL_CLIP: f64 = 4.0; // Call times have long tails: one moves a mean by this multiple of it at most.
 const PATIENCE: f64 = 6.0; // An attempt is abandoned after this many mean calls ...
 const LEAST_PATIENCE_MS: f64 = 1200.0; // ... but never before: short calls say little of a busy moment.
-/// Each attempt abandoned since the last answer multiplies a route's patience: a slow route gets the time
-/// that it needs, while lost calls, which leave the mean alone, cannot talk the patience of all routes up.
+/// Each attempt abandoned since the last answer multiplies a route's patience, not that of all routes:
 const BACKOFF: f64 = 1.7;
 const BACKOFF_MOST: i32 = 3; // ... up to this many times over.
 const UNSAFE_PATIENCE: f64 = 3.0; // As many times the patience for what may not be repeated once abandoned.
-/// From this moving share of calls on that get lost while later ones at their route are answered, as where
-/// connections fall silent, patience is cut to a part. Some are then only slow: each counts for half.
+/// From this moving share of calls on that get lost while later ones are answered, patience is cut to a part.
 const LOSSY: f64 = 0.022;
 const LOSSY_PART: f64 = 0.35;
 const SILENCE: f64 = 3.0; // A route is silent if a call is out for so many means and none sent since is back.
 const SILENT_CALLS: usize = 2; // Calls that must be overdue: one alone may be lost, or one of the long tail.
-/// A route that answered nothing for so long may have been out, though too few calls failed to judge it so:
-/// few go where each hangs. It matters where so many messages wait for it at all couriers together, of which
-/// each sees its part: by failed calls instead, a lost one at a route that is seldom called looks the same.
+/// A route that answered nothing for so long may have been out, though too few calls failed to judge it so.
+/// It matters where so many messages wait for it at all couriers together, of which each sees its part.
 const SILENT_LONG: Span = Span(5_000_000);
 const SILENT_BACKLOG: f64 = 24.0;
 const SILENT_LEAST: f64 = 2.0; // ... or so many at each.
 const SILENCE_MS: f64 = 300.0; // Added, so that quick routes are not called silent over a network hiccup.
 const ROUTE_PART: f64 = 0.6; // Part of the slots that one route may hold: one that hangs must leave some.
-/// Part of the slots that all routes in trouble (`sick`) may hold together: hangs and slow spells strike
-/// several at once, and what waits for them must not stop what flows.
+/// Part of the slots that all routes in trouble (`sick`) may hold together: hangs strike several at once.
 const SICK_PART: f64 = 0.34;
 const UNMET_CALLS: f64 = 2.0; // Calls out at once to a route that has not answered yet.
 const RECENT: Span = Span(3_000_000); // Span over which the recent send rate of a route is taken.
 const LEAST_RECENT: Span = Span(1_000_000); // ... or over this at least, where the first of them is younger.
 const USUAL_S: f64 = 10.0; // Time constant of a usual rate, in s: long against a burst, short against a day.
-/// A pace never sinks under this part of a call a second, shared by all couriers: refusals must not starve
-/// a route for good, but where many couriers meet, their least paces together must not fill its limit.
+/// A pace never sinks under this part of a call a second, shared by all couriers: no route starves for good.
 const PACE_LEAST: f64 = 1.2;
-/// A refusal holds a destination back for this part of the time between two calls of this courier's share,
-/// if a limit is told or listed: where each refused call uses the limit up, a hundred that come back sooner,
-/// each within its part, keep it used up for seconds ...
+/// if a limit is told or listed: where refused calls use it up, a hundred that come back sooner keep it so ...
+/// if a limit is told or listed: where each refused call uses it up, a hundred that come back sooner use it up ...
 const CROWD_PART: f64 = 1.0;
 const CROWD_GUESSED: f64 = 0.25; // ... and for this part of it where the share is a guess ...
 /// ... twice as long with each further one running, over all its routes, up to this many times.
 const CROWD_MOST: u32 = 2;
-/// So does an answer that tells that less than this share of the allowance is left: the next to call would be
-/// refused, whoever it is.
+/// So does an answer that tells of less than this share of the allowance: the next call would be refused.
 const LEFT_LEAST: f64 = 0.3;
-/// Failed calls running, with no success among the calls sent since, after which a route is out. Fewer
-/// would take lost calls, which strike at random, for an outage.
+/// Failed calls running, with no success sent since, after which a route is out: fewer get lost at random.
 const FAILS_OUT: f64 = 3.0;
 const REFUSED_PART: f64 = 0.1; // A refusal counts for less: only a long run of them says a route is shut.
 /// ... unless so many come for so long: no limit refuses all for more than one span of its window.
@@ -74,14 +66,12 @@
 const LISTED_PART: f64 = 0.67; // A rate may be half too high, unless the list tells exact ones.
 const CATCH_UP: f64 = 1.2; // Part of its rate that what came back bears while messages wait for it.
 const LEAST_RATE: f64 = 1.0; // Calls a second that a route bears, from all couriers, if nothing else tells.
-/// Weight of a served call in a kind's share of calls that got no connection; one that got none first
-/// counts for several, as most couriers see few, if this endpoint served one soon after ...
+/// Weight of a served call in a kind's share of calls that got no connection; one after such a call counts more ...
 const CROWD_WEIGHT: f64 = 0.02;
 const CROWD_JUMP: f64 = 5.0;
 const REAP_JUMP: f64 = 2.0; // ... as does one lost after a pause, though calls get lost otherwise too.
 const CROWDED: f64 = 0.03; // ... and above this the kind's connections are not kept.
-/// A connection refused while others are up caps the calls out at its endpoint; after this, each success lets
-/// one more out. Connections also fail by chance, and the cap of a crowded moment must not outlast it.
+/// A connection refused while others are up caps its endpoint's calls; after this, each success lifts the cap.
 const CAP_REST: Span = Span(1_000_000);
 const PAUSE: Span = Span(500_000); // A connection unused for longer may have been dropped unseen.
 const SHUN: Span = Span(4_000_000); // So long what failed last is passed over while another one works.
@@ -92,10 +82,12 @@
 const FEW_COURIERS: f64 = 4.0;
 const TASTE: [f64; 2] = [0.03, 0.15]; // ... with this least weight of a draw, on shared and on own limits.
 const HOLD_PART: f64 = 0.95; // Part of the messages that may be held; the rest is room for a clump.
+/// What was taken on and never ran is owed a try for this part of its time; ending it before costs so much of its worth.
+const OWED_PART: f64 = 0.7;
+const OWED_PRICE: f64 = 0.3;
 const QUOTA_S: f64 = 3.0; // Span over which a tenant's traffic is held against its share, in s.
 const RETRY_MS: f64 = 1000.0; // Client's advice where nothing better is known, in ms.
-/// A failed subscription is asked for again after about this, doubled with each failure running: couriers
-/// that start together must not ask together again, nor keep a busy list busy.
+/// A failed subscription is asked for again after about this, doubled with each failure running ...
 const RESUBSCRIBE_MS: f64 = 1000.0;
 const RESUBSCRIBE_MOST: i32 = 3; // ... up to this many times, and within half the time that the rule allows.
 
@@ -149,6 +141,7 @@
     key: Option<Key>,
     worth: f64,
     born: Time,
+    taken: Option<Time>, // When this life took it on; none if an earlier one did.
     expires: Time,
     attempts: u32,
     out: Option<Attempt>,
@@ -299,8 +292,7 @@
         }
     }
 
-    /// Endpoints come under new ids for as long as a courier runs: what is gone and carries no call is
-    /// forgotten, with its route where that is its own. What a shared route has learned stays.
+    /// What is gone and carries no call is forgotten, with its route where that is its own.
     fn forget_gone(&mut self) {
         if !std::mem::take(&mut self.some_gone) {
             return;
@@ -352,13 +344,14 @@
         if out.is_none() {
             self.held.insert(destination, expires, handed.message, attempts > 0 || ran.is_some());
         }
-        let message = Message { class, destination, key, worth, born, expires, attempts, out, ran, ended };
+        let taken = Some(now).filter(|_| past.is_none());
+        let message =
+            Message { class, destination, key, worth, born, taken, expires, attempts, out, ran, ended };
         self.messages.insert(handed.message, message);
     }
 
     /// Counts a message against its tenant's share and says whether it lies beyond it. This courier's
-    /// part of a share is what its part of the other tenants' traffic suggests, 1/n at the least: when the
-    /// load is lopsided all tenants rise together, when one tenant floods it rises alone.
+    /// part of a share is what its part of the other tenants' traffic suggests, 1/n at the least.
     fn over_share(&mut self, now: Time, tenant: TenantId) -> bool {
         let fade = |(rate, at): (f64, Time)| rate * (-(now - at).secs() / QUOTA_S).exp();
         let Some(flow) = self.flows.get_mut(tenant.0) else { return false };
@@ -429,8 +422,7 @@
 
     /// Idle connections do harm where so many couriers keep them that an endpoint takes no more, and where
     /// they are dropped unseen: calls get no connection, or get lost after a pause, while others are served.
-    /// Then connections of such a kind are closed after each call, older ones before the next. Harm: each
-    /// call pays for a new one; an outage that ends at once after a call, or lost calls, may look the same.
+    /// Then those of such a kind are closed after each call. Harm: each call pays for a new one.
     fn learn_connections(&mut self, now: Time, was: &Attempt, outcome: Outcome, actions: &mut Vec<Action>) {
         let vary = self.vary();
         let Some(endpoint) = self.endpoints.get_mut(&was.endpoint) else { return };
@@ -509,8 +501,7 @@
             Outcome::Full(wait) => {
                 route.told(now + wait.unwrap_or(Span::ZERO));
                 route.refused(now, sent, PACE_LEAST / self.set.couriers.max(1) as f64, sight);
-                // No limit makes anyone wait longer than the span of the fail-back rule: it is shut, and will
-                // come back cold to all who were told the same moment. Harm: a limit with a longer window.
+                // No limit makes anyone wait longer than the span of the fail-back rule: it is shut. Harm: one does.
                 if wait.is_some_and(|wait| wait > self.set.rules.tip_after) {
                     route.streak = route.streak.max(FAILS_OUT);
                 }
@@ -546,8 +537,7 @@
 
     /// Judges whether a route is out, and whether one that was out has come back.
     fn judge(&mut self, now: Time, id: RouteId, sent: Time, answered: bool) {
-        // As many failed calls running as come in the time that three take at a busy route, but not under a
-        // least, so that seldom called ones are not found out late.
+        // As many failed calls running as come in the time that three take at a busy route, or a least.
         let (cold, least) = (self.set.rules.cold, FAILS_OUT - self.vary());
         let held = || self.held.line(id.0).is_some();
         let route = self.routes.get_mut(&id).expect("only routes in use are judged");
@@ -567,9 +557,8 @@
     }
 
     /// Calls a second that this courier may count on as its own part of a route's full rate: what it is used
-    /// to delivering there, drawn towards an even part of the reported or listed rate, or else of its own
-    /// traffic over all destinations, as far as it has seen too little of the route to tell. So the parts
-    /// of all couriers add up to no more than the route bears, however many and however idle they are.
+    /// to delivering there, drawn towards an even part of the reported or listed rate, or of its own traffic
+    /// over all destinations. So the parts of all couriers add up to no more than the route bears.
     fn own_rate(&self, now: Time, route: &Route) -> f64 {
         let couriers = self.set.couriers.max(1) as f64;
         let listed = Some(route.share.max(LEAST_RATE)).filter(|_| self.set.weights != Weights::Off);
@@ -862,11 +851,13 @@
         let mut lost = Vec::new();
         for (to, line) in self.held.lines() {
             let (opens, quickest) = self.outlook(now, to);
-            // Another courier may find one open, so the client of a message that never ran is told at once;
-            // one that may have run waits for an outcome to open its route.
+            let waits = self.routes_of(to).map(|route| route.wait_until).min().flatten();
+            // Another courier may find one open, so the client of a message that comes now is told at once;
+            // one that may have run, or is owed a try, waits for an outcome to open its route.
             let is_lost = |id: &MessageId| {
                 let message = &self.messages[id];
-                let shut_out = message.ran.is_none() && opens > Some(message.expires);
+                let until = if self.is_owed(now, message) { waits } else { opens };
+                let shut_out = message.ran.is_none() && until > Some(message.expires);
                 shut_out || self.hopeless_at(message, quickest) <= now
             };
             // Those never tried are lost in the order of their deadlines.
@@ -879,20 +870,32 @@
         }
     }
 
+    /// Whether a message was taken on, has surely not run and has time left in which it is owed a try.
+    fn is_owed(&self, now: Time, message: &Message) -> bool {
+        let owed_for = Span::from_ms((message.expires - message.born).ms() * OWED_PART);
+        message.taken != Some(now) && message.ran.is_none() && now < message.born + owed_for
+    }
+
+    /// What would be lost with a message. What a restart found is not outbid by what is new for its age alone.
+    fn stake(&self, now: Time, message: &Message) -> f64 {
+        let price = if self.is_owed(now, message) { OWED_PRICE * message.worth } else { 0.0 };
+        let ages = message.taken.is_some() || price == 0.0;
+        price + if ages { self.decayed(now, message) } else { message.worth }
+    }
+
     /// Ends what there is no room to hold, once what may leave has left: one of little worth that goes at
     /// once needs no room, though all that wait for a busy destination are worth more.
     fn make_room(&mut self, now: Time, actions: &mut Vec<Action>) {
         let room = (self.set.caps.max_open as f64 * HOLD_PART) as usize;
         while self.messages.len() > room.max(1) {
-            let worth = |id: &MessageId| self.decayed(now, &self.messages[id]);
+            let worth = |id: &MessageId| self.stake(now, &self.messages[id]);
             let least = self.held.all().min_by(|a, b| worth(a).total_cmp(&worth(b)).then(a.cmp(b)));
             let Some(least) = least else { return };
             self.end(now, least, actions);
         }
     }
 
-    /// When the first route of a destination opens (`None`: an outcome may open one) and its quickest call:
-    /// the same for all its messages in one batch, as hundreds may be held in a few destinations.
+    /// When the first route of a destination opens (`None`: an outcome may open one) and its quickest call.
     fn outlook(&self, now: Time, id: DestinationId) -> (Option<Time>, Span) {
         let opens = self.routes_of(id).map(|route| self.open(now, route));
         (opens.reduce(|a, b| Some(a?.min(b?))).flatten(), self.quickest(id))
