--- a/src/choice.rs
+++ b/src/choice.rs
@@ -48,8 +48,8 @@
 const USUAL_S: f64 = 10.0; // Time constant of a usual rate, in s: long against a burst, short against a day.
 /// A pace never sinks under this part of a call a second, shared by all couriers: no route starves for good.
 const PACE_LEAST: f64 = 1.2;
-/// if a limit is told or listed: where refused calls use it up, a hundred that come back sooner keep it so ...
-/// if a limit is told or listed: where each refused call uses it up, a hundred that come back sooner use it up ...
+/// A refusal holds a destination back for this part of the time between two calls of this courier's part,
+/// if a limit is told or listed: a hundred that come back sooner would keep it used up by refused calls ...
 const CROWD_PART: f64 = 1.0;
 const CROWD_GUESSED: f64 = 0.25; // ... and for this part of it where the share is a guess ...
 /// ... twice as long with each further one running, over all its routes, up to this many times.
@@ -66,12 +66,12 @@
 const LISTED_PART: f64 = 0.67; // A rate may be half too high, unless the list tells exact ones.
 const CATCH_UP: f64 = 1.2; // Part of its rate that what came back bears while messages wait for it.
 const LEAST_RATE: f64 = 1.0; // Calls a second that a route bears, from all couriers, if nothing else tells.
-/// Weight of a served call in a kind's share of calls that got no connection; one after such a call counts more ...
+/// Weight of a served call in a kind's share of calls that got no connection; one after such counts more ...
 const CROWD_WEIGHT: f64 = 0.02;
 const CROWD_JUMP: f64 = 5.0;
 const REAP_JUMP: f64 = 2.0; // ... as does one lost after a pause, though calls get lost otherwise too.
 const CROWDED: f64 = 0.03; // ... and above this the kind's connections are not kept.
-/// A connection refused while others are up caps its endpoint's calls; after this, each success lifts the cap.
+/// A connection refused while others are up caps its endpoint's calls; after this, successes lift the cap.
 const CAP_REST: Span = Span(1_000_000);
 const PAUSE: Span = Span(500_000); // A connection unused for longer may have been dropped unseen.
 const SHUN: Span = Span(4_000_000); // So long what failed last is passed over while another one works.
@@ -82,7 +82,7 @@
 const FEW_COURIERS: f64 = 4.0;
 const TASTE: [f64; 2] = [0.03, 0.15]; // ... with this least weight of a draw, on shared and on own limits.
 const HOLD_PART: f64 = 0.95; // Part of the messages that may be held; the rest is room for a clump.
-/// What was taken on and never ran is owed a try for this part of its time; ending it before costs so much of its worth.
+/// What was taken on and never ran is owed a try for this part of its time; to end it before costs a price.
 const OWED_PART: f64 = 0.7;
 const OWED_PRICE: f64 = 0.3;
 const QUOTA_S: f64 = 3.0; // Span over which a tenant's traffic is held against its share, in s.
@@ -501,7 +501,7 @@
             Outcome::Full(wait) => {
                 route.told(now + wait.unwrap_or(Span::ZERO));
                 route.refused(now, sent, PACE_LEAST / self.set.couriers.max(1) as f64, sight);
-                // No limit makes anyone wait longer than the span of the fail-back rule: it is shut. Harm: one does.
+                // No limit makes anyone wait longer than the span of the rule: it is shut. Harm: one does.
                 if wait.is_some_and(|wait| wait > self.set.rules.tip_after) {
                     route.streak = route.streak.max(FAILS_OUT);
                 }
@@ -876,7 +876,7 @@
         message.taken != Some(now) && message.ran.is_none() && now < message.born + owed_for
     }
 
-    /// What would be lost with a message. What a restart found is not outbid by what is new for its age alone.
+    /// What would be lost with a message. What a restart found is not outbid by what is new for its age.
     fn stake(&self, now: Time, message: &Message) -> f64 {
         let price = if self.is_owed(now, message) { OWED_PRICE * message.worth } else { 0.0 };
         let ages = message.taken.is_some() || price == 0.0;
