--- a/courier/src/core/engine.rs
+++ b/courier/src/core/engine.rs
@@ -20,7 +20,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// What a decline tells an acquirer side where nothing better is known.
+/// What a decline tells a client where nothing better is known.
 const COME_BACK_MS: u64 = 1000;
 /// A repeat within a receiver's window must have arrived before it closes: left for the way there.
 const WAY: m::Span = m::Span(200_000);
@@ -52,14 +52,14 @@
     remember_ms: Vec<i64>,
     remember_most: usize,
     names: HashMap<String, m::EndpointId>,
-    /// The issuer hosts that are listed or that a held message was at, by the module's numbers for them.
+    /// The endpoints that are listed or that a held message was at, by the module's numbers for them.
     hosts: BTreeMap<m::EndpointId, String>,
     next_host: u32,
     /// Destinations that have had a host.
     destinations: BTreeSet<m::DestinationId>,
-    /// Issuer hosts as the list has them last, so that one held out or let in again can be told anew.
+    /// Endpoints as the list has them last, so that one held out or let in again can be told anew.
     listing: BTreeMap<m::EndpointId, Host>,
-    /// Names of the issuer hosts that operators keep out.
+    /// Names of the endpoints that operators keep out.
     held_out: BTreeSet<String>,
     /// All destinations, where most of them are idle, and which are not.
     directory: Option<Arc<Directory>>,
--- a/courier/src/core/engine/places.rs
+++ b/courier/src/core/engine/places.rs
@@ -1,4 +1,4 @@
-//! The engine's view of issuer hosts and destinations: the list, what operators hold out, which destinations are in
+//! The engine's view of endpoints and destinations: the list, what operators hold out, which destinations are in
 //! use, and what is kept of those that are not.
 
 use super::{Engine, Host, Input, Order};
--- a/courier/src/core/engine/words.rs
+++ b/courier/src/core/engine/words.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// An issuer host as discovery lists it.
+/// An endpoint as discovery lists it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Host {
     /// The name that stays the same.
@@ -52,7 +52,7 @@
         /// What its answer told of the limit.
         report: m::Report,
     },
-    /// The whole list of issuer hosts.
+    /// The whole list of endpoints.
     Listed(Vec<Host>),
     /// Changes to it.
     Changed(Vec<Host>),
@@ -60,7 +60,7 @@
     Directory(Arc<Directory>),
     /// The platform has taken the notice of a message's end.
     NoticeTaken(Seq),
-    /// Operators keep these issuer hosts out by name, whatever the list says of them, from now on.
+    /// Operators keep these endpoints out by name, whatever the list says of them, from now on.
     HeldOut(BTreeSet<String>),
     /// This life decides from now on: it takes up what earlier ones left.
     TakeUp {
@@ -117,15 +117,15 @@
     Wait(Route, m::Time),
     /// Stop waiting for the leg of a message.
     Abandon(Seq),
-    /// Close idle connections to an issuer host.
+    /// Close idle connections to an endpoint.
     CloseIdle(m::EndpointId),
     /// Count an end.
     Ended(End),
     /// Tell the platform how a message ended, until it is taken.
     Notice(Seq, Rc<Authorisation>, End),
-    /// What is known of an issuer host.
+    /// What is known of an endpoint.
     Host(m::EndpointId, Host),
-    /// An issuer host is no longer listed.
+    /// An endpoint is no longer listed.
     HostGone(m::EndpointId),
     /// This life decides from now on, with so many messages of earlier ones.
     TookUp(usize),
--- a/courier/src/core/ledger.rs
+++ b/courier/src/core/ledger.rs
@@ -27,7 +27,7 @@
 pub struct Leg {
     /// Unix time in milliseconds.
     pub at_ms: i64,
-    /// The issuer host, by the name that stays the same.
+    /// The endpoint, by the name that stays the same.
     pub host: String,
 }
 
--- a/courier/src/counters.rs
+++ b/courier/src/counters.rs
@@ -33,7 +33,7 @@
     rejected,
     /// Legs begun.
     legs,
-    /// Connections opened to issuer hosts.
+    /// Connections opened to endpoints.
     dialled,
     /// Legs that were answered as delivered.
     delivered,
--- a/courier/src/daemon/build.rs
+++ b/courier/src/daemon/build.rs
@@ -24,9 +24,9 @@
     pub classes: Vec<String>,
     /// A connection that takes longer to come up has failed.
     pub dial: Duration,
-    /// Issuer hosts close a connection that has been idle for so long.
+    /// Endpoints close a connection that has been idle for so long.
     pub idle: Duration,
-    /// The issuer hosts as far as they are known.
+    /// The endpoints as far as they are known.
     pub hosts: Input,
     /// The platform's front, if it is on.
     pub relay: Option<RelayPart>,
--- a/courier/src/daemon/carry.rs
+++ b/courier/src/daemon/carry.rs
@@ -1,4 +1,4 @@
-//! Carries out what the engine orders: answers, legs, and what the network is told of issuer hosts.
+//! Carries out what the engine orders: answers, legs, and what the network is told of endpoints.
 
 use super::{Hands, Switch};
 use crate::core::engine::{Engine, Input, Order, Standing};
--- a/courier/src/front/cloudevents/mod.rs
+++ b/courier/src/front/cloudevents/mod.rs
@@ -36,7 +36,7 @@
     pub path: String,
 }
 
-/// The acquirer side of the events front, and the wording of its legs.
+/// The client side of the events front, and the wording of its legs.
 #[derive(Clone, Debug, Default)]
 pub struct Events {
     /// The path where events come in.
--- a/courier/src/front/relay.rs
+++ b/courier/src/front/relay.rs
@@ -1,4 +1,4 @@
-//! The platform's protocol: clients hand messages in by `POST /api`, issuer hosts take them by
+//! The platform's protocol: clients hand messages in by `POST /api`, endpoints take them by
 //! `POST /receive`, ends go out as notices. Nothing but translation.
 
 use crate::core::{Answer, Authorisation, End, Origin, Verdict};
@@ -16,7 +16,7 @@
 /// Ids and keys longer than this are noise.
 const LONGEST_NAME: usize = 256;
 
-/// The acquirer side of the platform's protocol.
+/// The client side of the platform's protocol.
 pub struct Relay {
     /// The names of the classes, in their order.
     pub classes: Vec<String>,
--- a/courier/src/net/manage.rs
+++ b/courier/src/net/manage.rs
@@ -21,7 +21,7 @@
 pub enum Call<'a> {
     /// `GET /ready`: whether it takes clients.
     Ready,
-    /// `POST /endpoints/disable` with an issuer host's id as the body: send it nothing new.
+    /// `POST /endpoints/disable` with an endpoint's id as the body: send it nothing new.
     Disable(&'a str),
     /// `POST /endpoints/enable` with the id: it may serve again.
     Enable(&'a str),
--- a/courier/src/net/mod.rs
+++ b/courier/src/net/mod.rs
@@ -1,4 +1,4 @@
-//! The network: HTTP/1.1, connections to issuer hosts, the acquirer side's listener, discovery and notices.
+//! The network: HTTP/1.1, connections to endpoints, the client side's listener, discovery and notices.
 
 pub mod discovery;
 pub mod http;
--- a/courier/src/net/pool.rs
+++ b/courier/src/net/pool.rs
@@ -1,4 +1,4 @@
-//! Legs to issuer hosts: connections are kept between legs, one leg at a time on each, and no leg is ever
+//! Legs to endpoints: connections are kept between legs, one leg at a time on each, and no leg is ever
 //! sent again by itself, since once its last byte is out it may have run.
 
 use super::http;
@@ -17,15 +17,15 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
-/// An issuer host's answer has no use for a longer head.
+/// An endpoint's answer has no use for a longer head.
 const HEAD: usize = 16 * 1024;
 /// Answers mean nothing beyond their head; a longer body than this is not worth its connection.
 const BODY: usize = 64 * 1024;
-/// Hosts write an answer at once: what has not come so long after its first line is not going to.
+/// Endpoints write an answer at once: what has not come so long after its first line is not going to.
 const REST: Duration = Duration::from_millis(400);
 /// ... nor is it waited for so long after the leg's time is up: its message's end may be due.
 const REST_LATE: Duration = Duration::from_millis(100);
-/// A kept connection that breaks within this time of its next use had been given up by its host before.
+/// A kept connection that breaks within this time of its next use had been given up by its endpoint before.
 const AT_ONCE: Duration = Duration::from_millis(100);
 /// Interim answers before the one that counts.
 const INTERIM: usize = 32;
@@ -46,7 +46,7 @@
         self.idle.retain(|(_, since)| {
             let ends = *since < before;
             if ends {
-                say!(host = id.0, code, "issuer host: connection ended");
+                say!(host = id.0, code, "endpoint: connection ended");
             }
             !ends
         });
@@ -93,7 +93,7 @@
     pub connections: usize,
 }
 
-/// The connections of one instance to all issuer hosts.
+/// The connections of one instance to all endpoints.
 pub struct Pool {
     places: RefCell<BTreeMap<EndpointId, Place>>,
     cancels: RefCell<HashMap<u64, Sender<()>>>,
@@ -132,7 +132,7 @@
         Pool { places, cancels, waits, limits, connections, counters, leaving }
     }
 
-    /// What discovery says of an issuer host.
+    /// What discovery says of an endpoint.
     pub fn place(&self, id: EndpointId, address: &str, open: bool) {
         let mut places = self.places.borrow_mut();
         let place =
@@ -147,14 +147,14 @@
         }
     }
 
-    /// The list no longer names an issuer host.
+    /// The list no longer names an endpoint.
     pub fn gone(&self, id: EndpointId) {
         if let Some(mut place) = self.places.borrow_mut().remove(&id) {
             place.end_idle(id, Instant::now(), "not-listed");
         }
     }
 
-    /// Closes what is idle to an issuer host.
+    /// Closes what is idle to an endpoint.
     pub fn close_idle(&self, id: EndpointId) {
         if let Some(place) = self.places.borrow_mut().get_mut(&id) {
             place.end_idle(id, Instant::now(), "told-to-close");
@@ -226,7 +226,7 @@
             Ok(opened) => opened,
             Err(outcome) => return outcome.into(),
         };
-        // The way up may have taken long: a host may have begun to drain, moved or told another call to wait, a window
+        // The way up may have taken long: an endpoint may have begun to drain, moved or told another call to wait, a window
         // may have closed.
         let now = Instant::now();
         if !self.is_open_at(id, to) || now >= write_by || now >= cut_at || self.must_wait(call.route, now) {
@@ -235,7 +235,7 @@
         }
         let (head, body) = (call.word)((cut_at - now).as_millis() as u64);
         let begun = {
-            // Where the host reads slowly, its last byte may be held up as long.
+            // Where the endpoint reads slowly, its last byte may be held up as long.
             let whole = async {
                 let write = until(cut_at.min(write_by), link.write(&head, &body));
                 matches!(race(cancelled, write).await, Some(Some(Ok(()))))
@@ -259,7 +259,7 @@
             // Its last byte was never written, so it never ran; on a kept connection that tells nothing else.
             let held_back = written.is_none() || Instant::now() >= write_by;
             let code = if held_back { "held-back-in-mid-write" } else { "write-failed" };
-            say!(host = id.0, code, "issuer host: connection ended");
+            say!(host = id.0, code, "endpoint: connection ended");
             return if kept || held_back { Outcome::Moot } else { Outcome::ConnectFailed }.into();
         }
         let written = Instant::now();
@@ -277,7 +277,7 @@
             {
                 (Outcome::Stale.into(), "reset-when-used-again")
             }
-            // Turned away and closed over a connection that was opened for it: its host takes no more connections, which
+            // Turned away and closed over a connection that was opened for it: its endpoint takes no more connections, which
             // says nothing of the calls that it would take.
             Some((ended, Err("not-kept"))) if ended.outcome == Outcome::Full(None) && !kept => {
                 (Outcome::ConnectFailed.into(), "no-place-left")
@@ -285,7 +285,7 @@
             Some((ended, Err(code))) => (ended, code),
             None => (Outcome::Cancelled.into(), "called-off"),
         };
-        say!(host = id.0, code, "issuer host: connection ended");
+        say!(host = id.0, code, "endpoint: connection ended");
         ended
     }
 
@@ -304,7 +304,7 @@
                 if since.elapsed() < self.limits.idle && link.is_fresh() {
                     return Ok(Opened { link, kept: true, to });
                 }
-                say!(host = id.0, code = "closed-while-idle", "issuer host: connection ended");
+                say!(host = id.0, code = "closed-while-idle", "endpoint: connection ended");
             }
             to
         };
@@ -320,7 +320,7 @@
             None => Err(Outcome::Moot),
             Some(late) => {
                 let code = if late.is_some() { "refused" } else { "dial-timed-out" };
-                say!(host = id.0, code, "issuer host: no connection");
+                say!(host = id.0, code, "endpoint: no connection");
                 Err(Outcome::ConnectFailed)
             }
         }
@@ -335,11 +335,11 @@
         let oldest = places.iter().filter_map(|(id, place)| Some((place.idle.first()?.1, *id))).min();
         let (_, id) = oldest.ok_or(Outcome::ConnectFailed)?;
         places.get_mut(&id).into_iter().for_each(|place| drop(place.idle.remove(0)));
-        say!(host = id.0, code = "made-room", "issuer host: connection ended");
+        say!(host = id.0, code = "made-room", "endpoint: connection ended");
         Ok(())
     }
 
-    /// Whether a host takes new legs, at that address: one that has moved may have left its own to another.
+    /// Whether an endpoint takes new legs, at that address: one that has moved may have left its own to another.
     fn is_open_at(&self, id: EndpointId, to: SocketAddr) -> bool {
         let places = self.places.borrow();
         places.get(&id).is_some_and(|place| place.open && place.address.parse() == Ok(to))
@@ -349,7 +349,7 @@
         let keeps = self.is_open_at(id, to) && !self.leaving.get();
         match self.places.borrow_mut().get_mut(&id).filter(|_| keeps) {
             Some(place) => place.idle.push((link, Instant::now())),
-            None => say!(host = id.0, code = "not-kept", "issuer host: connection ended"),
+            None => say!(host = id.0, code = "not-kept", "endpoint: connection ended"),
         }
     }
 }
@@ -374,7 +374,7 @@
 }
 
 /// Reads an answer: what it says of the leg, and whether its connection can be kept. An answer that cannot be
-/// read to its end proves nothing, also one whose head says that the leg never ran: the host may have run it and
+/// read to its end proves nothing, also one whose head says that the leg never ran: the endpoint may have run it and
 /// spoilt its answer on the way. The one exception is a first line that says delivered, which stands whatever
 /// comes after it. What has begun is waited for a moment only, also past the time at which a silent leg is cut.
 async fn answer(
--- a/courier/src/net/server.rs
+++ b/courier/src/net/server.rs
@@ -1,4 +1,4 @@
-//! The acquirer side: accepts connections, reads requests one at a time, and answers with what the front
+//! The client side: accepts connections, reads requests one at a time, and answers with what the front
 //! makes of the core's word.
 
 use super::http::{self, Fault};
@@ -95,59 +95,61 @@
 }
 
 /// The place of one connection among all.
-struct Seat {
+struct Connection {
     phase: Phase,
     since: Instant,
     leave: Sender<&'static str>,
 }
 
-/// All connections of the acquirer side, by the order in which they came.
+/// All connections of the client side, by the order in which they came.
 #[derive(Default)]
-struct Seats {
-    seats: RefCell<BTreeMap<u64, Seat>>,
+struct Connections {
+    connections: RefCell<BTreeMap<u64, Connection>>,
     next: Cell<u64>,
 }
 
-impl Seats {
+impl Connections {
     /// Takes a place; gives its number and where the reason to leave it comes from.
     fn take(&self) -> (u64, Receiver<&'static str>) {
         let number = self.next.get();
         self.next.set(number + 1);
         let (leave, told) = async_channel::bounded(1);
-        let seat = Seat { phase: Phase::Silent, since: Instant::now(), leave };
-        self.seats.borrow_mut().insert(number, seat);
+        let connection = Connection { phase: Phase::Silent, since: Instant::now(), leave };
+        self.connections.borrow_mut().insert(number, connection);
         (number, told)
     }
 
     fn leave(&self, number: u64) {
-        self.seats.borrow_mut().remove(&number);
+        self.connections.borrow_mut().remove(&number);
     }
 
     fn is_at(&self, number: u64, phase: Phase) {
-        if let Some(seat) = self.seats.borrow_mut().get_mut(&number) {
-            (seat.phase, seat.since) = (phase, Instant::now());
+        if let Some(connection) = self.connections.borrow_mut().get_mut(&number) {
+            (connection.phase, connection.since) = (phase, Instant::now());
         }
     }
 
     /// Whether a connection waits for a request to begin.
     fn waits(&self, number: u64) -> bool {
-        let phase = self.seats.borrow().get(&number).map(|seat| seat.phase);
+        let phase = self.connections.borrow().get(&number).map(|connection| connection.phase);
         matches!(phase, Some(Phase::Silent | Phase::Idle))
     }
 
     fn len(&self) -> usize {
-        self.seats.borrow().len()
+        self.connections.borrow().len()
     }
 
     /// Tells so many connections to leave that are the least use and have been so for longest, as far as they
     /// can be spared.
     fn make_room(&self, places: usize) {
-        let (seats, now) = (self.seats.borrow(), Instant::now());
-        let spared = |seat: &&Seat| seat.phase.spares().is_some_and(|least| now - seat.since >= least);
-        let mut spared: Vec<&Seat> = seats.values().filter(spared).collect();
-        spared.sort_by_key(|seat| (seat.phase, seat.since));
-        for seat in spared.into_iter().take(places) {
-            let _ = seat.leave.try_send("made-room");
+        let (connections, now) = (self.connections.borrow(), Instant::now());
+        let spared = |connection: &&Connection| {
+            connection.phase.spares().is_some_and(|least| now - connection.since >= least)
+        };
+        let mut spared: Vec<&Connection> = connections.values().filter(spared).collect();
+        spared.sort_by_key(|connection| (connection.phase, connection.since));
+        for connection in spared.into_iter().take(places) {
+            let _ = connection.leave.try_send("made-room");
         }
     }
 
@@ -159,12 +161,14 @@
 
     /// The same for connections at any of `phases`.
     fn thin_out_at(&self, phases: &[Phase], idle_for: Duration, most: usize, code: &'static str) {
-        let (seats, now) = (self.seats.borrow(), Instant::now());
-        let idle = |seat: &&Seat| phases.contains(&seat.phase) && now - seat.since >= idle_for;
-        let mut idle: Vec<&Seat> = seats.values().filter(idle).collect();
-        idle.sort_by_key(|seat| seat.since);
-        for seat in idle.into_iter().take(seats.len().saturating_sub(most)) {
-            let _ = seat.leave.try_send(code);
+        let (connections, now) = (self.connections.borrow(), Instant::now());
+        let idle = |connection: &&Connection| {
+            phases.contains(&connection.phase) && now - connection.since >= idle_for
+        };
+        let mut idle: Vec<&Connection> = connections.values().filter(idle).collect();
+        idle.sort_by_key(|connection| connection.since);
+        for connection in idle.into_iter().take(connections.len().saturating_sub(most)) {
+            let _ = connection.leave.try_send(code);
         }
     }
 }
@@ -181,7 +185,7 @@
     next: Cell<u64>,
     /// Set once the process is about to end: connections are then closed with their next answer.
     pub leaving: Cell<Option<Instant>>,
-    seats: Seats,
+    connections: Connections,
     most_connections: usize,
     /// What is counted.
     pub counters: Rc<Counters>,
@@ -196,7 +200,7 @@
 impl Desk {
     /// A desk in front of a queue, for so many connections at once.
     pub fn new(queue: Sender<Input>, most_connections: usize, counters: Rc<Counters>) -> Desk {
-        let (answers, next, leaving, seats) = Default::default();
+        let (answers, next, leaving, connections) = Default::default();
         let accepting = async_channel::bounded(1);
         let (drained, listeners) = Default::default();
         Desk {
@@ -204,7 +208,7 @@
             answers,
             next,
             leaving,
-            seats,
+            connections,
             most_connections,
             counters,
             accepting,
@@ -218,7 +222,7 @@
     pub fn drain(&self, drained: bool) {
         self.drained.set(drained);
         if drained {
-            self.seats.thin_out(Duration::ZERO, 0, "drained");
+            self.connections.thin_out(Duration::ZERO, 0, "drained");
         }
     }
 
@@ -256,21 +260,21 @@
         let _ = self.queue.send(input).await;
     }
 
-    /// Connections of the acquirer side.
+    /// Connections of the client side.
     pub fn connections(&self) -> usize {
-        self.seats.len()
+        self.connections.len()
     }
 
     /// Ends the connections that have no open request, as a process does that is about to end.
     pub fn close_idle(&self) {
-        self.seats.thin_out(Duration::ZERO, 0, "leaving");
+        self.connections.thin_out(Duration::ZERO, 0, "leaving");
     }
 
     /// Ends the connections that have waited for a request for so long, as a process does that hands over: a
     /// client that has only just been answered is likely to ask again at once, and a connection closed under
     /// its request turns that request back unheard. The others are closed with their next answer.
     pub fn close_quiet(&self, for_at_least: Duration) {
-        self.seats.thin_out_at(&[Phase::Silent, Phase::Idle], for_at_least, 0, "handed-over");
+        self.connections.thin_out_at(&[Phase::Silent, Phase::Idle], for_at_least, 0, "handed-over");
     }
 
     fn ticket(&self) -> (Ticket, Receiver<Answer>) {
@@ -296,11 +300,11 @@
     desk.listeners.set(desk.listeners.get() + 1);
     loop {
         // Close to the cap those without an open request make room; at it, new ones wait in the system's queue.
-        let short = (desk.seats.len() + margin).saturating_sub(desk.most_connections);
+        let short = (desk.connections.len() + margin).saturating_sub(desk.most_connections);
         if short > 0 {
-            desk.seats.make_room(short);
+            desk.connections.make_room(short);
         }
-        if desk.seats.len() >= desk.most_connections {
+        if desk.connections.len() >= desk.most_connections {
             Timer::after(Duration::from_millis(1)).await;
             continue;
         }
@@ -340,7 +344,7 @@
     tasks: &Spawner,
 ) {
     let (front, desk) = (front.clone(), desk.clone());
-    let (seat, told) = desk.seats.take();
+    let (connection, told) = desk.connections.take();
     let span = tracing::info_span!("connection", peer = %from);
     let serving = async move {
         let mut link = Link::new(stream);
@@ -349,14 +353,14 @@
             loop {
                 let code = told.recv().await.unwrap_or("leaving");
                 // Its request crossed the word to leave, or waits to be read behind a crowd's.
-                if !(desk.seats.waits(seat) && glance.has_unread()) {
+                if !(desk.connections.waits(connection) && glance.has_unread()) {
                     return code;
                 }
             }
         };
-        let code = future::or(told, converse(&mut link, &*front, &desk, seat, patience)).await;
-        desk.seats.leave(seat);
-        say!(code, "acquirer side: connection ended");
+        let code = future::or(told, converse(&mut link, &*front, &desk, connection, patience)).await;
+        desk.connections.leave(connection);
+        say!(code, "client side: connection ended");
     };
     tasks.spawn(serving.instrument(span));
 }
@@ -365,7 +369,7 @@
 pub async fn thin_out(desk: Rc<Desk>) {
     loop {
         Timer::after(LOOK).await;
-        desk.seats.thin_out(IDLE_LEAST, desk.most_connections / MANY, "idle-among-many");
+        desk.connections.thin_out(IDLE_LEAST, desk.most_connections / MANY, "idle-among-many");
     }
 }
 
@@ -375,7 +379,7 @@
     link: &mut Link,
     front: &F,
     desk: &Desk,
-    seat: u64,
+    connection: u64,
     patience: Patience,
 ) -> &'static str {
     // Who connects and says nothing holds a place just as long as who does not finish what it says.
@@ -394,7 +398,7 @@
         if std::mem::replace(&mut asked, true) {
             by = Instant::now() + patience.0;
         }
-        desk.seats.is_at(seat, Phase::Reading);
+        desk.connections.is_at(connection, Phase::Reading);
         let read = match until(by, request(link)).await.unwrap_or(Err(Stop::Late)) {
             // What stands behind a request before its answer would be the next one's start, or a body longer
             // than was said; where one request at a time is agreed, neither can be trusted.
@@ -412,7 +416,7 @@
                     Stop::End | Stop::Cut | Stop::Broke(_) => return stop.code(),
                 };
                 add(&desk.counters.rejected);
-                desk.seats.is_at(seat, Phase::Lingering);
+                desk.connections.is_at(connection, Phase::Lingering);
                 let _ = until(Instant::now() + patience.0, write(link, &Reply::of(status), false)).await;
                 link.linger(Instant::now() + LINGER).await;
                 return stop.code();
@@ -423,7 +427,7 @@
         let keeps = parsed.keeps;
         let taken = front.take(&parsed, &link.bytes()[head..head + len], unix_ms());
         link.consume(head + len);
-        desk.seats.is_at(seat, Phase::Open);
+        desk.connections.is_at(connection, Phase::Open);
         let (reply, ticket) = match taken {
             Take::Ready => (Reply::of(if desk.is_drained() { 503 } else { 200 }), None),
             Take::Reply(reply) => {
@@ -459,9 +463,9 @@
         };
         let keeps = keeps && desk.leaving.get().is_none() && !desk.is_drained();
         match until(Instant::now() + patience.0, write(link, &reply, keeps)).await {
-            Some(Ok(())) if keeps => desk.seats.is_at(seat, Phase::Idle),
+            Some(Ok(())) if keeps => desk.connections.is_at(connection, Phase::Idle),
             Some(Ok(())) => {
-                desk.seats.is_at(seat, Phase::Lingering);
+                desk.connections.is_at(connection, Phase::Lingering);
                 link.linger(Instant::now() + LINGER_ANSWERED).await;
                 return "closed-after-answer";
             }
--- a/courier/src/net/server/tests.rs
+++ b/courier/src/net/server/tests.rs
@@ -4,13 +4,13 @@
 /// One at a time was too slow for a crowd that came at 300 a second.
 #[test]
 fn as_many_silent_connections_make_room_at_once_as_are_asked() {
-    let seats = Seats::default();
-    let told: Vec<_> = (0..10).map(|_| seats.take().1).collect();
+    let connections = Connections::default();
+    let told: Vec<_> = (0..10).map(|_| connections.take().1).collect();
     let left = || told.iter().filter(|told| !told.is_empty()).count();
     let earlier = Instant::now().checked_sub(Duration::from_secs(1)).unwrap();
-    seats.seats.borrow_mut().values_mut().for_each(|seat| seat.since = earlier);
-    seats.is_at(0, Phase::Open);
-    seats.make_room(4);
+    connections.connections.borrow_mut().values_mut().for_each(|connection| connection.since = earlier);
+    connections.is_at(0, Phase::Open);
+    connections.make_room(4);
     assert_eq!(left(), 4);
     assert!(told[0].is_empty(), "a request is open there");
 }
@@ -141,7 +141,13 @@
         desk.leaving.set(Some(Instant::now()));
         beside.write_all(READY).unwrap();
         // The answer is on its way once the courier has ended its sending; what comes now is read and sent nowhere.
-        while desk.seats.seats.borrow().values().any(|seat| seat.phase != Phase::Lingering) {
+        while desk
+            .connections
+            .connections
+            .borrow()
+            .values()
+            .any(|connection| connection.phase != Phase::Lingering)
+        {
             future::yield_now().await;
         }
         beside.write_all(&READY.repeat(2000)).unwrap();
--- a/courier/src/operators.rs
+++ b/courier/src/operators.rs
@@ -1,4 +1,4 @@
-//! What operators' calls do to an instance: whether it is ready, clients sent away, issuer hosts kept out by
+//! What operators' calls do to an instance: whether it is ready, clients sent away, endpoints kept out by
 //! hand. Which hosts are out lasts in the instance's folder, so that the next life of the process, beside
 //! which this one may still run, keeps them out from its start.
 
@@ -24,7 +24,7 @@
     news: Sender<Input>,
     path: PathBuf,
     held: RefCell<BTreeSet<String>>,
-    /// The issuer hosts that are listed now, by the module's numbers.
+    /// The endpoints that are listed now, by the module's numbers.
     listed: RefCell<BTreeMap<EndpointId, String>>,
     /// Whether the engine decides: before, nobody knows which hosts there are, and after, another process does.
     pub started: Cell<bool>,
@@ -53,12 +53,12 @@
         self.held.replace(held);
     }
 
-    /// An issuer host is listed now.
+    /// An endpoint is listed now.
     pub fn listed(&self, id: EndpointId, name: &str) {
         self.listed.borrow_mut().insert(id, name.to_owned());
     }
 
-    /// An issuer host is no longer listed.
+    /// An endpoint is no longer listed.
     pub fn gone(&self, id: EndpointId) {
         self.listed.borrow_mut().remove(&id);
     }
@@ -86,7 +86,7 @@
                 return 503;
             }
             let _ = self.news.try_send(Input::HeldOut(held.clone()));
-            say!(code = "held-out", "issuer host {id} {}", if out { "held out" } else { "let in" });
+            say!(code = "held-out", "endpoint {id} {}", if out { "held out" } else { "let in" });
         }
         200
     }
