A client that left before its message is journalled has handed nothing in

Read against the crossings: where a hand-in and its withdrawal reach the engine in one batch, as in a burst of clients that leave, Engine::take looked the message up in the ledger, which has it only after the batch: it was journalled, counted as taken on and delivered under an id that no longer counted. Now it is dropped before it is taken on. The test fails without it.

--- a/courier/src/core/engine.rs
+++ b/courier/src/core/engine.rs
@@ -296,6 +296,16 @@
                 let Some((&seq, tickets)) = found else { return };
                 tickets.retain(|other| *other != ticket);
                 let unwatched = tickets.is_empty();
+                let just_now = offered.iter().position(|offer| {
+                    offer.seq == seq && offer.authorisation.origin == Origin::Relay && unwatched
+                });
+                if let Some(place) = just_now {
+                    // Nobody has heard of it, nor will: it is not taken on at all.
+                    offered.remove(place);
+                    self.waiting.remove(&seq);
+                    events.push(m::Event::Gone(m::MessageId(seq)));
+                    return;
+                }
                 let relay = self.ledger.get(seq).filter(|e| e.authorisation.origin == Origin::Relay);
                 if unwatched && relay.is_some_and(|entry| entry.end.is_none()) {
                     events.push(m::Event::Gone(m::MessageId(seq)));
--- a/courier/tests/core.rs
+++ b/courier/tests/core.rs
@@ -155,6 +155,33 @@
     assert_eq!(answers(&orders), [(5, Answer::Ended(End::Expired))], "no longer known, and past its time");
 }
 
+/// A client that left while its request waited for the engine had its message taken on and delivered all the same, under an
+/// id that no longer counted, while it handed it in again under another.
+#[test]
+fn a_client_that_is_gone_before_its_message_is_journalled_has_handed_nothing_in() {
+    let (mut bed, _) = Bed::life(folder("gone"), 0);
+    let offer = |ticket, name| Input::Offered(Ticket(ticket), message(name, Origin::Relay, 1, 9));
+    let orders = bed.step(
+        10,
+        vec![
+            offer(1, "left"),
+            offer(2, "stays"),
+            Input::Withdrawn(Ticket(1)),
+            offer(3, "again"),
+            offer(4, "again"),
+        ],
+    );
+    assert_eq!(legs(&orders).len(), 2);
+    assert_eq!(bed.engine.load(), (2, 2));
+    assert_eq!(answers(&orders), [(4, Answer::Conflict), (2, Answer::TakenOn), (3, Answer::TakenOn)]);
+    assert!(Ledger::open(&bed.dir, 3_000_000, classes()).unwrap().by_identity(b"left").is_none());
+    // Once it is journalled, its leaving ends it: nothing more is begun for it, and nothing is owed.
+    let orders = bed.step(20, vec![offer(5, "late")]);
+    assert_eq!(answers(&orders), [(5, Answer::TakenOn)]);
+    let orders = bed.step(30, vec![Input::Withdrawn(Ticket(5))]);
+    assert_eq!((notices(&orders), bed.engine.load().0), (Vec::new(), 2));
+}
+
 #[test]
 fn a_destination_that_no_list_has_named_is_declined() {
     let (mut bed, _) = Bed::life(folder("nowhere"), 0);
