--- a/files/src/lib.rs
+++ b/crates/atomic-file/src/lib.rs
@@ -1,7 +1,7 @@
 //! Files that are replaced whole. Every file of state that is not a journal goes to disk by [`replace`]; tests put a
-//! [`rig::Rig`] in the place of the disk, which fails, tears writes and loses power where they say.
+//! [`faulty_disk::Rig`] in the place of the disk, which fails, tears writes and loses power where they say.
 
-pub mod rig;
+pub mod faulty_disk;
 
 use std::fs::{self, File};
 use std::io::{self, Write};
--- a/files/tests/replace.rs
+++ b/crates/atomic-file/tests/replace.rs
@@ -1,7 +1,7 @@
 //! A file that is replaced, with a fault at each change of the disk and every loss of power after it.
 
-use marblefall_files::rig::{Fault, Rig, Unsynced};
-use marblefall_files::{replace, Disk, Outlasts};
+use marblefall_atomic_file::faulty_disk::{Fault, Rig, Unsynced};
+use marblefall_atomic_file::{replace, Disk, Outlasts};
 use std::path::Path;
 
 const OLD: &[u8] = b"what stood there before, and is longer";
--- a/cli/benches/group.rs
+++ b/crates/cli/benches/group.rs
@@ -5,9 +5,9 @@
 mod common;
 
 use common::*;
-use marblefall_lab::rig::clients::Clients;
-use marblefall_lab::rig::daemons::{Daemon, Group, Setting};
-use marblefall_lab::rig::history::{Did, Seen};
+use marblefall_simulation::rig::clients::Clients;
+use marblefall_simulation::rig::daemons::{Daemon, Group, Setting};
+use marblefall_simulation::rig::history::{Did, Seen};
 use std::thread;
 use std::time::{Duration, Instant};
 
--- a/cli/src/destinations.rs
+++ b/crates/cli/src/destinations.rs
@@ -1,10 +1,10 @@
 //! What staff are shown of destinations: how each stands at each instance that knows something of it.
 
 use crate::words::{Form, State};
-use marblefall_courier::core::snapshot::Record;
-use marblefall_courier::keep;
-use marblefall_files::Real;
-use marblefall_fleet::listing;
+use marblefall_atomic_file::Real;
+use marblefall_control_plane::listing;
+use marblefall_delivery::core::snapshot::Record;
+use marblefall_delivery::keep;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
--- a/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,11 +6,11 @@
 mod words;
 
 use clap::{CommandFactory, Parser};
-use marblefall_courier::config::Platform;
-use marblefall_courier::log;
-use marblefall_fleet::file::Fleet;
-use marblefall_fleet::group::Membership;
-use marblefall_fleet::plan::{Applied, Plan};
+use marblefall_control_plane::file::Fleet;
+use marblefall_control_plane::group::Membership;
+use marblefall_control_plane::plan::{Applied, Plan};
+use marblefall_delivery::config::Platform;
+use marblefall_delivery::log;
 use std::path::Path;
 use std::process::ExitCode;
 use words::{Command, Form, Words};
@@ -18,7 +18,7 @@
 fn main() -> ExitCode {
     let done = if std::env::args_os().len() <= 1 {
         log::start(log::Format::Text);
-        Platform::from_env().and_then(marblefall_courier::daemon::run)
+        Platform::from_env().and_then(marblefall_delivery::daemon::run)
     } else {
         obey(Words::parse().command)
     };
@@ -44,7 +44,7 @@
                 Form::Text => log::Format::Text,
                 Form::Json => log::Format::Json,
             });
-            marblefall_fleet::supervise::run(&home, history.as_deref(), link)
+            marblefall_control_plane::supervise::run(&home, history.as_deref(), link)
         }
         Command::Destinations { home, state, format } => destinations::show(&home, state, format),
         Command::Roster(what) => roster::obey(what),
--- a/cli/src/roster.rs
+++ b/crates/cli/src/roster.rs
@@ -1,10 +1,10 @@
 //! What staff do with rosters: check, show and compare them.
 
 use crate::words::{Form, Roster as Words};
-use marblefall_fleet::file::Fleet;
-use marblefall_fleet::plan::Applied;
-use marblefall_fleet::watch::{files, kept, read_bounded, FileStatus, Standing, Status};
-use marblefall_roster::{diff, Book, Change, Fault, Report, Roster, Step, Terms};
+use marblefall_control_plane::file::Fleet;
+use marblefall_control_plane::plan::Applied;
+use marblefall_control_plane::watch::{files, kept, read_bounded, FileStatus, Standing, Status};
+use marblefall_endpoint_lists::{diff, Book, Change, Fault, Report, Roster, Step, Terms};
 use serde_json::json;
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
--- a/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 pub mod platform;
 
-use marblefall_lab::rig::daemons::Daemon;
+use marblefall_simulation::rig::daemons::Daemon;
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -14,12 +14,12 @@
 use std::thread;
 use std::time::Duration;
 
-pub use marblefall_lab::rig::http::Message;
-pub use marblefall_lab::rig::BOUND;
+pub use marblefall_simulation::rig::http::Message;
+pub use marblefall_simulation::rig::BOUND;
 
 /// Waits until something is so.
 pub fn wait_for(what: &str, so: impl FnMut() -> bool) {
-    marblefall_lab::rig::wait_for(what, so).unwrap();
+    marblefall_simulation::rig::wait_for(what, so).unwrap();
 }
 
 /// Sends raw bytes on a connection of its own and reads the answer, if one comes.
--- a/cli/tests/group.rs
+++ b/crates/cli/tests/group.rs
@@ -4,10 +4,10 @@
 mod common;
 
 use common::*;
-use marblefall_lab::rig::clients::{Answer, Clients};
-use marblefall_lab::rig::daemons::{Group, Setting};
-use marblefall_lab::rig::history::{Did, Seen};
-use marblefall_lab::rig::relay::Does;
+use marblefall_simulation::rig::clients::{Answer, Clients};
+use marblefall_simulation::rig::daemons::{Group, Setting};
+use marblefall_simulation::rig::history::{Did, Seen};
+use marblefall_simulation::rig::relay::Does;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -414,13 +414,13 @@
     let (mut group, _folder) = found("noise", 3, "stop", partner.at);
     group.start_all().unwrap();
     let link = group.link(0);
-    use marblefall_fleet::group::link::{encode, hello};
+    use marblefall_control_plane::group::link::{encode, hello};
     let other = hello("strangers", None);
     let later = encode(&(9u16, "clinics", 1u8));
     let mut torn = hello("clinics", None);
     *torn.last_mut().unwrap() ^= 1;
     let long = [u32::MAX.to_le_bytes(), [0; 4]].concat();
-    let stranger = hello("clinics", Some(marblefall_group::words::Member(77)));
+    let stranger = hello("clinics", Some(marblefall_coordination::words::Member(77)));
     let codes = ["link-other-group", "link-version", "frame-torn", "frame-too-long", "link-no-member"];
     for (bytes, code) in [other, later, torn, long, stranger].into_iter().zip(codes) {
         let mut stream = std::net::TcpStream::connect(link).unwrap();
--- a/cli/tests/rig.rs
+++ b/crates/cli/tests/rig.rs
@@ -1,15 +1,15 @@
 //! Scenarios for processes under schedules from fixed seeds: whatever is struck, every promise is kept. More seeds, longer, are
 //! played by `lab hunt --on processes`.
 
-use marblefall_lab::rig::play::play;
-use marblefall_lab::rig::schedule::{Form, Schedule};
+use marblefall_simulation::rig::play::play;
+use marblefall_simulation::rig::schedule::{Form, Schedule};
 use std::path::Path;
 
 /// Seconds of each run: enough for some ten changes and as many faults.
 const SECONDS: f64 = 9.0;
 
 fn plays(scenario: &str, seed: u64) {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../lab/scenarios/processes").join(scenario);
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../simulation/scenarios/processes").join(scenario);
     let mut form = Form::read(&path).unwrap();
     form.processes.seconds = SECONDS;
     let schedule = Schedule::draw(&form.processes, seed);
--- a/cli/tests/rosters.rs
+++ b/crates/cli/tests/rosters.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::*;
-use marblefall_roster::{Destination, Endpoint, Roster};
+use marblefall_endpoint_lists::{Destination, Endpoint, Roster};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::collections::{BTreeMap, HashMap};
--- a/fleet/src/build.rs
+++ b/crates/control-plane/src/build.rs
@@ -3,12 +3,12 @@
 
 use crate::file::{number_of, Class, Fleet, Repeats};
 use crate::listing::Listing;
-use marblefall_courier::core::engine::{Change, Input, Setup};
-use marblefall_courier::daemon::{Build, RelayPart, Switch};
-use marblefall_courier::front::cloudevents::{EventClass, Events};
-use marblefall_courier::front::relay::Relay;
-use marblefall_courier::gate::Gate;
-use marblefall_decisions as m;
+use marblefall_delivery::core::engine::{Change, Input, Setup};
+use marblefall_delivery::daemon::{Build, RelayPart, Switch};
+use marblefall_delivery::front::cloudevents::{EventClass, Events};
+use marblefall_delivery::front::relay::Relay;
+use marblefall_delivery::gate::Gate;
+use marblefall_scheduler as m;
 use std::cell::RefCell;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
--- a/fleet/src/file.rs
+++ b/crates/control-plane/src/file.rs
@@ -5,8 +5,8 @@
 
 pub use group::{Group, Member, OnCut};
 
-use marblefall_courier::front::cloudevents::event::Mode;
-use marblefall_roster::{Standing, Terms};
+use marblefall_delivery::front::cloudevents::event::Mode;
+use marblefall_endpoint_lists::{Standing, Terms};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -498,7 +498,7 @@
 mod tests {
     use super::*;
 
-    const GOOD: &str = include_str!("../../deploy/partners.toml");
+    const GOOD: &str = include_str!("../../../deploy/partners.toml");
 
     #[test]
     fn the_file_under_deploy_is_sound() {
--- a/fleet/src/file/group.rs
+++ b/crates/control-plane/src/file/group.rs
@@ -173,7 +173,7 @@
 mod tests {
     use crate::file::Fleet;
 
-    const GOOD: &str = include_str!("../../../examples/group/fleet.toml");
+    const GOOD: &str = include_str!("../../../../examples/group/fleet.toml");
 
     #[test]
     fn the_example_is_sound_and_its_voters_are_odd() {
--- a/fleet/src/group.rs
+++ b/crates/control-plane/src/group.rs
@@ -7,9 +7,9 @@
 
 use crate::file::{Fleet, Group, OnCut};
 use crate::plan::Applied;
-use marblefall_decisions::Span;
-use marblefall_files::{replace, Disk, Outlasts, Real};
-use marblefall_group::words::{Member, Terms};
+use marblefall_atomic_file::{replace, Disk, Outlasts, Real};
+use marblefall_coordination::words::{Member, Terms};
+use marblefall_scheduler::Span;
 use std::fs;
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
@@ -109,8 +109,8 @@
         let span = |ms: u64| Span(ms as i64 * 1000);
         Terms {
             on_cut: match self.group.on_cut {
-                OnCut::Stop => marblefall_group::words::OnCut::Stop,
-                OnCut::Serve => marblefall_group::words::OnCut::Serve,
+                OnCut::Stop => marblefall_coordination::words::OnCut::Stop,
+                OnCut::Serve => marblefall_coordination::words::OnCut::Serve,
             },
             term: span(self.group.term_ms),
             drift_percent: DRIFT_PERCENT,
--- a/fleet/src/group/link.rs
+++ b/crates/control-plane/src/group/link.rs
@@ -5,10 +5,10 @@
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
-use marblefall_courier::net::server::Spawner;
-use marblefall_courier::say;
-use marblefall_group::seat::{Frame, Reply, Request};
-use marblefall_group::words::Member;
+use marblefall_coordination::seat::{Frame, Reply, Request};
+use marblefall_coordination::words::Member;
+use marblefall_delivery::net::server::Spawner;
+use marblefall_delivery::say;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
@@ -353,7 +353,7 @@
 mod tests {
     use super::*;
     use async_executor::LocalExecutor;
-    use marblefall_group::words::{Epoch, Proposal, ToMember};
+    use marblefall_coordination::words::{Epoch, Proposal, ToMember};
 
     /// A daemon that has much to take in does not lose its links for that.
     #[test]
--- a/fleet/src/listing.rs
+++ b/crates/control-plane/src/listing.rs
@@ -3,11 +3,11 @@
 
 use crate::file::{number_of, Class, Destination, Fleet, Group, Instance, Limits, RosterSource};
 use crate::plan::APPLIED;
-use marblefall_courier::core::directory::{Directory, Entry, Full, Place};
-use marblefall_courier::front::cloudevents::event::Mode;
-use marblefall_courier::front::cloudevents::Target;
-use marblefall_decisions::DestinationId;
-use marblefall_roster::{Book, Endpoint, Standing};
+use marblefall_delivery::core::directory::{Directory, Entry, Full, Place};
+use marblefall_delivery::front::cloudevents::event::Mode;
+use marblefall_delivery::front::cloudevents::Target;
+use marblefall_endpoint_lists::{Book, Endpoint, Standing};
+use marblefall_scheduler::DestinationId;
 use serde::de::{Deserializer, Error, MapAccess, Visitor};
 use serde::Deserialize;
 use std::collections::{BTreeMap, HashMap};
--- a/fleet/src/plan.rs
+++ b/crates/control-plane/src/plan.rs
@@ -2,7 +2,7 @@
 //! carried out as it stands, at once and whole, or refused if the ground has moved since.
 
 use crate::file::Fleet;
-use marblefall_files::{replace, Outlasts, Real};
+use marblefall_atomic_file::{replace, Outlasts, Real};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
--- a/fleet/src/watch.rs
+++ b/crates/control-plane/src/watch.rs
@@ -6,10 +6,10 @@
 
 use crate::file::{Fleet, RosterSource};
 use async_channel::{Receiver, Sender};
-use marblefall_courier::say;
-use marblefall_files::{replace, Disk, Outlasts, Real};
-use marblefall_roster::keep::Keep;
-use marblefall_roster::{Book, Fault, Report, Roster};
+use marblefall_atomic_file::{replace, Disk, Outlasts, Real};
+use marblefall_delivery::say;
+use marblefall_endpoint_lists::keep::Keep;
+use marblefall_endpoint_lists::{Book, Fault, Report, Roster};
 use notify::event::{AccessKind, AccessMode};
 use notify::{EventKind, RecommendedWatcher, RecursiveMode, Watcher};
 use serde::{Deserialize, Serialize};
--- a/group/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -3,7 +3,7 @@
 
 use crate::book::Book;
 use crate::words::*;
-use marblefall_decisions::{Span, Time};
+use marblefall_scheduler::{Span, Time};
 use std::collections::BTreeMap;
 
 /// A member that was asked so often for its word on a change, and has not answered, gets no further term before it does.
--- a/group/src/member.rs
+++ b/crates/coordination/src/member.rs
@@ -2,7 +2,7 @@
 //! it asked for in this life. Once it has confirmed that it is still, only a word on the outcome lets it go on.
 
 use crate::words::*;
-use marblefall_decisions::{Span, Time};
+use marblefall_scheduler::{Span, Time};
 
 /// What the member is to do.
 #[derive(Clone, Debug, PartialEq)]
--- a/group/src/seat.rs
+++ b/crates/coordination/src/seat.rs
@@ -8,7 +8,7 @@
 use crate::store::Kept;
 use crate::voter::{Among, Out, Voter};
 use crate::words::*;
-use marblefall_decisions::{Span, Time};
+use marblefall_scheduler::{Span, Time};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/group/src/voter.rs
+++ b/crates/coordination/src/voter.rs
@@ -12,7 +12,7 @@
 use crate::book::{Book, Incarnation, Line};
 use crate::store::{Kept, Store};
 use crate::words::*;
-use marblefall_decisions::{Span, Time};
+use marblefall_scheduler::{Span, Time};
 use omnipaxos::ballot_leader_election::Ballot;
 use omnipaxos::messages::Message;
 use omnipaxos::util::LogEntry;
--- a/group/src/voter/folder.rs
+++ b/crates/coordination/src/voter/folder.rs
@@ -5,7 +5,7 @@
 use crate::book::{Book, Incarnation, Line};
 use crate::store::Kept;
 use crate::words::Member;
-use marblefall_decisions::Time;
+use marblefall_scheduler::Time;
 use omnipaxos::messages::sequence_paxos::PaxosMsg;
 use omnipaxos::messages::Message;
 use std::collections::btree_map::Entry;
--- a/group/src/words.rs
+++ b/crates/coordination/src/words.rs
@@ -1,6 +1,6 @@
 //! What members and the leader say to each other, and what stands in the log.
 
-use marblefall_decisions::Span;
+use marblefall_scheduler::Span;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
--- a/group/tests/model.rs
+++ b/crates/coordination/tests/model.rs
@@ -2,11 +2,11 @@
 //! words that arrive late, out of order or never, members that die and begin anew, leaders that do not know that they are none
 //! any more, and clocks of different speeds.
 
-use marblefall_decisions::{Span, Time};
-use marblefall_group::book::{Book, Line};
-use marblefall_group::leader::{self, Leader};
-use marblefall_group::member::{self, MemberState};
-use marblefall_group::words::*;
+use marblefall_coordination::book::{Book, Line};
+use marblefall_coordination::leader::{self, Leader};
+use marblefall_coordination::member::{self, MemberState};
+use marblefall_coordination::words::*;
+use marblefall_scheduler::{Span, Time};
 use stateright::{Checker, Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/group/tests/seats.rs
+++ b/crates/coordination/tests/seats.rs
@@ -3,11 +3,11 @@
 //! that do not take a writing; and faults put in on purpose that the checkers must find. A failure names its seed and ends
 //! with its trace.
 
-use marblefall_decisions::{Span, Time};
-use marblefall_group::book::Incarnation;
-use marblefall_group::seat::{fresh, Do, Frame, Reply, Request, Seat, Setup};
-use marblefall_group::store::Kept;
-use marblefall_group::words::*;
+use marblefall_coordination::book::Incarnation;
+use marblefall_coordination::seat::{fresh, Do, Frame, Reply, Request, Seat, Setup};
+use marblefall_coordination::store::Kept;
+use marblefall_coordination::words::*;
+use marblefall_scheduler::{Span, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::collections::{BTreeMap, VecDeque};
@@ -569,7 +569,7 @@
 
 #[test]
 fn a_folder_of_another_name_a_later_version_or_torn_is_told_from_its_own() {
-    use marblefall_group::store::Unreadable;
+    use marblefall_coordination::store::Unreadable;
     let bytes = Kept::new(NAME, Incarnation(3)).encode();
     assert_eq!(Kept::decode(&bytes, NAME), Ok(Kept::new(NAME, Incarnation(3))));
     assert_eq!(Kept::decode(&bytes, 8), Err(Unreadable::Another));
--- a/group/tests/switch.rs
+++ b/crates/coordination/tests/switch.rs
@@ -2,11 +2,11 @@
 //! late and twice, clocks of different speeds. Checkers for the guarantees of `docs/design/group.md`, and faults put in on
 //! purpose that each of them must find.
 
-use marblefall_decisions::{Span, Time};
-use marblefall_group::book::{Book, Line};
-use marblefall_group::leader::{self, Leader};
-use marblefall_group::member::{self, MemberState};
-use marblefall_group::words::*;
+use marblefall_coordination::book::{Book, Line};
+use marblefall_coordination::leader::{self, Leader};
+use marblefall_coordination::member::{self, MemberState};
+use marblefall_coordination::words::*;
+use marblefall_scheduler::{Span, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::collections::BTreeMap;
--- a/courier/benches/step.rs
+++ b/crates/delivery/benches/step.rs
@@ -4,11 +4,11 @@
 #![allow(missing_docs)]
 
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
-use marblefall_courier::core::directory::{Directory, Entry, Place};
-use marblefall_courier::core::engine::{Engine, Input, Order, Setup};
-use marblefall_courier::core::ledger::Ledger;
-use marblefall_courier::core::{Authorisation, Origin, Stamp, Ticket, Verdict};
-use marblefall_decisions::*;
+use marblefall_delivery::core::directory::{Directory, Entry, Place};
+use marblefall_delivery::core::engine::{Engine, Input, Order, Setup};
+use marblefall_delivery::core::ledger::Ledger;
+use marblefall_delivery::core::{Authorisation, Origin, Stamp, Ticket, Verdict};
+use marblefall_scheduler::*;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
--- a/courier/src/core/directory.rs
+++ b/crates/delivery/src/core/directory.rs
@@ -3,7 +3,7 @@
 //! something changes. What a courier learns of a destination is not here.
 
 use super::engine::Host;
-use marblefall_decisions::{DestinationId, KindId, Listing, ZoneId};
+use marblefall_scheduler::{DestinationId, KindId, Listing, ZoneId};
 use std::net::{IpAddr, SocketAddr};
 
 /// A part of the names.
--- a/courier/src/core/engine.rs
+++ b/crates/delivery/src/core/engine.rs
@@ -15,7 +15,7 @@
 use super::warmth::Warmth;
 use super::{Answer, Authorisation, End, Origin, Route, Seq, Stamp, Ticket, Verdict};
 use lives::Stage;
-use marblefall_decisions as m;
+use marblefall_scheduler as m;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
--- a/courier/src/core/engine/lives.rs
+++ b/crates/delivery/src/core/engine/lives.rs
@@ -6,7 +6,7 @@
 use crate::core::ledger::{Known, TakenUp, Told};
 use crate::core::record::Closed;
 use crate::core::{Answer, End, Seq, Stamp, Verdict};
-use marblefall_decisions as m;
+use marblefall_scheduler as m;
 use std::collections::BTreeSet;
 
 /// Who decides.
--- a/courier/src/core/engine/places.rs
+++ b/crates/delivery/src/core/engine/places.rs
@@ -5,7 +5,7 @@
 use crate::core::directory::Directory;
 use crate::core::snapshot::Record;
 use crate::core::Stamp;
-use marblefall_decisions as m;
+use marblefall_scheduler as m;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
--- a/courier/src/core/engine/policy.rs
+++ b/crates/delivery/src/core/engine/policy.rs
@@ -5,7 +5,7 @@
 use crate::core::directory::Directory;
 use crate::core::ledger::{Known, TakenUp};
 use crate::core::{Answer, End, Seq, Stamp};
-use marblefall_decisions as m;
+use marblefall_scheduler as m;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
--- a/courier/src/core/engine/words.rs
+++ b/crates/delivery/src/core/engine/words.rs
@@ -4,7 +4,7 @@
 use crate::core::directory::Directory;
 use crate::core::journal::Generation;
 use crate::core::{Answer, Authorisation, End, Route, Seq, Ticket, Verdict};
-use marblefall_decisions as m;
+use marblefall_scheduler as m;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
--- a/courier/src/core/lately.rs
+++ b/crates/delivery/src/core/lately.rs
@@ -1,6 +1,6 @@
 //! Which messages ended a short while ago, by their identities: one that comes again must not be taken for new.
 
-use marblefall_decisions::{Span, Time};
+use marblefall_scheduler::{Span, Time};
 use std::collections::{HashSet, VecDeque};
 use std::rc::Rc;
 
--- a/courier/src/core/ledger.rs
+++ b/crates/delivery/src/core/ledger.rs
@@ -8,7 +8,7 @@
 use super::journal::{self, Journal, Tail};
 use super::record::Record;
 use super::{Authorisation, End, Seq};
-use marblefall_decisions::DestinationId;
+use marblefall_scheduler::DestinationId;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io;
 use std::path::Path;
--- a/courier/src/core/ledger/lives.rs
+++ b/crates/delivery/src/core/ledger/lives.rs
@@ -5,7 +5,7 @@
 use crate::core::journal::{Generation, Journal};
 use crate::core::record::{Closed, Record};
 use crate::core::Seq;
-use marblefall_decisions::{Cold, DestinationId};
+use marblefall_scheduler::{Cold, DestinationId};
 use std::collections::BTreeMap;
 use std::io;
 use std::path::Path;
--- a/courier/src/core/mod.rs
+++ b/crates/delivery/src/core/mod.rs
@@ -11,7 +11,7 @@
 pub mod snapshot;
 pub mod warmth;
 
-use marblefall_decisions::{ClassId, DestinationId, EndpointId, Time};
+use marblefall_scheduler::{ClassId, DestinationId, EndpointId, Time};
 
 /// One moment on both clocks: the monotonic one for what happens in this life, the Unix one for what must
 /// be understood by the next.
--- a/courier/src/core/record.rs
+++ b/crates/delivery/src/core/record.rs
@@ -2,7 +2,7 @@
 
 use super::ledger::{Entry, Leg};
 use super::{Authorisation, End, Origin, Seq, Verdict};
-use marblefall_decisions::{ClassId, Cold, DestinationId, Outcome, Report, Span, Time};
+use marblefall_scheduler::{ClassId, Cold, DestinationId, Outcome, Report, Span, Time};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
--- a/courier/src/core/snapshot.rs
+++ b/crates/delivery/src/core/snapshot.rs
@@ -2,7 +2,7 @@
 //! partner that was out when it died, and for staff. Only the form is here; whoever writes it does so beside the old
 //! one and renames it over.
 
-use marblefall_decisions::DestinationId;
+use marblefall_scheduler::DestinationId;
 use serde::{Deserialize, Serialize};
 
 /// How one destination stands. Times are Unix times in milliseconds.
--- a/courier/src/core/warmth.rs
+++ b/crates/delivery/src/core/warmth.rs
@@ -2,7 +2,7 @@
 //! until it has been idle for a while; of a cold one remains at most a small record, and that only if it says
 //! something. Ageing costs a little with each step and never all at once.
 
-use marblefall_decisions::{Cold, DestinationId, Span, Time};
+use marblefall_scheduler::{Cold, DestinationId, Span, Time};
 use std::collections::{HashMap, VecDeque};
 
 /// A destination is idle when it has not been used for so long: longer than a cold time, a pace's memory or an idle
--- a/courier/src/daemon/carry.rs
+++ b/crates/delivery/src/daemon/carry.rs
@@ -9,7 +9,7 @@
 use crate::life::drive;
 use crate::net::pool::{Call, Ended};
 use crate::say;
-use marblefall_decisions::{EndpointId, Listing, Outcome, Time};
+use marblefall_scheduler::{EndpointId, Listing, Outcome, Time};
 use std::rc::Rc;
 
 impl Hands {
--- a/courier/src/front/cloudevents/mod.rs
+++ b/crates/delivery/src/front/cloudevents/mod.rs
@@ -9,7 +9,7 @@
 use crate::net::pool::{told_wait, Ended};
 use crate::seam::{Front, Reply, Take};
 use event::{Context, Fault, Mode};
-use marblefall_decisions::{ClassId, DestinationId, Outcome, Report};
+use marblefall_scheduler::{ClassId, DestinationId, Outcome, Report};
 use std::borrow::Cow;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
--- a/courier/src/front/relay.rs
+++ b/crates/delivery/src/front/relay.rs
@@ -5,7 +5,7 @@
 use crate::net::http::{Request, Response};
 use crate::net::pool::{report, told_wait, Ended};
 use crate::seam::{Front, Reply, Take};
-use marblefall_decisions::{ClassId, DestinationId, Outcome};
+use marblefall_scheduler::{ClassId, DestinationId, Outcome};
 use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::fmt::Write;
--- a/courier/src/keep.rs
+++ b/crates/delivery/src/keep.rs
@@ -2,7 +2,7 @@
 
 use crate::core::snapshot::{decode, encode, Record};
 use crate::say;
-use marblefall_files::{replace, Disk, Outlasts, Real};
+use marblefall_atomic_file::{replace, Disk, Outlasts, Real};
 use std::io;
 use std::path::{Path, PathBuf};
 
--- a/courier/src/life/change.rs
+++ b/crates/delivery/src/life/change.rs
@@ -5,7 +5,7 @@
 //! end; it asks for it where nobody tells them, so that what it takes on does not wait. One that does not react to
 //! that is fenced off: it may have been stopped, and will find the fence before it decides anything again.
 
-use marblefall_decisions::{Span, Time};
+use marblefall_scheduler::{Span, Time};
 
 /// Whoever starts a process beside another tells the other to end as soon as this one is ready. What is handed in here
 /// meanwhile waits, so it is asked for after this; clients' shortest wishes are about a second.
--- a/courier/src/net/discovery.rs
+++ b/crates/delivery/src/net/discovery.rs
@@ -11,7 +11,7 @@
 use crate::say;
 use async_channel::Receiver;
 use futures_lite::future;
-use marblefall_decisions::{DestinationId, KindId, Listing, ZoneId};
+use marblefall_scheduler::{DestinationId, KindId, Listing, ZoneId};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
--- a/courier/src/net/discovery/watch/tests.rs
+++ b/crates/delivery/src/net/discovery/watch/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use marblefall_decisions::Listing;
+use marblefall_scheduler::Listing;
 use std::collections::VecDeque;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
--- a/courier/src/net/pool.rs
+++ b/crates/delivery/src/net/pool.rs
@@ -9,7 +9,7 @@
 use crate::say;
 use async_channel::{Receiver, Sender};
 use futures_lite::future;
-use marblefall_decisions::{EndpointId, Outcome, Report, Span};
+use marblefall_scheduler::{EndpointId, Outcome, Report, Span};
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
--- a/courier/src/net/pool/tests.rs
+++ b/crates/delivery/src/net/pool/tests.rs
@@ -4,7 +4,7 @@
 use crate::life::folder::Life;
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
-use marblefall_decisions::DestinationId;
+use marblefall_scheduler::DestinationId;
 use std::net::TcpListener;
 
 /// What a host's bytes, on a connection that stays open, say of their leg; and whether it is kept.
--- a/courier/tests/common/mod.rs
+++ b/crates/delivery/tests/common/mod.rs
@@ -1,9 +1,9 @@
 //! What the tests of the core share: a folder of their own, classes and limits, a host, the end of a leg.
 #![allow(dead_code)]
 
-use marblefall_courier::core::engine::{Host, Input, Order, Setup};
-use marblefall_courier::core::{Answer, Seq, Verdict};
-use marblefall_decisions::*;
+use marblefall_delivery::core::engine::{Host, Input, Order, Setup};
+use marblefall_delivery::core::{Answer, Seq, Verdict};
+use marblefall_scheduler::*;
 use std::path::PathBuf;
 
 /// When the tests begin, as Unix time in milliseconds.
--- a/courier/tests/core.rs
+++ b/crates/delivery/tests/core.rs
@@ -3,11 +3,11 @@
 mod common;
 
 use common::{answers, caps, folder, host, legs, setup, KEYED, START_MS};
-use marblefall_courier::core::engine::{Engine, Host, Input, Order, Setup};
-use marblefall_courier::core::journal::{segments, Journal};
-use marblefall_courier::core::ledger::{Ledger, Leg};
-use marblefall_courier::core::{Answer, Authorisation, End, Origin, Stamp, Ticket};
-use marblefall_decisions::*;
+use marblefall_delivery::core::engine::{Engine, Host, Input, Order, Setup};
+use marblefall_delivery::core::journal::{segments, Journal};
+use marblefall_delivery::core::ledger::{Ledger, Leg};
+use marblefall_delivery::core::{Answer, Authorisation, End, Origin, Stamp, Ticket};
+use marblefall_scheduler::*;
 use std::fs;
 use std::io::Write;
 use std::path::{Path, PathBuf};
--- a/courier/tests/idle.rs
+++ b/crates/delivery/tests/idle.rs
@@ -4,11 +4,11 @@
 mod common;
 
 use common::{class, START_MS};
-use marblefall_courier::core::directory::{Directory, Entry, Place};
-use marblefall_courier::core::engine::{Engine, Input, Order, Setup};
-use marblefall_courier::core::ledger::Ledger;
-use marblefall_courier::core::{Answer, Authorisation, Origin, Stamp, Ticket, Verdict};
-use marblefall_decisions::*;
+use marblefall_delivery::core::directory::{Directory, Entry, Place};
+use marblefall_delivery::core::engine::{Engine, Input, Order, Setup};
+use marblefall_delivery::core::ledger::Ledger;
+use marblefall_delivery::core::{Answer, Authorisation, Origin, Stamp, Ticket, Verdict};
+use marblefall_scheduler::*;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
--- a/courier/tests/lives.rs
+++ b/crates/delivery/tests/lives.rs
@@ -4,11 +4,11 @@
 mod common;
 
 use common::{caps, ended, folder, host, setup, START_MS};
-use marblefall_courier::core::engine::{Engine, Input, Order, Setup};
-use marblefall_courier::core::journal::{latest, segments, Generation};
-use marblefall_courier::core::ledger::Ledger;
-use marblefall_courier::core::{Answer, Authorisation, End, Origin, Seq, Stamp, Ticket};
-use marblefall_decisions::*;
+use marblefall_delivery::core::engine::{Engine, Input, Order, Setup};
+use marblefall_delivery::core::journal::{latest, segments, Generation};
+use marblefall_delivery::core::ledger::Ledger;
+use marblefall_delivery::core::{Answer, Authorisation, End, Origin, Seq, Stamp, Ticket};
+use marblefall_scheduler::*;
 use std::collections::BTreeMap;
 use std::fs;
 use std::path::{Path, PathBuf};
--- a/courier/tests/parsers.rs
+++ b/crates/delivery/tests/parsers.rs
@@ -1,11 +1,11 @@
 //! Random cuts of valid messages and random garbage against the parsers, from fixed seeds.
 
-use marblefall_courier::core::ledger::Ledger;
-use marblefall_courier::front::cloudevents::event;
-use marblefall_courier::net::discovery::List;
-use marblefall_courier::net::http::{self, Chunks, Piece};
-use marblefall_courier::net::manage::{self, Call};
-use marblefall_courier::net::pool;
+use marblefall_delivery::core::ledger::Ledger;
+use marblefall_delivery::front::cloudevents::event;
+use marblefall_delivery::net::discovery::List;
+use marblefall_delivery::net::http::{self, Chunks, Piece};
+use marblefall_delivery::net::manage::{self, Call};
+use marblefall_delivery::net::pool;
 use quickcheck::{Gen, QuickCheck, Testable};
 
 /// The shared helper: runs a property over what a fixed seed brings.
--- a/courier/tests/policy.rs
+++ b/crates/delivery/tests/policy.rs
@@ -4,11 +4,11 @@
 mod common;
 
 use common::{answers, caps, ended, folder, host, legs, setup, KEYED, START_MS};
-use marblefall_courier::core::directory::{Directory, Entry, Place};
-use marblefall_courier::core::engine::{Change, Engine, Host, Input, Order, Proposed, Setup, Standing};
-use marblefall_courier::core::ledger::Ledger;
-use marblefall_courier::core::{Answer, Authorisation, End, Origin, Stamp, Ticket};
-use marblefall_decisions::*;
+use marblefall_delivery::core::directory::{Directory, Entry, Place};
+use marblefall_delivery::core::engine::{Change, Engine, Host, Input, Order, Proposed, Setup, Standing};
+use marblefall_delivery::core::ledger::Ledger;
+use marblefall_delivery::core::{Answer, Authorisation, End, Origin, Stamp, Ticket};
+use marblefall_scheduler::*;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
--- a/courier/tests/restart.rs
+++ b/crates/delivery/tests/restart.rs
@@ -4,10 +4,10 @@
 mod common;
 
 use common::{caps, ended, folder, host, legs, setup, KEYED, START_MS};
-use marblefall_courier::core::engine::{Engine, Input, Order, Setup};
-use marblefall_courier::core::ledger::Ledger;
-use marblefall_courier::core::{Authorisation, Origin, Stamp, Ticket};
-use marblefall_decisions::*;
+use marblefall_delivery::core::engine::{Engine, Input, Order, Setup};
+use marblefall_delivery::core::ledger::Ledger;
+use marblefall_delivery::core::{Authorisation, Origin, Stamp, Ticket};
+use marblefall_scheduler::*;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 
--- a/courier/tests/snapshot.rs
+++ b/crates/delivery/tests/snapshot.rs
@@ -1,9 +1,9 @@
 //! The snapshot of destinations on a disk that fails at each of its changes.
 
-use marblefall_courier::core::snapshot::{encode, Record, VERSION};
-use marblefall_courier::keep::{read, Keep};
-use marblefall_files::rig::{Fault, Rig, Unsynced};
-use marblefall_files::Disk;
+use marblefall_atomic_file::faulty_disk::{Fault, Rig, Unsynced};
+use marblefall_atomic_file::Disk;
+use marblefall_delivery::core::snapshot::{encode, Record, VERSION};
+use marblefall_delivery::keep::{read, Keep};
 use std::path::Path;
 
 const FOLDER: &str = "/home/instances/one";
--- a/roster/benches/take_up.rs
+++ b/crates/endpoint-lists/benches/take_up.rs
@@ -4,7 +4,7 @@
 #![allow(missing_docs)]
 
 use criterion::{criterion_group, criterion_main, Criterion, Throughput};
-use marblefall_roster::{diff, Book, Destination, Endpoint, Roster, Standing, Terms};
+use marblefall_endpoint_lists::{diff, Book, Destination, Endpoint, Roster, Standing, Terms};
 use std::hint::black_box;
 use std::net::SocketAddr;
 
--- a/roster/src/keep.rs
+++ b/crates/endpoint-lists/src/keep.rs
@@ -1,7 +1,7 @@
 //! The last good lists on disk, byte for byte as they were found good: they outlast the process, also where the
 //! file itself is bad or missing by then.
 
-use marblefall_files::{replace, Disk, Outlasts, Real};
+use marblefall_atomic_file::{replace, Disk, Outlasts, Real};
 use std::fs;
 use std::io;
 use std::path::{Path, PathBuf};
--- a/roster/tests/rosters.rs
+++ b/crates/endpoint-lists/tests/rosters.rs
@@ -1,7 +1,9 @@
 //! Rosters by their form, by what surrounds them, and over crashes; random ones from fixed seeds.
 
-use marblefall_roster::keep::Keep;
-use marblefall_roster::{diff, Book, Destination, Endpoint, Offer, Report, Roster, Standing, Step, Terms};
+use marblefall_endpoint_lists::keep::Keep;
+use marblefall_endpoint_lists::{
+    diff, Book, Destination, Endpoint, Offer, Report, Roster, Standing, Step, Terms,
+};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::collections::BTreeMap;
 use std::fmt::Debug;
--- a/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -5,7 +5,7 @@
 //! same events always bring the same actions.
 //!
 //! ```
-//! use marblefall_decisions::*;
+//! use marblefall_scheduler::*;
 //!
 //! let settings = Settings {
 //!     classes: vec![Class {
--- a/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small bed for tests: settings, a courier with a clock, and what it said.
 #![allow(dead_code)]
 
-use marblefall_decisions::*;
+use marblefall_scheduler::*;
 
 pub fn class(worth: f64, effect: Effect) -> Class {
     Class {
--- a/tests/many.rs
+++ b/crates/scheduler/tests/many.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use marblefall_decisions::*;
+use marblefall_scheduler::*;
 use std::collections::BTreeMap;
 
 const COURIERS: usize = 200;
--- a/tests/mechanism.rs
+++ b/crates/scheduler/tests/mechanism.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use marblefall_decisions::*;
+use marblefall_scheduler::*;
 use std::collections::BTreeMap;
 
 fn one_slot() -> Settings {
--- a/tests/property.rs
+++ b/crates/scheduler/tests/property.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::*;
-use marblefall_decisions::*;
+use marblefall_scheduler::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 struct Known {
--- a/tests/recovery.rs
+++ b/crates/scheduler/tests/recovery.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::*;
-use marblefall_decisions::recovery::*;
-use marblefall_decisions::*;
+use marblefall_scheduler::recovery::*;
+use marblefall_scheduler::*;
 use stateright::{Checker, Model, Property};
 
 const STEP_MS: i64 = 500;
--- a/tests/rules.rs
+++ b/crates/scheduler/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use marblefall_decisions::*;
+use marblefall_scheduler::*;
 
 #[test]
 fn a_message_that_cannot_go_anywhere_is_answered_once_before_its_time() {
--- a/tests/weights.rs
+++ b/crates/scheduler/tests/weights.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use marblefall_decisions::*;
+use marblefall_scheduler::*;
 
 /// One destination behind weighted endpoints, each with its call time in ms, under an even stream of messages.
 struct Stream {
--- a/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,7 +4,7 @@
 // The fields are the settings' own, under their own names.
 #![allow(missing_docs)]
 
-use marblefall_decisions as p;
+use marblefall_scheduler as p;
 use serde::Deserialize;
 
 #[derive(Debug, Deserialize)]
--- a/lab/benches/speed.rs
+++ b/crates/simulation/benches/speed.rs
@@ -4,10 +4,10 @@
 #![allow(missing_docs)]
 
 use criterion::{criterion_group, criterion_main, Criterion, Throughput};
-use marblefall_lab::check::Watch;
-use marblefall_lab::scenario::Scenario;
-use marblefall_lab::tally::Tally;
-use marblefall_lab::world::{in_service, play};
+use marblefall_simulation::check::Watch;
+use marblefall_simulation::scenario::Scenario;
+use marblefall_simulation::tally::Tally;
+use marblefall_simulation::world::{in_service, play};
 
 const CALM: &str = r#"
 seconds = 10
--- a/lab/src/check.rs
+++ b/crates/simulation/src/check.rs
@@ -3,7 +3,7 @@
 use crate::scenario::Scenario;
 use crate::seen::{End, Seen};
 use crate::world::{play, Make};
-use marblefall_decisions::{Effect, Listing, Outcome, Span, Time};
+use marblefall_scheduler::{Effect, Listing, Outcome, Span, Time};
 use std::collections::HashMap;
 use std::fmt;
 
--- a/lab/src/cored.rs
+++ b/crates/simulation/src/cored.rs
@@ -2,10 +2,10 @@
 //! opens again. What the world says of an earlier life is not listened to: the journal must know.
 
 use crate::world::{Life, Node};
-use marblefall_courier::core::engine::{Engine, Host, Input, Order, Setup};
-use marblefall_courier::core::ledger::Ledger;
-use marblefall_courier::core::{Answer, Authorisation, End, Origin, Seq, Stamp, Ticket, Verdict};
-use marblefall_decisions::{
+use marblefall_delivery::core::engine::{Engine, Host, Input, Order, Setup};
+use marblefall_delivery::core::ledger::Ledger;
+use marblefall_delivery::core::{Answer, Authorisation, End, Origin, Seq, Stamp, Ticket, Verdict};
+use marblefall_scheduler::{
     Action, Class, Effect, EndpointId, Entry, Event, MessageId, Settings, Span, Time,
 };
 use std::collections::{HashMap, HashSet};
--- a/lab/src/doubles.rs
+++ b/crates/simulation/src/doubles.rs
@@ -3,7 +3,7 @@
 
 use crate::check::Rule;
 use crate::world::Node;
-use marblefall_decisions::{Action, Courier, Effect, Event, Listing, Outcome, Settings, Span, Time};
+use marblefall_scheduler::{Action, Courier, Effect, Event, Listing, Outcome, Settings, Span, Time};
 use std::collections::BTreeMap;
 
 /// A fault.
--- a/lab/src/experiment.rs
+++ b/crates/simulation/src/experiment.rs
@@ -7,7 +7,7 @@
 use crate::scenario::{line, Draft, Scenario};
 use crate::world::in_service;
 use indicatif::{ProgressBar, ProgressStyle};
-use marblefall_files::{replace, Outlasts, Real};
+use marblefall_atomic_file::{replace, Outlasts, Real};
 use rayon::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
--- a/lab/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -3,18 +3,18 @@
 mod on_processes;
 
 use clap::{Parser, Subcommand};
-use marblefall_lab::capacity::{capacity, Bears, Search};
-use marblefall_lab::check::judge;
-use marblefall_lab::compare::{variants, Comparison};
-use marblefall_lab::cored::Cores;
-use marblefall_lab::doubles::Fault;
-use marblefall_lab::experiment::{self, Experiment};
-use marblefall_lab::figures::{measure, Figures};
-use marblefall_lab::hunt::{self, Failing};
-use marblefall_lab::report;
-use marblefall_lab::rig::schedule::Form;
-use marblefall_lab::scenario::{Draft, Scenario};
-use marblefall_lab::world::in_service;
+use marblefall_simulation::capacity::{capacity, Bears, Search};
+use marblefall_simulation::check::judge;
+use marblefall_simulation::compare::{variants, Comparison};
+use marblefall_simulation::cored::Cores;
+use marblefall_simulation::doubles::Fault;
+use marblefall_simulation::experiment::{self, Experiment};
+use marblefall_simulation::figures::{measure, Figures};
+use marblefall_simulation::hunt::{self, Failing};
+use marblefall_simulation::report;
+use marblefall_simulation::rig::schedule::Form;
+use marblefall_simulation::scenario::{Draft, Scenario};
+use marblefall_simulation::world::in_service;
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -34,7 +34,7 @@
 enum Command {
     /// Play a scenario, print what came of it, and judge it.
     #[command(
-        after_help = "Example:\n  lab play lab/scenarios/blackout.toml --seed 7 --set couriers.count=10 --out results"
+        after_help = "Example:\n  marblefall-simulation play crates/simulation/scenarios/blackout.toml --seed 7 --set couriers.count=10 --out results"
     )]
     Play {
         #[command(flatten)]
@@ -70,7 +70,7 @@
     },
     /// Play scenarios x seeds x variants; what a folder holds already is not played again.
     #[command(
-        after_help = "Example:\n  lab experiment lab/experiments/couriers.toml --out results/couriers"
+        after_help = "Example:\n  marblefall-simulation experiment crates/simulation/experiments/couriers.toml --out results/couriers"
     )]
     Experiment {
         /// The experiment's file.
@@ -99,7 +99,9 @@
         with: Option<String>,
     },
     /// Find the load at which each class begins to miss its deadline.
-    #[command(after_help = "Example:\n  lab capacity lab/scenarios/base.toml --set couriers.count=10")]
+    #[command(
+        after_help = "Example:\n  marblefall-simulation capacity crates/simulation/scenarios/base.toml --set couriers.count=10"
+    )]
     Capacity {
         #[command(flatten)]
         what: What,
@@ -117,7 +119,9 @@
         seeds: u64,
     },
     /// Look for the seeds on which couriers do worst, and shrink the worst to the least that still fails.
-    #[command(after_help = "Example:\n  lab hunt lab/scenarios/mixed.toml --seeds 200 --shrink least.toml")]
+    #[command(
+        after_help = "Example:\n  marblefall-simulation hunt crates/simulation/scenarios/mixed.toml --seeds 200 --shrink least.toml"
+    )]
     Hunt {
         #[command(flatten)]
         what: What,
--- a/lab/src/on_processes.rs
+++ b/crates/simulation/src/on_processes.rs
@@ -1,9 +1,9 @@
 //! The words of `lab` that play scenarios on processes.
 
 use super::Processes;
-use marblefall_lab::rig::history::Promise;
-use marblefall_lab::rig::play::{play, shrink, Report};
-use marblefall_lab::rig::schedule::{Form, Schedule};
+use marblefall_simulation::rig::history::Promise;
+use marblefall_simulation::rig::play::{play, shrink, Report};
+use marblefall_simulation::rig::schedule::{Form, Schedule};
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
--- a/lab/src/partner.rs
+++ b/crates/simulation/src/partner.rs
@@ -4,7 +4,7 @@
 //! served in order.
 
 use crate::draw::Service;
-use marblefall_decisions::{Outcome, Span, Time};
+use marblefall_scheduler::{Outcome, Span, Time};
 use rand::Rng;
 use std::collections::VecDeque;
 
--- a/lab/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -8,7 +8,7 @@
 use crate::partner::{Partner, Trouble};
 use crate::scenario::Scenario;
 use crate::tally::Tally;
-use marblefall_decisions::Listing;
+use marblefall_scheduler::Listing;
 use maud::{html, Markup, PreEscaped, DOCTYPE};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -87,7 +87,7 @@
             let at = |part: &f64| (*part, ends.took_us.value_at_quantile(*part) as f64 / 1000.0);
             (ends.class.clone(), steps.iter().map(at).collect())
         };
-        let secs = |time: marblefall_decisions::Time| time.ms() / 1000.0;
+        let secs = |time: marblefall_scheduler::Time| time.ms() / 1000.0;
         let mut happened = Vec::new();
         for partner in &scenario.partners {
             for outage in &partner.outages {
--- a/lab/src/rig/relay.rs
+++ b/crates/simulation/src/rig/relay.rs
@@ -3,7 +3,7 @@
 use super::Fault;
 use futures_lite::future::block_on;
 use futures_lite::io::AssertAsync;
-use marblefall_fleet::group::link::{self, Hello};
+use marblefall_control_plane::group::link::{self, Hello};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
--- a/lab/src/seen.rs
+++ b/crates/simulation/src/seen.rs
@@ -1,7 +1,7 @@
 //! What can be seen of a run from outside the couriers: what clients and partners know, what the list says, and when a
 //! courier died. Checkers and counts know nothing else.
 
-use marblefall_decisions::{Listing, Outcome, Span, Time};
+use marblefall_scheduler::{Listing, Outcome, Span, Time};
 
 /// How a message ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/lab/src/tally.rs
+++ b/crates/simulation/src/tally.rs
@@ -5,7 +5,7 @@
 use hdrhistogram::serialization::interval_log::{IntervalLogWriterBuilder, Tag};
 use hdrhistogram::serialization::V2Serializer;
 use hdrhistogram::Histogram;
-use marblefall_decisions::{Class, Span, Time};
+use marblefall_scheduler::{Class, Span, Time};
 use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::fs;
--- a/lab/src/trace.rs
+++ b/crates/simulation/src/trace.rs
@@ -1,7 +1,7 @@
 //! Arrivals as they once were, from a CSV file: a head, then a line for each message with its time in s first.
 
 use crate::scenario::LONGEST_S;
-use marblefall_decisions::Time;
+use marblefall_scheduler::Time;
 use std::fs;
 use std::path::Path;
 
--- a/lab/src/wires.rs
+++ b/crates/simulation/src/wires.rs
@@ -2,7 +2,7 @@
 //! couriers are told, limited by the endpoint, and closed by it without a word.
 
 use crate::partner::Wire;
-use marblefall_decisions::{Span, Time};
+use marblefall_scheduler::{Span, Time};
 use std::collections::HashMap;
 
 /// Couriers give an idle connection up at this part of the time that they are told.
--- a/lab/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -7,7 +7,7 @@
 use crate::scenario::{Arrivals, Load, Scenario};
 use crate::seen::{End, Seen};
 use crate::wires::{Found, Wires};
-use marblefall_decisions::{
+use marblefall_scheduler::{
     Action, ClassId, Copy, Courier, DestinationId, EndpointId, Entry, Event, Handed, KindId, Listing,
     MessageId, Outcome, Past, Report, Settings, Span, Time, ZoneId,
 };
--- a/lab/tests/cored.rs
+++ b/crates/simulation/tests/cored.rs
@@ -1,10 +1,10 @@
 //! Whole days on the courier's core: engine, ledger and journal, over deaths of its process, judged from outside.
 
-use marblefall_lab::check::{judge, Rule};
-use marblefall_lab::cored::Cores;
-use marblefall_lab::figures::{measure, Figures};
-use marblefall_lab::scenario::Scenario;
-use marblefall_lab::world::{in_service, Life};
+use marblefall_simulation::check::{judge, Rule};
+use marblefall_simulation::cored::Cores;
+use marblefall_simulation::figures::{measure, Figures};
+use marblefall_simulation::scenario::Scenario;
+use marblefall_simulation::world::{in_service, Life};
 use std::collections::HashSet;
 use std::path::Path;
 use std::sync::Mutex;
--- a/lab/tests/experiments.rs
+++ b/crates/simulation/tests/experiments.rs
@@ -1,16 +1,16 @@
 //! Experiments: cells that are played once, differences that are named only when there is one, loads that are borne,
 //! scenarios that shrink, and pages.
 
-use marblefall_lab::capacity::{capacity, Bears, Search};
-use marblefall_lab::check::{judge, Rule};
-use marblefall_lab::compare::{Comparison, Difference};
-use marblefall_lab::doubles::Fault;
-use marblefall_lab::experiment::{self, Experiment, Record};
-use marblefall_lab::figures::{measure, Figures};
-use marblefall_lab::hunt::{hunt, shrink, text, Failing};
-use marblefall_lab::report::{of_folder, Run};
-use marblefall_lab::scenario::{Draft, Scenario};
-use marblefall_lab::world::{in_service, Life};
+use marblefall_simulation::capacity::{capacity, Bears, Search};
+use marblefall_simulation::check::{judge, Rule};
+use marblefall_simulation::compare::{Comparison, Difference};
+use marblefall_simulation::doubles::Fault;
+use marblefall_simulation::experiment::{self, Experiment, Record};
+use marblefall_simulation::figures::{measure, Figures};
+use marblefall_simulation::hunt::{hunt, shrink, text, Failing};
+use marblefall_simulation::report::{of_folder, Run};
+use marblefall_simulation::scenario::{Draft, Scenario};
+use marblefall_simulation::world::{in_service, Life};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::fs;
--- a/lab/tests/theory.rs
+++ b/crates/simulation/tests/theory.rs
@@ -1,8 +1,8 @@
 //! The model against what is known of queues and limits.
 
-use marblefall_decisions::{Outcome, Span, Time};
-use marblefall_lab::draw::{Service, Shape};
-use marblefall_lab::partner::{Limit, Partner, Running};
+use marblefall_scheduler::{Outcome, Span, Time};
+use marblefall_simulation::draw::{Service, Shape};
+use marblefall_simulation::partner::{Limit, Partner, Running};
 use rand::{Rng, SeedableRng};
 use rand_distr::Exp1;
 use rand_pcg::Pcg64;
--- a/lab/tests/worlds.rs
+++ b/crates/simulation/tests/worlds.rs
@@ -1,16 +1,16 @@
 //! Whole runs: the same each time, judged as they should be, and scenario files that are wrong.
 
-use marblefall_decisions::{Outcome, Span, Time};
-use marblefall_lab::bodies;
-use marblefall_lab::check::{judge, Watch};
-use marblefall_lab::curve::Curve;
-use marblefall_lab::doubles::Fault;
-use marblefall_lab::partner::Wire;
-use marblefall_lab::scenario::Scenario;
-use marblefall_lab::seen::Seen;
-use marblefall_lab::tally::Tally;
-use marblefall_lab::wires::{Found, Wires};
-use marblefall_lab::world::{in_service, play};
+use marblefall_scheduler::{Outcome, Span, Time};
+use marblefall_simulation::bodies;
+use marblefall_simulation::check::{judge, Watch};
+use marblefall_simulation::curve::Curve;
+use marblefall_simulation::doubles::Fault;
+use marblefall_simulation::partner::Wire;
+use marblefall_simulation::scenario::Scenario;
+use marblefall_simulation::seen::Seen;
+use marblefall_simulation::tally::Tally;
+use marblefall_simulation::wires::{Found, Wires};
+use marblefall_simulation::world::{in_service, play};
 use quickcheck::{Arbitrary, Gen};
 use std::fs;
 use std::path::{Path, PathBuf};
--- a/drill/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -1,7 +1,7 @@
 //! Hosts the instances: turns lines into events and actions into lines. Decides nothing.
 
 use crate::wire::{self, Line, Reply};
-use marblefall_decisions as p;
+use marblefall_scheduler as p;
 use marblefall_settings::BootInfo;
 use std::collections::{BTreeMap, HashMap};
 use std::panic::{catch_unwind, AssertUnwindSafe};
--- a/drill/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -1,4 +1,4 @@
-//! Puts marblefall_decisions's decisions on the simulator's wire: batches of events on standard input, one
+//! Puts marblefall_scheduler's decisions on the simulator's wire: batches of events on standard input, one
 //! reply for each on standard output. A line it cannot use ends it with one plain line on standard error.
 
 mod host;
--- a/drill/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -26,7 +26,7 @@
 }
 
 fn run(lines: &[&str]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_marblefall-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_marblefall-simulator-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/lab/fuzz/fuzz_targets/trace.rs
+++ /dev/null
@@ -1,2 +0,0 @@
-#![no_main]
-libfuzzer_sys::fuzz_target!(|bytes: &[u8]| marblefall_lab::bodies::trace(bytes));
