--- a/crates/cli/src/group.rs
+++ b/crates/cli/src/group.rs
@@ -10,7 +10,7 @@
 use marblefall_coordination::book::Past;
 use marblefall_coordination::seat::{Place, Progress, Reply, Request, Standing};
 use marblefall_coordination::words::{Author, Member, Revision};
-use marblefall_delivery::daemon;
+use marblefall_delivery::instance;
 use serde_json::{json, Value};
 use std::io::Write;
 use std::net::TcpStream;
@@ -75,7 +75,9 @@
 fn leave_to_group(home: &Path) {
     let home = home.to_owned();
     std::thread::spawn(move || {
-        let Ok(mut signals) = daemon::signals() else { return };
+        let Ok(mut signals) = instance::signals() else {
+            return;
+        };
         let heard = block_on(signals.next());
         if heard.is_some() {
             eprintln!(
@@ -152,7 +154,9 @@
     let mut behind;
     loop {
         let told = line.ask(&Request::Status)?;
-        let Some(Reply::Status(standing)) = told.reply else { continue };
+        let Some(Reply::Status(standing)) = told.reply else {
+            continue;
+        };
         let has = |place: &Place| place.has >= Some(revision);
         behind =
             standing.members.iter().filter(|place| !has(place)).map(|place| place.member).collect::<Vec<_>>();
@@ -188,7 +192,9 @@
         }
         Group::History { home, format } => {
             let mut line = Line::open(&home)?;
-            let Some(Reply::History(past)) = line.ask(&Request::History)?.reply else { return Err(nobody()) };
+            let Some(Reply::History(past)) = line.ask(&Request::History)?.reply else {
+                return Err(nobody());
+            };
             match format {
                 Form::Text => past.iter().for_each(|past| println!("{}", past_text(past))),
                 Form::Json => println!("{:#}", Value::from(past.iter().map(past_json).collect::<Vec<_>>())),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,7 +9,7 @@
 use marblefall_control_plane::file::Fleet;
 use marblefall_control_plane::group::Membership;
 use marblefall_control_plane::plan::{Applied, Plan};
-use marblefall_delivery::config::Platform;
+use marblefall_delivery::instance::platform_config::PlatformConfig;
 use marblefall_delivery::log;
 use std::path::Path;
 use std::process::ExitCode;
@@ -18,7 +18,7 @@
 fn main() -> ExitCode {
     let done = if std::env::args_os().len() <= 1 {
         log::start(log::Format::Text);
-        Platform::from_env().and_then(marblefall_delivery::daemon::run)
+        PlatformConfig::from_env().and_then(marblefall_delivery::instance::run)
     } else {
         obey(Words::parse().command)
     };
--- a/crates/control-plane/src/build.rs
+++ b/crates/control-plane/src/build.rs
@@ -3,11 +3,11 @@
 
 use crate::file::{number_of, Class, Fleet, Repeats};
 use crate::listing::Listing;
-use marblefall_delivery::core::engine::{Change, Input, Setup};
-use marblefall_delivery::daemon::{Build, RelayPart, Switch};
-use marblefall_delivery::front::cloudevents::{EventClass, Events};
-use marblefall_delivery::front::relay::Relay;
-use marblefall_delivery::gate::Gate;
+use marblefall_delivery::core::engine::{EngineEvent, EngineSettings, PolicyChange};
+use marblefall_delivery::frontend::cloudevents::{CloudEventsFrontend, EventClass};
+use marblefall_delivery::frontend::platform::PlatformFrontend;
+use marblefall_delivery::instance::{InstanceConfig, PlatformFrontendConfig, PolicyUpdate};
+use marblefall_delivery::lease_guard::LeaseGuard;
 use marblefall_scheduler as m;
 use std::cell::RefCell;
 use std::net::{SocketAddr, TcpListener};
@@ -59,9 +59,9 @@
     share: &Fleet,
     classes: &Classes,
     listing: &Listing,
-    held: Option<(Arc<Gate>, u64)>,
+    held: Option<(Arc<LeaseGuard>, u64)>,
     listener: &mut dyn FnMut(&'static str, SocketAddr) -> Result<TcpListener, String>,
-) -> Result<Build, String> {
+) -> Result<InstanceConfig, String> {
     let instance = share.instances.get(name).ok_or("it is not in the fleet")?;
     let limits = &share.limits;
     let events = match (&instance.events, events(name, share, classes, listing)) {
@@ -69,7 +69,7 @@
         _ => None,
     };
     let relay = match (&instance.relay, relay(name, share, classes)) {
-        (Some(at), Some(front)) => Some(RelayPart {
+        (Some(at), Some(front)) => Some(PlatformFrontendConfig {
             listener: listener("relay", at.listen)?,
             front,
             notices: at.notices,
@@ -77,7 +77,7 @@
         }),
         _ => None,
     };
-    Ok(Build {
+    Ok(InstanceConfig {
         name: name.to_owned(),
         state: (state, (limits.disk_mb * 1e6) as u64),
         sockets: limits.sockets,
@@ -85,7 +85,7 @@
         classes: classes.names(),
         dial: Duration::from_millis(limits.dial_ms),
         idle: Duration::from_millis(limits.idle_ms),
-        hosts: Input::Directory(listing.directory.clone()),
+        hosts: EngineEvent::DestinationTableReplaced(listing.destination_table.clone()),
         relay,
         events,
         mgmt: None,
@@ -94,30 +94,41 @@
 }
 
 /// Another policy for an instance that runs.
-pub fn switch(revision: u64, name: &str, share: &Fleet, classes: &Classes, listing: &Listing) -> Switch {
-    let directory = Some(listing.directory.clone());
-    let change = Change { revision, setup: setup(share, classes), classes: classes.names(), directory };
-    Switch { change, relay: relay(name, share, classes), events: events(name, share, classes, listing) }
+pub fn switch(
+    revision: u64,
+    name: &str,
+    share: &Fleet,
+    classes: &Classes,
+    listing: &Listing,
+) -> PolicyUpdate {
+    let destination_table = Some(listing.destination_table.clone());
+    let change = PolicyChange {
+        revision,
+        settings: setup(share, classes),
+        classes: classes.names(),
+        destination_table,
+    };
+    PolicyUpdate { change, relay: relay(name, share, classes), events: events(name, share, classes, listing) }
 }
 
-fn events(name: &str, share: &Fleet, classes: &Classes, listing: &Listing) -> Option<Events> {
+fn events(name: &str, share: &Fleet, classes: &Classes, listing: &Listing) -> Option<CloudEventsFrontend> {
     let front = share.instances.get(name)?.events.as_ref()?;
     let known = |class: &Class| EventClass {
         give_up_ms: class.give_up_ms as i64,
         keyed: class.repeats == Repeats::Keyed,
     };
     let types = front.types.iter().filter_map(|(kind, class)| Some((kind.clone(), classes.id(class)?)));
-    Some(Events {
+    Some(CloudEventsFrontend {
         path: front.path.clone(),
         destination_attribute: front.destination_attribute.clone(),
         types: types.collect(),
         classes: classes.0.iter().map(|(_, class)| known(class)).collect(),
-        listed: RefCell::new((listing.directory.clone(), listing.targets.clone())),
+        listed: RefCell::new((listing.destination_table.clone(), listing.targets.clone())),
         number: Some(number_of),
     })
 }
 
-fn relay(name: &str, share: &Fleet, classes: &Classes) -> Option<Relay> {
+fn relay(name: &str, share: &Fleet, classes: &Classes) -> Option<PlatformFrontend> {
     let front = share.instances.get(name)?.relay.as_ref()?;
     let number = |name: &str| m::DestinationId(number_of(name));
     let numbers = front.numbers.iter().filter_map(|(text, name)| Some((text.parse().ok()?, number(name))));
@@ -126,66 +137,67 @@
         true => name.clone(),
         false => String::new(),
     };
-    Some(Relay {
+    Some(PlatformFrontend {
         classes: classes.0.iter().map(current).collect(),
         keyed: classes.0.iter().map(|(_, class)| class.repeats == Repeats::Keyed).collect(),
         numbers: Some(numbers.collect()),
     })
 }
 
-fn setup(share: &Fleet, classes: &Classes) -> Setup {
+fn setup(share: &Fleet, classes: &Classes) -> EngineSettings {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    Setup {
-        settings: settings(share, classes),
+    EngineSettings {
+        scheduler: settings(share, classes),
         seed: since.map_or(0, |since| since.as_nanos() as u64),
         remember_ms: classes.0.iter().map(|(_, class)| class.remember_s as i64 * 1000).collect(),
-        remember_most: share.limits.remember,
+        max_remembered: share.limits.remember,
     }
 }
 
 fn settings(share: &Fleet, classes: &Classes) -> m::Settings {
     let limits = &share.limits;
     let span = |ms: u64| m::Span::from_ms(ms as f64);
-    let class = |class: &Class| m::Class {
-        worth: class.worth,
-        promise: span(class.wanted_ms),
-        give_up: span(class.give_up_ms),
+    let class = |class: &Class| m::MessageClass {
+        priority_weight: class.worth,
+        latency_objective: span(class.wanted_ms),
+        deadline: span(class.give_up_ms),
         late_value: class.late_value,
-        effect: match class.repeats {
-            Repeats::Free => m::Effect::Pure,
-            Repeats::Never => m::Effect::SideEffect,
-            Repeats::Keyed => {
-                m::Effect::Token { scope: m::Scope::All, window: span(class.window_ms.unwrap_or_default()) }
-            }
+        idempotency: match class.repeats {
+            Repeats::Free => m::Idempotency::Idempotent,
+            Repeats::Never => m::Idempotency::NonIdempotent,
+            Repeats::Keyed => m::Idempotency::IdempotencyKey {
+                scope: m::DeduplicationScope::All,
+                window: span(class.window_ms.unwrap_or_default()),
+            },
         },
         ordered: false,
     };
     m::Settings {
         classes: classes.0.iter().map(|(_, known)| class(known)).collect(),
-        kinds: vec![m::Kind { apart: false, per_call: 1 }],
-        tolls: vec![0.0],
-        late: m::LateForm::Line,
-        caps: m::Caps {
-            slots: limits.slots,
-            max_open: limits.max_open,
+        kinds: vec![m::DestinationKind { separate_routes: false, max_batch: 1 }],
+        zone_fees: vec![0.0],
+        value_decay: m::ValueDecay::Linear,
+        limits: m::Limits {
+            max_in_flight: limits.slots,
+            max_pending: limits.max_open,
             max_attempts: limits.max_attempts,
-            streams_per_conn: 1,
-            conn_idle: span(limits.idle_ms),
+            streams_per_connection: 1,
+            idle_timeout: span(limits.idle_ms),
             max_retry_after: span(limits.retry_after_ms),
-            may_cancel: true,
-            probes: false,
+            cancellation_allowed: true,
+            health_checks_allowed: false,
         },
         // What a returning partner bears, as the service's rules have it.
         rules: m::Rules {
-            cold_from: 0.27,
-            cold: span(10_000),
-            fall_multiple: 1.5,
-            tip_after: span(2000),
+            ramp_start: 0.27,
+            ramp_duration: span(10_000),
+            overload_factor: 1.5,
+            overload_window: span(2000),
             ..m::Rules::default()
         },
-        weights: m::Weights::Rough,
-        couriers: share.couriers,
-        tick: span(5),
+        rate_hints: m::RateHints::Approximate,
+        instances: share.couriers,
+        min_batch_interval: span(5),
         ..m::Settings::default()
     }
 }
--- a/crates/control-plane/src/file.rs
+++ b/crates/control-plane/src/file.rs
@@ -5,7 +5,7 @@
 
 pub use group::{Group, Member, OnCut};
 
-use marblefall_delivery::front::cloudevents::event::Mode;
+use marblefall_delivery::frontend::cloudevents::event::Mode;
 use marblefall_endpoint_lists::{Standing, Terms};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/control-plane/src/group.rs
+++ b/crates/control-plane/src/group.rs
@@ -61,7 +61,9 @@
     /// Where its files cannot be read, or do not fit each other.
     pub fn read(home: &Path) -> Result<Option<Membership>, String> {
         let path = file(home, MEMBER);
-        let Some(name) = read(&path)? else { return Ok(None) };
+        let Some(name) = read(&path)? else {
+            return Ok(None);
+        };
         let name = String::from_utf8_lossy(&name).trim().to_owned();
         let founded = file(home, FOUNDING);
         let founding = read(&founded)?;
@@ -128,7 +130,9 @@
 /// What a change may not touch, as members could not agree on it while it changes: all of the group but which instances its
 /// members run.
 fn same_group(old: &Group, new: Option<&Group>) -> Result<(), String> {
-    let Some(new) = new else { return Err("the file has no [group] any more".to_owned()) };
+    let Some(new) = new else {
+        return Err("the file has no [group] any more".to_owned());
+    };
     let fixed = |group: &Group| {
         let mut group = group.clone();
         group.members.values_mut().for_each(|member| member.instances.clear());
--- a/crates/control-plane/src/group/drive.rs
+++ b/crates/control-plane/src/group/drive.rs
@@ -11,9 +11,9 @@
 use marblefall_coordination::seat::{fresh, Do, Frame, Reply, Seat, Setup};
 use marblefall_coordination::store::Kept;
 use marblefall_coordination::words::{Life, Member, Policy, Proposal, Revision};
-use marblefall_delivery::core::Stamp;
-use marblefall_delivery::daemon::Clock;
-use marblefall_delivery::gate::{Gate, Standing};
+use marblefall_delivery::core::Timestamp;
+use marblefall_delivery::instance::Clock;
+use marblefall_delivery::lease_guard::{GuardState, LeaseGuard};
 use marblefall_delivery::net::server::Spawner;
 use marblefall_delivery::say;
 use marblefall_scheduler::Time;
@@ -50,8 +50,8 @@
     home: PathBuf,
     seat: Seat,
     clock: Clock,
-    gate: Arc<Gate>,
-    shown: Option<(u64, Standing)>,
+    gate: Arc<LeaseGuard>,
+    shown: Option<(u64, GuardState)>,
     ways: BTreeMap<Member, Way>,
     events: Sender<Event>,
     checks: Sender<(Proposal, Result<(), String>)>,
@@ -78,7 +78,7 @@
         self,
         home: &Path,
         listen: Option<SocketAddr>,
-        gate: Arc<Gate>,
+        gate: Arc<LeaseGuard>,
         tasks: &Spawner,
     ) -> Result<Receiver<News>, String> {
         if let Some(warning) = self.group.warning() {
@@ -162,13 +162,13 @@
     async fn run(mut self, heard: Receiver<Event>, checked: Receiver<(Proposal, Result<(), String>)>) {
         loop {
             let (now, mut todo) = (self.clock.now(), Vec::new());
-            self.seat.tick(now.mono, now.unix_ms, &mut todo);
+            self.seat.tick(now.monotonic, now.unix_ms, &mut todo);
             self.carry_out(todo);
             self.forget_unanswered();
             if let Some((revision, policy)) = self.untaken.take() {
                 self.take_up(revision, &policy);
             }
-            let wake = self.clock.instant(self.seat.wakes(self.clock.now().mono));
+            let wake = self.clock.instant(self.seat.wakes(self.clock.now().monotonic));
             let wake =
                 self.asked.values().map(|(since, _)| *since + ANSWER).chain([wake]).min().unwrap_or(wake);
             let event = async { heard.recv().await.map_or(Input::Woken, Input::Event) };
@@ -192,7 +192,7 @@
     }
 
     fn take(&mut self, input: Input) {
-        let Stamp { mono: now, unix_ms } = self.clock.now();
+        let Timestamp { monotonic: now, unix_ms } = self.clock.now();
         let mut todo = Vec::new();
         match input {
             Input::Event(Event::Frame(from, frame)) => self.seat.hear(now, unix_ms, from, frame, &mut todo),
@@ -210,17 +210,17 @@
 
     /// The gate first: what is said below may rest on nobody acting any more.
     fn show(&mut self) {
-        let now = self.clock.now().mono;
+        let now = self.clock.now().monotonic;
         let standing = match (self.seat.may_act(now), self.seat.until()) {
-            (Some(_), Some(until)) => Standing::Open(until.map(|at| self.clock.instant(at))),
-            _ if self.seat.is_still(now) => Standing::Still,
-            _ => Standing::Shut,
+            (Some(_), Some(until)) => GuardState::Open(until.map(|at| self.clock.instant(at))),
+            _ if self.seat.is_still(now) => GuardState::Suspended,
+            _ => GuardState::Closed,
         };
         let revision = self.seat.view().0.unwrap_or_default().0;
         if self.shown == Some((revision, standing)) {
             return;
         }
-        let kind = |standing: Standing| matches!(standing, Standing::Open(_));
+        let kind = |standing: GuardState| matches!(standing, GuardState::Open(_));
         let news = self.shown.is_none_or(|(had, was)| had != revision || kind(was) != kind(standing));
         self.gate.set(revision, standing);
         self.shown = Some((revision, standing));
@@ -232,8 +232,8 @@
 
     fn standing(&self) -> &'static str {
         match self.shown {
-            Some((_, Standing::Open(until))) if until.is_none_or(|until| Instant::now() < until) => "acts",
-            Some((_, Standing::Still)) => "still",
+            Some((_, GuardState::Open(until))) if until.is_none_or(|until| Instant::now() < until) => "acts",
+            Some((_, GuardState::Suspended)) => "still",
             _ => "shut",
         }
     }
@@ -263,7 +263,7 @@
         }
         for frame in own {
             let (now, mut todo) = (self.clock.now(), Vec::new());
-            self.seat.hear(now.mono, now.unix_ms, self.membership.me, frame, &mut todo);
+            self.seat.hear(now.monotonic, now.unix_ms, self.membership.me, frame, &mut todo);
             self.carry_out(todo);
         }
     }
@@ -362,11 +362,16 @@
     }
 
     fn answer(&mut self, token: u64, reply: Option<Reply>) {
-        let Some((_, answer)) = self.asked.remove(&token) else { return };
+        let Some((_, answer)) = self.asked.remove(&token) else {
+            return;
+        };
         let names = self.membership.names();
         let (has, leader) = self.seat.view();
         let leader = leader.and_then(|(member, at)| {
-            Some((names.get(member.0 as usize)?.clone(), (self.clock.now().mono - at).0.max(0) as u64 / 1000))
+            Some((
+                names.get(member.0 as usize)?.clone(),
+                (self.clock.now().monotonic - at).0.max(0) as u64 / 1000,
+            ))
         });
         let local = Local {
             member: self.membership.name.clone(),
--- a/crates/control-plane/src/group/link.rs
+++ b/crates/control-plane/src/group/link.rs
@@ -240,7 +240,9 @@
     }
     let write = async {
         loop {
-            let Ok(frame) = frames.recv().await else { return Ok(()) };
+            let Ok(frame) = frames.recv().await else {
+                return Ok(());
+            };
             let (count, since) = owed.get();
             owed.set((count + 1, since.or_else(|| Some(Instant::now()))));
             (&stream).write_all(&frame).await?;
@@ -276,7 +278,9 @@
     events: Sender<Event>,
     tasks: Spawner,
 ) {
-    let Ok(listener) = Async::new(listener) else { return };
+    let Ok(listener) = Async::new(listener) else {
+        return;
+    };
     let taken = Rc::new(Cell::new(0));
     loop {
         let Ok((stream, from)) = listener.accept().await else {
@@ -344,7 +348,9 @@
         if events.send(Event::Operator(request, answer)).await.is_err() {
             return Ok(());
         }
-        let Ok(told) = told.recv().await else { return Ok(()) };
+        let Ok(told) = told.recv().await else {
+            return Ok(());
+        };
         stream.write_all(&encode(&told)).await?;
     }
 }
--- a/crates/control-plane/src/listing.rs
+++ b/crates/control-plane/src/listing.rs
@@ -3,9 +3,11 @@
 
 use crate::file::{number_of, Class, Destination, Fleet, Group, Instance, Limits, RosterSource};
 use crate::plan::APPLIED;
-use marblefall_delivery::core::directory::{Directory, Entry, Full, Place};
-use marblefall_delivery::front::cloudevents::event::Mode;
-use marblefall_delivery::front::cloudevents::Target;
+use marblefall_delivery::core::destination_table::{
+    DestinationEntry, DestinationTable, EndpointEntry, TableError,
+};
+use marblefall_delivery::frontend::cloudevents::event::Mode;
+use marblefall_delivery::frontend::cloudevents::Target;
 use marblefall_endpoint_lists::{Book, Endpoint, Standing};
 use marblefall_scheduler::DestinationId;
 use serde::de::{Deserializer, Error, MapAccess, Visitor};
@@ -24,7 +26,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
     /// The destinations.
-    pub directory: Arc<Directory>,
+    pub destination_table: Arc<DestinationTable>,
     /// What their forms stand for.
     pub targets: Arc<Vec<Target>>,
 }
@@ -33,17 +35,17 @@
 struct Making {
     forms: HashMap<(Mode, String), u16>,
     targets: Vec<Target>,
-    directory: Directory,
+    destination_table: DestinationTable,
 }
 
 impl Making {
-    fn add(&mut self, name: &str, to: &Destination) -> Result<(), Full> {
-        let next = u16::try_from(self.targets.len()).map_err(|_| Full::Forms)?;
+    fn add(&mut self, name: &str, to: &Destination) -> Result<(), TableError> {
+        let next = u16::try_from(self.targets.len()).map_err(|_| TableError::Encodings)?;
         let form = *self.forms.entry((to.mode, to.path.clone())).or_insert_with(|| {
             self.targets.push(Target { mode: to.mode, path: to.path.clone() });
             next
         });
-        self.directory.add(entry(name, to, form), to.endpoints.iter().map(fixed))
+        self.destination_table.add(entry(name, to, form), to.endpoints.iter().map(fixed))
     }
 }
 
@@ -60,13 +62,16 @@
             }
 
             fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Listing, A::Error> {
-                let directory = Directory::roomy();
-                let mut making = Making { forms: HashMap::new(), targets: Vec::new(), directory };
+                let destination_table = DestinationTable::with_large_capacity();
+                let mut making = Making { forms: HashMap::new(), targets: Vec::new(), destination_table };
                 while let Some((name, to)) = map.next_entry::<String, Destination>()? {
                     making.add(&name, &to).map_err(A::Error::custom)?;
                 }
-                let Making { targets, directory, .. } = making;
-                Ok(Listing { directory: Arc::new(directory.settle()), targets: Arc::new(targets) })
+                let Making { targets, destination_table, .. } = making;
+                Ok(Listing {
+                    destination_table: Arc::new(destination_table.build()),
+                    targets: Arc::new(targets),
+                })
             }
         }
         from.deserialize_map(OneByOne)
@@ -110,9 +115,15 @@
     let LeanFleet { limits, classes, destinations, instances, elsewhere, roster, group } = fleet;
     let mut fleet = Fleet { limits, classes, instances, elsewhere, roster, group, ..Fleet::default() };
     if fleet.roster.is_some() {
-        let standing = |entry: &Entry<'_>| if entry.rostered { Standing::Rostered } else { Standing::Fixed };
+        let standing = |entry: &DestinationEntry<'_>| {
+            if entry.from_list {
+                Standing::Rostered
+            } else {
+                Standing::Fixed
+            }
+        };
         let partners =
-            destinations.directory.entries().map(|entry| (entry.name.to_owned(), standing(&entry)));
+            destinations.destination_table.entries().map(|entry| (entry.name.to_owned(), standing(&entry)));
         fleet.rostered = Some(partners.collect());
     }
     Ok((revision, fleet, destinations))
@@ -120,35 +131,46 @@
 
 impl Listing {
     /// The same with what the rosters in force say now.
-    pub fn with_rosters(&self, book: &Book) -> Result<Listing, Full> {
+    pub fn with_rosters(&self, book: &Book) -> Result<Listing, TableError> {
         let mut listed: HashMap<&str, Vec<&Endpoint>> = HashMap::new();
         for (to, endpoint) in book.endpoints() {
             listed.entry(to).or_default().push(endpoint);
         }
-        let mut directory = Directory::roomy();
-        for entry in self.directory.entries() {
-            match entry.rostered {
+        let mut destination_table = DestinationTable::with_large_capacity();
+        for entry in self.destination_table.entries() {
+            match entry.from_list {
                 true => {
                     let endpoints = listed.get(entry.name).into_iter().flatten();
-                    directory.add(entry, endpoints.map(|endpoint| rostered(endpoint)))?;
+                    destination_table.add(entry, endpoints.map(|endpoint| rostered(endpoint)))?;
                 }
-                false => directory.add(entry, self.directory.places(entry.number))?,
+                false => destination_table.add(entry, self.destination_table.endpoints(entry.id))?,
             }
         }
-        Ok(Listing { directory: Arc::new(directory.settle()), targets: self.targets.clone() })
+        Ok(Listing { destination_table: Arc::new(destination_table.build()), targets: self.targets.clone() })
     }
 }
 
-fn entry<'a>(name: &'a str, to: &Destination, form: u16) -> Entry<'a> {
+fn entry<'a>(name: &'a str, to: &Destination, form: u16) -> DestinationEntry<'a> {
     let number = DestinationId(number_of(name));
-    Entry { name, number, form, rate: to.rate as f32, rostered: to.endpoints.is_empty() }
+    DestinationEntry {
+        name,
+        id: number,
+        encoding: form,
+        rate: to.rate as f32,
+        from_list: to.endpoints.is_empty(),
+    }
 }
 
-fn fixed(endpoint: &crate::file::Endpoint) -> Place<'_> {
-    Place { name: &endpoint.name, address: endpoint.address, weight: None, serves: !endpoint.draining }
+fn fixed(endpoint: &crate::file::Endpoint) -> EndpointEntry<'_> {
+    EndpointEntry {
+        name: &endpoint.name,
+        address: endpoint.address,
+        weight: None,
+        active: !endpoint.draining,
+    }
 }
 
-fn rostered(endpoint: &Endpoint) -> Place<'_> {
+fn rostered(endpoint: &Endpoint) -> EndpointEntry<'_> {
     let (address, weight) = (endpoint.address, Some(endpoint.weight as f32));
-    Place { name: &endpoint.name, address, weight, serves: endpoint.serves() }
+    EndpointEntry { name: &endpoint.name, address, weight, active: endpoint.serves() }
 }
--- a/crates/control-plane/src/supervise.rs
+++ b/crates/control-plane/src/supervise.rs
@@ -11,9 +11,9 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use futures_lite::future;
-use marblefall_delivery::core::engine::Proposed;
-use marblefall_delivery::daemon::{self, Command, LEAVE};
-use marblefall_delivery::gate::Gate;
+use marblefall_delivery::core::engine::ProposedPolicy;
+use marblefall_delivery::instance::{self, InstanceCommand, SHUTDOWN_TIMEOUT};
+use marblefall_delivery::lease_guard::LeaseGuard;
 use marblefall_delivery::net::server::Spawner;
 use marblefall_delivery::say;
 use marblefall_scheduler::DestinationId;
@@ -39,7 +39,7 @@
     share: Fleet,
     revision: u64,
     classes: Classes,
-    commands: Sender<Command>,
+    commands: Sender<InstanceCommand>,
     done: Receiver<()>,
     told_to_end: bool,
 }
@@ -47,7 +47,7 @@
 /// Runs the fleet until the process is told to end. In a home that is a member of a group, all that its instances do under a
 /// policy is written to `history`, if that is given, and its link listens at `link` instead of the file's address.
 pub fn run(home: &Path, history: Option<&Path>, link: Option<SocketAddr>) -> Result<(), String> {
-    let signals = daemon::signals()?;
+    let signals = instance::signals()?;
     let early = (applied_at(home), listing::read(home)?);
     let member = group::Membership::read(home)?;
     // Two daemons over one folder would write into each other's journals.
@@ -56,7 +56,7 @@
         .map_err(|error| format!("{}: another daemon runs this fleet ({error})", home.display()))?;
     let (commands, told) = async_channel::unbounded();
     let tasks = Rc::new(LocalExecutor::new());
-    tasks.spawn(daemon::watch_signals(signals, commands)).detach();
+    tasks.spawn(instance::watch_signals(signals, commands)).detach();
     let common = match member {
         None => None,
         Some(member) => {
@@ -64,7 +64,7 @@
                 let file = std::fs::File::options().create(true).append(true).open(path);
                 file.map_err(|error| format!("{}: {error}", path.display()))
             });
-            let gate = Arc::new(Gate::new(history.transpose()?));
+            let gate = Arc::new(LeaseGuard::new(history.transpose()?));
             let (name, news) =
                 (member.name.clone(), member.start(home, link, gate.clone(), &Spawner::new(&tasks))?);
             Some(Common { member: name, gate, news })
@@ -77,7 +77,7 @@
 /// What this daemon has in common with others of its group.
 struct Common {
     member: String,
-    gate: Arc<Gate>,
+    gate: Arc<LeaseGuard>,
     news: Receiver<News>,
 }
 
@@ -87,7 +87,7 @@
 /// Asks all instances that run whether a proposed policy has room for what they hold.
 async fn fits(
     fleet: Fleet,
-    asked: Vec<(String, Sender<Command>, Proposed)>,
+    asked: Vec<(String, Sender<InstanceCommand>, ProposedPolicy)>,
     gone: Vec<String>,
 ) -> Result<(), String> {
     if let Some(name) = gone.first() {
@@ -95,12 +95,15 @@
     }
     for (name, commands, proposed) in asked {
         let (answer, said) = async_channel::bounded(1);
-        let _ = commands.try_send(Command::Fits(proposed, answer));
-        let verdict = future::or(async { said.recv().await.ok() }, async {
+        let _ = commands.try_send(InstanceCommand::CheckPolicy(proposed, answer));
+        let answered = future::or(async { said.recv().await.ok() }, async {
             Timer::after(FITS).await;
             None
         });
-        let verdict = verdict.await.unwrap_or_else(|| Err("does not answer".to_owned()));
+        let verdict = match answered.await {
+            Some(verdict) => verdict.map_err(|mismatch| mismatch.to_string()),
+            None => Err("does not answer".to_owned()),
+        };
         // One that leaves the fleet ends what it holds within its time, as always.
         if fleet.instances.contains_key(&name) {
             verdict.map_err(|why| format!("instance {name}: {why}"))?;
@@ -117,7 +120,7 @@
 /// Runs the fleet; `early` is what was read before, and when it had changed by then.
 async fn supervise(
     home: &Path,
-    told: Receiver<Command>,
+    told: Receiver<InstanceCommand>,
     early: (Option<SystemTime>, (u64, Fleet, Listing)),
     common: Option<Common>,
 ) {
@@ -137,7 +140,9 @@
             match news {
                 // It is read from the folder, where it was just put.
                 News::TakenUp => seen = None,
-                News::Look => running.values().for_each(|one| drop(one.commands.try_send(Command::Look))),
+                News::Look => running
+                    .values()
+                    .for_each(|one| drop(one.commands.try_send(InstanceCommand::LeaseChanged))),
                 News::Check(proposed, answer) => {
                     let destinations: BTreeSet<_> =
                         proposed.destinations.keys().map(|name| DestinationId(number_of(name))).collect();
@@ -146,7 +151,11 @@
                         let share = proposed.share_of(name);
                         let max_open = share.map_or(usize::MAX, |share| share.limits.max_open);
                         let (classes, destinations) = (classes.clone(), destinations.clone());
-                        (name.clone(), one.commands.clone(), Proposed { classes, destinations, max_open })
+                        (
+                            name.clone(),
+                            one.commands.clone(),
+                            ProposedPolicy { classes, destinations, max_open },
+                        )
                     });
                     let asked = asked.collect();
                     let ours = fleet.instances.keys().filter(|name| runs(&common, &fleet, name));
@@ -169,7 +178,9 @@
                         Some(watch) => watch.hold_to(&fleet),
                         None if fleet.roster.is_some() => match Watch::start(home, &fleet) {
                             Ok(watch) => rosters = Some(watch),
-                            Err(cause) => say!(code = "no-rosters", "rosters are not watched: {cause}"),
+                            Err(cause) => {
+                                say!(code = "no-rosters", "rosters are not watched: {cause}")
+                            }
                         },
                         None => {}
                     }
@@ -178,7 +189,7 @@
             }
         }
         while let Ok(command) = told.try_recv() {
-            if matches!(command, Command::Reread) {
+            if matches!(command, InstanceCommand::ReloadConfig) {
                 // Looked at again even if its time of change is the same.
                 seen = None;
                 rosters.iter().for_each(Watch::look);
@@ -186,9 +197,9 @@
             }
             for one in running.values_mut() {
                 let _ = one.commands.try_send(command.clone());
-                one.told_to_end |= matches!(command, Command::Stop { .. });
+                one.told_to_end |= matches!(command, InstanceCommand::Shutdown { .. });
             }
-            ending |= matches!(command, Command::Stop { .. });
+            ending |= matches!(command, InstanceCommand::Shutdown { .. });
         }
         moved |= rosters.as_ref().is_some_and(|watch| watch.news.try_recv().is_ok());
         if std::mem::take(&mut moved) {
@@ -208,11 +219,13 @@
                     let (name, share, classes) = (name.clone(), one.share.clone(), one.classes.clone());
                     let listing = listing.clone();
                     let to = move || build::switch(revision, &name, &share, &classes, &listing);
-                    let _ = one.commands.try_send(Command::Switch(Arc::new(to)));
+                    let _ = one.commands.try_send(InstanceCommand::UpdatePolicy(Arc::new(to)));
                     continue;
                 }
-                let (directory, targets) = (listing.directory.clone(), listing.targets.clone());
-                let _ = one.commands.try_send(Command::Listing(directory, targets));
+                let (destination_table, targets) =
+                    (listing.destination_table.clone(), listing.targets.clone());
+                let _ =
+                    one.commands.try_send(InstanceCommand::ReplaceDestinations(destination_table, targets));
             }
         }
         running.retain(|name, one| {
@@ -232,8 +245,9 @@
                 if share.as_ref() != Some(&one.share) {
                     let goes_on = share.is_some();
                     say!("{name}: {}", if goes_on { "takes up a change" } else { "leaves the fleet" });
-                    let left = if goes_on { HAND_OVER } else { LEAVE };
-                    let _ = one.commands.try_send(Command::Stop { left, goes_on });
+                    let left = if goes_on { HAND_OVER } else { SHUTDOWN_TIMEOUT };
+                    let _ =
+                        one.commands.try_send(InstanceCommand::Shutdown { timeout: left, restart: goes_on });
                     one.told_to_end = true;
                 }
             }
@@ -248,7 +262,9 @@
                 if running.contains_key(name) || waits {
                     continue;
                 }
-                let Some(share) = fleet.share_of(name) else { continue };
+                let Some(share) = fleet.share_of(name) else {
+                    continue;
+                };
                 let held = common.as_ref().map(|common| (common.gate.clone(), revision));
                 match start(home, name, &share, &listing, held, &mut listeners) {
                     Ok(one) => drop(running.insert(name.clone(), one)),
@@ -296,7 +312,7 @@
     name: &str,
     share: &Fleet,
     listing: &Listing,
-    held: Option<(Arc<Gate>, u64)>,
+    held: Option<(Arc<LeaseGuard>, u64)>,
     listeners: &mut Listeners,
 ) -> Result<Running, String> {
     let revision = held.as_ref().map_or(0, |held| held.1);
@@ -320,9 +336,9 @@
     let body = move || {
         // Dropped with the thread, also when it panics: the other instances go on.
         let _alive = alive;
-        let _span = daemon::instance_span(&said).entered();
+        let _span = instance::instance_span(&said).entered();
         let tasks = Rc::new(LocalExecutor::new());
-        let ended = async_io::block_on(tasks.run(daemon::instance(build, told, Spawner::new(&tasks))));
+        let ended = async_io::block_on(tasks.run(instance::run_instance(build, told, Spawner::new(&tasks))));
         if let Err(cause) = ended {
             say!(code = "failed", "{cause}");
         }
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -101,7 +101,9 @@
 
     /// Members whose word the open change waits for.
     pub fn waits_for(&self, now: Time) -> Vec<Member> {
-        let Some(open) = &self.open else { return Vec::new() };
+        let Some(open) = &self.open else {
+            return Vec::new();
+        };
         let said = |known: &Known| match open.stage {
             Stage::Checking => known.checked == Some(open.proposal),
             Stage::Stopping => known.still == Some(open.proposal),
@@ -168,7 +170,9 @@
 
     /// A member has spoken.
     pub fn hear(&mut self, now: Time, from: Member, word: ToLeader, todo: &mut Vec<Do>) {
-        let Some(known) = self.members.get_mut(&from) else { return };
+        let Some(known) = self.members.get_mut(&from) else {
+            return;
+        };
         match word {
             ToLeader::Ask { life, asked, has } => {
                 // One that was still and asks may have been started anew: only the outcome lets it go on.
@@ -244,7 +248,9 @@
 
     /// Time has passed: moves the change on, and says again what was not answered.
     pub fn tick(&mut self, now: Time, todo: &mut Vec<Do>) {
-        let Some(open) = self.open.as_mut() else { return };
+        let Some(open) = self.open.as_mut() else {
+            return;
+        };
         let proposal = open.proposal;
         let waited = now - open.since;
         match open.stage {
--- a/crates/coordination/src/seat.rs
+++ b/crates/coordination/src/seat.rs
@@ -329,7 +329,9 @@
         todo: &mut Vec<Do>,
         act: impl FnOnce(&mut Leader, &mut Vec<leader::Do>),
     ) {
-        let Some(leader) = &mut self.leader else { return };
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
         let epoch = leader.epoch();
         let (mut words, mut out) = (Vec::new(), Vec::new());
         act(leader, &mut words);
@@ -395,7 +397,9 @@
     }
 
     fn propose(&mut self, now: Time, unix_ms: i64, policy: Policy, author: Author, todo: &mut Vec<Do>) {
-        let Some(Ok(proposal)) = self.leader.as_ref().map(Leader::next_proposal) else { return };
+        let Some(Ok(proposal)) = self.leader.as_ref().map(Leader::next_proposal) else {
+            return;
+        };
         self.proposed = true;
         let entry = Entry::Proposed(proposal, policy, author);
         self.lead(now, unix_ms, todo, |_, words| words.push(leader::Do::Append(entry)));
@@ -478,9 +482,13 @@
 
 fn told(entry: &Entry) -> String {
     match entry {
-        Entry::Proposed(proposal, _, author) => format!("change {} is proposed by {}", proposal.0, author.by),
+        Entry::Proposed(proposal, _, author) => {
+            format!("change {} is proposed by {}", proposal.0, author.by)
+        }
         Entry::InForce(proposal) => format!("change {} is in force", proposal.0),
-        Entry::Withdrawn(proposal, reason) => format!("change {} is withdrawn: {reason}", proposal.0),
+        Entry::Withdrawn(proposal, reason) => {
+            format!("change {} is withdrawn: {reason}", proposal.0)
+        }
         Entry::Without(member) => format!("member {} is stopped, by an operator's word", member.0),
         Entry::Back(member) => format!("member {} is back", member.0),
     }
--- a/crates/coordination/src/voter.rs
+++ b/crates/coordination/src/voter.rs
@@ -348,7 +348,9 @@
     }
 
     fn confirm(&mut self, now: Time, out: &mut Vec<Out>) {
-        let Some((epoch, true)) = self.begun else { return };
+        let Some((epoch, true)) = self.begun else {
+            return;
+        };
         if now < self.next_confirm {
             return;
         }
--- a/crates/coordination/src/voter/folder.rs
+++ b/crates/coordination/src/voter/folder.rs
@@ -52,7 +52,9 @@
         of: (Incarnation, u64),
         out: &mut Vec<Out>,
     ) {
-        let Part::Asking(heard) = &mut self.part else { return };
+        let Part::Asking(heard) = &mut self.part else {
+            return;
+        };
         let mut kept = self.store.kept.borrow_mut();
         if of.0 != kept.incarnation || of.1 > kept.stand {
             let why =
@@ -154,7 +156,9 @@
 
     pub(super) fn note_stand(&mut self, from: Member, stand: u64, message: &Message<Line>) {
         let mut kept = self.store.kept.borrow_mut();
-        let Some(known) = kept.seen.get_mut(&from).filter(|known| known.1 < stand) else { return };
+        let Some(known) = kept.seen.get_mut(&from).filter(|known| known.1 < stand) else {
+            return;
+        };
         known.1 = stand;
         // What a majority rests on must be known of those who make it up, also after this voter's own death.
         let rests = matches!(message, Message::SequencePaxos(word)
--- a/crates/coordination/tests/seats.rs
+++ b/crates/coordination/tests/seats.rs
@@ -175,7 +175,9 @@
 
     fn with(&mut self, member: Member, act: impl FnOnce(&mut Seat, Time, &mut Vec<Do>)) {
         let (now, mut todo) = (self.clock(member), Vec::new());
-        let Some(seat) = self.places.get_mut(&member).and_then(|place| place.seat.as_mut()) else { return };
+        let Some(seat) = self.places.get_mut(&member).and_then(|place| place.seat.as_mut()) else {
+            return;
+        };
         act(seat, now, &mut todo);
         self.carry_out(member, todo);
     }
@@ -234,8 +236,12 @@
     /// A folder that does not have a writing which was spoken of, and cannot tell.
     fn stale(&mut self, member: Member, spoken: &[u8]) {
         let place = self.places.get_mut(&member).unwrap();
-        let (Some(old), Ok(new)) = (&place.disk, Kept::decode(spoken, NAME)) else { return };
-        let Ok(mut old) = Kept::decode(old, NAME) else { return };
+        let (Some(old), Ok(new)) = (&place.disk, Kept::decode(spoken, NAME)) else {
+            return;
+        };
+        let Ok(mut old) = Kept::decode(old, NAME) else {
+            return;
+        };
         old.stand = new.stand + 1_000_000;
         place.disk = Some(old.encode());
     }
@@ -255,7 +261,9 @@
         for member in members {
             let now = self.clock(member);
             let place = &self.places[&member];
-            let Some(seat) = place.seat.as_ref().filter(|_| place.paused_until <= self.now) else { continue };
+            let Some(seat) = place.seat.as_ref().filter(|_| place.paused_until <= self.now) else {
+                continue;
+            };
             let may = seat.may_act(now);
             let acts = match self.broken {
                 Broken::ServesOn if !seat.is_still(now) => may.or(place.acted),
--- a/crates/coordination/tests/switch.rs
+++ b/crates/coordination/tests/switch.rs
@@ -166,7 +166,9 @@
         let mut todo = Vec::new();
         let place = self.places.get_mut(&member).unwrap();
         let now = place.clock(self.now);
-        let Some(state) = &mut place.state else { return };
+        let Some(state) = &mut place.state else {
+            return;
+        };
         act(state, now, &mut todo);
         for todo in todo {
             match todo {
@@ -282,7 +284,9 @@
 
     /// A no that reaches the leader before it decides must withdraw the change.
     fn hear_no(&mut self, word: &ToLeader) {
-        let ToLeader::Checked(proposal, Err(_)) = word else { return };
+        let ToLeader::Checked(proposal, Err(_)) = word else {
+            return;
+        };
         let decided = |(.., entry): &(i64, Epoch, Entry)| *entry == Entry::InForce(*proposal);
         let latest = self.leaders.last().filter(|_| !self.deposed);
         let open = latest.and_then(|leader| leader.standing().1) == Some(*proposal);
--- /dev/null
+++ b/crates/delivery/src/core/destination_table.rs
@@ -0,0 +1,279 @@
+//! All destinations and their endpoints, packed: most are silent for hours, and thousands must cost little memory.
+//!
+//! A table is built once and read only; all instances of a process share it, and another one takes its place when
+//! something changes. What an instance learns of a destination is not here.
+
+use super::endpoint::ListedEndpoint;
+use marblefall_scheduler::{DestinationId, EndpointStatus, KindId, ZoneId};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+/// Destinations that [`DestinationTable::with_large_capacity`] has room for. Unused room is given back by
+/// [`DestinationTable::build`] and costs nothing until then; grown little by little, the lists would leave as much
+/// behind in the allocator as they hold.
+const LARGE_CAPACITY: usize = 1 << 18;
+/// Bytes of names for each of them.
+const NAME_BYTES: usize = 32;
+
+/// An endpoint of a destination in the table.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EndpointEntry<'a> {
+    /// A name that stays the same when its address changes.
+    pub name: &'a str,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its share of the destination's calls relative to the other endpoints' weights, where weights are given.
+    pub weight: Option<f32>,
+    /// Whether it gets anything new; otherwise it is draining.
+    pub active: bool,
+}
+
+/// A destination in the table.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DestinationEntry<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its id in the core.
+    pub id: DestinationId,
+    /// How its frontend encodes an attempt; a number of the frontend's own.
+    pub encoding: u16,
+    /// Calls per second that it accepts from all instances together.
+    pub rate: f32,
+    /// Whether its endpoints come from an endpoint list. Their names are then the destination's and their own, joined.
+    pub from_list: bool,
+}
+
+/// Why a destination cannot be added.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+pub enum TableError {
+    /// A name is longer than 65,535 bytes, or all together than 4 GB.
+    #[error("names take too much room")]
+    Names,
+    /// More than 65,535 ways to encode an attempt.
+    #[error("too many encodings of attempts")]
+    Encodings,
+    /// A destination has more than 65,535 endpoints.
+    #[error("{0} has too many endpoints")]
+    Endpoints(String),
+}
+
+/// All destinations.
+#[derive(Clone, Debug, Default)]
+pub struct DestinationTable {
+    /// All names, one behind the other.
+    names: String,
+    /// Sorted by id once the table is built.
+    destinations: Vec<PackedDestination>,
+    /// Those of one destination side by side.
+    endpoints: Vec<PackedEndpoint>,
+    ipv6_addresses: Vec<IpAddr>,
+}
+
+/// Where a name stands among all names.
+#[derive(Clone, Copy, Debug)]
+struct NameRange {
+    start: u32,
+    len: u16,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PackedDestination {
+    id: u64,
+    name: NameRange,
+    encoding: u16,
+    rate: f32,
+    first_endpoint: u32,
+    endpoint_count: u16,
+    from_list: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PackedEndpoint {
+    name: NameRange,
+    port: u16,
+    /// An IPv4 address, or the index of an IPv6 one.
+    ip: u32,
+    /// NaN where there is none.
+    weight: f32,
+    is_ipv6: bool,
+    active: bool,
+}
+
+impl DestinationTable {
+    /// An empty table with room for many destinations.
+    pub fn with_large_capacity() -> DestinationTable {
+        DestinationTable {
+            names: String::with_capacity(NAME_BYTES * LARGE_CAPACITY),
+            destinations: Vec::with_capacity(LARGE_CAPACITY),
+            endpoints: Vec::with_capacity(LARGE_CAPACITY),
+            ipv6_addresses: Vec::new(),
+        }
+    }
+
+    /// Adds a destination; all of them before [`DestinationTable::build`].
+    ///
+    /// # Errors
+    /// A number of the packed form does not suffice.
+    pub fn add<'a>(
+        &mut self,
+        entry: DestinationEntry<'_>,
+        endpoints: impl Iterator<Item = EndpointEntry<'a>>,
+    ) -> Result<(), TableError> {
+        let name = self.add_name(entry.name)?;
+        let first_endpoint = self.endpoints.len();
+        for endpoint in endpoints {
+            self.add_endpoint(&endpoint)?;
+        }
+        let endpoint_count = u16::try_from(self.endpoints.len() - first_endpoint)
+            .map_err(|_| TableError::Endpoints(entry.name.to_owned()))?;
+        self.destinations.push(PackedDestination {
+            id: entry.id.0,
+            name,
+            encoding: entry.encoding,
+            rate: entry.rate,
+            first_endpoint: first_endpoint as u32,
+            endpoint_count,
+            from_list: entry.from_list,
+        });
+        Ok(())
+    }
+
+    fn add_endpoint(&mut self, endpoint: &EndpointEntry<'_>) -> Result<(), TableError> {
+        let name = self.add_name(endpoint.name)?;
+        let (ip, is_ipv6) = match endpoint.address.ip() {
+            IpAddr::V4(ip) => (ip.to_bits(), false),
+            ip => {
+                self.ipv6_addresses.push(ip);
+                (self.ipv6_addresses.len() as u32 - 1, true)
+            }
+        };
+        self.endpoints.push(PackedEndpoint {
+            name,
+            port: endpoint.address.port(),
+            ip,
+            weight: endpoint.weight.unwrap_or(f32::NAN),
+            is_ipv6,
+            active: endpoint.active,
+        });
+        Ok(())
+    }
+
+    fn add_name(&mut self, text: &str) -> Result<NameRange, TableError> {
+        let start = u32::try_from(self.names.len()).map_err(|_| TableError::Names)?;
+        let len = u16::try_from(text.len()).map_err(|_| TableError::Names)?;
+        self.names.push_str(text);
+        Ok(NameRange { start, len })
+    }
+
+    /// Makes the table ready to be read, and gives back the room that it does not need.
+    pub fn build(mut self) -> DestinationTable {
+        self.destinations.sort_unstable_by_key(|destination| destination.id);
+        self.names.shrink_to_fit();
+        self.destinations.shrink_to_fit();
+        self.endpoints.shrink_to_fit();
+        self
+    }
+
+    /// How many destinations there are.
+    pub fn len(&self) -> usize {
+        self.destinations.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.destinations.is_empty()
+    }
+
+    /// Bytes that it holds.
+    pub fn bytes(&self) -> usize {
+        self.destinations.capacity() * size_of::<PackedDestination>()
+            + self.endpoints.capacity() * size_of::<PackedEndpoint>()
+            + self.ipv6_addresses.capacity() * size_of::<IpAddr>()
+            + self.names.capacity()
+    }
+
+    /// A destination by its id.
+    pub fn entry(&self, id: DestinationId) -> Option<DestinationEntry<'_>> {
+        self.find(id).map(|packed| self.unpack(packed))
+    }
+
+    /// All destinations, by their ids.
+    pub fn entries(&self) -> impl Iterator<Item = DestinationEntry<'_>> {
+        self.destinations.iter().map(|packed| self.unpack(packed))
+    }
+
+    /// The endpoints of a destination; none where it is unknown.
+    pub fn endpoints(&self, id: DestinationId) -> impl Iterator<Item = EndpointEntry<'_>> {
+        let packed = self.find(id).map(|destination| {
+            let first = destination.first_endpoint as usize;
+            let end = first + usize::from(destination.endpoint_count);
+            self.endpoints.get(first..end).unwrap_or_default()
+        });
+        packed.unwrap_or_default().iter().map(|packed| self.unpack_endpoint(packed))
+    }
+
+    /// The endpoints of a destination in the core's form; none where it is unknown.
+    pub fn listed_endpoints(&self, id: DestinationId) -> Vec<ListedEndpoint> {
+        let Some(destination) = self.entry(id) else {
+            return Vec::new();
+        };
+        let endpoints = self.endpoints(id);
+        endpoints.map(|endpoint| listed_endpoint(&destination, &endpoint)).collect()
+    }
+
+    fn find(&self, id: DestinationId) -> Option<&PackedDestination> {
+        let index = self.destinations.binary_search_by_key(&id.0, |destination| destination.id).ok()?;
+        self.destinations.get(index)
+    }
+
+    fn text(&self, name: NameRange) -> &str {
+        let start = name.start as usize;
+        self.names.get(start..start + usize::from(name.len)).unwrap_or_default()
+    }
+
+    fn unpack(&self, packed: &PackedDestination) -> DestinationEntry<'_> {
+        DestinationEntry {
+            name: self.text(packed.name),
+            id: DestinationId(packed.id),
+            encoding: packed.encoding,
+            rate: packed.rate,
+            from_list: packed.from_list,
+        }
+    }
+
+    fn unpack_endpoint(&self, packed: &PackedEndpoint) -> EndpointEntry<'_> {
+        let ip = if packed.is_ipv6 {
+            let ipv6 = self.ipv6_addresses.get(packed.ip as usize).copied();
+            ipv6.unwrap_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED))
+        } else {
+            IpAddr::V4(Ipv4Addr::from_bits(packed.ip))
+        };
+        EndpointEntry {
+            name: self.text(packed.name),
+            address: SocketAddr::new(ip, packed.port),
+            weight: Some(packed.weight).filter(|weight| !weight.is_nan()),
+            active: packed.active,
+        }
+    }
+}
+
+fn listed_endpoint(destination: &DestinationEntry<'_>, endpoint: &EndpointEntry<'_>) -> ListedEndpoint {
+    let name = if destination.from_list {
+        format!("{}/{}", destination.name, endpoint.name)
+    } else {
+        endpoint.name.to_owned()
+    };
+    let status = if endpoint.active { EndpointStatus::Active } else { EndpointStatus::Draining };
+    ListedEndpoint {
+        name,
+        address: endpoint.address.to_string(),
+        destination: destination.id,
+        kind: KindId(0),
+        zone: ZoneId(0),
+        status,
+        advertised_rate: f64::from(destination.rate),
+        weight: endpoint.weight.map(f64::from).filter(|weight| *weight > 0.0),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/delivery/src/core/engine/endpoint_registry.rs
@@ -0,0 +1,142 @@
+//! The endpoints that the engine knows: their ids, their rows in the list, and which ones operators disabled.
+
+use super::EngineCommand;
+use crate::core::endpoint::ListedEndpoint;
+use marblefall_scheduler as m;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// What a list of endpoints stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ListScope {
+    /// All there are: what is not in it is removed.
+    Whole,
+    /// Those that changed.
+    Changes,
+}
+
+/// All endpoints that are listed or that a pending message was sent to.
+#[derive(Debug, Default)]
+pub(super) struct EndpointRegistry {
+    ids: HashMap<String, m::EndpointId>,
+    names: BTreeMap<m::EndpointId, String>,
+    next_id: u32,
+    /// Destinations that have had an endpoint.
+    destinations: BTreeSet<m::DestinationId>,
+    /// Endpoints as the list has them last, so that one disabled or enabled can be told anew.
+    listed: BTreeMap<m::EndpointId, ListedEndpoint>,
+    /// Names of the endpoints that operators disabled.
+    disabled: BTreeSet<String>,
+}
+
+impl EndpointRegistry {
+    /// The id of an endpoint, a new one where the name is unknown.
+    pub fn id_of(&mut self, name: &str) -> m::EndpointId {
+        if let Some(id) = self.ids.get(name) {
+            return *id;
+        }
+        let id = m::EndpointId(self.next_id);
+        self.next_id += 1;
+        self.ids.insert(name.to_owned(), id);
+        self.names.insert(id, name.to_owned());
+        id
+    }
+
+    /// The name of an endpoint.
+    pub fn name_of(&self, id: m::EndpointId) -> Option<&String> {
+        self.names.get(&id)
+    }
+
+    /// The list's row of an endpoint.
+    pub fn listed(&self, id: m::EndpointId) -> Option<&ListedEndpoint> {
+        self.listed.get(&id)
+    }
+
+    /// All rows of the list.
+    pub fn all_listed(&self) -> Vec<ListedEndpoint> {
+        self.listed.values().cloned().collect()
+    }
+
+    /// Whether a destination has had an endpoint.
+    pub fn has_destination(&self, id: m::DestinationId) -> bool {
+        self.destinations.contains(&id)
+    }
+
+    /// Forgets that a destination has had an endpoint.
+    pub fn forget_destination(&mut self, id: m::DestinationId) {
+        self.destinations.remove(&id);
+    }
+
+    /// Replaces the names of disabled endpoints; returns the listed endpoints that this changes.
+    pub fn set_disabled(&mut self, names: BTreeSet<String>) -> Vec<ListedEndpoint> {
+        let changed: Vec<String> = names.symmetric_difference(&self.disabled).cloned().collect();
+        self.disabled = names;
+        let ids = changed.iter().filter_map(|name| self.ids.get(name));
+        ids.filter_map(|id| self.listed.get(id).cloned()).collect()
+    }
+
+    /// Applies a list; returns what the scheduler is to be told.
+    pub fn apply(
+        &mut self,
+        endpoints: Vec<ListedEndpoint>,
+        scope: ListScope,
+        commands: &mut Vec<EngineCommand>,
+    ) -> Vec<m::EndpointUpdate> {
+        let updates: Vec<_> =
+            endpoints.into_iter().map(|endpoint| self.apply_one(endpoint, commands)).collect();
+        let is_listed = |update: &&m::EndpointUpdate| update.status != m::EndpointStatus::Removed;
+        let removed: Vec<m::EndpointId> = match scope {
+            ListScope::Whole => {
+                let kept: BTreeSet<_> =
+                    updates.iter().filter(is_listed).map(|update| update.endpoint).collect();
+                self.names.keys().copied().filter(|id| !kept.contains(id)).collect()
+            }
+            ListScope::Changes => {
+                let gone = updates.iter().filter(|update| !is_listed(update));
+                gone.map(|update| update.endpoint).collect()
+            }
+        };
+        for id in removed {
+            self.remove(id, commands);
+        }
+        updates
+    }
+
+    fn apply_one(
+        &mut self,
+        mut endpoint: ListedEndpoint,
+        commands: &mut Vec<EngineCommand>,
+    ) -> m::EndpointUpdate {
+        let id = self.id_of(&endpoint.name);
+        self.destinations.insert(endpoint.destination);
+        match endpoint.status {
+            m::EndpointStatus::Removed => drop(self.listed.remove(&id)),
+            m::EndpointStatus::Active | m::EndpointStatus::Draining => {
+                self.listed.insert(id, endpoint.clone());
+            }
+        }
+        if endpoint.status == m::EndpointStatus::Active && self.disabled.contains(&endpoint.name) {
+            endpoint.status = m::EndpointStatus::Draining;
+        }
+        let update = m::EndpointUpdate {
+            endpoint: id,
+            destination: endpoint.destination,
+            kind: endpoint.kind,
+            zone: endpoint.zone,
+            status: endpoint.status,
+            advertised_rate: endpoint.advertised_rate,
+            weight: endpoint.weight,
+        };
+        commands.push(EngineCommand::EndpointListed(id, endpoint));
+        update
+    }
+
+    /// Forgets an endpoint. Endpoints come under new names for as long as the process runs: what is removed must leave
+    /// nothing behind.
+    pub fn remove(&mut self, id: m::EndpointId, commands: &mut Vec<EngineCommand>) {
+        if let Some(name) = self.names.remove(&id) {
+            self.ids.remove(&name);
+        }
+        self.listed.remove(&id);
+        commands.push(EngineCommand::EndpointRemoved(id));
+    }
+}
--- /dev/null
+++ b/crates/delivery/src/core/snapshot/tests.rs
@@ -0,0 +1,31 @@
+//! The encoding of snapshots, cut and spoilt.
+
+use super::*;
+
+#[test]
+fn snapshot_is_read_whole_or_not_at_all() {
+    let record = |n: u64| DestinationRecord {
+        destination: n << 40,
+        ejected_since_ms: Some(-5).filter(|_| n.is_multiple_of(2)),
+        mean_latency_ms: Some(12.5),
+        baseline_rate: 0.25,
+        pending: 3,
+        active: n > 3,
+        ..DestinationRecord::default()
+    };
+    let records: Vec<DestinationRecord> = (0..20).map(record).collect();
+    let bytes = encode(&records);
+    assert_eq!(decode(&bytes), Ok(records));
+    // A write that stopped at any byte, and a byte that was spoilt.
+    for cut in 0..bytes.len() {
+        assert!(decode(&bytes[..cut]).is_err(), "cut at {cut}");
+        let mut spoilt = bytes.clone();
+        spoilt[cut] ^= 0x10;
+        assert!(decode(&spoilt).is_err(), "spoilt at {cut}");
+    }
+    let mut newer = bytes.clone();
+    newer[4] = 2;
+    assert_eq!(decode(&newer), Err(SnapshotError::Version(2)));
+    assert_eq!(decode(b"something else altogether"), Err(SnapshotError::Foreign));
+    assert_eq!(decode(&encode(&[])), Ok(Vec::new()));
+}
--- a/crates/delivery/src/front/mod.rs
+++ b/crates/delivery/src/frontend.rs
@@ -2,9 +2,9 @@
 //! is the `seam`.
 
 pub mod cloudevents;
-pub mod relay;
+pub mod platform;
 
-use crate::core::Answer;
+use crate::core::SubmitResponse;
 use crate::net::http::Request;
 use crate::seam::{Front, Reply, Take};
 use std::cell::RefCell;
@@ -40,7 +40,7 @@
         self.get().one_at_a_time()
     }
 
-    fn settled(&self, answer: Answer) -> Option<Reply> {
+    fn settled(&self, answer: SubmitResponse) -> Option<Reply> {
         self.get().settled(answer)
     }
 }
--- a/crates/delivery/src/front/cloudevents/mod.rs
+++ b/crates/delivery/src/frontend/cloudevents.rs
@@ -3,13 +3,13 @@
 
 pub mod event;
 
-use crate::core::directory::Directory;
-use crate::core::{Answer, Authorisation, End, Origin, Verdict};
+use crate::core::destination_table::DestinationTable;
+use crate::core::{Disposition, FinalOutcome, Message, Origin, SubmitResponse};
 use crate::net::http::{Request, Response};
 use crate::net::pool::{told_wait, Ended};
 use crate::seam::{Front, Reply, Take};
 use event::{Context, Fault, Mode};
-use marblefall_scheduler::{ClassId, DestinationId, Outcome, Report};
+use marblefall_scheduler::{ClassId, DestinationId, Outcome, RateLimitReport};
 use std::borrow::Cow;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -38,7 +38,7 @@
 
 /// The client side of the events front, and the wording of its legs.
 #[derive(Clone, Debug, Default)]
-pub struct Events {
+pub struct CloudEventsFrontend {
     /// The path where events come in.
     pub path: String,
     /// The attribute that names an event's destination.
@@ -48,17 +48,17 @@
     /// The classes, in their order.
     pub classes: Vec<EventClass>,
     /// The destinations, and how events leave to them by their forms; both change while the front is on.
-    pub listed: RefCell<(Arc<Directory>, Arc<Vec<Target>>)>,
+    pub listed: RefCell<(Arc<DestinationTable>, Arc<Vec<Target>>)>,
     /// What stands for a name in the core.
     pub number: Option<fn(&str) -> u64>,
 }
 
-impl Front for Events {
+impl Front for CloudEventsFrontend {
     fn take(&self, request: &Request<'_>, body: &[u8], now_ms: i64) -> Take {
         let reply = |(status, why): Fault| Take::Reply(Reply::because(status, why));
         match (request.method, request.path) {
             ("POST", path) if path == self.path => {
-                self.authorisation(request, body, now_ms).map_or_else(reply, Take::Offer)
+                self.message(request, body, now_ms).map_or_else(reply, Take::Offer)
             }
             ("GET", "/ready") => Take::Ready,
             (_, path) if path == self.path || path == "/ready" => Take::Reply(Reply::of(405)),
@@ -66,28 +66,34 @@
         }
     }
 
-    fn settled(&self, answer: Answer) -> Option<Reply> {
+    fn settled(&self, answer: SubmitResponse) -> Option<Reply> {
         // Senders elsewhere read whole seconds; never sooner than told.
         let later = |status, after: u64| {
             let secs = after.div_ceil(1000).max(1).to_string();
             Reply { status, fields: vec![("Retry-After", secs)], ..Reply::default() }
         };
         match answer {
-            Answer::TakenOn => None,
-            Answer::Declined(after) => Some(later(429, after)),
-            Answer::Conflict => {
+            SubmitResponse::Accepted => None,
+            SubmitResponse::Rejected { retry_after_ms: after } => Some(later(429, after)),
+            SubmitResponse::Conflict => {
                 Some(Reply::because(409, "this event came before with another Idempotency-Key"))
             }
-            Answer::Ended(End::Delivered) => Some(Reply::of(204)),
-            Answer::Ended(End::Returned(after)) => Some(later(503, after)),
-            Answer::Ended(End::Failed) => Some(Reply::because(502, "the event could not be delivered")),
-            Answer::Ended(End::Expired) => Some(Reply::because(504, "the event's time ran out")),
+            SubmitResponse::Finished(FinalOutcome::Delivered) => Some(Reply::of(204)),
+            SubmitResponse::Finished(FinalOutcome::Returned { retry_after_ms: after }) => {
+                Some(later(503, after))
+            }
+            SubmitResponse::Finished(FinalOutcome::Failed) => {
+                Some(Reply::because(502, "the event could not be delivered"))
+            }
+            SubmitResponse::Finished(FinalOutcome::Expired) => {
+                Some(Reply::because(504, "the event's time ran out"))
+            }
         }
     }
 }
 
-impl Events {
-    fn authorisation(&self, request: &Request<'_>, body: &[u8], now_ms: i64) -> Result<Authorisation, Fault> {
+impl CloudEventsFrontend {
+    fn message(&self, request: &Request<'_>, body: &[u8], now_ms: i64) -> Result<Message, Fault> {
         let (context, data) = event::read(&request.fields, body)?;
         let unknown = |what: &str, name: &str| (422, format!("unknown {what} {name:?}"));
         let kind = context.text("type").unwrap_or_default();
@@ -96,12 +102,12 @@
         let name = context.text(attribute).ok_or_else(|| (422, format!("no attribute {attribute}")))?;
         let destination = self.destination(&name).ok_or_else(|| unknown("destination", &name))?;
         let mut keys = request.fields.all("idempotency-key");
-        let repeat_key = keys.next().filter(|key| !key.is_empty()).map(<[u8]>::to_vec);
+        let idempotency_key = keys.next().filter(|key| !key.is_empty()).map(<[u8]>::to_vec);
         if keys.next().is_some() {
             return Err((400, "Idempotency-Key is given twice".to_owned()));
         }
         let known = self.classes.get(class.0);
-        if repeat_key.is_none() && known.is_some_and(|class| class.keyed) {
+        if idempotency_key.is_none() && known.is_some_and(|class| class.keyed) {
             // Without it no receiver could tell a repeat, and one attempt that breaks would be the last.
             return Err((400, format!("events of type {kind:?} need an Idempotency-Key")));
         }
@@ -115,10 +121,10 @@
         };
         let (source, id) =
             (context.text("source").unwrap_or_default(), context.text("id").unwrap_or_default());
-        Ok(Authorisation {
-            origin: Origin::Events,
+        Ok(Message {
+            origin: Origin::CloudEvents,
             identity: identity(&source, &id),
-            repeat_key,
+            idempotency_key,
             class,
             destination,
             expires_ms,
@@ -131,21 +137,21 @@
         let number = DestinationId(self.number?(name));
         let listed = self.listed.borrow();
         // Another name may stand behind the same number.
-        listed.0.entry(number).filter(|entry| entry.name == name).map(|entry| entry.number)
+        listed.0.entry(number).filter(|entry| entry.name == name).map(|entry| entry.id)
     }
 
     /// The head and the body of a leg.
-    pub fn leg<'a>(&self, authorisation: &'a Authorisation, address: &str) -> (Vec<u8>, Cow<'a, [u8]>) {
-        let (directory, targets) = self.listed.borrow().clone();
-        let form = directory.entry(authorisation.destination).map(|entry| usize::from(entry.form));
+    pub fn leg<'a>(&self, message: &'a Message, address: &str) -> (Vec<u8>, Cow<'a, [u8]>) {
+        let (destination_table, targets) = self.listed.borrow().clone();
+        let form = destination_table.entry(message.destination).map(|entry| usize::from(entry.encoding));
         let target = form.and_then(|form| targets.get(form)).cloned().unwrap_or_default();
-        let context: Context = serde_json::from_slice(&authorisation.attributes).unwrap_or_default();
-        let (fields, body) = event::write(&context, &authorisation.body, target.mode);
+        let context: Context = serde_json::from_slice(&message.attributes).unwrap_or_default();
+        let (fields, body) = event::write(&context, &message.body, target.mode);
         let mut head = format!("POST {} HTTP/1.1\r\nHost: {address}\r\n", target.path).into_bytes();
         for (name, value) in fields {
             head.extend(format!("{name}: {value}\r\n").into_bytes());
         }
-        if let Some(key) = &authorisation.repeat_key {
+        if let Some(key) = &message.idempotency_key {
             head.extend(b"Idempotency-Key: ");
             head.extend(key);
             head.extend(b"\r\n");
@@ -166,12 +172,12 @@
 /// would be answered alike each time, but for those that are about the moment (408, 423, 425) or about who asks
 /// (401, 403, 407), which an operator may put right while the event has time.
 pub fn judge(read: &Response<'_>) -> Ended {
-    let (outcome, verdict) = match read.status {
-        200..=299 => (Outcome::Delivered, Verdict::Open),
-        429 | 503 => (Outcome::Full(told_wait(read)), Verdict::Open),
-        401 | 403 | 407 | 408 | 423 | 425 => (Outcome::Error, Verdict::Open),
-        400..=499 => (Outcome::Error, Verdict::Failed),
-        _ => (Outcome::Error, Verdict::Open),
+    let (outcome, disposition) = match read.status {
+        200..=299 => (Outcome::Delivered, Disposition::Undecided),
+        429 | 503 => (Outcome::Rejected { retry_after: told_wait(read) }, Disposition::Undecided),
+        401 | 403 | 407 | 408 | 423 | 425 => (Outcome::Error, Disposition::Undecided),
+        400..=499 => (Outcome::Error, Disposition::Failed),
+        _ => (Outcome::Error, Disposition::Undecided),
     };
-    Ended { outcome, verdict, report: Report::default() }
+    Ended { outcome, disposition, report: RateLimitReport::default() }
 }
--- a/crates/delivery/src/front/cloudevents/event.rs
+++ b/crates/delivery/src/frontend/cloudevents/event.rs
@@ -113,7 +113,9 @@
     let mut context = Context::default();
     for (name, value) in fields.iter() {
         let name = name.to_ascii_lowercase();
-        let Some(name) = name.strip_prefix("ce-") else { continue };
+        let Some(name) = name.strip_prefix("ce-") else {
+            continue;
+        };
         if DATA.contains(&name) || name == "datacontenttype" {
             return Err(bad(format!("ce-{name} has no place in binary mode")));
         }
--- a/crates/delivery/src/front/relay.rs
+++ b/crates/delivery/src/frontend/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's protocol: clients hand messages in by `POST /api`, endpoints take them by
 //! `POST /receive`, ends go out as notices. Nothing but translation.
 
-use crate::core::{Answer, Authorisation, End, Origin, Verdict};
+use crate::core::{Disposition, FinalOutcome, Message, Origin, SubmitResponse};
 use crate::net::http::{Request, Response};
 use crate::net::pool::{report, told_wait, Ended};
 use crate::seam::{Front, Reply, Take};
@@ -17,7 +17,7 @@
 const LONGEST_NAME: usize = 256;
 
 /// The client side of the platform's protocol.
-pub struct Relay {
+pub struct PlatformFrontend {
     /// The names of the classes, in their order.
     pub classes: Vec<String>,
     /// For each of them, whether its receivers drop repeats by key, so that a message must bring one.
@@ -26,12 +26,12 @@
     pub numbers: Option<BTreeMap<u64, DestinationId>>,
 }
 
-impl Front for Relay {
+impl Front for PlatformFrontend {
     fn take(&self, request: &Request<'_>, body: &[u8], now_ms: i64) -> Take {
         match (request.method, request.path) {
             ("GET", "/ready") => Take::Ready,
-            ("POST", "/api") => match self.authorisation(request, body, now_ms) {
-                Ok(authorisation) => Take::Offer(authorisation),
+            ("POST", "/api") => match self.message(request, body, now_ms) {
+                Ok(message) => Take::Offer(message),
                 Err(why) => Take::Reply(Reply::because(400, why)),
             },
             (_, "/ready" | "/api") => Take::Reply(Reply::of(405)),
@@ -43,23 +43,21 @@
         true
     }
 
-    fn settled(&self, answer: Answer) -> Option<Reply> {
+    fn settled(&self, answer: SubmitResponse) -> Option<Reply> {
         Some(match answer {
-            Answer::TakenOn | Answer::Ended(End::Delivered) => Reply::of(202),
-            Answer::Declined(after) | Answer::Ended(End::Returned(after)) => Reply::come_back(503, after),
-            Answer::Ended(End::Failed | End::Expired) => Reply::of(500),
-            Answer::Conflict => Reply::of(409),
+            SubmitResponse::Accepted | SubmitResponse::Finished(FinalOutcome::Delivered) => Reply::of(202),
+            SubmitResponse::Rejected { retry_after_ms: after }
+            | SubmitResponse::Finished(FinalOutcome::Returned { retry_after_ms: after }) => {
+                Reply::come_back(503, after)
+            }
+            SubmitResponse::Finished(FinalOutcome::Failed | FinalOutcome::Expired) => Reply::of(500),
+            SubmitResponse::Conflict => Reply::of(409),
         })
     }
 }
 
-impl Relay {
-    fn authorisation(
-        &self,
-        request: &Request<'_>,
-        body: &[u8],
-        now_ms: i64,
-    ) -> Result<Authorisation, &'static str> {
+impl PlatformFrontend {
+    fn message(&self, request: &Request<'_>, body: &[u8], now_ms: i64) -> Result<Message, &'static str> {
         let fields = &request.fields;
         // What is passed on must come out as it came in, on the wire of a leg as in the line of a notice.
         let plain = |name| fields.get(name).filter(|text| text.len() <= LONGEST_NAME && is_plain(text));
@@ -68,11 +66,11 @@
         let class = self.classes.iter().position(|name| name == class).ok_or("unknown class")?;
         let budget = fields.text("x-budget-ms").and_then(digits);
         let budget = budget.ok_or("no X-Budget-Ms in whole milliseconds")?;
-        let repeat_key = match fields.get("idempotency-key") {
+        let idempotency_key = match fields.get("idempotency-key") {
             None => None,
             Some(_) => Some(plain("idempotency-key").ok_or("an Idempotency-Key that cannot be passed on")?),
         };
-        if repeat_key.is_none() && self.keyed.get(class) == Some(&true) {
+        if idempotency_key.is_none() && self.keyed.get(class) == Some(&true) {
             // Without it no receiver could tell a repeat.
             return Err("no Idempotency-Key in a class with keys");
         }
@@ -85,10 +83,10 @@
             None => DestinationId(number),
             Some(known) => *known.get(&number).ok_or("unknown dest")?,
         };
-        Ok(Authorisation {
-            origin: Origin::Relay,
+        Ok(Message {
+            origin: Origin::Platform,
             identity: identity.to_vec(),
-            repeat_key: repeat_key.map(<[u8]>::to_vec),
+            idempotency_key: idempotency_key.map(<[u8]>::to_vec),
             class: ClassId(class),
             destination,
             expires_ms: now_ms
@@ -109,39 +107,43 @@
 }
 
 /// The head and the body of a leg.
-pub fn leg<'a>(authorisation: &'a Authorisation, address: &str, budget_ms: u64) -> (Vec<u8>, Cow<'a, [u8]>) {
+pub fn encode_attempt<'a>(message: &'a Message, address: &str, budget_ms: u64) -> (Vec<u8>, Cow<'a, [u8]>) {
     let mut head = format!("POST /receive HTTP/1.1\r\nHost: {address}\r\nX-Call-Id: ").into_bytes();
-    head.extend(&authorisation.identity);
-    if let Some(key) = &authorisation.repeat_key {
+    head.extend(&message.identity);
+    if let Some(key) = &message.idempotency_key {
         head.extend(b"\r\nIdempotency-Key: ");
         head.extend(key);
     }
-    let len = authorisation.body.len();
+    let len = message.body.len();
     head.extend(format!("\r\nX-Budget-Ms: {budget_ms}\r\nContent-Length: {len}\r\n\r\n").into_bytes());
-    (head, Cow::Borrowed(&authorisation.body))
+    (head, Cow::Borrowed(&message.body))
 }
 
 /// The protocol's table of outcomes: what an answer says of its leg.
 pub fn judge(read: &Response<'_>) -> Ended {
-    let (outcome, verdict) = match read.status {
-        200 => (Outcome::Delivered, Verdict::Open),
-        503 if read.fields.get("x-no-slot").is_some() => (Outcome::Moot, Verdict::Open),
-        429 | 503 => (Outcome::Full(told_wait(read)), Verdict::Open),
-        504 => (Outcome::Moot, Verdict::Open),
-        410 => (Outcome::Moot, Verdict::Over),
-        _ => (Outcome::Error, Verdict::Open),
+    let (outcome, disposition) = match read.status {
+        200 => (Outcome::Delivered, Disposition::Undecided),
+        503 if read.fields.get("x-no-slot").is_some() => (Outcome::NotSent, Disposition::Undecided),
+        429 | 503 => (Outcome::Rejected { retry_after: told_wait(read) }, Disposition::Undecided),
+        504 => (Outcome::NotSent, Disposition::Undecided),
+        410 => (Outcome::NotSent, Disposition::Complete),
+        _ => (Outcome::Error, Disposition::Undecided),
     };
     let report = read.fields.text("x-load-report").map(report).unwrap_or_default();
-    Ended { outcome, verdict, report }
+    Ended { outcome, disposition, report }
 }
 
 /// The notice of how a message ended, as one line.
-pub fn notice(identity: &[u8], end: End) -> String {
+pub fn notice(identity: &[u8], end: FinalOutcome) -> String {
     let id = serde_json::Value::from(String::from_utf8_lossy(identity));
     let mut line = format!("{{\"id\":{id},\"state\":");
     let _ = match end {
-        End::Returned(after) => writeln!(line, "\"returned\",\"after_ms\":{after}}}"),
-        End::Delivered | End::Failed | End::Expired => writeln!(line, "\"failed\"}}"),
+        FinalOutcome::Returned { retry_after_ms: after } => {
+            writeln!(line, "\"returned\",\"after_ms\":{after}}}")
+        }
+        FinalOutcome::Delivered | FinalOutcome::Failed | FinalOutcome::Expired => {
+            writeln!(line, "\"failed\"}}")
+        }
     };
     line
 }
--- a/crates/delivery/src/life/drive.rs
+++ b/crates/delivery/src/hot_restart/driver.rs
@@ -1,11 +1,11 @@
 //! Acts on the steps of a change of lives: looks at the folder and tells the engine.
 
-use super::change::{Newcomer, Seen, Step};
-use super::folder::{Earlier, Life};
-use crate::core::engine::Input;
+use super::incarnation::{Incarnation, Predecessor};
+use super::takeover::{Seen, Step, Takeover};
+use crate::core::engine::EngineEvent;
 use crate::core::journal::Generation;
-use crate::daemon::Clock;
-use crate::operators::Steward;
+use crate::instance::admin::AdminState;
+use crate::instance::Clock;
 use crate::say;
 use async_channel::Sender;
 use async_io::Timer;
@@ -33,11 +33,11 @@
 ///
 /// # Errors
 /// The folder cannot be read.
-pub fn greet(life: &mut Life) -> io::Result<Option<Others>> {
+pub fn announce(life: &mut Incarnation) -> io::Result<Option<Others>> {
     let earlier = life.earlier()?;
     life.forget_ended();
     for one in &earlier {
-        if let Err(error) = life.greet(one.generation) {
+        if let Err(error) = life.announce(one.generation) {
             say!(code = "not-greeted", "life {}: {error}", one.generation.0);
         }
     }
@@ -46,14 +46,14 @@
 }
 
 /// Brings a life up beside others, the first of which is `beside`, until the last of them has ended.
-pub async fn come_up(
-    life: Rc<RefCell<Life>>,
+pub async fn run_standby(
+    life: Rc<RefCell<Incarnation>>,
     beside: Generation,
     clock: Clock,
-    steward: Rc<Steward>,
-    engine: Sender<Input>,
+    admin: Rc<AdminState>,
+    engine: Sender<EngineEvent>,
 ) {
-    let mut newcomer = Newcomer::new(clock.now().mono);
+    let mut newcomer = Takeover::new(clock.now().monotonic);
     let mut followed = BTreeSet::<Generation>::new();
     loop {
         Timer::after(LOOK).await;
@@ -67,14 +67,14 @@
         let ended: Vec<_> = followed.iter().copied().filter(|one| life.borrow().has_ended(*one)).collect();
         for generation in ended {
             followed.remove(&generation);
-            let _ = engine.try_send(Input::Settle(generation));
+            let _ = engine.try_send(EngineEvent::PredecessorExited(generation));
             say!(code = "life-ended", "the process before has ended");
         }
         let unsettled = earlier.iter().filter(|one| !one.settled).count();
-        let step = newcomer.look(clock.now().mono, Seen { living: earlier.len(), unsettled });
+        let step = newcomer.look(clock.now().monotonic, Seen { living: earlier.len(), unsettled });
         if step == Step::TakeUp {
             // What is held out is known before anything is decided.
-            steward.reread();
+            admin.reread();
             followed.extend(earlier.iter().map(|one| one.generation));
             say!(code = "takes-over", "takes over, {} before still running", followed.len());
         }
@@ -92,7 +92,7 @@
 }
 
 /// Carries a step out in the folder; gives what the engine is to hear of it.
-fn act(life: &Life, step: Step, earlier: &[Earlier], beside: Generation) -> Option<Input> {
+fn act(life: &Incarnation, step: Step, earlier: &[Predecessor], beside: Generation) -> Option<EngineEvent> {
     let unsettled = earlier.iter().filter(|one| !one.settled);
     match step {
         Step::Wait => None,
@@ -112,32 +112,36 @@
         }
         Step::TakeUp => {
             let living = earlier.iter().map(|one| one.generation).collect();
-            Some(Input::TakeUp { living, beside: Some(beside) })
+            Some(EngineEvent::TakeOver { running: living, first_concurrent: Some(beside) })
         }
-        Step::Follow => Some(Input::Follow),
+        Step::Follow => Some(EngineEvent::FollowPredecessors),
     }
 }
 
 /// Looks for what later lives want. One that came up beside this one and ended without taking over leaves what it took
 /// on to this one. Runs until this life is told to end.
-pub async fn heed(life: Rc<RefCell<Life>>, steward: Rc<Steward>, engine: Sender<Input>) {
+pub async fn watch_successors(
+    life: Rc<RefCell<Incarnation>>,
+    admin: Rc<AdminState>,
+    engine: Sender<EngineEvent>,
+) {
     loop {
         Timer::after(HEED).await;
         let wanted = life.borrow_mut().wanted();
         if wanted.hand_over {
             // A step of the engine finds out before it decides anything.
-            let _ = engine.try_send(Input::Follow);
-        } else if wanted.beside && steward.started.get() {
+            let _ = engine.try_send(EngineEvent::FollowPredecessors);
+        } else if wanted.beside && admin.started.get() {
             adopt(&mut life.borrow_mut(), &engine);
         }
     }
 }
 
-fn adopt(life: &mut Life, engine: &Sender<Input>) {
+fn adopt(life: &mut Incarnation, engine: &Sender<EngineEvent>) {
     match life.renew() {
         Ok(Some(generation)) => {
             say!(code = "adopted", "a process that came up beside this one has ended; goes on without it");
-            let _ = engine.try_send(Input::Adopt(generation));
+            let _ = engine.try_send(EngineEvent::StandbyExited(generation));
             life.forget_ended();
         }
         Ok(None) => {}
@@ -146,12 +150,12 @@
 }
 
 /// Whether this life must not decide any more.
-pub fn must_hand_over(life: &RefCell<Life>) -> bool {
+pub fn must_hand_over(life: &RefCell<Incarnation>) -> bool {
     life.borrow_mut().wanted().hand_over
 }
 
 /// Whether a leg of this life may still begin at this very moment. What did not begin is reported as such, and whoever
 /// took over, or is about to, sends it.
-pub fn leg_may_begin(life: &RefCell<Life>) -> bool {
+pub fn may_start_attempt(life: &RefCell<Incarnation>) -> bool {
     !must_hand_over(life)
 }
--- a/crates/delivery/src/life/folder.rs
+++ b/crates/delivery/src/hot_restart/incarnation.rs
@@ -33,7 +33,7 @@
 
 /// An earlier life that still runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Earlier {
+pub struct Predecessor {
     /// Which one.
     pub generation: Generation,
     /// Whether it has handed over or is fenced off.
@@ -42,7 +42,7 @@
 
 /// This life's place in the folder, for as long as the value lives.
 #[derive(Debug)]
-pub struct Life {
+pub struct Incarnation {
     folder: PathBuf,
     generation: Generation,
     own: File,
@@ -50,15 +50,15 @@
     ended: Vec<(Generation, File)>,
 }
 
-impl Life {
+impl Incarnation {
     /// Takes a place after all lives so far.
     ///
     /// # Errors
     /// The folder or the lock cannot be made.
-    pub fn claim(folder: &Path) -> io::Result<Life> {
+    pub fn claim(folder: &Path) -> io::Result<Incarnation> {
         std::fs::create_dir_all(folder)?;
         let (generation, own) = place(folder, Generation(0))?;
-        Ok(Life { folder: folder.to_owned(), generation, own, ended: Vec::new() })
+        Ok(Incarnation { folder: folder.to_owned(), generation, own, ended: Vec::new() })
     }
 
     /// Which life this is.
@@ -67,11 +67,11 @@
     }
 
     /// The earlier lives that still run, the latest first. The locks of those that have ended are kept, and given with
-    /// [`Life::take_ended`].
+    /// [`Incarnation::take_ended`].
     ///
     /// # Errors
     /// The folder cannot be read.
-    pub fn earlier(&mut self) -> io::Result<Vec<Earlier>> {
+    pub fn earlier(&mut self) -> io::Result<Vec<Predecessor>> {
         let mut running = Vec::new();
         for generation in locks(&self.folder)?.into_iter().rev().filter(|found| *found < self.generation) {
             if self.ended.iter().any(|(ended, _)| *ended == generation) {
@@ -82,7 +82,7 @@
                 Lock::Held(mut file) => {
                     let marks = marks(&mut file)?;
                     let settled = marks.iter().any(|mark| [OVER, FENCED].contains(mark));
-                    running.push(Earlier { generation, settled });
+                    running.push(Predecessor { generation, settled });
                 }
                 Lock::Gone => {}
             }
@@ -110,7 +110,7 @@
     ///
     /// # Errors
     /// The mark cannot be written.
-    pub fn greet(&self, earlier: Generation) -> io::Result<()> {
+    pub fn announce(&self, earlier: Generation) -> io::Result<()> {
         if earlier == Generation(0) {
             return File::create(self.folder.join(BEFORE_NEXT)).map(|_| ());
         }
@@ -267,11 +267,11 @@
     #[test]
     fn lives_see_each_other_for_as_long_as_they_run() {
         let folder = folder("see");
-        let mut first = Life::claim(&folder).unwrap();
+        let mut first = Incarnation::claim(&folder).unwrap();
         assert_eq!(first.earlier().unwrap(), []);
         assert!(!first.has_successor());
-        let mut second = Life::claim(&folder).unwrap();
-        let one = Earlier { generation: first.generation(), settled: false };
+        let mut second = Incarnation::claim(&folder).unwrap();
+        let one = Predecessor { generation: first.generation(), settled: false };
         assert_eq!(second.earlier().unwrap(), [one]);
         assert!(first.has_successor());
         first.over().unwrap();
@@ -287,10 +287,10 @@
     #[test]
     fn what_is_wanted_of_a_life_is_found_by_it() {
         let folder = folder("wanted");
-        let mut first = Life::claim(&folder).unwrap();
+        let mut first = Incarnation::claim(&folder).unwrap();
         assert_eq!(first.wanted(), Wanted::default());
-        let mut second = Life::claim(&folder).unwrap();
-        second.greet(first.generation()).unwrap();
+        let mut second = Incarnation::claim(&folder).unwrap();
+        second.announce(first.generation()).unwrap();
         assert_eq!(first.wanted(), Wanted { beside: true, hand_over: false });
         second.fence(first.generation()).unwrap();
         assert_eq!(first.wanted(), Wanted { beside: true, hand_over: true });
@@ -301,9 +301,9 @@
     #[test]
     fn a_life_whose_successor_died_takes_a_place_after_it() {
         let folder = folder("renew");
-        let mut first = Life::claim(&folder).unwrap();
+        let mut first = Incarnation::claim(&folder).unwrap();
         assert_eq!(first.renew().unwrap(), None, "nobody came up beside it");
-        let second = Life::claim(&folder).unwrap();
+        let second = Incarnation::claim(&folder).unwrap();
         assert_eq!(first.renew().unwrap(), None, "the other one runs");
         let dead = second.generation();
         drop(second);
@@ -311,7 +311,7 @@
         assert!(renewed > dead);
         first.forget_ended();
         assert_eq!(locks(&folder).unwrap(), [renewed]);
-        assert_eq!(Life::claim(&folder).unwrap().earlier().unwrap()[0].generation, renewed);
+        assert_eq!(Incarnation::claim(&folder).unwrap().earlier().unwrap()[0].generation, renewed);
         let _ = std::fs::remove_dir_all(&folder);
     }
 
@@ -321,10 +321,10 @@
         std::fs::create_dir_all(&folder).unwrap();
         let before = File::create(folder.join(BEFORE)).unwrap();
         before.try_lock().unwrap();
-        let mut life = Life::claim(&folder).unwrap();
+        let mut life = Incarnation::claim(&folder).unwrap();
         let earlier = life.earlier().unwrap();
-        assert_eq!(earlier, [Earlier { generation: Generation(0), settled: false }]);
-        life.greet(Generation(0)).unwrap();
+        assert_eq!(earlier, [Predecessor { generation: Generation(0), settled: false }]);
+        life.announce(Generation(0)).unwrap();
         life.fence(Generation(0)).unwrap();
         assert!(folder.join(BEFORE_NEXT).exists());
         assert!(!life.earlier().unwrap()[0].settled, "it would not find a fence");
--- a/crates/delivery/src/life/change.rs
+++ b/crates/delivery/src/hot_restart/takeover.rs
@@ -47,12 +47,12 @@
 
 /// A life that came up beside others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Newcomer(Stage);
+pub struct Takeover(Stage);
 
-impl Newcomer {
+impl Takeover {
     /// One that came up at this time.
-    pub fn new(now: Time) -> Newcomer {
-        Newcomer(Stage::Beside { since: now })
+    pub fn new(now: Time) -> Takeover {
+        Takeover(Stage::Beside { since: now })
     }
 
     /// Whether it decides.
@@ -86,7 +86,7 @@
 
     /// What becomes of a newcomer that looks every 10 ms, by what is to be seen at each millisecond.
     fn played(seen: impl Fn(i64, &[Step]) -> Seen) -> Vec<(i64, Step)> {
-        let (mut newcomer, mut steps) = (Newcomer::new(Time(0)), Vec::<(i64, Step)>::new());
+        let (mut newcomer, mut steps) = (Takeover::new(Time(0)), Vec::<(i64, Step)>::new());
         for ms in (0..4000).step_by(10) {
             let so_far: Vec<Step> = steps.iter().map(|(_, step)| *step).collect();
             let step = newcomer.look(Time(ms * 1000), seen(ms, &so_far));
--- a/crates/delivery/src/daemon.rs
+++ b/crates/delivery/src/instance.rs
@@ -1,36 +1,40 @@
 //! Puts the core, the network and the fronts of one instance together and runs them on one thread.
 
-mod build;
-mod carry;
+pub mod admin;
+mod config;
+mod executor;
+pub mod platform_config;
 
-pub use build::{Build, RelayPart, Switch};
+pub use config::{InstanceConfig, PlatformFrontendConfig, PolicyUpdate};
 
-use crate::config::Platform;
-use crate::core::directory::Directory;
-use crate::core::engine::{Engine, Input, Order, Proposed, Setup};
-use crate::core::ledger::Ledger;
-use crate::core::{Answer, End, Seq, Stamp};
+use crate::core::destination_table::DestinationTable;
+use crate::core::engine::{
+    Engine, EngineCommand, EngineEvent, EngineSettings, PolicyMismatch, ProposedPolicy,
+};
+use crate::core::message_store::MessageStore;
+use crate::core::{FinalOutcome, MessageId, SubmitResponse, Timestamp};
 use crate::counters::Counters;
-use crate::front::cloudevents::{Events, Target};
-use crate::front::relay::{self, Relay};
-use crate::front::Current;
-use crate::gate::Gate;
-use crate::keep::Keep;
-use crate::life::drive;
-use crate::life::folder::Life;
+use crate::frontend::cloudevents::{CloudEventsFrontend, Target};
+use crate::frontend::platform::{self, PlatformFrontend};
+use crate::frontend::Current;
+use crate::hot_restart::driver;
+use crate::hot_restart::incarnation::Incarnation;
+use crate::instance::admin::AdminState;
+use crate::instance::platform_config::PlatformConfig;
+use crate::lease_guard::LeaseGuard;
 use crate::net::discovery::{self, Home, Names};
 use crate::net::pool::{Limits, Pool};
-use crate::net::server::{self, unix_ms, Desk, Patience, Spawner};
-use crate::net::{listen, manage};
-use crate::operators::Steward;
+use crate::net::server::{self, unix_ms, ClientConnections, ReadTimeout, Spawner};
+use crate::net::{admin as admin_listener, listen};
 use crate::say;
+use crate::snapshot_store::SnapshotStore;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{future, StreamExt};
 use marblefall_atomic_file::Real;
-use marblefall_scheduler::{Class, Effect, EndpointId, Span, Time};
+use marblefall_scheduler::{EndpointId, Idempotency, MessageClass, Span, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
@@ -41,9 +45,9 @@
 /// Inputs that wait for the engine at most; beyond that, socket code waits.
 const QUEUE: usize = 1024;
 /// On the platform, clients are close by: what has not come by then is not going to.
-const RELAY_PATIENCE: Patience = Patience(Duration::from_millis(2500));
+const RELAY_PATIENCE: ReadTimeout = ReadTimeout(Duration::from_millis(2500));
 /// Events come from farther off.
-const EVENTS_PATIENCE: Patience = Patience(Duration::from_secs(10));
+const EVENTS_PATIENCE: ReadTimeout = ReadTimeout(Duration::from_secs(10));
 /// Connections of clients are closed once new ones no longer come.
 const CLOSE_IDLE: Duration = Duration::from_millis(500);
 /// So long before its end a process stops listening: what waits in the system's queue is taken and answered first, as the
@@ -67,8 +71,8 @@
     }
 
     /// The present moment.
-    pub fn now(self) -> Stamp {
-        Stamp { mono: Time(self.0.elapsed().as_micros() as i64), unix_ms: unix_ms() }
+    pub fn now(self) -> Timestamp {
+        Timestamp { monotonic: Time(self.0.elapsed().as_micros() as i64), unix_ms: unix_ms() }
     }
 
     /// The moment at which it shows a time; its start for what lies before.
@@ -79,27 +83,27 @@
 
 /// What an instance is told from outside.
 #[derive(Clone)]
-pub enum Command {
-    /// Print the counters.
-    Print,
+pub enum InstanceCommand {
+    /// Log the counters.
+    PrintCounters,
     /// Read the configuration again.
-    Reread,
+    ReloadConfig,
     /// Discovery is at another address now.
-    Moved(SocketAddr),
-    /// The destinations are these now, and how events leave to them.
-    Listing(Arc<Directory>, Arc<Vec<Target>>),
-    /// Another policy, which its fronts and its core take up as they run; made on the instance's own thread.
-    Switch(Arc<dyn Fn() -> Switch + Send + Sync>),
-    /// Has a policy that is proposed room for what is held?
-    Fits(Proposed, Sender<Result<(), String>>),
-    /// Whether it may act has changed.
-    Look,
+    DiscoveryMoved(SocketAddr),
+    /// The destinations are these now, and how events are sent to them.
+    ReplaceDestinations(Arc<DestinationTable>, Arc<Vec<Target>>),
+    /// Another policy, which its frontends and its core put in force as they run; made on the instance's own thread.
+    UpdatePolicy(Arc<dyn Fn() -> PolicyUpdate + Send + Sync>),
+    /// Asks whether a proposed policy has room for what is pending.
+    CheckPolicy(ProposedPolicy, Sender<Result<(), PolicyMismatch>>),
+    /// Whether it may act under its lease has changed.
+    LeaseChanged,
     /// End.
-    Stop {
+    Shutdown {
         /// As late as this from now.
-        left: Duration,
-        /// Another life is started once this one has ended: no leg is begun any more.
-        goes_on: bool,
+        timeout: Duration,
+        /// Another incarnation is started once this one has ended: no attempt is started any more.
+        restart: bool,
     },
 }
 
@@ -113,10 +117,10 @@
 const SEEN_OUT: Duration = Duration::from_millis(3100);
 
 /// From SIGTERM on a process has so long.
-pub const LEAVE: Duration = Duration::from_millis(3400);
+pub const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(3400);
 
 /// Runs an instance on the platform until it is told to end.
-pub fn run(told: Platform) -> Result<(), String> {
+pub fn run(told: PlatformConfig) -> Result<(), String> {
     let signals = signals()?;
     let address = |text: &str| text.parse::<SocketAddr>().map_err(|error| format!("{text}: {error}"));
     let listen = address(&told.listen)?;
@@ -126,27 +130,27 @@
     let classes: Vec<String> = boot.classes.iter().map(|class| class.name.clone()).collect();
     let ms = |ms: f64, or: f64| Duration::from_secs_f64(if ms > 0.0 { ms } else { or } / 1000.0);
     let since = told.known.as_ref().map_or(0, |known| known.revision);
-    let hosts = told.known.map_or(Input::Listed(Vec::new()), |known| known.input(&names));
+    let hosts = told.known.map_or(EngineEvent::EndpointsReplaced(Vec::new()), |known| known.input(&names));
     let settings = boot.settings();
-    let is_keyed = |class: &Class| matches!(class.effect, Effect::Token { .. });
+    let is_keyed = |class: &MessageClass| matches!(class.idempotency, Idempotency::IdempotencyKey { .. });
     let keyed = settings.classes.iter().map(is_keyed).collect();
-    let setup = Setup {
-        settings,
+    let setup = EngineSettings {
+        scheduler: settings,
         seed: u64::from_str_radix(&told.seed, 16).unwrap_or_default(),
         remember_ms: vec![0; classes.len()],
-        remember_most: 0,
+        max_remembered: 0,
     };
     let mgmt = match told.mgmt.as_deref().filter(|at| !at.is_empty()) {
         Some(text) => Some(TcpListener::bind(address(text)?).map_err(|error| format!("{text}: {error}"))?),
         None => None,
     };
-    let relay = RelayPart {
+    let relay = PlatformFrontendConfig {
         listener: listen::shared(listen).map_err(|error| format!("{listen}: {error}"))?,
-        front: Relay { classes: classes.clone(), keyed, numbers: None },
+        front: PlatformFrontend { classes: classes.clone(), keyed, numbers: None },
         notices: discovery,
         watch: Some((names, since)),
     };
-    let build = Build {
+    let build = InstanceConfig {
         name: told.name,
         state: (told.state, (told.limits.disk_mb * 1e6) as u64),
         sockets: told.limits.sockets,
@@ -166,7 +170,7 @@
     let tasks = Rc::new(LocalExecutor::new());
     tasks.spawn(watch_signals(signals, signalled)).detach();
     tasks.spawn(reread(heard, commands)).detach();
-    async_io::block_on(tasks.run(instance(build, told, Spawner::new(&tasks))))
+    async_io::block_on(tasks.run(run_instance(build, told, Spawner::new(&tasks))))
 }
 
 /// The span in which all lines of an instance stand; its thread enters it once.
@@ -181,12 +185,12 @@
 }
 
 /// Turns the process's signals into commands.
-pub async fn watch_signals(mut signals: Signals, commands: Sender<Command>) {
+pub async fn watch_signals(mut signals: Signals, commands: Sender<InstanceCommand>) {
     while let Some(Ok(signal)) = signals.next().await {
         let command = match signal {
-            Signal::Usr1 => Command::Print,
-            Signal::Hup => Command::Reread,
-            _ => Command::Stop { left: LEAVE, goes_on: false },
+            Signal::Usr1 => InstanceCommand::PrintCounters,
+            Signal::Hup => InstanceCommand::ReloadConfig,
+            _ => InstanceCommand::Shutdown { timeout: SHUTDOWN_TIMEOUT, restart: false },
         };
         if commands.send(command).await.is_err() {
             return;
@@ -196,19 +200,21 @@
 
 /// Passes commands on; to read the configuration again is to tell where discovery is now. One that cannot be
 /// read changes nothing: what runs goes on with what it has.
-async fn reread(heard: Receiver<Command>, commands: Sender<Command>) {
+async fn reread(heard: Receiver<InstanceCommand>, commands: Sender<InstanceCommand>) {
     while let Ok(command) = heard.recv().await {
         let command = match command {
-            Command::Reread => match Platform::from_env().and_then(|told| told.discovery_address()) {
-                Ok(to) => {
-                    say!("configuration read again: discovery is at {to}");
-                    Command::Moved(to)
-                }
-                Err(cause) => {
-                    say!("configuration kept as it was, {cause}");
-                    continue;
+            InstanceCommand::ReloadConfig => {
+                match PlatformConfig::from_env().and_then(|told| told.discovery_address()) {
+                    Ok(to) => {
+                        say!("configuration read again: discovery is at {to}");
+                        InstanceCommand::DiscoveryMoved(to)
+                    }
+                    Err(cause) => {
+                        say!("configuration kept as it was, {cause}");
+                        continue;
+                    }
                 }
-            },
+            }
             other => other,
         };
         if commands.send(command).await.is_err() {
@@ -218,29 +224,33 @@
 }
 
 /// Runs one instance until it is told to end.
-pub async fn instance(build: Build, commands: Receiver<Command>, tasks: Spawner) -> Result<(), String> {
+pub async fn run_instance(
+    build: InstanceConfig,
+    commands: Receiver<InstanceCommand>,
+    tasks: Spawner,
+) -> Result<(), String> {
     let clock = Clock::start();
     // A place among the lives of the process comes first: operators may call as soon as something listens.
     let (folder, disk) = &build.state;
     let at = |error: std::io::Error| format!("{}: {error}", folder.display());
-    let mut life = Life::claim(folder).map_err(at)?;
-    let beside = drive::greet(&mut life).map_err(at)?;
-    let mut ledger = Ledger::begin(folder, *disk, build.classes, life.generation()).map_err(at)?;
+    let mut life = Incarnation::claim(folder).map_err(at)?;
+    let beside = driver::announce(&mut life).map_err(at)?;
+    let mut store = MessageStore::begin(folder, *disk, build.classes, life.generation()).map_err(at)?;
     let counters = Rc::new(Counters::default());
     // Clients hold a third of the descriptors at most, so at that many, places are what they wait for.
     let clients = (build.sockets / 3).max(1);
     let hosts = build.sockets.saturating_sub(OTHER_SOCKETS + clients).max(1);
     // Idle connections go well before the far side's own limit: what is on the way when it closes is lost.
     let limits = Limits { dial: build.dial, idle: build.idle.mul_f64(0.85), connections: hosts };
-    let set = &build.setup.settings;
-    let must_ask = Duration::from_micros(set.rules.must_ask.0.max(0) as u64);
-    let asking = discovery::Asking::new(set.couriers, build.setup.seed, must_ask);
+    let set = &build.setup.scheduler;
+    let must_ask = Duration::from_micros(set.rules.max_poll_interval.0.max(0) as u64);
+    let asking = discovery::Asking::new(set.instances, build.setup.seed, must_ask);
     // On the platform the list is known as a whole, and its disk is small.
-    let keeps = matches!(build.hosts, Input::Directory(_));
+    let keeps = matches!(build.hosts, EngineEvent::DestinationTableReplaced(_));
     let (queue, inputs) = async_channel::bounded(QUEUE);
     let (news, listed) = async_channel::unbounded();
     let (owed, notices) = async_channel::unbounded();
-    let desk = Rc::new(Desk::new(queue.clone(), clients, counters.clone()));
+    let clients = Rc::new(ClientConnections::new(queue.clone(), clients, counters.clone()));
     let _ = news.send(build.hosts).await;
     let pool = Rc::new(Pool::new(limits, counters.clone()));
     let retire = pool.clone();
@@ -260,7 +270,7 @@
             movers.push(moved);
             Home { address: relay.notices, moves }
         };
-        tasks.spawn(discovery::notices(home(), notices, queue.clone(), relay::notice));
+        tasks.spawn(discovery::notices(home(), notices, queue.clone(), platform::notice));
         if let Some((names, since)) = relay.watch {
             tasks.spawn(discovery::watch(home(), names, since, asking, news.clone()));
         }
@@ -272,45 +282,45 @@
         let (listener, front) = (open(relay.listener)?, Rc::new(Current::new(relay.front)));
         relay_front = Some(front.clone());
         say!("listens at {}", address_of(&listener));
-        tasks.spawn(server::serve(listener, front, desk.clone(), RELAY_PATIENCE, tasks.clone()));
+        tasks.spawn(server::serve(listener, front, clients.clone(), RELAY_PATIENCE, tasks.clone()));
     }
-    tasks.spawn(server::thin_out(desk.clone()));
-    let steward = Rc::new(Steward::new(desk.clone(), news.clone(), &build.state.0));
+    tasks.spawn(server::thin_out(clients.clone()));
+    let admin = Rc::new(AdminState::new(clients.clone(), news.clone(), &build.state.0));
     if let Some(listener) = build.mgmt {
         let listener = open(listener)?;
         say!("operators call at {}", address_of(&listener));
-        tasks.spawn(manage::listen(listener, steward.clone(), tasks.clone()));
+        tasks.spawn(admin_listener::listen(listener, admin.clone(), tasks.clone()));
     }
-    let events = Rc::new(Current::<Events>::default());
+    let events = Rc::new(Current::<CloudEventsFrontend>::default());
     if let Some((listener, front)) = build.events {
         events.set(front);
         let listener = open(listener)?;
         say!("takes events at {}", address_of(&listener));
         let front = events.clone();
-        tasks.spawn(server::serve(listener, front, desk.clone(), EVENTS_PATIENCE, tasks.clone()));
+        tasks.spawn(server::serve(listener, front, clients.clone(), EVENTS_PATIENCE, tasks.clone()));
     }
     let mut orders = Vec::new();
     let mut engine = match beside {
         None => {
-            ledger.take_up(&[], None).map_err(at)?;
+            store.take_over(&[], None).map_err(at)?;
             // Beside another life it is read once that one no longer changes it.
-            steward.reread();
-            Engine::new(build.setup, ledger, clock.now(), &mut orders)
+            admin.reread();
+            Engine::new(build.setup, store, clock.now(), &mut orders)
         }
-        Some(_) => Engine::beside(build.setup, ledger),
+        Some(_) => Engine::standby(build.setup, store),
     };
-    let keep = keeps.then(|| Keep::open(Real, folder)).map(|(keep, records)| {
-        engine.remember(clock.now(), &records);
+    let keep = keeps.then(|| SnapshotStore::open(Real, folder)).map(|(keep, records)| {
+        engine.restore_destinations(clock.now(), &records);
         keep
     });
     let life = Rc::new(RefCell::new(life));
     if let Some(beside) = beside {
-        tasks.spawn(drive::come_up(life.clone(), beside.first, clock, steward.clone(), news.clone()));
+        tasks.spawn(driver::run_standby(life.clone(), beside.first, clock, admin.clone(), news.clone()));
     }
-    tasks.spawn(drive::heed(life.clone(), steward.clone(), news.clone()));
+    tasks.spawn(driver::watch_successors(life.clone(), admin.clone(), news.clone()));
     let addresses = RefCell::default();
-    let hands = Hands {
-        desk,
+    let executor = Executor {
+        clients,
         pool,
         owed,
         queue,
@@ -321,18 +331,18 @@
         events,
         movers,
         tasks,
-        steward,
+        admin,
         life,
         relay_front,
         name: build.name,
         gate: build.held.as_ref().map(|held| held.0.clone()),
         revision: Cell::new(build.held.map_or(0, |held| held.1)),
     };
-    let hands = Rc::new(hands);
+    let executor = Rc::new(executor);
     let stop = Rc::new(Cell::new(None));
-    hands.tasks.spawn(obey(hands.clone(), commands, stop.clone()));
-    hands.work(engine, orders, inputs, listed, &stop, keep).await;
-    say!("{}", hands.counters);
+    executor.tasks.spawn(obey(executor.clone(), commands, stop.clone()));
+    executor.work(engine, orders, inputs, listed, &stop, keep).await;
+    say!("{}", executor.counters);
     Ok(())
 }
 
@@ -340,108 +350,111 @@
     listener.get_ref().local_addr().map_or_else(|error| error.to_string(), |at| at.to_string())
 }
 
-async fn obey(hands: Rc<Hands>, commands: Receiver<Command>, stop: Rc<Cell<Option<Instant>>>) {
+async fn obey(executor: Rc<Executor>, commands: Receiver<InstanceCommand>, stop: Rc<Cell<Option<Instant>>>) {
     while let Ok(command) = commands.recv().await {
         match command {
-            Command::Print => say!("{}", hands.counters),
-            Command::Moved(to) => hands.movers.iter().for_each(|mover| {
+            InstanceCommand::PrintCounters => say!("{}", executor.counters),
+            InstanceCommand::DiscoveryMoved(to) => executor.movers.iter().for_each(|mover| {
                 let _ = mover.try_send(to);
             }),
-            Command::Listing(directory, targets) => {
-                hands.events.get().listed.replace((directory.clone(), targets));
-                let _ = hands.news.send(Input::Directory(directory)).await;
+            InstanceCommand::ReplaceDestinations(destination_table, targets) => {
+                executor.events.get().listed.replace((destination_table.clone(), targets));
+                let _ = executor.news.send(EngineEvent::DestinationTableReplaced(destination_table)).await;
             }
-            Command::Switch(to) => hands.switch(to()).await,
-            Command::Fits(proposed, answer) => {
-                let _ = hands.news.send(Input::Fits(proposed, answer)).await;
+            InstanceCommand::UpdatePolicy(to) => executor.switch(to()).await,
+            InstanceCommand::CheckPolicy(proposed, answer) => {
+                let _ = executor.news.send(EngineEvent::CheckPolicy(proposed, answer)).await;
             }
-            Command::Look => drop(hands.news.send(Input::Look).await),
+            InstanceCommand::LeaseChanged => drop(executor.news.send(EngineEvent::LeaseChanged).await),
             // What has no configuration of its own to read has nothing to take up.
-            Command::Reread => {}
-            Command::Stop { left, goes_on } if stop.get().is_none() => {
+            InstanceCommand::ReloadConfig => {}
+            InstanceCommand::Shutdown { timeout: left, restart: goes_on } if stop.get().is_none() => {
                 say!("told to end");
-                let ends = hands.leave(left, goes_on, &stop);
-                hands.desk.put(ends).await;
+                let ends = executor.leave(left, goes_on, &stop);
+                executor.clients.put(ends).await;
             }
-            Command::Stop { .. } => {}
+            InstanceCommand::Shutdown { .. } => {}
         }
     }
 }
 
 /// Carries out what the engine orders.
-struct Hands {
-    desk: Rc<Desk>,
+struct Executor {
+    clients: Rc<ClientConnections>,
     pool: Rc<Pool>,
-    owed: Sender<(Seq, Vec<u8>, End)>,
-    queue: Sender<Input>,
+    owed: Sender<(MessageId, Vec<u8>, FinalOutcome)>,
+    queue: Sender<EngineEvent>,
     /// Goes ahead of the queue.
-    news: Sender<Input>,
+    news: Sender<EngineEvent>,
     clock: Clock,
     addresses: RefCell<BTreeMap<EndpointId, Rc<str>>>,
     counters: Rc<Counters>,
-    events: Rc<Current<Events>>,
-    relay_front: Option<Rc<Current<Relay>>>,
+    events: Rc<Current<CloudEventsFrontend>>,
+    relay_front: Option<Rc<Current<PlatformFrontend>>>,
     name: String,
     /// What it may act under, where others decide on the policy as well.
-    gate: Option<Arc<Gate>>,
+    gate: Option<Arc<LeaseGuard>>,
     /// The policy that the core decides by.
     revision: Cell<u64>,
     /// Where the tasks that speak with discovery hear of its new address.
     movers: Vec<Sender<SocketAddr>>,
     tasks: Spawner,
-    steward: Rc<Steward>,
-    life: Rc<RefCell<Life>>,
+    admin: Rc<AdminState>,
+    life: Rc<RefCell<Incarnation>>,
 }
 
-impl Hands {
+impl Executor {
     /// Begins to end this life: at once towards clients, and within `left` altogether. Gives what the engine is to hear.
-    fn leave(&self, left: Duration, goes_on: bool, stop: &Cell<Option<Instant>>) -> Input {
+    fn leave(&self, left: Duration, goes_on: bool, stop: &Cell<Option<Instant>>) -> EngineEvent {
         let now = Instant::now();
-        let replaced = drive::must_hand_over(&self.life) || self.life.borrow().has_successor();
+        let replaced = driver::must_hand_over(&self.life) || self.life.borrow().has_successor();
         stop.set(Some(now + left));
         // Whoever takes over listens on at once, so connections are let go without a pause.
         let leaving = if replaced || goes_on { now } else { now + CLOSE_IDLE };
-        self.desk.leaving.set(Some(leaving));
+        self.clients.leaving.set(Some(leaving));
         if replaced || goes_on {
             // New connections go to the one that takes over.
-            self.desk.stop_accepting();
+            self.clients.stop_accepting();
         }
-        let desk = self.desk.clone();
+        let clients = self.clients.clone();
         self.tasks.spawn(async move {
             if replaced {
                 // A connection closed under a request turns it back unheard; answered, its client goes elsewhere.
                 Timer::at(now + SEE_OUT).await;
             } else if !goes_on {
                 Timer::at(leaving).await;
-                desk.close_idle();
+                clients.close_idle();
             }
             let (quiet, last) = if replaced { (QUIET_LATE, now + SEEN_OUT) } else { (QUIET, now + left) };
             let deaf = last.checked_sub(LAST_CLIENTS).unwrap_or(now);
             while Instant::now() < last {
                 if Instant::now() >= deaf {
-                    desk.stop_accepting();
+                    clients.stop_accepting();
                 }
-                desk.close_quiet(quiet);
+                clients.close_quiet(quiet);
                 Timer::after(QUIET / 4).await;
             }
-            desk.close_idle();
+            clients.close_idle();
         });
         self.ends(left, replaced || goes_on)
     }
 
-    fn ends(&self, left: Duration, hand_over: bool) -> Input {
-        Input::Stop { by: self.clock.now().mono + Span(left.as_micros() as i64), hand_over }
+    fn ends(&self, left: Duration, hand_over: bool) -> EngineEvent {
+        EngineEvent::Shutdown {
+            deadline: self.clock.now().monotonic + Span(left.as_micros() as i64),
+            hand_over,
+        }
     }
 
     /// The engine's task: all that waits goes in as one batch, news of the list first.
     async fn work(
         self: &Rc<Self>,
         mut engine: Engine,
-        mut orders: Vec<Order>,
-        inputs: Receiver<Input>,
-        listed: Receiver<Input>,
+        mut orders: Vec<EngineCommand>,
+        inputs: Receiver<EngineEvent>,
+        listed: Receiver<EngineEvent>,
         stop: &Cell<Option<Instant>>,
-        mut keep: Option<Keep>,
+        mut keep: Option<SnapshotStore>,
     ) {
         let mut kept = Instant::now();
         let (mut batch, mut serving) = (Vec::new(), false);
@@ -452,17 +465,18 @@
             while let Ok(input) = inputs.try_recv() {
                 batch.push(input);
             }
-            if !engine.has_handed_over() && drive::must_hand_over(&self.life) {
+            if !engine.has_handed_over() && driver::must_hand_over(&self.life) {
                 // Found before anything is decided: another life may decide already.
                 batch.push(match stop.get() {
-                    Some(_) => self.ends(LEAVE, true),
+                    Some(_) => self.ends(SHUTDOWN_TIMEOUT, true),
                     None => {
                         say!("asked to hand over");
-                        self.leave(LEAVE, false, stop)
+                        self.leave(SHUTDOWN_TIMEOUT, false, stop)
                     }
                 });
             }
-            let taken = batch.iter().filter(|input| matches!(input, Input::NoticeTaken(_))).count();
+            let taken =
+                batch.iter().filter(|input| matches!(input, EngineEvent::NoticeAcknowledged(_))).count();
             self.counters.notices.set(self.counters.notices.get() + taken as u64);
             let begun = Instant::now();
             let changed = !batch.is_empty();
@@ -472,24 +486,25 @@
             let step = if std::mem::replace(&mut serving, true) { begun.elapsed() } else { Duration::ZERO };
             longest.set(longest.get().max(step.as_micros() as u64));
             if let Some(keep) = keep.as_mut().filter(|_| kept.elapsed() >= KEEP) {
-                keep.write(&engine.records(self.clock.now()));
+                keep.write(&engine.destination_records(self.clock.now()));
                 kept = Instant::now();
             }
             if let Some(by) = stop.get() {
                 let (open, out) = engine.load();
-                let (now, idle) = (Instant::now(), out == 0 && open == 0 && self.desk.connections() == 0);
+                let (now, idle) = (Instant::now(), out == 0 && open == 0 && self.clients.connections() == 0);
                 // One that has handed over also keeps what is handed in now, for the next life: it waits only for its
                 // legs and for the connections that clients still use.
-                let idle = idle || out == 0 && engine.has_handed_over() && self.desk.connections() == 0;
+                let idle = idle || out == 0 && engine.has_handed_over() && self.clients.connections() == 0;
                 // Clients that have not heard of the end yet still come.
-                let done = idle && self.desk.leaving.get().is_some_and(|at| at <= now);
+                let done = idle && self.clients.leaving.get().is_some_and(|at| at <= now);
                 if done {
                     // Whoever waits to be accepted is still served.
-                    self.desk.stop_accepting();
+                    self.clients.stop_accepting();
                 }
-                if now >= by || done && !self.desk.listens() {
-                    self.desk.answer_all(Answer::Declined(COME_BACK_MS));
-                    keep.iter_mut().for_each(|keep| keep.write(&engine.records(self.clock.now())));
+                if now >= by || done && !self.clients.listens() {
+                    self.clients.answer_all(SubmitResponse::Rejected { retry_after_ms: COME_BACK_MS });
+                    keep.iter_mut()
+                        .for_each(|keep| keep.write(&engine.destination_records(self.clock.now())));
                     // What is answered here is still to be written.
                     Timer::after(Duration::from_millis(30)).await;
                     return;
@@ -500,7 +515,8 @@
                 future::yield_now().await;
                 continue;
             }
-            let wake = if acts { engine.next_wake() } else { engine.wakes_still(self.clock.now()) };
+            let wake =
+                if acts { engine.next_wake() } else { engine.next_wake_without_lease(self.clock.now()) };
             let wake = wake.map(|at| self.clock.instant(at));
             let tick = stop.get().map(|_| Instant::now() + Duration::from_millis(50));
             // What has just changed is kept also if nothing else happens.
--- a/crates/delivery/src/operators.rs
+++ b/crates/delivery/src/instance/admin.rs
@@ -2,9 +2,9 @@
 //! hand. Which hosts are out lasts in the instance's folder, so that the next life of the process, beside
 //! which this one may still run, keeps them out from its start.
 
-use crate::core::engine::Input;
-use crate::net::manage::{Call, Operators};
-use crate::net::server::Desk;
+use crate::core::engine::EngineEvent;
+use crate::net::admin::{Call, Operators};
+use crate::net::server::ClientConnections;
 use crate::say;
 use async_channel::Sender;
 use marblefall_atomic_file::{replace, Outlasts, Real};
@@ -18,10 +18,10 @@
 const FILE: &str = "held-out.txt";
 
 /// Answers operators for one instance.
-pub struct Steward {
-    desk: Rc<Desk>,
+pub struct AdminState {
+    clients: Rc<ClientConnections>,
     /// Where the engine hears of what is held out, ahead of other inputs.
-    news: Sender<Input>,
+    news: Sender<EngineEvent>,
     path: PathBuf,
     held: RefCell<BTreeSet<String>>,
     /// The endpoints that are listed now, by the module's numbers.
@@ -30,13 +30,13 @@
     pub started: Cell<bool>,
 }
 
-impl Steward {
+impl AdminState {
     /// One for an instance whose lasting folder is `folder`. What an earlier life held out there is read once
     /// this one holds the folder: until then another life may still change it.
-    pub fn new(desk: Rc<Desk>, news: Sender<Input>, folder: &Path) -> Steward {
+    pub fn new(clients: Rc<ClientConnections>, news: Sender<EngineEvent>, folder: &Path) -> AdminState {
         let path = folder.join(FILE);
         let (held, listed, started) = Default::default();
-        Steward { desk, news, path, held, listed, started }
+        AdminState { clients, news, path, held, listed, started }
     }
 
     /// Reads what is held out, as the lives before left it, and tells the engine.
@@ -49,7 +49,7 @@
                 BTreeSet::new()
             }
         };
-        let _ = self.news.try_send(Input::HeldOut(held.clone()));
+        let _ = self.news.try_send(EngineEvent::EndpointsDisabled(held.clone()));
         self.held.replace(held);
     }
 
@@ -85,28 +85,28 @@
                 }
                 return 503;
             }
-            let _ = self.news.try_send(Input::HeldOut(held.clone()));
+            let _ = self.news.try_send(EngineEvent::EndpointsDisabled(held.clone()));
             say!(code = "held-out", "endpoint {id} {}", if out { "held out" } else { "let in" });
         }
         200
     }
 }
 
-impl Operators for Steward {
+impl Operators for AdminState {
     fn call(&self, call: Call<'_>) -> u16 {
         match call {
             // Operators can call only once clients are read: the listener for calls starts after theirs.
-            Call::Ready if !self.desk.is_drained() => 200,
+            Call::Ready if !self.clients.is_drained() => 200,
             Call::Ready => 503,
             Call::Disable(id) => self.hold(id, true),
             Call::Enable(id) => self.hold(id, false),
             Call::Drain => {
-                self.desk.drain(true);
+                self.clients.drain(true);
                 say!(code = "drained", "clients are sent away");
                 200
             }
             Call::Undrain => {
-                self.desk.drain(false);
+                self.clients.drain(false);
                 say!(code = "undrained", "clients are taken again");
                 200
             }
--- a/crates/delivery/src/config.rs
+++ b/crates/delivery/src/instance/platform_config.rs
@@ -17,7 +17,7 @@
 
 /// The platform's file.
 #[derive(Debug, Deserialize)]
-pub struct Platform {
+pub struct PlatformConfig {
     /// The instance's name.
     pub name: String,
     /// Where clients connect.
@@ -40,13 +40,14 @@
     pub state: PathBuf,
 }
 
-impl Platform {
+impl PlatformConfig {
     /// Reads the file that `RELAY_CONFIG` names and what else the environment tells.
-    pub fn from_env() -> Result<Platform, String> {
+    pub fn from_env() -> Result<PlatformConfig, String> {
         let var = |name: &str| std::env::var(name).map_err(|_| format!("{name} is not set"));
         let path = var("RELAY_CONFIG")?;
         let text = std::fs::read(&path).map_err(|error| format!("{path}: {error}"))?;
-        let mut told: Platform = serde_json::from_slice(&text).map_err(|error| format!("{path}: {error}"))?;
+        let mut told: PlatformConfig =
+            serde_json::from_slice(&text).map_err(|error| format!("{path}: {error}"))?;
         told.state = var("RELAY_STATE")?.into();
         // The environment stays as it was when the process started, while the file may be replaced under it:
         // where discovery is, the file says.
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -1,15 +1,15 @@
-//! marblefall, a courier of outbound messages: a core that knows no wire, the network around it, and fronts
-//! that translate between the two.
+//! Accepts, journals and delivers outbound messages.
+//!
+//! [`core`] knows no wire; [`net`] is the network around it, [`frontend`] translates between the two, [`hot_restart`]
+//! is how one process takes over from another, and [`instance`] puts one together and runs it.
 
-pub mod config;
 pub mod core;
 pub mod counters;
-pub mod daemon;
-pub mod front;
-pub mod gate;
-pub mod keep;
-pub mod life;
+pub mod frontend;
+pub mod hot_restart;
+pub mod instance;
+pub mod lease_guard;
 pub mod log;
 pub mod net;
-pub mod operators;
 pub mod seam;
+pub mod snapshot_store;
--- a/crates/delivery/src/net/manage.rs
+++ b/crates/delivery/src/net/admin.rs
@@ -102,7 +102,9 @@
 }
 
 fn answer(head: &[u8], body: &[u8], operators: &dyn Operators) -> (u16, &'static str) {
-    let Ok(request) = http::request(head) else { return (400, "malformed") };
+    let Ok(request) = http::request(head) else {
+        return (400, "malformed");
+    };
     match call(request.method, request.path, body) {
         Ok(call) => (operators.call(call), "called"),
         Err(status) => (status, "not-a-call"),
--- a/crates/delivery/src/net/discovery.rs
+++ b/crates/delivery/src/net/discovery.rs
@@ -7,11 +7,12 @@
 pub use watch::{watch, Asking};
 
 use super::pool::MOST_RATE;
-use crate::core::engine::{Host, Input};
+use crate::core::endpoint::ListedEndpoint;
+use crate::core::engine::EngineEvent;
 use crate::say;
 use async_channel::Receiver;
 use futures_lite::future;
-use marblefall_scheduler::{DestinationId, KindId, Listing, ZoneId};
+use marblefall_scheduler::{DestinationId, EndpointStatus, KindId, ZoneId};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
@@ -68,19 +69,19 @@
 
 impl List {
     /// The same as the core takes it.
-    pub fn input(self, names: &Names) -> Input {
+    pub fn input(self, names: &Names) -> EngineEvent {
         let place = |all: &[String], name: &str| all.iter().position(|have| have == name);
-        let host = |member: Member<'_>| Host {
+        let host = |member: Member<'_>| ListedEndpoint {
             destination: DestinationId(member.cell),
             kind: KindId(place(&names.kinds, &member.flavor).unwrap_or(usize::MAX)),
             zone: ZoneId(place(&names.zones, &member.locality).unwrap_or(usize::MAX)),
-            listing: match member.phase.as_str() {
-                "SERVING" => Listing::On,
-                "DELETED" => Listing::Gone,
+            status: match member.phase.as_str() {
+                "SERVING" => EndpointStatus::Active,
+                "DELETED" => EndpointStatus::Removed,
                 // What is not known to be served gets nothing new.
-                _ => Listing::Draining,
+                _ => EndpointStatus::Draining,
             },
-            share: member.rate(),
+            advertised_rate: member.rate(),
             weight: None,
             name: member.id,
             address: member.host_port,
@@ -94,9 +95,9 @@
         };
         let hosts = self.members.iter().filter_map(|entry| read(entry)).collect();
         if self.complete {
-            Input::Listed(hosts)
+            EngineEvent::EndpointsReplaced(hosts)
         } else {
-            Input::Changed(hosts)
+            EngineEvent::EndpointsUpdated(hosts)
         }
     }
 }
--- a/crates/delivery/src/net/discovery/notices.rs
+++ b/crates/delivery/src/net/discovery/notices.rs
@@ -1,8 +1,8 @@
 //! Notices of ends to the platform, each sent until it is taken.
 
 use super::{Home, BACKOFF, HEAD};
-use crate::core::engine::Input;
-use crate::core::{End, Seq};
+use crate::core::engine::EngineEvent;
+use crate::core::{FinalOutcome, MessageId};
 use crate::net::http;
 use crate::net::link::{until, Link, Stop};
 use crate::say;
@@ -18,13 +18,13 @@
 /// Tells the platform of ends, worded by the front that owes them, each until it is taken.
 pub async fn notices(
     mut home: Home,
-    owed: Receiver<(Seq, Vec<u8>, End)>,
-    taken: Sender<Input>,
-    word: fn(&[u8], End) -> String,
+    owed: Receiver<(MessageId, Vec<u8>, FinalOutcome)>,
+    taken: Sender<EngineEvent>,
+    word: fn(&[u8], FinalOutcome) -> String,
 ) {
     let mut kept: Option<Link> = None;
     let mut wait = BACKOFF.0;
-    let mut due: Vec<(Seq, String)> = Vec::new();
+    let mut due: Vec<(MessageId, String)> = Vec::new();
     loop {
         let address = home.address;
         let turn = async {
@@ -33,7 +33,9 @@
                 due.push((seq, word(&id, end)));
             }
             while due.len() < NOTICES {
-                let Ok((seq, id, end)) = owed.try_recv() else { break };
+                let Ok((seq, id, end)) = owed.try_recv() else {
+                    break;
+                };
                 due.push((seq, word(&id, end)));
             }
             let body: String = due.iter().map(|(_, line)| line.as_str()).collect();
@@ -57,7 +59,7 @@
             Some(Some(false)) => {}
             Some(Some(true)) => {
                 for (seq, _) in due.drain(..) {
-                    let _ = taken.send(Input::NoticeTaken(seq)).await;
+                    let _ = taken.send(EngineEvent::NoticeAcknowledged(seq)).await;
                 }
             }
             // What is due goes to the new address, also what the old one may have taken: a notice does no harm.
--- a/crates/delivery/src/net/discovery/watch.rs
+++ b/crates/delivery/src/net/discovery/watch.rs
@@ -1,7 +1,7 @@
 //! The watch of the list, and when it is asked for.
 
 use super::{Home, List, Names, BACKOFF, HEAD};
-use crate::core::engine::Input;
+use crate::core::engine::EngineEvent;
 use crate::net::http::{self, Chunks, Framing, Piece};
 use crate::net::link::Link;
 use crate::say;
@@ -73,7 +73,7 @@
 }
 
 /// Watches the list for ever, from a version on; each watch that ends or falls silent is followed by another.
-pub async fn watch(mut home: Home, names: Names, since: u64, mut asking: Asking, news: Sender<Input>) {
+pub async fn watch(mut home: Home, names: Names, since: u64, mut asking: Asking, news: Sender<EngineEvent>) {
     let since = Cell::new(since);
     // A new life asks at once: what it was told in the last one may be old, and changes since count as told to it
     // as soon as to those who watched.
@@ -117,7 +117,7 @@
     fn poll(&mut self, context: &mut Context<'_>) -> Option<Heard> {
         let before = self.told.get().lines;
         match self.task.as_mut().poll(context) {
-            Poll::Ready(code) => Some(Heard::End(code)),
+            Poll::Ready(code) => Some(Heard::FinalOutcome(code)),
             Poll::Pending => (self.told.get().lines > before).then_some(Heard::Line),
         }
     }
@@ -125,7 +125,7 @@
 
 enum Heard {
     Line,
-    End(&'static str),
+    FinalOutcome(&'static str),
 }
 
 /// The watch that tells the list, and another that is opened beside it once it has fallen silent. The silent one is kept
@@ -193,7 +193,7 @@
                     say!(code = "silent", "discovery {address}: watch ended");
                 }
             }
-            Heard::End(code) => self.ended(code, coming, now, address),
+            Heard::FinalOutcome(code) => self.ended(code, coming, now, address),
         }
     }
 
@@ -205,7 +205,7 @@
                     say!(code = "not-needed", "discovery {address}: watch ended");
                 }
             }
-            Heard::End(code) => {
+            Heard::FinalOutcome(code) => {
                 let serving = self.serving.take();
                 self.ended(code, serving, now, address);
             }
@@ -227,11 +227,13 @@
     address: SocketAddr,
     names: &'a Names,
     since: &'a Cell<u64>,
-    news: &'a Sender<Input>,
+    news: &'a Sender<EngineEvent>,
 ) -> impl FnOnce(Rc<Cell<Told>>) -> Pin<Box<dyn Future<Output = &'static str> + 'a>> {
     move |told| {
         Box::pin(async move {
-            let Ok(mut link) = Link::connect(address).await else { return "no-connection" };
+            let Ok(mut link) = Link::connect(address).await else {
+                return "no-connection";
+            };
             let since_version = since.get();
             let head = format!(
                 "GET /v1/endpoints?follow=1&since={since_version} HTTP/1.1\r\nHost: {address}\r\n\r\n"
@@ -239,7 +241,9 @@
             if link.write(head.as_bytes(), b"").await.is_err() {
                 return "reset";
             }
-            let Ok(head) = link.head(HEAD).await else { return "no-answer" };
+            let Ok(head) = link.head(HEAD).await else {
+                return "no-answer";
+            };
             let framing = match http::response(&link.bytes()[..head]) {
                 Ok(read) if read.status == 200 => read.framing,
                 Ok(_) => return "status",
--- a/crates/delivery/src/net/discovery/watch/tests.rs
+++ b/crates/delivery/src/net/discovery/watch/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use marblefall_scheduler::Listing;
+use marblefall_scheduler::EndpointStatus;
 use std::collections::VecDeque;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -97,7 +97,7 @@
 
 /// Watches a stand-in on loopback that plays one script for each connection, in their order, until that many lists have
 /// been told; connections stay open to the end. Gives the listing that the last one told of the endpoint.
-fn watched(scripts: Vec<Script>, lists: usize) -> Vec<Listing> {
+fn watched(scripts: Vec<Script>, lists: usize) -> Vec<EndpointStatus> {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let serving = std::thread::spawn(move || {
@@ -127,8 +127,8 @@
             let mut told = Vec::new();
             while told.len() < lists {
                 match heard.recv().await.unwrap() {
-                    Input::Listed(hosts) | Input::Changed(hosts) => {
-                        told.extend(hosts.iter().map(|h| h.listing))
+                    EngineEvent::EndpointsReplaced(hosts) | EngineEvent::EndpointsUpdated(hosts) => {
+                        told.extend(hosts.iter().map(|h| h.status))
                     }
                     other => panic!("{other:?}"),
                 }
@@ -174,7 +174,9 @@
                 let lists = if cut.contains("SERVING") { 2 } else { 1 };
                 let first: Script = Box::new(move |stream| {
                     stream.write_all(cut.as_bytes()).unwrap();
-                    let Ok(mut stream) = stream.try_clone() else { return };
+                    let Ok(mut stream) = stream.try_clone() else {
+                        return;
+                    };
                     // Bytes that keep coming, until whoever reads them goes.
                     std::thread::spawn(move || {
                         while trickles && stream.write_all(b"1\r\n \r\n").is_ok() {
@@ -183,7 +185,7 @@
                     });
                 });
                 let second = says(format!("{HEAD_OF_WATCH}{}", chunk(&list(2, true, "DRAINING"))));
-                assert_eq!(watched(vec![first, second], lists).last(), Some(&Listing::Draining));
+                assert_eq!(watched(vec![first, second], lists).last(), Some(&EndpointStatus::Draining));
             })
         })
         .collect();
@@ -202,7 +204,7 @@
     });
     // The second one never answers.
     let second: Script = Box::new(move |_| dialled.send(()).unwrap());
-    assert_eq!(watched(vec![first, second], 2), [Listing::On, Listing::Draining]);
+    assert_eq!(watched(vec![first, second], 2), [EndpointStatus::Active, EndpointStatus::Draining]);
 }
 
 #[test]
@@ -244,8 +246,12 @@
     ] {
         let text = format!("{{\"revision\":1,\"complete\":true,\"members\":[{bad},{drains}]}}");
         let list: List = serde_json::from_str(&text).unwrap();
-        let Input::Listed(hosts) = list.input(&Names::default()) else { panic!("{bad}") };
-        assert_eq!(hosts.iter().map(|host| host.listing).collect::<Vec<_>>(), [Listing::Draining], "{bad}");
+        let EngineEvent::EndpointsReplaced(hosts) = list.input(&Names::default()) else { panic!("{bad}") };
+        assert_eq!(
+            hosts.iter().map(|host| host.status).collect::<Vec<_>>(),
+            [EndpointStatus::Draining],
+            "{bad}"
+        );
     }
     for (size, rate) in
         [("1e400", 0.0), ("-3", 0.0), ("1e300", 0.0), ("null", 0.0), ("\"7\"", 0.0), ("7.5", 7.5)]
@@ -253,7 +259,7 @@
         let text = format!("{{\"revision\":1,\"complete\":true,\"members\":[{drains}]}}");
         let list: List =
             serde_json::from_str(&text.replace("\"size\":1.0", &format!("\"size\":{size}"))).unwrap();
-        let Input::Listed(hosts) = list.input(&Names::default()) else { panic!("{size}") };
-        assert_eq!(hosts.iter().map(|host| host.share).collect::<Vec<_>>(), [rate], "{size}");
+        let EngineEvent::EndpointsReplaced(hosts) = list.input(&Names::default()) else { panic!("{size}") };
+        assert_eq!(hosts.iter().map(|host| host.advertised_rate).collect::<Vec<_>>(), [rate], "{size}");
     }
 }
--- a/crates/delivery/src/net/http.rs
+++ b/crates/delivery/src/net/http.rs
@@ -92,7 +92,9 @@
             let plain = coding.eq_ignore_ascii_case(b"chunked") && self.all("transfer-encoding").count() == 1;
             return if plain { Ok(Some(Framing::Chunked)) } else { Err(Fault::Malformed) };
         }
-        let Some(length) = length else { return Ok(None) };
+        let Some(length) = length else {
+            return Ok(None);
+        };
         let digits = !length.is_empty() && length.iter().all(u8::is_ascii_digit);
         let number = std::str::from_utf8(length).ok().filter(|_| digits).and_then(|text| text.parse().ok());
         number.map(|number| Some(Framing::Length(number))).ok_or(Fault::Malformed)
@@ -296,7 +298,9 @@
                 _ => Err(Fault::Malformed),
             },
             Chunks::Size => {
-                let Some(end) = line(input)? else { return Ok(Piece::More) };
+                let Some(end) = line(input)? else {
+                    return Ok(Piece::More);
+                };
                 let digits =
                     input[..end - 2].split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii();
                 let hex = !digits.is_empty() && digits.len() <= 8 && digits.iter().all(u8::is_ascii_hexdigit);
@@ -306,7 +310,9 @@
                 Ok(Piece::Skip(end))
             }
             Chunks::Trailer => {
-                let Some(end) = line(input)? else { return Ok(Piece::More) };
+                let Some(end) = line(input)? else {
+                    return Ok(Piece::More);
+                };
                 if end == 2 {
                     *self = Chunks::Done;
                 }
--- a/crates/delivery/src/net/link.rs
+++ b/crates/delivery/src/net/link.rs
@@ -15,7 +15,7 @@
 #[derive(Debug)]
 pub enum Stop {
     /// The far side ended its sending between messages.
-    End,
+    FinalOutcome,
     /// It ended within a message.
     Cut,
     /// The connection broke.
@@ -30,7 +30,7 @@
     /// The reason code for the log.
     pub fn code(&self) -> &'static str {
         match self {
-            Stop::End => "far-end",
+            Stop::FinalOutcome => "far-end",
             Stop::Cut => "cut-off",
             Stop::Broke(_) => "reset",
             Stop::Late => "too-slow",
@@ -150,7 +150,7 @@
             }
             let none = self.bytes().is_empty();
             if !self.fill().await.map_err(Stop::Broke)? {
-                return Err(if none { Stop::End } else { Stop::Cut });
+                return Err(if none { Stop::FinalOutcome } else { Stop::Cut });
             }
         }
     }
@@ -167,7 +167,7 @@
                 return Err(Fault::HeadTooLarge.into());
             }
             if !self.fill().await.map_err(Stop::Broke)? {
-                return Err(if seen == 0 { Stop::End } else { Stop::Cut });
+                return Err(if seen == 0 { Stop::FinalOutcome } else { Stop::Cut });
             }
         }
     }
--- a/crates/delivery/src/net/pool.rs
+++ b/crates/delivery/src/net/pool.rs
@@ -3,13 +3,13 @@
 
 use super::http;
 use super::link::{until, Link, Stop};
-use crate::core::{Route, Verdict};
+use crate::core::{Disposition, MessageId, Route};
 use crate::counters::{add, Counters};
-use crate::gate::Act;
+use crate::lease_guard::LeasePermit;
 use crate::say;
 use async_channel::{Receiver, Sender};
 use futures_lite::future;
-use marblefall_scheduler::{EndpointId, Outcome, Report, Span};
+use marblefall_scheduler::{EndpointId, Outcome, RateLimitReport, Span};
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -62,7 +62,7 @@
     /// What an answer says of the leg.
     pub judge: fn(&http::Response<'_>) -> Ended,
     /// Whether it may begin at this very moment; held while its first bytes go out.
-    pub may: &'a dyn Fn() -> Option<Act<'a>>,
+    pub may: &'a dyn Fn() -> Option<LeasePermit<'a>>,
 }
 
 /// How a leg ended.
@@ -71,14 +71,14 @@
     /// Its outcome.
     pub outcome: Outcome,
     /// What becomes of the message.
-    pub verdict: Verdict,
+    pub disposition: Disposition,
     /// What the answer told of the limit.
-    pub report: Report,
+    pub report: RateLimitReport,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Ended {
-        Ended { outcome, verdict: Verdict::Open, report: Report::default() }
+        Ended { outcome, disposition: Disposition::Undecided, report: RateLimitReport::default() }
     }
 }
 
@@ -96,7 +96,7 @@
 /// The connections of one instance to all endpoints.
 pub struct Pool {
     places: RefCell<BTreeMap<EndpointId, Place>>,
-    cancels: RefCell<HashMap<u64, Sender<()>>>,
+    cancels: RefCell<HashMap<MessageId, Sender<()>>>,
     /// Until when routes have asked to be left alone.
     waits: RefCell<BTreeMap<Route, Instant>>,
     limits: Limits,
@@ -172,7 +172,9 @@
     /// Closes what has been idle too long: a leg written to a connection that the far side is closing ends as
     /// a reset, and nobody can tell whether it ran.
     pub fn retire(&self) {
-        let Some(before) = Instant::now().checked_sub(self.limits.idle) else { return };
+        let Some(before) = Instant::now().checked_sub(self.limits.idle) else {
+            return;
+        };
         for (id, place) in self.places.borrow_mut().iter_mut() {
             place.end_idle(*id, before, "idle");
         }
@@ -192,7 +194,7 @@
     }
 
     /// Calls off the leg of a message.
-    pub fn abandon(&self, seq: u64) {
+    pub fn abandon(&self, seq: MessageId) {
         if let Some(cancel) = self.cancels.borrow().get(&seq) {
             let _ = cancel.try_send(());
         }
@@ -201,7 +203,7 @@
     /// Runs one leg to its end.
     pub async fn leg(
         &self,
-        seq: u64,
+        seq: MessageId,
         id: EndpointId,
         call: Call<'_>,
         cut_at: Instant,
@@ -231,7 +233,7 @@
         let now = Instant::now();
         if !self.is_open_at(id, to) || now >= write_by || now >= cut_at || self.must_wait(call.route, now) {
             self.keep(id, to, link);
-            return Outcome::Moot.into();
+            return Outcome::NotSent.into();
         }
         let (head, body) = (call.word)((cut_at - now).as_millis() as u64);
         let begun = {
@@ -253,18 +255,18 @@
         };
         let Some(written) = begun else {
             self.keep(id, to, link);
-            return Outcome::Moot.into();
+            return Outcome::NotSent.into();
         };
         if written != Some(true) {
             // Its last byte was never written, so it never ran; on a kept connection that tells nothing else.
             let held_back = written.is_none() || Instant::now() >= write_by;
             let code = if held_back { "held-back-in-mid-write" } else { "write-failed" };
             say!(host = id.0, code, "endpoint: connection ended");
-            return if kept || held_back { Outcome::Moot } else { Outcome::ConnectFailed }.into();
+            return if kept || held_back { Outcome::NotSent } else { Outcome::ConnectFailed }.into();
         }
         let written = Instant::now();
         let answered = race(cancelled, answer(&mut link, call.judge, cut_at)).await;
-        if let Some((Ended { outcome: Outcome::Full(Some(wait)), .. }, _)) = &answered {
+        if let Some((Ended { outcome: Outcome::Rejected { retry_after: Some(wait) }, .. }, _)) = &answered {
             self.told(call.route, Instant::now() + Duration::from_micros(wait.0.max(0) as u64));
         }
         let (ended, code) = match answered {
@@ -275,11 +277,13 @@
             Some((ended, Err(_)))
                 if ended.outcome == Outcome::Reset && kept && written.elapsed() < AT_ONCE =>
             {
-                (Outcome::Stale.into(), "reset-when-used-again")
+                (Outcome::StaleConnection.into(), "reset-when-used-again")
             }
             // Turned away and closed over a connection that was opened for it: its endpoint takes no more connections, which
             // says nothing of the calls that it would take.
-            Some((ended, Err("not-kept"))) if ended.outcome == Outcome::Full(None) && !kept => {
+            Some((ended, Err("not-kept")))
+                if ended.outcome == Outcome::Rejected { retry_after: None } && !kept =>
+            {
                 (Outcome::ConnectFailed.into(), "no-place-left")
             }
             Some((ended, Err(code))) => (ended, code),
@@ -298,7 +302,7 @@
     ) -> Result<Opened, Outcome> {
         let to: SocketAddr = {
             let mut places = self.places.borrow_mut();
-            let place = places.get_mut(&id).filter(|place| place.open).ok_or(Outcome::Moot)?;
+            let place = places.get_mut(&id).filter(|place| place.open).ok_or(Outcome::NotSent)?;
             let to = place.address.parse().map_err(|_| Outcome::ConnectFailed)?;
             while let Some((link, since)) = place.idle.pop() {
                 if since.elapsed() < self.limits.idle && link.is_fresh() {
@@ -317,7 +321,7 @@
         match race(cancelled, until(dial_by, Link::connect(to))).await {
             Some(Some(Ok(link))) => Ok(Opened { link: link.with(Box::new(counted)), kept: false, to }),
             // Called off before anything was written.
-            None => Err(Outcome::Moot),
+            None => Err(Outcome::NotSent),
             Some(late) => {
                 let code = if late.is_some() { "refused" } else { "dial-timed-out" };
                 say!(host = id.0, code, "endpoint: no connection");
@@ -409,7 +413,7 @@
 fn unread(stop: &Stop) -> Outcome {
     match stop {
         Stop::Fault(_) | Stop::Late => Outcome::Error,
-        Stop::End | Stop::Cut | Stop::Broke(_) => Outcome::Reset,
+        Stop::FinalOutcome | Stop::Cut | Stop::Broke(_) => Outcome::Reset,
     }
 }
 
@@ -455,14 +459,14 @@
 
 /// Reads a report such as `TEXT x0=0.4, x1=25`. One that cannot be read in full is left out in full: half of it
 /// may be as wrong as the rest.
-pub fn report(text: &str) -> Report {
+pub fn report(text: &str) -> RateLimitReport {
     let read = || {
-        let mut report = Report::default();
+        let mut report = RateLimitReport::default();
         for pair in text.trim().strip_prefix("TEXT")?.split(',') {
             let (name, value) = pair.split_once('=')?;
             let value: f64 = value.trim().parse().ok()?;
             match name.trim() {
-                "x0" if (0.0..=1.0).contains(&value) => report.left = Some(value),
+                "x0" if (0.0..=1.0).contains(&value) => report.remaining = Some(value),
                 "x1" if (0.0..=MOST_RATE).contains(&value) => report.limit = Some(value),
                 "x0" | "x1" => return None,
                 _ => {}
--- a/crates/delivery/src/net/pool/tests.rs
+++ b/crates/delivery/src/net/pool/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
-use crate::front::{cloudevents, relay};
-use crate::life::drive;
-use crate::life::folder::Life;
+use crate::frontend::{cloudevents, platform};
+use crate::hot_restart::driver;
+use crate::hot_restart::incarnation::Incarnation;
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
 use marblefall_scheduler::DestinationId;
@@ -25,7 +25,7 @@
 /// 200 whose body was shorter than it said was waited for until the leg timed out, and went out twice as well.
 #[test]
 fn a_spoilt_answer_may_have_run_unless_its_first_line_says_delivered() {
-    let (may, full) = (Outcome::Error, Outcome::Full(None));
+    let (may, full) = (Outcome::Error, Outcome::Rejected { retry_after: None });
     let long = [b"HTTP/1.1 503 x\r\nX: ", &b"y".repeat(40_000)[..]].concat();
     let copy = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".repeat(2);
     let cases: [(&[u8], Outcome, bool); 12] = [
@@ -47,7 +47,7 @@
         ),
     ];
     for (bytes, outcome, keeps) in cases {
-        for judge in [relay::judge, cloudevents::judge] {
+        for judge in [platform::judge, cloudevents::judge] {
             let said = String::from_utf8_lossy(&bytes[..bytes.len().min(70)]);
             assert_eq!(read(bytes, judge), (outcome, keeps), "{said}");
         }
@@ -82,8 +82,9 @@
 ) -> Outcome {
     let word = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(body));
     let cut_at = Instant::now() + Duration::from_secs(20);
-    let call = Call { route, word: &word, judge: relay::judge, may: &|| Some(Act::free()) };
-    pool.leg(seq, endpoint, call, cut_at, write_by).await.outcome
+    let call =
+        Call { route, word: &word, judge: platform::judge, may: &|| Some(LeasePermit::unconditional()) };
+    pool.leg(MessageId(seq), endpoint, call, cut_at, write_by).await.outcome
 }
 
 /// Taken for failures of their host, the resets of kept connections had hosts judged out that were well.
@@ -104,7 +105,7 @@
     });
     let outcomes =
         async_io::block_on(async { [leg(&pool, 1).await, leg(&pool, 2).await, leg(&pool, 3).await] });
-    assert_eq!(outcomes, [Outcome::Delivered, Outcome::Stale, Outcome::Reset]);
+    assert_eq!(outcomes, [Outcome::Delivered, Outcome::StaleConnection, Outcome::Reset]);
 }
 
 /// Taken for a limit on calls, refused connections had couriers call ever more rarely while each kept its own idle ones:
@@ -114,11 +115,14 @@
     let closes = "HTTP/1.1 503 x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
     let stays = "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n";
     let waits = "HTTP/1.1 429 x\r\nRetry-After: 2\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-    let told = Outcome::Full(Some(Span::from_ms(2000.0)));
+    let told = Outcome::Rejected { retry_after: Some(Span::from_ms(2000.0)) };
     let cases = [
         // The second call goes over the connection that the first one opened.
         (vec![closes], vec![Outcome::ConnectFailed]),
-        (vec![stays, closes], vec![Outcome::Full(None), Outcome::Full(None)]),
+        (
+            vec![stays, closes],
+            vec![Outcome::Rejected { retry_after: None }, Outcome::Rejected { retry_after: None }],
+        ),
         (vec![waits], vec![told]),
     ];
     for (answers, expected) in cases {
@@ -155,10 +159,10 @@
 
 #[test]
 fn a_report_that_cannot_be_read_is_left_out_in_full() {
-    assert_eq!(report("TEXT x0=0.4, x1=25"), Report { left: Some(0.4), limit: Some(25.0) });
+    assert_eq!(report("TEXT x0=0.4, x1=25"), RateLimitReport { remaining: Some(0.4), limit: Some(25.0) });
     for spoilt in ["", "x0=0.4", "TEXT x0=0.4, x1=", "TEXT x0=0.4; x1=25", "TEXT x0=7, x1=25", "TEXT x1=1e99"]
     {
-        assert_eq!(report(spoilt), Report::default(), "{spoilt}");
+        assert_eq!(report(spoilt), RateLimitReport::default(), "{spoilt}");
     }
 }
 
@@ -167,7 +171,8 @@
 #[test]
 fn what_is_on_its_way_up_keeps_to_a_wait_that_is_told_meanwhile() {
     let apart = |id| Route { endpoint: Some(EndpointId(id)), ..SHARED };
-    for (routes, expected) in [([SHARED, SHARED], Outcome::Moot), ([apart(0), apart(1)], Outcome::Delivered)]
+    for (routes, expected) in
+        [([SHARED, SHARED], Outcome::NotSent), ([apart(0), apart(1)], Outcome::Delivered)]
     {
         let listeners = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
         let pool = pool(9, &listeners[0]);
@@ -188,7 +193,7 @@
             // Its connection is on the way up, and nobody looks at it until the wait has been told.
             assert!(future::poll_once(&mut first).await.is_none());
             let second = attempt(&pool, 2, EndpointId(1), routes[1]).await;
-            assert_eq!(second, Outcome::Full(Some(Span::from_ms(15_000.0))));
+            assert_eq!(second, Outcome::Rejected { retry_after: Some(Span::from_ms(15_000.0)) });
             first.await
         });
         assert_eq!(first, expected);
@@ -249,7 +254,7 @@
             assert!(reading.join().unwrap() < LARGE, "the endpoint has read all of it");
             outcome
         });
-        assert_eq!(outcome, Outcome::Moot, "{}", if waits { "told to wait" } else { "after its window" });
+        assert_eq!(outcome, Outcome::NotSent, "{}", if waits { "told to wait" } else { "after its window" });
         if !waits {
             drop(pool);
             assert!(read_out(&listener) < LARGE, "the endpoint has read all of it");
@@ -292,7 +297,7 @@
         moved.send(()).unwrap();
         assert_eq!(first.await, Outcome::Delivered);
         assert_eq!(leg(&pool, 3).await, Outcome::Delivered, "at the new address");
-        assert_eq!(rising.await, Outcome::Moot);
+        assert_eq!(rising.await, Outcome::NotSent);
     });
     drop(pool);
     assert_eq!(hosts.join().unwrap(), 0, "bytes at the old address");
@@ -304,7 +309,7 @@
 fn what_was_chosen_before_another_process_fenced_this_one_off_does_not_begin() {
     let folder = std::env::temp_dir().join(format!("marblefall-pool-fence-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&folder);
-    let life = RefCell::new(Life::claim(&folder).unwrap());
+    let life = RefCell::new(Incarnation::claim(&folder).unwrap());
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let pool = pool(9, &listener);
     let serving = listener.try_clone().unwrap();
@@ -315,24 +320,24 @@
         std::io::Read::read(&mut stream, &mut bytes).unwrap_or(0)
     });
     let word = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(&b""[..]));
-    let may = || drive::leg_may_begin(&life).then(Act::free);
+    let may = || driver::may_start_attempt(&life).then(LeasePermit::unconditional);
     let by = Instant::now() + Duration::from_secs(20);
     let run = |seq| {
-        let call = Call { route: SHARED, word: &word, judge: relay::judge, may: &may };
-        pool.leg(seq, EndpointId(0), call, by, by)
+        let call = Call { route: SHARED, word: &word, judge: platform::judge, may: &may };
+        pool.leg(MessageId(seq), EndpointId(0), call, by, by)
     };
     async_io::block_on(async {
         assert_eq!(run(1).await.outcome, Outcome::Delivered);
-        let later = Life::claim(&folder).unwrap();
+        let later = Incarnation::claim(&folder).unwrap();
         let before = life.borrow().generation();
         let kept = run(2);
         later.fence(before).unwrap();
-        assert_eq!(kept.await.outcome, Outcome::Moot, "over a connection that is kept");
+        assert_eq!(kept.await.outcome, Outcome::NotSent, "over a connection that is kept");
         let mut rising = std::pin::pin!(async {
             pool.close_idle(EndpointId(0));
             run(3).await.outcome
         });
-        assert_eq!((&mut rising).await, Outcome::Moot, "over a new one");
+        assert_eq!((&mut rising).await, Outcome::NotSent, "over a new one");
     });
     drop(pool);
     assert_eq!(host.join().unwrap(), 0, "bytes after the fence");
--- a/crates/delivery/src/net/server.rs
+++ b/crates/delivery/src/net/server.rs
@@ -3,8 +3,8 @@
 
 use super::http::{self, Fault};
 use super::link::{until, Link, Stop};
-use crate::core::engine::Input;
-use crate::core::{Answer, Ticket};
+use crate::core::engine::EngineEvent;
+use crate::core::{RequestId, SubmitResponse};
 use crate::counters::{add, Counters};
 use crate::say;
 use crate::seam::{Front, Reply, Take};
@@ -63,7 +63,7 @@
 
 /// How long a request may take from its first byte to its last; a connection's first one from when it opened.
 #[derive(Clone, Copy, Debug)]
-pub struct Patience(pub Duration);
+pub struct ReadTimeout(pub Duration);
 
 /// What a connection is at. Those without an open request make room for new ones, the least useful first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -179,9 +179,9 @@
 }
 
 /// The way from socket code to the engine: a queue in, answers back by ticket.
-pub struct Desk {
-    queue: Sender<Input>,
-    answers: RefCell<HashMap<Ticket, Sender<Answer>>>,
+pub struct ClientConnections {
+    queue: Sender<EngineEvent>,
+    answers: RefCell<HashMap<RequestId, Sender<SubmitResponse>>>,
     next: Cell<u64>,
     /// Set once the process is about to end: connections are then closed with their next answer.
     pub leaving: Cell<Option<Instant>>,
@@ -197,13 +197,17 @@
     drained: Cell<bool>,
 }
 
-impl Desk {
+impl ClientConnections {
     /// A desk in front of a queue, for so many connections at once.
-    pub fn new(queue: Sender<Input>, most_connections: usize, counters: Rc<Counters>) -> Desk {
+    pub fn new(
+        queue: Sender<EngineEvent>,
+        most_connections: usize,
+        counters: Rc<Counters>,
+    ) -> ClientConnections {
         let (answers, next, leaving, connections) = Default::default();
         let accepting = async_channel::bounded(1);
         let (drained, listeners) = Default::default();
-        Desk {
+        ClientConnections {
             queue,
             answers,
             next,
@@ -242,21 +246,21 @@
     }
 
     /// Passes an answer of the engine on to whoever waits for it.
-    pub fn answer(&self, ticket: Ticket, answer: Answer) {
+    pub fn answer(&self, ticket: RequestId, answer: SubmitResponse) {
         if let Some(waiting) = self.answers.borrow().get(&ticket) {
             let _ = waiting.try_send(answer);
         }
     }
 
     /// Answers all who wait.
-    pub fn answer_all(&self, answer: Answer) {
+    pub fn answer_all(&self, answer: SubmitResponse) {
         for waiting in self.answers.borrow().values() {
             let _ = waiting.try_send(answer);
         }
     }
 
     /// Puts something on the queue.
-    pub async fn put(&self, input: Input) {
+    pub async fn put(&self, input: EngineEvent) {
         let _ = self.queue.send(input).await;
     }
 
@@ -277,8 +281,8 @@
         self.connections.thin_out_at(&[Phase::Silent, Phase::Idle], for_at_least, 0, "handed-over");
     }
 
-    fn ticket(&self) -> (Ticket, Receiver<Answer>) {
-        let ticket = Ticket(self.next.get());
+    fn ticket(&self) -> (RequestId, Receiver<SubmitResponse>) {
+        let ticket = RequestId(self.next.get());
         self.next.set(ticket.0 + 1);
         // Taken on and ended: a hand-in hears no more than these.
         let (sender, receiver) = async_channel::bounded(4);
@@ -291,29 +295,29 @@
 pub async fn serve<F: Front + 'static>(
     listener: Async<TcpListener>,
     front: Rc<F>,
-    desk: Rc<Desk>,
-    patience: Patience,
+    clients: Rc<ClientConnections>,
+    patience: ReadTimeout,
     tasks: Spawner,
 ) {
     let _ = rustix::net::listen(listener.get_ref(), BACKLOG);
-    let margin = desk.most_connections / MARGIN;
-    desk.listeners.set(desk.listeners.get() + 1);
+    let margin = clients.most_connections / MARGIN;
+    clients.listeners.set(clients.listeners.get() + 1);
     loop {
         // Close to the cap those without an open request make room; at it, new ones wait in the system's queue.
-        let short = (desk.connections.len() + margin).saturating_sub(desk.most_connections);
+        let short = (clients.connections.len() + margin).saturating_sub(clients.most_connections);
         if short > 0 {
-            desk.connections.make_room(short);
+            clients.connections.make_room(short);
         }
-        if desk.connections.len() >= desk.most_connections {
+        if clients.connections.len() >= clients.most_connections {
             Timer::after(Duration::from_millis(1)).await;
             continue;
         }
         let stopped = async {
-            let _ = desk.accepting.1.recv().await;
+            let _ = clients.accepting.1.recv().await;
             None
         };
         match future::or(async { Some(listener.accept().await) }, stopped).await {
-            Some(Ok((stream, from))) => welcome(stream, from, &front, &desk, patience, &tasks),
+            Some(Ok((stream, from))) => welcome(stream, from, &front, &clients, patience, &tasks),
             Some(Err(error)) => {
                 // Out of descriptors, say: trying at once again would only spin.
                 say!("no connection accepted: {error}");
@@ -322,11 +326,11 @@
             None => {
                 while let Ok((stream, from)) = listener.get_ref().accept() {
                     if let Ok(stream) = Async::new(stream) {
-                        welcome(stream, from, &front, &desk, patience, &tasks);
+                        welcome(stream, from, &front, &clients, patience, &tasks);
                     }
                 }
                 drop(listener);
-                desk.listeners.set(desk.listeners.get() - 1);
+                clients.listeners.set(clients.listeners.get() - 1);
                 say!("no longer accepts connections");
                 return;
             }
@@ -339,12 +343,12 @@
     stream: Async<TcpStream>,
     from: SocketAddr,
     front: &Rc<F>,
-    desk: &Rc<Desk>,
-    patience: Patience,
+    clients: &Rc<ClientConnections>,
+    patience: ReadTimeout,
     tasks: &Spawner,
 ) {
-    let (front, desk) = (front.clone(), desk.clone());
-    let (connection, told) = desk.connections.take();
+    let (front, clients) = (front.clone(), clients.clone());
+    let (connection, told) = clients.connections.take();
     let span = tracing::info_span!("connection", peer = %from);
     let serving = async move {
         let mut link = Link::new(stream);
@@ -353,23 +357,23 @@
             loop {
                 let code = told.recv().await.unwrap_or("leaving");
                 // Its request crossed the word to leave, or waits to be read behind a crowd's.
-                if !(desk.connections.waits(connection) && glance.has_unread()) {
+                if !(clients.connections.waits(connection) && glance.has_unread()) {
                     return code;
                 }
             }
         };
-        let code = future::or(told, converse(&mut link, &*front, &desk, connection, patience)).await;
-        desk.connections.leave(connection);
+        let code = future::or(told, converse(&mut link, &*front, &clients, connection, patience)).await;
+        clients.connections.leave(connection);
         say!(code, "client side: connection ended");
     };
     tasks.spawn(serving.instrument(span));
 }
 
 /// Thins out idle connections for ever, where there are many.
-pub async fn thin_out(desk: Rc<Desk>) {
+pub async fn thin_out(clients: Rc<ClientConnections>) {
     loop {
         Timer::after(LOOK).await;
-        desk.connections.thin_out(IDLE_LEAST, desk.most_connections / MANY, "idle-among-many");
+        clients.connections.thin_out(IDLE_LEAST, clients.most_connections / MANY, "idle-among-many");
     }
 }
 
@@ -378,9 +382,9 @@
 async fn converse<F: Front>(
     link: &mut Link,
     front: &F,
-    desk: &Desk,
+    clients: &ClientConnections,
     connection: u64,
-    patience: Patience,
+    patience: ReadTimeout,
 ) -> &'static str {
     // Who connects and says nothing holds a place just as long as who does not finish what it says.
     let mut by = Instant::now() + patience.0;
@@ -398,7 +402,7 @@
         if std::mem::replace(&mut asked, true) {
             by = Instant::now() + patience.0;
         }
-        desk.connections.is_at(connection, Phase::Reading);
+        clients.connections.is_at(connection, Phase::Reading);
         let read = match until(by, request(link)).await.unwrap_or(Err(Stop::Late)) {
             // What stands behind a request before its answer would be the next one's start, or a body longer
             // than was said; where one request at a time is agreed, neither can be trusted.
@@ -413,36 +417,40 @@
                 let status = match &stop {
                     Stop::Fault(fault) => fault.status(),
                     Stop::Late => 408,
-                    Stop::End | Stop::Cut | Stop::Broke(_) => return stop.code(),
+                    Stop::FinalOutcome | Stop::Cut | Stop::Broke(_) => return stop.code(),
                 };
-                add(&desk.counters.rejected);
-                desk.connections.is_at(connection, Phase::Lingering);
+                add(&clients.counters.rejected);
+                clients.connections.is_at(connection, Phase::Lingering);
                 let _ = until(Instant::now() + patience.0, write(link, &Reply::of(status), false)).await;
                 link.linger(Instant::now() + LINGER).await;
                 return stop.code();
             }
         };
         // The head was read once for its framing; now that the body stands behind it, both are used in place.
-        let Ok(parsed) = http::request(&link.bytes()[..head]) else { return Fault::Malformed.code() };
+        let Ok(parsed) = http::request(&link.bytes()[..head]) else {
+            return Fault::Malformed.code();
+        };
         let keeps = parsed.keeps;
         let taken = front.take(&parsed, &link.bytes()[head..head + len], unix_ms());
         link.consume(head + len);
-        desk.connections.is_at(connection, Phase::Open);
+        clients.connections.is_at(connection, Phase::Open);
         let (reply, ticket) = match taken {
-            Take::Ready => (Reply::of(if desk.is_drained() { 503 } else { 200 }), None),
+            Take::Ready => (Reply::of(if clients.is_drained() { 503 } else { 200 }), None),
             Take::Reply(reply) => {
                 if reply.status >= 400 {
-                    add(&desk.counters.rejected);
+                    add(&clients.counters.rejected);
                 }
                 (reply, None)
             }
-            Take::Offer(authorisation) => {
-                add(&desk.counters.offered);
-                let (ticket, answers) = desk.ticket();
-                desk.put(Input::Offered(ticket, authorisation)).await;
+            Take::Offer(message) => {
+                add(&clients.counters.offered);
+                let (ticket, answers) = clients.ticket();
+                clients.put(EngineEvent::Submitted(ticket, message)).await;
                 let settled = async {
                     loop {
-                        let Ok(answer) = answers.recv().await else { return None };
+                        let Ok(answer) = answers.recv().await else {
+                            return None;
+                        };
                         if let Some(reply) = front.settled(answer) {
                             return Some(reply);
                         }
@@ -453,25 +461,25 @@
                     None
                 };
                 let settled = future::or(settled, gone).await;
-                desk.answers.borrow_mut().remove(&ticket);
+                clients.answers.borrow_mut().remove(&ticket);
                 let Some(reply) = settled else {
-                    desk.put(Input::Withdrawn(ticket)).await;
+                    clients.put(EngineEvent::ClientGone(ticket)).await;
                     return "gone-unanswered";
                 };
                 (reply, Some(ticket))
             }
         };
-        let keeps = keeps && desk.leaving.get().is_none() && !desk.is_drained();
+        let keeps = keeps && clients.leaving.get().is_none() && !clients.is_drained();
         match until(Instant::now() + patience.0, write(link, &reply, keeps)).await {
-            Some(Ok(())) if keeps => desk.connections.is_at(connection, Phase::Idle),
+            Some(Ok(())) if keeps => clients.connections.is_at(connection, Phase::Idle),
             Some(Ok(())) => {
-                desk.connections.is_at(connection, Phase::Lingering);
+                clients.connections.is_at(connection, Phase::Lingering);
                 link.linger(Instant::now() + LINGER_ANSWERED).await;
                 return "closed-after-answer";
             }
             _ => {
                 if let Some(ticket) = ticket {
-                    desk.put(Input::Withdrawn(ticket)).await;
+                    clients.put(EngineEvent::ClientGone(ticket)).await;
                 }
                 return "answer-not-taken";
             }
--- a/crates/delivery/src/net/server/tests.rs
+++ b/crates/delivery/src/net/server/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::front::relay::Relay;
+use crate::frontend::platform::PlatformFrontend;
 
 /// One at a time was too slow for a crowd that came at 300 a second.
 #[test]
@@ -18,19 +18,19 @@
 /// Runs `play` against a platform's front served on loopback, with so many places and so much patience.
 fn served<P, F>(places: usize, patience: Duration, play: P)
 where
-    P: FnOnce(SocketAddr, Rc<Desk>) -> F,
+    P: FnOnce(SocketAddr, Rc<ClientConnections>) -> F,
     F: future::Future<Output = ()>,
 {
     let tasks = Rc::new(LocalExecutor::new());
     let spawner = Spawner::new(&tasks);
     async_io::block_on(tasks.run(async {
         let (queue, _inputs) = async_channel::bounded(1);
-        let desk = Rc::new(Desk::new(queue, places, Rc::default()));
+        let clients = Rc::new(ClientConnections::new(queue, places, Rc::default()));
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
         let at = listener.get_ref().local_addr().unwrap();
-        let front = Rc::new(Relay { classes: vec![], keyed: vec![], numbers: None });
-        spawner.clone().spawn(serve(listener, front, desk.clone(), Patience(patience), spawner));
-        play(at, desk).await;
+        let front = Rc::new(PlatformFrontend { classes: vec![], keyed: vec![], numbers: None });
+        spawner.clone().spawn(serve(listener, front, clients.clone(), ReadTimeout(patience), spawner));
+        play(at, clients).await;
     }));
 }
 
@@ -57,15 +57,15 @@
 #[test]
 fn a_drained_desk_says_no_when_asked_if_ready_and_closes_with_its_answer() {
     const READY: &[u8] = b"GET /ready HTTP/1.1\r\n\r\n";
-    served(8, Duration::from_secs(5), |at, desk| async move {
+    served(8, Duration::from_secs(5), |at, clients| async move {
         let mut open = Link::connect(at).await.unwrap();
         assert_eq!(ask(&mut open, READY).await, (200, true));
-        desk.drain(true);
+        clients.drain(true);
         // The idle connection is closed at the call; a new one hears no, and the end of the connection.
         assert!(!open.fill().await.unwrap_or(false));
         let mut late = Link::connect(at).await.unwrap();
         assert_eq!(ask(&mut late, READY).await, (503, false));
-        desk.drain(false);
+        clients.drain(false);
         let mut again = Link::connect(at).await.unwrap();
         assert_eq!(ask(&mut again, READY).await.0, 200);
     });
@@ -84,36 +84,36 @@
 #[test]
 fn a_request_that_crosses_the_close_of_its_resting_connection_is_answered() {
     use std::io::Write;
-    served(8, Duration::from_secs(5), |at, desk| async move {
+    served(8, Duration::from_secs(5), |at, clients| async move {
         for (first, rest) in [(READY, &b""[..]), READY.split_at(9), READY.split_at(1)] {
             let (mut link, mut beside) = rested(at).await;
             // Both come between two steps of the connection's task: bytes first, then the word to leave.
             beside.write_all(first).unwrap();
-            desk.leaving.set(Some(Instant::now()));
-            desk.close_idle();
-            desk.close_quiet(Duration::ZERO);
+            clients.leaving.set(Some(Instant::now()));
+            clients.close_idle();
+            clients.close_quiet(Duration::ZERO);
             for _ in 0..100 {
                 future::yield_now().await;
             }
-            desk.close_idle();
+            clients.close_idle();
             let last = ask(&mut link, rest).await;
             assert_eq!(last, (200, false), "its first {} bytes had come", first.len());
             assert!(!link.fill().await.unwrap(), "and the end of its connection after that");
-            desk.leaving.set(None);
+            clients.leaving.set(None);
         }
         // The other way round, it is closed, and the client knows that nothing of it was read.
         let (mut link, mut beside) = rested(at).await;
-        desk.close_idle();
+        clients.close_idle();
         assert!(!link.fill().await.unwrap_or(false));
         let _ = beside.write_all(READY);
-        assert_eq!(desk.connections(), 0);
+        assert_eq!(clients.connections(), 0);
     });
 }
 
 #[test]
 fn who_waits_in_the_listeners_queue_at_its_end_is_answered_and_who_comes_later_refused() {
     use std::io::Write;
-    served(8, Duration::from_secs(5), |at, desk| async move {
+    served(8, Duration::from_secs(5), |at, clients| async move {
         // The task that accepts has not run since: these wait in the system's queue.
         let waiting: Vec<TcpStream> = (0..20)
             .map(|_| {
@@ -122,13 +122,13 @@
                 stream
             })
             .collect();
-        desk.leaving.set(Some(Instant::now()));
-        desk.stop_accepting();
+        clients.leaving.set(Some(Instant::now()));
+        clients.stop_accepting();
         for stream in waiting {
             let mut link = Link::new(Async::new(stream).unwrap());
             assert_eq!(ask(&mut link, b"").await, (200, false));
         }
-        assert!(!desk.listens());
+        assert!(!clients.listens());
         assert!(TcpStream::connect(at).is_err());
     });
 }
@@ -136,12 +136,12 @@
 #[test]
 fn a_client_that_sends_on_after_its_last_answer_still_gets_that_answer() {
     use std::io::Write;
-    served(8, Duration::from_secs(5), |at, desk| async move {
+    served(8, Duration::from_secs(5), |at, clients| async move {
         let (mut link, mut beside) = rested(at).await;
-        desk.leaving.set(Some(Instant::now()));
+        clients.leaving.set(Some(Instant::now()));
         beside.write_all(READY).unwrap();
         // The answer is on its way once the courier has ended its sending; what comes now is read and sent nowhere.
-        while desk
+        while clients
             .connections
             .connections
             .borrow()
@@ -151,11 +151,11 @@
             future::yield_now().await;
         }
         beside.write_all(&READY.repeat(2000)).unwrap();
-        while desk.connections() > 0 {
+        while clients.connections() > 0 {
             future::yield_now().await;
         }
         assert_eq!(ask(&mut link, b"").await, (200, false));
         assert!(!link.fill().await.unwrap(), "an end, no reset");
-        assert_eq!(desk.counters.offered.get(), 0);
+        assert_eq!(clients.counters.offered.get(), 0);
     });
 }
--- a/crates/delivery/src/seam.rs
+++ b/crates/delivery/src/seam.rs
@@ -1,7 +1,7 @@
 //! The seam between the network and the fronts: what a front makes of a request, and what it answers. It lies
 //! below both, so that the network knows no front.
 
-use crate::core::{Answer, Authorisation};
+use crate::core::{Message, SubmitResponse};
 use crate::net::http::Request;
 
 /// What a front answers.
@@ -39,7 +39,7 @@
     /// It is answered at once.
     Reply(Reply),
     /// It hands a message in.
-    Offer(Authorisation),
+    Offer(Message),
     /// It asks whether the instance takes clients: yes unless operators send them away.
     Ready,
 }
@@ -55,5 +55,5 @@
     }
 
     /// Words what the core says of a message; `None` waits for what it says next.
-    fn settled(&self, answer: Answer) -> Option<Reply>;
+    fn settled(&self, answer: SubmitResponse) -> Option<Reply>;
 }
--- a/crates/delivery/tests/idle.rs
+++ b/crates/delivery/tests/idle.rs
@@ -4,57 +4,62 @@
 mod common;
 
 use common::{class, START_MS};
-use marblefall_delivery::core::directory::{Directory, Entry, Place};
-use marblefall_delivery::core::engine::{Engine, Input, Order, Setup};
-use marblefall_delivery::core::ledger::Ledger;
-use marblefall_delivery::core::{Answer, Authorisation, Origin, Stamp, Ticket, Verdict};
+use marblefall_delivery::core::destination_table::{DestinationEntry, DestinationTable, EndpointEntry};
+use marblefall_delivery::core::engine::{AttemptResult, Engine, EngineCommand, EngineEvent, EngineSettings};
+use marblefall_delivery::core::message_store::MessageStore;
+use marblefall_delivery::core::{Disposition, Message, Origin, RequestId, SubmitResponse, Timestamp};
 use marblefall_scheduler::*;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 
-fn setup() -> Setup {
-    let caps = Caps {
-        slots: 64,
-        max_open: 20_000,
+fn setup() -> EngineSettings {
+    let caps = Limits {
+        max_in_flight: 64,
+        max_pending: 20_000,
         max_attempts: 8,
-        may_cancel: true,
+        cancellation_allowed: true,
         max_retry_after: Span::from_ms(90_000.0),
-        conn_idle: Span::from_ms(10_000.0),
-        ..Caps::default()
+        idle_timeout: Span::from_ms(10_000.0),
+        ..Limits::default()
     };
     let rules = Rules {
-        cold_from: 0.27,
-        cold: Span::from_ms(10_000.0),
-        fall_multiple: 1.5,
-        tip_after: Span::from_ms(2000.0),
+        ramp_start: 0.27,
+        ramp_duration: Span::from_ms(10_000.0),
+        overload_factor: 1.5,
+        overload_window: Span::from_ms(2000.0),
         ..Rules::default()
     };
     let settings = Settings {
-        classes: vec![class(Effect::Pure)],
-        kinds: vec![Kind { apart: false, per_call: 1 }],
-        late: LateForm::Line,
-        caps,
+        classes: vec![class(Idempotency::Idempotent)],
+        kinds: vec![DestinationKind { separate_routes: false, max_batch: 1 }],
+        value_decay: ValueDecay::Linear,
+        limits: caps,
         rules,
-        weights: Weights::Rough,
-        couriers: 1,
+        rate_hints: RateHints::Approximate,
+        instances: 1,
         ..Settings::default()
     };
-    Setup { settings, seed: 1, remember_ms: vec![60_000], remember_most: 100 }
+    EngineSettings { scheduler: settings, seed: 1, remember_ms: vec![60_000], max_remembered: 100 }
 }
 
 /// So many destinations with an endpoint each, all at one port.
-fn directory(count: u64, port: u16) -> Arc<Directory> {
-    let mut directory = Directory::default();
+fn destination_table(count: u64, port: u16) -> Arc<DestinationTable> {
+    let mut destination_table = DestinationTable::default();
     for number in 0..count {
         let (name, own) = (format!("clinic-{number}"), format!("clinic-{number}-1"));
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        let entry =
-            Entry { name: &name, number: DestinationId(number), form: 0, rate: 50.0, rostered: false };
-        let place = Place { name: &own, address, weight: None, serves: true };
-        directory.add(entry, std::iter::once(place)).unwrap();
+        let entry = DestinationEntry {
+            name: &name,
+            id: DestinationId(number),
+            encoding: 0,
+            rate: 50.0,
+            from_list: false,
+        };
+        let place = EndpointEntry { name: &own, address, weight: None, active: true };
+        destination_table.add(entry, std::iter::once(place)).unwrap();
     }
-    Arc::new(directory.settle())
+    Arc::new(destination_table.build())
 }
 
 struct Bed {
@@ -73,61 +78,75 @@
     fn new(name: &str, count: u64) -> Bed {
         let dir = std::env::temp_dir().join(format!("marblefall-idle-{}-{name}", std::process::id()));
         let _ = std::fs::remove_dir_all(&dir);
-        let ledger = Ledger::open(&dir, 64_000_000, vec!["free".to_owned()]).unwrap();
-        let now = Stamp { mono: Time(0), unix_ms: START_MS };
-        let mut bed = Bed { engine: Engine::new(setup(), ledger, now, &mut Vec::new()), dir, next: 0 };
-        assert!(bed.step(0, vec![Input::Directory(directory(count, 1))]).is_empty(), "nothing is in use yet");
+        let store = MessageStore::open(&dir, 64_000_000, vec!["free".to_owned()]).unwrap();
+        let now = Timestamp { monotonic: Time(0), unix_ms: START_MS };
+        let mut bed = Bed { engine: Engine::new(setup(), store, now, &mut Vec::new()), dir, next: 0 };
+        assert!(
+            bed.step(0, vec![EngineEvent::DestinationTableReplaced(destination_table(count, 1))]).is_empty(),
+            "nothing is in use yet"
+        );
         bed
     }
 
-    fn step(&mut self, ms: i64, inputs: Vec<Input>) -> Vec<Order> {
+    fn step(&mut self, ms: i64, inputs: Vec<EngineEvent>) -> Vec<EngineCommand> {
         let mut orders = Vec::new();
-        let now = Stamp { mono: Time(ms * 1000), unix_ms: START_MS + ms };
+        let now = Timestamp { monotonic: Time(ms * 1000), unix_ms: START_MS + ms };
         self.engine.step(now, inputs, &mut orders);
         orders
     }
 
-    fn offer(&mut self, ms: i64, destination: u64) -> Input {
+    fn offer(&mut self, ms: i64, destination: u64) -> EngineEvent {
         self.next += 1;
-        let authorisation = Authorisation {
-            origin: Origin::Events,
+        let message = Message {
+            origin: Origin::CloudEvents,
             identity: self.next.to_string().into_bytes(),
-            repeat_key: None,
+            idempotency_key: None,
             class: ClassId(0),
             destination: DestinationId(destination),
             expires_ms: START_MS + ms + 20_000,
             attributes: Vec::new(),
             body: Vec::new(),
         };
-        Input::Offered(Ticket(self.next), authorisation)
+        EngineEvent::Submitted(RequestId(self.next), message)
     }
 
     /// Lets seconds pass without news, so that what is idle is found out.
-    fn rest(&mut self, from_ms: i64, to_ms: i64) -> Vec<Order> {
+    fn rest(&mut self, from_ms: i64, to_ms: i64) -> Vec<EngineCommand> {
         (from_ms / 1000..=to_ms / 1000).flat_map(|second| self.step(second * 1000, Vec::new())).collect()
     }
 }
 
-fn legs(orders: &[Order]) -> Vec<(u64, u32)> {
-    let leg = |order: &Order| match order {
-        Order::Leg { seq, copy, .. } => Some((*seq, *copy)),
+fn legs(orders: &[EngineCommand]) -> Vec<(MessageId, u32)> {
+    let leg = |order: &EngineCommand| match order {
+        EngineCommand::StartAttempt(request) => Some((request.message_id, request.attempt)),
         _ => None,
     };
     orders.iter().filter_map(leg).collect()
 }
 
 /// Hosts that were made known, and that were let go.
-fn hosts(orders: &[Order]) -> (Vec<&str>, usize) {
+fn hosts(orders: &[EngineCommand]) -> (Vec<&str>, usize) {
     let known = orders.iter().filter_map(|order| match order {
-        Order::Host(_, host) => Some(host.name.as_str()),
+        EngineCommand::EndpointListed(_, host) => Some(host.name.as_str()),
         _ => None,
     });
-    (known.collect(), orders.iter().filter(|order| matches!(order, Order::HostGone(_))).count())
+    (
+        known.collect(),
+        orders.iter().filter(|order| matches!(order, EngineCommand::EndpointRemoved(_))).count(),
+    )
 }
 
-fn ended((seq, copy): (u64, u32), outcome: Outcome) -> Input {
-    let (took, verdict, report) = (Span::from_ms(10.0), Verdict::Open, Report::default());
-    Input::LegEnded { seq, copy, outcome, took, verdict, report }
+fn ended((seq, copy): (MessageId, u32), outcome: Outcome) -> EngineEvent {
+    let (took, disposition, report) =
+        (Span::from_ms(10.0), Disposition::Undecided, RateLimitReport::default());
+    EngineEvent::AttemptFinished(AttemptResult {
+        message_id: seq,
+        attempt: copy,
+        outcome,
+        duration: took,
+        disposition,
+        rate_limit: report,
+    })
 }
 
 #[test]
@@ -154,7 +173,7 @@
     assert_eq!(hosts(&bed.rest(91_000, 135_000)), (vec![], 0));
     let unknown = bed.offer(136_000, 1000);
     let orders = bed.step(136_000, vec![unknown]);
-    assert!(matches!(orders[0], Order::Answer(_, Answer::Declined(_))), "{orders:?}");
+    assert!(matches!(orders[0], EngineCommand::Respond(_, SubmitResponse::Rejected { .. })), "{orders:?}");
 }
 
 #[test]
@@ -162,7 +181,7 @@
     let mut bed = Bed::new("wait", 10);
     let offer = bed.offer(0, 3);
     let leg = legs(&bed.step(0, vec![offer]))[0];
-    bed.step(10, vec![ended(leg, Outcome::Full(Some(Span::from_ms(60_000.0))))]);
+    bed.step(10, vec![ended(leg, Outcome::Rejected { retry_after: Some(Span::from_ms(60_000.0)) })]);
     assert_eq!(hosts(&bed.rest(1000, 40_000)).1, 1, "it is folded");
     let offer = bed.offer(41_000, 3);
     assert!(legs(&bed.step(41_000, vec![offer])).is_empty());
@@ -189,10 +208,10 @@
     }
     assert!(out.is_empty());
     assert_eq!(hosts(&bed.rest(31_000, 62_000)).1, 1, "it is folded");
-    let burst: Vec<Input> = (0..10).map(|_| bed.offer(70_000, 3)).collect();
+    let burst: Vec<EngineEvent> = (0..10).map(|_| bed.offer(70_000, 3)).collect();
     let orders = bed.step(70_000, burst);
     assert_eq!(legs(&orders).len(), 1, "a trial, where one that is not known to be out gets two");
-    let offer: Vec<Input> = (0..10).map(|_| bed.offer(70_001, 4)).collect();
+    let offer: Vec<EngineEvent> = (0..10).map(|_| bed.offer(70_001, 4)).collect();
     assert_eq!(legs(&bed.step(70_001, offer)).len(), 2);
 }
 
@@ -204,7 +223,7 @@
     while delivered < ALL {
         now += 1;
         assert!(now < 20_000, "{delivered} delivered");
-        let mut inputs: Vec<Input> =
+        let mut inputs: Vec<EngineEvent> =
             std::mem::take(&mut out).into_iter().map(|leg| ended(leg, Outcome::Delivered)).collect();
         delivered += inputs.len() as u64;
         let first = (now as u64 - 1) * ALL / 1000;
@@ -231,17 +250,21 @@
     let mut bed = Bed::new("news", 100);
     let offers = vec![bed.offer(0, 1), bed.offer(0, 99)];
     let out = legs(&bed.step(0, offers));
-    let orders = bed.step(5, vec![Input::Directory(directory(99, 2))]);
+    let orders = bed.step(5, vec![EngineEvent::DestinationTableReplaced(destination_table(99, 2))]);
     let (known, gone) = hosts(&orders);
     assert_eq!((known.len(), gone), (2, 1), "{orders:?}");
-    let moved =
-        orders.iter().any(|order| matches!(order, Order::Host(_, host) if host.address == "127.0.0.1:2"));
+    let moved = orders.iter().any(
+        |order| matches!(order, EngineCommand::EndpointListed(_, host) if host.address == "127.0.0.1:2"),
+    );
     assert!(moved, "{orders:?}");
     // What is out to one that is gone may still end well; nothing new goes there.
     let orders = bed.step(10, out.into_iter().map(|leg| ended(leg, Outcome::Reset)).collect());
     assert_eq!(legs(&orders).len(), 1, "the one that is still listed is tried again");
     let offer = bed.offer(20, 99);
-    assert!(matches!(bed.step(20, vec![offer])[0], Order::Answer(_, Answer::Declined(_))));
+    assert!(matches!(
+        bed.step(20, vec![offer])[0],
+        EngineCommand::Respond(_, SubmitResponse::Rejected { .. })
+    ));
 }
 
 #[test]
@@ -249,21 +272,25 @@
     let mut bed = Bed::new("records", 10);
     let offers = vec![bed.offer(0, 3), bed.offer(0, 4), bed.offer(0, 5)];
     let out = legs(&bed.step(0, offers));
-    let ends = [Outcome::Delivered, Outcome::Full(Some(Span::from_ms(60_000.0))), Outcome::Delivered];
+    let ends = [
+        Outcome::Delivered,
+        Outcome::Rejected { retry_after: Some(Span::from_ms(60_000.0)) },
+        Outcome::Delivered,
+    ];
     bed.step(10, out.iter().zip(ends).map(|(leg, outcome)| ended(*leg, outcome)).collect());
-    let stamp = |ms: i64| Stamp { mono: Time(ms * 1000), unix_ms: START_MS + ms };
-    let records = bed.engine.records(stamp(20));
+    let stamp = |ms: i64| Timestamp { monotonic: Time(ms * 1000), unix_ms: START_MS + ms };
+    let records = bed.engine.destination_records(stamp(20));
     assert_eq!(records.iter().map(|record| record.destination).collect::<Vec<_>>(), [3, 4, 5]);
-    assert_eq!(records[1].wait_until_ms, Some(START_MS + 60_010));
-    assert_eq!((records[1].out_since_ms, records[0].out_since_ms), (Some(START_MS + 10), None));
+    assert_eq!(records[1].backoff_until_ms, Some(START_MS + 60_010));
+    assert_eq!((records[1].ejected_since_ms, records[0].ejected_since_ms), (Some(START_MS + 10), None));
     // The next life's clock was set back an hour.
     for (name, shift) in [("later", 0), ("set-back", -3_600_000)] {
         let mut next = Bed::new(name, 10);
-        let now = Stamp { mono: Time(0), unix_ms: START_MS + shift };
-        next.engine.remember(now, &records);
-        let offers: Vec<Input> = (0..6).map(|_| next.offer(100, 4)).collect();
+        let now = Timestamp { monotonic: Time(0), unix_ms: START_MS + shift };
+        next.engine.restore_destinations(now, &records);
+        let offers: Vec<EngineEvent> = (0..6).map(|_| next.offer(100, 4)).collect();
         assert_eq!(legs(&next.step(100, offers)).len(), 1, "{name}: the wait is over, the outage is not");
-        let offers: Vec<Input> = (0..6).map(|_| next.offer(101, 3)).collect();
+        let offers: Vec<EngineEvent> = (0..6).map(|_| next.offer(101, 3)).collect();
         assert_eq!(legs(&next.step(101, offers)).len(), 6, "{name}: one that was well is met already");
     }
 }
