--- a/crates/delivery/tests/lives.rs
+++ b/crates/delivery/tests/lives.rs
@@ -4,10 +4,12 @@
 mod common;
 
 use common::{caps, ended, folder, host, setup, START_MS};
-use marblefall_delivery::core::engine::{Engine, Input, Order, Setup};
+use marblefall_delivery::core::engine::{AttemptRequest, Engine, EngineCommand, EngineEvent, EngineSettings};
 use marblefall_delivery::core::journal::{latest, segments, Generation};
-use marblefall_delivery::core::ledger::Ledger;
-use marblefall_delivery::core::{Answer, Authorisation, End, Origin, Seq, Stamp, Ticket};
+use marblefall_delivery::core::message_store::MessageStore;
+use marblefall_delivery::core::{
+    FinalOutcome, Message, MessageId, Origin, RequestId, SubmitResponse, Timestamp,
+};
 use marblefall_scheduler::*;
 use std::collections::BTreeMap;
 use std::fs;
@@ -23,12 +25,12 @@
     ["keyed", "free", "never"].map(String::from).to_vec()
 }
 
-fn engine_setup() -> Setup {
-    setup(&[common::KEYED, Effect::Pure, Effect::SideEffect], caps(200))
+fn engine_setup() -> EngineSettings {
+    setup(&[common::KEYED, Idempotency::Idempotent, Idempotency::NonIdempotent], caps(200))
 }
 
-fn list(hosts: &[&str]) -> Input {
-    Input::Listed(hosts.iter().map(|name| host(name)).collect())
+fn list(hosts: &[&str]) -> EngineEvent {
+    EngineEvent::EndpointsReplaced(hosts.iter().map(|name| host(name)).collect())
 }
 
 /// One life.
@@ -40,13 +42,13 @@
 
 impl Life {
     /// One that begins alone.
-    fn alone(dir: &Path, ms: i64) -> (Life, Vec<Order>) {
-        let ledger = Ledger::open(dir, DISK, classes()).unwrap();
+    fn alone(dir: &Path, ms: i64) -> (Life, Vec<EngineCommand>) {
+        let store = MessageStore::open(dir, DISK, classes()).unwrap();
         let generation = latest(dir).unwrap();
         let mut orders = Vec::new();
-        let now = Stamp { mono: Time(0), unix_ms: START_MS + ms };
+        let now = Timestamp { monotonic: Time(0), unix_ms: START_MS + ms };
         let mut life =
-            Life { engine: Engine::new(engine_setup(), ledger, now, &mut orders), generation, born_ms: ms };
+            Life { engine: Engine::new(engine_setup(), store, now, &mut orders), generation, born_ms: ms };
         orders.extend(life.step(ms, vec![list(&["h"])]));
         (life, orders)
     }
@@ -54,14 +56,14 @@
     /// One that comes up beside others.
     fn beside(dir: &Path, ms: i64) -> Life {
         let generation = latest(dir).unwrap().next();
-        let ledger = Ledger::begin(dir, DISK, classes(), generation).unwrap();
-        let mut life = Life { engine: Engine::beside(engine_setup(), ledger), generation, born_ms: ms };
+        let store = MessageStore::begin(dir, DISK, classes(), generation).unwrap();
+        let mut life = Life { engine: Engine::standby(engine_setup(), store), generation, born_ms: ms };
         life.step(ms, vec![list(&["h"])]);
         life
     }
 
-    fn step(&mut self, ms: i64, inputs: Vec<Input>) -> Vec<Order> {
-        let now = Stamp { mono: Time((ms - self.born_ms) * 1000), unix_ms: START_MS + ms };
+    fn step(&mut self, ms: i64, inputs: Vec<EngineEvent>) -> Vec<EngineCommand> {
+        let now = Timestamp { monotonic: Time((ms - self.born_ms) * 1000), unix_ms: START_MS + ms };
         let mut orders = Vec::new();
         self.engine.step(now, inputs, &mut orders);
         while self.engine.has_backlog() {
@@ -70,26 +72,29 @@
         orders
     }
 
-    fn offer(&mut self, ms: i64, name: &str, class: usize) -> Vec<Order> {
-        let ticket = Ticket(name.bytes().fold(0, |sum, byte| sum * 257 + u64::from(byte)));
-        self.step(ms, vec![Input::Offered(ticket, message(name, class, ms, 10))])
+    fn offer(&mut self, ms: i64, name: &str, class: usize) -> Vec<EngineCommand> {
+        let ticket = RequestId(name.bytes().fold(0, |sum, byte| sum * 257 + u64::from(byte)));
+        self.step(ms, vec![EngineEvent::Submitted(ticket, message(name, class, ms, 10))])
     }
 
-    fn hand_over(&mut self, ms: i64) -> Vec<Order> {
+    fn hand_over(&mut self, ms: i64) -> Vec<EngineCommand> {
         let by = Time((ms - self.born_ms) * 1000 + 3_400_000);
-        self.step(ms, vec![Input::Stop { by, hand_over: true }])
+        self.step(ms, vec![EngineEvent::Shutdown { deadline: by, hand_over: true }])
     }
 
-    fn take_up(&mut self, ms: i64, living: &[Generation], beside: Generation) -> Vec<Order> {
-        self.step(ms, vec![Input::TakeUp { living: living.to_vec(), beside: Some(beside) }])
+    fn take_up(&mut self, ms: i64, living: &[Generation], beside: Generation) -> Vec<EngineCommand> {
+        self.step(
+            ms,
+            vec![EngineEvent::TakeOver { running: living.to_vec(), first_concurrent: Some(beside) }],
+        )
     }
 }
 
-fn message(name: &str, class: usize, ms: i64, body: usize) -> Authorisation {
-    Authorisation {
-        origin: Origin::Relay,
+fn message(name: &str, class: usize, ms: i64, body: usize) -> Message {
+    Message {
+        origin: Origin::Platform,
         identity: name.into(),
-        repeat_key: (class == KEYED).then(|| format!("key of {name}").into_bytes()),
+        idempotency_key: (class == KEYED).then(|| format!("key of {name}").into_bytes()),
         class: ClassId(class),
         destination: DestinationId(7),
         expires_ms: START_MS + ms + 20_000,
@@ -99,18 +104,18 @@
 }
 
 /// The legs that are ordered: number, copy, and the name of the message.
-fn legs(orders: &[Order]) -> Vec<(Seq, u32, String)> {
-    let leg = |order: &Order| match order {
-        Order::Leg { seq, copy, authorisation, .. } => {
-            Some((*seq, *copy, String::from_utf8(authorisation.identity.clone()).unwrap()))
+fn legs(orders: &[EngineCommand]) -> Vec<(MessageId, u32, String)> {
+    let leg = |order: &EngineCommand| match order {
+        EngineCommand::StartAttempt(AttemptRequest { message_id: seq, attempt: copy, message, .. }) => {
+            Some((*seq, *copy, String::from_utf8(message.identity.clone()).unwrap()))
         }
         _ => None,
     };
     orders.iter().filter_map(leg).collect()
 }
 
-fn taken_on(orders: &[Order]) -> bool {
-    orders.iter().any(|order| matches!(order, Order::Answer(_, Answer::TakenOn)))
+fn taken_on(orders: &[EngineCommand]) -> bool {
+    orders.iter().any(|order| matches!(order, EngineCommand::Respond(_, SubmitResponse::Accepted)))
 }
 
 #[test]
@@ -130,7 +135,7 @@
     old.step(300, vec![ended(out[0].0, out[0].1, Outcome::Delivered)]);
     old.step(310, vec![ended(out[1].0, out[1].1, Outcome::Error)]);
     let mut names = Vec::new();
-    let mut inputs = vec![Input::Follow];
+    let mut inputs = vec![EngineEvent::FollowPredecessors];
     for ms in 320..600 {
         for (seq, copy, name) in legs(&new.step(ms, std::mem::take(&mut inputs))) {
             inputs.push(ended(seq, copy, Outcome::Delivered));
@@ -149,7 +154,7 @@
         let (mut old, _) = Life::alone(&dir, 0);
         let (seq, copy, _) = legs(&old.offer(10, "a", FREE))[0].clone();
         let mut new = Life::beside(&dir, 50);
-        let wait = Outcome::Full(Some(Span::from_ms(4000.0)));
+        let wait = Outcome::Rejected { retry_after: Some(Span::from_ms(4000.0)) };
         let mut first = Vec::new();
         if dies {
             // Killed in the step after it was told.
@@ -160,8 +165,8 @@
             old.hand_over(60);
             first.extend(new.take_up(70, &[old.generation], old.generation));
             old.step(100, vec![ended(seq, copy, wait)]);
-            first.extend(new.step(110, vec![Input::Follow]));
-            first.extend(new.step(120, vec![Input::Settle(old.generation)]));
+            first.extend(new.step(110, vec![EngineEvent::FollowPredecessors]));
+            first.extend(new.step(120, vec![EngineEvent::PredecessorExited(old.generation)]));
         }
         first.extend(new.offer(130, "b", FREE));
         let mut at = None;
@@ -193,10 +198,10 @@
     new.step(60, vec![list(&["other"])]);
     old.hand_over(70);
     let mut orders = new.take_up(80, &[old.generation], old.generation);
-    orders.extend((90..1000).step_by(10).flat_map(|ms| new.step(ms, vec![Input::Follow])));
+    orders.extend((90..1000).step_by(10).flat_map(|ms| new.step(ms, vec![EngineEvent::FollowPredecessors])));
     assert_eq!(legs(&orders), []);
     old.step(1000, vec![ended(seq, copy, Outcome::Error)]);
-    let mut orders = new.step(1010, vec![Input::Follow]);
+    let mut orders = new.step(1010, vec![EngineEvent::FollowPredecessors]);
     orders.extend((1020..3000).step_by(10).flat_map(|ms| new.step(ms, vec![])));
     assert_eq!(legs(&orders).len(), 1, "then it goes on");
     let _ = fs::remove_dir_all(&dir);
@@ -215,9 +220,9 @@
     let mut fill = |life: &mut Life, name: &str, ms: i64| {
         let mut taken = 0;
         for n in 0..150 {
-            let ticket = Ticket(n);
-            let authorisation = message(&format!("{name}-{n}"), FREE, ms, 20_000);
-            taken += usize::from(taken_on(&life.step(ms, vec![Input::Offered(ticket, authorisation)])));
+            let ticket = RequestId(n);
+            let message = message(&format!("{name}-{n}"), FREE, ms, 20_000);
+            taken += usize::from(taken_on(&life.step(ms, vec![EngineEvent::Submitted(ticket, message)])));
         }
         held += taken;
         taken
@@ -229,18 +234,18 @@
     fill(&mut old, "late", 130);
     assert!(size() <= DISK, "{}", size());
     let taken = new.take_up(140, &[old.generation], old.generation);
-    let took = |orders: &[Order]| {
+    let took = |orders: &[EngineCommand]| {
         orders.iter().find_map(|order| match order {
-            Order::TookUp(count) => Some(*count),
+            EngineCommand::TookOver(count) => Some(*count),
             _ => None,
         })
     };
-    new.step(150, vec![Input::Follow]);
-    new.step(160, vec![Input::Settle(old.generation)]);
+    new.step(150, vec![EngineEvent::FollowPredecessors]);
+    new.step(160, vec![EngineEvent::PredecessorExited(old.generation)]);
     assert_eq!(took(&taken), Some(held));
     drop(old);
     for ms in 170..400 {
-        let more = vec![Input::Offered(Ticket(1), message(&format!("more-{ms}"), FREE, ms, 1000))];
+        let more = vec![EngineEvent::Submitted(RequestId(1), message(&format!("more-{ms}"), FREE, ms, 1000))];
         new.step(ms, more);
         assert!(size() <= DISK, "{} at {ms}", size());
     }
@@ -257,7 +262,7 @@
     // A folder in the place of a segment cannot be read.
     fs::create_dir(dir.join(format!("journal-{:010}", first + 7))).unwrap();
     let mut orders = new.take_up(60, &[], old.generation);
-    assert!(orders.iter().any(|order| matches!(order, Order::Log(_))), "it is said");
+    assert!(orders.iter().any(|order| matches!(order, EngineCommand::Log(_))), "it is said");
     // What was read goes on: its leg may have run, and it ends here once.
     let mut open = Vec::new();
     for ms in 70..400 {
@@ -275,12 +280,15 @@
     old.hand_over(10);
     let (mut taken, mut declined) = (0, 0);
     for n in 0..20 {
-        let offer = Input::Offered(Ticket(n), message(&format!("m{n}"), FREE, 20, 20_000));
+        let offer = EngineEvent::Submitted(RequestId(n), message(&format!("m{n}"), FREE, 20, 20_000));
         let mut orders = Vec::new();
-        let now = Stamp { mono: Time(20_000), unix_ms: START_MS + 20 };
+        let now = Timestamp { monotonic: Time(20_000), unix_ms: START_MS + 20 };
         old.engine.step(now, vec![offer], &mut orders);
         taken += usize::from(taken_on(&orders));
-        declined += orders.iter().filter(|o| matches!(o, Order::Answer(_, Answer::Declined(_)))).count();
+        declined += orders
+            .iter()
+            .filter(|o| matches!(o, EngineCommand::Respond(_, SubmitResponse::Rejected { .. })))
+            .count();
         assert!(!old.engine.has_backlog(), "it would be stepped again and again");
         assert_eq!(old.engine.next_wake(), None);
     }
@@ -298,11 +306,11 @@
     new_serves: bool,
     ms: i64,
     /// Legs that are out: number, copy, message, whether the old life has it, and when it ends.
-    out: Vec<(Seq, u32, String, bool, i64)>,
+    out: Vec<(MessageId, u32, String, bool, i64)>,
     /// Runs at the partner, by message, with when.
     runs: BTreeMap<String, Vec<i64>>,
     owed: BTreeMap<String, usize>,
-    notices: BTreeMap<String, End>,
+    notices: BTreeMap<String, FinalOutcome>,
     wait_until: i64,
     next: usize,
     trace: Vec<String>,
@@ -314,19 +322,24 @@
     }
 
     /// Carries out what a life orders; breaches of the rules are panics that show the trace.
-    fn carry_out(&mut self, orders: Vec<Order>, by_old: bool) {
+    fn carry_out(&mut self, orders: Vec<EngineCommand>, by_old: bool) {
         for order in orders {
             match order {
-                Order::Leg { seq, copy, authorisation, .. } => {
-                    let name = String::from_utf8(authorisation.identity.clone()).unwrap();
+                EngineCommand::StartAttempt(AttemptRequest {
+                    message_id: seq,
+                    attempt: copy,
+                    message,
+                    ..
+                }) => {
+                    let name = String::from_utf8(message.identity.clone()).unwrap();
                     self.note(format!("leg of {name} copy {copy} by {}", if by_old { "old" } else { "new" }));
                     assert!(!self.out.iter().any(|out| out.2 == name), "two legs out of {name}");
                     assert!(self.ms >= self.wait_until, "sent within a told wait");
                     let took = self.rng.i64(5..400);
                     self.out.push((seq, copy, name, by_old, self.ms + took));
                 }
-                Order::Notice(_, authorisation, end) => {
-                    let name = String::from_utf8(authorisation.identity.clone()).unwrap();
+                EngineCommand::SendNotice { message, outcome: end, .. } => {
+                    let name = String::from_utf8(message.identity.clone()).unwrap();
                     self.note(format!("notice of {name}: {end:?}"));
                     self.notices.insert(name, end);
                 }
@@ -335,12 +348,12 @@
         }
     }
 
-    fn step(&mut self, of_old: bool, inputs: Vec<Input>) -> Vec<Order> {
+    fn step(&mut self, of_old: bool, inputs: Vec<EngineEvent>) -> Vec<EngineCommand> {
         let life = if of_old { self.old.as_mut() } else { self.new.as_mut() };
         life.map_or_else(Vec::new, |life| life.step(self.ms, inputs))
     }
 
-    fn run(&mut self, of_old: bool, inputs: Vec<Input>) {
+    fn run(&mut self, of_old: bool, inputs: Vec<EngineEvent>) {
         let orders = self.step(of_old, inputs);
         self.carry_out(orders, of_old);
     }
@@ -361,10 +374,13 @@
         let generation = old.generation;
         drop(old);
         match (self.new.is_some(), self.new_serves) {
-            (true, true) => self.run(false, vec![Input::Settle(generation)]),
+            (true, true) => self.run(false, vec![EngineEvent::PredecessorExited(generation)]),
             (true, false) => {
                 self.new_serves = true;
-                self.run(false, vec![Input::TakeUp { living: vec![], beside: Some(generation) }]);
+                self.run(
+                    false,
+                    vec![EngineEvent::TakeOver { running: vec![], first_concurrent: Some(generation) }],
+                );
             }
             (false, _) => {
                 let (life, orders) = Life::alone(&self.dir, self.ms);
@@ -382,7 +398,7 @@
     fn partner_after(&mut self, of_old: bool) {
         let (gone, kept) = std::mem::take(&mut self.out).into_iter().partition(|out| out.3 == of_old);
         self.out = kept;
-        let gone: Vec<(Seq, u32, String, bool, i64)> = gone;
+        let gone: Vec<(MessageId, u32, String, bool, i64)> = gone;
         for (_, _, name, ..) in gone {
             if self.rng.bool() {
                 self.runs.entry(name).or_default().push(self.ms);
@@ -409,7 +425,7 @@
             self.carry_out(orders, true);
         } else {
             let renewed = latest(&self.dir).unwrap().next();
-            self.run(true, vec![Input::Adopt(renewed)]);
+            self.run(true, vec![EngineEvent::StandbyExited(renewed)]);
             self.old.iter_mut().for_each(|old| old.generation = renewed);
         }
     }
@@ -421,7 +437,7 @@
             let outcome = match self.rng.u8(0..10) {
                 0 => Outcome::Error,
                 1 => Outcome::Reset,
-                2 => Outcome::Full(Some(Span::from_ms(self.rng.i64(100..900) as f64))),
+                2 => Outcome::Rejected { retry_after: Some(Span::from_ms(self.rng.i64(100..900) as f64)) },
                 3 => Outcome::ConnectFailed,
                 _ => Outcome::Delivered,
             };
@@ -433,14 +449,14 @@
             if ran {
                 self.runs.entry(name.clone()).or_default().push(ms);
             }
-            if let Outcome::Full(Some(wait)) = outcome {
+            if let Outcome::Rejected { retry_after: Some(wait) } = outcome {
                 self.wait_until = self.wait_until.max(ms + wait.0 / 1000);
             }
             self.note(format!("leg of {name} ends: {outcome:?}, ran {ran}"));
             self.run(by_old, vec![ended(seq, copy, outcome)]);
             if by_old && self.new_serves {
                 // Heard within a look of the new life, before anything else happens here.
-                self.run(false, vec![Input::Follow]);
+                self.run(false, vec![EngineEvent::FollowPredecessors]);
             }
         }
     }
@@ -449,7 +465,7 @@
         let (name, class) = (format!("m{}", self.next), self.next % 3);
         self.next += 1;
         let to_old = self.new.is_none() || self.old.is_some() && self.rng.bool();
-        let input = Input::Offered(Ticket(self.next as u64), message(&name, class, self.ms, 50));
+        let input = EngineEvent::Submitted(RequestId(self.next as u64), message(&name, class, self.ms, 50));
         let orders = self.step(to_old, vec![input]);
         if taken_on(&orders) {
             self.owed.insert(name.clone(), class);
@@ -457,7 +473,7 @@
         }
         self.carry_out(orders, to_old);
         if to_old && self.new_serves {
-            self.run(false, vec![Input::Follow]);
+            self.run(false, vec![EngineEvent::FollowPredecessors]);
         }
     }
 
@@ -490,11 +506,11 @@
         if self.new_serves && !self.out.iter().any(|out| out.3) && self.rng.u8(0..20) == 0 {
             self.note("the old one ends");
             let generation = self.old.take().unwrap().generation;
-            self.run(false, vec![Input::Settle(generation)]);
+            self.run(false, vec![EngineEvent::PredecessorExited(generation)]);
             self.settle();
         }
         self.run(true, vec![]);
-        self.run(false, if self.new_serves { vec![Input::Follow] } else { vec![] });
+        self.run(false, if self.new_serves { vec![EngineEvent::FollowPredecessors] } else { vec![] });
     }
 
     fn check(&self) {
--- a/crates/delivery/tests/parsers.rs
+++ b/crates/delivery/tests/parsers.rs
@@ -1,10 +1,10 @@
 //! Random cuts of valid messages and random garbage against the parsers, from fixed seeds.
 
-use marblefall_delivery::core::ledger::Ledger;
-use marblefall_delivery::front::cloudevents::event;
+use marblefall_delivery::core::message_store::MessageStore;
+use marblefall_delivery::frontend::cloudevents::event;
+use marblefall_delivery::net::admin::{self, Call};
 use marblefall_delivery::net::discovery::List;
 use marblefall_delivery::net::http::{self, Chunks, Piece};
-use marblefall_delivery::net::manage::{self, Call};
 use marblefall_delivery::net::pool;
 use quickcheck::{Gen, QuickCheck, Testable};
 
@@ -101,7 +101,8 @@
         let dir = std::env::temp_dir().join(format!("marblefall-garbage-{}", std::process::id()));
         std::fs::create_dir_all(&dir).unwrap();
         std::fs::write(dir.join("journal-0000000001"), bytes).unwrap();
-        let empty = Ledger::open(&dir, 3_000_000, vec![]).is_ok_and(|ledger| ledger.entries().is_empty());
+        let empty =
+            MessageStore::open(&dir, 3_000_000, vec![]).is_ok_and(|store| store.messages().is_empty());
         std::fs::remove_dir_all(&dir).unwrap();
         empty
     }
@@ -110,24 +111,21 @@
 
 #[test]
 fn operators_calls_are_read_and_garbage_is_refused_with_a_status() {
-    assert_eq!(manage::call("GET", "/ready", b""), Ok(Call::Ready));
-    assert_eq!(
-        manage::call("POST", "/endpoints/disable", b"s-5be2a07c\r\n"),
-        Ok(Call::Disable("s-5be2a07c"))
-    );
-    assert_eq!(manage::call("POST", "/endpoints/enable", b" s-1 "), Ok(Call::Enable("s-1")));
-    assert_eq!(manage::call("POST", "/drain", b""), Ok(Call::Drain));
-    assert_eq!(manage::call("POST", "/undrain", b""), Ok(Call::Undrain));
-    assert_eq!(manage::call("GET", "/drain", b""), Err(405));
-    assert_eq!(manage::call("POST", "/endpoints/disable", b""), Err(400));
-    assert_eq!(manage::call("POST", "/endpoints/disable", b"a b"), Err(400));
-    assert_eq!(manage::call("POST", "/nothing", b""), Err(404));
+    assert_eq!(admin::call("GET", "/ready", b""), Ok(Call::Ready));
+    assert_eq!(admin::call("POST", "/endpoints/disable", b"s-5be2a07c\r\n"), Ok(Call::Disable("s-5be2a07c")));
+    assert_eq!(admin::call("POST", "/endpoints/enable", b" s-1 "), Ok(Call::Enable("s-1")));
+    assert_eq!(admin::call("POST", "/drain", b""), Ok(Call::Drain));
+    assert_eq!(admin::call("POST", "/undrain", b""), Ok(Call::Undrain));
+    assert_eq!(admin::call("GET", "/drain", b""), Err(405));
+    assert_eq!(admin::call("POST", "/endpoints/disable", b""), Err(400));
+    assert_eq!(admin::call("POST", "/endpoints/disable", b"a b"), Err(400));
+    assert_eq!(admin::call("POST", "/nothing", b""), Err(404));
     fn property(at: usize, with: Vec<u8>, cut: usize) -> bool {
         let valid = b"POST /endpoints/disable HTTP/1.1\r\nContent-Length: 4\r\n\r\n";
         let bytes = spoil(valid, at, &with);
         let bytes = &bytes[..cut % (bytes.len() + 1)];
         if let Ok(request) = http::request(bytes) {
-            let call = manage::call(request.method, request.path, &with);
+            let call = admin::call(request.method, request.path, &with);
             assert!(call.is_ok() || matches!(call, Err(400 | 404 | 405)));
         }
         true
--- a/crates/delivery/tests/restart.rs
+++ b/crates/delivery/tests/restart.rs
@@ -4,9 +4,9 @@
 mod common;
 
 use common::{caps, ended, folder, host, legs, setup, KEYED, START_MS};
-use marblefall_delivery::core::engine::{Engine, Input, Order, Setup};
-use marblefall_delivery::core::ledger::Ledger;
-use marblefall_delivery::core::{Authorisation, Origin, Stamp, Ticket};
+use marblefall_delivery::core::engine::{Engine, EngineCommand, EngineEvent, EngineSettings};
+use marblefall_delivery::core::message_store::MessageStore;
+use marblefall_delivery::core::{Message, Origin, RequestId, Timestamp};
 use marblefall_scheduler::*;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -18,15 +18,15 @@
     ["keyed", "free", "never"].map(String::from).to_vec()
 }
 
-fn engine_setup(couriers: usize) -> Setup {
-    let caps = Caps { max_attempts: 1000, ..caps(MOST) };
-    let mut setup = setup(&[KEYED, Effect::Pure, Effect::SideEffect], caps);
-    setup.settings.couriers = couriers;
-    setup.settings.weights = Weights::Rough;
-    setup.settings.rules.tip_after = Span::from_ms(2000.0);
-    setup.settings.rules.cold = Span::from_ms(10_000.0);
-    setup.settings.rules.cold_from = 0.3;
-    setup.settings.rules.fall_multiple = 1.5;
+fn engine_setup(couriers: usize) -> EngineSettings {
+    let caps = Limits { max_attempts: 1000, ..caps(MOST) };
+    let mut setup = setup(&[KEYED, Idempotency::Idempotent, Idempotency::NonIdempotent], caps);
+    setup.scheduler.instances = couriers;
+    setup.scheduler.rate_hints = RateHints::Approximate;
+    setup.scheduler.rules.overload_window = Span::from_ms(2000.0);
+    setup.scheduler.rules.ramp_duration = Span::from_ms(10_000.0);
+    setup.scheduler.rules.ramp_start = 0.3;
+    setup.scheduler.rules.overload_factor = 1.5;
     setup
 }
 
@@ -38,21 +38,22 @@
 }
 
 impl Life {
-    fn begin(dir: &Path, couriers: usize, ms: i64, list: Vec<&str>) -> (Life, Vec<Order>) {
-        let ledger = Ledger::open(dir, 3_000_000, classes()).unwrap();
+    fn begin(dir: &Path, couriers: usize, ms: i64, list: Vec<&str>) -> (Life, Vec<EngineCommand>) {
+        let store = MessageStore::open(dir, 3_000_000, classes()).unwrap();
         let mut orders = Vec::new();
-        let now = Stamp { mono: Time(0), unix_ms: START_MS + ms };
-        let engine = Engine::new(engine_setup(couriers), ledger, now, &mut orders);
+        let now = Timestamp { monotonic: Time(0), unix_ms: START_MS + ms };
+        let engine = Engine::new(engine_setup(couriers), store, now, &mut orders);
         let mut life = Life { engine, born_ms: ms, ms };
-        orders.extend(life.step(0, vec![Input::Listed(list.into_iter().map(host).collect())]));
+        orders
+            .extend(life.step(0, vec![EngineEvent::EndpointsReplaced(list.into_iter().map(host).collect())]));
         (life, orders)
     }
 
     /// Steps so many milliseconds later, and as often as there is more to take up.
-    fn step(&mut self, later: i64, inputs: Vec<Input>) -> Vec<Order> {
+    fn step(&mut self, later: i64, inputs: Vec<EngineEvent>) -> Vec<EngineCommand> {
         self.ms += later;
-        let mono = Time((self.ms - self.born_ms) * 1000);
-        let now = Stamp { mono, unix_ms: START_MS + self.ms };
+        let monotonic = Time((self.ms - self.born_ms) * 1000);
+        let now = Timestamp { monotonic, unix_ms: START_MS + self.ms };
         let mut orders = Vec::new();
         self.engine.step(now, inputs, &mut orders);
         while self.engine.has_backlog() {
@@ -62,30 +63,30 @@
     }
 }
 
-fn offered(number: u64, ms: i64) -> Input {
+fn offered(number: u64, ms: i64) -> EngineEvent {
     let class = (number % 3) as usize;
-    let message = Authorisation {
-        origin: Origin::Relay,
+    let message = Message {
+        origin: Origin::Platform,
         identity: format!("m-{number}").into_bytes(),
-        repeat_key: (class == 0).then(|| format!("key-{number}").into_bytes()),
+        idempotency_key: (class == 0).then(|| format!("key-{number}").into_bytes()),
         class: ClassId(class),
         destination: DestinationId(7),
         expires_ms: START_MS + ms + LIVES_MS,
         attributes: Vec::new(),
         body: vec![b'x'; 100],
     };
-    Input::Offered(Ticket(number), message)
+    EngineEvent::Submitted(RequestId(number), message)
 }
 
-fn given_up(orders: &[Order]) -> usize {
-    orders.iter().filter(|order| matches!(order, Order::Notice(..))).count()
+fn given_up(orders: &[EngineCommand]) -> usize {
+    orders.iter().filter(|order| matches!(order, EngineCommand::SendNotice { .. })).count()
 }
 
 /// A folder that a killed life left with so many messages taken on, of which those with a leg were tried.
 fn left(name: &str, couriers: usize, messages: u64) -> (PathBuf, usize) {
     let dir = folder(name);
     let (mut life, _) = Life::begin(&dir, couriers, 0, vec!["h"]);
-    let orders: Vec<Order> =
+    let orders: Vec<EngineCommand> =
         (0..messages).flat_map(|number| life.step(0, vec![offered(number, 0)])).collect();
     assert_eq!(given_up(&orders), 0);
     let tried = legs(&orders).len();
@@ -105,14 +106,14 @@
         ends += given_up(&orders);
     }
     assert!(ends <= tried, "{ends} of 45 given up, {tried} were tried");
-    let mut out = legs(&life.step(10, vec![Input::Listed(vec![host("h")])]));
+    let mut out = legs(&life.step(10, vec![EngineEvent::EndpointsReplaced(vec![host("h")])]));
     let mut delivered = BTreeMap::new();
     for _ in 0..400 {
         let inputs = out.drain(..).map(|(seq, copy)| {
             *delivered.entry(seq).or_insert(0) += 1;
             ended(seq, copy, Outcome::Delivered)
         });
-        let inputs: Vec<Input> = inputs.collect();
+        let inputs: Vec<EngineEvent> = inputs.collect();
         let orders = life.step(20, inputs);
         assert_eq!(given_up(&orders), 0);
         out = legs(&orders);
@@ -130,7 +131,7 @@
         let (dir, tried) = left(&format!("hangs-{couriers}"), couriers, 30);
         let (mut life, orders) = Life::begin(&dir, couriers, 500, vec!["h"]);
         let mut ends = given_up(&orders);
-        let mut out: Vec<(i64, u64, u32)> = Vec::new();
+        let mut out: Vec<(i64, MessageId, u32)> = Vec::new();
         let mut begun = legs(&orders);
         // Nothing answers for as long as seven tenths of their time are not over.
         while life.ms < LIVES_MS * 7 / 10 - 200 {
--- a/crates/delivery/tests/snapshot.rs
+++ b/crates/delivery/tests/snapshot.rs
@@ -2,15 +2,19 @@
 
 use marblefall_atomic_file::faulty_disk::{Fault, Rig, Unsynced};
 use marblefall_atomic_file::Disk;
-use marblefall_delivery::core::snapshot::{encode, Record, VERSION};
-use marblefall_delivery::keep::{read, Keep};
+use marblefall_delivery::core::snapshot::{encode, DestinationRecord, VERSION};
+use marblefall_delivery::snapshot_store::{read, SnapshotStore};
 use std::path::Path;
 
 const FOLDER: &str = "/home/instances/one";
 
-fn records(out: u64) -> Vec<Record> {
+fn records(out: u64) -> Vec<DestinationRecord> {
     (0..out)
-        .map(|destination| Record { destination, out_since_ms: Some(1_000), ..Record::default() })
+        .map(|destination| DestinationRecord {
+            destination,
+            ejected_since_ms: Some(1_000),
+            ..DestinationRecord::default()
+        })
         .collect()
 }
 
@@ -24,14 +28,14 @@
         for after in 0..4 {
             let rig = Rig::new();
             rig.strike(after, fault);
-            let (mut keep, known) = Keep::open(rig.clone(), folder);
+            let (mut keep, known) = SnapshotStore::open(rig.clone(), folder);
             assert_eq!(known, []);
             let (old, new) = (records(1), records(2));
             keep.write(&old);
             keep.write(&new);
             for unsynced in [Unsynced::Kept, Unsynced::Lost, Unsynced::NamesOnly] {
                 let left = keep.disk().after(unsynced);
-                let (mut next, known) = Keep::open(left, folder);
+                let (mut next, known) = SnapshotStore::open(left, folder);
                 assert!(
                     known.is_empty() || known == old || known == new,
                     "{fault:?} at {after}, {unsynced:?}: {known:?}"
@@ -41,12 +45,12 @@
                 }
                 // The next life writes its own over whatever is there.
                 next.write(&records(3));
-                assert_eq!(read(next.disk(), folder), Ok(records(3)));
+                assert_eq!(read(next.disk(), folder).unwrap(), records(3));
             }
             // A disk that was full for a moment takes the same records when they come again.
             if matches!(fault, Fault::Fails(_)) {
                 keep.write(&new);
-                assert_eq!(read(keep.disk(), folder), Ok(new));
+                assert_eq!(read(keep.disk(), folder).unwrap(), new);
             }
         }
     }
@@ -59,9 +63,9 @@
     bytes[4..6].copy_from_slice(&(VERSION + 1).to_le_bytes());
     rig.write(&folder.join("destinations.bin"), &bytes).expect("no fault");
     let cause = read(&rig, folder).expect_err("it is not this version's");
-    assert!(cause.contains(&format!("version {}", VERSION + 1)), "{cause}");
-    let (mut keep, known) = Keep::open(rig, folder);
+    assert!(cause.to_string().contains(&format!("version {}", VERSION + 1)), "{cause}");
+    let (mut keep, known) = SnapshotStore::open(rig, folder);
     assert_eq!(known, []);
     keep.write(&records(1));
-    assert_eq!(read(keep.disk(), folder), Ok(records(1)));
+    assert_eq!(read(keep.disk(), folder).unwrap(), records(1));
 }
--- /dev/null
+++ b/crates/delivery/tests/stored_data.rs
@@ -0,0 +1,167 @@
+//! Data that an earlier version of the program stored, in `tests/fixtures`, is read by this one: a journal of two
+//! generations, the marks of two incarnations, and a snapshot of destinations. The fixtures were written by the version
+//! before the packages moved to `crates/`, and are never written anew.
+
+use marblefall_atomic_file::Real;
+use marblefall_delivery::core::journal::Generation;
+use marblefall_delivery::core::message_record::{AttemptRecord, MessageRecord, MessageState};
+use marblefall_delivery::core::message_store::MessageStore;
+use marblefall_delivery::core::snapshot::DestinationRecord;
+use marblefall_delivery::core::{FinalOutcome, Origin};
+use marblefall_delivery::hot_restart::incarnation::Incarnation;
+use marblefall_delivery::snapshot_store;
+use marblefall_scheduler::{ClassId, DestinationId, IdleRecord, Time};
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// When the fixtures' messages were accepted, as Unix time in milliseconds.
+const STORED_AT_MS: i64 = 1_800_000_000_000;
+const DISK: u64 = 3_000_000;
+
+/// A copy of a fixture that may be written to.
+fn copy_of(fixture: &str, test: &str) -> PathBuf {
+    let from = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures").join(fixture);
+    let to = std::env::temp_dir().join(format!("marblefall-stored-{}-{test}", std::process::id()));
+    let _ = fs::remove_dir_all(&to);
+    fs::create_dir_all(&to).unwrap();
+    for file in fs::read_dir(from).unwrap() {
+        let file = file.unwrap();
+        fs::copy(file.path(), to.join(file.file_name())).unwrap();
+    }
+    to
+}
+
+fn classes() -> Vec<String> {
+    vec!["keyed".to_owned(), "free".to_owned()]
+}
+
+fn message<'a>(store: &'a MessageStore, identity: &str) -> &'a MessageRecord {
+    let id = store.by_identity(identity.as_bytes()).unwrap_or_else(|| panic!("{identity} is known"));
+    store.get(id).unwrap()
+}
+
+fn attempt(after_ms: i64, endpoint: &str) -> Option<AttemptRecord> {
+    Some(AttemptRecord { started_ms: STORED_AT_MS + after_ms, endpoint: endpoint.to_owned() })
+}
+
+#[test]
+fn journal_of_two_generations_keeps_every_message_state() {
+    let folder = copy_of("journal", "states");
+    let store = MessageStore::open(&folder, DISK, classes()).unwrap();
+
+    let accepted = message(&store, "accepted");
+    assert_eq!((accepted.attempts, &accepted.state), (0, &MessageState::Pending));
+    assert_eq!(accepted.message.origin, Origin::Platform);
+    assert_eq!(accepted.message.class, ClassId(0));
+    assert_eq!(accepted.message.destination, DestinationId(7));
+    assert_eq!(accepted.message.expires_ms, STORED_AT_MS + 20_000);
+    assert_eq!(accepted.message.idempotency_key.as_deref(), Some(&b"key of accepted"[..]));
+    assert_eq!(accepted.message.attributes, b"attributes of accepted");
+    assert_eq!(accepted.message.body, b"body of accepted");
+
+    // Its process ended with the attempt in flight: it may have been executed.
+    let in_flight = message(&store, "in-flight");
+    assert_eq!((in_flight.attempts, &in_flight.state), (1, &MessageState::Pending));
+    assert_eq!(in_flight.first_executed, attempt(100, "bole-1"));
+
+    let in_backoff = message(&store, "in-backoff");
+    assert_eq!((in_backoff.attempts, &in_backoff.state), (1, &MessageState::Pending));
+    assert_eq!((in_backoff.message.origin, &in_backoff.first_executed), (Origin::CloudEvents, &None));
+
+    let owed = message(&store, "notice-owed");
+    let completion = owed.completion().unwrap();
+    assert_eq!((completion.outcome, completion.notice_owed), (FinalOutcome::Failed, true));
+    assert_eq!(completion.keep_until_ms, STORED_AT_MS + 60_000);
+    assert_eq!(owed.first_executed, attempt(300, "bole-1"));
+    assert!(owed.message.body.is_empty() && owed.message.attributes.is_empty());
+
+    let aliased = message(&store, "aliased");
+    let completion = aliased.completion().unwrap();
+    assert_eq!(completion.outcome, FinalOutcome::Returned { retry_after_ms: 1500 });
+    assert!(!completion.notice_owed);
+    assert_eq!(aliased.aliases, [b"second-identity".to_vec()]);
+    assert_eq!(store.by_identity(b"second-identity"), store.by_identity(b"aliased"));
+    assert_eq!(store.by_idempotency_key(DestinationId(7), b"key of aliased"), store.by_identity(b"aliased"));
+
+    assert_eq!(store.by_identity(b"forgotten"), None);
+
+    // Reported after the handover: one was rejected, the other delivered.
+    let handed_over = message(&store, "handed-over");
+    assert_eq!((handed_over.attempts, &handed_over.state), (1, &MessageState::Pending));
+    assert_eq!(handed_over.first_executed, None);
+    let delivered = message(&store, "delivered-after-handover").completion().unwrap().clone();
+    assert_eq!((delivered.outcome, delivered.notice_owed), (FinalOutcome::Delivered, false));
+    assert_eq!(delivered.keep_until_ms, STORED_AT_MS + 60_000);
+
+    for name in ["accepted-after-handover", "accepted-by-second"] {
+        assert_eq!(message(&store, name).state, MessageState::Pending, "{name}");
+    }
+    assert_eq!((store.messages().len(), store.open_count()), (9, 6));
+    fs::remove_dir_all(folder).unwrap();
+}
+
+#[test]
+fn journal_gives_backoffs_and_routes_of_concurrent_incarnations() {
+    let folder = copy_of("journal", "concurrent");
+    let mut store = MessageStore::begin(&folder, DISK, classes(), Generation(3)).unwrap();
+    let recovered = store.take_over(&[], Some(Generation(1))).unwrap();
+    let backoffs: BTreeMap<_, _> = [("bole-1", 4_000), ("bole-2", 9_000)]
+        .map(|(name, after)| ((DestinationId(7), name.to_owned()), STORED_AT_MS + after))
+        .into();
+    assert_eq!(store.backoffs(), &backoffs);
+    let unix = |after_ms: i64| Some(Time((STORED_AT_MS + after_ms) * 1000));
+    let routes: Vec<_> = recovered
+        .routes
+        .iter()
+        .map(|route| (route.destination, route.endpoint.as_deref(), route.learned))
+        .collect();
+    let separate = IdleRecord {
+        backoff_until: unix(5_000),
+        ejected_since: unix(-1_000),
+        recovering_since: None,
+        mean_latency_ms: Some(12.5),
+        baseline_rate: 0.75,
+    };
+    let shared = IdleRecord { recovering_since: unix(0), baseline_rate: 2.0, ..IdleRecord::default() };
+    assert_eq!(routes, [(DestinationId(7), Some("bole-1"), separate), (DestinationId(8), None, shared)]);
+    assert!(recovered.in_flight_elsewhere.is_empty(), "both incarnations have ended");
+    fs::remove_dir_all(folder).unwrap();
+}
+
+#[test]
+fn marks_of_earlier_incarnations_are_understood() {
+    let folder = copy_of("marks", "marks");
+    // The first still runs: it has handed over. The second has ended.
+    let running = fs::OpenOptions::new().read(true).append(true).open(folder.join("life-1")).unwrap();
+    running.try_lock().unwrap();
+    let mut third = Incarnation::claim(&folder).unwrap();
+    assert_eq!(third.generation(), Generation(3));
+    let earlier = third.earlier().unwrap();
+    assert_eq!(earlier.len(), 1);
+    assert_eq!((earlier[0].generation, earlier[0].settled), (Generation(1), true));
+    assert!(third.has_ended(Generation(2)));
+    drop(running);
+    assert_eq!(third.earlier().unwrap(), []);
+    assert!(third.has_ended(Generation(1)));
+    fs::remove_dir_all(folder).unwrap();
+}
+
+#[test]
+fn snapshot_keeps_every_field_of_destinations() {
+    let folder = copy_of("snapshot", "snapshot");
+    let records = snapshot_store::read(&Real, &folder).unwrap();
+    let expected = [1, 2, 3].map(|number: u64| DestinationRecord {
+        destination: number << 40,
+        ejected_since_ms: (number == 1).then_some(STORED_AT_MS - 5),
+        recovering_since_ms: (number == 2).then_some(STORED_AT_MS - 50),
+        backoff_until_ms: (number == 1).then_some(STORED_AT_MS + 900),
+        mean_latency_ms: Some(12.5),
+        baseline_rate: 0.25,
+        pending: 3,
+        in_flight: 1,
+        active: number < 2,
+    });
+    assert_eq!(records, expected);
+    fs::remove_dir_all(folder).unwrap();
+}
--- a/crates/endpoint-lists/src/book.rs
+++ b/crates/endpoint-lists/src/book.rs
@@ -106,7 +106,9 @@
     pub fn taken_over(&self, offer: &Offer) -> Vec<(String, Roster)> {
         let mut left = Vec::new();
         for file in self.absent.iter().filter(|absent| **absent != offer.file) {
-            let Some(mut roster) = self.good.get(file).cloned() else { continue };
+            let Some(mut roster) = self.good.get(file).cloned() else {
+                continue;
+            };
             let before = roster.destinations.len();
             roster.destinations.retain(|name, _| !offer.roster.destinations.contains_key(name));
             if roster.destinations.len() < before {
--- a/crates/endpoint-lists/src/check.rs
+++ b/crates/endpoint-lists/src/check.rs
@@ -171,7 +171,9 @@
 /// An endpoint that goes by its old name at another address is most often right, and sends orders to nowhere if not.
 fn moves(read: &Read, before: &Roster, wrong: &mut Vec<Fault>) {
     for (name, destination) in &read.roster.destinations {
-        let Some(old) = before.destinations.get(name).filter(|old| *old != destination) else { continue };
+        let Some(old) = before.destinations.get(name).filter(|old| *old != destination) else {
+            continue;
+        };
         for endpoint in &destination.endpoints {
             let was = old.endpoints.iter().find(|was| was.name == endpoint.name);
             if let Some(was) = was.filter(|was| was.address != endpoint.address) {
--- a/crates/scheduler/src/choice.rs
+++ b/crates/scheduler/src/choice.rs
@@ -8,6 +8,7 @@
 
 mod carry;
 mod fold;
+mod route;
 
 use crate::allowance::{self, Allowance};
 use crate::held::{Held, Line};
@@ -122,7 +123,7 @@
 struct Endpoint {
     kind: KindId,
     zone: ZoneId,
-    listing: Listing,
+    listing: EndpointStatus,
     route: RouteId,
     mean: Option<f64>,
     out: usize,
@@ -138,7 +139,7 @@
 struct Message {
     class: ClassId,
     destination: DestinationId,
-    key: Option<Key>,
+    key: Option<OrderingKey>,
     worth: f64,
     born: Time,
     taken: Option<Time>, // When this life took it on; none if an earlier one did.
@@ -166,7 +167,7 @@
 
 /// The decisions of one courier.
 #[derive(Default)]
-pub struct Courier {
+pub struct Scheduler {
     set: Settings,
     seed: u64,
     messages: BTreeMap<MessageId, Message>,
@@ -179,7 +180,7 @@
     refusals: u64,
     /// Calls that are out: their route, and the number of messages that still lack their outcome.
     calls: BTreeMap<u64, (RouteId, usize)>,
-    keys: BTreeMap<Key, KeyLine>,
+    keys: BTreeMap<OrderingKey, KeyLine>,
     flows: Vec<(f64, Time)>, // For each tenant its rate as it was at a time.
     typical: Option<f64>,
     taken: f64, // Messages taken since the start, and when that was.
@@ -197,16 +198,16 @@
     notes: Vec<String>,
 }
 
-impl Courier {
+impl Scheduler {
     /// A courier that knows nothing yet but its settings.
-    pub fn new(settings: Settings, seed: u64) -> Courier {
+    pub fn new(settings: Settings, seed: u64) -> Scheduler {
         let flows = vec![(0.0, Time(0)); settings.tenants.len()];
-        Courier { flows, set: settings, seed, ..Courier::default() }
+        Scheduler { flows, set: settings, seed, ..Scheduler::default() }
     }
 
     /// Takes all that one batch brought, then decides.
     pub fn handle(&mut self, now: Time, events: &[Event], actions: &mut Vec<Action>) {
-        let ask = self.set.discovery == Discovery::Subscribe;
+        let ask = self.set.discovery == DiscoveryMode::Subscribe;
         if ask && (self.began.is_none() || self.resubscribe.is_some_and(|at| at <= now)) {
             self.resubscribe = None;
             actions.push(Action::Subscribe);
@@ -227,67 +228,76 @@
         match event {
             Event::Accepted(handed) => self.accept(now, handed, None, actions),
             Event::Resumed(handed, past) => self.accept(now, handed, Some(past), actions),
-            Event::Closed { message, outcome, took, last, report, .. } => {
+            Event::AttemptFinished {
+                message,
+                outcome,
+                duration: took,
+                is_final: last,
+                rate_limit: report,
+                ..
+            } => {
                 if let Some(was) = self.closed(now, *message, *outcome, *last) {
                     let route = self.routes.get_mut(&self.endpoints[&was.endpoint].route);
                     let told = report.limit.filter(|limit| *limit > 0.0 && limit.is_finite());
-                    let even = 1.0 / self.set.couriers.max(1) as f64;
+                    let even = 1.0 / self.set.instances.max(1) as f64;
                     route.into_iter().for_each(|route| route.told_limit(told, even));
                     // A call cut short by its message's deadline says nothing of its route.
                     let short = was.hurried && *outcome == Outcome::TimedOut;
                     let outcome = if short { Outcome::Cancelled } else { *outcome };
                     self.learn(now, was.endpoint, was.sent, Some(*took), outcome);
-                    let low = report.left.is_some_and(|left| left < LEFT_LEAST);
+                    let low = report.remaining.is_some_and(|left| left < LEFT_LEAST);
                     if low && outcome == Outcome::Delivered {
                         self.spare(now, self.endpoints[&was.endpoint].route);
                     }
                     self.learn_connections(now, &was, outcome, actions);
                 }
             }
-            Event::Gone(message) => self.gone(*message, actions),
-            Event::Recalled(id, endpoint, cold) => self.recall(now, RouteId(*id, *endpoint), cold),
-            Event::Waits(to, endpoint, until) => self.waits(*to, *endpoint, *until),
-            Event::Due(token) => self.timer = self.timer.filter(|(_, set)| set != token),
-            Event::Probed { endpoint, outcome, .. } => {
+            Event::Cancelled(message) => self.gone(*message, actions),
+            Event::RouteRestored(id, endpoint, cold) => self.recall(now, RouteId(*id, *endpoint), cold),
+            Event::BackoffNotified(to, endpoint, until) => self.waits(*to, *endpoint, *until),
+            Event::TimerFired(token) => self.timer = self.timer.filter(|(_, set)| set != token),
+            Event::HealthChecked { endpoint, outcome, .. } => {
                 let route = self.endpoints.get(endpoint).and_then(|e| self.routes.get_mut(&e.route));
                 route.into_iter().for_each(|route| route.probing = false);
                 self.learn(now, *endpoint, now, None, *outcome);
             }
-            Event::Listed(entries) | Event::Changed(entries) => {
+            Event::EndpointsReplaced(entries) | Event::EndpointsUpdated(entries) => {
                 self.list_failures = 0;
-                if matches!(event, Event::Listed(_)) {
-                    self.endpoints.values_mut().for_each(|endpoint| endpoint.listing = Listing::Gone);
+                if matches!(event, Event::EndpointsReplaced(_)) {
+                    self.endpoints
+                        .values_mut()
+                        .for_each(|endpoint| endpoint.listing = EndpointStatus::Removed);
                     self.some_gone = true;
                 }
                 self.list(entries);
             }
-            Event::ListFailed => {
+            Event::EndpointListFailed => {
                 let own = 0.5 + self.draw(u64::MAX >> 8 ^ self.list_failures as u64);
                 let wait = RESUBSCRIBE_MS * 2f64.powi(self.list_failures.min(RESUBSCRIBE_MOST)) * own;
-                let most = Some(self.set.rules.must_ask.ms() / 2.0).filter(|most| *most > 0.0);
+                let most = Some(self.set.rules.max_poll_interval.ms() / 2.0).filter(|most| *most > 0.0);
                 self.list_failures += 1;
                 self.resubscribe = Some(now + Span::from_ms(most.map_or(wait, |most| wait.min(most))));
             }
         }
     }
 
-    fn list(&mut self, entries: &[Entry]) {
+    fn list(&mut self, entries: &[EndpointUpdate]) {
         for entry in entries {
-            self.some_gone |= entry.listing == Listing::Gone;
-            let apart = self.set.kinds.get(entry.kind.0).is_some_and(|kind| kind.apart);
+            self.some_gone |= entry.status == EndpointStatus::Removed;
+            let apart = self.set.kinds.get(entry.kind.0).is_some_and(|kind| kind.separate_routes);
             let route = RouteId(entry.destination, Some(entry.endpoint).filter(|_| apart));
             let phase = self.draw(u64::from(entry.endpoint.0) << 32);
             // Couriers that learn of it together do not all begin with it.
             let turn = self.reached(entry.destination) - entry.weight.map_or(0.0, |weight| phase / weight);
             let place = Endpoint { route, kind: entry.kind, zone: entry.zone, turn, ..Endpoint::default() };
             let known = self.endpoints.entry(entry.endpoint).or_insert(place);
-            (known.listing, known.weight) = (entry.listing, entry.weight);
+            (known.listing, known.weight) = (entry.status, entry.weight);
             let all = self.destinations.entry(entry.destination).or_default();
             if !all.contains(&entry.endpoint) {
                 all.push(entry.endpoint);
             }
             let route = self.routes.entry(route).or_insert_with(|| Route { phase, ..Route::default() });
-            route.share = entry.share;
+            route.share = entry.advertised_rate;
             route.destination = Some(entry.destination);
         }
     }
@@ -298,8 +308,8 @@
             return;
         }
         for (id, endpoint) in &self.endpoints {
-            if endpoint.listing != Listing::Gone || endpoint.out > 0 {
-                self.some_gone |= endpoint.listing == Listing::Gone;
+            if endpoint.listing != EndpointStatus::Removed || endpoint.out > 0 {
+                self.some_gone |= endpoint.listing == EndpointStatus::Removed;
                 continue;
             }
             if let Some(all) = self.destinations.get_mut(&endpoint.route.0) {
@@ -310,26 +320,32 @@
                 self.outs.remove(&endpoint.route);
             }
         }
-        self.endpoints.retain(|_, endpoint| endpoint.listing != Listing::Gone || endpoint.out > 0);
+        self.endpoints.retain(|_, endpoint| endpoint.listing != EndpointStatus::Removed || endpoint.out > 0);
     }
 
-    fn accept(&mut self, now: Time, handed: &Handed, past: Option<&Past>, actions: &mut Vec<Action>) {
+    fn accept(
+        &mut self,
+        now: Time,
+        handed: &NewMessage,
+        past: Option<&PriorAttempts>,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(class) = self.set.classes.get(handed.class.0) else {
             return actions.push(Action::Fail(handed.message));
         };
         // A deadline of its own may lie farther off than the class's; nothing is younger than new.
-        let born = (handed.expires - class.give_up).min(now);
-        let (worth, ordered) = (class.worth, class.ordered);
+        let born = (handed.deadline - class.deadline).min(now);
+        let (worth, ordered) = (class.priority_weight, class.ordered);
         let over = handed.tenant.is_some_and(|tenant| self.over_share(now, tenant));
-        let key = handed.key.filter(|_| ordered);
+        let key = handed.ordering_key.filter(|_| ordered);
         if let Some(key) = key {
             self.keys.entry(key).or_default().queue.push_back(handed.message);
         }
         self.taken += 1.0;
-        let worth = if over { worth * self.set.over_share_worth } else { worth };
-        let (class, destination, expires) = (handed.class, handed.destination, handed.expires);
+        let worth = if over { worth * self.set.over_quota_weight } else { worth };
+        let (class, destination, expires) = (handed.class, handed.destination, handed.deadline);
         // The window, the count of attempts and what a repeat may do hold across the lives of a courier.
-        let (attempts, ran) = past.map_or((0, None), |past| (past.attempts, past.ran));
+        let (attempts, ran) = past.map_or((0, None), |past| (past.attempts, past.first_executed));
         if attempts > 0 {
             // An earlier life tried in vain: to this one the route is one that has not answered of late.
             for id in self.destinations.get(&destination).into_iter().flatten() {
@@ -337,7 +353,7 @@
                 route.usual_at.get_or_insert(now - SILENT_LONG);
             }
         }
-        let (out, ended) = (past.and_then(|past| self.still_out(past.out?)), false);
+        let (out, ended) = (past.and_then(|past| self.still_out(past.in_flight?)), false);
         if let Some(known) = self.messages.get(&handed.message) {
             self.held.remove(known.destination, known.expires, handed.message);
         }
@@ -360,7 +376,7 @@
         let (rates, quotas) = others.fold((0.0, 0.0), |(rates, quotas), other| {
             (rates + fade(self.flows[other]), quotas + self.set.tenants[other].quota_per_s)
         });
-        let even = 1.0 / self.set.couriers.max(1) as f64;
+        let even = 1.0 / self.set.instances.max(1) as f64;
         let part = if quotas > 0.0 { even.max(rates / quotas) } else { even };
         let allowed = self.set.tenants[tenant.0].quota_per_s * part;
         self.flows[tenant.0].0 > allowed + 2.0 * (allowed / QUOTA_S).sqrt()
@@ -368,8 +384,8 @@
 
     fn gone(&mut self, id: MessageId, actions: &mut Vec<Action>) {
         let Some(message) = self.messages.get(&id) else { return };
-        if message.out.is_some() && self.set.caps.may_cancel {
-            actions.push(Action::Cancel { message: id, copy: Copy(message.attempts - 1) });
+        if message.out.is_some() && self.set.limits.cancellation_allowed {
+            actions.push(Action::Cancel { message: id, attempt: AttemptNumber(message.attempts - 1) });
         }
         self.finish(id);
     }
@@ -392,14 +408,14 @@
     fn closed(&mut self, now: Time, id: MessageId, outcome: Outcome, last: bool) -> Option<Attempt> {
         let message = self.messages.get_mut(&id)?;
         let attempt = message.out.take()?;
-        let never_ran = outcome.never_ran();
+        let never_ran = outcome.not_executed();
         if !never_ran && message.ran.is_none() {
             message.ran = Some((attempt.sent, attempt.endpoint));
         }
         let ended = matches!(outcome, Outcome::Delivered | Outcome::Error);
         let running = !never_ran && !ended;
         if let (Some(line), true) = (message.key.and_then(|key| self.keys.get_mut(&key)), running) {
-            line.rest_until = now + self.set.rules.order_pause;
+            line.rest_until = now + self.set.rules.ordering_pause;
         }
         if message.ended || last {
             self.finish(id);
@@ -407,7 +423,7 @@
             self.held.insert(message.destination, message.expires, id, true);
         }
         // A told wait binds at once, whatever becomes of the other messages of the same call.
-        if let Outcome::Full(Some(wait)) = outcome {
+        if let Outcome::Rejected { retry_after: Some(wait) } = outcome {
             let route = self.endpoints[&attempt.endpoint].route;
             self.routes.get_mut(&route).expect("an endpoint has a route").told(now + wait);
         }
@@ -444,7 +460,7 @@
         let (found, idle) = (before <= CROWDED, |e: &Endpoint| e.out == 0 && e.used.is_some());
         for (id, other) in self.endpoints.iter_mut().filter(|_| *crowded > CROWDED) {
             if (*id == was.endpoint || found && other.kind == kind) && idle(other) {
-                actions.push(Action::Close(*id));
+                actions.push(Action::CloseIdleConnections(*id));
                 other.used = None;
             }
         }
@@ -490,19 +506,19 @@
                 let quiet = route.usual_at.is_some_and(|at| now - at >= SILENT_LONG);
                 if quiet {
                     let waiting = self.held.line(endpoint.route.0).map_or(0, Line::len);
-                    let many = (SILENT_BACKLOG / self.set.couriers.max(1) as f64).ceil().max(SILENT_LEAST);
+                    let many = (SILENT_BACKLOG / self.set.instances.max(1) as f64).ceil().max(SILENT_LEAST);
                     if waiting >= many as usize {
                         route.health.woke(now);
                     }
                 }
-                route.good(now, sent, self.set.rules.cold, sight);
+                route.good(now, sent, self.set.rules.ramp_duration, sight);
                 self.crowds.remove(&endpoint.route.0);
             }
-            Outcome::Full(wait) => {
+            Outcome::Rejected { retry_after: wait } => {
                 route.told(now + wait.unwrap_or(Span::ZERO));
-                route.refused(now, sent, PACE_LEAST / self.set.couriers.max(1) as f64, sight);
+                route.refused(now, sent, PACE_LEAST / self.set.instances.max(1) as f64, sight);
                 // No limit makes anyone wait longer than the span of the rule: it is shut. Harm: one does.
-                if wait.is_some_and(|wait| wait > self.set.rules.tip_after) {
+                if wait.is_some_and(|wait| wait > self.set.rules.overload_window) {
                     route.streak = route.streak.max(FAILS_OUT);
                 }
                 self.refusals += 1;
@@ -529,7 +545,7 @@
                 route.failed(sent, 1.0);
             }
             // Hosts drop kept connections by the dozen; taken for failures, routes would go out by chance.
-            Outcome::Cancelled | Outcome::Moot | Outcome::Stale => {}
+            Outcome::Cancelled | Outcome::NotSent | Outcome::StaleConnection => {}
         }
         let route = endpoint.route;
         self.judge(now, route, sent, outcome == Outcome::Delivered);
@@ -538,7 +554,7 @@
     /// Judges whether a route is out, and whether one that was out has come back.
     fn judge(&mut self, now: Time, id: RouteId, sent: Time, answered: bool) {
         // As many failed calls running as come in the time that three take at a busy route, or a least.
-        let (cold, least) = (self.set.rules.cold, FAILS_OUT - self.vary());
+        let (cold, least) = (self.set.rules.ramp_duration, FAILS_OUT - self.vary());
         let held = || self.held.line(id.0).is_some();
         let route = self.routes.get_mut(&id).expect("only routes in use are judged");
         let failing = route.streak >= (FAILS_OUT * route.usual).clamp(least, FAILS_OUT);
@@ -560,13 +576,13 @@
     /// to delivering there, drawn towards an even part of the reported or listed rate, or of its own traffic
     /// over all destinations. So the parts of all couriers add up to no more than the route bears.
     fn own_rate(&self, now: Time, route: &Route) -> f64 {
-        let couriers = self.set.couriers.max(1) as f64;
-        let listed = Some(route.share.max(LEAST_RATE)).filter(|_| self.set.weights != Weights::Off);
+        let couriers = self.set.instances.max(1) as f64;
+        let listed = Some(route.share.max(LEAST_RATE)).filter(|_| self.set.rate_hints != RateHints::Absent);
         let age = self.began.map_or(0.0, |began| (now - began).secs()).max(USUAL_S);
         let mine = self.taken.max(1.0) / age / self.destinations.len().max(1) as f64;
-        let part = if self.set.weights == Weights::Nominal { 1.0 } else { LISTED_PART };
+        let part = if self.set.rate_hints == RateHints::Exact { 1.0 } else { LISTED_PART };
         let even = |rate: Option<f64>| rate.map_or(mine, |rate| rate * part / couriers);
-        let settled = route.health.settled(now, self.set.rules.cold);
+        let settled = route.health.settled(now, self.set.rules.ramp_duration);
         let usual = if settled { route.usual(now) } else { route.usual };
         let few = (1.0 - self.vary()) * usual.max(even(listed)).max(LEAST_RATE / couriers);
         let own = few.max((1.0 + usual * USUAL_S) / (1.0 / even(route.limit.or(listed)).max(1e-6) + USUAL_S));
@@ -577,19 +593,19 @@
     /// How far this courier can tell refusals by chance from a route's limit: not at all among others that
     /// share a route nobody has listed.
     fn sight(&self, route: &Route) -> Option<Sight> {
-        let couriers = self.set.couriers.max(1) as f64;
+        let couriers = self.set.instances.max(1) as f64;
         let alone = Some(f64::INFINITY).filter(|_| couriers == 1.0);
         Some(Sight { couriers, room: self.listed(route).map(|rate| rate / couriers).or(alone)? })
     }
 
     /// Calls a second that a route is listed to bear from all couriers together, if the list says so.
     fn listed(&self, route: &Route) -> Option<f64> {
-        Some(route.share).filter(|rate| self.set.weights != Weights::Off && *rate > LEAST_RATE)
+        Some(route.share).filter(|rate| self.set.rate_hints != RateHints::Absent && *rate > LEAST_RATE)
     }
 
     /// From when on the rule of fail-back leaves a route that is out, or just back, another call.
     fn spaced(&self, now: Time, route: &Route) -> Time {
-        let couriers = self.set.couriers.max(1) as f64;
+        let couriers = self.set.instances.max(1) as f64;
         let terms = Terms { rules: &self.set.rules, couriers, vary: self.vary() };
         // What it is listed to bear, or was seen to bear where that is more, and a little to catch up with.
         let most = self.listed(route).map(|rate| CATCH_UP * route.usual.max(rate / couriers));
@@ -616,7 +632,7 @@
     /// The routes of a destination's listed endpoints.
     fn routes_of(&self, id: DestinationId) -> impl Iterator<Item = &Route> {
         let places = self.destinations.get(&id).into_iter().flatten().map(|id| &self.endpoints[id]);
-        places.filter(|place| place.listing == Listing::On).map(|place| &self.routes[&place.route])
+        places.filter(|place| place.listing == EndpointStatus::Active).map(|place| &self.routes[&place.route])
     }
 
     /// The call time to expect of a route, in ms.
@@ -641,7 +657,7 @@
 
     /// Calls a second that are this courier's among many, where a limit is told or listed.
     fn allowed(&self, route: &Route) -> Option<f64> {
-        allowance::part(route.limit.or(self.listed(route))?, self.set.couriers, self.vary())
+        allowance::part(route.limit.or(self.listed(route))?, self.set.instances, self.vary())
     }
 
     /// From when on one more call may go to a route; `None` while only an outcome can open it.
@@ -650,7 +666,7 @@
         let crowd = route.destination.and_then(|id| self.crowds.get(&id));
         at = crowd.map_or(at, |(_, until)| at.max(*until));
         let silent = self.overdue(now, route) >= SILENT_CALLS;
-        let slots = self.set.caps.slots as f64;
+        let slots = self.set.limits.max_in_flight as f64;
         if self.sick(now, route) && self.sick_calls(now) >= ((slots * SICK_PART) as usize).max(1) {
             return None;
         }
@@ -671,14 +687,16 @@
     /// Whether a message may go to an endpoint as far as its effect is concerned.
     fn permitted(&self, now: Time, message: &Message, id: EndpointId, endpoint: &Endpoint) -> bool {
         let Some((first, earlier)) = message.ran else { return true };
-        match self.set.classes[message.class.0].effect {
-            Effect::Pure => true,
-            Effect::SideEffect => false,
-            Effect::Token { scope, window } => {
+        match self.set.classes[message.class.0].idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::NonIdempotent => false,
+            Idempotency::IdempotencyKey { scope, window } => {
                 let same = match scope {
-                    Scope::All => true,
-                    Scope::Zone => self.endpoints.get(&earlier).is_some_and(|e| e.zone == endpoint.zone),
-                    Scope::Endpoint => id == earlier,
+                    DeduplicationScope::All => true,
+                    DeduplicationScope::Zone => {
+                        self.endpoints.get(&earlier).is_some_and(|e| e.zone == endpoint.zone)
+                    }
+                    DeduplicationScope::Endpoint => id == earlier,
                 };
                 same && now - first < window
             }
@@ -695,7 +713,7 @@
             let endpoint = &self.endpoints[&id];
             let route = &self.routes[&endpoint.route];
             let capped = endpoint.conn_cap.is_some_and(|(cap, _)| endpoint.out >= cap);
-            if endpoint.listing != Listing::On
+            if endpoint.listing != EndpointStatus::Active
                 || capped
                 || message.is_some_and(|message| !self.permitted(now, message, id, endpoint))
                 || self.open(now, route).is_none_or(|at| at > now)
@@ -705,13 +723,13 @@
             let mean = self.mean(route);
             let own = endpoint.mean.unwrap_or(mean);
             let mut cost = own * (1.0 + 0.5 * endpoint.out as f64);
-            let streams = self.set.caps.streams_per_conn.max(1);
-            let idle = endpoint.used.is_none_or(|at| now - at > self.set.caps.conn_idle);
+            let streams = self.set.limits.streams_per_connection.max(1);
+            let idle = endpoint.used.is_none_or(|at| now - at > self.set.limits.idle_timeout);
             if idle || endpoint.out >= endpoint.conns * streams {
                 cost += CONNECT_PART * mean;
             }
             if endpoint.route.1.is_some() {
-                cost *= 1.0 + TOLL_WEIGHT * self.set.tolls.get(endpoint.zone.0).copied().unwrap_or(0.0);
+                cost *= 1.0 + TOLL_WEIGHT * self.set.zone_fees.get(endpoint.zone.0).copied().unwrap_or(0.0);
             }
             let shunned = if endpoint.failed.is_some_and(|at| now - at < SHUN) { 1000.0 } else { 1.0 };
             // Exponential draws over rates: the least falls to each endpoint by its part of the rates.
@@ -728,7 +746,7 @@
 
     /// How little of the load this courier sees.
     fn vary(&self) -> f64 {
-        (1.0 - FEW_COURIERS / self.set.couriers.max(1) as f64).max(0.0)
+        (1.0 - FEW_COURIERS / self.set.instances.max(1) as f64).max(0.0)
     }
 
     /// A number in 0..1 that this courier keeps for something with a number.
@@ -740,9 +758,11 @@
 
     fn decayed(&self, now: Time, message: &Message) -> f64 {
         let class = &self.set.classes[message.class.0];
-        let halvings = match self.set.late {
-            LateForm::Halves => 1.0 / class.promise.ms().max(1.0),
-            LateForm::Line => -class.late_value.clamp(LEAST_LATE, 1.0).log2() / class.give_up.ms().max(1.0),
+        let halvings = match self.set.value_decay {
+            ValueDecay::Halving => 1.0 / class.latency_objective.ms().max(1.0),
+            ValueDecay::Linear => {
+                -class.late_value.clamp(LEAST_LATE, 1.0).log2() / class.deadline.ms().max(1.0)
+            }
         };
         message.worth * (-halvings * (now - message.born).ms()).exp2()
     }
@@ -779,7 +799,7 @@
     }
 
     fn release(&mut self, now: Time, actions: &mut Vec<Action>) {
-        while self.calls.len() < self.set.caps.slots {
+        while self.calls.len() < self.set.limits.max_in_flight {
             let Some((first, endpoint)) = self.best(now) else { return };
             let load = [vec![first], self.mates(now, first, endpoint)].concat();
             self.send(now, &load, endpoint, actions);
@@ -789,7 +809,7 @@
     /// Further messages that may share a call, the most valuable first.
     fn mates(&self, now: Time, first: MessageId, endpoint: EndpointId) -> Vec<MessageId> {
         let place = &self.endpoints[&endpoint];
-        let most = self.set.kinds.get(place.kind.0).map_or(1, |kind| kind.per_call.max(1));
+        let most = self.set.kinds.get(place.kind.0).map_or(1, |kind| kind.max_batch.max(1));
         let line = self.held.line(place.route.0).filter(|_| most > 1);
         let fits = |id: &MessageId| {
             let message = &self.messages[id];
@@ -808,34 +828,34 @@
     fn send(&mut self, now: Time, load: &[MessageId], id: EndpointId, actions: &mut Vec<Action>) {
         let route = &self.routes[&self.endpoints[&id].route];
         let (mean, allowed) = (self.mean(route), self.allowed(route));
-        let streams = self.set.caps.streams_per_conn.max(1);
+        let streams = self.set.limits.streams_per_connection.max(1);
         let turn = self.turn(now, &self.endpoints[&id]);
         let endpoint = self.endpoints.get_mut(&id).expect("only listed endpoints are picked");
         endpoint.turn = turn.unwrap_or(endpoint.turn);
         let route = self.routes.get_mut(&endpoint.route).expect("an endpoint has a route");
         let call = self.next_call;
         self.next_call += 1;
-        let kept = |at| now - at > PAUSE && now - at < self.set.caps.conn_idle;
+        let kept = |at| now - at > PAUSE && now - at < self.set.limits.idle_timeout;
         let idled = endpoint.out == 0 && endpoint.used.is_some_and(kept);
         if idled && self.crowded.get(&endpoint.kind).is_some_and(|crowded| *crowded > CROWDED) {
-            actions.push(Action::Close(id));
+            actions.push(Action::CloseIdleConnections(id));
         }
         let backoff = BACKOFF.powi(route.timeouts.min(BACKOFF_MOST));
         let part = if self.lost > LOSSY { LOSSY_PART } else { 1.0 };
         let patience = (PATIENCE * mean).max(LEAST_PATIENCE_MS) * backoff * part;
         for &message_id in load {
             let message = self.messages.get_mut(&message_id).expect("held messages are known");
-            let once = self.set.classes[message.class.0].effect == Effect::SideEffect;
+            let once = self.set.classes[message.class.0].idempotency == Idempotency::NonIdempotent;
             let patience = if once { patience * UNSAFE_PATIENCE } else { patience };
             let patient = now + Span::from_ms(patience);
             let (cut_at, hurried) = (message.expires.min(patient), message.expires < patient);
             message.attempts += 1;
             message.out = Some(Attempt { call, endpoint: id, sent: now, idled, hurried });
             self.held.remove(message.destination, message.expires, message_id);
-            actions.push(Action::Send { message: message_id, endpoint: id, cut_at });
+            actions.push(Action::Send { message: message_id, endpoint: id, timeout_at: cut_at });
         }
         self.calls.insert(call, (endpoint.route, load.len()));
-        if endpoint.used.is_none_or(|at| now - at > self.set.caps.conn_idle) {
+        if endpoint.used.is_none_or(|at| now - at > self.set.limits.idle_timeout) {
             endpoint.conns = 0;
         }
         endpoint.out += 1;
@@ -843,7 +863,7 @@
         endpoint.conns = endpoint.conns.max(endpoint.out.div_ceil(streams));
         route.out.push(now);
         allowed.into_iter().for_each(|rate| route.allowance.sent(now, rate));
-        route.sent(now, RECENT.max(self.set.rules.tip_after));
+        route.sent(now, RECENT.max(self.set.rules.overload_window));
     }
 
     /// Ends what can no longer be delivered.
@@ -886,7 +906,7 @@
     /// Ends what there is no room to hold, once what may leave has left: one of little worth that goes at
     /// once needs no room, though all that wait for a busy destination are worth more.
     fn make_room(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let room = (self.set.caps.max_open as f64 * HOLD_PART) as usize;
+        let room = (self.set.limits.max_pending as f64 * HOLD_PART) as usize;
         while self.messages.len() > room.max(1) {
             let worth = |id: &MessageId| self.stake(now, &self.messages[id]);
             let least = self.held.all().min_by(|a, b| worth(a).total_cmp(&worth(b)).then(a.cmp(b)));
@@ -909,12 +929,12 @@
 
     /// When a held message is lost: the late gate, the end of its key's window, its attempts used up.
     fn hopeless_at(&self, message: &Message, quickest: Span) -> Time {
-        let (past, used_up) = (Time(i64::MIN), message.attempts >= self.set.caps.max_attempts);
+        let (past, used_up) = (Time(i64::MIN), message.attempts >= self.set.limits.max_attempts);
         let late = message.expires - quickest;
-        match (self.set.classes[message.class.0].effect, message.ran) {
+        match (self.set.classes[message.class.0].idempotency, message.ran) {
             _ if used_up => past,
-            (Effect::SideEffect, Some(_)) => past,
-            (Effect::Token { window, .. }, Some((first, _))) => late.min(first + window),
+            (Idempotency::NonIdempotent, Some(_)) => past,
+            (Idempotency::IdempotencyKey { window, .. }, Some((first, _))) => late.min(first + window),
             _ => late,
         }
     }
@@ -922,13 +942,15 @@
     /// The only way to give a message up: refused where that is allowed, else failed; at once.
     fn end(&mut self, now: Time, id: MessageId, actions: &mut Vec<Action>) {
         let message = &self.messages[&id];
-        let harmless = match self.set.classes[message.class.0].effect {
-            Effect::Pure | Effect::Token { scope: Scope::All, .. } => true,
+        let harmless = match self.set.classes[message.class.0].idempotency {
+            Idempotency::Idempotent | Idempotency::IdempotencyKey { scope: DeduplicationScope::All, .. } => {
+                true
+            }
             _ => message.ran.is_none(),
         };
         if harmless && now < message.expires {
             let retry_in = self.come_back(now, message);
-            actions.push(Action::Refuse { message: id, retry_in });
+            actions.push(Action::Reject { message: id, retry_after: retry_in });
         } else {
             actions.push(Action::Fail(id));
         }
@@ -939,15 +961,15 @@
     fn come_back(&self, now: Time, message: &Message) -> Span {
         let opens = self.routes_of(message.destination).filter_map(|route| self.open(now, route));
         let wait = opens.min().map_or(RETRY_MS, |at| (at - now).ms().max(RETRY_MS));
-        Span::from_ms(wait).min(self.set.caps.max_retry_after)
+        Span::from_ms(wait).min(self.set.limits.max_retry_after)
     }
 
     /// Where probes are allowed, a route that is out is tried with a probe first.
     fn probe(&mut self, now: Time, actions: &mut Vec<Action>) {
-        if !self.set.caps.probes {
+        if !self.set.limits.health_checks_allowed {
             return;
         }
-        let keep = RECENT.max(self.set.rules.tip_after);
+        let keep = RECENT.max(self.set.rules.overload_window);
         for id in self.outs.clone() {
             let opens = self.open(now, &self.routes[&id]);
             let place = self.probe_place(id).filter(|_| opens.is_some_and(|at| at <= now));
@@ -955,13 +977,13 @@
             let route = self.routes.get_mut(&id).expect("only routes in use are judged");
             route.probing = true;
             route.sent(now, keep);
-            actions.push(Action::Probe(endpoint));
+            actions.push(Action::HealthCheck(endpoint));
         }
     }
 
     /// The endpoint at which a route is probed.
     fn probe_place(&self, route: RouteId) -> Option<EndpointId> {
-        let listed = |id: &EndpointId| self.endpoints[id].listing == Listing::On;
+        let listed = |id: &EndpointId| self.endpoints[id].listing == EndpointStatus::Active;
         let all = self.destinations[&route.0].iter().copied().filter(listed);
         all.filter(|id| self.endpoints[id].route == route).min()
     }
@@ -981,18 +1003,18 @@
             times.extend(rests.filter(|at| *at > now));
         }
         let opens = |route: &Route| self.open(now, route).filter(|at| *at > now);
-        if self.calls.len() < self.set.caps.slots {
+        if self.calls.len() < self.set.limits.max_in_flight {
             times.extend(self.held.lines().flat_map(|(id, _)| self.routes_of(id)).filter_map(opens));
         }
-        if self.set.caps.probes {
+        if self.set.limits.health_checks_allowed {
             let outs = self.outs.iter().filter(|route| self.probe_place(**route).is_some());
             times.extend(outs.filter_map(|id| opens(&self.routes[id])));
         }
-        let next = times.into_iter().min().map(|at| at.max(now + self.set.tick));
+        let next = times.into_iter().min().map(|at| at.max(now + self.set.min_batch_interval));
         let Some(at) = next.filter(|at| self.timer.is_none_or(|(set, _)| set > *at)) else { return };
         self.next_token += 1;
         self.timer = Some((at, self.next_token));
-        actions.push(Action::Wake { at, token: self.next_token });
+        actions.push(Action::SetTimer { at, token: self.next_token });
     }
 }
 
@@ -1002,66 +1024,3 @@
         Some(mean) => mean + MEAN_WEIGHT * (sample.min(TAIL_CLIP * mean.max(1.0)) - mean),
     });
 }
-
-impl Route {
-    fn sent(&mut self, now: Time, keep: Span) {
-        self.health.sent(now, keep);
-        if let Some(pace) = &mut self.pace {
-            pace.sent(now);
-        }
-    }
-
-    fn failed(&mut self, sent: Time, part: f64) {
-        self.streak += if Some(sent) >= self.last_good_send { part } else { 0.0 };
-    }
-
-    /// The usual rate as it is now; it rests while the route is not well.
-    fn usual(&self, now: Time) -> f64 {
-        let gap = self.usual_at.map_or(0.0, |at| (now - at).secs());
-        self.usual.min(2.0 / gap.max(1e-3))
-    }
-
-    fn told_limit(&mut self, told: Option<f64>, even: f64) {
-        self.limit = told.or(self.limit);
-        if let (Some(limit), Some(pace)) = (told, &mut self.pace) {
-            pace.told(limit, even);
-        }
-    }
-
-    fn told(&mut self, until: Time) {
-        self.wait_until = self.wait_until.max(Some(until));
-    }
-
-    fn good(&mut self, now: Time, sent: Time, cold: Span, sight: Option<Sight>) {
-        self.timeouts = 0;
-        self.refusals = None;
-        self.last_good_send = self.last_good_send.max(Some(sent));
-        self.streak = 0.0;
-        let gap = self.usual_at.map_or(0.0, |at| (now - at).secs());
-        if self.health.settled(now, cold) {
-            self.usual = self.usual * (-gap / USUAL_S).exp() + 1.0 / USUAL_S;
-        }
-        self.usual_at = Some(now);
-        let down = self.health.is_down();
-        self.pace.take_if(|pace| !pace.served(now, sent, gap, down, sight));
-    }
-
-    fn refused(&mut self, now: Time, sent: Time, least: f64, sight: Option<Sight>) {
-        self.failed(sent, REFUSED_PART);
-        let (since, count) = self.refusals.get_or_insert((now, 0));
-        *count += 1;
-        if *count >= SHUT_CALLS && now - *since >= SHUT_AFTER {
-            self.streak = self.streak.max(FAILS_OUT);
-        }
-        let served = self.last_good_send;
-        match &mut self.pace {
-            None => {
-                // Right after a start the sends of an instant stand for less than the whole span.
-                let (count, first) = self.health.recent(now, RECENT);
-                let rate = (count as f64 / first.max(LEAST_RECENT).secs()).max(least);
-                self.pace = Some(Pace::new(now, rate, sight));
-            }
-            Some(pace) => pace.refused(now, sent, served, least, sight),
-        }
-    }
-}
--- a/crates/scheduler/src/choice/carry.rs
+++ b/crates/scheduler/src/choice/carry.rs
@@ -1,18 +1,18 @@
 //! What one life of a courier takes from another that runs beside it: what it knows of routes, the waits it was told, and
 //! the calls of its that are out. Nothing is decided here.
 
-use super::{Attempt, Courier, RouteId};
+use super::{Attempt, RouteId, Scheduler};
 use crate::interface::*;
 
-impl Courier {
+impl Scheduler {
     /// What is known of each route that is listed, for a life that takes over: its destination, its endpoint where that
     /// is a route of its own, and how it stands.
-    pub fn known(&self, now: Time) -> Vec<(DestinationId, Option<EndpointId>, Cold)> {
+    pub fn route_records(&self, now: Time) -> Vec<(DestinationId, Option<EndpointId>, IdleRecord)> {
         let known = self.routes.iter().map(|(id, route)| {
             let held = self.held.line(id.0).is_some();
             (id.0, id.1, self.cold(now, route, held))
         });
-        known.filter(|(.., cold)| cold.says_something()).collect()
+        known.filter(|(.., cold)| cold.is_significant()).collect()
     }
 
     /// Keeps to a wait that another life was told. The endpoint may have gone from the list meanwhile; what it said binds
--- a/crates/scheduler/src/interface.rs
+++ b/crates/scheduler/src/interface.rs
@@ -1,8 +1,8 @@
-//! What goes into the decision module and what comes out: types only.
+//! The scheduler's interface: events in, actions out, and the settings it is started with. Types only.
 
 use std::ops::{Add, Sub};
 
-/// A moment on the embedding courier's clock, in microseconds. Only the differences mean anything.
+/// A moment on the embedding program's monotonic clock, in microseconds. Only differences mean anything.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default, Hash)]
 pub struct Time(pub i64);
 
@@ -63,229 +63,229 @@
     }
 }
 
-/// One message; never reused within one courier.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+/// A message; an id is never reused by one instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct MessageId(pub u64);
 
-/// One endpoint of a destination.
+/// An endpoint of a destination.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EndpointId(pub u32);
 
-/// One destination: another firm's system, reached through its endpoints.
+/// A destination: a remote system, reached through its endpoints.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct DestinationId(pub u64);
 
-/// Place of a class in [`Settings::classes`].
+/// Index of a class in [`Settings::classes`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClassId(pub usize);
 
-/// Place of a tenant in [`Settings::tenants`].
+/// Index of a tenant in [`Settings::tenants`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TenantId(pub usize);
 
-/// Place of a kind of destination in [`Settings::kinds`].
+/// Index of a kind of destination in [`Settings::kinds`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct KindId(pub usize);
 
-/// Place of a zone in [`Settings::tolls`].
+/// Index of a zone in [`Settings::zone_fees`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneId(pub usize);
 
-/// What an ordered message is about; equal keys go one at a time.
+/// What an ordered message is about: messages with equal keys are sent one at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Key(pub u64);
+pub struct OrderingKey(pub u64);
 
 /// Number of an attempt of one message: 0, 1, 2 ... in the order of the sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Copy(pub u32);
+pub struct AttemptNumber(pub u32);
 
 /// What a second delivery of the same message does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Effect {
-    /// Nothing: may be repeated freely.
-    Pure,
-    /// Dropped by the endpoints of `scope` for `window` from the send of the first that may have run.
-    Token {
-        /// Which endpoints know the message again.
-        scope: Scope,
-        /// For how long they do.
+pub enum Idempotency {
+    /// Nothing: the message may be repeated freely.
+    Idempotent,
+    /// The endpoints in `scope` drop repeats by an idempotency key.
+    IdempotencyKey {
+        /// Which endpoints recognise the key.
+        scope: DeduplicationScope,
+        /// For how long they do, counted from the first attempt that may have been executed.
         window: Span,
     },
-    /// A second effect: never repeated once it may have run.
-    SideEffect,
+    /// It takes effect again: never repeated once an attempt may have been executed.
+    NonIdempotent,
 }
 
 /// Which endpoints of a destination drop each other's repeats.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Scope {
+pub enum DeduplicationScope {
     /// All of them.
     All,
     /// Those in one zone.
     Zone,
-    /// Only the very same endpoint.
+    /// Only the same endpoint.
     Endpoint,
 }
 
-/// How worth falls once the aim has passed.
+/// How a message's value falls once its latency objective has passed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum LateForm {
-    /// Evenly, down to the late value at the deadline.
-    Line,
-    /// By half with each further aim, but not under the late value.
+pub enum ValueDecay {
+    /// Linearly, down to the late value at the deadline.
+    Linear,
+    /// By half with each further latency objective, but not below the late value.
     #[default]
-    Halves,
+    Halving,
 }
 
-/// How news of the endpoints comes.
+/// How changes of the endpoint list arrive.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Discovery {
-    /// Unasked.
+pub enum DiscoveryMode {
+    /// Pushed without a request.
     #[default]
-    Automatic,
-    /// Only once asked for.
+    Push,
+    /// Only after a subscription was requested.
     Subscribe,
 }
 
-/// What an entry's `share` says.
+/// What [`EndpointUpdate::advertised_rate`] means.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Weights {
+pub enum RateHints {
     /// Nothing.
     #[default]
-    Off,
-    /// The calls a second that the route takes from all couriers together.
-    Nominal,
+    Absent,
+    /// The calls per second that the route accepts from all instances together.
+    Exact,
     /// The same, up to half too high or too low.
-    Rough,
+    Approximate,
 }
 
-/// A class of message.
+/// A class of messages.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Class {
-    /// Worth of one message delivered within `promise`.
-    pub worth: f64,
-    /// Time within which it earns the full worth.
-    pub promise: Span,
-    /// How long it may be delivered, from when it was first handed in.
-    pub give_up: Span,
-    /// Share of the worth left at the deadline.
+pub struct MessageClass {
+    /// Value of one message delivered within the latency objective.
+    pub priority_weight: f64,
+    /// Time within which a delivery earns the full value.
+    pub latency_objective: Span,
+    /// How long a message may be delivered, from its first submission.
+    pub deadline: Span,
+    /// Share of the value that is left at the deadline.
     pub late_value: f64,
     /// What a repeat does.
-    pub effect: Effect,
-    /// Whether messages with the same key go one at a time, in order.
+    pub idempotency: Idempotency,
+    /// Whether messages with the same key are delivered one at a time, in order.
     pub ordered: bool,
 }
 
-/// A tenant: whoever hands messages in, within a share.
+/// A tenant: a client with a quota.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
-    /// Messages a second, over all couriers, within the tenant's share.
+    /// Messages per second, over all instances, within the tenant's quota.
     pub quota_per_s: f64,
 }
 
 /// A kind of destination.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Kind {
-    /// Whether each endpoint is a route of its own.
-    pub apart: bool,
+pub struct DestinationKind {
+    /// Whether each endpoint is a route of its own, with its own limit, backoff and health.
+    pub separate_routes: bool,
     /// Messages in one call, at most.
-    pub per_call: usize,
+    pub max_batch: usize,
 }
 
-/// What the site allows.
+/// Limits of the deployment.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Caps {
-    /// Calls out at once.
-    pub slots: usize,
-    /// Messages held at once, sent or not.
-    pub max_open: usize,
+pub struct Limits {
+    /// Calls in flight at once.
+    pub max_in_flight: usize,
+    /// Open messages at once, sent or not.
+    pub max_pending: usize,
     /// Attempts for one message.
     pub max_attempts: u32,
     /// Calls that one connection carries at once.
-    pub streams_per_conn: usize,
-    /// Idle connections close after this.
-    pub conn_idle: Span,
-    /// The longest that a client stays away when told to.
+    pub streams_per_connection: usize,
+    /// Idle connections are closed after this time.
+    pub idle_timeout: Span,
+    /// The longest `Retry-After` that clients honour.
     pub max_retry_after: Span,
-    /// Whether attempts may be called off.
-    pub may_cancel: bool,
-    /// Whether endpoints may be probed.
-    pub probes: bool,
+    /// Whether attempts may be cancelled.
+    pub cancellation_allowed: bool,
+    /// Whether endpoints may be sent health checks.
+    pub health_checks_allowed: bool,
 }
 
-/// Figures of the rules.
+/// Figures of the delivery rules.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Rules {
-    /// Share of its capacity that a route has when it comes back.
-    pub cold_from: f64,
-    /// It has all of it after this.
-    pub cold: Span,
-    /// Sent more than this multiple of its present capacity ...
-    pub fall_multiple: f64,
-    /// ... for this long, it falls over.
-    pub tip_after: Span,
-    /// How long a key rests after an attempt that may still be running.
-    pub order_pause: Span,
-    /// Where the list must be asked for: a courier that has not asked for this long counts as told.
-    pub must_ask: Span,
+    /// Share of its capacity that a route has when it recovers.
+    pub ramp_start: f64,
+    /// Time from recovery to full capacity.
+    pub ramp_duration: Span,
+    /// A route that is sent more than this multiple of its present capacity ...
+    pub overload_factor: f64,
+    /// ... for this long fails again.
+    pub overload_window: Span,
+    /// How long an ordering key rests after an attempt that may still be running.
+    pub ordering_pause: Span,
+    /// With [`DiscoveryMode::Subscribe`]: an instance that has not asked for this long counts as informed.
+    pub max_poll_interval: Span,
 }
 
-/// All that a courier is told at its start.
+/// All that a scheduler is told at its start.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
-    /// Classes of message.
-    pub classes: Vec<Class>,
+    /// Classes of messages.
+    pub classes: Vec<MessageClass>,
     /// Tenants; may be empty.
     pub tenants: Vec<Tenant>,
-    /// Worth of a message beyond its tenant's share, as a part of its class's.
-    pub over_share_worth: f64,
-    /// Kinds of destination.
-    pub kinds: Vec<Kind>,
-    /// For each zone, the fee of a route apart there.
-    pub tolls: Vec<f64>,
-    /// How worth falls after the aim.
-    pub late: LateForm,
-    /// What the site allows.
-    pub caps: Caps,
-    /// Figures of the rules.
+    /// Weight of a message beyond its tenant's quota, as a part of its class's.
+    pub over_quota_weight: f64,
+    /// Kinds of destinations.
+    pub kinds: Vec<DestinationKind>,
+    /// For each zone, the fee of a separate route there.
+    pub zone_fees: Vec<f64>,
+    /// How value falls after the latency objective.
+    pub value_decay: ValueDecay,
+    /// Limits of the deployment.
+    pub limits: Limits,
+    /// Figures of the delivery rules.
     pub rules: Rules,
-    /// How the list of endpoints comes.
-    pub discovery: Discovery,
-    /// What the list's shares say.
-    pub weights: Weights,
-    /// Couriers there are, this one counted.
-    pub couriers: usize,
-    /// The least time between two batches.
-    pub tick: Span,
+    /// How the endpoint list arrives.
+    pub discovery: DiscoveryMode,
+    /// What the list's rates mean.
+    pub rate_hints: RateHints,
+    /// Instances there are, this one counted.
+    pub instances: usize,
+    /// The least time between two batches of events.
+    pub min_batch_interval: Span,
 }
 
-/// What the list says of an endpoint; nothing of its health.
+/// Status of an endpoint in the list; says nothing of its health.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Listing {
+pub enum EndpointStatus {
     /// In use.
     #[default]
-    On,
-    /// Send nothing new.
+    Active,
+    /// Nothing new may be sent to it.
     Draining,
-    /// Removed.
-    Gone,
+    /// No longer listed.
+    Removed,
 }
 
-/// One line of the list of endpoints.
+/// One row of the endpoint list.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
+pub struct EndpointUpdate {
     /// The endpoint.
     pub endpoint: EndpointId,
-    /// Whose it is.
+    /// The destination it belongs to.
     pub destination: DestinationId,
     /// The destination's kind.
     pub kind: KindId,
-    /// Where it stands.
+    /// Its zone.
     pub zone: ZoneId,
     /// Whether it may be used.
-    pub listing: Listing,
-    /// What [`Settings::weights`] says.
-    pub share: f64,
-    /// Its part of its destination's calls, against the other endpoints' weights, where the list gives such parts;
+    pub status: EndpointStatus,
+    /// A rate in calls per second, as [`Settings::rate_hints`] says.
+    pub advertised_rate: f64,
+    /// Its share of the destination's calls relative to the other endpoints' weights, where the list gives weights;
     /// above 0.
     pub weight: Option<f64>,
 }
@@ -295,174 +295,177 @@
 pub enum Outcome {
     /// Delivered.
     Delivered,
-    /// The destination answered with an error; it may have taken effect.
+    /// The destination answered with an error; the message may have taken effect.
     Error,
-    /// Turned away unseen, with the wait told, if one was.
-    Full(Option<Span>),
+    /// Rejected before it was processed.
+    Rejected {
+        /// The wait that the destination asked for, if it did.
+        retry_after: Option<Span>,
+    },
     /// No answer in time.
     TimedOut,
-    /// No connection: proves that it never ran.
+    /// No connection: proves that it was not executed.
     ConnectFailed,
     /// The connection broke.
     Reset,
-    /// A connection that was kept from earlier broke as soon as it was used: it may have run, but the
-    /// endpoint may be as well as ever.
-    Stale,
-    /// Called off.
+    /// A reused idle connection broke as soon as it was used: the message may have been executed, but the endpoint
+    /// may be healthy.
+    StaleConnection,
+    /// Cancelled by this instance.
     Cancelled,
     /// Never sent.
-    Moot,
+    NotSent,
 }
 
 impl Outcome {
-    /// Whether it proves that the call never ran.
-    pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot)
+    /// Whether it proves that the message was not executed.
+    pub fn not_executed(self) -> bool {
+        matches!(self, Outcome::Rejected { .. } | Outcome::ConnectFailed | Outcome::NotSent)
     }
 }
 
-/// What an answer told of the route's limit; late and not exact.
+/// What a response told of the route's rate limit; late and approximate.
 #[derive(Clone, Copy, Debug, PartialEq, Default)]
-pub struct Report {
-    /// Share of the allowance that is left.
-    pub left: Option<f64>,
-    /// Calls a second that the limit allows; 0 where there is none.
+pub struct RateLimitReport {
+    /// Share of the quota that remains.
+    pub remaining: Option<f64>,
+    /// Calls per second that the limit allows; 0 where there is none.
     pub limit: Option<f64>,
 }
 
-/// A message handed to this courier.
+/// A message submitted to this instance.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Handed {
+pub struct NewMessage {
     /// The message.
     pub message: MessageId,
     /// Its class.
     pub class: ClassId,
-    /// Whose it is, if anyone's.
+    /// Its tenant, if it has one.
     pub tenant: Option<TenantId>,
     /// What it is about, where order is kept.
-    pub key: Option<Key>,
+    pub ordering_key: Option<OrderingKey>,
     /// It may be delivered until then.
-    pub expires: Time,
-    /// Where it goes.
+    pub deadline: Time,
+    /// Where it is sent.
     pub destination: DestinationId,
 }
 
-/// What an earlier life of this courier did for a message that outlived it.
+/// What an earlier incarnation of this instance did for a message that outlived it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Past {
+pub struct PriorAttempts {
     /// Attempts made; the next one has this number.
     pub attempts: u32,
-    /// When and where the first attempt that may have run was sent. One that was out when the earlier
-    /// life ended may have run.
-    pub ran: Option<(Time, EndpointId)>,
-    /// When and where its latest attempt was sent, if the life that sent it still waits for the answer: its end
-    /// will be reported as if this life had sent it.
-    pub out: Option<(Time, EndpointId)>,
+    /// When and where the first attempt was sent that may have been executed. One in flight when the earlier
+    /// incarnation ended may have been.
+    pub first_executed: Option<(Time, EndpointId)>,
+    /// When and where the latest attempt was sent, if the incarnation that sent it still waits for the answer: its end
+    /// will be reported as if this incarnation had sent it.
+    pub in_flight: Option<(Time, EndpointId)>,
 }
 
-/// What is kept of a destination while it is idle.
+/// What is kept of a route while its destination is idle.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Cold {
-    /// It asked to be left alone until then.
-    pub wait_until: Option<Time>,
-    /// It has been out since then.
-    pub out_since: Option<Time>,
-    /// It came back then, not long ago.
-    pub back_since: Option<Time>,
-    /// Its usual call time, in milliseconds.
-    pub mean_ms: Option<f64>,
-    /// Calls a second that this courier used to deliver there.
-    pub usual: f64,
+pub struct IdleRecord {
+    /// The end of the backoff that it asked for.
+    pub backoff_until: Option<Time>,
+    /// It has been ejected since then.
+    pub ejected_since: Option<Time>,
+    /// It has been recovering since then.
+    pub recovering_since: Option<Time>,
+    /// Its mean latency, in milliseconds.
+    pub mean_latency_ms: Option<f64>,
+    /// Calls per second that this instance used to deliver there.
+    pub baseline_rate: f64,
 }
 
-impl Cold {
-    /// The same with its times told by another clock.
-    pub fn told_by(self, clock: impl Fn(Time) -> Time) -> Cold {
-        Cold {
-            wait_until: self.wait_until.map(&clock),
-            out_since: self.out_since.map(&clock),
-            back_since: self.back_since.map(&clock),
+impl IdleRecord {
+    /// The same with its times on another clock.
+    pub fn map_times(self, clock: impl Fn(Time) -> Time) -> IdleRecord {
+        IdleRecord {
+            backoff_until: self.backoff_until.map(&clock),
+            ejected_since: self.ejected_since.map(&clock),
+            recovering_since: self.recovering_since.map(&clock),
             ..self
         }
     }
 
-    /// Whether it says more of a destination than would be taken for granted of any.
-    pub fn says_something(&self) -> bool {
-        self.wait_until.is_some()
-            || self.out_since.is_some()
-            || self.back_since.is_some()
-            || self.mean_ms.is_some()
+    /// Whether it says more of a route than is assumed of any.
+    pub fn is_significant(&self) -> bool {
+        self.backoff_until.is_some()
+            || self.ejected_since.is_some()
+            || self.recovering_since.is_some()
+            || self.mean_latency_ms.is_some()
     }
 }
 
-/// How a destination stands that is listed.
+/// State of a listed destination.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Standing {
-    /// It has been out since then.
-    pub out_since: Option<Time>,
-    /// It came back then and is being eased into service.
-    pub back_since: Option<Time>,
-    /// It asked to be left alone until then.
-    pub wait_until: Option<Time>,
-    /// Its usual call time, in milliseconds.
-    pub mean_ms: Option<f64>,
-    /// Calls a second that this courier delivers there as a rule.
-    pub usual: f64,
-    /// Messages for it that have not ended.
-    pub held: usize,
-    /// Calls that are out.
-    pub out: usize,
+pub struct DestinationState {
+    /// It has been ejected since then.
+    pub ejected_since: Option<Time>,
+    /// It has been recovering since then.
+    pub recovering_since: Option<Time>,
+    /// The end of the backoff that it asked for.
+    pub backoff_until: Option<Time>,
+    /// Its mean latency, in milliseconds.
+    pub mean_latency_ms: Option<f64>,
+    /// Calls per second that this instance usually delivers there.
+    pub baseline_rate: f64,
+    /// Messages for it that have no final outcome yet.
+    pub pending: usize,
+    /// Calls in flight.
+    pub in_flight: usize,
 }
 
 /// Something that happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
-    /// A message came in and is owed one final answer.
-    Accepted(Handed),
-    /// A message that an earlier life of this courier took on and still owes its end.
-    Resumed(Handed, Past),
+    /// A message was accepted and is owed one final outcome.
+    Accepted(NewMessage),
+    /// A message that an earlier incarnation accepted and that still has no final outcome.
+    Resumed(NewMessage, PriorAttempts),
     /// An attempt ended; one for each send.
-    Closed {
+    AttemptFinished {
         /// The message.
         message: MessageId,
         /// Which attempt of it.
-        copy: Copy,
+        attempt: AttemptNumber,
         /// How it ended.
         outcome: Outcome,
-        /// How long it was out.
-        took: Span,
-        /// Whether the message is over.
-        last: bool,
-        /// What was told of the limit.
-        report: Report,
+        /// How long it was in flight.
+        duration: Span,
+        /// Whether the message has its final outcome with it.
+        is_final: bool,
+        /// What the response told of the rate limit.
+        rate_limit: RateLimitReport,
     },
     /// Nobody wants this message any more.
-    Gone(MessageId),
-    /// A timer fell due.
-    Due(u64),
-    /// A probe came back.
-    Probed {
-        /// Where it went.
+    Cancelled(MessageId),
+    /// The timer with this token fired.
+    TimerFired(u64),
+    /// A health check ended.
+    HealthChecked {
+        /// Where it was sent.
         endpoint: EndpointId,
         /// How it ended.
         outcome: Outcome,
-        /// What was told of the limit.
-        report: Report,
+        /// What the response told of the rate limit.
+        rate_limit: RateLimitReport,
     },
-    /// The whole list of endpoints: what is not in it is gone.
-    Listed(Vec<Entry>),
-    /// Changes to the list.
-    Changed(Vec<Entry>),
-    /// What was kept of a destination that was folded, or what another life knew of it, or of one endpoint where that is a
-    /// route of its own; its endpoints are listed already.
-    Recalled(DestinationId, Option<EndpointId>, Cold),
-    /// Another life of this courier was told by an endpoint to leave its route alone until then.
-    Waits(DestinationId, EndpointId, Time),
-    /// Asking for the list failed, or the subscription broke.
-    ListFailed,
+    /// The whole endpoint list: what is not in it is removed.
+    EndpointsReplaced(Vec<EndpointUpdate>),
+    /// Changes to the endpoint list.
+    EndpointsUpdated(Vec<EndpointUpdate>),
+    /// What was kept of a compacted destination, or what another incarnation knew of it, or of one endpoint where that
+    /// is a separate route; its endpoints are listed already.
+    RouteRestored(DestinationId, Option<EndpointId>, IdleRecord),
+    /// Another incarnation of this instance was asked by an endpoint to back off until then.
+    BackoffNotified(DestinationId, EndpointId, Time),
+    /// The request for the endpoint list failed, or the subscription broke.
+    EndpointListFailed,
 }
 
-/// What the courier is to do, in this order.
+/// What the embedding program is to do, in this order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Start an attempt.
@@ -472,37 +475,37 @@
         /// Where to.
         endpoint: EndpointId,
         /// Abandon the attempt then.
-        cut_at: Time,
+        timeout_at: Time,
     },
     /// Stop waiting for an attempt.
     Cancel {
         /// The message.
         message: MessageId,
         /// Which attempt of it.
-        copy: Copy,
+        attempt: AttemptNumber,
     },
-    /// End the message undelivered; trying again is harmless, best after `retry_in`.
-    Refuse {
+    /// End the message undelivered; submitting it again is harmless, best after `retry_after`.
+    Reject {
         /// The message.
         message: MessageId,
-        /// How long the client should stay away.
-        retry_in: Span,
+        /// How long the client should wait.
+        retry_after: Span,
     },
     /// End the message as failed.
     Fail(MessageId),
-    /// Report `token` as due at that time.
-    Wake {
+    /// Report `token` with [`Event::TimerFired`] at that time.
+    SetTimer {
         /// When.
         at: Time,
         /// What to report.
         token: u64,
     },
-    /// Probe an endpoint.
-    Probe(EndpointId),
+    /// Send a health check to an endpoint.
+    HealthCheck(EndpointId),
     /// Close the idle connections to an endpoint.
-    Close(EndpointId),
-    /// Ask for changes of the list from now on.
+    CloseIdleConnections(EndpointId),
+    /// Subscribe to changes of the endpoint list.
     Subscribe,
-    /// A line for those on call.
+    /// A log line.
     Log(String),
 }
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -75,7 +75,7 @@
 
     /// The same, rising on beyond 1.
     fn ramp(&self, back: Span) -> f64 {
-        self.cold_from + (1.0 - self.cold_from) * back.ms() / self.cold.ms().max(1.0)
+        self.ramp_start + (1.0 - self.ramp_start) * back.ms() / self.ramp_duration.ms().max(1.0)
     }
 }
 
@@ -156,13 +156,16 @@
             Stage::Down(_) => (Span::ZERO, 1e-6),
             Stage::Easing(since) => (now - since, LEAST_COURIERS),
         };
-        let rate = rules.fall_multiple * rules.ramp(back) * part.own;
-        let most = part.most.filter(|_| back >= rules.cold).unwrap_or(f64::INFINITY);
-        let budget = (rate.min(most) * rules.tip_after.secs()).max((least / terms.couriers).min(1.0));
+        let rate = rules.overload_factor * rules.ramp(back) * part.own;
+        let most = part.most.filter(|_| back >= rules.ramp_duration).unwrap_or(f64::INFINITY);
+        let budget = (rate.min(most) * rules.overload_window.secs()).max((least / terms.couriers).min(1.0));
         if budget >= 1.0 && !self.is_down() {
             // Part by part of the span too, or all of it would go out at its start.
             let even = (budget as usize).div_ceil(PARTS);
-            let spans = [(budget as usize, rules.tip_after), (even, Span(rules.tip_after.0 / PARTS as i64))];
+            let spans = [
+                (budget as usize, rules.overload_window),
+                (even, Span(rules.overload_window.0 / PARTS as i64)),
+            ];
             let after = |(calls, span): (usize, Span)| {
                 let place = self.sends.len().checked_sub(calls);
                 place.map_or(past, |place| self.sends[place] + span)
@@ -171,14 +174,14 @@
         }
         // A budget under one call stretches the span: a least of one, times hundreds of couriers, would push
         // over what returns. Each has a phase of its own, or what they saw at once they would try at once.
-        let apart =
-            (rules.tip_after.ms() / budget).clamp(TRIAL_LEAST_MS, TRIAL_MOST_MS * terms.couriers.max(1.0));
+        let apart = (rules.overload_window.ms() / budget)
+            .clamp(TRIAL_LEAST_MS, TRIAL_MOST_MS * terms.couriers.max(1.0));
         let waited = part.wait_until.map_or(past, |at| at + Span::from_ms(apart * part.phase * terms.vary));
         let spread = Span::from_ms(apart * (1.0 + terms.vary * (part.phase - 0.5)));
         let at = self.sends.back().map_or(past, |last| *last + spread).max(waited);
         // A trial is far off while a route is cold, but not farther than the end of its cold time.
         match self.stage {
-            Stage::Easing(since) => at.min(since + rules.cold),
+            Stage::Easing(since) => at.min(since + rules.ramp_duration),
             Stage::Warm | Stage::Down(_) => at,
         }
     }
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -3,13 +3,13 @@
 
 use marblefall_scheduler::*;
 
-pub fn class(worth: f64, effect: Effect) -> Class {
-    Class {
-        worth,
-        promise: Span::from_ms(2000.0),
-        give_up: Span::from_ms(16000.0),
+pub fn class(worth: f64, effect: Idempotency) -> MessageClass {
+    MessageClass {
+        priority_weight: worth,
+        latency_objective: Span::from_ms(2000.0),
+        deadline: Span::from_ms(16000.0),
         late_value: 0.3,
-        effect,
+        idempotency: effect,
         ordered: false,
     }
 }
@@ -38,57 +38,66 @@
 
 /// Class 0 pure, 1 keyed within a zone for 4 s, 2 unsafe and worth 4, 3 pure in order.
 pub fn settings() -> Settings {
-    let token = Effect::Token { scope: Scope::Zone, window: Span::from_ms(4000.0) };
-    let mut ordered = class(1.0, Effect::Pure);
+    let token =
+        Idempotency::IdempotencyKey { scope: DeduplicationScope::Zone, window: Span::from_ms(4000.0) };
+    let mut ordered = class(1.0, Idempotency::Idempotent);
     ordered.ordered = true;
     Settings {
-        classes: vec![class(1.0, Effect::Pure), class(1.0, token), class(4.0, Effect::SideEffect), ordered],
+        classes: vec![
+            class(1.0, Idempotency::Idempotent),
+            class(1.0, token),
+            class(4.0, Idempotency::NonIdempotent),
+            ordered,
+        ],
         tenants: vec![],
-        over_share_worth: 0.05,
-        kinds: vec![Kind { apart: false, per_call: 1 }, Kind { apart: true, per_call: 1 }],
-        tolls: vec![0.0, 0.0],
-        late: LateForm::Halves,
-        caps: Caps {
-            slots: 4,
-            max_open: 100,
+        over_quota_weight: 0.05,
+        kinds: vec![
+            DestinationKind { separate_routes: false, max_batch: 1 },
+            DestinationKind { separate_routes: true, max_batch: 1 },
+        ],
+        zone_fees: vec![0.0, 0.0],
+        value_decay: ValueDecay::Halving,
+        limits: Limits {
+            max_in_flight: 4,
+            max_pending: 100,
             max_attempts: 6,
-            streams_per_conn: 1,
-            conn_idle: Span::from_ms(15000.0),
+            streams_per_connection: 1,
+            idle_timeout: Span::from_ms(15000.0),
             max_retry_after: Span::from_ms(3000.0),
-            may_cancel: true,
-            probes: false,
+            cancellation_allowed: true,
+            health_checks_allowed: false,
         },
         rules: Rules {
-            cold_from: 0.2,
-            cold: Span::from_ms(9000.0),
-            fall_multiple: 2.0,
-            tip_after: Span::from_ms(2000.0),
-            order_pause: Span::from_ms(700.0),
-            must_ask: Span::from_ms(10000.0),
+            ramp_start: 0.2,
+            ramp_duration: Span::from_ms(9000.0),
+            overload_factor: 2.0,
+            overload_window: Span::from_ms(2000.0),
+            ordering_pause: Span::from_ms(700.0),
+            max_poll_interval: Span::from_ms(10000.0),
         },
-        discovery: Discovery::Automatic,
-        weights: Weights::Off,
-        couriers: 3,
-        tick: Span::from_ms(5.0),
+        discovery: DiscoveryMode::Push,
+        rate_hints: RateHints::Absent,
+        instances: 3,
+        min_batch_interval: Span::from_ms(5.0),
     }
 }
 
 pub struct Bed {
-    pub courier: Courier,
+    pub courier: Scheduler,
     pub now: Time,
     next: u64,
 }
 
 impl Bed {
     pub fn new(settings: Settings) -> Bed {
-        Bed { courier: Courier::new(settings, 7), now: Time::from_ms(1000.0), next: 0 }
+        Bed { courier: Scheduler::new(settings, 7), now: Time::from_ms(1000.0), next: 0 }
     }
 
     /// One endpoint of each of these destinations, of kind 0 in zone 0; endpoint n is destination n's.
     pub fn with_destinations(settings: Settings, count: u64) -> Bed {
         let mut bed = Bed::new(settings);
         let entries = (0..count).map(|n| entry(n as u32, n, 0, 0)).collect();
-        bed.say(Event::Listed(entries));
+        bed.say(Event::EndpointsReplaced(entries));
         bed
     }
 
@@ -122,7 +131,14 @@
         let message = MessageId(self.next);
         let expires = self.now + Span::from_ms(16000.0 - age);
         let destination = DestinationId(destination);
-        let handed = Handed { message, class: ClassId(class), tenant: None, key: None, expires, destination };
+        let handed = NewMessage {
+            message,
+            class: ClassId(class),
+            tenant: None,
+            ordering_key: None,
+            deadline: expires,
+            destination,
+        };
         (message, Event::Accepted(handed))
     }
 
@@ -140,31 +156,31 @@
     }
 }
 
-pub fn entry(endpoint: u32, destination: u64, kind: usize, zone: usize) -> Entry {
-    Entry {
+pub fn entry(endpoint: u32, destination: u64, kind: usize, zone: usize) -> EndpointUpdate {
+    EndpointUpdate {
         endpoint: EndpointId(endpoint),
         destination: DestinationId(destination),
         kind: KindId(kind),
         zone: ZoneId(zone),
-        listing: Listing::On,
-        share: 1.0,
+        status: EndpointStatus::Active,
+        advertised_rate: 1.0,
         weight: None,
     }
 }
 
 pub fn closed(message: MessageId, copy: u32, outcome: Outcome) -> Event {
-    reported(message, copy, outcome, Report::default())
+    reported(message, copy, outcome, RateLimitReport::default())
 }
 
 /// The same with what the answer told of the limit.
-pub fn reported(message: MessageId, copy: u32, outcome: Outcome, report: Report) -> Event {
-    Event::Closed {
+pub fn reported(message: MessageId, copy: u32, outcome: Outcome, report: RateLimitReport) -> Event {
+    Event::AttemptFinished {
         message,
-        copy: Copy(copy),
+        attempt: AttemptNumber(copy),
         outcome,
-        took: Span::from_ms(100.0),
-        last: outcome == Outcome::Delivered,
-        report,
+        duration: Span::from_ms(100.0),
+        is_final: outcome == Outcome::Delivered,
+        rate_limit: report,
     }
 }
 
@@ -178,7 +194,7 @@
 
 pub fn ends(actions: &[Action]) -> Vec<MessageId> {
     let end = |action: &Action| match action {
-        Action::Refuse { message, .. } | Action::Fail(message) => Some(*message),
+        Action::Reject { message, .. } | Action::Fail(message) => Some(*message),
         _ => None,
     };
     actions.iter().filter_map(end).collect()
@@ -187,7 +203,7 @@
 /// The patience that a send was given, in ms.
 pub fn patience(now: Time, actions: &[Action]) -> f64 {
     let cut = actions.iter().find_map(|action| match action {
-        Action::Send { cut_at, .. } => Some(*cut_at),
+        Action::Send { timeout_at: cut_at, .. } => Some(*cut_at),
         _ => None,
     });
     (cut.expect("something was sent") - now).ms()
--- a/crates/scheduler/tests/many.rs
+++ b/crates/scheduler/tests/many.rs
@@ -10,23 +10,23 @@
 
 /// A fleet of couriers, each with its own seed, that are told of the same endpoints.
 struct Fleet {
-    couriers: Vec<Courier>,
+    couriers: Vec<Scheduler>,
     copies: BTreeMap<(usize, MessageId), u32>,
     next: u64,
 }
 
 fn fleet_settings() -> Settings {
     let mut set = settings();
-    (set.couriers, set.caps.slots, set.weights) = (COURIERS, 3, Weights::Rough);
+    (set.instances, set.limits.max_in_flight, set.rate_hints) = (COURIERS, 3, RateHints::Approximate);
     set
 }
 
 impl Fleet {
-    fn new(set: &Settings, entries: &[Entry]) -> Fleet {
-        let mut couriers: Vec<Courier> =
-            (0..COURIERS).map(|n| Courier::new(set.clone(), 1000 + n as u64)).collect();
+    fn new(set: &Settings, entries: &[EndpointUpdate]) -> Fleet {
+        let mut couriers: Vec<Scheduler> =
+            (0..COURIERS).map(|n| Scheduler::new(set.clone(), 1000 + n as u64)).collect();
         for courier in &mut couriers {
-            courier.handle(Time(0), &[Event::Listed(entries.to_vec())], &mut Vec::new());
+            courier.handle(Time(0), &[Event::EndpointsReplaced(entries.to_vec())], &mut Vec::new());
         }
         Fleet { couriers, copies: BTreeMap::new(), next: 0 }
     }
@@ -35,7 +35,14 @@
         self.next += 1;
         let (message, expires) = (MessageId(self.next), now + Span::from_ms(16000.0));
         let (class, destination) = (ClassId(0), DestinationId(0));
-        Event::Accepted(Handed { message, class, tenant: None, key: None, expires, destination })
+        Event::Accepted(NewMessage {
+            message,
+            class,
+            tenant: None,
+            ordering_key: None,
+            deadline: expires,
+            destination,
+        })
     }
 
     /// Hands one courier its events; gives the sends as message, number of the attempt and endpoint.
@@ -55,7 +62,7 @@
 /// `answer` says how a call of a moment ends; gives for each call its moment and how it ended.
 fn play(seconds: u64, rate: f64, load: f64, mut answer: impl FnMut(Time) -> Outcome) -> Vec<(Time, Outcome)> {
     let mut listed = entry(0, 0, 0, 0);
-    listed.share = rate;
+    listed.advertised_rate = rate;
     let mut fleet = Fleet::new(&fleet_settings(), &[listed]);
     let (mut out, mut calls): (Vec<Vec<Event>>, Vec<(Time, Outcome)>) = (vec![vec![]; COURIERS], vec![]);
     let (mut due, mut turn) = (0.0, 0usize);
@@ -92,7 +99,7 @@
 /// (pritchard-caerdydd rules-2: 41 calls of 93 couriers at once, 2.8 times what it could do).
 #[test]
 fn hundreds_of_couriers_together_come_back_gently_to_a_route_that_was_shut() {
-    outage(|left| Outcome::Full(Some(left)));
+    outage(|left| Outcome::Rejected { retry_after: Some(left) });
 }
 
 /// An outage that answers calls as given, by the time that it still lasts.
@@ -114,11 +121,12 @@
         );
     for step in 0..90 {
         let from = back + Span::from_ms(step as f64 * 100.0);
-        let warm = ((from - back).ms() / rules.cold.ms()).min(1.0);
-        let present = rate * (rules.cold_from + (1.0 - rules.cold_from) * warm);
-        let sent = calls.iter().filter(|(at, _)| *at >= from && *at < from + rules.tip_after).count() as f64;
+        let warm = ((from - back).ms() / rules.ramp_duration.ms()).min(1.0);
+        let present = rate * (rules.ramp_start + (1.0 - rules.ramp_start) * warm);
+        let sent =
+            calls.iter().filter(|(at, _)| *at >= from && *at < from + rules.overload_window).count() as f64;
         // Couriers that never saw the outage send what comes to them; the rule leaves them out.
-        let most = rules.fall_multiple * present * rules.tip_after.secs();
+        let most = rules.overload_factor * present * rules.overload_window.secs();
         assert!(sent <= most * 1.1, "{sent} calls in the span from {step}, at most {most}");
     }
     let later = calls.iter().filter(|(at, _)| *at > back + Span::from_ms(8000.0)).count() as f64;
@@ -138,7 +146,7 @@
         let shut = now >= burst.0 && now < burst.1;
         left = left.max(-2.0 * limit);
         if left < 0.0 || shut {
-            Outcome::Full(None)
+            Outcome::Rejected { retry_after: None }
         } else {
             Outcome::Delivered
         }
@@ -161,7 +169,7 @@
         if served {
             Outcome::Delivered
         } else {
-            Outcome::Full(None)
+            Outcome::Rejected { retry_after: None }
         }
     });
     let late: Vec<_> = calls.iter().filter(|(at, _)| *at > Time::from_ms(11_000.0)).collect();
@@ -175,8 +183,9 @@
 #[test]
 fn what_comes_back_is_eased_by_the_told_limit_where_there_is_one() {
     let sent = |limit: Option<f64>| {
-        let mut bed = Bed::with_destinations(Settings { weights: Weights::Off, ..fleet_settings() }, 1);
-        let report = Report { left: None, limit };
+        let mut bed =
+            Bed::with_destinations(Settings { rate_hints: RateHints::Absent, ..fleet_settings() }, 1);
+        let report = RateLimitReport { remaining: None, limit };
         let (met, _) = bed.hand(0, 0);
         bed.say(reported(met, 0, Outcome::Delivered, report));
         let mut tries = BTreeMap::new();
@@ -207,7 +216,7 @@
     let waits = |left: f64| {
         let mut bed = Bed::with_destinations(fleet_settings(), 1);
         let (met, _) = bed.hand(0, 0);
-        let report = Report { left: Some(left), limit: Some(COURIERS as f64) };
+        let report = RateLimitReport { remaining: Some(left), limit: Some(COURIERS as f64) };
         bed.at(3000.0).say(reported(met, 0, Outcome::Delivered, report));
         let (_, mut said) = bed.hand(0, 0);
         while sends(&said).is_empty() {
@@ -223,7 +232,7 @@
 /// All couriers favoured the one cheapest endpoint, whose own limit filled while its others idled.
 #[test]
 fn couriers_split_a_destination_over_its_endpoints_by_the_listed_rates() {
-    let listed = |id: u32, share: f64| Entry { share, ..entry(id, 0, 1, 0) };
+    let listed = |id: u32, share: f64| EndpointUpdate { advertised_rate: share, ..entry(id, 0, 1, 0) };
     let mut fleet = Fleet::new(&fleet_settings(), &[listed(0, 10.0), listed(1, 10.0), listed(2, 30.0)]);
     let mut split = [0usize; 3];
     for n in 0..COURIERS {
@@ -241,9 +250,9 @@
     let mut bed = Bed::with_destinations(settings(), 1);
     bed.meet(0);
     let (first, _) = bed.hand(0, 0);
-    bed.say(closed(first, 0, Outcome::Full(Some(Span::from_ms(30_000.0)))));
+    bed.say(closed(first, 0, Outcome::Rejected { retry_after: Some(Span::from_ms(30_000.0)) }));
     let (late, actions) = bed.hand(0, 0);
-    let told = |a: &Action| matches!(a, Action::Refuse { message, .. } if *message == late);
+    let told = |a: &Action| matches!(a, Action::Reject { message, .. } if *message == late);
     assert!(actions.iter().any(told), "{actions:?}");
 }
 
@@ -252,7 +261,7 @@
 fn connections_of_a_kind_whose_endpoints_are_crowded_are_closed_after_each_call() {
     let mut bed = Bed::with_destinations(fleet_settings(), 1);
     bed.meet(0);
-    let closes = |actions: &[Action]| actions.contains(&Action::Close(EndpointId(0)));
+    let closes = |actions: &[Action]| actions.contains(&Action::CloseIdleConnections(EndpointId(0)));
     let (message, _) = bed.hand(0, 0);
     assert!(!closes(&bed.say(closed(message, 0, Outcome::Delivered))), "nothing was crowded yet");
     let (message, _) = bed.hand(0, 0);
@@ -266,13 +275,19 @@
 #[test]
 fn odd_settings_and_news_are_read_safely() {
     let mut set = settings();
-    (set.couriers, set.kinds, set.tolls, set.weights) = (0, vec![], vec![], Weights::Rough);
+    (set.instances, set.kinds, set.zone_fees, set.rate_hints) = (0, vec![], vec![], RateHints::Approximate);
     set.rules = Rules::default();
     let mut bed = Bed::new(set);
-    let odd = |id: u32, share: f64| Entry { share, ..entry(id, u64::from(id / 3), 9, 9) };
+    let odd =
+        |id: u32, share: f64| EndpointUpdate { advertised_rate: share, ..entry(id, u64::from(id / 3), 9, 9) };
     let shares = [0.0, -1.0, f64::NAN, f64::INFINITY, 1e300, 1.0];
-    bed.say(Event::Listed((0..3000).map(|id| odd(id, shares[id as usize % 6])).collect()));
-    let outcomes = [Outcome::Full(Some(Span::ZERO)), Outcome::Full(None), Outcome::TimedOut, Outcome::Moot];
+    bed.say(Event::EndpointsReplaced((0..3000).map(|id| odd(id, shares[id as usize % 6])).collect()));
+    let outcomes = [
+        Outcome::Rejected { retry_after: Some(Span::ZERO) },
+        Outcome::Rejected { retry_after: None },
+        Outcome::TimedOut,
+        Outcome::NotSent,
+    ];
     let mut owed = std::collections::BTreeSet::new();
     for step in 0..400u64 {
         bed.at(1000.0 + step as f64 * 100.0);
@@ -281,17 +296,24 @@
         owed.insert(message);
         let mut said = actions.clone();
         for (sent, _) in sends(&actions) {
-            let report = Report { left: Some(f64::NAN), limit: Some(-1.0) };
+            let report = RateLimitReport { remaining: Some(f64::NAN), limit: Some(-1.0) };
             let (outcome, took) = (outcomes[step as usize % 4], Span::from_ms(-5.0));
-            let event = Event::Closed { message: sent, copy: Copy(0), outcome, took, last: false, report };
+            let event = Event::AttemptFinished {
+                message: sent,
+                attempt: AttemptNumber(0),
+                outcome,
+                duration: took,
+                is_final: false,
+                rate_limit: report,
+            };
             said.extend(bed.say(event.clone()));
             said.extend(bed.say(event));
         }
-        said.extend(bed.say(Event::Gone(MessageId(1 << 40))));
-        let probed = Event::Probed {
+        said.extend(bed.say(Event::Cancelled(MessageId(1 << 40))));
+        let probed = Event::HealthChecked {
             endpoint: EndpointId(99_999),
             outcome: Outcome::Error,
-            report: Report::default(),
+            rate_limit: RateLimitReport::default(),
         };
         said.extend(bed.say(probed));
         ends(&said).iter().for_each(|id| assert!(owed.remove(id), "{id:?} ended twice"));
@@ -306,16 +328,16 @@
 fn a_reported_limit_shortens_the_hold_after_refusals_where_nothing_is_listed() {
     let away = |limit: Option<f64>| {
         let mut set = fleet_settings();
-        set.weights = Weights::Off;
+        set.rate_hints = RateHints::Absent;
         let mut bed = Bed::with_destinations(set, 1);
         let (met, _) = bed.hand(0, 0);
-        bed.say(reported(met, 0, Outcome::Delivered, Report { left: None, limit }));
+        bed.say(reported(met, 0, Outcome::Delivered, RateLimitReport { remaining: None, limit }));
         // Refusals of calls that were out together, so that the pace is cut no further.
         let calls: Vec<MessageId> = (0..2).map(|_| bed.hand(0, 0).0).collect();
         bed.at(bed.now.ms() + 50.0);
         for round in 0..2 {
             for call in &calls {
-                bed.say(closed(*call, round, Outcome::Full(None)));
+                bed.say(closed(*call, round, Outcome::Rejected { retry_after: None }));
             }
         }
         let from = bed.now.ms();
@@ -333,18 +355,18 @@
 #[test]
 fn couriers_whose_calls_for_the_list_fail_ask_again_apart_and_in_time() {
     let mut set = fleet_settings();
-    set.discovery = Discovery::Subscribe;
+    set.discovery = DiscoveryMode::Subscribe;
     let mut fleet = Fleet::new(&set, &[entry(0, 0, 0, 0)]);
     let mut asked: BTreeMap<i64, usize> = BTreeMap::new();
     for courier in &mut fleet.couriers {
         let (mut last, mut failed) = (Time(0), true);
         for step in 1..2400 {
             let (now, mut actions) = (Time::from_ms(step as f64 * 25.0), Vec::new());
-            let news = if failed { vec![Event::ListFailed] } else { vec![] };
+            let news = if failed { vec![Event::EndpointListFailed] } else { vec![] };
             courier.handle(now, &news, &mut actions);
             failed = actions.contains(&Action::Subscribe);
             if failed {
-                assert!(now - last < set.rules.must_ask, "deemed told");
+                assert!(now - last < set.rules.max_poll_interval, "deemed told");
                 last = now;
                 *asked.entry(now.0 / 250_000).or_default() += 1;
             }
--- a/crates/scheduler/tests/mechanism.rs
+++ b/crates/scheduler/tests/mechanism.rs
@@ -8,7 +8,7 @@
 
 fn one_slot() -> Settings {
     let mut set = settings();
-    set.caps.slots = 1;
+    set.limits.max_in_flight = 1;
     set
 }
 
@@ -34,8 +34,15 @@
     for (destination, took) in [(0, 800.0), (1, 50.0)] {
         let (message, _) = bed.hand(0, destination);
         let took = Span::from_ms(took);
-        let (copy, outcome, report) = (Copy(0), Outcome::Delivered, Report::default());
-        bed.say(Event::Closed { message, copy, outcome, took, last: true, report });
+        let (copy, outcome, report) = (AttemptNumber(0), Outcome::Delivered, RateLimitReport::default());
+        bed.say(Event::AttemptFinished {
+            message,
+            attempt: copy,
+            outcome,
+            duration: took,
+            is_final: true,
+            rate_limit: report,
+        });
     }
     let (_, slow) = bed.message(0, 0);
     let (quick, event) = bed.message(0, 1);
@@ -49,8 +56,7 @@
     let (late, event) = bed.aged(0, 0, 15950.0);
     let actions = bed.say(event);
     assert!(sends(&actions).is_empty());
-    let told =
-        |a: &Action| matches!(a, Action::Refuse { message, retry_in } if *message == late && retry_in.0 > 0);
+    let told = |a: &Action| matches!(a, Action::Reject { message, retry_after: retry_in } if *message == late && retry_in.0 > 0);
     assert!(actions.iter().any(told), "{actions:?}");
     let (_, in_time) = bed.aged(0, 0, 15800.0);
     assert_eq!(sends(&bed.say(in_time)).len(), 1);
@@ -71,7 +77,8 @@
             let copy = copies.iter().filter(|sent| **sent == message).count() as u32;
             copies.push(message);
             refused.push(allowance < 1.0);
-            let outcome = if allowance < 1.0 { Outcome::Full(None) } else { Outcome::Delivered };
+            let outcome =
+                if allowance < 1.0 { Outcome::Rejected { retry_after: None } } else { Outcome::Delivered };
             allowance -= if allowance < 1.0 { 0.0 } else { 1.0 };
             out.push(closed(message, copy, outcome));
         }
@@ -103,7 +110,7 @@
     let mut bed = Bed::with_destinations(settings(), 1);
     bed.meet(0);
     let (refused, _) = bed.hand(0, 0);
-    bed.at(bed.now.ms() + 50.0).say(closed(refused, 0, Outcome::Full(None)));
+    bed.at(bed.now.ms() + 50.0).say(closed(refused, 0, Outcome::Rejected { retry_after: None }));
     let (start, mut out, mut late) = (bed.now.ms(), Vec::new(), 0);
     for step in 1..=180 {
         bed.at(start + f64::from(step) * 50.0);
@@ -126,7 +133,7 @@
     bed.meet(0);
     let (message, _) = bed.hand(0, 0);
     for copy in 0..5 {
-        let actions = bed.at(bed.now.ms() + 20.0).say(closed(message, copy, Outcome::Stale));
+        let actions = bed.at(bed.now.ms() + 20.0).say(closed(message, copy, Outcome::StaleConnection));
         assert_eq!(sends(&actions).len(), 1, "sent again at once, {copy}");
     }
 }
@@ -145,7 +152,11 @@
         for (message, _) in sends(&bed.say_all(&events)) {
             late += usize::from(step >= 260);
             let copy = copies.entry(message).and_modify(|copy| *copy += 1).or_insert(0u32);
-            out.push(closed(message, *copy, if shut { Outcome::Full(None) } else { Outcome::Delivered }));
+            out.push(closed(
+                message,
+                *copy,
+                if shut { Outcome::Rejected { retry_after: None } } else { Outcome::Delivered },
+            ));
         }
     }
     assert!(late >= 10, "{late} sent from 2 s to 4 s after it opened, of 10 a second");
@@ -174,14 +185,22 @@
     let mut bed = Bed::with_destinations(settings(), 1);
     bed.meet(0);
     let (refused, _) = bed.hand(0, 0);
-    bed.at(bed.now.ms() + 50.0).say(closed(refused, 0, Outcome::Full(None)));
-    let Event::Closed { message, copy, outcome, took, last, .. } = closed(refused, 1, Outcome::Delivered)
+    bed.at(bed.now.ms() + 50.0).say(closed(refused, 0, Outcome::Rejected { retry_after: None }));
+    let Event::AttemptFinished { message, attempt: copy, outcome, duration: took, is_final: last, .. } =
+        closed(refused, 1, Outcome::Delivered)
     else {
         unreachable!()
     };
-    let report = Report { left: Some(0.9), limit: Some(60.0) };
+    let report = RateLimitReport { remaining: Some(0.9), limit: Some(60.0) };
     assert_eq!(sends(&bed.idle(bed.now.ms() + 2000.0)).len(), 1);
-    bed.at(bed.now.ms() + 100.0).say(Event::Closed { message, copy, outcome, took, last, report });
+    bed.at(bed.now.ms() + 100.0).say(Event::AttemptFinished {
+        message,
+        attempt: copy,
+        outcome,
+        duration: took,
+        is_final: last,
+        rate_limit: report,
+    });
     let (start, mut out, mut sent) = (bed.now.ms(), Vec::new(), 0);
     for step in 1..=20 {
         bed.at(start + f64::from(step) * 100.0);
@@ -199,16 +218,17 @@
 #[test]
 fn an_endpoint_that_is_gone_is_forgotten() {
     let mut bed = Bed::new(settings());
-    let apart = |listing| Event::Listed(vec![Entry { listing, ..entry(0, 0, 1, 0) }]);
-    bed.say(apart(Listing::On));
+    let apart =
+        |listing| Event::EndpointsReplaced(vec![EndpointUpdate { status: listing, ..entry(0, 0, 1, 0) }]);
+    bed.say(apart(EndpointStatus::Active));
     bed.meet(0);
     let out: Vec<Event> = (0..6).map(|_| bed.message(0, 0).1).collect();
     assert_eq!(sends(&bed.say_all(&out)).len(), 3, "the share of one that is met");
-    bed.say(Event::Listed(vec![]));
+    bed.say(Event::EndpointsReplaced(vec![]));
     for message in 2..=4 {
         bed.say(closed(MessageId(message), 0, Outcome::Delivered));
     }
-    assert_eq!(sends(&bed.say(apart(Listing::On))).len(), 2, "as many as go to one that is not");
+    assert_eq!(sends(&bed.say(apart(EndpointStatus::Active))).len(), 2, "as many as go to one that is not");
 }
 
 #[test]
@@ -296,7 +316,7 @@
 #[test]
 fn hung_destinations_leave_slots_to_the_others() {
     let mut set = settings();
-    set.caps.slots = 6;
+    set.limits.max_in_flight = 6;
     let mut bed = Bed::with_destinations(set, 4);
     (0..4).for_each(|destination| bed.meet(destination));
     let mut passed = 0;
@@ -317,7 +337,7 @@
         actions.extend(probe);
         let mut todo: std::collections::VecDeque<Action> = actions.into();
         while let Some(action) = todo.pop_front() {
-            if let Action::Send { message, endpoint, cut_at } = action {
+            if let Action::Send { message, endpoint, timeout_at: cut_at } = action {
                 let copy = copies.entry(message).and_modify(|copy| *copy += 1).or_insert(0u32);
                 if endpoint == EndpointId(3) {
                     todo.extend(bed.say(closed(message, *copy, Outcome::Delivered)));
@@ -338,7 +358,7 @@
     let of = |bed: &mut Bed, tenant: usize| {
         let (message, event) = bed.message(0, 0);
         let Event::Accepted(handed) = event else { unreachable!() };
-        (message, Event::Accepted(Handed { tenant: Some(TenantId(tenant)), ..handed }))
+        (message, Event::Accepted(NewMessage { tenant: Some(TenantId(tenant)), ..handed }))
     };
     let (first, event) = of(&mut bed, 0);
     bed.say(event);
@@ -357,7 +377,7 @@
 #[test]
 fn messages_to_one_endpoint_share_a_call_and_a_slot() {
     let mut set = one_slot();
-    set.kinds[0].per_call = 3;
+    set.kinds[0].max_batch = 3;
     let mut bed = Bed::with_destinations(set, 1);
     let events: Vec<Event> = (0..5).map(|_| bed.message(0, 0).1).collect();
     assert_eq!(sends(&bed.say_all(&events)).len(), 3);
@@ -366,7 +386,7 @@
 #[test]
 fn a_full_house_refuses_the_least_valuable() {
     let mut set = one_slot();
-    set.caps.max_open = 10;
+    set.limits.max_pending = 10;
     let mut bed = Bed::new(set);
     let (old, event) = bed.aged(0, 0, 9000.0);
     bed.say(event);
@@ -377,13 +397,13 @@
 #[test]
 fn a_full_house_lets_go_what_may_leave_at_once() {
     let mut set = settings();
-    set.caps.max_open = 10;
+    set.limits.max_pending = 10;
     let mut bed = Bed::with_destinations(set, 2);
     bed.meet(0);
     bed.meet(1);
     // The house fills with messages of much worth for a partner that is told to wait for.
     let (first, _) = bed.hand(2, 0);
-    bed.say(closed(first, 0, Outcome::Full(Some(Span::from_ms(1500.0)))));
+    bed.say(closed(first, 0, Outcome::Rejected { retry_after: Some(Span::from_ms(1500.0)) }));
     let waiting: Vec<_> = (0..8).map(|_| bed.message(2, 0).1).collect();
     assert!(sends(&bed.say_all(&waiting)).is_empty());
     let (small, actions) = bed.hand(0, 1);
@@ -417,13 +437,21 @@
     let nobody = MessageId(999);
     let odd = [
         closed(message, 0, Outcome::TimedOut),
-        closed(nobody, 3, Outcome::Full(None)),
-        Event::Gone(nobody),
-        Event::Gone(message),
-        Event::Due(12345),
-        Event::ListFailed,
-        Event::Probed { endpoint: EndpointId(77), outcome: Outcome::Delivered, report: Report::default() },
-        Event::Changed(vec![Entry { kind: KindId(50), zone: ZoneId(50), ..entry(5, 5, 0, 0) }]),
+        closed(nobody, 3, Outcome::Rejected { retry_after: None }),
+        Event::Cancelled(nobody),
+        Event::Cancelled(message),
+        Event::TimerFired(12345),
+        Event::EndpointListFailed,
+        Event::HealthChecked {
+            endpoint: EndpointId(77),
+            outcome: Outcome::Delivered,
+            rate_limit: RateLimitReport::default(),
+        },
+        Event::EndpointsUpdated(vec![EndpointUpdate {
+            kind: KindId(50),
+            zone: ZoneId(50),
+            ..entry(5, 5, 0, 0)
+        }]),
     ];
     let actions = bed.say_all(&odd);
     assert!(sends(&actions).is_empty() && ends(&actions).is_empty(), "{actions:?}");
@@ -441,7 +469,7 @@
 fn many_couriers_share_the_least_pace() {
     let sent = |couriers: usize| {
         let mut set = settings();
-        set.couriers = couriers;
+        set.instances = couriers;
         let mut bed = Bed::with_destinations(set, 1);
         bed.meet(0);
         let mut copies = std::collections::BTreeMap::new();
@@ -458,7 +486,7 @@
                 bed.say(closed(
                     message,
                     *copy,
-                    if step % 5 == 0 { Outcome::Delivered } else { Outcome::Full(None) },
+                    if step % 5 == 0 { Outcome::Delivered } else { Outcome::Rejected { retry_after: None } },
                 ));
             }
         }
@@ -472,7 +500,7 @@
 #[test]
 fn connections_that_lose_calls_after_a_pause_are_closed_before_the_next() {
     let mut set = settings();
-    set.couriers = 50;
+    set.instances = 50;
     let mut bed = Bed::with_destinations(set, 2);
     bed.meet(0);
     for _ in 0..4 {
@@ -487,7 +515,7 @@
     bed.meet(1);
     let (last, _) = bed.hand(0, 1);
     let done = bed.at(bed.now.ms() + 100.0).say(closed(last, 0, Outcome::Delivered));
-    assert!(done.contains(&Action::Close(EndpointId(1))), "{done:?}");
+    assert!(done.contains(&Action::CloseIdleConnections(EndpointId(1))), "{done:?}");
 }
 
 /// Clients with little patience left made attempts end at their deadline; that is no failure of the route
@@ -507,7 +535,7 @@
 #[test]
 fn a_route_that_is_back_is_free_at_the_end_of_its_cold_time() {
     let mut set = settings();
-    (set.couriers, set.weights) = (200, Weights::Nominal);
+    (set.instances, set.rate_hints) = (200, RateHints::Exact);
     let mut bed = Bed::with_destinations(set, 1);
     bed.meet(0);
     let (lost, _) = bed.hand(0, 0);
@@ -519,7 +547,7 @@
         said.iter().any(|action| matches!(action, Action::Log(text) if text.contains("out"))),
         "{said:?}"
     );
-    bed.say(Event::Gone(lost));
+    bed.say(Event::Cancelled(lost));
     let mut sent = Vec::new();
     for _ in 0..400 {
         let (message, actions) = bed.at(bed.now.ms() + 1000.0).hand(0, 0);
@@ -527,7 +555,7 @@
         if !sent.is_empty() {
             break;
         }
-        bed.say(Event::Gone(message));
+        bed.say(Event::Cancelled(message));
     }
     let (back, _) = *sent.first().expect("a trial goes out at last");
     bed.at(bed.now.ms() + 100.0).say(closed(back, 0, Outcome::Delivered));
@@ -540,7 +568,7 @@
 #[test]
 fn all_idle_connections_of_a_crowded_kind_are_closed_at_once() {
     let mut set = settings();
-    set.couriers = 200;
+    set.instances = 200;
     let mut bed = Bed::with_destinations(set, 3);
     (0..3).for_each(|destination| bed.meet(destination));
     let (message, _) = bed.hand(0, 0);
@@ -548,7 +576,7 @@
     assert_eq!(sends(&again).len(), 1);
     let done = bed.at(bed.now.ms() + 50.0).say(closed(message, 1, Outcome::Delivered));
     for endpoint in 0..3 {
-        assert!(done.contains(&Action::Close(EndpointId(endpoint))), "{endpoint}: {done:?}");
+        assert!(done.contains(&Action::CloseIdleConnections(EndpointId(endpoint))), "{endpoint}: {done:?}");
     }
 }
 
@@ -556,9 +584,9 @@
 /// (pritchard-caerdydd: 0.4 is left after nine aims).
 #[test]
 fn decay_follows_the_late_form_of_the_settings() {
-    for (late, first) in [(LateForm::Halves, 0), (LateForm::Line, 2)] {
+    for (late, first) in [(ValueDecay::Halving, 0), (ValueDecay::Linear, 2)] {
         let mut set = settings();
-        (set.late, set.caps.slots) = (late, 1);
+        (set.value_decay, set.limits.max_in_flight) = (late, 1);
         let mut bed = Bed::with_destinations(set, 1);
         bed.meet(0);
         let (busy, _) = bed.hand(0, 0);
@@ -571,7 +599,7 @@
 }
 
 /// How many calls the first answer lets go that comes to a partner for which so many messages wait.
-fn let_go_by_an_answer(bed: &mut Bed, waiting: usize, resumed: Option<Past>) -> usize {
+fn let_go_by_an_answer(bed: &mut Bed, waiting: usize, resumed: Option<PriorAttempts>) -> usize {
     let events: Vec<_> = (0..waiting)
         .map(|_| match (bed.message(0, 0), &resumed) {
             ((id, Event::Accepted(handed)), Some(past)) => (id, Event::Resumed(handed, past.clone())),
@@ -590,7 +618,7 @@
 #[test]
 fn a_backlog_for_what_was_silent_for_long_does_not_go_out_with_its_first_answer() {
     let mut set = settings();
-    set.caps.slots = 30;
+    set.limits.max_in_flight = 30;
     let silent = |waiting: usize| {
         let mut bed = Bed::with_destinations(set.clone(), 1);
         bed.meet(0);
@@ -611,22 +639,22 @@
 #[test]
 fn what_an_earlier_life_tried_in_vain_is_eased_once_it_answers() {
     let mut set = settings();
-    set.caps.slots = 30;
+    set.limits.max_in_flight = 30;
     let bed = || Bed::with_destinations(set.clone(), 1);
-    let tried = Past { attempts: 1, ran: None, out: None };
+    let tried = PriorAttempts { attempts: 1, first_executed: None, in_flight: None };
     assert!(let_go_by_an_answer(&mut bed(), 12, Some(tried)) <= 1);
-    let untried = Past { attempts: 0, ran: None, out: None };
+    let untried = PriorAttempts { attempts: 0, first_executed: None, in_flight: None };
     assert!(let_go_by_an_answer(&mut bed(), 12, Some(untried)) > 5);
     assert!(let_go_by_an_answer(&mut bed(), 12, None) > 5);
 }
 
 #[test]
 fn a_message_handed_in_twice_with_another_deadline_is_one_and_ends_once() {
-    let mut bed = Bed::with_destinations(Settings { couriers: 1, ..settings() }, 1);
+    let mut bed = Bed::with_destinations(Settings { instances: 1, ..settings() }, 1);
     // Nothing leaves for a destination that is not listed.
     let (id, first) = bed.aged(0, 5, 0.0);
     let Event::Accepted(handed) = first.clone() else { unreachable!("a hand-in") };
-    let again = Event::Accepted(Handed { expires: handed.expires - Span::from_ms(9000.0), ..handed });
+    let again = Event::Accepted(NewMessage { deadline: handed.deadline - Span::from_ms(9000.0), ..handed });
     bed.say_all(&[first, again]);
     let mut ended = Vec::new();
     for ms in (2000..20_000).step_by(500) {
--- a/crates/scheduler/tests/property.rs
+++ b/crates/scheduler/tests/property.rs
@@ -10,7 +10,7 @@
 struct Known {
     class: usize,
     destination: u64,
-    key: Option<Key>,
+    key: Option<OrderingKey>,
     expires: Time,
     order: usize,
     sends: u32,
@@ -24,7 +24,7 @@
     known: BTreeMap<MessageId, Known>,
     listed: BTreeSet<u32>,
     waits: BTreeMap<(bool, u64), Time>,
-    rests: BTreeMap<Key, Time>,
+    rests: BTreeMap<OrderingKey, Time>,
     slots: usize,
 }
 
@@ -41,7 +41,7 @@
 impl Watch {
     fn check(&mut self, now: Time, action: &Action, set: &Settings) {
         match action {
-            Action::Send { message, endpoint, cut_at } => {
+            Action::Send { message, endpoint, timeout_at: cut_at } => {
                 let known = &self.known[message];
                 assert!(!known.ended, "sent after its end");
                 assert!(known.out.is_none(), "two attempts out");
@@ -49,9 +49,9 @@
                 assert!(self.listed.contains(&endpoint.0), "sent to a draining endpoint");
                 assert!(*cut_at <= known.expires && *cut_at > now);
                 assert!(self.waits.get(&route(endpoint.0)).is_none_or(|until| *until <= now), "wait broken");
-                match (set.classes[known.class].effect, known.ran) {
-                    (Effect::SideEffect, Some(_)) => panic!("unsafe message repeated"),
-                    (Effect::Token { window, .. }, Some((first, zone))) => {
+                match (set.classes[known.class].idempotency, known.ran) {
+                    (Idempotency::NonIdempotent, Some(_)) => panic!("unsafe message repeated"),
+                    (Idempotency::IdempotencyKey { window, .. }, Some((first, zone))) => {
                         assert!(now - first < window && zone == endpoint.0 as usize % 2, "key scope");
                     }
                     _ => {}
@@ -69,20 +69,20 @@
                 let known = self.known.get_mut(message).expect("indexed above");
                 known.out = Some((known.sends, endpoint.0, now));
                 known.sends += 1;
-                assert!(known.sends <= set.caps.max_attempts);
+                assert!(known.sends <= set.limits.max_attempts);
                 self.slots += 1;
-                assert!(self.slots <= set.caps.slots, "more calls than slots");
+                assert!(self.slots <= set.limits.max_in_flight, "more calls than slots");
             }
-            Action::Refuse { message, .. } | Action::Fail(message) => {
-                let refused = matches!(action, Action::Refuse { .. });
+            Action::Reject { message, .. } | Action::Fail(message) => {
+                let refused = matches!(action, Action::Reject { .. });
                 let known = self.known.get_mut(message).expect("only known messages end");
                 assert!(!known.ended, "ended twice");
                 assert!(now <= known.expires + Span::from_ms(20.0), "ended too late");
-                let pure = set.classes[known.class].effect == Effect::Pure;
+                let pure = set.classes[known.class].idempotency == Idempotency::Idempotent;
                 assert!(!refused || pure || known.ran.is_none(), "refused what may have run");
                 known.ended = true;
             }
-            Action::Wake { at, .. } => assert!(*at > now),
+            Action::SetTimer { at, .. } => assert!(*at > now),
             _ => {}
         }
     }
@@ -98,41 +98,51 @@
             1 => Outcome::TimedOut,
             2 => Outcome::ConnectFailed,
             3 => Outcome::Reset,
-            4 => Outcome::Full(None),
-            5 => Outcome::Full(Some(Span::from_ms(dice.below(900) as f64 + 1.0))),
-            6 => Outcome::Moot,
+            4 => Outcome::Rejected { retry_after: None },
+            5 => Outcome::Rejected { retry_after: Some(Span::from_ms(dice.below(900) as f64 + 1.0)) },
+            6 => Outcome::NotSent,
             _ => Outcome::Delivered,
         };
-        if !matches!(outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot)
+        if !matches!(outcome, Outcome::Rejected { .. } | Outcome::ConnectFailed | Outcome::NotSent)
             && known.ran.is_none()
         {
             known.ran = Some((sent, endpoint as usize % 2));
         }
-        if let Outcome::Full(Some(wait)) = outcome {
+        if let Outcome::Rejected { retry_after: Some(wait) } = outcome {
             let until = self.waits.entry(route(endpoint)).or_insert(now);
             *until = (*until).max(now + wait);
         }
         if let (Some(key), Outcome::TimedOut | Outcome::Reset) = (known.key, outcome) {
-            self.rests.insert(key, now + set.rules.order_pause);
+            self.rests.insert(key, now + set.rules.ordering_pause);
         }
         known.ended |= outcome == Outcome::Delivered;
-        let (took, last, report) = (now - sent, known.ended, Report::default());
-        Event::Closed { message: id, copy: Copy(copy), outcome, took, last, report }
+        let (took, last, report) = (now - sent, known.ended, RateLimitReport::default());
+        Event::AttemptFinished {
+            message: id,
+            attempt: AttemptNumber(copy),
+            outcome,
+            duration: took,
+            is_final: last,
+            rate_limit: report,
+        }
     }
 }
 
-fn row(endpoint: u32, listing: Listing) -> Entry {
+fn row(endpoint: u32, listing: EndpointStatus) -> EndpointUpdate {
     let destination = u64::from(endpoint / 2);
-    Entry { listing, ..entry(endpoint, destination, usize::from(destination >= 3), endpoint as usize % 2) }
+    EndpointUpdate {
+        status: listing,
+        ..entry(endpoint, destination, usize::from(destination >= 3), endpoint as usize % 2)
+    }
 }
 
 fn play(seed: u64) -> usize {
     let mut set = settings();
-    set.caps.probes = seed.is_multiple_of(2);
+    set.limits.health_checks_allowed = seed.is_multiple_of(2);
     let (mut dice, mut watch) =
         (Dice(seed * 7919 + 1), Watch { listed: (0..10).collect(), ..Watch::default() });
     let mut bed = Bed::new(set.clone());
-    bed.say(Event::Listed((0..10).map(|n| row(n, Listing::On)).collect()));
+    bed.say(Event::EndpointsReplaced((0..10).map(|n| row(n, EndpointStatus::Active)).collect()));
     let mut order = 0;
     for step in 0..6000u64 {
         bed.now = bed.now + Span(5000 + dice.below(28) as i64 * 500);
@@ -149,30 +159,31 @@
             let (class, destination) = (dice.below(4) as usize, dice.below(5));
             let (message, event) = bed.aged(class, destination, dice.below(15000) as f64);
             let Event::Accepted(handed) = event else { unreachable!() };
-            let key = (class == 3).then(|| Key(dice.below(3)));
+            let key = (class == 3).then(|| OrderingKey(dice.below(3)));
             order += 1;
-            let (expires, out, ran, ended) = (handed.expires, None, None, false);
+            let (expires, out, ran, ended) = (handed.deadline, None, None, false);
             watch.known.insert(
                 message,
                 Known { class, destination, key, expires, order, sends: 0, out, ran, ended },
             );
-            events.push(Event::Accepted(Handed { key, ..handed }));
+            events.push(Event::Accepted(NewMessage { ordering_key: key, ..handed }));
         }
         if dice.below(60) == 0 {
             let endpoint = dice.below(10) as u32;
-            let listing = [Listing::On, Listing::Draining, Listing::Gone][dice.below(3) as usize];
+            let listing = [EndpointStatus::Active, EndpointStatus::Draining, EndpointStatus::Removed]
+                [dice.below(3) as usize];
             match listing {
-                Listing::On => watch.listed.insert(endpoint),
+                EndpointStatus::Active => watch.listed.insert(endpoint),
                 _ => watch.listed.remove(&endpoint),
             };
-            events.push(Event::Changed(vec![row(endpoint, listing)]));
+            events.push(Event::EndpointsUpdated(vec![row(endpoint, listing)]));
         }
         if dice.below(80) == 0 {
             let open: Vec<MessageId> =
                 watch.known.iter().filter(|(_, k)| !k.ended).map(|(id, _)| *id).collect();
             if let Some(id) = open.get(dice.below(open.len().max(1) as u64) as usize) {
                 watch.known.get_mut(id).expect("listed above").ended = true;
-                events.push(Event::Gone(*id));
+                events.push(Event::Cancelled(*id));
             }
         }
         for action in bed.say_all(&events) {
--- a/crates/scheduler/tests/recovery.rs
+++ b/crates/scheduler/tests/recovery.rs
@@ -11,15 +11,15 @@
 const STEP_MS: i64 = 500;
 
 fn rules() -> Rules {
-    Rules { cold: Span::from_ms(2000.0), tip_after: Span::from_ms(1000.0), ..settings().rules }
+    Rules { ramp_duration: Span::from_ms(2000.0), overload_window: Span::from_ms(1000.0), ..settings().rules }
 }
 
 /// What at most may have been sent within the span of the rule to what came back this long ago.
 fn bound(rules: &Rules, back: Span, own: f64, most: f64) -> usize {
-    let ramp = rules.cold_from + (1.0 - rules.cold_from) * back.ms() / rules.cold.ms();
-    let rate = rules.fall_multiple * ramp * own;
-    let rate = if back < rules.cold { rate } else { rate.min(most) };
-    (rate * rules.tip_after.secs()).max(1.0) as usize
+    let ramp = rules.ramp_start + (1.0 - rules.ramp_start) * back.ms() / rules.ramp_duration.ms();
+    let rate = rules.overload_factor * ramp * own;
+    let rate = if back < rules.ramp_duration { rate } else { rate.min(most) };
+    (rate * rules.overload_window.secs()).max(1.0) as usize
 }
 
 /// One route and everything that can happen to it, in steps of half a second.
@@ -90,8 +90,9 @@
                 state.held -= 1;
                 state.out.push(state.now);
                 state.sends.push(state.now);
-                state.controller.sent(state.now, rules.tip_after);
-                let lately = state.sends.iter().filter(|sent| state.now - **sent < rules.tip_after).count();
+                state.controller.sent(state.now, rules.overload_window);
+                let lately =
+                    state.sends.iter().filter(|sent| state.now - **sent < rules.overload_window).count();
                 match (state.controller.stage(), state.back) {
                     (Stage::Down(_), _) if gap.is_some_and(|gap| gap < Span::from_ms(700.0)) => {
                         state.broken = Some("trials too close to each other");
@@ -111,14 +112,16 @@
                 let was = state.controller.stage();
                 let (failing, held) = (state.failed == 2, state.held > 0);
                 let changed =
-                    state.controller.judged(state.now, sent, answered, failing, || held, rules.cold);
+                    state.controller.judged(state.now, sent, answered, failing, || held, rules.ramp_duration);
                 let stage = state.controller.stage();
                 match (was, stage) {
                     (Stage::Down(since), Stage::Easing(_)) if sent < since => {
                         state.broken = Some("what was sent before the outage ended it");
                     }
                     (Stage::Down(_), Stage::Easing(_)) => state.back = Some(state.now),
-                    (Stage::Easing(since), Stage::Warm) if held || state.now - since < rules.cold => {
+                    (Stage::Easing(since), Stage::Warm)
+                        if held || state.now - since < rules.ramp_duration =>
+                    {
                         state.broken = Some("warm before its time, or while messages wait");
                     }
                     (_, Stage::Down(_)) if changed => (state.sends, state.back) = (vec![], None),
@@ -137,7 +140,7 @@
         // What is older than the span says nothing more; so states meet again.
         let now = state.now;
         let keep = state.sends.last().copied();
-        state.sends.retain(|sent| now - *sent < rules.tip_after || Some(*sent) == keep);
+        state.sends.retain(|sent| now - *sent < rules.overload_window || Some(*sent) == keep);
         Some(state)
     }
 
@@ -196,13 +199,13 @@
 
 /// Plays the events from the outage on; says which rule was broken.
 fn play(events: &[Move]) -> Result<usize, &'static str> {
-    let set = Settings { weights: Weights::Nominal, ..settings() };
+    let set = Settings { rate_hints: RateHints::Exact, ..settings() };
     let rules = set.rules.clone();
-    let own = LISTED / set.couriers as f64;
+    let own = LISTED / set.instances as f64;
     let mut bed = Bed::new(set);
     let mut listed = entry(0, 0, 0, 0);
-    listed.share = LISTED;
-    bed.say(Event::Listed(vec![listed]));
+    listed.advertised_rate = LISTED;
+    bed.say(Event::EndpointsReplaced(vec![listed]));
     bed.meet(0);
     let mut world = World { out: vec![], sends: vec![], wait: Time(0), back: None, down: None, fails: 0 };
     let begun = [Move::Hand, Move::Break, Move::Break, Move::Break, Move::Hand, Move::Hand];
@@ -216,8 +219,8 @@
                 let (message, copy, sent) = world.out.remove(0);
                 let outcome = match event {
                     Move::Deliver => Outcome::Delivered,
-                    Move::TurnAway => Outcome::Full(None),
-                    Move::TellToWait => Outcome::Full(Some(Span::from_ms(2000.0))),
+                    Move::TurnAway => Outcome::Rejected { retry_after: None },
+                    Move::TellToWait => Outcome::Rejected { retry_after: Some(Span::from_ms(2000.0)) },
                     _ => Outcome::Reset,
                 };
                 world.learn(now, sent, outcome);
@@ -262,7 +265,9 @@
                 }
                 self.fails = 0;
             }
-            Outcome::Full(wait) => self.wait = self.wait.max(now + wait.unwrap_or(Span::ZERO)),
+            Outcome::Rejected { retry_after: wait } => {
+                self.wait = self.wait.max(now + wait.unwrap_or(Span::ZERO))
+            }
             _ => {
                 self.fails += 1;
                 if self.fails == 3 {
@@ -279,10 +284,10 @@
         if self.down.is_some() && self.out.len() > 2 {
             return Err("more than two trials out");
         }
-        let eased = self.back.filter(|back| now - *back < rules.cold);
+        let eased = self.back.filter(|back| now - *back < rules.ramp_duration);
         // Only what was sent since it came back counts against what it can do now.
         let lately = |back: Time| {
-            self.sends.iter().filter(|(_, sent)| *sent >= back && now - *sent < rules.tip_after).count()
+            self.sends.iter().filter(|(_, sent)| *sent >= back && now - *sent < rules.overload_window).count()
         };
         match eased {
             Some(back) if lately(back) > bound(rules, now - back, own, f64::INFINITY) => {
--- a/crates/scheduler/tests/returns.rs
+++ b/crates/scheduler/tests/returns.rs
@@ -42,12 +42,13 @@
 impl Scene {
     /// Plays it; `answer` says how a call to a destination that goes out at a moment ends, and after how many ms.
     fn play(&self, mut answer: impl FnMut(f64, u64) -> (Outcome, f64)) -> Seen {
-        let entries: Vec<Entry> =
-            (0..self.destinations).map(|n| Entry { share: self.share, ..entry(n as u32, n, 0, 0) }).collect();
-        let mut couriers: Vec<Courier> =
-            (0..self.set.couriers).map(|n| Courier::new(self.set.clone(), 31 + n as u64)).collect();
+        let entries: Vec<EndpointUpdate> = (0..self.destinations)
+            .map(|n| EndpointUpdate { advertised_rate: self.share, ..entry(n as u32, n, 0, 0) })
+            .collect();
+        let mut couriers: Vec<Scheduler> =
+            (0..self.set.instances).map(|n| Scheduler::new(self.set.clone(), 31 + n as u64)).collect();
         for courier in &mut couriers {
-            courier.handle(Time(0), &[Event::Listed(entries.clone())], &mut Vec::new());
+            courier.handle(Time(0), &[Event::EndpointsReplaced(entries.clone())], &mut Vec::new());
         }
         let mut seen = Seen::default();
         let mut copies: BTreeMap<MessageId, u32> = BTreeMap::new();
@@ -77,8 +78,14 @@
                 let (message, expires) = (MessageId(next), now + Span::from_ms(16_000.0));
                 let destination = DestinationId(next % self.destinations);
                 known.insert(message, (at, destination.0));
-                let handed =
-                    Handed { message, class: ClassId(0), tenant: None, key: None, expires, destination };
+                let handed = NewMessage {
+                    message,
+                    class: ClassId(0),
+                    tenant: None,
+                    ordering_key: None,
+                    deadline: expires,
+                    destination,
+                };
                 // Runs of messages, so that couriers and destinations do not keep step.
                 let courier = (next * 7 / 3) as usize % news.len();
                 news[courier].push(Event::Accepted(handed));
@@ -104,11 +111,11 @@
 /// A deployment of three couriers with the figures of the operators' own file.
 fn three() -> Settings {
     let mut set = settings();
-    (set.couriers, set.weights) = (3, Weights::Rough);
-    (set.caps.slots, set.caps.max_open) = (16, 1000);
+    (set.instances, set.rate_hints) = (3, RateHints::Approximate);
+    (set.limits.max_in_flight, set.limits.max_pending) = (16, 1000);
     let rules = &mut set.rules;
-    (rules.cold_from, rules.cold) = (0.27, Span::from_ms(10_000.0));
-    (rules.fall_multiple, rules.tip_after) = (1.5, Span::from_ms(2000.0));
+    (rules.ramp_start, rules.ramp_duration) = (0.27, Span::from_ms(10_000.0));
+    (rules.overload_factor, rules.overload_window) = (1.5, Span::from_ms(2000.0));
     set
 }
 
@@ -150,11 +157,11 @@
 fn a_partner_that_turns_away_by_chance_is_not_slowed_down() {
     let lost = |couriers: usize, offered: f64| -> usize {
         let played = (0..8).map(|seed| {
-            let set = Settings { couriers, ..three() };
+            let set = Settings { instances: couriers, ..three() };
             let scene = Scene { set, destinations: 1, share: 20.0, seconds: 60.0, offered, until: 40.0 };
             let mut dice = Dice(0x2545_F491_4F6C_DD1D ^ seed << 17);
             let answer = |_, _| match dice.part() < 0.25 {
-                true => (Outcome::Full(None), 10.0),
+                true => (Outcome::Rejected { retry_after: None }, 10.0),
                 false => (Outcome::Delivered, 40.0),
             };
             scene.play(answer).lost
@@ -172,12 +179,12 @@
 #[test]
 fn a_true_limit_is_kept() {
     for (couriers, listed, part) in [(2, 10.0, 0.20), (3, 10.0, 0.30), (2, 15.0, 0.30), (3, 15.0, 0.35)] {
-        let set = Settings { couriers, ..three() };
+        let set = Settings { instances: couriers, ..three() };
         let scene = Scene { set, destinations: 1, share: listed, seconds: 60.0, offered: 14.0, until: 60.0 };
         let mut served: Vec<f64> = vec![];
         let seen = scene.play(|at, _| {
             if served.iter().filter(|was| at - **was < 1.0).count() >= 10 {
-                return (Outcome::Full(None), 10.0);
+                return (Outcome::Rejected { retry_after: None }, 10.0);
             }
             served.push(at);
             (Outcome::Delivered, 40.0)
--- a/crates/scheduler/tests/rules.rs
+++ b/crates/scheduler/tests/rules.rs
@@ -13,7 +13,7 @@
     assert!(ends(&bed.idle(16999.0)).is_empty());
     assert_eq!(ends(&bed.idle(17000.0)), [message]);
     assert!(bed.idle(17005.0).is_empty());
-    let list = Event::Listed(vec![entry(0, 9, 0, 0)]);
+    let list = Event::EndpointsReplaced(vec![entry(0, 9, 0, 0)]);
     assert!(sends(&bed.at(17010.0).say(list)).is_empty());
 }
 
@@ -21,7 +21,8 @@
 fn a_timer_wakes_the_courier_for_the_deadline() {
     let mut bed = Bed::new(settings());
     let (_, actions) = bed.hand(0, 9);
-    let wake = actions.iter().any(|a| matches!(a, Action::Wake { at, .. } if *at == Time::from_ms(17000.0)));
+    let wake =
+        actions.iter().any(|a| matches!(a, Action::SetTimer { at, .. } if *at == Time::from_ms(17000.0)));
     assert!(wake, "{actions:?}");
 }
 
@@ -47,7 +48,7 @@
 
 #[test]
 fn unsafe_messages_that_never_ran_are_sent_again() {
-    for outcome in [Outcome::Full(None), Outcome::ConnectFailed, Outcome::Moot] {
+    for outcome in [Outcome::Rejected { retry_after: None }, Outcome::ConnectFailed, Outcome::NotSent] {
         let mut bed = Bed::with_destinations(settings(), 1);
         let (message, _) = bed.hand(2, 0);
         let mut sent = sends(&bed.at(1100.0).say(closed(message, 0, outcome)));
@@ -59,7 +60,7 @@
 #[test]
 fn keyed_messages_stay_in_their_zone_and_window() {
     let mut bed = Bed::new(settings());
-    bed.say(Event::Listed(vec![entry(0, 0, 0, 0), entry(1, 0, 0, 1), entry(2, 0, 0, 0)]));
+    bed.say(Event::EndpointsReplaced(vec![entry(0, 0, 0, 0), entry(1, 0, 0, 1), entry(2, 0, 0, 0)]));
     let (message, actions) = bed.hand(1, 0);
     let zone = |endpoint: EndpointId| endpoint.0 % 2;
     let first = sends(&actions)[0].1;
@@ -67,7 +68,7 @@
     assert_eq!(again.len(), 1);
     assert_eq!(zone(again[0].1), zone(first));
     // Turned away when the window ends: one instant earlier it would still go out.
-    let wait = Outcome::Full(Some(Span::from_ms(2900.0)));
+    let wait = Outcome::Rejected { retry_after: Some(Span::from_ms(2900.0)) };
     assert!(sends(&bed.at(2100.0).say(closed(message, 1, wait))).is_empty());
     assert_eq!(ends(&bed.idle(5000.0)), [message]);
     assert!(sends(&bed.idle(5100.0)).is_empty());
@@ -90,20 +91,20 @@
 
 #[test]
 fn nothing_goes_to_an_endpoint_from_the_batch_on_that_told_of_its_drain() {
-    for listing in [Listing::Draining, Listing::Gone] {
+    for listing in [EndpointStatus::Draining, EndpointStatus::Removed] {
         let mut bed = Bed::with_destinations(settings(), 1);
         let (_, handed) = bed.message(0, 0);
-        let change = Event::Changed(vec![Entry { listing, ..entry(0, 0, 0, 0) }]);
+        let change = Event::EndpointsUpdated(vec![EndpointUpdate { status: listing, ..entry(0, 0, 0, 0) }]);
         assert!(sends(&bed.say_all(&[handed, change])).is_empty());
         assert!(sends(&bed.idle(3000.0)).is_empty());
-        assert_eq!(sends(&bed.say(Event::Changed(vec![entry(0, 0, 0, 0)]))).len(), 1);
+        assert_eq!(sends(&bed.say(Event::EndpointsUpdated(vec![entry(0, 0, 0, 0)]))).len(), 1);
     }
 }
 
 #[test]
 fn what_a_whole_list_leaves_out_is_gone() {
     let mut bed = Bed::with_destinations(settings(), 2);
-    bed.say(Event::Listed(vec![entry(1, 1, 0, 0)]));
+    bed.say(Event::EndpointsReplaced(vec![entry(1, 1, 0, 0)]));
     assert!(sends(&bed.hand(0, 0).1).is_empty());
     assert_eq!(sends(&bed.hand(0, 1).1).len(), 1);
 }
@@ -111,7 +112,7 @@
 /// Runs an outage until 20 s, then answers all; gives the times of all sends.
 fn through_an_outage(probes: bool) -> Vec<f64> {
     let mut set = settings();
-    set.caps.probes = probes;
+    set.limits.health_checks_allowed = probes;
     let mut bed = Bed::with_destinations(set, 1);
     let (mut out, mut probing, mut times) = (Vec::new(), Vec::new(), Vec::new());
     for step in 0..6000u64 {
@@ -136,7 +137,11 @@
         probing.retain(|sent: &Time| {
             let ends = due(sent);
             if ends {
-                events.push(Event::Probed { endpoint: EndpointId(0), outcome, report: Report::default() });
+                events.push(Event::HealthChecked {
+                    endpoint: EndpointId(0),
+                    outcome,
+                    rate_limit: RateLimitReport::default(),
+                });
             }
             !ends
         });
@@ -147,7 +152,7 @@
                     out.push((message, copy, bed.now));
                     times.push((bed.now.secs(), Some(message)));
                 }
-                Action::Probe(_) => {
+                Action::HealthCheck(_) => {
                     probing.push(bed.now);
                     times.push((bed.now.secs(), None));
                 }
@@ -189,7 +194,7 @@
 fn a_told_wait_binds_every_message_to_the_end_exactly() {
     let mut bed = Bed::with_destinations(settings(), 2);
     let (message, _) = bed.hand(0, 0);
-    bed.at(1050.0).say(closed(message, 0, Outcome::Full(Some(Span::from_ms(800.0)))));
+    bed.at(1050.0).say(closed(message, 0, Outcome::Rejected { retry_after: Some(Span::from_ms(800.0)) }));
     for at in [1051.0, 1500.0, 1849.999] {
         bed.now = Time::from_ms(at);
         assert!(sends(&bed.hand(2, 0).1).is_empty());
@@ -201,12 +206,12 @@
 #[test]
 fn a_wait_told_to_one_message_of_a_call_binds_though_another_ended_otherwise() {
     let mut set = settings();
-    set.kinds[0].per_call = 2;
+    set.kinds[0].max_batch = 2;
     let mut bed = Bed::with_destinations(set, 1);
     let (a, first) = bed.message(0, 0);
     let (b, second) = bed.message(0, 0);
     assert_eq!(sends(&bed.say_all(&[first, second])).len(), 2);
-    let wait = Outcome::Full(Some(Span::from_ms(3000.0)));
+    let wait = Outcome::Rejected { retry_after: Some(Span::from_ms(3000.0)) };
     bed.at(1100.0).say_all(&[closed(a, 0, wait), closed(b, 0, Outcome::Cancelled)]);
     assert!(sends(&bed.idle(4000.0)).is_empty());
     assert!(!sends(&bed.idle(4100.0)).is_empty());
@@ -215,10 +220,14 @@
 #[test]
 fn where_endpoints_are_routes_apart_a_wait_binds_the_one() {
     let mut bed = Bed::new(settings());
-    bed.say(Event::Listed(vec![entry(0, 0, 1, 0), entry(1, 0, 1, 0)]));
+    bed.say(Event::EndpointsReplaced(vec![entry(0, 0, 1, 0), entry(1, 0, 1, 0)]));
     let (message, actions) = bed.hand(0, 0);
     let full = sends(&actions)[0].1;
-    let again = sends(&bed.at(1050.0).say(closed(message, 0, Outcome::Full(Some(Span::from_ms(9000.0))))));
+    let again = sends(&bed.at(1050.0).say(closed(
+        message,
+        0,
+        Outcome::Rejected { retry_after: Some(Span::from_ms(9000.0)) },
+    )));
     assert_eq!(again.len(), 1);
     assert_ne!(again[0].1, full);
 }
@@ -226,7 +235,7 @@
 fn keyed_message(bed: &mut Bed) -> (MessageId, Event) {
     let (message, event) = bed.message(3, 0);
     let Event::Accepted(handed) = event else { unreachable!() };
-    (message, Event::Accepted(Handed { key: Some(Key(5)), ..handed }))
+    (message, Event::Accepted(NewMessage { ordering_key: Some(OrderingKey(5)), ..handed }))
 }
 
 #[test]
@@ -236,7 +245,7 @@
     let (second, b) = keyed_message(&mut bed);
     assert_eq!(sends(&bed.say_all(&[a, b])), [(first, EndpointId(0))]);
     // Gone, but its attempt is still out: the key stays taken.
-    assert!(sends(&bed.at(1100.0).say(Event::Gone(first))).is_empty());
+    assert!(sends(&bed.at(1100.0).say(Event::Cancelled(first))).is_empty());
     assert!(sends(&bed.at(1200.0).say(closed(first, 0, Outcome::Cancelled))).is_empty());
     assert!(sends(&bed.idle(1899.999)).is_empty());
     assert_eq!(sends(&bed.idle(1900.0)), [(second, EndpointId(0))]);
@@ -257,19 +266,21 @@
     for ending in [Outcome::TimedOut, Outcome::Reset, Outcome::Cancelled] {
         let mut bed = Bed::with_destinations(settings(), 2);
         let keyed = |event: Event| match event {
-            Event::Accepted(handed) => Event::Accepted(Handed { key: Some(Key(5)), ..handed }),
+            Event::Accepted(handed) => {
+                Event::Accepted(NewMessage { ordering_key: Some(OrderingKey(5)), ..handed })
+            }
             other => other,
         };
         let (first, event) = bed.message(3, 0);
         assert_eq!(sends(&bed.say(keyed(event))).len(), 1);
-        bed.at(1050.0).say(Event::Gone(first));
-        let over = Event::Closed {
+        bed.at(1050.0).say(Event::Cancelled(first));
+        let over = Event::AttemptFinished {
             message: first,
-            copy: Copy(0),
+            attempt: AttemptNumber(0),
             outcome: ending,
-            took: Span::from_ms(100.0),
-            last: true,
-            report: Report::default(),
+            duration: Span::from_ms(100.0),
+            is_final: true,
+            rate_limit: RateLimitReport::default(),
         };
         bed.at(1100.0).say(over);
         let (second, event) = bed.at(1200.0).message(3, 1);
@@ -284,15 +295,16 @@
 fn odd_input_breaks_nothing() {
     for share in [0.0, -1.0, f64::NAN, f64::INFINITY, 1e300] {
         let mut set = settings();
-        (set.weights, set.couriers) = (Weights::Nominal, 300);
+        (set.rate_hints, set.instances) = (RateHints::Exact, 300);
         let mut bed = Bed::new(set);
-        let list = Event::Listed(vec![Entry { share, ..entry(0, 0, 0, 0) }]);
+        let list =
+            Event::EndpointsReplaced(vec![EndpointUpdate { advertised_rate: share, ..entry(0, 0, 0, 0) }]);
         bed.say_all(&[list.clone(), list]);
         let (late, event) = bed.aged(0, 0, 17000.0);
         assert_eq!(bed.say(event).first(), Some(&Action::Fail(late)));
         let (ordered, actions) = bed.hand(3, 0);
         assert_eq!(sends(&actions).len(), 1, "no key: not held back");
-        let wait = Outcome::Full(Some(Span::from_ms(9000.0)));
+        let wait = Outcome::Rejected { retry_after: Some(Span::from_ms(9000.0)) };
         bed.at(1100.0).say(closed(ordered, 0, wait));
         assert!(sends(&bed.idle(10099.0)).is_empty());
         bed.idle(900_000.0);
@@ -303,7 +315,7 @@
 fn resumed(bed: &mut Bed, class: usize, attempts: u32, ran: Option<(Time, EndpointId)>) -> Vec<Action> {
     let (_, event) = bed.message(class, 0);
     let Event::Accepted(handed) = event else { unreachable!() };
-    bed.say(Event::Resumed(handed, Past { attempts, ran, out: None }))
+    bed.say(Event::Resumed(handed, PriorAttempts { attempts, first_executed: ran, in_flight: None }))
 }
 
 #[test]
--- a/crates/scheduler/tests/weights.rs
+++ b/crates/scheduler/tests/weights.rs
@@ -16,17 +16,18 @@
     order: Vec<usize>,
 }
 
-fn list(weights: &[f64]) -> Vec<Entry> {
-    let weighted = |(id, weight): (usize, &f64)| Entry { weight: Some(*weight), ..entry(id as u32, 0, 0, 0) };
+fn list(weights: &[f64]) -> Vec<EndpointUpdate> {
+    let weighted =
+        |(id, weight): (usize, &f64)| EndpointUpdate { weight: Some(*weight), ..entry(id as u32, 0, 0, 0) };
     weights.iter().enumerate().map(weighted).collect()
 }
 
 impl Stream {
     fn new(weights: &[f64], took: &[f64]) -> Stream {
         let mut set = settings();
-        set.caps.slots = 64;
+        set.limits.max_in_flight = 64;
         let mut bed = Bed::new(set);
-        bed.say(Event::Listed(list(weights)));
+        bed.say(Event::EndpointsReplaced(list(weights)));
         Stream {
             bed,
             took: took.to_vec(),
@@ -49,8 +50,16 @@
             for (_, message, copy, endpoint) in self.out.extract_if(.., |leg| done(leg)) {
                 let outcome = if self.sick[endpoint] { Outcome::Reset } else { Outcome::Delivered };
                 let took = Span::from_ms(self.took[endpoint]);
-                let (last, copy, report) = (!self.sick[endpoint], Copy(copy), Report::default());
-                events.push(Event::Closed { message, copy, outcome, took, last, report });
+                let (last, copy, report) =
+                    (!self.sick[endpoint], AttemptNumber(copy), RateLimitReport::default());
+                events.push(Event::AttemptFinished {
+                    message,
+                    attempt: copy,
+                    outcome,
+                    duration: took,
+                    is_final: last,
+                    rate_limit: report,
+                });
             }
             for (message, endpoint) in sends(&self.bed.say_all(&events)) {
                 let copy = self.copies.entry(message).or_default();
@@ -66,7 +75,7 @@
     }
 
     fn reweigh(&mut self, weights: &[f64]) {
-        self.bed.say(Event::Changed(list(weights)));
+        self.bed.say(Event::EndpointsUpdated(list(weights)));
     }
 }
 
@@ -129,10 +138,14 @@
 fn couriers_that_call_seldom_spread_by_the_weights_too() {
     let mut counts = [0; 3];
     for seed in 0..600 {
-        let mut courier = Courier::new(settings(), seed);
+        let mut courier = Scheduler::new(settings(), seed);
         let mut bed = Bed::new(settings());
         let mut actions = Vec::new();
-        courier.handle(bed.now, &[Event::Listed(list(&[5.0, 3.0, 2.0])), bed.message(0, 0).1], &mut actions);
+        courier.handle(
+            bed.now,
+            &[Event::EndpointsReplaced(list(&[5.0, 3.0, 2.0])), bed.message(0, 0).1],
+            &mut actions,
+        );
         counts[sends(&actions)[0].1 .0 as usize] += 1;
     }
     // Their first calls, one each: the heaviest gets most of them, but far from all.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -148,19 +148,19 @@
     /// The same as the decision module takes it.
     pub fn settings(&self) -> p::Settings {
         let boot = self;
-        let class = |class: &Class| p::Class {
-            worth: class.importance,
-            promise: p::Span::from_ms(class.promise_ms),
-            give_up: p::Span::from_ms(class.give_up_ms),
+        let class = |class: &Class| p::MessageClass {
+            priority_weight: class.importance,
+            latency_objective: p::Span::from_ms(class.promise_ms),
+            deadline: p::Span::from_ms(class.give_up_ms),
             late_value: class.late_value,
-            effect: match class.effect {
-                Effect::Pure => p::Effect::Pure,
-                Effect::Unsafe => p::Effect::SideEffect,
-                Effect::Token => p::Effect::Token {
+            idempotency: match class.effect {
+                Effect::Pure => p::Idempotency::Idempotent,
+                Effect::Unsafe => p::Idempotency::NonIdempotent,
+                Effect::Token => p::Idempotency::IdempotencyKey {
                     scope: match class.dedup_scope {
-                        Scope::All => p::Scope::All,
-                        Scope::Zone => p::Scope::Zone,
-                        Scope::Cell => p::Scope::Endpoint,
+                        Scope::All => p::DeduplicationScope::All,
+                        Scope::Zone => p::DeduplicationScope::Zone,
+                        Scope::Cell => p::DeduplicationScope::Endpoint,
                     },
                     window: p::Span::from_ms(class.window_ms),
                 },
@@ -168,50 +168,50 @@
             ordered: class.fifo_by_key,
         };
         let domain = &boot.domain;
-        let kind = |number: usize| p::Kind {
-            apart: domain.kind_apart.get(number).copied().unwrap_or(false),
-            per_call: domain.per_call.get(number).map_or(1, |&most| most as usize),
+        let kind = |number: usize| p::DestinationKind {
+            separate_routes: domain.kind_apart.get(number).copied().unwrap_or(false),
+            max_batch: domain.per_call.get(number).map_or(1, |&most| most as usize),
         };
         let (caps, rules) = (&boot.caps, &boot.rules);
         p::Settings {
             classes: boot.classes.iter().map(class).collect(),
             tenants: boot.customers.iter().map(|t| p::Tenant { quota_per_s: t.quota_per_s }).collect(),
-            over_share_worth: boot.over_share_worth,
+            over_quota_weight: boot.over_share_worth,
             kinds: (0..boot.host_types.len()).map(kind).collect(),
-            tolls: domain.toll.clone(),
-            late: match domain.late {
-                Late::Line => p::LateForm::Line,
-                Late::Halves => p::LateForm::Halves,
+            zone_fees: domain.toll.clone(),
+            value_decay: match domain.late {
+                Late::Line => p::ValueDecay::Linear,
+                Late::Halves => p::ValueDecay::Halving,
             },
-            caps: p::Caps {
-                slots: domain.workers as usize,
-                max_open: caps.max_open as usize,
+            limits: p::Limits {
+                max_in_flight: domain.workers as usize,
+                max_pending: caps.max_open as usize,
                 max_attempts: caps.max_attempts,
-                streams_per_conn: caps.streams_per_conn as usize,
-                conn_idle: p::Span::from_ms(caps.conn_idle_ms),
+                streams_per_connection: caps.streams_per_conn as usize,
+                idle_timeout: p::Span::from_ms(caps.conn_idle_ms),
                 max_retry_after: p::Span::from_ms(caps.max_retry_after_ms),
-                may_cancel: caps.may_cancel,
-                probes: caps.probes,
+                cancellation_allowed: caps.may_cancel,
+                health_checks_allowed: caps.probes,
             },
             rules: p::Rules {
-                cold_from: rules.cold_from,
-                cold: p::Span::from_ms(rules.cold_ms),
-                fall_multiple: rules.fall_multiple,
-                tip_after: p::Span::from_ms(rules.tip_after_ms),
-                order_pause: p::Span::from_ms(rules.order_pause_ms),
-                must_ask: p::Span::from_ms(rules.must_ask_in_ms),
+                ramp_start: rules.cold_from,
+                ramp_duration: p::Span::from_ms(rules.cold_ms),
+                overload_factor: rules.fall_multiple,
+                overload_window: p::Span::from_ms(rules.tip_after_ms),
+                ordering_pause: p::Span::from_ms(rules.order_pause_ms),
+                max_poll_interval: p::Span::from_ms(rules.must_ask_in_ms),
             },
             discovery: match boot.registry_mode {
-                RegistryMode::Automatic => p::Discovery::Automatic,
-                RegistryMode::Subscribe => p::Discovery::Subscribe,
+                RegistryMode::Automatic => p::DiscoveryMode::Push,
+                RegistryMode::Subscribe => p::DiscoveryMode::Subscribe,
             },
-            weights: match boot.weights {
-                Weights::Nominal => p::Weights::Nominal,
-                Weights::Rough => p::Weights::Rough,
-                Weights::Off => p::Weights::Off,
+            rate_hints: match boot.weights {
+                Weights::Nominal => p::RateHints::Exact,
+                Weights::Rough => p::RateHints::Approximate,
+                Weights::Off => p::RateHints::Absent,
             },
-            couriers: boot.peers_total as usize,
-            tick: p::Span::from_ms(boot.tick_ms),
+            instances: boot.peers_total as usize,
+            min_batch_interval: p::Span::from_ms(boot.tick_ms),
         }
     }
 }
--- a/crates/simulation/src/bodies.rs
+++ b/crates/simulation/src/bodies.rs
@@ -6,7 +6,9 @@
 
 /// A scenario's text: read twice, it is the same.
 pub fn scenario(bytes: &[u8]) {
-    let Ok(text) = std::str::from_utf8(bytes) else { return };
+    let Ok(text) = std::str::from_utf8(bytes) else {
+        return;
+    };
     if let Ok(scenario) = Scenario::parse(text, &[], 1) {
         let again = Scenario::parse(text, &[], 1);
         assert_eq!(again.ok().as_ref().map(|again| format!("{again:?}")), Some(format!("{scenario:?}")));
@@ -15,7 +17,9 @@
 
 /// A curve: its values can be used as rates.
 pub fn curve(bytes: &[u8]) {
-    let Ok(text) = std::str::from_utf8(bytes) else { return };
+    let Ok(text) = std::str::from_utf8(bytes) else {
+        return;
+    };
     if let Ok(curve) = Curve::parse(text) {
         for at in [0.0, 0.5, 59.9, 1e5] {
             let value = curve.at(at);
@@ -26,7 +30,9 @@
 
 /// A trace: its times are in order.
 pub fn trace(bytes: &[u8]) {
-    let Ok(text) = std::str::from_utf8(bytes) else { return };
+    let Ok(text) = std::str::from_utf8(bytes) else {
+        return;
+    };
     if let Ok(times) = trace::parse(text) {
         assert!(!times.is_empty() && times.windows(2).all(|two| two[0] <= two[1]));
     }
--- a/crates/simulation/src/check.rs
+++ b/crates/simulation/src/check.rs
@@ -3,7 +3,7 @@
 use crate::scenario::Scenario;
 use crate::seen::{End, Seen};
 use crate::world::{play, Make};
-use marblefall_scheduler::{Effect, Listing, Outcome, Span, Time};
+use marblefall_scheduler::{EndpointStatus, Idempotency, Outcome, Span, Time};
 use std::collections::HashMap;
 use std::fmt;
 
@@ -146,7 +146,7 @@
                 self.closed(at, message, courier, endpoint, outcome);
             }
             Seen::Listed { endpoint, listing } => {
-                if listing == Listing::On {
+                if listing == EndpointStatus::Active {
                     self.away.remove(&endpoint);
                 } else {
                     self.away.entry(endpoint).or_insert(at);
@@ -212,9 +212,9 @@
             return self.breach(Rule::OneLeg, at, Some(message), what);
         }
         let repeat = open.ran.map(|ran| at - ran);
-        let why = match (self.scenario.classes[open.class].class.effect, repeat) {
-            (Effect::SideEffect, Some(_)) => "is of a class that is never repeated".to_owned(),
-            (Effect::Token { window, .. }, Some(age)) if age >= window => {
+        let why = match (self.scenario.classes[open.class].class.idempotency, repeat) {
+            (Idempotency::NonIdempotent, Some(_)) => "is of a class that is never repeated".to_owned(),
+            (Idempotency::IdempotencyKey { window, .. }, Some(age)) if age >= window => {
                 format!(
                     "first went out {:.1} s ago, and its key is known for {:.1} s",
                     age.secs(),
@@ -232,13 +232,15 @@
     }
 
     fn closed(&mut self, at: Time, message: u64, courier: usize, endpoint: u32, outcome: Outcome) {
-        if let Outcome::Full(Some(wait)) = outcome {
+        if let Outcome::Rejected { retry_after: Some(wait) } = outcome {
             let until = self.waits.entry((courier, self.places[endpoint as usize].0)).or_insert(at);
             *until = (*until).max(at + wait);
         }
-        let Some(open) = self.open.get_mut(&message) else { return };
+        let Some(open) = self.open.get_mut(&message) else {
+            return;
+        };
         if let Some((_, sent)) = open.out.take() {
-            if !outcome.never_ran() {
+            if !outcome.not_executed() {
                 open.ran.get_or_insert(sent);
             }
         }
--- a/crates/simulation/src/compare.rs
+++ b/crates/simulation/src/compare.rs
@@ -73,7 +73,9 @@
         let mut pairs: BTreeMap<String, Vec<f64>> = BTreeMap::new();
         let mut broken = (0, 0);
         for record in with {
-            let Some(before) = first.get(&key(record)) else { continue };
+            let Some(before) = first.get(&key(record)) else {
+                continue;
+            };
             pairs.entry(record.scenario.clone()).or_default().push(record.figures.kept - before.kept);
             broken.0 += usize::from(before.breaches > 0);
             broken.1 += usize::from(record.figures.breaches > 0);
