--- a/crates/simulation/src/cored.rs
+++ b/crates/simulation/src/cored.rs
@@ -2,11 +2,16 @@
 //! opens again. What the world says of an earlier life is not listened to: the journal must know.
 
 use crate::world::{Life, Node};
-use marblefall_delivery::core::engine::{Engine, Host, Input, Order, Setup};
-use marblefall_delivery::core::ledger::Ledger;
-use marblefall_delivery::core::{Answer, Authorisation, End, Origin, Seq, Stamp, Ticket, Verdict};
+use marblefall_delivery::core::endpoint::ListedEndpoint;
+use marblefall_delivery::core::engine::{
+    AttemptRequest, AttemptResult, Engine, EngineCommand, EngineEvent, EngineSettings,
+};
+use marblefall_delivery::core::message_store::MessageStore;
+use marblefall_delivery::core::{
+    Disposition, FinalOutcome, Message, Origin, RequestId, SubmitResponse, Timestamp,
+};
 use marblefall_scheduler::{
-    Action, Class, Effect, EndpointId, Entry, Event, MessageId, Settings, Span, Time,
+    Action, EndpointId, EndpointUpdate, Event, Idempotency, MessageClass, MessageId, Settings, Span, Time,
 };
 use std::collections::{HashMap, HashSet};
 use std::io;
@@ -76,116 +81,140 @@
     /// The world's endpoints by the engine's numbers for them.
     hosts: HashMap<EndpointId, EndpointId>,
     /// Legs out: the engine's numbers of the message and of the leg.
-    legs: HashMap<MessageId, (Seq, u32)>,
+    legs: HashMap<MessageId, (MessageId, u32)>,
     /// Hand-ins that were told that they are taken on; their end comes as a notice.
     taken: HashSet<u64>,
-    orders: Vec<Order>,
+    orders: Vec<EngineCommand>,
     armed: Option<Time>,
     tokens: u64,
 }
 
-fn setup(settings: Settings, seed: u64) -> Setup {
-    Setup { remember_ms: vec![0; settings.classes.len()], settings, seed, remember_most: 0 }
+fn setup(settings: Settings, seed: u64) -> EngineSettings {
+    EngineSettings {
+        remember_ms: vec![0; settings.classes.len()],
+        scheduler: settings,
+        seed,
+        max_remembered: 0,
+    }
 }
 
 impl Running {
     fn open(folder: &Path, disk: u64, life: &Life, now: Time) -> io::Result<Running> {
         let classes = (0..life.settings.classes.len()).map(|class| class.to_string()).collect();
-        let ledger = Ledger::open(folder, disk, classes)?;
+        let store = MessageStore::open(folder, disk, classes)?;
         let mut orders = Vec::new();
         let engine =
-            Engine::new(setup(life.settings.clone(), life.seed), ledger, stamp(now, now), &mut orders);
+            Engine::new(setup(life.settings.clone(), life.seed), store, stamp(now, now), &mut orders);
         let (hosts, legs, taken) = Default::default();
-        let is_keyed = |class: &Class| matches!(class.effect, Effect::Token { .. });
+        let is_keyed = |class: &MessageClass| matches!(class.idempotency, Idempotency::IdempotencyKey { .. });
         let keyed = life.settings.classes.iter().map(is_keyed).collect();
         Ok(Running { engine, keyed, born: now, hosts, legs, taken, orders, armed: None, tokens: 0 })
     }
 
-    fn input(&self, event: &Event) -> Option<Input> {
+    fn input(&self, event: &Event) -> Option<EngineEvent> {
         Some(match event {
             Event::Accepted(handed) => {
                 let identity = handed.message.0.to_le_bytes().to_vec();
                 let keyed = self.keyed.get(handed.class.0).copied().unwrap_or(false);
-                let authorisation = Authorisation {
-                    origin: Origin::Relay,
-                    repeat_key: keyed.then(|| identity.clone()),
+                let message = Message {
+                    origin: Origin::Platform,
+                    idempotency_key: keyed.then(|| identity.clone()),
                     identity,
                     class: handed.class,
                     destination: handed.destination,
-                    expires_ms: EPOCH_MS + handed.expires.0.div_euclid(1000),
+                    expires_ms: EPOCH_MS + handed.deadline.0.div_euclid(1000),
                     attributes: Vec::new(),
                     body: vec![b'x'; BODY],
                 };
-                Input::Offered(Ticket(handed.message.0), authorisation)
+                EngineEvent::Submitted(RequestId(handed.message.0), message)
             }
-            Event::Closed { message, outcome, took, report, .. } => {
+            Event::AttemptFinished { message, outcome, duration: took, rate_limit: report, .. } => {
                 let (seq, copy) = *self.legs.get(message)?;
-                Input::LegEnded {
-                    seq,
-                    copy,
+                EngineEvent::AttemptFinished(AttemptResult {
+                    message_id: seq,
+                    attempt: copy,
                     outcome: *outcome,
-                    took: *took,
-                    verdict: Verdict::Open,
-                    report: *report,
-                }
+                    duration: *took,
+                    disposition: Disposition::Undecided,
+                    rate_limit: *report,
+                })
+            }
+            Event::EndpointsReplaced(entries) => {
+                EngineEvent::EndpointsReplaced(entries.iter().map(host).collect())
+            }
+            Event::EndpointsUpdated(entries) => {
+                EngineEvent::EndpointsUpdated(entries.iter().map(host).collect())
             }
-            Event::Listed(entries) => Input::Listed(entries.iter().map(host).collect()),
-            Event::Changed(entries) => Input::Changed(entries.iter().map(host).collect()),
             // The journal knows; a step without an input looks at the time.
             Event::Resumed(..)
-            | Event::Due(_)
-            | Event::Gone(_)
-            | Event::Probed { .. }
-            | Event::Recalled(..)
-            | Event::Waits(..)
-            | Event::ListFailed => return None,
+            | Event::TimerFired(_)
+            | Event::Cancelled(_)
+            | Event::HealthChecked { .. }
+            | Event::RouteRestored(..)
+            | Event::BackoffNotified(..)
+            | Event::EndpointListFailed => return None,
         })
     }
 
     /// Does what the engine orders; gives what it is to be told of that.
-    fn carry_out(&mut self, actions: &mut Vec<Action>) -> Vec<Input> {
+    fn carry_out(&mut self, actions: &mut Vec<Action>) -> Vec<EngineEvent> {
         let mut told = Vec::new();
         for order in std::mem::take(&mut self.orders) {
             match order {
-                Order::Answer(ticket, Answer::TakenOn) => drop(self.taken.insert(ticket.0)),
-                Order::Answer(ticket, Answer::Declined(after_ms)) => {
+                EngineCommand::Respond(ticket, SubmitResponse::Accepted) => drop(self.taken.insert(ticket.0)),
+                EngineCommand::Respond(ticket, SubmitResponse::Rejected { retry_after_ms: after_ms }) => {
                     let retry_in = Span::from_ms(after_ms as f64);
-                    actions.push(Action::Refuse { message: MessageId(ticket.0), retry_in });
+                    actions.push(Action::Reject { message: MessageId(ticket.0), retry_after: retry_in });
                 }
-                Order::Answer(ticket, Answer::Ended(_)) if self.taken.remove(&ticket.0) => {}
-                Order::Answer(ticket, Answer::Ended(_) | Answer::Conflict) => {
+                EngineCommand::Respond(ticket, SubmitResponse::Finished(_))
+                    if self.taken.remove(&ticket.0) => {}
+                EngineCommand::Respond(ticket, SubmitResponse::Finished(_) | SubmitResponse::Conflict) => {
                     actions.push(Action::Fail(MessageId(ticket.0)));
                 }
-                Order::Leg { seq, copy, host, authorisation, cut_at, .. } => {
-                    let message = id_of(&authorisation);
+                EngineCommand::StartAttempt(AttemptRequest {
+                    message_id: seq,
+                    attempt: copy,
+                    endpoint: host,
+                    message,
+                    timeout_at: cut_at,
+                    ..
+                }) => {
+                    let message = id_of(&message);
                     self.legs.insert(message, (seq, copy));
                     let endpoint = self.hosts.get(&host).copied().unwrap_or(host);
-                    actions.push(Action::Send { message, endpoint, cut_at: self.world(cut_at) });
+                    actions.push(Action::Send { message, endpoint, timeout_at: self.world(cut_at) });
                 }
-                Order::Notice(seq, authorisation, end) => {
-                    let message = id_of(&authorisation);
+                EngineCommand::SendNotice { message_id: seq, message, outcome: end } => {
+                    let message = id_of(&message);
                     match end {
-                        End::Delivered => {}
-                        End::Returned(after_ms) => {
+                        FinalOutcome::Delivered => {}
+                        FinalOutcome::Returned { retry_after_ms: after_ms } => {
                             let retry_in = Span::from_ms(after_ms as f64);
-                            actions.push(Action::Refuse { message, retry_in });
+                            actions.push(Action::Reject { message, retry_after: retry_in });
                         }
-                        End::Failed | End::Expired => actions.push(Action::Fail(message)),
+                        FinalOutcome::Failed | FinalOutcome::Expired => actions.push(Action::Fail(message)),
                     }
-                    told.push(Input::NoticeTaken(seq));
+                    told.push(EngineEvent::NoticeAcknowledged(seq));
                 }
-                Order::Host(id, host) => {
+                EngineCommand::EndpointListed(id, host) => {
                     let number = host.name.parse().map_or(id, EndpointId);
                     self.hosts.insert(id, number);
                 }
-                Order::CloseIdle(host) => {
-                    actions.extend(self.hosts.get(&host).map(|endpoint| Action::Close(*endpoint)));
+                EngineCommand::CloseIdleConnections(host) => {
+                    actions.extend(
+                        self.hosts.get(&host).map(|endpoint| Action::CloseIdleConnections(*endpoint)),
+                    );
                 }
-                Order::Log(text) => actions.push(Action::Log(text)),
+                EngineCommand::Log(text) => actions.push(Action::Log(text)),
                 // Nothing is called off under the lab's settings, and numbers of hosts are not used again.
-                Order::Abandon(_) | Order::Ended(_) | Order::HostGone(_) => {}
+                EngineCommand::CancelAttempt(_)
+                | EngineCommand::MessageFinished(_)
+                | EngineCommand::EndpointRemoved(_) => {}
                 // No two lives of a courier run beside each other here.
-                Order::TookUp(_) | Order::HandedOver | Order::Changed(_) | Order::Wait(..) => {}
+                EngineCommand::TookOver(_)
+                | EngineCommand::HandedOver
+                | EngineCommand::PolicyInForce(_)
+                | EngineCommand::SetBackoff(..) => {}
             }
         }
         told
@@ -197,24 +226,24 @@
 }
 
 /// The moment of the world as a process born at one knows it.
-fn stamp(born: Time, now: Time) -> Stamp {
-    Stamp { mono: Time((now - born).0) + STARTED, unix_ms: EPOCH_MS + now.0.div_euclid(1000) }
+fn stamp(born: Time, now: Time) -> Timestamp {
+    Timestamp { monotonic: Time((now - born).0) + STARTED, unix_ms: EPOCH_MS + now.0.div_euclid(1000) }
 }
 
-fn id_of(authorisation: &Authorisation) -> MessageId {
-    let bytes = authorisation.identity.as_slice().try_into().unwrap_or_default();
+fn id_of(message: &Message) -> MessageId {
+    let bytes = message.identity.as_slice().try_into().unwrap_or_default();
     MessageId(u64::from_le_bytes(bytes))
 }
 
-fn host(entry: &Entry) -> Host {
-    Host {
+fn host(entry: &EndpointUpdate) -> ListedEndpoint {
+    ListedEndpoint {
         name: entry.endpoint.0.to_string(),
         address: String::new(),
         destination: entry.destination,
         kind: entry.kind,
         zone: entry.zone,
-        listing: entry.listing,
-        share: entry.share,
+        status: entry.status,
+        advertised_rate: entry.advertised_rate,
         weight: entry.weight,
     }
 }
@@ -230,8 +259,10 @@
                 }
             }
         }
-        let Some(running) = &mut self.running else { return };
-        let mut inputs: Vec<Input> = events.iter().filter_map(|event| running.input(event)).collect();
+        let Some(running) = &mut self.running else {
+            return;
+        };
+        let mut inputs: Vec<EngineEvent> = events.iter().filter_map(|event| running.input(event)).collect();
         for step in 0..STEPS {
             // No two batches of an engine bear the same time.
             let at = now + Span(step as i64);
@@ -246,7 +277,7 @@
         if let Some(at) = wake.filter(|at| armed.is_none_or(|armed| *at < armed)) {
             running.tokens += 1;
             running.armed = Some(at);
-            actions.push(Action::Wake { at, token: running.tokens });
+            actions.push(Action::SetTimer { at, token: running.tokens });
         } else {
             running.armed = armed;
         }
--- a/crates/simulation/src/curve.rs
+++ b/crates/simulation/src/curve.rs
@@ -173,7 +173,9 @@
         "pi" => return Ok(Term::Number(std::f64::consts::PI)),
         _ => {}
     }
-    let Some((function, wanted)) = Function::named(name) else { return fail.parse_next(input) };
+    let Some((function, wanted)) = Function::named(name) else {
+        return fail.parse_next(input);
+    };
     let comma = (space0, ',', space0);
     let given: Vec<Term> =
         delimited(('(', space0), separated(1..=3, sum, comma), (space0, ')')).parse_next(input)?;
--- a/crates/simulation/src/doubles.rs
+++ b/crates/simulation/src/doubles.rs
@@ -3,7 +3,9 @@
 
 use crate::check::Rule;
 use crate::world::Node;
-use marblefall_scheduler::{Action, Courier, Effect, Event, Listing, Outcome, Settings, Span, Time};
+use marblefall_scheduler::{
+    Action, EndpointStatus, Event, Idempotency, Outcome, Scheduler, Settings, Span, Time,
+};
 use std::collections::BTreeMap;
 
 /// A fault.
@@ -65,11 +67,11 @@
     pub fn courier(self, mut settings: Settings, seed: u64) -> Box<dyn Node> {
         match self {
             Fault::KnowsNoRamp => {
-                (settings.rules.cold_from, settings.rules.fall_multiple) = (1.0, 1000.0);
+                (settings.rules.ramp_start, settings.rules.overload_factor) = (1.0, 1000.0);
             }
             Fault::ForgetsWindows => {
                 for class in &mut settings.classes {
-                    if let Effect::Token { window, .. } = &mut class.effect {
+                    if let Idempotency::IdempotencyKey { window, .. } = &mut class.idempotency {
                         *window = Span(i64::MAX / 4);
                     }
                 }
@@ -78,7 +80,7 @@
         }
         Box::new(Double {
             fault: self,
-            inner: Courier::new(settings, seed),
+            inner: Scheduler::new(settings, seed),
             legs: 0,
             refused: 0,
             legs_of: BTreeMap::new(),
@@ -88,7 +90,7 @@
 
 struct Double {
     fault: Fault,
-    inner: Courier,
+    inner: Scheduler,
     legs: u64,
     refused: u64,
     /// Legs of each message that the courier itself does not know of.
@@ -99,18 +101,21 @@
     fn hears(&mut self, event: &Event) -> Option<Event> {
         let mut event = event.clone();
         match (&mut event, self.fault) {
-            (Event::Closed { outcome: Outcome::Full(wait), .. }, Fault::ForgetsWaits) => *wait = None,
-            (Event::Closed { outcome, .. }, Fault::TakesBrokenForUnsent)
+            (
+                Event::AttemptFinished { outcome: Outcome::Rejected { retry_after: wait }, .. },
+                Fault::ForgetsWaits,
+            ) => *wait = None,
+            (Event::AttemptFinished { outcome, .. }, Fault::TakesBrokenForUnsent)
                 if matches!(outcome, Outcome::TimedOut | Outcome::Reset) =>
             {
                 *outcome = Outcome::ConnectFailed;
             }
             (Event::Resumed(..), Fault::LosesOnRestart) => return None,
-            (Event::Resumed(_, past), Fault::ForgetsLegsOnRestart) => past.ran = None,
-            (Event::Changed(entries), Fault::IgnoresDrains) => {
-                entries.iter_mut().for_each(|entry| entry.listing = Listing::On);
+            (Event::Resumed(_, past), Fault::ForgetsLegsOnRestart) => past.first_executed = None,
+            (Event::EndpointsUpdated(entries), Fault::IgnoresDrains) => {
+                entries.iter_mut().for_each(|entry| entry.status = EndpointStatus::Active);
             }
-            (Event::Closed { message, .. }, Fault::SendsTwice) => {
+            (Event::AttemptFinished { message, .. }, Fault::SendsTwice) => {
                 // The double's own leg ends unheard.
                 if let Some(unknown) = self.legs_of.get_mut(&message.0).filter(|unknown| **unknown > 0) {
                     *unknown -= 1;
@@ -137,8 +142,8 @@
                         actions.push(action.clone());
                     }
                 }
-                (Action::Refuse { .. }, Fault::EndsTwice) => actions.push(action.clone()),
-                (Action::Refuse { .. } | Action::Fail(_), Fault::SwallowsEnds) => {
+                (Action::Reject { .. }, Fault::EndsTwice) => actions.push(action.clone()),
+                (Action::Reject { .. } | Action::Fail(_), Fault::SwallowsEnds) => {
                     self.refused += 1;
                     if self.refused.is_multiple_of(10) {
                         continue;
--- a/crates/simulation/src/hunt.rs
+++ b/crates/simulation/src/hunt.rs
@@ -87,7 +87,9 @@
                 if least.runs >= most_runs {
                     return least;
                 }
-                let Ok(prey) = run(&draft, seed, &|life| make(life)) else { break };
+                let Ok(prey) = run(&draft, seed, &|life| make(life)) else {
+                    break;
+                };
                 least.runs += 1;
                 if failing.is(&prey) {
                     least = Shrunk { draft, seed, runs: least.runs };
--- a/crates/simulation/src/on_processes.rs
+++ b/crates/simulation/src/on_processes.rs
@@ -35,7 +35,9 @@
 
 fn drawn(scenario: &Path, seed: u64, written: Option<&Path>) -> Result<(String, Schedule), String> {
     let form = Form::read(scenario)?;
-    let Some(path) = written else { return Ok((form.title, Schedule::draw(&form.processes, seed))) };
+    let Some(path) = written else {
+        return Ok((form.title, Schedule::draw(&form.processes, seed)));
+    };
     let at = |why: String| format!("{}: {why}", path.display());
     let text = fs::read_to_string(path).map_err(|error| at(error.to_string()))?;
     let schedule = toml::from_str(&text).map_err(|error| at(error.to_string().trim_end().to_owned()))?;
@@ -84,7 +86,9 @@
         let report = with.play(&schedule).map_err(|why| format!("seed {seed}: {why}"))?;
         (played, steps) = (played + 1, steps + schedule.steps.len());
         (acts, changes) = (acts + report.acts, changes + report.changes.1);
-        let Some(breach) = report.breaches.first() else { continue };
+        let Some(breach) = report.breaches.first() else {
+            continue;
+        };
         println!("seed {seed}: {breach}");
         let promise: Promise = breach.promise;
         let least = shrink(&schedule, promise, runs, |less| {
--- a/crates/simulation/src/partner.rs
+++ b/crates/simulation/src/partner.rs
@@ -194,7 +194,7 @@
             return Fate { answer: Some((now, Outcome::ConnectFailed)), fell: true };
         }
         if self.like.refuses > 0.0 && rng.random::<f64>() < self.like.refuses {
-            return Fate::at(now, Outcome::Full(None));
+            return Fate::at(now, Outcome::Rejected { retry_after: None });
         }
         if let Some(wait) = self.limited(now) {
             return Fate::at(now, self.away(wait));
@@ -207,7 +207,7 @@
         let free = servers.iter_mut().min().expect("an endpoint has a server");
         let begins = (*free).max(now);
         if begins > now && waiting.len() >= self.like.queue {
-            return Fate::at(now, Outcome::Full(None));
+            return Fate::at(now, Outcome::Rejected { retry_after: None });
         }
         if begins > now {
             waiting.push_back(begins);
@@ -229,7 +229,7 @@
     }
 
     fn away(&self, wait: Span) -> Outcome {
-        Outcome::Full(Some(wait).filter(|wait| self.like.tells_wait && wait.0 > 0))
+        Outcome::Rejected { retry_after: Some(wait).filter(|wait| self.like.tells_wait && wait.0 > 0) }
     }
 
     /// How long a call must wait for its limit, if at all; else the call is counted.
@@ -265,7 +265,9 @@
 
     /// Counts a call after an outage, and says whether it is the one too many.
     fn topples(&mut self, now: Time) -> bool {
-        let Some(cold) = self.like.cold else { return false };
+        let Some(cold) = self.like.cold else {
+            return false;
+        };
         if !self.like.outages.iter().any(|outage| outage.part >= 1.0 && outage.until <= now) {
             return false;
         }
--- a/crates/simulation/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -8,7 +8,7 @@
 use crate::partner::{Partner, Trouble};
 use crate::scenario::Scenario;
 use crate::tally::Tally;
-use marblefall_scheduler::Listing;
+use marblefall_scheduler::EndpointStatus;
 use maud::{html, Markup, PreEscaped, DOCTYPE};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -110,9 +110,9 @@
         for news in &scenario.news {
             let (partner, place) = places[news.endpoint];
             let state = match news.listing {
-                Listing::On => "is listed",
-                Listing::Draining => "drains",
-                Listing::Gone => "is gone from the list",
+                EndpointStatus::Active => "is listed",
+                EndpointStatus::Draining => "drains",
+                EndpointStatus::Removed => "is gone from the list",
             };
             happened.push((
                 secs(news.at),
--- a/crates/simulation/src/rig/history.rs
+++ b/crates/simulation/src/rig/history.rs
@@ -217,7 +217,9 @@
             since.entry(did.revision).or_insert(did.micros);
         }
         for (revision, endpoints) in &self.drained {
-            let Some(from) = since.get(revision).map(|from| from + GRACE) else { continue };
+            let Some(from) = since.get(revision).map(|from| from + GRACE) else {
+                continue;
+            };
             let until = since.range(revision + 1..).next().map_or(i64::MAX, |(_, until)| *until);
             for call in self.calls.iter().filter(|call| endpoints.contains(&call.endpoint)) {
                 if (from..until).contains(&call.begun) {
--- a/crates/simulation/src/rig/partner.rs
+++ b/crates/simulation/src/rig/partner.rs
@@ -77,7 +77,9 @@
 
 fn serve(stream: TcpStream, endpoint: usize, takes: Duration, all: &Mutex<Seen>) {
     let _ = stream.set_nodelay(true);
-    let Ok(mut writer) = stream.try_clone() else { return };
+    let Ok(mut writer) = stream.try_clone() else {
+        return;
+    };
     let mut reader = BufReader::new(stream);
     while let Some(message) = Message::read(&mut reader) {
         let begun = micros();
--- a/crates/simulation/src/rig/play.rs
+++ b/crates/simulation/src/rig/play.rs
@@ -350,7 +350,9 @@
         }
         seen.applied = self.applied.lock().unwrap_or_else(PoisonError::into_inner).clone();
         for step in &self.schedule.steps {
-            let Deed::Change { number, drains: Some(endpoint), .. } = step.deed else { continue };
+            let Deed::Change { number, drains: Some(endpoint), .. } = step.deed else {
+                continue;
+            };
             let key = format!("c{number}");
             if let Some(revision) = seen.told.iter().find_map(|told| told.get(&key).copied().flatten()) {
                 seen.drained.insert(revision, HashSet::from([endpoint]));
--- a/crates/simulation/src/rig/schedule.rs
+++ b/crates/simulation/src/rig/schedule.rs
@@ -264,7 +264,9 @@
         Kind::Term => restart(member, true, Tamper::Nothing),
         Kind::Stop => vec![Deed::Stop { member, ms }],
         Kind::Cut => vec![links(vec![member], others(member), true, cut, ms)],
-        Kind::OneWay if rng.random_bool(0.5) => vec![links(vec![member], others(member), false, cut, ms)],
+        Kind::OneWay if rng.random_bool(0.5) => {
+            vec![links(vec![member], others(member), false, cut, ms)]
+        }
         Kind::OneWay => vec![links(others(member), vec![member], false, cut, ms)],
         Kind::Split => {
             let parts = rng.random_range(2..=3usize);
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -9,7 +9,7 @@
 use crate::partner::{Cold, Limit, Outage, Partner, Trouble, Wire};
 use crate::trace;
 use marblefall_scheduler as m;
-use marblefall_scheduler::{Listing, Span, Time};
+use marblefall_scheduler::{EndpointStatus, Span, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use serde::Deserialize;
@@ -36,7 +36,7 @@
     /// Its name.
     pub name: String,
     /// As couriers are told of it.
-    pub class: m::Class,
+    pub class: m::MessageClass,
 }
 
 /// How messages of a load follow each other.
@@ -87,7 +87,7 @@
     /// Of which endpoint, counted over all partners.
     pub endpoint: usize,
     /// What it says.
-    pub listing: Listing,
+    pub listing: EndpointStatus,
 }
 
 /// A courier's death.
@@ -124,7 +124,7 @@
     /// Couriers there are.
     pub couriers: usize,
     /// What each is allowed.
-    pub caps: m::Caps,
+    pub caps: m::Limits,
     /// The rule of fail-back.
     pub rules: m::Rules,
     /// Classes.
@@ -151,15 +151,15 @@
     pub fn settings(&self) -> m::Settings {
         m::Settings {
             classes: self.classes.iter().map(|class| class.class.clone()).collect(),
-            kinds: vec![m::Kind { apart: false, per_call: 1 }],
-            tolls: vec![0.0],
-            late: m::LateForm::Line,
-            caps: self.caps.clone(),
+            kinds: vec![m::DestinationKind { separate_routes: false, max_batch: 1 }],
+            zone_fees: vec![0.0],
+            value_decay: m::ValueDecay::Linear,
+            limits: self.caps.clone(),
             rules: self.rules.clone(),
-            discovery: m::Discovery::Automatic,
-            weights: m::Weights::Rough,
-            couriers: self.couriers,
-            tick: Span::from_ms(1.0),
+            discovery: m::DiscoveryMode::Push,
+            rate_hints: m::RateHints::Approximate,
+            instances: self.couriers,
+            min_batch_interval: Span::from_ms(1.0),
             ..m::Settings::default()
         }
     }
@@ -646,22 +646,22 @@
         let couriers = self.count("couriers.count", form.couriers.count, 3, 1, 1000);
         let rules = &form.rules;
         let rules = m::Rules {
-            cold_from: self.number("rules.cold_from", rules.cold_from, 0.27, 0.001, 1.0),
-            cold: self.span("rules.cold_s", rules.cold_s, 10.0),
-            fall_multiple: self.number("rules.fall_multiple", rules.fall_multiple, 1.5, 0.1, 1000.0),
-            tip_after: self.span("rules.tip_after_s", rules.tip_after_s, 2.0),
+            ramp_start: self.number("rules.cold_from", rules.cold_from, 0.27, 0.001, 1.0),
+            ramp_duration: self.span("rules.cold_s", rules.cold_s, 10.0),
+            overload_factor: self.number("rules.fall_multiple", rules.fall_multiple, 1.5, 0.1, 1000.0),
+            overload_window: self.span("rules.tip_after_s", rules.tip_after_s, 2.0),
             ..m::Rules::default()
         };
         let caps = &form.couriers;
-        let caps = m::Caps {
-            slots: self.count("couriers.slots", caps.slots, 16, 1, 100_000),
-            max_open: self.count("couriers.max_open", caps.max_open, 1000, 1, 10_000_000),
+        let caps = m::Limits {
+            max_in_flight: self.count("couriers.slots", caps.slots, 16, 1, 100_000),
+            max_pending: self.count("couriers.max_open", caps.max_open, 1000, 1, 10_000_000),
             max_attempts: self.count("couriers.max_attempts", caps.max_attempts, 8, 1, 1000) as u32,
-            streams_per_conn: 1,
-            conn_idle: self.span("couriers.conn_idle_s", caps.conn_idle_s, 15.0),
+            streams_per_connection: 1,
+            idle_timeout: self.span("couriers.conn_idle_s", caps.conn_idle_s, 15.0),
             max_retry_after: Span::from_ms(3000.0),
-            may_cancel: false,
-            probes: false,
+            cancellation_allowed: false,
+            health_checks_allowed: false,
         };
         if form.class.is_empty() {
             self.say("class", "there is none: a [class.NAME] says how messages are dealt with");
@@ -706,9 +706,9 @@
             let group = named(self, &format!("{path}.partner"), &one.partner);
             let at = self.time(&format!("{path}.at_s"), one.at_s);
             let listing = match one.state {
-                StateForm::On => Listing::On,
-                StateForm::Draining => Listing::Draining,
-                StateForm::Gone => Listing::Gone,
+                StateForm::On => EndpointStatus::Active,
+                StateForm::Draining => EndpointStatus::Draining,
+                StateForm::Gone => EndpointStatus::Removed,
             };
             for partner in group {
                 let most = partners[partner].endpoints.saturating_sub(1);
@@ -746,14 +746,14 @@
         let path = |field: &str| format!("class.{name}.{field}");
         let window = self.span(&path("window_s"), form.window_s, 0.0);
         let effect = match form.repeats {
-            Some(Repeats::Never) => m::Effect::SideEffect,
+            Some(Repeats::Never) => m::Idempotency::NonIdempotent,
             Some(Repeats::Keyed) => {
                 if form.window_s.is_none() {
                     self.say(&path("repeats"), "keyed needs window_s: how long receivers drop a repeat");
                 }
-                m::Effect::Token { scope: m::Scope::All, window }
+                m::Idempotency::IdempotencyKey { scope: m::DeduplicationScope::All, window }
             }
-            Some(Repeats::Free) | None => m::Effect::Pure,
+            Some(Repeats::Free) | None => m::Idempotency::Idempotent,
         };
         let promise = self.span(&path("wanted_s"), form.wanted_s, 2.0);
         let give_up = self.span(&path("give_up_s"), form.give_up_s, 16.0);
@@ -762,7 +762,14 @@
         }
         let worth = self.number(&path("worth"), form.worth, 1.0, 0.0, 1e6);
         let late_value = self.number(&path("late_value"), form.late_value, 0.3, 0.0, 1.0);
-        let class = m::Class { worth, promise, give_up, late_value, effect, ordered: false };
+        let class = m::MessageClass {
+            priority_weight: worth,
+            latency_objective: promise,
+            deadline: give_up,
+            late_value,
+            idempotency: effect,
+            ordered: false,
+        };
         Class { name: name.to_owned(), class }
     }
 
@@ -799,10 +806,10 @@
         let topples = form.topples.unwrap_or(true);
         let stays_down = self.span(&path("stays_down_s"), form.stays_down_s, 10.0);
         let cold = Cold {
-            from: rules.cold_from,
-            length: rules.cold,
-            multiple: rules.fall_multiple,
-            over: rules.tip_after,
+            from: rules.ramp_start,
+            length: rules.ramp_duration,
+            multiple: rules.overload_factor,
+            over: rules.overload_window,
             stays_down,
         };
         let mut outages = Vec::new();
--- a/crates/simulation/src/seen.rs
+++ b/crates/simulation/src/seen.rs
@@ -1,7 +1,7 @@
 //! What can be seen of a run from outside the couriers: what clients and partners know, what the list says, and when a
 //! courier died. Checkers and counts know nothing else.
 
-use marblefall_scheduler::{Listing, Outcome, Span, Time};
+use marblefall_scheduler::{EndpointStatus, Outcome, Span, Time};
 
 /// How a message ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -73,7 +73,7 @@
         /// The endpoint.
         endpoint: u32,
         /// What.
-        listing: Listing,
+        listing: EndpointStatus,
     },
     /// A partner that was being eased back was pushed over.
     Fell {
--- a/crates/simulation/src/tally.rs
+++ b/crates/simulation/src/tally.rs
@@ -5,7 +5,7 @@
 use hdrhistogram::serialization::interval_log::{IntervalLogWriterBuilder, Tag};
 use hdrhistogram::serialization::V2Serializer;
 use hdrhistogram::Histogram;
-use marblefall_scheduler::{Class, Span, Time};
+use marblefall_scheduler::{MessageClass, Span, Time};
 use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::fs;
@@ -69,12 +69,13 @@
     pub held: Vec<u32>,
     now_held: u32,
     left_held: u32,
-    terms: Vec<Class>,
+    terms: Vec<MessageClass>,
 }
 
 /// What one message delivered after so long earns, where one in time earns 1: less in a line, down to the late value.
-fn earned(class: &Class, took: Span) -> f64 {
-    let late = (took.ms() - class.promise.ms()).max(0.0) / (class.give_up.ms() - class.promise.ms()).max(1.0);
+fn earned(class: &MessageClass, took: Span) -> f64 {
+    let late = (took.ms() - class.latency_objective.ms()).max(0.0)
+        / (class.deadline.ms() - class.latency_objective.ms()).max(1.0);
     1.0 - (1.0 - class.late_value) * late.min(1.0)
 }
 
@@ -139,7 +140,9 @@
             }
             Seen::Came { endpoint, .. } => count(&mut self.partners[self.places[endpoint as usize].0].calls),
             Seen::Ended { message, end } => {
-                let Some((class, partner, meant)) = self.open.remove(&message) else { return };
+                let Some((class, partner, meant)) = self.open.remove(&message) else {
+                    return;
+                };
                 self.now_held -= 1;
                 self.note_held(bin);
                 let ends = &mut self.classes[class];
@@ -147,7 +150,7 @@
                     End::Delivered => {
                         let took = at - meant;
                         ends.delivered += 1;
-                        ends.in_time += u64::from(took <= self.terms[class].promise);
+                        ends.in_time += u64::from(took <= self.terms[class].latency_objective);
                         ends.earned += earned(&self.terms[class], took);
                         ends.took_us.saturating_record(took.0.max(1) as u64);
                         count(&mut self.partners[partner].delivered);
@@ -176,7 +179,7 @@
     /// Worth of what was delivered, as a part of the worth of all that clients brought.
     pub fn kept(&self) -> f64 {
         let sum = |of: &dyn Fn(&Ends) -> f64| {
-            let worths = self.terms.iter().map(|class| class.worth);
+            let worths = self.terms.iter().map(|class| class.priority_weight);
             self.classes.iter().zip(worths).map(|(ends, worth)| worth * of(ends)).sum::<f64>()
         };
         sum(&|ends| ends.earned) / sum(&|ends| ends.offered as f64).max(1e-9)
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -8,8 +8,8 @@
 use crate::seen::{End, Seen};
 use crate::wires::{Found, Wires};
 use marblefall_scheduler::{
-    Action, ClassId, Copy, Courier, DestinationId, EndpointId, Entry, Event, Handed, KindId, Listing,
-    MessageId, Outcome, Past, Report, Settings, Span, Time, ZoneId,
+    Action, AttemptNumber, ClassId, DestinationId, EndpointId, EndpointStatus, EndpointUpdate, Event, KindId,
+    MessageId, NewMessage, Outcome, PriorAttempts, RateLimitReport, Scheduler, Settings, Span, Time, ZoneId,
 };
 use rand::{Rng, SeedableRng};
 use rand_distr::Exp1;
@@ -23,9 +23,9 @@
     fn handle(&mut self, now: Time, events: &[Event], actions: &mut Vec<Action>);
 }
 
-impl Node for Courier {
+impl Node for Scheduler {
     fn handle(&mut self, now: Time, events: &[Event], actions: &mut Vec<Action>) {
-        Courier::handle(self, now, events, actions);
+        Scheduler::handle(self, now, events, actions);
     }
 }
 
@@ -45,7 +45,7 @@
 
 /// The decision module as it serves.
 pub fn in_service(life: Life) -> Box<dyn Node> {
-    Box::new(Courier::new(life.settings, life.seed))
+    Box::new(Scheduler::new(life.settings, life.seed))
 }
 
 /// What a run came to.
@@ -95,7 +95,7 @@
     /// News of the list, by its place in the scenario.
     News(usize),
     /// The same comes to a courier.
-    NewsComes { courier: usize, life: u32, entry: Box<Entry> },
+    NewsComes { courier: usize, life: u32, entry: Box<EndpointUpdate> },
     /// A courier dies, by the crash's place in the scenario.
     Crash(usize),
     /// It begins again.
@@ -139,7 +139,7 @@
     partners: Vec<Running>,
     /// For each endpoint its partner and place there.
     places: Vec<(usize, usize)>,
-    listed: Vec<Listing>,
+    listed: Vec<EndpointStatus>,
     messages: HashMap<u64, Message>,
     next: u64,
     played: Played,
@@ -164,12 +164,12 @@
         now: Time(0),
         seats: (0..scenario.couriers).map(|_| Seat { node: None, life: 0 }).collect(),
         partners: scenario.partners.iter().map(Running::new).collect(),
-        listed: vec![Listing::On; places.len()],
+        listed: vec![EndpointStatus::Active; places.len()],
         places,
         messages: HashMap::new(),
         next: 0,
         played: Played::default(),
-        wires: Wires::new(scenario.caps.conn_idle),
+        wires: Wires::new(scenario.caps.idle_timeout),
         traced: vec![0; scenario.loads.len()],
         see,
         actions: Vec::new(),
@@ -189,7 +189,7 @@
 impl World<'_> {
     fn begin(&mut self) {
         let longest =
-            self.scenario.classes.iter().map(|class| class.class.give_up).max().unwrap_or(Span::ZERO);
+            self.scenario.classes.iter().map(|class| class.class.deadline).max().unwrap_or(Span::ZERO);
         self.played.over = self.scenario.length() + longest + AFTER;
         for courier in 0..self.seats.len() {
             self.begin_life(courier);
@@ -235,10 +235,10 @@
             }
             Happening::Ends { message, life, outcome } => self.leg_ends(message, life, outcome),
             Happening::Due { courier, life, token } if self.seats[courier].life == life => {
-                self.tell(courier, &[Event::Due(token)]);
+                self.tell(courier, &[Event::TimerFired(token)]);
             }
             Happening::NewsComes { courier, life, entry } if self.seats[courier].life == life => {
-                self.tell(courier, &[Event::Changed(vec![*entry])]);
+                self.tell(courier, &[Event::EndpointsUpdated(vec![*entry])]);
             }
             Happening::Due { .. } | Happening::NewsComes { .. } => {}
             Happening::News(place) => self.news(place),
@@ -256,7 +256,7 @@
         let seed = self.seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ (courier as u64) << 32 ^ u64::from(life);
         self.seats[courier].node = Some((self.make)(Life { settings: self.settings.clone(), seed, courier }));
         let entries = (0..self.places.len()).map(|endpoint| self.entry(endpoint)).collect();
-        let mut events = vec![Event::Listed(entries)];
+        let mut events = vec![Event::EndpointsReplaced(entries)];
         let mut owed: Vec<u64> = self
             .messages
             .iter()
@@ -266,21 +266,22 @@
         owed.sort_unstable();
         for id in owed {
             let message = &self.messages[&id];
-            let past = Past { attempts: message.attempts, ran: message.ran, out: None };
+            let past =
+                PriorAttempts { attempts: message.attempts, first_executed: message.ran, in_flight: None };
             events.push(Event::Resumed(handed(id, message), past));
         }
         self.tell(courier, &events);
     }
 
-    fn entry(&self, endpoint: usize) -> Entry {
+    fn entry(&self, endpoint: usize) -> EndpointUpdate {
         let (partner, _) = self.places[endpoint];
-        Entry {
+        EndpointUpdate {
             endpoint: EndpointId(endpoint as u32),
             destination: DestinationId(partner as u64),
             kind: KindId(0),
             zone: ZoneId(0),
-            listing: self.listed[endpoint],
-            share: self.scenario.partners[partner].listed.unwrap_or(1.0),
+            status: self.listed[endpoint],
+            advertised_rate: self.scenario.partners[partner].listed.unwrap_or(1.0),
             weight: None,
         }
     }
@@ -329,7 +330,7 @@
     }
 
     fn hand_in(&mut self, class: usize, partner: usize, load: usize, meant: Time, again: u32) {
-        let expires = meant + self.scenario.classes[class].class.give_up;
+        let expires = meant + self.scenario.classes[class].class.deadline;
         if expires <= self.now {
             return;
         }
@@ -367,24 +368,28 @@
 
     /// Gives a courier events and does what it says.
     fn tell(&mut self, courier: usize, events: &[Event]) {
-        let Some(node) = &mut self.seats[courier].node else { return };
+        let Some(node) = &mut self.seats[courier].node else {
+            return;
+        };
         let mut actions = std::mem::take(&mut self.actions);
         node.handle(self.now, events, &mut actions);
         let life = self.seats[courier].life;
         for action in actions.drain(..) {
             match action {
-                Action::Send { message, endpoint, cut_at } => {
+                Action::Send { message, endpoint, timeout_at: cut_at } => {
                     self.send(courier, life, message.0, endpoint, cut_at)
                 }
-                Action::Refuse { message, retry_in } => self.end(message.0, End::Refused(retry_in)),
+                Action::Reject { message, retry_after: retry_in } => {
+                    self.end(message.0, End::Refused(retry_in))
+                }
                 Action::Fail(message) => self.end(message.0, End::Failed),
-                Action::Wake { at, token } => {
+                Action::SetTimer { at, token } => {
                     let at = at.max(self.now + Span(1));
                     self.later(at, Happening::Due { courier, life, token });
                 }
-                Action::Close(endpoint) => self.wires.close_idle(courier, endpoint.0),
+                Action::CloseIdleConnections(endpoint) => self.wires.close_idle(courier, endpoint.0),
                 // Nothing is called off or probed under these settings, and the list comes unasked.
-                Action::Cancel { .. } | Action::Probe(_) | Action::Subscribe | Action::Log(_) => {}
+                Action::Cancel { .. } | Action::HealthCheck(_) | Action::Subscribe | Action::Log(_) => {}
             }
         }
         self.actions = actions;
@@ -404,7 +409,7 @@
             let there_and_back = Span(way.0 + self.way().0);
             let ends = |outcome| Happening::Ends { message: id, life, outcome };
             match found {
-                Found::Closed => return self.later(now + there_and_back, ends(Outcome::Stale)),
+                Found::Closed => return self.later(now + there_and_back, ends(Outcome::StaleConnection)),
                 Found::NoRoom => return self.later(now + there_and_back, ends(Outcome::ConnectFailed)),
                 Found::New => way = Span(way.0 + there_and_back.0 + wire.connect.0),
                 Found::Kept => {}
@@ -435,27 +440,41 @@
     }
 
     fn leg_ends(&mut self, id: u64, life: u32, outcome: Outcome) {
-        let Some(message) = self.messages.get_mut(&id) else { return };
+        let Some(message) = self.messages.get_mut(&id) else {
+            return;
+        };
         let courier = message.courier;
         if self.seats[courier].life != life {
             return;
         }
-        let Some((endpoint, sent)) = message.out.take() else { return };
-        if !outcome.never_ran() {
+        let Some((endpoint, sent)) = message.out.take() else {
+            return;
+        };
+        if !outcome.not_executed() {
             message.ran.get_or_insert((sent, endpoint));
         }
         if std::mem::take(&mut message.wired) {
-            let whole = matches!(outcome, Outcome::Delivered | Outcome::Error | Outcome::Full(_));
+            let whole = matches!(outcome, Outcome::Delivered | Outcome::Error | Outcome::Rejected { .. });
             self.wires.give_back(self.now, courier, endpoint.0, whole);
         }
-        let copy = Copy(message.attempts - 1);
+        let copy = AttemptNumber(message.attempts - 1);
         let (took, last) = (self.now - sent, outcome == Outcome::Delivered && !message.ended);
         self.saw(Seen::Closed { message: id, courier, endpoint: endpoint.0, outcome });
         if last {
             self.end(id, End::Delivered);
         }
-        let report = Report::default();
-        self.tell(courier, &[Event::Closed { message: MessageId(id), copy, outcome, took, last, report }]);
+        let report = RateLimitReport::default();
+        self.tell(
+            courier,
+            &[Event::AttemptFinished {
+                message: MessageId(id),
+                attempt: copy,
+                outcome,
+                duration: took,
+                is_final: last,
+                rate_limit: report,
+            }],
+        );
         if self.messages.get(&id).is_some_and(|message| message.ended && message.out.is_none()) {
             self.messages.remove(&id);
         }
@@ -463,7 +482,9 @@
 
     fn end(&mut self, id: u64, end: End) {
         self.saw(Seen::Ended { message: id, end });
-        let Some(message) = self.messages.get_mut(&id) else { return };
+        let Some(message) = self.messages.get_mut(&id) else {
+            return;
+        };
         message.ended = true;
         let (class, partner, load, meant) = (message.class, message.partner, message.load, message.meant);
         let (again, is_out) = (message.again, message.out.is_some());
@@ -520,13 +541,13 @@
     }
 }
 
-fn handed(id: u64, message: &Message) -> Handed {
-    Handed {
+fn handed(id: u64, message: &Message) -> NewMessage {
+    NewMessage {
         message: MessageId(id),
         class: ClassId(message.class),
         tenant: None,
-        key: None,
-        expires: message.expires,
+        ordering_key: None,
+        deadline: message.expires,
         destination: DestinationId(message.partner as u64),
     }
 }
--- a/crates/simulation/tests/theory.rs
+++ b/crates/simulation/tests/theory.rs
@@ -91,7 +91,7 @@
         let (mut now, mut told) = (Time(0), 0);
         for _ in 0..1000 {
             match one.take(now, 0, &mut rng).answer.expect("it answers").1 {
-                Outcome::Full(Some(wait)) => {
+                Outcome::Rejected { retry_after: Some(wait) } => {
                     told += 1;
                     now = now + wait;
                     let then = one.take(now, 0, &mut rng).answer.expect("it answers").1;
--- a/crates/simulation/tests/worlds.rs
+++ b/crates/simulation/tests/worlds.rs
@@ -302,9 +302,9 @@
         });
         count
     };
-    assert!(ended("silent-close", Outcome::Stale) > 20);
+    assert!(ended("silent-close", Outcome::StaleConnection) > 20);
     assert!(ended("few-connections", Outcome::ConnectFailed) > 20);
-    assert_eq!(ended("base", Outcome::Stale), 0);
+    assert_eq!(ended("base", Outcome::StaleConnection), 0);
 }
 
 #[test]
--- a/crates/simulator-adapter/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -38,7 +38,7 @@
 
 /// One courier, with the names that stand for its numbers.
 struct Instance {
-    courier: p::Courier,
+    courier: p::Scheduler,
     messages: Names,
     endpoints: Names,
     classes: Names,
@@ -115,7 +115,7 @@
             Line::Update { courier_id, buffer, kind } => {
                 let instance = find(&mut self.instances, &courier_id)?;
                 let event = match kind {
-                    wire::UpdateKind::Error => p::Event::ListFailed,
+                    wire::UpdateKind::Error => p::Event::EndpointListFailed,
                     kind => {
                         let rows = self
                             .sheets
@@ -123,8 +123,8 @@
                             .ok_or_else(|| format!("unknown list number {buffer}"))?;
                         let entries = rows.iter().map(|row| instance.entry(row)).collect::<Result<_, _>>()?;
                         match kind {
-                            wire::UpdateKind::Partial => p::Event::Changed(entries),
-                            _ => p::Event::Listed(entries),
+                            wire::UpdateKind::Partial => p::Event::EndpointsUpdated(entries),
+                            _ => p::Event::EndpointsReplaced(entries),
                         }
                     }
                 };
@@ -133,16 +133,16 @@
             Line::Accept(accept) => self.event(&accept.courier_id.clone(), |i| i.accepted(&accept))?,
             Line::ClosedAttempt(closed) => self.event(&closed.courier_id.clone(), |i| i.closed(&closed))?,
             Line::Gone { courier_id, r#ref } => {
-                self.event(&courier_id, |i| Ok(Some(p::Event::Gone(i.message(&r#ref)))))?;
+                self.event(&courier_id, |i| Ok(Some(p::Event::Cancelled(i.message(&r#ref)))))?;
             }
             Line::Due { courier_id, token } => {
-                self.event(&courier_id, |_| Ok(Some(p::Event::Due(token))))?;
+                self.event(&courier_id, |_| Ok(Some(p::Event::TimerFired(token))))?;
             }
             Line::Checked { courier_id, outcome, endpoint, server_stats } => {
                 self.event(&courier_id, |i| {
                     let endpoint = i.endpoint(&endpoint);
                     let (outcome, report) = (outcome_of(outcome, 0.0)?, report_of(server_stats.as_ref()));
-                    Ok(Some(p::Event::Probed { endpoint, outcome, report }))
+                    Ok(Some(p::Event::HealthChecked { endpoint, outcome, rate_limit: report }))
                 })?;
             }
             Line::First { courier_id } | Line::NeighbourSays { courier_id } => {
@@ -205,18 +205,18 @@
     Ok(match number {
         0 => p::Outcome::Delivered,
         1 => p::Outcome::Error,
-        2 => p::Outcome::Full((detail > 0.0).then(|| p::Span::from_ms(detail))),
+        2 => p::Outcome::Rejected { retry_after: (detail > 0.0).then(|| p::Span::from_ms(detail)) },
         3 => p::Outcome::TimedOut,
         4 => p::Outcome::ConnectFailed,
         5 => p::Outcome::Reset,
         6 => p::Outcome::Cancelled,
-        7 => p::Outcome::Moot,
+        7 => p::Outcome::NotSent,
         other => return Err(format!("unknown outcome {other}")),
     })
 }
 
-fn report_of(stats: Option<&wire::Stats>) -> p::Report {
-    stats.map(|stats| p::Report { left: stats.x0, limit: stats.x1 }).unwrap_or_default()
+fn report_of(stats: Option<&wire::Stats>) -> p::RateLimitReport {
+    stats.map(|stats| p::RateLimitReport { remaining: stats.x0, limit: stats.x1 }).unwrap_or_default()
 }
 
 impl Instance {
@@ -229,7 +229,7 @@
             messages: Names::default(),
             endpoints: Names::default(),
             tells_retry: boot.caps.retry_after,
-            courier: p::Courier::new(boot.settings(), seed),
+            courier: p::Scheduler::new(boot.settings(), seed),
         }
     }
 
@@ -241,18 +241,18 @@
         p::EndpointId(self.endpoints.number(id) as u32)
     }
 
-    fn entry(&mut self, row: &wire::Row) -> Result<p::Entry, String> {
-        Ok(p::Entry {
+    fn entry(&mut self, row: &wire::Row) -> Result<p::EndpointUpdate, String> {
+        Ok(p::EndpointUpdate {
             endpoint: self.endpoint(&row.endpoint),
             destination: p::DestinationId(row.destination as u64),
             kind: p::KindId(self.kinds.known("destination kind", &row.sku)?),
             zone: p::ZoneId(self.zones.number(&row.area)),
-            listing: match row.availability {
-                wire::Availability::On => p::Listing::On,
-                wire::Availability::Fading => p::Listing::Draining,
-                wire::Availability::Off => p::Listing::Gone,
+            status: match row.availability {
+                wire::Availability::On => p::EndpointStatus::Active,
+                wire::Availability::Fading => p::EndpointStatus::Draining,
+                wire::Availability::Off => p::EndpointStatus::Removed,
             },
-            share: row.share,
+            advertised_rate: row.share,
             weight: None,
         })
     }
@@ -264,24 +264,24 @@
             }
             _ => None,
         };
-        Ok(Some(p::Event::Accepted(p::Handed {
+        Ok(Some(p::Event::Accepted(p::NewMessage {
             message: self.message(&accept.r#ref),
             class: p::ClassId(self.classes.known("class", &accept.r#type)?),
             tenant,
-            key: accept.entity.map(p::Key),
-            expires: p::Time::from_ms(accept.expires_ms),
+            ordering_key: accept.entity.map(p::OrderingKey),
+            deadline: p::Time::from_ms(accept.expires_ms),
             destination: p::DestinationId(accept.destination as u64),
         })))
     }
 
     fn closed(&mut self, closed: &wire::ClosedAttempt) -> Result<Option<p::Event>, String> {
-        Ok(Some(p::Event::Closed {
+        Ok(Some(p::Event::AttemptFinished {
             message: self.message(&closed.r#ref),
-            copy: p::Copy(closed.copy),
+            attempt: p::AttemptNumber(closed.copy),
             outcome: outcome_of(closed.outcome, closed.detail)?,
-            took: p::Span::from_ms(closed.duration_ms),
-            last: closed.last,
-            report: report_of(closed.server_stats.as_ref()),
+            duration: p::Span::from_ms(closed.duration_ms),
+            is_final: closed.last,
+            rate_limit: report_of(closed.server_stats.as_ref()),
         }))
     }
 
@@ -289,23 +289,23 @@
         let name = |id: &p::MessageId| self.messages.names[id.0 as usize].as_str();
         let place = |id: &p::EndpointId| self.endpoints.names[id.0 as usize].as_str();
         match action {
-            p::Action::Send { message, endpoint, cut_at } => Reply::PassOn {
+            p::Action::Send { message, endpoint, timeout_at: cut_at } => Reply::PassOn {
                 courier_id,
                 r#ref: name(message),
                 endpoint: place(endpoint),
                 cut_at_ms: cut_at.ms(),
             },
-            p::Action::Cancel { message, copy } => {
+            p::Action::Cancel { message, attempt: copy } => {
                 Reply::StopAttempt { courier_id, r#ref: name(message), copy: copy.0 }
             }
-            p::Action::Refuse { message, retry_in } => {
+            p::Action::Reject { message, retry_after: retry_in } => {
                 let retry_in_ms = if self.tells_retry { retry_in.ms() } else { 0.0 };
                 Reply::Refuse { courier_id, r#ref: name(message), retry_in_ms }
             }
             p::Action::Fail(message) => Reply::EndFailed { courier_id, r#ref: name(message) },
-            p::Action::Wake { at, token } => Reply::WakeAt { courier_id, at_ms: at.ms(), token: *token },
-            p::Action::Probe(endpoint) => Reply::HealthCheck { courier_id, endpoint: place(endpoint) },
-            p::Action::Close(id) => Reply::Close { courier_id, endpoint: place(id) },
+            p::Action::SetTimer { at, token } => Reply::WakeAt { courier_id, at_ms: at.ms(), token: *token },
+            p::Action::HealthCheck(endpoint) => Reply::HealthCheck { courier_id, endpoint: place(endpoint) },
+            p::Action::CloseIdleConnections(id) => Reply::Close { courier_id, endpoint: place(id) },
             p::Action::Subscribe => Reply::Tail { courier_id, want: true },
             p::Action::Log(text) => Reply::Emit { courier_id, text },
         }
