--- a/crates/atomic-file/src/faulty_disk.rs
+++ b/crates/atomic-file/src/faulty_disk.rs
@@ -80,8 +80,15 @@
             Unsynced::NamesOnly if file.seen == file.synced => file.synced.clone(),
             Unsynced::NamesOnly => file.seen[..file.seen.len() / 2].to_vec(),
         };
-        let files: Vec<Bytes> =
-            state.files.iter().map(left).map(|left| Bytes { seen: left.clone(), synced: left }).collect();
+        let files: Vec<Bytes> = state
+            .files
+            .iter()
+            .map(left)
+            .map(|left| Bytes {
+                seen: left.clone(),
+                synced: left,
+            })
+            .collect();
         Rig(RefCell::new(State {
             files,
             names: names.clone(),
@@ -100,9 +107,10 @@
             return Err((0, died()));
         }
         match state.fault {
-            Some((at, Fault::Fails(bytes))) if at == turn => {
-                Err((bytes, io::Error::new(io::ErrorKind::StorageFull, "no space left")))
-            }
+            Some((at, Fault::Fails(bytes))) if at == turn => Err((
+                bytes,
+                io::Error::new(io::ErrorKind::StorageFull, "no space left"),
+            )),
             Some((at, Fault::Dies(bytes))) if at == turn => {
                 state.dead = true;
                 Err((bytes, died()))
@@ -122,7 +130,12 @@
     }
 
     fn named(&self, path: &Path) -> io::Result<usize> {
-        self.0.borrow().names.get(path).copied().ok_or_else(|| io::Error::from(io::ErrorKind::NotFound))
+        self.0
+            .borrow()
+            .names
+            .get(path)
+            .copied()
+            .ok_or_else(|| io::Error::from(io::ErrorKind::NotFound))
     }
 }
 
@@ -170,8 +183,14 @@
         self.change().map_err(|(_, error)| error)?;
         let mut state = self.0.borrow_mut();
         let names = state.names.clone();
-        state.synced_names.retain(|path, _| path.parent() != Some(folder));
-        state.synced_names.extend(names.into_iter().filter(|(path, _)| path.parent() == Some(folder)));
+        state
+            .synced_names
+            .retain(|path, _| path.parent() != Some(folder));
+        state.synced_names.extend(
+            names
+                .into_iter()
+                .filter(|(path, _)| path.parent() == Some(folder)),
+        );
         Ok(())
     }
 }
--- a/crates/atomic-file/tests/replace.rs
+++ b/crates/atomic-file/tests/replace.rs
@@ -27,9 +27,15 @@
     for outlasts in [Outlasts::Process, Outlasts::Whole, Outlasts::Power] {
         for (after, fault) in faults() {
             let (rig, done) = struck(outlasts, after, fault);
-            let left = rig.after(Unsynced::Kept).read(Path::new("/home/state")).expect("it is there");
+            let left = rig
+                .after(Unsynced::Kept)
+                .read(Path::new("/home/state"))
+                .expect("it is there");
             assert!(left == OLD || left == NEW, "{fault:?} at {after}: {left:?}");
-            assert!(!done || left == NEW, "{fault:?} at {after}: said to be done");
+            assert!(
+                !done || left == NEW,
+                "{fault:?} at {after}: said to be done"
+            );
         }
     }
 }
@@ -40,10 +46,19 @@
         for unsynced in [Unsynced::Kept, Unsynced::Lost, Unsynced::NamesOnly] {
             for outlasts in [Outlasts::Whole, Outlasts::Power] {
                 let (rig, done) = struck(outlasts, after, fault);
-                let left = rig.after(unsynced).read(Path::new("/home/state")).expect("it is there");
-                assert!(left == OLD || left == NEW, "{fault:?} at {after}, {unsynced:?}: {left:?}");
+                let left = rig
+                    .after(unsynced)
+                    .read(Path::new("/home/state"))
+                    .expect("it is there");
+                assert!(
+                    left == OLD || left == NEW,
+                    "{fault:?} at {after}, {unsynced:?}: {left:?}"
+                );
                 let sure = outlasts == Outlasts::Power && done;
-                assert!(!sure || left == NEW, "{fault:?} at {after}, {unsynced:?}: said to be done");
+                assert!(
+                    !sure || left == NEW,
+                    "{fault:?} at {after}, {unsynced:?}: said to be done"
+                );
             }
         }
     }
@@ -54,7 +69,12 @@
     for (after, fault) in faults().filter(|(_, fault)| matches!(fault, Fault::Fails(_))) {
         let (rig, _) = struck(Outlasts::Power, after, fault);
         replace(&rig, Path::new("/home/state"), NEW, Outlasts::Power).expect("there is room again");
-        assert_eq!(rig.after(Unsynced::Lost).read(Path::new("/home/state")).expect("it is there"), NEW);
+        assert_eq!(
+            rig.after(Unsynced::Lost)
+                .read(Path::new("/home/state"))
+                .expect("it is there"),
+            NEW
+        );
     }
 }
 
@@ -64,6 +84,14 @@
     let (rig, path) = (Rig::new(), Path::new("/home/state"));
     replace(&rig, path, NEW, Outlasts::Process).expect("no fault");
     assert!(rig.after(Unsynced::Lost).read(path).is_err());
-    assert_eq!(rig.after(Unsynced::NamesOnly).read(path).expect("the name is there"), &NEW[..NEW.len() / 2]);
-    assert_eq!(rig.after(Unsynced::Kept).read(path).expect("all is there"), NEW);
+    assert_eq!(
+        rig.after(Unsynced::NamesOnly)
+            .read(path)
+            .expect("the name is there"),
+        &NEW[..NEW.len() / 2]
+    );
+    assert_eq!(
+        rig.after(Unsynced::Kept).read(path).expect("all is there"),
+        NEW
+    );
 }
--- a/crates/cli/benches/group.rs
+++ b/crates/cli/benches/group.rs
@@ -31,7 +31,15 @@
     let folder = std::env::temp_dir().join(format!("marblefall-{}-{folder}", std::process::id()));
     let (program, on_cut) = (env!("CARGO_BIN_EXE_marblefall").into(), "stop".to_owned());
     let partner = vec![partner.at];
-    let setting = Setting { program, folder, members, voters: 3, on_cut, term_ms: 1000, partner };
+    let setting = Setting {
+        program,
+        folder,
+        members,
+        voters: 3,
+        on_cut,
+        term_ms: 1000,
+        partner,
+    };
     let mut group = Group::found(setting).expect("founded");
     group.start_all().expect("all act");
     group
@@ -43,8 +51,17 @@
 
 /// No two policies at once.
 fn judge(group: &Group) {
-    let did = (0..group.listens.len()).flat_map(|member| history(group, member)).collect();
-    assert_eq!(Seen { did, ..Seen::default() }.judge(), []);
+    let did = (0..group.listens.len())
+        .flat_map(|member| history(group, member))
+        .collect();
+    assert_eq!(
+        Seen {
+            did,
+            ..Seen::default()
+        }
+        .judge(),
+        []
+    );
     let _ = std::fs::remove_dir_all(&group.setting.folder);
 }
 
@@ -55,8 +72,11 @@
 /// Middle, 99th part and most of some figures.
 fn spread(mut all: Vec<f64>) -> String {
     all.sort_by(f64::total_cmp);
-    let at =
-        |part: f64| all.get(((all.len() as f64 - 1.0) * part).round() as usize).copied().unwrap_or(f64::NAN);
+    let at = |part: f64| {
+        all.get(((all.len() as f64 - 1.0) * part).round() as usize)
+            .copied()
+            .unwrap_or(f64::NAN)
+    };
     format!("{:.0}, {:.0}, {:.0}", at(0.5), at(0.99), at(1.0))
 }
 
@@ -88,8 +108,18 @@
         }
     }
     let (_, history) = run(&["group", "history", &group.home(0)]);
-    let after = |line: &str| line.rsplit_once("(after ")?.1.strip_suffix(" ms)")?.parse().ok();
-    let proposed: Vec<f64> = history.lines().skip(1 + usize::from(down > 0)).filter_map(after).collect();
+    let after = |line: &str| {
+        line.rsplit_once("(after ")?
+            .1
+            .strip_suffix(" ms)")?
+            .parse()
+            .ok()
+    };
+    let proposed: Vec<f64> = history
+        .lines()
+        .skip(1 + usize::from(down > 0))
+        .filter_map(after)
+        .collect();
     let first = first.map_or(String::new(), |first| format!(" (the first {first:.0})"));
     println!(
         "| {members} | {}{first} | {} | {} | {rest} |",
@@ -105,10 +135,17 @@
     let mut all = Vec::new();
     for member in 0..members {
         let mut since = None;
-        for did in history(group, member).iter().filter(|did| did.instance == "-") {
+        for did in history(group, member)
+            .iter()
+            .filter(|did| did.instance == "-")
+        {
             match did.what.as_str() {
                 "still" => since = Some(did.micros),
-                "acts" => all.extend(since.take().map(|since| (did.micros - since) as f64 / 1000.0)),
+                "acts" => all.extend(
+                    since
+                        .take()
+                        .map(|since| (did.micros - since) as f64 / 1000.0),
+                ),
                 _ => {}
             }
         }
@@ -152,14 +189,21 @@
 }
 
 fn pids(group: &Group) -> Vec<u32> {
-    (0..group.listens.len()).filter_map(|member| group.daemon(member)).map(Daemon::pid).collect()
+    (0..group.listens.len())
+        .filter_map(|member| group.daemon(member))
+        .map(Daemon::pid)
+        .collect()
 }
 
 fn cpu_s(group: &Group) -> f64 {
     let of = |pid: u32| {
         let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-        let fields: Vec<f64> =
-            stat.rsplit_once(')')?.1.split_whitespace().map(|field| field.parse().unwrap_or(0.0)).collect();
+        let fields: Vec<f64> = stat
+            .rsplit_once(')')?
+            .1
+            .split_whitespace()
+            .map(|field| field.parse().unwrap_or(0.0))
+            .collect();
         Some((fields.get(11)? + fields.get(12)?) / TICKS)
     };
     pids(group).into_iter().filter_map(of).sum()
@@ -169,7 +213,9 @@
 fn memory_mb(group: &Group) -> f64 {
     let of = |pid: u32| {
         let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))?;
         line.split_whitespace().next()?.parse::<f64>().ok()
     };
     let all: Vec<f64> = pids(group).into_iter().filter_map(of).collect();
--- a/crates/cli/benches/lives.rs
+++ b/crates/cli/benches/lives.rs
@@ -36,7 +36,9 @@
         .collect();
     let came = |id: &str| {
         let seen = host.seen.lock().unwrap();
-        seen.iter().find(|call| call.field("x-call-id") == Some(id)).and_then(|call| call.came)
+        seen.iter()
+            .find(|call| call.field("x-call-id") == Some(id))
+            .and_then(|call| call.came)
     };
     let (mut first, mut gaps, mut calm) = (Vec::new(), Vec::new(), Vec::new());
     let ask_on = |more: usize| {
@@ -50,7 +52,12 @@
         let new = site.beside();
         // New connections are the new process's: it takes this on and cannot send it yet.
         let id = format!("probe-{round}");
-        assert_eq!(hand(at, &id, "refill-status", "9000").expect("an answer").status(), 202);
+        assert_eq!(
+            hand(at, &id, "refill-status", "9000")
+                .expect("an answer")
+                .status(),
+            202
+        );
         let told = Instant::now();
         old.signal("TERM");
         wait_for("the first leg", || came(&id).is_some());
@@ -61,7 +68,9 @@
         old = new;
     }
     over.store(true, Ordering::SeqCst);
-    clients.into_iter().for_each(|client| client.join().expect("a client"));
+    clients
+        .into_iter()
+        .for_each(|client| client.join().expect("a client"));
     let show = |what: &str, all: &mut Vec<Duration>| {
         all.sort_unstable();
         let ms = |at: usize| all[at].as_secs_f64() * 1000.0;
@@ -79,8 +88,14 @@
 
 fn longest_gap(host: &StandIn, from: Instant, to: Instant) -> Duration {
     let seen = host.seen.lock().unwrap();
-    let mut at: Vec<Instant> =
-        seen.iter().filter_map(|call| call.came).filter(|at| (from..to).contains(at)).collect();
+    let mut at: Vec<Instant> = seen
+        .iter()
+        .filter_map(|call| call.came)
+        .filter(|at| (from..to).contains(at))
+        .collect();
     at.sort_unstable();
-    at.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or_default()
+    at.windows(2)
+        .map(|pair| pair[1] - pair[0])
+        .max()
+        .unwrap_or_default()
 }
--- a/crates/cli/examples/measure.rs
+++ b/crates/cli/examples/measure.rs
@@ -44,20 +44,28 @@
         Some((word, [build])) if word == "roster" => roster(build),
         Some((word, builds)) if word == "idle" && !builds.is_empty() => {
             println!("destinations with one endpoint each, a fleet of one");
-            builds
-                .iter()
-                .try_for_each(|build| [10, 10_000, 100_000].into_iter().try_for_each(|n| idle(build, n)))
+            builds.iter().try_for_each(|build| {
+                [10, 10_000, 100_000]
+                    .into_iter()
+                    .try_for_each(|n| idle(build, n))
+            })
         }
-        Some((word, [build])) if word == "return" => {
-            [false, true].into_iter().try_for_each(|kill| comes_back(build, kill))
+        Some((word, [build])) if word == "return" => [false, true]
+            .into_iter()
+            .try_for_each(|kill| comes_back(build, kill)),
+        Some((word, builds)) if word == "refusals" => {
+            builds.iter().try_for_each(|build| refusals(build))
         }
-        Some((word, builds)) if word == "refusals" => builds.iter().try_for_each(|build| refusals(build)),
-        _ => Err("usage: measure message|idle|refusals BUILD... | measure roster|return BUILD".into()),
+        _ => Err(
+            "usage: measure message|idle|refusals BUILD... | measure roster|return BUILD".into(),
+        ),
     }
 }
 
 /// A partner that asks what to answer once a request's head is there; nothing closes the connection.
-fn stand_in(answer: impl Fn() -> Option<&'static str> + Clone + Send + 'static) -> Done<SocketAddr> {
+fn stand_in(
+    answer: impl Fn() -> Option<&'static str> + Clone + Send + 'static,
+) -> Done<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let at = listener.local_addr()?;
     thread::spawn(move || {
@@ -68,7 +76,9 @@
                 while let Some(length) = head(&mut reader)?.1 {
                     let Some(status) = answer() else { break };
                     reader.read_exact(&mut vec![0; length])?;
-                    writer.write_all(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").as_bytes())?;
+                    writer.write_all(
+                        format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").as_bytes(),
+                    )?;
                 }
                 Ok(())
             });
@@ -102,8 +112,9 @@
         }
         if first.is_empty() {
             line.clone_into(&mut first);
-        } else if let Some((_, value)) =
-            line.split_once(": ").filter(|(name, _)| name.eq_ignore_ascii_case("content-length"))
+        } else if let Some((_, value)) = line
+            .split_once(": ")
+            .filter(|(name, _)| name.eq_ignore_ascii_case("content-length"))
         {
             length = value.parse()?;
         }
@@ -112,7 +123,8 @@
 
 /// A folder that is made anew.
 fn folder(name: &str) -> Done<PathBuf> {
-    let path = std::env::temp_dir().join(format!("marblefall-measure-{}-{name}", std::process::id()));
+    let path =
+        std::env::temp_dir().join(format!("marblefall-measure-{}-{name}", std::process::id()));
     let _ = fs::remove_dir_all(&path);
     fs::create_dir_all(&path)?;
     Ok(path)
@@ -134,10 +146,18 @@
 impl Daemon {
     /// Plans and applies a file, then runs it; gives the seconds that `plan` took and those until it listened.
     fn start(build: &str, folder: &Path, file: &str) -> Done<(Daemon, SocketAddr, f64, f64)> {
-        let (path, plan, home) = (folder.join("fleet.toml"), folder.join("plan"), folder.join("home"));
+        let (path, plan, home) = (
+            folder.join("fleet.toml"),
+            folder.join("plan"),
+            folder.join("home"),
+        );
         fs::write(&path, file)?;
         let begun = Instant::now();
-        run(Command::new(build).arg("plan").args([&path, &home]).arg("--out").arg(&plan))?;
+        run(Command::new(build)
+            .arg("plan")
+            .args([&path, &home])
+            .arg("--out")
+            .arg(&plan))?;
         let planned = begun.elapsed().as_secs_f64();
         run(Command::new(build).arg("apply").args([&plan, &home]))?;
         let (log, begun) = (folder.join("log"), Instant::now());
@@ -173,25 +193,47 @@
     fn cost(&self) -> Done<(f64, u64)> {
         let proc = PathBuf::from(format!("/proc/{}", self.child.id()));
         let stat = fs::read_to_string(proc.join("stat"))?;
-        let fields: Vec<&str> = stat.rsplit_once(')').ok_or("no stat")?.1.split_whitespace().collect();
+        let fields: Vec<&str> = stat
+            .rsplit_once(')')
+            .ok_or("no stat")?
+            .1
+            .split_whitespace()
+            .collect();
         let ticks: f64 = fields[11].parse::<f64>()? + fields[12].parse::<f64>()?;
         let status = fs::read_to_string(proc.join("status"))?;
-        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).ok_or("no VmRSS")?;
-        Ok((ticks * TICK_S, resident.trim().trim_end_matches(" kB").parse()?))
+        let resident = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))
+            .ok_or("no VmRSS")?;
+        Ok((
+            ticks * TICK_S,
+            resident.trim().trim_end_matches(" kB").parse()?,
+        ))
     }
 
     /// One of its counters, as they are now.
     fn counter(&self, name: &str) -> Done<u64> {
-        let before = fs::read_to_string(&self.log)?.matches(&format!("{name}=")).count();
+        let before = fs::read_to_string(&self.log)?
+            .matches(&format!("{name}="))
+            .count();
         run(Command::new("kill").args(["-s", "USR1", &self.child.id().to_string()]))?;
         let until = Instant::now() + Duration::from_secs(10);
-        while fs::read_to_string(&self.log)?.matches(&format!("{name}=")).count() == before {
+        while fs::read_to_string(&self.log)?
+            .matches(&format!("{name}="))
+            .count()
+            == before
+        {
             if Instant::now() > until {
                 return Err("no counters".into());
             }
             thread::sleep(Duration::from_millis(2));
         }
-        Ok(self.wait(&format!("{name}="))?.split(' ').next().unwrap_or_default().parse()?)
+        Ok(self
+            .wait(&format!("{name}="))?
+            .split(' ')
+            .next()
+            .unwrap_or_default()
+            .parse()?)
     }
 }
 
@@ -251,7 +293,9 @@
 }
 
 fn messages(builds: &[String]) -> Done<()> {
-    println!("{MESSAGES} messages by {CLIENTS} clients to one partner, {ROUNDS} rounds in turn; medians");
+    println!(
+        "{MESSAGES} messages by {CLIENTS} clients to one partner, {ROUNDS} rounds in turn; medians"
+    );
     for kept in [true, false] {
         let mut figures = vec![Vec::new(); builds.len()];
         for round in 0..ROUNDS {
@@ -266,7 +310,9 @@
                 let (before, idle) = daemon.cost()?;
                 let clients: Vec<_> = (0..CLIENTS)
                     .map(|client| {
-                        thread::spawn(move || hand_in(at, client, kept, &|turn| turn >= MESSAGES / CLIENTS))
+                        thread::spawn(move || {
+                            hand_in(at, client, kept, &|turn| turn >= MESSAGES / CLIENTS)
+                        })
                     })
                     .collect();
                 let mut taken = 0;
@@ -283,7 +329,11 @@
                 fs::remove_dir_all(&folder)?;
             }
         }
-        let way = if kept { "kept connections" } else { "a connection for each message" };
+        let way = if kept {
+            "kept connections"
+        } else {
+            "a connection for each message"
+        };
         for (build, mut figures) in builds.iter().zip(figures) {
             figures.sort_by(|a, b| a.0.total_cmp(&b.0));
             let (least, most) = (figures[0].0, figures[ROUNDS - 1].0);
@@ -302,7 +352,11 @@
     let mut text = format!("revision = {revision}\n");
     for number in 0..DESTINATIONS {
         let (high, low) = (number >> 8, number & 255);
-        let first = if number == 0 { partner.to_string() } else { format!("127.1.{high}.{low}:8080") };
+        let first = if number == 0 {
+            partner.to_string()
+        } else {
+            format!("127.1.{high}.{low}:8080")
+        };
         let _ = write!(
             text,
             "\n[destination.clinic-{number}]\nendpoints = [\n    {{ name = \"{number}-1\", address = \"{first}\", weight = {weight} }},\n    \
@@ -324,7 +378,10 @@
     fs::write(&path, list(1, partner, 1))?;
     let (daemon, at, planned, started) = Daemon::start(build, &folder, &file)?;
     let (_, resident) = daemon.cost()?;
-    println!("{DESTINATIONS} destinations, {} endpoints", 2 * DESTINATIONS);
+    println!(
+        "{DESTINATIONS} destinations, {} endpoints",
+        2 * DESTINATIONS
+    );
     println!("plan: {planned:.3} s; start until it listens: {started:.3} s; resident then: {resident} kB");
     let over = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = (0..4)
@@ -335,9 +392,15 @@
         .collect();
     thread::sleep(Duration::from_millis(500));
     let first = daemon.counter("longest_step_us")?;
-    println!("longest step of the engine in 0.5 s of traffic: {:.1} ms", first as f64 / 1000.0);
+    println!(
+        "longest step of the engine in 0.5 s of traffic: {:.1} ms",
+        first as f64 / 1000.0
+    );
     for revision in 2..=1 + CHANGES {
-        let (text, before) = (list(revision, partner, revision as u32), calls.load(Ordering::Relaxed));
+        let (text, before) = (
+            list(revision, partner, revision as u32),
+            calls.load(Ordering::Relaxed),
+        );
         let begun = Instant::now();
         fs::write(folder.join("beside"), text)?;
         fs::rename(folder.join("beside"), &path)?;
@@ -393,7 +456,10 @@
         thread::sleep(Duration::from_millis(2));
     }
     let (after, _) = daemon.cost()?;
-    println!("    {:.1} us of CPU a message, one after the other", (after - before) * 1e6 / taken as f64);
+    println!(
+        "    {:.1} us of CPU a message, one after the other",
+        (after - before) * 1e6 / taken as f64
+    );
     let mut waiting = TcpStream::connect(at)?;
     waiting.write_all(
         b"POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: waits\r\nX-Call-Class: status\r\nX-Budget-Ms: 20000\r\n\
@@ -401,7 +467,10 @@
     )?;
     thread::sleep(Duration::from_secs(5));
     let (waited, resident) = daemon.cost()?;
-    println!("    {:.2} s of CPU while one message waits 5 s; resident {resident} kB", waited - after);
+    println!(
+        "    {:.2} s of CPU while one message waits 5 s; resident {resident} kB",
+        waited - after
+    );
     drop(daemon);
     fs::remove_dir_all(&folder)?;
     Ok(())
@@ -421,7 +490,11 @@
         let mixed = (call + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15);
         let turned_away = (mixed ^ mixed >> 31).wrapping_mul(0xD134_2543_DE82_EF95) >> 62 == 0;
         thread::sleep(Duration::from_millis(50));
-        Some(if turned_away { "503 Service Unavailable" } else { "200 OK" })
+        Some(if turned_away {
+            "503 Service Unavailable"
+        } else {
+            "200 OK"
+        })
     })?;
     let file = format!(
         "{CLASS}[destination.a]\nrate = {FULL}\nendpoints = [{{ name = \"a-1\", address = \"{partner}\" }}]\n{}",
@@ -522,8 +595,12 @@
     let mut couriers = Vec::new();
     for port in &ports {
         let folder = folder(&format!("return-{port}"))?;
-        let front = instance("0 = \"a\", 1 = \"a-1\"").replace("127.0.0.1:0", &format!("127.0.0.1:{port}"));
-        let file = format!("[fleet]\nelsewhere = {}\n{CLASS}{listed}{front}", COURIERS - 1);
+        let front =
+            instance("0 = \"a\", 1 = \"a-1\"").replace("127.0.0.1:0", &format!("127.0.0.1:{port}"));
+        let file = format!(
+            "[fleet]\nelsewhere = {}\n{CLASS}{listed}{front}",
+            COURIERS - 1
+        );
         let (daemon, ..) = Daemon::start(build, &folder, &file)?;
         couriers.push((folder, daemon));
     }
@@ -551,8 +628,11 @@
             })
         })
         .collect();
-    let switch =
-        |on: bool| partners.iter().for_each(|(_, (_, switch, _))| switch.store(on, Ordering::SeqCst));
+    let switch = |on: bool| {
+        partners
+            .iter()
+            .for_each(|(_, (_, switch, _))| switch.store(on, Ordering::SeqCst))
+    };
     thread::sleep(Duration::from_secs(8));
     switch(false);
     thread::sleep(Duration::from_secs(4));
@@ -561,7 +641,12 @@
         drop(daemon);
         let (log, home) = (folder.join("log"), folder.join("home"));
         let stderr = fs::File::create(&log)?;
-        let child = Command::new(build).arg("run").arg(&home).stderr(stderr).stdin(Stdio::null()).spawn()?;
+        let child = Command::new(build)
+            .arg("run")
+            .arg(&home)
+            .stderr(stderr)
+            .stdin(Stdio::null())
+            .spawn()?;
         let daemon = Daemon { child, log };
         daemon.wait("listens at ")?;
         couriers.push((folder, daemon));
@@ -574,7 +659,14 @@
     for client in clients {
         client.join().map_err(|_| "a client died")?;
     }
-    println!("{}:", if kill { "one killed during the outage and started again" } else { "all three live" });
+    println!(
+        "{}:",
+        if kill {
+            "one killed during the outage and started again"
+        } else {
+            "all three live"
+        }
+    );
     for (name, (_, _, came)) in &partners {
         told_return(name, back, &came.lock().map_err(|_| "poisoned")?);
     }
@@ -594,17 +686,34 @@
         .collect();
     // It warms up from its first call on, as a partner does whose caches are cold.
     let first = after.first().copied().unwrap_or(0.0);
-    let can =
-        |at: f64| FULL * (COLD.0 + (1.0 - COLD.0) * ((at - first) / COLD.1.as_secs_f64()).clamp(0.0, 1.0));
+    let can = |at: f64| {
+        FULL * (COLD.0 + (1.0 - COLD.0) * ((at - first) / COLD.1.as_secs_f64()).clamp(0.0, 1.0))
+    };
     let span = TOPPLES.1.as_secs_f64();
-    let load = |end: f64| after.iter().filter(|at| **at > end - span && **at <= end).count() as f64 / span;
-    let worst = after.iter().map(|end| load(*end) / can(*end)).fold(0.0, f64::max);
+    let load = |end: f64| {
+        after
+            .iter()
+            .filter(|at| **at > end - span && **at <= end)
+            .count() as f64
+            / span
+    };
+    let worst = after
+        .iter()
+        .map(|end| load(*end) / can(*end))
+        .fold(0.0, f64::max);
     let full = after.iter().find(|end| load(**end) >= 0.9 * FULL);
-    let seconds: Vec<usize> =
-        (0..18).map(|second| after.iter().filter(|at| **at as usize == second).count()).collect();
+    let seconds: Vec<usize> = (0..18)
+        .map(|second| after.iter().filter(|at| **at as usize == second).count())
+        .collect();
     // The steepest step between two seconds, as far as bins of 100 ms tell.
-    let bins: Vec<usize> =
-        (0..180).map(|bin| after.iter().filter(|at| (**at * 10.0) as usize == bin).count()).collect();
+    let bins: Vec<usize> = (0..180)
+        .map(|bin| {
+            after
+                .iter()
+                .filter(|at| (**at * 10.0) as usize == bin)
+                .count()
+        })
+        .collect();
     println!(
         "    {name}: calls by second after the return {seconds:?}; {} at most in 100 ms",
         bins.iter().max().unwrap_or(&0)
--- a/crates/cli/src/destinations.rs
+++ b/crates/cli/src/destinations.rs
@@ -13,15 +13,20 @@
 /// Prints it.
 pub fn show(home: &Path, state: Option<State>, format: Form) -> Result<(), String> {
     let (_, fleet, listing) = listing::read(home)?;
-    let names: BTreeMap<u64, &str> =
-        listing.destination_table.entries().map(|entry| (entry.id.0, entry.name)).collect();
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as i64);
+    let names: BTreeMap<u64, &str> = listing
+        .destination_table
+        .entries()
+        .map(|entry| (entry.id.0, entry.name))
+        .collect();
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as i64);
     let mut known: BTreeSet<u64> = BTreeSet::new();
     let mut rows: Vec<(&str, &str, State, DestinationRecord)> = Vec::new();
     for instance in fleet.instances.keys() {
         let folder = home.join("instances").join(instance);
-        let records =
-            snapshot_store::read(&Real, &folder).map_err(|cause| format!("{}: {cause}", folder.display()))?;
+        let records = snapshot_store::read(&Real, &folder)
+            .map_err(|cause| format!("{}: {cause}", folder.display()))?;
         for record in records {
             // What left the fleet is no longer of interest.
             let Some(name) = names.get(&record.destination) else {
@@ -47,18 +52,28 @@
     for (name, instance, state, record) in &rows {
         let ago = |at: i64| format!(" for {:.1} s", (now - at).max(0) as f64 / 1000.0);
         let since = since(record).map_or(String::new(), ago);
-        let mean = record.mean_latency_ms.map_or(String::new(), |mean| format!(", {mean:.0} ms a call"));
+        let mean = record
+            .mean_latency_ms
+            .map_or(String::new(), |mean| format!(", {mean:.0} ms a call"));
         let left = record.backoff_until_ms.filter(|until| *until > now);
-        let wait = left.map_or(String::new(), |until| format!(", to be left alone for {} ms", until - now));
+        let wait = left.map_or(String::new(), |until| {
+            format!(", to be left alone for {} ms", until - now)
+        });
         let (held, out, usual) = (record.pending, record.in_flight, record.baseline_rate);
         let word = state.word();
         println!(
             "{name} at {instance}: {word}{since}{wait}, {held} held, {out} out, {usual:.2} a second{mean}"
         );
     }
-    println!("{} destinations, {idle} of them idle with nothing to be said", names.len());
+    println!(
+        "{} destinations, {idle} of them idle with nothing to be said",
+        names.len()
+    );
     if state == Some(State::Idle) {
-        names.iter().filter(|(number, _)| !known.contains(number)).for_each(|(_, name)| println!("{name}"));
+        names
+            .iter()
+            .filter(|(number, _)| !known.contains(number))
+            .for_each(|(_, name)| println!("{name}"));
     }
     Ok(())
 }
@@ -69,9 +84,18 @@
 
 fn state_of(record: &DestinationRecord, now: i64) -> State {
     match record {
-        DestinationRecord { backoff_until_ms: Some(until), .. } if *until > now => State::Waiting,
-        DestinationRecord { ejected_since_ms: Some(_), .. } => State::Out,
-        DestinationRecord { recovering_since_ms: Some(_), .. } => State::Easing,
+        DestinationRecord {
+            backoff_until_ms: Some(until),
+            ..
+        } if *until > now => State::Waiting,
+        DestinationRecord {
+            ejected_since_ms: Some(_),
+            ..
+        } => State::Out,
+        DestinationRecord {
+            recovering_since_ms: Some(_),
+            ..
+        } => State::Easing,
         DestinationRecord { active: true, .. } => State::InUse,
         _ => State::Idle,
     }
--- a/crates/cli/src/group.rs
+++ b/crates/cli/src/group.rs
@@ -33,7 +33,10 @@
 impl Line {
     fn open(home: &Path) -> Result<Line, String> {
         let member = Membership::read(home)?.ok_or_else(|| {
-            format!("{}: the home is of no group; see `marblefall apply --help`", home.display())
+            format!(
+                "{}: the home is of no group; see `marblefall apply --help`",
+                home.display()
+            )
         })?;
         let at = member.group.members[&member.name].link;
         let fault = |error: std::io::Error| {
@@ -45,24 +48,35 @@
         };
         let stream = TcpStream::connect_timeout(&at, ANSWER).map_err(fault)?;
         stream.set_read_timeout(Some(ANSWER)).map_err(fault)?;
-        (&stream).write_all(&link::hello(&member.group.name, None)).map_err(fault)?;
+        (&stream)
+            .write_all(&link::hello(&member.group.name, None))
+            .map_err(fault)?;
         Ok(Line { stream, member })
     }
 
     fn ask(&mut self, request: &Request) -> Result<Told, String> {
-        let fault = |error: std::io::Error| format!("the daemon of this home does not answer: {error}");
-        self.stream.write_all(&link::encode(request)).map_err(fault)?;
+        let fault =
+            |error: std::io::Error| format!("the daemon of this home does not answer: {error}");
+        self.stream
+            .write_all(&link::encode(request))
+            .map_err(fault)?;
         let read = block_on(link::read::<Told>(&mut AssertAsync::new(&mut self.stream)));
         read.map_err(|fault| format!("the daemon of this home answers with {fault}"))
     }
 
     /// Whether the leader has heard a member within its term; `None` where it never did.
     fn is_heard(&self, place: &Place) -> Option<bool> {
-        place.heard.map(|micros| micros / 1000 <= self.member.group.term_ms as i64)
+        place
+            .heard
+            .map(|micros| micros / 1000 <= self.member.group.term_ms as i64)
     }
 
     fn name(&self, member: Member) -> String {
-        self.member.names().get(member.0 as usize).cloned().unwrap_or_else(|| member.0.to_string())
+        self.member
+            .names()
+            .get(member.0 as usize)
+            .cloned()
+            .unwrap_or_else(|| member.0.to_string())
     }
 
     fn names(&self, members: &[Member]) -> String {
@@ -97,8 +111,15 @@
     let policy = serde_json::to_vec(&plan.target).map_err(|error| error.to_string())?;
     let operator = std::env::var("USER").unwrap_or_else(|_| "an operator".to_owned());
     let key = fastrand::u64(1..);
-    let author = Author { by: format!("{operator} at {}", line.member.name), key };
-    let propose = Request::Propose { base: Revision(plan.base.revision), policy: policy.into(), author };
+    let author = Author {
+        by: format!("{operator} at {}", line.member.name),
+        key,
+    };
+    let propose = Request::Propose {
+        base: Revision(plan.base.revision),
+        policy: policy.into(),
+        author,
+    };
     let mut said = String::new();
     let mut say = |what: String| {
         if what != said {
@@ -136,7 +157,10 @@
                 ));
             }
             Some(Reply::Busy(author)) => {
-                return Err(format!("a change by {} has no outcome yet; plan again once it has", author.by));
+                return Err(format!(
+                    "a change by {} has no outcome yet; plan again once it has",
+                    author.by
+                ));
             }
             Some(_) => {}
         }
@@ -158,17 +182,27 @@
             continue;
         };
         let has = |place: &Place| place.has >= Some(revision);
-        behind =
-            standing.members.iter().filter(|place| !has(place)).map(|place| place.member).collect::<Vec<_>>();
+        behind = standing
+            .members
+            .iter()
+            .filter(|place| !has(place))
+            .map(|place| place.member)
+            .collect::<Vec<_>>();
         // One that is not heard is not waited for: it learns what holds before it acts.
-        let waits = standing.members.iter().any(|place| !has(place) && line.is_heard(place) == Some(true));
+        let waits = standing
+            .members
+            .iter()
+            .any(|place| !has(place) && line.is_heard(place) == Some(true));
         if !waits || Instant::now() >= by {
             break;
         }
         std::thread::sleep(ASK);
     }
     if !behind.is_empty() {
-        println!("not heard, and takes it up before it acts again: {}", line.names(&behind));
+        println!(
+            "not heard, and takes it up before it acts again: {}",
+            line.names(&behind)
+        );
     }
     println!("in force everywhere as revision {}", revision.0);
     Ok(())
@@ -197,24 +231,33 @@
             };
             match format {
                 Form::Text => past.iter().for_each(|past| println!("{}", past_text(past))),
-                Form::Json => println!("{:#}", Value::from(past.iter().map(past_json).collect::<Vec<_>>())),
+                Form::Json => println!(
+                    "{:#}",
+                    Value::from(past.iter().map(past_json).collect::<Vec<_>>())
+                ),
             }
             Ok(())
         }
-        Group::Withdraw { home } => match Line::open(&home)?.ask(&Request::Withdraw)?.reply {
-            Some(Reply::Taken) => {
-                println!("taken back, unless it was in force already; see `marblefall group history`");
-                Ok(())
+        Group::Withdraw { home } => {
+            match Line::open(&home)?.ask(&Request::Withdraw)?.reply {
+                Some(Reply::Taken) => {
+                    println!("taken back, unless it was in force already; see `marblefall group history`");
+                    Ok(())
+                }
+                Some(Reply::NothingOpen) => Err("no change is open".to_owned()),
+                _ => Err(nobody()),
             }
-            Some(Reply::NothingOpen) => Err("no change is open".to_owned()),
-            _ => Err(nobody()),
-        },
+        }
         Group::Without { name, home } => {
             let mut line = Line::open(&home)?;
             let names = line.member.names();
             let at = names.iter().position(|known| *known == name);
-            let at =
-                at.ok_or_else(|| format!("the group has no member {name:?}; it has {}", names.join(", ")))?;
+            let at = at.ok_or_else(|| {
+                format!(
+                    "the group has no member {name:?}; it has {}",
+                    names.join(", ")
+                )
+            })?;
             match line.ask(&Request::Without(Member(at as u32)))?.reply {
                 Some(Reply::Taken) => {
                     println!("changes go on without {name}, until it asks again");
@@ -248,7 +291,11 @@
         local.member, line.member.group.name, local.standing
     );
     if let Some((takes_part, configuration)) = local.votes {
-        let part = if takes_part { "takes part" } else { "does not take part yet" };
+        let part = if takes_part {
+            "takes part"
+        } else {
+            "does not take part yet"
+        };
         println!("votes: {part}, configuration {configuration}");
     }
     let Some(standing) = standing else {
@@ -258,16 +305,30 @@
         }
         return;
     };
-    println!("led by {}, revision {} in force", line.name(standing.leader), standing.holds.0);
+    println!(
+        "led by {}, revision {} in force",
+        line.name(standing.leader),
+        standing.holds.0
+    );
     if let Some((author, progress, waits)) = &standing.open {
-        println!("open: a change by {}, {}; waits for: {}", author.by, stage(*progress), line.names(waits));
+        println!(
+            "open: a change by {}, {}; waits for: {}",
+            author.by,
+            stage(*progress),
+            line.names(waits)
+        );
     }
     for place in &standing.members {
         let has = place.has.map_or("-".to_owned(), |has| has.0.to_string());
-        let heard = place.heard.map_or("never".to_owned(), |heard| format!("{} ms ago", heard / 1000));
+        let heard = place.heard.map_or("never".to_owned(), |heard| {
+            format!("{} ms ago", heard / 1000)
+        });
         let votes = if place.votes { ", votes" } else { "" };
         let name = line.name(place.member);
-        println!("  {name}: {}, revision {has}, heard {heard}{votes}", word(line, place, standing.holds));
+        println!(
+            "  {name}: {}, revision {has}, heard {heard}{votes}",
+            word(line, place, standing.holds)
+        );
     }
 }
 
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -39,17 +39,31 @@
         Command::Plan { file, home, out } => plan(&file, &home, out.as_deref()),
         Command::Apply { plan, home, member } => apply(&plan, &home, member.as_deref()),
         Command::Group(what) => group::obey(what),
-        Command::Run { home, log, history, link } => {
+        Command::Run {
+            home,
+            log,
+            history,
+            link,
+        } => {
             log::start(match log {
                 Form::Text => log::Format::Text,
                 Form::Json => log::Format::Json,
             });
             marblefall_control_plane::supervise::run(&home, history.as_deref(), link)
         }
-        Command::Destinations { home, state, format } => destinations::show(&home, state, format),
+        Command::Destinations {
+            home,
+            state,
+            format,
+        } => destinations::show(&home, state, format),
         Command::Roster(what) => roster::obey(what),
         Command::Completions { shell } => {
-            clap_complete::generate(shell, &mut Words::command(), "marblefall", &mut std::io::stdout());
+            clap_complete::generate(
+                shell,
+                &mut Words::command(),
+                "marblefall",
+                &mut std::io::stdout(),
+            );
             Ok(())
         }
     }
@@ -76,7 +90,11 @@
     let of_group = Membership::read(home)?;
     match (of_group, member, &plan.target.group) {
         (Some(had), Some(name), _) if had.name != name => {
-            return Err(format!("{}: it is member {} already", home.display(), had.name));
+            return Err(format!(
+                "{}: it is member {} already",
+                home.display(),
+                had.name
+            ));
         }
         (Some(_), ..) => return group::apply(&plan, home),
         (None, Some(name), Some(of)) if plan.base.revision == 0 => {
@@ -92,7 +110,10 @@
             return Err("--member goes with an empty home and a file that has [group]".to_owned());
         }
         (None, None, Some(_)) if plan.base.revision == 0 => {
-            return Err("the file has [group]: say which member this home is, with --member NAME".to_owned());
+            return Err(
+                "the file has [group]: say which member this home is, with --member NAME"
+                    .to_owned(),
+            );
         }
         (None, None, Some(_)) => {
             return Err(
--- a/crates/cli/src/roster.rs
+++ b/crates/cli/src/roster.rs
@@ -12,15 +12,27 @@
 /// Does it. The cause of a failure is empty where everything was said on the way.
 pub fn obey(words: Words) -> Result<(), String> {
     match words {
-        Words::Check { files, fleet, home, format } => {
-            check(&files, fleet.as_deref(), home.as_deref(), format)
-        }
-        Words::Show { home, endpoints, format } => show(&home, endpoints, format),
+        Words::Check {
+            files,
+            fleet,
+            home,
+            format,
+        } => check(&files, fleet.as_deref(), home.as_deref(), format),
+        Words::Show {
+            home,
+            endpoints,
+            format,
+        } => show(&home, endpoints, format),
         Words::Diff { old, new, format } => compare(&old, &new, format),
     }
 }
 
-fn check(given: &[PathBuf], fleet: Option<&Path>, home: Option<&Path>, format: Form) -> Result<(), String> {
+fn check(
+    given: &[PathBuf],
+    fleet: Option<&Path>,
+    home: Option<&Path>,
+    format: Form,
+) -> Result<(), String> {
     let mut book = match (fleet, home) {
         (Some(fleet), _) => Book::new(Fleet::read(fleet)?.terms()),
         (None, Some(home)) => kept(home, &Applied::read(home)?.fleet)?.0,
@@ -36,13 +48,22 @@
     }
     // A list in force of a file that is not given was not meant to be checked; but one may take over from it.
     if home.is_some() && given.iter().any(|path| path.is_dir()) {
-        book.see(&found.iter().map(|(name, _)| name.clone()).collect::<BTreeSet<_>>());
+        book.see(
+            &found
+                .iter()
+                .map(|(name, _)| name.clone())
+                .collect::<BTreeSet<_>>(),
+        );
     }
     let mut reports: Vec<Report> = Vec::new();
     let mut pending: Vec<(String, Vec<u8>)> = Vec::new();
     for (name, path) in found {
         // The files in force go by their names; without them, by their paths, which tell equal names apart.
-        let name = if home.is_some() { name } else { path.display().to_string() };
+        let name = if home.is_some() {
+            name
+        } else {
+            path.display().to_string()
+        };
         match read_bounded(&path, book.terms().most_bytes) {
             Ok((bytes, _)) => pending.push((name, bytes)),
             Err(error) => {
@@ -81,8 +102,10 @@
     let wrong = reports.iter().filter(|report| report.is_refusal()).count();
     match format {
         Form::Json => {
-            let good: Vec<_> =
-                good.iter().map(|(file, changes)| json!({"file": file, "changes": changes})).collect();
+            let good: Vec<_> = good
+                .iter()
+                .map(|(file, changes)| json!({"file": file, "changes": changes}))
+                .collect();
             println!("{}", json!({"good": good, "reports": reports}));
         }
         Form::Text => {
@@ -96,7 +119,11 @@
         }
     }
     if wrong > 0 {
-        return Err(if format == Form::Json { String::new() } else { format!("{wrong} refused") });
+        return Err(if format == Form::Json {
+            String::new()
+        } else {
+            format!("{wrong} refused")
+        });
     }
     Ok(())
 }
@@ -104,7 +131,11 @@
 fn sum(changes: &[Change]) -> String {
     let count = |step| changes.iter().filter(|change| change.step == step).count();
     let changed = count(Step::Changed) + count(Step::Stopped);
-    format!("{} to add, {changed} to change, {} to remove", count(Step::Added), count(Step::Removed))
+    format!(
+        "{} to add, {changed} to change, {} to remove",
+        count(Step::Added),
+        count(Step::Removed)
+    )
 }
 
 fn show(home: &Path, endpoints: bool, format: Form) -> Result<(), String> {
@@ -114,12 +145,18 @@
     let names: BTreeSet<&String> = book.rosters().keys().chain(status.files.keys()).collect();
     let standing = |name: &String| {
         let told = status.files.get(name).cloned();
-        told.unwrap_or(FileStatus { standing: Standing::InForce, revision: None })
+        told.unwrap_or(FileStatus {
+            standing: Standing::InForce,
+            revision: None,
+        })
     };
     if format == Form::Json {
         let file = |name: &&String| {
             let roster = book.rosters().get(*name);
-            let whole = endpoints.then_some(roster).flatten().map(|roster| &roster.destinations);
+            let whole = endpoints
+                .then_some(roster)
+                .flatten()
+                .map(|roster| &roster.destinations);
             json!({
                 "file": name,
                 "standing": standing(name).standing,
@@ -129,11 +166,18 @@
             })
         };
         let files: Vec<_> = names.iter().map(file).collect();
-        println!("{}", json!({"files": files, "unlisted": book.unlisted(), "spoilt": spoilt}));
+        println!(
+            "{}",
+            json!({"files": files, "unlisted": book.unlisted(), "spoilt": spoilt})
+        );
         return Ok(());
     }
-    let path =
-        fleet.roster.as_ref().map_or("no [roster] is applied".to_owned(), |at| at.path.display().to_string());
+    let path = fleet
+        .roster
+        .as_ref()
+        .map_or("no [roster] is applied".to_owned(), |at| {
+            at.path.display().to_string()
+        });
     println!("rosters of {}: {path}", home.display());
     for name in names {
         let said = match standing(name).standing {
@@ -153,7 +197,9 @@
             None => println!("{name}: nothing in force, {said}"),
         }
     }
-    spoilt.iter().for_each(|report| println!("kept copy spoilt, put aside:\n{report}"));
+    spoilt
+        .iter()
+        .for_each(|report| println!("kept copy spoilt, put aside:\n{report}"));
     for name in book.unlisted() {
         println!("{name}: no roster lists it: nothing is served there");
     }
@@ -164,10 +210,17 @@
     for (name, destination) in &roster.destinations {
         println!("  {name}");
         for endpoint in &destination.endpoints {
-            let zone = if endpoint.zone.is_empty() { "" } else { " zone " };
+            let zone = if endpoint.zone.is_empty() {
+                ""
+            } else {
+                " zone "
+            };
             let draining = if endpoint.draining { " draining" } else { "" };
             let (weight, zoned) = (endpoint.weight, &endpoint.zone);
-            println!("    {} {} weight {weight}{zone}{zoned}{draining}", endpoint.name, endpoint.address);
+            println!(
+                "    {} {} weight {weight}{zone}{zoned}{draining}",
+                endpoint.name, endpoint.address
+            );
         }
     }
 }
@@ -176,10 +229,18 @@
     let (old, new) = (read(old)?, read(new)?);
     let changes = diff(&old, &new);
     match format {
-        Form::Json => println!("{}", json!({"from": old.revision, "to": new.revision, "changes": changes})),
+        Form::Json => println!(
+            "{}",
+            json!({"from": old.revision, "to": new.revision, "changes": changes})
+        ),
         Form::Text => {
             changes.iter().for_each(|change| println!("{change}"));
-            println!("revision {} to {}: {}", old.revision, new.revision, sum(&changes));
+            println!(
+                "revision {} to {}: {}",
+                old.revision,
+                new.revision,
+                sum(&changes)
+            );
         }
     }
     Ok(())
@@ -187,7 +248,13 @@
 
 fn read(path: &Path) -> Result<Roster, String> {
     let most = Terms::default().most_bytes;
-    let (bytes, _) = read_bounded(path, most).map_err(|error| format!("{}: {error}", path.display()))?;
-    let report = |faults| format!("\n{}", Report::new(&path.display().to_string(), &bytes, faults));
+    let (bytes, _) =
+        read_bounded(path, most).map_err(|error| format!("{}: {error}", path.display()))?;
+    let report = |faults| {
+        format!(
+            "\n{}",
+            Report::new(&path.display().to_string(), &bytes, faults)
+        )
+    };
     Ok(Roster::read(&bytes, most).map_err(report)?.roster)
 }
--- a/crates/cli/src/words.rs
+++ b/crates/cli/src/words.rs
@@ -81,7 +81,9 @@
     #[command(subcommand)]
     Roster(Roster),
     /// Print completions for a shell.
-    #[command(after_help = "Example:\n  marblefall completions bash > /etc/bash_completion.d/marblefall")]
+    #[command(
+        after_help = "Example:\n  marblefall completions bash > /etc/bash_completion.d/marblefall"
+    )]
     Completions {
         /// The shell.
         shell: clap_complete::Shell,
@@ -92,7 +94,9 @@
 #[derive(Debug, Subcommand)]
 pub enum Group {
     /// Show the revision in force, the change that is open, and each member.
-    #[command(after_help = "Example:\n  marblefall group status /var/lib/marblefall --format json")]
+    #[command(
+        after_help = "Example:\n  marblefall group status /var/lib/marblefall --format json"
+    )]
     Status {
         /// The fleet's folder.
         home: PathBuf,
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -32,8 +32,13 @@
 
 /// Posts a body with header lines.
 pub fn post(to: SocketAddr, path: &str, fields: &[(&str, &str)], body: &[u8]) -> Option<Message> {
-    let mut text = format!("POST {path} HTTP/1.1\r\nHost: {to}\r\nContent-Length: {}\r\n", body.len());
-    fields.iter().for_each(|(name, value)| text.push_str(&format!("{name}: {value}\r\n")));
+    let mut text = format!(
+        "POST {path} HTTP/1.1\r\nHost: {to}\r\nContent-Length: {}\r\n",
+        body.len()
+    );
+    fields
+        .iter()
+        .for_each(|(name, value)| text.push_str(&format!("{name}: {value}\r\n")));
     text.push_str("\r\n");
     raw(to, &[text.as_bytes(), body].concat())
 }
@@ -44,8 +49,14 @@
     // More silent connections than there are places, and then half requests.
     for said in ["", "POST /"] {
         let crowd: Vec<TcpStream> = (0..200).map(|_| TcpStream::connect(at).unwrap()).collect();
-        crowd.iter().for_each(|mut one| drop(one.write(said.as_bytes())));
-        assert_eq!(ready(), Some(200), "behind 200 connections that said {said:?}");
+        crowd
+            .iter()
+            .for_each(|mut one| drop(one.write(said.as_bytes())));
+        assert_eq!(
+            ready(),
+            Some(200),
+            "behind 200 connections that said {said:?}"
+        );
     }
     // One that writes all that it has before it reads anything.
     let head = format!("POST {path} HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n");
@@ -55,12 +66,22 @@
     let ask = |_| {
         let mut stream = TcpStream::connect(at).unwrap();
         stream.write_all(b"GET /ready HTTP/1.1\r\n\r\n").unwrap();
-        assert_eq!(Message::read(&mut BufReader::new(&stream)).unwrap().status(), 200);
+        assert_eq!(
+            Message::read(&mut BufReader::new(&stream))
+                .unwrap()
+                .status(),
+            200
+        );
         stream.set_nonblocking(true).unwrap();
         stream
     };
     let staying: Vec<TcpStream> = (0..60).map(ask).collect();
-    let ended = || staying.iter().filter(|one| one.peek(&mut [0]).is_ok_and(|read| read == 0)).count();
+    let ended = || {
+        staying
+            .iter()
+            .filter(|one| one.peek(&mut [0]).is_ok_and(|read| read == 0))
+            .count()
+    };
     wait_for("room among those who stay", || ended() >= 30);
     assert_eq!(ready(), Some(200));
 }
@@ -94,7 +115,10 @@
 impl StandIn {
     pub fn start(act: impl Fn(&Message) -> Act + Send + Sync + 'static) -> StandIn {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let (at, seen) = (listener.local_addr().unwrap(), Arc::<Mutex<Vec<Message>>>::default());
+        let (at, seen) = (
+            listener.local_addr().unwrap(),
+            Arc::<Mutex<Vec<Message>>>::default(),
+        );
         let closed = Arc::<AtomicUsize>::default();
         let (act, all, ended) = (Arc::new(act), seen.clone(), closed.clone());
         thread::spawn(move || {
@@ -129,7 +153,11 @@
         all.lock().unwrap().push(message);
         match done {
             Act::Answer(status, fields) => {
-                let length = if status == 204 { "" } else { "Content-Length: 0\r\n" };
+                let length = if status == 204 {
+                    ""
+                } else {
+                    "Content-Length: 0\r\n"
+                };
                 let text = format!("HTTP/1.1 {status} x\r\n{fields}{length}\r\n");
                 if writer.write_all(text.as_bytes()).is_err() {
                     return;
@@ -148,8 +176,15 @@
                 loop {
                     let bytes = std::mem::take(&mut *lines.lock().unwrap());
                     let chunk = format!("{:x}\r\n", bytes.len().max(1));
-                    let body = if bytes.is_empty() { b"\n".to_vec() } else { bytes };
-                    if writer.write_all(&[chunk.as_bytes(), &body, b"\r\n"].concat()).is_err() {
+                    let body = if bytes.is_empty() {
+                        b"\n".to_vec()
+                    } else {
+                        bytes
+                    };
+                    if writer
+                        .write_all(&[chunk.as_bytes(), &body, b"\r\n"].concat())
+                        .is_err()
+                    {
                         return;
                     }
                     thread::sleep(Duration::from_millis(10));
@@ -170,7 +205,11 @@
     /// One that no disk's syncs hold up, where the machine has such a place: for tests that hold a process to a time.
     pub fn in_memory(name: &str) -> Folder {
         let memory = Path::new("/dev/shm");
-        let root = if memory.is_dir() { memory.to_owned() } else { std::env::temp_dir() };
+        let root = if memory.is_dir() {
+            memory.to_owned()
+        } else {
+            std::env::temp_dir()
+        };
         Folder::under(&root, name)
     }
 
@@ -211,7 +250,9 @@
         let mut found = None;
         wait_for(marker, || {
             let log = self.log();
-            let mut said = log.lines().filter_map(|line| line.split_once(marker)?.1.trim().parse().ok());
+            let mut said = log
+                .lines()
+                .filter_map(|line| line.split_once(marker)?.1.trim().parse().ok());
             found = said.nth(nth);
             found.is_some()
         });
@@ -234,7 +275,10 @@
 
 /// Runs the program to its end and gives its exit code and what it printed.
 pub fn run_coded(words: &[&str]) -> (i32, String) {
-    let done = Command::new(env!("CARGO_BIN_EXE_marblefall")).args(words).output().unwrap();
+    let done = Command::new(env!("CARGO_BIN_EXE_marblefall"))
+        .args(words)
+        .output()
+        .unwrap();
     let said = String::from_utf8_lossy(&[done.stdout, done.stderr].concat()).into_owned();
     (done.status.code().unwrap_or(-1), said)
 }
@@ -247,7 +291,11 @@
 
 /// Plans and applies an operators' file in a folder; gives what the plan said.
 pub fn apply(folder: &Folder, file: &str) -> String {
-    let (path, plan, home) = (folder.file("fleet.toml", file), folder.0.join("plan"), folder.0.join("home"));
+    let (path, plan, home) = (
+        folder.file("fleet.toml", file),
+        folder.0.join("plan"),
+        folder.0.join("home"),
+    );
     let (done, said) = run(&["plan", text(&path), text(&home), "--out", text(&plan)]);
     assert!(done, "{said}");
     let (done, printed) = run(&["apply", text(&plan), text(&home)]);
@@ -261,7 +309,14 @@
 }
 
 /// Hands an event in, in binary mode, and waits for its end; `None` where the connection breaks first.
-pub fn event(to: SocketAddr, id: &str, kind: &str, clinic: &str, key: &str, body: &[u8]) -> Option<Message> {
+pub fn event(
+    to: SocketAddr,
+    id: &str,
+    kind: &str,
+    clinic: &str,
+    key: &str,
+    body: &[u8],
+) -> Option<Message> {
     let mut fields = vec![
         ("ce-specversion", "1.0"),
         ("ce-id", id),
--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -12,10 +12,16 @@
 
 impl Discovery {
     pub fn start(refusals: usize) -> Discovery {
-        let (lines, told) = (Arc::<Mutex<Vec<u8>>>::default(), Arc::<Mutex<Vec<String>>>::default());
+        let (lines, told) = (
+            Arc::<Mutex<Vec<u8>>>::default(),
+            Arc::<Mutex<Vec<String>>>::default(),
+        );
         let (stream, notices, left) = (lines.clone(), told.clone(), Mutex::new(refusals));
         let server = StandIn::start(move |message| {
-            if message.first.starts_with("GET /v1/endpoints?follow=1&since=") {
+            if message
+                .first
+                .starts_with("GET /v1/endpoints?follow=1&since=")
+            {
                 return Act::Stream(stream.clone());
             }
             assert_eq!(message.first, "POST /status HTTP/1.1");
@@ -24,10 +30,17 @@
                 *left -= 1;
                 return Act::Drop;
             }
-            notices.lock().unwrap().push(String::from_utf8(message.body.clone()).unwrap());
+            notices
+                .lock()
+                .unwrap()
+                .push(String::from_utf8(message.body.clone()).unwrap());
             Act::Answer(204, String::new())
         });
-        Discovery { server, lines, told }
+        Discovery {
+            server,
+            lines,
+            told,
+        }
     }
 
     pub fn told(&self) -> String {
@@ -63,7 +76,13 @@
     pub fn new(name: &str, host: SocketAddr, window_ms: &str, refusals: usize) -> Site {
         let (folder, discovery) = (Folder::new(name), Discovery::start(refusals));
         let listen = Cell::new(SocketAddr::from(([127, 0, 0, 1], 0)));
-        let site = Site { folder, discovery, host, window_ms: window_ms.to_owned(), listen };
+        let site = Site {
+            folder,
+            discovery,
+            host,
+            window_ms: window_ms.to_owned(),
+            listen,
+        };
         site.configure(&site.discovery);
         site
     }
@@ -83,10 +102,17 @@
     }
 
     pub fn start(&self) -> Program {
-        let (config, state) = (self.folder.0.join("config.json"), self.folder.0.join("state"));
+        let (config, state) = (
+            self.folder.0.join("config.json"),
+            self.folder.0.join("state"),
+        );
         // The environment keeps naming the first address, whatever the file says later.
         let at = self.discovery.server.at.to_string();
-        let env = [("RELAY_CONFIG", text(&config)), ("RELAY_STATE", text(&state)), ("RELAY_DISCOVERY", &at)];
+        let env = [
+            ("RELAY_CONFIG", text(&config)),
+            ("RELAY_STATE", text(&state)),
+            ("RELAY_DISCOVERY", &at),
+        ];
         Program::start(&[], &env)
     }
 }
--- a/crates/cli/tests/destinations.rs
+++ b/crates/cli/tests/destinations.rs
@@ -11,7 +11,10 @@
 fn a_partner_that_is_out_is_shown_also_when_the_daemon_is_down() {
     let well = StandIn::start(|_| ok());
     // Nobody listens there.
-    let dead = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let dead = TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
     let folder = Folder::new("destinations");
     let mut file = format!(
         r#"[class.status]
@@ -35,7 +38,10 @@
     apply(&folder, &file);
     let program = daemon(&folder);
     let at = program.address("takes events at ", 0);
-    assert_eq!(event(at, "1", "status", "well", "", b"").unwrap().status(), 204);
+    assert_eq!(
+        event(at, "1", "status", "well", "", b"").unwrap().status(),
+        204
+    );
     let asked: Vec<_> = (0..4)
         .map(|n| {
             thread::spawn(move || {
@@ -45,13 +51,18 @@
         .collect();
     let home = folder.0.join("home");
     let shown = |words: &[&str]| run_coded(&[&["destinations", text(&home)], words].concat());
-    wait_for("the outage", || shown(&["--state", "out"]).1.contains("dead at one: out"));
+    wait_for("the outage", || {
+        shown(&["--state", "out"]).1.contains("dead at one: out")
+    });
     let (code, all) = shown(&[]);
     assert!(code == 0 && all.contains("well at one: in-use"), "{all}");
     assert!(all.contains("102 destinations, 100 of them idle"), "{all}");
     for one in asked {
         // The late gate is a call's time before the deadline, here some ms: on a busy machine it may be past.
-        assert!(matches!(one.join().unwrap(), Some(503 | 504)), "each has an end");
+        assert!(
+            matches!(one.join().unwrap(), Some(503 | 504)),
+            "each has an end"
+        );
     }
 
     program.kill();
@@ -75,7 +86,15 @@
     assert!(code == 1 && said.contains("torn"), "{said}");
     let program = daemon(&folder);
     let at = program.address("takes events at ", 0);
-    assert_eq!(event(at, "2", "status", "well", "", b"").unwrap().status(), 204);
-    assert_eq!(program.log().matches("snapshot-ignored").count(), 1, "{}", program.log());
+    assert_eq!(
+        event(at, "2", "status", "well", "", b"").unwrap().status(),
+        204
+    );
+    assert_eq!(
+        program.log().matches("snapshot-ignored").count(),
+        1,
+        "{}",
+        program.log()
+    );
     wait_for("a new one", || shown(&[]).1.contains("well at one"));
 }
--- a/crates/cli/tests/events.rs
+++ b/crates/cli/tests/events.rs
@@ -44,30 +44,68 @@
 
 #[test]
 fn events_change_their_mode_on_the_way_and_keep_their_meaning() {
-    let (a, b) = (StandIn::start(|_| ok()), StandIn::start(|_| Act::Answer(204, String::new())));
+    let (a, b) = (
+        StandIn::start(|_| ok()),
+        StandIn::start(|_| Act::Answer(204, String::new())),
+    );
     let folder = Folder::new("modes");
     apply(&folder, &file(a.at, b.at, 6000));
     let program = daemon(&folder);
     let at = program.address(MARKER, 0);
 
     let body = r#"{"specversion":"1.0","id":"é 1","source":"/s","type":"order","clinic":"a","ext":true,"data":{"n":1}}"#;
-    let answer = post(at, "/events", &[STRUCTURED, ("Idempotency-Key", "key/1")], body.as_bytes()).unwrap();
+    let answer = post(
+        at,
+        "/events",
+        &[STRUCTURED, ("Idempotency-Key", "key/1")],
+        body.as_bytes(),
+    )
+    .unwrap();
     assert_eq!(answer.status(), 204);
     let leg = a.first();
     assert_eq!(leg.first, "POST /in HTTP/1.1");
-    let fields =
-        ["ce-id", "ce-source", "ce-type", "ce-ext", "ce-specversion", "content-type", "idempotency-key"];
+    let fields = [
+        "ce-id",
+        "ce-source",
+        "ce-type",
+        "ce-ext",
+        "ce-specversion",
+        "content-type",
+        "idempotency-key",
+    ];
     let values = fields.map(|name| leg.field(name).unwrap_or_default());
-    assert_eq!(values, ["%C3%A9%201", "/s", "order", "true", "1.0", "application/json", "key/1"]);
+    assert_eq!(
+        values,
+        [
+            "%C3%A9%201",
+            "/s",
+            "order",
+            "true",
+            "1.0",
+            "application/json",
+            "key/1"
+        ]
+    );
     assert_eq!(leg.body, br#"{"n":1}"#);
 
-    assert_eq!(event(at, "%C3%A9 2", "status", "b", "", b"[1]").unwrap().status(), 204);
+    assert_eq!(
+        event(at, "%C3%A9 2", "status", "b", "", b"[1]")
+            .unwrap()
+            .status(),
+        204
+    );
     let leg = b.first();
-    assert_eq!(leg.field("content-type"), Some("application/cloudevents+json; charset=utf-8"));
+    assert_eq!(
+        leg.field("content-type"),
+        Some("application/cloudevents+json; charset=utf-8")
+    );
     let whole: serde_json::Value = serde_json::from_slice(&leg.body).unwrap();
     let want = r#"{"specversion":"1.0","id":"é 2","source":"/clinic","type":"status","clinic":"b",
         "datacontenttype":"application/json","data":[1]}"#;
-    assert_eq!(whole, serde_json::from_str::<serde_json::Value>(want).unwrap());
+    assert_eq!(
+        whole,
+        serde_json::from_str::<serde_json::Value>(want).unwrap()
+    );
 }
 
 #[test]
@@ -84,11 +122,21 @@
     assert_eq!(status(post(at, "/other", &[STRUCTURED], b"{}")), 404);
     assert_eq!(status(event(at, "1", "unheard-of", "a", "k", b"")), 422);
     assert_eq!(status(event(at, "1", "order", "nowhere", "k", b"")), 422);
-    assert_eq!(status(event(at, "1", "order", "a", "", b"")), 400, "a keyed class needs its key");
+    assert_eq!(
+        status(event(at, "1", "order", "a", "", b"")),
+        400,
+        "a keyed class needs its key"
+    );
     let late = r#"{"specversion":"1.0","id":"1","source":"/s","type":"status","clinic":"a","expirytime":"2020-01-01T00:00:00Z"}"#;
-    assert_eq!(status(post(at, "/events", &[STRUCTURED], late.as_bytes())), 504);
+    assert_eq!(
+        status(post(at, "/events", &[STRUCTURED], late.as_bytes())),
+        504
+    );
     let odd = late.replace("2020-01-01T00:00:00Z", "tomorrow");
-    assert_eq!(status(post(at, "/events", &[STRUCTURED], odd.as_bytes())), 400);
+    assert_eq!(
+        status(post(at, "/events", &[STRUCTURED], odd.as_bytes())),
+        400
+    );
     assert_eq!(a.count(), 0);
 }
 
@@ -104,8 +152,9 @@
     apply(&folder, &file(a.at, a.at, 6000));
     let program = daemon(&folder);
     let at = program.address(MARKER, 0);
-    let hand =
-        |id: &'static str, key: &'static str| thread::spawn(move || event(at, id, "order", "a", key, b"1"));
+    let hand = |id: &'static str, key: &'static str| {
+        thread::spawn(move || event(at, id, "order", "a", key, b"1"))
+    };
     // The same identity; another identity under the same key, which the receiver would not tell apart.
     let together = [hand("1", "k"), hand("1", "k"), hand("2", "k")];
     // The first is out until the others have come.
@@ -114,16 +163,37 @@
         program.log().contains("offered=3 ")
     });
     gate.store(true, Ordering::SeqCst);
-    let ends: Vec<u16> = together.into_iter().map(|one| one.join().unwrap().unwrap().status()).collect();
+    let ends: Vec<u16> = together
+        .into_iter()
+        .map(|one| one.join().unwrap().unwrap().status())
+        .collect();
     assert_eq!(ends, [204, 204, 204]);
-    assert_eq!(event(at, "1", "order", "a", "k", b"1").unwrap().status(), 204, "also once it has ended");
-    assert_eq!(event(at, "1", "order", "a", "other", b"1").unwrap().status(), 409);
+    assert_eq!(
+        event(at, "1", "order", "a", "k", b"1").unwrap().status(),
+        204,
+        "also once it has ended"
+    );
+    assert_eq!(
+        event(at, "1", "order", "a", "other", b"1")
+            .unwrap()
+            .status(),
+        409
+    );
     assert_eq!(a.count(), 1);
     program.kill();
     let program = daemon(&folder);
     let at = program.address(MARKER, 0);
-    assert_eq!(event(at, "1", "order", "a", "k", b"1").unwrap().status(), 204, "also in the next life");
-    assert_eq!(event(at, "1", "order", "a", "other", b"1").unwrap().status(), 409);
+    assert_eq!(
+        event(at, "1", "order", "a", "k", b"1").unwrap().status(),
+        204,
+        "also in the next life"
+    );
+    assert_eq!(
+        event(at, "1", "order", "a", "other", b"1")
+            .unwrap()
+            .status(),
+        409
+    );
     assert_eq!(a.count(), 1);
 }
 
@@ -155,13 +225,19 @@
     apply(&folder, &file(a.at, a.at, 6000));
     let program = daemon(&folder);
     let at = program.address(MARKER, 0);
-    assert_eq!(event(at, "bad", "status", "a", "", b"1").unwrap().status(), 502);
+    assert_eq!(
+        event(at, "bad", "status", "a", "", b"1").unwrap().status(),
+        502
+    );
     assert_eq!(
         event(at, "bad", "status", "a", "", b"1").unwrap().status(),
         502,
         "known, and not tried again"
     );
-    assert_eq!(event(at, "good", "status", "a", "", b"1").unwrap().status(), 204);
+    assert_eq!(
+        event(at, "good", "status", "a", "", b"1").unwrap().status(),
+        204
+    );
     assert_eq!(a.count(), 2);
 }
 
@@ -232,7 +308,10 @@
     let met_in = |life: usize| {
         let serving = partner.clone();
         let server = StandIn::start(move |leg| serving.leg(life, leg));
-        apply(&folder, &file(server.at, server.at, TOLD.as_millis() as u64));
+        apply(
+            &folder,
+            &file(server.at, server.at, TOLD.as_millis() as u64),
+        );
         server
     };
     let current = Arc::new(Mutex::new(None::<SocketAddr>));
@@ -242,7 +321,11 @@
             let (current, partner) = (current.clone(), partner.clone());
             thread::spawn(move || {
                 let (kind, id) = (if n % 2 == 0 { "order" } else { "status" }, format!("e{n}"));
-                let key = if n % 2 == 0 { format!("key-{n}") } else { String::new() };
+                let key = if n % 2 == 0 {
+                    format!("key-{n}")
+                } else {
+                    String::new()
+                };
                 let until = Instant::now() + BOUND;
                 while Instant::now() < until {
                     let at = *current.lock().unwrap();
@@ -271,14 +354,26 @@
     let _server = met_in(4);
     let program = daemon(&folder);
     *current.lock().unwrap() = Some(program.address(MARKER, 0));
-    let ends: Vec<_> = clients.into_iter().map(|client| client.join().unwrap().expect("an end")).collect();
+    let ends: Vec<_> = clients
+        .into_iter()
+        .map(|client| client.join().unwrap().expect("an end"))
+        .collect();
     assert_eq!(*partner.wrong.lock().unwrap(), Vec::<String>::new());
     let effects = partner.effects.lock().unwrap();
     assert!(effects.values().all(|count| *count == 1), "{effects:?}");
-    let delivered: Vec<&String> = ends.iter().filter(|(_, end)| *end == 204).map(|(id, _)| id).collect();
+    let delivered: Vec<&String> = ends
+        .iter()
+        .filter(|(_, end)| *end == 204)
+        .map(|(id, _)| id)
+        .collect();
     assert!(delivered.len() >= 8, "{ends:?}");
-    let orders = delivered.iter().filter(|id| id[1..].parse::<usize>().unwrap() % 2 == 0);
-    assert!(orders.clone().count() > 0 && orders.clone().all(|id| effects.get(*id) == Some(&1)), "{ends:?}");
+    let orders = delivered
+        .iter()
+        .filter(|id| id[1..].parse::<usize>().unwrap() % 2 == 0);
+    assert!(
+        orders.clone().count() > 0 && orders.clone().all(|id| effects.get(*id) == Some(&1)),
+        "{ends:?}"
+    );
 }
 
 #[test]
@@ -286,16 +381,25 @@
     let (old, new) = (StandIn::start(|_| ok()), StandIn::start(|_| ok()));
     let folder = Folder::new("takes-up");
     let said = apply(&folder, &file(old.at, old.at, 6000));
-    assert!(said.contains("+ instance one") && said.contains("6 to add, 0 to change, 0 to remove"), "{said}");
+    assert!(
+        said.contains("+ instance one") && said.contains("6 to add, 0 to change, 0 to remove"),
+        "{said}"
+    );
     let program = daemon(&folder);
     let at = program.address(MARKER, 0);
-    assert_eq!(event(at, "1", "order", "a", "k", b"1").unwrap().status(), 204);
+    assert_eq!(
+        event(at, "1", "order", "a", "k", b"1").unwrap().status(),
+        204
+    );
 
     // To read again what is applied harms nothing that runs.
     program.signal("HUP");
     // A plan made now is stale once another one was applied.
     let home = folder.0.join("home");
-    let (path, stale) = (folder.file("other.toml", &file(old.at, old.at, 5000)), folder.0.join("stale"));
+    let (path, stale) = (
+        folder.file("other.toml", &file(old.at, old.at, 5000)),
+        folder.0.join("stale"),
+    );
     assert!(run(&["plan", text(&path), text(&home), "--out", text(&stale)]).0);
     let said = apply(&folder, &file(new.at, old.at, 6000));
     assert!(
@@ -313,40 +417,78 @@
         event(at, &id, "order", "a", &key, b"1").unwrap().status() == 204 && new.count() == 1
     });
     let before = old.count();
-    assert_eq!(event(at, "last", "order", "a", "last", b"1").unwrap().status(), 204);
+    assert_eq!(
+        event(at, "last", "order", "a", "last", b"1")
+            .unwrap()
+            .status(),
+        204
+    );
     assert_eq!((old.count(), new.count()), (before, 2));
-    assert!(!program.log().contains("takes up a change"), "{}", program.log());
+    assert!(
+        !program.log().contains("takes up a change"),
+        "{}",
+        program.log()
+    );
 
     // So does what it decides by: no other life of it begins.
     apply(&folder, &file(new.at, old.at, 5500));
-    wait_for("the change of a class", || program.log().contains("policy-taken-up"));
+    wait_for("the change of a class", || {
+        program.log().contains("policy-taken-up")
+    });
     assert_eq!(program.log().matches(MARKER).count(), 1);
-    assert_eq!(event(at, "1", "order", "a", "k", b"1").unwrap().status(), 204, "known across the change");
+    assert_eq!(
+        event(at, "1", "order", "a", "k", b"1").unwrap().status(),
+        204,
+        "known across the change"
+    );
     // What its folder may hold changes with another life. The port was the system's choice: the listener stays, and so
     // does the address.
-    apply(&folder, &format!("[limits]\ndisk_mb = 17\n{}", file(new.at, old.at, 5500)));
+    apply(
+        &folder,
+        &format!("[limits]\ndisk_mb = 17\n{}", file(new.at, old.at, 5500)),
+    );
     let again = program.address(MARKER, 1);
     assert_eq!(again, at);
-    assert_eq!(event(at, "1", "order", "a", "k", b"1").unwrap().status(), 204, "known across the change");
+    assert_eq!(
+        event(at, "1", "order", "a", "k", b"1").unwrap().status(),
+        204,
+        "known across the change"
+    );
     assert_eq!((old.count(), new.count()), (before, 2));
-    let gone = file(new.at, old.at, 6000).split("[instance.one]").next().unwrap().to_owned();
+    let gone = file(new.at, old.at, 6000)
+        .split("[instance.one]")
+        .next()
+        .unwrap()
+        .to_owned();
     let said = apply(&folder, &gone);
     assert!(said.contains("- instance one"), "{said}");
-    wait_for("the instance's end", || std::net::TcpStream::connect(at).is_err());
+    wait_for("the instance's end", || {
+        std::net::TcpStream::connect(at).is_err()
+    });
 }
 
 #[test]
 fn clients_without_manners_keep_nobody_else_out() {
     let host = StandIn::start(|_| ok());
     let folder = Folder::new("manners");
-    apply(&folder, &format!("[limits]\nsockets = 256\n{}", file(host.at, host.at, 6000)));
+    apply(
+        &folder,
+        &format!("[limits]\nsockets = 256\n{}", file(host.at, host.at, 6000)),
+    );
     let program = daemon(&folder);
     let at = program.address(MARKER, 0);
     bears_bad_clients(at, "/events");
     // Several requests may stand on a connection at once; each is served.
     let fields = "ce-specversion: 1.0\r\nce-source: /s\r\nce-type: status\r\nce-clinic: a";
-    let one = |id| format!("POST /events HTTP/1.1\r\n{fields}\r\nce-id: {id}\r\nContent-Length: 1\r\n\r\nx");
-    assert_eq!(raw(at, format!("{}{}", one(1), one(2)).as_bytes()).unwrap().status(), 204);
+    let one = |id| {
+        format!("POST /events HTTP/1.1\r\n{fields}\r\nce-id: {id}\r\nContent-Length: 1\r\n\r\nx")
+    };
+    assert_eq!(
+        raw(at, format!("{}{}", one(1), one(2)).as_bytes())
+            .unwrap()
+            .status(),
+        204
+    );
     wait_for("both legs", || host.count() == 2);
 }
 
@@ -361,23 +503,46 @@
     );
     apply(&folder, &(file(host.at, free(), 6000) + &front));
     let program = daemon(&folder);
-    let (plain, events) = (program.address("listens at ", 0), program.address(MARKER, 0));
+    let (plain, events) = (
+        program.address("listens at ", 0),
+        program.address(MARKER, 0),
+    );
     let hand = |id: &str, dest: &str| {
-        let fields =
-            [("X-Call-Id", id), ("X-Call-Class", "status"), ("X-Budget-Ms", "3000"), ("X-Envelope", dest)];
+        let fields = [
+            ("X-Call-Id", id),
+            ("X-Call-Class", "status"),
+            ("X-Budget-Ms", "3000"),
+            ("X-Envelope", dest),
+        ];
         post(plain, "/api", &fields, b"x").unwrap().status()
     };
-    assert_eq!(event(events, "1", "order", "a", "k", b"1").unwrap().status(), 204);
+    assert_eq!(
+        event(events, "1", "order", "a", "k", b"1")
+            .unwrap()
+            .status(),
+        204
+    );
     assert_eq!((hand("m-1", "dest=3"), hand("m-2", "dest=5")), (202, 400));
     wait_for("both legs", || host.count() == 2);
-    let paths: Vec<String> = host.seen.lock().unwrap().iter().map(|leg| leg.first.clone()).collect();
+    let paths: Vec<String> = host
+        .seen
+        .lock()
+        .unwrap()
+        .iter()
+        .map(|leg| leg.first.clone())
+        .collect();
     assert_eq!(paths, ["POST /in HTTP/1.1", "POST /receive HTTP/1.1"]);
     assert_eq!(hand("m-3", "dest=4"), 202);
     wait_for("the notice", || notices.count() > 0);
-    assert!(String::from_utf8_lossy(&notices.first().body).contains(r#""id":"m-3","state":"returned""#));
+    assert!(
+        String::from_utf8_lossy(&notices.first().body).contains(r#""id":"m-3","state":"returned""#)
+    );
 }
 
 /// An address that nothing listens at just now.
 fn free() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    std::net::TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
 }
--- a/crates/cli/tests/group.rs
+++ b/crates/cli/tests/group.rs
@@ -26,7 +26,10 @@
     fn partner(&self) -> StandIn {
         let effects = self.0.clone();
         StandIn::start(move |message| {
-            let key = message.field("idempotency-key").unwrap_or_default().to_owned();
+            let key = message
+                .field("idempotency-key")
+                .unwrap_or_default()
+                .to_owned();
             let mut effects = effects.lock().unwrap();
             let seen = effects.entry(key).or_default();
             if seen.last().is_none_or(|last| last.elapsed() > WINDOW) {
@@ -42,7 +45,10 @@
         let doubled: Vec<_> = effects.iter().filter(|(_, seen)| seen.len() > 1).collect();
         assert!(doubled.is_empty(), "doubled: {doubled:?}");
         for answer in answers.iter().filter(|answer| answer.status == 204) {
-            assert!(effects.contains_key(&answer.id), "{answer:?} and it never took effect");
+            assert!(
+                effects.contains_key(&answer.id),
+                "{answer:?} and it never took effect"
+            );
         }
     }
 }
@@ -56,7 +62,15 @@
     let under = Folder::in_memory(&format!("group-{name}"));
     let (program, on_cut) = (env!("CARGO_BIN_EXE_marblefall").into(), on_cut.to_owned());
     let (folder, partner) = (under.0.join("group"), vec![partner]);
-    let setting = Setting { program, folder, members, voters: 3, on_cut, term_ms: 1000, partner };
+    let setting = Setting {
+        program,
+        folder,
+        members,
+        voters: 3,
+        on_cut,
+        term_ms: 1000,
+        partner,
+    };
     (Group::found(setting).unwrap(), under)
 }
 
@@ -78,7 +92,8 @@
 
 /// What some say to others.
 fn one_way(group: &Group, from: &[usize], to: &[usize], does: Does) {
-    from.iter().for_each(|from| to.iter().for_each(|to| group.ways.set(*from, *to, does)));
+    from.iter()
+        .for_each(|from| to.iter().for_each(|to| group.ways.set(*from, *to, does)));
 }
 
 fn ms(ms: u64) -> Duration {
@@ -106,11 +121,21 @@
     for n in 1..=20 {
         let (done, said) = group.change(n % 3, &changed(&group, n)).unwrap();
         assert!(done, "change {n}: {said}\n{}", group.logs());
-        assert!(said.contains(&format!("in force everywhere as revision {}", n + 1)), "{said}");
+        assert!(
+            said.contains(&format!("in force everywhere as revision {}", n + 1)),
+            "{said}"
+        );
     }
     let answers = clients.end();
-    let refused: Vec<_> = answers.iter().filter(|answer| answer.status != 204).collect();
-    assert!(refused.is_empty(), "{refused:?} of {} hand-ins", answers.len());
+    let refused: Vec<_> = answers
+        .iter()
+        .filter(|answer| answer.status != 204)
+        .collect();
+    assert!(
+        refused.is_empty(),
+        "{refused:?} of {} hand-ins",
+        answers.len()
+    );
     let acts = judge(&group);
     assert_eq!(acts.keys().copied().max(), Some(21), "{acts:?}");
     assert!(acts.len() > 15, "too little was done to tell: {acts:?}");
@@ -140,7 +165,10 @@
         group.in_step(down, revision).unwrap();
         let answers = clients.end();
         effects.judge(&answers);
-        let last: BTreeMap<&String, u16> = answers.iter().map(|answer| (&answer.id, answer.status)).collect();
+        let last: BTreeMap<&String, u16> = answers
+            .iter()
+            .map(|answer| (&answer.id, answer.status))
+            .collect();
         assert!(last.values().all(|status| *status == 204), "{last:?}");
     }
     judge(&group);
@@ -179,16 +207,31 @@
         assert!(done, "{does:?}: {said}\n{}", group.logs());
         // What is handed in at the one that is cut off is told when to come back.
         wait_for("the term's end", || group.status(cut)["standing"] == "shut");
-        let answer = event(group.listens[cut], &format!("cut-{round}"), "order", "a", "k", b"{}").unwrap();
+        let answer = event(
+            group.listens[cut],
+            &format!("cut-{round}"),
+            "order",
+            "a",
+            "k",
+            b"{}",
+        )
+        .unwrap();
         assert_eq!(answer.status(), 429);
         assert!(answer.field("retry-after").is_some());
         let (applied, why) = run(&["group", "history", &group.home(cut)]);
-        assert!(!applied && why.contains("nobody leads"), "{why}\n{}", group.logs());
+        assert!(
+            !applied && why.contains("nobody leads"),
+            "{why}\n{}",
+            group.logs()
+        );
         group.ways.between(&[cut], &[0, 1, 2, 3], Does::Passes);
         group.in_step(cut, round as u64 + 2).unwrap();
     }
     // One way only: it hears all and is not heard, and the other way round.
-    for (round, (from, to)) in [(vec![1], vec![0, 2, 3]), (vec![0, 2, 3], vec![1])].into_iter().enumerate() {
+    for (round, (from, to)) in [(vec![1], vec![0, 2, 3]), (vec![0, 2, 3], vec![1])]
+        .into_iter()
+        .enumerate()
+    {
         one_way(&group, &from, &to, Does::Swallows);
         let (done, said) = group.change(3, &changed(&group, 10 + round)).unwrap();
         assert!(done, "{said}\n{}", group.logs());
@@ -213,7 +256,11 @@
     let mut in_force = 1;
     for n in 2..8usize {
         let cut = n % 3;
-        group.ways.between(&[cut], &[0, 1, 2], [Does::Refuses, Does::Swallows, Does::CutsFrames][n % 3]);
+        group.ways.between(
+            &[cut],
+            &[0, 1, 2],
+            [Does::Refuses, Does::Swallows, Does::CutsFrames][n % 3],
+        );
         let plan = group.plan((cut + 1) % 3, &changed(&group, n)).unwrap();
         let home = group.home((cut + 1) % 3);
         let applying = std::thread::spawn(move || run(&["apply", &plan, &home]));
@@ -222,7 +269,10 @@
         group.ways.between(&[cut], &[0, 1, 2], Does::Passes);
         let (done, said) = applying.join().unwrap();
         in_force += usize::from(done);
-        assert!(done || said.contains("withdrawn everywhere") || said.contains("stale"), "{said}");
+        assert!(
+            done || said.contains("withdrawn everywhere") || said.contains("stale"),
+            "{said}"
+        );
     }
     assert!(in_force > 3, "hardly a change came into force: {in_force}");
     for member in 0..3 {
@@ -250,10 +300,24 @@
     let end = whole[begin..].find("[group]").unwrap() + begin;
     let without_b = format!("{}{}", &whole[..begin], &whole[end..]);
     let (done, said) = group.change(0, &without_b).unwrap();
-    assert!(!done && said.contains("withdrawn everywhere: member m01: instance m01-1"), "{said}");
-    assert!(said.contains("a message for a destination is held that would be gone"), "{said}");
-    let (done, said) = group.change(0, &group.file(&[("name = \"clinics\"", "name = \"others\"")])).unwrap();
-    assert!(!done && said.contains("a change may only say which instances a member runs"), "{said}");
+    assert!(
+        !done && said.contains("withdrawn everywhere: member m01: instance m01-1"),
+        "{said}"
+    );
+    assert!(
+        said.contains("a message for a destination is held that would be gone"),
+        "{said}"
+    );
+    let (done, said) = group
+        .change(
+            0,
+            &group.file(&[("name = \"clinics\"", "name = \"others\"")]),
+        )
+        .unwrap();
+    assert!(
+        !done && said.contains("a change may only say which instances a member runs"),
+        "{said}"
+    );
     for member in 0..3 {
         group.in_step(member, 1).unwrap();
     }
@@ -271,20 +335,37 @@
     let partner = StandIn::start(|_| ok());
     let (mut group, _folder) = found("operators", 3, "stop", partner.at);
     group.start_all().unwrap();
-    let plans: Vec<_> =
-        (0..3).map(|at| (group.plan(at, &changed(&group, at + 1)).unwrap(), group.home(at))).collect();
+    let plans: Vec<_> = (0..3)
+        .map(|at| {
+            (
+                group.plan(at, &changed(&group, at + 1)).unwrap(),
+                group.home(at),
+            )
+        })
+        .collect();
     let stale = group.plan(0, &changed(&group, 9)).unwrap();
-    let applying =
-        plans.into_iter().map(|(plan, home)| std::thread::spawn(move || run(&["apply", &plan, &home])));
+    let applying = plans
+        .into_iter()
+        .map(|(plan, home)| std::thread::spawn(move || run(&["apply", &plan, &home])));
     let applying: Vec<_> = applying.collect();
-    let outcomes: Vec<(bool, String)> = applying.into_iter().map(|one| one.join().unwrap()).collect();
+    let outcomes: Vec<(bool, String)> = applying
+        .into_iter()
+        .map(|one| one.join().unwrap())
+        .collect();
     let done = outcomes.iter().filter(|(done, _)| *done).count();
     assert_eq!(done, 1, "{outcomes:?}\n{}", group.logs());
-    let refused = |said: &str| said.contains("has no outcome yet") || said.contains("the plan is stale");
-    assert!(outcomes.iter().all(|(done, said)| *done || refused(said)), "{outcomes:?}");
+    let refused =
+        |said: &str| said.contains("has no outcome yet") || said.contains("the plan is stale");
+    assert!(
+        outcomes.iter().all(|(done, said)| *done || refused(said)),
+        "{outcomes:?}"
+    );
     let (done, said) = run(&["apply", &stale, &group.home(0)]);
     assert!(
-        !done && said.contains("the plan is stale: it was made against revision 1, in force is revision 2"),
+        !done
+            && said.contains(
+                "the plan is stale: it was made against revision 1, in force is revision 2"
+            ),
         "{said}"
     );
     judge(&group);
@@ -315,7 +396,10 @@
     let (done, said) = run(&["group", "without", "m02", &group.home(1)]);
     assert!(done, "{said}");
     let (done, said) = applying.join().unwrap();
-    assert!(done && said.contains("takes it up before it acts again: m02"), "{said}");
+    assert!(
+        done && said.contains("takes it up before it acts again: m02"),
+        "{said}"
+    );
     group.ways.between(&[2], &[0, 1], Does::Passes);
     group.start(2).unwrap();
     group.in_step(2, 2).unwrap();
@@ -323,7 +407,9 @@
     group.ways.between(&[2], &[0, 1], Does::Swallows);
     let (plan, home) = (group.plan(0, &changed(&group, 2)).unwrap(), group.home(0));
     let applying = std::thread::spawn(move || run(&["apply", &plan, &home]));
-    wait_for("the change to wait", || group.status(0)["group"]["open"].is_object());
+    wait_for("the change to wait", || {
+        group.status(0)["group"]["open"].is_object()
+    });
     let (done, said) = run(&["group", "withdraw", &group.home(1)]);
     assert!(done, "{said}");
     let (done, said) = applying.join().unwrap();
@@ -359,9 +445,14 @@
         }
         group.start(1).unwrap();
         group.in_step(1, revision).unwrap();
-        wait_for("it to vote again", || group.status(1)["votes"]["takes_part"] == true);
+        wait_for("it to vote again", || {
+            group.status(1)["votes"]["takes_part"] == true
+        });
         let log = group.log(1);
-        assert!(log.contains("folder-forgets") && log.contains("let-in"), "{what}: {log}");
+        assert!(
+            log.contains("folder-forgets") && log.contains("let-in"),
+            "{what}: {log}"
+        );
         // It votes: with another one down the change still has its majority.
         group.kill(2);
         let (done, said) = group.change(1, &changed(&group, round + 2)).unwrap();
@@ -383,7 +474,10 @@
     let mut revision = 1;
     for round in 0..5usize {
         let clients = Clients::start(&group.listens, 6, ms(2), 5);
-        let (plan, home) = (group.plan(0, &changed(&group, round + 1)).unwrap(), group.home(round % 3));
+        let (plan, home) = (
+            group.plan(0, &changed(&group, round + 1)).unwrap(),
+            group.home(round % 3),
+        );
         let applying = std::thread::spawn(move || run(&["apply", &plan, &home]));
         std::thread::sleep(Duration::from_millis(8 * round as u64 * round as u64));
         (0..3).for_each(|member| group.kill(member));
@@ -392,11 +486,16 @@
         }
         drop(applying.join().unwrap());
         wait_for("a leader", || {
-            group.status(0)["group"]["revision"].as_u64().is_some_and(|now| now >= revision)
+            group.status(0)["group"]["revision"]
+                .as_u64()
+                .is_some_and(|now| now >= revision)
         });
         wait_for("the outcome", || group.status(0)["group"]["open"].is_null());
         let now = group.status(0)["group"]["revision"].as_u64().unwrap();
-        assert!(now == revision || now == revision + 1, "{now} after {revision}");
+        assert!(
+            now == revision || now == revision + 1,
+            "{now} after {revision}"
+        );
         revision = now;
         for member in 0..3 {
             group.in_step(member, revision).unwrap();
@@ -421,12 +520,21 @@
     *torn.last_mut().unwrap() ^= 1;
     let long = [u32::MAX.to_le_bytes(), [0; 4]].concat();
     let stranger = hello("clinics", Some(marblefall_coordination::words::Member(77)));
-    let codes = ["link-other-group", "link-version", "frame-torn", "frame-too-long", "link-no-member"];
+    let codes = [
+        "link-other-group",
+        "link-version",
+        "frame-torn",
+        "frame-too-long",
+        "link-no-member",
+    ];
     for (bytes, code) in [other, later, torn, long, stranger].into_iter().zip(codes) {
         let mut stream = std::net::TcpStream::connect(link).unwrap();
         stream.set_read_timeout(Some(BOUND)).unwrap();
         let _ = stream.write_all(&bytes);
-        assert!(matches!(stream.read(&mut [0; 8]), Ok(0) | Err(_)), "{code}: not closed");
+        assert!(
+            matches!(stream.read(&mut [0; 8]), Ok(0) | Err(_)),
+            "{code}: not closed"
+        );
         wait_for(code, || group.log(0).contains(code));
     }
     let (done, said) = group.change(1, &changed(&group, 1)).unwrap();
--- a/crates/cli/tests/lives.rs
+++ b/crates/cli/tests/lives.rs
@@ -61,12 +61,17 @@
     /// Waits until they have asked so many times more: the clock by which faults come.
     fn ask_on(&self, more: usize) {
         let until = self.asked.load(Ordering::SeqCst) + more;
-        wait_for("the clients' requests", || self.asked.load(Ordering::SeqCst) >= until);
+        wait_for("the clients' requests", || {
+            self.asked.load(Ordering::SeqCst) >= until
+        });
     }
 
     fn end(self) -> BTreeMap<String, Heard> {
         self.over.store(true, Ordering::SeqCst);
-        self.all.into_iter().flat_map(|client| client.join().unwrap()).collect()
+        self.all
+            .into_iter()
+            .flat_map(|client| client.join().unwrap())
+            .collect()
     }
 }
 
@@ -82,19 +87,33 @@
     // The outer nothing is a connection that ended unread; an answer that does not come in time is one within.
     let on = |mut reader: BufReader<TcpStream>| -> Option<(Heard, Option<BufReader<TcpStream>>)> {
         reader.get_mut().write_all(text.as_bytes()).ok()?;
-        if reader.fill_buf().is_err_and(|error| error.kind() == ErrorKind::WouldBlock) {
+        if reader
+            .fill_buf()
+            .is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+        {
             return Some((Heard::Nothing, None));
         }
         let answer = Message::read(&mut reader)?;
         let kept = answer.field("connection") != Some("close");
-        Some((if answer.status() == 202 { Heard::TakenOn } else { Heard::Declined }, kept.then_some(reader)))
+        Some((
+            if answer.status() == 202 {
+                Heard::TakenOn
+            } else {
+                Heard::Declined
+            },
+            kept.then_some(reader),
+        ))
     };
     let opened = || {
         let stream = TcpStream::connect(at).ok()?;
         stream.set_read_timeout(Some(PATIENCE)).ok()?;
         on(BufReader::new(stream))
     };
-    let (heard, kept) = link.take().and_then(on).or_else(opened).unwrap_or((Heard::Nothing, None));
+    let (heard, kept) = link
+        .take()
+        .and_then(on)
+        .or_else(opened)
+        .unwrap_or((Heard::Nothing, None));
     *link = kept;
     heard
 }
@@ -103,24 +122,38 @@
 fn runs(host: &StandIn) -> BTreeMap<String, usize> {
     let mut runs = BTreeMap::new();
     for call in host.seen.lock().unwrap().iter() {
-        *runs.entry(call.field("x-call-id").unwrap().to_owned()).or_default() += 1;
+        *runs
+            .entry(call.field("x-call-id").unwrap().to_owned())
+            .or_default() += 1;
     }
     runs
 }
 
 /// Every message that was taken on has run or was ended by a notice.
 fn all_end(site: &Site, host: &StandIn, heard: &BTreeMap<String, Heard>) {
-    let taken: BTreeSet<&String> =
-        heard.iter().filter(|(_, heard)| **heard == Heard::TakenOn).map(|(id, _)| id).collect();
-    assert!(taken.len() > 20, "too little was taken on to tell: {}", taken.len());
+    let taken: BTreeSet<&String> = heard
+        .iter()
+        .filter(|(_, heard)| **heard == Heard::TakenOn)
+        .map(|(id, _)| id)
+        .collect();
+    assert!(
+        taken.len() > 20,
+        "too little was taken on to tell: {}",
+        taken.len()
+    );
     wait_for("an end of every message", || {
         let (runs, told) = (runs(host), site.discovery.told());
-        taken.iter().all(|id| runs.contains_key(*id) || told.contains(&format!("\"{id}\"")))
+        taken
+            .iter()
+            .all(|id| runs.contains_key(*id) || told.contains(&format!("\"{id}\"")))
     });
 }
 
 fn unheard(heard: &BTreeMap<String, Heard>) -> usize {
-    heard.values().filter(|heard| **heard == Heard::Nothing).count()
+    heard
+        .values()
+        .filter(|heard| **heard == Heard::Nothing)
+        .count()
 }
 
 #[test]
@@ -137,13 +170,23 @@
         assert!(old.ended(), "{}", old.log());
         assert!(old.log().contains("code=\"handed-over\""), "{}", old.log());
         clients.ask_on(200);
-        wait_for("the end of the change", || new.log().contains("code=\"life-ended\""));
+        wait_for("the end of the change", || {
+            new.log().contains("code=\"life-ended\"")
+        });
         old = new;
     }
     let heard = clients.end();
-    assert!(unheard(&heard) <= 2 * 3, "{} requests of {} unheard", unheard(&heard), heard.len());
+    assert!(
+        unheard(&heard) <= 2 * 3,
+        "{} requests of {} unheard",
+        unheard(&heard),
+        heard.len()
+    );
     all_end(&site, &host, &heard);
-    assert!(runs(&host).values().all(|runs| *runs == 1), "nothing failed, so nothing goes out twice");
+    assert!(
+        runs(&host).values().all(|runs| *runs == 1),
+        "nothing failed, so nothing goes out twice"
+    );
 }
 
 #[test]
@@ -160,7 +203,10 @@
         }
         old.signal("STOP");
         let new = site.beside();
-        assert_eq!(raw(at, b"GET /ready HTTP/1.1\r\n\r\n").map(|answer| answer.status()), Some(200));
+        assert_eq!(
+            raw(at, b"GET /ready HTTP/1.1\r\n\r\n").map(|answer| answer.status()),
+            Some(200)
+        );
         wait_for("the new one's service", || {
             let log = new.log();
             log.contains("code=\"fenced-off\"") && log.contains("code=\"takes-over\"")
@@ -169,7 +215,9 @@
         wait_for("legs of the new one", || host.count() > before + 20);
         old.signal("CONT");
         assert!(old.ended(), "{}", old.log());
-        wait_for("the end of the change", || new.log().contains("code=\"life-ended\""));
+        wait_for("the end of the change", || {
+            new.log().contains("code=\"life-ended\"")
+        });
         clients.ask_on(40);
         let heard = clients.end();
         all_end(&site, &host, &heard);
@@ -238,7 +286,10 @@
     for call in host.seen.lock().unwrap().iter() {
         let (id, came) = (call.field("x-call-id").unwrap(), call.came.unwrap());
         let first = *first.entry(id.to_owned()).or_insert(came);
-        assert!(came - first < Duration::from_secs(6), "{id} again after its window; {trace:?}");
+        assert!(
+            came - first < Duration::from_secs(6),
+            "{id} again after its window; {trace:?}"
+        );
     }
 }
 
@@ -250,29 +301,41 @@
     let clients = Clients::start(at, 8, "refill-order");
     clients.ask_on(30);
     let mut two = [site.start(), site.start()];
-    two.iter().for_each(|one| assert_eq!(one.address(MARKER, 0), at));
+    two.iter()
+        .for_each(|one| assert_eq!(one.address(MARKER, 0), at));
     old.signal("TERM");
     assert!(old.ended(), "{}", old.log());
     // The earlier of the two hands over to the later, or ends without having served.
     let mut ended = None;
     wait_for("one of the two to give way", || {
-        ended = two.iter().position(|one| one.log().contains("asked to hand over"));
+        ended = two
+            .iter()
+            .position(|one| one.log().contains("asked to hand over"));
         ended.is_some()
     });
     let first = ended.unwrap();
     assert!(two[first].ended(), "{}", two[first].log());
     let before = host.count();
     clients.ask_on(60);
-    wait_for("legs of the one that is left", || host.count() > before + 40);
+    wait_for("legs of the one that is left", || {
+        host.count() > before + 40
+    });
     let heard = clients.end();
     all_end(&site, &host, &heard);
-    assert!(runs(&host).values().all(|runs| *runs == 1), "{:?}", runs(&host));
+    assert!(
+        runs(&host).values().all(|runs| *runs == 1),
+        "{:?}",
+        runs(&host)
+    );
 }
 
 #[test]
 fn a_wait_that_the_old_process_is_told_after_it_handed_over_binds_the_new_one() {
     // The first call is answered once the new process decides; those after it at once.
-    let (release, answered) = (Arc::<AtomicBool>::default(), Arc::<Mutex<Option<Instant>>>::default());
+    let (release, answered) = (
+        Arc::<AtomicBool>::default(),
+        Arc::<Mutex<Option<Instant>>>::default(),
+    );
     let (held, at_last) = (release.clone(), answered.clone());
     let host = StandIn::start(move |message| {
         if message.field("x-call-id") != Some("first") || at_last.lock().unwrap().is_some() {
@@ -284,7 +347,12 @@
     });
     let site = Site::new("wait", host.at, "6000", 0);
     let (mut old, at) = site.first();
-    assert_eq!(hand(at, "first", "refill-status", "15000").unwrap().status(), 202);
+    assert_eq!(
+        hand(at, "first", "refill-status", "15000")
+            .unwrap()
+            .status(),
+        202
+    );
     // Shown only once it is decided, so the leg is seen by its counter.
     old.signal("USR1");
     wait_for("the leg", || {
@@ -293,15 +361,25 @@
     });
     let new = site.beside();
     old.signal("TERM");
-    wait_for("the new one's word", || new.log().contains("code=\"takes-over\""));
+    wait_for("the new one's word", || {
+        new.log().contains("code=\"takes-over\"")
+    });
     release.store(true, Ordering::SeqCst);
     assert!(old.ended(), "{}", old.log());
-    assert_eq!(hand(at, "second", "refill-status", "15000").unwrap().status(), 202);
+    assert_eq!(
+        hand(at, "second", "refill-status", "15000")
+            .unwrap()
+            .status(),
+        202
+    );
     wait_for("both deliveries", || host.count() == 3);
     let told = answered.lock().unwrap().unwrap();
     for call in &host.seen.lock().unwrap()[1..] {
         let after = call.came.unwrap() - told;
-        assert!(after >= Duration::from_millis(2500), "sent {after:?} after a wait of 2.5 s was told");
+        assert!(
+            after >= Duration::from_millis(2500),
+            "sent {after:?} after a wait of 2.5 s was told"
+        );
     }
 }
 
@@ -327,29 +405,41 @@
         );
         raw(at, &[head.as_bytes(), &vec![b'x'; len]].concat()).map(|answer| answer.status())
     };
-    let taken: Vec<String> =
-        (0..36).map(|n| format!("m{n}")).filter(|id| give(id, 60_000) == Some(202)).collect();
+    let taken: Vec<String> = (0..36)
+        .map(|n| format!("m{n}"))
+        .filter(|id| give(id, 60_000) == Some(202))
+        .collect();
     assert!(taken.len() > 15, "the journal holds {}", taken.len());
     let new = site.beside();
     old.signal("TERM");
     assert!(old.ended(), "{}", old.log());
-    wait_for("the new one's word", || new.log().contains("code=\"life-ended\""));
+    wait_for("the new one's word", || {
+        new.log().contains("code=\"life-ended\"")
+    });
     let state = site.folder.0.join("state");
-    let size: u64 =
-        std::fs::read_dir(&state).unwrap().map(|file| file.unwrap().metadata().unwrap().len()).sum();
+    let size: u64 = std::fs::read_dir(&state)
+        .unwrap()
+        .map(|file| file.unwrap().metadata().unwrap().len())
+        .sum();
     assert!(size <= 3_000_000, "{size} bytes in the folder");
     let turned_away = host.count();
     open.store(true, Ordering::SeqCst);
     wait_for("an end of each", || {
         let seen = host.seen.lock().unwrap();
-        let served: BTreeSet<_> =
-            seen[turned_away..].iter().filter_map(|call| call.field("x-call-id")).collect();
+        let served: BTreeSet<_> = seen[turned_away..]
+            .iter()
+            .filter_map(|call| call.field("x-call-id"))
+            .collect();
         let told = site.discovery.told();
-        taken.iter().all(|id| served.contains(id.as_str()) || told.contains(&format!("\"{id}\"")))
+        taken
+            .iter()
+            .all(|id| served.contains(id.as_str()) || told.contains(&format!("\"{id}\"")))
     });
     let mut served = BTreeMap::<String, usize>::new();
     for call in &host.seen.lock().unwrap()[turned_away..] {
-        *served.entry(call.field("x-call-id").unwrap().to_owned()).or_default() += 1;
+        *served
+            .entry(call.field("x-call-id").unwrap().to_owned())
+            .or_default() += 1;
     }
     // One that was under way when the partner opened may have been turned away still.
     assert!(served.values().all(|runs| *runs <= 2), "{served:?}");
@@ -367,13 +457,23 @@
     }
     let (mut program, at) = site.first();
     std::fs::write(state.join("life-900"), "").unwrap();
-    assert_eq!(hand(at, "one", "refill-status", "5000").unwrap().status(), 202);
+    assert_eq!(
+        hand(at, "one", "refill-status", "5000").unwrap().status(),
+        202
+    );
     wait_for("its leg", || host.count() == 1);
     program.signal("TERM");
     assert!(program.ended(), "{}", program.log());
-    assert!(!program.log().contains("handed-over"), "nobody was there to take over: {}", program.log());
+    assert!(
+        !program.log().contains("handed-over"),
+        "nobody was there to take over: {}",
+        program.log()
+    );
     let (mut next, at) = site.first();
-    assert_eq!(hand(at, "two", "refill-status", "5000").unwrap().status(), 202);
+    assert_eq!(
+        hand(at, "two", "refill-status", "5000").unwrap().status(),
+        202
+    );
     wait_for("its leg", || host.count() == 2);
     next.signal("TERM");
     assert!(next.ended());
--- a/crates/cli/tests/relay.rs
+++ b/crates/cli/tests/relay.rs
@@ -15,31 +15,55 @@
     let site = Site::new("passes", host.at, "6000", 0);
     let mut program = site.start();
     let at = program.address(MARKER, 0);
-    assert_eq!(raw(at, b"GET /ready HTTP/1.1\r\n\r\n").unwrap().status(), 200);
-    assert_eq!(hand(at, "m-1", "refill-order", "9000").unwrap().status(), 202);
+    assert_eq!(
+        raw(at, b"GET /ready HTTP/1.1\r\n\r\n").unwrap().status(),
+        200
+    );
+    assert_eq!(
+        hand(at, "m-1", "refill-order", "9000").unwrap().status(),
+        202
+    );
     wait_for("the leg", || host.count() == 1);
     let leg = host.first();
     assert_eq!(leg.first, "POST /receive HTTP/1.1");
-    assert_eq!((leg.field("x-call-id"), leg.field("idempotency-key")), (Some("m-1"), Some("key-of-m-1")));
+    assert_eq!(
+        (leg.field("x-call-id"), leg.field("idempotency-key")),
+        (Some("m-1"), Some("key-of-m-1"))
+    );
     assert_eq!(leg.body, b"two boxes\0\xff");
     assert!(leg.field("x-budget-ms").unwrap().parse::<u64>().unwrap() <= 9000);
     program.signal("USR1");
-    wait_for("the counters", || program.log().contains("offered=1 taken_on=1 declined=0 "));
+    wait_for("the counters", || {
+        program.log().contains("offered=1 taken_on=1 declined=0 ")
+    });
     program.signal("TERM");
     assert!(program.ended(), "{}", program.log());
-    assert_eq!(site.discovery.told(), "", "a delivered message needs no notice");
+    assert_eq!(
+        site.discovery.told(),
+        "",
+        "a delivered message needs no notice"
+    );
 }
 
 #[test]
 fn a_message_given_up_is_told_at_once_with_when_to_come_back_until_it_is_taken() {
-    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let closed = std::net::TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
     let site = Site::new("given-up", closed, "6000", 2);
     let program = site.start();
     let at = program.address(MARKER, 0);
-    assert_eq!(hand(at, "m-2", "refill-status", "3000").unwrap().status(), 202);
+    assert_eq!(
+        hand(at, "m-2", "refill-status", "3000").unwrap().status(),
+        202
+    );
     wait_for("the notice", || !site.discovery.told().is_empty());
     let told = site.discovery.told();
-    assert!(told.contains(r#"{"id":"m-2","state":"returned","after_ms":"#), "{told}");
+    assert!(
+        told.contains(r#"{"id":"m-2","state":"returned","after_ms":"#),
+        "{told}"
+    );
 }
 
 #[test]
@@ -47,21 +71,40 @@
     // The first legs of a life get no answer; those of the next are served.
     let silent = Arc::new(Mutex::new(true));
     let quiet = silent.clone();
-    let host = StandIn::start(move |_| if *quiet.lock().unwrap() { Act::Silence } else { ok() });
+    let host = StandIn::start(move |_| {
+        if *quiet.lock().unwrap() {
+            Act::Silence
+        } else {
+            ok()
+        }
+    });
     // The keyed class's window is over by the time the courier is back, so its message must not go out again.
     let site = Site::new("outlives", host.at, "1", 0);
     let program = site.start();
     let at = program.address(MARKER, 0);
-    assert_eq!(hand(at, "order", "refill-order", "20000").unwrap().status(), 202);
-    assert_eq!(hand(at, "status", "refill-status", "20000").unwrap().status(), 202);
+    assert_eq!(
+        hand(at, "order", "refill-order", "20000").unwrap().status(),
+        202
+    );
+    assert_eq!(
+        hand(at, "status", "refill-status", "20000")
+            .unwrap()
+            .status(),
+        202
+    );
     wait_for("both legs", || host.count() == 2);
     program.kill();
     *silent.lock().unwrap() = false;
     let program = site.start();
     let at = program.address(MARKER, 0);
     wait_for("the free one's repeat", || host.count() == 3);
-    wait_for("the keyed one's end", || site.discovery.told().contains("\"order\""));
-    assert_eq!(host.seen.lock().unwrap()[2].field("x-call-id"), Some("status"));
+    wait_for("the keyed one's end", || {
+        site.discovery.told().contains("\"order\"")
+    });
+    assert_eq!(
+        host.seen.lock().unwrap()[2].field("x-call-id"),
+        Some("status")
+    );
     // Killed before it has noted the answer that the host gave, it would rightly resume what may have run.
     wait_for("the answer to be read", || {
         program.signal("USR1");
@@ -87,27 +130,53 @@
 
 #[test]
 fn a_new_configuration_moves_discovery_and_nothing_held_is_lost() {
-    let refusing = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let refusing = std::net::TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
     let site = Site::new("moves", refusing, "6000", usize::MAX);
     let program = site.start();
     let at = program.address(MARKER, 0);
-    assert_eq!(hand(at, "owed", "refill-status", "3000").unwrap().status(), 202);
-    wait_for("a notice that is not taken", || program.log().contains("notices not taken"));
+    assert_eq!(
+        hand(at, "owed", "refill-status", "3000").unwrap().status(),
+        202
+    );
+    wait_for("a notice that is not taken", || {
+        program.log().contains("notices not taken")
+    });
     // One that cannot be read changes nothing.
     site.folder.file("config.json", "{");
     program.signal("HUP");
-    wait_for("the failed reading", || program.log().contains("configuration kept as it was"));
-    assert_eq!(raw(at, b"GET /ready HTTP/1.1\r\n\r\n").unwrap().status(), 200);
+    wait_for("the failed reading", || {
+        program.log().contains("configuration kept as it was")
+    });
+    assert_eq!(
+        raw(at, b"GET /ready HTTP/1.1\r\n\r\n").unwrap().status(),
+        200
+    );
 
     let second = Discovery::start(0);
     site.configure(&second);
     program.signal("HUP");
-    wait_for("the notice at the new address", || second.told().contains("\"owed\""));
+    wait_for("the notice at the new address", || {
+        second.told().contains("\"owed\"")
+    });
     let host = StandIn::start(|_| ok());
-    let news = format!("{{\"revision\":1,\"complete\":true,\"members\":[{}]}}\n", member(host.at, "SERVING"));
+    let news = format!(
+        "{{\"revision\":1,\"complete\":true,\"members\":[{}]}}\n",
+        member(host.at, "SERVING")
+    );
     second.lines.lock().unwrap().extend(news.into_bytes());
-    wait_for("the watch at the new address", || second.server.count() >= 2);
-    assert!(second.server.seen.lock().unwrap().iter().any(|seen| seen.first.contains("since=0 ")));
+    wait_for("the watch at the new address", || {
+        second.server.count() >= 2
+    });
+    assert!(second
+        .server
+        .seen
+        .lock()
+        .unwrap()
+        .iter()
+        .any(|seen| seen.first.contains("since=0 ")));
     // Once the news is in, the listed host is the one that is called.
     let mut n = 0;
     wait_for("a leg to the host listed there", || {
@@ -130,14 +199,28 @@
     let site = Site::new("drains", host.at, "6000", 0);
     let program = site.start();
     let at = program.address(MARKER, 0);
-    assert_eq!(hand(at, "before", "refill-status", "3000").unwrap().status(), 202);
+    assert_eq!(
+        hand(at, "before", "refill-status", "3000")
+            .unwrap()
+            .status(),
+        202
+    );
     wait_for("a leg", || host.count() == 1);
-    let news =
-        format!("{{\"revision\":42,\"complete\":false,\"members\":[{}]}}\n", member(host.at, "DRAINING"));
-    site.discovery.lines.lock().unwrap().extend(news.into_bytes());
+    let news = format!(
+        "{{\"revision\":42,\"complete\":false,\"members\":[{}]}}\n",
+        member(host.at, "DRAINING")
+    );
+    site.discovery
+        .lines
+        .lock()
+        .unwrap()
+        .extend(news.into_bytes());
     wait_for("the drain", || program.log().contains("code=\"draining\""));
     let before = host.count();
-    assert_eq!(hand(at, "after", "refill-status", "1500").unwrap().status(), 202);
+    assert_eq!(
+        hand(at, "after", "refill-status", "1500").unwrap().status(),
+        202
+    );
     wait_for("its end", || site.discovery.told().contains("\"after\""));
     assert_eq!(host.count(), before);
 }
@@ -149,14 +232,24 @@
     let mut program = site.start();
     let at = program.address(MARKER, 0);
     for n in 1..=4 {
-        assert_eq!(hand(at, &format!("m-{n}"), "refill-order", "9000").unwrap().status(), 202);
+        assert_eq!(
+            hand(at, &format!("m-{n}"), "refill-order", "9000")
+                .unwrap()
+                .status(),
+            202
+        );
         // Only once it is closed does the next leg find it so.
-        wait_for("the connection's end", || host.closed.load(Ordering::SeqCst) == n);
+        wait_for("the connection's end", || {
+            host.closed.load(Ordering::SeqCst) == n
+        });
     }
     program.signal("TERM");
     assert!(program.ended());
     let log = program.log();
-    assert!(log.contains("delivered=4 ") && log.contains("resets=0 "), "{log}");
+    assert!(
+        log.contains("delivered=4 ") && log.contains("resets=0 "),
+        "{log}"
+    );
 }
 
 #[test]
@@ -173,7 +266,10 @@
     let site = Site::new("leaves", host.at, "6000", 0);
     let mut program = site.start();
     let at = program.address(MARKER, 0);
-    assert_eq!(hand(at, "held", "refill-status", "20000").unwrap().status(), 202);
+    assert_eq!(
+        hand(at, "held", "refill-status", "20000").unwrap().status(),
+        202
+    );
     wait_for("the leg that is turned away", || host.count() == 1);
     program.signal("TERM");
     assert!(program.ended(), "{}", program.log());
@@ -182,7 +278,10 @@
     let program = site.start();
     program.address(MARKER, 0);
     wait_for("its delivery in the next life", || host.count() == 2);
-    assert_eq!(host.seen.lock().unwrap()[1].field("x-call-id"), Some("held"));
+    assert_eq!(
+        host.seen.lock().unwrap()[1].field("x-call-id"),
+        Some("held")
+    );
     assert_eq!(site.discovery.told(), "");
 }
 
@@ -197,7 +296,8 @@
         let at = program.address(MARKER, 0);
         // Half a request holds the process to the last moment that it has.
         let mut half = TcpStream::connect(at).unwrap();
-        half.write_all(if busy { b"POST /api HTTP/1.1\r\n" } else { b"" }).unwrap();
+        half.write_all(if busy { b"POST /api HTTP/1.1\r\n" } else { b"" })
+            .unwrap();
         if !busy {
             drop(half);
         }
@@ -205,8 +305,13 @@
         // Who comes before that is answered.
         let answer = hand(at, "late", "refill-status", "20000").unwrap();
         assert!([202, 503].contains(&answer.status()));
-        wait_for("its listener to be let go", || program.log().contains("no longer accepts connections"));
-        assert!(TcpStream::connect(at).is_err(), "it listens on after it said that it does not");
+        wait_for("its listener to be let go", || {
+            program.log().contains("no longer accepts connections")
+        });
+        assert!(
+            TcpStream::connect(at).is_err(),
+            "it listens on after it said that it does not"
+        );
         assert!(program.ended(), "{}", program.log());
     }
 }
@@ -219,10 +324,14 @@
     let at = program.address(MARKER, 0);
     bears_bad_clients(at, "/api");
     // Here clients send one request at a time: what stands behind one makes it unreadable.
-    let fields = "X-Call-Id: c\r\nX-Call-Class: refill-status\r\nX-Budget-Ms: 900\r\nX-Envelope: dest=3";
+    let fields =
+        "X-Call-Id: c\r\nX-Call-Class: refill-status\r\nX-Budget-Ms: 900\r\nX-Envelope: dest=3";
     let one = format!("POST /api HTTP/1.1\r\n{fields}\r\nContent-Length: 1\r\n\r\nx");
     for more in ["y".to_owned(), one.repeat(300)] {
-        assert_eq!(raw(at, format!("{one}{more}").as_bytes()).unwrap().status(), 400);
+        assert_eq!(
+            raw(at, format!("{one}{more}").as_bytes()).unwrap().status(),
+            400
+        );
     }
     assert_eq!(host.count(), 0);
     assert_eq!(raw(at, one.as_bytes()).unwrap().status(), 202);
@@ -249,16 +358,37 @@
     ];
     for (bytes, status) in cases {
         let answer = raw(at, bytes).map(|answer| answer.status());
-        assert_eq!(answer, Some(status), "{}", String::from_utf8_lossy(&bytes[..bytes.len().min(80)]));
+        assert_eq!(
+            answer,
+            Some(status),
+            "{}",
+            String::from_utf8_lossy(&bytes[..bytes.len().min(80)])
+        );
     }
     assert_eq!(hand(at, "m", "no-such-class", "900").unwrap().status(), 400);
-    for budget in ["soon", "-1", "+900", "9e2", "900.5", "99999999999999999999999"] {
-        assert_eq!(hand(at, "m", "refill-order", budget).unwrap().status(), 400, "{budget}");
+    for budget in [
+        "soon",
+        "-1",
+        "+900",
+        "9e2",
+        "900.5",
+        "99999999999999999999999",
+    ] {
+        assert_eq!(
+            hand(at, "m", "refill-order", budget).unwrap().status(),
+            400,
+            "{budget}"
+        );
     }
     for id in ["a b", "\u{e9}", &"x".repeat(300)] {
-        assert_eq!(hand(at, id, "refill-order", "900").unwrap().status(), 400, "{id}");
+        assert_eq!(
+            hand(at, id, "refill-order", "900").unwrap().status(),
+            400,
+            "{id}"
+        );
     }
-    let keyless = b"POST /api HTTP/1.1\r\nX-Call-Id: c\r\nX-Call-Class: refill-order\r\nX-Budget-Ms: 900\r\n\
+    let keyless =
+        b"POST /api HTTP/1.1\r\nX-Call-Id: c\r\nX-Call-Class: refill-order\r\nX-Budget-Ms: 900\r\n\
         X-Envelope: dest=3\r\nContent-Length: 0\r\n\r\n";
     assert_eq!(raw(at, keyless).unwrap().status(), 400);
     let chunked =
--- a/crates/cli/tests/rosters.rs
+++ b/crates/cli/tests/rosters.rs
@@ -52,20 +52,37 @@
 const LOOSE: &str = "max_kb = 64\nmost_weight_lost = 1.0\nmost_endpoints_lost = 1.0";
 
 fn endpoint(name: &str, address: SocketAddr, weight: f64) -> Endpoint {
-    Endpoint { name: name.to_owned(), address, weight, zone: String::new(), draining: false }
+    Endpoint {
+        name: name.to_owned(),
+        address,
+        weight,
+        zone: String::new(),
+        draining: false,
+    }
 }
 
 fn roster(revision: u64, lists: &[(&str, Vec<Endpoint>)]) -> Roster {
     let destination = |(name, endpoints): &(&str, Vec<Endpoint>)| {
-        (name.to_string(), Destination { endpoints: endpoints.clone() })
+        (
+            name.to_string(),
+            Destination {
+                endpoints: endpoints.clone(),
+            },
+        )
     };
-    Roster { revision, destinations: lists.iter().map(destination).collect(), allow_loss: None }
+    Roster {
+        revision,
+        destinations: lists.iter().map(destination).collect(),
+        allow_loss: None,
+    }
 }
 
 /// Waits until a list is kept, and so about to be in force.
 fn taken(folder: &Folder, file: &str, text: &str) {
     let kept = folder.0.join("home/rosters").join(format!("{file}.good"));
-    wait_for("the list to be taken up", || fs::read_to_string(&kept).is_ok_and(|kept| kept == text));
+    wait_for("the list to be taken up", || {
+        fs::read_to_string(&kept).is_ok_and(|kept| kept == text)
+    });
 }
 
 /// Replaces a file in one of the ways of editors and scripts.
@@ -83,8 +100,12 @@
         }
         _ => {
             // In place and piece by piece, over what stood there before; cut to its length at the very end.
-            let mut file =
-                fs::OpenOptions::new().write(true).create(true).truncate(false).open(path).unwrap();
+            let mut file = fs::OpenOptions::new()
+                .write(true)
+                .create(true)
+                .truncate(false)
+                .open(path)
+                .unwrap();
             for piece in bytes.chunks(bytes.len().div_ceil(3).max(1)) {
                 file.write_all(piece).unwrap();
                 thread::yield_now();
@@ -98,7 +119,11 @@
 fn spoilt(rng: &mut Pcg64, good: &Roster, last: &str, trap: SocketAddr) -> Vec<u8> {
     let mut trapped = good.clone();
     trapped.revision += 1;
-    for endpoint in trapped.destinations.values_mut().flat_map(|to| &mut to.endpoints) {
+    for endpoint in trapped
+        .destinations
+        .values_mut()
+        .flat_map(|to| &mut to.endpoints)
+    {
         endpoint.address = trap;
     }
     let whole = trapped.print();
@@ -111,7 +136,11 @@
             // The head of the new one, the tail of the old one, cut behind the line that holds the revision and
             // before the last one.
             let at = rng.random_range(ends[0]..ends[ends.len() - 2]);
-            [&whole.as_bytes()[..at], last.as_bytes().get(at..).unwrap_or_default()].concat()
+            [
+                &whole.as_bytes()[..at],
+                last.as_bytes().get(at..).unwrap_or_default(),
+            ]
+            .concat()
         }
         3 => {
             trapped
@@ -127,8 +156,13 @@
             trapped.print().into_bytes()
         }
         5 => [whole.as_bytes(), &vec![b'#'; 70 * 1024]].concat(),
-        6 => (0..rng.random_range(1..500)).map(|_| rng.random()).collect(),
-        _ => whole.replacen("weight = ", "weight = -", 1).replace("-0.0", "-1.0").into_bytes(),
+        6 => (0..rng.random_range(1..500))
+            .map(|_| rng.random())
+            .collect(),
+        _ => whole
+            .replacen("weight = ", "weight = -", 1)
+            .replace("-0.0", "-1.0")
+            .into_bytes(),
     }
 }
 
@@ -153,7 +187,8 @@
             let mut list: Vec<Endpoint> = (first..first + 3)
                 .filter_map(|n| {
                     let weight = f64::from(rng.random_range(0..5u32));
-                    rng.random_bool(0.7).then(|| endpoint(&format!("e{n}"), stand_ins[n].at, weight))
+                    rng.random_bool(0.7)
+                        .then(|| endpoint(&format!("e{n}"), stand_ins[n].at, weight))
                 })
                 .collect();
             if !list.iter().any(Endpoint::serves) {
@@ -174,7 +209,10 @@
 
     // Since when each list was the newest good one, and from when on it surely was in force.
     let mut lists = vec![(Instant::now(), Instant::now(), good.clone())];
-    let (over, next) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+    let (over, next) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicUsize::new(0)),
+    );
     let clients: Vec<_> = (0..4)
         .map(|client| {
             let (over, next) = (over.clone(), next.clone());
@@ -182,7 +220,8 @@
                 while !over.load(Ordering::SeqCst) {
                     let id = next.fetch_add(1, Ordering::SeqCst).to_string();
                     let clinic = PARTNERS[client % 2];
-                    let status = event(at, &id, "status", clinic, "", b"1").map(|answer| answer.status());
+                    let status =
+                        event(at, &id, "status", clinic, "", b"1").map(|answer| answer.status());
                     assert_eq!(status, Some(204), "event {id}");
                     // A pace for the load, nothing waits for it.
                     thread::sleep(Duration::from_millis(3));
@@ -210,7 +249,9 @@
         }
     }
     over.store(true, Ordering::SeqCst);
-    clients.into_iter().for_each(|client| client.join().unwrap());
+    clients
+        .into_iter()
+        .for_each(|client| client.join().unwrap());
 
     assert_eq!(trap.count(), 0, "an invalid list was followed");
     let mut calls = Vec::new();
@@ -218,7 +259,11 @@
         let seen = one.seen.lock().unwrap();
         calls.extend(seen.iter().map(|message| {
             let id = message.field("ce-id").unwrap().to_owned();
-            Call { stand_in, came: message.came.unwrap(), id }
+            Call {
+                stand_in,
+                came: message.came.unwrap(),
+                id,
+            }
         }));
     }
     let mut runs: HashMap<&str, usize> = HashMap::new();
@@ -228,20 +273,31 @@
             let mut all = list.destinations.values().flat_map(|to| &to.endpoints);
             all.any(|endpoint| endpoint.serves() && endpoint.address == stand_ins[call.stand_in].at)
         };
-        let ends = lists.iter().skip(1).map(|(_, taken, _)| Some(*taken + GRACE)).chain([None]);
-        let in_force = lists
+        let ends = lists
             .iter()
-            .zip(ends)
-            .filter(|((written, ..), end)| *written <= call.came && end.is_none_or(|end| call.came <= end));
+            .skip(1)
+            .map(|(_, taken, _)| Some(*taken + GRACE))
+            .chain([None]);
+        let in_force = lists.iter().zip(ends).filter(|((written, ..), end)| {
+            *written <= call.came && end.is_none_or(|end| call.came <= end)
+        });
         let mut in_force = in_force.map(|((.., list), _)| list);
-        assert!(in_force.any(serves), "event {} at stand-in {}", call.id, call.stand_in);
+        assert!(
+            in_force.any(serves),
+            "event {} at stand-in {}",
+            call.id,
+            call.stand_in
+        );
     }
     assert!(lists.len() > 20, "too few lists to tell: {}", lists.len());
     let handed_in = next.load(Ordering::SeqCst);
     assert!(handed_in > 500, "too little traffic to tell: {handed_in}");
     assert_eq!(runs.len(), handed_in, "lost");
     assert!(runs.values().all(|count| *count == 1), "doubled");
-    assert!(!program.log().contains("takes up a change"), "the instance was started again");
+    assert!(
+        !program.log().contains("takes up a change"),
+        "the instance was started again"
+    );
 }
 
 #[test]
@@ -274,7 +330,12 @@
         wait_for("the right endpoint", || {
             let before = to.count();
             tried += 1;
-            assert_eq!(event(at, &format!("{id}-{tried}"), "status", "a", "", b"").unwrap().status(), 204);
+            assert_eq!(
+                event(at, &format!("{id}-{tried}"), "status", "a", "", b"")
+                    .unwrap()
+                    .status(),
+                204
+            );
             to.count() > before
         });
     };
@@ -288,20 +349,40 @@
     let link = rosters.join("all.toml");
     let shown = || run(&["roster", "show", text(&folder.0.join("home"))]).1;
     fs::remove_file(&link).unwrap();
-    wait_for("the missing file", || shown().contains("the file is missing"));
+    wait_for("the missing file", || {
+        shown().contains("the file is missing")
+    });
     fs::create_dir(&link).unwrap();
-    wait_for("the folder in its place", || shown().contains("no plain file"));
+    wait_for("the folder in its place", || {
+        shown().contains("no plain file")
+    });
     fs::remove_dir(&link).unwrap();
-    assert!(std::process::Command::new("mkfifo").arg(&link).status().unwrap().success());
-    wait_for("the pipe in its place", || program.log().matches("no plain file").count() >= 1);
+    assert!(std::process::Command::new("mkfifo")
+        .arg(&link)
+        .status()
+        .unwrap()
+        .success());
+    wait_for("the pipe in its place", || {
+        program.log().matches("no plain file").count() >= 1
+    });
     fs::remove_file(&link).unwrap();
-    fs::write(&link, second.replace("revision = 2\n\n[end]", "revision = 2\n\n")).unwrap();
+    fs::write(
+        &link,
+        second.replace("revision = 2\n\n[end]", "revision = 2\n\n"),
+    )
+    .unwrap();
     fs::write(&link, &second[..second.len() / 2]).unwrap();
     wait_for("the cut file", || shown().contains("the file is refused"));
-    assert!(shown().contains("all.toml: revision 2 with 2 destinations"), "{}", shown());
+    assert!(
+        shown().contains("all.toml: revision 2 with 2 destinations"),
+        "{}",
+        shown()
+    );
     let away = folder.0.join("away");
     fs::rename(&rosters, &away).unwrap();
-    wait_for("the folder to be gone", || program.log().contains("roster-unreadable"));
+    wait_for("the folder to be gone", || {
+        program.log().contains("roster-unreadable")
+    });
     goes_to(at, "gone", &two);
 
     // Also over a restart, killed outright, with no file there at all.
@@ -317,7 +398,11 @@
     goes_to(at, "back", &one);
 
     // Renamed: what the missing file said goes over to the new one, which may then change it.
-    let fourth = roster(1, &PARTNERS.map(|name| (name, vec![endpoint("only", two.at, 1.0)]))).print();
+    let fourth = roster(
+        1,
+        &PARTNERS.map(|name| (name, vec![endpoint("only", two.at, 1.0)])),
+    )
+    .print();
     fs::remove_file(&link).unwrap();
     fs::write(rosters.join("renamed.toml"), &fourth).unwrap();
     taken(&folder, "renamed.toml", &fourth);
@@ -332,7 +417,9 @@
     apply(&folder, &file("rosters", LOOSE));
     let program = daemon(&folder);
     let at = program.address(MARKER, 0);
-    wait_for("the word", || program.log().matches("nothing is served there").count() == 2);
+    wait_for("the word", || {
+        program.log().matches("nothing is served there").count() == 2
+    });
     let answer = event(at, "1", "status", "a", "", b"").unwrap();
     assert_eq!(answer.status(), 429, "declined, not refused for good");
     assert!(answer.field("retry-after").is_some());
@@ -341,8 +428,13 @@
     let list = roster(1, &[("a", vec![endpoint("only", one.at, 1.0)])]).print();
     fs::write(folder.0.join("rosters/a.toml"), &list).unwrap();
     taken(&folder, "a.toml", &list);
-    wait_for("the delivery", || event(at, "2", "status", "a", "", b"").unwrap().status() == 204);
-    assert_eq!(event(at, "3", "status", "b", "", b"").unwrap().status(), 429);
+    wait_for("the delivery", || {
+        event(at, "2", "status", "a", "", b"").unwrap().status() == 204
+    });
+    assert_eq!(
+        event(at, "3", "status", "b", "", b"").unwrap().status(),
+        429
+    );
 }
 
 #[test]
@@ -358,17 +450,30 @@
     let folder = Folder::in_memory("drain");
     let path = folder.0.join("roster.toml");
     let list = |revision, weight: f64| {
-        let both = vec![endpoint("one", one.at, weight), endpoint("two", two.at, 1.0)];
-        roster(revision, &[("a", both), ("b", vec![endpoint("b", two.at, 1.0)])]).print()
+        let both = vec![
+            endpoint("one", one.at, weight),
+            endpoint("two", two.at, 1.0),
+        ];
+        roster(
+            revision,
+            &[("a", both), ("b", vec![endpoint("b", two.at, 1.0)])],
+        )
+        .print()
     };
     // Nearly all of the weight stands on the first, so that it carries everything.
     let first = list(1, 1000.0).replace("weight = 1.0", "weight = 0.001");
     fs::write(&path, &first).unwrap();
-    apply(&folder, &file("roster.toml", LOOSE).replace("slots = 64", "slots = 200"));
+    apply(
+        &folder,
+        &file("roster.toml", LOOSE).replace("slots = 64", "slots = 200"),
+    );
     let program = daemon(&folder);
     let at = program.address(MARKER, 0);
     // One that is met is not held to the few calls of an unmet route.
-    assert_eq!(event(at, "met", "status", "a", "", b"").unwrap().status(), 204);
+    assert_eq!(
+        event(at, "met", "status", "a", "", b"").unwrap().status(),
+        204
+    );
     let mut kept = TcpStream::connect(at).unwrap();
     let mut ask = |id: usize| {
         let head = format!(
@@ -376,7 +481,9 @@
              ce-clinic: b\r\nContent-Length: 0\r\n\r\n"
         );
         kept.write_all(head.as_bytes()).unwrap();
-        Message::read(&mut BufReader::new(&kept)).expect("an answer on the same connection").status()
+        Message::read(&mut BufReader::new(&kept))
+            .expect("an answer on the same connection")
+            .status()
     };
     assert_eq!(ask(1), 204);
     let over = Arc::new(AtomicBool::new(false));
@@ -389,8 +496,9 @@
                     if over.load(Ordering::SeqCst) {
                         break;
                     }
-                    let status =
-                        event(at, &format!("{caller}-{call}"), "status", "a", "", b"").unwrap().status();
+                    let status = event(at, &format!("{caller}-{call}"), "status", "a", "", b"")
+                        .unwrap()
+                        .status();
                     *ends.entry(status).or_default() += 1;
                 }
                 ends
@@ -410,27 +518,50 @@
     });
     over.store(true, Ordering::SeqCst);
     let ends: Vec<_> = callers.into_iter().map(|one| one.join().unwrap()).collect();
-    assert!(ends.iter().all(|ends| ends.keys().eq([&204])), "what was out finishes: {ends:?}");
+    assert!(
+        ends.iter().all(|ends| ends.keys().eq([&204])),
+        "what was out finishes: {ends:?}"
+    );
     assert_eq!(ask(2), 204, "the client's connection outlasts the change");
-    let late = one.seen.lock().unwrap().iter().filter(|call| call.came.unwrap() > drained).count();
+    let late = one
+        .seen
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|call| call.came.unwrap() > drained)
+        .count();
     assert_eq!(late, 0, "nothing new to what is drained");
-    assert!(!program.log().contains("takes up a change"), "{}", program.log());
+    assert!(
+        !program.log().contains("takes up a change"),
+        "{}",
+        program.log()
+    );
 }
 
 #[test]
 fn what_comes_without_a_list_is_said_and_what_is_no_longer_watched_is_not_shown() {
     let one = StandIn::start(|_| ok());
     let folder = Folder::new("unlisted");
-    let list =
-        roster(1, &[("a", vec![endpoint("one", one.at, 1.0)]), ("b", vec![endpoint("two", one.at, 1.0)])]);
+    let list = roster(
+        1,
+        &[
+            ("a", vec![endpoint("one", one.at, 1.0)]),
+            ("b", vec![endpoint("two", one.at, 1.0)]),
+        ],
+    );
     fs::write(folder.0.join("roster.toml"), list.print()).unwrap();
     let text = file("roster.toml", LOOSE);
     apply(&folder, &text);
     let program = daemon(&folder);
     program.address(MARKER, 0);
     assert!(!program.log().contains("no-roster"), "{}", program.log());
-    apply(&folder, &text.replace("[roster]", "[destination.late]\nrate = 1\n[roster]"));
-    wait_for("a line on the destination", || program.log().contains("no-roster"));
+    apply(
+        &folder,
+        &text.replace("[roster]", "[destination.late]\nrate = 1\n[roster]"),
+    );
+    wait_for("a line on the destination", || {
+        program.log().contains("no-roster")
+    });
     let status = folder.0.join("home/rosters/status.json");
     assert!(fs::read_to_string(&status).unwrap().contains("roster.toml"));
     let given = format!("endpoints = [{{ name = \"x\", address = \"{}\" }}]", one.at);
@@ -439,7 +570,9 @@
     let without = before.replacen("rate = 400", &given, 1);
     let without = without.replace("rate = 400", &given.replace("\"x\"", "\"y\""));
     apply(&folder, &format!("{without}[instance{rest}"));
-    wait_for("an empty status", || !fs::read_to_string(&status).unwrap().contains("roster.toml"));
+    wait_for("an empty status", || {
+        !fs::read_to_string(&status).unwrap().contains("roster.toml")
+    });
 }
 
 #[test]
@@ -447,18 +580,30 @@
     let folder = Folder::new("words");
     let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
     let list = |revision, weight| {
-        roster(revision, &[("a", vec![endpoint("x", at(9), weight), endpoint("y", at(10), 1.0)])])
+        roster(
+            revision,
+            &[(
+                "a",
+                vec![endpoint("x", at(9), weight), endpoint("y", at(10), 1.0)],
+            )],
+        )
     };
     let (old, new) = (list(1, 1.0), list(2, 3.0));
     let old = folder.file("old.toml", &old.print());
     let new = folder.file("new.toml", &new.print());
     let fleet = folder.file("fleet.toml", &file("rosters", ""));
-    let bad = folder.file("bad.toml", &list(3, 1.0).print().replace("127.0.0.1:10", "127.0.0.1:0"));
+    let bad = folder.file(
+        "bad.toml",
+        &list(3, 1.0).print().replace("127.0.0.1:10", "127.0.0.1:0"),
+    );
 
     let (code, said) = run_coded(&["roster", "diff", text(&old), text(&new)]);
     assert_eq!(
         (code, said.as_str()),
-        (0, "~ a/x weight 1 -> 3\nrevision 1 to 2: 0 to add, 1 to change, 0 to remove\n")
+        (
+            0,
+            "~ a/x weight 1 -> 3\nrevision 1 to 2: 0 to add, 1 to change, 0 to remove\n"
+        )
     );
     let (code, said) = run_coded(&["roster", "check", text(&old), "--fleet", text(&fleet)]);
     assert!(code == 0 && said.contains("old.toml: good"), "{said}");
@@ -471,14 +616,25 @@
         "{said}"
     );
     let (code, said) = run_coded(&["roster", "check", text(&old), text(&new)]);
-    assert!(code == 1 && said.contains("stands in"), "a destination in two files: {said}");
+    assert!(
+        code == 1 && said.contains("stands in"),
+        "a destination in two files: {said}"
+    );
     let (code, said) = run_coded(&["roster", "check", "--format", "json", text(&bad)]);
     let told: serde_json::Value = serde_json::from_str(&said).unwrap();
-    assert_eq!((code, &told["reports"][0]["faults"][0]["code"]), (1, &"bad-address".into()));
+    assert_eq!(
+        (code, &told["reports"][0]["faults"][0]["code"]),
+        (1, &"bad-address".into())
+    );
     assert_eq!(told["reports"][0]["faults"][0]["line"], 6);
     let (code, said) = run_coded(&["roster", "check", "/nowhere.toml"]);
     assert!(code == 1 && said.contains("/nowhere.toml"), "{said}");
-    for words in [&["roster", "check"][..], &["roster"], &["unheard-of"], &["plan"]] {
+    for words in [
+        &["roster", "check"][..],
+        &["roster"],
+        &["unheard-of"],
+        &["plan"],
+    ] {
         assert_eq!(run_coded(words).0, 2, "{words:?}");
     }
     let (code, said) = run_coded(&["roster", "check", "--help"]);
--- a/crates/control-plane/src/build.rs
+++ b/crates/control-plane/src/build.rs
@@ -36,7 +36,10 @@
     }
 
     fn id(&self, name: &str) -> Option<m::ClassId> {
-        self.0.iter().position(|(known, _)| known == name).map(m::ClassId)
+        self.0
+            .iter()
+            .position(|(known, _)| known == name)
+            .map(m::ClassId)
     }
 }
 
@@ -45,9 +48,19 @@
     let fixed = |share: &Fleet| {
         let instance = share.instances.get(name)?;
         let events = instance.events.as_ref().map(|front| front.listen);
-        let relay = instance.relay.as_ref().map(|front| (front.listen, front.notices));
+        let relay = instance
+            .relay
+            .as_ref()
+            .map(|front| (front.listen, front.notices));
         let limits = &share.limits;
-        Some((events, relay, limits.sockets, limits.disk_mb.to_bits(), limits.dial_ms, limits.idle_ms))
+        Some((
+            events,
+            relay,
+            limits.sockets,
+            limits.disk_mb.to_bits(),
+            limits.dial_ms,
+            limits.idle_ms,
+        ))
     };
     fixed(old).is_some() && fixed(old) == fixed(new)
 }
@@ -108,16 +121,28 @@
         classes: classes.names(),
         destination_table,
     };
-    PolicyUpdate { change, relay: relay(name, share, classes), events: events(name, share, classes, listing) }
+    PolicyUpdate {
+        change,
+        relay: relay(name, share, classes),
+        events: events(name, share, classes, listing),
+    }
 }
 
-fn events(name: &str, share: &Fleet, classes: &Classes, listing: &Listing) -> Option<CloudEventsFrontend> {
+fn events(
+    name: &str,
+    share: &Fleet,
+    classes: &Classes,
+    listing: &Listing,
+) -> Option<CloudEventsFrontend> {
     let front = share.instances.get(name)?.events.as_ref()?;
     let known = |class: &Class| EventClass {
         give_up_ms: class.give_up_ms as i64,
         keyed: class.repeats == Repeats::Keyed,
     };
-    let types = front.types.iter().filter_map(|(kind, class)| Some((kind.clone(), classes.id(class)?)));
+    let types = front
+        .types
+        .iter()
+        .filter_map(|(kind, class)| Some((kind.clone(), classes.id(class)?)));
     Some(CloudEventsFrontend {
         path: front.path.clone(),
         destination_attribute: front.destination_attribute.clone(),
@@ -131,7 +156,10 @@
 fn relay(name: &str, share: &Fleet, classes: &Classes) -> Option<PlatformFrontend> {
     let front = share.instances.get(name)?.relay.as_ref()?;
     let number = |name: &str| m::DestinationId(number_of(name));
-    let numbers = front.numbers.iter().filter_map(|(text, name)| Some((text.parse().ok()?, number(name))));
+    let numbers = front
+        .numbers
+        .iter()
+        .filter_map(|(text, name)| Some((text.parse().ok()?, number(name))));
     // A class that the file no longer names is none for whoever hands in.
     let current = |(name, _): &(String, Class)| match share.classes.contains_key(name) {
         true => name.clone(),
@@ -139,7 +167,11 @@
     };
     Some(PlatformFrontend {
         classes: classes.0.iter().map(current).collect(),
-        keyed: classes.0.iter().map(|(_, class)| class.repeats == Repeats::Keyed).collect(),
+        keyed: classes
+            .0
+            .iter()
+            .map(|(_, class)| class.repeats == Repeats::Keyed)
+            .collect(),
         numbers: Some(numbers.collect()),
     })
 }
@@ -149,7 +181,11 @@
     EngineSettings {
         scheduler: settings(share, classes),
         seed: since.map_or(0, |since| since.as_nanos() as u64),
-        remember_ms: classes.0.iter().map(|(_, class)| class.remember_s as i64 * 1000).collect(),
+        remember_ms: classes
+            .0
+            .iter()
+            .map(|(_, class)| class.remember_s as i64 * 1000)
+            .collect(),
         max_remembered: share.limits.remember,
     }
 }
@@ -174,7 +210,10 @@
     };
     m::Settings {
         classes: classes.0.iter().map(|(_, known)| class(known)).collect(),
-        kinds: vec![m::DestinationKind { separate_routes: false, max_batch: 1 }],
+        kinds: vec![m::DestinationKind {
+            separate_routes: false,
+            max_batch: 1,
+        }],
         zone_fees: vec![0.0],
         value_decay: m::ValueDecay::Linear,
         limits: m::Limits {
--- a/crates/control-plane/src/file.rs
+++ b/crates/control-plane/src/file.rs
@@ -286,27 +286,32 @@
 impl Fleet {
     /// Reads an operator's file from disk; errors name it.
     pub fn read(path: &Path) -> Result<Fleet, String> {
-        let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
-        let mut fleet = Fleet::parse(&text).map_err(|cause| format!("{}:\n{cause}", path.display()))?;
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| format!("{}: {error}", path.display()))?;
+        let mut fleet =
+            Fleet::parse(&text).map_err(|cause| format!("{}:\n{cause}", path.display()))?;
         if let Some(roster) = &mut fleet.roster {
             // The daemon may run in another folder than the operator who plans.
             let folder = path.parent().unwrap_or(Path::new(""));
-            roster.path =
-                std::path::absolute(folder.join(&roster.path)).map_err(|error| error.to_string())?;
+            roster.path = std::path::absolute(folder.join(&roster.path))
+                .map_err(|error| error.to_string())?;
         }
         Ok(fleet)
     }
 
     /// Reads an operator's file.
     pub fn parse(text: &str) -> Result<Fleet, String> {
-        let file: File = toml::from_str(text).map_err(|error| error.to_string().trim_end().to_owned())?;
+        let file: File =
+            toml::from_str(text).map_err(|error| error.to_string().trim_end().to_owned())?;
         // Found by halving: counted from the top for each entry, ten thousand took seconds.
         let breaks: Vec<usize> = text.match_indices('\n').map(|(at, _)| at).collect();
         let line = |span: Range<usize>| breaks.partition_point(|at| *at < span.start) + 1;
         let mut wrong = Vec::new();
         for (name, class) in &file.classes {
             let at = line(class.span());
-            wrong.extend(class_fault(class.get_ref()).map(|why| format!("line {at}: class {name}: {why}")));
+            wrong.extend(
+                class_fault(class.get_ref()).map(|why| format!("line {at}: class {name}: {why}")),
+            );
         }
         let mut endpoints = BTreeSet::new();
         let mut numbers = BTreeSet::new();
@@ -328,10 +333,16 @@
             }
             for endpoint in &destination.endpoints {
                 if endpoint.name.contains('/') && file.roster.is_some() {
-                    say(format!("endpoint {}: with rosters, a name holds no /", endpoint.name));
+                    say(format!(
+                        "endpoint {}: with rosters, a name holds no /",
+                        endpoint.name
+                    ));
                 }
                 if !endpoints.insert(endpoint.name.clone()) {
-                    say(format!("endpoint {} stands in the file twice", endpoint.name));
+                    say(format!(
+                        "endpoint {} stands in the file twice",
+                        endpoint.name
+                    ));
                 }
             }
         }
@@ -342,24 +353,38 @@
                 wrong.push(format!("line {at}: instance {name}: {why}"));
             }
         }
-        if let Some(fleet) = file.fleet.as_ref().filter(|fleet| fleet.get_ref().elsewhere > ELSEWHERE_MOST) {
+        if let Some(fleet) = file
+            .fleet
+            .as_ref()
+            .filter(|fleet| fleet.get_ref().elsewhere > ELSEWHERE_MOST)
+        {
             let at = line(fleet.span());
-            wrong.push(format!("line {at}: fleet: elsewhere is {ELSEWHERE_MOST} at most"));
+            wrong.push(format!(
+                "line {at}: fleet: elsewhere is {ELSEWHERE_MOST} at most"
+            ));
         }
         if let Some(roster) = &file.roster {
             let at = line(roster.span());
-            wrong.extend(roster_fault(roster.get_ref()).map(|why| format!("line {at}: roster: {why}")));
+            wrong.extend(
+                roster_fault(roster.get_ref()).map(|why| format!("line {at}: roster: {why}")),
+            );
         }
         if let Some(group) = &file.group {
             let faults = group.get_ref().faults(group.span().start, &file.instances);
-            wrong.extend(faults.into_iter().map(|(at, why)| format!("line {}: {why}", line(at..at))));
+            wrong.extend(
+                faults
+                    .into_iter()
+                    .map(|(at, why)| format!("line {}: {why}", line(at..at))),
+            );
         }
         wrong.extend(limits_fault(&file.limits).map(|why| format!("limits: {why}")));
         if !wrong.is_empty() {
             return Err(wrong.join("\n"));
         }
         fn bare<T>(all: BTreeMap<String, Spanned<T>>) -> BTreeMap<String, T> {
-            all.into_iter().map(|(name, entry)| (name, entry.into_inner())).collect()
+            all.into_iter()
+                .map(|(name, entry)| (name, entry.into_inner()))
+                .collect()
         }
         Ok(Fleet {
             limits: file.limits,
@@ -377,14 +402,27 @@
     /// All that one instance depends on: when this changes, the instance takes it up.
     pub fn share_of(&self, name: &str) -> Option<Fleet> {
         let mut instance = self.instances.get(name)?.clone();
-        let limits = instance.limits.take().unwrap_or_else(|| self.limits.clone());
+        let limits = instance
+            .limits
+            .take()
+            .unwrap_or_else(|| self.limits.clone());
         let instances = BTreeMap::from([(name.to_owned(), instance)]);
         // Destinations are in the directory, which changes while an instance runs.
         let (classes, destinations) = (self.classes.clone(), BTreeMap::new());
         // Where rosters are is the daemon's own matter: an instance takes their changes up as it runs.
         let (roster, rostered, elsewhere, group) = (None, None, 0, None);
         let couriers = self.instances.len() + self.elsewhere;
-        Some(Fleet { limits, classes, destinations, instances, elsewhere, roster, group, rostered, couriers })
+        Some(Fleet {
+            limits,
+            classes,
+            destinations,
+            instances,
+            elsewhere,
+            roster,
+            group,
+            rostered,
+            couriers,
+        })
     }
 
     /// What rosters must keep to under this file.
@@ -393,9 +431,17 @@
             true => Standing::Rostered,
             false => Standing::Fixed,
         };
-        let own = || self.destinations.iter().map(|(name, to)| (name.clone(), standing(to))).collect();
+        let own = || {
+            self.destinations
+                .iter()
+                .map(|(name, to)| (name.clone(), standing(to)))
+                .collect()
+        };
         let partners = self.rostered.clone().unwrap_or_else(own);
-        let terms = Terms { partners: Some(partners), ..Terms::default() };
+        let terms = Terms {
+            partners: Some(partners),
+            ..Terms::default()
+        };
         match &self.roster {
             None => terms,
             Some(source) => Terms {
@@ -441,7 +487,8 @@
     if !(1..=1 << 20).contains(&roster.max_kb) {
         return Some("max_kb is 1 at least and 1,048,576 at most");
     }
-    (!(50..=3_600_000).contains(&roster.poll_ms)).then_some("poll_ms is 50 at least and an hour at most")
+    (!(50..=3_600_000).contains(&roster.poll_ms))
+        .then_some("poll_ms is 50 at least and an hour at most")
 }
 
 fn limits_fault(limits: &Limits) -> Option<&'static str> {
@@ -463,25 +510,41 @@
 ) -> Vec<String> {
     let mut wrong = Vec::new();
     // The name is also the name of its folder.
-    if name.is_empty() || !name.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_".contains(&byte)) {
+    if name.is_empty()
+        || !name
+            .bytes()
+            .all(|byte| byte.is_ascii_alphanumeric() || b"-_".contains(&byte))
+    {
         wrong.push("a name holds letters, digits, - and _ only".to_owned());
     }
     if instance.events.is_none() && instance.relay.is_none() {
         wrong.push("no front is on".to_owned());
     }
-    wrong.extend(instance.limits.as_ref().and_then(limits_fault).map(str::to_owned));
+    wrong.extend(
+        instance
+            .limits
+            .as_ref()
+            .and_then(limits_fault)
+            .map(str::to_owned),
+    );
     if let Some(events) = &instance.events {
         if !is_path(&events.path) {
             wrong.push(format!("{:?} is no path", events.path));
         }
-        for (kind, class) in events.types.iter().filter(|(_, class)| !file.classes.contains_key(*class)) {
+        for (kind, class) in events
+            .types
+            .iter()
+            .filter(|(_, class)| !file.classes.contains_key(*class))
+        {
             wrong.push(format!("type {kind:?} has the unknown class {class:?}"));
         }
     }
     if let Some(relay) = &instance.relay {
         for (number, destination) in &relay.numbers {
             if number.parse::<u64>().is_err() || !file.destinations.contains_key(destination) {
-                wrong.push(format!("number {number:?} has no known destination {destination:?}"));
+                wrong.push(format!(
+                    "number {number:?} has no known destination {destination:?}"
+                ));
             }
         }
     }
@@ -503,26 +566,62 @@
     #[test]
     fn the_file_under_deploy_is_sound() {
         let fleet = Fleet::parse(GOOD).unwrap();
-        assert!(!fleet.instances.is_empty() && fleet.instances.values().all(|i| i.events.is_some()));
+        assert!(
+            !fleet.instances.is_empty() && fleet.instances.values().all(|i| i.events.is_some())
+        );
     }
 
     #[test]
     fn what_is_unknown_or_contradicts_itself_is_an_error_with_its_line() {
-        let line_of = |text: &str, part: &str| text[..text.find(part).unwrap()].matches('\n').count() + 1;
+        let line_of =
+            |text: &str, part: &str| text[..text.find(part).unwrap()].matches('\n').count() + 1;
         for (from, to, why, table) in [
             ("worth = 1", "worht = 1", "worht", "worht"),
-            ("[limits]", "[fleet]\nelsewhere = 20000\n[limits]", "elsewhere is 10000 at most", "[fleet]"),
-            ("window_ms = 6000", "", "needs window_ms", "[class.refill-order]"),
-            ("repeats = \"free\"", "repeats = \"free\"\nwindow_ms = 5", "window_ms", "[class.refill-status]"),
-            ("= \"refill-status\"", "= \"nothing\"", "unknown class", "[instance.clinics-1]"),
-            ("wanted_ms = 2500", "wanted_ms = 250000", "beyond give_up_ms", "[class.refill-order]"),
-            ("127.0.0.1:8192", "127.0.0.1:8191", "listened at twice", "[instance.clinics-2]"),
+            (
+                "[limits]",
+                "[fleet]\nelsewhere = 20000\n[limits]",
+                "elsewhere is 10000 at most",
+                "[fleet]",
+            ),
+            (
+                "window_ms = 6000",
+                "",
+                "needs window_ms",
+                "[class.refill-order]",
+            ),
+            (
+                "repeats = \"free\"",
+                "repeats = \"free\"\nwindow_ms = 5",
+                "window_ms",
+                "[class.refill-status]",
+            ),
+            (
+                "= \"refill-status\"",
+                "= \"nothing\"",
+                "unknown class",
+                "[instance.clinics-1]",
+            ),
+            (
+                "wanted_ms = 2500",
+                "wanted_ms = 250000",
+                "beyond give_up_ms",
+                "[class.refill-order]",
+            ),
+            (
+                "127.0.0.1:8192",
+                "127.0.0.1:8191",
+                "listened at twice",
+                "[instance.clinics-2]",
+            ),
         ] {
             let text = GOOD.replacen(from, to, 1);
             assert_ne!(text, GOOD, "{from}");
             let said = Fleet::parse(&text).unwrap_err();
             let place = format!("line {}", line_of(&text, table));
-            assert!(said.contains(why) && said.contains(&place), "{place}, {why}: {said}");
+            assert!(
+                said.contains(why) && said.contains(&place),
+                "{place}, {why}: {said}"
+            );
         }
     }
 }
--- a/crates/control-plane/src/file/group.rs
+++ b/crates/control-plane/src/file/group.rs
@@ -83,9 +83,26 @@
 
 impl Written {
     pub(super) fn bare(self) -> Group {
-        let Written { name, on_cut, term_ms, check_ms, stop_ms, members } = self;
-        let members = members.into_iter().map(|(name, member)| (name, member.into_inner())).collect();
-        Group { name, on_cut, term_ms, check_ms, stop_ms, members }
+        let Written {
+            name,
+            on_cut,
+            term_ms,
+            check_ms,
+            stop_ms,
+            members,
+        } = self;
+        let members = members
+            .into_iter()
+            .map(|(name, member)| (name, member.into_inner()))
+            .collect();
+        Group {
+            name,
+            on_cut,
+            term_ms,
+            check_ms,
+            stop_ms,
+            members,
+        }
     }
 
     /// What is wrong with it, each with the byte that it begins at; `at` is the group's own.
@@ -96,15 +113,27 @@
     ) -> Vec<(usize, String)> {
         let mut wrong = Vec::new();
         let name = |name: &str| {
-            !name.is_empty() && name.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_".contains(&byte))
+            !name.is_empty()
+                && name
+                    .bytes()
+                    .all(|byte| byte.is_ascii_alphanumeric() || b"-_".contains(&byte))
         };
         if !name(&self.name) {
-            wrong.push((at, "group: a name holds letters, digits, - and _ only".to_owned()));
+            wrong.push((
+                at,
+                "group: a name holds letters, digits, - and _ only".to_owned(),
+            ));
         }
-        for (what, ms) in [("term_ms", self.term_ms), ("check_ms", self.check_ms), ("stop_ms", self.stop_ms)]
-        {
+        for (what, ms) in [
+            ("term_ms", self.term_ms),
+            ("check_ms", self.check_ms),
+            ("stop_ms", self.stop_ms),
+        ] {
             if !(200..=600_000).contains(&ms) {
-                wrong.push((at, format!("group: {what} is 200 at least and 600,000 at most")));
+                wrong.push((
+                    at,
+                    format!("group: {what} is 200 at least and 600,000 at most"),
+                ));
             }
         }
         // A member that cannot be reached is passed over once its term has run out, and not before.
@@ -120,12 +149,19 @@
                 ));
             }
         }
-        let voters = self.members.values().filter(|member| member.get_ref().votes).count();
+        let voters = self
+            .members
+            .values()
+            .filter(|member| member.get_ref().votes)
+            .count();
         if voters == 0 {
             wrong.push((at, "group: no member has votes = true".to_owned()));
         }
         if voters > 9 {
-            wrong.push((at, format!("group: {voters} members vote; nine are enough for any group")));
+            wrong.push((
+                at,
+                format!("group: {voters} members vote; nine are enough for any group"),
+            ));
         }
         let (mut links, mut runs) = (BTreeMap::new(), BTreeMap::new());
         for (who, member) in &self.members {
@@ -145,12 +181,20 @@
                     say(format!("runs the unknown instance {instance:?}"));
                 }
                 if let Some(other) = runs.insert(instance, who) {
-                    say(format!("runs instance {instance:?}, as does member {other}"));
+                    say(format!(
+                        "runs instance {instance:?}, as does member {other}"
+                    ));
                 }
             }
         }
-        for (instance, place) in instances.iter().filter(|(instance, _)| !runs.contains_key(instance)) {
-            wrong.push((place.span().start, format!("instance {instance}: no member of the group runs it")));
+        for (instance, place) in instances
+            .iter()
+            .filter(|(instance, _)| !runs.contains_key(instance))
+        {
+            wrong.push((
+                place.span().start,
+                format!("instance {instance}: no member of the group runs it"),
+            ));
         }
         wrong
     }
@@ -185,16 +229,56 @@
     #[test]
     fn a_group_that_contradicts_itself_is_an_error_with_its_line() {
         for (from, to, why, line) in [
-            ("instances = [\"north-1\"]", "instances = [\"nowhere\"]", "unknown instance", 25),
-            ("instances = [\"north-1\"]", "instances = [\"east-1\"]", "as does member east", 25),
-            ("instances = [\"north-1\"]", "instances = []", "no member of the group runs it", 38),
-            ("127.0.0.1:7302", "127.0.0.1:7301", "same link as member east", 25),
+            (
+                "instances = [\"north-1\"]",
+                "instances = [\"nowhere\"]",
+                "unknown instance",
+                25,
+            ),
+            (
+                "instances = [\"north-1\"]",
+                "instances = [\"east-1\"]",
+                "as does member east",
+                25,
+            ),
+            (
+                "instances = [\"north-1\"]",
+                "instances = []",
+                "no member of the group runs it",
+                38,
+            ),
+            (
+                "127.0.0.1:7302",
+                "127.0.0.1:7301",
+                "same link as member east",
+                25,
+            ),
             ("127.0.0.1:7302", "127.0.0.1:0", "no port", 25),
             ("votes = true", "votes = false", "no member has votes", 15),
-            ("term_ms = 3000", "term_ms = 6000", "check_ms is 8500 at least", 15),
-            ("term_ms = 3000", "term_ms = 1", "term_ms is 200 at least", 15),
-            ("[group.member.south]", "[group.member.north]", "duplicate key", 30),
-            ("on_cut = \"stop\"", "on_cut = \"wait\"", "unknown variant", 17),
+            (
+                "term_ms = 3000",
+                "term_ms = 6000",
+                "check_ms is 8500 at least",
+                15,
+            ),
+            (
+                "term_ms = 3000",
+                "term_ms = 1",
+                "term_ms is 200 at least",
+                15,
+            ),
+            (
+                "[group.member.south]",
+                "[group.member.north]",
+                "duplicate key",
+                30,
+            ),
+            (
+                "on_cut = \"stop\"",
+                "on_cut = \"wait\"",
+                "unknown variant",
+                17,
+            ),
         ] {
             let text = GOOD.replace(from, to);
             assert_ne!(text, GOOD, "{from}");
@@ -205,7 +289,12 @@
             );
         }
         let even = GOOD.replacen("votes = true", "votes = false", 1);
-        let warning = Fleet::parse(&even).unwrap().group.unwrap().warning().unwrap();
+        let warning = Fleet::parse(&even)
+            .unwrap()
+            .group
+            .unwrap()
+            .warning()
+            .unwrap();
         assert!(warning.starts_with("2 members vote"), "{warning}");
     }
 }
--- a/crates/control-plane/src/group.rs
+++ b/crates/control-plane/src/group.rs
@@ -70,7 +70,9 @@
         let mut group = Applied::read(home)?.fleet.group;
         if let (None, Some(text)) = (&group, &founding) {
             let fleet: Result<Fleet, _> = serde_json::from_slice(text);
-            group = fleet.map_err(|error| format!("{}: {error}", founded.display()))?.group;
+            group = fleet
+                .map_err(|error| format!("{}: {error}", founded.display()))?
+                .group;
         }
         let group = group.ok_or_else(|| {
             format!(
@@ -78,9 +80,19 @@
                 path.display()
             )
         })?;
-        let me = place(&group, &name)
-            .ok_or_else(|| format!("{}: group {} has no member {name:?}", path.display(), group.name))?;
-        Ok(Some(Membership { name, me, group, founding }))
+        let me = place(&group, &name).ok_or_else(|| {
+            format!(
+                "{}: group {} has no member {name:?}",
+                path.display(),
+                group.name
+            )
+        })?;
+        Ok(Some(Membership {
+            name,
+            me,
+            group,
+            founding,
+        }))
     }
 
     /// Makes a home a member: with what it is founded, the group begins once its voters agree.
@@ -91,7 +103,11 @@
         let group = fleet.group.as_ref().ok_or("the file has no [group]")?;
         if place(group, name).is_none() {
             let names: Vec<&str> = group.members.keys().map(String::as_str).collect();
-            return Err(format!("group {} has no member {name:?}; it has {}", group.name, names.join(", ")));
+            return Err(format!(
+                "group {} has no member {name:?}; it has {}",
+                group.name,
+                names.join(", ")
+            ));
         }
         let fault = |error: std::io::Error| format!("{}: {error}", home.join(FOLDER).display());
         Real.make_folder(&home.join(FOLDER)).map_err(fault)?;
@@ -124,7 +140,11 @@
 }
 
 fn place(group: &Group, name: &str) -> Option<Member> {
-    group.members.keys().position(|known| known == name).map(|at| Member(at as u32))
+    group
+        .members
+        .keys()
+        .position(|known| known == name)
+        .map(|at| Member(at as u32))
 }
 
 /// What a change may not touch, as members could not agree on it while it changes: all of the group but which instances its
@@ -135,7 +155,10 @@
     };
     let fixed = |group: &Group| {
         let mut group = group.clone();
-        group.members.values_mut().for_each(|member| member.instances.clear());
+        group
+            .members
+            .values_mut()
+            .for_each(|member| member.instances.clear());
         group
     };
     match fixed(old) == fixed(new) {
--- a/crates/control-plane/src/group/drive.rs
+++ b/crates/control-plane/src/group/drive.rs
@@ -85,13 +85,20 @@
             say!(code = "even-voters", "{warning}");
         }
         let at = listen.unwrap_or(self.group.members[&self.name].link);
-        let listener = TcpListener::bind(at).map_err(|error| format!("the group's link, {at}: {error}"))?;
+        let listener =
+            TcpListener::bind(at).map_err(|error| format!("the group's link, {at}: {error}"))?;
         let (events, heard) = async_channel::bounded(QUEUE);
         let (news, told) = async_channel::unbounded();
         let (checks, checked) = async_channel::unbounded();
         let (group, members) = (self.group.name.clone(), self.group.members.len() as u32);
         say!("group {group}: member {}, link at {at}", self.name);
-        tasks.spawn(link::listen(listener, group, members, events.clone(), tasks.clone()));
+        tasks.spawn(link::listen(
+            listener,
+            group,
+            members,
+            events.clone(),
+            tasks.clone(),
+        ));
         let mut draw = fastrand::Rng::new();
         let life = Life(draw.u64(1..));
         let founding = self.founding.clone().map(Policy::from);
@@ -159,7 +166,11 @@
 }
 
 impl Driver {
-    async fn run(mut self, heard: Receiver<Event>, checked: Receiver<(Proposal, Result<(), String>)>) {
+    async fn run(
+        mut self,
+        heard: Receiver<Event>,
+        checked: Receiver<(Proposal, Result<(), String>)>,
+    ) {
         loop {
             let (now, mut todo) = (self.clock.now(), Vec::new());
             self.seat.tick(now.monotonic, now.unix_ms, &mut todo);
@@ -168,15 +179,24 @@
             if let Some((revision, policy)) = self.untaken.take() {
                 self.take_up(revision, &policy);
             }
-            let wake = self.clock.instant(self.seat.wakes(self.clock.now().monotonic));
-            let wake =
-                self.asked.values().map(|(since, _)| *since + ANSWER).chain([wake]).min().unwrap_or(wake);
+            let wake = self
+                .clock
+                .instant(self.seat.wakes(self.clock.now().monotonic));
+            let wake = self
+                .asked
+                .values()
+                .map(|(since, _)| *since + ANSWER)
+                .chain([wake])
+                .min()
+                .unwrap_or(wake);
             let event = async { heard.recv().await.map_or(Input::Woken, Input::Event) };
             let check = async {
                 checked
                     .recv()
                     .await
-                    .map_or(Input::Woken, |(proposal, verdict)| Input::Checked(proposal, verdict))
+                    .map_or(Input::Woken, |(proposal, verdict)| {
+                        Input::Checked(proposal, verdict)
+                    })
             };
             let timer = async {
                 Timer::at(wake).await;
@@ -192,17 +212,24 @@
     }
 
     fn take(&mut self, input: Input) {
-        let Timestamp { monotonic: now, unix_ms } = self.clock.now();
+        let Timestamp {
+            monotonic: now,
+            unix_ms,
+        } = self.clock.now();
         let mut todo = Vec::new();
         match input {
-            Input::Event(Event::Frame(from, frame)) => self.seat.hear(now, unix_ms, from, frame, &mut todo),
+            Input::Event(Event::Frame(from, frame)) => {
+                self.seat.hear(now, unix_ms, from, frame, &mut todo)
+            }
             Input::Event(Event::Linked(to)) => self.seat.linked(now, unix_ms, to, &mut todo),
             Input::Event(Event::Operator(request, answer)) => {
                 self.tokens += 1;
                 self.asked.insert(self.tokens, (Instant::now(), answer));
                 self.seat.request(now, self.tokens, request, &mut todo);
             }
-            Input::Checked(proposal, verdict) => self.seat.checked(now, proposal, verdict, &mut todo),
+            Input::Checked(proposal, verdict) => {
+                self.seat.checked(now, proposal, verdict, &mut todo)
+            }
             Input::Woken => {}
         }
         self.carry_out(todo);
@@ -221,18 +248,28 @@
             return;
         }
         let kind = |standing: GuardState| matches!(standing, GuardState::Open(_));
-        let news = self.shown.is_none_or(|(had, was)| had != revision || kind(was) != kind(standing));
+        let news = self
+            .shown
+            .is_none_or(|(had, was)| had != revision || kind(was) != kind(standing));
         self.gate.set(revision, standing);
         self.shown = Some((revision, standing));
         if news {
-            say!(code = "gate", "{} under revision {revision}", self.standing());
+            say!(
+                code = "gate",
+                "{} under revision {revision}",
+                self.standing()
+            );
             let _ = self.news.try_send(News::Look);
         }
     }
 
     fn standing(&self) -> &'static str {
         match self.shown {
-            Some((_, GuardState::Open(until))) if until.is_none_or(|until| Instant::now() < until) => "acts",
+            Some((_, GuardState::Open(until)))
+                if until.is_none_or(|until| Instant::now() < until) =>
+            {
+                "acts"
+            }
             Some((_, GuardState::Suspended)) => "still",
             _ => "shut",
         }
@@ -263,7 +300,13 @@
         }
         for frame in own {
             let (now, mut todo) = (self.clock.now(), Vec::new());
-            self.seat.hear(now.monotonic, now.unix_ms, self.membership.me, frame, &mut todo);
+            self.seat.hear(
+                now.monotonic,
+                now.unix_ms,
+                self.membership.me,
+                frame,
+                &mut todo,
+            );
             self.carry_out(todo);
         }
     }
@@ -293,7 +336,13 @@
     }
 
     fn send(&mut self, to: Member, frame: &Frame) {
-        let Some(at) = self.membership.group.members.values().nth(to.0 as usize).map(|member| member.link)
+        let Some(at) = self
+            .membership
+            .group
+            .members
+            .values()
+            .nth(to.0 as usize)
+            .map(|member| member.link)
         else {
             return;
         };
@@ -313,14 +362,20 @@
         let fleet: Fleet = match serde_json::from_slice(policy) {
             Ok(fleet) => fleet,
             Err(error) => {
-                return refuse(format!("member {}: the policy cannot be read: {error}", member.name))
+                return refuse(format!(
+                    "member {}: the policy cannot be read: {error}",
+                    member.name
+                ))
             }
         };
         if let Err(why) = same_group(&member.group, fleet.group.as_ref()) {
             return refuse(format!("member {}: {why}", member.name));
         }
         if follows == Revision(0) && self.founding.as_deref().is_some_and(|own| own != policy) {
-            return refuse(format!("member {}: its home was founded with another file", member.name));
+            return refuse(format!(
+                "member {}: its home was founded with another file",
+                member.name
+            ));
         }
         let (answer, said) = async_channel::bounded(1);
         let _ = self.news.try_send(News::Check(Box::new(fleet), answer));
@@ -347,7 +402,10 @@
                 )
             }
         };
-        let applied = Applied { revision: revision.0, fleet };
+        let applied = Applied {
+            revision: revision.0,
+            fleet,
+        };
         if Applied::read(&self.home).is_ok_and(|had| had == applied) {
             return;
         }
@@ -355,9 +413,17 @@
         if let Err(error) = replace(&Real, &self.home.join(APPLIED), &text, Outlasts::Power) {
             // Until it does, instances stay under the policy that they have, which the gate shuts out.
             self.untaken = Some((revision, policy.clone()));
-            return say!(code = "policy-not-kept", "group: revision {}: {error}", revision.0);
+            return say!(
+                code = "policy-not-kept",
+                "group: revision {}: {error}",
+                revision.0
+            );
         }
-        say!(code = "policy", "group: revision {} is in force", revision.0);
+        say!(
+            code = "policy",
+            "group: revision {} is in force",
+            revision.0
+        );
         let _ = self.news.try_send(News::TakenUp);
     }
 
--- a/crates/control-plane/src/group/link.rs
+++ b/crates/control-plane/src/group/link.rs
@@ -134,11 +134,16 @@
 ///
 /// # Errors
 /// Where the connection breaks, or what comes is no frame.
-pub async fn read<T: DeserializeOwned>(stream: &mut (impl AsyncReadExt + Unpin)) -> Result<T, Fault> {
+pub async fn read<T: DeserializeOwned>(
+    stream: &mut (impl AsyncReadExt + Unpin),
+) -> Result<T, Fault> {
     let mut head = [0; 8];
     stream.read_exact(&mut head).await?;
     let [a, b, c, d, e, f, g, h] = head;
-    let (length, sum) = (u32::from_le_bytes([a, b, c, d]) as usize, u32::from_le_bytes([e, f, g, h]));
+    let (length, sum) = (
+        u32::from_le_bytes([a, b, c, d]) as usize,
+        u32::from_le_bytes([e, f, g, h]),
+    );
     if length > LONGEST {
         return Err(Fault::TooLong(length));
     }
@@ -164,7 +169,11 @@
 /// What says who opens a connection.
 pub fn hello(group: &str, member: Option<Member>) -> Vec<u8> {
     let from = member.map_or(From::Operator, |member| From::Member(member.0));
-    encode(&Hello { version: VERSION, group: group.to_owned(), from })
+    encode(&Hello {
+        version: VERSION,
+        group: group.to_owned(),
+        from,
+    })
 }
 
 /// The way to one member.
@@ -289,7 +298,10 @@
             continue;
         };
         if taken.get() >= CONNECTIONS {
-            say!(code = "link-too-many", "link from {from} is closed: {CONNECTIONS} are open");
+            say!(
+                code = "link-too-many",
+                "link from {from} is closed: {CONNECTIONS} are open"
+            );
             continue;
         }
         taken.set(taken.get() + 1);
@@ -315,12 +327,21 @@
         Timer::after(HELLO).await;
         None
     });
-    let hello = hello.await.ok_or(("link-silent", "nothing came".to_owned()))?.map_err(broke)?;
+    let hello = hello
+        .await
+        .ok_or(("link-silent", "nothing came".to_owned()))?
+        .map_err(broke)?;
     if hello.version != VERSION {
-        return Err(("link-version", format!("it speaks version {}, this is {VERSION}", hello.version)));
+        return Err((
+            "link-version",
+            format!("it speaks version {}, this is {VERSION}", hello.version),
+        ));
     }
     if hello.group != group {
-        return Err(("link-other-group", format!("it is of group {:?}", hello.group)));
+        return Err((
+            "link-other-group",
+            format!("it is of group {:?}", hello.group),
+        ));
     }
     match hello.from {
         From::Operator => operator(stream, events).await.map_err(broke),
@@ -331,7 +352,11 @@
             let acknowledged = (&stream).write_all(&[1]).await;
             acknowledged.map_err(|error| broke(error.into()))?;
             let frame = read::<Frame>(&mut stream).await.map_err(broke)?;
-            if events.send(Event::Frame(Member(number), frame)).await.is_err() {
+            if events
+                .send(Event::Frame(Member(number), frame))
+                .await
+                .is_err()
+            {
                 return Ok(());
             }
         },
@@ -369,15 +394,28 @@
         let (events, heard) = async_channel::bounded(1);
         events.try_send(Event::Linked(Member(5))).unwrap();
         let tasks = Rc::new(LocalExecutor::new());
-        let way = Way::open("g", Member(0), (Member(1), at), events, 1, &Spawner::new(&tasks));
+        let way = Way::open(
+            "g",
+            Member(0),
+            (Member(1), at),
+            events,
+            1,
+            &Spawner::new(&tasks),
+        );
         async_io::block_on(tasks.run(async {
             let listener = Async::new(listener).unwrap();
             let (mut stream, _) = listener.accept().await.unwrap();
             assert_eq!(read::<Hello>(&mut stream).await.unwrap().member(), Some(0));
             assert!(matches!(heard.recv().await, Ok(Event::Linked(Member(5)))));
             assert!(matches!(heard.recv().await, Ok(Event::Linked(Member(1)))));
-            way.send(encode(&Frame::Down(Epoch(1), ToMember::Resolved(Proposal(2)))));
-            assert!(matches!(read::<Frame>(&mut stream).await, Ok(Frame::Down(Epoch(1), _))));
+            way.send(encode(&Frame::Down(
+                Epoch(1),
+                ToMember::Resolved(Proposal(2)),
+            )));
+            assert!(matches!(
+                read::<Frame>(&mut stream).await,
+                Ok(Frame::Down(Epoch(1), _))
+            ));
         }));
     }
 }
--- a/crates/control-plane/src/listing.rs
+++ b/crates/control-plane/src/listing.rs
@@ -41,11 +41,18 @@
 impl Making {
     fn add(&mut self, name: &str, to: &Destination) -> Result<(), TableError> {
         let next = u16::try_from(self.targets.len()).map_err(|_| TableError::Encodings)?;
-        let form = *self.forms.entry((to.mode, to.path.clone())).or_insert_with(|| {
-            self.targets.push(Target { mode: to.mode, path: to.path.clone() });
-            next
-        });
-        self.destination_table.add(entry(name, to, form), to.endpoints.iter().map(fixed))
+        let form = *self
+            .forms
+            .entry((to.mode, to.path.clone()))
+            .or_insert_with(|| {
+                self.targets.push(Target {
+                    mode: to.mode,
+                    path: to.path.clone(),
+                });
+                next
+            });
+        self.destination_table
+            .add(entry(name, to, form), to.endpoints.iter().map(fixed))
     }
 }
 
@@ -63,11 +70,19 @@
 
             fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Listing, A::Error> {
                 let destination_table = DestinationTable::with_large_capacity();
-                let mut making = Making { forms: HashMap::new(), targets: Vec::new(), destination_table };
+                let mut making = Making {
+                    forms: HashMap::new(),
+                    targets: Vec::new(),
+                    destination_table,
+                };
                 while let Some((name, to)) = map.next_entry::<String, Destination>()? {
                     making.add(&name, &to).map_err(A::Error::custom)?;
                 }
-                let Making { targets, destination_table, .. } = making;
+                let Making {
+                    targets,
+                    destination_table,
+                    ..
+                } = making;
                 Ok(Listing {
                     destination_table: Arc::new(destination_table.build()),
                     targets: Arc::new(targets),
@@ -112,8 +127,24 @@
     };
     let lean: Result<Lean, _> = serde_json::from_reader(BufReader::with_capacity(READ, file));
     let Lean { revision, fleet } = lean.map_err(|error| format!("{}: {error}", path.display()))?;
-    let LeanFleet { limits, classes, destinations, instances, elsewhere, roster, group } = fleet;
-    let mut fleet = Fleet { limits, classes, instances, elsewhere, roster, group, ..Fleet::default() };
+    let LeanFleet {
+        limits,
+        classes,
+        destinations,
+        instances,
+        elsewhere,
+        roster,
+        group,
+    } = fleet;
+    let mut fleet = Fleet {
+        limits,
+        classes,
+        instances,
+        elsewhere,
+        roster,
+        group,
+        ..Fleet::default()
+    };
     if fleet.roster.is_some() {
         let standing = |entry: &DestinationEntry<'_>| {
             if entry.from_list {
@@ -122,8 +153,10 @@
                 Standing::Fixed
             }
         };
-        let partners =
-            destinations.destination_table.entries().map(|entry| (entry.name.to_owned(), standing(&entry)));
+        let partners = destinations
+            .destination_table
+            .entries()
+            .map(|entry| (entry.name.to_owned(), standing(&entry)));
         fleet.rostered = Some(partners.collect());
     }
     Ok((revision, fleet, destinations))
@@ -143,10 +176,15 @@
                     let endpoints = listed.get(entry.name).into_iter().flatten();
                     destination_table.add(entry, endpoints.map(|endpoint| rostered(endpoint)))?;
                 }
-                false => destination_table.add(entry, self.destination_table.endpoints(entry.id))?,
+                false => {
+                    destination_table.add(entry, self.destination_table.endpoints(entry.id))?
+                }
             }
         }
-        Ok(Listing { destination_table: Arc::new(destination_table.build()), targets: self.targets.clone() })
+        Ok(Listing {
+            destination_table: Arc::new(destination_table.build()),
+            targets: self.targets.clone(),
+        })
     }
 }
 
@@ -172,5 +210,10 @@
 
 fn rostered(endpoint: &Endpoint) -> EndpointEntry<'_> {
     let (address, weight) = (endpoint.address, Some(endpoint.weight as f32));
-    EndpointEntry { name: &endpoint.name, address, weight, active: endpoint.serves() }
+    EndpointEntry {
+        name: &endpoint.name,
+        address,
+        weight,
+        active: endpoint.serves(),
+    }
 }
--- a/crates/control-plane/src/plan.rs
+++ b/crates/control-plane/src/plan.rs
@@ -27,7 +27,8 @@
     pub fn read(home: &Path) -> Result<Applied, String> {
         let path = home.join(APPLIED);
         match fs::read(&path) {
-            Ok(text) => serde_json::from_slice(&text).map_err(|error| format!("{}: {error}", path.display())),
+            Ok(text) => serde_json::from_slice(&text)
+                .map_err(|error| format!("{}: {error}", path.display())),
             Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(Applied::default()),
             Err(error) => Err(format!("{}: {error}", path.display())),
         }
@@ -68,7 +69,10 @@
                 self.base.revision, now.revision
             ));
         }
-        let applied = Applied { revision: now.revision + 1, fleet: self.target.clone() };
+        let applied = Applied {
+            revision: now.revision + 1,
+            fleet: self.target.clone(),
+        };
         let text = serde_json::to_vec_pretty(&applied).map_err(|error| error.to_string())?;
         replace(&Real, &home.join(APPLIED), &text, Outlasts::Power).map_err(fault)?;
         Ok(applied)
@@ -79,7 +83,11 @@
 fn entries(fleet: &Fleet) -> BTreeMap<String, Value> {
     let mut all = BTreeMap::new();
     let whole = serde_json::to_value(fleet).unwrap_or_default();
-    for (table, kind) in [("classes", "class"), ("destinations", "destination"), ("instances", "instance")] {
+    for (table, kind) in [
+        ("classes", "class"),
+        ("destinations", "destination"),
+        ("instances", "instance"),
+    ] {
         for (name, value) in whole[table].as_object().into_iter().flatten() {
             all.insert(format!("{kind} {name}"), value.clone());
         }
@@ -116,7 +124,8 @@
                     let keys = |value: &Value| value.as_object().cloned().unwrap_or_default();
                     let (old, new) = (keys(old), keys(new));
                     for key in old.keys().chain(new.keys()).collect::<BTreeSet<_>>() {
-                        let show = |value: Option<&Value>| value.map_or("-".to_owned(), Value::to_string);
+                        let show =
+                            |value: Option<&Value>| value.map_or("-".to_owned(), Value::to_string);
                         let (was, is) = (old.get(key), new.get(key));
                         if was != is {
                             writeln!(f, "    {key}: {} -> {}", show(was), show(is))?;
@@ -131,6 +140,9 @@
             }
         }
         let [added, changed, removed] = counts;
-        write!(f, "{added} to add, {changed} to change, {removed} to remove")
+        write!(
+            f,
+            "{added} to add, {changed} to change, {removed} to remove"
+        )
     }
 }
