--- a/crates/control-plane/src/supervise.rs
+++ b/crates/control-plane/src/supervise.rs
@@ -52,22 +52,37 @@
     let member = group::Membership::read(home)?;
     // Two daemons over one folder would write into each other's journals.
     let lock = std::fs::File::create(home.join("run.lock")).map_err(|error| error.to_string())?;
-    lock.try_lock()
-        .map_err(|error| format!("{}: another daemon runs this fleet ({error})", home.display()))?;
+    lock.try_lock().map_err(|error| {
+        format!(
+            "{}: another daemon runs this fleet ({error})",
+            home.display()
+        )
+    })?;
     let (commands, told) = async_channel::unbounded();
     let tasks = Rc::new(LocalExecutor::new());
-    tasks.spawn(instance::watch_signals(signals, commands)).detach();
+    tasks
+        .spawn(instance::watch_signals(signals, commands))
+        .detach();
     let common = match member {
         None => None,
         Some(member) => {
             let history = history.map(|path| {
-                let file = std::fs::File::options().create(true).append(true).open(path);
+                let file = std::fs::File::options()
+                    .create(true)
+                    .append(true)
+                    .open(path);
                 file.map_err(|error| format!("{}: {error}", path.display()))
             });
             let gate = Arc::new(LeaseGuard::new(history.transpose()?));
-            let (name, news) =
-                (member.name.clone(), member.start(home, link, gate.clone(), &Spawner::new(&tasks))?);
-            Some(Common { member: name, gate, news })
+            let (name, news) = (
+                member.name.clone(),
+                member.start(home, link, gate.clone(), &Spawner::new(&tasks))?,
+            );
+            Some(Common {
+                member: name,
+                gate,
+                news,
+            })
         }
     };
     async_io::block_on(tasks.run(supervise(home, told, early, common)));
@@ -114,7 +129,9 @@
 
 /// When what is applied last changed.
 fn applied_at(home: &Path) -> Option<SystemTime> {
-    std::fs::metadata(home.join(APPLIED)).and_then(|file| file.modified()).ok()
+    std::fs::metadata(home.join(APPLIED))
+        .and_then(|file| file.modified())
+        .ok()
 }
 
 /// Runs the fleet; `early` is what was read before, and when it had changed by then.
@@ -135,7 +152,11 @@
     let mut rosters: Option<Watch> = None;
     let (mut listing, mut moved) = (Listing::default(), false);
     loop {
-        let heard = || common.as_ref().and_then(|common| common.news.try_recv().ok());
+        let heard = || {
+            common
+                .as_ref()
+                .and_then(|common| common.news.try_recv().ok())
+        };
         while let Some(news) = arrived.take().or_else(heard) {
             match news {
                 // It is read from the folder, where it was just put.
@@ -144,8 +165,11 @@
                     .values()
                     .for_each(|one| drop(one.commands.try_send(InstanceCommand::LeaseChanged))),
                 News::Check(proposed, answer) => {
-                    let destinations: BTreeSet<_> =
-                        proposed.destinations.keys().map(|name| DestinationId(number_of(name))).collect();
+                    let destinations: BTreeSet<_> = proposed
+                        .destinations
+                        .keys()
+                        .map(|name| DestinationId(number_of(name)))
+                        .collect();
                     let classes: BTreeSet<String> = proposed.classes.keys().cloned().collect();
                     let asked = running.iter().map(|(name, one)| {
                         let share = proposed.share_of(name);
@@ -154,12 +178,22 @@
                         (
                             name.clone(),
                             one.commands.clone(),
-                            ProposedPolicy { classes, destinations, max_open },
+                            ProposedPolicy {
+                                classes,
+                                destinations,
+                                max_open,
+                            },
                         )
                     });
                     let asked = asked.collect();
-                    let ours = fleet.instances.keys().filter(|name| runs(&common, &fleet, name));
-                    let gone = ours.filter(|name| !running.contains_key(*name)).cloned().collect();
+                    let ours = fleet
+                        .instances
+                        .keys()
+                        .filter(|name| runs(&common, &fleet, name));
+                    let gone = ours
+                        .filter(|name| !running.contains_key(*name))
+                        .cloned()
+                        .collect();
                     let verdict = fits(*proposed, asked, gone).await;
                     let _ = answer.try_send(verdict);
                 }
@@ -171,7 +205,10 @@
             let read = early.take().filter(|(at, _)| *at == changed);
             match read.map_or_else(|| listing::read(home), |(_, read)| Ok(read)) {
                 Ok((number, applied, destinations)) => {
-                    say!("fleet: revision {number}, {} instances", applied.instances.len());
+                    say!(
+                        "fleet: revision {number}, {} instances",
+                        applied.instances.len()
+                    );
                     revision = number;
                     (fleet, listing, moved) = (applied, destinations, true);
                     match &rosters {
@@ -201,31 +238,44 @@
             }
             ending |= matches!(command, InstanceCommand::Shutdown { .. });
         }
-        moved |= rosters.as_ref().is_some_and(|watch| watch.news.try_recv().is_ok());
+        moved |= rosters
+            .as_ref()
+            .is_some_and(|watch| watch.news.try_recv().is_ok());
         if std::mem::take(&mut moved) {
             let with_rosters = |watch: &Watch| watch.with_book(|book| listing.with_rosters(book));
-            match rosters.as_ref().map_or_else(|| Ok(listing.clone()), with_rosters) {
+            match rosters
+                .as_ref()
+                .map_or_else(|| Ok(listing.clone()), with_rosters)
+            {
                 Ok(now) => listing = now,
                 Err(cause) => say!(code = "no-room", "destinations kept as they were: {cause}"),
             }
             // An instance that hands over is followed by one that begins with all that is in force.
             for (name, one) in running.iter_mut().filter(|(_, one)| !one.told_to_end) {
                 let new = common.is_some() && one.revision != revision;
-                let share = fleet.share_of(name).filter(|share| new || *share != one.share);
-                if let Some(share) = share.filter(|share| build::in_place(&one.share, share, name)) {
+                let share = fleet
+                    .share_of(name)
+                    .filter(|share| new || *share != one.share);
+                if let Some(share) = share.filter(|share| build::in_place(&one.share, share, name))
+                {
                     say!("{name}: takes up a change as it runs");
                     one.classes.follow(&share);
                     (one.share, one.revision) = (share, revision);
-                    let (name, share, classes) = (name.clone(), one.share.clone(), one.classes.clone());
+                    let (name, share, classes) =
+                        (name.clone(), one.share.clone(), one.classes.clone());
                     let listing = listing.clone();
                     let to = move || build::switch(revision, &name, &share, &classes, &listing);
-                    let _ = one.commands.try_send(InstanceCommand::UpdatePolicy(Arc::new(to)));
+                    let _ = one
+                        .commands
+                        .try_send(InstanceCommand::UpdatePolicy(Arc::new(to)));
                     continue;
                 }
                 let (destination_table, targets) =
                     (listing.destination_table.clone(), listing.targets.clone());
-                let _ =
-                    one.commands.try_send(InstanceCommand::ReplaceDestinations(destination_table, targets));
+                let _ = one.commands.try_send(InstanceCommand::ReplaceDestinations(
+                    destination_table,
+                    targets,
+                ));
             }
         }
         running.retain(|name, one| {
@@ -244,18 +294,31 @@
                 let share = fleet.share_of(name).filter(|_| runs(&common, &fleet, name));
                 if share.as_ref() != Some(&one.share) {
                     let goes_on = share.is_some();
-                    say!("{name}: {}", if goes_on { "takes up a change" } else { "leaves the fleet" });
+                    say!(
+                        "{name}: {}",
+                        if goes_on {
+                            "takes up a change"
+                        } else {
+                            "leaves the fleet"
+                        }
+                    );
                     let left = if goes_on { HAND_OVER } else { SHUTDOWN_TIMEOUT };
-                    let _ =
-                        one.commands.try_send(InstanceCommand::Shutdown { timeout: left, restart: goes_on });
+                    let _ = one.commands.try_send(InstanceCommand::Shutdown {
+                        timeout: left,
+                        restart: goes_on,
+                    });
                     one.told_to_end = true;
                 }
             }
             // A listener outlives the instance behind it: who connects during a change waits instead of
             // being refused.
             let ours = |name: &str| runs(&common, &fleet, name);
-            let used: BTreeSet<_> =
-                fleet.instances.iter().filter(|(name, _)| ours(name)).flat_map(listens).collect();
+            let used: BTreeSet<_> = fleet
+                .instances
+                .iter()
+                .filter(|(name, _)| ours(name))
+                .flat_map(listens)
+                .collect();
             listeners.retain(|at, _| used.contains(at));
             for name in fleet.instances.keys().filter(|name| ours(name)) {
                 let waits = rest.get(name).is_some_and(|until| *until > Instant::now());
@@ -265,7 +328,9 @@
                 let Some(share) = fleet.share_of(name) else {
                     continue;
                 };
-                let held = common.as_ref().map(|common| (common.gate.clone(), revision));
+                let held = common
+                    .as_ref()
+                    .map(|common| (common.gate.clone(), revision));
                 match start(home, name, &share, &listing, held, &mut listeners) {
                     Ok(one) => drop(running.insert(name.clone(), one)),
                     Err(cause) => {
@@ -297,14 +362,29 @@
 /// Whether this daemon runs an instance: all of them, unless it is one of a group.
 fn runs(common: &Option<Common>, fleet: &Fleet, instance: &str) -> bool {
     common.as_ref().is_none_or(|common| {
-        let member = fleet.group.as_ref().and_then(|group| group.members.get(&common.member));
+        let member = fleet
+            .group
+            .as_ref()
+            .and_then(|group| group.members.get(&common.member));
         member.is_some_and(|member| member.instances.contains(instance))
     })
 }
 
-fn listens((name, instance): (&String, &crate::file::Instance)) -> Vec<(String, &'static str, SocketAddr)> {
-    let events = instance.events.iter().map(|front| (name.clone(), "events", front.listen));
-    events.chain(instance.relay.iter().map(|front| (name.clone(), "relay", front.listen))).collect()
+fn listens(
+    (name, instance): (&String, &crate::file::Instance),
+) -> Vec<(String, &'static str, SocketAddr)> {
+    let events = instance
+        .events
+        .iter()
+        .map(|front| (name.clone(), "events", front.listen));
+    events
+        .chain(
+            instance
+                .relay
+                .iter()
+                .map(|front| (name.clone(), "relay", front.listen)),
+        )
+        .collect()
 }
 
 fn start(
@@ -325,7 +405,9 @@
                 new.insert(TcpListener::bind(at).map_err(|error| format!("{at}: {error}"))?)
             }
         };
-        listener.try_clone().map_err(|error| format!("{at}: {error}"))
+        listener
+            .try_clone()
+            .map_err(|error| format!("{at}: {error}"))
     };
     let state = home.join("instances").join(name);
     let build = build::build(state, name, share, &classes, listing, held, &mut listener)?;
@@ -338,11 +420,22 @@
         let _alive = alive;
         let _span = instance::instance_span(&said).entered();
         let tasks = Rc::new(LocalExecutor::new());
-        let ended = async_io::block_on(tasks.run(instance::run_instance(build, told, Spawner::new(&tasks))));
+        let ended = async_io::block_on(tasks.run(instance::run_instance(
+            build,
+            told,
+            Spawner::new(&tasks),
+        )));
         if let Err(cause) = ended {
             say!(code = "failed", "{cause}");
         }
     };
     thread.spawn(body).map_err(|error| error.to_string())?;
-    Ok(Running { share: share.clone(), revision, classes, commands, done, told_to_end: false })
+    Ok(Running {
+        share: share.clone(),
+        revision,
+        classes,
+        commands,
+        done,
+        told_to_end: false,
+    })
 }
--- a/crates/control-plane/src/watch.rs
+++ b/crates/control-plane/src/watch.rs
@@ -77,7 +77,8 @@
     pub fn read(home: &Path) -> Result<Status, String> {
         let path = home.join(FOLDER).join(STATUS);
         match fs::read(&path) {
-            Ok(text) => serde_json::from_slice(&text).map_err(|error| format!("{}: {error}", path.display())),
+            Ok(text) => serde_json::from_slice(&text)
+                .map_err(|error| format!("{}: {error}", path.display())),
             Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(Status::default()),
             Err(error) => Err(format!("{}: {error}", path.display())),
         }
@@ -89,7 +90,10 @@
 pub fn kept(home: &Path, fleet: &Fleet) -> Result<(Book, Vec<Report>), String> {
     let mut book = Book::new(fleet.terms());
     let mut spoilt = Vec::new();
-    for (file, bytes) in Keep::at(&home.join(FOLDER)).read().map_err(|error| error.to_string())? {
+    for (file, bytes) in Keep::at(&home.join(FOLDER))
+        .read()
+        .map_err(|error| error.to_string())?
+    {
         spoilt.extend(book.restore(&file, &bytes).err());
     }
     Ok((book, spoilt))
@@ -101,17 +105,24 @@
     if !fs::metadata(path)?.is_dir() {
         return Ok(named(path.to_owned()).into_iter().collect());
     }
-    let entries = fs::read_dir(path)?.take(MOST_FILES).collect::<io::Result<Vec<_>>>()?;
+    let entries = fs::read_dir(path)?
+        .take(MOST_FILES)
+        .collect::<io::Result<Vec<_>>>()?;
     let rosters = entries.into_iter().filter_map(|entry| named(entry.path()));
     // What starts with a dot is an editor's or a mount's own.
-    Ok(rosters.filter(|(name, _)| name.ends_with(".toml") && !name.starts_with('.')).collect())
+    Ok(rosters
+        .filter(|(name, _)| name.ends_with(".toml") && !name.starts_with('.'))
+        .collect())
 }
 
 /// Reads a file to its end, but no more than one byte over the limit, and nothing that is no plain file: a pipe would
 /// never end.
 pub fn read_bounded(path: &Path, most: usize) -> io::Result<(Vec<u8>, Metadata)> {
     let nonblock = rustix::fs::OFlags::NONBLOCK.bits() as i32;
-    let file = fs::OpenOptions::new().read(true).custom_flags(nonblock).open(path)?;
+    let file = fs::OpenOptions::new()
+        .read(true)
+        .custom_flags(nonblock)
+        .open(path)?;
     let told = file.metadata()?;
     if !told.is_file() {
         return Err(io::Error::other("it is no plain file"));
@@ -130,14 +141,28 @@
 
 impl Look {
     fn of(told: &Metadata) -> Look {
-        let sign = (told.dev(), told.ino(), told.len(), told.mtime_nsec(), told.ctime(), told.ctime_nsec());
-        Look { sign, read_at: SystemTime::now() }
+        let sign = (
+            told.dev(),
+            told.ino(),
+            told.len(),
+            told.mtime_nsec(),
+            told.ctime(),
+            told.ctime_nsec(),
+        );
+        Look {
+            sign,
+            read_at: SystemTime::now(),
+        }
     }
 
     /// Whether a file that looks so now surely holds what it held then.
     fn still(&self, told: &Metadata) -> bool {
         let changed = SystemTime::UNIX_EPOCH + Duration::new(told.ctime().max(0) as u64, 0);
-        self.sign == Look::of(told).sign && self.read_at.duration_since(changed).is_ok_and(|age| age > RACY)
+        self.sign == Look::of(told).sign
+            && self
+                .read_at
+                .duration_since(changed)
+                .is_ok_and(|age| age > RACY)
     }
 }
 
@@ -191,15 +216,25 @@
             let _ = looked.send(());
             scout.run();
         };
-        let thread = thread::Builder::new().name("rosters".to_owned()).spawn(body);
+        let thread = thread::Builder::new()
+            .name("rosters".to_owned())
+            .spawn(body);
         let thread = thread.map_err(|error| error.to_string())?;
         let _ = first_look.recv();
-        Ok(Watch { book, stirs, news, thread: Some(thread) })
+        Ok(Watch {
+            book,
+            stirs,
+            news,
+            thread: Some(thread),
+        })
     }
 
     /// Goes on under another applied file. What it no longer lets rosters say counts for nothing from now on.
     pub fn hold_to(&self, fleet: &Fleet) {
-        self.book.write().unwrap_or_else(PoisonError::into_inner).hold_to(fleet.terms());
+        self.book
+            .write()
+            .unwrap_or_else(PoisonError::into_inner)
+            .hold_to(fleet.terms());
         let _ = self.stirs.send(Stir::Source(fleet.roster.clone()));
     }
 
@@ -248,8 +283,11 @@
 impl Scout {
     fn run(mut self) {
         loop {
-            let wait =
-                Duration::from_millis(self.source.as_ref().map_or(u64::from(u32::MAX), |at| at.poll_ms));
+            let wait = Duration::from_millis(
+                self.source
+                    .as_ref()
+                    .map_or(u64::from(u32::MAX), |at| at.poll_ms),
+            );
             let mut whole = false;
             match self.stirred.recv_timeout(wait) {
                 Ok(Stir::End) => return,
@@ -290,7 +328,12 @@
         let present = match files(&source.path) {
             Ok(files) => files,
             Err(cause) => {
-                self.note("", Standing::Unreadable { cause: format!("{}: {cause}", source.path.display()) });
+                self.note(
+                    "",
+                    Standing::Unreadable {
+                        cause: format!("{}: {cause}", source.path.display()),
+                    },
+                );
                 BTreeMap::new()
             }
         };
@@ -305,14 +348,16 @@
         loop {
             let before = pending.len();
             let mut taken = false;
-            pending.retain(|(file, path)| match self.look_at(file, path, source.max_kb * 1024) {
-                Seen::Settled => false,
-                Seen::Taken => {
-                    taken = true;
-                    false
-                }
-                Seen::Refused => true,
-            });
+            pending.retain(
+                |(file, path)| match self.look_at(file, path, source.max_kb * 1024) {
+                    Seen::Settled => false,
+                    Seen::Taken => {
+                        taken = true;
+                        false
+                    }
+                    Seen::Refused => true,
+                },
+            );
             if !taken || pending.is_empty() || pending.len() == before {
                 break;
             }
@@ -321,13 +366,16 @@
         for file in known.iter().filter(|file| !present.contains_key(*file)) {
             self.note(file, Standing::Missing);
         }
-        self.found.retain(|file, _| file.is_empty() || present.contains_key(file) || known.contains(file));
+        self.found.retain(|file, _| {
+            file.is_empty() || present.contains_key(file) || known.contains(file)
+        });
         self.say_unlisted();
         self.write_status();
     }
 
     fn look_at(&mut self, file: &str, path: &Path, most: usize) -> Seen {
-        let unchanged = |told: &Metadata| self.looked.get(file).is_some_and(|look| look.still(told));
+        let unchanged =
+            |told: &Metadata| self.looked.get(file).is_some_and(|look| look.still(told));
         // Left as it was: the last word on it stands, unless that was that it did not fit the other lists.
         let refused = matches!(self.found.get(file), Some(Standing::Refused { .. }));
         if !refused && fs::metadata(path).is_ok_and(|told| unchanged(&told)) {
@@ -336,7 +384,12 @@
         let (bytes, told) = match read_bounded(path, most) {
             Ok(read) => read,
             Err(cause) => {
-                self.note(file, Standing::Unreadable { cause: cause.to_string() });
+                self.note(
+                    file,
+                    Standing::Unreadable {
+                        cause: cause.to_string(),
+                    },
+                );
                 return Seen::Settled;
             }
         };
@@ -344,7 +397,12 @@
         let offer = match self.with_book(|book| book.weigh(file, &bytes)) {
             Ok(offer) => offer,
             Err(report) => {
-                self.note(file, Standing::Refused { report: report.to_string() });
+                self.note(
+                    file,
+                    Standing::Refused {
+                        report: report.to_string(),
+                    },
+                );
                 return Seen::Refused;
             }
         };
@@ -365,15 +423,28 @@
             done.unwrap_or_else(|error| say!(code = "roster-not-kept", file = %left, "{error}"));
         }
         if let Err(error) = self.keep.write(file, &bytes) {
-            say!(code = "roster-not-kept", file, "taken up, but not kept for the next start: {error}");
+            say!(
+                code = "roster-not-kept",
+                file,
+                "taken up, but not kept for the next start: {error}"
+            );
         }
         let (revision, lines) = (offer.revision(), offer.changes.len());
         self.book_mut(|book| book.take(offer));
-        say!(code = "roster-taken", file, revision, "roster taken up: {lines} endpoints change");
+        say!(
+            code = "roster-taken",
+            file,
+            revision,
+            "roster taken up: {lines} endpoints change"
+        );
         let _ = self.news.try_send(());
         // Only now: traffic must not follow an old list for as long as a busy disk takes.
         if let Err(error) = self.keep.settle() {
-            say!(code = "roster-not-kept", file, "a loss of power may bring the list before back: {error}");
+            say!(
+                code = "roster-not-kept",
+                file,
+                "a loss of power may bring the list before back: {error}"
+            );
         }
         self.found.insert(file.to_owned(), Standing::InForce);
         Seen::Taken
@@ -388,9 +459,14 @@
             Standing::InForce => {}
             Standing::Refused { report } => {
                 // The file and the line stand behind the arrow of what people are shown.
-                let mut lines = report.lines().map(str::trim).filter(|line| !line.is_empty());
+                let mut lines = report
+                    .lines()
+                    .map(str::trim)
+                    .filter(|line| !line.is_empty());
                 let what = lines.next().unwrap_or_default();
-                let place = lines.find_map(|line| line.strip_prefix("--> ")).unwrap_or(file);
+                let place = lines
+                    .find_map(|line| line.strip_prefix("--> "))
+                    .unwrap_or(file);
                 say!(
                     code = "roster-refused",
                     file,
@@ -398,10 +474,18 @@
                 );
             }
             Standing::Unreadable { cause } => {
-                say!(code = "roster-unreadable", file, "roster not read, the last good one stays: {cause}");
+                say!(
+                    code = "roster-unreadable",
+                    file,
+                    "roster not read, the last good one stays: {cause}"
+                );
             }
             Standing::Missing => {
-                say!(code = "roster-missing", file, "roster not there, the last good one stays");
+                say!(
+                    code = "roster-missing",
+                    file,
+                    "roster not there, the last good one stays"
+                );
             }
         }
         self.found.insert(file.to_owned(), standing);
@@ -460,7 +544,11 @@
         };
         for folder in folders.keys() {
             if let Err(error) = watcher.watch(folder, RecursiveMode::NonRecursive) {
-                say!(code = "no-watch", "{} is looked at now and then only: {error}", folder.display());
+                say!(
+                    code = "no-watch",
+                    "{} is looked at now and then only: {error}",
+                    folder.display()
+                );
             }
         }
         self.watcher = Some((watcher, folders));
@@ -468,22 +556,44 @@
 
     fn write_status(&mut self) {
         let files = self.found.iter().map(|(file, standing)| {
-            let revision =
-                self.with_book(|book| book.rosters().get(file).map(|roster: &Roster| roster.revision));
-            (file.clone(), FileStatus { standing: standing.clone(), revision })
+            let revision = self.with_book(|book| {
+                book.rosters()
+                    .get(file)
+                    .map(|roster: &Roster| roster.revision)
+            });
+            (
+                file.clone(),
+                FileStatus {
+                    standing: standing.clone(),
+                    revision,
+                },
+            )
         });
-        let unlisted = self.with_book(|book| book.unlisted().into_iter().map(str::to_owned).collect());
-        let status = Status { files: files.collect(), unlisted };
+        let unlisted =
+            self.with_book(|book| book.unlisted().into_iter().map(str::to_owned).collect());
+        let status = Status {
+            files: files.collect(),
+            unlisted,
+        };
         if self.written.as_ref() == Some(&status) {
             return;
         }
         let write = || -> io::Result<()> {
             Real.make_folder(self.status_at.parent().unwrap_or(Path::new(".")))?;
-            replace(&Real, &self.status_at, &serde_json::to_vec_pretty(&status)?, Outlasts::Process)
+            replace(
+                &Real,
+                &self.status_at,
+                &serde_json::to_vec_pretty(&status)?,
+                Outlasts::Process,
+            )
         };
         match write() {
             Ok(()) => self.written = Some(status),
-            Err(error) => say!(code = "status-not-written", "{}: {error}", self.status_at.display()),
+            Err(error) => say!(
+                code = "status-not-written",
+                "{}: {error}",
+                self.status_at.display()
+            ),
         }
     }
 
@@ -507,5 +617,12 @@
 }
 
 fn say_fault(code: &'static str, file: &str, fault: &Fault) {
-    say!(code, file, line = fault.line, "{}: {}", fault.what, fault.help);
+    say!(
+        code,
+        file,
+        line = fault.line,
+        "{}: {}",
+        fault.what,
+        fault.help
+    );
 }
--- a/crates/control-plane/tests/stored_data.rs
+++ b/crates/control-plane/tests/stored_data.rs
@@ -11,7 +11,9 @@
 use std::path::PathBuf;
 
 fn fixture(name: &str) -> PathBuf {
-    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures").join(name)
+    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/fixtures")
+        .join(name)
 }
 
 #[test]
@@ -19,11 +21,17 @@
     let home = fixture("member");
     let applied = Applied::read(&home).unwrap();
     assert_eq!(applied.revision, 2);
-    assert_eq!(applied.fleet.instances.keys().collect::<Vec<_>>(), ["east-1", "north-1", "south-1"]);
+    assert_eq!(
+        applied.fleet.instances.keys().collect::<Vec<_>>(),
+        ["east-1", "north-1", "south-1"]
+    );
     assert_eq!(applied.fleet.classes["refill-order"].wanted_ms, 2000);
     assert_eq!(applied.fleet.limits.max_open, 128);
     let membership = Membership::read(&home).unwrap().unwrap();
-    assert_eq!((membership.name.as_str(), membership.group.name.as_str()), ("east", "clinics"));
+    assert_eq!(
+        (membership.name.as_str(), membership.group.name.as_str()),
+        ("east", "clinics")
+    );
     assert_eq!(membership.names(), ["east", "north", "south"]);
     // Written again it is the same, key by key.
     let before: serde_json::Value =
@@ -41,7 +49,10 @@
     for line in kept.since(0) {
         book.take(line);
     }
-    assert_eq!((book.holds.0, book.voters.len(), book.past.len()), (2, 3, 2));
+    assert_eq!(
+        (book.holds.0, book.voters.len(), book.past.len()),
+        (2, 3, 2)
+    );
     assert!(book.open.is_none() && book.without.is_empty());
     assert!(book.past.iter().all(|past| past.outcome.is_ok()));
     assert_eq!(kept.encode(), bytes);
@@ -54,8 +65,10 @@
     assert_eq!(applied.revision, 1);
     let (book, unreadable) = watch::kept(&home, &applied.fleet).unwrap();
     assert!(unreadable.is_empty());
-    let names: Vec<_> =
-        book.endpoints().map(|(destination, endpoint)| (destination, endpoint.name.as_str())).collect();
+    let names: Vec<_> = book
+        .endpoints()
+        .map(|(destination, endpoint)| (destination, endpoint.name.as_str()))
+        .collect();
     assert_eq!(names, [("toy", "toy-1"), ("toy", "toy-2")]);
     let status = Status::read(&home).unwrap();
     let file = &status.files["toy.toml"];
--- a/crates/coordination/src/book.rs
+++ b/crates/coordination/src/book.rs
@@ -78,7 +78,16 @@
         let policy = Policy::from(&b""[..]);
         let (epoch, holds, resolved, open) = Default::default();
         let (without, past) = Default::default();
-        Book { epoch, holds, policy, resolved, open, without, past, voters }
+        Book {
+            epoch,
+            holds,
+            policy,
+            resolved,
+            open,
+            without,
+            past,
+            voters,
+        }
     }
 
     /// Takes the next line; gives its entry if it counts. The first outcome of a change is its outcome.
@@ -103,7 +112,12 @@
                     return None;
                 }
                 let (proposal, policy, author) = (*proposal, policy.clone(), author.clone());
-                self.open = Some(Open { proposal, policy, author, at_ms });
+                self.open = Some(Open {
+                    proposal,
+                    policy,
+                    author,
+                    at_ms,
+                });
             }
             Entry::InForce(proposal) => {
                 let open = self.open.take_if(|open| open.proposal == *proposal)?;
@@ -123,8 +137,19 @@
 
     fn close(&mut self, open: Open, resolved_ms: i64, outcome: Result<Revision, String>) {
         self.resolved = open.proposal;
-        let Open { proposal, author, at_ms, .. } = open;
-        self.past.push_back(Past { proposal, author, proposed_ms: at_ms, resolved_ms, outcome });
+        let Open {
+            proposal,
+            author,
+            at_ms,
+            ..
+        } = open;
+        self.past.push_back(Past {
+            proposal,
+            author,
+            proposed_ms: at_ms,
+            resolved_ms,
+            outcome,
+        });
         if self.past.len() > PAST {
             self.past.pop_front();
         }
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -68,10 +68,23 @@
 impl Leader {
     /// A leader that has just been elected, of a log that says this. What its predecessors granted may last for a whole term
     /// from now.
-    pub fn elected(terms: Terms, epoch: Epoch, now: Time, members: &[Member], book: &Book) -> Leader {
+    pub fn elected(
+        terms: Terms,
+        epoch: Epoch,
+        now: Time,
+        members: &[Member],
+        book: &Book,
+    ) -> Leader {
         let known = |member: &Member| {
             let without = book.without.contains(member);
-            (*member, Known { expires: furthest(&terms, now), without, ..Known::default() })
+            (
+                *member,
+                Known {
+                    expires: furthest(&terms, now),
+                    without,
+                    ..Known::default()
+                },
+            )
         };
         let members = members.iter().map(known).collect();
         let open = book.open.as_ref().map(|open| Open {
@@ -81,7 +94,15 @@
             since: now,
         });
         let (holds, resolved) = ((book.holds, book.policy.clone()), book.resolved);
-        Leader { terms, epoch, lease: now, members, holds, resolved, open }
+        Leader {
+            terms,
+            epoch,
+            lease: now,
+            members,
+            holds,
+            resolved,
+            open,
+        }
     }
 
     /// Which epoch it leads.
@@ -96,7 +117,9 @@
 
     /// Whether the open change is past the members' word on it, if there is one.
     pub fn is_stopping(&self) -> bool {
-        self.open.as_ref().is_some_and(|open| open.stage != Stage::Checking)
+        self.open
+            .as_ref()
+            .is_some_and(|open| open.stage != Stage::Checking)
     }
 
     /// Members whose word the open change waits for.
@@ -109,7 +132,10 @@
             Stage::Stopping => known.still == Some(open.proposal),
             Stage::Deciding => true,
         };
-        let waits = self.members.iter().filter(|(_, known)| !said(known) && !known.ran_out(now));
+        let waits = self
+            .members
+            .iter()
+            .filter(|(_, known)| !said(known) && !known.ran_out(now));
         waits.map(|(member, _)| *member).collect()
     }
 
@@ -128,15 +154,26 @@
     /// # Errors
     /// The proposal that is open.
     pub fn next_proposal(&self) -> Result<Proposal, Proposal> {
-        self.open.as_ref().map_or(Ok(Proposal(self.resolved.0 + 1)), |open| Err(open.proposal))
+        self.open
+            .as_ref()
+            .map_or(Ok(Proposal(self.resolved.0 + 1)), |open| Err(open.proposal))
     }
 
     /// An entry of the log is committed. The first outcome of a proposal is its outcome; what comes after changes nothing.
     pub fn committed(&mut self, now: Time, entry: Entry, todo: &mut Vec<Do>) {
         match entry {
-            Entry::Proposed(proposal, policy, _) if self.open.is_none() && proposal > self.resolved => {
-                self.open = Some(Open { proposal, policy, stage: Stage::Checking, since: now });
-                self.members.values_mut().for_each(|known| known.said = None);
+            Entry::Proposed(proposal, policy, _)
+                if self.open.is_none() && proposal > self.resolved =>
+            {
+                self.open = Some(Open {
+                    proposal,
+                    policy,
+                    stage: Stage::Checking,
+                    since: now,
+                });
+                self.members
+                    .values_mut()
+                    .for_each(|known| known.said = None);
             }
             Entry::InForce(proposal) => {
                 if let Some(open) = self.open.take_if(|open| open.proposal == proposal) {
@@ -145,12 +182,19 @@
                 }
             }
             Entry::Withdrawn(proposal, _) => {
-                if self.open.take_if(|open| open.proposal == proposal).is_some() {
+                if self
+                    .open
+                    .take_if(|open| open.proposal == proposal)
+                    .is_some()
+                {
                     self.resolve(proposal, todo);
                 }
             }
             Entry::Without(member) => {
-                self.members.get_mut(&member).into_iter().for_each(|known| known.without = true);
+                self.members
+                    .get_mut(&member)
+                    .into_iter()
+                    .for_each(|known| known.without = true);
             }
             Entry::Back(member) => {
                 let expires = furthest(&self.terms, now);
@@ -165,7 +209,11 @@
 
     fn resolve(&mut self, proposal: Proposal, todo: &mut Vec<Do>) {
         self.resolved = proposal;
-        todo.extend(self.members.keys().map(|member| Do::Send(*member, ToMember::Resolved(proposal))));
+        todo.extend(
+            self.members
+                .keys()
+                .map(|member| Do::Send(*member, ToMember::Resolved(proposal))),
+        );
     }
 
     /// A member has spoken.
@@ -181,14 +229,16 @@
                 let unchecked = stage == Some(Stage::Checking) && known.checked != proposal;
                 // One that is heard and does not answer may hear nothing itself: its term must run out some time.
                 let asked_long = self.open.as_ref().is_some_and(|open| {
-                    now - open.since >= Span(self.terms.again.0 * ASKED) && self.terms.on_cut == OnCut::Stop
+                    now - open.since >= Span(self.terms.again.0 * ASKED)
+                        && self.terms.on_cut == OnCut::Stop
                 });
                 let ran_out = known.ran_out(now) || asked_long;
                 if known.without {
                     // The next leader must know as well.
                     return todo.push(Do::Append(Entry::Back(from)));
                 }
-                if matches!(stage, Some(Stage::Stopping | Stage::Deciding)) || unchecked && ran_out {
+                if matches!(stage, Some(Stage::Stopping | Stage::Deciding)) || unchecked && ran_out
+                {
                     // Said again what it waits for: it may not have heard, or have come back only now.
                     known.said = None;
                     todo.push(Do::Send(from, ToMember::Resolved(self.resolved)));
@@ -196,12 +246,24 @@
                     let (revision, policy) = &self.holds;
                     let holds = (*revision, (has != Some(*revision)).then(|| policy.clone()));
                     let (length, resolved) = (length.map(|length| length.0), self.resolved);
-                    todo.push(Do::Send(from, ToMember::Term { life, asked, length, holds, resolved }));
+                    todo.push(Do::Send(
+                        from,
+                        ToMember::Term {
+                            life,
+                            asked,
+                            length,
+                            holds,
+                            resolved,
+                        },
+                    ));
                 }
             }
             // A no counts for as long as nothing is decided, also from one that was not waited for.
             ToLeader::Checked(proposal, verdict) => match verdict {
-                _ if self.open.as_ref().is_none_or(|open| open.proposal != proposal) => {}
+                _ if self
+                    .open
+                    .as_ref()
+                    .is_none_or(|open| open.proposal != proposal) => {}
                 Ok(()) => known.checked = Some(proposal),
                 Err(reason) => self.withdraw(reason, todo),
             },
@@ -235,7 +297,11 @@
     }
 
     fn withdraw(&mut self, reason: String, todo: &mut Vec<Do>) {
-        if let Some(open) = self.open.as_mut().filter(|open| open.stage != Stage::Deciding) {
+        if let Some(open) = self
+            .open
+            .as_mut()
+            .filter(|open| open.stage != Stage::Deciding)
+        {
             open.stage = Stage::Deciding;
             todo.push(Do::Append(Entry::Withdrawn(open.proposal, reason)));
         }
@@ -258,7 +324,9 @@
                 let done = |known: &Known| known.checked == Some(proposal) || known.ran_out(now);
                 if self.members.values().all(done) {
                     (open.stage, open.since) = (Stage::Stopping, now);
-                    self.members.values_mut().for_each(|known| known.said = None);
+                    self.members
+                        .values_mut()
+                        .for_each(|known| known.said = None);
                     return self.tick(now, todo);
                 }
                 if self.terms.on_cut == OnCut::Stop && waited >= self.terms.check_for {
--- a/crates/coordination/src/member.rs
+++ b/crates/coordination/src/member.rs
@@ -45,7 +45,15 @@
     /// A life that begins.
     pub fn new(terms: Terms, life: Life) -> MemberState {
         let (standing, holds, epoch) = (Standing::Learning(None), None, Epoch(0));
-        MemberState { terms, life, standing, holds, epoch, resolved: Proposal(0), asked: None }
+        MemberState {
+            terms,
+            life,
+            standing,
+            holds,
+            epoch,
+            resolved: Proposal(0),
+            asked: None,
+        }
     }
 
     /// The policy under which it may act at this moment. To be asked directly before each act: a process may have been
@@ -97,7 +105,11 @@
     pub fn tick(&mut self, now: Time, todo: &mut Vec<Do>) {
         if self.wakes(now) <= now {
             self.asked = Some(now);
-            todo.push(Do::Send(ToLeader::Ask { life: self.life, asked: now.0, has: self.holds }));
+            todo.push(Do::Send(ToLeader::Ask {
+                life: self.life,
+                asked: now.0,
+                has: self.holds,
+            }));
         }
     }
 
@@ -123,7 +135,13 @@
                     self.tick(now, todo);
                 }
             }
-            ToMember::Term { life, asked, length, holds, resolved } if life == self.life => {
+            ToMember::Term {
+                life,
+                asked,
+                length,
+                holds,
+                resolved,
+            } if life == self.life => {
                 // One that was granted before it was told to be still is void.
                 let void = matches!(self.standing, Standing::Still(still) if resolved < still);
                 let until = length.map(|length| Time(asked) + self.terms.shortest(Span(length)));
--- a/crates/coordination/src/seat.rs
+++ b/crates/coordination/src/seat.rs
@@ -169,13 +169,27 @@
     /// One life of a daemon in a group.
     pub fn new(mut setup: Setup, now: Time) -> Seat {
         let member = MemberState::new(setup.terms, setup.life);
-        let voters: BTreeSet<Member> =
-            setup.members.iter().filter(|(_, votes)| **votes).map(|(member, _)| *member).collect();
+        let voters: BTreeSet<Member> = setup
+            .members
+            .iter()
+            .filter(|(_, votes)| **votes)
+            .map(|(member, _)| *member)
+            .collect();
         // What is kept is the voter's from here on.
         let voter = setup.kept.take().filter(|_| voters.contains(&setup.me));
-        let voter = voter.map(|kept| Voter::new(setup.me, voters, setup.terms.term, kept, setup.life.0, now));
+        let voter = voter
+            .map(|kept| Voter::new(setup.me, voters, setup.terms.term, kept, setup.life.0, now));
         let (leader, proposed, heard, places) = Default::default();
-        Seat { setup, member, voter, leader, proposed, heard, places, found_at: now }
+        Seat {
+            setup,
+            member,
+            voter,
+            leader,
+            proposed,
+            heard,
+            places,
+            found_at: now,
+        }
     }
 
     /// The policy under which it may act at this moment.
@@ -206,15 +220,24 @@
     /// When it wants to be woken.
     pub fn wakes(&self, now: Time) -> Time {
         let voter = self.voter.iter().map(Voter::wakes);
-        let leader = self.leader.iter().filter(|leader| leader.standing().1.is_some());
+        let leader = self
+            .leader
+            .iter()
+            .filter(|leader| leader.standing().1.is_some());
         let leader = leader.map(|_| now + self.setup.terms.again);
-        voter.chain(leader).chain([self.member.wakes(now)]).min().unwrap_or(now)
+        voter
+            .chain(leader)
+            .chain([self.member.wakes(now)])
+            .min()
+            .unwrap_or(now)
     }
 
     /// Time has passed. `unix_ms` is what the log is dated with.
     pub fn tick(&mut self, now: Time, unix_ms: i64, todo: &mut Vec<Do>) {
         let mut out = Vec::new();
-        self.voter.iter_mut().for_each(|voter| voter.tick(now, &mut out));
+        self.voter
+            .iter_mut()
+            .for_each(|voter| voter.tick(now, &mut out));
         self.take_out(now, unix_ms, out, todo);
         self.lead(now, unix_ms, todo, |leader, words| leader.tick(now, words));
         let mut words = Vec::new();
@@ -227,13 +250,22 @@
     /// The link to another daemon has come up anew.
     pub fn linked(&mut self, now: Time, unix_ms: i64, member: Member, todo: &mut Vec<Do>) {
         let mut out = Vec::new();
-        self.voter.iter_mut().for_each(|voter| voter.linked(member, &mut out));
+        self.voter
+            .iter_mut()
+            .for_each(|voter| voter.linked(member, &mut out));
         self.take_out(now, unix_ms, out, todo);
         self.settle(todo);
     }
 
     /// Another daemon, or this one, has spoken. What is no member's word changes nothing.
-    pub fn hear(&mut self, now: Time, unix_ms: i64, from: Member, frame: Frame, todo: &mut Vec<Do>) {
+    pub fn hear(
+        &mut self,
+        now: Time,
+        unix_ms: i64,
+        from: Member,
+        frame: Frame,
+        todo: &mut Vec<Do>,
+    ) {
         if !self.setup.members.contains_key(&from) {
             return;
         }
@@ -249,7 +281,9 @@
                 if let ToLeader::Ask { has, .. } = &word {
                     self.places.insert(from, (now, *has));
                 }
-                self.lead(now, unix_ms, todo, |leader, words| leader.hear(now, from, word, words));
+                self.lead(now, unix_ms, todo, |leader, words| {
+                    leader.hear(now, from, word, words)
+                });
             }
             Frame::Down(epoch, word) => {
                 self.heard = Some((from, now));
@@ -340,9 +374,9 @@
                 leader::Do::Send(to, word) => todo.push(Do::Send(to, Frame::Down(epoch, word))),
                 leader::Do::Append(entry) => {
                     todo.push(Do::Note("appends", told(&entry)));
-                    self.voter
-                        .iter_mut()
-                        .for_each(|voter| voter.append(now, epoch, unix_ms, entry.clone(), &mut out));
+                    self.voter.iter_mut().for_each(|voter| {
+                        voter.append(now, epoch, unix_ms, entry.clone(), &mut out)
+                    });
                 }
             }
         }
@@ -358,15 +392,26 @@
                     if matches!(entry, Entry::Proposed(..)) {
                         self.proposed = false;
                     }
-                    self.lead(now, unix_ms, todo, |leader, words| leader.committed(now, entry, words));
+                    self.lead(now, unix_ms, todo, |leader, words| {
+                        leader.committed(now, entry, words)
+                    });
                 }
                 Out::Elected(epoch) => {
                     let Some(voter) = &self.voter else { continue };
                     let members: Vec<Member> = self.setup.members.keys().copied().collect();
-                    self.leader = Some(Leader::elected(self.setup.terms, epoch, now, &members, voter.book()));
+                    self.leader = Some(Leader::elected(
+                        self.setup.terms,
+                        epoch,
+                        now,
+                        &members,
+                        voter.book(),
+                    ));
                     (self.proposed, self.found_at) = (false, now);
                     self.places.clear();
-                    todo.push(Do::Note("leads", format!("this daemon leads the group, epoch {:x}", epoch.0)));
+                    todo.push(Do::Note(
+                        "leads",
+                        format!("this daemon leads the group, epoch {:x}", epoch.0),
+                    ));
                 }
                 Out::Deposed => {
                     self.leader = None;
@@ -391,24 +436,45 @@
         }
         self.found_at = now + FOUND_AGAIN;
         if let Some(policy) = self.setup.founding.clone() {
-            let author = Author { by: "founding".to_owned(), key: 0 };
+            let author = Author {
+                by: "founding".to_owned(),
+                key: 0,
+            };
             self.propose(now, unix_ms, policy, author, todo);
         }
     }
 
-    fn propose(&mut self, now: Time, unix_ms: i64, policy: Policy, author: Author, todo: &mut Vec<Do>) {
+    fn propose(
+        &mut self,
+        now: Time,
+        unix_ms: i64,
+        policy: Policy,
+        author: Author,
+        todo: &mut Vec<Do>,
+    ) {
         let Some(Ok(proposal)) = self.leader.as_ref().map(Leader::next_proposal) else {
             return;
         };
         self.proposed = true;
         let entry = Entry::Proposed(proposal, policy, author);
-        self.lead(now, unix_ms, todo, |_, words| words.push(leader::Do::Append(entry)));
+        self.lead(now, unix_ms, todo, |_, words| {
+            words.push(leader::Do::Append(entry))
+        });
     }
 
     /// What the leader answers an operator; nothing where this daemon does not lead.
-    fn answer(&mut self, now: Time, unix_ms: i64, request: Request, todo: &mut Vec<Do>) -> Option<Reply> {
+    fn answer(
+        &mut self,
+        now: Time,
+        unix_ms: i64,
+        request: Request,
+        todo: &mut Vec<Do>,
+    ) -> Option<Reply> {
         // One that may have been followed by another must not tell what was in force for what is.
-        let leader = self.leader.as_ref().filter(|leader| leader.is_leased(now))?;
+        let leader = self
+            .leader
+            .as_ref()
+            .filter(|leader| leader.is_leased(now))?;
         let book = self.voter.as_ref()?.book();
         let progress = || match leader.is_stopping() {
             true => Progress::Stopping,
@@ -419,7 +485,11 @@
             None => Some(Reply::Open(progress(), leader.waits_for(now))),
         };
         Some(match request {
-            Request::Propose { base, policy, author } => {
+            Request::Propose {
+                base,
+                policy,
+                author,
+            } => {
                 if let Some(reply) = outcome(author.key) {
                     return Some(reply);
                 }
@@ -433,14 +503,19 @@
                     self.propose(now, unix_ms, policy, author, todo);
                     return Some(Reply::Proposed);
                 }
-                Reply::Busy(Author { by: "another operator".to_owned(), key: 0 })
+                Reply::Busy(Author {
+                    by: "another operator".to_owned(),
+                    key: 0,
+                })
             }
             Request::Outcome(key) => outcome(key).unwrap_or(Reply::Unknown),
             Request::Withdraw => {
                 if book.open.is_none() {
                     return Some(Reply::NothingOpen);
                 }
-                self.lead(now, unix_ms, todo, |leader, words| leader.withdraw_by_operator(words));
+                self.lead(now, unix_ms, todo, |leader, words| {
+                    leader.withdraw_by_operator(words)
+                });
                 Reply::Taken
             }
             Request::Without(member) => {
@@ -464,9 +539,15 @@
                     }
                 };
                 let open = book.open.as_ref();
-                let open = open.map(|open| (open.author.clone(), progress(), leader.waits_for(now)));
+                let open =
+                    open.map(|open| (open.author.clone(), progress(), leader.waits_for(now)));
                 let members = self.setup.members.iter().map(place).collect();
-                Reply::Status(Box::new(Standing { leader: self.setup.me, holds: book.holds, open, members }))
+                Reply::Status(Box::new(Standing {
+                    leader: self.setup.me,
+                    holds: book.holds,
+                    open,
+                    members,
+                }))
             }
             Request::History => Reply::History(book.past.iter().cloned().collect()),
         })
--- a/crates/coordination/src/store.rs
+++ b/crates/coordination/src/store.rs
@@ -60,7 +60,18 @@
     /// A folder that is new.
     pub fn new(name: u64, incarnation: Incarnation) -> Kept {
         let (stand, seen, config, base, promise, accepted, decided, lines) = Default::default();
-        Kept { name, incarnation, stand, seen, config, base, promise, accepted, decided, lines }
+        Kept {
+            name,
+            incarnation,
+            stand,
+            seen,
+            config,
+            base,
+            promise,
+            accepted,
+            decided,
+            lines,
+        }
     }
 
     /// Begins another configuration: an empty log after this book.
@@ -73,12 +84,20 @@
             seen.insert(*member, same.unwrap_or((*incarnation, 0)));
         }
         let (name, incarnation, stand) = (self.name, self.incarnation, self.stand);
-        *self = Kept { stand, seen, config, base: Some(base), ..Kept::new(name, incarnation) };
+        *self = Kept {
+            stand,
+            seen,
+            config,
+            base: Some(base),
+            ..Kept::new(name, incarnation)
+        };
     }
 
     /// What the log began with: an empty book before there was a configuration.
     pub fn book(&self) -> Book {
-        self.base.clone().unwrap_or_else(|| Book::new(BTreeMap::new()))
+        self.base
+            .clone()
+            .unwrap_or_else(|| Book::new(BTreeMap::new()))
     }
 
     /// Lines of the log, decided or not.
@@ -88,7 +107,9 @@
 
     /// Lines from this one on.
     pub fn since(&self, from: usize) -> Vec<Line> {
-        self.lines.get(from..).map_or_else(Vec::new, <[Line]>::to_vec)
+        self.lines
+            .get(from..)
+            .map_or_else(Vec::new, <[Line]>::to_vec)
     }
 
     /// Whether the end of this configuration stands in the log, decided or not.
@@ -141,7 +162,10 @@
 impl Store {
     /// Around what is kept.
     pub fn new(kept: Kept) -> Store {
-        Store { kept: Rc::new(RefCell::new(kept)), dirty: Rc::default() }
+        Store {
+            kept: Rc::new(RefCell::new(kept)),
+            dirty: Rc::default(),
+        }
     }
 
     /// Adds a line without the library, where there is nobody to agree with.
@@ -224,7 +248,12 @@
     }
 
     fn get_entries(&self, from: usize, to: usize) -> StorageResult<Vec<Line>> {
-        Ok(self.kept.borrow().lines.get(from..to).map_or_else(Vec::new, <[Line]>::to_vec))
+        Ok(self
+            .kept
+            .borrow()
+            .lines
+            .get(from..to)
+            .map_or_else(Vec::new, <[Line]>::to_vec))
     }
 
     fn get_log_len(&self) -> StorageResult<usize> {
--- a/crates/coordination/src/voter.rs
+++ b/crates/coordination/src/voter.rs
@@ -137,7 +137,14 @@
 
 impl Voter {
     /// One that starts with what its folder holds; `draw` is drawn anew for each life.
-    pub fn new(me: Member, voters: BTreeSet<Member>, term: Span, kept: Kept, draw: u64, now: Time) -> Voter {
+    pub fn new(
+        me: Member,
+        voters: BTreeSet<Member>,
+        term: Span,
+        kept: Kept,
+        draw: u64,
+        now: Time,
+    ) -> Voter {
         let alone = voters.len() == 1;
         let mut voter = Voter {
             me,
@@ -193,16 +200,26 @@
     }
 
     fn others(&self) -> impl Iterator<Item = Member> + '_ {
-        self.voters.iter().copied().filter(|member| *member != self.me)
+        self.voters
+            .iter()
+            .copied()
+            .filter(|member| *member != self.me)
     }
 
     fn pid(&self, member: Member) -> Option<u64> {
-        self.voters.iter().position(|other| *other == member).map(|at| at as u64 + 1)
+        self.voters
+            .iter()
+            .position(|other| *other == member)
+            .map(|at| at as u64 + 1)
     }
 
     fn hello(&self) -> Among {
         let kept = self.store.kept.borrow();
-        Among::Hello { incarnation: kept.incarnation, stand: kept.stand, config: kept.config }
+        Among::Hello {
+            incarnation: kept.incarnation,
+            stand: kept.stand,
+            config: kept.config,
+        }
     }
 
     /// The link to another voter has come up anew: what was said on the old one may be lost.
@@ -254,15 +271,23 @@
             return;
         }
         match word {
-            Among::Hello { incarnation, stand, config } => {
-                self.heard_hello(now, from, incarnation, stand, config, out)
-            }
-            Among::Known { incarnation, config, of } => {
-                self.heard_known(now, from, incarnation, config, of, out)
-            }
+            Among::Hello {
+                incarnation,
+                stand,
+                config,
+            } => self.heard_hello(now, from, incarnation, stand, config, out),
+            Among::Known {
+                incarnation,
+                config,
+                of,
+            } => self.heard_known(now, from, incarnation, config, of, out),
             Among::LetIn(incarnation) => self.let_in(now, from, incarnation, out),
             Among::Base(config, book) => self.take_base(now, config, *book, out),
-            Among::Paxos { config, stand, message } => {
+            Among::Paxos {
+                config,
+                stand,
+                message,
+            } => {
                 let here = self.store.kept.borrow().config;
                 if config < here {
                     self.give_base(now, from, out);
@@ -276,15 +301,25 @@
                 }
             }
             Among::Confirm(epoch, round) => {
-                let promised = self.paxos.as_ref().map(|paxos| epoch_of(paxos.get_promise()));
-                if self.part == Part::In && promised == Some(epoch) && !self.store.kept.borrow().is_ending() {
+                let promised = self
+                    .paxos
+                    .as_ref()
+                    .map(|paxos| epoch_of(paxos.get_promise()));
+                if self.part == Part::In
+                    && promised == Some(epoch)
+                    && !self.store.kept.borrow().is_ending()
+                {
                     out.push(Out::Send(from, Among::Confirmed(epoch, round)));
                 }
             }
             Among::Confirmed(epoch, round) => {
                 let leads = self.begun == Some((epoch, true));
                 let half = self.voters.len() / 2;
-                if let Some(asked) = self.asked.iter_mut().find(|asked| leads && asked.round == round) {
+                if let Some(asked) = self
+                    .asked
+                    .iter_mut()
+                    .find(|asked| leads && asked.round == round)
+                {
                     asked.said.insert(from);
                     if asked.said.len() >= half {
                         let until = asked.at + self.term;
@@ -333,7 +368,14 @@
     }
 
     /// Appends to the log what the leader of this epoch says.
-    pub fn append(&mut self, now: Time, epoch: Epoch, at_ms: i64, entry: Entry, out: &mut Vec<Out>) {
+    pub fn append(
+        &mut self,
+        now: Time,
+        epoch: Epoch,
+        at_ms: i64,
+        entry: Entry,
+        out: &mut Vec<Out>,
+    ) {
         self.put(Line::Says(epoch, at_ms, entry));
         self.pump(now, out);
     }
@@ -360,7 +402,11 @@
         }
         self.rounds += 1;
         self.asked.retain(|asked| now - asked.at < self.term);
-        self.asked.push(Asked { round: self.rounds, at: now, said: BTreeSet::new() });
+        self.asked.push(Asked {
+            round: self.rounds,
+            at: now,
+            said: BTreeSet::new(),
+        });
         let word = Among::Confirm(epoch, self.rounds);
         out.extend(self.others().map(|other| Out::Send(other, word.clone())));
     }
@@ -384,19 +430,35 @@
         let kept = self.store.kept.borrow();
         let (config, stand) = (kept.config, kept.stand + u64::from(dirty));
         for message in said {
-            let to = self.voters.iter().nth(message.get_receiver().saturating_sub(1) as usize);
-            out.extend(to.map(|to| Out::Send(*to, Among::Paxos { config, stand, message })));
+            let to = self
+                .voters
+                .iter()
+                .nth(message.get_receiver().saturating_sub(1) as usize);
+            out.extend(to.map(|to| {
+                Out::Send(
+                    *to,
+                    Among::Paxos {
+                        config,
+                        stand,
+                        message,
+                    },
+                )
+            }));
         }
     }
 
     /// Whether this voter leads, by the library.
     fn lead(&mut self, out: &mut Vec<Out>) {
         let leads = match &self.paxos {
-            None => Some(self.begun.map_or(Epoch(self.book.epoch.0 + 1), |(epoch, _)| epoch)),
+            None => Some(
+                self.begun
+                    .map_or(Epoch(self.book.epoch.0 + 1), |(epoch, _)| epoch),
+            ),
             Some(paxos) => {
                 let me = self.pid(self.me);
-                let leads =
-                    paxos.get_current_leader().is_some_and(|(pid, accepts)| Some(pid) == me && accepts);
+                let leads = paxos
+                    .get_current_leader()
+                    .is_some_and(|(pid, accepts)| Some(pid) == me && accepts);
                 leads.then(|| epoch_of(paxos.get_promise()))
             }
         };
@@ -409,7 +471,9 @@
                 }
                 self.begun = leads.map(|epoch| (epoch, false));
                 self.asked.clear();
-                leads.into_iter().for_each(|epoch| self.put(Line::Begins(epoch)));
+                leads
+                    .into_iter()
+                    .for_each(|epoch| self.put(Line::Begins(epoch)));
             }
         }
     }
--- a/crates/coordination/src/voter/folder.rs
+++ b/crates/coordination/src/voter/folder.rs
@@ -23,7 +23,11 @@
     ) {
         let mut kept = self.store.kept.borrow_mut();
         // Before a group is founded nobody has acknowledged anything, so a folder that was lost is one like any other.
-        let founding = kept.config == 0 && kept.seen.get(&from).is_some_and(|known| known.0 != incarnation);
+        let founding = kept.config == 0
+            && kept
+                .seen
+                .get(&from)
+                .is_some_and(|known| known.0 != incarnation);
         if founding {
             kept.seen.remove(&from);
         }
@@ -37,7 +41,14 @@
         let of = *known;
         let (incarnation, here) = (kept.incarnation, kept.config);
         drop(kept);
-        out.push(Out::Send(from, Among::Known { incarnation, config: here, of }));
+        out.push(Out::Send(
+            from,
+            Among::Known {
+                incarnation,
+                config: here,
+                of,
+            },
+        ));
         if config < here {
             self.give_base(now, from, out);
         }
@@ -57,17 +68,24 @@
         };
         let mut kept = self.store.kept.borrow_mut();
         if of.0 != kept.incarnation || of.1 > kept.stand {
-            let why =
-                if of.0 != kept.incarnation { "another folder" } else { "a later state of this folder" };
+            let why = if of.0 != kept.incarnation {
+                "another folder"
+            } else {
+                "a later state of this folder"
+            };
             let name = kept.name;
             // Neither its promises nor its log are known any more: it must not vote as if they were.
             *kept = Kept::new(name, Incarnation(self.draw));
             drop(kept);
-            self.draw = self.draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            self.draw = self
+                .draw
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1);
             self.store.dirty.set(true);
             self.part = Part::Out;
             self.next_ask = now;
-            let what = format!("another voter knows {why}: no vote from here until it is let in as new");
+            let what =
+                format!("another voter knows {why}: no vote from here until it is let in as new");
             return out.push(Out::Note("folder-forgets", what));
         }
         if let Entry::Vacant(unknown) = kept.seen.entry(from) {
@@ -92,8 +110,11 @@
     pub(super) fn enough(&mut self, now: Time, out: &mut Vec<Out>) {
         let mut kept = self.store.kept.borrow_mut();
         if kept.config == 0 {
-            let mut voters: BTreeMap<Member, Incarnation> =
-                kept.seen.iter().map(|(member, seen)| (*member, seen.0)).collect();
+            let mut voters: BTreeMap<Member, Incarnation> = kept
+                .seen
+                .iter()
+                .map(|(member, seen)| (*member, seen.0))
+                .collect();
             voters.insert(self.me, kept.incarnation);
             kept.begin(1, Book::new(voters));
             self.store.dirty.set(true);
@@ -101,7 +122,10 @@
         drop(kept);
         self.part = Part::In;
         self.build(now);
-        out.push(Out::Note("takes-part", format!("in configuration {}", self.part().1)));
+        out.push(Out::Note(
+            "takes-part",
+            format!("in configuration {}", self.part().1),
+        ));
     }
 
     pub(super) fn give_base(&mut self, now: Time, to: Member, out: &mut Vec<Out>) {
@@ -128,7 +152,10 @@
             return;
         }
         drop(kept);
-        out.push(Out::Note("let-in", format!("takes part in configuration {config}")));
+        out.push(Out::Note(
+            "let-in",
+            format!("takes part in configuration {config}"),
+        ));
         self.begin(now, config, book, out);
     }
 
@@ -143,14 +170,23 @@
     }
 
     /// A voter whose folder does not remember is let in under a new incarnation, by a configuration of its own.
-    pub(super) fn let_in(&mut self, now: Time, member: Member, incarnation: Incarnation, out: &mut Vec<Out>) {
+    pub(super) fn let_in(
+        &mut self,
+        now: Time,
+        member: Member,
+        incarnation: Incarnation,
+        out: &mut Vec<Out>,
+    ) {
         if self.book.voters.get(&member) == Some(&incarnation) {
             return self.give_base(now, member, out);
         }
         let mut voters = self.book.voters.clone();
         voters.insert(member, incarnation);
         if self.reconfigure(voters) {
-            out.push(Out::Note("lets-in", format!("member {} votes under a new folder", member.0)));
+            out.push(Out::Note(
+                "lets-in",
+                format!("member {} votes under a new folder", member.0),
+            ));
         }
     }
 
--- a/crates/coordination/src/words.rs
+++ b/crates/coordination/src/words.rs
@@ -9,15 +9,21 @@
 pub struct Member(pub u32);
 
 /// A policy that is or was in force; each is one more than the one before.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Revision(pub u64);
 
 /// A proposed change, in the order of the log. One that was withdrawn leaves its revision to the next.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Proposal(pub u64);
 
 /// Which leader; later ones have higher numbers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Epoch(pub u64);
 
 /// One life of a member's process, drawn at its start: an answer to an earlier life is no answer.
--- a/crates/coordination/tests/model.rs
+++ b/crates/coordination/tests/model.rs
@@ -141,7 +141,11 @@
             if may.is_some() {
                 world.acted[which] = may;
             }
-            let acts = if self.acts_on { may.or(world.acted[which]) } else { may };
+            let acts = if self.acts_on {
+                may.or(world.acted[which])
+            } else {
+                may
+            };
             let Some(revision) = acts else { continue };
             world.broken |= revision < world.highest;
             world.highest = world.highest.max(revision);
@@ -186,8 +190,9 @@
             proposed: false,
         };
         self.elect(&mut world);
-        (0..self.members as usize)
-            .for_each(|which| self.live(&mut world, which, |state, now, todo| state.tick(now, todo)));
+        (0..self.members as usize).for_each(|which| {
+            self.live(&mut world, which, |state, now, todo| state.tick(now, todo))
+        });
         vec![world]
     }
 
@@ -237,14 +242,17 @@
             Action::Commits => {
                 let (epoch, entry) = world.appended.remove(0);
                 if let Some(entry) = world.book.take(Line::Says(epoch, 0, entry)) {
-                    self.lead(&mut world, latest, |leader, now, todo| leader.committed(now, entry, todo));
+                    self.lead(&mut world, latest, |leader, now, todo| {
+                        leader.committed(now, entry, todo)
+                    });
                 }
             }
             Action::Proposes => {
                 world.proposed = true;
                 let proposal = world.leaders[latest].next_proposal().ok()?;
                 let epoch = world.leaders[latest].epoch();
-                let entry = Entry::Proposed(proposal, Policy::from(&b"second"[..]), Author::default());
+                let entry =
+                    Entry::Proposed(proposal, Policy::from(&b"second"[..]), Author::default());
                 world.appended.push((epoch, entry));
             }
             Action::Passes => {
@@ -255,7 +263,9 @@
                     world.leaders[latest].leased(Time(world.leased_until));
                 }
                 for which in 0..world.leaders.len() {
-                    self.lead(&mut world, which, |leader, now, todo| leader.tick(now, todo));
+                    self.lead(&mut world, which, |leader, now, todo| {
+                        leader.tick(now, todo)
+                    });
                 }
                 for which in 0..world.members.len() {
                     self.live(&mut world, which, |state, now, todo| state.tick(now, todo));
@@ -281,8 +291,13 @@
         vec![
             Property::always("no mixture", |_, world: &World| !world.broken),
             Property::sometimes("all act under the new policy", |_, world: &World| {
-                let acts = |(which, state): (usize, &MemberState)| state.may_act(clock(which, world.now));
-                world.members.iter().enumerate().all(|one| acts(one) == Some(Revision(1)))
+                let acts =
+                    |(which, state): (usize, &MemberState)| state.may_act(clock(which, world.now));
+                world
+                    .members
+                    .iter()
+                    .enumerate()
+                    .all(|one| acts(one) == Some(Revision(1)))
             }),
         ]
     }
@@ -290,7 +305,14 @@
 
 /// The bounds in CI; `MODEL=large` takes minutes.
 fn bounds() -> Group {
-    let small = Group { members: 2, time: 2, deaths: 1, elections: 1, flying: 3, acts_on: false };
+    let small = Group {
+        members: 2,
+        time: 2,
+        deaths: 1,
+        elections: 1,
+        flying: 3,
+        acts_on: false,
+    };
     match std::env::var("MODEL").as_deref() {
         Ok("large") => Group { time: 3, ..small },
         _ => small,
@@ -300,7 +322,12 @@
 #[test]
 fn no_order_of_events_mixes_two_policies() {
     let threads = std::thread::available_parallelism().map_or(2, usize::from);
-    let checked = bounds().checker().threads(threads).target_state_count(12_000_000).spawn_bfs().join();
+    let checked = bounds()
+        .checker()
+        .threads(threads)
+        .target_state_count(12_000_000)
+        .spawn_bfs()
+        .join();
     println!(
         "{} states, {} of them different, {} deep",
         checked.state_count(),
@@ -317,10 +344,14 @@
 
 #[test]
 fn a_member_that_acts_on_after_its_term_is_found() {
-    let checked = Group { acts_on: true, time: 4, ..bounds() }
-        .checker()
-        .target_state_count(3_000_000)
-        .spawn_bfs()
-        .join();
+    let checked = Group {
+        acts_on: true,
+        time: 4,
+        ..bounds()
+    }
+    .checker()
+    .target_state_count(3_000_000)
+    .spawn_bfs()
+    .join();
     assert!(checked.discovery("no mixture").is_some());
 }
--- a/crates/coordination/tests/seats.rs
+++ b/crates/coordination/tests/seats.rs
@@ -106,10 +106,22 @@
             inbox: Vec::new(),
             acted: None,
         };
-        let places = members.iter().map(|member| (*member, place(&mut rng))).collect();
-        let pairs = members.iter().flat_map(|from| members.iter().map(move |to| (*from, *to)));
-        let link = || Link { words: VecDeque::new(), cut_until: 0, opens: Some(0) };
-        let links = pairs.filter(|(from, to)| from != to).map(|pair| (pair, link())).collect();
+        let places = members
+            .iter()
+            .map(|member| (*member, place(&mut rng)))
+            .collect();
+        let pairs = members
+            .iter()
+            .flat_map(|from| members.iter().map(move |to| (*from, *to)));
+        let link = || Link {
+            words: VecDeque::new(),
+            cut_until: 0,
+            opens: Some(0),
+        };
+        let links = pairs
+            .filter(|(from, to)| from != to)
+            .map(|pair| (pair, link()))
+            .collect();
         let (policies, told, trace) = Default::default();
         World {
             rng,
@@ -131,7 +143,8 @@
     }
 
     fn note(&mut self, what: String) {
-        self.trace.push(format!("{:8.1} ms {what}", self.now as f64 / MS as f64));
+        self.trace
+            .push(format!("{:8.1} ms {what}", self.now as f64 / MS as f64));
     }
 
     fn clock(&self, member: Member) -> Time {
@@ -141,12 +154,20 @@
 
     fn start(&mut self, member: Member) {
         self.lives += 1;
-        let (life, draw) = (Life(self.lives * 1000 + 1), self.rng.random_range(1..u64::MAX));
+        let (life, draw) = (
+            Life(self.lives * 1000 + 1),
+            self.rng.random_range(1..u64::MAX),
+        );
         let votes = member.0 < self.voters;
-        let kept = self.places[&member].disk.as_ref().and_then(|bytes| Kept::decode(bytes, NAME).ok());
+        let kept = self.places[&member]
+            .disk
+            .as_ref()
+            .and_then(|bytes| Kept::decode(bytes, NAME).ok());
         let setup = Setup {
             me: member,
-            members: (0..self.places.len() as u32).map(|at| (Member(at), at < self.voters)).collect(),
+            members: (0..self.places.len() as u32)
+                .map(|at| (Member(at), at < self.voters))
+                .collect(),
             terms: self.terms,
             life,
             kept: votes.then(|| kept.unwrap_or_else(|| fresh(NAME, draw))),
@@ -175,7 +196,11 @@
 
     fn with(&mut self, member: Member, act: impl FnOnce(&mut Seat, Time, &mut Vec<Do>)) {
         let (now, mut todo) = (self.clock(member), Vec::new());
-        let Some(seat) = self.places.get_mut(&member).and_then(|place| place.seat.as_mut()) else {
+        let Some(seat) = self
+            .places
+            .get_mut(&member)
+            .and_then(|place| place.seat.as_mut())
+        else {
             return;
         };
         act(seat, now, &mut todo);
@@ -192,7 +217,9 @@
                     if place.full_until > now {
                         written = false;
                         place.seat.iter_mut().for_each(Seat::not_written);
-                    } else if self.broken == Broken::SpeaksBeforeWriting && self.rng.random_bool(0.05) {
+                    } else if self.broken == Broken::SpeaksBeforeWriting
+                        && self.rng.random_bool(0.05)
+                    {
                         // Its folder forgets the writing, and how often it was written.
                         let seat = &self.places[&member].seat;
                         assert!(seat.is_some());
@@ -205,10 +232,18 @@
                 }
                 Do::Send(..) if !written => {}
                 Do::Send(to, frame) if to == member => {
-                    self.places.get_mut(&member).unwrap().inbox.push((member, frame));
+                    self.places
+                        .get_mut(&member)
+                        .unwrap()
+                        .inbox
+                        .push((member, frame));
                 }
                 Do::Send(to, frame) => {
-                    let slow = if self.faults && self.rng.random_bool(0.02) { 300 } else { 8 };
+                    let slow = if self.faults && self.rng.random_bool(0.02) {
+                        300
+                    } else {
+                        8
+                    };
                     let at = self.now + self.rng.random_range(1..slow) * MS;
                     let link = self.links.get_mut(&(member, to)).unwrap();
                     if link.cut_until <= self.now && link.opens.is_none() {
@@ -218,12 +253,21 @@
                 }
                 Do::Check(proposal, _, policy) => {
                     let no = policy.starts_with(b"bad") && u32::from(policy[3]) == member.0;
-                    let verdict = if no { Err("it does not fit".to_owned()) } else { Ok(()) };
-                    self.with(member, |seat, now, todo| seat.checked(now, proposal, verdict, todo));
+                    let verdict = if no {
+                        Err("it does not fit".to_owned())
+                    } else {
+                        Ok(())
+                    };
+                    self.with(member, |seat, now, todo| {
+                        seat.checked(now, proposal, verdict, todo)
+                    });
                 }
                 Do::TakeUp(revision, policy) => {
                     self.note(format!("{member:?} takes up {revision:?}"));
-                    let known = self.policies.entry(revision).or_insert_with(|| policy.clone());
+                    let known = self
+                        .policies
+                        .entry(revision)
+                        .or_insert_with(|| policy.clone());
                     assert_eq!(*known, policy, "two outcomes of {revision:?}");
                     self.places.get_mut(&member).unwrap().applied = Some(revision);
                 }
@@ -261,7 +305,11 @@
         for member in members {
             let now = self.clock(member);
             let place = &self.places[&member];
-            let Some(seat) = place.seat.as_ref().filter(|_| place.paused_until <= self.now) else {
+            let Some(seat) = place
+                .seat
+                .as_ref()
+                .filter(|_| place.paused_until <= self.now)
+            else {
                 continue;
             };
             let may = seat.may_act(now);
@@ -279,7 +327,11 @@
                 self.places.get_mut(&member).unwrap().acted = None;
             }
             let Some(revision) = acts else { continue };
-            assert!(revision >= self.highest, "{member:?} acts under {revision:?} after {:?}", self.highest);
+            assert!(
+                revision >= self.highest,
+                "{member:?} acts under {revision:?} after {:?}",
+                self.highest
+            );
             (self.highest, self.acts) = (revision, self.acts + 1);
         }
     }
@@ -300,8 +352,14 @@
             6..=8 => {
                 let other = Member(self.rng.random_range(0..self.places.len() as u32));
                 let one_way = self.rng.random_bool(0.5);
-                self.note(format!("{member:?} to {other:?} is cut for {} ms, one way {one_way}", long / MS));
-                for pair in [(member, other), (other, member)].into_iter().take(if one_way { 1 } else { 2 }) {
+                self.note(format!(
+                    "{member:?} to {other:?} is cut for {} ms, one way {one_way}",
+                    long / MS
+                ));
+                for pair in [(member, other), (other, member)]
+                    .into_iter()
+                    .take(if one_way { 1 } else { 2 })
+                {
                     if let Some(link) = self.links.get_mut(&pair) {
                         (link.cut_until, link.opens) = (now + long, Some(now + long));
                         link.words.clear();
@@ -309,7 +367,10 @@
                 }
             }
             9 => {
-                self.note(format!("{member:?} is cut off from all for {} ms", long / MS));
+                self.note(format!(
+                    "{member:?} is cut off from all for {} ms",
+                    long / MS
+                ));
                 for ((from, to), link) in &mut self.links {
                     if *from == member || *to == member {
                         (link.cut_until, link.opens) = (now + long, Some(now + long));
@@ -318,7 +379,10 @@
                 }
             }
             10 => {
-                self.note(format!("the disk of {voter:?} is full for {} ms", long / MS));
+                self.note(format!(
+                    "the disk of {voter:?} is full for {} ms",
+                    long / MS
+                ));
                 self.places.get_mut(&voter).unwrap().full_until = now + long;
             }
             11 | 12 => self.lose_folder(voter, long),
@@ -338,7 +402,11 @@
     /// One folder at a time may be lost or set back: with most of them gone nobody could know.
     fn lose_folder(&mut self, voter: Member, down: i64) {
         let sound = |(member, place): (&Member, &Place)| {
-            let takes_part = place.seat.as_ref().and_then(Seat::votes).is_some_and(|(part, _)| part);
+            let takes_part = place
+                .seat
+                .as_ref()
+                .and_then(Seat::votes)
+                .is_some_and(|(part, _)| part);
             member.0 >= self.voters || *member == voter || takes_part
         };
         // Of one that votes alone nobody else knows what it acknowledged.
@@ -354,9 +422,14 @@
             0 => None,
             many => place.copies[self.rng.random_range(0..many)].clone(),
         };
-        let had = place.disk.as_ref().and_then(|bytes| Kept::decode(bytes, NAME).ok());
+        let had = place
+            .disk
+            .as_ref()
+            .and_then(|bytes| Kept::decode(bytes, NAME).ok());
         let trusted = had.map(|had| {
-            let old = copy.as_ref().and_then(|bytes| Kept::decode(bytes, NAME).ok());
+            let old = copy
+                .as_ref()
+                .and_then(|bytes| Kept::decode(bytes, NAME).ok());
             let mut kept = match lost {
                 true => Kept::new(NAME, had.incarnation),
                 false => old.unwrap_or_else(|| had.clone()),
@@ -375,7 +448,10 @@
             (_, false) => copy,
         };
         place.copies.clear();
-        self.note(format!("{voter:?} dies, its folder is {}", if lost { "lost" } else { "an old copy" }));
+        self.note(format!(
+            "{voter:?} dies, its folder is {}",
+            if lost { "lost" } else { "an old copy" }
+        ));
         // Back while those still run that know what it acknowledged.
         self.kill(voter, down.min(200 * MS));
     }
@@ -409,10 +485,19 @@
                     self.with(pair.0, |seat, now, todo| seat.linked(now, 0, pair.1, todo));
                 }
             }
-            while let Some(word) = self.links.get_mut(&pair).unwrap().words.pop_front_if(|word| word.0 <= now)
+            while let Some(word) = self
+                .links
+                .get_mut(&pair)
+                .unwrap()
+                .words
+                .pop_front_if(|word| word.0 <= now)
             {
                 if self.places[&pair.1].seat.is_some() {
-                    self.places.get_mut(&pair.1).unwrap().inbox.push((pair.0, word.1));
+                    self.places
+                        .get_mut(&pair.1)
+                        .unwrap()
+                        .inbox
+                        .push((pair.0, word.1));
                 }
             }
         }
@@ -421,8 +506,12 @@
                 continue;
             }
             for _ in 0..6 {
-                for (from, frame) in std::mem::take(&mut self.places.get_mut(&member).unwrap().inbox) {
-                    self.with(member, |seat, now, todo| seat.hear(now, 0, from, frame, todo));
+                for (from, frame) in
+                    std::mem::take(&mut self.places.get_mut(&member).unwrap().inbox)
+                {
+                    self.with(member, |seat, now, todo| {
+                        seat.hear(now, 0, from, frame, todo)
+                    });
                 }
             }
             self.with(member, |seat, now, todo| seat.tick(now, 0, todo));
@@ -433,13 +522,29 @@
     fn propose(&mut self, at: Member, bad: bool) {
         self.keys += 1;
         let key = self.keys;
-        let base = self.places[&at].seat.as_ref().and_then(|seat| seat.view().0).unwrap_or_default();
+        let base = self.places[&at]
+            .seat
+            .as_ref()
+            .and_then(|seat| seat.view().0)
+            .unwrap_or_default();
         let text = match bad {
-            true => vec![b'b', b'a', b'd', self.rng.random_range(0..self.places.len() as u32) as u8],
+            true => vec![
+                b'b',
+                b'a',
+                b'd',
+                self.rng.random_range(0..self.places.len() as u32) as u8,
+            ],
             false => format!("policy {key}").into_bytes(),
         };
-        let author = Author { by: "a test".to_owned(), key };
-        let request = Request::Propose { base, policy: Policy::from(text), author };
+        let author = Author {
+            by: "a test".to_owned(),
+            key,
+        };
+        let request = Request::Propose {
+            base,
+            policy: Policy::from(text),
+            author,
+        };
         self.with(at, |seat, now, todo| seat.request(now, key, request, todo));
     }
 
@@ -454,7 +559,9 @@
                 // What became of an earlier one is asked for anywhere.
                 let at = Member(self.rng.random_range(0..self.places.len() as u32));
                 let key = self.rng.random_range(0..=self.keys);
-                self.with(at, |seat, now, todo| seat.request(now, key, Request::Outcome(key), todo));
+                self.with(at, |seat, now, todo| {
+                    seat.request(now, key, Request::Outcome(key), todo)
+                });
             }
             self.turn();
         }
@@ -464,7 +571,10 @@
             self.turn();
             calm += 1;
             let all = |place: &Place| {
-                place.seat.as_ref().is_some_and(|seat| seat.votes().is_none_or(|(part, _)| part))
+                place
+                    .seat
+                    .as_ref()
+                    .is_some_and(|seat| seat.votes().is_none_or(|(part, _)| part))
             };
             if calm > 1200 && self.places.values().all(all) && self.in_step().is_some() {
                 break;
@@ -476,22 +586,36 @@
             Some(format!("{member:?} {:?} {:?}", seat.votes(), seat.view()))
         };
         let stands: Vec<_> = self.places.iter().filter_map(stand).collect();
-        assert!(holds.is_some(), "not all act under one policy after {calm} calm turns: {stands:?}");
+        assert!(
+            holds.is_some(),
+            "not all act under one policy after {calm} calm turns: {stands:?}"
+        );
         // With everybody there, one no is enough. (Of one that could not be heard `switch.rs` tells.)
         self.propose(Member(0), true);
         (0..600).for_each(|_| self.turn());
         assert_eq!(self.in_step(), holds, "in force though one said no");
         self.propose(Member(0), false);
         (0..600).for_each(|_| self.turn());
-        assert!(self.in_step() > holds, "a change does not come into force without faults");
+        assert!(
+            self.in_step() > holds,
+            "a change does not come into force without faults"
+        );
         holds.unwrap_or_default().0
     }
 
     /// The revision under which all act, if there is one.
     fn in_step(&self) -> Option<Revision> {
-        let acts = |member: &Member| self.places[member].seat.as_ref()?.may_act(self.clock(*member));
+        let acts = |member: &Member| {
+            self.places[member]
+                .seat
+                .as_ref()?
+                .may_act(self.clock(*member))
+        };
         let first = acts(&Member(0))?;
-        self.places.keys().all(|member| acts(member) == Some(first)).then_some(first)
+        self.places
+            .keys()
+            .all(|member| acts(member) == Some(first))
+            .then_some(first)
     }
 }
 
@@ -523,11 +647,21 @@
 #[test]
 fn no_life_of_a_group_breaks_a_guarantee() {
     let (mut in_force, mut acts) = (0, 0);
-    let seeds = std::env::var("SEEDS").ok().and_then(|seeds| seeds.parse().ok()).unwrap_or(24u64);
-    let from = std::env::var("FROM").ok().and_then(|from| from.parse().ok()).unwrap_or(0u64);
+    let seeds = std::env::var("SEEDS")
+        .ok()
+        .and_then(|seeds| seeds.parse().ok())
+        .unwrap_or(24u64);
+    let from = std::env::var("FROM")
+        .ok()
+        .and_then(|from| from.parse().ok())
+        .unwrap_or(0u64);
     for seed in from..from + seeds {
         let (count, voters) = [(3, 3), (5, 3), (6, 5), (2, 1)][(seed % 4) as usize];
-        let on_cut = if seed % 3 == 0 { OnCut::Serve } else { OnCut::Stop };
+        let on_cut = if seed % 3 == 0 {
+            OnCut::Serve
+        } else {
+            OnCut::Stop
+        };
         match played(seed, count, voters, on_cut, Broken::Nothing, 8000) {
             Ok((changes, acted)) => (in_force, acts) = (in_force + changes, acts + acted),
             Err(trace) => panic!("{trace}"),
@@ -546,7 +680,10 @@
         let began = world.now;
         while world.in_step() != Some(Revision(revision)) {
             world.turn();
-            assert!(world.now - began < 20_000 * MS, "not all under revision {revision}");
+            assert!(
+                world.now - began < 20_000 * MS,
+                "not all under revision {revision}"
+            );
         }
         (world.now - began) / MS
     };
@@ -568,9 +705,13 @@
         Broken::SaysStill,
     ];
     std::panic::set_hook(Box::new(|_| {}));
-    let found =
-        |broken: Broken| (0..400).find(|seed| played(*seed, 4, 3, OnCut::Stop, broken, 8000).is_err());
-    let missed: Vec<Broken> = faults.into_iter().filter(|broken| found(*broken).is_none()).collect();
+    let found = |broken: Broken| {
+        (0..400).find(|seed| played(*seed, 4, 3, OnCut::Stop, broken, 8000).is_err())
+    };
+    let missed: Vec<Broken> = faults
+        .into_iter()
+        .filter(|broken| found(*broken).is_none())
+        .collect();
     let _ = std::panic::take_hook();
     assert!(missed.is_empty(), "not found: {missed:?}");
 }
@@ -579,11 +720,21 @@
 fn a_folder_of_another_name_a_later_version_or_torn_is_told_from_its_own() {
     use marblefall_coordination::store::Unreadable;
     let bytes = Kept::new(NAME, Incarnation(3)).encode();
-    assert_eq!(Kept::decode(&bytes, NAME), Ok(Kept::new(NAME, Incarnation(3))));
+    assert_eq!(
+        Kept::decode(&bytes, NAME),
+        Ok(Kept::new(NAME, Incarnation(3)))
+    );
     assert_eq!(Kept::decode(&bytes, 8), Err(Unreadable::Another));
-    assert_eq!(Kept::decode(b"something else", NAME), Err(Unreadable::Foreign));
+    assert_eq!(
+        Kept::decode(b"something else", NAME),
+        Err(Unreadable::Foreign)
+    );
     for cut in 8..bytes.len() {
-        assert_eq!(Kept::decode(&bytes[..cut], NAME), Err(Unreadable::Torn), "cut at {cut}");
+        assert_eq!(
+            Kept::decode(&bytes[..cut], NAME),
+            Err(Unreadable::Torn),
+            "cut at {cut}"
+        );
     }
     let mut later = bytes.clone();
     later[7] = 9;
@@ -591,6 +742,10 @@
     for at in 8..bytes.len() {
         let mut flipped = bytes.clone();
         flipped[at] ^= 1;
-        assert_eq!(Kept::decode(&flipped, NAME), Err(Unreadable::Torn), "byte {at}");
+        assert_eq!(
+            Kept::decode(&flipped, NAME),
+            Err(Unreadable::Torn),
+            "byte {at}"
+        );
     }
 }
--- a/crates/coordination/tests/switch.rs
+++ b/crates/coordination/tests/switch.rs
@@ -99,9 +99,22 @@
     fn new(seed: u64, count: u32, on_cut: OnCut, broken: Broken) -> World {
         let mut rng = Pcg64::seed_from_u64(seed);
         let places = members(count).into_iter().map(|member| {
-            let clock = (rng.random_range(0..1_000_000_000), rng.random_range(-45..=45));
+            let clock = (
+                rng.random_range(0..1_000_000_000),
+                rng.random_range(-45..=45),
+            );
             let (state, before, holds) = (None, None, None);
-            (member, Place { state, clock, paused_until: 0, cut_until: 0, before, holds })
+            (
+                member,
+                Place {
+                    state,
+                    clock,
+                    paused_until: 0,
+                    cut_until: 0,
+                    before,
+                    holds,
+                },
+            )
         });
         let places = places.collect();
         let (leaders, log, appended, flying, policies, refused, acts, trace) = Default::default();
@@ -130,7 +143,8 @@
     }
 
     fn note(&mut self, what: String) {
-        self.trace.push(format!("{:7.1} ms {what}", self.now as f64 / MS as f64));
+        self.trace
+            .push(format!("{:7.1} ms {what}", self.now as f64 / MS as f64));
     }
 
     fn fly(&mut self, word: Word) {
@@ -140,7 +154,11 @@
         if self.places[&member].cut_until > self.now || self.faults && self.rng.random_bool(0.05) {
             return;
         }
-        let slow = if self.faults && self.rng.random_bool(0.05) { 400 } else { 10 };
+        let slow = if self.faults && self.rng.random_bool(0.05) {
+            400
+        } else {
+            10
+        };
         self.sent += 1;
         let at = self.now + self.rng.random_range(1..slow) * MS;
         self.flying.insert((at, self.sent), word);
@@ -162,7 +180,11 @@
         }
     }
 
-    fn live(&mut self, member: Member, act: impl FnOnce(&mut MemberState, Time, &mut Vec<member::Do>)) {
+    fn live(
+        &mut self,
+        member: Member,
+        act: impl FnOnce(&mut MemberState, Time, &mut Vec<member::Do>),
+    ) {
         let mut todo = Vec::new();
         let place = self.places.get_mut(&member).unwrap();
         let now = place.clock(self.now);
@@ -180,13 +202,20 @@
                         self.refused.push(proposal);
                     }
                     let no = no && self.broken != Broken::NoIsYes;
-                    let verdict = if no { Err("it does not fit".to_owned()) } else { Ok(()) };
+                    let verdict = if no {
+                        Err("it does not fit".to_owned())
+                    } else {
+                        Ok(())
+                    };
                     self.fly(Word::Up(member, ToLeader::Checked(proposal, verdict)));
                 }
                 member::Do::TakeUp(revision, policy) => {
                     self.places.get_mut(&member).unwrap().holds = Some(revision);
                     self.note(format!("{member:?} takes up {revision:?}"));
-                    let known = self.policies.entry(revision).or_insert_with(|| policy.clone());
+                    let known = self
+                        .policies
+                        .entry(revision)
+                        .or_insert_with(|| policy.clone());
                     assert_eq!(*known, policy, "two outcomes of {revision:?}");
                 }
             }
@@ -211,7 +240,8 @@
         let all: Vec<Member> = self.places.keys().copied().collect();
         let now = Time(self.now);
         let mut book = Book::new(BTreeMap::new());
-        log.into_iter().for_each(|entry| drop(book.take(Line::Says(Epoch(0), 0, entry))));
+        log.into_iter()
+            .for_each(|entry| drop(book.take(Line::Says(Epoch(0), 0, entry))));
         let leader = Leader::elected(self.terms, Epoch(self.epoch), now, &all, &book);
         self.leaders.push(leader);
         if self.leaders.len() > 2 {
@@ -234,8 +264,9 @@
 
     fn commit(&mut self) {
         let now = self.now;
-        let (due, later): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.appended).into_iter().partition(|one| one.0 <= now);
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.appended)
+            .into_iter()
+            .partition(|one| one.0 <= now);
         self.appended = later;
         for (_, epoch, entry) in due {
             if epoch != Epoch(self.epoch) || self.deposed {
@@ -243,21 +274,32 @@
             }
             self.note(format!("committed: {}", told(&entry)));
             if let Entry::InForce(proposal) = &entry {
-                assert!(!self.refused.contains(proposal), "{proposal:?} is in force though one said no");
+                assert!(
+                    !self.refused.contains(proposal),
+                    "{proposal:?} is in force though one said no"
+                );
             }
             self.log.push(entry.clone());
             let latest = self.leaders.len() - 1;
-            self.lead(latest, |leader, now, todo| leader.committed(now, entry.clone(), todo));
+            self.lead(latest, |leader, now, todo| {
+                leader.committed(now, entry.clone(), todo)
+            });
         }
     }
 
     fn deliver(&mut self) {
-        while let Some(first) = self.flying.first_entry().filter(|first| first.key().0 <= self.now) {
+        while let Some(first) = self
+            .flying
+            .first_entry()
+            .filter(|first| first.key().0 <= self.now)
+        {
             match first.remove() {
                 Word::Up(member, word) => {
                     self.hear_no(&word);
                     for which in 0..self.leaders.len() {
-                        self.lead(which, |leader, now, todo| leader.hear(now, member, word.clone(), todo));
+                        self.lead(which, |leader, now, todo| {
+                            leader.hear(now, member, word.clone(), todo)
+                        });
                     }
                 }
                 Word::Down(member, epoch, word) => {
@@ -265,7 +307,10 @@
                     if place.paused_until > self.now {
                         // Waits in the socket.
                         self.sent += 1;
-                        self.flying.insert((place.paused_until, self.sent), Word::Down(member, epoch, word));
+                        self.flying.insert(
+                            (place.paused_until, self.sent),
+                            Word::Down(member, epoch, word),
+                        );
                         continue;
                     }
                     if let (ToMember::Stop(proposal), Broken::SaysStill) = (&word, self.broken) {
@@ -276,7 +321,9 @@
                         let place = self.places.get_mut(&member).unwrap();
                         place.before = place.state.clone();
                     }
-                    self.live(member, |state, now, todo| state.hear(now, epoch, word, todo));
+                    self.live(member, |state, now, todo| {
+                        state.hear(now, epoch, word, todo)
+                    });
                 }
             }
         }
@@ -298,7 +345,11 @@
     /// Every member that may act does, at this very moment.
     fn act(&mut self) {
         for (member, place) in &self.places {
-            let Some(state) = place.state.as_ref().filter(|_| place.paused_until <= self.now) else {
+            let Some(state) = place
+                .state
+                .as_ref()
+                .filter(|_| place.paused_until <= self.now)
+            else {
                 continue;
             };
             let acts = match self.broken {
@@ -306,7 +357,11 @@
                 _ => state.may_act(place.clock(self.now)),
             };
             let Some(revision) = acts else { continue };
-            assert!(revision >= self.highest, "{member:?} acts under {revision:?} after {:?}", self.highest);
+            assert!(
+                revision >= self.highest,
+                "{member:?} acts under {revision:?} after {:?}",
+                self.highest
+            );
             self.highest = revision;
             *self.acts.entry(revision).or_default() += 1;
         }
@@ -350,7 +405,8 @@
 
     fn turn(&mut self, change: Option<&Policy>) {
         self.now += MS;
-        if self.leased_until <= self.now && (self.leaders.is_empty() || self.rng.random_bool(0.02)) {
+        if self.leased_until <= self.now && (self.leaders.is_empty() || self.rng.random_bool(0.02))
+        {
             self.elect();
         } else if !self.deposed && !self.leaders.is_empty() {
             self.leased_until = self.now + LEASE;
@@ -362,7 +418,11 @@
         if let (Some(policy), Some(latest)) = (change, self.leaders.len().checked_sub(1)) {
             if let Ok(proposal) = self.leaders[latest].next_proposal() {
                 let epoch = self.leaders[latest].epoch();
-                if !self.appended.iter().any(|(.., entry)| matches!(entry, Entry::Proposed(..))) {
+                if !self
+                    .appended
+                    .iter()
+                    .any(|(.., entry)| matches!(entry, Entry::Proposed(..)))
+                {
                     self.appended.push((
                         self.now + 3 * MS,
                         epoch,
@@ -410,7 +470,10 @@
         let (holds, open) = self.leaders.last().unwrap().standing();
         assert_eq!(open, None, "a change has no outcome");
         for (member, place) in &self.places {
-            let acts = place.state.as_ref().and_then(|state| state.may_act(place.clock(self.now)));
+            let acts = place
+                .state
+                .as_ref()
+                .and_then(|state| state.may_act(place.clock(self.now)));
             assert_eq!(acts, Some(holds), "{member:?} was left behind");
         }
         holds.0
@@ -434,7 +497,10 @@
     let acts = world.acts.values().sum();
     done.map(|in_force| (in_force, acts)).map_err(|_| {
         let from = world.trace.len().saturating_sub(60);
-        format!("seed {seed}, {count} members, {on_cut:?}:\n{}", world.trace[from..].join("\n"))
+        format!(
+            "seed {seed}, {count} members, {on_cut:?}:\n{}",
+            world.trace[from..].join("\n")
+        )
     })
 }
 
@@ -487,17 +553,33 @@
     world.places.get_mut(&Member(2)).unwrap().state = None;
     world.turn(Some(&policy));
     (0..3000).for_each(|_| world.turn(None));
-    assert_eq!(world.leaders.last().unwrap().standing(), (Revision(0), Some(Proposal(1))));
-    assert_eq!(world.acts.keys().copied().collect::<Vec<_>>(), [Revision(0)], "the others serve on");
+    assert_eq!(
+        world.leaders.last().unwrap().standing(),
+        (Revision(0), Some(Proposal(1)))
+    );
+    assert_eq!(
+        world.acts.keys().copied().collect::<Vec<_>>(),
+        [Revision(0)],
+        "the others serve on"
+    );
     let epoch = world.leaders.last().unwrap().epoch();
-    world.appended.push((world.now, epoch, Entry::Without(Member(2))));
+    world
+        .appended
+        .push((world.now, epoch, Entry::Without(Member(2))));
     (0..200).for_each(|_| world.turn(None));
-    assert_eq!(world.leaders.last().unwrap().standing(), (Revision(1), None));
+    assert_eq!(
+        world.leaders.last().unwrap().standing(),
+        (Revision(1), None)
+    );
     let state = MemberState::new(world.terms, Life(99));
     world.places.get_mut(&Member(2)).unwrap().state = Some(state);
     (0..300).for_each(|_| world.turn(None));
     let place = &world.places[&Member(2)];
-    let acts = place.state.as_ref().unwrap().may_act(place.clock(world.now));
+    let acts = place
+        .state
+        .as_ref()
+        .unwrap()
+        .may_act(place.clock(world.now));
     assert_eq!(acts, Some(Revision(1)));
     assert!(world.log.contains(&Entry::Back(Member(2))));
 }
--- a/crates/delivery/benches/step.rs
+++ b/crates/delivery/benches/step.rs
@@ -4,8 +4,12 @@
 #![allow(missing_docs)]
 
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
-use marblefall_delivery::core::destination_table::{DestinationEntry, DestinationTable, EndpointEntry};
-use marblefall_delivery::core::engine::{AttemptResult, Engine, EngineCommand, EngineEvent, EngineSettings};
+use marblefall_delivery::core::destination_table::{
+    DestinationEntry, DestinationTable, EndpointEntry,
+};
+use marblefall_delivery::core::engine::{
+    AttemptResult, Engine, EngineCommand, EngineEvent, EngineSettings,
+};
 use marblefall_delivery::core::message_store::MessageStore;
 use marblefall_delivery::core::{Disposition, Message, Origin, RequestId, Timestamp};
 use marblefall_scheduler::*;
@@ -24,8 +28,15 @@
             from_list: false,
         };
         let address = SocketAddr::from(([127, 0, 0, 1], 9));
-        let place = EndpointEntry { name: &own, address, weight: None, active: true };
-        destination_table.add(entry, std::iter::once(place)).expect("room");
+        let place = EndpointEntry {
+            name: &own,
+            address,
+            weight: None,
+            active: true,
+        };
+        destination_table
+            .add(entry, std::iter::once(place))
+            .expect("room");
     }
     Arc::new(destination_table.build())
 }
@@ -39,30 +50,50 @@
         idempotency: Idempotency::Idempotent,
         ordered: false,
     };
-    let caps = Limits { max_in_flight: 16, max_pending: 128, max_attempts: 8, ..Limits::default() };
+    let caps = Limits {
+        max_in_flight: 16,
+        max_pending: 128,
+        max_attempts: 8,
+        ..Limits::default()
+    };
     let settings = Settings {
         classes: vec![class],
-        kinds: vec![DestinationKind { separate_routes: false, max_batch: 1 }],
+        kinds: vec![DestinationKind {
+            separate_routes: false,
+            max_batch: 1,
+        }],
         limits: caps,
         rate_hints: RateHints::Approximate,
         instances: 1,
         ..Settings::default()
     };
-    EngineSettings { scheduler: settings, seed: 1, remember_ms: vec![0], max_remembered: 0 }
+    EngineSettings {
+        scheduler: settings,
+        seed: 1,
+        remember_ms: vec![0],
+        max_remembered: 0,
+    }
 }
 
 /// A message taken on and sent, then delivered: two steps.
 fn steps(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("a message beside idle destinations");
     for count in [10, 10_000, 100_000] {
-        let dir = std::env::temp_dir().join(format!("marblefall-step-{}-{count}", std::process::id()));
-        let store = MessageStore::open(&dir, 64_000_000, vec!["free".to_owned()]).expect("a folder");
+        let dir =
+            std::env::temp_dir().join(format!("marblefall-step-{}-{count}", std::process::id()));
+        let store =
+            MessageStore::open(&dir, 64_000_000, vec!["free".to_owned()]).expect("a folder");
         let (mut ms, mut orders) = (0, Vec::new());
-        let stamp = |ms: i64| Timestamp { monotonic: Time(ms * 1000), unix_ms: ms };
+        let stamp = |ms: i64| Timestamp {
+            monotonic: Time(ms * 1000),
+            unix_ms: ms,
+        };
         let mut engine = Engine::new(setup(), store, stamp(0), &mut orders);
         engine.step(
             stamp(0),
-            vec![EngineEvent::DestinationTableReplaced(destination_table(count))],
+            vec![EngineEvent::DestinationTableReplaced(destination_table(
+                count,
+            ))],
             &mut orders,
         );
         group.bench_with_input(BenchmarkId::from_parameter(count), &count, |bench, _| {
@@ -85,7 +116,9 @@
                     &mut orders,
                 );
                 let leg = orders.iter().find_map(|order| match order {
-                    EngineCommand::StartAttempt(request) => Some((request.message_id, request.attempt)),
+                    EngineCommand::StartAttempt(request) => {
+                        Some((request.message_id, request.attempt))
+                    }
                     _ => None,
                 });
                 let (seq, copy) = leg.expect("it is sent at once");
--- a/crates/delivery/src/core/active_destinations.rs
+++ b/crates/delivery/src/core/active_destinations.rs
@@ -49,7 +49,9 @@
     pub fn next_idle(&mut self, now: Time) -> Option<DestinationId> {
         while let Some((_, id)) = self.checks.pop_front_if(|(at, _)| *at <= now) {
             match self.last_used.get(&id) {
-                Some(used) if *used + IDLE_AFTER > now => self.checks.push_back((*used + IDLE_AFTER, id)),
+                Some(used) if *used + IDLE_AFTER > now => {
+                    self.checks.push_back((*used + IDLE_AFTER, id))
+                }
                 Some(_) => return Some(id),
                 None => {}
             }
--- a/crates/delivery/src/core/active_destinations/tests.rs
+++ b/crates/delivery/src/core/active_destinations/tests.rs
@@ -11,11 +11,18 @@
     assert_eq!(destinations.next_idle(Time(29_999_999)), None);
     assert_eq!(destinations.next_idle(Time(31_000_000)), Some(b));
     destinations.deactivate(b, IdleRecord::default());
-    assert_eq!((destinations.take_record(b), destinations.is_active(b)), (None, false), "nothing to be kept");
+    assert_eq!(
+        (destinations.take_record(b), destinations.is_active(b)),
+        (None, false),
+        "nothing to be kept"
+    );
     assert_eq!(destinations.next_idle(Time(31_000_000)), None);
     assert_eq!(destinations.next_check(), Some(Time(50_000_000)));
     assert_eq!(destinations.next_idle(Time(50_000_000)), Some(a));
-    let ejected = IdleRecord { ejected_since: Some(Time(5)), ..IdleRecord::default() };
+    let ejected = IdleRecord {
+        ejected_since: Some(Time(5)),
+        ..IdleRecord::default()
+    };
     destinations.deactivate(a, ejected);
     assert_eq!(destinations.take_record(a), Some(ejected));
 }
--- a/crates/delivery/src/core/destination_table.rs
+++ b/crates/delivery/src/core/destination_table.rs
@@ -166,7 +166,8 @@
 
     /// Makes the table ready to be read, and gives back the room that it does not need.
     pub fn build(mut self) -> DestinationTable {
-        self.destinations.sort_unstable_by_key(|destination| destination.id);
+        self.destinations
+            .sort_unstable_by_key(|destination| destination.id);
         self.names.shrink_to_fit();
         self.destinations.shrink_to_fit();
         self.endpoints.shrink_to_fit();
@@ -208,7 +209,10 @@
             let end = first + usize::from(destination.endpoint_count);
             self.endpoints.get(first..end).unwrap_or_default()
         });
-        packed.unwrap_or_default().iter().map(|packed| self.unpack_endpoint(packed))
+        packed
+            .unwrap_or_default()
+            .iter()
+            .map(|packed| self.unpack_endpoint(packed))
     }
 
     /// The endpoints of a destination in the core's form; none where it is unknown.
@@ -217,17 +221,24 @@
             return Vec::new();
         };
         let endpoints = self.endpoints(id);
-        endpoints.map(|endpoint| listed_endpoint(&destination, &endpoint)).collect()
+        endpoints
+            .map(|endpoint| listed_endpoint(&destination, &endpoint))
+            .collect()
     }
 
     fn find(&self, id: DestinationId) -> Option<&PackedDestination> {
-        let index = self.destinations.binary_search_by_key(&id.0, |destination| destination.id).ok()?;
+        let index = self
+            .destinations
+            .binary_search_by_key(&id.0, |destination| destination.id)
+            .ok()?;
         self.destinations.get(index)
     }
 
     fn text(&self, name: NameRange) -> &str {
         let start = name.start as usize;
-        self.names.get(start..start + usize::from(name.len)).unwrap_or_default()
+        self.names
+            .get(start..start + usize::from(name.len))
+            .unwrap_or_default()
     }
 
     fn unpack(&self, packed: &PackedDestination) -> DestinationEntry<'_> {
@@ -256,13 +267,20 @@
     }
 }
 
-fn listed_endpoint(destination: &DestinationEntry<'_>, endpoint: &EndpointEntry<'_>) -> ListedEndpoint {
+fn listed_endpoint(
+    destination: &DestinationEntry<'_>,
+    endpoint: &EndpointEntry<'_>,
+) -> ListedEndpoint {
     let name = if destination.from_list {
         format!("{}/{}", destination.name, endpoint.name)
     } else {
         endpoint.name.to_owned()
     };
-    let status = if endpoint.active { EndpointStatus::Active } else { EndpointStatus::Draining };
+    let status = if endpoint.active {
+        EndpointStatus::Active
+    } else {
+        EndpointStatus::Draining
+    };
     ListedEndpoint {
         name,
         address: endpoint.address.to_string(),
@@ -271,7 +289,10 @@
         zone: ZoneId(0),
         status,
         advertised_rate: f64::from(destination.rate),
-        weight: endpoint.weight.map(f64::from).filter(|weight| *weight > 0.0),
+        weight: endpoint
+            .weight
+            .map(f64::from)
+            .filter(|weight| *weight > 0.0),
     }
 }
 
--- a/crates/delivery/src/core/engine.rs
+++ b/crates/delivery/src/core/engine.rs
@@ -87,11 +87,17 @@
 
 impl<'a> Batch<'a> {
     fn new(now: Timestamp, commands: &'a mut Vec<EngineCommand>) -> Batch<'a> {
-        Batch { now, scheduler_events: Vec::new(), submissions: Vec::new(), commands }
+        Batch {
+            now,
+            scheduler_events: Vec::new(),
+            submissions: Vec::new(),
+            commands,
+        }
     }
 
     fn respond(&mut self, request: RequestId, response: SubmitResponse) {
-        self.commands.push(EngineCommand::Respond(request, response));
+        self.commands
+            .push(EngineCommand::Respond(request, response));
     }
 }
 
@@ -141,7 +147,10 @@
             return None;
         }
         let timer = self.timers.first().map(|(at, _)| *at);
-        timer.into_iter().chain(self.active_destinations.next_check()).min()
+        timer
+            .into_iter()
+            .chain(self.active_destinations.next_check())
+            .min()
     }
 
     /// Messages without a final outcome, and attempts in flight.
@@ -155,7 +164,12 @@
     }
 
     /// Takes what came in since the last step, lets the scheduler decide, and says what is to be done.
-    pub fn step(&mut self, now: Timestamp, events: Vec<EngineEvent>, commands: &mut Vec<EngineCommand>) {
+    pub fn step(
+        &mut self,
+        now: Timestamp,
+        events: Vec<EngineEvent>,
+        commands: &mut Vec<EngineCommand>,
+    ) {
         let mut events = self.apply_policy_changes(now, events, commands);
         if self.role != Role::Active || events.iter().any(EngineEvent::belongs_to_hot_restart) {
             return self.step_in_hot_restart(now, events, commands);
@@ -171,7 +185,12 @@
     }
 
     /// A step of the incarnation that decides.
-    fn step_active(&mut self, now: Timestamp, events: Vec<EngineEvent>, commands: &mut Vec<EngineCommand>) {
+    fn step_active(
+        &mut self,
+        now: Timestamp,
+        events: Vec<EngineEvent>,
+        commands: &mut Vec<EngineCommand>,
+    ) {
         self.recent_completions.sweep(now.monotonic);
         let mut batch = Batch::new(now, commands);
         let events = self.handle_endpoint_changes(events, &mut batch);
@@ -183,9 +202,15 @@
         self.stop_before_shutdown(&mut batch);
         let swept = self.store.sweep(now.unix_ms, self.policy.max_remembered);
         log_journal_error(swept, batch.commands);
-        let Batch { scheduler_events, submissions, commands, .. } = batch;
+        let Batch {
+            scheduler_events,
+            submissions,
+            commands,
+            ..
+        } = batch;
         let mut actions = Vec::new();
-        self.scheduler.handle(now.monotonic, &scheduler_events, &mut actions);
+        self.scheduler
+            .handle(now.monotonic, &scheduler_events, &mut actions);
         let not_journalled = self.journal_submissions(now, submissions, &actions, commands);
         for action in actions {
             self.execute(now, action, &not_journalled, commands);
@@ -231,26 +256,32 @@
     }
 
     fn wake_for_last_attempt(&mut self, shutdown_at: m::Time) {
-        self.timers.insert((shutdown_at - LAST_ATTEMPT_BEFORE_END, STEP_TIMER));
+        self.timers
+            .insert((shutdown_at - LAST_ATTEMPT_BEFORE_END, STEP_TIMER));
     }
 
     /// A list without endpoints keeps the scheduler from starting what could not finish in this incarnation.
     fn stop_before_shutdown(&mut self, batch: &mut Batch<'_>) {
         self.starts_nothing_more |= self.ends_within(batch.now, LAST_ATTEMPT_BEFORE_END);
         if self.starts_nothing_more {
-            batch.scheduler_events.push(m::Event::EndpointsReplaced(Vec::new()));
+            batch
+                .scheduler_events
+                .push(m::Event::EndpointsReplaced(Vec::new()));
         }
     }
 
     /// Whether the process ends within a time.
     fn ends_within(&self, now: Timestamp, time: m::Span) -> bool {
-        self.shutdown_at.is_some_and(|end| end - now.monotonic <= time)
+        self.shutdown_at
+            .is_some_and(|end| end - now.monotonic <= time)
     }
 }
 
 /// Logs that the journal did not take a note; the message goes on as far as memory carries it.
 fn log_journal_error(noted: std::io::Result<()>, commands: &mut Vec<EngineCommand>) {
     if let Err(error) = noted {
-        commands.push(EngineCommand::Log(format!("the journal does not take a note: {error}")));
+        commands.push(EngineCommand::Log(format!(
+            "the journal does not take a note: {error}"
+        )));
     }
 }
--- a/crates/delivery/src/core/engine/acceptance.rs
+++ b/crates/delivery/src/core/engine/acceptance.rs
@@ -2,7 +2,8 @@
 
 use super::hot_restart::Role;
 use super::{
-    log_journal_error, Batch, Engine, EngineCommand, DEFAULT_RETRY_AFTER_MS, LAST_ACCEPTED_BEFORE_END,
+    log_journal_error, Batch, Engine, EngineCommand, DEFAULT_RETRY_AFTER_MS,
+    LAST_ACCEPTED_BEFORE_END,
 };
 use crate::core::message_record::AttemptRecord;
 use crate::core::{FinalOutcome, Message, MessageId, Origin, RequestId, SubmitResponse, Timestamp};
@@ -45,7 +46,9 @@
             Lookup::Conflict => return batch.respond(request, SubmitResponse::Conflict),
         };
         if !self.admits(&message, batch) {
-            let rejected = SubmitResponse::Rejected { retry_after_ms: DEFAULT_RETRY_AFTER_MS };
+            let rejected = SubmitResponse::Rejected {
+                retry_after_ms: DEFAULT_RETRY_AFTER_MS,
+            };
             return batch.respond(request, rejected);
         }
         self.use_destination(message.destination, batch);
@@ -55,7 +58,11 @@
             None => m::Event::Accepted(new_message),
             Some(attempt) => {
                 let first_executed = Some(self.sent_attempt(batch.now, attempt));
-                let prior = m::PriorAttempts { attempts: 0, first_executed, in_flight: None };
+                let prior = m::PriorAttempts {
+                    attempts: 0,
+                    first_executed,
+                    in_flight: None,
+                };
                 m::Event::Resumed(new_message, prior)
             }
         });
@@ -74,8 +81,12 @@
     fn admits(&self, message: &Message, batch: &Batch<'_>) -> bool {
         let full = self.role != Role::HandedOver
             && self.store.open_count() + batch.submissions.len() >= self.policy.max_open;
-        let ending = self.role == Role::Active && self.ends_within(batch.now, LAST_ACCEPTED_BEFORE_END);
-        self.is_known_destination(message.destination) && !full && !ending && self.store.has_room(message)
+        let ending =
+            self.role == Role::Active && self.ends_within(batch.now, LAST_ACCEPTED_BEFORE_END);
+        self.is_known_destination(message.destination)
+            && !full
+            && !ending
+            && self.store.has_room(message)
     }
 
     /// A submission joins an open message. The platform's clients give each submission an id of its own: who brings a
@@ -89,7 +100,11 @@
             return batch.respond(request, response);
         }
         self.waiting_clients.entry(id).or_default().push(request);
-        match batch.submissions.iter_mut().find(|submission| submission.id == id) {
+        match batch
+            .submissions
+            .iter_mut()
+            .find(|submission| submission.id == id)
+        {
             Some(submission) => submission.aliases.push(message.identity),
             None => {
                 log_journal_error(self.store.add_alias(id, &message.identity), batch.commands);
@@ -104,9 +119,13 @@
         let key = message.idempotency_key.as_ref().filter(|_| from_events);
         let repeats = |earlier: &Message| {
             let same_key = key.is_some() && earlier.idempotency_key.as_ref() == key;
-            earlier.identity == message.identity || earlier.destination == message.destination && same_key
+            earlier.identity == message.identity
+                || earlier.destination == message.destination && same_key
         };
-        if let Some(submission) = submissions.iter().find(|submission| repeats(&submission.message)) {
+        if let Some(submission) = submissions
+            .iter()
+            .find(|submission| repeats(&submission.message))
+        {
             return if submission.message.idempotency_key == message.idempotency_key {
                 Lookup::Open(submission.id)
             } else {
@@ -118,7 +137,11 @@
         let Some((id, record)) = id.and_then(|id| Some((id, self.store.get(id)?))) else {
             // Sent again, what was delivered would be executed twice.
             let over = !from_events && self.recent_completions.contains(&message.identity);
-            return if over { Lookup::Conflict } else { Lookup::New(None) };
+            return if over {
+                Lookup::Conflict
+            } else {
+                Lookup::New(None)
+            };
         };
         if record.message.idempotency_key != message.idempotency_key {
             return Lookup::Conflict;
@@ -134,7 +157,10 @@
     /// A client has gone without its response. What others wait for as well goes on, and so does an event nobody waits
     /// for, as its identity is known.
     pub(super) fn client_gone(&mut self, request: RequestId, batch: &mut Batch<'_>) {
-        let waiting = self.waiting_clients.iter_mut().find(|(_, requests)| requests.contains(&request));
+        let waiting = self
+            .waiting_clients
+            .iter_mut()
+            .find(|(_, requests)| requests.contains(&request));
         let Some((&id, requests)) = waiting else {
             return;
         };
@@ -154,7 +180,10 @@
             batch.scheduler_events.push(m::Event::Cancelled(id));
             return;
         }
-        let record = self.store.get(id).filter(|record| is_platform(&record.message));
+        let record = self
+            .store
+            .get(id)
+            .filter(|record| is_platform(&record.message));
         if record.is_some_and(|record| record.is_open()) {
             batch.scheduler_events.push(m::Event::Cancelled(id));
             self.forget(batch.now, id, batch.commands);
@@ -172,18 +201,29 @@
         let mut not_journalled = BTreeSet::new();
         for submission in submissions {
             let id = submission.id;
-            let given_up = actions.iter().find_map(|action| self.given_up(now, &submission, action));
+            let given_up = actions
+                .iter()
+                .find_map(|action| self.given_up(now, &submission, action));
             if let Some(response) = given_up {
                 // Given up before it was accepted: the response itself says so, and nothing is owed.
                 self.respond_all(id, response, commands);
                 continue;
             }
-            let Submission { message, first_executed, aliases, .. } = submission;
+            let Submission {
+                message,
+                first_executed,
+                aliases,
+                ..
+            } = submission;
             if let Err(error) = self.store.accept(id, message, first_executed) {
-                commands.push(EngineCommand::Log(format!("the journal does not take a message: {error}")));
+                commands.push(EngineCommand::Log(format!(
+                    "the journal does not take a message: {error}"
+                )));
                 not_journalled.insert(id);
                 self.backlog.push(m::Event::Cancelled(id));
-                let rejected = SubmitResponse::Rejected { retry_after_ms: DEFAULT_RETRY_AFTER_MS };
+                let rejected = SubmitResponse::Rejected {
+                    retry_after_ms: DEFAULT_RETRY_AFTER_MS,
+                };
                 self.respond_all(id, rejected, commands);
                 continue;
             }
@@ -191,8 +231,9 @@
                 log_journal_error(self.store.add_alias(id, &alias), commands);
             }
             let requests = self.waiting_clients.get(&id).into_iter().flatten();
-            commands
-                .extend(requests.map(|request| EngineCommand::Respond(*request, SubmitResponse::Accepted)));
+            commands.extend(
+                requests.map(|request| EngineCommand::Respond(*request, SubmitResponse::Accepted)),
+            );
         }
         not_journalled
     }
@@ -205,11 +246,16 @@
         action: &m::Action,
     ) -> Option<SubmitResponse> {
         match action {
-            m::Action::Reject { message, retry_after } if *message == submission.id => {
+            m::Action::Reject {
+                message,
+                retry_after,
+            } if *message == submission.id => {
                 let first_executed = submission.first_executed.as_ref();
                 let outcome = self.returned(now, &submission.message, first_executed, *retry_after);
                 Some(match outcome {
-                    FinalOutcome::Returned { retry_after_ms } => SubmitResponse::Rejected { retry_after_ms },
+                    FinalOutcome::Returned { retry_after_ms } => {
+                        SubmitResponse::Rejected { retry_after_ms }
+                    }
                     outcome => SubmitResponse::Finished(outcome),
                 })
             }
@@ -228,7 +274,11 @@
         commands: &mut Vec<EngineCommand>,
     ) {
         let requests = self.waiting_clients.remove(&id).unwrap_or_default();
-        commands.extend(requests.into_iter().map(|request| EngineCommand::Respond(request, response)));
+        commands.extend(
+            requests
+                .into_iter()
+                .map(|request| EngineCommand::Respond(request, response)),
+        );
     }
 }
 
--- a/crates/delivery/src/core/engine/attempts.rs
+++ b/crates/delivery/src/core/engine/attempts.rs
@@ -2,28 +2,46 @@
 
 use super::acceptance::failed;
 use super::settings::DEDUPLICATION_MARGIN;
-use super::{log_journal_error, AttemptRequest, AttemptResult, Batch, Engine, EngineCommand, STEP_TIMER};
+use super::{
+    log_journal_error, AttemptRequest, AttemptResult, Batch, Engine, EngineCommand, STEP_TIMER,
+};
 use crate::core::message_record::AttemptRecord;
-use crate::core::{Disposition, FinalOutcome, Message, MessageId, Origin, Route, SubmitResponse, Timestamp};
+use crate::core::{
+    Disposition, FinalOutcome, Message, MessageId, Origin, Route, SubmitResponse, Timestamp,
+};
 use marblefall_scheduler as m;
 use std::collections::BTreeSet;
 
 impl Engine {
     /// Takes the end of an attempt: it is noted, the scheduler hears of it, and the message may have its final outcome.
     pub(super) fn attempt_finished(&mut self, result: AttemptResult, batch: &mut Batch<'_>) {
-        let AttemptResult { message_id: id, attempt, outcome, duration, disposition, rate_limit } = result;
+        let AttemptResult {
+            message_id: id,
+            attempt,
+            outcome,
+            duration,
+            disposition,
+            rate_limit,
+        } = result;
         self.in_flight = self.in_flight.saturating_sub(1);
         self.note_backoff(batch.now, id, outcome, batch.commands);
         if let Some(destination) = self.store.get(id).map(|record| record.message.destination) {
             self.use_destination(destination, batch);
         }
-        log_journal_error(self.store.attempt_finished(id, !outcome.not_executed()), batch.commands);
+        log_journal_error(
+            self.store.attempt_finished(id, !outcome.not_executed()),
+            batch.commands,
+        );
         let delivered = outcome == m::Outcome::Delivered;
         batch.scheduler_events.push(m::Event::AttemptFinished {
             message: id,
             attempt: m::AttemptNumber(attempt),
             // An endpoint that will not have a message has answered: nothing is wrong with the endpoint.
-            outcome: if disposition == Disposition::Failed { m::Outcome::Delivered } else { outcome },
+            outcome: if disposition == Disposition::Failed {
+                m::Outcome::Delivered
+            } else {
+                outcome
+            },
             duration,
             is_final: delivered || disposition != Disposition::Undecided,
             rate_limit,
@@ -49,12 +67,21 @@
         commands: &mut Vec<EngineCommand>,
     ) {
         match action {
-            m::Action::Send { message, endpoint, timeout_at } => {
+            m::Action::Send {
+                message,
+                endpoint,
+                timeout_at,
+            } => {
                 let journalled = !not_journalled.contains(&message);
                 self.start_attempt(now, message, endpoint, timeout_at, journalled, commands);
             }
-            m::Action::Cancel { message, .. } => commands.push(EngineCommand::CancelAttempt(message)),
-            m::Action::Reject { message, retry_after } => {
+            m::Action::Cancel { message, .. } => {
+                commands.push(EngineCommand::CancelAttempt(message))
+            }
+            m::Action::Reject {
+                message,
+                retry_after,
+            } => {
                 let Some(record) = self.store.get(message) else {
                     return;
                 };
@@ -92,11 +119,22 @@
     ) {
         let record = AttemptRecord {
             started_ms: now.unix_ms,
-            endpoint: self.endpoints.name_of(endpoint).cloned().unwrap_or_default(),
+            endpoint: self
+                .endpoints
+                .name_of(endpoint)
+                .cloned()
+                .unwrap_or_default(),
         };
         let attempt = self.store.get(id).map_or(0, |record| record.attempts);
-        let noted = if journalled { self.store.attempt_started(id, record) } else { Ok(()) };
-        let message = self.store.get(id).filter(|record| noted.is_ok() && record.is_open());
+        let noted = if journalled {
+            self.store.attempt_started(id, record)
+        } else {
+            Ok(())
+        };
+        let message = self
+            .store
+            .get(id)
+            .filter(|record| noted.is_ok() && record.is_open());
         let Some(record) = message else {
             log_journal_error(noted, commands);
             self.backlog.push(m::Event::AttemptFinished {
@@ -113,7 +151,9 @@
         let message = record.message.clone();
         let window = self.policy.deduplication_window(message.class);
         let window_end = match (window, &record.first_executed) {
-            (Some(window), Some(first)) => now.monotonic_of(first.started_ms) + window - DEDUPLICATION_MARGIN,
+            (Some(window), Some(first)) => {
+                now.monotonic_of(first.started_ms) + window - DEDUPLICATION_MARGIN
+            }
             _ => timeout_at,
         };
         self.in_flight += 1;
@@ -132,7 +172,10 @@
     pub(super) fn route(&self, destination: m::DestinationId, endpoint: m::EndpointId) -> Route {
         let kind = self.endpoints.listed(endpoint).map(|listed| listed.kind);
         let separate = kind.is_some_and(|kind| self.policy.has_separate_routes(kind));
-        Route { destination, endpoint: Some(endpoint).filter(|_| separate) }
+        Route {
+            destination,
+            endpoint: Some(endpoint).filter(|_| separate),
+        }
     }
 
     /// An attempt's time and endpoint as the scheduler takes them.
@@ -141,7 +184,10 @@
         now: Timestamp,
         attempt: &AttemptRecord,
     ) -> (m::Time, m::EndpointId) {
-        (now.monotonic_of(attempt.started_ms), self.endpoints.id_of(&attempt.endpoint))
+        (
+            now.monotonic_of(attempt.started_ms),
+            self.endpoints.id_of(&attempt.endpoint),
+        )
     }
 
     /// A backoff that an endpoint asked for is noted before anything else is done with its response.
@@ -152,7 +198,10 @@
         outcome: m::Outcome,
         commands: &mut Vec<EngineCommand>,
     ) {
-        let m::Outcome::Rejected { retry_after: Some(wait) } = outcome else {
+        let m::Outcome::Rejected {
+            retry_after: Some(wait),
+        } = outcome
+        else {
             return;
         };
         let Some(record) = self.store.get(id) else {
@@ -164,7 +213,10 @@
         let destination = record.message.destination;
         let name = attempt.endpoint.clone();
         let until_ms = now.unix_ms + wait.0.div_euclid(1000) + 1;
-        log_journal_error(self.store.note_backoff(destination, name.clone(), until_ms), commands);
+        log_journal_error(
+            self.store.note_backoff(destination, name.clone(), until_ms),
+            commands,
+        );
         // An attempt of this incarnation's own has told the network; one of another incarnation has not.
         let endpoint = self.endpoints.id_of(&name);
         let route = self.route(destination, endpoint);
@@ -189,7 +241,9 @@
                 return FinalOutcome::Failed;
             }
         }
-        FinalOutcome::Returned { retry_after_ms: (retry_after.ms() as u64).max(1) }
+        FinalOutcome::Returned {
+            retry_after_ms: (retry_after.ms() as u64).max(1),
+        }
     }
 
     /// Gives a message its final outcome: once in the store, then towards whoever waits or is owed a notice.
@@ -214,18 +268,31 @@
         commands.push(EngineCommand::MessageFinished(outcome));
         self.respond_all(id, SubmitResponse::Finished(outcome), commands);
         if notice_owed {
-            commands.push(EngineCommand::SendNotice { message_id: id, message, outcome });
+            commands.push(EngineCommand::SendNotice {
+                message_id: id,
+                message,
+                outcome,
+            });
         } else if from_platform {
             self.forget(now, id, commands);
         }
     }
 
     /// Forgets a message for which nothing is owed.
-    pub(super) fn forget(&mut self, now: Timestamp, id: MessageId, commands: &mut Vec<EngineCommand>) {
+    pub(super) fn forget(
+        &mut self,
+        now: Timestamp,
+        id: MessageId,
+        commands: &mut Vec<EngineCommand>,
+    ) {
         self.waiting_clients.remove(&id);
-        let record = self.store.get(id).filter(|record| record.message.origin == Origin::Platform);
+        let record = self
+            .store
+            .get(id)
+            .filter(|record| record.message.origin == Origin::Platform);
         if let Some(record) = record {
-            self.recent_completions.insert(now.monotonic, &record.message.identity);
+            self.recent_completions
+                .insert(now.monotonic, &record.message.identity);
         }
         log_journal_error(self.store.forget(id), commands);
     }
--- a/crates/delivery/src/core/engine/endpoint_registry.rs
+++ b/crates/delivery/src/core/engine/endpoint_registry.rs
@@ -68,7 +68,10 @@
 
     /// Replaces the names of disabled endpoints; returns the listed endpoints that this changes.
     pub fn set_disabled(&mut self, names: BTreeSet<String>) -> Vec<ListedEndpoint> {
-        let changed: Vec<String> = names.symmetric_difference(&self.disabled).cloned().collect();
+        let changed: Vec<String> = names
+            .symmetric_difference(&self.disabled)
+            .cloned()
+            .collect();
         self.disabled = names;
         let ids = changed.iter().filter_map(|name| self.ids.get(name));
         ids.filter_map(|id| self.listed.get(id).cloned()).collect()
@@ -81,14 +84,23 @@
         scope: ListScope,
         commands: &mut Vec<EngineCommand>,
     ) -> Vec<m::EndpointUpdate> {
-        let updates: Vec<_> =
-            endpoints.into_iter().map(|endpoint| self.apply_one(endpoint, commands)).collect();
+        let updates: Vec<_> = endpoints
+            .into_iter()
+            .map(|endpoint| self.apply_one(endpoint, commands))
+            .collect();
         let is_listed = |update: &&m::EndpointUpdate| update.status != m::EndpointStatus::Removed;
         let removed: Vec<m::EndpointId> = match scope {
             ListScope::Whole => {
-                let kept: BTreeSet<_> =
-                    updates.iter().filter(is_listed).map(|update| update.endpoint).collect();
-                self.names.keys().copied().filter(|id| !kept.contains(id)).collect()
+                let kept: BTreeSet<_> = updates
+                    .iter()
+                    .filter(is_listed)
+                    .map(|update| update.endpoint)
+                    .collect();
+                self.names
+                    .keys()
+                    .copied()
+                    .filter(|id| !kept.contains(id))
+                    .collect()
             }
             ListScope::Changes => {
                 let gone = updates.iter().filter(|update| !is_listed(update));
--- a/crates/delivery/src/core/engine/endpoints.rs
+++ b/crates/delivery/src/core/engine/endpoints.rs
@@ -25,12 +25,17 @@
         events: Vec<EngineEvent>,
         batch: &mut Batch<'_>,
     ) -> Vec<EngineEvent> {
-        let (changes, rest): (Vec<_>, Vec<_>) = events.into_iter().partition(EngineEvent::changes_endpoints);
+        let (changes, rest): (Vec<_>, Vec<_>) =
+            events.into_iter().partition(EngineEvent::changes_endpoints);
         for change in changes {
             match change {
                 EngineEvent::EndpointsReplaced(endpoints) => {
-                    let updates = self.endpoints.apply(endpoints, ListScope::Whole, batch.commands);
-                    batch.scheduler_events.push(m::Event::EndpointsReplaced(updates));
+                    let updates = self
+                        .endpoints
+                        .apply(endpoints, ListScope::Whole, batch.commands);
+                    batch
+                        .scheduler_events
+                        .push(m::Event::EndpointsReplaced(updates));
                 }
                 EngineEvent::EndpointsUpdated(endpoints) => self.update_endpoints(endpoints, batch),
                 EngineEvent::DestinationTableReplaced(table) => self.replace_table(table, batch),
@@ -48,8 +53,12 @@
 
     /// Takes changes of the list and tells the scheduler.
     fn update_endpoints(&mut self, endpoints: Vec<ListedEndpoint>, batch: &mut Batch<'_>) {
-        let updates = self.endpoints.apply(endpoints, ListScope::Changes, batch.commands);
-        batch.scheduler_events.push(m::Event::EndpointsUpdated(updates));
+        let updates = self
+            .endpoints
+            .apply(endpoints, ListScope::Changes, batch.commands);
+        batch
+            .scheduler_events
+            .push(m::Event::EndpointsUpdated(updates));
     }
 
     /// Takes another destination table: what changes of destinations in use is a change of the list.
@@ -57,7 +66,9 @@
         let old = self.destination_table.replace(table.clone());
         let active: Vec<_> = self.active_destinations.active().collect();
         for id in active {
-            let before = old.as_ref().map_or_else(Vec::new, |old| old.listed_endpoints(id));
+            let before = old
+                .as_ref()
+                .map_or_else(Vec::new, |old| old.listed_endpoints(id));
             self.replace_endpoints(id, table.listed_endpoints(id), before, batch);
         }
         // What an earlier incarnation accepted waits for this.
@@ -80,12 +91,19 @@
             return;
         }
         let is_kept = |name: &str| endpoints.iter().any(|endpoint| endpoint.name == name);
-        let removed = before.into_iter().filter(|endpoint| !is_kept(&endpoint.name));
+        let removed = before
+            .into_iter()
+            .filter(|endpoint| !is_kept(&endpoint.name));
         let removed: Vec<_> = removed
-            .map(|endpoint| ListedEndpoint { status: m::EndpointStatus::Removed, ..endpoint })
+            .map(|endpoint| ListedEndpoint {
+                status: m::EndpointStatus::Removed,
+                ..endpoint
+            })
             .collect();
         endpoints.extend(removed);
-        let all_removed = endpoints.iter().all(|endpoint| endpoint.status == m::EndpointStatus::Removed);
+        let all_removed = endpoints
+            .iter()
+            .all(|endpoint| endpoint.status == m::EndpointStatus::Removed);
         self.update_endpoints(endpoints, batch);
         if all_removed {
             self.endpoints.forget_destination(id);
@@ -94,18 +112,27 @@
 
     /// Notes the use of a destination, and makes it known to the scheduler if it is not, with what is kept of it.
     pub(super) fn use_destination(&mut self, id: m::DestinationId, batch: &mut Batch<'_>) {
-        let table = self.destination_table.as_ref().filter(|table| table.entry(id).is_some());
+        let table = self
+            .destination_table
+            .as_ref()
+            .filter(|table| table.entry(id).is_some());
         let Some(table) = table.cloned() else { return };
         if self.active_destinations.touch(batch.now.monotonic, id) {
             self.update_endpoints(table.listed_endpoints(id), batch);
             if let Some(record) = self.active_destinations.take_record(id) {
-                batch.scheduler_events.push(m::Event::RouteRestored(id, None, record));
+                batch
+                    .scheduler_events
+                    .push(m::Event::RouteRestored(id, None, record));
             }
         }
     }
 
     /// Compacts destinations that have been idle for long, a few with each step.
-    pub(super) fn compact_idle_destinations(&mut self, now: Timestamp, commands: &mut Vec<EngineCommand>) {
+    pub(super) fn compact_idle_destinations(
+        &mut self,
+        now: Timestamp,
+        commands: &mut Vec<EngineCommand>,
+    ) {
         for _ in 0..MAX_COMPACTED_PER_STEP {
             let Some(id) = self.active_destinations.next_idle(now.monotonic) else {
                 return;
@@ -151,7 +178,11 @@
                     .mean_latency_ms
                     .map(f64::from)
                     .filter(|mean| mean.is_finite() && *mean > 0.0),
-                baseline_rate: if baseline_rate.is_finite() { baseline_rate.max(0.0) } else { 0.0 },
+                baseline_rate: if baseline_rate.is_finite() {
+                    baseline_rate.max(0.0)
+                } else {
+                    0.0
+                },
             };
             self.active_destinations.keep(record.id(), restored);
         }
@@ -164,7 +195,11 @@
     }
 }
 
-fn active_record(now: Timestamp, id: m::DestinationId, state: &m::DestinationState) -> DestinationRecord {
+fn active_record(
+    now: Timestamp,
+    id: m::DestinationId,
+    state: &m::DestinationState,
+) -> DestinationRecord {
     let unix_ms = |at: m::Time| unix_ms_of(now, at);
     DestinationRecord {
         destination: id.0,
@@ -172,7 +207,8 @@
         recovering_since_ms: state.recovering_since.map(unix_ms),
         backoff_until_ms: state.backoff_until.map(unix_ms),
         mean_latency_ms: state.mean_latency_ms.map(|mean| mean as f32),
-        baseline_rate: (state.baseline_rate as f32 * BASELINE_RATE_STEPS).round() / BASELINE_RATE_STEPS,
+        baseline_rate: (state.baseline_rate as f32 * BASELINE_RATE_STEPS).round()
+            / BASELINE_RATE_STEPS,
         pending: state.pending as u32,
         in_flight: state.in_flight as u32,
         active: true,
--- a/crates/delivery/src/core/engine/event.rs
+++ b/crates/delivery/src/core/engine/event.rs
@@ -62,7 +62,10 @@
     /// Another policy, from now on.
     PolicyChanged(Box<PolicyChange>),
     /// Asks whether a proposed policy has room for what is pending.
-    CheckPolicy(ProposedPolicy, async_channel::Sender<Result<(), PolicyMismatch>>),
+    CheckPolicy(
+        ProposedPolicy,
+        async_channel::Sender<Result<(), PolicyMismatch>>,
+    ),
     /// Whether the engine holds its lease may have changed.
     LeaseChanged,
     /// This incarnation ends.
@@ -94,7 +97,10 @@
                 | EngineEvent::FollowPredecessors
                 | EngineEvent::PredecessorExited(_)
                 | EngineEvent::StandbyExited(_)
-                | EngineEvent::Shutdown { hand_over: true, .. }
+                | EngineEvent::Shutdown {
+                    hand_over: true,
+                    ..
+                }
         )
     }
 }
--- a/crates/delivery/src/core/engine/hot_restart.rs
+++ b/crates/delivery/src/core/engine/hot_restart.rs
@@ -3,7 +3,9 @@
 //! Beside an active incarnation, and after handing over, it only writes down what it accepts; the active one has all
 //! messages and the scheduler, and hears from the others through the journal how their attempts end.
 
-use super::{log_journal_error, AttemptResult, Batch, Engine, EngineCommand, EngineEvent, LeaseState};
+use super::{
+    log_journal_error, AttemptResult, Batch, Engine, EngineCommand, EngineEvent, LeaseState,
+};
 use crate::core::journal::Generation;
 use crate::core::journal_record::{AttemptReport, RouteRecord};
 use crate::core::message_record::MessageState;
@@ -38,18 +40,32 @@
     ) {
         self.role = Role::Active;
         for route in &recovered.routes {
-            let endpoint = route.endpoint.as_ref().map(|name| self.endpoints.id_of(name));
-            let learned = route.learned.map_times(|at| now.monotonic_of(at.0.div_euclid(1000)));
-            self.backlog.push(m::Event::RouteRestored(route.destination, endpoint, learned));
+            let endpoint = route
+                .endpoint
+                .as_ref()
+                .map(|name| self.endpoints.id_of(name));
+            let learned = route
+                .learned
+                .map_times(|at| now.monotonic_of(at.0.div_euclid(1000)));
+            self.backlog.push(m::Event::RouteRestored(
+                route.destination,
+                endpoint,
+                learned,
+            ));
         }
         for ((destination, name), until_ms) in self.store.backoffs().clone() {
             let endpoint = self.endpoints.id_of(&name);
             let until = now.monotonic_of(until_ms);
-            commands.push(EngineCommand::SetBackoff(self.route(destination, endpoint), until));
-            self.backlog.push(m::Event::BackoffNotified(destination, endpoint, until));
+            commands.push(EngineCommand::SetBackoff(
+                self.route(destination, endpoint),
+                until,
+            ));
+            self.backlog
+                .push(m::Event::BackoffNotified(destination, endpoint, until));
         }
         let all: Vec<MessageId> = self.store.messages().keys().copied().collect();
-        let elsewhere: BTreeSet<MessageId> = recovered.in_flight_elsewhere.iter().copied().collect();
+        let elsewhere: BTreeSet<MessageId> =
+            recovered.in_flight_elsewhere.iter().copied().collect();
         for id in all {
             self.resume(now, id, elsewhere.contains(&id), commands);
         }
@@ -102,13 +118,16 @@
         events: Vec<EngineEvent>,
         commands: &mut Vec<EngineCommand>,
     ) {
-        let (changes, mut rest): (Vec<_>, Vec<_>) =
-            events.into_iter().partition(EngineEvent::belongs_to_hot_restart);
+        let (changes, mut rest): (Vec<_>, Vec<_>) = events
+            .into_iter()
+            .partition(EngineEvent::belongs_to_hot_restart);
         for change in changes {
             self.handle_hot_restart(now, change, &mut rest, commands);
         }
         match self.role {
-            Role::Active if self.lease != LeaseState::Held => self.step_without_lease(now, rest, commands),
+            Role::Active if self.lease != LeaseState::Held => {
+                self.step_without_lease(now, rest, commands)
+            }
             Role::Active => self.step_active(now, rest, commands),
             Role::Standby | Role::HandedOver => self.step_passive(now, rest, commands),
         }
@@ -122,9 +141,13 @@
         commands: &mut Vec<EngineCommand>,
     ) {
         match (self.role, event) {
-            (Role::Standby, EngineEvent::TakeOver { running, first_concurrent }) => {
-                self.take_over(now, &running, first_concurrent, commands)
-            }
+            (
+                Role::Standby,
+                EngineEvent::TakeOver {
+                    running,
+                    first_concurrent,
+                },
+            ) => self.take_over(now, &running, first_concurrent, commands),
             (Role::Active, EngineEvent::FollowPredecessors) => {
                 let mut found = Vec::new();
                 log_journal_error(self.store.follow(&mut found), commands);
@@ -132,7 +155,10 @@
             }
             (Role::Active, EngineEvent::PredecessorExited(generation)) => {
                 let mut found = Vec::new();
-                log_journal_error(self.store.finish_following(generation, &mut found), commands);
+                log_journal_error(
+                    self.store.finish_following(generation, &mut found),
+                    commands,
+                );
                 self.handle_predecessor_events(now, found, rest, commands);
                 if !self.store.is_following() {
                     self.reset_attempts_elsewhere(now, rest);
@@ -141,7 +167,13 @@
             (Role::Active, EngineEvent::StandbyExited(generation)) => {
                 self.adopt_standby(now, generation, commands);
             }
-            (Role::Standby | Role::Active, EngineEvent::Shutdown { deadline, hand_over: true }) => {
+            (
+                Role::Standby | Role::Active,
+                EngineEvent::Shutdown {
+                    deadline,
+                    hand_over: true,
+                },
+            ) => {
                 self.shutdown_at = Some(deadline);
                 self.hand_over(now, commands);
             }
@@ -156,10 +188,15 @@
         first_concurrent: Option<Generation>,
         commands: &mut Vec<EngineCommand>,
     ) {
-        let recovered = self.store.take_over(running, first_concurrent).unwrap_or_else(|error| {
-            commands.push(EngineCommand::Log(format!("the journal is not taken over whole: {error}")));
-            Recovered::default()
-        });
+        let recovered = self
+            .store
+            .take_over(running, first_concurrent)
+            .unwrap_or_else(|error| {
+                commands.push(EngineCommand::Log(format!(
+                    "the journal is not taken over whole: {error}"
+                )));
+                Recovered::default()
+            });
         self.activate(now, &recovered, commands);
     }
 
@@ -198,7 +235,9 @@
             let Some(record) = self.store.get(id) else {
                 continue;
             };
-            let started_ms = record.in_flight().map_or(now.unix_ms, |attempt| attempt.started_ms);
+            let started_ms = record
+                .in_flight()
+                .map_or(now.unix_ms, |attempt| attempt.started_ms);
             rest.push(EngineEvent::AttemptFinished(AttemptResult {
                 message_id: id,
                 attempt: record.attempts.saturating_sub(1),
@@ -211,7 +250,12 @@
     }
 
     /// Goes on under a later generation with what an incarnation left that was never active.
-    fn adopt_standby(&mut self, now: Timestamp, generation: Generation, commands: &mut Vec<EngineCommand>) {
+    fn adopt_standby(
+        &mut self,
+        now: Timestamp,
+        generation: Generation,
+        commands: &mut Vec<EngineCommand>,
+    ) {
         let before: BTreeSet<MessageId> = self.store.messages().keys().copied().collect();
         let renewed = self.store.renew(generation);
         let recovered = renewed.and_then(|()| self.store.take_over(&[], None));
@@ -262,7 +306,12 @@
     }
 
     /// A step without decisions: the list is kept up with, submissions are journalled, ends of attempts are reported.
-    fn step_passive(&mut self, now: Timestamp, events: Vec<EngineEvent>, commands: &mut Vec<EngineCommand>) {
+    fn step_passive(
+        &mut self,
+        now: Timestamp,
+        events: Vec<EngineEvent>,
+        commands: &mut Vec<EngineCommand>,
+    ) {
         let mut batch = Batch::new(now, commands);
         let events = self.handle_endpoint_changes(events, &mut batch);
         let list_changes = std::mem::take(&mut batch.scheduler_events);
@@ -271,7 +320,9 @@
         }
         for event in events {
             match event {
-                EngineEvent::Submitted(request, message) => self.submit(request, message, &mut batch),
+                EngineEvent::Submitted(request, message) => {
+                    self.submit(request, message, &mut batch)
+                }
                 EngineEvent::AttemptFinished(result) => {
                     self.in_flight = self.in_flight.saturating_sub(1);
                     self.note_backoff(now, result.message_id, result.outcome, batch.commands);
@@ -293,7 +344,12 @@
     }
 
     /// Tells the incarnation that decides how an attempt of this one ended, and who waits here for a delivery.
-    fn report_attempt(&mut self, now: Timestamp, result: &AttemptResult, commands: &mut Vec<EngineCommand>) {
+    fn report_attempt(
+        &mut self,
+        now: Timestamp,
+        result: &AttemptResult,
+        commands: &mut Vec<EngineCommand>,
+    ) {
         let id = result.message_id;
         let class = self.store.get(id).map(|record| record.message.class);
         let remember_ms = class.map_or(0, |class| self.policy.remember_ms(class));
@@ -308,7 +364,11 @@
         log_journal_error(self.store.report_attempt(id, report), commands);
         if result.outcome == m::Outcome::Delivered {
             commands.push(EngineCommand::MessageFinished(FinalOutcome::Delivered));
-            self.respond_all(id, SubmitResponse::Finished(FinalOutcome::Delivered), commands);
+            self.respond_all(
+                id,
+                SubmitResponse::Finished(FinalOutcome::Delivered),
+                commands,
+            );
         }
     }
 }
--- a/crates/delivery/src/core/engine/policy_change.rs
+++ b/crates/delivery/src/core/engine/policy_change.rs
@@ -90,7 +90,9 @@
             if waits {
                 room -= 1;
             } else {
-                let rejected = SubmitResponse::Rejected { retry_after_ms: DEFAULT_RETRY_AFTER_MS };
+                let rejected = SubmitResponse::Rejected {
+                    retry_after_ms: DEFAULT_RETRY_AFTER_MS,
+                };
                 commands.push(EngineCommand::Respond(*request, rejected));
             }
             waits
@@ -99,7 +101,10 @@
 
     /// Messages whose deadline passed while nothing could be decided.
     fn expire_messages(&mut self, now: Timestamp, commands: &mut Vec<EngineCommand>) {
-        let pending = self.store.open_messages().filter(|(_, record)| record.in_flight().is_none());
+        let pending = self
+            .store
+            .open_messages()
+            .filter(|(_, record)| record.in_flight().is_none());
         let expired = pending.filter(|(_, record)| record.message.expires_ms <= now.unix_ms);
         let expired: Vec<MessageId> = expired.map(|(id, _)| id).collect();
         for id in expired {
@@ -115,8 +120,13 @@
 
     /// When the engine wants to be stepped while it does not hold the lease.
     pub fn next_wake_without_lease(&self, now: Timestamp) -> Option<m::Time> {
-        let pending = self.store.open_messages().filter(|(_, record)| record.in_flight().is_none());
-        let expiry = pending.map(|(_, record)| now.monotonic_of(record.message.expires_ms + 1)).min();
+        let pending = self
+            .store
+            .open_messages()
+            .filter(|(_, record)| record.in_flight().is_none());
+        let expiry = pending
+            .map(|(_, record)| now.monotonic_of(record.message.expires_ms + 1))
+            .min();
         let check = (!self.deferred.is_empty()).then(|| now.monotonic + DEFERRED_CHECK_INTERVAL);
         expiry.into_iter().chain(check).min()
     }
@@ -135,7 +145,10 @@
             }
         }
         if pending > proposed.max_open {
-            return Err(PolicyMismatch::TooManyPending { pending, max_open: proposed.max_open });
+            return Err(PolicyMismatch::TooManyPending {
+                pending,
+                max_open: proposed.max_open,
+            });
         }
         Ok(())
     }
@@ -149,10 +162,12 @@
         commands: &mut Vec<EngineCommand>,
     ) -> Vec<EngineEvent> {
         let events = events.into_iter().map(|event| match event {
-            EngineEvent::PolicyChanged(change) => match self.change_policy(now, *change, commands) {
-                Some(table) => EngineEvent::DestinationTableReplaced(table),
-                None => EngineEvent::LeaseChanged,
-            },
+            EngineEvent::PolicyChanged(change) => {
+                match self.change_policy(now, *change, commands) {
+                    Some(table) => EngineEvent::DestinationTableReplaced(table),
+                    None => EngineEvent::LeaseChanged,
+                }
+            }
             event => event,
         });
         events.collect()
@@ -166,7 +181,12 @@
         change: PolicyChange,
         commands: &mut Vec<EngineCommand>,
     ) -> Option<Arc<DestinationTable>> {
-        let PolicyChange { revision, settings, classes, destination_table } = change;
+        let PolicyChange {
+            revision,
+            settings,
+            classes,
+            destination_table,
+        } = change;
         if self.role != Role::Active {
             // Another incarnation decides, and reads for itself what it decides by.
             commands.push(EngineCommand::PolicyInForce(revision));
@@ -196,7 +216,10 @@
         let in_flight = self.in_flight;
         let all = self.store.messages().iter();
         let sent = all.filter(|(_, record)| record.in_flight().is_some());
-        let recovered = Recovered { routes, in_flight_elsewhere: sent.map(|(id, _)| *id).collect() };
+        let recovered = Recovered {
+            routes,
+            in_flight_elsewhere: sent.map(|(id, _)| *id).collect(),
+        };
         // That messages are resumed needs no command, and the notices that are owed are on their way.
         self.activate(now, &recovered, &mut Vec::new());
         self.in_flight_elsewhere = in_flight_elsewhere;
--- a/crates/delivery/src/core/engine/settings.rs
+++ b/crates/delivery/src/core/engine/settings.rs
@@ -79,10 +79,19 @@
     /// Splits settings into what the engine goes by and a scheduler. The scheduler is given shorter windows, since a
     /// repeat must have arrived before its receiver's window closes.
     pub fn split(settings: EngineSettings) -> (Policy, m::Scheduler) {
-        let EngineSettings { mut scheduler, seed, remember_ms, max_remembered } = settings;
+        let EngineSettings {
+            mut scheduler,
+            seed,
+            remember_ms,
+            max_remembered,
+        } = settings;
         let policy = Policy {
             classes: scheduler.classes.clone(),
-            separate_routes: scheduler.kinds.iter().map(|kind| kind.separate_routes).collect(),
+            separate_routes: scheduler
+                .kinds
+                .iter()
+                .map(|kind| kind.separate_routes)
+                .collect(),
             max_open: scheduler.limits.max_pending,
             remember_ms,
             max_remembered,
@@ -110,6 +119,8 @@
 
     /// Whether endpoints of a kind are separate routes.
     pub fn has_separate_routes(&self, kind: m::KindId) -> bool {
-        self.separate_routes.get(kind.0).is_some_and(|separate| *separate)
+        self.separate_routes
+            .get(kind.0)
+            .is_some_and(|separate| *separate)
     }
 }
--- a/crates/delivery/src/core/journal.rs
+++ b/crates/delivery/src/core/journal.rs
@@ -52,7 +52,10 @@
     let mut numbers = Vec::new();
     for found in fs::read_dir(folder)? {
         let name = found?.file_name();
-        let number = name.to_str().and_then(|n| n.strip_prefix("journal-")).and_then(|n| n.parse().ok());
+        let number = name
+            .to_str()
+            .and_then(|n| n.strip_prefix("journal-"))
+            .and_then(|n| n.parse().ok());
         numbers.extend(number.map(|number: u64| number));
     }
     numbers.sort_unstable();
@@ -64,7 +67,9 @@
 /// # Errors
 /// The folder cannot be read.
 pub fn latest(folder: &Path) -> io::Result<Generation> {
-    Ok(segments(folder)?.last().map_or(Generation(0), |last| Generation::of(*last)))
+    Ok(segments(folder)?
+        .last()
+        .map_or(Generation(0), |last| Generation::of(*last)))
 }
 
 /// How far the log of another incarnation that still runs was read.
@@ -92,8 +97,16 @@
     pub fn begin(folder: &Path, segment_len: u64, generation: Generation) -> io::Result<Journal> {
         fs::create_dir_all(folder)?;
         let head = create(folder, generation.first_segment())?;
-        let segments = VecDeque::from([Segment { number: generation.first_segment(), len: 0 }]);
-        Ok(Journal { folder: folder.to_owned(), segment_len, segments, head })
+        let segments = VecDeque::from([Segment {
+            number: generation.first_segment(),
+            len: 0,
+        }]);
+        Ok(Journal {
+            folder: folder.to_owned(),
+            segment_len,
+            segments,
+            head,
+        })
     }
 
     /// Opens the log in a folder that no other incarnation writes to, passes its records to `replay` with the number of
@@ -101,7 +114,11 @@
     ///
     /// # Errors
     /// Of the disk.
-    pub fn open(folder: &Path, segment_len: u64, replay: impl FnMut(u64, &[u8])) -> io::Result<Journal> {
+    pub fn open(
+        folder: &Path,
+        segment_len: u64,
+        replay: impl FnMut(u64, &[u8]),
+    ) -> io::Result<Journal> {
         fs::create_dir_all(folder)?;
         let mut journal = Journal::begin(folder, segment_len, latest(folder)?.next())?;
         journal.take_over(&[], replay)?;
@@ -114,7 +131,10 @@
     /// The segment cannot be made.
     pub fn renew(&mut self, generation: Generation) -> io::Result<()> {
         self.head = create(&self.folder, generation.first_segment())?;
-        self.segments.push_back(Segment { number: generation.first_segment(), len: 0 });
+        self.segments.push_back(Segment {
+            number: generation.first_segment(),
+            len: 0,
+        });
         Ok(())
     }
 
@@ -130,15 +150,18 @@
         mut replay: impl FnMut(u64, &[u8]),
     ) -> io::Result<Vec<Tail>> {
         let own = Generation::of(self.segments.back().map_or(0, |head| head.number));
-        let numbers: Vec<u64> =
-            segments(&self.folder)?.into_iter().filter(|n| Generation::of(*n) < own).collect();
+        let numbers: Vec<u64> = segments(&self.folder)?
+            .into_iter()
+            .filter(|n| Generation::of(*n) < own)
+            .collect();
         let mut tails = Vec::new();
         for &number in &numbers {
             if self.segments.iter().any(|have| have.number == number) {
                 continue;
             }
             let generation = Generation::of(number);
-            let latest = numbers.iter().rfind(|n| Generation::of(**n) == generation) == Some(&number);
+            let latest =
+                numbers.iter().rfind(|n| Generation::of(**n) == generation) == Some(&number);
             let mut bytes = Vec::new();
             match File::open(path_of(&self.folder, number)) {
                 Ok(mut file) => drop(file.read_to_end(&mut bytes)?),
@@ -148,7 +171,11 @@
             }
             let at = records(&bytes, |record| replay(number, record)) as u64;
             if latest && running.contains(&generation) {
-                tails.push(Tail { generation, segment: number, offset: at });
+                tails.push(Tail {
+                    generation,
+                    segment: number,
+                    offset: at,
+                });
                 continue;
             }
             self.adopt_segment(number, at, bytes.len() as u64)?;
@@ -160,7 +187,11 @@
     ///
     /// # Errors
     /// A segment cannot be read.
-    pub fn follow(&mut self, tail: &mut Tail, mut replay: impl FnMut(u64, &[u8])) -> io::Result<()> {
+    pub fn follow(
+        &mut self,
+        tail: &mut Tail,
+        mut replay: impl FnMut(u64, &[u8]),
+    ) -> io::Result<()> {
         loop {
             // The next segment is looked for first: once it is there, nothing more is written to this one.
             let next = path_of(&self.folder, tail.segment + 1).exists();
@@ -183,7 +214,11 @@
     ///
     /// # Errors
     /// A segment cannot be read or cut.
-    pub fn finish_following(&mut self, mut tail: Tail, replay: impl FnMut(u64, &[u8])) -> io::Result<()> {
+    pub fn finish_following(
+        &mut self,
+        mut tail: Tail,
+        replay: impl FnMut(u64, &[u8]),
+    ) -> io::Result<()> {
         self.follow(&mut tail, replay)?;
         let len = fs::metadata(path_of(&self.folder, tail.segment))?.len();
         self.adopt_segment(tail.segment, tail.offset, len)
@@ -192,7 +227,10 @@
     /// Counts a segment as this incarnation's, with its torn end cut off.
     fn adopt_segment(&mut self, number: u64, len: u64, found: u64) -> io::Result<()> {
         if len < found {
-            OpenOptions::new().write(true).open(path_of(&self.folder, number))?.set_len(len)?;
+            OpenOptions::new()
+                .write(true)
+                .open(path_of(&self.folder, number))?
+                .set_len(len)?;
         }
         let place = self.segments.partition_point(|have| have.number < number);
         self.segments.insert(place, Segment { number, len });
@@ -201,12 +239,18 @@
 
     /// Bytes that all files take, in whole blocks.
     pub fn size(&self) -> u64 {
-        self.segments.iter().map(|segment| segment.len.div_ceil(BLOCK_BYTES) * BLOCK_BYTES).sum()
+        self.segments
+            .iter()
+            .map(|segment| segment.len.div_ceil(BLOCK_BYTES) * BLOCK_BYTES)
+            .sum()
     }
 
     /// The oldest segment, unless it is the one being written.
     pub fn oldest(&self) -> Option<u64> {
-        self.segments.front().filter(|_| self.segments.len() > 1).map(|segment| segment.number)
+        self.segments
+            .front()
+            .filter(|_| self.segments.len() > 1)
+            .map(|segment| segment.number)
     }
 
     /// How many segments there are.
@@ -250,7 +294,10 @@
     pub fn roll(&mut self) -> io::Result<()> {
         let next = self.segments.back().map_or(1, |last| last.number + 1);
         self.head = create(&self.folder, next)?;
-        self.segments.push_back(Segment { number: next, len: 0 });
+        self.segments.push_back(Segment {
+            number: next,
+            len: 0,
+        });
         Ok(())
     }
 
@@ -272,7 +319,10 @@
 }
 
 fn create(folder: &Path, number: u64) -> io::Result<File> {
-    OpenOptions::new().create_new(true).append(true).open(path_of(folder, number))
+    OpenOptions::new()
+        .create_new(true)
+        .append(true)
+        .open(path_of(folder, number))
 }
 
 /// Passes all whole records to `each`; returns how many bytes they take.
@@ -288,7 +338,8 @@
 fn record_at(bytes: &[u8]) -> Option<&[u8]> {
     let word = |at: usize| Some(u32::from_le_bytes(bytes.get(at..at + 4)?.try_into().ok()?));
     let (len, sum) = (word(0)? as usize, word(4)?);
-    let payload =
-        bytes.get(HEADER_BYTES..HEADER_BYTES + len).filter(|_| len > 0 && len <= MAX_RECORD_BYTES)?;
+    let payload = bytes
+        .get(HEADER_BYTES..HEADER_BYTES + len)
+        .filter(|_| len > 0 && len <= MAX_RECORD_BYTES)?;
     (crc32fast::hash(payload) == sum).then_some(payload)
 }
--- a/crates/delivery/src/core/journal_record.rs
+++ b/crates/delivery/src/core/journal_record.rs
@@ -8,7 +8,9 @@
 use super::message_record::{AttemptRecord, Completion, MessageRecord, MessageState};
 use super::{Disposition, FinalOutcome, Message, MessageId, Origin};
 use codec::{Decoder, Encoder};
-use marblefall_scheduler::{ClassId, DestinationId, IdleRecord, Outcome, RateLimitReport, Span, Time};
+use marblefall_scheduler::{
+    ClassId, DestinationId, IdleRecord, Outcome, RateLimitReport, Span, Time,
+};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -63,7 +65,11 @@
     /// The attempt in flight ended.
     AttemptFinished { may_have_executed: bool },
     /// The message has its final outcome.
-    Finished { outcome: FinalOutcome, notice_owed: bool, keep_until_ms: i64 },
+    Finished {
+        outcome: FinalOutcome,
+        notice_owed: bool,
+        keep_until_ms: i64,
+    },
     /// Nothing is owed or remembered for the message any more.
     Forgotten,
     /// The message has another identity as well.
@@ -104,7 +110,11 @@
 /// The number of [`Outcome::Rejected`].
 const REJECTED: u8 = 2;
 /// Dispositions in the order of their numbers in the journal.
-const DISPOSITIONS: [Disposition; 3] = [Disposition::Undecided, Disposition::Complete, Disposition::Failed];
+const DISPOSITIONS: [Disposition; 3] = [
+    Disposition::Undecided,
+    Disposition::Complete,
+    Disposition::Failed,
+];
 
 impl JournalRecord {
     /// Applies to the messages what the record says of one.
@@ -122,7 +132,11 @@
             JournalRecord::AttemptFinished { may_have_executed } => {
                 record.finish_attempt(may_have_executed);
             }
-            JournalRecord::Finished { outcome, notice_owed, keep_until_ms } => {
+            JournalRecord::Finished {
+                outcome,
+                notice_owed,
+                keep_until_ms,
+            } => {
                 record.finish(outcome, notice_owed, keep_until_ms);
             }
             JournalRecord::Alias(identity) => record.aliases.push(identity),
@@ -145,7 +159,11 @@
             JournalRecord::AttemptFinished { may_have_executed } => {
                 out.byte(variant::ATTEMPT_FINISHED).flag(*may_have_executed);
             }
-            JournalRecord::Finished { outcome, notice_owed, keep_until_ms } => {
+            JournalRecord::Finished {
+                outcome,
+                notice_owed,
+                keep_until_ms,
+            } => {
                 out.byte(variant::FINISHED).outcome(*outcome);
                 out.flag(*notice_owed).number(*keep_until_ms);
             }
@@ -156,8 +174,10 @@
                 out.byte(variant::ALIAS).bytes(identity);
             }
             JournalRecord::Backoff(backoff) => {
-                out.byte(variant::BACKOFF).number(backoff.destination.0 as i64);
-                out.bytes(backoff.endpoint.as_bytes()).number(backoff.until_ms);
+                out.byte(variant::BACKOFF)
+                    .number(backoff.destination.0 as i64);
+                out.bytes(backoff.endpoint.as_bytes())
+                    .number(backoff.until_ms);
             }
             JournalRecord::AttemptReported(report) => encode_report(&mut out, report),
             JournalRecord::Route(route) => encode_route(&mut out, route),
@@ -173,7 +193,9 @@
         let record = match input.byte()? {
             variant::MESSAGE => JournalRecord::Message(decode_message(&mut input, classes)?),
             variant::ATTEMPT_STARTED => JournalRecord::AttemptStarted(input.attempt()?),
-            variant::ATTEMPT_FINISHED => JournalRecord::AttemptFinished { may_have_executed: input.flag()? },
+            variant::ATTEMPT_FINISHED => JournalRecord::AttemptFinished {
+                may_have_executed: input.flag()?,
+            },
             variant::FINISHED => JournalRecord::Finished {
                 outcome: input.outcome()?,
                 notice_owed: input.flag()?,
@@ -186,7 +208,9 @@
                 endpoint: input.text()?,
                 until_ms: input.number()?,
             }),
-            variant::ATTEMPT_REPORTED => JournalRecord::AttemptReported(Box::new(decode_report(&mut input)?)),
+            variant::ATTEMPT_REPORTED => {
+                JournalRecord::AttemptReported(Box::new(decode_report(&mut input)?))
+            }
             variant::ROUTE => JournalRecord::Route(decode_route(&mut input)?),
             _ => return None,
         };
@@ -196,7 +220,11 @@
 
 /// Applies a report that a later incarnation reads again: the one it was meant for may have acted on it, or have died
 /// before.
-fn apply_report(id: MessageId, report: &AttemptReport, messages: &mut BTreeMap<MessageId, MessageRecord>) {
+fn apply_report(
+    id: MessageId,
+    report: &AttemptReport,
+    messages: &mut BTreeMap<MessageId, MessageRecord>,
+) {
     let Some(record) = messages.get_mut(&id) else {
         return;
     };
@@ -214,18 +242,24 @@
 
 fn encode_message(out: &mut Encoder, record: &MessageRecord, classes: &[String]) {
     let message = &record.message;
-    let class_name = classes.get(message.class.0).map_or(b"".as_slice(), |name| name.as_bytes());
+    let class_name = classes
+        .get(message.class.0)
+        .map_or(b"".as_slice(), |name| name.as_bytes());
     let completion = record.completion();
-    out.byte(variant::MESSAGE).flag(message.origin == Origin::CloudEvents);
+    out.byte(variant::MESSAGE)
+        .flag(message.origin == Origin::CloudEvents);
     out.bytes(&message.identity);
     out.option(message.idempotency_key.as_ref(), |out, key| out.bytes(key));
     out.bytes(class_name);
-    out.number(message.destination.0 as i64).number(message.expires_ms);
+    out.number(message.destination.0 as i64)
+        .number(message.expires_ms);
     out.bytes(&message.attributes).bytes(&message.body);
     out.number(record.attempts.into());
     out.option(record.first_executed.as_ref(), Encoder::attempt);
     out.option(record.in_flight(), Encoder::attempt);
-    out.option(completion, |out, completion| out.outcome(completion.outcome));
+    out.option(completion, |out, completion| {
+        out.outcome(completion.outcome)
+    });
     out.flag(record.notice_owed());
     out.number(completion.map_or(0, |completion| completion.keep_until_ms));
     out.number(record.aliases.len() as i64);
@@ -235,11 +269,17 @@
 }
 
 fn decode_message(input: &mut Decoder<'_>, classes: &[String]) -> Option<MessageRecord> {
-    let origin = if input.flag()? { Origin::CloudEvents } else { Origin::Platform };
+    let origin = if input.flag()? {
+        Origin::CloudEvents
+    } else {
+        Origin::Platform
+    };
     let identity = input.bytes()?;
     let idempotency_key = input.option(Decoder::bytes)?;
     let class_name = input.bytes()?;
-    let class = classes.iter().position(|name| name.as_bytes() == class_name);
+    let class = classes
+        .iter()
+        .position(|name| name.as_bytes() == class_name);
     let message = Message {
         origin,
         identity,
@@ -256,15 +296,26 @@
     let outcome = input.option(Decoder::outcome)?;
     let notice_owed = input.flag()?;
     let keep_until_ms = input.number()?;
-    let aliases = (0..input.number()?).map(|_| input.bytes()).collect::<Option<_>>()?;
+    let aliases = (0..input.number()?)
+        .map(|_| input.bytes())
+        .collect::<Option<_>>()?;
     let state = match (outcome, in_flight) {
         (None, None) => MessageState::Pending,
         (None, Some(attempt)) => MessageState::InFlight(attempt),
-        (Some(outcome), unreported) => {
-            MessageState::Finished(Completion { outcome, notice_owed, keep_until_ms, unreported })
-        }
+        (Some(outcome), unreported) => MessageState::Finished(Completion {
+            outcome,
+            notice_owed,
+            keep_until_ms,
+            unreported,
+        }),
     };
-    Some(MessageRecord { message: Rc::new(message), attempts, first_executed, state, aliases })
+    Some(MessageRecord {
+        message: Rc::new(message),
+        attempts,
+        first_executed,
+        state,
+        aliases,
+    })
 }
 
 fn encode_report(out: &mut Encoder, report: &AttemptReport) {
@@ -272,8 +323,10 @@
         Outcome::Rejected { retry_after } => (REJECTED, retry_after),
         other => (position(&OUTCOMES, other), None),
     };
-    out.byte(variant::ATTEMPT_REPORTED).number(report.attempt.into());
-    out.byte(outcome).option(retry_after, |out, wait| out.number(wait.0));
+    out.byte(variant::ATTEMPT_REPORTED)
+        .number(report.attempt.into());
+    out.byte(outcome)
+        .option(retry_after, |out, wait| out.number(wait.0));
     out.number(report.duration.0);
     out.byte(position(&DISPOSITIONS, report.disposition));
     out.number(report.keep_until_ms);
@@ -305,11 +358,18 @@
 fn encode_route(out: &mut Encoder, route: &RouteRecord) {
     let learned = &route.learned;
     out.byte(variant::ROUTE).number(route.destination.0 as i64);
-    out.option(route.endpoint.as_ref(), |out, name| out.bytes(name.as_bytes()));
-    for at in [learned.backoff_until, learned.ejected_since, learned.recovering_since] {
+    out.option(route.endpoint.as_ref(), |out, name| {
+        out.bytes(name.as_bytes())
+    });
+    for at in [
+        learned.backoff_until,
+        learned.ejected_since,
+        learned.recovering_since,
+    ] {
         out.option(at, |out, at| out.number(at.0));
     }
-    out.option(learned.mean_latency_ms, Encoder::real).real(learned.baseline_rate);
+    out.option(learned.mean_latency_ms, Encoder::real)
+        .real(learned.baseline_rate);
 }
 
 fn decode_route(input: &mut Decoder<'_>) -> Option<RouteRecord> {
@@ -323,7 +383,11 @@
         mean_latency_ms: input.option(Decoder::real)?,
         baseline_rate: input.real()?,
     };
-    Some(RouteRecord { destination, endpoint, learned })
+    Some(RouteRecord {
+        destination,
+        endpoint,
+        learned,
+    })
 }
 
 /// The number of a value in a list of all of them.
--- a/crates/delivery/src/core/journal_record/codec.rs
+++ b/crates/delivery/src/core/journal_record/codec.rs
@@ -60,7 +60,8 @@
     }
 
     pub(super) fn attempt(&mut self, attempt: &AttemptRecord) -> &mut Encoder {
-        self.number(attempt.started_ms).bytes(attempt.endpoint.as_bytes())
+        self.number(attempt.started_ms)
+            .bytes(attempt.endpoint.as_bytes())
     }
 
     pub(super) fn outcome(&mut self, outcome: FinalOutcome) -> &mut Encoder {
@@ -114,7 +115,10 @@
         String::from_utf8(self.bytes()?).ok()
     }
 
-    pub(super) fn option<T>(&mut self, get: impl FnOnce(&mut Self) -> Option<T>) -> Option<Option<T>> {
+    pub(super) fn option<T>(
+        &mut self,
+        get: impl FnOnce(&mut Self) -> Option<T>,
+    ) -> Option<Option<T>> {
         match self.byte()? {
             0 => Some(None),
             _ => get(self).map(Some),
@@ -122,7 +126,10 @@
     }
 
     pub(super) fn attempt(&mut self) -> Option<AttemptRecord> {
-        Some(AttemptRecord { started_ms: self.number()?, endpoint: self.text()? })
+        Some(AttemptRecord {
+            started_ms: self.number()?,
+            endpoint: self.text()?,
+        })
     }
 
     pub(super) fn outcome(&mut self) -> Option<FinalOutcome> {
--- a/crates/delivery/src/core/message_record.rs
+++ b/crates/delivery/src/core/message_record.rs
@@ -88,7 +88,8 @@
 
     /// Whether a notice of its final outcome is owed.
     pub fn notice_owed(&self) -> bool {
-        self.completion().is_some_and(|completion| completion.notice_owed)
+        self.completion()
+            .is_some_and(|completion| completion.notice_owed)
     }
 
     /// The attempt whose end has not been reported.
@@ -136,20 +137,30 @@
     /// Gives it its final outcome. The body and the attributes are needed no more.
     pub(super) fn finish(&mut self, outcome: FinalOutcome, notice_owed: bool, keep_until_ms: i64) {
         let unreported = self.take_in_flight();
-        let body_and_attributes_dropped =
-            Message { body: Vec::new(), attributes: Vec::new(), ..(*self.message).clone() };
+        let body_and_attributes_dropped = Message {
+            body: Vec::new(),
+            attributes: Vec::new(),
+            ..(*self.message).clone()
+        };
         self.message = Rc::new(body_and_attributes_dropped);
-        self.state = MessageState::Finished(Completion { outcome, notice_owed, keep_until_ms, unreported });
+        self.state = MessageState::Finished(Completion {
+            outcome,
+            notice_owed,
+            keep_until_ms,
+            unreported,
+        });
     }
 
     fn take_in_flight(&mut self) -> Option<AttemptRecord> {
         match &mut self.state {
             MessageState::Pending => None,
             MessageState::Finished(completion) => completion.unreported.take(),
-            MessageState::InFlight(_) => match std::mem::replace(&mut self.state, MessageState::Pending) {
-                MessageState::InFlight(attempt) => Some(attempt),
-                MessageState::Pending | MessageState::Finished(_) => None,
-            },
+            MessageState::InFlight(_) => {
+                match std::mem::replace(&mut self.state, MessageState::Pending) {
+                    MessageState::InFlight(attempt) => Some(attempt),
+                    MessageState::Pending | MessageState::Finished(_) => None,
+                }
+            }
         }
     }
 
--- a/crates/delivery/src/core/message_store.rs
+++ b/crates/delivery/src/core/message_store.rs
@@ -101,7 +101,9 @@
 
     /// The message with an idempotency key at a destination.
     pub fn by_idempotency_key(&self, destination: DestinationId, key: &[u8]) -> Option<MessageId> {
-        self.idempotency_keys.get(&(destination, key.to_vec())).copied()
+        self.idempotency_keys
+            .get(&(destination, key.to_vec()))
+            .copied()
     }
 
     /// How many messages have no final outcome.
@@ -137,8 +139,12 @@
         message: Rc<Message>,
         first_executed: Option<AttemptRecord>,
     ) -> io::Result<()> {
-        let record = MessageRecord { first_executed, ..MessageRecord::new(message) };
-        let segment = self.write(&JournalRecord::Message(record.clone()).encode(id, &self.class_names))?;
+        let record = MessageRecord {
+            first_executed,
+            ..MessageRecord::new(message)
+        };
+        let segment =
+            self.write(&JournalRecord::Message(record.clone()).encode(id, &self.class_names))?;
         self.segments.insert(id, segment);
         self.messages.insert(id, record);
         self.index(id);
@@ -201,7 +207,14 @@
         };
         let cost_before = record.journal_cost();
         self.open_count -= 1;
-        let written = self.note(id, JournalRecord::Finished { outcome, notice_owed, keep_until_ms });
+        let written = self.note(
+            id,
+            JournalRecord::Finished {
+                outcome,
+                notice_owed,
+                keep_until_ms,
+            },
+        );
         let cost_after = self.messages[&id].journal_cost();
         self.live_cost = self.live_cost.saturating_sub(cost_before) + cost_after;
         if !notice_owed {
@@ -250,7 +263,8 @@
             self.identities.insert(alias.clone(), id);
         }
         if let Some(key) = &message.idempotency_key {
-            self.idempotency_keys.insert((message.destination, key.clone()), id);
+            self.idempotency_keys
+                .insert((message.destination, key.clone()), id);
         }
         if !record.is_open() && !record.notice_owed() {
             self.remember(id);
@@ -262,7 +276,9 @@
         let record = &self.messages[&id];
         let message = record.message.clone();
         let cost = record.journal_cost();
-        let keep_until_ms = record.completion().map_or(0, |completion| completion.keep_until_ms);
+        let keep_until_ms = record
+            .completion()
+            .map_or(0, |completion| completion.keep_until_ms);
         self.open_count -= usize::from(record.is_open());
         if self.remembered.remove(&(keep_until_ms, id)) {
             self.remembered_cost = self.remembered_cost.saturating_sub(cost);
@@ -273,7 +289,10 @@
                 self.identities.remove(identity);
             }
         }
-        let key = message.idempotency_key.as_ref().map(|key| (message.destination, key.clone()));
+        let key = message
+            .idempotency_key
+            .as_ref()
+            .map(|key| (message.destination, key.clone()));
         if let Some(key) = key.filter(|key| self.idempotency_keys.get(key) == Some(&id)) {
             self.idempotency_keys.remove(&key);
         }
@@ -309,7 +328,10 @@
             }
         }
         if self.journal.size() + payload.len() as u64 + APPEND_MARGIN > self.hard_limit {
-            return Err(io::Error::new(io::ErrorKind::StorageFull, "the journal's folder is full"));
+            return Err(io::Error::new(
+                io::ErrorKind::StorageFull,
+                "the journal's folder is full",
+            ));
         }
         self.journal.append(payload)
     }
@@ -319,7 +341,10 @@
         let Some(oldest) = self.journal.oldest() else {
             return Ok(false);
         };
-        let in_oldest = self.segments.iter().filter(|(_, segment)| **segment == oldest);
+        let in_oldest = self
+            .segments
+            .iter()
+            .filter(|(_, segment)| **segment == oldest);
         let live: Vec<MessageId> = in_oldest.map(|(id, _)| *id).collect();
         for id in live {
             let record = JournalRecord::Message(self.messages[&id].clone());
@@ -329,8 +354,13 @@
         self.journal.remove_oldest()?;
         // Backoffs may have stood there; there are no more of them than endpoints.
         for ((destination, endpoint), until_ms) in self.backoffs.clone() {
-            let record = JournalRecord::Backoff(BackoffRecord { destination, endpoint, until_ms });
-            self.journal.append(&record.encode(NO_MESSAGE, &self.class_names))?;
+            let record = JournalRecord::Backoff(BackoffRecord {
+                destination,
+                endpoint,
+                until_ms,
+            });
+            self.journal
+                .append(&record.encode(NO_MESSAGE, &self.class_names))?;
         }
         Ok(true)
     }
--- a/crates/delivery/src/core/message_store/hot_restart.rs
+++ b/crates/delivery/src/core/message_store/hot_restart.rs
@@ -3,7 +3,9 @@
 
 use super::{MessageStore, RESERVED_BYTES, SEGMENT_BYTES};
 use crate::core::journal::{Generation, Journal, Tail};
-use crate::core::journal_record::{AttemptReport, BackoffRecord, JournalRecord, RouteRecord, NO_MESSAGE};
+use crate::core::journal_record::{
+    AttemptReport, BackoffRecord, JournalRecord, RouteRecord, NO_MESSAGE,
+};
 use crate::core::MessageId;
 use marblefall_scheduler::DestinationId;
 use std::collections::BTreeMap;
@@ -111,8 +113,12 @@
         let some_still_run = !tails.is_empty();
         self.tails.extend(tails);
         self.hard_limit = self.exclusive_limit;
-        self.compact_above = self.exclusive_limit.saturating_sub(COMPACTION_SEGMENTS * SEGMENT_BYTES);
-        replayed.segments.retain(|id, _| self.messages.contains_key(id));
+        self.compact_above = self
+            .exclusive_limit
+            .saturating_sub(COMPACTION_SEGMENTS * SEGMENT_BYTES);
+        replayed
+            .segments
+            .retain(|id, _| self.messages.contains_key(id));
         self.segments.extend(replayed.segments);
         let all = self.messages.keys().copied();
         let found: Vec<MessageId> = all.filter(|id| own.binary_search(id).is_err()).collect();
@@ -125,7 +131,10 @@
             self.note_backoff(destination, endpoint, until_ms)?;
         }
         let routes = replayed.routes;
-        read.map(|()| Recovered { routes, in_flight_elsewhere })
+        read.map(|()| Recovered {
+            routes,
+            in_flight_elsewhere,
+        })
     }
 
     /// Reads the journal of earlier incarnations into the messages.
@@ -148,7 +157,9 @@
                     let route = (backoff.destination, backoff.endpoint);
                     replayed.backoffs.insert(route, backoff.until_ms);
                 }
-                JournalRecord::Route(route) if was_concurrent(segment) => replayed.routes.push(route),
+                JournalRecord::Route(route) if was_concurrent(segment) => {
+                    replayed.routes.push(route)
+                }
                 JournalRecord::Backoff(_) | JournalRecord::Route(_) => {}
                 JournalRecord::Message(_) => {
                     replayed.segments.insert(id, segment);
@@ -189,7 +200,9 @@
         let mut tails = std::mem::take(&mut self.tails);
         let followed = tails.iter_mut().try_for_each(|tail| {
             let mut read = Vec::new();
-            let done = self.journal.follow(tail, |segment, payload| read.push((segment, payload.to_vec())));
+            let done = self.journal.follow(tail, |segment, payload| {
+                read.push((segment, payload.to_vec()))
+            });
             self.absorb(read, found);
             done
         });
@@ -206,7 +219,11 @@
         generation: Generation,
         found: &mut Vec<PredecessorEvent>,
     ) -> io::Result<()> {
-        while let Some(at) = self.tails.iter().position(|tail| tail.generation == generation) {
+        while let Some(at) = self
+            .tails
+            .iter()
+            .position(|tail| tail.generation == generation)
+        {
             let tail = self.tails.remove(at);
             let mut read = Vec::new();
             let done = self.journal.finish_following(tail, |segment, payload| {
@@ -222,7 +239,9 @@
     fn absorb(&mut self, read: Vec<(u64, Vec<u8>)>, found: &mut Vec<PredecessorEvent>) {
         for (segment, payload) in read {
             match JournalRecord::decode(&payload, &self.class_names) {
-                Some((id, record @ JournalRecord::Message(_))) if !self.messages.contains_key(&id) => {
+                Some((id, record @ JournalRecord::Message(_)))
+                    if !self.messages.contains_key(&id) =>
+                {
                     record.apply(id, &mut self.messages);
                     self.segments.insert(id, segment);
                     self.index(id);
@@ -262,7 +281,8 @@
     /// The journal is full or cannot be written.
     pub fn report_attempt(&mut self, id: MessageId, report: AttemptReport) -> io::Result<()> {
         let record = JournalRecord::AttemptReported(Box::new(report));
-        self.write(&record.encode(id, &self.class_names)).map(|_| ())
+        self.write(&record.encode(id, &self.class_names))
+            .map(|_| ())
     }
 
     /// Notes that an endpoint asked for a backoff until a Unix time in milliseconds; the longest one holds.
@@ -275,10 +295,18 @@
         endpoint: String,
         until_ms: i64,
     ) -> io::Result<()> {
-        let longest = self.backoffs.entry((destination, endpoint.clone())).or_insert(i64::MIN);
+        let longest = self
+            .backoffs
+            .entry((destination, endpoint.clone()))
+            .or_insert(i64::MIN);
         *longest = until_ms.max(*longest);
-        let record = JournalRecord::Backoff(BackoffRecord { destination, endpoint, until_ms: *longest });
-        self.write(&record.encode(NO_MESSAGE, &self.class_names)).map(|_| ())
+        let record = JournalRecord::Backoff(BackoffRecord {
+            destination,
+            endpoint,
+            until_ms: *longest,
+        });
+        self.write(&record.encode(NO_MESSAGE, &self.class_names))
+            .map(|_| ())
     }
 
     /// Backoffs that endpoints asked for and that may still run, until a Unix time in milliseconds.
--- a/crates/delivery/src/core/recent_completions.rs
+++ b/crates/delivery/src/core/recent_completions.rs
@@ -30,7 +30,8 @@
 
     /// Forgets those that finished long ago.
     pub fn sweep(&mut self, now: Time) {
-        while let Some((_, identity)) = self.by_time.pop_front_if(|(at, _)| now - *at >= RETENTION) {
+        while let Some((_, identity)) = self.by_time.pop_front_if(|(at, _)| now - *at >= RETENTION)
+        {
             self.identities.remove(&identity);
         }
     }
--- a/crates/delivery/src/core/snapshot.rs
+++ b/crates/delivery/src/core/snapshot.rs
@@ -70,7 +70,9 @@
 /// # Errors
 /// The bytes are no whole snapshot of this version.
 pub fn decode(bytes: &[u8]) -> Result<Vec<DestinationRecord>, SnapshotError> {
-    let (header, payload) = bytes.split_at_checked(HEADER_BYTES).ok_or(SnapshotError::Torn)?;
+    let (header, payload) = bytes
+        .split_at_checked(HEADER_BYTES)
+        .ok_or(SnapshotError::Torn)?;
     let (magic, rest) = header.split_at(MAGIC.len());
     if magic != MAGIC {
         return Err(SnapshotError::Foreign);
--- a/crates/delivery/src/core/snapshot/tests.rs
+++ b/crates/delivery/src/core/snapshot/tests.rs
@@ -26,6 +26,9 @@
     let mut newer = bytes.clone();
     newer[4] = 2;
     assert_eq!(decode(&newer), Err(SnapshotError::Version(2)));
-    assert_eq!(decode(b"something else altogether"), Err(SnapshotError::Foreign));
+    assert_eq!(
+        decode(b"something else altogether"),
+        Err(SnapshotError::Foreign)
+    );
     assert_eq!(decode(&encode(&[])), Ok(Vec::new()));
 }
