--- a/crates/delivery/src/frontend/cloudevents.rs
+++ b/crates/delivery/src/frontend/cloudevents.rs
@@ -57,9 +57,9 @@
     fn take(&self, request: &Request<'_>, body: &[u8], now_ms: i64) -> Take {
         let reply = |(status, why): Fault| Take::Reply(Reply::because(status, why));
         match (request.method, request.path) {
-            ("POST", path) if path == self.path => {
-                self.message(request, body, now_ms).map_or_else(reply, Take::Offer)
-            }
+            ("POST", path) if path == self.path => self
+                .message(request, body, now_ms)
+                .map_or_else(reply, Take::Offer),
             ("GET", "/ready") => Take::Ready,
             (_, path) if path == self.path || path == "/ready" => Take::Reply(Reply::of(405)),
             _ => Take::Reply(Reply::of(404)),
@@ -70,18 +70,25 @@
         // Senders elsewhere read whole seconds; never sooner than told.
         let later = |status, after: u64| {
             let secs = after.div_ceil(1000).max(1).to_string();
-            Reply { status, fields: vec![("Retry-After", secs)], ..Reply::default() }
+            Reply {
+                status,
+                fields: vec![("Retry-After", secs)],
+                ..Reply::default()
+            }
         };
         match answer {
             SubmitResponse::Accepted => None,
-            SubmitResponse::Rejected { retry_after_ms: after } => Some(later(429, after)),
-            SubmitResponse::Conflict => {
-                Some(Reply::because(409, "this event came before with another Idempotency-Key"))
-            }
+            SubmitResponse::Rejected {
+                retry_after_ms: after,
+            } => Some(later(429, after)),
+            SubmitResponse::Conflict => Some(Reply::because(
+                409,
+                "this event came before with another Idempotency-Key",
+            )),
             SubmitResponse::Finished(FinalOutcome::Delivered) => Some(Reply::of(204)),
-            SubmitResponse::Finished(FinalOutcome::Returned { retry_after_ms: after }) => {
-                Some(later(503, after))
-            }
+            SubmitResponse::Finished(FinalOutcome::Returned {
+                retry_after_ms: after,
+            }) => Some(later(503, after)),
             SubmitResponse::Finished(FinalOutcome::Failed) => {
                 Some(Reply::because(502, "the event could not be delivered"))
             }
@@ -97,30 +104,46 @@
         let (context, data) = event::read(&request.fields, body)?;
         let unknown = |what: &str, name: &str| (422, format!("unknown {what} {name:?}"));
         let kind = context.text("type").unwrap_or_default();
-        let class = *self.types.get(kind.as_ref()).ok_or_else(|| unknown("type", &kind))?;
+        let class = *self
+            .types
+            .get(kind.as_ref())
+            .ok_or_else(|| unknown("type", &kind))?;
         let attribute = &self.destination_attribute;
-        let name = context.text(attribute).ok_or_else(|| (422, format!("no attribute {attribute}")))?;
-        let destination = self.destination(&name).ok_or_else(|| unknown("destination", &name))?;
+        let name = context
+            .text(attribute)
+            .ok_or_else(|| (422, format!("no attribute {attribute}")))?;
+        let destination = self
+            .destination(&name)
+            .ok_or_else(|| unknown("destination", &name))?;
         let mut keys = request.fields.all("idempotency-key");
-        let idempotency_key = keys.next().filter(|key| !key.is_empty()).map(<[u8]>::to_vec);
+        let idempotency_key = keys
+            .next()
+            .filter(|key| !key.is_empty())
+            .map(<[u8]>::to_vec);
         if keys.next().is_some() {
             return Err((400, "Idempotency-Key is given twice".to_owned()));
         }
         let known = self.classes.get(class.0);
         if idempotency_key.is_none() && known.is_some_and(|class| class.keyed) {
             // Without it no receiver could tell a repeat, and one attempt that breaks would be the last.
-            return Err((400, format!("events of type {kind:?} need an Idempotency-Key")));
+            return Err((
+                400,
+                format!("events of type {kind:?} need an Idempotency-Key"),
+            ));
         }
         let expires_ms = match context.text("expirytime") {
             Some(text) => {
-                let time: jiff::Timestamp =
-                    text.parse().map_err(|_| (400, "expirytime is no RFC 3339 time".to_owned()))?;
+                let time: jiff::Timestamp = text
+                    .parse()
+                    .map_err(|_| (400, "expirytime is no RFC 3339 time".to_owned()))?;
                 time.as_millisecond().min(now_ms + LONGEST_MS)
             }
             None => now_ms + known.map_or(0, |class| class.give_up_ms),
         };
-        let (source, id) =
-            (context.text("source").unwrap_or_default(), context.text("id").unwrap_or_default());
+        let (source, id) = (
+            context.text("source").unwrap_or_default(),
+            context.text("id").unwrap_or_default(),
+        );
         Ok(Message {
             origin: Origin::CloudEvents,
             identity: identity(&source, &id),
@@ -137,14 +160,23 @@
         let number = DestinationId(self.number?(name));
         let listed = self.listed.borrow();
         // Another name may stand behind the same number.
-        listed.0.entry(number).filter(|entry| entry.name == name).map(|entry| entry.id)
+        listed
+            .0
+            .entry(number)
+            .filter(|entry| entry.name == name)
+            .map(|entry| entry.id)
     }
 
     /// The head and the body of a leg.
     pub fn leg<'a>(&self, message: &'a Message, address: &str) -> (Vec<u8>, Cow<'a, [u8]>) {
         let (destination_table, targets) = self.listed.borrow().clone();
-        let form = destination_table.entry(message.destination).map(|entry| usize::from(entry.encoding));
-        let target = form.and_then(|form| targets.get(form)).cloned().unwrap_or_default();
+        let form = destination_table
+            .entry(message.destination)
+            .map(|entry| usize::from(entry.encoding));
+        let target = form
+            .and_then(|form| targets.get(form))
+            .cloned()
+            .unwrap_or_default();
         let context: Context = serde_json::from_slice(&message.attributes).unwrap_or_default();
         let (fields, body) = event::write(&context, &message.body, target.mode);
         let mut head = format!("POST {} HTTP/1.1\r\nHost: {address}\r\n", target.path).into_bytes();
@@ -174,10 +206,19 @@
 pub fn judge(read: &Response<'_>) -> Ended {
     let (outcome, disposition) = match read.status {
         200..=299 => (Outcome::Delivered, Disposition::Undecided),
-        429 | 503 => (Outcome::Rejected { retry_after: told_wait(read) }, Disposition::Undecided),
+        429 | 503 => (
+            Outcome::Rejected {
+                retry_after: told_wait(read),
+            },
+            Disposition::Undecided,
+        ),
         401 | 403 | 407 | 408 | 423 | 425 => (Outcome::Error, Disposition::Undecided),
         400..=499 => (Outcome::Error, Disposition::Failed),
         _ => (Outcome::Error, Disposition::Undecided),
     };
-    Ended { outcome, disposition, report: RateLimitReport::default() }
+    Ended {
+        outcome,
+        disposition,
+        report: RateLimitReport::default(),
+    }
 }
--- a/crates/delivery/src/frontend/cloudevents/event.rs
+++ b/crates/delivery/src/frontend/cloudevents/event.rs
@@ -70,7 +70,10 @@
         if self.text("specversion").as_deref() != Some("1.0") {
             return Err(bad("specversion is not 1.0"));
         }
-        match REQUIRED.iter().find(|name| self.text(name).is_none_or(|text| text.is_empty())) {
+        match REQUIRED
+            .iter()
+            .find(|name| self.text(name).is_none_or(|text| text.is_empty()))
+        {
             Some(name) => Err(bad(format!("no attribute {name}"))),
             None => Ok(self),
         }
@@ -81,13 +84,18 @@
         if name.is_empty() || !name.bytes().all(plain) {
             return Err(bad(format!("{name:?} cannot name an attribute")));
         }
-        let whole = |number: &serde_json::Number| number.as_i64().is_some_and(|n| i32::try_from(n).is_ok());
+        let whole =
+            |number: &serde_json::Number| number.as_i64().is_some_and(|n| i32::try_from(n).is_ok());
         match &value {
             // An attribute that is null is absent.
             Value::Null => return Ok(()),
             Value::String(_) | Value::Bool(_) => {}
             Value::Number(number) if whole(number) => {}
-            _ => return Err(bad(format!("attribute {name} is no string, boolean or whole number"))),
+            _ => {
+                return Err(bad(format!(
+                    "attribute {name} is no string, boolean or whole number"
+                )))
+            }
         }
         match self.attributes.insert(name.to_owned(), value) {
             Some(_) => Err(bad(format!("attribute {name} is given twice"))),
@@ -99,17 +107,27 @@
 /// Reads an event from a request, and its data.
 pub fn read<'a>(fields: &Fields<'_>, body: &'a [u8]) -> Result<(Context, Cow<'a, [u8]>), Fault> {
     let content = fields.text("content-type").unwrap_or_default();
-    let media = content.split(';').next().unwrap_or_default().trim().to_ascii_lowercase();
+    let media = content
+        .split(';')
+        .next()
+        .unwrap_or_default()
+        .trim()
+        .to_ascii_lowercase();
     match media.as_str() {
         "application/cloudevents+json" => structured(body),
-        other if other.starts_with("application/cloudevents") => {
-            Err((415, format!("{other} is not taken: one event a request, in JSON or binary mode")))
-        }
+        other if other.starts_with("application/cloudevents") => Err((
+            415,
+            format!("{other} is not taken: one event a request, in JSON or binary mode"),
+        )),
         _ => binary(fields, content, body),
     }
 }
 
-fn binary<'a>(fields: &Fields<'_>, content: &str, body: &'a [u8]) -> Result<(Context, Cow<'a, [u8]>), Fault> {
+fn binary<'a>(
+    fields: &Fields<'_>,
+    content: &str,
+    body: &'a [u8],
+) -> Result<(Context, Cow<'a, [u8]>), Fault> {
     let mut context = Context::default();
     for (name, value) in fields.iter() {
         let name = name.to_ascii_lowercase();
@@ -119,9 +137,13 @@
         if DATA.contains(&name) || name == "datacontenttype" {
             return Err(bad(format!("ce-{name} has no place in binary mode")));
         }
-        let value = std::str::from_utf8(value).map_err(|_| bad(format!("ce-{name} is not text")))?;
+        let value =
+            std::str::from_utf8(value).map_err(|_| bad(format!("ce-{name} is not text")))?;
         // Some senders put a value between quotation marks, which are not part of it.
-        let bare = value.strip_prefix('"').and_then(|rest| rest.strip_suffix('"')).map(unescape);
+        let bare = value
+            .strip_prefix('"')
+            .and_then(|rest| rest.strip_suffix('"'))
+            .map(unescape);
         let bare = bare.unwrap_or_else(|| value.to_owned());
         let text = percent_decode(bare.as_bytes()).decode_utf8();
         let text = text.map_err(|_| bad(format!("ce-{name} is not UTF-8")))?;
@@ -130,7 +152,11 @@
     if !content.is_empty() {
         context.set("datacontenttype", Value::String(content.to_owned()))?;
     }
-    context.form = if body.is_empty() { Form::Absent } else { Form::Bytes };
+    context.form = if body.is_empty() {
+        Form::Absent
+    } else {
+        Form::Bytes
+    };
     Ok((context.checked()?, Cow::Borrowed(body)))
 }
 
@@ -147,8 +173,12 @@
     let members: BTreeMap<String, Box<RawValue>> =
         serde_json::from_slice(body).map_err(|error| bad(format!("no JSON object: {error}")))?;
     let mut context = Context::default();
-    for (name, raw) in members.iter().filter(|(name, _)| !DATA.contains(&name.as_str())) {
-        let value = serde_json::from_str(raw.get()).map_err(|error| bad(format!("{name}: {error}")))?;
+    for (name, raw) in members
+        .iter()
+        .filter(|(name, _)| !DATA.contains(&name.as_str()))
+    {
+        let value =
+            serde_json::from_str(raw.get()).map_err(|error| bad(format!("{name}: {error}")))?;
         context.set(name, value)?;
     }
     let given = |name: &str| members.get(name).filter(|raw| raw.get() != "null");
@@ -159,12 +189,22 @@
             context.form = Form::Bytes;
             let text: String =
                 serde_json::from_str(raw.get()).map_err(|_| bad("data_base64 is no string"))?;
-            BASE64_STANDARD.decode(text).map_err(|_| bad("data_base64 is no base64"))?
+            BASE64_STANDARD
+                .decode(text)
+                .map_err(|_| bad("data_base64 is no base64"))?
         }
         (Some(raw), None) => {
-            let json = context.text("datacontenttype").is_none_or(|media| is_json(&media));
-            let text = serde_json::from_str::<String>(raw.get()).ok().filter(|_| !json);
-            context.form = if text.is_some() { Form::Text } else { Form::Json };
+            let json = context
+                .text("datacontenttype")
+                .is_none_or(|media| is_json(&media));
+            let text = serde_json::from_str::<String>(raw.get())
+                .ok()
+                .filter(|_| !json);
+            context.form = if text.is_some() {
+                Form::Text
+            } else {
+                Form::Json
+            };
             // Data without a declared type is JSON; binary mode must say so.
             text.map_or_else(|| raw.get().as_bytes().to_vec(), String::into_bytes)
         }
@@ -173,20 +213,39 @@
 }
 
 fn is_json(content: &str) -> bool {
-    let media = content.split(';').next().unwrap_or_default().trim().to_ascii_lowercase();
+    let media = content
+        .split(';')
+        .next()
+        .unwrap_or_default()
+        .trim()
+        .to_ascii_lowercase();
     media.ends_with("/json") || media.ends_with("+json")
 }
 
 /// The header fields and the body that carry an event in a mode.
-pub fn write<'a>(context: &Context, data: &'a [u8], mode: Mode) -> (Vec<(String, String)>, Cow<'a, [u8]>) {
-    let content_type = ("Content-Type".to_owned(), "application/cloudevents+json; charset=utf-8".to_owned());
+pub fn write<'a>(
+    context: &Context,
+    data: &'a [u8],
+    mode: Mode,
+) -> (Vec<(String, String)>, Cow<'a, [u8]>) {
+    let content_type = (
+        "Content-Type".to_owned(),
+        "application/cloudevents+json; charset=utf-8".to_owned(),
+    );
     match mode {
         Mode::Structured => (vec![content_type], Cow::Owned(envelope(context, data))),
         Mode::Binary => {
             let mut fields = Vec::new();
-            for name in context.attributes.keys().filter(|name| *name != "datacontenttype") {
+            for name in context
+                .attributes
+                .keys()
+                .filter(|name| *name != "datacontenttype")
+            {
                 let text = context.text(name).unwrap_or_default();
-                fields.push((format!("ce-{name}"), utf8_percent_encode(&text, ENCODED).to_string()));
+                fields.push((
+                    format!("ce-{name}"),
+                    utf8_percent_encode(&text, ENCODED).to_string(),
+                ));
             }
             let implied = (context.form == Form::Json).then_some(Cow::Borrowed("application/json"));
             if let Some(media) = context.text("datacontenttype").or(implied) {
@@ -209,16 +268,21 @@
     let media = context.text("datacontenttype").unwrap_or_default();
     // In binary mode only the content type says what the bytes are; what it does not explain stays bytes.
     let plain = media.to_ascii_lowercase();
-    let is_text = plain.starts_with("text/") && (!plain.contains("charset") || plain.contains("utf-8"));
-    let as_json =
-        text.filter(|_| context.form == Form::Json || context.form == Form::Bytes && is_json(&media));
-    let as_text = text.filter(|_| context.form == Form::Text || context.form == Form::Bytes && is_text);
+    let is_text =
+        plain.starts_with("text/") && (!plain.contains("charset") || plain.contains("utf-8"));
+    let as_json = text
+        .filter(|_| context.form == Form::Json || context.form == Form::Bytes && is_json(&media));
+    let as_text =
+        text.filter(|_| context.form == Form::Text || context.form == Form::Bytes && is_text);
     let json = as_json.and_then(|text| raw(text.trim().to_owned()));
     let data = match (context.form, json, as_text) {
         (Form::Absent, ..) => None,
         (_, Some(json), _) => Some((DATA[0], Some(json))),
         (_, None, Some(text)) => Some((DATA[0], raw(Value::from(text).to_string()))),
-        (_, None, None) => Some((DATA[1], raw(Value::from(BASE64_STANDARD.encode(data)).to_string()))),
+        (_, None, None) => Some((
+            DATA[1],
+            raw(Value::from(BASE64_STANDARD.encode(data)).to_string()),
+        )),
     };
     members.extend(data.and_then(|(name, value)| Some((name, value?))));
     serde_json::to_vec(&members).unwrap_or_default()
@@ -238,7 +302,10 @@
     /// Writes an event in a mode and reads what was written.
     fn pass(context: &Context, data: &[u8], mode: Mode) -> (Context, Vec<u8>) {
         let (fields, body) = write(context, data, mode);
-        let lines: Vec<String> = fields.iter().map(|(name, value)| format!("{name}: {value}")).collect();
+        let lines: Vec<String> = fields
+            .iter()
+            .map(|(name, value)| format!("{name}: {value}"))
+            .collect();
         parse(&lines.join("\r\n"), &body).unwrap()
     }
 
@@ -249,13 +316,27 @@
         let body = r#"{"specversion":"1.0","id":"a b%\"ä€","source":"/s","type":"t","flag":true,"count":-7,
             "gone":null,"data":{"n":1.50,"big":12345678901234567890123}}"#;
         let (context, data) = parse(JSON, body.as_bytes()).unwrap();
-        assert_eq!(data, br#"{"n":1.50,"big":12345678901234567890123}"#, "JSON is kept to the letter");
+        assert_eq!(
+            data, br#"{"n":1.50,"big":12345678901234567890123}"#,
+            "JSON is kept to the letter"
+        );
         let (fields, _) = write(&context, &data, Mode::Binary);
-        let field =
-            |name: &str| fields.iter().find(|(have, _)| have == name).map(|(_, value)| value.as_str());
+        let field = |name: &str| {
+            fields
+                .iter()
+                .find(|(have, _)| have == name)
+                .map(|(_, value)| value.as_str())
+        };
         assert_eq!(field("ce-id"), Some("a%20b%25%22%C3%A4%E2%82%AC"));
-        assert_eq!((field("ce-flag"), field("ce-count"), field("ce-gone")), (Some("true"), Some("-7"), None));
-        assert_eq!(field("Content-Type"), Some("application/json"), "data of no declared type is JSON");
+        assert_eq!(
+            (field("ce-flag"), field("ce-count"), field("ce-gone")),
+            (Some("true"), Some("-7"), None)
+        );
+        assert_eq!(
+            field("Content-Type"),
+            Some("application/json"),
+            "data of no declared type is JSON"
+        );
         let (binary, same) = pass(&context, &data, Mode::Binary);
         assert_eq!((binary.text("id"), &same), (context.text("id"), &data));
         let (back, again) = pass(&binary, &same, Mode::Structured);
@@ -278,12 +359,19 @@
             let (context, had) = parse(&head, data).unwrap();
             let (there, carried) = pass(&context, &had, Mode::Structured);
             let (back, same) = pass(&there, &carried, Mode::Binary);
-            assert_eq!((back.attributes, same.as_slice()), (context.attributes, data), "{media}");
+            assert_eq!(
+                (back.attributes, same.as_slice()),
+                (context.attributes, data),
+                "{media}"
+            );
         }
         let body = r#"{"specversion":"1.0","id":"1","source":"s","type":"t","datacontenttype":"image/png","data_base64":"AP8B"}"#;
         let (context, data) = parse(JSON, body.as_bytes()).unwrap();
         assert_eq!(data, b"\x00\xff\x01");
-        assert_eq!(pass(&context, &data, Mode::Structured), (context.clone(), data.clone()));
+        assert_eq!(
+            pass(&context, &data, Mode::Structured),
+            (context.clone(), data.clone())
+        );
     }
 
     #[test]
@@ -291,24 +379,51 @@
         let whole = "ce-specversion: 1.0\r\nce-id: 1\r\nce-source: s\r\nce-type: t";
         assert!(parse(whole, b"").is_ok());
         for (head, body, status) in [
-            ("Content-Type: application/cloudevents-batch+json", "[]", 415),
+            (
+                "Content-Type: application/cloudevents-batch+json",
+                "[]",
+                415,
+            ),
             ("Content-Type: application/cloudevents+xml", "<a/>", 415),
             ("ce-id: 1\r\nce-source: s\r\nce-type: t", "", 400),
-            ("ce-specversion: 0.3\r\nce-id: 1\r\nce-source: s\r\nce-type: t", "", 400),
+            (
+                "ce-specversion: 0.3\r\nce-id: 1\r\nce-source: s\r\nce-type: t",
+                "",
+                400,
+            ),
             ("ce-specversion: 1.0\r\nce-source: s\r\nce-type: t", "", 400),
-            ("ce-specversion: 1.0\r\nce-id: %ff\r\nce-source: s\r\nce-type: t", "", 400),
+            (
+                "ce-specversion: 1.0\r\nce-id: %ff\r\nce-source: s\r\nce-type: t",
+                "",
+                400,
+            ),
             (JSON, "{", 400),
-            (JSON, r#"{"specversion":"1.0","id":"1","source":"s","type":"t","Bad":"x"}"#, 400),
-            (JSON, r#"{"specversion":"1.0","id":"1","source":"s","type":"t","ext":{}}"#, 400),
+            (
+                JSON,
+                r#"{"specversion":"1.0","id":"1","source":"s","type":"t","Bad":"x"}"#,
+                400,
+            ),
+            (
+                JSON,
+                r#"{"specversion":"1.0","id":"1","source":"s","type":"t","ext":{}}"#,
+                400,
+            ),
             (
                 JSON,
                 r#"{"specversion":"1.0","id":"1","source":"s","type":"t","data":1,"data_base64":""}"#,
                 400,
             ),
         ] {
-            assert_eq!(parse(head, body.as_bytes()).unwrap_err().0, status, "{head} {body}");
+            assert_eq!(
+                parse(head, body.as_bytes()).unwrap_err().0,
+                status,
+                "{head} {body}"
+            );
         }
-        assert!(parse(&format!("{whole}\r\nce-id: 2"), b"").is_err(), "an attribute given twice");
+        assert!(
+            parse(&format!("{whole}\r\nce-id: 2"), b"").is_err(),
+            "an attribute given twice"
+        );
     }
 
     #[test]
@@ -316,6 +431,8 @@
         let body = r#"{"specversion":"1.0","id":"1\r\nX: y","source":"s","type":"t","datacontenttype":"a/b\r\nX: y"}"#;
         let (context, data) = parse(JSON, body.as_bytes()).unwrap();
         let (fields, _) = write(&context, &data, Mode::Binary);
-        assert!(fields.iter().all(|(_, value)| !value.contains(['\r', '\n'])));
+        assert!(fields
+            .iter()
+            .all(|(_, value)| !value.contains(['\r', '\n'])));
     }
 }
--- a/crates/delivery/src/hot_restart/driver.rs
+++ b/crates/delivery/src/hot_restart/driver.rs
@@ -42,7 +42,10 @@
         }
     }
     let first = earlier.iter().map(|one| one.generation).min();
-    Ok(first.map(|first| Others { first, number: earlier.len() }))
+    Ok(first.map(|first| Others {
+        first,
+        number: earlier.len(),
+    }))
 }
 
 /// Brings a life up beside others, the first of which is `beside`, until the last of them has ended.
@@ -64,19 +67,33 @@
                 continue;
             }
         };
-        let ended: Vec<_> = followed.iter().copied().filter(|one| life.borrow().has_ended(*one)).collect();
+        let ended: Vec<_> = followed
+            .iter()
+            .copied()
+            .filter(|one| life.borrow().has_ended(*one))
+            .collect();
         for generation in ended {
             followed.remove(&generation);
             let _ = engine.try_send(EngineEvent::PredecessorExited(generation));
             say!(code = "life-ended", "the process before has ended");
         }
         let unsettled = earlier.iter().filter(|one| !one.settled).count();
-        let step = newcomer.look(clock.now().monotonic, Seen { living: earlier.len(), unsettled });
+        let step = newcomer.look(
+            clock.now().monotonic,
+            Seen {
+                living: earlier.len(),
+                unsettled,
+            },
+        );
         if step == Step::TakeUp {
             // What is held out is known before anything is decided.
             admin.reread();
             followed.extend(earlier.iter().map(|one| one.generation));
-            say!(code = "takes-over", "takes over, {} before still running", followed.len());
+            say!(
+                code = "takes-over",
+                "takes over, {} before still running",
+                followed.len()
+            );
         }
         let input = act(&life.borrow(), step, &earlier, beside);
         if let Some(input) = input {
@@ -92,7 +109,12 @@
 }
 
 /// Carries a step out in the folder; gives what the engine is to hear of it.
-fn act(life: &Incarnation, step: Step, earlier: &[Predecessor], beside: Generation) -> Option<EngineEvent> {
+fn act(
+    life: &Incarnation,
+    step: Step,
+    earlier: &[Predecessor],
+    beside: Generation,
+) -> Option<EngineEvent> {
     let unsettled = earlier.iter().filter(|one| !one.settled);
     match step {
         Step::Wait => None,
@@ -112,7 +134,10 @@
         }
         Step::TakeUp => {
             let living = earlier.iter().map(|one| one.generation).collect();
-            Some(EngineEvent::TakeOver { running: living, first_concurrent: Some(beside) })
+            Some(EngineEvent::TakeOver {
+                running: living,
+                first_concurrent: Some(beside),
+            })
         }
         Step::Follow => Some(EngineEvent::FollowPredecessors),
     }
@@ -140,7 +165,10 @@
 fn adopt(life: &mut Incarnation, engine: &Sender<EngineEvent>) {
     match life.renew() {
         Ok(Some(generation)) => {
-            say!(code = "adopted", "a process that came up beside this one has ended; goes on without it");
+            say!(
+                code = "adopted",
+                "a process that came up beside this one has ended; goes on without it"
+            );
             let _ = engine.try_send(EngineEvent::StandbyExited(generation));
             life.forget_ended();
         }
--- a/crates/delivery/src/hot_restart/incarnation.rs
+++ b/crates/delivery/src/hot_restart/incarnation.rs
@@ -58,7 +58,12 @@
     pub fn claim(folder: &Path) -> io::Result<Incarnation> {
         std::fs::create_dir_all(folder)?;
         let (generation, own) = place(folder, Generation(0))?;
-        Ok(Incarnation { folder: folder.to_owned(), generation, own, ended: Vec::new() })
+        Ok(Incarnation {
+            folder: folder.to_owned(),
+            generation,
+            own,
+            ended: Vec::new(),
+        })
     }
 
     /// Which life this is.
@@ -73,7 +78,11 @@
     /// The folder cannot be read.
     pub fn earlier(&mut self) -> io::Result<Vec<Predecessor>> {
         let mut running = Vec::new();
-        for generation in locks(&self.folder)?.into_iter().rev().filter(|found| *found < self.generation) {
+        for generation in locks(&self.folder)?
+            .into_iter()
+            .rev()
+            .filter(|found| *found < self.generation)
+        {
             if self.ended.iter().any(|(ended, _)| *ended == generation) {
                 continue;
             }
@@ -82,7 +91,10 @@
                 Lock::Held(mut file) => {
                     let marks = marks(&mut file)?;
                     let settled = marks.iter().any(|mark| [OVER, FENCED].contains(mark));
-                    running.push(Predecessor { generation, settled });
+                    running.push(Predecessor {
+                        generation,
+                        settled,
+                    });
                 }
                 Lock::Gone => {}
             }
@@ -137,7 +149,10 @@
         if earlier == Generation(0) {
             return Ok(());
         }
-        OpenOptions::new().append(true).open(path(&self.folder, earlier))?.write_all(&[mark])
+        OpenOptions::new()
+            .append(true)
+            .open(path(&self.folder, earlier))?
+            .write_all(&[mark])
     }
 
     /// Says that this life has handed over.
@@ -155,13 +170,21 @@
         }
         let marks = marks(&mut self.own).unwrap_or_default();
         let hand_over = marks.iter().any(|mark| [ASKED, FENCED].contains(mark));
-        Wanted { beside: marks.contains(&BESIDE), hand_over }
+        Wanted {
+            beside: marks.contains(&BESIDE),
+            hand_over,
+        }
     }
 
     /// Whether a later life runs beside this one.
     pub fn has_successor(&self) -> bool {
-        let later = locks(&self.folder).unwrap_or_default().into_iter().filter(|g| *g > self.generation);
-        later.rev().any(|later| matches!(lock(&self.folder, later), Ok(Lock::Held(_))))
+        let later = locks(&self.folder)
+            .unwrap_or_default()
+            .into_iter()
+            .filter(|g| *g > self.generation);
+        later
+            .rev()
+            .any(|later| matches!(lock(&self.folder, later), Ok(Lock::Held(_))))
     }
 
     /// Takes a later place, after lives that came up beside this one and have ended; gives it if there were any.
@@ -170,7 +193,10 @@
     /// Of the folder.
     pub fn renew(&mut self) -> io::Result<Option<Generation>> {
         let mut ended = Vec::new();
-        for later in locks(&self.folder)?.into_iter().filter(|found| *found > self.generation) {
+        for later in locks(&self.folder)?
+            .into_iter()
+            .filter(|found| *found > self.generation)
+        {
             match lock(&self.folder, later)? {
                 Lock::Taken(file) => ended.push((later, file)),
                 Lock::Held(_) => return Ok(None),
@@ -190,10 +216,18 @@
 
 /// Makes and locks the file of the next generation.
 fn place(folder: &Path, after: Generation) -> io::Result<(Generation, File)> {
-    let mut generation = locks(folder)?.into_iter().chain([latest(folder)?, after]).max().unwrap_or_default();
+    let mut generation = locks(folder)?
+        .into_iter()
+        .chain([latest(folder)?, after])
+        .max()
+        .unwrap_or_default();
     loop {
         generation = generation.next();
-        let made = OpenOptions::new().create_new(true).read(true).append(true).open(path(folder, generation));
+        let made = OpenOptions::new()
+            .create_new(true)
+            .read(true)
+            .append(true)
+            .open(path(folder, generation));
         let file = match made {
             Ok(file) => file,
             Err(error) if error.kind() == io::ErrorKind::AlreadyExists => continue,
@@ -215,7 +249,11 @@
 }
 
 fn lock(folder: &Path, generation: Generation) -> io::Result<Lock> {
-    let file = match OpenOptions::new().read(true).append(true).open(path(folder, generation)) {
+    let file = match OpenOptions::new()
+        .read(true)
+        .append(true)
+        .open(path(folder, generation))
+    {
         Ok(file) => file,
         Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(Lock::Gone),
         Err(error) => return Err(error),
@@ -239,8 +277,11 @@
     for file in std::fs::read_dir(folder)? {
         let name = file?.file_name();
         let Some(name) = name.to_str() else { continue };
-        let number =
-            if name == BEFORE { Some(0) } else { name.strip_prefix(PREFIX).and_then(|n| n.parse().ok()) };
+        let number = if name == BEFORE {
+            Some(0)
+        } else {
+            name.strip_prefix(PREFIX).and_then(|n| n.parse().ok())
+        };
         found.extend(number.map(Generation));
     }
     found.sort_unstable();
@@ -259,7 +300,8 @@
     use super::*;
 
     fn folder(name: &str) -> PathBuf {
-        let folder = std::env::temp_dir().join(format!("marblefall-life-{name}-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("marblefall-life-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         folder
     }
@@ -271,7 +313,10 @@
         assert_eq!(first.earlier().unwrap(), []);
         assert!(!first.has_successor());
         let mut second = Incarnation::claim(&folder).unwrap();
-        let one = Predecessor { generation: first.generation(), settled: false };
+        let one = Predecessor {
+            generation: first.generation(),
+            settled: false,
+        };
         assert_eq!(second.earlier().unwrap(), [one]);
         assert!(first.has_successor());
         first.over().unwrap();
@@ -291,10 +336,25 @@
         assert_eq!(first.wanted(), Wanted::default());
         let mut second = Incarnation::claim(&folder).unwrap();
         second.announce(first.generation()).unwrap();
-        assert_eq!(first.wanted(), Wanted { beside: true, hand_over: false });
+        assert_eq!(
+            first.wanted(),
+            Wanted {
+                beside: true,
+                hand_over: false
+            }
+        );
         second.fence(first.generation()).unwrap();
-        assert_eq!(first.wanted(), Wanted { beside: true, hand_over: true });
-        assert!(second.earlier().unwrap()[0].settled, "who is fenced off decides nothing");
+        assert_eq!(
+            first.wanted(),
+            Wanted {
+                beside: true,
+                hand_over: true
+            }
+        );
+        assert!(
+            second.earlier().unwrap()[0].settled,
+            "who is fenced off decides nothing"
+        );
         let _ = std::fs::remove_dir_all(&folder);
     }
 
@@ -311,7 +371,10 @@
         assert!(renewed > dead);
         first.forget_ended();
         assert_eq!(locks(&folder).unwrap(), [renewed]);
-        assert_eq!(Incarnation::claim(&folder).unwrap().earlier().unwrap()[0].generation, renewed);
+        assert_eq!(
+            Incarnation::claim(&folder).unwrap().earlier().unwrap()[0].generation,
+            renewed
+        );
         let _ = std::fs::remove_dir_all(&folder);
     }
 
@@ -323,11 +386,20 @@
         before.try_lock().unwrap();
         let mut life = Incarnation::claim(&folder).unwrap();
         let earlier = life.earlier().unwrap();
-        assert_eq!(earlier, [Predecessor { generation: Generation(0), settled: false }]);
+        assert_eq!(
+            earlier,
+            [Predecessor {
+                generation: Generation(0),
+                settled: false
+            }]
+        );
         life.announce(Generation(0)).unwrap();
         life.fence(Generation(0)).unwrap();
         assert!(folder.join(BEFORE_NEXT).exists());
-        assert!(!life.earlier().unwrap()[0].settled, "it would not find a fence");
+        assert!(
+            !life.earlier().unwrap()[0].settled,
+            "it would not find a fence"
+        );
         drop(before);
         assert_eq!(life.earlier().unwrap(), []);
         life.forget_ended();
--- a/crates/delivery/src/hot_restart/takeover.rs
+++ b/crates/delivery/src/hot_restart/takeover.rs
@@ -97,9 +97,18 @@
         steps
     }
 
-    const RUNS: Seen = Seen { living: 1, unsettled: 1 };
-    const OVER: Seen = Seen { living: 1, unsettled: 0 };
-    const GONE: Seen = Seen { living: 0, unsettled: 0 };
+    const RUNS: Seen = Seen {
+        living: 1,
+        unsettled: 1,
+    };
+    const OVER: Seen = Seen {
+        living: 1,
+        unsettled: 0,
+    };
+    const GONE: Seen = Seen {
+        living: 0,
+        unsettled: 0,
+    };
 
     #[test]
     fn it_takes_up_when_the_old_life_hands_over_and_follows_it_until_it_ends() {
@@ -109,19 +118,37 @@
 
     #[test]
     fn it_takes_up_when_the_old_life_dies_without_a_word() {
-        assert_eq!(played(|ms, _| if ms < 300 { RUNS } else { GONE }), [(300, Step::TakeUp)]);
+        assert_eq!(
+            played(|ms, _| if ms < 300 { RUNS } else { GONE }),
+            [(300, Step::TakeUp)]
+        );
     }
 
     #[test]
     fn it_asks_an_old_life_that_nobody_tells_to_end() {
-        let steps = played(|_, steps| if steps.contains(&Step::Ask) { OVER } else { RUNS });
+        let steps = played(|_, steps| {
+            if steps.contains(&Step::Ask) {
+                OVER
+            } else {
+                RUNS
+            }
+        });
         assert_eq!(steps[..2], [(800, Step::Ask), (810, Step::TakeUp)]);
     }
 
     #[test]
     fn it_fences_off_one_that_does_not_react_and_only_then_decides() {
-        let steps = played(|_, steps| if steps.contains(&Step::Fence) { OVER } else { RUNS });
-        assert_eq!(steps[..3], [(800, Step::Ask), (1500, Step::Fence), (1510, Step::TakeUp)]);
+        let steps = played(|_, steps| {
+            if steps.contains(&Step::Fence) {
+                OVER
+            } else {
+                RUNS
+            }
+        });
+        assert_eq!(
+            steps[..3],
+            [(800, Step::Ask), (1500, Step::Fence), (1510, Step::TakeUp)]
+        );
     }
 
     #[test]
--- a/crates/delivery/src/instance.rs
+++ b/crates/delivery/src/instance.rs
@@ -72,7 +72,10 @@
 
     /// The present moment.
     pub fn now(self) -> Timestamp {
-        Timestamp { monotonic: Time(self.0.elapsed().as_micros() as i64), unix_ms: unix_ms() }
+        Timestamp {
+            monotonic: Time(self.0.elapsed().as_micros() as i64),
+            unix_ms: unix_ms(),
+        }
     }
 
     /// The moment at which it shows a time; its start for what lies before.
@@ -122,17 +125,32 @@
 /// Runs an instance on the platform until it is told to end.
 pub fn run(told: PlatformConfig) -> Result<(), String> {
     let signals = signals()?;
-    let address = |text: &str| text.parse::<SocketAddr>().map_err(|error| format!("{text}: {error}"));
+    let address = |text: &str| {
+        text.parse::<SocketAddr>()
+            .map_err(|error| format!("{text}: {error}"))
+    };
     let listen = address(&told.listen)?;
     let discovery = told.discovery_address()?;
     let boot = told.settings;
-    let names = Names { kinds: boot.host_types.clone(), zones: boot.zones.clone() };
-    let classes: Vec<String> = boot.classes.iter().map(|class| class.name.clone()).collect();
+    let names = Names {
+        kinds: boot.host_types.clone(),
+        zones: boot.zones.clone(),
+    };
+    let classes: Vec<String> = boot
+        .classes
+        .iter()
+        .map(|class| class.name.clone())
+        .collect();
     let ms = |ms: f64, or: f64| Duration::from_secs_f64(if ms > 0.0 { ms } else { or } / 1000.0);
     let since = told.known.as_ref().map_or(0, |known| known.revision);
-    let hosts = told.known.map_or(EngineEvent::EndpointsReplaced(Vec::new()), |known| known.input(&names));
+    let hosts = told
+        .known
+        .map_or(EngineEvent::EndpointsReplaced(Vec::new()), |known| {
+            known.input(&names)
+        });
     let settings = boot.settings();
-    let is_keyed = |class: &MessageClass| matches!(class.idempotency, Idempotency::IdempotencyKey { .. });
+    let is_keyed =
+        |class: &MessageClass| matches!(class.idempotency, Idempotency::IdempotencyKey { .. });
     let keyed = settings.classes.iter().map(is_keyed).collect();
     let setup = EngineSettings {
         scheduler: settings,
@@ -141,12 +159,18 @@
         max_remembered: 0,
     };
     let mgmt = match told.mgmt.as_deref().filter(|at| !at.is_empty()) {
-        Some(text) => Some(TcpListener::bind(address(text)?).map_err(|error| format!("{text}: {error}"))?),
+        Some(text) => {
+            Some(TcpListener::bind(address(text)?).map_err(|error| format!("{text}: {error}"))?)
+        }
         None => None,
     };
     let relay = PlatformFrontendConfig {
         listener: listen::shared(listen).map_err(|error| format!("{listen}: {error}"))?,
-        front: PlatformFrontend { classes: classes.clone(), keyed, numbers: None },
+        front: PlatformFrontend {
+            classes: classes.clone(),
+            keyed,
+            numbers: None,
+        },
         notices: discovery,
         watch: Some((names, since)),
     };
@@ -190,7 +214,10 @@
         let command = match signal {
             Signal::Usr1 => InstanceCommand::PrintCounters,
             Signal::Hup => InstanceCommand::ReloadConfig,
-            _ => InstanceCommand::Shutdown { timeout: SHUTDOWN_TIMEOUT, restart: false },
+            _ => InstanceCommand::Shutdown {
+                timeout: SHUTDOWN_TIMEOUT,
+                restart: false,
+            },
         };
         if commands.send(command).await.is_err() {
             return;
@@ -235,13 +262,18 @@
     let at = |error: std::io::Error| format!("{}: {error}", folder.display());
     let mut life = Incarnation::claim(folder).map_err(at)?;
     let beside = driver::announce(&mut life).map_err(at)?;
-    let mut store = MessageStore::begin(folder, *disk, build.classes, life.generation()).map_err(at)?;
+    let mut store =
+        MessageStore::begin(folder, *disk, build.classes, life.generation()).map_err(at)?;
     let counters = Rc::new(Counters::default());
     // Clients hold a third of the descriptors at most, so at that many, places are what they wait for.
     let clients = (build.sockets / 3).max(1);
     let hosts = build.sockets.saturating_sub(OTHER_SOCKETS + clients).max(1);
     // Idle connections go well before the far side's own limit: what is on the way when it closes is lost.
-    let limits = Limits { dial: build.dial, idle: build.idle.mul_f64(0.85), connections: hosts };
+    let limits = Limits {
+        dial: build.dial,
+        idle: build.idle.mul_f64(0.85),
+        connections: hosts,
+    };
     let set = &build.setup.scheduler;
     let must_ask = Duration::from_micros(set.rules.max_poll_interval.0.max(0) as u64);
     let asking = discovery::Asking::new(set.instances, build.setup.seed, must_ask);
@@ -250,7 +282,11 @@
     let (queue, inputs) = async_channel::bounded(QUEUE);
     let (news, listed) = async_channel::unbounded();
     let (owed, notices) = async_channel::unbounded();
-    let clients = Rc::new(ClientConnections::new(queue.clone(), clients, counters.clone()));
+    let clients = Rc::new(ClientConnections::new(
+        queue.clone(),
+        clients,
+        counters.clone(),
+    ));
     let _ = news.send(build.hosts).await;
     let pool = Rc::new(Pool::new(limits, counters.clone()));
     let retire = pool.clone();
@@ -268,28 +304,53 @@
         let mut home = || {
             let (moved, moves) = async_channel::unbounded();
             movers.push(moved);
-            Home { address: relay.notices, moves }
+            Home {
+                address: relay.notices,
+                moves,
+            }
         };
-        tasks.spawn(discovery::notices(home(), notices, queue.clone(), platform::notice));
+        tasks.spawn(discovery::notices(
+            home(),
+            notices,
+            queue.clone(),
+            platform::notice,
+        ));
         if let Some((names, since)) = relay.watch {
             tasks.spawn(discovery::watch(home(), names, since, asking, news.clone()));
         }
         if let Some(others) = beside {
             if let Err(error) = listen::prefer(&relay.listener, others.number) {
-                say!(code = "not-preferred", "the process before still gets new connections: {error}");
+                say!(
+                    code = "not-preferred",
+                    "the process before still gets new connections: {error}"
+                );
             }
         }
         let (listener, front) = (open(relay.listener)?, Rc::new(Current::new(relay.front)));
         relay_front = Some(front.clone());
         say!("listens at {}", address_of(&listener));
-        tasks.spawn(server::serve(listener, front, clients.clone(), RELAY_PATIENCE, tasks.clone()));
+        tasks.spawn(server::serve(
+            listener,
+            front,
+            clients.clone(),
+            RELAY_PATIENCE,
+            tasks.clone(),
+        ));
     }
     tasks.spawn(server::thin_out(clients.clone()));
-    let admin = Rc::new(AdminState::new(clients.clone(), news.clone(), &build.state.0));
+    let admin = Rc::new(AdminState::new(
+        clients.clone(),
+        news.clone(),
+        &build.state.0,
+    ));
     if let Some(listener) = build.mgmt {
         let listener = open(listener)?;
         say!("operators call at {}", address_of(&listener));
-        tasks.spawn(admin_listener::listen(listener, admin.clone(), tasks.clone()));
+        tasks.spawn(admin_listener::listen(
+            listener,
+            admin.clone(),
+            tasks.clone(),
+        ));
     }
     let events = Rc::new(Current::<CloudEventsFrontend>::default());
     if let Some((listener, front)) = build.events {
@@ -297,7 +358,13 @@
         let listener = open(listener)?;
         say!("takes events at {}", address_of(&listener));
         let front = events.clone();
-        tasks.spawn(server::serve(listener, front, clients.clone(), EVENTS_PATIENCE, tasks.clone()));
+        tasks.spawn(server::serve(
+            listener,
+            front,
+            clients.clone(),
+            EVENTS_PATIENCE,
+            tasks.clone(),
+        ));
     }
     let mut orders = Vec::new();
     let mut engine = match beside {
@@ -309,15 +376,27 @@
         }
         Some(_) => Engine::standby(build.setup, store),
     };
-    let keep = keeps.then(|| SnapshotStore::open(Real, folder)).map(|(keep, records)| {
-        engine.restore_destinations(clock.now(), &records);
-        keep
-    });
+    let keep = keeps
+        .then(|| SnapshotStore::open(Real, folder))
+        .map(|(keep, records)| {
+            engine.restore_destinations(clock.now(), &records);
+            keep
+        });
     let life = Rc::new(RefCell::new(life));
     if let Some(beside) = beside {
-        tasks.spawn(driver::run_standby(life.clone(), beside.first, clock, admin.clone(), news.clone()));
+        tasks.spawn(driver::run_standby(
+            life.clone(),
+            beside.first,
+            clock,
+            admin.clone(),
+            news.clone(),
+        ));
     }
-    tasks.spawn(driver::watch_successors(life.clone(), admin.clone(), news.clone()));
+    tasks.spawn(driver::watch_successors(
+        life.clone(),
+        admin.clone(),
+        news.clone(),
+    ));
     let addresses = RefCell::default();
     let executor = Executor {
         clients,
@@ -340,17 +419,28 @@
     };
     let executor = Rc::new(executor);
     let stop = Rc::new(Cell::new(None));
-    executor.tasks.spawn(obey(executor.clone(), commands, stop.clone()));
-    executor.work(engine, orders, inputs, listed, &stop, keep).await;
+    executor
+        .tasks
+        .spawn(obey(executor.clone(), commands, stop.clone()));
+    executor
+        .work(engine, orders, inputs, listed, &stop, keep)
+        .await;
     say!("{}", executor.counters);
     Ok(())
 }
 
 fn address_of(listener: &Async<TcpListener>) -> String {
-    listener.get_ref().local_addr().map_or_else(|error| error.to_string(), |at| at.to_string())
+    listener
+        .get_ref()
+        .local_addr()
+        .map_or_else(|error| error.to_string(), |at| at.to_string())
 }
 
-async fn obey(executor: Rc<Executor>, commands: Receiver<InstanceCommand>, stop: Rc<Cell<Option<Instant>>>) {
+async fn obey(
+    executor: Rc<Executor>,
+    commands: Receiver<InstanceCommand>,
+    stop: Rc<Cell<Option<Instant>>>,
+) {
     while let Ok(command) = commands.recv().await {
         match command {
             InstanceCommand::PrintCounters => say!("{}", executor.counters),
@@ -358,17 +448,32 @@
                 let _ = mover.try_send(to);
             }),
             InstanceCommand::ReplaceDestinations(destination_table, targets) => {
-                executor.events.get().listed.replace((destination_table.clone(), targets));
-                let _ = executor.news.send(EngineEvent::DestinationTableReplaced(destination_table)).await;
+                executor
+                    .events
+                    .get()
+                    .listed
+                    .replace((destination_table.clone(), targets));
+                let _ = executor
+                    .news
+                    .send(EngineEvent::DestinationTableReplaced(destination_table))
+                    .await;
             }
             InstanceCommand::UpdatePolicy(to) => executor.switch(to()).await,
             InstanceCommand::CheckPolicy(proposed, answer) => {
-                let _ = executor.news.send(EngineEvent::CheckPolicy(proposed, answer)).await;
+                let _ = executor
+                    .news
+                    .send(EngineEvent::CheckPolicy(proposed, answer))
+                    .await;
+            }
+            InstanceCommand::LeaseChanged => {
+                drop(executor.news.send(EngineEvent::LeaseChanged).await)
             }
-            InstanceCommand::LeaseChanged => drop(executor.news.send(EngineEvent::LeaseChanged).await),
             // What has no configuration of its own to read has nothing to take up.
             InstanceCommand::ReloadConfig => {}
-            InstanceCommand::Shutdown { timeout: left, restart: goes_on } if stop.get().is_none() => {
+            InstanceCommand::Shutdown {
+                timeout: left,
+                restart: goes_on,
+            } if stop.get().is_none() => {
                 say!("told to end");
                 let ends = executor.leave(left, goes_on, &stop);
                 executor.clients.put(ends).await;
@@ -410,7 +515,11 @@
         let replaced = driver::must_hand_over(&self.life) || self.life.borrow().has_successor();
         stop.set(Some(now + left));
         // Whoever takes over listens on at once, so connections are let go without a pause.
-        let leaving = if replaced || goes_on { now } else { now + CLOSE_IDLE };
+        let leaving = if replaced || goes_on {
+            now
+        } else {
+            now + CLOSE_IDLE
+        };
         self.clients.leaving.set(Some(leaving));
         if replaced || goes_on {
             // New connections go to the one that takes over.
@@ -425,7 +534,11 @@
                 Timer::at(leaving).await;
                 clients.close_idle();
             }
-            let (quiet, last) = if replaced { (QUIET_LATE, now + SEEN_OUT) } else { (QUIET, now + left) };
+            let (quiet, last) = if replaced {
+                (QUIET_LATE, now + SEEN_OUT)
+            } else {
+                (QUIET, now + left)
+            };
             let deaf = last.checked_sub(LAST_CLIENTS).unwrap_or(now);
             while Instant::now() < last {
                 if Instant::now() >= deaf {
@@ -475,15 +588,23 @@
                     }
                 });
             }
-            let taken =
-                batch.iter().filter(|input| matches!(input, EngineEvent::NoticeAcknowledged(_))).count();
-            self.counters.notices.set(self.counters.notices.get() + taken as u64);
+            let taken = batch
+                .iter()
+                .filter(|input| matches!(input, EngineEvent::NoticeAcknowledged(_)))
+                .count();
+            self.counters
+                .notices
+                .set(self.counters.notices.get() + taken as u64);
             let begun = Instant::now();
             let changed = !batch.is_empty();
             let acts = self.step(&mut engine, std::mem::take(&mut batch), &mut orders);
             // What is taken up before anybody is served keeps nobody waiting.
             let longest = &self.counters.longest_step_us;
-            let step = if std::mem::replace(&mut serving, true) { begun.elapsed() } else { Duration::ZERO };
+            let step = if std::mem::replace(&mut serving, true) {
+                begun.elapsed()
+            } else {
+                Duration::ZERO
+            };
             longest.set(longest.get().max(step.as_micros() as u64));
             if let Some(keep) = keep.as_mut().filter(|_| kept.elapsed() >= KEEP) {
                 keep.write(&engine.destination_records(self.clock.now()));
@@ -491,10 +612,14 @@
             }
             if let Some(by) = stop.get() {
                 let (open, out) = engine.load();
-                let (now, idle) = (Instant::now(), out == 0 && open == 0 && self.clients.connections() == 0);
+                let (now, idle) = (
+                    Instant::now(),
+                    out == 0 && open == 0 && self.clients.connections() == 0,
+                );
                 // One that has handed over also keeps what is handed in now, for the next life: it waits only for its
                 // legs and for the connections that clients still use.
-                let idle = idle || out == 0 && engine.has_handed_over() && self.clients.connections() == 0;
+                let idle =
+                    idle || out == 0 && engine.has_handed_over() && self.clients.connections() == 0;
                 // Clients that have not heard of the end yet still come.
                 let done = idle && self.clients.leaving.get().is_some_and(|at| at <= now);
                 if done {
@@ -502,7 +627,9 @@
                     self.clients.stop_accepting();
                 }
                 if now >= by || done && !self.clients.listens() {
-                    self.clients.answer_all(SubmitResponse::Rejected { retry_after_ms: COME_BACK_MS });
+                    self.clients.answer_all(SubmitResponse::Rejected {
+                        retry_after_ms: COME_BACK_MS,
+                    });
                     keep.iter_mut()
                         .for_each(|keep| keep.write(&engine.destination_records(self.clock.now())));
                     // What is answered here is still to be written.
@@ -515,10 +642,15 @@
                 future::yield_now().await;
                 continue;
             }
-            let wake =
-                if acts { engine.next_wake() } else { engine.next_wake_without_lease(self.clock.now()) };
+            let wake = if acts {
+                engine.next_wake()
+            } else {
+                engine.next_wake_without_lease(self.clock.now())
+            };
             let wake = wake.map(|at| self.clock.instant(at));
-            let tick = stop.get().map(|_| Instant::now() + Duration::from_millis(50));
+            let tick = stop
+                .get()
+                .map(|_| Instant::now() + Duration::from_millis(50));
             // What has just changed is kept also if nothing else happens.
             let keeps = (keep.is_some() && changed).then_some(kept + KEEP);
             let sleep = async {
@@ -528,7 +660,9 @@
                 }
                 None
             };
-            let next = future::or(async { listed.recv().await.ok() }, async { inputs.recv().await.ok() });
+            let next = future::or(async { listed.recv().await.ok() }, async {
+                inputs.recv().await.ok()
+            });
             batch.extend(future::or(next, sleep).await);
         }
     }
--- a/crates/delivery/src/instance/admin.rs
+++ b/crates/delivery/src/instance/admin.rs
@@ -33,23 +33,45 @@
 impl AdminState {
     /// One for an instance whose lasting folder is `folder`. What an earlier life held out there is read once
     /// this one holds the folder: until then another life may still change it.
-    pub fn new(clients: Rc<ClientConnections>, news: Sender<EngineEvent>, folder: &Path) -> AdminState {
+    pub fn new(
+        clients: Rc<ClientConnections>,
+        news: Sender<EngineEvent>,
+        folder: &Path,
+    ) -> AdminState {
         let path = folder.join(FILE);
         let (held, listed, started) = Default::default();
-        AdminState { clients, news, path, held, listed, started }
+        AdminState {
+            clients,
+            news,
+            path,
+            held,
+            listed,
+            started,
+        }
     }
 
     /// Reads what is held out, as the lives before left it, and tells the engine.
     pub fn reread(&self) {
         let held = match std::fs::read_to_string(&self.path) {
-            Ok(text) => text.lines().map(str::trim).filter(|id| !id.is_empty()).map(String::from).collect(),
+            Ok(text) => text
+                .lines()
+                .map(str::trim)
+                .filter(|id| !id.is_empty())
+                .map(String::from)
+                .collect(),
             Err(error) if error.kind() == std::io::ErrorKind::NotFound => BTreeSet::new(),
             Err(error) => {
-                say!(code = "held-out-unread", "{}: {error}; none held out", self.path.display());
+                say!(
+                    code = "held-out-unread",
+                    "{}: {error}; none held out",
+                    self.path.display()
+                );
                 BTreeSet::new()
             }
         };
-        let _ = self.news.try_send(EngineEvent::EndpointsDisabled(held.clone()));
+        let _ = self
+            .news
+            .try_send(EngineEvent::EndpointsDisabled(held.clone()));
         self.held.replace(held);
     }
 
@@ -69,14 +91,22 @@
         }
         let known = self.listed.borrow().values().any(|name| name == id);
         let mut held = self.held.borrow_mut();
-        let changed = if out { known && held.insert(id.to_owned()) } else { held.remove(id) };
+        let changed = if out {
+            known && held.insert(id.to_owned())
+        } else {
+            held.remove(id)
+        };
         if !known && !changed {
             return 404;
         }
         if changed {
             let text: String = held.iter().map(|id| format!("{id}\n")).collect();
             if let Err(error) = replace(&Real, &self.path, text.as_bytes(), Outlasts::Process) {
-                say!(code = "held-out-unwritten", "{}: {error}", self.path.display());
+                say!(
+                    code = "held-out-unwritten",
+                    "{}: {error}",
+                    self.path.display()
+                );
                 // Undone, so that what is said and what lasts stay the same.
                 if out {
                     held.remove(id);
@@ -85,8 +115,14 @@
                 }
                 return 503;
             }
-            let _ = self.news.try_send(EngineEvent::EndpointsDisabled(held.clone()));
-            say!(code = "held-out", "endpoint {id} {}", if out { "held out" } else { "let in" });
+            let _ = self
+                .news
+                .try_send(EngineEvent::EndpointsDisabled(held.clone()));
+            say!(
+                code = "held-out",
+                "endpoint {id} {}",
+                if out { "held out" } else { "let in" }
+            );
         }
         200
     }
--- a/crates/delivery/src/instance/executor.rs
+++ b/crates/delivery/src/instance/executor.rs
@@ -1,7 +1,9 @@
 //! Carries out what the engine orders: answers, legs, and what the network is told of endpoints.
 
 use super::{Executor, PolicyUpdate};
-use crate::core::engine::{AttemptRequest, AttemptResult, Engine, EngineCommand, EngineEvent, LeaseState};
+use crate::core::engine::{
+    AttemptRequest, AttemptResult, Engine, EngineCommand, EngineEvent, LeaseState,
+};
 use crate::core::{FinalOutcome, Origin, SubmitResponse};
 use crate::counters::add;
 use crate::frontend::{cloudevents, platform};
@@ -39,11 +41,15 @@
         for order in orders.drain(..) {
             if replaced && matches!(order, EngineCommand::SendNotice { .. }) {
                 // It is in the journal, where whoever took over before does not look for it.
-                say!(code = "fenced-off", "a notice is left to the process that took over");
+                say!(
+                    code = "fenced-off",
+                    "a notice is left to the process that took over"
+                );
                 continue;
             }
             // While nobody acts, this is said only of what was taken on before.
-            if act.is_some() && matches!(order, EngineCommand::Respond(_, SubmitResponse::Accepted)) {
+            if act.is_some() && matches!(order, EngineCommand::Respond(_, SubmitResponse::Accepted))
+            {
                 self.note("takes");
             }
             self.carry_out(order);
@@ -55,22 +61,33 @@
     fn enter(&self) -> Option<LeasePermit<'_>> {
         self.gate
             .as_ref()
-            .map_or(Some(LeasePermit::unconditional()), |gate| gate.acquire(self.revision.get()))
+            .map_or(Some(LeasePermit::unconditional()), |gate| {
+                gate.acquire(self.revision.get())
+            })
     }
 
     /// Writes what is done into the history, if there is one.
     fn note(&self, what: &str) {
-        self.gate.iter().for_each(|gate| gate.record(&self.name, what, self.revision.get()));
+        self.gate
+            .iter()
+            .for_each(|gate| gate.record(&self.name, what, self.revision.get()));
     }
 
     /// Takes up another policy: the fronts at once, the core with its next step.
     pub(super) async fn switch(&self, to: PolicyUpdate) {
-        let PolicyUpdate { change, relay, events } = to;
+        let PolicyUpdate {
+            change,
+            relay,
+            events,
+        } = to;
         if let (Some(front), Some(terms)) = (&self.relay_front, relay) {
             front.set(terms);
         }
         events.into_iter().for_each(|terms| self.events.set(terms));
-        let _ = self.news.send(EngineEvent::PolicyChanged(Box::new(change))).await;
+        let _ = self
+            .news
+            .send(EngineEvent::PolicyChanged(Box::new(change)))
+            .await;
     }
 
     fn carry_out(self: &Rc<Self>, order: EngineCommand) {
@@ -87,11 +104,16 @@
                 let executor = self.clone();
                 let attempt = async move {
                     let result = executor.attempt(request).await;
-                    let _ = executor.queue.send(EngineEvent::AttemptFinished(result)).await;
+                    let _ = executor
+                        .queue
+                        .send(EngineEvent::AttemptFinished(result))
+                        .await;
                 };
                 self.tasks.spawn(attempt);
             }
-            EngineCommand::SetBackoff(route, until) => self.pool.told(route, self.clock.instant(until)),
+            EngineCommand::SetBackoff(route, until) => {
+                self.pool.told(route, self.clock.instant(until))
+            }
             EngineCommand::CancelAttempt(seq) => self.pool.abandon(seq),
             EngineCommand::CloseIdleConnections(host) => self.pool.close_idle(host),
             EngineCommand::MessageFinished(end) => match end {
@@ -100,13 +122,20 @@
                 FinalOutcome::Expired => add(&self.counters.expired),
                 FinalOutcome::Failed => add(&self.counters.failed),
             },
-            EngineCommand::SendNotice { message_id: seq, message, outcome: end } => {
+            EngineCommand::SendNotice {
+                message_id: seq,
+                message,
+                outcome: end,
+            } => {
                 let _ = self.owed.try_send((seq, message.identity.clone(), end));
             }
             EngineCommand::EndpointListed(id, host) => {
-                self.addresses.borrow_mut().insert(id, host.address.as_str().into());
+                self.addresses
+                    .borrow_mut()
+                    .insert(id, host.address.as_str().into());
                 self.admin.listed(id, &host.name);
-                self.pool.place(id, &host.address, host.status == EndpointStatus::Active);
+                self.pool
+                    .place(id, &host.address, host.status == EndpointStatus::Active);
             }
             EngineCommand::EndpointRemoved(id) => {
                 self.addresses.borrow_mut().remove(&id);
@@ -150,7 +179,12 @@
         } = request;
         add(&self.counters.legs);
         let begun = self.clock.now().monotonic;
-        let address = self.addresses.borrow().get(&host).cloned().unwrap_or_else(|| "".into());
+        let address = self
+            .addresses
+            .borrow()
+            .get(&host)
+            .cloned()
+            .unwrap_or_else(|| "".into());
         let word = |budget_ms| match message.origin {
             Origin::Platform => platform::encode_attempt(&message, &address, budget_ms),
             Origin::CloudEvents => self.events.get().leg(&message, &address),
@@ -166,10 +200,21 @@
                 .flatten()
                 .inspect(|_| self.note("leg"))
         };
-        let call = Call { route, word: &word, judge, may: &may };
+        let call = Call {
+            route,
+            word: &word,
+            judge,
+            may: &may,
+        };
         let (cut_at, write_by) = (self.clock.instant(cut_at), self.clock.instant(write_by));
-        let Ended { outcome, disposition, report } =
-            self.pool.leg(message_id, host, call, cut_at, write_by).await;
+        let Ended {
+            outcome,
+            disposition,
+            report,
+        } = self
+            .pool
+            .leg(message_id, host, call, cut_at, write_by)
+            .await;
         let counters = &self.counters;
         add(match outcome {
             Outcome::Delivered => &counters.delivered,
--- a/crates/delivery/src/instance/platform_config.rs
+++ b/crates/delivery/src/instance/platform_config.rs
@@ -62,6 +62,8 @@
 
     /// Where discovery is.
     pub fn discovery_address(&self) -> Result<SocketAddr, String> {
-        self.discovery.parse().map_err(|error| format!("{}: {error}", self.discovery))
+        self.discovery
+            .parse()
+            .map_err(|error| format!("{}: {error}", self.discovery))
     }
 }
--- a/crates/delivery/src/lease_guard.rs
+++ b/crates/delivery/src/lease_guard.rs
@@ -47,8 +47,14 @@
     /// A closed guard. All that passes is written to `history`, if there is one: a line each with the system's monotonic
     /// clock in microseconds, the instance, what it did and the revision; `-` for the guard itself.
     pub fn new(history: Option<File>) -> LeaseGuard {
-        let lease = Lease { revision: 0, state: GuardState::Closed };
-        LeaseGuard { lease: RwLock::new(lease), history: history.map(Mutex::new) }
+        let lease = Lease {
+            revision: 0,
+            state: GuardState::Closed,
+        };
+        LeaseGuard {
+            lease: RwLock::new(lease),
+            history: history.map(Mutex::new),
+        }
     }
 
     /// Opens or closes the guard for a revision of the policy; returns once no permit given before is held.
@@ -70,7 +76,9 @@
             GuardState::Open(until) => until.is_none_or(|until| Instant::now() < until),
             GuardState::Suspended | GuardState::Closed => false,
         };
-        (open && lease.revision == revision).then_some(LeasePermit { _lease: Some(lease) })
+        (open && lease.revision == revision).then_some(LeasePermit {
+            _lease: Some(lease),
+        })
     }
 
     /// The state towards whoever has this revision. To one that is about to take over the revision in force it is
@@ -91,7 +99,10 @@
         let micros = at.tv_sec * 1_000_000 + at.tv_nsec / 1000;
         let line = format!("{micros} {instance} {act} {revision}\n");
         // A history with gaps would prove nothing, but the instance's work does not depend on it.
-        let _ = history.lock().unwrap_or_else(PoisonError::into_inner).write_all(line.as_bytes());
+        let _ = history
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .write_all(line.as_bytes());
     }
 }
 
--- a/crates/delivery/src/lease_guard/tests.rs
+++ b/crates/delivery/src/lease_guard/tests.rs
@@ -10,7 +10,9 @@
     guard.set(3, GuardState::Open(None));
     assert!(guard.acquire(3).is_some() && guard.acquire(2).is_none());
     assert_eq!(guard.state(2), GuardState::Suspended);
-    let past = Instant::now().checked_sub(Duration::from_millis(1)).unwrap();
+    let past = Instant::now()
+        .checked_sub(Duration::from_millis(1))
+        .unwrap();
     guard.set(3, GuardState::Open(Some(past)));
     assert!(guard.acquire(3).is_none());
     assert_eq!(guard.state(3), GuardState::Closed);
--- a/crates/delivery/src/log.rs
+++ b/crates/delivery/src/log.rs
@@ -100,15 +100,23 @@
 
 /// From now on, lines of the whole process go to standard error in this form. The first call counts.
 pub fn start(format: Format) {
-    let layout = tracing_subscriber::fmt::format().with_target(false).with_level(false);
+    let layout = tracing_subscriber::fmt::format()
+        .with_target(false)
+        .with_level(false);
     match format {
         Format::Text => {
-            let layer = tracing_subscriber::fmt::layer().with_writer(std::io::stderr).with_ansi(false);
-            let layer = layer.event_format(Counted::<Full>(layout, format)).with_filter(FloodLimit);
+            let layer = tracing_subscriber::fmt::layer()
+                .with_writer(std::io::stderr)
+                .with_ansi(false);
+            let layer = layer
+                .event_format(Counted::<Full>(layout, format))
+                .with_filter(FloodLimit);
             let _ = tracing::subscriber::set_global_default(Registry::default().with(layer));
         }
         Format::Json => {
-            let layer = tracing_subscriber::fmt::layer().with_writer(std::io::stderr).with_ansi(false);
+            let layer = tracing_subscriber::fmt::layer()
+                .with_writer(std::io::stderr)
+                .with_ansi(false);
             let layer = layer.fmt_fields(JsonFields::new());
             let counted = Counted::<Json>(layout.json().with_current_span(false), format);
             let layer = layer.event_format(counted).with_filter(FloodLimit);
--- a/crates/delivery/src/net/admin.rs
+++ b/crates/delivery/src/net/admin.rs
@@ -67,17 +67,20 @@
                 tasks.spawn(async move {
                     let mut link = Link::new(stream);
                     let by = Instant::now() + ANSWER_BY;
-                    let (status, code) = match until(by, read(&mut link)).await.unwrap_or(Err(Stop::Late)) {
-                        Ok((head, len)) => {
-                            answer(&link.bytes()[..head], &link.bytes()[head..head + len], &*operators)
-                        }
-                        Err(Stop::Late) => (408, "late"),
-                        Err(Stop::Fault(fault)) => (fault.status(), fault.code()),
-                        Err(stop) => {
-                            let code = stop.code();
-                            return say!(code, "operators' call ended unanswered");
-                        }
-                    };
+                    let (status, code) =
+                        match until(by, read(&mut link)).await.unwrap_or(Err(Stop::Late)) {
+                            Ok((head, len)) => answer(
+                                &link.bytes()[..head],
+                                &link.bytes()[head..head + len],
+                                &*operators,
+                            ),
+                            Err(Stop::Late) => (408, "late"),
+                            Err(Stop::Fault(fault)) => (fault.status(), fault.code()),
+                            Err(stop) => {
+                                let code = stop.code();
+                                return say!(code, "operators' call ended unanswered");
+                            }
+                        };
                     let head = format!(
                         "HTTP/1.1 {status} {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
                         http::phrase(status)
@@ -141,23 +144,38 @@
             let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
             let at = listener.get_ref().local_addr().unwrap();
             let yes = Rc::new(Yes::default());
-            spawner.clone().spawn(listen(listener, yes.clone(), spawner));
+            spawner
+                .clone()
+                .spawn(listen(listener, yes.clone(), spawner));
             let mut silent = Link::connect(at).await.unwrap();
             let mut half = Link::connect(at).await.unwrap();
-            half.write(b"POST /endpoints/disable HTTP/1.1\r\nContent-Length: 8\r\n\r\ns-", b"")
-                .await
-                .unwrap();
+            half.write(
+                b"POST /endpoints/disable HTTP/1.1\r\nContent-Length: 8\r\n\r\ns-",
+                b"",
+            )
+            .await
+            .unwrap();
             let mut whole = Link::connect(at).await.unwrap();
             whole
-                .write(b"POST /endpoints/disable HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-1", b"")
+                .write(
+                    b"POST /endpoints/disable HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-1",
+                    b"",
+                )
                 .await
                 .unwrap();
             assert_eq!(status(&mut whole).await, 200);
-            assert_eq!(*yes.0.borrow(), ["Disable(\"s-1\")"], "answered while two others wait");
+            assert_eq!(
+                *yes.0.borrow(),
+                ["Disable(\"s-1\")"],
+                "answered while two others wait"
+            );
             assert_eq!(status(&mut half).await, 408);
             assert_eq!(status(&mut silent).await, 408);
             let mut wrong = Link::connect(at).await.unwrap();
-            wrong.write(b"DELETE /ready HTTP/1.1\r\n\r\n", b"").await.unwrap();
+            wrong
+                .write(b"DELETE /ready HTTP/1.1\r\n\r\n", b"")
+                .await
+                .unwrap();
             assert_eq!(status(&mut wrong).await, 405);
         }));
     }
--- a/crates/delivery/src/net/discovery.rs
+++ b/crates/delivery/src/net/discovery.rs
@@ -54,7 +54,8 @@
     /// The rate that it tells; 0 where that is none.
     fn rate(&self) -> f64 {
         let told = self.size.and_then(|size| size.get().parse::<f64>().ok());
-        told.filter(|rate| (0.0..=MOST_RATE).contains(rate)).unwrap_or(0.0)
+        told.filter(|rate| (0.0..=MOST_RATE).contains(rate))
+            .unwrap_or(0.0)
     }
 }
 
@@ -89,11 +90,18 @@
         let read = |entry: &RawValue| match serde_json::from_str::<Member<'_>>(entry.get()) {
             Ok(member) => Some(host(member)),
             Err(error) => {
-                say!(code = "entry-malformed", "an entry of the list is left out: {error}");
+                say!(
+                    code = "entry-malformed",
+                    "an entry of the list is left out: {error}"
+                );
                 None
             }
         };
-        let hosts = self.members.iter().filter_map(|entry| read(entry)).collect();
+        let hosts = self
+            .members
+            .iter()
+            .filter_map(|entry| read(entry))
+            .collect();
         if self.complete {
             EngineEvent::EndpointsReplaced(hosts)
         } else {
@@ -123,7 +131,11 @@
         match future::or(moved, async { Ok(what.await) }).await {
             Ok(done) => Some(done),
             Err(to) => {
-                say!(code = "moved", "discovery {}: connection ended, moved to {to}", self.address);
+                say!(
+                    code = "moved",
+                    "discovery {}: connection ended, moved to {to}",
+                    self.address
+                );
                 self.address = to;
                 None
             }
--- a/crates/delivery/src/net/discovery/notices.rs
+++ b/crates/delivery/src/net/discovery/notices.rs
@@ -39,7 +39,11 @@
                 due.push((seq, word(&id, end)));
             }
             let body: String = due.iter().map(|(_, line)| line.as_str()).collect();
-            let told = until(Instant::now() + NOTICE_PATIENCE, tell(&mut kept, address, &body)).await;
+            let told = until(
+                Instant::now() + NOTICE_PATIENCE,
+                tell(&mut kept, address, &body),
+            )
+            .await;
             let code = match told.unwrap_or(Err(Stop::Late)) {
                 Ok(204) => {
                     wait = BACKOFF.0;
@@ -76,7 +80,9 @@
     };
     let len = body.len();
     let head = format!("POST /status HTTP/1.1\r\nHost: {address}\r\nContent-Length: {len}\r\n\r\n");
-    link.write(head.as_bytes(), body.as_bytes()).await.map_err(Stop::Broke)?;
+    link.write(head.as_bytes(), body.as_bytes())
+        .await
+        .map_err(Stop::Broke)?;
     let head = link.head(HEAD).await?;
     let read = http::response(&link.bytes()[..head])?;
     let (status, framing, keeps) = (read.status, read.framing, read.keeps);
--- a/crates/delivery/src/net/discovery/watch.rs
+++ b/crates/delivery/src/net/discovery/watch.rs
@@ -51,7 +51,11 @@
         let crowd = instances.saturating_sub(FEW).min(u32::MAX as usize) as u32;
         let most = if most.is_zero() { Duration::MAX } else { most };
         let round = EACH.saturating_mul(crowd).min(most).min(TOLD);
-        Asking { round, draws: fastrand::Rng::with_seed(seed), wait: BACKOFF.0 }
+        Asking {
+            round,
+            draws: fastrand::Rng::with_seed(seed),
+            wait: BACKOFF.0,
+        }
     }
 
     /// How long it waits before it asks for the first time, also at another address; what it knows serves until then.
@@ -67,13 +71,23 @@
 
     /// How long it waits after a watch that has ended, which told something or did not.
     pub fn next(&mut self, told: bool) -> Duration {
-        self.wait = if told { BACKOFF.0 } else { (self.wait * 2).min(BACKOFF.1) };
+        self.wait = if told {
+            BACKOFF.0
+        } else {
+            (self.wait * 2).min(BACKOFF.1)
+        };
         self.wait + self.round.mul_f64(0.5 + self.draws.f64())
     }
 }
 
 /// Watches the list for ever, from a version on; each watch that ends or falls silent is followed by another.
-pub async fn watch(mut home: Home, names: Names, since: u64, mut asking: Asking, news: Sender<EngineEvent>) {
+pub async fn watch(
+    mut home: Home,
+    names: Names,
+    since: u64,
+    mut asking: Asking,
+    news: Sender<EngineEvent>,
+) {
     let since = Cell::new(since);
     // A new life asks at once: what it was told in the last one may be old, and changes since count as told to it
     // as soon as to those who watched.
@@ -108,9 +122,18 @@
 }
 
 impl<'a> Open<'a> {
-    fn new<F: Future<Output = &'static str> + 'a>(follow: impl FnOnce(Rc<Cell<Told>>) -> F) -> Open<'a> {
-        let told = Rc::new(Cell::new(Told { at: Instant::now(), lines: 0, list: false }));
-        Open { task: Box::pin(follow(told.clone())), told }
+    fn new<F: Future<Output = &'static str> + 'a>(
+        follow: impl FnOnce(Rc<Cell<Told>>) -> F,
+    ) -> Open<'a> {
+        let told = Rc::new(Cell::new(Told {
+            at: Instant::now(),
+            lines: 0,
+            list: false,
+        }));
+        Open {
+            task: Box::pin(follow(told.clone())),
+            told,
+        }
     }
 
     /// Runs it on; says if it told something or ended.
@@ -141,7 +164,13 @@
 
 impl<'a, 'w, F: Fn() -> Open<'w>> Watches<'a, 'w, F> {
     fn new(open: F, asking: &'a mut Asking, wait: Duration) -> Watches<'a, 'w, F> {
-        Watches { open, asking, serving: None, coming: None, next: Some(Instant::now() + wait) }
+        Watches {
+            open,
+            asking,
+            serving: None,
+            coming: None,
+            next: Some(Instant::now() + wait),
+        }
     }
 
     async fn run(mut self, address: SocketAddr) {
@@ -154,7 +183,11 @@
                     self.coming_heard(heard, now, address);
                     return Poll::Ready(());
                 }
-                if let Some(heard) = self.serving.as_mut().and_then(|serving| serving.poll(context)) {
+                if let Some(heard) = self
+                    .serving
+                    .as_mut()
+                    .and_then(|serving| serving.poll(context))
+                {
                     self.serving_heard(heard, now, address);
                     return Poll::Ready(());
                 }
@@ -166,15 +199,26 @@
 
     /// When something is due even if nothing is heard.
     fn wakes(&self) -> Option<Instant> {
-        let silent = self.serving.as_ref().map(|serving| serving.told.get().at + SILENCE);
-        let late = self.coming.as_ref().map(|coming| coming.told.get().at + ANSWER);
+        let silent = self
+            .serving
+            .as_ref()
+            .map(|serving| serving.told.get().at + SILENCE);
+        let late = self
+            .coming
+            .as_ref()
+            .map(|coming| coming.told.get().at + ANSWER);
         self.next.or_else(|| late.or(silent))
     }
 
     fn time_passed(&mut self, now: Instant, address: SocketAddr) {
         if self.next.is_none() && self.wakes().is_some_and(|at| at <= now) {
-            self.next =
-                Some(now + if self.coming.is_some() { self.asking.next(false) } else { self.asking.again() });
+            self.next = Some(
+                now + if self.coming.is_some() {
+                    self.asking.next(false)
+                } else {
+                    self.asking.again()
+                },
+            );
         }
         if self.next.is_some_and(|at| at <= now) {
             self.next = None;
@@ -278,7 +322,11 @@
                                 Ok(Line::List(list)) => Some(list),
                                 Err(code) => return code,
                             };
-                            let Told { lines, list: before, .. } = told.get();
+                            let Told {
+                                lines,
+                                list: before,
+                                ..
+                            } = told.get();
                             told.set(Told {
                                 at: Instant::now(),
                                 lines: lines + 1,
@@ -319,7 +367,10 @@
     }
 
     fn next(&mut self) -> Result<Line, &'static str> {
-        while let Some(len) = self.bytes[self.begun..].iter().position(|byte| *byte == b'\n') {
+        while let Some(len) = self.bytes[self.begun..]
+            .iter()
+            .position(|byte| *byte == b'\n')
+        {
             let end = self.begun + len + 1;
             let text = self.bytes[..end].trim_ascii();
             // A list is read once it may be whole, not with each of its lines.
--- a/crates/delivery/src/net/discovery/watch/tests.rs
+++ b/crates/delivery/src/net/discovery/watch/tests.rs
@@ -7,9 +7,13 @@
 /// Plays instances that lose their watches together against a discovery that hands out so many lists a second and
 /// turns away what has waited for 2 s; gives for each the second in which it was served.
 fn served(instances: usize, rate: f64, seconds: u32) -> Vec<Option<f64>> {
-    let mut all: Vec<Asking> =
-        (0..instances).map(|n| Asking::new(instances, n as u64, Duration::from_secs(10))).collect();
-    let mut asks: Vec<f64> = all.iter_mut().map(|asking| asking.first().as_secs_f64()).collect();
+    let mut all: Vec<Asking> = (0..instances)
+        .map(|n| Asking::new(instances, n as u64, Duration::from_secs(10)))
+        .collect();
+    let mut asks: Vec<f64> = all
+        .iter_mut()
+        .map(|asking| asking.first().as_secs_f64())
+        .collect();
     let (mut queue, mut room): (VecDeque<(usize, f64)>, f64) = (VecDeque::new(), 0.0);
     let mut done = vec![None; instances];
     for step in 0..seconds * 100 {
@@ -70,17 +74,27 @@
     for instances in [1, 30, 300, 5000] {
         let mut asking = Asking::new(instances, 11, Duration::ZERO);
         let asked = (0..200).map(|_| SILENCE + asking.again()).max().unwrap();
-        assert!(asked + ANSWER < Duration::from_secs(6), "{instances}: asked after {asked:?}");
+        assert!(
+            asked + ANSWER < Duration::from_secs(6),
+            "{instances}: asked after {asked:?}"
+        );
     }
     let mut asking = Asking::new(300, 11, Duration::ZERO);
-    let asks: std::collections::BTreeSet<u128> = (0..300).map(|_| asking.again().as_millis() / 100).collect();
-    assert!(asks.len() > 8, "all couriers together ask in {} parts of 100 ms", asks.len());
+    let asks: std::collections::BTreeSet<u128> =
+        (0..300).map(|_| asking.again().as_millis() / 100).collect();
+    assert!(
+        asks.len() > 8,
+        "all couriers together ask in {} parts of 100 ms",
+        asks.len()
+    );
 }
 
 const HEAD_OF_WATCH: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 fn entry(phase: &str) -> String {
-    format!(r#"{{"id":"e","host_port":"127.0.0.1:1","cell":7,"phase":"{phase}","size":1.0,"up_since_ms":0}}"#)
+    format!(
+        r#"{{"id":"e","host_port":"127.0.0.1:1","cell":7,"phase":"{phase}","size":1.0,"up_since_ms":0}}"#
+    )
 }
 
 fn list(revision: u64, complete: bool, phase: &str) -> String {
@@ -127,7 +141,8 @@
             let mut told = Vec::new();
             while told.len() < lists {
                 match heard.recv().await.unwrap() {
-                    EngineEvent::EndpointsReplaced(hosts) | EngineEvent::EndpointsUpdated(hosts) => {
+                    EngineEvent::EndpointsReplaced(hosts)
+                    | EngineEvent::EndpointsUpdated(hosts) => {
                         told.extend(hosts.iter().map(|h| h.status))
                     }
                     other => panic!("{other:?}"),
@@ -167,7 +182,9 @@
         format!("{whole}{half}"),
         format!("{whole}1"),
     ];
-    let plays = cuts.into_iter().flat_map(|cut| [false, true].map(|trickles| (cut.clone(), trickles)));
+    let plays = cuts
+        .into_iter()
+        .flat_map(|cut| [false, true].map(|trickles| (cut.clone(), trickles)));
     let plays: Vec<_> = plays
         .map(|(cut, trickles)| {
             std::thread::spawn(move || {
@@ -184,8 +201,14 @@
                         }
                     });
                 });
-                let second = says(format!("{HEAD_OF_WATCH}{}", chunk(&list(2, true, "DRAINING"))));
-                assert_eq!(watched(vec![first, second], lists).last(), Some(&EndpointStatus::Draining));
+                let second = says(format!(
+                    "{HEAD_OF_WATCH}{}",
+                    chunk(&list(2, true, "DRAINING"))
+                ));
+                assert_eq!(
+                    watched(vec![first, second], lists).last(),
+                    Some(&EndpointStatus::Draining)
+                );
             })
         })
         .collect();
@@ -198,20 +221,28 @@
 fn a_silent_watch_that_tells_on_while_another_comes_up_is_heard() {
     let (dialled, second_is_there) = std::sync::mpsc::channel();
     let first: Script = Box::new(move |stream| {
-        stream.write_all(format!("{HEAD_OF_WATCH}{}", chunk(&list(1, true, "SERVING"))).as_bytes()).unwrap();
+        stream
+            .write_all(format!("{HEAD_OF_WATCH}{}", chunk(&list(1, true, "SERVING"))).as_bytes())
+            .unwrap();
         second_is_there.recv().unwrap();
         let _ = stream.write_all(chunk(&list(2, false, "DRAINING")).as_bytes());
     });
     // The second one never answers.
     let second: Script = Box::new(move |_| dialled.send(()).unwrap());
-    assert_eq!(watched(vec![first, second], 2), [EndpointStatus::Active, EndpointStatus::Draining]);
+    assert_eq!(
+        watched(vec![first, second], 2),
+        [EndpointStatus::Active, EndpointStatus::Draining]
+    );
 }
 
 #[test]
 fn a_list_may_come_indented_over_many_lines_and_in_any_cuts() {
     let text = format!(
         "{{\n  \"revision\": 3,\n  \"complete\": true,\n  \"members\": [\n    {}\n  ]\n}}\n",
-        entry("DRAINING").replace(',', ",\n      ").replace('{', "{\n      ").replace('}', "\n    }")
+        entry("DRAINING")
+            .replace(',', ",\n      ")
+            .replace('{', "{\n      ")
+            .replace('}', "\n    }")
     );
     for at in 0..text.len() {
         let mut lines = Lines::default();
@@ -221,12 +252,25 @@
         assert!(matches!(lines.next(), Ok(Line::More)), "cut at {at}");
         lines.push(&text.as_bytes()[at..]);
         lines.push(list(4, false, "SERVING").as_bytes());
-        let Ok(Line::List(first)) = lines.next() else { panic!("cut at {at}") };
-        let Ok(Line::List(second)) = lines.next() else { panic!("cut at {at}") };
-        assert_eq!((first.revision, first.members.len(), second.revision), (3, 1, 4));
+        let Ok(Line::List(first)) = lines.next() else {
+            panic!("cut at {at}")
+        };
+        let Ok(Line::List(second)) = lines.next() else {
+            panic!("cut at {at}")
+        };
+        assert_eq!(
+            (first.revision, first.members.len(), second.revision),
+            (3, 1, 4)
+        );
         assert!(matches!(lines.next(), Ok(Line::More)));
     }
-    for noise in ["noise\n", "[1]\n", "{\"revision\":-1}\n", "{\"revision\":1}x}\n", "{]}\n"] {
+    for noise in [
+        "noise\n",
+        "[1]\n",
+        "{\"revision\":-1}\n",
+        "{\"revision\":1}x}\n",
+        "{]}\n",
+    ] {
         let mut lines = Lines::default();
         lines.push(noise.as_bytes());
         assert!(lines.next().is_err(), "{noise}");
@@ -246,20 +290,37 @@
     ] {
         let text = format!("{{\"revision\":1,\"complete\":true,\"members\":[{bad},{drains}]}}");
         let list: List = serde_json::from_str(&text).unwrap();
-        let EngineEvent::EndpointsReplaced(hosts) = list.input(&Names::default()) else { panic!("{bad}") };
+        let EngineEvent::EndpointsReplaced(hosts) = list.input(&Names::default()) else {
+            panic!("{bad}")
+        };
         assert_eq!(
             hosts.iter().map(|host| host.status).collect::<Vec<_>>(),
             [EndpointStatus::Draining],
             "{bad}"
         );
     }
-    for (size, rate) in
-        [("1e400", 0.0), ("-3", 0.0), ("1e300", 0.0), ("null", 0.0), ("\"7\"", 0.0), ("7.5", 7.5)]
-    {
+    for (size, rate) in [
+        ("1e400", 0.0),
+        ("-3", 0.0),
+        ("1e300", 0.0),
+        ("null", 0.0),
+        ("\"7\"", 0.0),
+        ("7.5", 7.5),
+    ] {
         let text = format!("{{\"revision\":1,\"complete\":true,\"members\":[{drains}]}}");
         let list: List =
-            serde_json::from_str(&text.replace("\"size\":1.0", &format!("\"size\":{size}"))).unwrap();
-        let EngineEvent::EndpointsReplaced(hosts) = list.input(&Names::default()) else { panic!("{size}") };
-        assert_eq!(hosts.iter().map(|host| host.advertised_rate).collect::<Vec<_>>(), [rate], "{size}");
+            serde_json::from_str(&text.replace("\"size\":1.0", &format!("\"size\":{size}")))
+                .unwrap();
+        let EngineEvent::EndpointsReplaced(hosts) = list.input(&Names::default()) else {
+            panic!("{size}")
+        };
+        assert_eq!(
+            hosts
+                .iter()
+                .map(|host| host.advertised_rate)
+                .collect::<Vec<_>>(),
+            [rate],
+            "{size}"
+        );
     }
 }
--- a/crates/delivery/src/net/http.rs
+++ b/crates/delivery/src/net/http.rs
@@ -58,7 +58,9 @@
 
     /// The values of all fields with a name.
     pub fn all<'s>(&'s self, name: &'s str) -> impl Iterator<Item = &'a [u8]> + 's {
-        self.iter().filter(move |(have, _)| have.eq_ignore_ascii_case(name)).map(|(_, value)| value)
+        self.iter()
+            .filter(move |(have, _)| have.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value)
     }
 
     /// The value of the first field with a name.
@@ -68,11 +70,14 @@
 
     /// The same as text.
     pub fn text(&self, name: &str) -> Option<&'a str> {
-        self.get(name).and_then(|value| std::str::from_utf8(value).ok())
+        self.get(name)
+            .and_then(|value| std::str::from_utf8(value).ok())
     }
 
     fn lists(&self, name: &str, token: &str) -> bool {
-        let mut parts = self.all(name).flat_map(|value| value.split(|byte| *byte == b','));
+        let mut parts = self
+            .all(name)
+            .flat_map(|value| value.split(|byte| *byte == b','));
         parts.any(|part| part.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
     }
 
@@ -89,15 +94,25 @@
             return Err(Fault::Malformed);
         }
         if let Some(coding) = self.get("transfer-encoding") {
-            let plain = coding.eq_ignore_ascii_case(b"chunked") && self.all("transfer-encoding").count() == 1;
-            return if plain { Ok(Some(Framing::Chunked)) } else { Err(Fault::Malformed) };
+            let plain = coding.eq_ignore_ascii_case(b"chunked")
+                && self.all("transfer-encoding").count() == 1;
+            return if plain {
+                Ok(Some(Framing::Chunked))
+            } else {
+                Err(Fault::Malformed)
+            };
         }
         let Some(length) = length else {
             return Ok(None);
         };
         let digits = !length.is_empty() && length.iter().all(u8::is_ascii_digit);
-        let number = std::str::from_utf8(length).ok().filter(|_| digits).and_then(|text| text.parse().ok());
-        number.map(|number| Some(Framing::Length(number))).ok_or(Fault::Malformed)
+        let number = std::str::from_utf8(length)
+            .ok()
+            .filter(|_| digits)
+            .and_then(|text| text.parse().ok());
+        number
+            .map(|number| Some(Framing::Length(number)))
+            .ok_or(Fault::Malformed)
     }
 }
 
@@ -132,14 +147,22 @@
 impl Response<'_> {
     /// One of which no more than the status is known.
     pub fn of(status: u16) -> Response<'static> {
-        Response { status, fields: Fields::default(), framing: Framing::UntilEnd, keeps: false }
+        Response {
+            status,
+            fields: Fields::default(),
+            framing: Framing::UntilEnd,
+            keeps: false,
+        }
     }
 }
 
 /// The length of the head at the start of a buffer, with its blank line; `seen` bytes were looked at before.
 pub fn head_end(buffer: &[u8], seen: usize) -> Option<usize> {
     let from = seen.saturating_sub(3);
-    let found = buffer.get(from..)?.windows(4).position(|window| window == b"\r\n\r\n")?;
+    let found = buffer
+        .get(from..)?
+        .windows(4)
+        .position(|window| window == b"\r\n\r\n")?;
     Some(from + found + 4)
 }
 
@@ -150,20 +173,28 @@
         let line = lines.next()?;
         // Within the head each line ends with CR LF; the last one's was cut off with the blank line.
         let line = line.strip_suffix(b"\r").unwrap_or(line);
-        Some(if line.iter().any(|b| *b < b' ' && *b != b'\t' || *b == 127) {
-            Err(Fault::Malformed)
-        } else {
-            Ok(line)
-        })
+        Some(
+            if line.iter().any(|b| *b < b' ' && *b != b'\t' || *b == 127) {
+                Err(Fault::Malformed)
+            } else {
+                Ok(line)
+            },
+        )
     };
     let first = line().ok_or(Fault::Malformed)??;
     let first = std::str::from_utf8(first).map_err(|_| Fault::Malformed)?;
     let mut fields = Vec::new();
     while let Some(line) = line() {
         let line = line?;
-        let colon = line.iter().position(|byte| *byte == b':').ok_or(Fault::Malformed)?;
+        let colon = line
+            .iter()
+            .position(|byte| *byte == b':')
+            .ok_or(Fault::Malformed)?;
         let name = &line[..colon];
-        if name.is_empty() || !name.iter().all(|byte| is_token(*byte)) || fields.len() == MOST_FIELDS {
+        if name.is_empty()
+            || !name.iter().all(|byte| is_token(*byte))
+            || fields.len() == MOST_FIELDS
+        {
             return Err(Fault::Malformed);
         }
         let name = std::str::from_utf8(name).map_err(|_| Fault::Malformed)?;
@@ -200,7 +231,13 @@
     let path = target.split('?').next().unwrap_or(target);
     let framing = fields.framing()?.unwrap_or(Framing::Length(0));
     let keeps = current && !fields.closes();
-    Ok(Request { method, path, fields, framing, keeps })
+    Ok(Request {
+        method,
+        path,
+        fields,
+        framing,
+        keeps,
+    })
 }
 
 /// The longest first line of an answer.
@@ -219,11 +256,19 @@
         return Err(Fault::Malformed);
     }
     let Some(end) = input.iter().position(|byte| *byte == b'\n') else {
-        return if input.len() > LONGEST_STATUS_LINE { Err(Fault::Malformed) } else { Ok(None) };
+        return if input.len() > LONGEST_STATUS_LINE {
+            Err(Fault::Malformed)
+        } else {
+            Ok(None)
+        };
     };
     let line = input[..end].strip_suffix(b"\r").ok_or(Fault::Malformed)?;
-    let digits = line.get(shape.len() - 3..shape.len()).ok_or(Fault::Malformed)?;
-    let status = digits.iter().fold(0, |status, digit| status * 10 + u16::from(digit - b'0'));
+    let digits = line
+        .get(shape.len() - 3..shape.len())
+        .ok_or(Fault::Malformed)?;
+    let status = digits
+        .iter()
+        .fold(0, |status, digit| status * 10 + u16::from(digit - b'0'));
     if !(100..600).contains(&status) || line.get(shape.len()).is_some_and(|byte| *byte != b' ') {
         return Err(Fault::Malformed);
     }
@@ -235,9 +280,18 @@
     let (current, status) = status_line(head)?.ok_or(Fault::Malformed)?;
     let (_, fields) = lines(head)?;
     let none = matches!(status, 100..=199 | 204 | 304);
-    let framing = if none { Framing::Length(0) } else { fields.framing()?.unwrap_or(Framing::UntilEnd) };
+    let framing = if none {
+        Framing::Length(0)
+    } else {
+        fields.framing()?.unwrap_or(Framing::UntilEnd)
+    };
     let keeps = current && !fields.closes() && framing != Framing::UntilEnd;
-    Ok(Response { status, fields, framing, keeps })
+    Ok(Response {
+        status,
+        fields,
+        framing,
+        keeps,
+    })
 }
 
 /// A line of a chunked body that is longer than this is no chunk size.
@@ -276,7 +330,9 @@
     /// What stands at the start of `input`; the caller drops that many bytes and asks again.
     pub fn next(&mut self, input: &[u8]) -> Result<Piece, Fault> {
         let line = |input: &[u8]| match input.iter().position(|byte| *byte == b'\n') {
-            Some(end) if end > 0 && end <= LONGEST_SIZE_LINE && input[end - 1] == b'\r' => Ok(Some(end + 1)),
+            Some(end) if end > 0 && end <= LONGEST_SIZE_LINE && input[end - 1] == b'\r' => {
+                Ok(Some(end + 1))
+            }
             Some(_) => Err(Fault::Malformed),
             None if input.len() > LONGEST_SIZE_LINE => Err(Fault::Malformed),
             None => Ok(None),
@@ -286,7 +342,11 @@
             Chunks::Data(_) if input.is_empty() => Ok(Piece::More),
             Chunks::Data(left) => {
                 let here = left.min(input.len());
-                *self = if here == left { Chunks::DataEnd } else { Chunks::Data(left - here) };
+                *self = if here == left {
+                    Chunks::DataEnd
+                } else {
+                    Chunks::Data(left - here)
+                };
                 Ok(Piece::Content(here))
             }
             Chunks::DataEnd => match input {
@@ -301,12 +361,24 @@
                 let Some(end) = line(input)? else {
                     return Ok(Piece::More);
                 };
-                let digits =
-                    input[..end - 2].split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii();
-                let hex = !digits.is_empty() && digits.len() <= 8 && digits.iter().all(u8::is_ascii_hexdigit);
-                let text = std::str::from_utf8(digits).ok().filter(|_| hex).ok_or(Fault::Malformed)?;
+                let digits = input[..end - 2]
+                    .split(|byte| *byte == b';')
+                    .next()
+                    .unwrap_or_default()
+                    .trim_ascii();
+                let hex = !digits.is_empty()
+                    && digits.len() <= 8
+                    && digits.iter().all(u8::is_ascii_hexdigit);
+                let text = std::str::from_utf8(digits)
+                    .ok()
+                    .filter(|_| hex)
+                    .ok_or(Fault::Malformed)?;
                 let size = usize::from_str_radix(text, 16).map_err(|_| Fault::Malformed)?;
-                *self = if size == 0 { Chunks::Trailer } else { Chunks::Data(size) };
+                *self = if size == 0 {
+                    Chunks::Trailer
+                } else {
+                    Chunks::Data(size)
+                };
                 Ok(Piece::Skip(end))
             }
             Chunks::Trailer => {
--- a/crates/delivery/src/net/link.rs
+++ b/crates/delivery/src/net/link.rs
@@ -80,7 +80,13 @@
     pub fn new(stream: Async<TcpStream>) -> Link {
         // Without it an answer's last part may wait for the far side's acknowledgement.
         let _ = stream.get_ref().set_nodelay(true);
-        Link { stream: Rc::new(stream), buffer: Vec::new(), used: 0, filled: 0, guard: None }
+        Link {
+            stream: Rc::new(stream),
+            buffer: Vec::new(),
+            used: 0,
+            filled: 0,
+            guard: None,
+        }
     }
 
     /// Ties something to the connection that is dropped with it.
@@ -120,7 +126,9 @@
         if self.buffer.len() < self.filled + READ {
             self.buffer.resize(self.filled + READ, 0);
         }
-        let read = (&*self.stream).read(&mut self.buffer[self.filled..]).await?;
+        let read = (&*self.stream)
+            .read(&mut self.buffer[self.filled..])
+            .await?;
         self.filled += read;
         Ok(read > 0)
     }
@@ -160,21 +168,34 @@
         let mut seen = 0;
         loop {
             if let Some(end) = http::head_end(self.bytes(), seen) {
-                return if end > most { Err(Fault::HeadTooLarge.into()) } else { Ok(end) };
+                return if end > most {
+                    Err(Fault::HeadTooLarge.into())
+                } else {
+                    Ok(end)
+                };
             }
             seen = self.bytes().len();
             if seen > most {
                 return Err(Fault::HeadTooLarge.into());
             }
             if !self.fill().await.map_err(Stop::Broke)? {
-                return Err(if seen == 0 { Stop::FinalOutcome } else { Stop::Cut });
+                return Err(if seen == 0 {
+                    Stop::FinalOutcome
+                } else {
+                    Stop::Cut
+                });
             }
         }
     }
 
     /// Reads the body that follows a head of so many bytes and gives how many bytes of content then stand
     /// behind that head. Both stay in the buffer until the caller consumes them.
-    pub async fn body(&mut self, head: usize, framing: Framing, most: usize) -> Result<usize, Stop> {
+    pub async fn body(
+        &mut self,
+        head: usize,
+        framing: Framing,
+        most: usize,
+    ) -> Result<usize, Stop> {
         match framing {
             Framing::Length(len) => {
                 if len > most {
@@ -226,7 +247,13 @@
     /// Whether an idle connection can be used: still open, and nothing unasked came.
     pub fn is_fresh(&self) -> bool {
         let silent = |error: io::Error| error.kind() == io::ErrorKind::WouldBlock;
-        self.bytes().is_empty() && self.stream.get_ref().peek(&mut [0]).err().is_some_and(silent)
+        self.bytes().is_empty()
+            && self
+                .stream
+                .get_ref()
+                .peek(&mut [0])
+                .err()
+                .is_some_and(silent)
     }
 
     /// Whether more than so many bytes have come.
--- a/crates/delivery/src/net/listen.rs
+++ b/crates/delivery/src/net/listen.rs
@@ -15,7 +15,11 @@
 /// What the system says to the socket, the options or the bind, as `io::Error`: the address is taken by a
 /// socket without `SO_REUSEPORT`, say, or it is not one of this machine's.
 pub fn shared(at: SocketAddr) -> io::Result<TcpListener> {
-    let family = if at.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let family = if at.is_ipv4() {
+        AddressFamily::INET
+    } else {
+        AddressFamily::INET6
+    };
     let socket = rustix::net::socket(family, SocketType::STREAM, None)?;
     sockopt::set_socket_reuseaddr(&socket, true)?;
     sockopt::set_socket_reuseport(&socket, true)?;
@@ -36,8 +40,16 @@
 /// The listener is not [`shared`], or the system knows no such filters. Connections are then dealt out by chance.
 pub fn prefer(listener: &TcpListener, others: usize) -> io::Result<()> {
     // The system picks the listener with the number that the program returns, in the order in which they were opened.
-    let mut program = [sock_filter { code: RETURN, jt: 0, jf: 0, k: others as u32 }];
-    let program = sock_fprog { len: 1, filter: program.as_mut_ptr() };
+    let mut program = [sock_filter {
+        code: RETURN,
+        jt: 0,
+        jf: 0,
+        k: others as u32,
+    }];
+    let program = sock_fprog {
+        len: 1,
+        filter: program.as_mut_ptr(),
+    };
     Ok(setsockopt(listener, AttachReusePortCbpf, &program)?)
 }
 
@@ -51,7 +63,10 @@
         let at = first.local_addr().unwrap();
         let second = shared(at).unwrap();
         assert_eq!(second.local_addr().unwrap(), at);
-        assert!(TcpListener::bind(at).is_err(), "one without the option may not join them");
+        assert!(
+            TcpListener::bind(at).is_err(),
+            "one without the option may not join them"
+        );
     }
 
     #[test]
@@ -70,6 +85,9 @@
         drop(second);
         let _held: Vec<_> = (0..50).map(|_| TcpStream::connect(at).unwrap()).collect();
         assert_eq!(waiting(&first), 50);
-        assert!(prefer(&TcpListener::bind("127.0.0.1:0").unwrap(), 1).is_err(), "it shares with nobody");
+        assert!(
+            prefer(&TcpListener::bind("127.0.0.1:0").unwrap(), 1).is_err(),
+            "it shares with nobody"
+        );
     }
 }
--- a/crates/delivery/src/net/pool.rs
+++ b/crates/delivery/src/net/pool.rs
@@ -78,7 +78,11 @@
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Ended {
-        Ended { outcome, disposition: Disposition::Undecided, report: RateLimitReport::default() }
+        Ended {
+            outcome,
+            disposition: Disposition::Undecided,
+            report: RateLimitReport::default(),
+        }
     }
 }
 
@@ -129,14 +133,25 @@
     pub fn new(limits: Limits, counters: Rc<Counters>) -> Pool {
         let (places, cancels, waits) = Default::default();
         let (connections, leaving) = (Rc::default(), Cell::new(false));
-        Pool { places, cancels, waits, limits, connections, counters, leaving }
+        Pool {
+            places,
+            cancels,
+            waits,
+            limits,
+            connections,
+            counters,
+            leaving,
+        }
     }
 
     /// What discovery says of an endpoint.
     pub fn place(&self, id: EndpointId, address: &str, open: bool) {
         let mut places = self.places.borrow_mut();
-        let place =
-            places.entry(id).or_insert_with(|| Place { address: address.to_owned(), open, idle: Vec::new() });
+        let place = places.entry(id).or_insert_with(|| Place {
+            address: address.to_owned(),
+            open,
+            idle: Vec::new(),
+        });
         if place.address != address {
             address.clone_into(&mut place.address);
             place.end_idle(id, Instant::now(), "moved");
@@ -190,7 +205,10 @@
     }
 
     fn must_wait(&self, route: Route, now: Instant) -> bool {
-        self.waits.borrow().get(&route).is_some_and(|until| now < *until)
+        self.waits
+            .borrow()
+            .get(&route)
+            .is_some_and(|until| now < *until)
     }
 
     /// Calls off the leg of a message.
@@ -231,7 +249,11 @@
         // The way up may have taken long: an endpoint may have begun to drain, moved or told another call to wait, a window
         // may have closed.
         let now = Instant::now();
-        if !self.is_open_at(id, to) || now >= write_by || now >= cut_at || self.must_wait(call.route, now) {
+        if !self.is_open_at(id, to)
+            || now >= write_by
+            || now >= cut_at
+            || self.must_wait(call.route, now)
+        {
             self.keep(id, to, link);
             return Outcome::NotSent.into();
         }
@@ -242,7 +264,8 @@
                 let write = until(cut_at.min(write_by), link.write(&head, &body));
                 matches!(race(cancelled, write).await, Some(Some(Ok(()))))
             };
-            let mut writing = std::pin::pin!(unless(|| self.must_wait(call.route, Instant::now()), whole));
+            let mut writing =
+                std::pin::pin!(unless(|| self.must_wait(call.route, Instant::now()), whole));
             // What the first bytes do not take with them goes on without.
             let first = match (call.may)() {
                 None => None,
@@ -260,14 +283,36 @@
         if written != Some(true) {
             // Its last byte was never written, so it never ran; on a kept connection that tells nothing else.
             let held_back = written.is_none() || Instant::now() >= write_by;
-            let code = if held_back { "held-back-in-mid-write" } else { "write-failed" };
+            let code = if held_back {
+                "held-back-in-mid-write"
+            } else {
+                "write-failed"
+            };
             say!(host = id.0, code, "endpoint: connection ended");
-            return if kept || held_back { Outcome::NotSent } else { Outcome::ConnectFailed }.into();
+            return if kept || held_back {
+                Outcome::NotSent
+            } else {
+                Outcome::ConnectFailed
+            }
+            .into();
         }
         let written = Instant::now();
         let answered = race(cancelled, answer(&mut link, call.judge, cut_at)).await;
-        if let Some((Ended { outcome: Outcome::Rejected { retry_after: Some(wait) }, .. }, _)) = &answered {
-            self.told(call.route, Instant::now() + Duration::from_micros(wait.0.max(0) as u64));
+        if let Some((
+            Ended {
+                outcome:
+                    Outcome::Rejected {
+                        retry_after: Some(wait),
+                    },
+                ..
+            },
+            _,
+        )) = &answered
+        {
+            self.told(
+                call.route,
+                Instant::now() + Duration::from_micros(wait.0.max(0) as u64),
+            );
         }
         let (ended, code) = match answered {
             Some((ended, Ok(()))) => {
@@ -302,13 +347,24 @@
     ) -> Result<Opened, Outcome> {
         let to: SocketAddr = {
             let mut places = self.places.borrow_mut();
-            let place = places.get_mut(&id).filter(|place| place.open).ok_or(Outcome::NotSent)?;
+            let place = places
+                .get_mut(&id)
+                .filter(|place| place.open)
+                .ok_or(Outcome::NotSent)?;
             let to = place.address.parse().map_err(|_| Outcome::ConnectFailed)?;
             while let Some((link, since)) = place.idle.pop() {
                 if since.elapsed() < self.limits.idle && link.is_fresh() {
-                    return Ok(Opened { link, kept: true, to });
+                    return Ok(Opened {
+                        link,
+                        kept: true,
+                        to,
+                    });
                 }
-                say!(host = id.0, code = "closed-while-idle", "endpoint: connection ended");
+                say!(
+                    host = id.0,
+                    code = "closed-while-idle",
+                    "endpoint: connection ended"
+                );
             }
             to
         };
@@ -319,11 +375,19 @@
         add(&self.counters.dialled);
         let dial_by = cut_at.min(Instant::now() + self.limits.dial);
         match race(cancelled, until(dial_by, Link::connect(to))).await {
-            Some(Some(Ok(link))) => Ok(Opened { link: link.with(Box::new(counted)), kept: false, to }),
+            Some(Some(Ok(link))) => Ok(Opened {
+                link: link.with(Box::new(counted)),
+                kept: false,
+                to,
+            }),
             // Called off before anything was written.
             None => Err(Outcome::NotSent),
             Some(late) => {
-                let code = if late.is_some() { "refused" } else { "dial-timed-out" };
+                let code = if late.is_some() {
+                    "refused"
+                } else {
+                    "dial-timed-out"
+                };
                 say!(host = id.0, code, "endpoint: no connection");
                 Err(Outcome::ConnectFailed)
             }
@@ -336,17 +400,29 @@
             return Ok(());
         }
         let mut places = self.places.borrow_mut();
-        let oldest = places.iter().filter_map(|(id, place)| Some((place.idle.first()?.1, *id))).min();
+        let oldest = places
+            .iter()
+            .filter_map(|(id, place)| Some((place.idle.first()?.1, *id)))
+            .min();
         let (_, id) = oldest.ok_or(Outcome::ConnectFailed)?;
-        places.get_mut(&id).into_iter().for_each(|place| drop(place.idle.remove(0)));
-        say!(host = id.0, code = "made-room", "endpoint: connection ended");
+        places
+            .get_mut(&id)
+            .into_iter()
+            .for_each(|place| drop(place.idle.remove(0)));
+        say!(
+            host = id.0,
+            code = "made-room",
+            "endpoint: connection ended"
+        );
         Ok(())
     }
 
     /// Whether an endpoint takes new legs, at that address: one that has moved may have left its own to another.
     fn is_open_at(&self, id: EndpointId, to: SocketAddr) -> bool {
         let places = self.places.borrow();
-        places.get(&id).is_some_and(|place| place.open && place.address.parse() == Ok(to))
+        places
+            .get(&id)
+            .is_some_and(|place| place.open && place.address.parse() == Ok(to))
     }
 
     fn keep(&self, id: EndpointId, to: SocketAddr, link: Link) {
@@ -393,7 +469,9 @@
             None => return (Outcome::TimedOut.into(), Err("timed-out")),
         };
         let by = (Instant::now() + REST).min(cut_at + REST_LATE);
-        let read = until(by, rest(link, judge)).await.unwrap_or(Err(Stop::Late));
+        let read = until(by, rest(link, judge))
+            .await
+            .unwrap_or(Err(Stop::Late));
         match read {
             Ok(None) => continue,
             Ok(Some((ended, true))) => return (ended, Ok(())),
@@ -401,7 +479,11 @@
             Err(stop) => {
                 let alone = http::Response::of(status);
                 let said = judge(&alone).outcome;
-                let outcome = if said == Outcome::Delivered { said } else { unread(&stop) };
+                let outcome = if said == Outcome::Delivered {
+                    said
+                } else {
+                    unread(&stop)
+                };
                 return (outcome.into(), Err(stop.code()));
             }
         }
@@ -450,7 +532,10 @@
     let text = read.fields.text("retry-after")?.trim();
     let until_date = |text| {
         let date = httpdate::parse_http_date(text).ok()?;
-        Some(date.duration_since(SystemTime::now()).map_or(0.0, |left| left.as_secs_f64()))
+        Some(
+            date.duration_since(SystemTime::now())
+                .map_or(0.0, |left| left.as_secs_f64()),
+        )
     };
     let secs = text.parse::<f64>().ok().or_else(|| until_date(text))?;
     let secs = Some(secs).filter(|secs| secs.is_finite() && *secs > 0.0)?;
--- a/crates/delivery/src/net/pool/tests.rs
+++ b/crates/delivery/src/net/pool/tests.rs
@@ -31,14 +31,38 @@
     let cases: [(&[u8], Outcome, bool); 12] = [
         (b"HTTP/1.1 503 x\r\nContent-Length: 2\r\n\r\nab", full, true),
         (b"HTTP/1.1 503 x\r\nContent-Length: 9\r\n\r\nab", may, false),
-        (b"HTTP/1.1 503 x\r\nContent-Length: -1\r\n\r\nab", may, false),
-        (b"HTTP/1.1 429 x\r\nRetry-After: 1\r\nContent-Length: 3000000000\r\n\r\nab", may, false),
-        (b"HTTP/1.1 503 x\r\nno field\r\nContent-Length: 0\r\n\r\n", may, false),
+        (
+            b"HTTP/1.1 503 x\r\nContent-Length: -1\r\n\r\nab",
+            may,
+            false,
+        ),
+        (
+            b"HTTP/1.1 429 x\r\nRetry-After: 1\r\nContent-Length: 3000000000\r\n\r\nab",
+            may,
+            false,
+        ),
+        (
+            b"HTTP/1.1 503 x\r\nno field\r\nContent-Length: 0\r\n\r\n",
+            may,
+            false,
+        ),
         (&long, may, false),
         (b"\x00\x17noise", may, false),
-        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", Outcome::Delivered, false),
-        (b"HTTP/1.1 200 OK\r\nno field\r\n\r\n", Outcome::Delivered, false),
-        (b"HTTP/1.1 200 OK\r\nX: never ends", Outcome::Delivered, false),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab",
+            Outcome::Delivered,
+            false,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nno field\r\n\r\n",
+            Outcome::Delivered,
+            false,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nX: never ends",
+            Outcome::Delivered,
+            false,
+        ),
         (&copy, Outcome::Delivered, false),
         (
             b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
@@ -55,21 +79,40 @@
 }
 
 fn pool(connections: usize, listener: &TcpListener) -> Pool {
-    let limits = Limits { dial: Duration::from_secs(20), idle: Duration::from_secs(20), connections };
+    let limits = Limits {
+        dial: Duration::from_secs(20),
+        idle: Duration::from_secs(20),
+        connections,
+    };
     let pool = Pool::new(limits, Rc::default());
-    pool.place(EndpointId(0), &listener.local_addr().unwrap().to_string(), true);
+    pool.place(
+        EndpointId(0),
+        &listener.local_addr().unwrap().to_string(),
+        true,
+    );
     pool
 }
 
 /// The destination whose endpoints are no routes of their own.
-const SHARED: Route = Route { destination: DestinationId(7), endpoint: None };
+const SHARED: Route = Route {
+    destination: DestinationId(7),
+    endpoint: None,
+};
 
 async fn leg(pool: &Pool, seq: u64) -> Outcome {
     attempt(pool, seq, EndpointId(0), SHARED).await
 }
 
 async fn attempt(pool: &Pool, seq: u64, endpoint: EndpointId, route: Route) -> Outcome {
-    attempt_with(pool, seq, endpoint, route, b"", Instant::now() + Duration::from_secs(20)).await
+    attempt_with(
+        pool,
+        seq,
+        endpoint,
+        route,
+        b"",
+        Instant::now() + Duration::from_secs(20),
+    )
+    .await
 }
 
 async fn attempt_with(
@@ -82,9 +125,15 @@
 ) -> Outcome {
     let word = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(body));
     let cut_at = Instant::now() + Duration::from_secs(20);
-    let call =
-        Call { route, word: &word, judge: platform::judge, may: &|| Some(LeasePermit::unconditional()) };
-    pool.leg(MessageId(seq), endpoint, call, cut_at, write_by).await.outcome
+    let call = Call {
+        route,
+        word: &word,
+        judge: platform::judge,
+        may: &|| Some(LeasePermit::unconditional()),
+    };
+    pool.leg(MessageId(seq), endpoint, call, cut_at, write_by)
+        .await
+        .outcome
 }
 
 /// Taken for failures of their host, the resets of kept connections had hosts judged out that were well.
@@ -98,14 +147,25 @@
             let (mut stream, mut bytes) = (listener.accept().unwrap().0, [0; 256]);
             for _ in 0..answers {
                 let _ = std::io::Read::read(&mut stream, &mut bytes);
-                let _ = std::io::Write::write(&mut stream, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                let _ = std::io::Write::write(
+                    &mut stream,
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                );
             }
             let _ = std::io::Read::read(&mut stream, &mut bytes);
         }
     });
-    let outcomes =
-        async_io::block_on(async { [leg(&pool, 1).await, leg(&pool, 2).await, leg(&pool, 3).await] });
-    assert_eq!(outcomes, [Outcome::Delivered, Outcome::StaleConnection, Outcome::Reset]);
+    let outcomes = async_io::block_on(async {
+        [
+            leg(&pool, 1).await,
+            leg(&pool, 2).await,
+            leg(&pool, 3).await,
+        ]
+    });
+    assert_eq!(
+        outcomes,
+        [Outcome::Delivered, Outcome::StaleConnection, Outcome::Reset]
+    );
 }
 
 /// Taken for a limit on calls, refused connections had couriers call ever more rarely while each kept its own idle ones:
@@ -114,14 +174,20 @@
 fn who_has_no_place_for_one_more_connection_is_told_from_who_turns_a_call_away() {
     let closes = "HTTP/1.1 503 x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
     let stays = "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n";
-    let waits = "HTTP/1.1 429 x\r\nRetry-After: 2\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-    let told = Outcome::Rejected { retry_after: Some(Span::from_ms(2000.0)) };
+    let waits =
+        "HTTP/1.1 429 x\r\nRetry-After: 2\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    let told = Outcome::Rejected {
+        retry_after: Some(Span::from_ms(2000.0)),
+    };
     let cases = [
         // The second call goes over the connection that the first one opened.
         (vec![closes], vec![Outcome::ConnectFailed]),
         (
             vec![stays, closes],
-            vec![Outcome::Rejected { retry_after: None }, Outcome::Rejected { retry_after: None }],
+            vec![
+                Outcome::Rejected { retry_after: None },
+                Outcome::Rejected { retry_after: None },
+            ],
         ),
         (vec![waits], vec![told]),
     ];
@@ -135,7 +201,10 @@
                 let _ = std::io::Write::write(&mut stream, answer.as_bytes());
             }
         });
-        let outcomes: Vec<Outcome> = expected.iter().map(|_| async_io::block_on(leg(&pool, 1))).collect();
+        let outcomes: Vec<Outcome> = expected
+            .iter()
+            .map(|_| async_io::block_on(leg(&pool, 1)))
+            .collect();
         assert_eq!(outcomes, expected);
         host.join().unwrap();
     }
@@ -159,9 +228,21 @@
 
 #[test]
 fn a_report_that_cannot_be_read_is_left_out_in_full() {
-    assert_eq!(report("TEXT x0=0.4, x1=25"), RateLimitReport { remaining: Some(0.4), limit: Some(25.0) });
-    for spoilt in ["", "x0=0.4", "TEXT x0=0.4, x1=", "TEXT x0=0.4; x1=25", "TEXT x0=7, x1=25", "TEXT x1=1e99"]
-    {
+    assert_eq!(
+        report("TEXT x0=0.4, x1=25"),
+        RateLimitReport {
+            remaining: Some(0.4),
+            limit: Some(25.0)
+        }
+    );
+    for spoilt in [
+        "",
+        "x0=0.4",
+        "TEXT x0=0.4, x1=",
+        "TEXT x0=0.4; x1=25",
+        "TEXT x0=7, x1=25",
+        "TEXT x1=1e99",
+    ] {
         assert_eq!(report(spoilt), RateLimitReport::default(), "{spoilt}");
     }
 }
@@ -170,13 +251,21 @@
 /// `zone+brink`, where a third of the connections come up late, 11 of 12 opening runs broke the rule on waits.
 #[test]
 fn what_is_on_its_way_up_keeps_to_a_wait_that_is_told_meanwhile() {
-    let apart = |id| Route { endpoint: Some(EndpointId(id)), ..SHARED };
-    for (routes, expected) in
-        [([SHARED, SHARED], Outcome::NotSent), ([apart(0), apart(1)], Outcome::Delivered)]
-    {
+    let apart = |id| Route {
+        endpoint: Some(EndpointId(id)),
+        ..SHARED
+    };
+    for (routes, expected) in [
+        ([SHARED, SHARED], Outcome::NotSent),
+        ([apart(0), apart(1)], Outcome::Delivered),
+    ] {
         let listeners = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
         let pool = pool(9, &listeners[0]);
-        pool.place(EndpointId(1), &listeners[1].local_addr().unwrap().to_string(), true);
+        pool.place(
+            EndpointId(1),
+            &listeners[1].local_addr().unwrap().to_string(),
+            true,
+        );
         let hosts = std::thread::spawn(move || {
             let serve = |listener: &TcpListener, answer: &[u8]| {
                 let (mut stream, mut bytes) = (listener.accept().unwrap().0, [0; 256]);
@@ -186,19 +275,31 @@
             };
             let told = b"HTTP/1.1 429 x\r\nRetry-After: 15\r\nContent-Length: 0\r\n\r\n";
             serve(&listeners[1], told);
-            serve(&listeners[0], b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            serve(
+                &listeners[0],
+                b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+            )
         });
         let first = async_io::block_on(async {
             let mut first = std::pin::pin!(attempt(&pool, 1, EndpointId(0), routes[0]));
             // Its connection is on the way up, and nobody looks at it until the wait has been told.
             assert!(future::poll_once(&mut first).await.is_none());
             let second = attempt(&pool, 2, EndpointId(1), routes[1]).await;
-            assert_eq!(second, Outcome::Rejected { retry_after: Some(Span::from_ms(15_000.0)) });
+            assert_eq!(
+                second,
+                Outcome::Rejected {
+                    retry_after: Some(Span::from_ms(15_000.0))
+                }
+            );
             first.await
         });
         assert_eq!(first, expected);
         drop(pool);
-        assert_eq!(hosts.join().unwrap() > 0, expected == Outcome::Delivered, "bytes at the first endpoint");
+        assert_eq!(
+            hosts.join().unwrap() > 0,
+            expected == Outcome::Delivered,
+            "bytes at the first endpoint"
+        );
     }
 }
 
@@ -233,13 +334,20 @@
             // Some of it is on its way once the endpoint has bytes to read.
             let (stream, _) = future::or(
                 async {
-                    Async::<TcpListener>::new(listener.try_clone().unwrap()).unwrap().accept().await.unwrap()
+                    Async::<TcpListener>::new(listener.try_clone().unwrap())
+                        .unwrap()
+                        .accept()
+                        .await
+                        .unwrap()
                 },
                 async { panic!("ended with {:?} before anything was read", (&mut leg).await) },
             )
             .await;
             let begun = async { stream.readable().await.unwrap() };
-            future::or(begun, async { panic!("ended early with {:?}", (&mut leg).await) }).await;
+            future::or(begun, async {
+                panic!("ended early with {:?}", (&mut leg).await)
+            })
+            .await;
             pool.told(SHARED, Instant::now() + Duration::from_secs(60));
             let reading = std::thread::spawn(move || {
                 let (mut stream, mut all) = (stream.into_inner().unwrap(), 0);
@@ -251,13 +359,28 @@
                 all
             });
             let outcome = leg.await;
-            assert!(reading.join().unwrap() < LARGE, "the endpoint has read all of it");
+            assert!(
+                reading.join().unwrap() < LARGE,
+                "the endpoint has read all of it"
+            );
             outcome
         });
-        assert_eq!(outcome, Outcome::NotSent, "{}", if waits { "told to wait" } else { "after its window" });
+        assert_eq!(
+            outcome,
+            Outcome::NotSent,
+            "{}",
+            if waits {
+                "told to wait"
+            } else {
+                "after its window"
+            }
+        );
         if !waits {
             drop(pool);
-            assert!(read_out(&listener) < LARGE, "the endpoint has read all of it");
+            assert!(
+                read_out(&listener) < LARGE,
+                "the endpoint has read all of it"
+            );
         }
     }
 }
@@ -292,11 +415,18 @@
         let out = async { has_read.recv().await.unwrap() };
         future::or(async { panic!("ended with {:?}", (&mut first).await) }, out).await;
         let mut rising = std::pin::pin!(leg(&pool, 2));
-        assert!(future::poll_once(&mut rising).await.is_none(), "its connection is on the way up");
+        assert!(
+            future::poll_once(&mut rising).await.is_none(),
+            "its connection is on the way up"
+        );
         pool.place(EndpointId(0), &at, true);
         moved.send(()).unwrap();
         assert_eq!(first.await, Outcome::Delivered);
-        assert_eq!(leg(&pool, 3).await, Outcome::Delivered, "at the new address");
+        assert_eq!(
+            leg(&pool, 3).await,
+            Outcome::Delivered,
+            "at the new address"
+        );
         assert_eq!(rising.await, Outcome::NotSent);
     });
     drop(pool);
@@ -323,7 +453,12 @@
     let may = || driver::may_start_attempt(&life).then(LeasePermit::unconditional);
     let by = Instant::now() + Duration::from_secs(20);
     let run = |seq| {
-        let call = Call { route: SHARED, word: &word, judge: platform::judge, may: &may };
+        let call = Call {
+            route: SHARED,
+            word: &word,
+            judge: platform::judge,
+            may: &may,
+        };
         pool.leg(MessageId(seq), EndpointId(0), call, by, by)
     };
     async_io::block_on(async {
@@ -332,7 +467,11 @@
         let before = life.borrow().generation();
         let kept = run(2);
         later.fence(before).unwrap();
-        assert_eq!(kept.await.outcome, Outcome::NotSent, "over a connection that is kept");
+        assert_eq!(
+            kept.await.outcome,
+            Outcome::NotSent,
+            "over a connection that is kept"
+        );
         let mut rising = std::pin::pin!(async {
             pool.close_idle(EndpointId(0));
             run(3).await.outcome
--- a/crates/delivery/src/net/server.rs
+++ b/crates/delivery/src/net/server.rs
@@ -114,7 +114,11 @@
         let number = self.next.get();
         self.next.set(number + 1);
         let (leave, told) = async_channel::bounded(1);
-        let connection = Connection { phase: Phase::Silent, since: Instant::now(), leave };
+        let connection = Connection {
+            phase: Phase::Silent,
+            since: Instant::now(),
+            leave,
+        };
         self.connections.borrow_mut().insert(number, connection);
         (number, told)
     }
@@ -131,7 +135,11 @@
 
     /// Whether a connection waits for a request to begin.
     fn waits(&self, number: u64) -> bool {
-        let phase = self.connections.borrow().get(&number).map(|connection| connection.phase);
+        let phase = self
+            .connections
+            .borrow()
+            .get(&number)
+            .map(|connection| connection.phase);
         matches!(phase, Some(Phase::Silent | Phase::Idle))
     }
 
@@ -144,7 +152,10 @@
     fn make_room(&self, places: usize) {
         let (connections, now) = (self.connections.borrow(), Instant::now());
         let spared = |connection: &&Connection| {
-            connection.phase.spares().is_some_and(|least| now - connection.since >= least)
+            connection
+                .phase
+                .spares()
+                .is_some_and(|least| now - connection.since >= least)
         };
         let mut spared: Vec<&Connection> = connections.values().filter(spared).collect();
         spared.sort_by_key(|connection| (connection.phase, connection.since));
@@ -167,7 +178,10 @@
         };
         let mut idle: Vec<&Connection> = connections.values().filter(idle).collect();
         idle.sort_by_key(|connection| connection.since);
-        for connection in idle.into_iter().take(connections.len().saturating_sub(most)) {
+        for connection in idle
+            .into_iter()
+            .take(connections.len().saturating_sub(most))
+        {
             let _ = connection.leave.try_send(code);
         }
     }
@@ -175,7 +189,9 @@
 
 /// Unix time in milliseconds.
 pub fn unix_ms() -> i64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as i64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as i64)
 }
 
 /// The way from socket code to the engine: a queue in, answers back by ticket.
@@ -278,7 +294,12 @@
     /// client that has only just been answered is likely to ask again at once, and a connection closed under
     /// its request turns that request back unheard. The others are closed with their next answer.
     pub fn close_quiet(&self, for_at_least: Duration) {
-        self.connections.thin_out_at(&[Phase::Silent, Phase::Idle], for_at_least, 0, "handed-over");
+        self.connections.thin_out_at(
+            &[Phase::Silent, Phase::Idle],
+            for_at_least,
+            0,
+            "handed-over",
+        );
     }
 
     fn ticket(&self) -> (RequestId, Receiver<SubmitResponse>) {
@@ -362,7 +383,11 @@
                 }
             }
         };
-        let code = future::or(told, converse(&mut link, &*front, &clients, connection, patience)).await;
+        let code = future::or(
+            told,
+            converse(&mut link, &*front, &clients, connection, patience),
+        )
+        .await;
         clients.connections.leave(connection);
         say!(code, "client side: connection ended");
     };
@@ -373,7 +398,11 @@
 pub async fn thin_out(clients: Rc<ClientConnections>) {
     loop {
         Timer::after(LOOK).await;
-        clients.connections.thin_out(IDLE_LEAST, clients.most_connections / MANY, "idle-among-many");
+        clients.connections.thin_out(
+            IDLE_LEAST,
+            clients.most_connections / MANY,
+            "idle-among-many",
+        );
     }
 }
 
@@ -421,7 +450,11 @@
                 };
                 add(&clients.counters.rejected);
                 clients.connections.is_at(connection, Phase::Lingering);
-                let _ = until(Instant::now() + patience.0, write(link, &Reply::of(status), false)).await;
+                let _ = until(
+                    Instant::now() + patience.0,
+                    write(link, &Reply::of(status), false),
+                )
+                .await;
                 link.linger(Instant::now() + LINGER).await;
                 return stop.code();
             }
@@ -435,7 +468,10 @@
         link.consume(head + len);
         clients.connections.is_at(connection, Phase::Open);
         let (reply, ticket) = match taken {
-            Take::Ready => (Reply::of(if clients.is_drained() { 503 } else { 200 }), None),
+            Take::Ready => (
+                Reply::of(if clients.is_drained() { 503 } else { 200 }),
+                None,
+            ),
             Take::Reply(reply) => {
                 if reply.status >= 400 {
                     add(&clients.counters.rejected);
@@ -491,16 +527,25 @@
     let head = link.head(HEAD).await?;
     let parsed = http::request(&link.bytes()[..head])?;
     let framing = parsed.framing;
-    let waits = parsed.fields.text("expect").is_some_and(|text| text.eq_ignore_ascii_case("100-continue"));
+    let waits = parsed
+        .fields
+        .text("expect")
+        .is_some_and(|text| text.eq_ignore_ascii_case("100-continue"));
     if waits && link.bytes().len() == head {
-        link.write(b"HTTP/1.1 100 Continue\r\n\r\n", b"").await.map_err(Stop::Broke)?;
+        link.write(b"HTTP/1.1 100 Continue\r\n\r\n", b"")
+            .await
+            .map_err(Stop::Broke)?;
     }
     let len = link.body(head, framing, BODY).await?;
     Ok((head, len))
 }
 
 async fn write(link: &mut Link, reply: &Reply, keeps: bool) -> std::io::Result<()> {
-    let mut head = format!("HTTP/1.1 {} {}\r\n", reply.status, http::phrase(reply.status));
+    let mut head = format!(
+        "HTTP/1.1 {} {}\r\n",
+        reply.status,
+        http::phrase(reply.status)
+    );
     for (name, value) in &reply.fields {
         head.push_str(&format!("{name}: {value}\r\n"));
     }
@@ -509,8 +554,11 @@
     }
     let close = if keeps { "" } else { "Connection: close\r\n" };
     // An answer without content has no length to tell.
-    let length =
-        if reply.status == 204 { String::new() } else { format!("Content-Length: {}\r\n", reply.body.len()) };
+    let length = if reply.status == 204 {
+        String::new()
+    } else {
+        format!("Content-Length: {}\r\n", reply.body.len())
+    };
     head.push_str(&format!("{length}{close}\r\n"));
     link.write(head.as_bytes(), reply.body.as_bytes()).await
 }
--- a/crates/delivery/src/net/server/tests.rs
+++ b/crates/delivery/src/net/server/tests.rs
@@ -8,7 +8,11 @@
     let told: Vec<_> = (0..10).map(|_| connections.take().1).collect();
     let left = || told.iter().filter(|told| !told.is_empty()).count();
     let earlier = Instant::now().checked_sub(Duration::from_secs(1)).unwrap();
-    connections.connections.borrow_mut().values_mut().for_each(|connection| connection.since = earlier);
+    connections
+        .connections
+        .borrow_mut()
+        .values_mut()
+        .for_each(|connection| connection.since = earlier);
     connections.is_at(0, Phase::Open);
     connections.make_room(4);
     assert_eq!(left(), 4);
@@ -28,8 +32,18 @@
         let clients = Rc::new(ClientConnections::new(queue, places, Rc::default()));
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
         let at = listener.get_ref().local_addr().unwrap();
-        let front = Rc::new(PlatformFrontend { classes: vec![], keyed: vec![], numbers: None });
-        spawner.clone().spawn(serve(listener, front, clients.clone(), ReadTimeout(patience), spawner));
+        let front = Rc::new(PlatformFrontend {
+            classes: vec![],
+            keyed: vec![],
+            numbers: None,
+        });
+        spawner.clone().spawn(serve(
+            listener,
+            front,
+            clients.clone(),
+            ReadTimeout(patience),
+            spawner,
+        ));
         play(at, clients).await;
     }));
 }
@@ -47,7 +61,10 @@
 #[test]
 fn a_peer_that_does_not_finish_its_request_is_timed_out() {
     served(4, Duration::from_millis(50), |at, _| async move {
-        for half in ["POST /api HT", "POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"] {
+        for half in [
+            "POST /api HT",
+            "POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf",
+        ] {
             let mut slow = Link::connect(at).await.unwrap();
             assert_eq!(ask(&mut slow, half.as_bytes()).await.0, 408);
         }
@@ -97,8 +114,16 @@
             }
             clients.close_idle();
             let last = ask(&mut link, rest).await;
-            assert_eq!(last, (200, false), "its first {} bytes had come", first.len());
-            assert!(!link.fill().await.unwrap(), "and the end of its connection after that");
+            assert_eq!(
+                last,
+                (200, false),
+                "its first {} bytes had come",
+                first.len()
+            );
+            assert!(
+                !link.fill().await.unwrap(),
+                "and the end of its connection after that"
+            );
             clients.leaving.set(None);
         }
         // The other way round, it is closed, and the client knows that nothing of it was read.
--- a/crates/delivery/src/seam.rs
+++ b/crates/delivery/src/seam.rs
@@ -18,18 +18,29 @@
 impl Reply {
     /// One with a status alone.
     pub fn of(status: u16) -> Reply {
-        Reply { status, ..Reply::default() }
+        Reply {
+            status,
+            ..Reply::default()
+        }
     }
 
     /// One that says why.
     pub fn because(status: u16, why: impl Into<String>) -> Reply {
-        Reply { status, body: why.into(), ..Reply::default() }
+        Reply {
+            status,
+            body: why.into(),
+            ..Reply::default()
+        }
     }
 
     /// One that says when to come back.
     pub fn come_back(status: u16, after_ms: u64) -> Reply {
         let secs = format!("{:.3}", after_ms as f64 / 1000.0);
-        Reply { status, fields: vec![("Retry-After", secs)], ..Reply::default() }
+        Reply {
+            status,
+            fields: vec![("Retry-After", secs)],
+            ..Reply::default()
+        }
     }
 }
 
--- a/crates/delivery/src/snapshot_store.rs
+++ b/crates/delivery/src/snapshot_store.rs
@@ -43,7 +43,12 @@
                 Default::default()
             }
         };
-        let store = SnapshotStore { disk, path, last_written, failed: false };
+        let store = SnapshotStore {
+            disk,
+            path,
+            last_written,
+            failed: false,
+        };
         (store, records)
     }
 
@@ -67,7 +72,11 @@
             }
             Err(error) => {
                 if !std::mem::replace(&mut self.failed, true) {
-                    say!(code = "snapshot-not-written", "{}: {error}", self.path.display());
+                    say!(
+                        code = "snapshot-not-written",
+                        "{}: {error}",
+                        self.path.display()
+                    );
                 }
             }
         }
--- a/crates/delivery/tests/common/mod.rs
+++ b/crates/delivery/tests/common/mod.rs
@@ -2,7 +2,9 @@
 #![allow(dead_code)]
 
 use marblefall_delivery::core::endpoint::ListedEndpoint;
-use marblefall_delivery::core::engine::{AttemptResult, EngineCommand, EngineEvent, EngineSettings};
+use marblefall_delivery::core::engine::{
+    AttemptResult, EngineCommand, EngineEvent, EngineSettings,
+};
 use marblefall_delivery::core::{Disposition, MessageId, SubmitResponse};
 use marblefall_scheduler::*;
 use std::path::PathBuf;
@@ -10,8 +12,10 @@
 /// When the tests begin, as Unix time in milliseconds.
 pub const START_MS: i64 = 1_800_000_000_000;
 /// Receivers drop repeats by key for 6 s.
-pub const KEYED: Idempotency =
-    Idempotency::IdempotencyKey { scope: DeduplicationScope::All, window: Span(6_000_000) };
+pub const KEYED: Idempotency = Idempotency::IdempotencyKey {
+    scope: DeduplicationScope::All,
+    window: Span(6_000_000),
+};
 
 /// A folder that is not there yet.
 pub fn folder(name: &str) -> PathBuf {
@@ -36,13 +40,21 @@
 pub fn setup(effects: &[Idempotency], caps: Limits) -> EngineSettings {
     let settings = Settings {
         classes: effects.iter().map(|effect| class(*effect)).collect(),
-        kinds: vec![DestinationKind { separate_routes: false, max_batch: 1 }],
+        kinds: vec![DestinationKind {
+            separate_routes: false,
+            max_batch: 1,
+        }],
         value_decay: ValueDecay::Linear,
         limits: caps,
         instances: 1,
         ..Settings::default()
     };
-    EngineSettings { scheduler: settings, seed: 1, remember_ms: vec![0; effects.len()], max_remembered: 0 }
+    EngineSettings {
+        scheduler: settings,
+        seed: 1,
+        remember_ms: vec![0; effects.len()],
+        max_remembered: 0,
+    }
 }
 
 /// Limits of a small courier that may hold so many messages.
--- a/crates/delivery/tests/idle.rs
+++ b/crates/delivery/tests/idle.rs
@@ -4,10 +4,16 @@
 mod common;
 
 use common::{class, START_MS};
-use marblefall_delivery::core::destination_table::{DestinationEntry, DestinationTable, EndpointEntry};
-use marblefall_delivery::core::engine::{AttemptResult, Engine, EngineCommand, EngineEvent, EngineSettings};
+use marblefall_delivery::core::destination_table::{
+    DestinationEntry, DestinationTable, EndpointEntry,
+};
+use marblefall_delivery::core::engine::{
+    AttemptResult, Engine, EngineCommand, EngineEvent, EngineSettings,
+};
 use marblefall_delivery::core::message_store::MessageStore;
-use marblefall_delivery::core::{Disposition, Message, Origin, RequestId, SubmitResponse, Timestamp};
+use marblefall_delivery::core::{
+    Disposition, Message, Origin, RequestId, SubmitResponse, Timestamp,
+};
 use marblefall_scheduler::*;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -32,7 +38,10 @@
     };
     let settings = Settings {
         classes: vec![class(Idempotency::Idempotent)],
-        kinds: vec![DestinationKind { separate_routes: false, max_batch: 1 }],
+        kinds: vec![DestinationKind {
+            separate_routes: false,
+            max_batch: 1,
+        }],
         value_decay: ValueDecay::Linear,
         limits: caps,
         rules,
@@ -40,7 +49,12 @@
         instances: 1,
         ..Settings::default()
     };
-    EngineSettings { scheduler: settings, seed: 1, remember_ms: vec![60_000], max_remembered: 100 }
+    EngineSettings {
+        scheduler: settings,
+        seed: 1,
+        remember_ms: vec![60_000],
+        max_remembered: 100,
+    }
 }
 
 /// So many destinations with an endpoint each, all at one port.
@@ -56,8 +70,15 @@
             rate: 50.0,
             from_list: false,
         };
-        let place = EndpointEntry { name: &own, address, weight: None, active: true };
-        destination_table.add(entry, std::iter::once(place)).unwrap();
+        let place = EndpointEntry {
+            name: &own,
+            address,
+            weight: None,
+            active: true,
+        };
+        destination_table
+            .add(entry, std::iter::once(place))
+            .unwrap();
     }
     Arc::new(destination_table.build())
 }
@@ -76,13 +97,27 @@
 
 impl Bed {
     fn new(name: &str, count: u64) -> Bed {
-        let dir = std::env::temp_dir().join(format!("marblefall-idle-{}-{name}", std::process::id()));
+        let dir =
+            std::env::temp_dir().join(format!("marblefall-idle-{}-{name}", std::process::id()));
         let _ = std::fs::remove_dir_all(&dir);
         let store = MessageStore::open(&dir, 64_000_000, vec!["free".to_owned()]).unwrap();
-        let now = Timestamp { monotonic: Time(0), unix_ms: START_MS };
-        let mut bed = Bed { engine: Engine::new(setup(), store, now, &mut Vec::new()), dir, next: 0 };
+        let now = Timestamp {
+            monotonic: Time(0),
+            unix_ms: START_MS,
+        };
+        let mut bed = Bed {
+            engine: Engine::new(setup(), store, now, &mut Vec::new()),
+            dir,
+            next: 0,
+        };
         assert!(
-            bed.step(0, vec![EngineEvent::DestinationTableReplaced(destination_table(count, 1))]).is_empty(),
+            bed.step(
+                0,
+                vec![EngineEvent::DestinationTableReplaced(destination_table(
+                    count, 1
+                ))]
+            )
+            .is_empty(),
             "nothing is in use yet"
         );
         bed
@@ -90,7 +125,10 @@
 
     fn step(&mut self, ms: i64, inputs: Vec<EngineEvent>) -> Vec<EngineCommand> {
         let mut orders = Vec::new();
-        let now = Timestamp { monotonic: Time(ms * 1000), unix_ms: START_MS + ms };
+        let now = Timestamp {
+            monotonic: Time(ms * 1000),
+            unix_ms: START_MS + ms,
+        };
         self.engine.step(now, inputs, &mut orders);
         orders
     }
@@ -112,7 +150,9 @@
 
     /// Lets seconds pass without news, so that what is idle is found out.
     fn rest(&mut self, from_ms: i64, to_ms: i64) -> Vec<EngineCommand> {
-        (from_ms / 1000..=to_ms / 1000).flat_map(|second| self.step(second * 1000, Vec::new())).collect()
+        (from_ms / 1000..=to_ms / 1000)
+            .flat_map(|second| self.step(second * 1000, Vec::new()))
+            .collect()
     }
 }
 
@@ -132,13 +172,19 @@
     });
     (
         known.collect(),
-        orders.iter().filter(|order| matches!(order, EngineCommand::EndpointRemoved(_))).count(),
+        orders
+            .iter()
+            .filter(|order| matches!(order, EngineCommand::EndpointRemoved(_)))
+            .count(),
     )
 }
 
 fn ended((seq, copy): (MessageId, u32), outcome: Outcome) -> EngineEvent {
-    let (took, disposition, report) =
-        (Span::from_ms(10.0), Disposition::Undecided, RateLimitReport::default());
+    let (took, disposition, report) = (
+        Span::from_ms(10.0),
+        Disposition::Undecided,
+        RateLimitReport::default(),
+    );
     EngineEvent::AttemptFinished(AttemptResult {
         message_id: seq,
         attempt: copy,
@@ -165,15 +211,28 @@
     bed.step(20_010, vec![ended(leg, Outcome::Delivered)]);
     assert_eq!(hosts(&bed.rest(20_000, 49_000)), (vec![], 0));
     assert_eq!(hosts(&bed.rest(50_000, 52_000)), (vec![], 1));
-    assert_eq!(bed.engine.next_wake(), None, "nothing is left to be looked at");
+    assert_eq!(
+        bed.engine.next_wake(),
+        None,
+        "nothing is left to be looked at"
+    );
     let offer = bed.offer(90_000, 5);
     let orders = bed.step(90_000, vec![offer]);
-    assert_eq!((hosts(&orders).0, legs(&orders).len()), (vec!["clinic-5-1"], 1));
+    assert_eq!(
+        (hosts(&orders).0, legs(&orders).len()),
+        (vec!["clinic-5-1"], 1)
+    );
     // One that waits for its leg is in use however long that takes.
     assert_eq!(hosts(&bed.rest(91_000, 135_000)), (vec![], 0));
     let unknown = bed.offer(136_000, 1000);
     let orders = bed.step(136_000, vec![unknown]);
-    assert!(matches!(orders[0], EngineCommand::Respond(_, SubmitResponse::Rejected { .. })), "{orders:?}");
+    assert!(
+        matches!(
+            orders[0],
+            EngineCommand::Respond(_, SubmitResponse::Rejected { .. })
+        ),
+        "{orders:?}"
+    );
 }
 
 #[test]
@@ -181,11 +240,22 @@
     let mut bed = Bed::new("wait", 10);
     let offer = bed.offer(0, 3);
     let leg = legs(&bed.step(0, vec![offer]))[0];
-    bed.step(10, vec![ended(leg, Outcome::Rejected { retry_after: Some(Span::from_ms(60_000.0)) })]);
+    bed.step(
+        10,
+        vec![ended(
+            leg,
+            Outcome::Rejected {
+                retry_after: Some(Span::from_ms(60_000.0)),
+            },
+        )],
+    );
     assert_eq!(hosts(&bed.rest(1000, 40_000)).1, 1, "it is folded");
     let offer = bed.offer(41_000, 3);
     assert!(legs(&bed.step(41_000, vec![offer])).is_empty());
-    assert!(legs(&bed.rest(42_000, 60_000)).is_empty(), "not a millisecond early");
+    assert!(
+        legs(&bed.rest(42_000, 60_000)).is_empty(),
+        "not a millisecond early"
+    );
     let offer = bed.offer(60_009, 3);
     assert!(legs(&bed.step(60_009, vec![offer])).is_empty());
     let orders = bed.rest(61_000, 66_000);
@@ -202,7 +272,10 @@
     // Nobody answers there: every leg fails until its message is given up.
     while now < 30_000 {
         now += 10;
-        let failed = out.drain(..).map(|leg| ended(leg, Outcome::ConnectFailed)).collect();
+        let failed = out
+            .drain(..)
+            .map(|leg| ended(leg, Outcome::ConnectFailed))
+            .collect();
         let orders = bed.step(now, failed);
         out.extend(legs(&orders));
     }
@@ -210,7 +283,11 @@
     assert_eq!(hosts(&bed.rest(31_000, 62_000)).1, 1, "it is folded");
     let burst: Vec<EngineEvent> = (0..10).map(|_| bed.offer(70_000, 3)).collect();
     let orders = bed.step(70_000, burst);
-    assert_eq!(legs(&orders).len(), 1, "a trial, where one that is not known to be out gets two");
+    assert_eq!(
+        legs(&orders).len(),
+        1,
+        "a trial, where one that is not known to be out gets two"
+    );
     let offer: Vec<EngineEvent> = (0..10).map(|_| bed.offer(70_001, 4)).collect();
     assert_eq!(legs(&bed.step(70_001, offer)).len(), 2);
 }
@@ -223,8 +300,10 @@
     while delivered < ALL {
         now += 1;
         assert!(now < 20_000, "{delivered} delivered");
-        let mut inputs: Vec<EngineEvent> =
-            std::mem::take(&mut out).into_iter().map(|leg| ended(leg, Outcome::Delivered)).collect();
+        let mut inputs: Vec<EngineEvent> = std::mem::take(&mut out)
+            .into_iter()
+            .map(|leg| ended(leg, Outcome::Delivered))
+            .collect();
         delivered += inputs.len() as u64;
         let first = (now as u64 - 1) * ALL / 1000;
         let last = (now as u64 * ALL / 1000).min(ALL);
@@ -250,7 +329,12 @@
     let mut bed = Bed::new("news", 100);
     let offers = vec![bed.offer(0, 1), bed.offer(0, 99)];
     let out = legs(&bed.step(0, offers));
-    let orders = bed.step(5, vec![EngineEvent::DestinationTableReplaced(destination_table(99, 2))]);
+    let orders = bed.step(
+        5,
+        vec![EngineEvent::DestinationTableReplaced(destination_table(
+            99, 2,
+        ))],
+    );
     let (known, gone) = hosts(&orders);
     assert_eq!((known.len(), gone), (2, 1), "{orders:?}");
     let moved = orders.iter().any(
@@ -258,8 +342,17 @@
     );
     assert!(moved, "{orders:?}");
     // What is out to one that is gone may still end well; nothing new goes there.
-    let orders = bed.step(10, out.into_iter().map(|leg| ended(leg, Outcome::Reset)).collect());
-    assert_eq!(legs(&orders).len(), 1, "the one that is still listed is tried again");
+    let orders = bed.step(
+        10,
+        out.into_iter()
+            .map(|leg| ended(leg, Outcome::Reset))
+            .collect(),
+    );
+    assert_eq!(
+        legs(&orders).len(),
+        1,
+        "the one that is still listed is tried again"
+    );
     let offer = bed.offer(20, 99);
     assert!(matches!(
         bed.step(20, vec![offer])[0],
@@ -274,23 +367,54 @@
     let out = legs(&bed.step(0, offers));
     let ends = [
         Outcome::Delivered,
-        Outcome::Rejected { retry_after: Some(Span::from_ms(60_000.0)) },
+        Outcome::Rejected {
+            retry_after: Some(Span::from_ms(60_000.0)),
+        },
         Outcome::Delivered,
     ];
-    bed.step(10, out.iter().zip(ends).map(|(leg, outcome)| ended(*leg, outcome)).collect());
-    let stamp = |ms: i64| Timestamp { monotonic: Time(ms * 1000), unix_ms: START_MS + ms };
+    bed.step(
+        10,
+        out.iter()
+            .zip(ends)
+            .map(|(leg, outcome)| ended(*leg, outcome))
+            .collect(),
+    );
+    let stamp = |ms: i64| Timestamp {
+        monotonic: Time(ms * 1000),
+        unix_ms: START_MS + ms,
+    };
     let records = bed.engine.destination_records(stamp(20));
-    assert_eq!(records.iter().map(|record| record.destination).collect::<Vec<_>>(), [3, 4, 5]);
+    assert_eq!(
+        records
+            .iter()
+            .map(|record| record.destination)
+            .collect::<Vec<_>>(),
+        [3, 4, 5]
+    );
     assert_eq!(records[1].backoff_until_ms, Some(START_MS + 60_010));
-    assert_eq!((records[1].ejected_since_ms, records[0].ejected_since_ms), (Some(START_MS + 10), None));
+    assert_eq!(
+        (records[1].ejected_since_ms, records[0].ejected_since_ms),
+        (Some(START_MS + 10), None)
+    );
     // The next life's clock was set back an hour.
     for (name, shift) in [("later", 0), ("set-back", -3_600_000)] {
         let mut next = Bed::new(name, 10);
-        let now = Timestamp { monotonic: Time(0), unix_ms: START_MS + shift };
+        let now = Timestamp {
+            monotonic: Time(0),
+            unix_ms: START_MS + shift,
+        };
         next.engine.restore_destinations(now, &records);
         let offers: Vec<EngineEvent> = (0..6).map(|_| next.offer(100, 4)).collect();
-        assert_eq!(legs(&next.step(100, offers)).len(), 1, "{name}: the wait is over, the outage is not");
+        assert_eq!(
+            legs(&next.step(100, offers)).len(),
+            1,
+            "{name}: the wait is over, the outage is not"
+        );
         let offers: Vec<EngineEvent> = (0..6).map(|_| next.offer(101, 3)).collect();
-        assert_eq!(legs(&next.step(101, offers)).len(), 6, "{name}: one that was well is met already");
+        assert_eq!(
+            legs(&next.step(101, offers)).len(),
+            6,
+            "{name}: one that was well is met already"
+        );
     }
 }
--- a/crates/delivery/tests/lives.rs
+++ b/crates/delivery/tests/lives.rs
@@ -4,7 +4,9 @@
 mod common;
 
 use common::{caps, ended, folder, host, setup, START_MS};
-use marblefall_delivery::core::engine::{AttemptRequest, Engine, EngineCommand, EngineEvent, EngineSettings};
+use marblefall_delivery::core::engine::{
+    AttemptRequest, Engine, EngineCommand, EngineEvent, EngineSettings,
+};
 use marblefall_delivery::core::journal::{latest, segments, Generation};
 use marblefall_delivery::core::message_store::MessageStore;
 use marblefall_delivery::core::{
@@ -26,7 +28,14 @@
 }
 
 fn engine_setup() -> EngineSettings {
-    setup(&[common::KEYED, Idempotency::Idempotent, Idempotency::NonIdempotent], caps(200))
+    setup(
+        &[
+            common::KEYED,
+            Idempotency::Idempotent,
+            Idempotency::NonIdempotent,
+        ],
+        caps(200),
+    )
 }
 
 fn list(hosts: &[&str]) -> EngineEvent {
@@ -46,9 +55,15 @@
         let store = MessageStore::open(dir, DISK, classes()).unwrap();
         let generation = latest(dir).unwrap();
         let mut orders = Vec::new();
-        let now = Timestamp { monotonic: Time(0), unix_ms: START_MS + ms };
-        let mut life =
-            Life { engine: Engine::new(engine_setup(), store, now, &mut orders), generation, born_ms: ms };
+        let now = Timestamp {
+            monotonic: Time(0),
+            unix_ms: START_MS + ms,
+        };
+        let mut life = Life {
+            engine: Engine::new(engine_setup(), store, now, &mut orders),
+            generation,
+            born_ms: ms,
+        };
         orders.extend(life.step(ms, vec![list(&["h"])]));
         (life, orders)
     }
@@ -57,13 +72,20 @@
     fn beside(dir: &Path, ms: i64) -> Life {
         let generation = latest(dir).unwrap().next();
         let store = MessageStore::begin(dir, DISK, classes(), generation).unwrap();
-        let mut life = Life { engine: Engine::standby(engine_setup(), store), generation, born_ms: ms };
+        let mut life = Life {
+            engine: Engine::standby(engine_setup(), store),
+            generation,
+            born_ms: ms,
+        };
         life.step(ms, vec![list(&["h"])]);
         life
     }
 
     fn step(&mut self, ms: i64, inputs: Vec<EngineEvent>) -> Vec<EngineCommand> {
-        let now = Timestamp { monotonic: Time((ms - self.born_ms) * 1000), unix_ms: START_MS + ms };
+        let now = Timestamp {
+            monotonic: Time((ms - self.born_ms) * 1000),
+            unix_ms: START_MS + ms,
+        };
         let mut orders = Vec::new();
         self.engine.step(now, inputs, &mut orders);
         while self.engine.has_backlog() {
@@ -73,19 +95,39 @@
     }
 
     fn offer(&mut self, ms: i64, name: &str, class: usize) -> Vec<EngineCommand> {
-        let ticket = RequestId(name.bytes().fold(0, |sum, byte| sum * 257 + u64::from(byte)));
-        self.step(ms, vec![EngineEvent::Submitted(ticket, message(name, class, ms, 10))])
+        let ticket = RequestId(
+            name.bytes()
+                .fold(0, |sum, byte| sum * 257 + u64::from(byte)),
+        );
+        self.step(
+            ms,
+            vec![EngineEvent::Submitted(ticket, message(name, class, ms, 10))],
+        )
     }
 
     fn hand_over(&mut self, ms: i64) -> Vec<EngineCommand> {
         let by = Time((ms - self.born_ms) * 1000 + 3_400_000);
-        self.step(ms, vec![EngineEvent::Shutdown { deadline: by, hand_over: true }])
+        self.step(
+            ms,
+            vec![EngineEvent::Shutdown {
+                deadline: by,
+                hand_over: true,
+            }],
+        )
     }
 
-    fn take_up(&mut self, ms: i64, living: &[Generation], beside: Generation) -> Vec<EngineCommand> {
+    fn take_up(
+        &mut self,
+        ms: i64,
+        living: &[Generation],
+        beside: Generation,
+    ) -> Vec<EngineCommand> {
         self.step(
             ms,
-            vec![EngineEvent::TakeOver { running: living.to_vec(), first_concurrent: Some(beside) }],
+            vec![EngineEvent::TakeOver {
+                running: living.to_vec(),
+                first_concurrent: Some(beside),
+            }],
         )
     }
 }
@@ -106,16 +148,25 @@
 /// The legs that are ordered: number, copy, and the name of the message.
 fn legs(orders: &[EngineCommand]) -> Vec<(MessageId, u32, String)> {
     let leg = |order: &EngineCommand| match order {
-        EngineCommand::StartAttempt(AttemptRequest { message_id: seq, attempt: copy, message, .. }) => {
-            Some((*seq, *copy, String::from_utf8(message.identity.clone()).unwrap()))
-        }
+        EngineCommand::StartAttempt(AttemptRequest {
+            message_id: seq,
+            attempt: copy,
+            message,
+            ..
+        }) => Some((
+            *seq,
+            *copy,
+            String::from_utf8(message.identity.clone()).unwrap(),
+        )),
         _ => None,
     };
     orders.iter().filter_map(leg).collect()
 }
 
 fn taken_on(orders: &[EngineCommand]) -> bool {
-    orders.iter().any(|order| matches!(order, EngineCommand::Respond(_, SubmitResponse::Accepted)))
+    orders
+        .iter()
+        .any(|order| matches!(order, EngineCommand::Respond(_, SubmitResponse::Accepted)))
 }
 
 #[test]
@@ -123,14 +174,27 @@
     let dir = folder("goes-on");
     let (mut old, _) = Life::alone(&dir, 0);
     // A route that has not answered yet is given two calls: the third message waits.
-    let out: Vec<_> = ["a", "b", "c"].iter().flat_map(|name| legs(&old.offer(10, name, FREE))).collect();
+    let out: Vec<_> = ["a", "b", "c"]
+        .iter()
+        .flat_map(|name| legs(&old.offer(10, name, FREE)))
+        .collect();
     assert_eq!(out.len(), 2);
     let mut new = Life::beside(&dir, 100);
-    assert!(taken_on(&new.offer(110, "d", FREE)), "taken on beside the old life");
+    assert!(
+        taken_on(&new.offer(110, "d", FREE)),
+        "taken on beside the old life"
+    );
     old.hand_over(200);
-    assert!(taken_on(&old.offer(210, "e", FREE)), "a client that has not moved yet is still served");
+    assert!(
+        taken_on(&old.offer(210, "e", FREE)),
+        "a client that has not moved yet is still served"
+    );
     let first = new.take_up(220, &[old.generation], old.generation);
-    assert_eq!(legs(&first), [], "two calls are out already, whoever made them");
+    assert_eq!(
+        legs(&first),
+        [],
+        "two calls are out already, whoever made them"
+    );
     // The old life's legs end: one is delivered, the other is turned away and may go out again.
     old.step(300, vec![ended(out[0].0, out[0].1, Outcome::Delivered)]);
     old.step(310, vec![ended(out[1].0, out[1].1, Outcome::Error)]);
@@ -143,7 +207,11 @@
         }
     }
     names.sort_unstable();
-    assert_eq!(names, ["b", "c", "d", "e"], "what was delivered is not sent again, the others are once");
+    assert_eq!(
+        names,
+        ["b", "c", "d", "e"],
+        "what was delivered is not sent again, the others are once"
+    );
     let _ = fs::remove_dir_all(&dir);
 }
 
@@ -154,7 +222,9 @@
         let (mut old, _) = Life::alone(&dir, 0);
         let (seq, copy, _) = legs(&old.offer(10, "a", FREE))[0].clone();
         let mut new = Life::beside(&dir, 50);
-        let wait = Outcome::Rejected { retry_after: Some(Span::from_ms(4000.0)) };
+        let wait = Outcome::Rejected {
+            retry_after: Some(Span::from_ms(4000.0)),
+        };
         let mut first = Vec::new();
         if dies {
             // Killed in the step after it was told.
@@ -176,7 +246,10 @@
                 at = Some(ms);
             }
         }
-        assert!(at.is_some_and(|at| at >= 4100), "sent within the wait, or never: {at:?}");
+        assert!(
+            at.is_some_and(|at| at >= 4100),
+            "sent within the wait, or never: {at:?}"
+        );
         // A plain restart ends it.
         let _ = fs::remove_dir_all(&dir);
         let (mut old, _) = Life::alone(&dir, 9000);
@@ -198,7 +271,11 @@
     new.step(60, vec![list(&["other"])]);
     old.hand_over(70);
     let mut orders = new.take_up(80, &[old.generation], old.generation);
-    orders.extend((90..1000).step_by(10).flat_map(|ms| new.step(ms, vec![EngineEvent::FollowPredecessors])));
+    orders.extend(
+        (90..1000)
+            .step_by(10)
+            .flat_map(|ms| new.step(ms, vec![EngineEvent::FollowPredecessors])),
+    );
     assert_eq!(legs(&orders), []);
     old.step(1000, vec![ended(seq, copy, Outcome::Error)]);
     let mut orders = new.step(1010, vec![EngineEvent::FollowPredecessors]);
@@ -212,7 +289,10 @@
     let dir = folder("disk");
     let size = || -> u64 {
         let len = |file: fs::DirEntry| file.metadata().unwrap().len().div_ceil(512) * 512;
-        fs::read_dir(&dir).unwrap().map(|file| len(file.unwrap())).sum()
+        fs::read_dir(&dir)
+            .unwrap()
+            .map(|file| len(file.unwrap()))
+            .sum()
     };
     let (mut old, _) = Life::alone(&dir, 0);
     // Nothing is listed for it, so all is held.
@@ -222,14 +302,19 @@
         for n in 0..150 {
             let ticket = RequestId(n);
             let message = message(&format!("{name}-{n}"), FREE, ms, 20_000);
-            taken += usize::from(taken_on(&life.step(ms, vec![EngineEvent::Submitted(ticket, message)])));
+            taken += usize::from(taken_on(
+                &life.step(ms, vec![EngineEvent::Submitted(ticket, message)]),
+            ));
         }
         held += taken;
         taken
     };
     assert!(fill(&mut old, "old", 10) > 60, "the old life uses its part");
     let mut new = Life::beside(&dir, 100);
-    assert!(fill(&mut new, "new", 110) > 5, "there is room for another beside it");
+    assert!(
+        fill(&mut new, "new", 110) > 5,
+        "there is room for another beside it"
+    );
     old.hand_over(120);
     fill(&mut old, "late", 130);
     assert!(size() <= DISK, "{}", size());
@@ -245,7 +330,10 @@
     assert_eq!(took(&taken), Some(held));
     drop(old);
     for ms in 170..400 {
-        let more = vec![EngineEvent::Submitted(RequestId(1), message(&format!("more-{ms}"), FREE, ms, 1000))];
+        let more = vec![EngineEvent::Submitted(
+            RequestId(1),
+            message(&format!("more-{ms}"), FREE, ms, 1000),
+        )];
         new.step(ms, more);
         assert!(size() <= DISK, "{} at {ms}", size());
     }
@@ -258,15 +346,28 @@
     let (mut old, _) = Life::alone(&dir, 0);
     assert_eq!(legs(&old.offer(10, "a", FREE)).len(), 1);
     let mut new = Life::beside(&dir, 50);
-    let first = *segments(&dir).unwrap().iter().find(|n| Generation::of(**n) == old.generation).unwrap();
+    let first = *segments(&dir)
+        .unwrap()
+        .iter()
+        .find(|n| Generation::of(**n) == old.generation)
+        .unwrap();
     // A folder in the place of a segment cannot be read.
     fs::create_dir(dir.join(format!("journal-{:010}", first + 7))).unwrap();
     let mut orders = new.take_up(60, &[], old.generation);
-    assert!(orders.iter().any(|order| matches!(order, EngineCommand::Log(_))), "it is said");
+    assert!(
+        orders
+            .iter()
+            .any(|order| matches!(order, EngineCommand::Log(_))),
+        "it is said"
+    );
     // What was read goes on: its leg may have run, and it ends here once.
     let mut open = Vec::new();
     for ms in 70..400 {
-        open.extend(legs(&orders).into_iter().map(|(seq, copy, _)| ended(seq, copy, Outcome::Delivered)));
+        open.extend(
+            legs(&orders)
+                .into_iter()
+                .map(|(seq, copy, _)| ended(seq, copy, Outcome::Delivered)),
+        );
         orders = new.step(ms, std::mem::take(&mut open));
     }
     assert_eq!(new.engine.load(), (0, 0));
@@ -280,19 +381,34 @@
     old.hand_over(10);
     let (mut taken, mut declined) = (0, 0);
     for n in 0..20 {
-        let offer = EngineEvent::Submitted(RequestId(n), message(&format!("m{n}"), FREE, 20, 20_000));
+        let offer =
+            EngineEvent::Submitted(RequestId(n), message(&format!("m{n}"), FREE, 20, 20_000));
         let mut orders = Vec::new();
-        let now = Timestamp { monotonic: Time(20_000), unix_ms: START_MS + 20 };
+        let now = Timestamp {
+            monotonic: Time(20_000),
+            unix_ms: START_MS + 20,
+        };
         old.engine.step(now, vec![offer], &mut orders);
         taken += usize::from(taken_on(&orders));
         declined += orders
             .iter()
-            .filter(|o| matches!(o, EngineCommand::Respond(_, SubmitResponse::Rejected { .. })))
+            .filter(|o| {
+                matches!(
+                    o,
+                    EngineCommand::Respond(_, SubmitResponse::Rejected { .. })
+                )
+            })
             .count();
-        assert!(!old.engine.has_backlog(), "it would be stepped again and again");
+        assert!(
+            !old.engine.has_backlog(),
+            "it would be stepped again and again"
+        );
         assert_eq!(old.engine.next_wake(), None);
     }
-    assert!(taken > 2 && declined > 2 && taken + declined == 20, "{taken} taken on, {declined} declined");
+    assert!(
+        taken > 2 && declined > 2 && taken + declined == 20,
+        "{taken} taken on, {declined} declined"
+    );
     let _ = fs::remove_dir_all(&dir);
 }
 
@@ -332,13 +448,23 @@
                     ..
                 }) => {
                     let name = String::from_utf8(message.identity.clone()).unwrap();
-                    self.note(format!("leg of {name} copy {copy} by {}", if by_old { "old" } else { "new" }));
-                    assert!(!self.out.iter().any(|out| out.2 == name), "two legs out of {name}");
+                    self.note(format!(
+                        "leg of {name} copy {copy} by {}",
+                        if by_old { "old" } else { "new" }
+                    ));
+                    assert!(
+                        !self.out.iter().any(|out| out.2 == name),
+                        "two legs out of {name}"
+                    );
                     assert!(self.ms >= self.wait_until, "sent within a told wait");
                     let took = self.rng.i64(5..400);
                     self.out.push((seq, copy, name, by_old, self.ms + took));
                 }
-                EngineCommand::SendNotice { message, outcome: end, .. } => {
+                EngineCommand::SendNotice {
+                    message,
+                    outcome: end,
+                    ..
+                } => {
                     let name = String::from_utf8(message.identity.clone()).unwrap();
                     self.note(format!("notice of {name}: {end:?}"));
                     self.notices.insert(name, end);
@@ -349,7 +475,11 @@
     }
 
     fn step(&mut self, of_old: bool, inputs: Vec<EngineEvent>) -> Vec<EngineCommand> {
-        let life = if of_old { self.old.as_mut() } else { self.new.as_mut() };
+        let life = if of_old {
+            self.old.as_mut()
+        } else {
+            self.new.as_mut()
+        };
         life.map_or_else(Vec::new, |life| life.step(self.ms, inputs))
     }
 
@@ -379,7 +509,10 @@
                 self.new_serves = true;
                 self.run(
                     false,
-                    vec![EngineEvent::TakeOver { running: vec![], first_concurrent: Some(generation) }],
+                    vec![EngineEvent::TakeOver {
+                        running: vec![],
+                        first_concurrent: Some(generation),
+                    }],
                 );
             }
             (false, _) => {
@@ -396,7 +529,9 @@
 
     /// Legs of a life that died run on at the partner, or never came there; nobody hears of it.
     fn partner_after(&mut self, of_old: bool) {
-        let (gone, kept) = std::mem::take(&mut self.out).into_iter().partition(|out| out.3 == of_old);
+        let (gone, kept) = std::mem::take(&mut self.out)
+            .into_iter()
+            .partition(|out| out.3 == of_old);
         self.out = kept;
         let gone: Vec<(MessageId, u32, String, bool, i64)> = gone;
         for (_, _, name, ..) in gone {
@@ -437,7 +572,9 @@
             let outcome = match self.rng.u8(0..10) {
                 0 => Outcome::Error,
                 1 => Outcome::Reset,
-                2 => Outcome::Rejected { retry_after: Some(Span::from_ms(self.rng.i64(100..900) as f64)) },
+                2 => Outcome::Rejected {
+                    retry_after: Some(Span::from_ms(self.rng.i64(100..900) as f64)),
+                },
                 3 => Outcome::ConnectFailed,
                 _ => Outcome::Delivered,
             };
@@ -449,7 +586,10 @@
             if ran {
                 self.runs.entry(name.clone()).or_default().push(ms);
             }
-            if let Outcome::Rejected { retry_after: Some(wait) } = outcome {
+            if let Outcome::Rejected {
+                retry_after: Some(wait),
+            } = outcome
+            {
                 self.wait_until = self.wait_until.max(ms + wait.0 / 1000);
             }
             self.note(format!("leg of {name} ends: {outcome:?}, ran {ran}"));
@@ -465,11 +605,17 @@
         let (name, class) = (format!("m{}", self.next), self.next % 3);
         self.next += 1;
         let to_old = self.new.is_none() || self.old.is_some() && self.rng.bool();
-        let input = EngineEvent::Submitted(RequestId(self.next as u64), message(&name, class, self.ms, 50));
+        let input = EngineEvent::Submitted(
+            RequestId(self.next as u64),
+            message(&name, class, self.ms, 50),
+        );
         let orders = self.step(to_old, vec![input]);
         if taken_on(&orders) {
             self.owed.insert(name.clone(), class);
-            self.note(format!("{name} taken on by the {} one", if to_old { "old" } else { "new" }));
+            self.note(format!(
+                "{name} taken on by the {} one",
+                if to_old { "old" } else { "new" }
+            ));
         }
         self.carry_out(orders, to_old);
         if to_old && self.new_serves {
@@ -495,7 +641,11 @@
                     self.carry_out(orders, true);
                     let generation = self.old.as_ref().unwrap().generation;
                     self.new_serves = true;
-                    let orders = self.new.as_mut().unwrap().take_up(self.ms, &[generation], generation);
+                    let orders =
+                        self.new
+                            .as_mut()
+                            .unwrap()
+                            .take_up(self.ms, &[generation], generation);
                     self.carry_out(orders, false);
                 }
                 26..=28 => self.kill_old(),
@@ -510,7 +660,14 @@
             self.settle();
         }
         self.run(true, vec![]);
-        self.run(false, if self.new_serves { vec![EngineEvent::FollowPredecessors] } else { vec![] });
+        self.run(
+            false,
+            if self.new_serves {
+                vec![EngineEvent::FollowPredecessors]
+            } else {
+                vec![]
+            },
+        );
     }
 
     fn check(&self) {
--- a/crates/delivery/tests/restart.rs
+++ b/crates/delivery/tests/restart.rs
@@ -19,8 +19,14 @@
 }
 
 fn engine_setup(couriers: usize) -> EngineSettings {
-    let caps = Limits { max_attempts: 1000, ..caps(MOST) };
-    let mut setup = setup(&[KEYED, Idempotency::Idempotent, Idempotency::NonIdempotent], caps);
+    let caps = Limits {
+        max_attempts: 1000,
+        ..caps(MOST)
+    };
+    let mut setup = setup(
+        &[KEYED, Idempotency::Idempotent, Idempotency::NonIdempotent],
+        caps,
+    );
     setup.scheduler.instances = couriers;
     setup.scheduler.rate_hints = RateHints::Approximate;
     setup.scheduler.rules.overload_window = Span::from_ms(2000.0);
@@ -41,11 +47,22 @@
     fn begin(dir: &Path, couriers: usize, ms: i64, list: Vec<&str>) -> (Life, Vec<EngineCommand>) {
         let store = MessageStore::open(dir, 3_000_000, classes()).unwrap();
         let mut orders = Vec::new();
-        let now = Timestamp { monotonic: Time(0), unix_ms: START_MS + ms };
+        let now = Timestamp {
+            monotonic: Time(0),
+            unix_ms: START_MS + ms,
+        };
         let engine = Engine::new(engine_setup(couriers), store, now, &mut orders);
-        let mut life = Life { engine, born_ms: ms, ms };
-        orders
-            .extend(life.step(0, vec![EngineEvent::EndpointsReplaced(list.into_iter().map(host).collect())]));
+        let mut life = Life {
+            engine,
+            born_ms: ms,
+            ms,
+        };
+        orders.extend(life.step(
+            0,
+            vec![EngineEvent::EndpointsReplaced(
+                list.into_iter().map(host).collect(),
+            )],
+        ));
         (life, orders)
     }
 
@@ -53,7 +70,10 @@
     fn step(&mut self, later: i64, inputs: Vec<EngineEvent>) -> Vec<EngineCommand> {
         self.ms += later;
         let monotonic = Time((self.ms - self.born_ms) * 1000);
-        let now = Timestamp { monotonic, unix_ms: START_MS + self.ms };
+        let now = Timestamp {
+            monotonic,
+            unix_ms: START_MS + self.ms,
+        };
         let mut orders = Vec::new();
         self.engine.step(now, inputs, &mut orders);
         while self.engine.has_backlog() {
@@ -79,15 +99,19 @@
 }
 
 fn given_up(orders: &[EngineCommand]) -> usize {
-    orders.iter().filter(|order| matches!(order, EngineCommand::SendNotice { .. })).count()
+    orders
+        .iter()
+        .filter(|order| matches!(order, EngineCommand::SendNotice { .. }))
+        .count()
 }
 
 /// A folder that a killed life left with so many messages taken on, of which those with a leg were tried.
 fn left(name: &str, couriers: usize, messages: u64) -> (PathBuf, usize) {
     let dir = folder(name);
     let (mut life, _) = Life::begin(&dir, couriers, 0, vec!["h"]);
-    let orders: Vec<EngineCommand> =
-        (0..messages).flat_map(|number| life.step(0, vec![offered(number, 0)])).collect();
+    let orders: Vec<EngineCommand> = (0..messages)
+        .flat_map(|number| life.step(0, vec![offered(number, 0)]))
+        .collect();
     assert_eq!(given_up(&orders), 0);
     let tried = legs(&orders).len();
     assert!(tried < 5 && life.engine.load().0 == messages as usize);
@@ -135,16 +159,26 @@
         let mut begun = legs(&orders);
         // Nothing answers for as long as seven tenths of their time are not over.
         while life.ms < LIVES_MS * 7 / 10 - 200 {
-            out.extend(begun.drain(..).map(|(seq, copy)| (life.ms + 1000, seq, copy)));
-            let (over, still): (Vec<_>, Vec<_>) = out.into_iter().partition(|(at, ..)| *at <= life.ms);
+            out.extend(
+                begun
+                    .drain(..)
+                    .map(|(seq, copy)| (life.ms + 1000, seq, copy)),
+            );
+            let (over, still): (Vec<_>, Vec<_>) =
+                out.into_iter().partition(|(at, ..)| *at <= life.ms);
             out = still;
-            let timed_out =
-                over.into_iter().map(|(_, seq, copy)| ended(seq, copy, Outcome::ConnectFailed)).collect();
+            let timed_out = over
+                .into_iter()
+                .map(|(_, seq, copy)| ended(seq, copy, Outcome::ConnectFailed))
+                .collect();
             let orders = life.step(100, timed_out);
             ends += given_up(&orders);
             begun = legs(&orders);
         }
-        assert!(ends <= tried, "{ends} of 30 given up early among {couriers} couriers, {tried} were tried");
+        assert!(
+            ends <= tried,
+            "{ends} of 30 given up early among {couriers} couriers, {tried} were tried"
+        );
         let _ = std::fs::remove_dir_all(&dir);
     }
 }
@@ -159,6 +193,9 @@
         let ms = life.ms;
         ends += given_up(&life.step(20, vec![offered(1000 + number, ms)]));
     }
-    assert!(ends <= tried, "{ends} of 45 that were found given up, {tried} were tried");
+    assert!(
+        ends <= tried,
+        "{ends} of 45 that were found given up, {tried} were tried"
+    );
     let _ = std::fs::remove_dir_all(&dir);
 }
--- a/crates/delivery/tests/snapshot.rs
+++ b/crates/delivery/tests/snapshot.rs
@@ -41,7 +41,10 @@
                     "{fault:?} at {after}, {unsynced:?}: {known:?}"
                 );
                 if unsynced == Unsynced::Kept && after >= 2 {
-                    assert!(known == old || known == new, "what outlasts the process: {known:?}");
+                    assert!(
+                        known == old || known == new,
+                        "what outlasts the process: {known:?}"
+                    );
                 }
                 // The next life writes its own over whatever is there.
                 next.write(&records(3));
@@ -61,9 +64,15 @@
     let (folder, rig) = (Path::new(FOLDER), Rig::new());
     let mut bytes = encode(&records(2));
     bytes[4..6].copy_from_slice(&(VERSION + 1).to_le_bytes());
-    rig.write(&folder.join("destinations.bin"), &bytes).expect("no fault");
+    rig.write(&folder.join("destinations.bin"), &bytes)
+        .expect("no fault");
     let cause = read(&rig, folder).expect_err("it is not this version's");
-    assert!(cause.to_string().contains(&format!("version {}", VERSION + 1)), "{cause}");
+    assert!(
+        cause
+            .to_string()
+            .contains(&format!("version {}", VERSION + 1)),
+        "{cause}"
+    );
     let (mut keep, known) = SnapshotStore::open(rig, folder);
     assert_eq!(known, []);
     keep.write(&records(1));
--- a/crates/delivery/tests/stored_data.rs
+++ b/crates/delivery/tests/stored_data.rs
@@ -21,7 +21,9 @@
 
 /// A copy of a fixture that may be written to.
 fn copy_of(fixture: &str, test: &str) -> PathBuf {
-    let from = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures").join(fixture);
+    let from = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/fixtures")
+        .join(fixture);
     let to = std::env::temp_dir().join(format!("marblefall-stored-{}-{test}", std::process::id()));
     let _ = fs::remove_dir_all(&to);
     fs::create_dir_all(&to).unwrap();
@@ -37,12 +39,17 @@
 }
 
 fn message<'a>(store: &'a MessageStore, identity: &str) -> &'a MessageRecord {
-    let id = store.by_identity(identity.as_bytes()).unwrap_or_else(|| panic!("{identity} is known"));
+    let id = store
+        .by_identity(identity.as_bytes())
+        .unwrap_or_else(|| panic!("{identity} is known"));
     store.get(id).unwrap()
 }
 
 fn attempt(after_ms: i64, endpoint: &str) -> Option<AttemptRecord> {
-    Some(AttemptRecord { started_ms: STORED_AT_MS + after_ms, endpoint: endpoint.to_owned() })
+    Some(AttemptRecord {
+        started_ms: STORED_AT_MS + after_ms,
+        endpoint: endpoint.to_owned(),
+    })
 }
 
 #[test]
@@ -51,47 +58,85 @@
     let store = MessageStore::open(&folder, DISK, classes()).unwrap();
 
     let accepted = message(&store, "accepted");
-    assert_eq!((accepted.attempts, &accepted.state), (0, &MessageState::Pending));
+    assert_eq!(
+        (accepted.attempts, &accepted.state),
+        (0, &MessageState::Pending)
+    );
     assert_eq!(accepted.message.origin, Origin::Platform);
     assert_eq!(accepted.message.class, ClassId(0));
     assert_eq!(accepted.message.destination, DestinationId(7));
     assert_eq!(accepted.message.expires_ms, STORED_AT_MS + 20_000);
-    assert_eq!(accepted.message.idempotency_key.as_deref(), Some(&b"key of accepted"[..]));
+    assert_eq!(
+        accepted.message.idempotency_key.as_deref(),
+        Some(&b"key of accepted"[..])
+    );
     assert_eq!(accepted.message.attributes, b"attributes of accepted");
     assert_eq!(accepted.message.body, b"body of accepted");
 
     // Its process ended with the attempt in flight: it may have been executed.
     let in_flight = message(&store, "in-flight");
-    assert_eq!((in_flight.attempts, &in_flight.state), (1, &MessageState::Pending));
+    assert_eq!(
+        (in_flight.attempts, &in_flight.state),
+        (1, &MessageState::Pending)
+    );
     assert_eq!(in_flight.first_executed, attempt(100, "bole-1"));
 
     let in_backoff = message(&store, "in-backoff");
-    assert_eq!((in_backoff.attempts, &in_backoff.state), (1, &MessageState::Pending));
-    assert_eq!((in_backoff.message.origin, &in_backoff.first_executed), (Origin::CloudEvents, &None));
+    assert_eq!(
+        (in_backoff.attempts, &in_backoff.state),
+        (1, &MessageState::Pending)
+    );
+    assert_eq!(
+        (in_backoff.message.origin, &in_backoff.first_executed),
+        (Origin::CloudEvents, &None)
+    );
 
     let owed = message(&store, "notice-owed");
     let completion = owed.completion().unwrap();
-    assert_eq!((completion.outcome, completion.notice_owed), (FinalOutcome::Failed, true));
+    assert_eq!(
+        (completion.outcome, completion.notice_owed),
+        (FinalOutcome::Failed, true)
+    );
     assert_eq!(completion.keep_until_ms, STORED_AT_MS + 60_000);
     assert_eq!(owed.first_executed, attempt(300, "bole-1"));
     assert!(owed.message.body.is_empty() && owed.message.attributes.is_empty());
 
     let aliased = message(&store, "aliased");
     let completion = aliased.completion().unwrap();
-    assert_eq!(completion.outcome, FinalOutcome::Returned { retry_after_ms: 1500 });
+    assert_eq!(
+        completion.outcome,
+        FinalOutcome::Returned {
+            retry_after_ms: 1500
+        }
+    );
     assert!(!completion.notice_owed);
     assert_eq!(aliased.aliases, [b"second-identity".to_vec()]);
-    assert_eq!(store.by_identity(b"second-identity"), store.by_identity(b"aliased"));
-    assert_eq!(store.by_idempotency_key(DestinationId(7), b"key of aliased"), store.by_identity(b"aliased"));
+    assert_eq!(
+        store.by_identity(b"second-identity"),
+        store.by_identity(b"aliased")
+    );
+    assert_eq!(
+        store.by_idempotency_key(DestinationId(7), b"key of aliased"),
+        store.by_identity(b"aliased")
+    );
 
     assert_eq!(store.by_identity(b"forgotten"), None);
 
     // Reported after the handover: one was rejected, the other delivered.
     let handed_over = message(&store, "handed-over");
-    assert_eq!((handed_over.attempts, &handed_over.state), (1, &MessageState::Pending));
+    assert_eq!(
+        (handed_over.attempts, &handed_over.state),
+        (1, &MessageState::Pending)
+    );
     assert_eq!(handed_over.first_executed, None);
-    let delivered = message(&store, "delivered-after-handover").completion().unwrap().clone();
-    assert_eq!((delivered.outcome, delivered.notice_owed), (FinalOutcome::Delivered, false));
+    let delivered = message(&store, "delivered-after-handover")
+        .completion()
+        .unwrap()
+        .clone();
+    assert_eq!(
+        (delivered.outcome, delivered.notice_owed),
+        (FinalOutcome::Delivered, false)
+    );
     assert_eq!(delivered.keep_until_ms, STORED_AT_MS + 60_000);
 
     for name in ["accepted-after-handover", "accepted-by-second"] {
@@ -123,9 +168,22 @@
         mean_latency_ms: Some(12.5),
         baseline_rate: 0.75,
     };
-    let shared = IdleRecord { recovering_since: unix(0), baseline_rate: 2.0, ..IdleRecord::default() };
-    assert_eq!(routes, [(DestinationId(7), Some("bole-1"), separate), (DestinationId(8), None, shared)]);
-    assert!(recovered.in_flight_elsewhere.is_empty(), "both incarnations have ended");
+    let shared = IdleRecord {
+        recovering_since: unix(0),
+        baseline_rate: 2.0,
+        ..IdleRecord::default()
+    };
+    assert_eq!(
+        routes,
+        [
+            (DestinationId(7), Some("bole-1"), separate),
+            (DestinationId(8), None, shared)
+        ]
+    );
+    assert!(
+        recovered.in_flight_elsewhere.is_empty(),
+        "both incarnations have ended"
+    );
     fs::remove_dir_all(folder).unwrap();
 }
 
@@ -133,13 +191,20 @@
 fn marks_of_earlier_incarnations_are_understood() {
     let folder = copy_of("marks", "marks");
     // The first still runs: it has handed over. The second has ended.
-    let running = fs::OpenOptions::new().read(true).append(true).open(folder.join("life-1")).unwrap();
+    let running = fs::OpenOptions::new()
+        .read(true)
+        .append(true)
+        .open(folder.join("life-1"))
+        .unwrap();
     running.try_lock().unwrap();
     let mut third = Incarnation::claim(&folder).unwrap();
     assert_eq!(third.generation(), Generation(3));
     let earlier = third.earlier().unwrap();
     assert_eq!(earlier.len(), 1);
-    assert_eq!((earlier[0].generation, earlier[0].settled), (Generation(1), true));
+    assert_eq!(
+        (earlier[0].generation, earlier[0].settled),
+        (Generation(1), true)
+    );
     assert!(third.has_ended(Generation(2)));
     drop(running);
     assert_eq!(third.earlier().unwrap(), []);
--- a/crates/endpoint-lists/src/book.rs
+++ b/crates/endpoint-lists/src/book.rs
@@ -43,7 +43,10 @@
 impl Book {
     /// An empty one.
     pub fn new(terms: Terms) -> Book {
-        Book { terms, ..Book::default() }
+        Book {
+            terms,
+            ..Book::default()
+        }
     }
 
     /// What its lists must keep to.
@@ -60,7 +63,12 @@
     /// Says which files there are. What a missing one said stays in force, but a file that was renamed or split may
     /// name its destinations.
     pub fn see(&mut self, present: &BTreeSet<String>) {
-        self.absent = self.good.keys().filter(|file| !present.contains(*file)).cloned().collect();
+        self.absent = self
+            .good
+            .keys()
+            .filter(|file| !present.contains(*file))
+            .cloned()
+            .collect();
     }
 
     /// Files that are missing, with a list of theirs in force.
@@ -72,11 +80,19 @@
     fn before(&self, file: &str, new: &Roster) -> Cow<'_, Roster> {
         let own = self.good.get(file);
         let mut before = own.map_or_else(|| Cow::Owned(Roster::default()), Cow::Borrowed);
-        for roster in
-            self.absent.iter().filter(|absent| *absent != file).filter_map(|file| self.good.get(file))
+        for roster in self
+            .absent
+            .iter()
+            .filter(|absent| *absent != file)
+            .filter_map(|file| self.good.get(file))
         {
-            let taken = roster.destinations.iter().filter(|(name, _)| new.destinations.contains_key(*name));
-            let mut taken = taken.map(|(name, to)| (name.clone(), to.clone())).peekable();
+            let taken = roster
+                .destinations
+                .iter()
+                .filter(|(name, _)| new.destinations.contains_key(*name));
+            let mut taken = taken
+                .map(|(name, to)| (name.clone(), to.clone()))
+                .peekable();
             // A list may have thousands: copied only where it must be.
             if taken.peek().is_some() {
                 before.to_mut().destinations.extend(taken);
@@ -90,15 +106,30 @@
         let refuse = |faults| Report::new(file, bytes, faults);
         let read = Roster::read(bytes, self.terms.most_bytes).map_err(refuse)?;
         let before = self.before(file, &read.roster);
-        let others = self.good.iter().filter(|(other, _)| *other != file && !self.absent.contains(*other));
-        let others = others.map(|(other, roster)| (other.clone(), roster)).collect();
+        let others = self
+            .good
+            .iter()
+            .filter(|(other, _)| *other != file && !self.absent.contains(*other));
+        let others = others
+            .map(|(other, roster)| (other.clone(), roster))
+            .collect();
         let known = self.good.contains_key(file) || !before.destinations.is_empty();
-        let report = refuse(check::faults(&self.terms, &read, Some(&*before).filter(|_| known), &others));
+        let report = refuse(check::faults(
+            &self.terms,
+            &read,
+            Some(&*before).filter(|_| known),
+            &others,
+        ));
         if report.is_refusal() {
             return Err(report);
         }
         let changes = diff(&before, &read.roster);
-        Ok(Offer { file: file.to_owned(), roster: read.roster, report, changes })
+        Ok(Offer {
+            file: file.to_owned(),
+            roster: read.roster,
+            report,
+            changes,
+        })
     }
 
     /// What missing files say once a list has taken over its destinations: their rosters as they are then, empty
@@ -110,7 +141,9 @@
                 continue;
             };
             let before = roster.destinations.len();
-            roster.destinations.retain(|name, _| !offer.roster.destinations.contains_key(name));
+            roster
+                .destinations
+                .retain(|name, _| !offer.roster.destinations.contains_key(name));
             if roster.destinations.len() < before {
                 left.push((file.clone(), roster));
             }
@@ -149,21 +182,35 @@
     /// Whether a roster decides where a destination is reached.
     pub fn is_rostered(&self, destination: &str) -> bool {
         let standing = |partners: &BTreeMap<String, Standing>| partners.get(destination).copied();
-        self.terms.partners.as_ref().is_none_or(|all| standing(all) == Some(Standing::Rostered))
+        self.terms
+            .partners
+            .as_ref()
+            .is_none_or(|all| standing(all) == Some(Standing::Rostered))
     }
 
     /// All endpoints in force, each with its destination.
     pub fn endpoints(&self) -> impl Iterator<Item = (&str, &Endpoint)> {
         let all = self.good.values().flat_map(|roster| &roster.destinations);
         let all = all.filter(|(name, _)| self.is_rostered(name));
-        all.flat_map(|(name, to)| to.endpoints.iter().map(move |endpoint| (name.as_str(), endpoint)))
+        all.flat_map(|(name, to)| {
+            to.endpoints
+                .iter()
+                .map(move |endpoint| (name.as_str(), endpoint))
+        })
     }
 
     /// Rostered partners for which no list is in force.
     pub fn unlisted(&self) -> Vec<&str> {
         let partners = self.terms.partners.iter().flatten();
         let rostered = partners.filter(|(_, standing)| **standing == Standing::Rostered);
-        let listed = |name: &String| self.good.values().any(|roster| roster.destinations.contains_key(name));
-        rostered.filter(|(name, _)| !listed(name)).map(|(name, _)| name.as_str()).collect()
+        let listed = |name: &String| {
+            self.good
+                .values()
+                .any(|roster| roster.destinations.contains_key(name))
+        };
+        rostered
+            .filter(|(name, _)| !listed(name))
+            .map(|(name, _)| name.as_str())
+            .collect()
     }
 }
