--- a/crates/endpoint-lists/src/check.rs
+++ b/crates/endpoint-lists/src/check.rs
@@ -30,7 +30,12 @@
 
 impl Default for Terms {
     fn default() -> Terms {
-        Terms { partners: None, most_bytes: 8 << 20, most_weight_lost: 0.5, most_endpoints_lost: 0.5 }
+        Terms {
+            partners: None,
+            most_bytes: 8 << 20,
+            most_weight_lost: 0.5,
+            most_endpoints_lost: 0.5,
+        }
     }
 }
 
@@ -58,13 +63,19 @@
     read.places.destinations.get(destination).cloned()
 }
 
-fn partners(terms: &Terms, read: &Read, others: &BTreeMap<String, &Roster>, wrong: &mut Vec<Fault>) {
+fn partners(
+    terms: &Terms,
+    read: &Read,
+    others: &BTreeMap<String, &Roster>,
+    wrong: &mut Vec<Fault>,
+) {
     for (name, destination) in &read.roster.destinations {
         match terms.partners.as_ref().map(|partners| partners.get(name)) {
             None | Some(Some(Standing::Rostered)) => {}
             Some(None) => {
                 let what = format!("{name} is no partner of the operators' file");
-                let help = "mend the name, or plan and apply an operators' file that has the destination";
+                let help =
+                    "mend the name, or plan and apply an operators' file that has the destination";
                 wrong.push(Fault::error("unknown-partner", at(read, name), what, help));
             }
             Some(Some(Standing::Fixed)) => {
@@ -73,14 +84,22 @@
                 wrong.push(Fault::error("fixed-partner", at(read, name), what, help));
             }
         }
-        if let Some((file, _)) = others.iter().find(|(_, roster)| roster.destinations.contains_key(name)) {
+        if let Some((file, _)) = others
+            .iter()
+            .find(|(_, roster)| roster.destinations.contains_key(name))
+        {
             let what = format!("{name} stands in {file} too");
             let help = "take it out of one of the two files; first out of the old one, then into the new one";
             wrong.push(Fault::error("two-files", at(read, name), what, help));
         }
-        if destination.endpoints.iter().all(|endpoint| !endpoint.serves()) {
+        if destination
+            .endpoints
+            .iter()
+            .all(|endpoint| !endpoint.serves())
+        {
             let what = format!("no endpoint of {name} takes anything new");
-            let help = "its messages wait until their time is up; let one serve unless that is meant";
+            let help =
+                "its messages wait until their time is up; let one serve unless that is meant";
             wrong.push(Fault::warning("none-serves", at(read, name), what, help));
         }
     }
@@ -91,11 +110,19 @@
     let mut seen: HashMap<SocketAddr, &str> = HashMap::new();
     let elsewhere = others.values().flat_map(|roster| &roster.destinations);
     for (name, destination) in elsewhere {
-        seen.extend(destination.endpoints.iter().map(|endpoint| (endpoint.address, name.as_str())));
+        seen.extend(
+            destination
+                .endpoints
+                .iter()
+                .map(|endpoint| (endpoint.address, name.as_str())),
+        );
     }
     for (name, destination) in &read.roster.destinations {
         for endpoint in &destination.endpoints {
-            if let Some(other) = seen.insert(endpoint.address, name).filter(|other| other != name) {
+            if let Some(other) = seen
+                .insert(endpoint.address, name)
+                .filter(|other| other != name)
+            {
                 let what = format!("{name} and {other} share the address {}", endpoint.address);
                 let help = "make sure that both partners are behind it";
                 wrong.push(Fault::warning("shared-address", at(read, name), what, help));
@@ -107,9 +134,15 @@
 fn revision(read: &Read, before: &Roster, wrong: &mut Vec<Fault>) {
     let (new, old) = (read.roster.revision, before.revision);
     if new <= old {
-        let what = format!("revision {new} is not above {old}, which is in force with other content");
+        let what =
+            format!("revision {new} is not above {old}, which is in force with other content");
         let help = format!("raise both places to {} or more", old.saturating_add(1));
-        wrong.push(Fault::error("old-revision", Some(read.places.revision.clone()), what, help));
+        wrong.push(Fault::error(
+            "old-revision",
+            Some(read.places.revision.clone()),
+            what,
+            help,
+        ));
     }
 }
 
@@ -130,9 +163,16 @@
         return 0.0;
     }
     let part = |name: &str, weight: f64| kept.get(name).map_or(0.0, |now| now / weight);
-    let most = before.iter().map(|endpoint| part(&endpoint.name, endpoint.weight)).fold(0.0, f64::max);
-    let lost = |weight: f64, part: f64| weight / total * if most > 0.0 { 1.0 - part / most } else { 1.0 };
-    before.iter().map(|endpoint| lost(endpoint.weight, part(&endpoint.name, endpoint.weight))).sum()
+    let most = before
+        .iter()
+        .map(|endpoint| part(&endpoint.name, endpoint.weight))
+        .fold(0.0, f64::max);
+    let lost =
+        |weight: f64, part: f64| weight / total * if most > 0.0 { 1.0 - part / most } else { 1.0 };
+    before
+        .iter()
+        .map(|endpoint| lost(endpoint.weight, part(&endpoint.name, endpoint.weight)))
+        .sum()
 }
 
 fn losses(terms: &Terms, read: &Read, before: &Roster, wrong: &mut Vec<Fault>) {
@@ -142,15 +182,26 @@
     let (mut all, mut gone) = (0, 0);
     for (name, old) in &before.destinations {
         let new = read.roster.destinations.get(name).unwrap_or(&none);
-        let serving: BTreeSet<&str> =
-            new.endpoints.iter().filter(|one| one.serves()).map(|one| one.name.as_str()).collect();
+        let serving: BTreeSet<&str> = new
+            .endpoints
+            .iter()
+            .filter(|one| one.serves())
+            .map(|one| one.name.as_str())
+            .collect();
         for endpoint in old.endpoints.iter().filter(|one| one.serves()) {
             all += 1;
             gone += usize::from(!serving.contains(endpoint.name.as_str()));
         }
-        let lost = if old == new { 0.0 } else { weight_lost(old, new) };
+        let lost = if old == new {
+            0.0
+        } else {
+            weight_lost(old, new)
+        };
         if lost > terms.most_weight_lost && !allowed.destinations.contains(name) {
-            let what = format!("{:.0}% of the weight of {name} would be taken away at once", lost * 100.0);
+            let what = format!(
+                "{:.0}% of the weight of {name} would be taken away at once",
+                lost * 100.0
+            );
             let help = format!(
                 "go in smaller steps, or say so: allow_loss = {{ revision = {revision}, destinations = [{name:?}] }}"
             );
@@ -164,21 +215,32 @@
         let help = format!(
             "go in smaller steps, or say so: allow_loss = {{ revision = {revision}, endpoints = true }}"
         );
-        wrong.push(Fault::error("large-loss", Some(read.places.revision.clone()), what, help));
+        wrong.push(Fault::error(
+            "large-loss",
+            Some(read.places.revision.clone()),
+            what,
+            help,
+        ));
     }
 }
 
 /// An endpoint that goes by its old name at another address is most often right, and sends orders to nowhere if not.
 fn moves(read: &Read, before: &Roster, wrong: &mut Vec<Fault>) {
     for (name, destination) in &read.roster.destinations {
-        let Some(old) = before.destinations.get(name).filter(|old| *old != destination) else {
+        let Some(old) = before
+            .destinations
+            .get(name)
+            .filter(|old| *old != destination)
+        else {
             continue;
         };
         for endpoint in &destination.endpoints {
             let was = old.endpoints.iter().find(|was| was.name == endpoint.name);
             if let Some(was) = was.filter(|was| was.address != endpoint.address) {
-                let what =
-                    format!("{name}/{} moves from {} to {}", endpoint.name, was.address, endpoint.address);
+                let what = format!(
+                    "{name}/{} moves from {} to {}",
+                    endpoint.name, was.address, endpoint.address
+                );
                 let help = "make sure that it answers there";
                 wrong.push(Fault::warning("moved", at(read, name), what, help));
             }
--- a/crates/endpoint-lists/src/diff.rs
+++ b/crates/endpoint-lists/src/diff.rs
@@ -35,7 +35,12 @@
 
 impl fmt::Display for Change {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Change { step, destination, endpoint, was } = self;
+        let Change {
+            step,
+            destination,
+            endpoint,
+            was,
+        } = self;
         let sign = match step {
             Step::Removed => '-',
             Step::Added => '+',
@@ -44,9 +49,16 @@
         write!(f, "{sign} {destination}/{}", endpoint.name)?;
         let Some(was) = was else {
             write!(f, " {} weight {}", endpoint.address, endpoint.weight)?;
-            let zone =
-                if endpoint.zone.is_empty() { String::new() } else { format!(" zone {}", endpoint.zone) };
-            return write!(f, "{zone}{}", if endpoint.draining { " draining" } else { "" });
+            let zone = if endpoint.zone.is_empty() {
+                String::new()
+            } else {
+                format!(" zone {}", endpoint.zone)
+            };
+            return write!(
+                f,
+                "{zone}{}",
+                if endpoint.draining { " draining" } else { "" }
+            );
         };
         if was.address != endpoint.address {
             write!(f, " address {} -> {}", was.address, endpoint.address)?;
@@ -67,12 +79,21 @@
 /// What leads from one list to another. What takes an endpoint out of use comes first: it is the part that hurries.
 pub fn diff(old: &Roster, new: &Roster) -> Vec<Change> {
     let mut changes = Vec::new();
-    let names: BTreeSet<&String> = old.destinations.keys().chain(new.destinations.keys()).collect();
+    let names: BTreeSet<&String> = old
+        .destinations
+        .keys()
+        .chain(new.destinations.keys())
+        .collect();
     let none = Destination::default();
     for name in names {
         let (was, is) = (old.destinations.get(name), new.destinations.get(name));
         if was != is {
-            between(name, was.unwrap_or(&none), is.unwrap_or(&none), &mut changes);
+            between(
+                name,
+                was.unwrap_or(&none),
+                is.unwrap_or(&none),
+                &mut changes,
+            );
         }
     }
     changes.sort_by_key(|change| change.step);
@@ -81,7 +102,10 @@
 
 fn between(name: &str, old: &Destination, new: &Destination, changes: &mut Vec<Change>) {
     let by_name = |all: &Destination| -> BTreeMap<String, Endpoint> {
-        all.endpoints.iter().map(|one| (one.name.clone(), one.clone())).collect()
+        all.endpoints
+            .iter()
+            .map(|one| (one.name.clone(), one.clone()))
+            .collect()
     };
     let (mut gone, is) = (by_name(old), by_name(new));
     for endpoint in is.into_values() {
@@ -92,9 +116,19 @@
             Some(was) if was.serves() && !endpoint.serves() => Step::Stopped,
             Some(_) => Step::Changed,
         };
-        changes.push(Change { step, destination: name.to_owned(), endpoint, was });
+        changes.push(Change {
+            step,
+            destination: name.to_owned(),
+            endpoint,
+            was,
+        });
     }
     for endpoint in gone.into_values() {
-        changes.push(Change { step: Step::Removed, destination: name.to_owned(), endpoint, was: None });
+        changes.push(Change {
+            step: Step::Removed,
+            destination: name.to_owned(),
+            endpoint,
+            was: None,
+        });
     }
 }
--- a/crates/endpoint-lists/src/fault.rs
+++ b/crates/endpoint-lists/src/fault.rs
@@ -47,7 +47,14 @@
         what: impl Into<String>,
         help: impl Into<String>,
     ) -> Fault {
-        Fault { code, severity: Severity::Error, what: what.into(), help: help.into(), span, line: 0 }
+        Fault {
+            code,
+            severity: Severity::Error,
+            what: what.into(),
+            help: help.into(),
+            span,
+            line: 0,
+        }
     }
 
     /// The same for one that is taken in spite of it.
@@ -57,7 +64,10 @@
         what: impl Into<String>,
         help: impl Into<String>,
     ) -> Fault {
-        Fault { severity: Severity::Warning, ..Fault::error(code, span, what, help) }
+        Fault {
+            severity: Severity::Warning,
+            ..Fault::error(code, span, what, help)
+        }
     }
 }
 
@@ -77,7 +87,12 @@
     /// Puts faults in order, finds their lines and words them.
     pub fn new(file: &str, text: &[u8], mut faults: Vec<Fault>) -> Report {
         let text = String::from_utf8_lossy(text);
-        faults.sort_by_key(|fault| (fault.severity, fault.span.as_ref().map_or(0, |span| span.start)));
+        faults.sort_by_key(|fault| {
+            (
+                fault.severity,
+                fault.span.as_ref().map_or(0, |span| span.start),
+            )
+        });
         let more = faults.len().saturating_sub(MOST_TOLD);
         faults.truncate(MOST_TOLD);
         let breaks: Vec<usize> = text.match_indices('\n').map(|(at, _)| at).collect();
@@ -86,22 +101,33 @@
                 fault.line = breaks.partition_point(|at| *at < span.start) + 1;
             }
         }
-        let mut shown: String = faults.iter().map(|fault| show(file, &text, &breaks, fault) + "\n").collect();
+        let mut shown: String = faults
+            .iter()
+            .map(|fault| show(file, &text, &breaks, fault) + "\n")
+            .collect();
         if more > 0 {
             shown.push_str(&format!("{file}: and {more} more\n"));
         }
-        Report { file: file.to_owned(), faults, shown: shown.trim_end().to_owned() }
+        Report {
+            file: file.to_owned(),
+            faults,
+            shown: shown.trim_end().to_owned(),
+        }
     }
 
     /// Whether the file is refused.
     pub fn is_refusal(&self) -> bool {
-        self.faults.iter().any(|fault| fault.severity == Severity::Error)
+        self.faults
+            .iter()
+            .any(|fault| fault.severity == Severity::Error)
     }
 
     /// The first error, or else warning, in one line for a log.
     pub fn first(&self) -> String {
         let told = self.faults.first();
-        told.map_or_else(String::new, |fault| format!("line {}: {} ({})", fault.line, fault.what, fault.help))
+        told.map_or_else(String::new, |fault| {
+            format!("line {}: {} ({})", fault.line, fault.what, fault.help)
+        })
     }
 }
 
@@ -135,7 +161,12 @@
                 let start = span.start.clamp(from, to) - from;
                 let end = span.end.clamp(span.start, to.max(span.start)).min(to) - from;
                 let mark = AnnotationKind::Primary.span(start..end.max(start));
-                group.element(Snippet::source(lines.to_owned()).line_start(first).path(file).annotation(mark))
+                group.element(
+                    Snippet::source(lines.to_owned())
+                        .line_start(first)
+                        .path(file)
+                        .annotation(mark),
+                )
             }
         }
         _ => group.element(Level::NOTE.message(format!("in {file}"))),
--- a/crates/endpoint-lists/src/form.rs
+++ b/crates/endpoint-lists/src/form.rs
@@ -143,12 +143,22 @@
         let text = std::str::from_utf8(bytes).map_err(|error| {
             let at = error.valid_up_to();
             let help = "write the file as UTF-8 text";
-            vec![Fault::error("not-utf8", Some(at..at), "the file is not UTF-8", help)]
+            vec![Fault::error(
+                "not-utf8",
+                Some(at..at),
+                "the file is not UTF-8",
+                help,
+            )]
         })?;
-        let raw: RawFile = toml::from_str(text).map_err(|error| vec![syntax(&error, text.len())])?;
+        let raw: RawFile =
+            toml::from_str(text).map_err(|error| vec![syntax(&error, text.len())])?;
         let mut wrong = Vec::new();
         let revision = whole(text, &raw, &mut wrong);
-        let mut read = Read { roster: Roster::default(), places: Places::default(), warnings: Vec::new() };
+        let mut read = Read {
+            roster: Roster::default(),
+            places: Places::default(),
+            warnings: Vec::new(),
+        };
         read.roster.revision = revision;
         if let Some(revision) = &raw.revision {
             read.places.revision = revision.span();
@@ -156,20 +166,32 @@
         if let Some(loss) = raw.allow_loss {
             let (at, loss) = (loss.span(), loss.into_inner());
             if loss.revision == revision {
-                let RawLoss { destinations, endpoints, .. } = loss;
-                read.roster.allow_loss = Some(AllowLoss { destinations, endpoints });
+                let RawLoss {
+                    destinations,
+                    endpoints,
+                    ..
+                } = loss;
+                read.roster.allow_loss = Some(AllowLoss {
+                    destinations,
+                    endpoints,
+                });
             } else {
-                let what =
-                    format!("allow_loss was meant for revision {} and counts for nothing", loss.revision);
+                let what = format!(
+                    "allow_loss was meant for revision {} and counts for nothing",
+                    loss.revision
+                );
                 let help = "take it out, or give it this file's revision if the loss is meant";
-                read.warnings.push(Fault::warning("old-allowance", Some(at), what, help));
+                read.warnings
+                    .push(Fault::warning("old-allowance", Some(at), what, help));
             }
         }
         for (name, destination) in raw.destination {
             let at = destination.span();
             let known = endpoints(&name, &at, destination.into_inner(), &mut wrong);
             read.places.destinations.insert(name.clone(), at);
-            read.roster.destinations.insert(name, Destination { endpoints: known });
+            read.roster
+                .destinations
+                .insert(name, Destination { endpoints: known });
         }
         if wrong.is_empty() {
             Ok(read)
@@ -199,7 +221,11 @@
                 if !endpoint.zone.is_empty() {
                     let _ = write!(text, ", zone = {}", quoted(&endpoint.zone));
                 }
-                text.push_str(if endpoint.draining { ", draining = true },\n" } else { " },\n" });
+                text.push_str(if endpoint.draining {
+                    ", draining = true },\n"
+                } else {
+                    " },\n"
+                });
             }
             text.push_str("]\n");
         }
@@ -225,7 +251,11 @@
 /// What the TOML reader says, with what to do.
 fn syntax(error: &toml::de::Error, len: usize) -> Fault {
     let what = error.message().trim().to_owned();
-    let code = if what.starts_with("unknown field") { "unknown-field" } else { "not-readable" };
+    let code = if what.starts_with("unknown field") {
+        "unknown-field"
+    } else {
+        "not-readable"
+    };
     let help = match code {
         "unknown-field" => "mend its spelling or take it out",
         _ => "mend the line; `marblefall roster check FILE` says when the file is good",
@@ -238,14 +268,25 @@
     let end = text.len()..text.len();
     let Some(revision) = &raw.revision else {
         let help = "begin the file with a line such as `revision = 8`";
-        wrong.push(Fault::error("no-revision", Some(0..0), "the file names no revision", help));
+        wrong.push(Fault::error(
+            "no-revision",
+            Some(0..0),
+            "the file names no revision",
+            help,
+        ));
         return 0;
     };
     let number = *revision.get_ref();
-    let help =
-        format!("end the file with the lines `[end]` and `revision = {number}`, and nothing after them");
+    let help = format!(
+        "end the file with the lines `[end]` and `revision = {number}`, and nothing after them"
+    );
     let Some(closing) = &raw.end else {
-        wrong.push(Fault::error("cut-off", Some(end), "the file has no [end] table: it is not whole", help));
+        wrong.push(Fault::error(
+            "cut-off",
+            Some(end),
+            "the file has no [end] table: it is not whole",
+            help,
+        ));
         return number;
     };
     let closing = &closing.revision;
@@ -262,11 +303,21 @@
         "\n" | "\r\n" => {}
         "" | "\r" => {
             let what = "the last line has no line break: the file is not whole";
-            wrong.push(Fault::error("cut-off", Some(end), what, "end the last line"));
+            wrong.push(Fault::error(
+                "cut-off",
+                Some(end),
+                what,
+                "end the last line",
+            ));
         }
         _ => {
             let at = closing.span().end..text.len();
-            wrong.push(Fault::error("not-last", Some(at), "something follows the end's revision", help));
+            wrong.push(Fault::error(
+                "not-last",
+                Some(at),
+                "something follows the end's revision",
+                help,
+            ));
         }
     }
     number
@@ -283,10 +334,13 @@
     for one in raw.endpoints {
         let (name_at, address_at) = (one.name.span(), one.address.span());
         let name = one.name.into_inner();
-        let readable = name.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'/');
+        let readable = name
+            .bytes()
+            .all(|byte| byte.is_ascii_graphic() && byte != b'/');
         if name.is_empty() || name.len() > LONGEST_NAME || !readable {
             let what = format!("{name:?} is no name for an endpoint");
-            let help = format!("use 1 to {LONGEST_NAME} letters, digits and signs, without spaces and /");
+            let help =
+                format!("use 1 to {LONGEST_NAME} letters, digits and signs, without spaces and /");
             wrong.push(Fault::error("bad-name", Some(name_at.clone()), what, help));
         }
         if !names.insert(name.clone()) {
@@ -294,7 +348,10 @@
             let help = "give each endpoint of a destination a name of its own";
             wrong.push(Fault::error("same-name", Some(name_at), what, help));
         }
-        let weight_at = one.weight.as_ref().map_or(address_at.clone(), Spanned::span);
+        let weight_at = one
+            .weight
+            .as_ref()
+            .map_or(address_at.clone(), Spanned::span);
         let weight = one.weight.map_or(1.0, Spanned::into_inner);
         if !(0.0..=MOST_WEIGHT).contains(&weight) {
             let what = format!("{weight} is no weight");
@@ -315,7 +372,13 @@
         }
         let (zone, draining) = (one.zone, one.draining);
         // Zero is zero, whatever its sign.
-        known.push(Endpoint { name, address, weight: weight + 0.0, zone, draining });
+        known.push(Endpoint {
+            name,
+            address,
+            weight: weight + 0.0,
+            zone,
+            draining,
+        });
     }
     if known.is_empty() && wrong.is_empty() {
         let what = format!("{destination} has no endpoint");
@@ -323,8 +386,10 @@
         wrong.push(Fault::error("no-endpoint", Some(at.clone()), what, help));
     }
     if !known.is_empty() && known.iter().all(|one| one.weight == 0.0) {
-        let what = format!("every endpoint of {destination} has weight 0: nothing could be sent there");
-        let help = "give one a weight above 0; to stop a partner, drain its endpoints and allow the loss";
+        let what =
+            format!("every endpoint of {destination} has weight 0: nothing could be sent there");
+        let help =
+            "give one a weight above 0; to stop a partner, drain its endpoints and allow the loss";
         wrong.push(Fault::error("all-zero", Some(at.clone()), what, help));
     }
     known
@@ -333,7 +398,10 @@
 /// The address that a text names, if a connection could ever come up there.
 fn dialled(text: &str) -> Result<SocketAddr, (String, &'static str)> {
     let address: SocketAddr = text.parse().map_err(|_| {
-        (format!("{text:?} is no address"), "write IP:PORT, such as 10.0.0.7:8080; names are not looked up")
+        (
+            format!("{text:?} is no address"),
+            "write IP:PORT, such as 10.0.0.7:8080; names are not looked up",
+        )
     })?;
     let broadcast = matches!(address.ip(), IpAddr::V4(ip) if ip.is_broadcast());
     if address.port() == 0 {
@@ -343,7 +411,10 @@
         ));
     }
     if address.ip().is_unspecified() || address.ip().is_multicast() || broadcast {
-        return Err((format!("{text} is no single host's address"), "write the address of the host itself"));
+        return Err((
+            format!("{text} is no single host's address"),
+            "write the address of the host itself",
+        ));
     }
     Ok(address)
 }
--- a/crates/endpoint-lists/src/keep.rs
+++ b/crates/endpoint-lists/src/keep.rs
@@ -32,13 +32,18 @@
     /// a loss of power leaves is sure after [`Keep::settle`]: a disk may take its time for that, and traffic must not.
     pub fn write(&self, file: &str, bytes: &[u8]) -> Result<(), KeepError> {
         let path = self.0.join(format!("{file}.{GOOD}"));
-        let written = Real.make_folder(&self.0).and_then(|()| replace(&Real, &path, bytes, Outlasts::Whole));
+        let written = Real
+            .make_folder(&self.0)
+            .and_then(|()| replace(&Real, &path, bytes, Outlasts::Whole));
         written.map_err(|cause| KeepError { path, cause })
     }
 
     /// Returns once what was put in place or forgotten stays so through a loss of power.
     pub fn settle(&self) -> Result<(), KeepError> {
-        Real.sync_names(&self.0).map_err(|cause| KeepError { path: self.0.clone(), cause })
+        Real.sync_names(&self.0).map_err(|cause| KeepError {
+            path: self.0.clone(),
+            cause,
+        })
     }
 
     /// Forgets the list of a file.
@@ -63,7 +68,10 @@
         let mut kept = Vec::new();
         for entry in entries {
             let path = entry.map_err(fault(&self.0))?.path();
-            let name = path.file_name().and_then(|name| name.to_str()).unwrap_or_default();
+            let name = path
+                .file_name()
+                .and_then(|name| name.to_str())
+                .unwrap_or_default();
             if let Some(file) = name.strip_suffix(&format!(".{GOOD}")) {
                 kept.push((file.to_owned(), fs::read(&path).map_err(fault(&path))?));
             }
--- a/crates/endpoint-lists/tests/rosters.rs
+++ b/crates/endpoint-lists/tests/rosters.rs
@@ -10,7 +10,10 @@
 
 /// Runs a property over what a fixed seed brings.
 fn holds<T: Arbitrary + Debug>(seed: u64, times: u64, property: fn(T) -> bool) {
-    QuickCheck::new().rng(Gen::from_size_and_seed(60, seed)).tests(times).quickcheck(property);
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, seed))
+        .tests(times)
+        .quickcheck(property);
 }
 
 /// A roster that is sound in itself.
@@ -19,7 +22,10 @@
 
 impl Arbitrary for Sound {
     fn arbitrary(gen: &mut Gen) -> Sound {
-        let mut roster = Roster { revision: u64::arbitrary(gen) % 100_000, ..Roster::default() };
+        let mut roster = Roster {
+            revision: u64::arbitrary(gen) % 100_000,
+            ..Roster::default()
+        };
         for _ in 0..1 + usize::arbitrary(gen) % 4 {
             // Names with quotes, dots, line breaks and signs of other scripts.
             let name = String::arbitrary(gen);
@@ -38,7 +44,8 @@
                 draining: bool::arbitrary(gen),
             };
             let most = 1 + usize::arbitrary(gen) % 4;
-            let mut endpoints: Vec<Endpoint> = (0..most).map(|number| endpoint(number, gen)).collect();
+            let mut endpoints: Vec<Endpoint> =
+                (0..most).map(|number| endpoint(number, gen)).collect();
             endpoints[0].weight += 0.5;
             endpoints[0].weight = endpoints[0].weight.min(1000.0);
             roster.destinations.insert(name, Destination { endpoints });
@@ -50,12 +57,16 @@
 const MOST: usize = 1 << 20;
 
 fn read(text: &str) -> Roster {
-    Roster::read(text.as_bytes(), MOST).unwrap_or_else(|faults| panic!("{faults:?}\n{text}")).roster
+    Roster::read(text.as_bytes(), MOST)
+        .unwrap_or_else(|faults| panic!("{faults:?}\n{text}"))
+        .roster
 }
 
 #[test]
 fn what_is_printed_reads_as_the_same() {
-    holds(1, 300, |Sound(roster): Sound| read(&roster.print()) == roster);
+    holds(1, 300, |Sound(roster): Sound| {
+        read(&roster.print()) == roster
+    });
 }
 
 #[test]
@@ -97,7 +108,8 @@
         text.splice(at..end, bytes.iter().copied());
         // What was spoilt may still be a roster, say in a comment; it is then one through and through.
         let report = Book::new(Terms::default()).weigh("a", &text).err();
-        Roster::read(&bytes, MOST).is_err() && report.is_none_or(|report| !report.to_string().is_empty())
+        Roster::read(&bytes, MOST).is_err()
+            && report.is_none_or(|report| !report.to_string().is_empty())
     });
 }
 
@@ -117,10 +129,20 @@
 "#;
 
 fn terms() -> Terms {
-    let partners =
-        [("bole", Standing::Rostered), ("kazanchis", Standing::Rostered), ("own", Standing::Fixed)];
-    let partners = partners.into_iter().map(|(name, standing)| (name.to_owned(), standing)).collect();
-    Terms { partners: Some(partners), most_bytes: 64 * 1024, ..Terms::default() }
+    let partners = [
+        ("bole", Standing::Rostered),
+        ("kazanchis", Standing::Rostered),
+        ("own", Standing::Fixed),
+    ];
+    let partners = partners
+        .into_iter()
+        .map(|(name, standing)| (name.to_owned(), standing))
+        .collect();
+    Terms {
+        partners: Some(partners),
+        most_bytes: 64 * 1024,
+        ..Terms::default()
+    }
 }
 
 fn book() -> Book {
@@ -139,11 +161,22 @@
 
 #[test]
 fn each_fault_is_told_with_its_line_and_what_to_do() {
-    let line_of = |text: &str, part: &str| text[..text.find(part).unwrap()].matches('\n').count() + 1;
+    let line_of =
+        |text: &str, part: &str| text[..text.find(part).unwrap()].matches('\n').count() + 1;
     for (code, from, to, place) in [
         ("unknown-field", "weight = 3", "wieght = 3", "wieght"),
-        ("unknown-partner", "[destination.kazanchis]", "[destination.kazanchi]", "[destination.kazanchi]"),
-        ("fixed-partner", "[destination.kazanchis]", "[destination.own]", "[destination.own]"),
+        (
+            "unknown-partner",
+            "[destination.kazanchis]",
+            "[destination.kazanchi]",
+            "[destination.kazanchi]",
+        ),
+        (
+            "fixed-partner",
+            "[destination.kazanchis]",
+            "[destination.own]",
+            "[destination.own]",
+        ),
         ("same-name", "\"bole-2\"", "\"bole-1\"", "127.0.0.1:9102"),
         ("same-address", "127.0.0.1:9102", "127.0.0.1:9101", "bole-2"),
         ("bad-name", "\"bole-2\"", "\"bole/2\"", "bole/2"),
@@ -154,9 +187,19 @@
         ("bad-address", "127.0.0.1:9102", "0.0.0.0:80", "bole-2"),
         ("bad-address", "127.0.0.1:9102", "bole:80", "bole-2"),
         ("bad-address", "127.0.0.1:9102", "224.0.0.1:80", "bole-2"),
-        ("torn", "[end]\nrevision = 8", "[end]\nrevision = 7", "revision = 7"),
+        (
+            "torn",
+            "[end]\nrevision = 8",
+            "[end]\nrevision = 7",
+            "revision = 7",
+        ),
         ("cut-off", "[end]\nrevision = 8\n", "", ""),
-        ("not-last", "[end]\nrevision = 8\n", "[end]\nrevision = 8\n\n", ""),
+        (
+            "not-last",
+            "[end]\nrevision = 8\n",
+            "[end]\nrevision = 8\n\n",
+            "",
+        ),
         ("no-revision", "revision = 8\n\n", "\n\n", ""),
         ("not-readable", "weight = 3", "weight = ", "weight"),
     ] {
@@ -165,19 +208,33 @@
         let report = refused(&book(), text.as_bytes());
         let found = report.faults.iter().find(|fault| fault.code == code);
         let first = found.unwrap_or_else(|| panic!("{code}: {report}"));
-        assert!(!first.help.is_empty() && report.to_string().contains(&first.help), "{report}");
+        assert!(
+            !first.help.is_empty() && report.to_string().contains(&first.help),
+            "{report}"
+        );
         if !place.is_empty() {
             assert_eq!(first.line, line_of(&text, place), "{report}");
             assert!(report.to_string().contains("roster.toml"), "{report}");
         }
     }
     let none = GOOD.replace("endpoints = [{", "was = [{");
-    assert_eq!(refused(&book(), none.as_bytes()).faults[0].code, "unknown-field");
+    assert_eq!(
+        refused(&book(), none.as_bytes()).faults[0].code,
+        "unknown-field"
+    );
     let none = "revision = 9\n[destination.bole]\nendpoints = []\n[end]\nrevision = 9\n";
-    assert_eq!(refused(&book(), none.as_bytes()).faults[0].code, "no-endpoint");
-    let zero = GOOD.replace("weight = 3", "weight = 0").replace("9102\"", "9102\", weight = 0");
+    assert_eq!(
+        refused(&book(), none.as_bytes()).faults[0].code,
+        "no-endpoint"
+    );
+    let zero = GOOD
+        .replace("weight = 3", "weight = 0")
+        .replace("9102\"", "9102\", weight = 0");
     assert_eq!(refused(&book(), zero.as_bytes()).faults[0].code, "all-zero");
-    assert_eq!(refused(&book(), b"revision = 9 # \xff\xfe").faults[0].code, "not-utf8");
+    assert_eq!(
+        refused(&book(), b"revision = 9 # \xff\xfe").faults[0].code,
+        "not-utf8"
+    );
     let huge = [GOOD.as_bytes(), &vec![b'#'; 70_000]].concat();
     assert_eq!(refused(&book(), &huge).faults[0].code, "too-large");
 }
@@ -185,13 +242,29 @@
 #[test]
 fn a_revision_must_rise_unless_nothing_changes() {
     let book = book();
-    assert!(book.weigh("roster.toml", GOOD.as_bytes()).unwrap().changes.is_empty());
+    assert!(book
+        .weigh("roster.toml", GOOD.as_bytes())
+        .unwrap()
+        .changes
+        .is_empty());
     let same = GOOD.replace("weight = 3", "weight = 4");
-    assert_eq!(refused(&book, same.as_bytes()).faults[0].code, "old-revision");
+    assert_eq!(
+        refused(&book, same.as_bytes()).faults[0].code,
+        "old-revision"
+    );
     let lower = same.replace("revision = 8", "revision = 7");
-    assert_eq!(refused(&book, lower.as_bytes()).faults[0].code, "old-revision");
+    assert_eq!(
+        refused(&book, lower.as_bytes()).faults[0].code,
+        "old-revision"
+    );
     let higher = same.replace("revision = 8", "revision = 9");
-    assert_eq!(book.weigh("roster.toml", higher.as_bytes()).unwrap().changes.len(), 1);
+    assert_eq!(
+        book.weigh("roster.toml", higher.as_bytes())
+            .unwrap()
+            .changes
+            .len(),
+        1
+    );
 }
 
 #[test]
@@ -226,12 +299,22 @@
             true,
         ),
     ] {
-        let text = GOOD.replace(from, to).replace("revision = 8", "revision = 9");
-        assert_eq!(book.weigh("roster.toml", text.as_bytes()).is_ok(), passes, "{to}");
+        let text = GOOD
+            .replace(from, to)
+            .replace("revision = 8", "revision = 9");
+        assert_eq!(
+            book.weigh("roster.toml", text.as_bytes()).is_ok(),
+            passes,
+            "{to}"
+        );
     }
     // All of a partner, and with it most endpoints.
     let few = "revision = 9\n[destination.kazanchis]\nendpoints = [{ name = \"k-2\", address = \"[::1]:9104\" }]\n[end]\nrevision = 9\n";
-    let codes: Vec<_> = refused(&book, few.as_bytes()).faults.iter().map(|fault| fault.code).collect();
+    let codes: Vec<_> = refused(&book, few.as_bytes())
+        .faults
+        .iter()
+        .map(|fault| fault.code)
+        .collect();
     assert_eq!(codes, ["large-loss", "large-loss"]);
 }
 
@@ -245,7 +328,9 @@
     let bole = GOOD.find("[destination.bole]").unwrap()..GOOD.find("[destination.kaz").unwrap();
     let allowed =
         "revision = 9\nallow_loss = { revision = 9, destinations = [\"bole\"], endpoints = true }\n";
-    let mut rest = GOOD.replacen("revision = 8\n", allowed, 1).replace("revision = 8", "revision = 9");
+    let mut rest = GOOD
+        .replacen("revision = 8\n", allowed, 1)
+        .replace("revision = 8", "revision = 9");
     rest = rest.replace(&GOOD[bole], "");
     book.take(book.weigh("roster.toml", rest.as_bytes()).unwrap());
     assert_eq!(book.unlisted(), ["bole"]);
@@ -274,7 +359,9 @@
         let by_name = |roster: &Roster| -> BTreeMap<(String, String), Endpoint> {
             let all = roster.destinations.iter();
             all.flat_map(|(name, to)| {
-                to.endpoints.iter().map(|e| ((name.clone(), e.name.clone()), e.clone()))
+                to.endpoints
+                    .iter()
+                    .map(|e| ((name.clone(), e.name.clone()), e.clone()))
             })
             .collect()
         };
@@ -303,13 +390,19 @@
     let kept = keep.read().unwrap();
     assert_eq!(kept, [("roster.toml".to_owned(), GOOD.as_bytes().to_vec())]);
     // A death between the write and the take-up: the next life begins with what was written.
-    let next = GOOD.replace("weight = 3", "weight = 4").replace("revision = 8", "revision = 9");
+    let next = GOOD
+        .replace("weight = 3", "weight = 4")
+        .replace("revision = 8", "revision = 9");
     keep.write("roster.toml", next.as_bytes()).unwrap();
     let mut book = Book::new(terms());
     for (file, bytes) in keep.read().unwrap() {
         book.restore(&file, &bytes).unwrap();
     }
     assert_eq!(book.rosters()["roster.toml"].revision, 9);
-    assert!(book.weigh("roster.toml", next.as_bytes()).unwrap().changes.is_empty());
+    assert!(book
+        .weigh("roster.toml", next.as_bytes())
+        .unwrap()
+        .changes
+        .is_empty());
     std::fs::remove_dir_all(&folder).unwrap();
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -175,7 +175,13 @@
         let (caps, rules) = (&boot.caps, &boot.rules);
         p::Settings {
             classes: boot.classes.iter().map(class).collect(),
-            tenants: boot.customers.iter().map(|t| p::Tenant { quota_per_s: t.quota_per_s }).collect(),
+            tenants: boot
+                .customers
+                .iter()
+                .map(|t| p::Tenant {
+                    quota_per_s: t.quota_per_s,
+                })
+                .collect(),
             over_quota_weight: boot.over_share_worth,
             kinds: (0..boot.host_types.len()).map(kind).collect(),
             zone_fees: domain.toll.clone(),
--- a/crates/simulation/benches/speed.rs
+++ b/crates/simulation/benches/speed.rs
@@ -30,8 +30,12 @@
     let scenario = Scenario::parse(CALM, &[], 1).expect("it is sound");
     let messages = play(&scenario, 1, &in_service, &mut |_, _| {}).messages;
     let mut group = bench.benchmark_group("a hundred partners, 5,000 messages a second");
-    group.throughput(Throughput::Elements(messages)).sample_size(10);
-    group.bench_function("played", |bench| bench.iter(|| play(&scenario, 1, &in_service, &mut |_, _| {})));
+    group
+        .throughput(Throughput::Elements(messages))
+        .sample_size(10);
+    group.bench_function("played", |bench| {
+        bench.iter(|| play(&scenario, 1, &in_service, &mut |_, _| {}))
+    });
     group.bench_function("played, counted and judged", |bench| {
         bench.iter(|| {
             let (mut watch, mut tally) = (Watch::new(&scenario), Tally::new(&scenario));
--- a/crates/simulation/src/bodies.rs
+++ b/crates/simulation/src/bodies.rs
@@ -11,7 +11,10 @@
     };
     if let Ok(scenario) = Scenario::parse(text, &[], 1) {
         let again = Scenario::parse(text, &[], 1);
-        assert_eq!(again.ok().as_ref().map(|again| format!("{again:?}")), Some(format!("{scenario:?}")));
+        assert_eq!(
+            again.ok().as_ref().map(|again| format!("{again:?}")),
+            Some(format!("{scenario:?}"))
+        );
     }
 }
 
--- a/crates/simulation/src/capacity.rs
+++ b/crates/simulation/src/capacity.rs
@@ -48,11 +48,20 @@
     for (tally, seconds) in runs? {
         for class in tally.classes.iter().filter(|class| class.offered > 0) {
             let sum = sums.entry(class.class.clone()).or_default();
-            *sum = (sum.0 + class.delivered, sum.1 + class.offered, sum.2 + seconds);
+            *sum = (
+                sum.0 + class.delivered,
+                sum.1 + class.offered,
+                sum.2 + seconds,
+            );
         }
     }
-    let part = |(delivered, offered, seconds)| (delivered as f64 / offered as f64, offered as f64 / seconds);
-    Ok(sums.into_iter().map(|(class, sum)| (class, part(sum))).collect())
+    let part = |(delivered, offered, seconds)| {
+        (delivered as f64 / offered as f64, offered as f64 / seconds)
+    };
+    Ok(sums
+        .into_iter()
+        .map(|(class, sum)| (class, part(sum)))
+        .collect())
 }
 
 /// For each class what it bears, and how many messages a second of it that is.
@@ -71,7 +80,11 @@
     };
     let mut found = BTreeMap::new();
     let (least, most) = (at(search.least)?, at(search.most)?);
-    let keeps = |parts: &Parts, class: &str| parts.get(class).is_none_or(|(part, _)| *part >= search.part);
+    let keeps = |parts: &Parts, class: &str| {
+        parts
+            .get(class)
+            .is_none_or(|(part, _)| *part >= search.part)
+    };
     for (class, (_, rate)) in &least {
         if !keeps(&least, class) {
             found.insert(class.clone(), (Bears::Less, *rate));
--- a/crates/simulation/src/chart.rs
+++ b/crates/simulation/src/chart.rs
@@ -25,7 +25,11 @@
 pub fn stroke(number: usize) -> (String, String) {
     let RGBColor(red, green, blue) = COLOURS[number % COLOURS.len()];
     let (dash, gap) = DASHES[number % DASHES.len()];
-    let dashes = if dash == 0 { "none".to_owned() } else { format!("{dash} {gap}") };
+    let dashes = if dash == 0 {
+        "none".to_owned()
+    } else {
+        format!("{dash} {gap}")
+    };
     (format!("rgb({red},{green},{blue})"), dashes)
 }
 
@@ -47,7 +51,12 @@
 ///
 /// # Errors
 /// Of the drawing.
-pub fn lines(labels: (&str, &str), size: (u32, u32), bands: &[(f64, f64)], all: &[Line]) -> Done<String> {
+pub fn lines(
+    labels: (&str, &str),
+    size: (u32, u32),
+    bands: &[(f64, f64)],
+    all: &[Line],
+) -> Done<String> {
     let points = || all.iter().flat_map(|line| &line.points);
     let most_x = points().map(|point| point.0).fold(1e-9, f64::max);
     let most_y = points().map(|point| point.1).fold(1e-9, f64::max) * 1.08;
@@ -69,10 +78,15 @@
             .label_style(("sans-serif", 12))
             .draw()?;
         chart.draw_series(
-            bands.iter().map(|(from, to)| Rectangle::new([(*from, 0.0), (*to, most_y)], BAND.filled())),
+            bands
+                .iter()
+                .map(|(from, to)| Rectangle::new([(*from, 0.0), (*to, most_y)], BAND.filled())),
         )?;
         for (number, line) in all.iter().enumerate() {
-            let (colour, (dash, gap)) = (COLOURS[number % COLOURS.len()], DASHES[number % DASHES.len()]);
+            let (colour, (dash, gap)) = (
+                COLOURS[number % COLOURS.len()],
+                DASHES[number % DASHES.len()],
+            );
             let style = colour.stroke_width(2);
             let points = line.points.iter().copied();
             if dash == 0 {
@@ -102,7 +116,9 @@
 pub fn dots(label: &str, names: &[String], all: &[Dots]) -> Done<String> {
     let values = || all.iter().flat_map(|one| &one.rows).flatten();
     let least = values().map(|value| value.1).fold(f64::INFINITY, f64::min);
-    let most = values().map(|value| value.2).fold(f64::NEG_INFINITY, f64::max);
+    let most = values()
+        .map(|value| value.2)
+        .fold(f64::NEG_INFINITY, f64::max);
     let room = (most - least).max(0.01) * 0.05;
     let rows = names.len() as f64;
     let mut text = String::new();
@@ -117,7 +133,10 @@
         let name = |at: &f64| {
             let place = at.round();
             let whole = (at - place).abs() < 1e-6 && place >= 0.0;
-            whole.then(|| names.get((rows - 1.0 - place) as usize).cloned()).flatten().unwrap_or_default()
+            whole
+                .then(|| names.get((rows - 1.0 - place) as usize).cloned())
+                .flatten()
+                .unwrap_or_default()
         };
         chart
             .configure_mesh()
@@ -132,7 +151,12 @@
             let colour = COLOURS[number % COLOURS.len()];
             let shift = 0.16 * (number as f64 - (all.len() as f64 - 1.0) / 2.0);
             let at = |row: usize| rows - 1.0 - row as f64 - shift;
-            let found = || one.rows.iter().enumerate().filter_map(|(row, value)| Some((row, (*value)?)));
+            let found = || {
+                one.rows
+                    .iter()
+                    .enumerate()
+                    .filter_map(|(row, value)| Some((row, (*value)?)))
+            };
             chart.draw_series(found().map(|(row, (_, low, high))| {
                 PathElement::new([(low, at(row)), (high, at(row))], colour.stroke_width(2))
             }))?;
@@ -144,11 +168,13 @@
                     chart.draw_series(marks)?;
                 }
                 1 => {
-                    let marks = found().map(|one| TriangleMarker::new(place(one), 5, colour.filled()));
+                    let marks =
+                        found().map(|one| TriangleMarker::new(place(one), 5, colour.filled()));
                     chart.draw_series(marks)?;
                 }
                 _ => {
-                    let marks = found().map(|one| Cross::new(place(one), 4, colour.stroke_width(2)));
+                    let marks =
+                        found().map(|one| Cross::new(place(one), 4, colour.stroke_width(2)));
                     chart.draw_series(marks)?;
                 }
             }
--- a/crates/simulation/src/check.rs
+++ b/crates/simulation/src/check.rs
@@ -55,7 +55,13 @@
 
 impl fmt::Display for Breach {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:.6} s: {}: {}", self.at.ms() / 1000.0, self.rule, self.what)?;
+        write!(
+            f,
+            "{:.6} s: {}: {}",
+            self.at.ms() / 1000.0,
+            self.rule,
+            self.what
+        )?;
         for (at, seen) in &self.trace {
             write!(f, "\n    {:.6} s: {seen:?}", at.ms() / 1000.0)?;
         }
@@ -114,9 +120,15 @@
     fn breach(&mut self, rule: Rule, at: Time, message: Option<u64>, what: String) {
         self.count += 1;
         if self.broken.len() < KEPT {
-            let trace =
-                message.and_then(|id| self.open.get(&id)).map_or_else(Vec::new, |open| open.trace.clone());
-            self.broken.push(Breach { rule, at, what, trace });
+            let trace = message
+                .and_then(|id| self.open.get(&id))
+                .map_or_else(Vec::new, |open| open.trace.clone());
+            self.broken.push(Breach {
+                rule,
+                at,
+                what,
+                trace,
+            });
         }
     }
 
@@ -128,21 +140,48 @@
             }
         }
         match *seen {
-            Seen::TakenOn { message, courier, class, expires, .. } => {
+            Seen::TakenOn {
+                message,
+                courier,
+                class,
+                expires,
+                ..
+            } => {
                 let trace = vec![(at, *seen)];
-                let open = Open { courier, class, expires, out: None, ran: None, ended: false, trace };
+                let open = Open {
+                    courier,
+                    class,
+                    expires,
+                    out: None,
+                    ran: None,
+                    ended: false,
+                    trace,
+                };
                 self.open.insert(message, open);
             }
             Seen::Ended { message, end } => self.ended(at, message, end),
-            Seen::Sent { message, courier, endpoint } => self.sent(at, message, courier, endpoint),
+            Seen::Sent {
+                message,
+                courier,
+                endpoint,
+            } => self.sent(at, message, courier, endpoint),
             Seen::Came { message, endpoint } => {
-                if let Some(since) = self.away.get(&endpoint).filter(|since| at - **since > GRACE) {
+                if let Some(since) = self
+                    .away
+                    .get(&endpoint)
+                    .filter(|since| at - **since > GRACE)
+                {
                     let late = (at - *since).ms();
                     let what = format!("message {message} came to endpoint {endpoint} {late:.0} ms after the list took it away");
                     self.breach(Rule::Drains, at, Some(message), what);
                 }
             }
-            Seen::Closed { message, courier, endpoint, outcome } => {
+            Seen::Closed {
+                message,
+                courier,
+                endpoint,
+                outcome,
+            } => {
                 self.closed(at, message, courier, endpoint, outcome);
             }
             Seen::Listed { endpoint, listing } => {
@@ -158,12 +197,17 @@
             }
             Seen::Died { courier } => {
                 // Its legs are over for it, and may have run; a told wait ends with the process.
-                for open in self.open.values_mut().filter(|open| open.courier == courier) {
+                for open in self
+                    .open
+                    .values_mut()
+                    .filter(|open| open.courier == courier)
+                {
                     if let Some((_, sent)) = open.out.take() {
                         open.ran.get_or_insert(sent);
                     }
                 }
-                self.open.retain(|_, open| open.courier != courier || !open.ended);
+                self.open
+                    .retain(|_, open| open.courier != courier || !open.ended);
                 self.waits.retain(|(told, _), _| *told != courier);
             }
             Seen::Began { .. } => {}
@@ -176,17 +220,24 @@
                 open.ended = true;
                 let late = at - open.expires;
                 if late > SLACK && end == End::Delivered {
-                    let what =
-                        format!("message {message} was delivered {:.0} ms after its deadline", late.ms());
+                    let what = format!(
+                        "message {message} was delivered {:.0} ms after its deadline",
+                        late.ms()
+                    );
                     self.breach(Rule::NothingLost, at, Some(message), what);
                 }
                 // Kept while a leg is out, whose end still counts; a second end shows as one of what is unknown.
-                if self.open.get(&message).is_some_and(|open| open.out.is_none()) {
+                if self
+                    .open
+                    .get(&message)
+                    .is_some_and(|open| open.out.is_none())
+                {
                     self.open.remove(&message);
                 }
             }
             _ => {
-                let what = format!("message {message} ended once more, or was never taken on: {end:?}");
+                let what =
+                    format!("message {message} ended once more, or was never taken on: {end:?}");
                 self.breach(Rule::OneEnd, at, Some(message), what);
             }
         }
@@ -194,10 +245,15 @@
 
     fn sent(&mut self, at: Time, message: u64, courier: usize, endpoint: u32) {
         let partner = self.places[endpoint as usize].0;
-        if let Some(until) = self.waits.get(&(courier, partner)).filter(|until| at < **until) {
+        if let Some(until) = self
+            .waits
+            .get(&(courier, partner))
+            .filter(|until| at < **until)
+        {
             let early = (*until - at).ms();
-            let what =
-                format!("message {message} went out {early:.3} ms before the wait was over that was told");
+            let what = format!(
+                "message {message} went out {early:.3} ms before the wait was over that was told"
+            );
             self.breach(Rule::ToldWaits, at, Some(message), what);
         }
         let Some(open) = self.open.get_mut(&message) else {
@@ -213,7 +269,9 @@
         }
         let repeat = open.ran.map(|ran| at - ran);
         let why = match (self.scenario.classes[open.class].class.idempotency, repeat) {
-            (Idempotency::NonIdempotent, Some(_)) => "is of a class that is never repeated".to_owned(),
+            (Idempotency::NonIdempotent, Some(_)) => {
+                "is of a class that is never repeated".to_owned()
+            }
             (Idempotency::IdempotencyKey { window, .. }, Some(age)) if age >= window => {
                 format!(
                     "first went out {:.1} s ago, and its key is known for {:.1} s",
@@ -232,8 +290,14 @@
     }
 
     fn closed(&mut self, at: Time, message: u64, courier: usize, endpoint: u32, outcome: Outcome) {
-        if let Outcome::Rejected { retry_after: Some(wait) } = outcome {
-            let until = self.waits.entry((courier, self.places[endpoint as usize].0)).or_insert(at);
+        if let Outcome::Rejected {
+            retry_after: Some(wait),
+        } = outcome
+        {
+            let until = self
+                .waits
+                .entry((courier, self.places[endpoint as usize].0))
+                .or_insert(at);
             *until = (*until).max(at + wait);
         }
         let Some(open) = self.open.get_mut(&message) else {
@@ -259,9 +323,17 @@
             .collect();
         lost.sort_unstable();
         for message in lost {
-            self.breach(Rule::NothingLost, at, Some(message), format!("message {message} never ended"));
+            self.breach(
+                Rule::NothingLost,
+                at,
+                Some(message),
+                format!("message {message} never ended"),
+            );
+        }
+        Verdict {
+            breaches: self.broken,
+            count: self.count,
         }
-        Verdict { breaches: self.broken, count: self.count }
     }
 }
 
--- a/crates/simulation/src/cored.rs
+++ b/crates/simulation/src/cored.rs
@@ -11,7 +11,8 @@
     Disposition, FinalOutcome, Message, Origin, RequestId, SubmitResponse, Timestamp,
 };
 use marblefall_scheduler::{
-    Action, EndpointId, EndpointUpdate, Event, Idempotency, MessageClass, MessageId, Settings, Span, Time,
+    Action, EndpointId, EndpointUpdate, Event, Idempotency, MessageClass, MessageId, Settings,
+    Span, Time,
 };
 use std::collections::{HashMap, HashSet};
 use std::io;
@@ -41,8 +42,11 @@
     /// Of the disk.
     pub fn new(disk: u64) -> io::Result<Cores> {
         static NEXT: AtomicU64 = AtomicU64::new(0);
-        let own =
-            format!("marblefall-lab-cores-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let own = format!(
+            "marblefall-lab-cores-{}-{}",
+            std::process::id(),
+            NEXT.fetch_add(1, Ordering::Relaxed)
+        );
         let root = std::env::temp_dir().join(own);
         std::fs::create_dir_all(&root)?;
         Ok(Cores { root, disk })
@@ -56,7 +60,12 @@
     /// The node of one life.
     pub fn node(&self, life: Life) -> Box<dyn Node> {
         let (folder, disk) = (self.folder(life.courier), self.disk);
-        Box::new(Seat { folder, disk, life, running: None })
+        Box::new(Seat {
+            folder,
+            disk,
+            life,
+            running: None,
+        })
     }
 }
 
@@ -100,15 +109,32 @@
 
 impl Running {
     fn open(folder: &Path, disk: u64, life: &Life, now: Time) -> io::Result<Running> {
-        let classes = (0..life.settings.classes.len()).map(|class| class.to_string()).collect();
+        let classes = (0..life.settings.classes.len())
+            .map(|class| class.to_string())
+            .collect();
         let store = MessageStore::open(folder, disk, classes)?;
         let mut orders = Vec::new();
-        let engine =
-            Engine::new(setup(life.settings.clone(), life.seed), store, stamp(now, now), &mut orders);
+        let engine = Engine::new(
+            setup(life.settings.clone(), life.seed),
+            store,
+            stamp(now, now),
+            &mut orders,
+        );
         let (hosts, legs, taken) = Default::default();
-        let is_keyed = |class: &MessageClass| matches!(class.idempotency, Idempotency::IdempotencyKey { .. });
+        let is_keyed =
+            |class: &MessageClass| matches!(class.idempotency, Idempotency::IdempotencyKey { .. });
         let keyed = life.settings.classes.iter().map(is_keyed).collect();
-        Ok(Running { engine, keyed, born: now, hosts, legs, taken, orders, armed: None, tokens: 0 })
+        Ok(Running {
+            engine,
+            keyed,
+            born: now,
+            hosts,
+            legs,
+            taken,
+            orders,
+            armed: None,
+            tokens: 0,
+        })
     }
 
     fn input(&self, event: &Event) -> Option<EngineEvent> {
@@ -128,7 +154,13 @@
                 };
                 EngineEvent::Submitted(RequestId(handed.message.0), message)
             }
-            Event::AttemptFinished { message, outcome, duration: took, rate_limit: report, .. } => {
+            Event::AttemptFinished {
+                message,
+                outcome,
+                duration: took,
+                rate_limit: report,
+                ..
+            } => {
                 let (seq, copy) = *self.legs.get(message)?;
                 EngineEvent::AttemptFinished(AttemptResult {
                     message_id: seq,
@@ -161,14 +193,27 @@
         let mut told = Vec::new();
         for order in std::mem::take(&mut self.orders) {
             match order {
-                EngineCommand::Respond(ticket, SubmitResponse::Accepted) => drop(self.taken.insert(ticket.0)),
-                EngineCommand::Respond(ticket, SubmitResponse::Rejected { retry_after_ms: after_ms }) => {
+                EngineCommand::Respond(ticket, SubmitResponse::Accepted) => {
+                    drop(self.taken.insert(ticket.0))
+                }
+                EngineCommand::Respond(
+                    ticket,
+                    SubmitResponse::Rejected {
+                        retry_after_ms: after_ms,
+                    },
+                ) => {
                     let retry_in = Span::from_ms(after_ms as f64);
-                    actions.push(Action::Reject { message: MessageId(ticket.0), retry_after: retry_in });
+                    actions.push(Action::Reject {
+                        message: MessageId(ticket.0),
+                        retry_after: retry_in,
+                    });
                 }
                 EngineCommand::Respond(ticket, SubmitResponse::Finished(_))
                     if self.taken.remove(&ticket.0) => {}
-                EngineCommand::Respond(ticket, SubmitResponse::Finished(_) | SubmitResponse::Conflict) => {
+                EngineCommand::Respond(
+                    ticket,
+                    SubmitResponse::Finished(_) | SubmitResponse::Conflict,
+                ) => {
                     actions.push(Action::Fail(MessageId(ticket.0)));
                 }
                 EngineCommand::StartAttempt(AttemptRequest {
@@ -182,17 +227,32 @@
                     let message = id_of(&message);
                     self.legs.insert(message, (seq, copy));
                     let endpoint = self.hosts.get(&host).copied().unwrap_or(host);
-                    actions.push(Action::Send { message, endpoint, timeout_at: self.world(cut_at) });
+                    actions.push(Action::Send {
+                        message,
+                        endpoint,
+                        timeout_at: self.world(cut_at),
+                    });
                 }
-                EngineCommand::SendNotice { message_id: seq, message, outcome: end } => {
+                EngineCommand::SendNotice {
+                    message_id: seq,
+                    message,
+                    outcome: end,
+                } => {
                     let message = id_of(&message);
                     match end {
                         FinalOutcome::Delivered => {}
-                        FinalOutcome::Returned { retry_after_ms: after_ms } => {
+                        FinalOutcome::Returned {
+                            retry_after_ms: after_ms,
+                        } => {
                             let retry_in = Span::from_ms(after_ms as f64);
-                            actions.push(Action::Reject { message, retry_after: retry_in });
+                            actions.push(Action::Reject {
+                                message,
+                                retry_after: retry_in,
+                            });
+                        }
+                        FinalOutcome::Failed | FinalOutcome::Expired => {
+                            actions.push(Action::Fail(message))
                         }
-                        FinalOutcome::Failed | FinalOutcome::Expired => actions.push(Action::Fail(message)),
                     }
                     told.push(EngineEvent::NoticeAcknowledged(seq));
                 }
@@ -202,7 +262,9 @@
                 }
                 EngineCommand::CloseIdleConnections(host) => {
                     actions.extend(
-                        self.hosts.get(&host).map(|endpoint| Action::CloseIdleConnections(*endpoint)),
+                        self.hosts
+                            .get(&host)
+                            .map(|endpoint| Action::CloseIdleConnections(*endpoint)),
                     );
                 }
                 EngineCommand::Log(text) => actions.push(Action::Log(text)),
@@ -227,7 +289,10 @@
 
 /// The moment of the world as a process born at one knows it.
 fn stamp(born: Time, now: Time) -> Timestamp {
-    Timestamp { monotonic: Time((now - born).0) + STARTED, unix_ms: EPOCH_MS + now.0.div_euclid(1000) }
+    Timestamp {
+        monotonic: Time((now - born).0) + STARTED,
+        unix_ms: EPOCH_MS + now.0.div_euclid(1000),
+    }
 }
 
 fn id_of(message: &Message) -> MessageId {
@@ -262,22 +327,33 @@
         let Some(running) = &mut self.running else {
             return;
         };
-        let mut inputs: Vec<EngineEvent> = events.iter().filter_map(|event| running.input(event)).collect();
+        let mut inputs: Vec<EngineEvent> = events
+            .iter()
+            .filter_map(|event| running.input(event))
+            .collect();
         for step in 0..STEPS {
             // No two batches of an engine bear the same time.
             let at = now + Span(step as i64);
-            running.engine.step(stamp(running.born, at), inputs, &mut running.orders);
+            running
+                .engine
+                .step(stamp(running.born, at), inputs, &mut running.orders);
             inputs = running.carry_out(actions);
             if inputs.is_empty() && !running.engine.has_backlog() {
                 break;
             }
         }
-        let wake = running.engine.next_wake().map(|at| running.world(at).max(now + Span(1)));
+        let wake = running
+            .engine
+            .next_wake()
+            .map(|at| running.world(at).max(now + Span(1)));
         let armed = running.armed.filter(|armed| *armed > now);
         if let Some(at) = wake.filter(|at| armed.is_none_or(|armed| *at < armed)) {
             running.tokens += 1;
             running.armed = Some(at);
-            actions.push(Action::SetTimer { at, token: running.tokens });
+            actions.push(Action::SetTimer {
+                at,
+                token: running.tokens,
+            });
         } else {
             running.armed = armed;
         }
--- a/crates/simulation/src/curve.rs
+++ b/crates/simulation/src/curve.rs
@@ -60,7 +60,11 @@
 
     /// It, times a factor.
     pub fn times(self, factor: f64) -> Curve {
-        Curve(Term::Two('*', Box::new(Term::Number(factor)), Box::new(self.0)))
+        Curve(Term::Two(
+            '*',
+            Box::new(Term::Number(factor)),
+            Box::new(self.0),
+        ))
     }
 
     /// Reads one.
@@ -75,7 +79,10 @@
         let term = sum(&mut rest);
         match term {
             Ok(term) if rest.trim().is_empty() => Ok(Curve(term)),
-            _ => Err(format!("the curve {text:?} makes no sense from {:?} on", rest.trim())),
+            _ => Err(format!(
+                "the curve {text:?} makes no sense from {:?} on",
+                rest.trim()
+            )),
         }
     }
 
@@ -91,7 +98,9 @@
 
     /// What it reaches within so many seconds, as far as a thousand steps tell.
     pub fn most(&self, seconds: f64) -> f64 {
-        (0..=1000).map(|step| self.at(seconds * f64::from(step) / 1000.0)).fold(0.0, f64::max)
+        (0..=1000)
+            .map(|step| self.at(seconds * f64::from(step) / 1000.0))
+            .fold(0.0, f64::max)
     }
 }
 
@@ -120,7 +129,9 @@
                     Function::Abs => given(0).abs(),
                     Function::Min => given(0).min(given(1)),
                     Function::Max => given(0).max(given(1)),
-                    Function::If => f64::from(u8::from(given(0) >= given(1) && given(0) < given(2))),
+                    Function::If => {
+                        f64::from(u8::from(given(0) >= given(1) && given(0) < given(2)))
+                    }
                 }
             }
         }
@@ -158,8 +169,8 @@
 }
 
 fn single(input: &mut &str) -> Read<Term> {
-    let minus =
-        preceded(('-', space0), power).map(|term| Term::Two('-', Term::Number(0.0).into(), term.into()));
+    let minus = preceded(('-', space0), power)
+        .map(|term| Term::Two('-', Term::Number(0.0).into(), term.into()));
     let bracket = delimited(('(', space0), sum, (space0, ')'));
     // Without a sign: those stand between terms.
     let number = preceded(winnow::combinator::not(one_of(['+', '-'])), float).map(Term::Number);
--- a/crates/simulation/src/doubles.rs
+++ b/crates/simulation/src/doubles.rs
@@ -102,7 +102,10 @@
         let mut event = event.clone();
         match (&mut event, self.fault) {
             (
-                Event::AttemptFinished { outcome: Outcome::Rejected { retry_after: wait }, .. },
+                Event::AttemptFinished {
+                    outcome: Outcome::Rejected { retry_after: wait },
+                    ..
+                },
                 Fault::ForgetsWaits,
             ) => *wait = None,
             (Event::AttemptFinished { outcome, .. }, Fault::TakesBrokenForUnsent)
@@ -113,11 +116,17 @@
             (Event::Resumed(..), Fault::LosesOnRestart) => return None,
             (Event::Resumed(_, past), Fault::ForgetsLegsOnRestart) => past.first_executed = None,
             (Event::EndpointsUpdated(entries), Fault::IgnoresDrains) => {
-                entries.iter_mut().for_each(|entry| entry.status = EndpointStatus::Active);
+                entries
+                    .iter_mut()
+                    .for_each(|entry| entry.status = EndpointStatus::Active);
             }
             (Event::AttemptFinished { message, .. }, Fault::SendsTwice) => {
                 // The double's own leg ends unheard.
-                if let Some(unknown) = self.legs_of.get_mut(&message.0).filter(|unknown| **unknown > 0) {
+                if let Some(unknown) = self
+                    .legs_of
+                    .get_mut(&message.0)
+                    .filter(|unknown| **unknown > 0)
+                {
                     *unknown -= 1;
                     return None;
                 }
@@ -130,7 +139,10 @@
 
 impl Node for Double {
     fn handle(&mut self, now: Time, events: &[Event], actions: &mut Vec<Action>) {
-        let heard: Vec<Event> = events.iter().filter_map(|event| self.hears(event)).collect();
+        let heard: Vec<Event> = events
+            .iter()
+            .filter_map(|event| self.hears(event))
+            .collect();
         let mut said = Vec::new();
         self.inner.handle(now, &heard, &mut said);
         for action in said {
--- a/crates/simulation/src/experiment.rs
+++ b/crates/simulation/src/experiment.rs
@@ -111,7 +111,8 @@
 }
 
 fn stem(path: &Path) -> String {
-    path.file_stem().map_or_else(String::new, |stem| stem.to_string_lossy().into_owned())
+    path.file_stem()
+        .map_or_else(String::new, |stem| stem.to_string_lossy().into_owned())
 }
 
 impl Experiment {
@@ -120,10 +121,15 @@
     /// # Errors
     /// What is wrong, with file and line.
     pub fn read(path: &Path) -> Result<Experiment, Fault> {
-        let text = fs::read_to_string(path).map_err(|error| Fault(format!("{}: {error}", path.display())))?;
+        let text = fs::read_to_string(path)
+            .map_err(|error| Fault(format!("{}: {error}", path.display())))?;
         let say = |at: usize, why: &str| format!("{}:{}: {why}", path.display(), line(&text, at));
-        let form: Form = toml::from_str(&text)
-            .map_err(|error| Fault(say(error.span().map_or(0, |span| span.start), error.message().trim())))?;
+        let form: Form = toml::from_str(&text).map_err(|error| {
+            Fault(say(
+                error.span().map_or(0, |span| span.start),
+                error.message().trim(),
+            ))
+        })?;
         let mut wrong = Vec::new();
         let seeds = (form.seeds.get_ref().from, form.seeds.get_ref().to);
         if seeds.0 > seeds.1 {
@@ -137,7 +143,10 @@
             if !stems.insert(stem(&path)) {
                 wrong.push(say(
                     at,
-                    &format!("{} stands here twice, or two files have this name", stem(&path)),
+                    &format!(
+                        "{} stands here twice, or two files have this name",
+                        stem(&path)
+                    ),
                 ));
             }
             scenarios.push(path);
@@ -153,26 +162,50 @@
             }
             let program = variant.program.map(|program| beside.join(program));
             if let Some(missing) = program.as_ref().filter(|program| !program.is_file()) {
-                wrong.push(say(at, &format!("{}: there is no such program", missing.display())));
+                wrong.push(say(
+                    at,
+                    &format!("{}: there is no such program", missing.display()),
+                ));
             }
-            variants.push(Variant { name: variant.name, sets: variant.set, program });
+            variants.push(Variant {
+                name: variant.name,
+                sets: variant.set,
+                program,
+            });
         }
         if variants.is_empty() {
-            variants.push(Variant { name: "as it is".to_owned(), ..Variant::default() });
+            variants.push(Variant {
+                name: "as it is".to_owned(),
+                ..Variant::default()
+            });
         }
         let cells = (seeds.1.saturating_sub(seeds.0) as usize).saturating_add(1);
-        if cells.saturating_mul(scenarios.len()).saturating_mul(variants.len()) > MOST_CELLS {
-            wrong.push(say(form.seeds.span().start, &format!("over {MOST_CELLS} cells in all")));
+        if cells
+            .saturating_mul(scenarios.len())
+            .saturating_mul(variants.len())
+            > MOST_CELLS
+        {
+            wrong.push(say(
+                form.seeds.span().start,
+                &format!("over {MOST_CELLS} cells in all"),
+            ));
         }
         if wrong.is_empty() {
-            Ok(Experiment { title: form.title, scenarios, seeds, variants })
+            Ok(Experiment {
+                title: form.title,
+                scenarios,
+                seeds,
+                variants,
+            })
         } else {
             Err(Fault(wrong.join("\n")))
         }
     }
 
     fn cells(&self) -> Result<Vec<Cell>, Fault> {
-        let own = std::env::current_exe().and_then(fs::read).map(|bytes| crc32fast::hash(&bytes));
+        let own = std::env::current_exe()
+            .and_then(fs::read)
+            .map(|bytes| crc32fast::hash(&bytes));
         let own = own.map_err(|error| Fault(format!("this program cannot be read: {error}")))?;
         let mut cells = Vec::new();
         for (number, variant) in self.variants.iter().enumerate() {
@@ -183,12 +216,21 @@
                     .map_err(|error| Fault(format!("{}: {error}", path.display())))?,
             };
             for path in &self.scenarios {
-                let draft = Draft::read(path, &variant.sets).map_err(|unfit| Fault(unfit.to_string()))?;
+                let draft =
+                    Draft::read(path, &variant.sets).map_err(|unfit| Fault(unfit.to_string()))?;
                 for seed in self.seeds.0..=self.seeds.1 {
-                    let scenario = draft.scenario(seed).map_err(|unfit| Fault(unfit.to_string()))?;
+                    let scenario = draft
+                        .scenario(seed)
+                        .map_err(|unfit| Fault(unfit.to_string()))?;
                     let from = format!("{program} {:?} {scenario:?}", variant.sets);
                     let print = crc32fast::hash(from.as_bytes());
-                    cells.push(Cell { path: path.clone(), scenario, variant: number, seed, print });
+                    cells.push(Cell {
+                        path: path.clone(),
+                        scenario,
+                        variant: number,
+                        seed,
+                        print,
+                    });
                 }
             }
         }
@@ -203,17 +245,38 @@
         let fault = |error: std::io::Error| Fault(format!("{}: {error}", folder.display()));
         fs::create_dir_all(folder).map_err(fault)?;
         let lock = File::create(folder.join("lock")).map_err(fault)?;
-        lock.try_lock().map_err(|_| Fault(format!("{}: another experiment runs here", folder.display())))?;
+        lock.try_lock().map_err(|_| {
+            Fault(format!(
+                "{}: another experiment runs here",
+                folder.display()
+            ))
+        })?;
         let cells = self.cells()?;
-        let kept: BTreeMap<_, _> = read(folder)?.into_iter().map(|record| (record.key(), record)).collect();
-        let key = |cell: &Cell| (stem(&cell.path), self.variants[cell.variant].name.clone(), cell.seed);
-        let (done, open): (Vec<&Cell>, Vec<&Cell>) = cells
+        let kept: BTreeMap<_, _> = read(folder)?
+            .into_iter()
+            .map(|record| (record.key(), record))
+            .collect();
+        let key = |cell: &Cell| {
+            (
+                stem(&cell.path),
+                self.variants[cell.variant].name.clone(),
+                cell.seed,
+            )
+        };
+        let (done, open): (Vec<&Cell>, Vec<&Cell>) = cells.iter().partition(|cell| {
+            kept.get(&key(cell))
+                .is_some_and(|record| record.print == cell.print)
+        });
+        let mut records: Vec<Record> = done
             .iter()
-            .partition(|cell| kept.get(&key(cell)).is_some_and(|record| record.print == cell.print));
-        let mut records: Vec<Record> = done.iter().filter_map(|cell| kept.get(&key(cell)).cloned()).collect();
+            .filter_map(|cell| kept.get(&key(cell)).cloned())
+            .collect();
         // What is kept goes first, whole: a line torn by an interrupt must not spoil the next one.
         write(folder, &records)?;
-        let file = OpenOptions::new().append(true).open(folder.join(CELLS)).map_err(fault)?;
+        let file = OpenOptions::new()
+            .append(true)
+            .open(folder.join(CELLS))
+            .map_err(fault)?;
         let file = Mutex::new(file);
         let style = ProgressStyle::with_template("{bar:40} {pos} of {len} cells, {eta} left");
         let bar = ProgressBar::new(open.len() as u64);
@@ -235,7 +298,8 @@
         };
         let pool = rayon::ThreadPoolBuilder::new().num_threads(threads).build();
         let pool = pool.map_err(|error| Fault(error.to_string()))?;
-        let fresh: Result<Vec<Record>, Fault> = pool.install(|| open.par_iter().map(played).collect());
+        let fresh: Result<Vec<Record>, Fault> =
+            pool.install(|| open.par_iter().map(played).collect());
         bar.finish_and_clear();
         let fresh = fresh?;
         let count = fresh.len();
@@ -251,7 +315,8 @@
             "program": env!("CARGO_PKG_VERSION"),
             "cores": std::thread::available_parallelism().map_or(0, usize::from),
         });
-        let text = serde_json::to_string_pretty(&manifest).map_err(|error| Fault(error.to_string()))?;
+        let text =
+            serde_json::to_string_pretty(&manifest).map_err(|error| Fault(error.to_string()))?;
         fs::write(folder.join("manifest.json"), text + "\n").map_err(fault)?;
         Ok((records, count))
     }
@@ -263,11 +328,20 @@
         return Ok(Figures::of(&tally, &verdict));
     };
     let mut command = Command::new(program);
-    command.arg("cell").arg(&cell.path).args(["--seed", &cell.seed.to_string()]);
+    command
+        .arg("cell")
+        .arg(&cell.path)
+        .args(["--seed", &cell.seed.to_string()]);
     for set in &variant.sets {
         command.args(["--set", set]);
     }
-    let say = |why: String| Fault(format!("{} cell {}: {why}", program.display(), cell.path.display()));
+    let say = |why: String| {
+        Fault(format!(
+            "{} cell {}: {why}",
+            program.display(),
+            cell.path.display()
+        ))
+    };
     let done = command.output().map_err(|error| say(error.to_string()))?;
     if !done.status.success() {
         return Err(say(String::from_utf8_lossy(&done.stderr).trim().to_owned()));
@@ -282,8 +356,13 @@
 
 fn write(folder: &Path, records: &[Record]) -> Result<(), Fault> {
     let lines: Vec<String> = records.iter().map(line_of).collect::<Result<_, _>>()?;
-    replace(&Real, &folder.join(CELLS), lines.concat().as_bytes(), Outlasts::Process)
-        .map_err(|error| Fault(format!("{}: {error}", folder.display())))
+    replace(
+        &Real,
+        &folder.join(CELLS),
+        lines.concat().as_bytes(),
+        Outlasts::Process,
+    )
+    .map_err(|error| Fault(format!("{}: {error}", folder.display())))
 }
 
 /// Reads the cells of a folder, none where there are none. A line that was torn by an interrupt is passed over.
@@ -292,7 +371,10 @@
 /// Of the disk.
 pub fn read(folder: &Path) -> Result<Vec<Record>, Fault> {
     match fs::read_to_string(folder.join(CELLS)) {
-        Ok(text) => Ok(text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect()),
+        Ok(text) => Ok(text
+            .lines()
+            .filter_map(|line| serde_json::from_str(line).ok())
+            .collect()),
         Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(Vec::new()),
         Err(error) => Err(Fault(format!("{}: {error}", folder.join(CELLS).display()))),
     }
@@ -302,7 +384,14 @@
     let mut text =
         "scenario,variant,seed,kept,breaches,class,offered,taken,delivered,in_time,refused,failed,legs,p50_ms,p99_ms\n"
             .to_owned();
-    for Record { scenario, variant, seed, figures, .. } in records {
+    for Record {
+        scenario,
+        variant,
+        seed,
+        figures,
+        ..
+    } in records
+    {
         for class in &figures.classes {
             let _ = writeln!(
                 text,
--- a/crates/simulation/src/hunt.rs
+++ b/crates/simulation/src/hunt.rs
@@ -26,20 +26,32 @@
     let scenario = draft.scenario(seed)?;
     let (tally, verdict) = measure(&scenario, seed, make);
     let broke = verdict.breaches.first().map(|breach| breach.rule);
-    Ok(Prey { seed, broke, figures: Figures::of(&tally, &verdict) })
+    Ok(Prey {
+        seed,
+        broke,
+        figures: Figures::of(&tally, &verdict),
+    })
 }
 
 /// Plays seeds in parallel; the worst first: those that broke a rule, then those that kept least.
 ///
 /// # Errors
 /// Of the scenario.
-pub fn hunt(draft: &Draft, seeds: RangeInclusive<u64>, make: Maker<'_>) -> Result<Vec<Prey>, Unfit> {
-    let found: Result<Vec<Prey>, Unfit> =
-        seeds.into_par_iter().map(|seed| run(draft, seed, &|life| make(life))).collect();
+pub fn hunt(
+    draft: &Draft,
+    seeds: RangeInclusive<u64>,
+    make: Maker<'_>,
+) -> Result<Vec<Prey>, Unfit> {
+    let found: Result<Vec<Prey>, Unfit> = seeds
+        .into_par_iter()
+        .map(|seed| run(draft, seed, &|life| make(life)))
+        .collect();
     let mut found = found?;
     found.sort_by(|a, b| {
         let worse = b.broke.is_some().cmp(&a.broke.is_some());
-        worse.then(a.figures.kept.total_cmp(&b.figures.kept)).then(a.seed.cmp(&b.seed))
+        worse
+            .then(a.figures.kept.total_cmp(&b.figures.kept))
+            .then(a.seed.cmp(&b.seed))
     });
     Ok(found)
 }
@@ -77,8 +89,18 @@
 const SEEDS: u64 = 4;
 
 /// Takes away from a scenario what is not needed for it to fail, until nothing more can go or the runs are used up.
-pub fn shrink(draft: &Draft, seed: u64, failing: Failing, most_runs: u32, make: Maker<'_>) -> Shrunk {
-    let mut least = Shrunk { draft: draft.clone(), seed, runs: 0 };
+pub fn shrink(
+    draft: &Draft,
+    seed: u64,
+    failing: Failing,
+    most_runs: u32,
+    make: Maker<'_>,
+) -> Shrunk {
+    let mut least = Shrunk {
+        draft: draft.clone(),
+        seed,
+        runs: 0,
+    };
     'again: loop {
         for table in smaller(least.draft.table()) {
             let draft = least.draft.with(table);
@@ -92,7 +114,11 @@
                 };
                 least.runs += 1;
                 if failing.is(&prey) {
-                    least = Shrunk { draft, seed, runs: least.runs };
+                    least = Shrunk {
+                        draft,
+                        seed,
+                        runs: least.runs,
+                    };
                     continue 'again;
                 }
             }
@@ -114,13 +140,27 @@
     walk(&Value::Table(table.clone()), &mut path, &mut leave_out);
     all.sort_by_key(|(size, _)| std::cmp::Reverse(*size));
     let mut tables: Vec<Table> = all.into_iter().map(|(_, less)| less).collect();
-    for name in table.get("partner").and_then(Value::as_table).into_iter().flat_map(Table::keys) {
+    for name in table
+        .get("partner")
+        .and_then(Value::as_table)
+        .into_iter()
+        .flat_map(Table::keys)
+    {
         tables.extend(without_partner(table, name));
     }
-    for (path, factor) in [(vec!["seconds"], 0.5), (vec!["seconds"], 0.8), (vec!["couriers", "count"], 0.5)] {
+    for (path, factor) in [
+        (vec!["seconds"], 0.5),
+        (vec!["seconds"], 0.8),
+        (vec!["couriers", "count"], 0.5),
+    ] {
         tables.extend(scaled(table, &path, factor));
     }
-    for name in table.get("partner").and_then(Value::as_table).into_iter().flat_map(Table::keys) {
+    for name in table
+        .get("partner")
+        .and_then(Value::as_table)
+        .into_iter()
+        .flat_map(Table::keys)
+    {
         tables.extend(scaled(table, &["partner", name, "count"], 0.5));
     }
     tables
@@ -140,8 +180,9 @@
     };
     match value {
         Value::Table(table) => {
-            for (key, inner) in
-                table.iter().filter(|(key, _)| !["title", "seconds", "from", "to"].contains(&key.as_str()))
+            for (key, inner) in table
+                .iter()
+                .filter(|(key, _)| !["title", "seconds", "from", "to"].contains(&key.as_str()))
             {
                 visit(Step::Key(key.clone()), inner, path);
             }
@@ -221,5 +262,8 @@
 /// Where the table cannot be written as TOML, in words.
 pub fn text(shrunk: &Shrunk) -> Result<String, String> {
     let table = toml::to_string(shrunk.draft.table()).map_err(|error| error.to_string())?;
-    Ok(format!("# Shrunk in {} runs; fails with seed {}.\n{table}", shrunk.runs, shrunk.seed))
+    Ok(format!(
+        "# Shrunk in {} runs; fails with seed {}.\n{table}",
+        shrunk.runs, shrunk.seed
+    ))
 }
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -195,29 +195,82 @@
     }
 
     fn scenario(&self, seed: u64) -> Result<Scenario, String> {
-        self.draft()?.scenario(seed).map_err(|unfit| unfit.to_string())
+        self.draft()?
+            .scenario(seed)
+            .map_err(|unfit| unfit.to_string())
     }
 }
 
 fn main() -> ExitCode {
     let done = match Words::parse().command {
-        Command::Play { what, seed, on: On::Processes, processes, schedule, .. } => {
-            on_processes::played(&what.scenario, seed, schedule.as_deref(), &processes)
-        }
-        Command::Play { what, seed, out, on, .. } => played(&what, seed, out.as_deref(), on),
+        Command::Play {
+            what,
+            seed,
+            on: On::Processes,
+            processes,
+            schedule,
+            ..
+        } => on_processes::played(&what.scenario, seed, schedule.as_deref(), &processes),
+        Command::Play {
+            what,
+            seed,
+            out,
+            on,
+            ..
+        } => played(&what, seed, out.as_deref(), on),
         Command::Check { scenarios } => checked(&scenarios),
         Command::Faults { scenario, seed } => faults(&scenario, seed),
         Command::Experiment { file, out, threads } => experimented(&file, &out, threads),
-        Command::Compare { folder, other, base, with } => {
-            compared(&folder, other.as_deref().unwrap_or(&folder), base.as_deref(), with.as_deref())
-        }
-        Command::Capacity { what, least, most, part, seeds } => {
-            borne(&what, Search { least, most, part, seeds, steps: 7 })
-        }
-        Command::Hunt { what, seeds, shrink, runs, on: On::Processes, processes, within } => {
-            on_processes::hunted(&what.scenario, seeds, shrink.as_deref(), runs, &processes, within)
-        }
-        Command::Hunt { what, seeds, shrink, runs, .. } => hunted(&what, seeds, shrink.as_deref(), runs),
+        Command::Compare {
+            folder,
+            other,
+            base,
+            with,
+        } => compared(
+            &folder,
+            other.as_deref().unwrap_or(&folder),
+            base.as_deref(),
+            with.as_deref(),
+        ),
+        Command::Capacity {
+            what,
+            least,
+            most,
+            part,
+            seeds,
+        } => borne(
+            &what,
+            Search {
+                least,
+                most,
+                part,
+                seeds,
+                steps: 7,
+            },
+        ),
+        Command::Hunt {
+            what,
+            seeds,
+            shrink,
+            runs,
+            on: On::Processes,
+            processes,
+            within,
+        } => on_processes::hunted(
+            &what.scenario,
+            seeds,
+            shrink.as_deref(),
+            runs,
+            &processes,
+            within,
+        ),
+        Command::Hunt {
+            what,
+            seeds,
+            shrink,
+            runs,
+            ..
+        } => hunted(&what, seeds, shrink.as_deref(), runs),
         Command::Report { folder } => reported(&folder),
         Command::Cell { what, seed } => cell(&what, seed),
     };
@@ -238,7 +291,8 @@
         // Processes are played elsewhere.
         On::Model | On::Processes => measure(&scenario, seed, &in_service),
         On::Core => {
-            let cores = Cores::new(DISK).map_err(|error| format!("no folder for the journals: {error}"))?;
+            let cores =
+                Cores::new(DISK).map_err(|error| format!("no folder for the journals: {error}"))?;
             measure(&scenario, seed, &|life| cores.node(life))
         }
     };
@@ -309,8 +363,13 @@
     let scenario = Scenario::read(path, &[], seed).map_err(|unfit| unfit.to_string())?;
     let mut all = true;
     for fault in Fault::ALL {
-        let verdict = judge(&scenario, seed, &|life| fault.courier(life.settings, life.seed));
-        let found = verdict.breaches.iter().any(|breach| breach.rule == fault.breaks());
+        let verdict = judge(&scenario, seed, &|life| {
+            fault.courier(life.settings, life.seed)
+        });
+        let found = verdict
+            .breaches
+            .iter()
+            .any(|breach| breach.rule == fault.breaks());
         all &= found;
         println!("{fault:?}: {}", if found { "found" } else { "NOT FOUND" });
     }
@@ -319,8 +378,13 @@
 
 fn experimented(file: &Path, out: &Path, threads: usize) -> Result<bool, String> {
     let experiment = Experiment::read(file).map_err(|fault| fault.to_string())?;
-    let (records, played) = experiment.run(out, threads).map_err(|fault| fault.to_string())?;
-    let broken: Vec<_> = records.iter().filter(|record| record.figures.breaches > 0).collect();
+    let (records, played) = experiment
+        .run(out, threads)
+        .map_err(|fault| fault.to_string())?;
+    let broken: Vec<_> = records
+        .iter()
+        .filter(|record| record.figures.breaches > 0)
+        .collect();
     println!(
         "{}\n{} cells, {played} of them played now; they are in {}",
         experiment.title,
@@ -330,25 +394,47 @@
     println!("\n{}", report::means(&records));
     for record in &broken {
         let what = record.figures.first_breach.as_deref().unwrap_or_default();
-        println!("{} seed {} {}: {what}", record.scenario, record.seed, record.variant);
+        println!(
+            "{} seed {} {}: {what}",
+            record.scenario, record.seed, record.variant
+        );
     }
     Ok(broken.is_empty())
 }
 
-fn compared(first: &Path, second: &Path, base: Option<&str>, with: Option<&str>) -> Result<bool, String> {
+fn compared(
+    first: &Path,
+    second: &Path,
+    base: Option<&str>,
+    with: Option<&str>,
+) -> Result<bool, String> {
     let read = |folder: &Path, variant: Option<&str>, word: &str| {
         let records = experiment::read(folder).map_err(|fault| fault.to_string())?;
         let named = variants(&records);
         let variant = match (variant, named.iter().next()) {
             (Some(variant), _) if named.contains(variant) => variant.to_owned(),
             (None, Some(only)) if named.len() == 1 => (*only).to_owned(),
-            (_, None) => return Err(format!("{}: holds no cells of an experiment", folder.display())),
+            (_, None) => {
+                return Err(format!(
+                    "{}: holds no cells of an experiment",
+                    folder.display()
+                ))
+            }
             _ => {
                 let known: Vec<&str> = named.into_iter().collect();
-                return Err(format!("{}: say --{word} with one of: {}", folder.display(), known.join(", ")));
+                return Err(format!(
+                    "{}: say --{word} with one of: {}",
+                    folder.display(),
+                    known.join(", ")
+                ));
             }
         };
-        Ok::<_, String>(records.into_iter().filter(|record| record.variant == variant).collect::<Vec<_>>())
+        Ok::<_, String>(
+            records
+                .into_iter()
+                .filter(|record| record.variant == variant)
+                .collect::<Vec<_>>(),
+        )
     };
     let comparison = Comparison::of(&read(first, base, "base")?, &read(second, with, "with")?);
     println!("{comparison}");
@@ -361,12 +447,21 @@
         return Err("0 < --least < --most, --part within 0 and 1, --seeds 1 at least".to_owned());
     }
     let found = capacity(&what.draft()?, search).map_err(|unfit| unfit.to_string())?;
-    println!("{:<16} {:>22} {:>18}", "class", "bears times its load", "messages a second");
+    println!(
+        "{:<16} {:>22} {:>18}",
+        "class", "bears times its load", "messages a second"
+    );
     for (class, (bears, rate)) in found {
         let (times, rate) = match bears {
-            Bears::Less => (format!("under {:.2}", search.least), format!("under {rate:.1}")),
+            Bears::Less => (
+                format!("under {:.2}", search.least),
+                format!("under {rate:.1}"),
+            ),
             Bears::Between(low, high) => (format!("{low:.2} to {high:.2}"), format!("{rate:.1}")),
-            Bears::More => (format!("{:.2} or more", search.most), format!("{rate:.1} or more")),
+            Bears::More => (
+                format!("{:.2} or more", search.most),
+                format!("{rate:.1} or more"),
+            ),
         };
         println!("{class:<16} {times:>22} {rate:>18}");
     }
@@ -375,7 +470,8 @@
 
 fn hunted(what: &What, seeds: u64, into: Option<&Path>, runs: u32) -> Result<bool, String> {
     let draft = what.draft()?;
-    let found = hunt::hunt(&draft, 1..=seeds.max(1), &in_service).map_err(|unfit| unfit.to_string())?;
+    let found =
+        hunt::hunt(&draft, 1..=seeds.max(1), &in_service).map_err(|unfit| unfit.to_string())?;
     println!("{:>6} {:>8}  first breach", "seed", "kept");
     for prey in found.iter().take(10) {
         let breach = prey.figures.first_breach.as_deref().unwrap_or("-");
@@ -386,10 +482,18 @@
     if let (Some(path), Some(worst)) = (into, found.first()) {
         // Without a breach, to do as badly as the worst tenth counts as failing.
         let tenth = found[found.len() / 10].figures.kept;
-        let failing = worst.broke.map_or(Failing::KeepsUnder(tenth + 1e-9), Failing::Breaks);
+        let failing = worst
+            .broke
+            .map_or(Failing::KeepsUnder(tenth + 1e-9), Failing::Breaks);
         let shrunk = hunt::shrink(&draft, worst.seed, failing, runs, &in_service);
-        fs::write(path, hunt::text(&shrunk)?).map_err(|error| format!("{}: {error}", path.display()))?;
-        println!("{}: fails with seed {}, found in {} runs", path.display(), shrunk.seed, shrunk.runs);
+        fs::write(path, hunt::text(&shrunk)?)
+            .map_err(|error| format!("{}: {error}", path.display()))?;
+        println!(
+            "{}: fails with seed {}, found in {} runs",
+            path.display(),
+            shrunk.seed,
+            shrunk.runs
+        );
     }
     Ok(broken == 0)
 }
@@ -405,6 +509,9 @@
 fn cell(what: &What, seed: u64) -> Result<bool, String> {
     let (tally, verdict) = measure(&what.scenario(seed)?, seed, &in_service);
     let figures = Figures::of(&tally, &verdict);
-    println!("{}", serde_json::to_string(&figures).map_err(|error| error.to_string())?);
+    println!(
+        "{}",
+        serde_json::to_string(&figures).map_err(|error| error.to_string())?
+    );
     Ok(true)
 }
--- a/crates/simulation/src/on_processes.rs
+++ b/crates/simulation/src/on_processes.rs
@@ -17,8 +17,14 @@
 impl Processes {
     fn program(&self) -> Result<PathBuf, String> {
         let beside = || Some(std::env::current_exe().ok()?.with_file_name("marblefall"));
-        let program = self.program.clone().or_else(beside).filter(|program| program.is_file());
-        program.ok_or_else(|| "the program marblefall is not beside this one: say --program FILE".to_owned())
+        let program = self
+            .program
+            .clone()
+            .or_else(beside)
+            .filter(|program| program.is_file());
+        program.ok_or_else(|| {
+            "the program marblefall is not beside this one: say --program FILE".to_owned()
+        })
     }
 
     /// Plays a schedule in a folder that is removed, or kept where that was asked for.
@@ -40,7 +46,8 @@
     };
     let at = |why: String| format!("{}: {why}", path.display());
     let text = fs::read_to_string(path).map_err(|error| at(error.to_string()))?;
-    let schedule = toml::from_str(&text).map_err(|error| at(error.to_string().trim_end().to_owned()))?;
+    let schedule =
+        toml::from_str(&text).map_err(|error| at(error.to_string().trim_end().to_owned()))?;
     Ok((form.title, schedule))
 }
 
@@ -54,17 +61,34 @@
 }
 
 /// Plays a scenario, or a schedule that was written out, and judges it.
-pub fn played(scenario: &Path, seed: u64, written: Option<&Path>, with: &Processes) -> Result<bool, String> {
+pub fn played(
+    scenario: &Path,
+    seed: u64,
+    written: Option<&Path>,
+    with: &Processes,
+) -> Result<bool, String> {
     let (title, schedule) = drawn(scenario, seed, written)?;
     let report = with.play(&schedule)?;
-    println!("{title}\n\nseed {}, {} steps: {}", schedule.seed, schedule.steps.len(), told(&report));
+    println!(
+        "{title}\n\nseed {}, {} steps: {}",
+        schedule.seed,
+        schedule.steps.len(),
+        told(&report)
+    );
     if report.breaches.is_empty() {
         println!("all promises kept");
         return Ok(true);
     }
     println!("\n{}\n", report.trace.join("\n"));
-    report.breaches.iter().for_each(|breach| println!("{breach}"));
-    println!("\nto play it again: lab play {} --on processes --seed {}", scenario.display(), schedule.seed);
+    report
+        .breaches
+        .iter()
+        .for_each(|breach| println!("{breach}"));
+    println!(
+        "\nto play it again: lab play {} --on processes --seed {}",
+        scenario.display(),
+        schedule.seed
+    );
     Ok(false)
 }
 
@@ -83,7 +107,9 @@
     println!("{title}");
     for seed in (1..=seeds).take_while(|_| Instant::now() < until) {
         let (_, schedule) = drawn(scenario, seed, None)?;
-        let report = with.play(&schedule).map_err(|why| format!("seed {seed}: {why}"))?;
+        let report = with
+            .play(&schedule)
+            .map_err(|why| format!("seed {seed}: {why}"))?;
         (played, steps) = (played + 1, steps + schedule.steps.len());
         (acts, changes) = (acts + report.acts, changes + report.changes.1);
         let Some(breach) = report.breaches.first() else {
@@ -92,10 +118,17 @@
         println!("seed {seed}: {breach}");
         let promise: Promise = breach.promise;
         let least = shrink(&schedule, promise, runs, |less| {
-            let broken = with.play(less).map(|report| report.breaches).unwrap_or_default();
+            let broken = with
+                .play(less)
+                .map(|report| report.breaches)
+                .unwrap_or_default();
             broken.into_iter().map(|breach| breach.promise).collect()
         });
-        println!("{} steps of {} are left that still break it", least.steps.len(), schedule.steps.len());
+        println!(
+            "{} steps of {} are left that still break it",
+            least.steps.len(),
+            schedule.steps.len()
+        );
         if let Some(path) = out {
             let text = toml::to_string(&least).map_err(|error| error.to_string())?;
             fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))?;
--- a/crates/simulation/src/partner.rs
+++ b/crates/simulation/src/partner.rs
@@ -115,10 +115,13 @@
 impl Partner {
     /// Calls a second that it can take when it is warm.
     pub fn capacity(&self) -> f64 {
-        let served = (self.endpoints * self.servers) as f64 / (self.service.mean_ms / 1000.0).max(1e-6);
+        let served =
+            (self.endpoints * self.servers) as f64 / (self.service.mean_ms / 1000.0).max(1e-6);
         match self.limit {
             Some(Limit::Rate { rate, .. }) => served.min(rate),
-            Some(Limit::Window { calls, length }) => served.min(f64::from(calls) / length.secs().max(1e-6)),
+            Some(Limit::Window { calls, length }) => {
+                served.min(f64::from(calls) / length.secs().max(1e-6))
+            }
             None => served,
         }
     }
@@ -135,7 +138,10 @@
 
 impl Fate {
     fn at(time: Time, outcome: Outcome) -> Fate {
-        Fate { answer: Some((time, outcome)), fell: false }
+        Fate {
+            answer: Some((time, outcome)),
+            fell: false,
+        }
     }
 }
 
@@ -158,7 +164,11 @@
 impl Running {
     /// One that has not been called yet.
     pub fn new(like: &Partner) -> Running {
-        let tokens = if let Some(Limit::Rate { burst, .. }) = like.limit { burst } else { 0.0 };
+        let tokens = if let Some(Limit::Rate { burst, .. }) = like.limit {
+            burst
+        } else {
+            0.0
+        };
         let idle = (vec![Time(0); like.servers.max(1)], VecDeque::new());
         Running {
             servers: vec![idle; like.endpoints],
@@ -177,21 +187,32 @@
         if self.fallen.is_some_and(|until| now < until) {
             return Fate::at(now, Outcome::ConnectFailed);
         }
-        let struck =
-            self.like.outages.iter().find(|outage| outage.from <= now && now < outage.until).copied();
-        if let Some(outage) = struck.filter(|outage| outage.part >= 1.0 || rng.random::<f64>() < outage.part)
+        let struck = self
+            .like
+            .outages
+            .iter()
+            .find(|outage| outage.from <= now && now < outage.until)
+            .copied();
+        if let Some(outage) =
+            struck.filter(|outage| outage.part >= 1.0 || rng.random::<f64>() < outage.part)
         {
             self.back = None;
             return match outage.trouble {
                 Trouble::Refuse => Fate::at(now, Outcome::ConnectFailed),
                 Trouble::Reset => Fate::at(now, Outcome::Reset),
-                Trouble::Hang => Fate { answer: None, fell: false },
+                Trouble::Hang => Fate {
+                    answer: None,
+                    fell: false,
+                },
                 Trouble::Fail => Fate::at(now + self.work(rng), Outcome::Error),
                 Trouble::Shut => Fate::at(now, self.away(outage.until - now)),
             };
         }
         if self.topples(now) {
-            return Fate { answer: Some((now, Outcome::ConnectFailed)), fell: true };
+            return Fate {
+                answer: Some((now, Outcome::ConnectFailed)),
+                fell: true,
+            };
         }
         if self.like.refuses > 0.0 && rng.random::<f64>() < self.like.refuses {
             return Fate::at(now, Outcome::Rejected { retry_after: None });
@@ -215,9 +236,15 @@
         let done = begins + work;
         *free = done;
         // Whatever breaks connections or hangs breaks what it is at work on.
-        let broken =
-            self.like.outages.iter().filter(|outage| outage.part >= 1.0 && outage.trouble != Trouble::Shut);
-        match broken.filter(|outage| outage.from > now && outage.from < done).map(|outage| outage.from).min()
+        let broken = self
+            .like
+            .outages
+            .iter()
+            .filter(|outage| outage.part >= 1.0 && outage.trouble != Trouble::Shut);
+        match broken
+            .filter(|outage| outage.from > now && outage.from < done)
+            .map(|outage| outage.from)
+            .min()
         {
             Some(at) => Fate::at(at, Outcome::Reset),
             None => Fate::at(done, Outcome::Delivered),
@@ -229,7 +256,9 @@
     }
 
     fn away(&self, wait: Span) -> Outcome {
-        Outcome::Rejected { retry_after: Some(wait).filter(|wait| self.like.tells_wait && wait.0 > 0) }
+        Outcome::Rejected {
+            retry_after: Some(wait).filter(|wait| self.like.tells_wait && wait.0 > 0),
+        }
     }
 
     /// How long a call must wait for its limit, if at all; else the call is counted.
@@ -256,7 +285,11 @@
                     _ => (now, 0),
                 };
                 let full = taken >= calls;
-                let counted = if full && !self.like.counts_refused { taken } else { taken.saturating_add(1) };
+                let counted = if full && !self.like.counts_refused {
+                    taken
+                } else {
+                    taken.saturating_add(1)
+                };
                 self.window = Some((began, counted));
                 full.then(|| (began + length) - now)
             }
@@ -268,11 +301,20 @@
         let Some(cold) = self.like.cold else {
             return false;
         };
-        if !self.like.outages.iter().any(|outage| outage.part >= 1.0 && outage.until <= now) {
+        if !self
+            .like
+            .outages
+            .iter()
+            .any(|outage| outage.part >= 1.0 && outage.until <= now)
+        {
             return false;
         }
         let first = *self.back.get_or_insert(now);
-        while self.came.front().is_some_and(|came| now - *came >= cold.over) {
+        while self
+            .came
+            .front()
+            .is_some_and(|came| now - *came >= cold.over)
+        {
             self.came.pop_front();
         }
         self.came.push_back(now);
--- a/crates/simulation/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -67,12 +67,21 @@
 
 fn partner_run(like: &Partner, came: &crate::tally::Came) -> PartnerRun {
     let span = |outage: &crate::partner::Outage| {
-        (outage.from.ms() / 1000.0, outage.until.ms() / 1000.0, word(outage.trouble).to_owned())
+        (
+            outage.from.ms() / 1000.0,
+            outage.until.ms() / 1000.0,
+            word(outage.trouble).to_owned(),
+        )
     };
     PartnerRun {
         name: like.name.clone(),
         capacity: like.capacity(),
-        outages: like.outages.iter().filter(|outage| outage.part >= 1.0).map(span).collect(),
+        outages: like
+            .outages
+            .iter()
+            .filter(|outage| outage.part >= 1.0)
+            .map(span)
+            .collect(),
         cold: like.cold.map(|cold| (cold.from, cold.length.secs())),
         calls: came.calls.clone(),
         delivered: came.delivered.clone(),
@@ -96,15 +105,19 @@
                 } else {
                     String::new()
                 };
-                happened
-                    .push((secs(outage.from), format!("{} {}{part}", partner.name, word(outage.trouble))));
+                happened.push((
+                    secs(outage.from),
+                    format!("{} {}{part}", partner.name, word(outage.trouble)),
+                ));
                 happened.push((secs(outage.until), format!("{} is back", partner.name)));
             }
         }
         for crash in &scenario.crashes {
             happened.push((secs(crash.at), format!("courier {} dies", crash.courier)));
-            happened
-                .push((secs(crash.at + crash.back_after), format!("courier {} begins again", crash.courier)));
+            happened.push((
+                secs(crash.at + crash.back_after),
+                format!("courier {} begins again", crash.courier),
+            ));
         }
         let places = scenario.places();
         for news in &scenario.news {
@@ -116,7 +129,10 @@
             };
             happened.push((
                 secs(news.at),
-                format!("endpoint {place} of {} {state}", scenario.partners[partner].name),
+                format!(
+                    "endpoint {place} of {} {state}",
+                    scenario.partners[partner].name
+                ),
             ));
         }
         for (partner, from, until) in &scenario.network.cut_off {
@@ -131,7 +147,12 @@
             seconds: scenario.seconds,
             bin_s: tally.bin_s,
             figures: Figures::of(tally, verdict),
-            times: tally.classes.iter().filter(|ends| ends.delivered > 0).map(quantiles).collect(),
+            times: tally
+                .classes
+                .iter()
+                .filter(|ends| ends.delivered > 0)
+                .map(quantiles)
+                .collect(),
             partners: scenario
                 .partners
                 .iter()
@@ -165,12 +186,18 @@
             let all = bins.iter().skip(at * group).take(group);
             f64::from(all.sum::<u32>()) / width
         };
-        (0..count).map(|at| ((at as f64 + 0.5) * width, sum(at))).collect()
+        (0..count)
+            .map(|at| ((at as f64 + 0.5) * width, sum(at)))
+            .collect()
     }
 
     /// What a partner could take at a moment.
     fn limit(partner: &PartnerRun, at: f64) -> f64 {
-        if partner.outages.iter().any(|(from, until, _)| *from <= at && at < *until) {
+        if partner
+            .outages
+            .iter()
+            .any(|(from, until, _)| *from <= at && at < *until)
+        {
             return 0.0;
         }
         let back = partner
@@ -190,17 +217,33 @@
     fn partner(&self, partner: &PartnerRun) -> Result<Markup, String> {
         let calls = self.rate(&partner.calls);
         let busiest = calls.iter().map(|point| point.1).fold(0.0, f64::max);
-        let limit: Vec<_> = calls.iter().map(|(at, _)| (*at, Run::limit(partner, *at))).collect();
+        let limit: Vec<_> = calls
+            .iter()
+            .map(|(at, _)| (*at, Run::limit(partner, *at)))
+            .collect();
         let mut all = vec![
-            Line { name: "calls that came".to_owned(), points: calls },
-            Line { name: "delivered".to_owned(), points: self.rate(&partner.delivered) },
+            Line {
+                name: "calls that came".to_owned(),
+                points: calls,
+            },
+            Line {
+                name: "delivered".to_owned(),
+                points: self.rate(&partner.delivered),
+            },
         ];
         // A limit far above would press all else to the ground.
         let far = partner.capacity > 4.0 * busiest;
         if !far {
-            all.push(Line { name: "what it can take".to_owned(), points: limit });
+            all.push(Line {
+                name: "what it can take".to_owned(),
+                points: limit,
+            });
         }
-        let bands: Vec<_> = partner.outages.iter().map(|outage| (outage.0, outage.1)).collect();
+        let bands: Vec<_> = partner
+            .outages
+            .iter()
+            .map(|outage| (outage.0, outage.1))
+            .collect();
         let svg = chart(("time in s", "a second"), 200, &bands, &all)?;
         Ok(html! {
             figure {
@@ -215,22 +258,42 @@
     /// # Errors
     /// Of the drawing, in words.
     pub fn page(&self) -> Result<String, String> {
-        let held =
-            self.held.iter().enumerate().map(|(bin, held)| (bin as f64 * self.bin_s, f64::from(*held)));
+        let held = self
+            .held
+            .iter()
+            .enumerate()
+            .map(|(bin, held)| (bin as f64 * self.bin_s, f64::from(*held)));
         let step = (self.held.len() as f64 / (4.0 * POINTS)).ceil().max(1.0) as usize;
-        let held = Line { name: "held".to_owned(), points: held.step_by(step).collect() };
+        let held = Line {
+            name: "held".to_owned(),
+            points: held.step_by(step).collect(),
+        };
         let times: Vec<Line> = self
             .times
             .iter()
             .map(|(class, at)| Line {
                 name: class.clone(),
                 // Nines are evenly spaced: the tail is what is looked for.
-                points: at.iter().map(|(part, ms)| (-(1.0 - part).log10(), ms / 1000.0)).collect(),
+                points: at
+                    .iter()
+                    .map(|(part, ms)| (-(1.0 - part).log10(), ms / 1000.0))
+                    .collect(),
             })
             .collect();
         let mut shown: Vec<&PartnerRun> = self.partners.iter().collect();
-        let calls = |partner: &PartnerRun| partner.calls.iter().map(|count| u64::from(*count)).sum::<u64>();
-        shown.sort_by_key(|partner| (partner.outages.is_empty(), std::cmp::Reverse(calls(partner))));
+        let calls = |partner: &PartnerRun| {
+            partner
+                .calls
+                .iter()
+                .map(|count| u64::from(*count))
+                .sum::<u64>()
+        };
+        shown.sort_by_key(|partner| {
+            (
+                partner.outages.is_empty(),
+                std::cmp::Reverse(calls(partner)),
+            )
+        });
         let left = shown.len().saturating_sub(PARTNERS);
         let partners: Vec<Markup> = shown
             .into_iter()
@@ -238,7 +301,12 @@
             .map(|partner| self.partner(partner))
             .collect::<Result<_, _>>()?;
         let held = chart(("time in s", "messages"), 200, &[], &[held])?;
-        let nines = chart(("nines: 1 is 90 %, 2 is 99 %, 3 is 99.9 %", "s"), 240, &[], &times)?;
+        let nines = chart(
+            ("nines: 1 is 90 %, 2 is 99 %, 3 is 99.9 %", "s"),
+            240,
+            &[],
+            &times,
+        )?;
         let body = html! {
             p { "Seed " (self.seed) ", " (self.seconds) " s. Worth kept: " strong { (format!("{:.4}", self.figures.kept)) } "." }
             (verdict(self.figures.breaches, &self.breaches))
@@ -312,7 +380,12 @@
     }
 }
 
-fn chart(labels: (&str, &str), height: u32, bands: &[(f64, f64)], all: &[Line]) -> Result<Markup, String> {
+fn chart(
+    labels: (&str, &str),
+    height: u32,
+    bands: &[(f64, f64)],
+    all: &[Line],
+) -> Result<Markup, String> {
     let svg = draw(lines(labels, (WIDTH, height), bands, all))?;
     Ok(html! {
         @if all.len() > 1 { (legend(all.iter().map(|line| line.name.as_str()))) }
@@ -353,17 +426,24 @@
     let path = folder.join(RUN);
     if path.is_file() {
         let text = fs::read(&path).map_err(|error| format!("{}: {error}", path.display()))?;
-        let run: Run =
-            serde_json::from_slice(&text).map_err(|error| format!("{}: {error}", path.display()))?;
+        let run: Run = serde_json::from_slice(&text)
+            .map_err(|error| format!("{}: {error}", path.display()))?;
         return run.page();
     }
     let records = experiment::read(folder).map_err(|fault| fault.to_string())?;
     if records.is_empty() {
-        return Err(format!("{}: holds neither a play nor an experiment", folder.display()));
+        return Err(format!(
+            "{}: holds neither a play nor an experiment",
+            folder.display()
+        ));
     }
     let manifest = fs::read(folder.join("manifest.json")).ok();
-    let manifest: Option<serde_json::Value> = manifest.and_then(|text| serde_json::from_slice(&text).ok());
-    let title = manifest.as_ref().and_then(|told| told["title"].as_str()).filter(|title| !title.is_empty());
+    let manifest: Option<serde_json::Value> =
+        manifest.and_then(|text| serde_json::from_slice(&text).ok());
+    let title = manifest
+        .as_ref()
+        .and_then(|told| told["title"].as_str())
+        .filter(|title| !title.is_empty());
     experiment_page(title.unwrap_or("Experiment"), &records)
 }
 
@@ -378,7 +458,10 @@
     let mut all: ByScenario<'_> = BTreeMap::new();
     for record in records {
         let variants = all.entry(&record.scenario).or_default();
-        variants.entry(&record.variant).or_default().push(record.figures.kept);
+        variants
+            .entry(&record.variant)
+            .or_default()
+            .push(record.figures.kept);
     }
     all
 }
@@ -394,7 +477,9 @@
     for (scenario, found) in by_scenario(records) {
         let _ = write!(text, "{scenario:<20}");
         for variant in &named {
-            let cell = found.get(variant).map_or("-".to_owned(), |kept| format!("{:.4}", mean(kept)));
+            let cell = found
+                .get(variant)
+                .map_or("-".to_owned(), |kept| format!("{:.4}", mean(kept)));
             let _ = write!(text, " {cell:>12}");
         }
         text.push('\n');
@@ -412,18 +497,38 @@
                 let one = Difference::of(kept, 1);
                 (one.mean, one.low, one.high)
             };
-            let rows = found.values().map(|variants| variants.get(variant).map(interval)).collect();
-            Dots { variant: (*variant).to_owned(), rows }
+            let rows = found
+                .values()
+                .map(|variants| variants.get(variant).map(interval))
+                .collect();
+            Dots {
+                variant: (*variant).to_owned(),
+                rows,
+            }
         })
         .collect();
-    let chart = draw(dots("worth kept: mean over the seeds, with its 95 % interval", &names, &all))?;
+    let chart = draw(dots(
+        "worth kept: mean over the seeds, with its 95 % interval",
+        &names,
+        &all,
+    ))?;
     let of = |variant: &str| -> Vec<Record> {
-        records.iter().filter(|record| record.variant == variant).cloned().collect()
+        records
+            .iter()
+            .filter(|record| record.variant == variant)
+            .cloned()
+            .collect()
     };
     let first = named.first().copied().unwrap_or_default();
-    let compared: Vec<(&str, Comparison)> =
-        named.iter().skip(1).map(|with| (*with, Comparison::of(&of(first), &of(with)))).collect();
-    let broken: Vec<&Record> = records.iter().filter(|record| record.figures.breaches > 0).collect();
+    let compared: Vec<(&str, Comparison)> = named
+        .iter()
+        .skip(1)
+        .map(|with| (*with, Comparison::of(&of(first), &of(with))))
+        .collect();
+    let broken: Vec<&Record> = records
+        .iter()
+        .filter(|record| record.figures.breaches > 0)
+        .collect();
     let seeds: BTreeSet<u64> = records.iter().map(|record| record.seed).collect();
     let body = html! {
         p { (records.len()) " runs: " (names.len()) " scenarios, " (seeds.len()) " seeds, " (named.len()) " variants." }
--- a/crates/simulation/src/rig/clients.rs
+++ b/crates/simulation/src/rig/clients.rs
@@ -56,13 +56,19 @@
                 answers
             })
         };
-        Clients { threads: (0..many).map(client).collect(), stop }
+        Clients {
+            threads: (0..many).map(client).collect(),
+            stop,
+        }
     }
 
     /// Ends them; gives all answers, those of one event in their order.
     pub fn end(self) -> Vec<Answer> {
         self.stop.store(true, Ordering::SeqCst);
-        self.threads.into_iter().flat_map(|thread| thread.join().unwrap_or_default()).collect()
+        self.threads
+            .into_iter()
+            .flat_map(|thread| thread.join().unwrap_or_default())
+            .collect()
     }
 }
 
@@ -74,7 +80,11 @@
         let member = place % at.len();
         let answer = event(at[member], id, clinic, PATIENCE);
         let status = answer.as_ref().map_or(0, |answer| answer.status());
-        answers.push(Answer { id: id.to_owned(), member, status });
+        answers.push(Answer {
+            id: id.to_owned(),
+            member,
+            status,
+        });
         if !matches!(status, 0 | 429 | 503) {
             return;
         }
--- a/crates/simulation/src/rig/daemons.rs
+++ b/crates/simulation/src/rig/daemons.rs
@@ -48,13 +48,17 @@
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::piped());
-        let mut child = command.spawn().map_err(Fault::at(program.display().to_string()))?;
+        let mut child = command
+            .spawn()
+            .map_err(Fault::at(program.display().to_string()))?;
         let log = Arc::<Mutex<String>>::default();
         if let Some(from) = child.stderr.take() {
             let into = log.clone();
             std::thread::spawn(move || {
                 for line in BufReader::new(from).lines().map_while(Result::ok) {
-                    into.lock().unwrap_or_else(PoisonError::into_inner).push_str(&format!("{line}\n"));
+                    into.lock()
+                        .unwrap_or_else(PoisonError::into_inner)
+                        .push_str(&format!("{line}\n"));
                 }
             });
         }
@@ -63,7 +67,10 @@
 
     /// What it has said so far.
     pub fn log(&self) -> String {
-        self.log.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.log
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Its number to the system.
@@ -73,8 +80,10 @@
 
     /// Sends it a signal by its name without `SIG`; whether it took it, as one that has ended takes none.
     pub fn signal(&self, name: &str) -> bool {
-        let kill =
-            Command::new("kill").args(["-s", name, &self.pid().to_string()]).stderr(Stdio::null()).status();
+        let kill = Command::new("kill")
+            .args(["-s", name, &self.pid().to_string()])
+            .stderr(Stdio::null())
+            .status();
         kill.is_ok_and(|status| status.success())
     }
 
@@ -133,10 +142,16 @@
 /// connection is opened.
 fn ports(many: usize) -> Result<Vec<SocketAddr>, Fault> {
     let pid = std::process::id();
-    let own =
-        Ipv4Addr::new(127, 1 + (pid / 62_500 % 250) as u8, (pid / 250 % 250) as u8, 1 + (pid % 250) as u8);
+    let own = Ipv4Addr::new(
+        127,
+        1 + (pid / 62_500 % 250) as u8,
+        (pid / 250 % 250) as u8,
+        1 + (pid % 250) as u8,
+    );
     // Held until all are chosen, so that none is chosen twice.
-    let held = (0..many).map(|_| TcpListener::bind((own, 0))).collect::<Result<Vec<_>, _>>();
+    let held = (0..many)
+        .map(|_| TcpListener::bind((own, 0)))
+        .collect::<Result<Vec<_>, _>>();
     let at = held.and_then(|held| held.iter().map(TcpListener::local_addr).collect());
     at.map_err(Fault::at("a port"))
 }
@@ -148,14 +163,30 @@
     /// Where the machine refuses a folder or a port, or the program its own file.
     pub fn found(setting: Setting) -> Result<Group, Fault> {
         let _ = fs::remove_dir_all(&setting.folder);
-        fs::create_dir_all(&setting.folder).map_err(Fault::at(setting.folder.display().to_string()))?;
+        fs::create_dir_all(&setting.folder)
+            .map_err(Fault::at(setting.folder.display().to_string()))?;
         let (ways, members) = (Ways::default(), setting.members);
         let mut links = ports(2 * members)?;
         let listens = links.split_off(members);
-        let relays = links.iter().enumerate().map(|(to, at)| relay::start(to, *at, &ways));
+        let relays = links
+            .iter()
+            .enumerate()
+            .map(|(to, at)| relay::start(to, *at, &ways));
         let relays = relays.collect::<Result<Vec<_>, Fault>>()?;
-        let (daemons, logs) = ((0..members).map(|_| None).collect(), vec![String::new(); members]);
-        let mut group = Group { setting, listens, ways, links, relays, daemons, plans: 0, logs };
+        let (daemons, logs) = (
+            (0..members).map(|_| None).collect(),
+            vec![String::new(); members],
+        );
+        let mut group = Group {
+            setting,
+            listens,
+            ways,
+            links,
+            relays,
+            daemons,
+            plans: 0,
+            logs,
+        };
         let file = group.file(&[]);
         for member in 0..members {
             group.found_one(member, &file)?;
@@ -169,7 +200,13 @@
     /// What the program says against it.
     pub fn found_one(&mut self, member: usize, file: &str) -> Result<(), Fault> {
         let plan = self.plan(member, file)?;
-        let (done, said) = self.run(&["apply", &plan, &self.home(member), "--member", &name(member)])?;
+        let (done, said) = self.run(&[
+            "apply",
+            &plan,
+            &self.home(member),
+            "--member",
+            &name(member),
+        ])?;
         match done {
             true => Ok(()),
             false => Err(Fault::Refused(said)),
@@ -182,8 +219,13 @@
             format!("{{ name = \"{letter}-{number}\", address = \"{at}\" }}")
         };
         let endpoints = |letter: char| {
-            let all: Vec<String> =
-                self.setting.partner.iter().enumerate().map(|one| endpoint(letter, one)).collect();
+            let all: Vec<String> = self
+                .setting
+                .partner
+                .iter()
+                .enumerate()
+                .map(|one| endpoint(letter, one))
+                .collect();
             all.join(", ")
         };
         let mut text = format!(
@@ -206,7 +248,9 @@
                 self.listens[member]
             );
         }
-        changes.iter().fold(text, |text, (from, to)| text.replace(from, to))
+        changes
+            .iter()
+            .fold(text, |text, (from, to)| text.replace(from, to))
     }
 
     /// A member's home.
@@ -271,7 +315,11 @@
         let last = |member: usize| {
             let log = self.log(member);
             let lines: Vec<&str> = log.lines().collect();
-            format!("--- {}\n{}\n", name(member), lines[lines.len().saturating_sub(40)..].join("\n"))
+            format!(
+                "--- {}\n{}\n",
+                name(member),
+                lines[lines.len().saturating_sub(40)..].join("\n")
+            )
         };
         (0..self.daemons.len()).map(last).collect()
     }
@@ -290,11 +338,19 @@
     /// What the program says against it.
     pub fn plan(&mut self, member: usize, file: &str) -> Result<String, Fault> {
         self.plans += 1;
-        let path = self.setting.folder.join(format!("change-{}.toml", self.plans));
+        let path = self
+            .setting
+            .folder
+            .join(format!("change-{}.toml", self.plans));
         let plan = path.with_extension("plan").display().to_string();
         fs::write(&path, file).map_err(Fault::at(path.display().to_string()))?;
-        let (done, said) =
-            self.run(&["plan", &path.display().to_string(), &self.home(member), "--out", &plan])?;
+        let (done, said) = self.run(&[
+            "plan",
+            &path.display().to_string(),
+            &self.home(member),
+            "--out",
+            &plan,
+        ])?;
         match done {
             true => Ok(plan),
             false => Err(Fault::Refused(said)),
@@ -353,7 +409,13 @@
 /// # Errors
 /// Where the machine refuses the process.
 pub fn run(program: &Path, words: &[&str]) -> Result<(bool, String), Fault> {
-    let done = Command::new(program).args(words).stdin(Stdio::null()).output();
+    let done = Command::new(program)
+        .args(words)
+        .stdin(Stdio::null())
+        .output();
     let done = done.map_err(Fault::at(program.display().to_string()))?;
-    Ok((done.status.success(), String::from_utf8_lossy(&[done.stdout, done.stderr].concat()).into_owned()))
+    Ok((
+        done.status.success(),
+        String::from_utf8_lossy(&[done.stdout, done.stderr].concat()).into_owned(),
+    ))
 }
--- a/crates/simulation/src/rig/history.rs
+++ b/crates/simulation/src/rig/history.rs
@@ -77,7 +77,12 @@
         let mut next = || parts.next();
         let (micros, instance, what, revision) = (next()?, next()?, next()?, next()?);
         let (micros, revision) = (micros.parse().ok()?, revision.parse().ok()?);
-        Some(Did { micros, instance: instance.to_owned(), what: what.to_owned(), revision })
+        Some(Did {
+            micros,
+            instance: instance.to_owned(),
+            what: what.to_owned(),
+            revision,
+        })
     }
 
     /// Reads a whole history.
@@ -116,7 +121,12 @@
     pub fn judge(&self) -> Vec<Breach> {
         let mut all = Vec::new();
         let mut say = |promise, what: String| {
-            if all.iter().filter(|breach: &&Breach| breach.promise == promise).count() < 3 {
+            if all
+                .iter()
+                .filter(|breach: &&Breach| breach.promise == promise)
+                .count()
+                < 3
+            {
                 all.push(Breach { promise, what });
             }
         };
@@ -159,13 +169,22 @@
         for (key, outcome) in self.told.iter().chain([&self.applied]).flatten() {
             let first = all.entry(key).or_insert(*outcome);
             if *first != *outcome {
-                say(Promise::OneOutcome, format!("change {key}: {first:?} and {outcome:?}"));
+                say(
+                    Promise::OneOutcome,
+                    format!("change {key}: {first:?} and {outcome:?}"),
+                );
             }
         }
         let mut revisions: BTreeMap<u64, &String> = BTreeMap::new();
-        for (key, revision) in all.into_iter().filter_map(|(key, outcome)| Some((key, outcome?))) {
+        for (key, revision) in all
+            .into_iter()
+            .filter_map(|(key, outcome)| Some((key, outcome?)))
+        {
             if let Some(other) = revisions.insert(revision, key) {
-                say(Promise::OneOutcome, format!("revision {revision} is change {other} and change {key}"));
+                say(
+                    Promise::OneOutcome,
+                    format!("revision {revision} is change {other} and change {key}"),
+                );
             }
         }
     }
@@ -177,12 +196,21 @@
             if had == Some(204) && answer.status != 204 {
                 say(
                     Promise::OneEnd,
-                    format!("{} was delivered and then answered {}", answer.id, answer.status),
+                    format!(
+                        "{} was delivered and then answered {}",
+                        answer.id, answer.status
+                    ),
                 );
             }
         }
-        for (id, status) in last.into_iter().filter(|(_, status)| matches!(status, 0 | 429 | 503)) {
-            say(Promise::OneEnd, format!("{id} has no end, last answered {status}"));
+        for (id, status) in last
+            .into_iter()
+            .filter(|(_, status)| matches!(status, 0 | 429 | 503))
+        {
+            say(
+                Promise::OneEnd,
+                format!("{id} has no end, last answered {status}"),
+            );
         }
     }
 
@@ -193,18 +221,27 @@
         let mut out: HashMap<&str, &Call> = HashMap::new();
         for call in calls {
             *effects.entry(&call.key).or_default() += u32::from(call.effect);
-            if let Some(before) = out.insert(&call.key, call).filter(|before| before.ended > call.begun) {
+            if let Some(before) = out
+                .insert(&call.key, call)
+                .filter(|before| before.ended > call.begun)
+            {
                 say(Promise::OneLeg, format!("{call:?} while {before:?}"));
             }
         }
         for (key, count) in effects.iter().filter(|(_, count)| **count > 1) {
-            say(Promise::NotDoubled, format!("{key} took effect {count} times"));
+            say(
+                Promise::NotDoubled,
+                format!("{key} took effect {count} times"),
+            );
         }
         for answer in self.answers.iter().filter(|answer| answer.status == 204) {
             if !effects.contains_key(answer.id.as_str()) {
                 say(
                     Promise::Delivered,
-                    format!("{} was answered as delivered by member {}", answer.id, answer.member),
+                    format!(
+                        "{} was answered as delivered by member {}",
+                        answer.id, answer.member
+                    ),
                 );
             }
         }
@@ -220,8 +257,15 @@
             let Some(from) = since.get(revision).map(|from| from + GRACE) else {
                 continue;
             };
-            let until = since.range(revision + 1..).next().map_or(i64::MAX, |(_, until)| *until);
-            for call in self.calls.iter().filter(|call| endpoints.contains(&call.endpoint)) {
+            let until = since
+                .range(revision + 1..)
+                .next()
+                .map_or(i64::MAX, |(_, until)| *until);
+            for call in self
+                .calls
+                .iter()
+                .filter(|call| endpoints.contains(&call.endpoint))
+            {
                 if (from..until).contains(&call.begun) {
                     say(
                         Promise::Drains,
@@ -238,15 +282,30 @@
     use super::*;
 
     fn did(micros: i64, what: &str, revision: u64) -> Did {
-        Did { micros, instance: "m00-1".to_owned(), what: what.to_owned(), revision }
+        Did {
+            micros,
+            instance: "m00-1".to_owned(),
+            what: what.to_owned(),
+            revision,
+        }
     }
 
     fn call(key: &str, endpoint: usize, begun: i64, effect: bool) -> Call {
-        Call { key: key.to_owned(), endpoint, begun, ended: begun + 100, effect }
+        Call {
+            key: key.to_owned(),
+            endpoint,
+            begun,
+            ended: begun + 100,
+            effect,
+        }
     }
 
     fn answer(id: &str, status: u16) -> Answer {
-        Answer { id: id.to_owned(), member: 0, status }
+        Answer {
+            id: id.to_owned(),
+            member: 0,
+            status,
+        }
     }
 
     fn sound() -> Seen {
@@ -263,7 +322,12 @@
                 call("y", 1, 1_000_000, true),
                 call("y", 1, 1_200_000, false),
             ],
-            answers: vec![answer("x", 204), answer("y", 0), answer("y", 429), answer("y", 204)],
+            answers: vec![
+                answer("x", 204),
+                answer("y", 0),
+                answer("y", 429),
+                answer("y", 204),
+            ],
             told: vec![told.clone(), told.clone()],
             applied: told,
             in_step: vec![true, true],
@@ -277,21 +341,39 @@
         assert_eq!(sound().judge(), []);
         type Spoils = fn(&mut Seen);
         let spoilt: [(Promise, Spoils); 10] = [
-            (Promise::NoMixture, |seen| seen.did.push(did(900_005, "leg", 1))),
-            (Promise::OneOutcome, |seen| seen.told[1].extend([("two".to_owned(), Some(3))])),
-            (Promise::OneOutcome, |seen| seen.applied.extend([("three".to_owned(), Some(2))])),
+            (Promise::NoMixture, |seen| {
+                seen.did.push(did(900_005, "leg", 1))
+            }),
+            (Promise::OneOutcome, |seen| {
+                seen.told[1].extend([("two".to_owned(), Some(3))])
+            }),
+            (Promise::OneOutcome, |seen| {
+                seen.applied.extend([("three".to_owned(), Some(2))])
+            }),
             (Promise::NobodyLeftBehind, |seen| seen.in_step[1] = false),
             (Promise::OneEnd, |seen| seen.answers.push(answer("z", 429))),
             (Promise::OneEnd, |seen| seen.answers.push(answer("x", 502))),
-            (Promise::Delivered, |seen| seen.answers.push(answer("never", 204))),
-            (Promise::NotDoubled, |seen| seen.calls.push(call("x", 1, 8_000_000, true))),
-            (Promise::OneLeg, |seen| seen.calls.push(call("x", 1, 60, false))),
-            (Promise::Drains, |seen| seen.calls.push(call("late", 0, 1_200_000, true))),
+            (Promise::Delivered, |seen| {
+                seen.answers.push(answer("never", 204))
+            }),
+            (Promise::NotDoubled, |seen| {
+                seen.calls.push(call("x", 1, 8_000_000, true))
+            }),
+            (Promise::OneLeg, |seen| {
+                seen.calls.push(call("x", 1, 60, false))
+            }),
+            (Promise::Drains, |seen| {
+                seen.calls.push(call("late", 0, 1_200_000, true))
+            }),
         ];
         for (promise, spoil) in spoilt {
             let mut seen = sound();
             spoil(&mut seen);
-            let found: Vec<Promise> = seen.judge().into_iter().map(|breach| breach.promise).collect();
+            let found: Vec<Promise> = seen
+                .judge()
+                .into_iter()
+                .map(|breach| breach.promise)
+                .collect();
             assert_eq!(found, [promise], "{promise}");
         }
     }
@@ -300,7 +382,10 @@
     fn half_written_lines_are_no_acts() {
         assert_eq!(
             Did::read_all("12 a takes 3\n13 a le"),
-            [Did { instance: "a".to_owned(), ..did(12, "takes", 3) }]
+            [Did {
+                instance: "a".to_owned(),
+                ..did(12, "takes", 3)
+            }]
         );
     }
 }
--- a/crates/simulation/src/rig/http.rs
+++ b/crates/simulation/src/rig/http.rs
@@ -20,13 +20,20 @@
 impl Message {
     /// The value of a field.
     pub fn field(&self, name: &str) -> Option<&str> {
-        let found = self.fields.iter().find(|(have, _)| have.eq_ignore_ascii_case(name));
+        let found = self
+            .fields
+            .iter()
+            .find(|(have, _)| have.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
     /// The status of an answer; 0 where there is none.
     pub fn status(&self) -> u16 {
-        self.first.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
+        self.first
+            .split(' ')
+            .nth(1)
+            .and_then(|code| code.parse().ok())
+            .unwrap_or(0)
     }
 
     /// Reads one message with a length; `None` where the connection ends first.
@@ -38,7 +45,11 @@
             let len = from.read_line(&mut text).ok()?;
             (len > 0).then(|| text.trim_end().to_owned())
         };
-        let mut message = Message { first: line()?, came, ..Message::default() };
+        let mut message = Message {
+            first: line()?,
+            came,
+            ..Message::default()
+        };
         loop {
             let text = line()?;
             if text.is_empty() {
@@ -47,7 +58,10 @@
             let (name, value) = text.split_once(": ")?;
             message.fields.push((name.to_owned(), value.to_owned()));
         }
-        let len = message.field("content-length").and_then(|len| len.parse().ok()).unwrap_or(0);
+        let len = message
+            .field("content-length")
+            .and_then(|len| len.parse().ok())
+            .unwrap_or(0);
         message.body.resize(len, 0);
         from.read_exact(&mut message.body).ok()?;
         Some(message)
@@ -72,5 +86,8 @@
 /// # Errors
 /// Of the connection.
 pub fn answer(to: &mut impl Write, status: u16, fields: &str) -> io::Result<()> {
-    write!(to, "HTTP/1.1 {status} x\r\n{fields}Content-Length: 0\r\n\r\n")
+    write!(
+        to,
+        "HTTP/1.1 {status} x\r\n{fields}Content-Length: 0\r\n\r\n"
+    )
 }
--- a/crates/simulation/src/rig/partner.rs
+++ b/crates/simulation/src/rig/partner.rs
@@ -57,7 +57,9 @@
         let listeners = [listen()?, listen()?];
         let mut at = [SocketAddr::from(([127, 0, 0, 1], 0)); ENDPOINTS];
         for (endpoint, listener) in listeners.into_iter().enumerate() {
-            at[endpoint] = listener.local_addr().map_err(Fault::at("a partner's port"))?;
+            at[endpoint] = listener
+                .local_addr()
+                .map_err(Fault::at("a partner's port"))?;
             let seen = seen.clone();
             std::thread::spawn(move || {
                 for stream in listener.incoming().flatten() {
@@ -83,15 +85,27 @@
     let mut reader = BufReader::new(stream);
     while let Some(message) = Message::read(&mut reader) {
         let begun = micros();
-        let key = message.field("idempotency-key").unwrap_or_default().to_owned();
+        let key = message
+            .field("idempotency-key")
+            .unwrap_or_default()
+            .to_owned();
         std::thread::sleep(takes);
         let mut all = seen(all);
         let ended = micros();
-        let known = all.effects.get(&key).is_some_and(|at| ended - at < WINDOW.as_micros() as i64);
+        let known = all
+            .effects
+            .get(&key)
+            .is_some_and(|at| ended - at < WINDOW.as_micros() as i64);
         if !known {
             all.effects.insert(key.clone(), ended);
         }
-        all.calls.push(Call { key, endpoint, begun, ended, effect: !known });
+        all.calls.push(Call {
+            key,
+            endpoint,
+            begun,
+            ended,
+            effect: !known,
+        });
         drop(all);
         if answer(&mut writer, 204, "").is_err() {
             return;
--- a/crates/simulation/src/rig/play.rs
+++ b/crates/simulation/src/rig/play.rs
@@ -74,34 +74,61 @@
     group.start_all()?;
     let founding = group.file(&[]);
     let (trace, later, applying, applied, proposed) = Default::default();
-    let old = (0..processes.voters).filter_map(|voter| Some((voter, fs::read(group.votes(voter)).ok()?)));
+    let old =
+        (0..processes.voters).filter_map(|voter| Some((voter, fs::read(group.votes(voter)).ok()?)));
     let old = old.collect();
     let crowd = schedule.seed;
     let rest = Duration::from_millis(processes.rest_ms);
     let clients = Clients::start(&group.listens, processes.clients, rest, crowd);
     let began = Instant::now();
     let stopped = BTreeSet::new();
-    let mut run =
-        Run { group, schedule, began, trace, later, old, applying, applied, proposed, stopped, founding };
+    let mut run = Run {
+        group,
+        schedule,
+        began,
+        trace,
+        later,
+        old,
+        applying,
+        applied,
+        proposed,
+        stopped,
+        founding,
+    };
     let done = run.play();
     let healed = done.and_then(|()| run.heal());
     let answers = clients.end();
     let mut seen = run.gather()?;
     (seen.calls, seen.answers) = (partner.calls(), answers);
     if let Err(fault) = healed {
-        run.trace.push(format!("the run did not come to its end: {fault}"));
+        run.trace
+            .push(format!("the run did not come to its end: {fault}"));
     }
     let mut breaches = seen.judge();
     breaches.sort_by_key(|breach| breach.promise);
     if !breaches.is_empty() {
         run.trace.push(run.group.logs());
     }
-    let again = seen.answers.iter().filter(|answer| matches!(answer.status, 0 | 429 | 503)).count();
-    let applied = run.applied.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    let again = seen
+        .answers
+        .iter()
+        .filter(|answer| matches!(answer.status, 0 | 429 | 503))
+        .count();
+    let applied = run
+        .applied
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
     let in_force = applied.values().flatten().count();
     let changes = (run.proposed, in_force, applied.len() - in_force);
     let (acts, answers) = (seen.did.len(), (seen.answers.len(), again));
-    Ok(Report { breaches, trace: run.trace, acts, answers, changes })
+    Ok(Report {
+        breaches,
+        trace: run.trace,
+        acts,
+        answers,
+        changes,
+    })
 }
 
 impl Run<'_> {
@@ -110,7 +137,10 @@
     }
 
     fn note(&mut self, what: String) {
-        self.trace.push(format!("{:8.3} s {what}", self.began.elapsed().as_secs_f64()));
+        self.trace.push(format!(
+            "{:8.3} s {what}",
+            self.began.elapsed().as_secs_f64()
+        ));
     }
 
     fn play(&mut self) -> Result<(), Fault> {
@@ -147,8 +177,17 @@
     fn strike(&mut self, deed: &Deed) -> Result<(), Fault> {
         let now = self.now_ms();
         match deed {
-            Deed::Change { member, number, drains } => return self.change(*member, *number, *drains),
-            Deed::Restart { member, politely, down_ms, folder } => {
+            Deed::Change {
+                member,
+                number,
+                drains,
+            } => return self.change(*member, *number, *drains),
+            Deed::Restart {
+                member,
+                politely,
+                down_ms,
+                folder,
+            } => {
                 // One folder at a time is tampered with: of most of them nobody could know what they had acknowledged.
                 let tampered = |(_, later): &(u64, Later)| matches!(later, Later::Start(_, tamper) if *tamper != Tamper::Nothing);
                 let folder = if *folder != Tamper::Nothing && !self.may_tamper(*member, tampered) {
@@ -172,23 +211,40 @@
                 }
                 self.group.kill(*member);
                 self.stopped.remove(member);
-                self.later.push((now + down_ms, Later::Start(*member, folder)));
+                self.later
+                    .push((now + down_ms, Later::Start(*member, folder)));
             }
             Deed::Stop { member, ms } => {
-                if let Some(daemon) = self.group.daemon(*member).filter(|_| self.stopped.insert(*member)) {
+                if let Some(daemon) = self
+                    .group
+                    .daemon(*member)
+                    .filter(|_| self.stopped.insert(*member))
+                {
                     daemon.signal("STOP");
                     self.note(format!("{} is stopped for {ms} ms", name(*member)));
                     self.later.push((now + ms, Later::Continue(*member)));
                 }
             }
-            Deed::Links { from, to, both, does, ms } => {
-                let mut pairs: Vec<(usize, usize)> =
-                    from.iter().flat_map(|from| to.iter().map(move |to| (*from, *to))).collect();
+            Deed::Links {
+                from,
+                to,
+                both,
+                does,
+                ms,
+            } => {
+                let mut pairs: Vec<(usize, usize)> = from
+                    .iter()
+                    .flat_map(|from| to.iter().map(move |to| (*from, *to)))
+                    .collect();
                 if *both {
                     pairs.extend(pairs.clone().into_iter().map(|(from, to)| (to, from)));
                 }
-                pairs.iter().for_each(|(from, to)| self.group.ways.set(*from, *to, *does));
-                self.note(format!("{does:?} from {from:?} to {to:?}, both ways {both}, for {ms} ms"));
+                pairs
+                    .iter()
+                    .for_each(|(from, to)| self.group.ways.set(*from, *to, *does));
+                self.note(format!(
+                    "{does:?} from {from:?} to {to:?}, both ways {both}, for {ms} ms"
+                ));
                 self.later.push((now + ms, Later::Heal(pairs)));
             }
             Deed::FullDisk { member, ms } => {
@@ -196,12 +252,17 @@
                 let beside = self.group.votes(*member).with_file_name("votes.new");
                 let _ = fs::remove_file(&beside);
                 if fs::create_dir(&beside).is_ok() {
-                    self.note(format!("the disk of {} takes no votes for {ms} ms", name(*member)));
+                    self.note(format!(
+                        "the disk of {} takes no votes for {ms} ms",
+                        name(*member)
+                    ));
                     self.later.push((now + ms, Later::Empty(*member)));
                 }
             }
             Deed::KillAll { down_ms, order } => {
-                self.note(format!("all are killed for {down_ms} ms, and start as {order:?}"));
+                self.note(format!(
+                    "all are killed for {down_ms} ms, and start as {order:?}"
+                ));
                 for (place, member) in order.iter().enumerate() {
                     if self.group.daemon(*member).is_some() {
                         self.group.kill(*member);
@@ -221,12 +282,17 @@
     fn may_tamper(&self, member: usize, tampered: impl Fn(&(u64, Later)) -> bool) -> bool {
         let voters = 0..self.schedule.processes.voters;
         let votes = |voter: usize| self.group.status(voter)["votes"]["takes_part"] == true;
-        let healthy = self.later.iter().all(|(_, later)| !matches!(later, Later::Heal(_) | Later::Empty(_)));
+        let healthy = self
+            .later
+            .iter()
+            .all(|(_, later)| !matches!(later, Later::Heal(_) | Later::Empty(_)));
         self.schedule.processes.voters > 2
             && healthy
             && !self.later.iter().any(tampered)
             && self.stopped.is_empty()
-            && voters.into_iter().all(|voter| votes(voter) || voter == member)
+            && voters
+                .into_iter()
+                .all(|voter| votes(voter) || voter == member)
             && votes(member)
     }
 
@@ -238,13 +304,19 @@
                 self.note(format!("{} starts", name(member)));
             }
             Later::Continue(member) => {
-                if let Some(daemon) = self.group.daemon(member).filter(|_| self.stopped.remove(&member)) {
+                if let Some(daemon) = self
+                    .group
+                    .daemon(member)
+                    .filter(|_| self.stopped.remove(&member))
+                {
                     daemon.signal("CONT");
                     self.note(format!("{} goes on", name(member)));
                 }
             }
             Later::Heal(pairs) => {
-                pairs.iter().for_each(|(from, to)| self.group.ways.set(*from, *to, Does::Passes));
+                pairs
+                    .iter()
+                    .for_each(|(from, to)| self.group.ways.set(*from, *to, Does::Passes));
                 self.note(format!("{} ways pass again", pairs.len()));
             }
             Later::Empty(member) => {
@@ -295,11 +367,18 @@
         let plan = self.group.plan(member, &file)?;
         let (program, home) = (self.group.setting.program.clone(), self.group.home(member));
         let (applied, key) = (self.applied.clone(), format!("c{number}"));
-        self.note(format!("change {number} is applied at {}, draining {drains:?}", name(member)));
+        self.note(format!(
+            "change {number} is applied at {}, draining {drains:?}",
+            name(member)
+        ));
         self.proposed += 1;
         self.applying.push(thread::spawn(move || {
             let words = ["apply", &plan, &home];
-            let done = Command::new(program).args(words).env("USER", &key).stdin(Stdio::null()).output();
+            let done = Command::new(program)
+                .args(words)
+                .env("USER", &key)
+                .stdin(Stdio::null())
+                .output();
             let Ok(done) = done else { return };
             let said = String::from_utf8_lossy(&[done.stdout, done.stderr].concat()).into_owned();
             let outcome = match said.split("in force everywhere as revision ").nth(1) {
@@ -308,7 +387,10 @@
                 // Stale, or another was open, or the daemon died: it says nothing of an outcome.
                 None => return,
             };
-            applied.lock().unwrap_or_else(PoisonError::into_inner).insert(key, outcome);
+            applied
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .insert(key, outcome);
         }));
         Ok(())
     }
@@ -327,34 +409,56 @@
         }
         wait_for("all to act under one policy", || {
             let holds = self.group.status(0)["group"]["revision"].as_u64();
-            holds.is_some_and(|holds| (0..members).all(|member| self.group.acts_under(member, holds)))
+            holds.is_some_and(|holds| {
+                (0..members).all(|member| self.group.acts_under(member, holds))
+            })
         })
     }
 
     fn gather(&mut self) -> Result<Seen, Fault> {
         let members = self.schedule.processes.members;
         let mut seen = Seen::default();
-        let holds = (0..members).find_map(|member| self.group.status(member)["group"]["revision"].as_u64());
+        let holds =
+            (0..members).find_map(|member| self.group.status(member)["group"]["revision"].as_u64());
         for member in 0..members {
             let text = fs::read_to_string(self.group.history_file(member)).unwrap_or_default();
             seen.did.extend(Did::read_all(&text));
-            seen.in_step.push(holds.is_some_and(|holds| self.group.acts_under(member, holds)));
+            seen.in_step
+                .push(holds.is_some_and(|holds| self.group.acts_under(member, holds)));
             let mut told = Outcomes::new();
             for change in self.group.outcomes(member).as_array().into_iter().flatten() {
-                let by = change["by"].as_str().unwrap_or_default().split(' ').next().unwrap_or_default();
+                let by = change["by"]
+                    .as_str()
+                    .unwrap_or_default()
+                    .split(' ')
+                    .next()
+                    .unwrap_or_default();
                 if by.starts_with('c') {
                     told.insert(by.to_owned(), change["revision"].as_u64());
                 }
             }
             seen.told.push(told);
         }
-        seen.applied = self.applied.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        seen.applied = self
+            .applied
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
         for step in &self.schedule.steps {
-            let Deed::Change { number, drains: Some(endpoint), .. } = step.deed else {
+            let Deed::Change {
+                number,
+                drains: Some(endpoint),
+                ..
+            } = step.deed
+            else {
                 continue;
             };
             let key = format!("c{number}");
-            if let Some(revision) = seen.told.iter().find_map(|told| told.get(&key).copied().flatten()) {
+            if let Some(revision) = seen
+                .told
+                .iter()
+                .find_map(|told| told.get(&key).copied().flatten())
+            {
                 seen.drained.insert(revision, HashSet::from([endpoint]));
             }
         }
@@ -410,8 +514,18 @@
             longest_ms: 100,
             faults: Vec::new(),
         };
-        let step = |at_ms: u64| Step { at_ms, deed: Deed::Stop { member: 0, ms: at_ms } };
-        let schedule = Schedule { seed: 1, processes, steps: (0..50).map(step).collect() };
+        let step = |at_ms: u64| Step {
+            at_ms,
+            deed: Deed::Stop {
+                member: 0,
+                ms: at_ms,
+            },
+        };
+        let schedule = Schedule {
+            seed: 1,
+            processes,
+            steps: (0..50).map(step).collect(),
+        };
         // Two steps together do it.
         let breaks = |schedule: &Schedule| {
             let has = |at: u64| schedule.steps.iter().any(|step| step.at_ms == at);
--- a/crates/simulation/src/rig/relay.rs
+++ b/crates/simulation/src/rig/relay.rs
@@ -47,7 +47,10 @@
 
     /// Both ways between some members and others.
     pub fn between(&self, some: &[usize], others: &[usize], does: Does) {
-        for (some, other) in some.iter().flat_map(|some| others.iter().map(move |other| (*some, *other))) {
+        for (some, other) in some
+            .iter()
+            .flat_map(|some| others.iter().map(move |other| (*some, *other)))
+        {
             if some != other {
                 self.set(some, other, does);
                 self.set(other, some, does);
@@ -57,7 +60,10 @@
 
     /// All pass again.
     pub fn heal(&self) {
-        self.does.lock().unwrap_or_else(PoisonError::into_inner).clear();
+        self.does
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clear();
     }
 
     /// Bytes passed on so far.
@@ -67,7 +73,8 @@
 
     fn of(&self, from: Option<u32>, to: u32) -> Does {
         let all = self.does.lock().unwrap_or_else(PoisonError::into_inner);
-        from.and_then(|from| all.get(&(from, to)).copied()).unwrap_or(Does::Passes)
+        from.and_then(|from| all.get(&(from, to)).copied())
+            .unwrap_or(Does::Passes)
     }
 }
 
--- a/crates/simulation/src/rig/schedule.rs
+++ b/crates/simulation/src/rig/schedule.rs
@@ -91,13 +91,18 @@
         let text = std::fs::read_to_string(path).map_err(|error| at(error.to_string()))?;
         let form: Form =
             toml::from_str(&text).map_err(|error| at(error.to_string().trim_end().to_owned()))?;
-        form.processes.fault().map_or(Ok(form), |why| Err(at(format!("processes: {why}"))))
+        form.processes
+            .fault()
+            .map_or(Ok(form), |why| Err(at(format!("processes: {why}"))))
     }
 }
 
 impl Processes {
     fn fault(&self) -> Option<&'static str> {
-        if !(2..=40).contains(&self.members) || self.voters == 0 || self.voters > self.members.min(9) {
+        if !(2..=40).contains(&self.members)
+            || self.voters == 0
+            || self.voters > self.members.min(9)
+        {
             return Some("members are 2 to 40, and 1 to 9 of them vote");
         }
         if !["stop", "serve"].contains(&self.on_cut.as_str()) {
@@ -217,21 +222,38 @@
         let mut steps = Vec::new();
         let mut at_ms = 0;
         while at_ms < until && !processes.faults.is_empty() {
-            at_ms += rng.random_range(processes.fault_every_ms / 2..=processes.fault_every_ms * 3 / 2);
+            at_ms +=
+                rng.random_range(processes.fault_every_ms / 2..=processes.fault_every_ms * 3 / 2);
             let kind = processes.faults[rng.random_range(0..processes.faults.len())];
-            steps.extend(strike(kind, processes, &mut rng).into_iter().map(|deed| Step { at_ms, deed }));
+            steps.extend(
+                strike(kind, processes, &mut rng)
+                    .into_iter()
+                    .map(|deed| Step { at_ms, deed }),
+            );
         }
         let (mut at_ms, mut number) = (0, 0);
         while at_ms < until {
-            at_ms += rng.random_range(processes.change_every_ms / 2..=processes.change_every_ms * 3 / 2);
+            at_ms +=
+                rng.random_range(processes.change_every_ms / 2..=processes.change_every_ms * 3 / 2);
             number += 1;
             let drains = [None, Some(0), Some(1)][rng.random_range(0..3usize)];
             let member = rng.random_range(0..processes.members);
-            steps.push(Step { at_ms, deed: Deed::Change { member, number, drains } });
+            steps.push(Step {
+                at_ms,
+                deed: Deed::Change {
+                    member,
+                    number,
+                    drains,
+                },
+            });
         }
         steps.retain(|step| step.at_ms < until);
         steps.sort_by_key(|step| step.at_ms);
-        Schedule { seed, processes: processes.clone(), steps }
+        Schedule {
+            seed,
+            processes: processes.clone(),
+            steps,
+        }
     }
 
     /// The same without some of its steps.
@@ -247,7 +269,13 @@
     let member = rng.random_range(0..processes.members);
     let voter = rng.random_range(0..processes.voters);
     let ms = rng.random_range(10..=processes.longest_ms);
-    let others = |of: usize| members.iter().copied().filter(|other| *other != of).collect::<Vec<_>>();
+    let others = |of: usize| {
+        members
+            .iter()
+            .copied()
+            .filter(|other| *other != of)
+            .collect::<Vec<_>>()
+    };
     let cut = [Does::Swallows, Does::Refuses][rng.random_range(0..2usize)];
     let links = |from: Vec<usize>, to: Vec<usize>, both: bool, does: Does, ms: u64| Deed::Links {
         from,
@@ -257,7 +285,12 @@
         ms,
     };
     let restart = |member: usize, politely: bool, folder: Tamper| {
-        vec![Deed::Restart { member, politely, down_ms: ms, folder }]
+        vec![Deed::Restart {
+            member,
+            politely,
+            down_ms: ms,
+            folder,
+        }]
     };
     match kind {
         Kind::Kill => restart(member, false, Tamper::Nothing),
@@ -271,18 +304,43 @@
         Kind::Split => {
             let parts = rng.random_range(2..=3usize);
             let part: Vec<usize> = members.iter().map(|_| rng.random_range(0..parts)).collect();
-            let of =
-                |which: usize| members.iter().copied().filter(|at| part[*at] == which).collect::<Vec<_>>();
+            let of = |which: usize| {
+                members
+                    .iter()
+                    .copied()
+                    .filter(|at| part[*at] == which)
+                    .collect::<Vec<_>>()
+            };
             let pairs = (0..parts).flat_map(|a| (a + 1..parts).map(move |b| (a, b)));
-            pairs.map(|(a, b)| links(of(a), of(b), true, cut, ms)).collect()
+            pairs
+                .map(|(a, b)| links(of(a), of(b), true, cut, ms))
+                .collect()
         }
         // Each second a short while: the rest of it passes.
         Kind::Flap => vec![links(vec![member], others(member), true, cut, ms.min(400))],
         Kind::Slow if rng.random_bool(0.5) => {
-            vec![links(vec![member], others(member), true, Does::Delays(rng.random_range(5..60)), ms)]
+            vec![links(
+                vec![member],
+                others(member),
+                true,
+                Does::Delays(rng.random_range(5..60)),
+                ms,
+            )]
         }
-        Kind::Slow => vec![links(vec![member], others(member), true, Does::Throttles(64), ms)],
-        Kind::CutFrames => vec![links(vec![member], others(member), true, Does::CutsFrames, ms)],
+        Kind::Slow => vec![links(
+            vec![member],
+            others(member),
+            true,
+            Does::Throttles(64),
+            ms,
+        )],
+        Kind::CutFrames => vec![links(
+            vec![member],
+            others(member),
+            true,
+            Does::CutsFrames,
+            ms,
+        )],
         Kind::LoseFolder => restart(voter, false, Tamper::Lost),
         Kind::OldFolder => restart(voter, false, Tamper::Old),
         Kind::TornFolder => restart(voter, false, Tamper::Torn),
@@ -292,7 +350,10 @@
             for at in (1..order.len()).rev() {
                 order.swap(at, rng.random_range(0..=at));
             }
-            vec![Deed::KillAll { down_ms: ms.min(500), order }]
+            vec![Deed::KillAll {
+                down_ms: ms.min(500),
+                order,
+            }]
         }
     }
 }
@@ -328,11 +389,18 @@
         std::fs::create_dir_all(&dir).expect("a folder");
         let path = dir.join("bad.toml");
         for (text, why) in [
-            ("title = \"x\"\n[processes]\nmembers = 3\nvotres = 3\n", "line 4"),
+            (
+                "title = \"x\"\n[processes]\nmembers = 3\nvotres = 3\n",
+                "line 4",
+            ),
             (
                 &*format!(
                     "title = \"x\"\n[processes]\n{}",
-                    toml::to_string(&Processes { voters: 0, ..processes() }).expect("a table")
+                    toml::to_string(&Processes {
+                        voters: 0,
+                        ..processes()
+                    })
+                    .expect("a table")
                 ),
                 "1 to 9 of them vote",
             ),
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -150,8 +150,15 @@
     /// What every courier is told at its start.
     pub fn settings(&self) -> m::Settings {
         m::Settings {
-            classes: self.classes.iter().map(|class| class.class.clone()).collect(),
-            kinds: vec![m::DestinationKind { separate_routes: false, max_batch: 1 }],
+            classes: self
+                .classes
+                .iter()
+                .map(|class| class.class.clone())
+                .collect(),
+            kinds: vec![m::DestinationKind {
+                separate_routes: false,
+                max_batch: 1,
+            }],
             zone_fees: vec![0.0],
             value_decay: m::ValueDecay::Linear,
             limits: self.caps.clone(),
@@ -167,12 +174,17 @@
     /// For each endpoint, counted over all partners, its partner and its place there.
     pub fn places(&self) -> Vec<(usize, usize)> {
         let partners = self.partners.iter().enumerate();
-        partners.flat_map(|(partner, like)| (0..like.endpoints).map(move |place| (partner, place))).collect()
+        partners
+            .flat_map(|(partner, like)| (0..like.endpoints).map(move |place| (partner, place)))
+            .collect()
     }
 
     /// Whether nothing comes through to or from a partner.
     pub fn cut_off(&self, partner: usize, now: Time) -> bool {
-        self.network.cut_off.iter().any(|(cut, from, until)| *cut == partner && *from <= now && now < *until)
+        self.network
+            .cut_off
+            .iter()
+            .any(|(cut, from, until)| *cut == partner && *from <= now && now < *until)
     }
 
     /// Reads a file and what it includes, with values given as `path.to.value=value`, as a seed has it.
@@ -190,9 +202,16 @@
     pub fn parse(text: &str, sets: &[String], seed: u64) -> Result<Scenario, Unfit> {
         let (table, lines) = read_alone("scenario", text)?;
         if table.contains_key("include") {
-            return Err(Unfit(vec!["scenario: what stands in no file includes nothing".to_owned()]));
+            return Err(Unfit(vec![
+                "scenario: what stands in no file includes nothing".to_owned(),
+            ]));
         }
-        Draft { source: Source { lines }, table }.set(sets)?.scenario(seed)
+        Draft {
+            source: Source { lines },
+            table,
+        }
+        .set(sets)?
+        .scenario(seed)
     }
 }
 
@@ -221,7 +240,8 @@
     /// Of the values.
     pub fn set(mut self, sets: &[String]) -> Result<Draft, Unfit> {
         for set in sets {
-            set_value(&mut self.table, set).map_err(|why| Unfit(vec![format!("--set {set}: {why}")]))?;
+            set_value(&mut self.table, set)
+                .map_err(|why| Unfit(vec![format!("--set {set}: {why}")]))?;
         }
         Ok(self)
     }
@@ -241,7 +261,10 @@
 
     /// The same draft with another table.
     pub fn with(&self, table: Table) -> Draft {
-        Draft { source: self.source.clone(), table }
+        Draft {
+            source: self.source.clone(),
+            table,
+        }
     }
 }
 
@@ -255,7 +278,10 @@
 
 /// A curve of time, or a number.
 #[derive(Clone, Debug, Deserialize)]
-#[serde(untagged, expecting = "a number, { from, to }, or a curve of t in quotes")]
+#[serde(
+    untagged,
+    expecting = "a number, { from, to }, or a curve of t in quotes"
+)]
 enum Rate {
     Number(Number),
     Curve(String),
@@ -462,10 +488,13 @@
     fn load(&mut self, path: &Path, depth: usize) -> Result<Table, Unfit> {
         let one = |why: String| Unfit(vec![why]);
         if depth > DEEPEST {
-            return Err(one(format!("{}: included {DEEPEST} deep, or by itself", path.display())));
+            return Err(one(format!(
+                "{}: included {DEEPEST} deep, or by itself",
+                path.display()
+            )));
         }
-        let text =
-            std::fs::read_to_string(path).map_err(|error| one(format!("{}: {error}", path.display())))?;
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| one(format!("{}: {error}", path.display())))?;
         let (mut own, places) = read_alone(&path.display().to_string(), &text)?;
         let mut table = Table::new();
         for include in includes(&own).map_err(|why| one(format!("{}: {why}", path.display())))? {
@@ -473,9 +502,19 @@
             merge(&mut table, self.load(&beside, depth + 1)?);
         }
         // A trace is beside the file that names it.
-        for load in own.get_mut("load").and_then(Value::as_array_mut).into_iter().flatten() {
+        for load in own
+            .get_mut("load")
+            .and_then(Value::as_array_mut)
+            .into_iter()
+            .flatten()
+        {
             if let Some(Value::String(trace)) = load.get_mut("trace") {
-                *trace = path.parent().unwrap_or(Path::new(".")).join(&*trace).display().to_string();
+                *trace = path
+                    .parent()
+                    .unwrap_or(Path::new("."))
+                    .join(&*trace)
+                    .display()
+                    .to_string();
             }
         }
         // After those of what it includes: the last word on a value is where its place is.
@@ -485,9 +524,14 @@
     }
 
     fn finish(&self, table: Table, seed: u64) -> Result<Scenario, Unfit> {
-        let form: Form =
-            table.try_into().map_err(|error: toml::de::Error| Unfit(vec![error.message().to_owned()]))?;
-        let mut reader = Reader { lines: &self.lines, rng: Pcg64::seed_from_u64(seed), wrong: Vec::new() };
+        let form: Form = table
+            .try_into()
+            .map_err(|error: toml::de::Error| Unfit(vec![error.message().to_owned()]))?;
+        let mut reader = Reader {
+            lines: &self.lines,
+            rng: Pcg64::seed_from_u64(seed),
+            wrong: Vec::new(),
+        };
         let scenario = reader.scenario(form);
         if reader.wrong.is_empty() {
             Ok(scenario)
@@ -503,8 +547,13 @@
         Some(span) => format!("{name}:{}", line(text, span.start)),
         None => name.to_owned(),
     };
-    let fault =
-        |error: toml::de::Error| Unfit(vec![format!("{}: {}", at(error.span()), error.message().trim())]);
+    let fault = |error: toml::de::Error| {
+        Unfit(vec![format!(
+            "{}: {}",
+            at(error.span()),
+            error.message().trim()
+        )])
+    };
     toml::from_str::<Form>(text).map_err(fault)?;
     let places = DeTable::parse(text).map_err(fault)?;
     let mut lines = BTreeMap::new();
@@ -516,12 +565,19 @@
 
 /// The line, from 1 on, in which a byte of a text stands.
 pub(crate) fn line(text: &str, start: usize) -> usize {
-    text.as_bytes()[..start.min(text.len())].iter().filter(|byte| **byte == b'\n').count() + 1
+    text.as_bytes()[..start.min(text.len())]
+        .iter()
+        .filter(|byte| **byte == b'\n')
+        .count()
+        + 1
 }
 
 fn includes(table: &Table) -> Result<Vec<PathBuf>, String> {
     let path = |value: &Value| {
-        value.as_str().map(PathBuf::from).ok_or("include is a path or a list of them".to_owned())
+        value
+            .as_str()
+            .map(PathBuf::from)
+            .ok_or("include is a path or a list of them".to_owned())
     };
     match table.get("include") {
         None => Ok(Vec::new()),
@@ -532,8 +588,11 @@
 
 fn note(table: &DeTable<'_>, prefix: &str, say: &mut dyn FnMut(String, usize)) {
     for (key, value) in table {
-        let path =
-            if prefix.is_empty() { key.get_ref().to_string() } else { format!("{prefix}.{}", key.get_ref()) };
+        let path = if prefix.is_empty() {
+            key.get_ref().to_string()
+        } else {
+            format!("{prefix}.{}", key.get_ref())
+        };
         match value.get_ref() {
             DeValue::Table(inner) => note(inner, &path, say),
             DeValue::Array(all) => {
@@ -568,10 +627,16 @@
 fn set_value(table: &mut Table, set: &str) -> Result<(), String> {
     let (path, value) = set.split_once('=').ok_or("is not NAME=VALUE")?;
     // A word without quotes is a text.
-    let value = format!("value = {value}").parse::<Table>().ok().and_then(|mut one| one.remove("value"));
+    let value = format!("value = {value}")
+        .parse::<Table>()
+        .ok()
+        .and_then(|mut one| one.remove("value"));
     let value = value.unwrap_or_else(|| Value::String(set[path.len() + 1..].to_owned()));
     let mut keys: Vec<&str> = path.trim().split('.').collect();
-    let last = keys.pop().filter(|last| !last.is_empty()).ok_or("names nothing")?;
+    let last = keys
+        .pop()
+        .filter(|last| !last.is_empty())
+        .ok_or("names nothing")?;
     let mut at = table;
     for key in keys {
         let next = at.entry(key).or_insert_with(|| Value::Table(Table::new()));
@@ -606,11 +671,20 @@
     }
 
     /// A number within bounds; the usual one where none is given.
-    fn number(&mut self, path: &str, given: Option<Number>, usual: f64, least: f64, most: f64) -> f64 {
+    fn number(
+        &mut self,
+        path: &str,
+        given: Option<Number>,
+        usual: f64,
+        least: f64,
+        most: f64,
+    ) -> f64 {
         let value = match given {
             None => return usual,
             Some(Number::Exact(value)) => value,
-            Some(Number::Range { from, to }) if from <= to && from.is_finite() && to.is_finite() => {
+            Some(Number::Range { from, to })
+                if from <= to && from.is_finite() && to.is_finite() =>
+            {
                 if from >= least && to <= most {
                     // Each range has a draw, whatever the others are.
                     return from + (to - from) * self.rng.random::<f64>();
@@ -629,8 +703,16 @@
         usual
     }
 
-    fn count(&mut self, path: &str, given: Option<Number>, usual: usize, least: usize, most: usize) -> usize {
-        self.number(path, given, usual as f64, least as f64, most as f64).round() as usize
+    fn count(
+        &mut self,
+        path: &str,
+        given: Option<Number>,
+        usual: usize,
+        least: usize,
+        most: usize,
+    ) -> usize {
+        self.number(path, given, usual as f64, least as f64, most as f64)
+            .round() as usize
     }
 
     fn span(&mut self, path: &str, given: Option<Number>, usual_s: f64) -> Span {
@@ -648,7 +730,13 @@
         let rules = m::Rules {
             ramp_start: self.number("rules.cold_from", rules.cold_from, 0.27, 0.001, 1.0),
             ramp_duration: self.span("rules.cold_s", rules.cold_s, 10.0),
-            overload_factor: self.number("rules.fall_multiple", rules.fall_multiple, 1.5, 0.1, 1000.0),
+            overload_factor: self.number(
+                "rules.fall_multiple",
+                rules.fall_multiple,
+                1.5,
+                0.1,
+                1000.0,
+            ),
             overload_window: self.span("rules.tip_after_s", rules.tip_after_s, 2.0),
             ..m::Rules::default()
         };
@@ -664,15 +752,32 @@
             health_checks_allowed: false,
         };
         if form.class.is_empty() {
-            self.say("class", "there is none: a [class.NAME] says how messages are dealt with");
+            self.say(
+                "class",
+                "there is none: a [class.NAME] says how messages are dealt with",
+            );
         }
-        let classes: Vec<Class> = form.class.iter().map(|(name, class)| self.class(name, class)).collect();
+        let classes: Vec<Class> = form
+            .class
+            .iter()
+            .map(|(name, class)| self.class(name, class))
+            .collect();
         let mut partners = Vec::new();
         let mut groups: BTreeMap<String, Vec<usize>> = BTreeMap::new();
         for (name, partner) in &form.partner {
-            let count = self.count(&format!("partner.{name}.count"), partner.count, 1, 1, 1_000_000);
+            let count = self.count(
+                &format!("partner.{name}.count"),
+                partner.count,
+                1,
+                1,
+                1_000_000,
+            );
             for number in 0..count {
-                let own = if count == 1 { name.clone() } else { format!("{name}-{}", number + 1) };
+                let own = if count == 1 {
+                    name.clone()
+                } else {
+                    format!("{name}-{}", number + 1)
+                };
                 groups.entry(name.clone()).or_default().push(partners.len());
                 let one = self.partner(name, own, partner, &rules);
                 partners.push(one);
@@ -696,10 +801,17 @@
             loads.extend(self.load(&path, load, group, &classes, (seconds, times)));
         }
         if loads.iter().map(|load| load.most).sum::<f64>() * seconds > MOST_MESSAGES {
-            self.say("load", "all together would bring more than a thousand million messages");
+            self.say(
+                "load",
+                "all together would bring more than a thousand million messages",
+            );
         }
-        let first =
-            |partner: usize| partners[..partner].iter().map(|one: &Partner| one.endpoints).sum::<usize>();
+        let first = |partner: usize| {
+            partners[..partner]
+                .iter()
+                .map(|one: &Partner| one.endpoints)
+                .sum::<usize>()
+        };
         let mut news = Vec::new();
         for (place, one) in form.news.iter().enumerate() {
             let path = format!("news.{place}");
@@ -713,21 +825,43 @@
             for partner in group {
                 let most = partners[partner].endpoints.saturating_sub(1);
                 let own = self.count(&format!("{path}.endpoint"), one.endpoint, 0, 0, most);
-                news.push(News { at, endpoint: first(partner) + own, listing });
+                news.push(News {
+                    at,
+                    endpoint: first(partner) + own,
+                    listing,
+                });
             }
         }
         let mut crashes = Vec::new();
         for (place, crash) in form.crash.iter().enumerate() {
             let path = format!("crash.{place}");
             crashes.push(Crash {
-                courier: self.count(&format!("{path}.courier"), crash.courier, 0, 0, couriers - 1),
+                courier: self.count(
+                    &format!("{path}.courier"),
+                    crash.courier,
+                    0,
+                    0,
+                    couriers - 1,
+                ),
                 at: self.time(&format!("{path}.at_s"), crash.at_s),
                 back_after: self.span(&format!("{path}.back_after_s"), crash.back_after_s, 1.0),
             });
         }
         let mut network = Network {
-            delay_ms: self.number("network.delay_ms", form.network.delay_ms, 1.0, 0.0, 60_000.0),
-            jitter_ms: self.number("network.jitter_ms", form.network.jitter_ms, 1.0, 0.0, 60_000.0),
+            delay_ms: self.number(
+                "network.delay_ms",
+                form.network.delay_ms,
+                1.0,
+                0.0,
+                60_000.0,
+            ),
+            jitter_ms: self.number(
+                "network.jitter_ms",
+                form.network.jitter_ms,
+                1.0,
+                0.0,
+                60_000.0,
+            ),
             loss: self.number("network.loss", form.network.loss, 0.0, 0.0, 1.0),
             cut_off: Vec::new(),
         };
@@ -736,10 +870,24 @@
             let group = named(self, &format!("{path}.partner"), &cut.partner);
             let from = self.time(&format!("{path}.from_s"), cut.from_s);
             let until = from + self.span(&format!("{path}.for_s"), Some(cut.for_s), 0.0);
-            network.cut_off.extend(group.into_iter().map(|partner| (partner, from, until)));
+            network
+                .cut_off
+                .extend(group.into_iter().map(|partner| (partner, from, until)));
         }
         let title = form.title.unwrap_or_default();
-        Scenario { title, seconds, couriers, caps, rules, classes, partners, loads, news, crashes, network }
+        Scenario {
+            title,
+            seconds,
+            couriers,
+            caps,
+            rules,
+            classes,
+            partners,
+            loads,
+            news,
+            crashes,
+            network,
+        }
     }
 
     fn class(&mut self, name: &str, form: &ClassForm) -> Class {
@@ -749,9 +897,15 @@
             Some(Repeats::Never) => m::Idempotency::NonIdempotent,
             Some(Repeats::Keyed) => {
                 if form.window_s.is_none() {
-                    self.say(&path("repeats"), "keyed needs window_s: how long receivers drop a repeat");
+                    self.say(
+                        &path("repeats"),
+                        "keyed needs window_s: how long receivers drop a repeat",
+                    );
+                }
+                m::Idempotency::IdempotencyKey {
+                    scope: m::DeduplicationScope::All,
+                    window,
                 }
-                m::Idempotency::IdempotencyKey { scope: m::DeduplicationScope::All, window }
             }
             Some(Repeats::Free) | None => m::Idempotency::Idempotent,
         };
@@ -770,12 +924,27 @@
             idempotency: effect,
             ordered: false,
         };
-        Class { name: name.to_owned(), class }
+        Class {
+            name: name.to_owned(),
+            class,
+        }
     }
 
-    fn partner(&mut self, group: &str, name: String, form: &PartnerForm, rules: &m::Rules) -> Partner {
+    fn partner(
+        &mut self,
+        group: &str,
+        name: String,
+        form: &PartnerForm,
+        rules: &m::Rules,
+    ) -> Partner {
         let path = |field: &str| format!("partner.{group}.{field}");
-        let mean_ms = self.number(&path("service_ms"), form.service_ms, 50.0, 0.001, 3_600_000.0);
+        let mean_ms = self.number(
+            &path("service_ms"),
+            form.service_ms,
+            50.0,
+            0.001,
+            3_600_000.0,
+        );
         let shape = match form.shape {
             None | Some(ShapeForm::Constant) => Shape::Constant,
             Some(ShapeForm::Exponential) => Shape::Exponential,
@@ -789,7 +958,10 @@
         let window = self.span(&path("window_s"), form.window_s, 1.0);
         let limit = match (form.rate, form.window_calls) {
             (Some(_), Some(_)) => {
-                self.say(&path("window_calls"), "a limit is a rate or a window, not both");
+                self.say(
+                    &path("window_calls"),
+                    "a limit is a rate or a window, not both",
+                );
                 None
             }
             (Some(rate), None) => {
@@ -799,7 +971,10 @@
             }
             (None, Some(calls)) => {
                 let calls = self.count(&path("window_calls"), Some(calls), 1, 1, 1_000_000) as u32;
-                Some(Limit::Window { calls, length: window })
+                Some(Limit::Window {
+                    calls,
+                    length: window,
+                })
             }
             (None, None) => None,
         };
@@ -821,7 +996,10 @@
             let every = self.span(&format!("{path}.every_s"), outage.every_s, 0.0);
             let times = self.count(&format!("{path}.times"), outage.times, 1, 1, 10_000);
             if times > 1 && every <= length {
-                self.say(&format!("{path}.every_s"), "is longer than for_s, or it would never end");
+                self.say(
+                    &format!("{path}.every_s"),
+                    "is longer than for_s, or it would never end",
+                );
             }
             let trouble = match outage.kind {
                 TroubleForm::Refuse => Trouble::Refuse,
@@ -832,15 +1010,28 @@
             };
             for time in 0..times as i64 {
                 let from = from + Span(every.0 * time);
-                outages.push(Outage { trouble, from, until: from + length, part });
+                outages.push(Outage {
+                    trouble,
+                    from,
+                    until: from + length,
+                    part,
+                });
             }
         }
         let wire = match (form.connections, form.idle_close_s, form.connect_ms) {
             (None, None, None) => None,
             (most, closes, connect) => Some(Wire {
-                most: most.map(|most| self.count(&path("connections"), Some(most), 1, 1, 1_000_000)),
-                idle_close: closes.map(|closes| self.span(&path("idle_close_s"), Some(closes), 0.0)),
-                connect: Span::from_ms(self.number(&path("connect_ms"), connect, 0.0, 0.0, 60_000.0)),
+                most: most
+                    .map(|most| self.count(&path("connections"), Some(most), 1, 1, 1_000_000)),
+                idle_close: closes
+                    .map(|closes| self.span(&path("idle_close_s"), Some(closes), 0.0)),
+                connect: Span::from_ms(self.number(
+                    &path("connect_ms"),
+                    connect,
+                    0.0,
+                    0.0,
+                    60_000.0,
+                )),
             }),
         };
         Partner {
@@ -856,7 +1047,9 @@
             refuses: self.number(&path("refuses"), form.refuses, 0.0, 0.0, 1.0),
             outages,
             cold: topples.then_some(cold),
-            listed: form.listed.map(|listed| self.number(&path("listed"), Some(listed), 1.0, 0.001, 1e9)),
+            listed: form
+                .listed
+                .map(|listed| self.number(&path("listed"), Some(listed), 1.0, 0.001, 1e9)),
         }
     }
 
@@ -870,7 +1063,10 @@
     ) -> Option<Load> {
         let class = classes.iter().position(|class| class.name == form.class);
         if class.is_none() {
-            self.say(&format!("{path}.class"), &format!("there is no [class.{}]", form.class));
+            self.say(
+                &format!("{path}.class"),
+                &format!("there is no [class.{}]", form.class),
+            );
         }
         let rate_path = format!("{path}.rate");
         let trace = match (&form.rate, &form.trace) {
@@ -889,7 +1085,9 @@
         };
         let rate = match &form.rate {
             None => Curve::flat(0.0),
-            Some(Rate::Number(number)) => Curve::flat(self.number(&rate_path, Some(*number), 0.0, 0.0, 1e9)),
+            Some(Rate::Number(number)) => {
+                Curve::flat(self.number(&rate_path, Some(*number), 0.0, 0.0, 1e9))
+            }
             Some(Rate::Curve(text)) => match Curve::parse(text) {
                 Ok(curve) => curve,
                 Err(why) => {
@@ -898,7 +1096,11 @@
                 }
             },
         };
-        let rate = if times == 1.0 { rate } else { rate.times(times) };
+        let rate = if times == 1.0 {
+            rate
+        } else {
+            rate.times(times)
+        };
         let clump = self.count(&format!("{path}.clump"), form.clump, 5, 1, 100_000);
         let arrivals = match form.arrivals {
             Some(ArrivalsForm::Even) => Arrivals::Even,
@@ -907,7 +1109,15 @@
         };
         let retries = self.count(&format!("{path}.retries"), form.retries, 0, 0, 1000) as u32;
         let most = rate.most(seconds);
-        Some(Load { class: class?, partners, rate, most, arrivals, trace, retries })
-            .filter(|load| !load.partners.is_empty())
+        Some(Load {
+            class: class?,
+            partners,
+            rate,
+            most,
+            arrivals,
+            trace,
+            retries,
+        })
+        .filter(|load| !load.partners.is_empty())
     }
 }
--- a/crates/simulation/src/seen.rs
+++ b/crates/simulation/src/seen.rs
@@ -101,7 +101,9 @@
             | Seen::Sent { message, .. }
             | Seen::Came { message, .. }
             | Seen::Closed { message, .. } => Some(*message),
-            Seen::Listed { .. } | Seen::Fell { .. } | Seen::Died { .. } | Seen::Began { .. } => None,
+            Seen::Listed { .. } | Seen::Fell { .. } | Seen::Died { .. } | Seen::Began { .. } => {
+                None
+            }
         }
     }
 }
--- a/crates/simulation/src/tally.rs
+++ b/crates/simulation/src/tally.rs
@@ -108,7 +108,11 @@
             held: Vec::new(),
             now_held: 0,
             left_held: 0,
-            terms: scenario.classes.iter().map(|class| class.class.clone()).collect(),
+            terms: scenario
+                .classes
+                .iter()
+                .map(|class| class.class.clone())
+                .collect(),
         }
     }
 
@@ -126,7 +130,14 @@
             bins[bin] += 1;
         };
         match *seen {
-            Seen::TakenOn { message, class, partner, meant, first, .. } => {
+            Seen::TakenOn {
+                message,
+                class,
+                partner,
+                meant,
+                first,
+                ..
+            } => {
                 self.classes[class].taken += 1;
                 self.classes[class].offered += u64::from(first);
                 self.now_held += 1;
@@ -138,7 +149,9 @@
                     self.classes[*class].legs += 1;
                 }
             }
-            Seen::Came { endpoint, .. } => count(&mut self.partners[self.places[endpoint as usize].0].calls),
+            Seen::Came { endpoint, .. } => {
+                count(&mut self.partners[self.places[endpoint as usize].0].calls)
+            }
             Seen::Ended { message, end } => {
                 let Some((class, partner, meant)) = self.open.remove(&message) else {
                     return;
@@ -180,7 +193,11 @@
     pub fn kept(&self) -> f64 {
         let sum = |of: &dyn Fn(&Ends) -> f64| {
             let worths = self.terms.iter().map(|class| class.priority_weight);
-            self.classes.iter().zip(worths).map(|(ends, worth)| worth * of(ends)).sum::<f64>()
+            self.classes
+                .iter()
+                .zip(worths)
+                .map(|(ends, worth)| worth * of(ends))
+                .sum::<f64>()
         };
         sum(&|ends| ends.earned) / sum(&|ends| ends.offered as f64).max(1e-9)
     }
@@ -189,10 +206,19 @@
     pub fn table(&self) -> String {
         let mut text = format!(
             "{:<16} {:>9} {:>8} {:>8} {:>8} {:>8} {:>9} {:>9} {:>9}\n",
-            "class", "taken on", "in time", "late", "refused", "failed", "p50 ms", "p99 ms", "legs each"
+            "class",
+            "taken on",
+            "in time",
+            "late",
+            "refused",
+            "failed",
+            "p50 ms",
+            "p99 ms",
+            "legs each"
         );
         for ends in &self.classes {
-            let part = |count: u64| format!("{:.1}%", 100.0 * count as f64 / ends.taken.max(1) as f64);
+            let part =
+                |count: u64| format!("{:.1}%", 100.0 * count as f64 / ends.taken.max(1) as f64);
             let ms = |quantile| ends.took_us.value_at_quantile(quantile) as f64 / 1000.0;
             let _ = writeln!(
                 text,
@@ -223,15 +249,29 @@
             "class,quantile,ms\n".to_owned(),
         );
         for ends in &self.classes {
-            let Ends { class, offered, taken, delivered, in_time, refused, failed, legs, earned, took_us } =
-                ends;
+            let Ends {
+                class,
+                offered,
+                taken,
+                delivered,
+                in_time,
+                refused,
+                failed,
+                legs,
+                earned,
+                took_us,
+            } = ends;
             let _ = writeln!(
                 classes,
                 "{class},{offered},{taken},{delivered},{in_time},{refused},{failed},{legs},{earned:.3}"
             );
             for value in took_us.iter_quantiles(2) {
                 let ms = value.value_iterated_to() as f64 / 1000.0;
-                let _ = writeln!(latency, "{class},{:.6},{ms:.3}", value.quantile_iterated_to());
+                let _ = writeln!(
+                    latency,
+                    "{class},{:.6},{ms:.3}",
+                    value.quantile_iterated_to()
+                );
             }
         }
         let mut partners = "partner,from_s,calls,delivered\n".to_owned();
--- a/crates/simulation/src/wires.rs
+++ b/crates/simulation/src/wires.rs
@@ -35,7 +35,10 @@
 impl Wires {
     /// None yet.
     pub fn new(told: Span) -> Wires {
-        Wires { told, ..Wires::default() }
+        Wires {
+            told,
+            ..Wires::default()
+        }
     }
 
     /// A leg goes out: takes a connection or opens one. What is not taken has no leg on it.
@@ -48,8 +51,13 @@
             Some(since) if lives(&since) => Found::Kept,
             Some(_) => return Found::Closed,
             None => {
-                let kept = self.idle.iter().filter(|((_, at), _)| *at == endpoint).map(|(_, idle)| idle);
-                let open = kept.flatten().filter(|since| lives(since)).count() + self.busy(endpoint);
+                let kept = self
+                    .idle
+                    .iter()
+                    .filter(|((_, at), _)| *at == endpoint)
+                    .map(|(_, idle)| idle);
+                let open =
+                    kept.flatten().filter(|since| lives(since)).count() + self.busy(endpoint);
                 if wire.most.is_some_and(|most| open >= most) {
                     return Found::NoRoom;
                 }
