--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -8,8 +8,9 @@
 use crate::seen::{End, Seen};
 use crate::wires::{Found, Wires};
 use marblefall_scheduler::{
-    Action, AttemptNumber, ClassId, DestinationId, EndpointId, EndpointStatus, EndpointUpdate, Event, KindId,
-    MessageId, NewMessage, Outcome, PriorAttempts, RateLimitReport, Scheduler, Settings, Span, Time, ZoneId,
+    Action, AttemptNumber, ClassId, DestinationId, EndpointId, EndpointStatus, EndpointUpdate,
+    Event, KindId, MessageId, NewMessage, Outcome, PriorAttempts, RateLimitReport, Scheduler,
+    Settings, Span, Time, ZoneId,
 };
 use rand::{Rng, SeedableRng};
 use rand_distr::Exp1;
@@ -85,17 +86,40 @@
     /// The next message of a load.
     Arrival(usize),
     /// A client hands one in.
-    HandIn { class: usize, partner: usize, load: usize, meant: Time, again: u32 },
+    HandIn {
+        class: usize,
+        partner: usize,
+        load: usize,
+        meant: Time,
+        again: u32,
+    },
     /// A leg's first byte comes to its endpoint.
-    Comes { message: u64, life: u32, endpoint: EndpointId, cut_at: Time },
+    Comes {
+        message: u64,
+        life: u32,
+        endpoint: EndpointId,
+        cut_at: Time,
+    },
     /// A leg ends for its courier.
-    Ends { message: u64, life: u32, outcome: Outcome },
+    Ends {
+        message: u64,
+        life: u32,
+        outcome: Outcome,
+    },
     /// A timer of a courier.
-    Due { courier: usize, life: u32, token: u64 },
+    Due {
+        courier: usize,
+        life: u32,
+        token: u64,
+    },
     /// News of the list, by its place in the scenario.
     News(usize),
     /// The same comes to a courier.
-    NewsComes { courier: usize, life: u32, entry: Box<EndpointUpdate> },
+    NewsComes {
+        courier: usize,
+        life: u32,
+        entry: Box<EndpointUpdate>,
+    },
     /// A courier dies, by the crash's place in the scenario.
     Crash(usize),
     /// It begins again.
@@ -152,7 +176,12 @@
 }
 
 /// Plays a scenario from a seed; `see` is told all that is seen, in its order.
-pub fn play(scenario: &Scenario, seed: u64, make: Make<'_>, see: &mut dyn FnMut(Time, &Seen)) -> Played {
+pub fn play(
+    scenario: &Scenario,
+    seed: u64,
+    make: Make<'_>,
+    see: &mut dyn FnMut(Time, &Seen),
+) -> Played {
     let places = scenario.places();
     let mut world = World {
         settings: scenario.settings(),
@@ -162,7 +191,12 @@
         heap: BinaryHeap::new(),
         turns: 0,
         now: Time(0),
-        seats: (0..scenario.couriers).map(|_| Seat { node: None, life: 0 }).collect(),
+        seats: (0..scenario.couriers)
+            .map(|_| Seat {
+                node: None,
+                life: 0,
+            })
+            .collect(),
         partners: scenario.partners.iter().map(Running::new).collect(),
         listed: vec![EndpointStatus::Active; places.len()],
         places,
@@ -188,8 +222,13 @@
 
 impl World<'_> {
     fn begin(&mut self) {
-        let longest =
-            self.scenario.classes.iter().map(|class| class.class.deadline).max().unwrap_or(Span::ZERO);
+        let longest = self
+            .scenario
+            .classes
+            .iter()
+            .map(|class| class.class.deadline)
+            .max()
+            .unwrap_or(Span::ZERO);
         self.played.over = self.scenario.length() + longest + AFTER;
         for courier in 0..self.seats.len() {
             self.begin_life(courier);
@@ -227,17 +266,38 @@
     fn happen(&mut self, happening: Happening) {
         match happening {
             Happening::Arrival(load) => self.arrive(load),
-            Happening::HandIn { class, partner, load, meant, again } => {
+            Happening::HandIn {
+                class,
+                partner,
+                load,
+                meant,
+                again,
+            } => {
                 self.hand_in(class, partner, load, meant, again);
             }
-            Happening::Comes { message, life, endpoint, cut_at } => {
-                self.comes(message, life, endpoint, cut_at)
-            }
-            Happening::Ends { message, life, outcome } => self.leg_ends(message, life, outcome),
-            Happening::Due { courier, life, token } if self.seats[courier].life == life => {
+            Happening::Comes {
+                message,
+                life,
+                endpoint,
+                cut_at,
+            } => self.comes(message, life, endpoint, cut_at),
+            Happening::Ends {
+                message,
+                life,
+                outcome,
+            } => self.leg_ends(message, life, outcome),
+            Happening::Due {
+                courier,
+                life,
+                token,
+            } if self.seats[courier].life == life => {
                 self.tell(courier, &[Event::TimerFired(token)]);
             }
-            Happening::NewsComes { courier, life, entry } if self.seats[courier].life == life => {
+            Happening::NewsComes {
+                courier,
+                life,
+                entry,
+            } if self.seats[courier].life == life => {
                 self.tell(courier, &[Event::EndpointsUpdated(vec![*entry])]);
             }
             Happening::Due { .. } | Happening::NewsComes { .. } => {}
@@ -253,9 +313,17 @@
     /// A life of a courier: it is told the list, then what its last life owes.
     fn begin_life(&mut self, courier: usize) {
         let life = self.seats[courier].life;
-        let seed = self.seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ (courier as u64) << 32 ^ u64::from(life);
-        self.seats[courier].node = Some((self.make)(Life { settings: self.settings.clone(), seed, courier }));
-        let entries = (0..self.places.len()).map(|endpoint| self.entry(endpoint)).collect();
+        let seed = self.seed.wrapping_mul(0x9E37_79B9_7F4A_7C15)
+            ^ (courier as u64) << 32
+            ^ u64::from(life);
+        self.seats[courier].node = Some((self.make)(Life {
+            settings: self.settings.clone(),
+            seed,
+            courier,
+        }));
+        let entries = (0..self.places.len())
+            .map(|endpoint| self.entry(endpoint))
+            .collect();
         let mut events = vec![Event::EndpointsReplaced(entries)];
         let mut owed: Vec<u64> = self
             .messages
@@ -266,8 +334,11 @@
         owed.sort_unstable();
         for id in owed {
             let message = &self.messages[&id];
-            let past =
-                PriorAttempts { attempts: message.attempts, first_executed: message.ran, in_flight: None };
+            let past = PriorAttempts {
+                attempts: message.attempts,
+                first_executed: message.ran,
+                in_flight: None,
+            };
             events.push(Event::Resumed(handed(id, message), past));
         }
         self.tell(courier, &events);
@@ -292,7 +363,8 @@
         if let Some(times) = &spec.trace {
             let next = times.get(self.traced[load]).filter(|at| **at < end);
             self.traced[load] += 1;
-            next.into_iter().for_each(|at| self.later(*at, Happening::Arrival(load)));
+            next.into_iter()
+                .for_each(|at| self.later(*at, Happening::Arrival(load)));
             return;
         }
         // Thinned: drawn at the highest rate that the curve reaches, and kept by its part of it.
@@ -324,7 +396,16 @@
             let partner = partners[self.rng.random_range(0..partners.len())];
             let meant = self.now;
             let way = self.way();
-            self.later(meant + way, Happening::HandIn { class, partner, load, meant, again });
+            self.later(
+                meant + way,
+                Happening::HandIn {
+                    class,
+                    partner,
+                    load,
+                    meant,
+                    again,
+                },
+            );
         }
         self.next_arrival(load);
     }
@@ -336,10 +417,23 @@
         }
         let alive = self.seats.iter().filter(|seat| seat.node.is_some()).count();
         if alive == 0 {
-            return self.later(self.now + NOBODY, Happening::HandIn { class, partner, load, meant, again });
+            return self.later(
+                self.now + NOBODY,
+                Happening::HandIn {
+                    class,
+                    partner,
+                    load,
+                    meant,
+                    again,
+                },
+            );
         }
         let turn = self.rng.random_range(0..alive);
-        let living = self.seats.iter().enumerate().filter(|(_, seat)| seat.node.is_some());
+        let living = self
+            .seats
+            .iter()
+            .enumerate()
+            .filter(|(_, seat)| seat.node.is_some());
         let courier = living.map(|(courier, _)| courier).nth(turn).unwrap_or(0);
         self.next += 1;
         let (id, out, wired, ran, ended) = (self.next, None, false, None, false);
@@ -362,7 +456,15 @@
         self.messages.insert(id, message);
         self.played.messages += 1;
         let first = again == self.scenario.loads[load].retries;
-        self.saw(Seen::TakenOn { message: id, courier, class, partner, meant, expires, first });
+        self.saw(Seen::TakenOn {
+            message: id,
+            courier,
+            class,
+            partner,
+            meant,
+            expires,
+            first,
+        });
         self.tell(courier, &[event]);
     }
 
@@ -376,20 +478,35 @@
         let life = self.seats[courier].life;
         for action in actions.drain(..) {
             match action {
-                Action::Send { message, endpoint, timeout_at: cut_at } => {
-                    self.send(courier, life, message.0, endpoint, cut_at)
-                }
-                Action::Reject { message, retry_after: retry_in } => {
-                    self.end(message.0, End::Refused(retry_in))
-                }
+                Action::Send {
+                    message,
+                    endpoint,
+                    timeout_at: cut_at,
+                } => self.send(courier, life, message.0, endpoint, cut_at),
+                Action::Reject {
+                    message,
+                    retry_after: retry_in,
+                } => self.end(message.0, End::Refused(retry_in)),
                 Action::Fail(message) => self.end(message.0, End::Failed),
                 Action::SetTimer { at, token } => {
                     let at = at.max(self.now + Span(1));
-                    self.later(at, Happening::Due { courier, life, token });
+                    self.later(
+                        at,
+                        Happening::Due {
+                            courier,
+                            life,
+                            token,
+                        },
+                    );
+                }
+                Action::CloseIdleConnections(endpoint) => {
+                    self.wires.close_idle(courier, endpoint.0)
                 }
-                Action::CloseIdleConnections(endpoint) => self.wires.close_idle(courier, endpoint.0),
                 // Nothing is called off or probed under these settings, and the list comes unasked.
-                Action::Cancel { .. } | Action::HealthCheck(_) | Action::Subscribe | Action::Log(_) => {}
+                Action::Cancel { .. }
+                | Action::HealthCheck(_)
+                | Action::Subscribe
+                | Action::Log(_) => {}
             }
         }
         self.actions = actions;
@@ -397,7 +514,11 @@
 
     fn send(&mut self, courier: usize, life: u32, id: u64, endpoint: EndpointId, cut_at: Time) {
         let now = self.now;
-        self.saw(Seen::Sent { message: id, courier, endpoint: endpoint.0 });
+        self.saw(Seen::Sent {
+            message: id,
+            courier,
+            endpoint: endpoint.0,
+        });
         self.played.legs += 1;
         if let Some(message) = self.messages.get_mut(&id) {
             message.attempts += 1;
@@ -407,24 +528,55 @@
         if let Some(wire) = self.scenario.partners[self.places[endpoint.0 as usize].0].wire {
             let found = self.wires.take(now, courier, endpoint.0, &wire);
             let there_and_back = Span(way.0 + self.way().0);
-            let ends = |outcome| Happening::Ends { message: id, life, outcome };
+            let ends = |outcome| Happening::Ends {
+                message: id,
+                life,
+                outcome,
+            };
             match found {
-                Found::Closed => return self.later(now + there_and_back, ends(Outcome::StaleConnection)),
-                Found::NoRoom => return self.later(now + there_and_back, ends(Outcome::ConnectFailed)),
+                Found::Closed => {
+                    return self.later(now + there_and_back, ends(Outcome::StaleConnection))
+                }
+                Found::NoRoom => {
+                    return self.later(now + there_and_back, ends(Outcome::ConnectFailed))
+                }
                 Found::New => way = Span(way.0 + there_and_back.0 + wire.connect.0),
                 Found::Kept => {}
             }
-            self.messages.get_mut(&id).into_iter().for_each(|message| message.wired = true);
+            self.messages
+                .get_mut(&id)
+                .into_iter()
+                .for_each(|message| message.wired = true);
         }
-        let cut_off = self.scenario.cut_off(self.places[endpoint.0 as usize].0, now);
+        let cut_off = self
+            .scenario
+            .cut_off(self.places[endpoint.0 as usize].0, now);
         if cut_off || self.lost() {
-            return self.later(cut_at, Happening::Ends { message: id, life, outcome: Outcome::TimedOut });
+            return self.later(
+                cut_at,
+                Happening::Ends {
+                    message: id,
+                    life,
+                    outcome: Outcome::TimedOut,
+                },
+            );
         }
-        self.later(now + way, Happening::Comes { message: id, life, endpoint, cut_at });
+        self.later(
+            now + way,
+            Happening::Comes {
+                message: id,
+                life,
+                endpoint,
+                cut_at,
+            },
+        );
     }
 
     fn comes(&mut self, message: u64, life: u32, endpoint: EndpointId, cut_at: Time) {
-        self.saw(Seen::Came { message, endpoint: endpoint.0 });
+        self.saw(Seen::Came {
+            message,
+            endpoint: endpoint.0,
+        });
         let (partner, place) = self.places[endpoint.0 as usize];
         let Fate { answer, fell } = self.partners[partner].take(self.now, place, &mut self.rng);
         if fell {
@@ -436,7 +588,14 @@
             Some((at, outcome)) if at + way < cut_at => (at + way, outcome),
             _ => (cut_at, Outcome::TimedOut),
         };
-        self.later(at.max(self.now + Span(1)), Happening::Ends { message, life, outcome });
+        self.later(
+            at.max(self.now + Span(1)),
+            Happening::Ends {
+                message,
+                life,
+                outcome,
+            },
+        );
     }
 
     fn leg_ends(&mut self, id: u64, life: u32, outcome: Outcome) {
@@ -454,12 +613,23 @@
             message.ran.get_or_insert((sent, endpoint));
         }
         if std::mem::take(&mut message.wired) {
-            let whole = matches!(outcome, Outcome::Delivered | Outcome::Error | Outcome::Rejected { .. });
+            let whole = matches!(
+                outcome,
+                Outcome::Delivered | Outcome::Error | Outcome::Rejected { .. }
+            );
             self.wires.give_back(self.now, courier, endpoint.0, whole);
         }
         let copy = AttemptNumber(message.attempts - 1);
-        let (took, last) = (self.now - sent, outcome == Outcome::Delivered && !message.ended);
-        self.saw(Seen::Closed { message: id, courier, endpoint: endpoint.0, outcome });
+        let (took, last) = (
+            self.now - sent,
+            outcome == Outcome::Delivered && !message.ended,
+        );
+        self.saw(Seen::Closed {
+            message: id,
+            courier,
+            endpoint: endpoint.0,
+            outcome,
+        });
         if last {
             self.end(id, End::Delivered);
         }
@@ -475,7 +645,11 @@
                 rate_limit: report,
             }],
         );
-        if self.messages.get(&id).is_some_and(|message| message.ended && message.out.is_none()) {
+        if self
+            .messages
+            .get(&id)
+            .is_some_and(|message| message.ended && message.out.is_none())
+        {
             self.messages.remove(&id);
         }
     }
@@ -486,7 +660,8 @@
             return;
         };
         message.ended = true;
-        let (class, partner, load, meant) = (message.class, message.partner, message.load, message.meant);
+        let (class, partner, load, meant) =
+            (message.class, message.partner, message.load, message.meant);
         let (again, is_out) = (message.again, message.out.is_some());
         // What was delivered is forgotten once its courier knows.
         if !is_out && end != End::Delivered {
@@ -495,7 +670,16 @@
         if let (End::Refused(wait), 1..) = (end, again) {
             let way = self.way();
             let again = again - 1;
-            self.later(self.now + wait + way, Happening::HandIn { class, partner, load, meant, again });
+            self.later(
+                self.now + wait + way,
+                Happening::HandIn {
+                    class,
+                    partner,
+                    load,
+                    meant,
+                    again,
+                },
+            );
         }
     }
 
@@ -503,11 +687,21 @@
         let news = &self.scenario.news[place];
         let endpoint = news.endpoint;
         self.listed[endpoint] = news.listing;
-        self.saw(Seen::Listed { endpoint: endpoint as u32, listing: self.listed[endpoint] });
+        self.saw(Seen::Listed {
+            endpoint: endpoint as u32,
+            listing: self.listed[endpoint],
+        });
         for courier in 0..self.seats.len() {
             let (way, life) = (self.way(), self.seats[courier].life);
             let entry = Box::new(self.entry(endpoint));
-            self.later(self.now + way, Happening::NewsComes { courier, life, entry });
+            self.later(
+                self.now + way,
+                Happening::NewsComes {
+                    courier,
+                    life,
+                    entry,
+                },
+            );
         }
     }
 
@@ -518,16 +712,22 @@
             return;
         }
         seat.life += 1;
-        self.saw(Seen::Died { courier: crash.courier });
+        self.saw(Seen::Died {
+            courier: crash.courier,
+        });
         self.wires.died(crash.courier);
         let mut over = Vec::new();
-        for (id, message) in self.messages.iter_mut().filter(|(_, message)| message.courier == crash.courier)
+        for (id, message) in self
+            .messages
+            .iter_mut()
+            .filter(|(_, message)| message.courier == crash.courier)
         {
             // A leg that was out may have run.
             if let Some((endpoint, sent)) = message.out.take() {
                 message.ran.get_or_insert((sent, endpoint));
                 if std::mem::take(&mut message.wired) {
-                    self.wires.give_back(self.now, crash.courier, endpoint.0, false);
+                    self.wires
+                        .give_back(self.now, crash.courier, endpoint.0, false);
                 }
             }
             if message.ended {
--- a/crates/simulation/tests/cored.rs
+++ b/crates/simulation/tests/cored.rs
@@ -14,14 +14,26 @@
 const DISK: u64 = 3_000_000;
 
 fn named(name: &str, sets: &[&str], seed: u64) -> Scenario {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios").join(format!("{name}.toml"));
+    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("scenarios")
+        .join(format!("{name}.toml"));
     let sets: Vec<String> = sets.iter().map(|set| (*set).to_owned()).collect();
     Scenario::read(&path, &sets, seed).unwrap()
 }
 
 #[test]
 fn the_core_keeps_the_rules_and_as_much_as_the_decisions_alone() {
-    let days = ["base", "blackout", "crash", "drain", "loss", "mixed", "month-start", "rolling", "shut"];
+    let days = [
+        "base",
+        "blackout",
+        "crash",
+        "drain",
+        "loss",
+        "mixed",
+        "month-start",
+        "rolling",
+        "shut",
+    ];
     let threads = days.map(|name| {
         thread::spawn(move || {
             for seed in 1..=2 {
@@ -55,7 +67,14 @@
         cores.node(life)
     };
     let verdict = judge(&scenario, 1, &forgetful);
-    assert!(verdict.breaches.iter().any(|breach| breach.rule == Rule::NothingLost), "{:?}", verdict.count);
+    assert!(
+        verdict
+            .breaches
+            .iter()
+            .any(|breach| breach.rule == Rule::NothingLost),
+        "{:?}",
+        verdict.count
+    );
 }
 
 #[test]
@@ -68,11 +87,19 @@
         assert!(verdict.is_clean(), "{disk}: {}", verdict.breaches[0]);
         let size = |courier| {
             let files = std::fs::read_dir(cores.folder(courier)).unwrap();
-            files.map(|file| file.unwrap().metadata().unwrap().len().div_ceil(512) * 512).sum::<u64>()
+            files
+                .map(|file| file.unwrap().metadata().unwrap().len().div_ceil(512) * 512)
+                .sum::<u64>()
         };
-        assert!((0..scenario.couriers).all(|courier| size(courier) <= disk), "{disk}");
+        assert!(
+            (0..scenario.couriers).all(|courier| size(courier) <= disk),
+            "{disk}"
+        );
         tally.classes.iter().map(|class| class.refused).sum::<u64>()
     };
     let (small, large) = (refused(500_000), refused(30_000_000));
-    assert!(small > large, "{small} on a small disk, {large} on a large one");
+    assert!(
+        small > large,
+        "{small} on a small disk, {large} on a large one"
+    );
 }
--- a/crates/simulator-adapter/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -32,7 +32,10 @@
     }
 
     fn known(&self, what: &str, name: &str) -> Result<usize, String> {
-        self.numbers.get(name).copied().ok_or_else(|| format!("unknown {what} {name:?}"))
+        self.numbers
+            .get(name)
+            .copied()
+            .ok_or_else(|| format!("unknown {what} {name:?}"))
     }
 }
 
@@ -60,7 +63,10 @@
         if !self.events.contains_key(courier) {
             self.order.push(courier.to_owned());
         }
-        self.events.entry(courier.to_owned()).or_default().extend(event);
+        self.events
+            .entry(courier.to_owned())
+            .or_default()
+            .extend(event);
     }
 
     fn forget(&mut self, courier: &str) {
@@ -100,19 +106,30 @@
                 self.clock = None;
                 return Ok(Some(self.reply(now)));
             }
-            Line::Begin { courier_id, random_seed, boot_info } => {
+            Line::Begin {
+                courier_id,
+                random_seed,
+                boot_info,
+            } => {
                 self.inbox.forget(&courier_id);
-                self.instances.insert(courier_id.clone(), Instance::begin(*boot_info, random_seed));
+                self.instances
+                    .insert(courier_id.clone(), Instance::begin(*boot_info, random_seed));
                 self.inbox.push(&courier_id, None);
             }
             Line::Halt { courier_id } => {
                 self.inbox.forget(&courier_id);
-                self.instances.remove(&courier_id).ok_or_else(|| never_begun(&courier_id))?;
+                self.instances
+                    .remove(&courier_id)
+                    .ok_or_else(|| never_begun(&courier_id))?;
             }
             Line::Sheet { buffer, rows_in } => {
                 self.sheets.insert(buffer, rows_in);
             }
-            Line::Update { courier_id, buffer, kind } => {
+            Line::Update {
+                courier_id,
+                buffer,
+                kind,
+            } => {
                 let instance = find(&mut self.instances, &courier_id)?;
                 let event = match kind {
                     wire::UpdateKind::Error => p::Event::EndpointListFailed,
@@ -121,7 +138,10 @@
                             .sheets
                             .get(&buffer)
                             .ok_or_else(|| format!("unknown list number {buffer}"))?;
-                        let entries = rows.iter().map(|row| instance.entry(row)).collect::<Result<_, _>>()?;
+                        let entries = rows
+                            .iter()
+                            .map(|row| instance.entry(row))
+                            .collect::<Result<_, _>>()?;
                         match kind {
                             wire::UpdateKind::Partial => p::Event::EndpointsUpdated(entries),
                             _ => p::Event::EndpointsReplaced(entries),
@@ -130,19 +150,35 @@
                 };
                 self.inbox.push(&courier_id, Some(event));
             }
-            Line::Accept(accept) => self.event(&accept.courier_id.clone(), |i| i.accepted(&accept))?,
-            Line::ClosedAttempt(closed) => self.event(&closed.courier_id.clone(), |i| i.closed(&closed))?,
+            Line::Accept(accept) => {
+                self.event(&accept.courier_id.clone(), |i| i.accepted(&accept))?
+            }
+            Line::ClosedAttempt(closed) => {
+                self.event(&closed.courier_id.clone(), |i| i.closed(&closed))?
+            }
             Line::Gone { courier_id, r#ref } => {
-                self.event(&courier_id, |i| Ok(Some(p::Event::Cancelled(i.message(&r#ref)))))?;
+                self.event(&courier_id, |i| {
+                    Ok(Some(p::Event::Cancelled(i.message(&r#ref))))
+                })?;
             }
             Line::Due { courier_id, token } => {
                 self.event(&courier_id, |_| Ok(Some(p::Event::TimerFired(token))))?;
             }
-            Line::Checked { courier_id, outcome, endpoint, server_stats } => {
+            Line::Checked {
+                courier_id,
+                outcome,
+                endpoint,
+                server_stats,
+            } => {
                 self.event(&courier_id, |i| {
                     let endpoint = i.endpoint(&endpoint);
-                    let (outcome, report) = (outcome_of(outcome, 0.0)?, report_of(server_stats.as_ref()));
-                    Ok(Some(p::Event::HealthChecked { endpoint, outcome, rate_limit: report }))
+                    let (outcome, report) =
+                        (outcome_of(outcome, 0.0)?, report_of(server_stats.as_ref()));
+                    Ok(Some(p::Event::HealthChecked {
+                        endpoint,
+                        outcome,
+                        rate_limit: report,
+                    }))
                 })?;
             }
             Line::First { courier_id } | Line::NeighbourSays { courier_id } => {
@@ -170,12 +206,22 @@
                 continue;
             };
             let mut actions = Vec::new();
-            let run = || instance.courier.handle(now, &inbox.events[courier_id], &mut actions);
+            let run = || {
+                instance
+                    .courier
+                    .handle(now, &inbox.events[courier_id], &mut actions)
+            };
             match catch_unwind(AssertUnwindSafe(run)) {
-                Ok(()) => {
-                    actions.iter().for_each(|action| line(&mut out, &instance.said(courier_id, action)))
-                }
-                Err(panic) => line(&mut out, &Reply::Broken { courier_id, text: &panic_text(&*panic) }),
+                Ok(()) => actions
+                    .iter()
+                    .for_each(|action| line(&mut out, &instance.said(courier_id, action))),
+                Err(panic) => line(
+                    &mut out,
+                    &Reply::Broken {
+                        courier_id,
+                        text: &panic_text(&*panic),
+                    },
+                ),
             }
         }
         line(&mut out, &Reply::End);
@@ -184,28 +230,39 @@
 }
 
 fn line(out: &mut String, reply: &Reply) {
-    out.push_str(&serde_json::to_string(reply).expect("a reply holds only strings and finite numbers"));
+    out.push_str(
+        &serde_json::to_string(reply).expect("a reply holds only strings and finite numbers"),
+    );
     out.push('\n');
 }
 
 fn panic_text(panic: &(dyn std::any::Any + Send)) -> String {
     let text = panic.downcast_ref::<String>().map(String::as_str);
-    text.or(panic.downcast_ref::<&str>().copied()).unwrap_or("panic without a text").to_owned()
+    text.or(panic.downcast_ref::<&str>().copied())
+        .unwrap_or("panic without a text")
+        .to_owned()
 }
 
 fn never_begun(courier: &str) -> String {
     format!("an event for an instance never begun: {courier:?}")
 }
 
-fn find<'a>(instances: &'a mut HashMap<String, Instance>, courier: &str) -> Result<&'a mut Instance, String> {
-    instances.get_mut(courier).ok_or_else(|| never_begun(courier))
+fn find<'a>(
+    instances: &'a mut HashMap<String, Instance>,
+    courier: &str,
+) -> Result<&'a mut Instance, String> {
+    instances
+        .get_mut(courier)
+        .ok_or_else(|| never_begun(courier))
 }
 
 fn outcome_of(number: u64, detail: f64) -> Result<p::Outcome, String> {
     Ok(match number {
         0 => p::Outcome::Delivered,
         1 => p::Outcome::Error,
-        2 => p::Outcome::Rejected { retry_after: (detail > 0.0).then(|| p::Span::from_ms(detail)) },
+        2 => p::Outcome::Rejected {
+            retry_after: (detail > 0.0).then(|| p::Span::from_ms(detail)),
+        },
         3 => p::Outcome::TimedOut,
         4 => p::Outcome::ConnectFailed,
         5 => p::Outcome::Reset,
@@ -216,7 +273,12 @@
 }
 
 fn report_of(stats: Option<&wire::Stats>) -> p::RateLimitReport {
-    stats.map(|stats| p::RateLimitReport { remaining: stats.x0, limit: stats.x1 }).unwrap_or_default()
+    stats
+        .map(|stats| p::RateLimitReport {
+            remaining: stats.x0,
+            limit: stats.x1,
+        })
+        .unwrap_or_default()
 }
 
 impl Instance {
@@ -289,24 +351,56 @@
         let name = |id: &p::MessageId| self.messages.names[id.0 as usize].as_str();
         let place = |id: &p::EndpointId| self.endpoints.names[id.0 as usize].as_str();
         match action {
-            p::Action::Send { message, endpoint, timeout_at: cut_at } => Reply::PassOn {
+            p::Action::Send {
+                message,
+                endpoint,
+                timeout_at: cut_at,
+            } => Reply::PassOn {
                 courier_id,
                 r#ref: name(message),
                 endpoint: place(endpoint),
                 cut_at_ms: cut_at.ms(),
             },
-            p::Action::Cancel { message, attempt: copy } => {
-                Reply::StopAttempt { courier_id, r#ref: name(message), copy: copy.0 }
-            }
-            p::Action::Reject { message, retry_after: retry_in } => {
+            p::Action::Cancel {
+                message,
+                attempt: copy,
+            } => Reply::StopAttempt {
+                courier_id,
+                r#ref: name(message),
+                copy: copy.0,
+            },
+            p::Action::Reject {
+                message,
+                retry_after: retry_in,
+            } => {
                 let retry_in_ms = if self.tells_retry { retry_in.ms() } else { 0.0 };
-                Reply::Refuse { courier_id, r#ref: name(message), retry_in_ms }
+                Reply::Refuse {
+                    courier_id,
+                    r#ref: name(message),
+                    retry_in_ms,
+                }
             }
-            p::Action::Fail(message) => Reply::EndFailed { courier_id, r#ref: name(message) },
-            p::Action::SetTimer { at, token } => Reply::WakeAt { courier_id, at_ms: at.ms(), token: *token },
-            p::Action::HealthCheck(endpoint) => Reply::HealthCheck { courier_id, endpoint: place(endpoint) },
-            p::Action::CloseIdleConnections(id) => Reply::Close { courier_id, endpoint: place(id) },
-            p::Action::Subscribe => Reply::Tail { courier_id, want: true },
+            p::Action::Fail(message) => Reply::EndFailed {
+                courier_id,
+                r#ref: name(message),
+            },
+            p::Action::SetTimer { at, token } => Reply::WakeAt {
+                courier_id,
+                at_ms: at.ms(),
+                token: *token,
+            },
+            p::Action::HealthCheck(endpoint) => Reply::HealthCheck {
+                courier_id,
+                endpoint: place(endpoint),
+            },
+            p::Action::CloseIdleConnections(id) => Reply::Close {
+                courier_id,
+                endpoint: place(id),
+            },
+            p::Action::Subscribe => Reply::Tail {
+                courier_id,
+                want: true,
+            },
             p::Action::Log(text) => Reply::Emit { courier_id, text },
         }
     }
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -24,15 +24,26 @@
     let mut text = Vec::new();
     for number in 1u64.. {
         text.clear();
-        if input.read_until(b'\n', &mut text).map_err(|error| format!("line {number}: {error}"))? == 0 {
+        if input
+            .read_until(b'\n', &mut text)
+            .map_err(|error| format!("line {number}: {error}"))?
+            == 0
+        {
             if host.inside_batch() {
                 return Err(format!("line {number}: the input ends inside a batch"));
             }
             break;
         }
-        let line = serde_json::from_slice(&text).map_err(|error| format!("line {number}: {error}"))?;
-        if let Some(reply) = host.take(line).map_err(|cause| format!("line {number}: {cause}"))? {
-            output.write_all(reply.as_bytes()).and_then(|()| output.flush()).map_err(|e| e.to_string())?;
+        let line =
+            serde_json::from_slice(&text).map_err(|error| format!("line {number}: {error}"))?;
+        if let Some(reply) = host
+            .take(line)
+            .map_err(|cause| format!("line {number}: {cause}"))?
+        {
+            output
+                .write_all(reply.as_bytes())
+                .and_then(|()| output.flush())
+                .map_err(|e| e.to_string())?;
         }
     }
     Ok(())
--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -16,7 +16,9 @@
 }
 
 fn update(courier: &str, buffer: u64) -> String {
-    format!(r#"{{"msg":"update","courier_id":"{courier}","buffer":{buffer},"kind":"Persisted","version":1}}"#)
+    format!(
+        r#"{{"msg":"update","courier_id":"{courier}","buffer":{buffer},"kind":"Persisted","version":1}}"#
+    )
 }
 
 fn accept(courier: &str, id: &str) -> String {
@@ -34,13 +36,21 @@
         .expect("the adapter starts");
     let text: String = lines.iter().map(|line| format!("{line}\n")).collect();
     // The adapter may leave before it has read all of a bad input.
-    let _ = child.stdin.take().expect("piped").write_all(text.as_bytes());
+    let _ = child
+        .stdin
+        .take()
+        .expect("piped")
+        .write_all(text.as_bytes());
     child.wait_with_output().expect("the adapter ends")
 }
 
 fn good(lines: &[&str]) -> String {
     let output = run(lines);
-    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    assert!(
+        output.status.success(),
+        "{}",
+        String::from_utf8_lossy(&output.stderr)
+    );
     assert!(output.stderr.is_empty());
     String::from_utf8(output.stdout).expect("UTF-8")
 }
@@ -50,9 +60,15 @@
     let error = String::from_utf8_lossy(&output.stderr).into_owned();
     assert_eq!(output.status.code(), Some(1), "{error}");
     assert_eq!(error.lines().count(), 1, "{error}");
-    assert!(error.contains(&format!("line {line}:")) && error.contains(cause), "{error}");
+    assert!(
+        error.contains(&format!("line {line}:")) && error.contains(cause),
+        "{error}"
+    );
     let out = String::from_utf8_lossy(&output.stdout).into_owned();
-    assert!(out.is_empty() || out.ends_with("{\"msg\":\"end\"}\n"), "half a reply: {out}");
+    assert!(
+        out.is_empty() || out.ends_with("{\"msg\":\"end\"}\n"),
+        "half a reply: {out}"
+    );
 }
 
 const MARK: &str = r#"{"msg":"mark","time_ms":100}"#;
@@ -61,7 +77,10 @@
 #[test]
 fn clean_end_of_input_and_empty_batches() {
     assert_eq!(good(&[]), "");
-    assert_eq!(good(&[MARK, END, MARK, END]), "{\"msg\":\"end\"}\n{\"msg\":\"end\"}\n");
+    assert_eq!(
+        good(&[MARK, END, MARK, END]),
+        "{\"msg\":\"end\"}\n{\"msg\":\"end\"}\n"
+    );
 }
 
 #[test]
@@ -98,9 +117,18 @@
         &accept("courier_1", "b"),
         END,
     ]);
-    let sends: Vec<&str> = out.lines().filter(|line| line.contains("pass_on")).collect();
-    assert!(sends[0].contains("courier_0") && sends[0].contains("10.0.0.1:1"), "{out}");
-    assert!(sends[1].contains("courier_1") && sends[1].contains("10.0.0.2:2"), "{out}");
+    let sends: Vec<&str> = out
+        .lines()
+        .filter(|line| line.contains("pass_on"))
+        .collect();
+    assert!(
+        sends[0].contains("courier_0") && sends[0].contains("10.0.0.1:1"),
+        "{out}"
+    );
+    assert!(
+        sends[1].contains("courier_1") && sends[1].contains("10.0.0.2:2"),
+        "{out}"
+    );
 }
 
 #[test]
@@ -121,23 +149,33 @@
         halt,
         END,
     ]);
-    let sends: Vec<&str> = out.lines().filter(|line| line.contains("pass_on")).collect();
+    let sends: Vec<&str> = out
+        .lines()
+        .filter(|line| line.contains("pass_on"))
+        .collect();
     assert_eq!(sends.len(), 1, "{out}");
     assert!(sends[0].contains("\"b\""), "{out}");
 }
 
 #[test]
 fn a_subscription_is_asked_for_where_the_list_comes_only_so() {
-    let begin =
-        begin("courier_0").replace("\"unheard_of\"", "\"registry_mode\":\"subscribe\",\"unheard_of\"");
+    let begin = begin("courier_0").replace(
+        "\"unheard_of\"",
+        "\"registry_mode\":\"subscribe\",\"unheard_of\"",
+    );
     let out = good(&[MARK, &begin, END]);
-    assert!(out.starts_with(r#"{"msg":"tail","courier_id":"courier_0","want":true}"#), "{out}");
+    assert!(
+        out.starts_with(r#"{"msg":"tail","courier_id":"courier_0","want":true}"#),
+        "{out}"
+    );
 }
 
 #[test]
 fn a_failed_call_for_the_list_names_no_list_and_is_followed_by_another() {
-    let begin =
-        begin("courier_0").replace("\"unheard_of\"", "\"registry_mode\":\"subscribe\",\"unheard_of\"");
+    let begin = begin("courier_0").replace(
+        "\"unheard_of\"",
+        "\"registry_mode\":\"subscribe\",\"unheard_of\"",
+    );
     let failed = r#"{"msg":"update","courier_id":"courier_0","kind":"Error","version":1}"#;
     let out = good(&[MARK, &begin, END, MARK, failed, END]);
     assert!(out.lines().any(|line| line.contains("wake_at")), "{out}");
@@ -151,11 +189,31 @@
     bad(&[MARK, r#"{"time_ms":5}"#], 2, "msg");
     bad(&[r#"{"msg":"mark"}"#], 1, "time_ms");
     bad(&[r#"{"msg":"mark","time_ms":"soon"}"#], 1, "soon");
-    bad(&[MARK, r#"{"msg":"due","courier_id":"courier_9","token":1}"#], 2, "courier_9");
-    bad(&[MARK, &begun, &update("courier_0", 4)], 3, "unknown list number 4");
-    bad(&[MARK, &begun, &accept("courier_0", "m").replace("\"c\"", "\"odd\"")], 3, "unknown class \"odd\"");
+    bad(
+        &[MARK, r#"{"msg":"due","courier_id":"courier_9","token":1}"#],
+        2,
+        "courier_9",
+    );
+    bad(
+        &[MARK, &begun, &update("courier_0", 4)],
+        3,
+        "unknown list number 4",
+    );
+    bad(
+        &[
+            MARK,
+            &begun,
+            &accept("courier_0", "m").replace("\"c\"", "\"odd\""),
+        ],
+        3,
+        "unknown class \"odd\"",
+    );
     let odd = sheet(0, "10.0.0.1:1").replace("\"k\"", "\"odd\"");
-    bad(&[MARK, &begun, &odd, &update("courier_0", 0)], 4, "unknown destination kind \"odd\"");
+    bad(
+        &[MARK, &begun, &odd, &update("courier_0", 0)],
+        4,
+        "unknown destination kind \"odd\"",
+    );
     bad(&[MARK, &begun], 3, "ends inside a batch");
     bad(&[r#"{"msg":"end"}"#], 1, "outside any batch");
 }
--- a/examples/first-steps/toy_partner.rs
+++ b/examples/first-steps/toy_partner.rs
@@ -9,7 +9,9 @@
 static TURN: AtomicUsize = AtomicUsize::new(0);
 
 fn main() -> std::io::Result<()> {
-    let at = std::env::args().nth(1).unwrap_or_else(|| "127.0.0.1:9100".to_owned());
+    let at = std::env::args()
+        .nth(1)
+        .unwrap_or_else(|| "127.0.0.1:9100".to_owned());
     let listener = TcpListener::bind(&at)?;
     println!("toy partner at {at}: turns away every fourth event");
     for stream in listener.incoming() {
@@ -48,7 +50,11 @@
         let mut body = vec![0; length];
         reader.read_exact(&mut body)?;
         let turned_away = TURN.fetch_add(1, Ordering::Relaxed) % 4 == 3;
-        let status = if turned_away { "503 Service Unavailable" } else { "200 OK" };
+        let status = if turned_away {
+            "503 Service Unavailable"
+        } else {
+            "200 OK"
+        };
         println!("{status} to {} ({key})", String::from_utf8_lossy(&body));
         write!(writer, "HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n")?;
     }
