--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -1,23 +1,23 @@
-//! A small bed for tests: settings, a courier with a clock, and what it said.
+//! A small bed for tests: settings, a instance with a clock, and what it said.
 #![allow(dead_code)]
 
 use marblefall_scheduler::*;
 
-pub fn class(worth: f64, effect: Idempotency) -> MessageClass {
+pub fn class(priority_weight: f64, idempotency: Idempotency) -> MessageClass {
     MessageClass {
-        priority_weight: worth,
+        priority_weight,
         latency_objective: Span::from_ms(2000.0),
         deadline: Span::from_ms(16000.0),
         late_value: 0.3,
-        idempotency: effect,
+        idempotency,
         ordered: false,
     }
 }
 
 /// Draws that are the same in each run; begun with anything but 0.
-pub struct Dice(pub u64);
+pub struct SeededRandom(pub u64);
 
-impl Dice {
+impl SeededRandom {
     fn next(&mut self) -> u64 {
         self.0 ^= self.0 << 13;
         self.0 ^= self.0 >> 7;
@@ -31,12 +31,12 @@
     }
 
     /// A number in 0..1.
-    pub fn part(&mut self) -> f64 {
+    pub fn fraction(&mut self) -> f64 {
         self.next() as f64 / (1u64 << 53) as f64
     }
 }
 
-/// Class 0 pure, 1 keyed within a zone for 4 s, 2 unsafe and worth 4, 3 pure in order.
+/// Class 0 pure, 1 keyed within a zone for 4 s, 2 unsafe and weight 4, 3 pure in order.
 pub fn settings() -> Settings {
     let token = Idempotency::IdempotencyKey {
         scope: DeduplicationScope::Zone,
@@ -90,86 +90,98 @@
     }
 }
 
-pub struct Bed {
-    pub courier: Scheduler,
+pub struct TestScheduler {
+    pub instance: Scheduler,
     pub now: Time,
     next: u64,
 }
 
-impl Bed {
-    pub fn new(settings: Settings) -> Bed {
-        Bed {
-            courier: Scheduler::new(settings, 7),
+impl TestScheduler {
+    pub fn new(settings: Settings) -> TestScheduler {
+        TestScheduler {
+            instance: Scheduler::new(settings, 7),
             now: Time::from_ms(1000.0),
             next: 0,
         }
     }
 
     /// One endpoint of each of these destinations, of kind 0 in zone 0; endpoint n is destination n's.
-    pub fn with_destinations(settings: Settings, count: u64) -> Bed {
-        let mut bed = Bed::new(settings);
-        let entries = (0..count).map(|n| entry(n as u32, n, 0, 0)).collect();
-        bed.say(Event::EndpointsReplaced(entries));
-        bed
+    pub fn with_destinations(settings: Settings, count: u64) -> TestScheduler {
+        let mut scheduler = TestScheduler::new(settings);
+        let endpoints = (0..count)
+            .map(|n| listed_endpoint(n as u32, n, 0, 0))
+            .collect();
+        scheduler.handle(Event::EndpointsReplaced(endpoints));
+        scheduler
     }
 
-    pub fn say(&mut self, event: Event) -> Vec<Action> {
-        self.say_all(&[event])
+    pub fn handle(&mut self, event: Event) -> Vec<Action> {
+        self.handle_all(&[event])
     }
 
-    pub fn say_all(&mut self, events: &[Event]) -> Vec<Action> {
+    pub fn handle_all(&mut self, events: &[Event]) -> Vec<Action> {
         let mut actions = Vec::new();
-        self.courier.handle(self.now, events, &mut actions);
+        self.instance.handle(self.now, events, &mut actions);
         actions
     }
 
-    pub fn at(&mut self, ms: f64) -> &mut Bed {
+    pub fn at(&mut self, ms: f64) -> &mut TestScheduler {
         self.now = Time::from_ms(ms);
         self
     }
 
     /// Lets time pass without news.
     pub fn idle(&mut self, ms: f64) -> Vec<Action> {
-        self.at(ms).say_all(&[])
+        self.at(ms).handle_all(&[])
     }
 
     pub fn message(&mut self, class: usize, destination: u64) -> (MessageId, Event) {
-        self.aged(class, destination, 0.0)
+        self.submitted_earlier(class, destination, 0.0)
     }
 
-    /// A message that was first handed in `age` ms ago.
-    pub fn aged(&mut self, class: usize, destination: u64, age: f64) -> (MessageId, Event) {
+    /// A message that was first submitted `age` ms ago.
+    pub fn submitted_earlier(
+        &mut self,
+        class: usize,
+        destination: u64,
+        age: f64,
+    ) -> (MessageId, Event) {
         self.next += 1;
         let message = MessageId(self.next);
-        let expires = self.now + Span::from_ms(16000.0 - age);
+        let deadline = self.now + Span::from_ms(16000.0 - age);
         let destination = DestinationId(destination);
-        let handed = NewMessage {
+        let new_message = NewMessage {
             message,
             class: ClassId(class),
             tenant: None,
             ordering_key: None,
-            deadline: expires,
+            deadline,
             destination,
         };
-        (message, Event::Accepted(handed))
+        (message, Event::Accepted(new_message))
     }
 
-    /// Hands a message in and gives what the courier did.
-    pub fn hand(&mut self, class: usize, destination: u64) -> (MessageId, Vec<Action>) {
+    /// Submits a message in and returns what the instance did.
+    pub fn submit(&mut self, class: usize, destination: u64) -> (MessageId, Vec<Action>) {
         let (message, event) = self.message(class, destination);
-        (message, self.say(event))
+        (message, self.handle(event))
     }
 
     /// Delivers one message after 100 ms, so that the destination is met.
-    pub fn meet(&mut self, destination: u64) {
-        let (message, actions) = self.hand(0, destination);
+    pub fn warm_up(&mut self, destination: u64) {
+        let (message, actions) = self.submit(0, destination);
         assert_eq!(sends(&actions).len(), 1);
         self.at(self.now.ms() + 100.0)
-            .say(closed(message, 0, Outcome::Delivered));
+            .handle(attempt_finished(message, 0, Outcome::Delivered));
     }
 }
 
-pub fn entry(endpoint: u32, destination: u64, kind: usize, zone: usize) -> EndpointUpdate {
+pub fn listed_endpoint(
+    endpoint: u32,
+    destination: u64,
+    kind: usize,
+    zone: usize,
+) -> EndpointUpdate {
     EndpointUpdate {
         endpoint: EndpointId(endpoint),
         destination: DestinationId(destination),
@@ -181,15 +193,20 @@
     }
 }
 
-pub fn closed(message: MessageId, copy: u32, outcome: Outcome) -> Event {
-    reported(message, copy, outcome, RateLimitReport::default())
+pub fn attempt_finished(message: MessageId, attempt: u32, outcome: Outcome) -> Event {
+    attempt_reported(message, attempt, outcome, RateLimitReport::default())
 }
 
 /// The same with what the answer told of the limit.
-pub fn reported(message: MessageId, copy: u32, outcome: Outcome, report: RateLimitReport) -> Event {
+pub fn attempt_reported(
+    message: MessageId,
+    attempt: u32,
+    outcome: Outcome,
+    report: RateLimitReport,
+) -> Event {
     Event::AttemptFinished {
         message,
-        attempt: AttemptNumber(copy),
+        attempt: AttemptNumber(attempt),
         outcome,
         duration: Span::from_ms(100.0),
         is_final: outcome == Outcome::Delivered,
@@ -215,12 +232,10 @@
     actions.iter().filter_map(end).collect()
 }
 
-/// The patience that a send was given, in ms.
-pub fn patience(now: Time, actions: &[Action]) -> f64 {
+/// The time-out that a send was given, in ms.
+pub fn timeout_ms(now: Time, actions: &[Action]) -> f64 {
     let cut = actions.iter().find_map(|action| match action {
-        Action::Send {
-            timeout_at: cut_at, ..
-        } => Some(*cut_at),
+        Action::Send { timeout_at, .. } => Some(*timeout_at),
         _ => None,
     });
     (cut.expect("something was sent") - now).ms()
--- a/crates/scheduler/tests/weights.rs
+++ b/crates/scheduler/tests/endpoint_weights.rs
@@ -7,11 +7,11 @@
 
 /// One destination behind weighted endpoints, each with its call time in ms, under an even stream of messages.
 struct Stream {
-    bed: Bed,
+    scheduler: TestScheduler,
     took: Vec<f64>,
     sick: Vec<bool>,
     out: Vec<(f64, MessageId, u32, usize)>,
-    copies: std::collections::BTreeMap<MessageId, u32>,
+    attempts: std::collections::BTreeMap<MessageId, u32>,
     counts: Vec<usize>,
     order: Vec<usize>,
 }
@@ -19,7 +19,7 @@
 fn list(weights: &[f64]) -> Vec<EndpointUpdate> {
     let weighted = |(id, weight): (usize, &f64)| EndpointUpdate {
         weight: Some(*weight),
-        ..entry(id as u32, 0, 0, 0)
+        ..listed_endpoint(id as u32, 0, 0, 0)
     };
     weights.iter().enumerate().map(weighted).collect()
 }
@@ -28,54 +28,54 @@
     fn new(weights: &[f64], took: &[f64]) -> Stream {
         let mut set = settings();
         set.limits.max_in_flight = 64;
-        let mut bed = Bed::new(set);
-        bed.say(Event::EndpointsReplaced(list(weights)));
+        let mut scheduler = TestScheduler::new(set);
+        scheduler.handle(Event::EndpointsReplaced(list(weights)));
         Stream {
-            bed,
+            scheduler,
             took: took.to_vec(),
             sick: vec![false; took.len()],
             out: Vec::new(),
-            copies: Default::default(),
+            attempts: Default::default(),
             counts: vec![0; took.len()],
             order: Vec::new(),
         }
     }
 
-    /// So many messages, one each 10 ms; gives the shares of the calls that this led to.
+    /// So many messages, one each 10 ms; returns the shares of the calls that this led to.
     fn play(&mut self, messages: usize) -> Vec<f64> {
         (self.counts, self.order) = (vec![0; self.took.len()], Vec::new());
         for _ in 0..messages {
-            let now = self.bed.now.ms() + 10.0;
-            self.bed.at(now);
-            let mut events = vec![self.bed.message(0, 0).1];
+            let now = self.scheduler.now.ms() + 10.0;
+            self.scheduler.at(now);
+            let mut events = vec![self.scheduler.message(0, 0).1];
             let done = |leg: &(f64, MessageId, u32, usize)| leg.0 <= now;
-            for (_, message, copy, endpoint) in self.out.extract_if(.., |leg| done(leg)) {
+            for (_, message, attempt, endpoint) in self.out.extract_if(.., |leg| done(leg)) {
                 let outcome = if self.sick[endpoint] {
                     Outcome::Reset
                 } else {
                     Outcome::Delivered
                 };
                 let took = Span::from_ms(self.took[endpoint]);
-                let (last, copy, report) = (
+                let (last, attempt, report) = (
                     !self.sick[endpoint],
-                    AttemptNumber(copy),
+                    AttemptNumber(attempt),
                     RateLimitReport::default(),
                 );
                 events.push(Event::AttemptFinished {
                     message,
-                    attempt: copy,
+                    attempt,
                     outcome,
                     duration: took,
                     is_final: last,
                     rate_limit: report,
                 });
             }
-            for (message, endpoint) in sends(&self.bed.say_all(&events)) {
-                let copy = self.copies.entry(message).or_default();
+            for (message, endpoint) in sends(&self.scheduler.handle_all(&events)) {
+                let attempt = self.attempts.entry(message).or_default();
                 let endpoint = endpoint.0 as usize;
                 self.out
-                    .push((now + self.took[endpoint], message, *copy, endpoint));
-                *copy += 1;
+                    .push((now + self.took[endpoint], message, *attempt, endpoint));
+                *attempt += 1;
                 self.counts[endpoint] += 1;
                 self.order.push(endpoint);
             }
@@ -88,7 +88,8 @@
     }
 
     fn reweigh(&mut self, weights: &[f64]) {
-        self.bed.say(Event::EndpointsUpdated(list(weights)));
+        self.scheduler
+            .handle(Event::EndpointsUpdated(list(weights)));
     }
 }
 
@@ -103,7 +104,7 @@
 }
 
 #[test]
-fn shares_follow_the_weights_whatever_the_call_times() {
+fn shares_follow_weights_at_any_latency() {
     for weights in [
         [1.0, 1.0, 1.0],
         [5.0, 3.0, 2.0],
@@ -119,7 +120,7 @@
 }
 
 #[test]
-fn a_change_of_weights_is_followed_at_once_and_without_a_jump() {
+fn changed_weights_apply_at_once_without_a_burst() {
     let mut stream = Stream::new(&[3.0, 1.0], &[50.0, 50.0]);
     stream.play(1000);
     stream.reweigh(&[1.0, 3.0]);
@@ -142,7 +143,7 @@
 }
 
 #[test]
-fn the_share_of_a_sick_endpoint_goes_to_the_others_and_comes_back_gradually() {
+fn share_of_failed_endpoint_moves_and_returns_gradually() {
     let mut stream = Stream::new(&[2.0, 1.0, 1.0], &[40.0; 3]);
     stream.play(500);
     stream.sick[0] = true;
@@ -155,7 +156,7 @@
     let parts: Vec<f64> = (0..9).map(|_| stream.play(200)[0]).collect();
     let first = parts
         .iter()
-        .position(|part| *part > 0.05)
+        .position(|fraction| *fraction > 0.05)
         .expect("it comes back");
     // The settings let it have 0.2 of its capacity when it is back, and all of it 9 s later.
     assert!(
@@ -166,17 +167,17 @@
 }
 
 #[test]
-fn couriers_that_call_seldom_spread_by_the_weights_too() {
+fn rarely_calling_instances_follow_weights_together() {
     let mut counts = [0; 3];
     for seed in 0..600 {
-        let mut courier = Scheduler::new(settings(), seed);
-        let mut bed = Bed::new(settings());
+        let mut instance = Scheduler::new(settings(), seed);
+        let mut scheduler = TestScheduler::new(settings());
         let mut actions = Vec::new();
-        courier.handle(
-            bed.now,
+        instance.handle(
+            scheduler.now,
             &[
                 Event::EndpointsReplaced(list(&[5.0, 3.0, 2.0])),
-                bed.message(0, 0).1,
+                scheduler.message(0, 0).1,
             ],
             &mut actions,
         );
--- a/crates/scheduler/tests/property.rs
+++ b/crates/scheduler/tests/random_events.rs
@@ -11,7 +11,7 @@
     class: usize,
     destination: u64,
     key: Option<OrderingKey>,
-    expires: Time,
+    deadline: Time,
     order: usize,
     sends: u32,
     out: Option<(u32, u32, Time)>,
@@ -44,7 +44,7 @@
             Action::Send {
                 message,
                 endpoint,
-                timeout_at: cut_at,
+                timeout_at,
             } => {
                 let known = &self.known[message];
                 assert!(!known.ended, "sent after its end");
@@ -54,7 +54,7 @@
                     self.listed.contains(&endpoint.0),
                     "sent to a draining endpoint"
                 );
-                assert!(*cut_at <= known.expires && *cut_at > now);
+                assert!(*timeout_at <= known.deadline && *timeout_at > now);
                 assert!(
                     self.waits
                         .get(&route(endpoint.0))
@@ -98,7 +98,10 @@
                     .get_mut(message)
                     .expect("only known messages end");
                 assert!(!known.ended, "ended twice");
-                assert!(now <= known.expires + Span::from_ms(20.0), "ended too late");
+                assert!(
+                    now <= known.deadline + Span::from_ms(20.0),
+                    "ended too late"
+                );
                 let pure = set.classes[known.class].idempotency == Idempotency::Idempotent;
                 assert!(
                     !refused || pure || known.ran.is_none(),
@@ -111,12 +114,18 @@
         }
     }
 
-    fn close(&mut self, id: MessageId, now: Time, dice: &mut Dice, set: &Settings) -> Event {
+    fn close(
+        &mut self,
+        id: MessageId,
+        now: Time,
+        random: &mut SeededRandom,
+        set: &Settings,
+    ) -> Event {
         let known = self.known.get_mut(&id).expect("out");
-        let (copy, endpoint, sent) = known.out.take().expect("out");
+        let (attempt, endpoint, sent) = known.out.take().expect("out");
         self.slots -= 1;
-        let over = now >= known.expires;
-        let outcome = match dice.below(24) {
+        let over = now >= known.deadline;
+        let outcome = match random.below(24) {
             _ if over => Outcome::TimedOut,
             0 => Outcome::Error,
             1 => Outcome::TimedOut,
@@ -124,7 +133,7 @@
             3 => Outcome::Reset,
             4 => Outcome::Rejected { retry_after: None },
             5 => Outcome::Rejected {
-                retry_after: Some(Span::from_ms(dice.below(900) as f64 + 1.0)),
+                retry_after: Some(Span::from_ms(random.below(900) as f64 + 1.0)),
             },
             6 => Outcome::NotSent,
             _ => Outcome::Delivered,
@@ -150,7 +159,7 @@
         let (took, last, report) = (now - sent, known.ended, RateLimitReport::default());
         Event::AttemptFinished {
             message: id,
-            attempt: AttemptNumber(copy),
+            attempt: AttemptNumber(attempt),
             outcome,
             duration: took,
             is_final: last,
@@ -163,7 +172,7 @@
     let destination = u64::from(endpoint / 2);
     EndpointUpdate {
         status: listing,
-        ..entry(
+        ..listed_endpoint(
             endpoint,
             destination,
             usize::from(destination >= 3),
@@ -175,49 +184,50 @@
 fn play(seed: u64) -> usize {
     let mut set = settings();
     set.limits.health_checks_allowed = seed.is_multiple_of(2);
-    let (mut dice, mut watch) = (
-        Dice(seed * 7919 + 1),
+    let (mut random, mut watch) = (
+        SeededRandom(seed * 7919 + 1),
         Watch {
             listed: (0..10).collect(),
             ..Watch::default()
         },
     );
-    let mut bed = Bed::new(set.clone());
-    bed.say(Event::EndpointsReplaced(
+    let mut scheduler = TestScheduler::new(set.clone());
+    scheduler.handle(Event::EndpointsReplaced(
         (0..10).map(|n| row(n, EndpointStatus::Active)).collect(),
     ));
     let mut order = 0;
     for step in 0..6000u64 {
-        bed.now = bed.now + Span(5000 + dice.below(28) as i64 * 500);
-        let now = bed.now;
+        scheduler.now = scheduler.now + Span(5000 + random.below(28) as i64 * 500);
+        let now = scheduler.now;
         let mut events = Vec::new();
         let out: Vec<(MessageId, Time)> = watch
             .known
             .iter()
             .filter(|(_, k)| k.out.is_some())
-            .map(|(id, k)| (*id, k.expires))
+            .map(|(id, k)| (*id, k.deadline))
             .collect();
-        for (id, expires) in out {
-            if now >= expires || dice.below(25) == 0 {
-                events.push(watch.close(id, now, &mut dice, &set));
+        for (id, deadline) in out {
+            if now >= deadline || random.below(25) == 0 {
+                events.push(watch.close(id, now, &mut random, &set));
             }
         }
-        if step < 4000 && dice.below(3) == 0 {
-            let (class, destination) = (dice.below(4) as usize, dice.below(5));
-            let (message, event) = bed.aged(class, destination, dice.below(15000) as f64);
-            let Event::Accepted(handed) = event else {
+        if step < 4000 && random.below(3) == 0 {
+            let (class, destination) = (random.below(4) as usize, random.below(5));
+            let (message, event) =
+                scheduler.submitted_earlier(class, destination, random.below(15000) as f64);
+            let Event::Accepted(new_message) = event else {
                 unreachable!()
             };
-            let key = (class == 3).then(|| OrderingKey(dice.below(3)));
+            let key = (class == 3).then(|| OrderingKey(random.below(3)));
             order += 1;
-            let (expires, out, ran, ended) = (handed.deadline, None, None, false);
+            let (deadline, out, ran, ended) = (new_message.deadline, None, None, false);
             watch.known.insert(
                 message,
                 Known {
                     class,
                     destination,
                     key,
-                    expires,
+                    deadline,
                     order,
                     sends: 0,
                     out,
@@ -227,41 +237,41 @@
             );
             events.push(Event::Accepted(NewMessage {
                 ordering_key: key,
-                ..handed
+                ..new_message
             }));
         }
-        if dice.below(60) == 0 {
-            let endpoint = dice.below(10) as u32;
+        if random.below(60) == 0 {
+            let endpoint = random.below(10) as u32;
             let listing = [
                 EndpointStatus::Active,
                 EndpointStatus::Draining,
                 EndpointStatus::Removed,
-            ][dice.below(3) as usize];
+            ][random.below(3) as usize];
             match listing {
                 EndpointStatus::Active => watch.listed.insert(endpoint),
                 _ => watch.listed.remove(&endpoint),
             };
             events.push(Event::EndpointsUpdated(vec![row(endpoint, listing)]));
         }
-        if dice.below(80) == 0 {
+        if random.below(80) == 0 {
             let open: Vec<MessageId> = watch
                 .known
                 .iter()
                 .filter(|(_, k)| !k.ended)
                 .map(|(id, _)| *id)
                 .collect();
-            if let Some(id) = open.get(dice.below(open.len().max(1) as u64) as usize) {
+            if let Some(id) = open.get(random.below(open.len().max(1) as u64) as usize) {
                 watch.known.get_mut(id).expect("listed above").ended = true;
                 events.push(Event::Cancelled(*id));
             }
         }
-        for action in bed.say_all(&events) {
+        for action in scheduler.handle_all(&events) {
             watch.check(now, &action, &set);
         }
         let owed = watch
             .known
             .values()
-            .find(|k| !k.ended && k.out.is_none() && now > k.expires);
+            .find(|k| !k.ended && k.out.is_none() && now > k.deadline);
         assert!(
             owed.is_none(),
             "seed {seed}: a message was left without an answer"
@@ -275,7 +285,7 @@
 }
 
 #[test]
-fn legal_random_events_never_break_a_rule() {
+fn random_legal_events_break_no_rule() {
     for seed in 1..=24 {
         assert!(
             play(seed) > 250,
--- a/crates/scheduler/tests/recovery.rs
+++ b/crates/scheduler/tests/recovery_model.rs
@@ -1,5 +1,5 @@
 //! The return controller, model-checked: every order of events up to a bound, by the controller alone and by the whole
-//! decision module. The rules are kept here once more, from what is seen from outside.
+//! scheduler. The rules are kept here once more, from what is seen from outside.
 
 mod common;
 
@@ -87,7 +87,7 @@
             instances: 1.0,
             unseen_load: 0.0,
         };
-        let part = RouteCapacity {
+        let fraction = RouteCapacity {
             own_rate: self.own,
             max_rate: Some(self.most),
             jitter: 0.5,
@@ -97,7 +97,7 @@
         if state.held < 3 {
             actions.push(Step::Hand);
         }
-        let open = state.controller.next_call_at(state.now, &terms, &part) <= state.now;
+        let open = state.controller.next_call_at(state.now, &terms, &fraction) <= state.now;
         if state.held > 0 && open && state.out.len() < 2 {
             actions.push(Step::Send);
         }
@@ -214,7 +214,7 @@
 }
 
 #[test]
-fn no_order_of_events_breaks_a_return() {
+fn no_order_of_events_breaks_a_recovery() {
     for (own, most) in [(0.2, 10.0), (1.0, 1.5), (2.0, 10.0)] {
         let checker = Alone { own, most }
             .checker()
@@ -230,7 +230,7 @@
     }
 }
 
-/// The whole decision module with one destination that is down: all orders of events of this length.
+/// The whole scheduler with one destination that is down: all orders of events of this length.
 struct Whole {
     length: usize,
 }
@@ -264,11 +264,11 @@
     };
     let rules = set.rules.clone();
     let own = LISTED / set.instances as f64;
-    let mut bed = Bed::new(set);
-    let mut listed = entry(0, 0, 0, 0);
+    let mut scheduler = TestScheduler::new(set);
+    let mut listed = listed_endpoint(0, 0, 0, 0);
     listed.advertised_rate = LISTED;
-    bed.say(Event::EndpointsReplaced(vec![listed]));
-    bed.meet(0);
+    scheduler.handle(Event::EndpointsReplaced(vec![listed]));
+    scheduler.warm_up(0);
     let mut world = World {
         out: vec![],
         sends: vec![],
@@ -286,13 +286,13 @@
         Move::Hand,
     ];
     for event in begun.iter().chain(events) {
-        let now = bed.now;
+        let now = scheduler.now;
         let brought = match event {
-            Move::Hand => bed.hand(0, 0).1,
-            Move::Pass(ms) => bed.idle(now.ms() + *ms as f64),
+            Move::Hand => scheduler.submit(0, 0).1,
+            Move::Pass(ms) => scheduler.idle(now.ms() + *ms as f64),
             _ if world.out.is_empty() => continue,
             _ => {
-                let (message, copy, sent) = world.out.remove(0);
+                let (message, attempt, sent) = world.out.remove(0);
                 let outcome = match event {
                     Move::Deliver => Outcome::Delivered,
                     Move::TurnAway => Outcome::Rejected { retry_after: None },
@@ -302,19 +302,19 @@
                     _ => Outcome::Reset,
                 };
                 world.learn(now, sent, outcome);
-                bed.say(closed(message, copy, outcome))
+                scheduler.handle(attempt_finished(message, attempt, outcome))
             }
         };
         for action in &brought {
             if let Action::Send { message, .. } = action {
-                let copy = world.out.iter().filter(|(out, ..)| out == message).count();
-                if copy > 0 {
+                let attempt = world.out.iter().filter(|(out, ..)| out == message).count();
+                if attempt > 0 {
                     return Err("two legs of one message");
                 }
-                let copy = world.copies(*message);
-                world.out.push((*message, copy, bed.now));
-                world.sends.push((*message, bed.now));
-                world.check(bed.now, &rules, own)?;
+                let attempt = world.attempts(*message);
+                world.out.push((*message, attempt, scheduler.now));
+                world.sends.push((*message, scheduler.now));
+                world.check(scheduler.now, &rules, own)?;
             }
         }
     }
@@ -331,7 +331,7 @@
 }
 
 impl World {
-    fn copies(&self, message: MessageId) -> u32 {
+    fn attempts(&self, message: MessageId) -> u32 {
         self.sends
             .iter()
             .filter(|(sent, _)| *sent == message)
@@ -413,7 +413,7 @@
 }
 
 #[test]
-fn no_order_of_events_makes_the_module_break_a_wait_or_the_ramp() {
+fn no_order_of_events_breaks_backoff_or_ramp() {
     let checker = Whole { length: 6 }.checker().threads(2).spawn_bfs().join();
     checker.assert_properties();
     assert!(
--- a/crates/scheduler/tests/returns.rs
+++ b/crates/scheduler/tests/recovery_over_time.rs
@@ -1,4 +1,4 @@
-//! Couriers and partners over time: what comes back, what flaps, what turns calls away with and without a limit.
+//! Instances and destinations over time: what comes back, what flaps, what rejects calls with and without a limit.
 
 mod common;
 
@@ -8,7 +8,7 @@
 
 const STEP_MS: f64 = 10.0;
 
-/// Some couriers and destinations, and how the messages come.
+/// Some instances and destinations, and how the messages come.
 struct Scene {
     set: Settings,
     destinations: u64,
@@ -45,38 +45,38 @@
 impl Scene {
     /// Plays it; `answer` says how a call to a destination that goes out at a moment ends, and after how many ms.
     fn play(&self, mut answer: impl FnMut(f64, u64) -> (Outcome, f64)) -> Seen {
-        let entries: Vec<EndpointUpdate> = (0..self.destinations)
+        let endpoints: Vec<EndpointUpdate> = (0..self.destinations)
             .map(|n| EndpointUpdate {
                 advertised_rate: self.share,
-                ..entry(n as u32, n, 0, 0)
+                ..listed_endpoint(n as u32, n, 0, 0)
             })
             .collect();
-        let mut couriers: Vec<Scheduler> = (0..self.set.instances)
+        let mut instances: Vec<Scheduler> = (0..self.set.instances)
             .map(|n| Scheduler::new(self.set.clone(), 31 + n as u64))
             .collect();
-        for courier in &mut couriers {
-            courier.handle(
+        for instance in &mut instances {
+            instance.handle(
                 Time(0),
-                &[Event::EndpointsReplaced(entries.clone())],
+                &[Event::EndpointsReplaced(endpoints.clone())],
                 &mut Vec::new(),
             );
         }
         let mut seen = Seen::default();
-        let mut copies: BTreeMap<MessageId, u32> = BTreeMap::new();
+        let mut attempts: BTreeMap<MessageId, u32> = BTreeMap::new();
         let mut known: BTreeMap<MessageId, (f64, u64)> = BTreeMap::new();
         let mut due: BTreeMap<(i64, u64), (usize, MessageId, u32, Outcome)> = BTreeMap::new();
         let (mut owed, mut next, mut calls) = (0.0, 0u64, 0u64);
         for step in 0..(self.seconds * 1000.0 / STEP_MS) as u64 {
             let now = Time::from_ms(step as f64 * STEP_MS);
             let at = now.ms() / 1000.0;
-            let mut news: Vec<Vec<Event>> = vec![vec![]; couriers.len()];
+            let mut news: Vec<Vec<Event>> = vec![vec![]; instances.len()];
             while let Some(first) = due.first_entry().filter(|first| first.key().0 <= now.0) {
-                let (courier, message, copy, outcome) = first.remove();
+                let (instance, message, attempt, outcome) = first.remove();
                 if outcome == Outcome::Delivered {
                     let (came, to) = known[&message];
                     seen.delivered.push((came, at, to));
                 }
-                news[courier].push(closed(message, copy, outcome));
+                news[instance].push(attempt_finished(message, attempt, outcome));
             }
             owed += if at < self.until {
                 self.offered * self.destinations as f64 * STEP_MS / 1000.0
@@ -86,35 +86,35 @@
             while owed >= 1.0 {
                 owed -= 1.0;
                 next += 1;
-                let (message, expires) = (MessageId(next), now + Span::from_ms(16_000.0));
+                let (message, deadline) = (MessageId(next), now + Span::from_ms(16_000.0));
                 let destination = DestinationId(next % self.destinations);
                 known.insert(message, (at, destination.0));
-                let handed = NewMessage {
+                let new_message = NewMessage {
                     message,
                     class: ClassId(0),
                     tenant: None,
                     ordering_key: None,
-                    deadline: expires,
+                    deadline,
                     destination,
                 };
-                // Runs of messages, so that couriers and destinations do not keep step.
-                let courier = (next * 7 / 3) as usize % news.len();
-                news[courier].push(Event::Accepted(handed));
+                // Runs of messages, so that instances and destinations do not keep step.
+                let instance = (next * 7 / 3) as usize % news.len();
+                news[instance].push(Event::Accepted(new_message));
             }
-            for (number, (courier, events)) in couriers.iter_mut().zip(&news).enumerate() {
+            for (number, (instance, events)) in instances.iter_mut().zip(&news).enumerate() {
                 let mut actions = Vec::new();
-                courier.handle(now, events, &mut actions);
+                instance.handle(now, events, &mut actions);
                 seen.lost += ends(&actions).len();
                 for (message, endpoint) in sends(&actions) {
-                    let copy = copies.entry(message).or_default();
+                    let attempt = attempts.entry(message).or_default();
                     let (outcome, took) = answer(at, u64::from(endpoint.0));
                     seen.calls.push((at, u64::from(endpoint.0), outcome));
                     calls += 1;
                     due.insert(
                         ((now + Span::from_ms(took)).0, calls),
-                        (number, message, *copy, outcome),
+                        (number, message, *attempt, outcome),
                     );
-                    *copy += 1;
+                    *attempt += 1;
                 }
             }
         }
@@ -122,7 +122,7 @@
     }
 }
 
-/// A deployment of three couriers with the figures of the operators' own file.
+/// A deployment of three instances with the figures of the operators' own file.
 fn three() -> Settings {
     let mut set = settings();
     (set.instances, set.rate_hints) = (3, RateHints::Approximate);
@@ -134,7 +134,7 @@
 }
 
 #[test]
-fn what_waited_through_an_outage_goes_out_evenly_also_past_the_cold_time() {
+fn backlog_of_an_outage_is_spread_beyond_the_ramp() {
     let (full, down, back) = (20.0, 20.0, 27.0);
     let scene = Scene {
         set: three(),
@@ -177,7 +177,7 @@
 }
 
 #[test]
-fn what_flaps_is_not_stormed_and_all_is_answered() {
+fn flapping_destination_is_not_overloaded_and_all_is_answered() {
     let flaps = |at: f64| (20.0..60.0).contains(&at) && (at - 20.0) % 4.0 >= 1.0;
     let scene = Scene {
         set: three(),
@@ -201,7 +201,7 @@
     );
     // One that met it down with all six of its attempts is given up.
     assert!(seen.lost <= 1, "{} lost", seen.lost);
-    // Two trials of each courier, and what goes out before it is judged to be out.
+    // Two trials of each instance, and what goes out before it is judged to be out.
     let storm = seen
         .loads(1.0)
         .filter(|(at, _)| flaps(*at))
@@ -213,14 +213,14 @@
     );
 }
 
-/// A quarter of the calls is turned away at any pace, with room for all of them. Without trials a lone courier lost 247
+/// A quarter of the calls is rejected at any pace, with room for all of them. Without trials a lone instance lost 247
 /// of 300 messages, three of them 129.
 #[test]
-fn a_partner_that_turns_away_by_chance_is_not_slowed_down() {
-    let lost = |couriers: usize, offered: f64| -> usize {
+fn random_rejections_do_not_lower_the_rate() {
+    let lost = |instances: usize, offered: f64| -> usize {
         let played = (0..8).map(|seed| {
             let set = Settings {
-                instances: couriers,
+                instances,
                 ..three()
             };
             let scene = Scene {
@@ -231,8 +231,8 @@
                 offered,
                 until: 40.0,
             };
-            let mut dice = Dice(0x2545_F491_4F6C_DD1D ^ seed << 17);
-            let answer = |_, _| match dice.part() < 0.25 {
+            let mut random = SeededRandom(0x2545_F491_4F6C_DD1D ^ seed << 17);
+            let answer = |_, _| match random.fraction() < 0.25 {
                 true => (Outcome::Rejected { retry_after: None }, 10.0),
                 false => (Outcome::Delivered, 40.0),
             };
@@ -241,26 +241,26 @@
         played.sum()
     };
     // Of 8 runs of 600 or 240 messages each.
-    for (couriers, offered, most) in [(1, 15.0, 48), (3, 15.0, 480), (1, 6.0, 5), (3, 6.0, 10)] {
-        let lost = lost(couriers, offered);
+    for (instances, offered, most) in [(1, 15.0, 48), (3, 15.0, 480), (1, 6.0, 5), (3, 6.0, 10)] {
+        let lost = lost(instances, offered);
         assert!(
             lost <= most,
-            "{couriers} couriers at {offered} a second: {lost} lost"
+            "{instances} instances at {offered} a second: {lost} lost"
         );
     }
 }
 
-/// Ten calls in any window of a second, also where the list says half more. By cuts alone a fifth was turned away.
+/// Ten calls in any window of a second, also where the list says half more. By cuts alone a fifth was rejected.
 #[test]
-fn a_true_limit_is_kept() {
-    for (couriers, listed, part) in [
+fn real_limit_is_kept() {
+    for (instances, listed, fraction) in [
         (2, 10.0, 0.20),
         (3, 10.0, 0.30),
         (2, 15.0, 0.30),
         (3, 15.0, 0.35),
     ] {
         let set = Settings {
-            instances: couriers,
+            instances,
             ..three()
         };
         let scene = Scene {
@@ -286,8 +286,8 @@
             .count();
         let refused = refused as f64 / seen.calls.len() as f64;
         assert!(
-            refused <= part,
-            "{couriers} couriers, listed at {listed}: {refused:.2} turned away"
+            refused <= fraction,
+            "{instances} instances, listed at {listed}: {refused:.2} turned away"
         );
         assert!(
             seen.delivered.len() >= 540,
@@ -297,9 +297,9 @@
     }
 }
 
-/// A thousand partners lose their power and get it back in the same moment.
+/// A thousand destinations lose their power and get it back in the same moment.
 #[test]
-fn a_district_that_comes_back_is_served_fairly() {
+fn destinations_that_recover_together_are_served_fairly() {
     let (set, back) = (three(), 25.0);
     let scene = Scene {
         set,
