Write the simulator's adapter as adapter, instance, names and wire, with typed errors

The wire's names stand in rename attributes; what cannot be used is an error with its line and its cause. Seven tests as before, renamed.

--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -1,49 +1,84 @@
-//! Puts marblefall_scheduler's decisions on the simulator's wire: batches of events on standard input, one
-//! reply for each on standard output. A line it cannot use ends it with one plain line on standard error.
+//! Puts the scheduler on the simulator's wire: batches of events on standard input, one reply for each on standard
+//! output. Input that cannot be used ends the program with one line on standard error, which names the input's line.
 
-mod host;
+mod adapter;
+mod instance;
+mod names;
 mod wire;
 
+use adapter::{Adapter, InputError};
+use std::error::Error;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
+/// Why the program ends early.
+#[derive(Debug, thiserror::Error)]
+enum AdapterError {
+    /// Standard input cannot be read.
+    #[error("line {line}")]
+    Read { line: u64, source: io::Error },
+    /// A line is not of the wire's form.
+    #[error("line {line}")]
+    Syntax {
+        line: u64,
+        source: serde_json::Error,
+    },
+    /// A line cannot be used.
+    #[error("line {line}")]
+    Input { line: u64, source: InputError },
+    /// The input ends before its batch does.
+    #[error("line {line}: the input ends inside a batch")]
+    UnfinishedBatch { line: u64 },
+    /// Standard output cannot be written.
+    #[error("standard output cannot be written")]
+    Write(#[source] io::Error),
+}
+
 fn main() -> ExitCode {
-    // A panic of the module goes out as `broken`; its usual print would only repeat that.
+    // A panic of the scheduler is reported as `broken`; its usual print would only repeat that.
     std::panic::set_hook(Box::new(|_| {}));
     match run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(cause) => {
-            eprintln!("marblefall-drill: {cause}");
+        Err(error) => {
+            eprintln!("marblefall-simulator-adapter: {}", error_chain(&error));
             ExitCode::FAILURE
         }
     }
 }
 
-fn run(input: &mut impl BufRead, output: &mut impl Write) -> Result<(), String> {
-    let mut host = host::Host::default();
+/// An error with its sources, on one line.
+fn error_chain(error: &dyn Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
+
+fn run(input: &mut impl BufRead, output: &mut impl Write) -> Result<(), AdapterError> {
+    let mut adapter = Adapter::default();
     let mut text = Vec::new();
-    for number in 1u64.. {
+    for line in 1u64.. {
         text.clear();
-        if input
-            .read_until(b'\n', &mut text)
-            .map_err(|error| format!("line {number}: {error}"))?
-            == 0
-        {
-            if host.inside_batch() {
-                return Err(format!("line {number}: the input ends inside a batch"));
-            }
-            break;
+        let read = input.read_until(b'\n', &mut text);
+        if read.map_err(|source| AdapterError::Read { line, source })? == 0 {
+            return match adapter.is_inside_batch() {
+                true => Err(AdapterError::UnfinishedBatch { line }),
+                false => Ok(()),
+            };
         }
-        let line =
-            serde_json::from_slice(&text).map_err(|error| format!("line {number}: {error}"))?;
-        if let Some(reply) = host
-            .take(line)
-            .map_err(|cause| format!("line {number}: {cause}"))?
-        {
-            output
+        let event = serde_json::from_slice(&text)
+            .map_err(|source| AdapterError::Syntax { line, source })?;
+        let reply = adapter.take(event);
+        let reply = reply.map_err(|source| AdapterError::Input { line, source })?;
+        if let Some(reply) = reply {
+            let written = output
                 .write_all(reply.as_bytes())
-                .and_then(|()| output.flush())
-                .map_err(|e| e.to_string())?;
+                .and_then(|()| output.flush());
+            written.map_err(AdapterError::Write)?;
         }
     }
     Ok(())
--- a/crates/simulator-adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -1,4 +1,5 @@
-//! The simulator's wire as types: what comes in, line by line, and what goes out.
+//! The simulator's wire as types: what comes in, line by line, and what goes out. Names on the wire are the simulator's;
+//! where a field has a better name here, `rename` gives the wire's.
 
 use marblefall_settings::BootInfo;
 use serde::{Deserialize, Serialize};
@@ -8,161 +9,248 @@
 #[derive(Debug, Deserialize)]
 #[serde(tag = "msg", rename_all = "snake_case")]
 pub enum Line {
-    Mark {
-        time_ms: f64,
-    },
+    /// A batch begins.
+    Mark { time_ms: f64 },
+    /// A batch ends.
     End {},
+    /// An instance starts.
     Begin {
-        courier_id: String,
+        #[serde(rename = "courier_id")]
+        instance: String,
         random_seed: u64,
         boot_info: Box<BootInfo>,
     },
+    /// An instance ends.
     Halt {
-        courier_id: String,
+        #[serde(rename = "courier_id")]
+        instance: String,
     },
+    /// Rows of an endpoint list, for the updates that name its number.
     Sheet {
-        buffer: u64,
-        rows_in: Vec<Row>,
+        #[serde(rename = "buffer")]
+        number: u64,
+        #[serde(rename = "rows_in")]
+        rows: Vec<Row>,
     },
+    /// An instance learns of an endpoint list.
     Update {
-        courier_id: String,
-        /// Of no meaning, and absent, where `kind` is `Error`.
-        #[serde(default)]
-        buffer: u64,
+        #[serde(rename = "courier_id")]
+        instance: String,
+        /// The list's number; of no meaning, and absent, where `kind` is `Error`.
+        #[serde(rename = "buffer", default)]
+        number: u64,
         kind: UpdateKind,
     },
+    /// A message comes in.
     Accept(Accept),
+    /// An instance is shown to be first of its group; of no use here.
     First {
-        courier_id: String,
+        #[serde(rename = "courier_id")]
+        instance: String,
     },
-    ClosedAttempt(ClosedAttempt),
+    /// An attempt ended.
+    ClosedAttempt(AttemptEnd),
+    /// Nobody wants a message any more.
     Gone {
-        courier_id: String,
-        r#ref: String,
+        #[serde(rename = "courier_id")]
+        instance: String,
+        #[serde(rename = "ref")]
+        message: String,
     },
+    /// A timer fired.
     Due {
-        courier_id: String,
+        #[serde(rename = "courier_id")]
+        instance: String,
         token: u64,
     },
+    /// A health check ended.
     Checked {
-        courier_id: String,
+        #[serde(rename = "courier_id")]
+        instance: String,
         outcome: u64,
         endpoint: String,
-        server_stats: Option<Stats>,
+        #[serde(rename = "server_stats")]
+        rate_limit: Option<RateLimit>,
     },
+    /// Another instance sent a note; of no use here.
     NeighbourSays {
-        courier_id: String,
+        #[serde(rename = "courier_id")]
+        instance: String,
     },
 }
 
+/// What a list stands for.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub enum UpdateKind {
+    /// Changes.
     Partial,
+    /// The whole list.
     Complete,
+    /// The whole list as it was stored last.
     Persisted,
+    /// The request for it failed.
     Error,
 }
 
+/// A row of an endpoint list.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Row {
-    pub sku: String,
+    #[serde(rename = "sku")]
+    pub kind: String,
     pub destination: f64,
     pub endpoint: String,
     pub availability: Availability,
-    #[serde(default)]
-    pub share: f64,
-    #[serde(default)]
-    pub area: String,
+    #[serde(rename = "share", default)]
+    pub advertised_rate: f64,
+    #[serde(rename = "area", default)]
+    pub zone: String,
 }
 
+/// Whether an endpoint may be used.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Availability {
+    /// It may.
     On,
+    /// It is draining.
     Fading,
+    /// It is removed.
     Off,
 }
 
+/// A message that comes in.
 #[derive(Debug, Deserialize)]
 pub struct Accept {
-    pub courier_id: String,
-    pub r#ref: String,
-    pub r#type: String,
-    pub billing: Option<Value>,
-    pub entity: Option<u64>,
-    pub expires_ms: f64,
+    #[serde(rename = "courier_id")]
+    pub instance: String,
+    #[serde(rename = "ref")]
+    pub message: String,
+    #[serde(rename = "type")]
+    pub class: String,
+    /// A name, or a number where there are no tenants.
+    #[serde(rename = "billing")]
+    pub tenant: Option<Value>,
+    #[serde(rename = "entity")]
+    pub ordering_key: Option<u64>,
+    #[serde(rename = "expires_ms")]
+    pub deadline_ms: f64,
     pub destination: f64,
 }
 
+/// The end of an attempt.
 #[derive(Debug, Deserialize)]
-pub struct ClosedAttempt {
-    pub courier_id: String,
-    pub r#ref: String,
-    pub copy: u32,
+pub struct AttemptEnd {
+    #[serde(rename = "courier_id")]
+    pub instance: String,
+    #[serde(rename = "ref")]
+    pub message: String,
+    #[serde(rename = "copy")]
+    pub attempt: u32,
     pub outcome: u64,
     pub duration_ms: f64,
-    #[serde(default)]
-    pub last: bool,
-    #[serde(default)]
-    pub detail: f64,
-    pub server_stats: Option<Stats>,
+    #[serde(rename = "last", default)]
+    pub is_final: bool,
+    /// The wait that a rejection asked for; 0 where it asked for none.
+    #[serde(rename = "detail", default)]
+    pub retry_after_ms: f64,
+    #[serde(rename = "server_stats")]
+    pub rate_limit: Option<RateLimit>,
 }
 
+/// What a response told of the rate limit.
 #[derive(Debug, Default, Deserialize)]
-pub struct Stats {
-    pub x0: Option<f64>,
-    pub x1: Option<f64>,
+pub struct RateLimit {
+    /// Share of the quota that remains.
+    #[serde(rename = "x0")]
+    pub remaining: Option<f64>,
+    /// Calls per second that the limit allows.
+    #[serde(rename = "x1")]
+    pub limit: Option<f64>,
 }
 
 /// One line of output.
 #[derive(Debug, Serialize)]
 #[serde(tag = "msg", rename_all = "snake_case")]
 pub enum Reply<'a> {
-    PassOn {
-        courier_id: &'a str,
-        r#ref: &'a str,
+    /// Start an attempt.
+    #[serde(rename = "pass_on")]
+    Send {
+        #[serde(rename = "courier_id")]
+        instance: &'a str,
+        #[serde(rename = "ref")]
+        message: &'a str,
         endpoint: &'a str,
-        cut_at_ms: f64,
+        #[serde(rename = "cut_at_ms")]
+        timeout_at_ms: f64,
     },
-    StopAttempt {
-        courier_id: &'a str,
-        r#ref: &'a str,
-        copy: u32,
+    /// Stop waiting for an attempt.
+    #[serde(rename = "stop_attempt")]
+    Cancel {
+        #[serde(rename = "courier_id")]
+        instance: &'a str,
+        #[serde(rename = "ref")]
+        message: &'a str,
+        #[serde(rename = "copy")]
+        attempt: u32,
     },
+    /// Reject a message.
     #[serde(rename = "overload_reply")]
-    Refuse {
-        courier_id: &'a str,
-        r#ref: &'a str,
-        retry_in_ms: f64,
+    Reject {
+        #[serde(rename = "courier_id")]
+        instance: &'a str,
+        #[serde(rename = "ref")]
+        message: &'a str,
+        #[serde(rename = "retry_in_ms")]
+        retry_after_ms: f64,
     },
-    EndFailed {
-        courier_id: &'a str,
-        r#ref: &'a str,
+    /// Fail a message.
+    #[serde(rename = "end_failed")]
+    Fail {
+        #[serde(rename = "courier_id")]
+        instance: &'a str,
+        #[serde(rename = "ref")]
+        message: &'a str,
     },
-    WakeAt {
-        courier_id: &'a str,
+    /// Set a timer.
+    #[serde(rename = "wake_at")]
+    SetTimer {
+        #[serde(rename = "courier_id")]
+        instance: &'a str,
         at_ms: f64,
         token: u64,
     },
+    /// Send a health check.
     HealthCheck {
-        courier_id: &'a str,
+        #[serde(rename = "courier_id")]
+        instance: &'a str,
         endpoint: &'a str,
     },
+    /// Close idle connections.
     Close {
-        courier_id: &'a str,
+        #[serde(rename = "courier_id")]
+        instance: &'a str,
         endpoint: &'a str,
     },
-    Tail {
-        courier_id: &'a str,
+    /// Subscribe to the endpoint list.
+    #[serde(rename = "tail")]
+    Subscribe {
+        #[serde(rename = "courier_id")]
+        instance: &'a str,
         want: bool,
     },
-    Emit {
-        courier_id: &'a str,
+    /// A log line.
+    #[serde(rename = "emit")]
+    Log {
+        #[serde(rename = "courier_id")]
+        instance: &'a str,
         text: &'a str,
     },
+    /// The scheduler panicked.
     Broken {
-        courier_id: &'a str,
+        #[serde(rename = "courier_id")]
+        instance: &'a str,
         text: &'a str,
     },
+    /// The batch is over.
     End,
 }
--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -75,7 +75,7 @@
 const END: &str = r#"{"msg":"end"}"#;
 
 #[test]
-fn clean_end_of_input_and_empty_batches() {
+fn empty_batches_and_end_of_input_are_accepted() {
     assert_eq!(good(&[]), "");
     assert_eq!(
         good(&[MARK, END, MARK, END]),
@@ -84,7 +84,7 @@
 }
 
 #[test]
-fn a_message_is_passed_on_and_its_outcome_taken() {
+fn message_is_sent_and_its_outcome_accepted() {
     let closed = r#"{"msg":"closed_attempt","courier_id":"courier_0","ref":"m","copy":0,"endpoint":"10.0.0.1:1","outcome":0,"duration_ms":18.5,"last":true,"server_stats":{"x0":0.4}}"#;
     let out = good(&[
         MARK,
@@ -104,7 +104,7 @@
 }
 
 #[test]
-fn list_numbers_are_resolved_in_the_order_of_events() {
+fn list_numbers_are_resolved_in_event_order() {
     let out = good(&[
         MARK,
         &begin("courier_0"),
@@ -132,7 +132,7 @@
 }
 
 #[test]
-fn a_restart_within_one_batch_forgets_all() {
+fn restart_within_a_batch_forgets_everything() {
     let halt = r#"{"msg":"halt","courier_id":"courier_0"}"#;
     let out = good(&[
         MARK,
@@ -158,7 +158,7 @@
 }
 
 #[test]
-fn a_subscription_is_asked_for_where_the_list_comes_only_so() {
+fn subscription_is_requested_where_lists_need_one() {
     let begin = begin("courier_0").replace(
         "\"unheard_of\"",
         "\"registry_mode\":\"subscribe\",\"unheard_of\"",
@@ -171,7 +171,7 @@
 }
 
 #[test]
-fn a_failed_call_for_the_list_names_no_list_and_is_followed_by_another() {
+fn failed_list_request_is_retried() {
     let begin = begin("courier_0").replace(
         "\"unheard_of\"",
         "\"registry_mode\":\"subscribe\",\"unheard_of\"",
@@ -182,7 +182,7 @@
 }
 
 #[test]
-fn bad_input_is_named_and_ends_the_adapter() {
+fn bad_input_ends_the_adapter_with_its_line() {
     let begun = begin("courier_0");
     bad(&[MARK, "nonsense"], 2, "expected");
     bad(&[MARK, END, MARK, r#"{"msg":"surprise"}"#], 4, "surprise");
