Settings: fields by the field's terms, keys in rename attributes, documented

The JSON keys are the platform's and stay; each field and value says what it is. No item without documentation is let through any more; the conversion to the scheduler's settings stands in a file of its own.

--- a/crates/delivery/src/instance.rs
+++ b/crates/delivery/src/instance.rs
@@ -133,7 +133,7 @@
     let discovery = told.discovery_address()?;
     let boot = told.settings;
     let names = Names {
-        kinds: boot.host_types.clone(),
+        kinds: boot.kinds.clone(),
         zones: boot.zones.clone(),
     };
     let classes: Vec<String> = boot
@@ -148,7 +148,7 @@
         .map_or(EngineEvent::EndpointsReplaced(Vec::new()), |known| {
             known.input(&names)
         });
-    let settings = boot.settings();
+    let settings = boot.scheduler_settings();
     let is_keyed =
         |class: &MessageClass| matches!(class.idempotency, Idempotency::IdempotencyKey { .. });
     let keyed = settings.classes.iter().map(is_keyed).collect();
@@ -180,8 +180,8 @@
         sockets: told.limits.sockets,
         setup,
         classes,
-        dial: ms(boot.caps.dial_timeout_ms, 1500.0),
-        idle: ms(boot.caps.conn_idle_ms, 10_000.0),
+        dial: ms(boot.limits.connect_timeout_ms, 1500.0),
+        idle: ms(boot.limits.idle_timeout_ms, 10_000.0),
         hosts,
         relay: Some(relay),
         events: None,
--- a/crates/delivery/src/instance/platform_config.rs
+++ b/crates/delivery/src/instance/platform_config.rs
@@ -1,7 +1,7 @@
 //! What a platform's instance is told, by the environment and the JSON file that it names.
 
 use crate::net::discovery::List;
-use marblefall_settings::BootInfo;
+use marblefall_settings::InstanceSettings;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -34,7 +34,7 @@
     /// The list as it was last.
     pub known: Option<List>,
     /// What the decision module is told.
-    pub settings: BootInfo,
+    pub settings: InstanceSettings,
     /// The folder that lasts; told by the environment only.
     #[serde(skip)]
     pub state: PathBuf,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,223 +1,175 @@
-//! The settings that an instance is given, as the simulator's first message and a real courier's configuration
-//! both spell them, and what the decision module makes of them.
+//! The settings that an instance is given, as the simulator's first message and the platform's configuration both spell
+//! them, and what the scheduler makes of them.
+//!
+//! The keys of the JSON form are the platform's; where a field has a better name here, `rename` gives the key. Absent
+//! keys have the careful default; keys that are not known are ignored.
 
-// The fields are the settings' own, under their own names.
-#![allow(missing_docs)]
+mod class;
+mod scheduler;
+
+pub use class::{ClassSettings, Deduplication, Idempotency};
 
-use marblefall_scheduler as p;
 use serde::Deserialize;
 
+/// The settings of one instance.
 #[derive(Debug, Deserialize)]
-pub struct BootInfo {
-    pub classes: Vec<Class>,
-    #[serde(default)]
-    pub customers: Vec<Customer>,
-    pub host_types: Vec<String>,
+pub struct InstanceSettings {
+    /// Classes of messages.
+    pub classes: Vec<ClassSettings>,
+    /// Tenants; may be absent.
+    #[serde(rename = "customers", default)]
+    pub tenants: Vec<TenantSettings>,
+    /// Names of the kinds of destinations.
+    #[serde(rename = "host_types")]
+    pub kinds: Vec<String>,
+    /// Names of the zones.
     #[serde(default)]
     pub zones: Vec<String>,
-    pub caps: Caps,
-    pub domain: Domain,
-    #[serde(default)]
-    pub rules: Rules,
-    #[serde(default)]
-    pub registry_mode: RegistryMode,
-    #[serde(default)]
-    pub weights: Weights,
-    #[serde(default)]
-    pub over_share_worth: f64,
-    #[serde(default)]
-    pub peers_total: f64,
-    #[serde(default)]
-    pub tick_ms: f64,
-}
-
-#[derive(Debug, Deserialize)]
-pub struct Class {
-    pub name: String,
-    pub importance: f64,
-    pub promise_ms: f64,
-    pub give_up_ms: f64,
-    #[serde(default)]
-    pub late_value: f64,
-    pub effect: Effect,
-    #[serde(default)]
-    pub dedup_scope: Scope,
-    #[serde(default)]
-    pub window_ms: f64,
-    #[serde(default)]
-    pub fifo_by_key: bool,
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Effect {
-    Pure,
-    Token,
-    #[serde(rename = "side_effect")]
-    Unsafe,
+    /// Limits of the deployment.
+    #[serde(rename = "caps")]
+    pub limits: LimitSettings,
+    /// Slots, kinds and value.
+    pub domain: DomainSettings,
+    /// Figures of the delivery rules.
+    #[serde(default)]
+    pub rules: RuleSettings,
+    /// How the endpoint list arrives.
+    #[serde(rename = "registry_mode", default)]
+    pub discovery: DiscoveryMode,
+    /// What the list's rates mean.
+    #[serde(rename = "weights", default)]
+    pub rate_hints: RateHints,
+    /// Weight of a message beyond its tenant's quota, as a part of its class's.
+    #[serde(rename = "over_share_worth", default)]
+    pub over_quota_weight: f64,
+    /// Instances there are.
+    #[serde(rename = "peers_total", default)]
+    pub instances: f64,
+    /// The least time between two batches of events, in milliseconds.
+    #[serde(rename = "tick_ms", default)]
+    pub min_batch_interval_ms: f64,
 }
 
+/// How changes of the endpoint list arrive.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Scope {
-    All,
-    Zone,
+pub enum DiscoveryMode {
+    /// Pushed without a request.
     #[default]
-    #[serde(other)]
-    Cell,
-}
-
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RegistryMode {
-    #[default]
-    Automatic,
+    #[serde(rename = "automatic")]
+    Push,
+    /// Only after a subscription was requested.
     Subscribe,
 }
 
+/// What the rates of the endpoint list mean.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Weights {
-    Nominal,
-    Rough,
+pub enum RateHints {
+    /// Calls per second from all instances together.
+    #[serde(rename = "nominal")]
+    Exact,
+    /// The same, up to half too high or too low.
+    #[serde(rename = "rough")]
+    Approximate,
+    /// Nothing; so does every other word.
     #[default]
     #[serde(other)]
-    Off,
+    Absent,
 }
 
+/// A tenant.
 #[derive(Debug, Deserialize)]
-pub struct Customer {
+pub struct TenantSettings {
+    /// Its name.
     pub name: String,
+    /// Messages per second, over all instances, within its quota.
     #[serde(default)]
     pub quota_per_s: f64,
 }
 
+/// Limits of the deployment. Times are in milliseconds; 0 stands for none.
 #[derive(Debug, Deserialize)]
-pub struct Caps {
-    #[serde(default)]
-    pub conn_idle_ms: f64,
-    #[serde(default)]
-    pub dial_timeout_ms: f64,
+pub struct LimitSettings {
+    /// Idle connections are closed after this time.
+    #[serde(rename = "conn_idle_ms", default)]
+    pub idle_timeout_ms: f64,
+    /// A connection that takes longer to come up has failed.
+    #[serde(rename = "dial_timeout_ms", default)]
+    pub connect_timeout_ms: f64,
+    /// Attempts for one message.
     pub max_attempts: u32,
-    pub max_open: u64,
+    /// Open messages at once.
+    #[serde(rename = "max_open")]
+    pub max_pending: u64,
+    /// The longest `Retry-After` that clients honour.
     #[serde(default)]
     pub max_retry_after_ms: f64,
-    #[serde(default)]
-    pub may_cancel: bool,
-    #[serde(default)]
-    pub probes: bool,
-    #[serde(default)]
-    pub retry_after: bool,
-    #[serde(default)]
-    pub streams_per_conn: u64,
+    /// Whether attempts may be cancelled.
+    #[serde(rename = "may_cancel", default)]
+    pub cancellation_allowed: bool,
+    /// Whether endpoints may be sent health checks.
+    #[serde(rename = "probes", default)]
+    pub health_checks_allowed: bool,
+    /// Whether clients are told how long to wait.
+    #[serde(rename = "retry_after", default)]
+    pub sends_retry_after: bool,
+    /// Calls that one connection carries at once.
+    #[serde(rename = "streams_per_conn", default)]
+    pub streams_per_connection: u64,
 }
 
+/// Slots, kinds of destinations and the value of late deliveries.
 #[derive(Debug, Deserialize)]
-pub struct Domain {
-    pub workers: u64,
-    #[serde(default)]
-    pub kind_apart: Vec<bool>,
-    #[serde(default)]
-    pub per_call: Vec<u64>,
-    #[serde(default)]
-    pub late: Late,
-    #[serde(default)]
-    pub toll: Vec<f64>,
+pub struct DomainSettings {
+    /// Calls in flight at once.
+    #[serde(rename = "workers")]
+    pub max_in_flight: u64,
+    /// For each kind of destination, whether its endpoints are separate routes.
+    #[serde(rename = "kind_apart", default)]
+    pub separate_routes: Vec<bool>,
+    /// For each kind of destination, messages in one call at most.
+    #[serde(rename = "per_call", default)]
+    pub max_batch: Vec<u64>,
+    /// How value falls after the latency objective.
+    #[serde(rename = "late", default)]
+    pub value_decay: ValueDecay,
+    /// For each zone, the fee of a separate route there.
+    #[serde(rename = "toll", default)]
+    pub zone_fees: Vec<f64>,
 }
 
+/// How value falls after the latency objective.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Late {
-    Line,
+pub enum ValueDecay {
+    /// Linearly.
+    #[serde(rename = "line")]
+    Linear,
+    /// By half with each further latency objective.
     #[default]
-    Halves,
+    #[serde(rename = "halves")]
+    Halving,
 }
 
+/// Figures of the delivery rules. Times are in milliseconds.
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
-pub struct Rules {
-    pub cold_from: f64,
-    pub cold_ms: f64,
-    pub fall_multiple: f64,
-    pub tip_after_ms: f64,
-    pub order_pause_ms: f64,
-    pub must_ask_in_ms: f64,
-}
-
-impl BootInfo {
-    /// The same as the decision module takes it.
-    pub fn settings(&self) -> p::Settings {
-        let boot = self;
-        let class = |class: &Class| p::MessageClass {
-            priority_weight: class.importance,
-            latency_objective: p::Span::from_ms(class.promise_ms),
-            deadline: p::Span::from_ms(class.give_up_ms),
-            late_value: class.late_value,
-            idempotency: match class.effect {
-                Effect::Pure => p::Idempotency::Idempotent,
-                Effect::Unsafe => p::Idempotency::NonIdempotent,
-                Effect::Token => p::Idempotency::IdempotencyKey {
-                    scope: match class.dedup_scope {
-                        Scope::All => p::DeduplicationScope::All,
-                        Scope::Zone => p::DeduplicationScope::Zone,
-                        Scope::Cell => p::DeduplicationScope::Endpoint,
-                    },
-                    window: p::Span::from_ms(class.window_ms),
-                },
-            },
-            ordered: class.fifo_by_key,
-        };
-        let domain = &boot.domain;
-        let kind = |number: usize| p::DestinationKind {
-            separate_routes: domain.kind_apart.get(number).copied().unwrap_or(false),
-            max_batch: domain.per_call.get(number).map_or(1, |&most| most as usize),
-        };
-        let (caps, rules) = (&boot.caps, &boot.rules);
-        p::Settings {
-            classes: boot.classes.iter().map(class).collect(),
-            tenants: boot
-                .customers
-                .iter()
-                .map(|t| p::Tenant {
-                    quota_per_s: t.quota_per_s,
-                })
-                .collect(),
-            over_quota_weight: boot.over_share_worth,
-            kinds: (0..boot.host_types.len()).map(kind).collect(),
-            zone_fees: domain.toll.clone(),
-            value_decay: match domain.late {
-                Late::Line => p::ValueDecay::Linear,
-                Late::Halves => p::ValueDecay::Halving,
-            },
-            limits: p::Limits {
-                max_in_flight: domain.workers as usize,
-                max_pending: caps.max_open as usize,
-                max_attempts: caps.max_attempts,
-                streams_per_connection: caps.streams_per_conn as usize,
-                idle_timeout: p::Span::from_ms(caps.conn_idle_ms),
-                max_retry_after: p::Span::from_ms(caps.max_retry_after_ms),
-                cancellation_allowed: caps.may_cancel,
-                health_checks_allowed: caps.probes,
-            },
-            rules: p::Rules {
-                ramp_start: rules.cold_from,
-                ramp_duration: p::Span::from_ms(rules.cold_ms),
-                overload_factor: rules.fall_multiple,
-                overload_window: p::Span::from_ms(rules.tip_after_ms),
-                ordering_pause: p::Span::from_ms(rules.order_pause_ms),
-                max_poll_interval: p::Span::from_ms(rules.must_ask_in_ms),
-            },
-            discovery: match boot.registry_mode {
-                RegistryMode::Automatic => p::DiscoveryMode::Push,
-                RegistryMode::Subscribe => p::DiscoveryMode::Subscribe,
-            },
-            rate_hints: match boot.weights {
-                Weights::Nominal => p::RateHints::Exact,
-                Weights::Rough => p::RateHints::Approximate,
-                Weights::Off => p::RateHints::Absent,
-            },
-            instances: boot.peers_total as usize,
-            min_batch_interval: p::Span::from_ms(boot.tick_ms),
-        }
-    }
+pub struct RuleSettings {
+    /// Share of its capacity that a route has when it recovers.
+    #[serde(rename = "cold_from")]
+    pub ramp_start: f64,
+    /// Time from recovery to full capacity.
+    #[serde(rename = "cold_ms")]
+    pub ramp_duration_ms: f64,
+    /// A route that is sent more than this multiple of its present capacity ...
+    #[serde(rename = "fall_multiple")]
+    pub overload_factor: f64,
+    /// ... for this long fails again.
+    #[serde(rename = "tip_after_ms")]
+    pub overload_window_ms: f64,
+    /// How long an ordering key rests after an attempt that may still be running.
+    #[serde(rename = "order_pause_ms")]
+    pub ordering_pause_ms: f64,
+    /// An instance that has not asked for the list for this long counts as informed.
+    #[serde(rename = "must_ask_in_ms")]
+    pub max_poll_interval_ms: f64,
 }
--- a/crates/simulator-adapter/src/instance.rs
+++ b/crates/simulator-adapter/src/instance.rs
@@ -4,7 +4,7 @@
 use crate::names::Names;
 use crate::wire;
 use marblefall_scheduler as m;
-use marblefall_settings::BootInfo;
+use marblefall_settings::InstanceSettings;
 
 /// One instance, with the names that stand for its numbers.
 pub struct Instance {
@@ -21,16 +21,16 @@
 
 impl Instance {
     /// An instance that was just started.
-    pub fn new(boot: BootInfo, seed: u64) -> Instance {
+    pub fn new(boot: InstanceSettings, seed: u64) -> Instance {
         Instance {
             classes: Names::of(boot.classes.iter().map(|class| class.name.clone())),
-            tenants: Names::of(boot.customers.iter().map(|tenant| tenant.name.clone())),
-            kinds: Names::of(boot.host_types.iter().cloned()),
+            tenants: Names::of(boot.tenants.iter().map(|tenant| tenant.name.clone())),
+            kinds: Names::of(boot.kinds.iter().cloned()),
             zones: Names::of(boot.zones.iter().cloned()),
             messages: Names::default(),
             endpoints: Names::default(),
-            sends_retry_after: boot.caps.retry_after,
-            scheduler: m::Scheduler::new(boot.settings(), seed),
+            sends_retry_after: boot.limits.sends_retry_after,
+            scheduler: m::Scheduler::new(boot.scheduler_settings(), seed),
         }
     }
 
--- a/crates/simulator-adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -1,7 +1,7 @@
 //! The simulator's wire as types: what comes in, line by line, and what goes out. Names on the wire are the simulator's;
 //! where a field has a better name here, `rename` gives the wire's.
 
-use marblefall_settings::BootInfo;
+use marblefall_settings::InstanceSettings;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -18,7 +18,7 @@
         #[serde(rename = "courier_id")]
         instance: String,
         random_seed: u64,
-        boot_info: Box<BootInfo>,
+        boot_info: Box<InstanceSettings>,
     },
     /// An instance ends.
     Halt {
