Name the disk's operations, its durability and the faulty disk by the field's terms

Real is LocalDisk, Outlasts is Durability, the rig a FaultyDisk; a change that fails is a struct in place of a tuple. Four tests as before, renamed.

--- a/crates/atomic-file/src/faulty_disk.rs
+++ b/crates/atomic-file/src/faulty_disk.rs
@@ -1,6 +1,6 @@
-//! A disk in memory that fails on purpose, for the tests of whatever keeps state.
+//! A disk in memory with injected faults, for the tests of whatever stores state.
 //!
-//! It tells what the process sees from what is on the medium. Bytes reach the medium when they are synced, names when
+//! It distinguishes what the process sees from what is on the medium. Bytes reach the medium when they are synced, names when
 //! their folder is; until then a loss of power may keep or lose them, each by itself, and bytes in part: that is what
 //! POSIX allows, and file systems do.
 
@@ -13,83 +13,89 @@
 /// What happens at one operation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
-    /// It fails, as where the disk is full; a write has written so many bytes by then. What comes after works.
-    Fails(usize),
-    /// The process dies in it: it and all after it fail. A write has written so many bytes by then.
-    Dies(usize),
+    /// It fails, as where the disk is full; a write has written so many bytes by then. Later operations work.
+    Fail(usize),
+    /// The process crashes in it: it and all later ones fail. A write has written so many bytes by then.
+    Crash(usize),
 }
 
 /// What a loss of power leaves of what was not synced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unsynced {
-    /// All of it, as if the process had died alone.
-    Kept,
-    /// Nothing of it.
+    /// All of it, as if only the process had died.
+    Survives,
+    /// None of it.
     Lost,
-    /// The names, but of the bytes only the first half.
-    NamesOnly,
+    /// The names, but only the first half of the bytes.
+    NamesSurvive,
 }
 
 #[derive(Clone, Debug, Default)]
-struct Bytes {
-    seen: Vec<u8>,
+struct FileContent {
+    current: Vec<u8>,
     synced: Vec<u8>,
 }
 
 #[derive(Clone, Debug, Default)]
 struct State {
-    files: Vec<Bytes>,
+    files: Vec<FileContent>,
     names: BTreeMap<PathBuf, usize>,
     synced_names: BTreeMap<PathBuf, usize>,
-    done: usize,
+    changes: usize,
     fault: Option<(usize, Fault)>,
-    dead: bool,
+    crashed: bool,
 }
 
-/// The disk.
+/// A change that failed, and how many bytes of it were written.
+struct FailedChange {
+    written: usize,
+    error: io::Error,
+}
+
+/// A disk in memory with injected faults.
 #[derive(Clone, Debug, Default)]
-pub struct Rig(RefCell<State>);
+pub struct FaultyDisk(RefCell<State>);
 
-impl Rig {
-    /// One that is empty and works.
-    pub fn new() -> Rig {
-        Rig::default()
+impl FaultyDisk {
+    /// An empty disk without faults.
+    pub fn new() -> FaultyDisk {
+        FaultyDisk::default()
     }
 
-    /// Lets a fault strike so many changes from now: 0 is the next. Reads are not counted.
-    pub fn strike(&self, after: usize, fault: Fault) {
+    /// Injects a fault so many changes from now: 0 is the next. Reads are not counted.
+    pub fn inject_fault(&self, after: usize, fault: Fault) {
         let mut state = self.0.borrow_mut();
-        state.fault = Some((state.done + after, fault));
+        state.fault = Some((state.changes + after, fault));
     }
 
-    /// Changes asked for so far.
-    pub fn changes(&self) -> usize {
-        self.0.borrow().done
+    /// Changes requested so far.
+    pub fn change_count(&self) -> usize {
+        self.0.borrow().changes
     }
 
-    /// The disk as the next process finds it, in good order again.
-    pub fn after(&self, unsynced: Unsynced) -> Rig {
+    /// The disk as the next process finds it, without faults.
+    pub fn after_restart(&self, unsynced: Unsynced) -> FaultyDisk {
         let state = self.0.borrow();
         let names = match unsynced {
             Unsynced::Lost => &state.synced_names,
-            Unsynced::Kept | Unsynced::NamesOnly => &state.names,
+            Unsynced::Survives | Unsynced::NamesSurvive => &state.names,
         };
-        let left = |file: &Bytes| match unsynced {
-            Unsynced::Kept => file.seen.clone(),
+        let content = |file: &FileContent| match unsynced {
+            Unsynced::Survives => file.current.clone(),
             Unsynced::Lost => file.synced.clone(),
-            Unsynced::NamesOnly if file.seen == file.synced => file.synced.clone(),
-            Unsynced::NamesOnly => file.seen[..file.seen.len() / 2].to_vec(),
+            Unsynced::NamesSurvive if file.current == file.synced => file.synced.clone(),
+            Unsynced::NamesSurvive => file.current[..file.current.len() / 2].to_vec(),
         };
-        let files: Vec<Bytes> = state
+        let files: Vec<FileContent> = state
             .files
             .iter()
-            .map(left)
-            .map(|left| Bytes {
-                seen: left.clone(),
-                synced: left,
+            .map(content)
+            .map(|content| FileContent {
+                current: content.clone(),
+                synced: content,
             })
             .collect();
-        Rig(RefCell::new(State {
+        FaultyDisk(RefCell::new(State {
             files,
             names: names.clone(),
             synced_names: names.clone(),
@@ -97,39 +103,42 @@
         }))
     }
 
-    /// Counts a change; says with what error it fails, and after how many bytes.
-    fn change(&self) -> Result<(), (usize, io::Error)> {
+    /// Counts a change, which may fail.
+    fn change(&self) -> Result<(), FailedChange> {
         let mut state = self.0.borrow_mut();
-        let turn = state.done;
-        state.done += 1;
-        let died = || io::Error::other("the process died here");
-        if state.dead {
-            return Err((0, died()));
+        let index = state.changes;
+        state.changes += 1;
+        let crash = |written| FailedChange {
+            written,
+            error: io::Error::other("the process crashed here"),
+        };
+        if state.crashed {
+            return Err(crash(0));
         }
         match state.fault {
-            Some((at, Fault::Fails(bytes))) if at == turn => Err((
-                bytes,
-                io::Error::new(io::ErrorKind::StorageFull, "no space left"),
-            )),
-            Some((at, Fault::Dies(bytes))) if at == turn => {
-                state.dead = true;
-                Err((bytes, died()))
+            Some((at, Fault::Fail(written))) if at == index => Err(FailedChange {
+                written,
+                error: io::Error::new(io::ErrorKind::StorageFull, "no space left"),
+            }),
+            Some((at, Fault::Crash(written))) if at == index => {
+                state.crashed = true;
+                Err(crash(written))
             }
             _ => Ok(()),
         }
     }
 
-    fn put(&self, path: &Path, bytes: &[u8]) {
+    fn store(&self, path: &Path, bytes: &[u8]) {
         let mut state = self.0.borrow_mut();
         let new = state.files.len();
         let file = *state.names.entry(path.to_owned()).or_insert(new);
         if file == new {
-            state.files.push(Bytes::default());
+            state.files.push(FileContent::default());
         }
-        state.files[file].seen = bytes.to_vec();
+        state.files[file].current = bytes.to_vec();
     }
 
-    fn named(&self, path: &Path) -> io::Result<usize> {
+    fn find(&self, path: &Path) -> io::Result<usize> {
         self.0
             .borrow()
             .names
@@ -139,48 +148,46 @@
     }
 }
 
-impl Disk for Rig {
+impl Disk for FaultyDisk {
     fn read(&self, path: &Path) -> io::Result<Vec<u8>> {
-        let file = self.named(path)?;
-        Ok(self.0.borrow().files[file].seen.clone())
+        let file = self.find(path)?;
+        Ok(self.0.borrow().files[file].current.clone())
     }
 
-    fn make_folder(&self, _folder: &Path) -> io::Result<()> {
-        self.change().map_err(|(_, error)| error)
+    fn create_folder(&self, _folder: &Path) -> io::Result<()> {
+        self.change().map_err(|failed| failed.error)
     }
 
     fn write(&self, path: &Path, bytes: &[u8]) -> io::Result<()> {
-        match self.change() {
-            Ok(()) => self.put(path, bytes),
-            Err((written, error)) => {
-                if written > 0 || !self.0.borrow().dead {
-                    self.put(path, &bytes[..written.min(bytes.len())]);
-                }
-                return Err(error);
-            }
+        let Err(FailedChange { written, error }) = self.change() else {
+            self.store(path, bytes);
+            return Ok(());
+        };
+        if written > 0 || !self.0.borrow().crashed {
+            self.store(path, &bytes[..written.min(bytes.len())]);
         }
-        Ok(())
+        Err(error)
     }
 
     fn sync(&self, path: &Path) -> io::Result<()> {
-        self.change().map_err(|(_, error)| error)?;
-        let file = self.named(path)?;
+        self.change().map_err(|failed| failed.error)?;
+        let file = self.find(path)?;
         let mut state = self.0.borrow_mut();
-        state.files[file].synced = state.files[file].seen.clone();
+        state.files[file].synced = state.files[file].current.clone();
         Ok(())
     }
 
     fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
-        self.change().map_err(|(_, error)| error)?;
-        let file = self.named(from)?;
+        self.change().map_err(|failed| failed.error)?;
+        let file = self.find(from)?;
         let mut state = self.0.borrow_mut();
         state.names.remove(from);
         state.names.insert(to.to_owned(), file);
         Ok(())
     }
 
-    fn sync_names(&self, folder: &Path) -> io::Result<()> {
-        self.change().map_err(|(_, error)| error)?;
+    fn sync_folder(&self, folder: &Path) -> io::Result<()> {
+        self.change().map_err(|failed| failed.error)?;
         let mut state = self.0.borrow_mut();
         let names = state.names.clone();
         state
--- a/crates/atomic-file/src/lib.rs
+++ b/crates/atomic-file/src/lib.rs
@@ -1,5 +1,5 @@
-//! Files that are replaced whole. Every file of state that is not a journal goes to disk by [`replace`]; tests put a
-//! [`faulty_disk::Rig`] in the place of the disk, which fails, tears writes and loses power where they say.
+//! Files replaced atomically. Every file of state that is not a journal is written by [`replace`]; tests use a
+//! [`faulty_disk::FaultyDisk`] in place of the disk, which fails, tears writes and loses power where they say.
 
 pub mod faulty_disk;
 
@@ -7,7 +7,7 @@
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
-/// What is asked of a disk.
+/// The operations that a disk must offer.
 pub trait Disk {
     /// The bytes of a file.
     ///
@@ -15,47 +15,47 @@
     /// As of [`std::fs::read`]; of kind `NotFound` where there is none.
     fn read(&self, path: &Path) -> io::Result<Vec<u8>>;
 
-    /// Makes a folder and those above it, if need be.
+    /// Creates a folder and its parents, if need be.
     ///
     /// # Errors
     /// As of [`std::fs::create_dir_all`].
-    fn make_folder(&self, folder: &Path) -> io::Result<()>;
+    fn create_folder(&self, folder: &Path) -> io::Result<()>;
 
-    /// Makes a file with these bytes, or puts them in the place of what it holds.
+    /// Creates a file with these bytes, or replaces what it holds.
     ///
     /// # Errors
     /// As of [`std::fs::write`]; a part may have been written.
     fn write(&self, path: &Path, bytes: &[u8]) -> io::Result<()>;
 
-    /// Returns once a file's bytes would outlast a loss of power.
+    /// Returns once a file's bytes would survive a loss of power.
     ///
     /// # Errors
     /// As of [`std::fs::File::sync_all`].
     fn sync(&self, path: &Path) -> io::Result<()>;
 
-    /// Gives a file another name, in place of the file that had it.
+    /// Renames a file, replacing the one that had the name.
     ///
     /// # Errors
     /// As of [`std::fs::rename`].
     fn rename(&self, from: &Path, to: &Path) -> io::Result<()>;
 
-    /// Returns once the names in a folder would outlast a loss of power.
+    /// Returns once the names in a folder would survive a loss of power.
     ///
     /// # Errors
     /// As of [`std::fs::File::sync_all`].
-    fn sync_names(&self, folder: &Path) -> io::Result<()>;
+    fn sync_folder(&self, folder: &Path) -> io::Result<()>;
 }
 
 /// The machine's own file systems.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Real;
+pub struct LocalDisk;
 
-impl Disk for Real {
+impl Disk for LocalDisk {
     fn read(&self, path: &Path) -> io::Result<Vec<u8>> {
         fs::read(path)
     }
 
-    fn make_folder(&self, folder: &Path) -> io::Result<()> {
+    fn create_folder(&self, folder: &Path) -> io::Result<()> {
         fs::create_dir_all(folder)
     }
 
@@ -71,44 +71,49 @@
         fs::rename(from, to)
     }
 
-    fn sync_names(&self, folder: &Path) -> io::Result<()> {
+    fn sync_folder(&self, folder: &Path) -> io::Result<()> {
         File::open(folder)?.sync_all()
     }
 }
 
-/// What a file's old or new content, one of the two and whole, outlasts.
+/// What the file survives with either its old or its new content, whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outlasts {
-    /// The death of the process at any moment. After a loss of power the file may be torn: for what its reader checks,
+pub enum Durability {
+    /// The death of the process at any moment. After a loss of power the file may be torn: for what its reader checks
     /// and can do without.
-    Process,
-    /// The loss of power too, but which of the two it is then is only sure once the folder's names are synced
-    /// ([`Disk::sync_names`]): for what must not wait for that. Costs one sync.
-    Whole,
-    /// The loss of power too; once the call returns it is the new content. Costs two syncs.
-    Power,
+    ProcessDeath,
+    /// A loss of power too, but which of the two contents is left then is only sure once the folder is synced
+    /// ([`Disk::sync_folder`]): for what must not wait for that. Costs one sync.
+    Atomic,
+    /// A loss of power too; once the call returns the new content is left. Costs two syncs.
+    PowerLoss,
 }
 
-/// Writes a file beside the one that is there and renames it over.
+/// Replaces a file: writes a new one beside it and renames that over it.
 ///
 /// # Errors
-/// The first fault of the disk. The file is then as it was, except if the names could not be synced at the end: then it
+/// The first error of the disk. The file is then as it was, except if the folder could not be synced at the end: then it
 /// is the new one, and what a loss of power would leave is not known.
-pub fn replace(disk: &impl Disk, path: &Path, bytes: &[u8], outlasts: Outlasts) -> io::Result<()> {
-    let beside = beside(path);
-    disk.write(&beside, bytes)?;
-    if outlasts != Outlasts::Process {
-        disk.sync(&beside)?;
+pub fn replace(
+    disk: &impl Disk,
+    path: &Path,
+    bytes: &[u8],
+    durability: Durability,
+) -> io::Result<()> {
+    let temporary = temporary_path(path);
+    disk.write(&temporary, bytes)?;
+    if durability != Durability::ProcessDeath {
+        disk.sync(&temporary)?;
     }
-    disk.rename(&beside, path)?;
+    disk.rename(&temporary, path)?;
     match path.parent() {
-        Some(folder) if outlasts == Outlasts::Power => disk.sync_names(folder),
+        Some(folder) if durability == Durability::PowerLoss => disk.sync_folder(folder),
         _ => Ok(()),
     }
 }
 
 /// Where a file is written before it takes its name: `applied.json.new` for `applied.json`.
-fn beside(path: &Path) -> PathBuf {
+fn temporary_path(path: &Path) -> PathBuf {
     let mut name = path.file_name().unwrap_or_default().to_owned();
     name.push(".new");
     path.with_file_name(name)
--- a/crates/atomic-file/tests/replace.rs
+++ b/crates/atomic-file/tests/replace.rs
@@ -1,34 +1,38 @@
 //! A file that is replaced, with a fault at each change of the disk and every loss of power after it.
 
-use marblefall_atomic_file::faulty_disk::{Fault, Rig, Unsynced};
-use marblefall_atomic_file::{replace, Disk, Outlasts};
+use marblefall_atomic_file::faulty_disk::{Fault, FaultyDisk, Unsynced};
+use marblefall_atomic_file::{replace, Disk, Durability};
 use std::path::Path;
 
 const OLD: &[u8] = b"what stood there before, and is longer";
 const NEW: &[u8] = b"what comes instead";
 
 /// The old content in its place for good, and a fault at one of the changes that bring the new.
-fn struck(outlasts: Outlasts, after: usize, fault: Fault) -> (Rig, bool) {
-    let (rig, path) = (Rig::new(), Path::new("/home/state"));
-    replace(&rig, path, OLD, Outlasts::Power).expect("no fault yet");
-    rig.strike(after, fault);
-    let done = replace(&rig, path, NEW, outlasts).is_ok();
-    (rig, done)
+fn replace_with_fault(durability: Durability, after: usize, fault: Fault) -> (FaultyDisk, bool) {
+    let (disk, path) = (FaultyDisk::new(), Path::new("/home/state"));
+    replace(&disk, path, OLD, Durability::PowerLoss).expect("no fault yet");
+    disk.inject_fault(after, fault);
+    let done = replace(&disk, path, NEW, durability).is_ok();
+    (disk, done)
 }
 
 /// A fault at each of the four changes, with each cut that a write can have.
 fn faults() -> impl Iterator<Item = (usize, Fault)> {
-    let cuts = (0..=NEW.len()).flat_map(|cut| [Fault::Fails(cut), Fault::Dies(cut)]);
+    let cuts = (0..=NEW.len()).flat_map(|cut| [Fault::Fail(cut), Fault::Crash(cut)]);
     cuts.flat_map(|fault| (0..4).map(move |after| (after, fault)))
 }
 
 #[test]
-fn the_old_or_the_new_outlasts_the_process_at_every_change() {
-    for outlasts in [Outlasts::Process, Outlasts::Whole, Outlasts::Power] {
+fn old_or_new_content_survives_a_crash_at_every_change() {
+    for durability in [
+        Durability::ProcessDeath,
+        Durability::Atomic,
+        Durability::PowerLoss,
+    ] {
         for (after, fault) in faults() {
-            let (rig, done) = struck(outlasts, after, fault);
-            let left = rig
-                .after(Unsynced::Kept)
+            let (disk, done) = replace_with_fault(durability, after, fault);
+            let left = disk
+                .after_restart(Unsynced::Survives)
                 .read(Path::new("/home/state"))
                 .expect("it is there");
             assert!(left == OLD || left == NEW, "{fault:?} at {after}: {left:?}");
@@ -41,20 +45,20 @@
 }
 
 #[test]
-fn the_old_or_the_new_outlasts_the_power_where_that_is_asked() {
+fn old_or_new_content_survives_power_loss_where_requested() {
     for (after, fault) in faults() {
-        for unsynced in [Unsynced::Kept, Unsynced::Lost, Unsynced::NamesOnly] {
-            for outlasts in [Outlasts::Whole, Outlasts::Power] {
-                let (rig, done) = struck(outlasts, after, fault);
-                let left = rig
-                    .after(unsynced)
+        for unsynced in [Unsynced::Survives, Unsynced::Lost, Unsynced::NamesSurvive] {
+            for durability in [Durability::Atomic, Durability::PowerLoss] {
+                let (disk, done) = replace_with_fault(durability, after, fault);
+                let left = disk
+                    .after_restart(unsynced)
                     .read(Path::new("/home/state"))
                     .expect("it is there");
                 assert!(
                     left == OLD || left == NEW,
                     "{fault:?} at {after}, {unsynced:?}: {left:?}"
                 );
-                let sure = outlasts == Outlasts::Power && done;
+                let sure = durability == Durability::PowerLoss && done;
                 assert!(
                     !sure || left == NEW,
                     "{fault:?} at {after}, {unsynced:?}: said to be done"
@@ -65,12 +69,13 @@
 }
 
 #[test]
-fn a_disk_that_was_full_takes_the_next_one() {
-    for (after, fault) in faults().filter(|(_, fault)| matches!(fault, Fault::Fails(_))) {
-        let (rig, _) = struck(Outlasts::Power, after, fault);
-        replace(&rig, Path::new("/home/state"), NEW, Outlasts::Power).expect("there is room again");
+fn replacement_succeeds_after_the_disk_was_full() {
+    for (after, fault) in faults().filter(|(_, fault)| matches!(fault, Fault::Fail(_))) {
+        let (disk, _) = replace_with_fault(Durability::PowerLoss, after, fault);
+        replace(&disk, Path::new("/home/state"), NEW, Durability::PowerLoss)
+            .expect("there is room again");
         assert_eq!(
-            rig.after(Unsynced::Lost)
+            disk.after_restart(Unsynced::Lost)
                 .read(Path::new("/home/state"))
                 .expect("it is there"),
             NEW
@@ -78,20 +83,22 @@
     }
 }
 
-/// The rig itself: what is not synced is lost with the power.
+/// The disk itself: what is not synced is lost with the power.
 #[test]
-fn what_is_not_synced_may_be_torn_or_lost() {
-    let (rig, path) = (Rig::new(), Path::new("/home/state"));
-    replace(&rig, path, NEW, Outlasts::Process).expect("no fault");
-    assert!(rig.after(Unsynced::Lost).read(path).is_err());
+fn unsynced_content_may_be_torn_or_lost() {
+    let (disk, path) = (FaultyDisk::new(), Path::new("/home/state"));
+    replace(&disk, path, NEW, Durability::ProcessDeath).expect("no fault");
+    assert!(disk.after_restart(Unsynced::Lost).read(path).is_err());
     assert_eq!(
-        rig.after(Unsynced::NamesOnly)
+        disk.after_restart(Unsynced::NamesSurvive)
             .read(path)
             .expect("the name is there"),
         &NEW[..NEW.len() / 2]
     );
     assert_eq!(
-        rig.after(Unsynced::Kept).read(path).expect("all is there"),
+        disk.after_restart(Unsynced::Survives)
+            .read(path)
+            .expect("all is there"),
         NEW
     );
 }
--- a/crates/cli/src/destinations.rs
+++ b/crates/cli/src/destinations.rs
@@ -1,7 +1,7 @@
 //! What staff are shown of destinations: how each stands at each instance that knows something of it.
 
 use crate::words::{Form, State};
-use marblefall_atomic_file::Real;
+use marblefall_atomic_file::LocalDisk;
 use marblefall_control_plane::listing;
 use marblefall_delivery::core::snapshot::DestinationRecord;
 use marblefall_delivery::snapshot_store;
@@ -25,7 +25,7 @@
     let mut rows: Vec<(&str, &str, State, DestinationRecord)> = Vec::new();
     for instance in fleet.instances.keys() {
         let folder = home.join("instances").join(instance);
-        let records = snapshot_store::read(&Real, &folder)
+        let records = snapshot_store::read(&LocalDisk, &folder)
             .map_err(|cause| format!("{}: {cause}", folder.display()))?;
         for record in records {
             // What left the fleet is no longer of interest.
--- a/crates/control-plane/src/group.rs
+++ b/crates/control-plane/src/group.rs
@@ -7,7 +7,7 @@
 
 use crate::file::{Fleet, Group, OnCut};
 use crate::plan::Applied;
-use marblefall_atomic_file::{replace, Disk, Outlasts, Real};
+use marblefall_atomic_file::{replace, Disk, Durability, LocalDisk};
 use marblefall_coordination::words::{Member, Terms};
 use marblefall_scheduler::Span;
 use std::fs;
@@ -110,11 +110,23 @@
             ));
         }
         let fault = |error: std::io::Error| format!("{}: {error}", home.join(FOLDER).display());
-        Real.make_folder(&home.join(FOLDER)).map_err(fault)?;
+        LocalDisk.create_folder(&home.join(FOLDER)).map_err(fault)?;
         let text = serde_json::to_vec(fleet).map_err(|error| error.to_string())?;
-        replace(&Real, &file(home, FOUNDING), &text, Outlasts::Power).map_err(fault)?;
+        replace(
+            &LocalDisk,
+            &file(home, FOUNDING),
+            &text,
+            Durability::PowerLoss,
+        )
+        .map_err(fault)?;
         // Last: a home that has this is a member.
-        replace(&Real, &file(home, MEMBER), name.as_bytes(), Outlasts::Power).map_err(fault)
+        replace(
+            &LocalDisk,
+            &file(home, MEMBER),
+            name.as_bytes(),
+            Durability::PowerLoss,
+        )
+        .map_err(fault)
     }
 
     /// The members' names, in their order.
--- a/crates/control-plane/src/group/drive.rs
+++ b/crates/control-plane/src/group/drive.rs
@@ -7,7 +7,7 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
-use marblefall_atomic_file::{replace, Disk, Outlasts, Real};
+use marblefall_atomic_file::{replace, Disk, Durability, LocalDisk};
 use marblefall_coordination::seat::{fresh, Do, Frame, Reply, Seat, Setup};
 use marblefall_coordination::store::Kept;
 use marblefall_coordination::words::{Life, Member, Policy, Proposal, Revision};
@@ -313,8 +313,8 @@
 
     fn write(&mut self, bytes: &[u8]) -> bool {
         let path = file(&self.home, VOTES);
-        let done = Real.make_folder(path.parent().unwrap_or(&self.home));
-        let done = done.and_then(|()| replace(&Real, &path, bytes, Outlasts::Power));
+        let done = LocalDisk.create_folder(path.parent().unwrap_or(&self.home));
+        let done = done.and_then(|()| replace(&LocalDisk, &path, bytes, Durability::PowerLoss));
         match done {
             Ok(()) if std::mem::take(&mut self.failing) => {
                 say!(code = "votes-kept", "the disk takes votes again")
@@ -410,7 +410,12 @@
             return;
         }
         let text = serde_json::to_vec_pretty(&applied).unwrap_or_default();
-        if let Err(error) = replace(&Real, &self.home.join(APPLIED), &text, Outlasts::Power) {
+        if let Err(error) = replace(
+            &LocalDisk,
+            &self.home.join(APPLIED),
+            &text,
+            Durability::PowerLoss,
+        ) {
             // Until it does, instances stay under the policy that they have, which the gate shuts out.
             self.untaken = Some((revision, policy.clone()));
             return say!(
--- a/crates/control-plane/src/plan.rs
+++ b/crates/control-plane/src/plan.rs
@@ -2,7 +2,7 @@
 //! carried out as it stands, at once and whole, or refused if the ground has moved since.
 
 use crate::file::Fleet;
-use marblefall_atomic_file::{replace, Outlasts, Real};
+use marblefall_atomic_file::{replace, Durability, LocalDisk};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
@@ -74,7 +74,13 @@
             fleet: self.target.clone(),
         };
         let text = serde_json::to_vec_pretty(&applied).map_err(|error| error.to_string())?;
-        replace(&Real, &home.join(APPLIED), &text, Outlasts::Power).map_err(fault)?;
+        replace(
+            &LocalDisk,
+            &home.join(APPLIED),
+            &text,
+            Durability::PowerLoss,
+        )
+        .map_err(fault)?;
         Ok(applied)
     }
 }
--- a/crates/control-plane/src/watch.rs
+++ b/crates/control-plane/src/watch.rs
@@ -6,7 +6,7 @@
 
 use crate::file::{Fleet, RosterSource};
 use async_channel::{Receiver, Sender};
-use marblefall_atomic_file::{replace, Disk, Outlasts, Real};
+use marblefall_atomic_file::{replace, Disk, Durability, LocalDisk};
 use marblefall_delivery::say;
 use marblefall_endpoint_lists::keep::Keep;
 use marblefall_endpoint_lists::{Book, Fault, Report, Roster};
@@ -579,12 +579,12 @@
             return;
         }
         let write = || -> io::Result<()> {
-            Real.make_folder(self.status_at.parent().unwrap_or(Path::new(".")))?;
+            LocalDisk.create_folder(self.status_at.parent().unwrap_or(Path::new(".")))?;
             replace(
-                &Real,
+                &LocalDisk,
                 &self.status_at,
                 &serde_json::to_vec_pretty(&status)?,
-                Outlasts::Process,
+                Durability::ProcessDeath,
             )
         };
         match write() {
--- a/crates/delivery/src/instance.rs
+++ b/crates/delivery/src/instance.rs
@@ -33,7 +33,7 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{future, StreamExt};
-use marblefall_atomic_file::Real;
+use marblefall_atomic_file::LocalDisk;
 use marblefall_scheduler::{EndpointId, Idempotency, MessageClass, Span, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -377,7 +377,7 @@
         Some(_) => Engine::standby(build.setup, store),
     };
     let keep = keeps
-        .then(|| SnapshotStore::open(Real, folder))
+        .then(|| SnapshotStore::open(LocalDisk, folder))
         .map(|(keep, records)| {
             engine.restore_destinations(clock.now(), &records);
             keep
--- a/crates/delivery/src/instance/admin.rs
+++ b/crates/delivery/src/instance/admin.rs
@@ -7,7 +7,7 @@
 use crate::net::server::ClientConnections;
 use crate::say;
 use async_channel::Sender;
-use marblefall_atomic_file::{replace, Outlasts, Real};
+use marblefall_atomic_file::{replace, Durability, LocalDisk};
 use marblefall_scheduler::EndpointId;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -101,7 +101,12 @@
         }
         if changed {
             let text: String = held.iter().map(|id| format!("{id}\n")).collect();
-            if let Err(error) = replace(&Real, &self.path, text.as_bytes(), Outlasts::Process) {
+            if let Err(error) = replace(
+                &LocalDisk,
+                &self.path,
+                text.as_bytes(),
+                Durability::ProcessDeath,
+            ) {
                 say!(
                     code = "held-out-unwritten",
                     "{}: {error}",
--- a/crates/delivery/src/snapshot_store.rs
+++ b/crates/delivery/src/snapshot_store.rs
@@ -2,7 +2,7 @@
 
 use crate::core::snapshot::{decode, encode, DestinationRecord, SnapshotError};
 use crate::say;
-use marblefall_atomic_file::{replace, Disk, Outlasts, Real};
+use marblefall_atomic_file::{replace, Disk, Durability, LocalDisk};
 use std::io;
 use std::path::{Path, PathBuf};
 
@@ -22,7 +22,7 @@
 
 /// An instance's snapshot.
 #[derive(Debug)]
-pub struct SnapshotStore<D = Real> {
+pub struct SnapshotStore<D = LocalDisk> {
     disk: D,
     path: PathBuf,
     /// What was last written, or was there at the start.
@@ -65,7 +65,7 @@
         if bytes == self.last_written {
             return;
         }
-        match replace(&self.disk, &self.path, &bytes, Outlasts::Process) {
+        match replace(&self.disk, &self.path, &bytes, Durability::ProcessDeath) {
             Ok(()) => {
                 self.last_written = bytes;
                 self.failed = false;
--- a/crates/delivery/tests/stored_data.rs
+++ b/crates/delivery/tests/stored_data.rs
@@ -2,7 +2,7 @@
 //! generations, the marks of two incarnations, and a snapshot of destinations. The fixtures were written by the version
 //! before the packages moved to `crates/`, and are never written anew.
 
-use marblefall_atomic_file::Real;
+use marblefall_atomic_file::LocalDisk;
 use marblefall_delivery::core::journal::Generation;
 use marblefall_delivery::core::message_record::{AttemptRecord, MessageRecord, MessageState};
 use marblefall_delivery::core::message_store::MessageStore;
@@ -215,7 +215,7 @@
 #[test]
 fn snapshot_keeps_every_field_of_destinations() {
     let folder = copy_of("snapshot", "snapshot");
-    let records = snapshot_store::read(&Real, &folder).unwrap();
+    let records = snapshot_store::read(&LocalDisk, &folder).unwrap();
     let expected = [1, 2, 3].map(|number: u64| DestinationRecord {
         destination: number << 40,
         ejected_since_ms: (number == 1).then_some(STORED_AT_MS - 5),
--- a/crates/endpoint-lists/src/keep.rs
+++ b/crates/endpoint-lists/src/keep.rs
@@ -1,7 +1,7 @@
 //! The last good lists on disk, byte for byte as they were found good: they outlast the process, also where the
 //! file itself is bad or missing by then.
 
-use marblefall_atomic_file::{replace, Disk, Outlasts, Real};
+use marblefall_atomic_file::{replace, Disk, Durability, LocalDisk};
 use std::fs;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -32,15 +32,15 @@
     /// a loss of power leaves is sure after [`Keep::settle`]: a disk may take its time for that, and traffic must not.
     pub fn write(&self, file: &str, bytes: &[u8]) -> Result<(), KeepError> {
         let path = self.0.join(format!("{file}.{GOOD}"));
-        let written = Real
-            .make_folder(&self.0)
-            .and_then(|()| replace(&Real, &path, bytes, Outlasts::Whole));
+        let written = LocalDisk
+            .create_folder(&self.0)
+            .and_then(|()| replace(&LocalDisk, &path, bytes, Durability::Atomic));
         written.map_err(|cause| KeepError { path, cause })
     }
 
     /// Returns once what was put in place or forgotten stays so through a loss of power.
     pub fn settle(&self) -> Result<(), KeepError> {
-        Real.sync_names(&self.0).map_err(|cause| KeepError {
+        LocalDisk.sync_folder(&self.0).map_err(|cause| KeepError {
             path: self.0.clone(),
             cause,
         })
--- a/crates/simulation/src/cored.rs
+++ b/crates/simulation/src/cored.rs
@@ -194,7 +194,7 @@
         for order in std::mem::take(&mut self.orders) {
             match order {
                 EngineCommand::Respond(ticket, SubmitResponse::Accepted) => {
-                    drop(self.taken.insert(ticket.0))
+                    self.taken.insert(ticket.0);
                 }
                 EngineCommand::Respond(
                     ticket,
--- a/crates/simulation/src/experiment.rs
+++ b/crates/simulation/src/experiment.rs
@@ -7,7 +7,7 @@
 use crate::scenario::{line, Draft, Scenario};
 use crate::world::in_service;
 use indicatif::{ProgressBar, ProgressStyle};
-use marblefall_atomic_file::{replace, Outlasts, Real};
+use marblefall_atomic_file::{replace, Durability, LocalDisk};
 use rayon::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -357,10 +357,10 @@
 fn write(folder: &Path, records: &[Record]) -> Result<(), Fault> {
     let lines: Vec<String> = records.iter().map(line_of).collect::<Result<_, _>>()?;
     replace(
-        &Real,
+        &LocalDisk,
         &folder.join(CELLS),
         lines.concat().as_bytes(),
-        Outlasts::Process,
+        Durability::ProcessDeath,
     )
     .map_err(|error| Fault(format!("{}: {error}", folder.display())))
 }
