Endpoint lists: format, checks, differences and lists in force by the field's terms

Keys of the operators' files and of JSON output stay by rename attributes, messages and codes as they were.

--- a/crates/cli/src/roster.rs
+++ b/crates/cli/src/roster.rs
@@ -4,7 +4,9 @@
 use marblefall_control_plane::file::Fleet;
 use marblefall_control_plane::plan::Applied;
 use marblefall_control_plane::watch::{files, kept, read_bounded, FileStatus, Standing, Status};
-use marblefall_endpoint_lists::{diff, Book, Change, Fault, Report, Roster, Step, Terms};
+use marblefall_endpoint_lists::{
+    diff, ActiveLists, ChangeKind, Diagnostic, EndpointChange, EndpointList, ListRules, Report,
+};
 use serde_json::json;
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
@@ -34,9 +36,9 @@
     format: Form,
 ) -> Result<(), String> {
     let mut book = match (fleet, home) {
-        (Some(fleet), _) => Book::new(Fleet::read(fleet)?.terms()),
+        (Some(fleet), _) => ActiveLists::new(Fleet::read(fleet)?.terms()),
         (None, Some(home)) => kept(home, &Applied::read(home)?.fleet)?.0,
-        (None, None) => Book::new(Terms::default()),
+        (None, None) => ActiveLists::new(ListRules::default()),
     };
     let mut found: Vec<(String, PathBuf)> = Vec::new();
     for path in given {
@@ -48,7 +50,7 @@
     }
     // A list in force of a file that is not given was not meant to be checked; but one may take over from it.
     if home.is_some() && given.iter().any(|path| path.is_dir()) {
-        book.see(
+        book.set_present_files(
             &found
                 .iter()
                 .map(|(name, _)| name.clone())
@@ -64,28 +66,28 @@
         } else {
             path.display().to_string()
         };
-        match read_bounded(&path, book.terms().most_bytes) {
+        match read_bounded(&path, book.rules().max_bytes) {
             Ok((bytes, _)) => pending.push((name, bytes)),
             Err(error) => {
                 let help = "make it a plain file that the courier may read";
-                let fault = Fault::error("unreadable", None, error.to_string(), help);
+                let fault = Diagnostic::error("unreadable", None, error.to_string(), help);
                 reports.push(Report::new(&name, b"", vec![fault]));
             }
         }
     }
     // As the daemon does: what is refused is tried again once another list is in place.
-    let mut good: Vec<(String, Vec<Change>)> = Vec::new();
+    let mut good: Vec<(String, Vec<EndpointChange>)> = Vec::new();
     loop {
         let (before, mut refused) = (pending.len(), Vec::new());
         let mut wrong = Vec::new();
         for (name, bytes) in std::mem::take(&mut pending) {
-            match book.weigh(&name, &bytes) {
+            match book.evaluate(&name, &bytes) {
                 Ok(offer) => {
-                    if !offer.report.faults.is_empty() {
+                    if !offer.report.diagnostics.is_empty() {
                         reports.push(offer.report.clone());
                     }
                     good.push((name, offer.changes.clone()));
-                    book.take(offer);
+                    book.put_in_force(offer);
                 }
                 Err(report) => {
                     wrong.push(report);
@@ -99,7 +101,10 @@
         }
         pending = refused;
     }
-    let wrong = reports.iter().filter(|report| report.is_refusal()).count();
+    let wrong = reports
+        .iter()
+        .filter(|report| report.is_rejection())
+        .count();
     match format {
         Form::Json => {
             let good: Vec<_> = good
@@ -128,13 +133,13 @@
     Ok(())
 }
 
-fn sum(changes: &[Change]) -> String {
-    let count = |step| changes.iter().filter(|change| change.step == step).count();
-    let changed = count(Step::Changed) + count(Step::Stopped);
+fn sum(changes: &[EndpointChange]) -> String {
+    let count = |step| changes.iter().filter(|change| change.kind == step).count();
+    let changed = count(ChangeKind::Changed) + count(ChangeKind::Drained);
     format!(
         "{} to add, {changed} to change, {} to remove",
-        count(Step::Added),
-        count(Step::Removed)
+        count(ChangeKind::Added),
+        count(ChangeKind::Removed)
     )
 }
 
@@ -142,7 +147,7 @@
     let fleet = Applied::read(home)?.fleet;
     let (book, spoilt) = kept(home, &fleet)?;
     let status = Status::read(home)?;
-    let names: BTreeSet<&String> = book.rosters().keys().chain(status.files.keys()).collect();
+    let names: BTreeSet<&String> = book.lists().keys().chain(status.files.keys()).collect();
     let standing = |name: &String| {
         let told = status.files.get(name).cloned();
         told.unwrap_or(FileStatus {
@@ -152,7 +157,7 @@
     };
     if format == Form::Json {
         let file = |name: &&String| {
-            let roster = book.rosters().get(*name);
+            let roster = book.lists().get(*name);
             let whole = endpoints
                 .then_some(roster)
                 .flatten()
@@ -168,7 +173,7 @@
         let files: Vec<_> = names.iter().map(file).collect();
         println!(
             "{}",
-            json!({"files": files, "unlisted": book.unlisted(), "spoilt": spoilt})
+            json!({"files": files, "unlisted": book.destinations_without_list(), "spoilt": spoilt})
         );
         return Ok(());
     }
@@ -186,7 +191,7 @@
             Standing::Unreadable { cause } => format!("the file cannot be read: {cause}"),
             Standing::Missing => "the file is missing".to_owned(),
         };
-        match book.rosters().get(name) {
+        match book.lists().get(name) {
             Some(roster) => {
                 let (revision, count) = (roster.revision, roster.destinations.len());
                 println!("{name}: revision {revision} with {count} destinations, {said}");
@@ -200,13 +205,13 @@
     spoilt
         .iter()
         .for_each(|report| println!("kept copy spoilt, put aside:\n{report}"));
-    for name in book.unlisted() {
+    for name in book.destinations_without_list() {
         println!("{name}: no roster lists it: nothing is served there");
     }
     Ok(())
 }
 
-fn list(roster: &Roster) {
+fn list(roster: &EndpointList) {
     for (name, destination) in &roster.destinations {
         println!("  {name}");
         for endpoint in &destination.endpoints {
@@ -246,8 +251,8 @@
     Ok(())
 }
 
-fn read(path: &Path) -> Result<Roster, String> {
-    let most = Terms::default().most_bytes;
+fn read(path: &Path) -> Result<EndpointList, String> {
+    let most = ListRules::default().max_bytes;
     let (bytes, _) =
         read_bounded(path, most).map_err(|error| format!("{}: {error}", path.display()))?;
     let report = |faults| {
@@ -256,5 +261,5 @@
             Report::new(&path.display().to_string(), &bytes, faults)
         )
     };
-    Ok(Roster::read(&bytes, most).map_err(report)?.roster)
+    Ok(EndpointList::parse(&bytes, most).map_err(report)?.list)
 }
--- a/crates/cli/tests/rosters.rs
+++ b/crates/cli/tests/rosters.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::*;
-use marblefall_endpoint_lists::{Destination, Endpoint, Roster};
+use marblefall_endpoint_lists::{Destination, Endpoint, EndpointList};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::collections::{BTreeMap, HashMap};
@@ -61,7 +61,7 @@
     }
 }
 
-fn roster(revision: u64, lists: &[(&str, Vec<Endpoint>)]) -> Roster {
+fn roster(revision: u64, lists: &[(&str, Vec<Endpoint>)]) -> EndpointList {
     let destination = |(name, endpoints): &(&str, Vec<Endpoint>)| {
         (
             name.to_string(),
@@ -70,10 +70,10 @@
             },
         )
     };
-    Roster {
+    EndpointList {
         revision,
         destinations: lists.iter().map(destination).collect(),
-        allow_loss: None,
+        loss_allowance: None,
     }
 }
 
@@ -116,7 +116,7 @@
 }
 
 /// A list that must be refused, made from a good one. Where it keeps the good one's layout, the two mix at any byte.
-fn spoilt(rng: &mut Pcg64, good: &Roster, last: &str, trap: SocketAddr) -> Vec<u8> {
+fn spoilt(rng: &mut Pcg64, good: &EndpointList, last: &str, trap: SocketAddr) -> Vec<u8> {
     let mut trapped = good.clone();
     trapped.revision += 1;
     for endpoint in trapped
@@ -126,7 +126,7 @@
     {
         endpoint.address = trap;
     }
-    let whole = trapped.print();
+    let whole = trapped.to_toml();
     let ends: Vec<usize> = whole.match_indices('\n').map(|(at, _)| at + 1).collect();
     match rng.random_range(0..8) {
         0 => whole.as_bytes()[..rng.random_range(0..whole.len())].to_vec(),
@@ -148,12 +148,12 @@
                 .values_mut()
                 .flat_map(|to| &mut to.endpoints)
                 .for_each(|one| one.weight = 0.0);
-            trapped.print().into_bytes()
+            trapped.to_toml().into_bytes()
         }
         4 => {
             let one = trapped.destinations["a"].clone();
             trapped.destinations.insert("stranger".to_owned(), one);
-            trapped.print().into_bytes()
+            trapped.to_toml().into_bytes()
         }
         5 => [whole.as_bytes(), &vec![b'#'; 70 * 1024]].concat(),
         6 => (0..rng.random_range(1..500))
@@ -191,7 +191,7 @@
                         .then(|| endpoint(&format!("e{n}"), stand_ins[n].at, weight))
                 })
                 .collect();
-            if !list.iter().any(Endpoint::serves) {
+            if !list.iter().any(Endpoint::is_active) {
                 list = vec![endpoint(&format!("e{first}"), stand_ins[first].at, 1.0)];
             }
             list
@@ -200,7 +200,7 @@
         roster(revision, &[("a", a), ("b", b)])
     };
     let mut good = draw(&mut rng, 1);
-    let mut last = good.print();
+    let mut last = good.to_toml();
     fs::write(&path, &last).unwrap();
     apply(&folder, &file("roster.toml", LOOSE));
     let program = daemon(&folder);
@@ -234,7 +234,7 @@
         if lists.last().unwrap().1.elapsed() > 2 * GRACE {
             let revision = good.revision + 1 + rng.random_range(0..3);
             good = draw(&mut rng, revision);
-            last = good.print();
+            last = good.to_toml();
             let written = Instant::now();
             replace(&path, last.as_bytes(), turn);
             taken(&folder, "roster.toml", &last);
@@ -269,9 +269,11 @@
     let mut runs: HashMap<&str, usize> = HashMap::new();
     for call in &calls {
         *runs.entry(&call.id).or_default() += 1;
-        let serves = |list: &Roster| {
+        let serves = |list: &EndpointList| {
             let mut all = list.destinations.values().flat_map(|to| &to.endpoints);
-            all.any(|endpoint| endpoint.serves() && endpoint.address == stand_ins[call.stand_in].at)
+            all.any(|endpoint| {
+                endpoint.is_active() && endpoint.address == stand_ins[call.stand_in].at
+            })
         };
         let ends = lists
             .iter()
@@ -309,7 +311,7 @@
     let version = |name: &str, revision: u64, at: SocketAddr| {
         fs::create_dir_all(rosters.join(name)).unwrap();
         let lists = PARTNERS.map(|name| (name, vec![endpoint("only", at, 1.0)]));
-        let text = roster(revision, &lists).print();
+        let text = roster(revision, &lists).to_toml();
         fs::write(rosters.join(name).join("all.toml"), &text).unwrap();
         text
     };
@@ -402,7 +404,7 @@
         1,
         &PARTNERS.map(|name| (name, vec![endpoint("only", two.at, 1.0)])),
     )
-    .print();
+    .to_toml();
     fs::remove_file(&link).unwrap();
     fs::write(rosters.join("renamed.toml"), &fourth).unwrap();
     taken(&folder, "renamed.toml", &fourth);
@@ -425,7 +427,7 @@
     assert!(answer.field("retry-after").is_some());
     // The folder comes later, with one partner's list in a file of its own.
     fs::create_dir(folder.0.join("rosters")).unwrap();
-    let list = roster(1, &[("a", vec![endpoint("only", one.at, 1.0)])]).print();
+    let list = roster(1, &[("a", vec![endpoint("only", one.at, 1.0)])]).to_toml();
     fs::write(folder.0.join("rosters/a.toml"), &list).unwrap();
     taken(&folder, "a.toml", &list);
     wait_for("the delivery", || {
@@ -458,7 +460,7 @@
             revision,
             &[("a", both), ("b", vec![endpoint("b", two.at, 1.0)])],
         )
-        .print()
+        .to_toml()
     };
     // Nearly all of the weight stands on the first, so that it carries everything.
     let first = list(1, 1000.0).replace("weight = 1.0", "weight = 0.001");
@@ -549,7 +551,7 @@
             ("b", vec![endpoint("two", one.at, 1.0)]),
         ],
     );
-    fs::write(folder.0.join("roster.toml"), list.print()).unwrap();
+    fs::write(folder.0.join("roster.toml"), list.to_toml()).unwrap();
     let text = file("roster.toml", LOOSE);
     apply(&folder, &text);
     let program = daemon(&folder);
@@ -589,12 +591,14 @@
         )
     };
     let (old, new) = (list(1, 1.0), list(2, 3.0));
-    let old = folder.file("old.toml", &old.print());
-    let new = folder.file("new.toml", &new.print());
+    let old = folder.file("old.toml", &old.to_toml());
+    let new = folder.file("new.toml", &new.to_toml());
     let fleet = folder.file("fleet.toml", &file("rosters", ""));
     let bad = folder.file(
         "bad.toml",
-        &list(3, 1.0).print().replace("127.0.0.1:10", "127.0.0.1:0"),
+        &list(3, 1.0)
+            .to_toml()
+            .replace("127.0.0.1:10", "127.0.0.1:0"),
     );
 
     let (code, said) = run_coded(&["roster", "diff", text(&old), text(&new)]);
--- a/crates/control-plane/src/file.rs
+++ b/crates/control-plane/src/file.rs
@@ -6,7 +6,7 @@
 pub use group::{Group, Member, OnCut};
 
 use marblefall_delivery::frontend::cloudevents::event::Mode;
-use marblefall_endpoint_lists::{Standing, Terms};
+use marblefall_endpoint_lists::{EndpointSource, ListRules};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -234,7 +234,7 @@
     pub group: Option<Group>,
     /// How rosters stand to the destinations, once these themselves are kept elsewhere.
     #[serde(skip)]
-    pub rostered: Option<BTreeMap<String, Standing>>,
+    pub rostered: Option<BTreeMap<String, EndpointSource>>,
     /// In an instance's share: how many couriers serve the same destinations, for their parts of a rate.
     #[serde(skip)]
     pub couriers: usize,
@@ -426,10 +426,10 @@
     }
 
     /// What rosters must keep to under this file.
-    pub fn terms(&self) -> Terms {
+    pub fn terms(&self) -> ListRules {
         let standing = |destination: &Destination| match destination.endpoints.is_empty() {
-            true => Standing::Rostered,
-            false => Standing::Fixed,
+            true => EndpointSource::Lists,
+            false => EndpointSource::Manifest,
         };
         let own = || {
             self.destinations
@@ -438,16 +438,16 @@
                 .collect()
         };
         let partners = self.rostered.clone().unwrap_or_else(own);
-        let terms = Terms {
-            partners: Some(partners),
-            ..Terms::default()
+        let terms = ListRules {
+            destinations: Some(partners),
+            ..ListRules::default()
         };
         match &self.roster {
             None => terms,
-            Some(source) => Terms {
-                most_bytes: source.max_kb * 1024,
-                most_weight_lost: source.most_weight_lost,
-                most_endpoints_lost: source.most_endpoints_lost,
+            Some(source) => ListRules {
+                max_bytes: source.max_kb * 1024,
+                max_weight_loss: source.most_weight_lost,
+                max_endpoint_loss: source.most_endpoints_lost,
                 ..terms
             },
         }
--- a/crates/control-plane/src/listing.rs
+++ b/crates/control-plane/src/listing.rs
@@ -8,7 +8,7 @@
 };
 use marblefall_delivery::frontend::cloudevents::event::Mode;
 use marblefall_delivery::frontend::cloudevents::Target;
-use marblefall_endpoint_lists::{Book, Endpoint, Standing};
+use marblefall_endpoint_lists::{ActiveLists, Endpoint, EndpointSource};
 use marblefall_scheduler::DestinationId;
 use serde::de::{Deserializer, Error, MapAccess, Visitor};
 use serde::Deserialize;
@@ -148,9 +148,9 @@
     if fleet.roster.is_some() {
         let standing = |entry: &DestinationEntry<'_>| {
             if entry.from_list {
-                Standing::Rostered
+                EndpointSource::Lists
             } else {
-                Standing::Fixed
+                EndpointSource::Manifest
             }
         };
         let partners = destinations
@@ -164,7 +164,7 @@
 
 impl Listing {
     /// The same with what the rosters in force say now.
-    pub fn with_rosters(&self, book: &Book) -> Result<Listing, TableError> {
+    pub fn with_rosters(&self, book: &ActiveLists) -> Result<Listing, TableError> {
         let mut listed: HashMap<&str, Vec<&Endpoint>> = HashMap::new();
         for (to, endpoint) in book.endpoints() {
             listed.entry(to).or_default().push(endpoint);
@@ -214,6 +214,6 @@
         name: &endpoint.name,
         address,
         weight,
-        active: endpoint.serves(),
+        active: endpoint.is_active(),
     }
 }
--- a/crates/control-plane/src/watch.rs
+++ b/crates/control-plane/src/watch.rs
@@ -8,8 +8,8 @@
 use async_channel::{Receiver, Sender};
 use marblefall_atomic_file::{replace, Disk, Durability, LocalDisk};
 use marblefall_delivery::say;
-use marblefall_endpoint_lists::keep::Keep;
-use marblefall_endpoint_lists::{Book, Fault, Report, Roster};
+use marblefall_endpoint_lists::last_good_store::LastGoodStore;
+use marblefall_endpoint_lists::{ActiveLists, Diagnostic, EndpointList, Report};
 use notify::event::{AccessKind, AccessMode};
 use notify::{EventKind, RecommendedWatcher, RecursiveMode, Watcher};
 use serde::{Deserialize, Serialize};
@@ -87,10 +87,10 @@
 
 /// The lists that are kept in a fleet's folder, under what its applied file says; and what was not fit to be read
 /// back.
-pub fn kept(home: &Path, fleet: &Fleet) -> Result<(Book, Vec<Report>), String> {
-    let mut book = Book::new(fleet.terms());
+pub fn kept(home: &Path, fleet: &Fleet) -> Result<(ActiveLists, Vec<Report>), String> {
+    let mut book = ActiveLists::new(fleet.terms());
     let mut spoilt = Vec::new();
-    for (file, bytes) in Keep::at(&home.join(FOLDER))
+    for (file, bytes) in LastGoodStore::at(&home.join(FOLDER))
         .read()
         .map_err(|error| error.to_string())?
     {
@@ -178,7 +178,7 @@
 
 /// The daemon's side of the watcher.
 pub struct Watch {
-    book: Arc<RwLock<Book>>,
+    book: Arc<RwLock<ActiveLists>>,
     stirs: mpsc::Sender<Stir>,
     /// Filled when something was taken up since it was last emptied.
     pub news: Receiver<()>,
@@ -190,13 +190,13 @@
     pub fn start(home: &Path, fleet: &Fleet) -> Result<Watch, String> {
         let (book, spoilt) = kept(home, fleet)?;
         for report in spoilt {
-            say!(code = "kept-roster-spoilt", file = %report.file, "{}", report.first());
+            say!(code = "kept-roster-spoilt", file = %report.file, "{}", report.summary());
         }
         let book = Arc::new(RwLock::new(book));
         let (stirs, stirred) = mpsc::channel();
         let (passed_on, news) = async_channel::bounded(1);
         let mut scout = Scout {
-            keep: Keep::at(&home.join(FOLDER)),
+            keep: LastGoodStore::at(&home.join(FOLDER)),
             status_at: home.join(FOLDER).join(STATUS),
             book: book.clone(),
             news: passed_on,
@@ -234,7 +234,7 @@
         self.book
             .write()
             .unwrap_or_else(PoisonError::into_inner)
-            .hold_to(fleet.terms());
+            .set_rules(fleet.terms());
         let _ = self.stirs.send(Stir::Source(fleet.roster.clone()));
     }
 
@@ -244,7 +244,7 @@
     }
 
     /// The lists in force.
-    pub fn with_book<T>(&self, read: impl FnOnce(&Book) -> T) -> T {
+    pub fn with_book<T>(&self, read: impl FnOnce(&ActiveLists) -> T) -> T {
         read(&self.book.read().unwrap_or_else(PoisonError::into_inner))
     }
 }
@@ -263,9 +263,9 @@
 
 /// The thread's side.
 struct Scout {
-    keep: Keep,
+    keep: LastGoodStore,
     status_at: PathBuf,
-    book: Arc<RwLock<Book>>,
+    book: Arc<RwLock<ActiveLists>>,
     news: Sender<()>,
     source: Option<RosterSource>,
     stirs: mpsc::Sender<Stir>,
@@ -340,7 +340,7 @@
         if !present.is_empty() {
             self.found.remove("");
             let names: BTreeSet<String> = present.keys().cloned().collect();
-            self.book_mut(|book| book.see(&names));
+            self.book_mut(|book| book.set_present_files(&names));
         }
         self.looked.retain(|file, _| present.contains_key(file));
         // A partner that moves from one file to another may be met first where it is not yet allowed.
@@ -362,7 +362,7 @@
                 break;
             }
         }
-        let known: Vec<String> = self.with_book(|book| book.rosters().keys().cloned().collect());
+        let known: Vec<String> = self.with_book(|book| book.lists().keys().cloned().collect());
         for file in known.iter().filter(|file| !present.contains_key(*file)) {
             self.note(file, Standing::Missing);
         }
@@ -394,7 +394,7 @@
             }
         };
         self.looked.insert(file.to_owned(), Look::of(&told));
-        let offer = match self.with_book(|book| book.weigh(file, &bytes)) {
+        let offer = match self.with_book(|book| book.evaluate(file, &bytes)) {
             Ok(offer) => offer,
             Err(report) => {
                 self.note(
@@ -406,19 +406,19 @@
                 return Seen::Refused;
             }
         };
-        if self.with_book(|book| offer.is_in(book)) {
+        if self.with_book(|book| offer.is_in_force(book)) {
             self.note(file, Standing::InForce);
             return Seen::Settled;
         }
-        for fault in &offer.report.faults {
+        for fault in &offer.report.diagnostics {
             say_fault("roster-warning", file, fault);
         }
         // Kept first: a death between the two takes up at the next start what was kept.
-        let handed_over = self.with_book(|book| book.taken_over(&offer));
+        let handed_over = self.with_book(|book| book.superseded(&offer));
         for (left, roster) in &handed_over {
             let done = match roster.destinations.is_empty() {
                 true => self.keep.remove(left),
-                false => self.keep.write(left, roster.print().as_bytes()),
+                false => self.keep.write(left, roster.to_toml().as_bytes()),
             };
             done.unwrap_or_else(|error| say!(code = "roster-not-kept", file = %left, "{error}"));
         }
@@ -430,7 +430,7 @@
             );
         }
         let (revision, lines) = (offer.revision(), offer.changes.len());
-        self.book_mut(|book| book.take(offer));
+        self.book_mut(|book| book.put_in_force(offer));
         say!(
             code = "roster-taken",
             file,
@@ -439,7 +439,7 @@
         );
         let _ = self.news.try_send(());
         // Only now: traffic must not follow an old list for as long as a busy disk takes.
-        if let Err(error) = self.keep.settle() {
+        if let Err(error) = self.keep.sync() {
             say!(
                 code = "roster-not-kept",
                 file,
@@ -493,8 +493,12 @@
 
     /// Says it of each destination once, also of those that come without a list later.
     fn say_unlisted(&mut self) {
-        let unlisted: BTreeSet<String> =
-            self.with_book(|book| book.unlisted().into_iter().map(str::to_owned).collect());
+        let unlisted: BTreeSet<String> = self.with_book(|book| {
+            book.destinations_without_list()
+                .into_iter()
+                .map(str::to_owned)
+                .collect()
+        });
         for name in unlisted.difference(&self.unlisted) {
             say!(code = "no-roster", destination = %name, "no roster lists it: nothing is served there");
         }
@@ -557,9 +561,9 @@
     fn write_status(&mut self) {
         let files = self.found.iter().map(|(file, standing)| {
             let revision = self.with_book(|book| {
-                book.rosters()
+                book.lists()
                     .get(file)
-                    .map(|roster: &Roster| roster.revision)
+                    .map(|roster: &EndpointList| roster.revision)
             });
             (
                 file.clone(),
@@ -569,8 +573,12 @@
                 },
             )
         });
-        let unlisted =
-            self.with_book(|book| book.unlisted().into_iter().map(str::to_owned).collect());
+        let unlisted = self.with_book(|book| {
+            book.destinations_without_list()
+                .into_iter()
+                .map(str::to_owned)
+                .collect()
+        });
         let status = Status {
             files: files.collect(),
             unlisted,
@@ -597,11 +605,11 @@
         }
     }
 
-    fn with_book<T>(&self, read: impl FnOnce(&Book) -> T) -> T {
+    fn with_book<T>(&self, read: impl FnOnce(&ActiveLists) -> T) -> T {
         read(&self.book.read().unwrap_or_else(PoisonError::into_inner))
     }
 
-    fn book_mut(&self, change: impl FnOnce(&mut Book)) {
+    fn book_mut(&self, change: impl FnOnce(&mut ActiveLists)) {
         change(&mut self.book.write().unwrap_or_else(PoisonError::into_inner));
     }
 }
@@ -616,13 +624,13 @@
     Refused,
 }
 
-fn say_fault(code: &'static str, file: &str, fault: &Fault) {
+fn say_fault(code: &'static str, file: &str, fault: &Diagnostic) {
     say!(
         code,
         file,
         line = fault.line,
         "{}: {}",
-        fault.what,
+        fault.message,
         fault.help
     );
 }
--- a/crates/endpoint-lists/benches/take_up.rs
+++ b/crates/endpoint-lists/benches/evaluate.rs
@@ -1,15 +1,17 @@
-//! What a large roster costs: read and checked, compared, and put in force. `cargo bench -p marblefall-roster`.
+//! What a large list costs: read and checked, compared, and put in force. `cargo bench -p marblefall-list`.
 
 // The macros write items without docs.
 #![allow(missing_docs)]
 
 use criterion::{criterion_group, criterion_main, Criterion, Throughput};
-use marblefall_endpoint_lists::{diff, Book, Destination, Endpoint, Roster, Standing, Terms};
+use marblefall_endpoint_lists::{
+    diff, ActiveLists, Destination, Endpoint, EndpointList, EndpointSource, ListRules,
+};
 use std::hint::black_box;
 use std::net::SocketAddr;
 
 /// Destinations with two endpoints each.
-fn roster(destinations: usize, revision: u64, weight: f64) -> Roster {
+fn list(destinations: usize, revision: u64, weight: f64) -> EndpointList {
     let endpoint = |number: usize, at: u16| Endpoint {
         name: format!("clinic-{number}-{at}"),
         address: SocketAddr::from(([10, (number >> 8) as u8, number as u8, 1], at)),
@@ -21,42 +23,42 @@
         let endpoints = vec![endpoint(number, 8080), endpoint(number, 8081)];
         (format!("clinic-{number}"), Destination { endpoints })
     };
-    Roster {
+    EndpointList {
         revision,
         destinations: (0..destinations).map(destination).collect(),
-        allow_loss: None,
+        loss_allowance: None,
     }
 }
 
 fn take_up(criterion: &mut Criterion) {
-    let (old, new) = (roster(10_000, 1, 1.0), roster(10_000, 2, 2.0));
-    let (first, second) = (old.print(), new.print());
-    let partners = old
+    let (old, new) = (list(10_000, 1, 1.0), list(10_000, 2, 2.0));
+    let (first, second) = (old.to_toml(), new.to_toml());
+    let destinations = old
         .destinations
         .keys()
-        .map(|name| (name.clone(), Standing::Rostered))
+        .map(|name| (name.clone(), EndpointSource::Lists))
         .collect();
-    let mut book = Book::new(Terms {
-        partners: Some(partners),
-        ..Terms::default()
+    let mut active = ActiveLists::new(ListRules {
+        destinations: Some(destinations),
+        ..ListRules::default()
     });
-    book.take(book.weigh("a", first.as_bytes()).expect("sound"));
-    let mut group = criterion.benchmark_group("roster of 10,000 destinations and 20,000 endpoints");
+    active.put_in_force(active.evaluate("a", first.as_bytes()).expect("sound"));
+    let mut group = criterion.benchmark_group("list of 10,000 destinations and 20,000 endpoints");
     group
         .sample_size(20)
         .throughput(Throughput::Bytes(second.len() as u64));
     group.bench_function("read", |bench| {
-        bench.iter(|| Roster::read(black_box(second.as_bytes()), 8 << 20))
+        bench.iter(|| EndpointList::parse(black_box(second.as_bytes()), 8 << 20))
     });
     group.bench_function("diff", |bench| bench.iter(|| diff(black_box(&old), &new)));
     group.bench_function("weigh: read, check and diff", |bench| {
-        bench.iter(|| book.weigh("a", black_box(second.as_bytes())))
+        bench.iter(|| active.evaluate("a", black_box(second.as_bytes())))
     });
-    let offer = book.weigh("a", second.as_bytes()).expect("sound");
+    let candidate = active.evaluate("a", second.as_bytes()).expect("sound");
     group.bench_function("take", |bench| {
         bench.iter_batched(
-            || (book.clone(), offer.clone()),
-            |(mut book, offer)| book.take(offer),
+            || (active.clone(), candidate.clone()),
+            |(mut active, candidate)| active.put_in_force(candidate),
             criterion::BatchSize::LargeInput,
         )
     });
--- a/crates/endpoint-lists/src/diff.rs
+++ b/crates/endpoint-lists/src/diff.rs
@@ -1,6 +1,6 @@
-//! What one list changes against another, endpoint by endpoint.
+//! What one list changes against another, endpoint by endpoint. The names of its JSON form are the operators'.
 
-use crate::form::{Destination, Endpoint, Roster};
+use crate::list::{Destination, Endpoint, EndpointList};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -8,12 +8,13 @@
 /// How an endpoint changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "lowercase")]
-pub enum Step {
+pub enum ChangeKind {
     /// It is no longer listed.
     Removed,
     /// It gets nothing new any more.
-    Stopped,
-    /// It is listed, and was not.
+    #[serde(rename = "stopped")]
+    Drained,
+    /// It is newly listed.
     Added,
     /// It changes otherwise.
     Changed,
@@ -21,33 +22,34 @@
 
 /// One change.
 #[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct Change {
+pub struct EndpointChange {
     /// How.
-    pub step: Step,
-    /// Whose endpoint.
+    #[serde(rename = "step")]
+    pub kind: ChangeKind,
+    /// The destination.
     pub destination: String,
-    /// What it is from now on; what it was, where it is removed.
+    /// The endpoint as it is from now on, or was where it is removed.
     pub endpoint: Endpoint,
-    /// What it was, where it changes.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub was: Option<Endpoint>,
+    /// The endpoint as it was, where it changes.
+    #[serde(rename = "was", skip_serializing_if = "Option::is_none")]
+    pub previous: Option<Endpoint>,
 }
 
-impl fmt::Display for Change {
+impl fmt::Display for EndpointChange {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Change {
-            step,
+        let EndpointChange {
+            kind,
             destination,
             endpoint,
-            was,
+            previous,
         } = self;
-        let sign = match step {
-            Step::Removed => '-',
-            Step::Added => '+',
-            Step::Stopped | Step::Changed => '~',
+        let sign = match kind {
+            ChangeKind::Removed => '-',
+            ChangeKind::Added => '+',
+            ChangeKind::Drained | ChangeKind::Changed => '~',
         };
         write!(f, "{sign} {destination}/{}", endpoint.name)?;
-        let Some(was) = was else {
+        let Some(previous) = previous else {
             write!(f, " {} weight {}", endpoint.address, endpoint.weight)?;
             let zone = if endpoint.zone.is_empty() {
                 String::new()
@@ -60,24 +62,28 @@
                 if endpoint.draining { " draining" } else { "" }
             );
         };
-        if was.address != endpoint.address {
-            write!(f, " address {} -> {}", was.address, endpoint.address)?;
+        if previous.address != endpoint.address {
+            write!(f, " address {} -> {}", previous.address, endpoint.address)?;
         }
-        if was.weight != endpoint.weight {
-            write!(f, " weight {} -> {}", was.weight, endpoint.weight)?;
+        if previous.weight != endpoint.weight {
+            write!(f, " weight {} -> {}", previous.weight, endpoint.weight)?;
         }
-        if was.zone != endpoint.zone {
-            write!(f, " zone {:?} -> {:?}", was.zone, endpoint.zone)?;
+        if previous.zone != endpoint.zone {
+            write!(f, " zone {:?} -> {:?}", previous.zone, endpoint.zone)?;
         }
-        if was.draining != endpoint.draining {
-            write!(f, " draining {} -> {}", was.draining, endpoint.draining)?;
+        if previous.draining != endpoint.draining {
+            write!(
+                f,
+                " draining {} -> {}",
+                previous.draining, endpoint.draining
+            )?;
         }
         Ok(())
     }
 }
 
-/// What leads from one list to another. What takes an endpoint out of use comes first: it is the part that hurries.
-pub fn diff(old: &Roster, new: &Roster) -> Vec<Change> {
+/// The changes that lead from one list to another. Those that take an endpoint out of use come first: they are urgent.
+pub fn diff(old: &EndpointList, new: &EndpointList) -> Vec<EndpointChange> {
     let mut changes = Vec::new();
     let names: BTreeSet<&String> = old
         .destinations
@@ -86,49 +92,56 @@
         .collect();
     let none = Destination::default();
     for name in names {
-        let (was, is) = (old.destinations.get(name), new.destinations.get(name));
-        if was != is {
-            between(
+        let before = old.destinations.get(name);
+        let after = new.destinations.get(name);
+        if before != after {
+            diff_destination(
                 name,
-                was.unwrap_or(&none),
-                is.unwrap_or(&none),
+                before.unwrap_or(&none),
+                after.unwrap_or(&none),
                 &mut changes,
             );
         }
     }
-    changes.sort_by_key(|change| change.step);
+    changes.sort_by_key(|change| change.kind);
     changes
 }
 
-fn between(name: &str, old: &Destination, new: &Destination, changes: &mut Vec<Change>) {
-    let by_name = |all: &Destination| -> BTreeMap<String, Endpoint> {
-        all.endpoints
+fn diff_destination(
+    name: &str,
+    old: &Destination,
+    new: &Destination,
+    changes: &mut Vec<EndpointChange>,
+) {
+    let by_name = |destination: &Destination| -> BTreeMap<String, Endpoint> {
+        destination
+            .endpoints
             .iter()
-            .map(|one| (one.name.clone(), one.clone()))
+            .map(|endpoint| (endpoint.name.clone(), endpoint.clone()))
             .collect()
     };
-    let (mut gone, is) = (by_name(old), by_name(new));
-    for endpoint in is.into_values() {
-        let was = gone.remove(&endpoint.name);
-        let step = match &was {
-            None => Step::Added,
-            Some(was) if *was == endpoint => continue,
-            Some(was) if was.serves() && !endpoint.serves() => Step::Stopped,
-            Some(_) => Step::Changed,
+    let mut removed = by_name(old);
+    for endpoint in by_name(new).into_values() {
+        let previous = removed.remove(&endpoint.name);
+        let kind = match &previous {
+            None => ChangeKind::Added,
+            Some(previous) if *previous == endpoint => continue,
+            Some(previous) if previous.is_active() && !endpoint.is_active() => ChangeKind::Drained,
+            Some(_) => ChangeKind::Changed,
         };
-        changes.push(Change {
-            step,
+        changes.push(EndpointChange {
+            kind,
             destination: name.to_owned(),
             endpoint,
-            was,
+            previous,
         });
     }
-    for endpoint in gone.into_values() {
-        changes.push(Change {
-            step: Step::Removed,
+    for endpoint in removed.into_values() {
+        changes.push(EndpointChange {
+            kind: ChangeKind::Removed,
             destination: name.to_owned(),
             endpoint,
-            was: None,
+            previous: None,
         });
     }
 }
--- a/crates/endpoint-lists/src/lib.rs
+++ b/crates/endpoint-lists/src/lib.rs
@@ -1,18 +1,18 @@
-//! Rosters: lists of endpoints and weights that people edit by hand, each taken whole or not at all.
+//! Endpoint lists that people edit by hand, each put in force whole or not at all.
 //!
-//! [`form`] reads and prints them and finds out by the form alone whether one is whole; [`check`] holds one against
-//! the operators' file and the list that is in force; [`diff`] says what one changes; [`book`] is the lists in force
-//! and the only way to change them; [`keep`] is their copy on disk. Nothing here knows sockets, clocks or tasks.
+//! [`list`] is a list, its file format, and whether a file is whole by its format alone; [`check`] holds one against the
+//! operators' manifest and the list in force; [`diff`] says what one changes; [`active_lists`] are the lists in force and
+//! the only way to change them; [`last_good_store`] is their copy on disk. Nothing here knows sockets, clocks or tasks.
 
-pub mod book;
+pub mod active_lists;
 pub mod check;
+pub mod diagnostic;
 pub mod diff;
-pub mod fault;
-pub mod form;
-pub mod keep;
+pub mod last_good_store;
+pub mod list;
 
-pub use book::{Book, Offer};
-pub use check::{Standing, Terms};
-pub use diff::{diff, Change, Step};
-pub use fault::{Fault, Report, Severity};
-pub use form::{Destination, Endpoint, Roster};
+pub use active_lists::{ActiveLists, Candidate};
+pub use check::{EndpointSource, ListRules};
+pub use diagnostic::{Diagnostic, Report, Severity};
+pub use diff::{diff, ChangeKind, EndpointChange};
+pub use list::{Destination, Endpoint, EndpointList};
