--- a/crates/cli/tests/lives.rs
+++ b/crates/cli/tests/lives.rs
@@ -171,7 +171,7 @@
         assert!(old.log().contains("code=\"handed-over\""), "{}", old.log());
         clients.ask_on(200);
         wait_for("the end of the change", || {
-            new.log().contains("code=\"life-ended\"")
+            new.log().contains("code=\"predecessor-exited\"")
         });
         old = new;
     }
@@ -216,7 +216,7 @@
         old.signal("CONT");
         assert!(old.ended(), "{}", old.log());
         wait_for("the end of the change", || {
-            new.log().contains("code=\"life-ended\"")
+            new.log().contains("code=\"predecessor-exited\"")
         });
         clients.ask_on(40);
         let heard = clients.end();
@@ -414,7 +414,7 @@
     old.signal("TERM");
     assert!(old.ended(), "{}", old.log());
     wait_for("the new one's word", || {
-        new.log().contains("code=\"life-ended\"")
+        new.log().contains("code=\"predecessor-exited\"")
     });
     let state = site.folder.0.join("state");
     let size: u64 = std::fs::read_dir(&state)
--- a/crates/delivery/src/hot_restart/driver.rs
+++ b/crates/delivery/src/hot_restart/driver.rs
@@ -1,12 +1,12 @@
-//! Acts on the steps of a change of lives: looks at the folder and tells the engine.
+//! The driver of a hot restart: polls the state folder, writes the marks that [`Takeover`] asks for, and sends the engine
+//! its events. It decides nothing itself.
 
-use super::incarnation::{Incarnation, Predecessor};
-use super::takeover::{Seen, Step, Takeover};
+use super::incarnation::{Incarnation, Predecessor, PredecessorState};
+use super::takeover::{PredecessorView, Takeover, TakeoverStep};
+use crate::clock::Clock;
 use crate::core::engine::EngineEvent;
 use crate::core::journal::Generation;
-use crate::instance::admin::AdminState;
-use crate::instance::Clock;
-use crate::say;
+use crate::log_line;
 use async_channel::Sender;
 use async_io::Timer;
 use std::cell::RefCell;
@@ -15,175 +15,233 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How often a life that came up beside others looks at them: what their last legs tell is late by this.
-const LOOK: Duration = Duration::from_millis(10);
-/// How often a life looks for what later ones want of it, also when it has nothing to do.
-const HEED: Duration = Duration::from_millis(250);
+/// How often a standby looks at its predecessors: the results of their last attempts are late by this.
+const PREDECESSOR_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// How often an incarnation looks for requests of successors, also when it has nothing to do.
+const SUCCESSOR_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Lives that ran already when one began.
+/// The incarnations that were running when this one was claimed.
 #[derive(Clone, Copy, Debug)]
-pub struct Others {
-    /// The first of them.
+pub struct RunningPredecessors {
+    /// The earliest of them.
     pub first: Generation,
     /// How many there were.
-    pub number: usize,
+    pub count: usize,
 }
 
-/// Greets the lives that run already, if any.
+/// What the driver needs of the instance it belongs to.
+pub trait HotRestartInstance {
+    /// Reads what operators have set and sends it to the engine. Called right before the takeover.
+    fn load_operator_state(&self);
+
+    /// Whether the engine is active.
+    fn is_active(&self) -> bool;
+}
+
+/// Announces an incarnation to the predecessors that are running, if any.
 ///
 /// # Errors
 /// The folder cannot be read.
-pub fn announce(life: &mut Incarnation) -> io::Result<Option<Others>> {
-    let earlier = life.earlier()?;
-    life.forget_ended();
-    for one in &earlier {
-        if let Err(error) = life.announce(one.generation) {
-            say!(code = "not-greeted", "life {}: {error}", one.generation.0);
+pub fn announce(incarnation: &mut Incarnation) -> io::Result<Option<RunningPredecessors>> {
+    let predecessors = incarnation.running_predecessors()?;
+    incarnation.forget_exited();
+    for predecessor in &predecessors {
+        let generation = predecessor.generation;
+        if let Err(error) = incarnation.announce(generation) {
+            log_line!(
+                code = "not-announced",
+                "predecessor {}: {error}",
+                generation.0
+            );
         }
     }
-    let first = earlier.iter().map(|one| one.generation).min();
-    Ok(first.map(|first| Others {
+    let first = predecessors
+        .iter()
+        .map(|predecessor| predecessor.generation)
+        .min();
+    Ok(first.map(|first| RunningPredecessors {
         first,
-        number: earlier.len(),
+        count: predecessors.len(),
     }))
 }
 
-/// Brings a life up beside others, the first of which is `beside`, until the last of them has ended.
-pub async fn run_standby(
-    life: Rc<RefCell<Incarnation>>,
-    beside: Generation,
-    clock: Clock,
-    admin: Rc<AdminState>,
-    engine: Sender<EngineEvent>,
-) {
-    let mut newcomer = Takeover::new(clock.now().monotonic);
-    let mut followed = BTreeSet::<Generation>::new();
-    loop {
-        Timer::after(LOOK).await;
-        let earlier = match life.borrow_mut().earlier() {
-            Ok(earlier) => earlier,
-            Err(error) => {
-                say!(code = "folder-unread", "{error}");
-                continue;
+/// Whether this incarnation must not decide any more.
+pub fn must_hand_over(incarnation: &RefCell<Incarnation>) -> bool {
+    incarnation.borrow_mut().successor_requests().hand_over
+}
+
+/// Whether an attempt of this incarnation may still start at this moment. What does not start is reported as such, and
+/// the incarnation that takes over sends it.
+pub fn may_start_attempt(incarnation: &RefCell<Incarnation>) -> bool {
+    !must_hand_over(incarnation)
+}
+
+/// Drives a standby from its start until its last predecessor has exited.
+pub struct StandbyDriver<I> {
+    /// The standby's own incarnation.
+    pub incarnation: Rc<RefCell<Incarnation>>,
+    /// The earliest predecessor that was running when it was claimed.
+    pub first_concurrent: Generation,
+    /// The engine's clock.
+    pub clock: Clock,
+    /// The instance.
+    pub instance: Rc<I>,
+    /// Where the engine receives events.
+    pub engine: Sender<EngineEvent>,
+}
+
+impl<I: HotRestartInstance> StandbyDriver<I> {
+    /// Runs until the takeover is complete and no predecessor is running.
+    pub async fn run(self) {
+        let mut takeover = Takeover::new(self.clock.now().monotonic);
+        let mut followed = BTreeSet::<Generation>::new();
+        loop {
+            Timer::after(PREDECESSOR_POLL_INTERVAL).await;
+            let predecessors = match self.incarnation.borrow_mut().running_predecessors() {
+                Ok(predecessors) => predecessors,
+                Err(error) => {
+                    log_line!(code = "state-folder-unreadable", "{error}");
+                    continue;
+                }
+            };
+            self.report_exited(&mut followed);
+            let step = takeover.next_step(self.clock.now().monotonic, view(&predecessors));
+            self.execute(step, &predecessors, &mut followed);
+            if takeover.is_active() {
+                self.incarnation.borrow_mut().forget_exited();
+                if followed.is_empty() {
+                    return;
+                }
             }
-        };
-        let ended: Vec<_> = followed
+        }
+    }
+
+    fn report_exited(&self, followed: &mut BTreeSet<Generation>) {
+        let incarnation = self.incarnation.borrow();
+        let exited: Vec<_> = followed
             .iter()
             .copied()
-            .filter(|one| life.borrow().has_ended(*one))
+            .filter(|generation| incarnation.has_exited(*generation))
             .collect();
-        for generation in ended {
+        for generation in exited {
             followed.remove(&generation);
-            let _ = engine.try_send(EngineEvent::PredecessorExited(generation));
-            say!(code = "life-ended", "the process before has ended");
-        }
-        let unsettled = earlier.iter().filter(|one| !one.settled).count();
-        let step = newcomer.look(
-            clock.now().monotonic,
-            Seen {
-                living: earlier.len(),
-                unsettled,
-            },
-        );
-        if step == Step::TakeUp {
-            // What is held out is known before anything is decided.
-            admin.reread();
-            followed.extend(earlier.iter().map(|one| one.generation));
-            say!(
-                code = "takes-over",
-                "takes over, {} before still running",
-                followed.len()
+            self.send(EngineEvent::PredecessorExited(generation));
+            log_line!(
+                code = "predecessor-exited",
+                "the previous process has exited"
             );
         }
-        let input = act(&life.borrow(), step, &earlier, beside);
-        if let Some(input) = input {
-            let _ = engine.try_send(input);
-        }
-        if newcomer.serves() {
-            life.borrow_mut().forget_ended();
-            if followed.is_empty() {
-                return;
-            }
-        }
     }
-}
 
-/// Carries a step out in the folder; gives what the engine is to hear of it.
-fn act(
-    life: &Incarnation,
-    step: Step,
-    earlier: &[Predecessor],
-    beside: Generation,
-) -> Option<EngineEvent> {
-    let unsettled = earlier.iter().filter(|one| !one.settled);
-    match step {
-        Step::Wait => None,
-        Step::Ask | Step::Fence => {
-            for one in unsettled {
-                let (code, marked) = match step {
-                    Step::Ask => ("asked-to-hand-over", life.ask(one.generation)),
-                    _ => ("fenced-off", life.fence(one.generation)),
-                };
-                say!(
-                    code,
-                    "the process before{}",
-                    marked.err().map_or_else(String::new, |e| format!(": {e}"))
-                );
+    fn execute(
+        &self,
+        step: TakeoverStep,
+        predecessors: &[Predecessor],
+        followed: &mut BTreeSet<Generation>,
+    ) {
+        match step {
+            TakeoverStep::Wait => {}
+            TakeoverStep::RequestHandover => {
+                self.mark_active(predecessors, "handover-requested", |own, generation| {
+                    own.request_handover(generation)
+                });
+            }
+            TakeoverStep::Fence => {
+                self.mark_active(predecessors, "fenced-off", |own, generation| {
+                    own.fence(generation)
+                });
             }
-            None
+            TakeoverStep::TakeOver => self.take_over(predecessors, followed),
+            TakeoverStep::Follow => self.send(EngineEvent::FollowPredecessors),
         }
-        Step::TakeUp => {
-            let living = earlier.iter().map(|one| one.generation).collect();
-            Some(EngineEvent::TakeOver {
-                running: living,
-                first_concurrent: Some(beside),
-            })
+    }
+
+    /// Leaves a mark for each predecessor that may still decide.
+    fn mark_active(
+        &self,
+        predecessors: &[Predecessor],
+        code: &str,
+        mark: impl Fn(&Incarnation, Generation) -> io::Result<()>,
+    ) {
+        let incarnation = self.incarnation.borrow();
+        for predecessor in predecessors
+            .iter()
+            .filter(|predecessor| predecessor.state == PredecessorState::Active)
+        {
+            let marked = mark(&incarnation, predecessor.generation);
+            let cause = marked
+                .err()
+                .map_or_else(String::new, |error| format!(": {error}"));
+            log_line!(code, "the previous process{cause}");
         }
-        Step::Follow => Some(EngineEvent::FollowPredecessors),
+    }
+
+    fn take_over(&self, predecessors: &[Predecessor], followed: &mut BTreeSet<Generation>) {
+        // Disabled endpoints are known before anything is decided.
+        self.instance.load_operator_state();
+        let running: Vec<_> = predecessors
+            .iter()
+            .map(|predecessor| predecessor.generation)
+            .collect();
+        followed.extend(&running);
+        log_line!(
+            code = "takes-over",
+            "takes over, {} previous processes still running",
+            followed.len()
+        );
+        self.send(EngineEvent::TakeOver {
+            running,
+            first_concurrent: Some(self.first_concurrent),
+        });
+    }
+
+    fn send(&self, event: EngineEvent) {
+        // Fails only once the engine has ended.
+        let _ = self.engine.try_send(event);
+    }
+}
+
+fn view(predecessors: &[Predecessor]) -> PredecessorView {
+    let active = predecessors
+        .iter()
+        .filter(|predecessor| predecessor.state == PredecessorState::Active)
+        .count();
+    PredecessorView {
+        running: predecessors.len(),
+        active,
     }
 }
 
-/// Looks for what later lives want. One that came up beside this one and ended without taking over leaves what it took
-/// on to this one. Runs until this life is told to end.
+/// Polls for requests of successors until its task is dropped. The messages of a standby that exits before it has taken
+/// over are adopted.
 pub async fn watch_successors(
-    life: Rc<RefCell<Incarnation>>,
-    admin: Rc<AdminState>,
+    incarnation: Rc<RefCell<Incarnation>>,
+    instance: Rc<impl HotRestartInstance>,
     engine: Sender<EngineEvent>,
 ) {
     loop {
-        Timer::after(HEED).await;
-        let wanted = life.borrow_mut().wanted();
-        if wanted.hand_over {
-            // A step of the engine finds out before it decides anything.
+        Timer::after(SUCCESSOR_POLL_INTERVAL).await;
+        let requests = incarnation.borrow_mut().successor_requests();
+        if requests.hand_over {
+            // Causes a step; the engine's loop finds the request before it decides anything.
             let _ = engine.try_send(EngineEvent::FollowPredecessors);
-        } else if wanted.beside && admin.started.get() {
-            adopt(&mut life.borrow_mut(), &engine);
+        } else if requests.standby_started && instance.is_active() {
+            adopt_exited_standbys(&mut incarnation.borrow_mut(), &engine);
         }
     }
 }
 
-fn adopt(life: &mut Incarnation, engine: &Sender<EngineEvent>) {
-    match life.renew() {
+fn adopt_exited_standbys(incarnation: &mut Incarnation, engine: &Sender<EngineEvent>) {
+    match incarnation.claim_after_exited_standbys() {
         Ok(Some(generation)) => {
-            say!(
-                code = "adopted",
-                "a process that came up beside this one has ended; goes on without it"
+            log_line!(
+                code = "standby-adopted",
+                "a standby process has exited; its messages are adopted"
             );
             let _ = engine.try_send(EngineEvent::StandbyExited(generation));
-            life.forget_ended();
+            incarnation.forget_exited();
         }
         Ok(None) => {}
-        Err(error) => say!(code = "not-adopted", "{error}"),
+        Err(error) => log_line!(code = "standby-not-adopted", "{error}"),
     }
 }
-
-/// Whether this life must not decide any more.
-pub fn must_hand_over(life: &RefCell<Incarnation>) -> bool {
-    life.borrow_mut().wanted().hand_over
-}
-
-/// Whether a leg of this life may still begin at this very moment. What did not begin is reported as such, and whoever
-/// took over, or is about to, sends it.
-pub fn may_start_attempt(life: &RefCell<Incarnation>) -> bool {
-    !must_hand_over(life)
-}
--- a/crates/delivery/src/hot_restart/incarnation.rs
+++ b/crates/delivery/src/hot_restart/incarnation.rs
@@ -1,409 +1,331 @@
-//! By what lives of the process know each other in the lasting folder. Each keeps an advisory lock on a file of its own
-//! for as long as it runs; the system lets go of it however the process ends, SIGKILL included. In that file stand the
-//! marks that it and those after it leave, a byte each, only ever added to.
+//! The lock files and marks by which incarnations of one process know each other.
+//!
+//! Each incarnation holds an advisory lock on a file of its own in the state folder for as long as it runs. The system
+//! releases it however the process ends, SIGKILL included. The file holds the marks that the incarnation and its
+//! successors leave, one byte each. Marks are only ever appended.
 
 use crate::core::journal::{latest, Generation};
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, Read, Seek, Write};
 use std::path::{Path, PathBuf};
 
-/// The lock of a life is `life-` and its generation.
-const PREFIX: &str = "life-";
-/// Programs from before there were generations lock this one, and look for the mark below when they are told to end.
-const BEFORE: &str = "life.lock";
-const BEFORE_NEXT: &str = "life.next";
+/// Before the generation in the name of a lock file.
+const LOCK_PREFIX: &str = "life-";
+/// The lock file of programs without generations; they count as generation 0.
+const UNNUMBERED_LOCK: &str = "life.lock";
+/// What those programs look for when they are shut down: a successor is running.
+const UNNUMBERED_SUCCESSOR: &str = "life.next";
+/// Programs without generations.
+const UNNUMBERED: Generation = Generation(0);
 
-/// Left by the life itself: another one decides now.
-const OVER: u8 = b'o';
-/// Left by a later one: it has come up beside.
-const BESIDE: u8 = b'b';
-/// Left by a later one: hand over.
-const ASKED: u8 = b'a';
-/// Left by a later one: decide nothing any more.
+/// Left by the incarnation itself: it has handed over.
+const HANDED_OVER: u8 = b'o';
+/// Left by a successor: it has started as a standby.
+const STANDBY_STARTED: u8 = b'b';
+/// Left by a successor: hand over.
+const HANDOVER_REQUESTED: u8 = b'a';
+/// Left by a successor: decide nothing any more.
 const FENCED: u8 = b'f';
 
-/// What later lives want of this one.
+/// What successors want of this incarnation.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Wanted {
-    /// One came up beside; it may have ended since.
-    pub beside: bool,
-    /// It is to hand over.
+pub struct SuccessorRequests {
+    /// One has started as a standby; it may have exited since.
+    pub standby_started: bool,
+    /// This incarnation is to hand over.
     pub hand_over: bool,
 }
 
-/// An earlier life that still runs.
+/// Whether a predecessor may still decide.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PredecessorState {
+    /// It may decide.
+    Active,
+    /// It has handed over or is fenced.
+    Inactive,
+}
+
+/// An earlier incarnation that is running.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Predecessor {
     /// Which one.
     pub generation: Generation,
-    /// Whether it has handed over or is fenced off.
-    pub settled: bool,
+    /// Whether it may still decide.
+    pub state: PredecessorState,
 }
 
-/// This life's place in the folder, for as long as the value lives.
+/// This process's generation in the state folder, held for as long as the value exists.
 #[derive(Debug)]
 pub struct Incarnation {
     folder: PathBuf,
     generation: Generation,
-    own: File,
-    /// Locks of lives that have ended, held until what they left is this one's.
-    ended: Vec<(Generation, File)>,
+    lock_file: File,
+    /// Locks of incarnations that have exited, held until their messages belong to this one.
+    exited: Vec<(Generation, File)>,
 }
 
 impl Incarnation {
-    /// Takes a place after all lives so far.
+    /// Claims the generation after all that exist.
     ///
     /// # Errors
     /// The folder or the lock cannot be made.
     pub fn claim(folder: &Path) -> io::Result<Incarnation> {
         std::fs::create_dir_all(folder)?;
-        let (generation, own) = place(folder, Generation(0))?;
+        let (generation, lock_file) = claim_generation(folder, UNNUMBERED)?;
         Ok(Incarnation {
             folder: folder.to_owned(),
             generation,
-            own,
-            ended: Vec::new(),
+            lock_file,
+            exited: Vec::new(),
         })
     }
 
-    /// Which life this is.
+    /// Which generation this is.
     pub fn generation(&self) -> Generation {
         self.generation
     }
 
-    /// The earlier lives that still run, the latest first. The locks of those that have ended are kept, and given with
-    /// [`Incarnation::take_ended`].
+    /// The earlier incarnations that are running, the latest first. The locks of those that have exited are kept until
+    /// [`Incarnation::forget_exited`].
     ///
     /// # Errors
-    /// The folder cannot be read.
-    pub fn earlier(&mut self) -> io::Result<Vec<Predecessor>> {
+    /// The folder or a lock file cannot be read.
+    pub fn running_predecessors(&mut self) -> io::Result<Vec<Predecessor>> {
         let mut running = Vec::new();
-        for generation in locks(&self.folder)?
+        for generation in lock_generations(&self.folder)?
             .into_iter()
             .rev()
             .filter(|found| *found < self.generation)
         {
-            if self.ended.iter().any(|(ended, _)| *ended == generation) {
+            if self.has_exited(generation) {
                 continue;
             }
-            match lock(&self.folder, generation)? {
-                Lock::Taken(file) => self.ended.push((generation, file)),
-                Lock::Held(mut file) => {
-                    let marks = marks(&mut file)?;
-                    let settled = marks.iter().any(|mark| [OVER, FENCED].contains(mark));
-                    running.push(Predecessor {
-                        generation,
-                        settled,
-                    });
-                }
-                Lock::Gone => {}
+            match try_lock(&self.folder, generation)? {
+                LockAttempt::Acquired(file) => self.exited.push((generation, file)),
+                LockAttempt::HeldByOther(mut file) => running.push(Predecessor {
+                    generation,
+                    state: predecessor_state(&read_marks(&mut file)?),
+                }),
+                LockAttempt::NoFile => {}
             }
         }
         Ok(running)
     }
 
-    /// Whether a life that was seen to run has ended.
-    pub fn has_ended(&self, generation: Generation) -> bool {
-        self.ended.iter().any(|(ended, _)| *ended == generation)
+    /// Whether a predecessor that was seen running has exited.
+    pub fn has_exited(&self, generation: Generation) -> bool {
+        self.exited.iter().any(|(exited, _)| *exited == generation)
     }
 
-    /// What earlier lives that have ended left is this one's now: nobody need look for them any more.
-    pub fn forget_ended(&mut self) {
-        for (generation, _lock) in self.ended.drain(..) {
-            // Removed while it is locked; one that stays is found free by the next life.
-            let _ = std::fs::remove_file(path(&self.folder, generation));
-            if generation == Generation(0) {
-                let _ = std::fs::remove_file(self.folder.join(BEFORE_NEXT));
+    /// Removes the lock files of exited incarnations, whose messages are this one's now.
+    pub fn forget_exited(&mut self) {
+        for (generation, _lock) in self.exited.drain(..) {
+            // Removed while it is locked; one that stays is found free by the next incarnation.
+            let _ = std::fs::remove_file(lock_path(&self.folder, generation));
+            if generation == UNNUMBERED {
+                let _ = std::fs::remove_file(self.folder.join(UNNUMBERED_SUCCESSOR));
             }
         }
     }
 
-    /// Tells an earlier life that this one has come up beside it.
+    /// Announces to a predecessor that this incarnation has started as a standby.
     ///
     /// # Errors
     /// The mark cannot be written.
-    pub fn announce(&self, earlier: Generation) -> io::Result<()> {
-        if earlier == Generation(0) {
-            return File::create(self.folder.join(BEFORE_NEXT)).map(|_| ());
+    pub fn announce(&self, predecessor: Generation) -> io::Result<()> {
+        if predecessor == UNNUMBERED {
+            return File::create(self.folder.join(UNNUMBERED_SUCCESSOR)).map(|_| ());
         }
-        self.mark(earlier, BESIDE)
+        self.append_mark(predecessor, STANDBY_STARTED)
     }
 
-    /// Asks an earlier life to hand over.
+    /// Requests a predecessor to hand over.
     ///
     /// # Errors
     /// The mark cannot be written.
-    pub fn ask(&self, earlier: Generation) -> io::Result<()> {
-        self.mark(earlier, ASKED)
+    pub fn request_handover(&self, predecessor: Generation) -> io::Result<()> {
+        self.append_mark(predecessor, HANDOVER_REQUESTED)
     }
 
-    /// Keeps an earlier life from deciding anything more. One from before there were generations would not find it.
+    /// Keeps a predecessor from deciding anything more. A program without generations would not find the mark.
     ///
     /// # Errors
     /// The mark cannot be written.
-    pub fn fence(&self, earlier: Generation) -> io::Result<()> {
-        self.mark(earlier, FENCED)
-    }
-
-    fn mark(&self, earlier: Generation, mark: u8) -> io::Result<()> {
-        if earlier == Generation(0) {
-            return Ok(());
-        }
-        OpenOptions::new()
-            .append(true)
-            .open(path(&self.folder, earlier))?
-            .write_all(&[mark])
+    pub fn fence(&self, predecessor: Generation) -> io::Result<()> {
+        self.append_mark(predecessor, FENCED)
     }
 
-    /// Says that this life has handed over.
+    /// Marks this incarnation as having handed over.
     ///
     /// # Errors
     /// The mark cannot be written.
-    pub fn over(&mut self) -> io::Result<()> {
-        self.own.write_all(&[OVER])
+    pub fn mark_handed_over(&mut self) -> io::Result<()> {
+        self.lock_file.write_all(&[HANDED_OVER])
     }
 
-    /// What later lives want. One look at a length where none ever came up; a file that cannot be read wants nothing.
-    pub fn wanted(&mut self) -> Wanted {
-        if self.own.metadata().map_or(0, |own| own.len()) == 0 {
-            return Wanted::default();
+    /// What successors want. Costs one look at a file's length where there never was one. A file that cannot be read
+    /// requests nothing.
+    pub fn successor_requests(&mut self) -> SuccessorRequests {
+        if self.lock_file.metadata().map_or(0, |file| file.len()) == 0 {
+            return SuccessorRequests::default();
         }
-        let marks = marks(&mut self.own).unwrap_or_default();
-        let hand_over = marks.iter().any(|mark| [ASKED, FENCED].contains(mark));
-        Wanted {
-            beside: marks.contains(&BESIDE),
-            hand_over,
+        let marks = read_marks(&mut self.lock_file).unwrap_or_default();
+        SuccessorRequests {
+            standby_started: marks.contains(&STANDBY_STARTED),
+            hand_over: marks
+                .iter()
+                .any(|mark| [HANDOVER_REQUESTED, FENCED].contains(mark)),
         }
     }
 
-    /// Whether a later life runs beside this one.
+    /// Whether a later incarnation is running.
     pub fn has_successor(&self) -> bool {
-        let later = locks(&self.folder)
+        lock_generations(&self.folder)
             .unwrap_or_default()
             .into_iter()
-            .filter(|g| *g > self.generation);
-        later
+            .filter(|found| *found > self.generation)
             .rev()
-            .any(|later| matches!(lock(&self.folder, later), Ok(Lock::Held(_))))
+            .any(|later| {
+                matches!(
+                    try_lock(&self.folder, later),
+                    Ok(LockAttempt::HeldByOther(_))
+                )
+            })
     }
 
-    /// Takes a later place, after lives that came up beside this one and have ended; gives it if there were any.
+    /// Claims a generation after standbys that have all exited. `None` where there was none or one is running.
     ///
     /// # Errors
-    /// Of the folder.
-    pub fn renew(&mut self) -> io::Result<Option<Generation>> {
-        let mut ended = Vec::new();
-        for later in locks(&self.folder)?
+    /// The folder or a lock file cannot be read or made.
+    pub fn claim_after_exited_standbys(&mut self) -> io::Result<Option<Generation>> {
+        let mut exited = Vec::new();
+        for later in lock_generations(&self.folder)?
             .into_iter()
             .filter(|found| *found > self.generation)
         {
-            match lock(&self.folder, later)? {
-                Lock::Taken(file) => ended.push((later, file)),
-                Lock::Held(_) => return Ok(None),
-                Lock::Gone => {}
+            match try_lock(&self.folder, later)? {
+                LockAttempt::Acquired(file) => exited.push((later, file)),
+                LockAttempt::HeldByOther(_) => return Ok(None),
+                LockAttempt::NoFile => {}
             }
         }
-        if ended.is_empty() {
+        if exited.is_empty() {
             return Ok(None);
         }
-        let (generation, own) = place(&self.folder, self.generation)?;
-        let before = std::mem::replace(&mut self.own, own);
-        ended.push((std::mem::replace(&mut self.generation, generation), before));
-        self.ended.extend(ended);
+        let (generation, lock_file) = claim_generation(&self.folder, self.generation)?;
+        let previous_file = std::mem::replace(&mut self.lock_file, lock_file);
+        let previous = std::mem::replace(&mut self.generation, generation);
+        exited.push((previous, previous_file));
+        self.exited.extend(exited);
         Ok(Some(generation))
     }
+
+    fn append_mark(&self, predecessor: Generation, mark: u8) -> io::Result<()> {
+        if predecessor == UNNUMBERED {
+            return Ok(());
+        }
+        OpenOptions::new()
+            .append(true)
+            .open(lock_path(&self.folder, predecessor))?
+            .write_all(&[mark])
+    }
 }
 
-/// Makes and locks the file of the next generation.
-fn place(folder: &Path, after: Generation) -> io::Result<(Generation, File)> {
-    let mut generation = locks(folder)?
+/// Makes and locks the file of the generation after `after` and all that exist.
+fn claim_generation(folder: &Path, after: Generation) -> io::Result<(Generation, File)> {
+    let mut generation = lock_generations(folder)?
         .into_iter()
         .chain([latest(folder)?, after])
         .max()
         .unwrap_or_default();
     loop {
         generation = generation.next();
-        let made = OpenOptions::new()
+        let created = OpenOptions::new()
             .create_new(true)
             .read(true)
             .append(true)
-            .open(path(folder, generation));
-        let file = match made {
+            .open(lock_path(folder, generation));
+        let file = match created {
             Ok(file) => file,
             Err(error) if error.kind() == io::ErrorKind::AlreadyExists => continue,
             Err(error) => return Err(error),
         };
         match file.try_lock() {
-            // Where the system has no such locks at all, one life at a time is the platform's affair.
+            // Where the system has no such locks, the platform sees to it that one incarnation runs at a time.
             Ok(()) | Err(TryLockError::Error(_)) => return Ok((generation, file)),
-            // Another life found it before it was locked, and takes it for one that has ended.
+            // Another incarnation found the file before it was locked, and takes its owner for exited.
             Err(TryLockError::WouldBlock) => continue,
         }
     }
 }
 
-enum Lock {
-    Taken(File),
-    Held(File),
-    Gone,
+enum LockAttempt {
+    /// Its owner has exited.
+    Acquired(File),
+    /// Its owner is running.
+    HeldByOther(File),
+    NoFile,
 }
 
-fn lock(folder: &Path, generation: Generation) -> io::Result<Lock> {
-    let file = match OpenOptions::new()
+fn try_lock(folder: &Path, generation: Generation) -> io::Result<LockAttempt> {
+    let opened = OpenOptions::new()
         .read(true)
         .append(true)
-        .open(path(folder, generation))
-    {
+        .open(lock_path(folder, generation));
+    let file = match opened {
         Ok(file) => file,
-        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(Lock::Gone),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(LockAttempt::NoFile),
         Err(error) => return Err(error),
     };
     Ok(match file.try_lock() {
-        Ok(()) | Err(TryLockError::Error(_)) => Lock::Taken(file),
-        Err(TryLockError::WouldBlock) => Lock::Held(file),
+        Ok(()) | Err(TryLockError::Error(_)) => LockAttempt::Acquired(file),
+        Err(TryLockError::WouldBlock) => LockAttempt::HeldByOther(file),
     })
 }
 
-fn marks(file: &mut File) -> io::Result<Vec<u8>> {
+fn read_marks(file: &mut File) -> io::Result<Vec<u8>> {
     let mut marks = Vec::new();
     file.rewind()?;
     file.read_to_end(&mut marks)?;
     Ok(marks)
 }
 
-/// The generations of the lock files that stand in a folder, in their order.
-fn locks(folder: &Path) -> io::Result<Vec<Generation>> {
+fn predecessor_state(marks: &[u8]) -> PredecessorState {
+    if marks
+        .iter()
+        .any(|mark| [HANDED_OVER, FENCED].contains(mark))
+    {
+        PredecessorState::Inactive
+    } else {
+        PredecessorState::Active
+    }
+}
+
+/// The generations of the lock files in a folder, in ascending order.
+fn lock_generations(folder: &Path) -> io::Result<Vec<Generation>> {
     let mut found = Vec::new();
     for file in std::fs::read_dir(folder)? {
         let name = file?.file_name();
         let Some(name) = name.to_str() else { continue };
-        let number = if name == BEFORE {
-            Some(0)
+        if name == UNNUMBERED_LOCK {
+            found.push(UNNUMBERED);
         } else {
-            name.strip_prefix(PREFIX).and_then(|n| n.parse().ok())
-        };
-        found.extend(number.map(Generation));
+            let number = name
+                .strip_prefix(LOCK_PREFIX)
+                .and_then(|number| number.parse().ok());
+            found.extend(number.map(Generation));
+        }
     }
     found.sort_unstable();
     Ok(found)
 }
 
-fn path(folder: &Path, generation: Generation) -> PathBuf {
+fn lock_path(folder: &Path, generation: Generation) -> PathBuf {
     match generation {
-        Generation(0) => folder.join(BEFORE),
-        Generation(number) => folder.join(format!("{PREFIX}{number}")),
+        UNNUMBERED => folder.join(UNNUMBERED_LOCK),
+        Generation(number) => folder.join(format!("{LOCK_PREFIX}{number}")),
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn folder(name: &str) -> PathBuf {
-        let folder =
-            std::env::temp_dir().join(format!("marblefall-life-{name}-{}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&folder);
-        folder
-    }
-
-    #[test]
-    fn lives_see_each_other_for_as_long_as_they_run() {
-        let folder = folder("see");
-        let mut first = Incarnation::claim(&folder).unwrap();
-        assert_eq!(first.earlier().unwrap(), []);
-        assert!(!first.has_successor());
-        let mut second = Incarnation::claim(&folder).unwrap();
-        let one = Predecessor {
-            generation: first.generation(),
-            settled: false,
-        };
-        assert_eq!(second.earlier().unwrap(), [one]);
-        assert!(first.has_successor());
-        first.over().unwrap();
-        assert!(second.earlier().unwrap()[0].settled);
-        drop(first);
-        assert_eq!(second.earlier().unwrap(), []);
-        assert!(second.has_ended(one.generation));
-        second.forget_ended();
-        assert_eq!(locks(&folder).unwrap(), [second.generation()]);
-        let _ = std::fs::remove_dir_all(&folder);
-    }
-
-    #[test]
-    fn what_is_wanted_of_a_life_is_found_by_it() {
-        let folder = folder("wanted");
-        let mut first = Incarnation::claim(&folder).unwrap();
-        assert_eq!(first.wanted(), Wanted::default());
-        let mut second = Incarnation::claim(&folder).unwrap();
-        second.announce(first.generation()).unwrap();
-        assert_eq!(
-            first.wanted(),
-            Wanted {
-                beside: true,
-                hand_over: false
-            }
-        );
-        second.fence(first.generation()).unwrap();
-        assert_eq!(
-            first.wanted(),
-            Wanted {
-                beside: true,
-                hand_over: true
-            }
-        );
-        assert!(
-            second.earlier().unwrap()[0].settled,
-            "who is fenced off decides nothing"
-        );
-        let _ = std::fs::remove_dir_all(&folder);
-    }
-
-    #[test]
-    fn a_life_whose_successor_died_takes_a_place_after_it() {
-        let folder = folder("renew");
-        let mut first = Incarnation::claim(&folder).unwrap();
-        assert_eq!(first.renew().unwrap(), None, "nobody came up beside it");
-        let second = Incarnation::claim(&folder).unwrap();
-        assert_eq!(first.renew().unwrap(), None, "the other one runs");
-        let dead = second.generation();
-        drop(second);
-        let renewed = first.renew().unwrap().unwrap();
-        assert!(renewed > dead);
-        first.forget_ended();
-        assert_eq!(locks(&folder).unwrap(), [renewed]);
-        assert_eq!(
-            Incarnation::claim(&folder).unwrap().earlier().unwrap()[0].generation,
-            renewed
-        );
-        let _ = std::fs::remove_dir_all(&folder);
-    }
-
-    #[test]
-    fn an_earlier_program_is_waited_for_and_told_its_way() {
-        let folder = folder("before");
-        std::fs::create_dir_all(&folder).unwrap();
-        let before = File::create(folder.join(BEFORE)).unwrap();
-        before.try_lock().unwrap();
-        let mut life = Incarnation::claim(&folder).unwrap();
-        let earlier = life.earlier().unwrap();
-        assert_eq!(
-            earlier,
-            [Predecessor {
-                generation: Generation(0),
-                settled: false
-            }]
-        );
-        life.announce(Generation(0)).unwrap();
-        life.fence(Generation(0)).unwrap();
-        assert!(folder.join(BEFORE_NEXT).exists());
-        assert!(
-            !life.earlier().unwrap()[0].settled,
-            "it would not find a fence"
-        );
-        drop(before);
-        assert_eq!(life.earlier().unwrap(), []);
-        life.forget_ended();
-        assert!(!folder.join(BEFORE).exists() && !folder.join(BEFORE_NEXT).exists());
-        let _ = std::fs::remove_dir_all(&folder);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/delivery/src/hot_restart/incarnation/tests.rs
@@ -0,0 +1,120 @@
+use super::*;
+
+fn folder(name: &str) -> PathBuf {
+    let process = std::process::id();
+    let folder = std::env::temp_dir().join(format!("marblefall-incarnation-{name}-{process}"));
+    let _ = std::fs::remove_dir_all(&folder);
+    folder
+}
+
+#[test]
+fn predecessor_is_seen_until_it_exits() {
+    let folder = folder("running");
+    let mut first = Incarnation::claim(&folder).unwrap();
+    assert_eq!(first.running_predecessors().unwrap(), []);
+    assert!(!first.has_successor());
+    let mut second = Incarnation::claim(&folder).unwrap();
+    let predecessor = Predecessor {
+        generation: first.generation(),
+        state: PredecessorState::Active,
+    };
+    assert_eq!(second.running_predecessors().unwrap(), [predecessor]);
+    assert!(first.has_successor());
+    first.mark_handed_over().unwrap();
+    assert_eq!(
+        second.running_predecessors().unwrap()[0].state,
+        PredecessorState::Inactive
+    );
+    drop(first);
+    assert_eq!(second.running_predecessors().unwrap(), []);
+    assert!(second.has_exited(predecessor.generation));
+    second.forget_exited();
+    assert_eq!(lock_generations(&folder).unwrap(), [second.generation()]);
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
+#[test]
+fn successor_requests_are_found_by_the_predecessor() {
+    let folder = folder("requests");
+    let mut first = Incarnation::claim(&folder).unwrap();
+    assert_eq!(first.successor_requests(), SuccessorRequests::default());
+    let mut second = Incarnation::claim(&folder).unwrap();
+    second.announce(first.generation()).unwrap();
+    assert_eq!(
+        first.successor_requests(),
+        SuccessorRequests {
+            standby_started: true,
+            hand_over: false
+        }
+    );
+    second.fence(first.generation()).unwrap();
+    assert_eq!(
+        first.successor_requests(),
+        SuccessorRequests {
+            standby_started: true,
+            hand_over: true
+        }
+    );
+    assert_eq!(
+        second.running_predecessors().unwrap()[0].state,
+        PredecessorState::Inactive,
+        "a fenced predecessor decides nothing"
+    );
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
+#[test]
+fn exited_standby_is_succeeded_by_a_later_generation() {
+    let folder = folder("reclaim");
+    let mut first = Incarnation::claim(&folder).unwrap();
+    assert_eq!(
+        first.claim_after_exited_standbys().unwrap(),
+        None,
+        "there was no standby"
+    );
+    let standby = Incarnation::claim(&folder).unwrap();
+    assert_eq!(
+        first.claim_after_exited_standbys().unwrap(),
+        None,
+        "the standby is running"
+    );
+    let standby_generation = standby.generation();
+    drop(standby);
+    let claimed = first.claim_after_exited_standbys().unwrap().unwrap();
+    assert!(claimed > standby_generation);
+    first.forget_exited();
+    assert_eq!(lock_generations(&folder).unwrap(), [claimed]);
+    let mut next = Incarnation::claim(&folder).unwrap();
+    assert_eq!(next.running_predecessors().unwrap()[0].generation, claimed);
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
+#[test]
+fn unnumbered_predecessor_is_awaited_and_never_fenced() {
+    let folder = folder("unnumbered");
+    std::fs::create_dir_all(&folder).unwrap();
+    let unnumbered = File::create(folder.join(UNNUMBERED_LOCK)).unwrap();
+    unnumbered.try_lock().unwrap();
+    let mut incarnation = Incarnation::claim(&folder).unwrap();
+    assert_eq!(
+        incarnation.running_predecessors().unwrap(),
+        [Predecessor {
+            generation: UNNUMBERED,
+            state: PredecessorState::Active
+        }]
+    );
+    incarnation.announce(UNNUMBERED).unwrap();
+    incarnation.fence(UNNUMBERED).unwrap();
+    assert!(folder.join(UNNUMBERED_SUCCESSOR).exists());
+    assert_eq!(
+        incarnation.running_predecessors().unwrap()[0].state,
+        PredecessorState::Active,
+        "it would not find a fence"
+    );
+    drop(unnumbered);
+    assert_eq!(incarnation.running_predecessors().unwrap(), []);
+    incarnation.forget_exited();
+    assert!(!folder.join(UNNUMBERED_LOCK).exists());
+    assert!(!folder.join(UNNUMBERED_SUCCESSOR).exists());
+    let _ = std::fs::remove_dir_all(&folder);
+}
--- a/crates/delivery/src/instance.rs
+++ b/crates/delivery/src/instance.rs
@@ -5,6 +5,7 @@
 mod executor;
 pub mod platform_config;
 
+pub use crate::clock::Clock;
 pub use config::{InstanceConfig, PlatformFrontendConfig, PolicyUpdate};
 
 use crate::core::destination_table::DestinationTable;
@@ -12,21 +13,21 @@
     Engine, EngineCommand, EngineEvent, EngineSettings, PolicyMismatch, ProposedPolicy,
 };
 use crate::core::message_store::MessageStore;
-use crate::core::{FinalOutcome, MessageId, SubmitResponse, Timestamp};
+use crate::core::{FinalOutcome, MessageId, SubmitResponse};
 use crate::counters::Counters;
 use crate::frontend::cloudevents::{CloudEventsFrontend, Target};
 use crate::frontend::platform::{self, PlatformFrontend};
 use crate::frontend::Current;
-use crate::hot_restart::driver;
+use crate::hot_restart::driver::{self, StandbyDriver};
 use crate::hot_restart::incarnation::Incarnation;
 use crate::instance::admin::AdminState;
 use crate::instance::platform_config::PlatformConfig;
 use crate::lease_guard::LeaseGuard;
+use crate::log_line;
 use crate::net::discovery::{self, Home, Names};
 use crate::net::pool::{Limits, Pool};
-use crate::net::server::{self, unix_ms, ClientConnections, ReadTimeout, Spawner};
+use crate::net::server::{self, ClientConnections, ReadTimeout, Spawner};
 use crate::net::{admin as admin_listener, listen};
-use crate::say;
 use crate::snapshot_store::SnapshotStore;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -34,7 +35,7 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{future, StreamExt};
 use marblefall_atomic_file::Real;
-use marblefall_scheduler::{EndpointId, Idempotency, MessageClass, Span, Time};
+use marblefall_scheduler::{EndpointId, Idempotency, MessageClass, Span};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
@@ -60,30 +61,6 @@
 /// Descriptors kept for the journal, discovery, notices and the runtime.
 const OTHER_SOCKETS: usize = 24;
 
-/// The monotonic clock as the core counts it.
-#[derive(Clone, Copy)]
-pub struct Clock(Instant);
-
-impl Clock {
-    /// A clock that starts now.
-    pub fn start() -> Clock {
-        Clock(Instant::now())
-    }
-
-    /// The present moment.
-    pub fn now(self) -> Timestamp {
-        Timestamp {
-            monotonic: Time(self.0.elapsed().as_micros() as i64),
-            unix_ms: unix_ms(),
-        }
-    }
-
-    /// The moment at which it shows a time; its start for what lies before.
-    pub fn instant(self, at: Time) -> Instant {
-        self.0 + Duration::from_micros(at.0.max(0) as u64)
-    }
-}
-
 /// What an instance is told from outside.
 #[derive(Clone)]
 pub enum InstanceCommand {
@@ -233,11 +210,11 @@
             InstanceCommand::ReloadConfig => {
                 match PlatformConfig::from_env().and_then(|told| told.discovery_address()) {
                     Ok(to) => {
-                        say!("configuration read again: discovery is at {to}");
+                        log_line!("configuration read again: discovery is at {to}");
                         InstanceCommand::DiscoveryMoved(to)
                     }
                     Err(cause) => {
-                        say!("configuration kept as it was, {cause}");
+                        log_line!("configuration kept as it was, {cause}");
                         continue;
                     }
                 }
@@ -319,8 +296,8 @@
             tasks.spawn(discovery::watch(home(), names, since, asking, news.clone()));
         }
         if let Some(others) = beside {
-            if let Err(error) = listen::prefer(&relay.listener, others.number) {
-                say!(
+            if let Err(error) = listen::prefer(&relay.listener, others.count) {
+                log_line!(
                     code = "not-preferred",
                     "the process before still gets new connections: {error}"
                 );
@@ -328,7 +305,7 @@
         }
         let (listener, front) = (open(relay.listener)?, Rc::new(Current::new(relay.front)));
         relay_front = Some(front.clone());
-        say!("listens at {}", address_of(&listener));
+        log_line!("listens at {}", address_of(&listener));
         tasks.spawn(server::serve(
             listener,
             front,
@@ -345,7 +322,7 @@
     ));
     if let Some(listener) = build.mgmt {
         let listener = open(listener)?;
-        say!("operators call at {}", address_of(&listener));
+        log_line!("operators call at {}", address_of(&listener));
         tasks.spawn(admin_listener::listen(
             listener,
             admin.clone(),
@@ -356,7 +333,7 @@
     if let Some((listener, front)) = build.events {
         events.set(front);
         let listener = open(listener)?;
-        say!("takes events at {}", address_of(&listener));
+        log_line!("takes events at {}", address_of(&listener));
         let front = events.clone();
         tasks.spawn(server::serve(
             listener,
@@ -384,13 +361,16 @@
         });
     let life = Rc::new(RefCell::new(life));
     if let Some(beside) = beside {
-        tasks.spawn(driver::run_standby(
-            life.clone(),
-            beside.first,
-            clock,
-            admin.clone(),
-            news.clone(),
-        ));
+        tasks.spawn(
+            StandbyDriver {
+                incarnation: life.clone(),
+                first_concurrent: beside.first,
+                clock,
+                instance: admin.clone(),
+                engine: news.clone(),
+            }
+            .run(),
+        );
     }
     tasks.spawn(driver::watch_successors(
         life.clone(),
@@ -425,7 +405,7 @@
     executor
         .work(engine, orders, inputs, listed, &stop, keep)
         .await;
-    say!("{}", executor.counters);
+    log_line!("{}", executor.counters);
     Ok(())
 }
 
@@ -443,7 +423,7 @@
 ) {
     while let Ok(command) = commands.recv().await {
         match command {
-            InstanceCommand::PrintCounters => say!("{}", executor.counters),
+            InstanceCommand::PrintCounters => log_line!("{}", executor.counters),
             InstanceCommand::DiscoveryMoved(to) => executor.movers.iter().for_each(|mover| {
                 let _ = mover.try_send(to);
             }),
@@ -474,7 +454,7 @@
                 timeout: left,
                 restart: goes_on,
             } if stop.get().is_none() => {
-                say!("told to end");
+                log_line!("told to end");
                 let ends = executor.leave(left, goes_on, &stop);
                 executor.clients.put(ends).await;
             }
@@ -583,7 +563,7 @@
                 batch.push(match stop.get() {
                     Some(_) => self.ends(SHUTDOWN_TIMEOUT, true),
                     None => {
-                        say!("asked to hand over");
+                        log_line!("asked to hand over");
                         self.leave(SHUTDOWN_TIMEOUT, false, stop)
                     }
                 });
--- a/crates/delivery/src/instance/admin.rs
+++ b/crates/delivery/src/instance/admin.rs
@@ -3,9 +3,10 @@
 //! which this one may still run, keeps them out from its start.
 
 use crate::core::engine::EngineEvent;
+use crate::hot_restart::driver::HotRestartInstance;
+use crate::log_line;
 use crate::net::admin::{Call, Operators};
 use crate::net::server::ClientConnections;
-use crate::say;
 use async_channel::Sender;
 use marblefall_atomic_file::{replace, Outlasts, Real};
 use marblefall_scheduler::EndpointId;
@@ -61,7 +62,7 @@
                 .collect(),
             Err(error) if error.kind() == std::io::ErrorKind::NotFound => BTreeSet::new(),
             Err(error) => {
-                say!(
+                log_line!(
                     code = "held-out-unread",
                     "{}: {error}; none held out",
                     self.path.display()
@@ -102,7 +103,7 @@
         if changed {
             let text: String = held.iter().map(|id| format!("{id}\n")).collect();
             if let Err(error) = replace(&Real, &self.path, text.as_bytes(), Outlasts::Process) {
-                say!(
+                log_line!(
                     code = "held-out-unwritten",
                     "{}: {error}",
                     self.path.display()
@@ -118,7 +119,7 @@
             let _ = self
                 .news
                 .try_send(EngineEvent::EndpointsDisabled(held.clone()));
-            say!(
+            log_line!(
                 code = "held-out",
                 "endpoint {id} {}",
                 if out { "held out" } else { "let in" }
@@ -128,6 +129,16 @@
     }
 }
 
+impl HotRestartInstance for AdminState {
+    fn load_operator_state(&self) {
+        self.reread();
+    }
+
+    fn is_active(&self) -> bool {
+        self.started.get()
+    }
+}
+
 impl Operators for AdminState {
     fn call(&self, call: Call<'_>) -> u16 {
         match call {
@@ -138,12 +149,12 @@
             Call::Enable(id) => self.hold(id, false),
             Call::Drain => {
                 self.clients.drain(true);
-                say!(code = "drained", "clients are sent away");
+                log_line!(code = "drained", "clients are sent away");
                 200
             }
             Call::Undrain => {
                 self.clients.drain(false);
-                say!(code = "undrained", "clients are taken again");
+                log_line!(code = "undrained", "clients are taken again");
                 200
             }
         }
--- a/crates/delivery/src/instance/executor.rs
+++ b/crates/delivery/src/instance/executor.rs
@@ -9,8 +9,8 @@
 use crate::frontend::{cloudevents, platform};
 use crate::hot_restart::driver;
 use crate::lease_guard::{self, LeasePermit};
+use crate::log_line;
 use crate::net::pool::{Call, Ended};
-use crate::say;
 use marblefall_scheduler::{EndpointStatus, Outcome};
 use std::rc::Rc;
 
@@ -41,7 +41,7 @@
         for order in orders.drain(..) {
             if replaced && matches!(order, EngineCommand::SendNotice { .. }) {
                 // It is in the journal, where whoever took over before does not look for it.
-                say!(
+                log_line!(
                     code = "fenced-off",
                     "a notice is left to the process that took over"
                 );
@@ -147,23 +147,23 @@
                 self.admin.started.set(true);
             }
             EngineCommand::HandedOver => {
-                if let Err(error) = self.life.borrow_mut().over() {
-                    say!(
+                if let Err(error) = self.life.borrow_mut().mark_handed_over() {
+                    log_line!(
                         code = "not-marked",
                         "the next process does not see that this one has handed over: {error}"
                     );
                 }
                 self.admin.started.set(false);
                 self.pool.leave();
-                say!(code = "handed-over", "another process decides from now on");
+                log_line!(code = "handed-over", "another process decides from now on");
             }
             EngineCommand::PolicyInForce(revision) => {
                 self.revision.set(revision);
-                say!(code = "policy-taken-up", "decides by revision {revision}");
+                log_line!(code = "policy-taken-up", "decides by revision {revision}");
                 // What waited for it goes on in a step under its own pass.
                 let _ = self.news.try_send(EngineEvent::LeaseChanged);
             }
-            EngineCommand::Log(text) => say!("{text}"),
+            EngineCommand::Log(text) => log_line!("{text}"),
         }
     }
 
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`core`] knows no wire; [`net`] is the network around it, [`frontend`] translates between the two, [`hot_restart`]
 //! is how one process takes over from another, and [`instance`] puts one together and runs it.
 
+pub mod clock;
 pub mod core;
 pub mod counters;
 pub mod frontend;
--- a/crates/delivery/src/log.rs
+++ b/crates/delivery/src/log.rs
@@ -128,12 +128,20 @@
 /// Writes a line for those on call, unless too many came just now: fields such as `code = %code` first, then a
 /// text as in `format!`.
 #[macro_export]
-macro_rules! say {
+macro_rules! log_line {
     ($($part:tt)*) => {
         $crate::log::tracing::info!($($part)*)
     };
 }
 
+/// The former name of [`log_line!`], for packages that still use it.
+#[macro_export]
+macro_rules! say {
+    ($($part:tt)*) => {
+        $crate::log_line!($($part)*)
+    };
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/delivery/src/net/admin.rs
+++ b/crates/delivery/src/net/admin.rs
@@ -4,7 +4,7 @@
 use super::http;
 use super::link::{until, Link, Stop};
 use super::server::Spawner;
-use crate::say;
+use crate::log_line;
 use async_io::Async;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -78,7 +78,7 @@
                             Err(Stop::Fault(fault)) => (fault.status(), fault.code()),
                             Err(stop) => {
                                 let code = stop.code();
-                                return say!(code, "operators' call ended unanswered");
+                                return log_line!(code, "operators' call ended unanswered");
                             }
                         };
                     let head = format!(
@@ -86,11 +86,11 @@
                         http::phrase(status)
                     );
                     let _ = until(by + ANSWER_BY / 4, link.write(head.as_bytes(), b"")).await;
-                    say!(code, "operators' call answered with {status}");
+                    log_line!(code, "operators' call answered with {status}");
                 });
             }
             Err(error) => {
-                say!("no operators' connection accepted: {error}");
+                log_line!("no operators' connection accepted: {error}");
                 async_io::Timer::after(Duration::from_millis(50)).await;
             }
         }
--- a/crates/delivery/src/net/discovery.rs
+++ b/crates/delivery/src/net/discovery.rs
@@ -9,7 +9,7 @@
 use super::pool::MOST_RATE;
 use crate::core::endpoint::ListedEndpoint;
 use crate::core::engine::EngineEvent;
-use crate::say;
+use crate::log_line;
 use async_channel::Receiver;
 use futures_lite::future;
 use marblefall_scheduler::{DestinationId, EndpointStatus, KindId, ZoneId};
@@ -90,7 +90,7 @@
         let read = |entry: &RawValue| match serde_json::from_str::<Member<'_>>(entry.get()) {
             Ok(member) => Some(host(member)),
             Err(error) => {
-                say!(
+                log_line!(
                     code = "entry-malformed",
                     "an entry of the list is left out: {error}"
                 );
@@ -131,7 +131,7 @@
         match future::or(moved, async { Ok(what.await) }).await {
             Ok(done) => Some(done),
             Err(to) => {
-                say!(
+                log_line!(
                     code = "moved",
                     "discovery {}: connection ended, moved to {to}",
                     self.address
--- a/crates/delivery/src/net/discovery/notices.rs
+++ b/crates/delivery/src/net/discovery/notices.rs
@@ -3,9 +3,9 @@
 use super::{Home, BACKOFF, HEAD};
 use crate::core::engine::EngineEvent;
 use crate::core::{FinalOutcome, MessageId};
+use crate::log_line;
 use crate::net::http;
 use crate::net::link::{until, Link, Stop};
-use crate::say;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use std::net::SocketAddr;
@@ -53,7 +53,7 @@
                 Err(stop) => stop.code().to_owned(),
             };
             kept = None;
-            say!(code = %code, "discovery {address}: {} notices not taken", due.len());
+            log_line!(code = %code, "discovery {address}: {} notices not taken", due.len());
             Timer::after(wait).await;
             wait = (wait * 2).min(BACKOFF.1);
             Some(false)
--- a/crates/delivery/src/net/discovery/watch.rs
+++ b/crates/delivery/src/net/discovery/watch.rs
@@ -2,9 +2,9 @@
 
 use super::{Home, List, Names, BACKOFF, HEAD};
 use crate::core::engine::EngineEvent;
+use crate::log_line;
 use crate::net::http::{self, Chunks, Framing, Piece};
 use crate::net::link::Link;
-use crate::say;
 use async_channel::Sender;
 use async_io::Timer;
 use futures_lite::future::{self, Future};
@@ -223,7 +223,7 @@
         if self.next.is_some_and(|at| at <= now) {
             self.next = None;
             if self.coming.replace((self.open)()).is_some() {
-                say!(code = "no-answer", "discovery {address}: watch ended");
+                log_line!(code = "no-answer", "discovery {address}: watch ended");
             }
         }
     }
@@ -234,7 +234,7 @@
             Heard::Line => {
                 self.next = None;
                 if std::mem::replace(&mut self.serving, coming).is_some() {
-                    say!(code = "silent", "discovery {address}: watch ended");
+                    log_line!(code = "silent", "discovery {address}: watch ended");
                 }
             }
             Heard::FinalOutcome(code) => self.ended(code, coming, now, address),
@@ -246,7 +246,7 @@
             Heard::Line => {
                 self.next = None;
                 if self.coming.take().is_some() {
-                    say!(code = "not-needed", "discovery {address}: watch ended");
+                    log_line!(code = "not-needed", "discovery {address}: watch ended");
                 }
             }
             Heard::FinalOutcome(code) => {
@@ -257,7 +257,7 @@
     }
 
     fn ended(&mut self, code: &str, watch: Option<Open<'w>>, now: Instant, address: SocketAddr) {
-        say!(code, "discovery {address}: watch ended");
+        log_line!(code, "discovery {address}: watch ended");
         // One that is coming up is as good as another.
         if self.coming.is_none() {
             let list = watch.is_some_and(|watch| watch.told.get().list);
--- a/crates/delivery/src/net/pool.rs
+++ b/crates/delivery/src/net/pool.rs
@@ -6,7 +6,7 @@
 use crate::core::{Disposition, MessageId, Route};
 use crate::counters::{add, Counters};
 use crate::lease_guard::LeasePermit;
-use crate::say;
+use crate::log_line;
 use async_channel::{Receiver, Sender};
 use futures_lite::future;
 use marblefall_scheduler::{EndpointId, Outcome, RateLimitReport, Span};
@@ -46,7 +46,7 @@
         self.idle.retain(|(_, since)| {
             let ends = *since < before;
             if ends {
-                say!(host = id.0, code, "endpoint: connection ended");
+                log_line!(host = id.0, code, "endpoint: connection ended");
             }
             !ends
         });
@@ -288,7 +288,7 @@
             } else {
                 "write-failed"
             };
-            say!(host = id.0, code, "endpoint: connection ended");
+            log_line!(host = id.0, code, "endpoint: connection ended");
             return if kept || held_back {
                 Outcome::NotSent
             } else {
@@ -334,7 +334,7 @@
             Some((ended, Err(code))) => (ended, code),
             None => (Outcome::Cancelled.into(), "called-off"),
         };
-        say!(host = id.0, code, "endpoint: connection ended");
+        log_line!(host = id.0, code, "endpoint: connection ended");
         ended
     }
 
@@ -360,7 +360,7 @@
                         to,
                     });
                 }
-                say!(
+                log_line!(
                     host = id.0,
                     code = "closed-while-idle",
                     "endpoint: connection ended"
@@ -388,7 +388,7 @@
                 } else {
                     "dial-timed-out"
                 };
-                say!(host = id.0, code, "endpoint: no connection");
+                log_line!(host = id.0, code, "endpoint: no connection");
                 Err(Outcome::ConnectFailed)
             }
         }
@@ -409,7 +409,7 @@
             .get_mut(&id)
             .into_iter()
             .for_each(|place| drop(place.idle.remove(0)));
-        say!(
+        log_line!(
             host = id.0,
             code = "made-room",
             "endpoint: connection ended"
@@ -429,7 +429,7 @@
         let keeps = self.is_open_at(id, to) && !self.leaving.get();
         match self.places.borrow_mut().get_mut(&id).filter(|_| keeps) {
             Some(place) => place.idle.push((link, Instant::now())),
-            None => say!(host = id.0, code = "not-kept", "endpoint: connection ended"),
+            None => log_line!(host = id.0, code = "not-kept", "endpoint: connection ended"),
         }
     }
 }
--- a/crates/delivery/src/net/server.rs
+++ b/crates/delivery/src/net/server.rs
@@ -3,10 +3,11 @@
 
 use super::http::{self, Fault};
 use super::link::{until, Link, Stop};
+use crate::clock::unix_ms;
 use crate::core::engine::EngineEvent;
 use crate::core::{RequestId, SubmitResponse};
 use crate::counters::{add, Counters};
-use crate::say;
+use crate::log_line;
 use crate::seam::{Front, Reply, Take};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -16,7 +17,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::{Rc, Weak};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tracing::Instrument;
 
 /// The longest head that is read.
@@ -187,13 +188,6 @@
     }
 }
 
-/// Unix time in milliseconds.
-pub fn unix_ms() -> i64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |since| since.as_millis() as i64)
-}
-
 /// The way from socket code to the engine: a queue in, answers back by ticket.
 pub struct ClientConnections {
     queue: Sender<EngineEvent>,
@@ -341,7 +335,7 @@
             Some(Ok((stream, from))) => welcome(stream, from, &front, &clients, patience, &tasks),
             Some(Err(error)) => {
                 // Out of descriptors, say: trying at once again would only spin.
-                say!("no connection accepted: {error}");
+                log_line!("no connection accepted: {error}");
                 Timer::after(Duration::from_millis(50)).await;
             }
             None => {
@@ -352,7 +346,7 @@
                 }
                 drop(listener);
                 clients.listeners.set(clients.listeners.get() - 1);
-                say!("no longer accepts connections");
+                log_line!("no longer accepts connections");
                 return;
             }
         }
@@ -389,7 +383,7 @@
         )
         .await;
         clients.connections.leave(connection);
-        say!(code, "client side: connection ended");
+        log_line!(code, "client side: connection ended");
     };
     tasks.spawn(serving.instrument(span));
 }
--- a/crates/delivery/src/snapshot_store.rs
+++ b/crates/delivery/src/snapshot_store.rs
@@ -1,7 +1,7 @@
 //! The snapshot of destinations on disk.
 
 use crate::core::snapshot::{decode, encode, DestinationRecord, SnapshotError};
-use crate::say;
+use crate::log_line;
 use marblefall_atomic_file::{replace, Disk, Outlasts, Real};
 use std::io;
 use std::path::{Path, PathBuf};
@@ -39,7 +39,7 @@
         let (last_written, records) = match read(&disk, folder) {
             Ok(records) => (encode(&records), records),
             Err(cause) => {
-                say!(code = "snapshot-ignored", "{}: {cause}", path.display());
+                log_line!(code = "snapshot-ignored", "{}: {cause}", path.display());
                 Default::default()
             }
         };
@@ -72,7 +72,7 @@
             }
             Err(error) => {
                 if !std::mem::replace(&mut self.failed, true) {
-                    say!(
+                    log_line!(
                         code = "snapshot-not-written",
                         "{}: {error}",
                         self.path.display()
--- a/crates/delivery/tests/stored_data.rs
+++ b/crates/delivery/tests/stored_data.rs
@@ -8,7 +8,7 @@
 use marblefall_delivery::core::message_store::MessageStore;
 use marblefall_delivery::core::snapshot::DestinationRecord;
 use marblefall_delivery::core::{FinalOutcome, Origin};
-use marblefall_delivery::hot_restart::incarnation::Incarnation;
+use marblefall_delivery::hot_restart::incarnation::{Incarnation, PredecessorState};
 use marblefall_delivery::snapshot_store;
 use marblefall_scheduler::{ClassId, DestinationId, IdleRecord, Time};
 use std::collections::BTreeMap;
@@ -199,16 +199,16 @@
     running.try_lock().unwrap();
     let mut third = Incarnation::claim(&folder).unwrap();
     assert_eq!(third.generation(), Generation(3));
-    let earlier = third.earlier().unwrap();
-    assert_eq!(earlier.len(), 1);
+    let predecessors = third.running_predecessors().unwrap();
+    assert_eq!(predecessors.len(), 1);
     assert_eq!(
-        (earlier[0].generation, earlier[0].settled),
-        (Generation(1), true)
+        (predecessors[0].generation, predecessors[0].state),
+        (Generation(1), PredecessorState::Inactive)
     );
-    assert!(third.has_ended(Generation(2)));
+    assert!(third.has_exited(Generation(2)));
     drop(running);
-    assert_eq!(third.earlier().unwrap(), []);
-    assert!(third.has_ended(Generation(1)));
+    assert_eq!(third.running_predecessors().unwrap(), []);
+    assert!(third.has_exited(Generation(1)));
     fs::remove_dir_all(folder).unwrap();
 }
 
