--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,8 +9,7 @@
 use marblefall_control_plane::file::Fleet;
 use marblefall_control_plane::group::Membership;
 use marblefall_control_plane::plan::{Applied, Plan};
-use marblefall_delivery::instance::platform_config::PlatformConfig;
-use marblefall_delivery::log;
+use marblefall_delivery::{error_chain, instance, log};
 use std::path::Path;
 use std::process::ExitCode;
 use words::{Command, Form, Words};
@@ -18,7 +17,7 @@
 fn main() -> ExitCode {
     let done = if std::env::args_os().len() <= 1 {
         log::start(log::Format::Text);
-        PlatformConfig::from_env().and_then(marblefall_delivery::instance::run)
+        instance::run_on_platform().map_err(|error| error_chain(&error))
     } else {
         obey(Words::parse().command)
     };
--- a/crates/control-plane/src/build.rs
+++ b/crates/control-plane/src/build.rs
@@ -4,9 +4,12 @@
 use crate::file::{number_of, Class, Fleet, Repeats};
 use crate::listing::Listing;
 use marblefall_delivery::core::engine::{EngineEvent, EngineSettings, PolicyChange};
-use marblefall_delivery::frontend::cloudevents::{CloudEventsFrontend, EventClass};
+use marblefall_delivery::frontend::cloudevents::{CloudEventsFrontend, Destinations, EventClass};
 use marblefall_delivery::frontend::platform::PlatformFrontend;
-use marblefall_delivery::instance::{InstanceConfig, PlatformFrontendConfig, PolicyUpdate};
+use marblefall_delivery::instance::{
+    CloudEventsFrontendConfig, InstanceConfig, LeaseConfig, PlatformFrontendConfig, PolicyUpdate,
+    StateFolder,
+};
 use marblefall_delivery::lease_guard::LeaseGuard;
 use marblefall_scheduler as m;
 use std::cell::RefCell;
@@ -78,31 +81,37 @@
     let instance = share.instances.get(name).ok_or("it is not in the fleet")?;
     let limits = &share.limits;
     let events = match (&instance.events, events(name, share, classes, listing)) {
-        (Some(front), Some(terms)) => Some((listener("events", front.listen)?, terms)),
+        (Some(front), Some(terms)) => Some(CloudEventsFrontendConfig {
+            listener: listener("events", front.listen)?,
+            frontend: terms,
+        }),
         _ => None,
     };
     let relay = match (&instance.relay, relay(name, share, classes)) {
         (Some(at), Some(front)) => Some(PlatformFrontendConfig {
             listener: listener("relay", at.listen)?,
-            front,
-            notices: at.notices,
+            frontend: front,
+            discovery: at.notices,
             watch: None,
         }),
         _ => None,
     };
     Ok(InstanceConfig {
         name: name.to_owned(),
-        state: (state, (limits.disk_mb * 1e6) as u64),
-        sockets: limits.sockets,
-        setup: setup(share, classes),
-        classes: classes.names(),
-        dial: Duration::from_millis(limits.dial_ms),
-        idle: Duration::from_millis(limits.idle_ms),
-        hosts: EngineEvent::DestinationTableReplaced(listing.destination_table.clone()),
-        relay,
-        events,
-        mgmt: None,
-        held,
+        state_folder: StateFolder {
+            path: state,
+            max_bytes: (limits.disk_mb * 1e6) as u64,
+        },
+        max_sockets: limits.sockets,
+        engine: setup(share, classes),
+        class_names: classes.names(),
+        connect_timeout: Duration::from_millis(limits.dial_ms),
+        idle_timeout: Duration::from_millis(limits.idle_ms),
+        endpoints: EngineEvent::DestinationTableReplaced(listing.destination_table.clone()),
+        platform: relay,
+        cloudevents: events,
+        admin_listener: None,
+        lease: held.map(|(guard, revision)| LeaseConfig { guard, revision }),
     })
 }
 
@@ -123,8 +132,8 @@
     };
     PolicyUpdate {
         change,
-        relay: relay(name, share, classes),
-        events: events(name, share, classes, listing),
+        platform: relay(name, share, classes),
+        cloudevents: events(name, share, classes, listing),
     }
 }
 
@@ -136,8 +145,8 @@
 ) -> Option<CloudEventsFrontend> {
     let front = share.instances.get(name)?.events.as_ref()?;
     let known = |class: &Class| EventClass {
-        give_up_ms: class.give_up_ms as i64,
-        keyed: class.repeats == Repeats::Keyed,
+        default_time_to_live_ms: class.give_up_ms as i64,
+        requires_key: class.repeats == Repeats::Keyed,
     };
     let types = front
         .types
@@ -146,10 +155,13 @@
     Some(CloudEventsFrontend {
         path: front.path.clone(),
         destination_attribute: front.destination_attribute.clone(),
-        types: types.collect(),
+        class_by_type: types.collect(),
         classes: classes.0.iter().map(|(_, class)| known(class)).collect(),
-        listed: RefCell::new((listing.destination_table.clone(), listing.targets.clone())),
-        number: Some(number_of),
+        destinations: RefCell::new(Destinations {
+            table: listing.destination_table.clone(),
+            targets: listing.targets.clone(),
+        }),
+        destination_number: Some(number_of),
     })
 }
 
@@ -166,13 +178,13 @@
         false => String::new(),
     };
     Some(PlatformFrontend {
-        classes: classes.0.iter().map(current).collect(),
-        keyed: classes
+        class_names: classes.0.iter().map(current).collect(),
+        requires_key: classes
             .0
             .iter()
             .map(|(_, class)| class.repeats == Repeats::Keyed)
             .collect(),
-        numbers: Some(numbers.collect()),
+        destinations_by_number: Some(numbers.collect()),
     })
 }
 
--- a/crates/control-plane/src/supervise.rs
+++ b/crates/control-plane/src/supervise.rs
@@ -47,7 +47,7 @@
 /// Runs the fleet until the process is told to end. In a home that is a member of a group, all that its instances do under a
 /// policy is written to `history`, if that is given, and its link listens at `link` instead of the file's address.
 pub fn run(home: &Path, history: Option<&Path>, link: Option<SocketAddr>) -> Result<(), String> {
-    let signals = instance::signals()?;
+    let signals = instance::signals().map_err(|error| marblefall_delivery::error_chain(&error))?;
     let early = (applied_at(home), listing::read(home)?);
     let member = group::Membership::read(home)?;
     // Two daemons over one folder would write into each other's journals.
@@ -426,6 +426,7 @@
             Spawner::new(&tasks),
         )));
         if let Err(cause) = ended {
+            let cause = marblefall_delivery::error_chain(&cause);
             say!(code = "failed", "{cause}");
         }
     };
--- a/crates/delivery/src/counters.rs
+++ b/crates/delivery/src/counters.rs
@@ -1,10 +1,12 @@
-//! What an instance took in, sent and answered, printed on request and at exit.
+//! Counters of an instance, printed on request and at exit.
+//!
+//! Where the printed name differs from the field's, operators' tools read the printed one.
 
 use std::cell::Cell;
 use std::fmt;
 
 macro_rules! counters {
-    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
+    ($($(#[$doc:meta])* $name:ident = $printed:literal),* $(,)?) => {
         /// Counts since the process started.
         #[derive(Debug, Default)]
         pub struct Counters {
@@ -13,7 +15,7 @@
 
         impl fmt::Display for Counters {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                $(write!(f, concat!(stringify!($name), "={} "), self.$name.get())?;)*
+                $(write!(f, concat!($printed, "={} "), self.$name.get())?;)*
                 Ok(())
             }
         }
@@ -21,48 +23,48 @@
 }
 
 counters! {
-    /// Messages handed in.
-    offered,
-    /// Of these, taken on.
-    taken_on,
-    /// Of these, declined.
-    declined,
-    /// Messages an earlier life of the process had taken on.
-    resumed,
+    /// Messages submitted.
+    submitted = "offered",
+    /// Of these, accepted.
+    accepted = "taken_on",
+    /// Of these, rejected.
+    rejected = "declined",
+    /// Messages that an earlier incarnation had accepted.
+    recovered = "resumed",
     /// Requests that could not be read or used.
-    rejected,
-    /// Legs begun.
-    legs,
+    unreadable_requests = "rejected",
+    /// Attempts started.
+    attempts = "legs",
     /// Connections opened to endpoints.
-    dialled,
-    /// Legs that were answered as delivered.
-    delivered,
-    /// Legs turned away.
-    turned_away,
+    connections_opened = "dialled",
+    /// Attempts whose response says delivered.
+    attempts_delivered = "delivered",
+    /// Attempts that were rejected.
+    attempts_rejected = "turned_away",
     /// Of these, those that found no slot free.
-    no_slot,
-    /// Legs answered with an error.
-    errors,
-    /// Legs abandoned without an answer.
-    timed_out,
-    /// Legs that got no connection.
-    unconnected,
-    /// Legs whose connection broke.
-    resets,
-    /// Legs called off.
-    cancelled,
-    /// Legs not begun after all.
-    not_begun,
-    /// Messages given back to be handed in again.
-    returned,
-    /// Messages given up for good.
-    failed,
-    /// Messages whose time ran out.
-    expired,
-    /// Notices that the platform has taken.
-    notices,
+    attempts_without_slot = "no_slot",
+    /// Attempts whose response is an error.
+    attempts_failed = "errors",
+    /// Attempts abandoned without a response.
+    attempts_timed_out = "timed_out",
+    /// Attempts that got no connection.
+    attempts_unconnected = "unconnected",
+    /// Attempts whose connection broke.
+    attempts_reset = "resets",
+    /// Attempts that were cancelled.
+    attempts_cancelled = "cancelled",
+    /// Attempts not sent after all.
+    attempts_not_sent = "not_begun",
+    /// Messages returned to be submitted again.
+    returned = "returned",
+    /// Messages that failed.
+    failed = "failed",
+    /// Messages that expired.
+    expired = "expired",
+    /// Notices that the platform has acknowledged.
+    notices_acknowledged = "notices",
     /// The longest that the engine kept everything else of the instance waiting, in microseconds: no count.
-    longest_step_us,
+    longest_step_us = "longest_step_us",
 }
 
 /// Adds one.
--- a/crates/delivery/src/frontend.rs
+++ b/crates/delivery/src/frontend.rs
@@ -1,46 +1,51 @@
-//! Fronts translate between a wire and the core; they decide nothing. What they have in common with the network
-//! is the `seam`.
+//! The frontends: translations between a protocol and the core. They decide nothing, and do not know each other.
+//!
+//! What they have in common with the network is [`crate::net::frontend`].
 
 pub mod cloudevents;
 pub mod platform;
 
 use crate::core::SubmitResponse;
-use crate::net::http::Request;
-use crate::seam::{Front, Reply, Take};
+use crate::net::frontend::{Frontend, ParsedRequest, Response};
+use crate::net::http::RequestHead;
 use std::cell::RefCell;
 use std::rc::Rc;
 
-/// A front whose terms change while it is on: each request is read by those of its moment.
+/// A frontend that may be replaced while it is in use: each request is parsed by the one of its moment.
 #[derive(Debug, Default)]
-pub struct Current<F>(RefCell<Rc<F>>);
+pub struct SwappableFrontend<F> {
+    current: RefCell<Rc<F>>,
+}
 
-impl<F> Current<F> {
-    /// With these terms for now.
-    pub fn new(front: F) -> Current<F> {
-        Current(RefCell::new(Rc::new(front)))
+impl<F> SwappableFrontend<F> {
+    /// Starts with a frontend.
+    pub fn new(frontend: F) -> SwappableFrontend<F> {
+        SwappableFrontend {
+            current: RefCell::new(Rc::new(frontend)),
+        }
     }
 
-    /// The terms of this moment.
+    /// The frontend in use.
     pub fn get(&self) -> Rc<F> {
-        self.0.borrow().clone()
+        self.current.borrow().clone()
     }
 
-    /// Takes up other terms.
-    pub fn set(&self, front: F) {
-        self.0.replace(Rc::new(front));
+    /// Replaces it.
+    pub fn set(&self, frontend: F) {
+        self.current.replace(Rc::new(frontend));
     }
 }
 
-impl<F: Front> Front for Current<F> {
-    fn take(&self, request: &Request<'_>, body: &[u8], now_ms: i64) -> Take {
-        self.get().take(request, body, now_ms)
+impl<F: Frontend> Frontend for SwappableFrontend<F> {
+    fn parse(&self, request: &RequestHead<'_>, body: &[u8], now_ms: i64) -> ParsedRequest {
+        self.get().parse(request, body, now_ms)
     }
 
-    fn one_at_a_time(&self) -> bool {
-        self.get().one_at_a_time()
+    fn one_request_at_a_time(&self) -> bool {
+        self.get().one_request_at_a_time()
     }
 
-    fn settled(&self, answer: SubmitResponse) -> Option<Reply> {
-        self.get().settled(answer)
+    fn respond(&self, response: SubmitResponse) -> Option<Response> {
+        self.get().respond(response)
     }
 }
--- a/crates/delivery/src/frontend/cloudevents.rs
+++ b/crates/delivery/src/frontend/cloudevents.rs
@@ -1,149 +1,141 @@
-//! CloudEvents over HTTP: partners hand events in and are answered at each event's end; each goes on to its
-//! destination as an event again. Nothing but translation: rules and decisions are the core's.
+//! CloudEvents over HTTP: clients submit events and get the response with the event's final outcome; each goes on to its
+//! destination as an event again. [`event`] reads and writes the events themselves.
 
 pub mod event;
 
 use crate::core::destination_table::DestinationTable;
 use crate::core::{Disposition, FinalOutcome, Message, Origin, SubmitResponse};
-use crate::net::http::{Request, Response};
-use crate::net::pool::{told_wait, Ended};
-use crate::seam::{Front, Reply, Take};
-use event::{Context, Fault, Mode};
+use crate::net::frontend::{Frontend, ParsedRequest, Response};
+use crate::net::http::{Fields, RequestHead, ResponseHead};
+use crate::net::pool::{AttemptOutcome, EncodedRequest};
+use crate::net::response_fields::retry_after;
+use event::{Context, EventError, Mode};
 use marblefall_scheduler::{ClassId, DestinationId, Outcome, RateLimitReport};
-use std::borrow::Cow;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// A deadline farther off than this is taken for this.
-const LONGEST_MS: i64 = 7 * 24 * 3600 * 1000;
+/// A later deadline is taken for this.
+const MAX_TIME_TO_LIVE_MS: i64 = 7 * 24 * 3600 * 1000;
 
-/// What the front knows of a class.
+/// What the frontend knows of a class.
 #[derive(Clone, Debug)]
 pub struct EventClass {
     /// How long an event without a deadline of its own may be delivered.
-    pub give_up_ms: i64,
-    /// Whether its receivers drop repeats by key, so that an event must bring one.
-    pub keyed: bool,
+    pub default_time_to_live_ms: i64,
+    /// Whether its endpoints drop repeats by key, so that an event must have one.
+    pub requires_key: bool,
 }
 
-/// How events leave to a destination.
+/// How events are sent to a destination.
 #[derive(Clone, Debug, Default)]
 pub struct Target {
-    /// The mode in which its receivers want them.
+    /// The mode in which its endpoints take them.
     pub mode: Mode,
-    /// The path at its receivers.
+    /// The path at its endpoints.
     pub path: String,
 }
 
-/// The client side of the events front, and the wording of its legs.
+/// The destinations, and how events are sent to them.
+#[derive(Clone, Debug, Default)]
+pub struct Destinations {
+    /// The destinations; the encoding of each is an index into `targets`.
+    pub table: Arc<DestinationTable>,
+    /// The encodings.
+    pub targets: Arc<Vec<Target>>,
+}
+
+/// The client side of CloudEvents, and the encoding of their attempts.
 #[derive(Clone, Debug, Default)]
 pub struct CloudEventsFrontend {
-    /// The path where events come in.
+    /// The path where events are submitted.
     pub path: String,
     /// The attribute that names an event's destination.
     pub destination_attribute: String,
     /// The class of each type of event.
-    pub types: BTreeMap<String, ClassId>,
+    pub class_by_type: BTreeMap<String, ClassId>,
     /// The classes, in their order.
     pub classes: Vec<EventClass>,
-    /// The destinations, and how events leave to them by their forms; both change while the front is on.
-    pub listed: RefCell<(Arc<DestinationTable>, Arc<Vec<Target>>)>,
-    /// What stands for a name in the core.
-    pub number: Option<fn(&str) -> u64>,
+    /// The destinations, which may be replaced while the frontend is in use.
+    pub destinations: RefCell<Destinations>,
+    /// The number that stands for a destination's name in the core.
+    pub destination_number: Option<fn(&str) -> u64>,
 }
 
-impl Front for CloudEventsFrontend {
-    fn take(&self, request: &Request<'_>, body: &[u8], now_ms: i64) -> Take {
-        let reply = |(status, why): Fault| Take::Reply(Reply::because(status, why));
+impl Frontend for CloudEventsFrontend {
+    fn parse(&self, request: &RequestHead<'_>, body: &[u8], now_ms: i64) -> ParsedRequest {
         match (request.method, request.path) {
-            ("POST", path) if path == self.path => self
-                .message(request, body, now_ms)
-                .map_or_else(reply, Take::Offer),
-            ("GET", "/ready") => Take::Ready,
-            (_, path) if path == self.path || path == "/ready" => Take::Reply(Reply::of(405)),
-            _ => Take::Reply(Reply::of(404)),
+            ("POST", path) if path == self.path => {
+                match self.message(&request.fields, body, now_ms) {
+                    Ok(message) => ParsedRequest::Submit(message),
+                    Err(error) => {
+                        ParsedRequest::Respond(Response::with_reason(error.status, error.reason))
+                    }
+                }
+            }
+            ("GET", "/ready") => ParsedRequest::Readiness,
+            (_, path) if path == self.path || path == "/ready" => {
+                ParsedRequest::Respond(Response::with_status(405))
+            }
+            _ => ParsedRequest::Respond(Response::with_status(404)),
         }
     }
 
-    fn settled(&self, answer: SubmitResponse) -> Option<Reply> {
-        // Senders elsewhere read whole seconds; never sooner than told.
-        let later = |status, after: u64| {
-            let secs = after.div_ceil(1000).max(1).to_string();
-            Reply {
-                status,
-                fields: vec![("Retry-After", secs)],
-                ..Reply::default()
-            }
-        };
-        match answer {
+    fn respond(&self, response: SubmitResponse) -> Option<Response> {
+        match response {
             SubmitResponse::Accepted => None,
-            SubmitResponse::Rejected {
-                retry_after_ms: after,
-            } => Some(later(429, after)),
-            SubmitResponse::Conflict => Some(Reply::because(
+            SubmitResponse::Rejected { retry_after_ms } => {
+                Some(retry_in_whole_seconds(429, retry_after_ms))
+            }
+            SubmitResponse::Conflict => Some(Response::with_reason(
                 409,
                 "this event came before with another Idempotency-Key",
             )),
-            SubmitResponse::Finished(FinalOutcome::Delivered) => Some(Reply::of(204)),
-            SubmitResponse::Finished(FinalOutcome::Returned {
-                retry_after_ms: after,
-            }) => Some(later(503, after)),
-            SubmitResponse::Finished(FinalOutcome::Failed) => {
-                Some(Reply::because(502, "the event could not be delivered"))
+            SubmitResponse::Finished(FinalOutcome::Delivered) => Some(Response::with_status(204)),
+            SubmitResponse::Finished(FinalOutcome::Returned { retry_after_ms }) => {
+                Some(retry_in_whole_seconds(503, retry_after_ms))
             }
+            SubmitResponse::Finished(FinalOutcome::Failed) => Some(Response::with_reason(
+                502,
+                "the event could not be delivered",
+            )),
             SubmitResponse::Finished(FinalOutcome::Expired) => {
-                Some(Reply::because(504, "the event's time ran out"))
+                Some(Response::with_reason(504, "the event's time ran out"))
             }
         }
     }
 }
 
+/// Many clients read whole seconds only; they never retry sooner than asked.
+fn retry_in_whole_seconds(status: u16, retry_after_ms: u64) -> Response {
+    let seconds = retry_after_ms.div_ceil(1000).max(1).to_string();
+    Response {
+        status,
+        fields: vec![("Retry-After", seconds)],
+        ..Response::default()
+    }
+}
+
 impl CloudEventsFrontend {
-    fn message(&self, request: &Request<'_>, body: &[u8], now_ms: i64) -> Result<Message, Fault> {
-        let (context, data) = event::read(&request.fields, body)?;
-        let unknown = |what: &str, name: &str| (422, format!("unknown {what} {name:?}"));
-        let kind = context.text("type").unwrap_or_default();
+    fn message(
+        &self,
+        fields: &Fields<'_>,
+        body: &[u8],
+        now_ms: i64,
+    ) -> Result<Message, EventError> {
+        let (context, data) = event::decode(fields, body)?;
+        let event_type = context.text("type").unwrap_or_default();
         let class = *self
-            .types
-            .get(kind.as_ref())
-            .ok_or_else(|| unknown("type", &kind))?;
-        let attribute = &self.destination_attribute;
-        let name = context
-            .text(attribute)
-            .ok_or_else(|| (422, format!("no attribute {attribute}")))?;
-        let destination = self
-            .destination(&name)
-            .ok_or_else(|| unknown("destination", &name))?;
-        let mut keys = request.fields.all("idempotency-key");
-        let idempotency_key = keys
-            .next()
-            .filter(|key| !key.is_empty())
-            .map(<[u8]>::to_vec);
-        if keys.next().is_some() {
-            return Err((400, "Idempotency-Key is given twice".to_owned()));
-        }
-        let known = self.classes.get(class.0);
-        if idempotency_key.is_none() && known.is_some_and(|class| class.keyed) {
-            // Without it no receiver could tell a repeat, and one attempt that breaks would be the last.
-            return Err((
-                400,
-                format!("events of type {kind:?} need an Idempotency-Key"),
-            ));
-        }
-        let expires_ms = match context.text("expirytime") {
-            Some(text) => {
-                let time: jiff::Timestamp = text
-                    .parse()
-                    .map_err(|_| (400, "expirytime is no RFC 3339 time".to_owned()))?;
-                time.as_millisecond().min(now_ms + LONGEST_MS)
-            }
-            None => now_ms + known.map_or(0, |class| class.give_up_ms),
-        };
-        let (source, id) = (
-            context.text("source").unwrap_or_default(),
-            context.text("id").unwrap_or_default(),
-        );
+            .class_by_type
+            .get(event_type.as_ref())
+            .ok_or_else(|| unknown("type", &event_type))?;
+        let destination = self.destination_of(&context)?;
+        let idempotency_key = self.idempotency_key(fields, class, &event_type)?;
+        let expires_ms = self.expiry(&context, class, now_ms)?;
+        let source = context.text("source").unwrap_or_default();
+        let id = context.text("id").unwrap_or_default();
+        let attributes = serde_json::to_vec(&context)
+            .map_err(|error| EventError::malformed(error.to_string()))?;
         Ok(Message {
             origin: Origin::CloudEvents,
             identity: identity(&source, &id),
@@ -151,34 +143,79 @@
             class,
             destination,
             expires_ms,
-            attributes: serde_json::to_vec(&context).map_err(|error| (400, error.to_string()))?,
+            attributes,
             body: data.into_owned(),
         })
     }
 
-    fn destination(&self, name: &str) -> Option<DestinationId> {
-        let number = DestinationId(self.number?(name));
-        let listed = self.listed.borrow();
-        // Another name may stand behind the same number.
-        listed
-            .0
+    fn destination_of(&self, context: &Context) -> Result<DestinationId, EventError> {
+        let attribute = &self.destination_attribute;
+        let name = context
+            .text(attribute)
+            .ok_or_else(|| EventError::unprocessable(format!("no attribute {attribute}")))?;
+        self.find_destination(&name)
+            .ok_or_else(|| unknown("destination", &name))
+    }
+
+    fn find_destination(&self, name: &str) -> Option<DestinationId> {
+        let number = DestinationId(self.destination_number?(name));
+        let destinations = self.destinations.borrow();
+        // Another name may have the same number.
+        destinations
+            .table
             .entry(number)
             .filter(|entry| entry.name == name)
             .map(|entry| entry.id)
     }
 
-    /// The head and the body of a leg.
-    pub fn leg<'a>(&self, message: &'a Message, address: &str) -> (Vec<u8>, Cow<'a, [u8]>) {
-        let (destination_table, targets) = self.listed.borrow().clone();
-        let form = destination_table
-            .entry(message.destination)
-            .map(|entry| usize::from(entry.encoding));
-        let target = form
-            .and_then(|form| targets.get(form))
-            .cloned()
-            .unwrap_or_default();
+    fn idempotency_key(
+        &self,
+        fields: &Fields<'_>,
+        class: ClassId,
+        event_type: &str,
+    ) -> Result<Option<Vec<u8>>, EventError> {
+        let mut keys = fields.all("idempotency-key");
+        let key = keys
+            .next()
+            .filter(|key| !key.is_empty())
+            .map(<[u8]>::to_vec);
+        if keys.next().is_some() {
+            return Err(EventError::malformed("Idempotency-Key is given twice"));
+        }
+        let requires_key = self
+            .classes
+            .get(class.0)
+            .is_some_and(|class| class.requires_key);
+        if key.is_none() && requires_key {
+            // Without it no endpoint could recognise a repeat, and one attempt that breaks would be the last.
+            return Err(EventError::malformed(format!(
+                "events of type {event_type:?} need an Idempotency-Key"
+            )));
+        }
+        Ok(key)
+    }
+
+    /// The deadline, as Unix time in milliseconds.
+    fn expiry(&self, context: &Context, class: ClassId, now_ms: i64) -> Result<i64, EventError> {
+        match context.text("expirytime") {
+            Some(text) => {
+                let time: jiff::Timestamp = text
+                    .parse()
+                    .map_err(|_| EventError::malformed("expirytime is no RFC 3339 time"))?;
+                Ok(time.as_millisecond().min(now_ms + MAX_TIME_TO_LIVE_MS))
+            }
+            None => {
+                let class = self.classes.get(class.0);
+                Ok(now_ms + class.map_or(0, |class| class.default_time_to_live_ms))
+            }
+        }
+    }
+
+    /// The request of an attempt.
+    pub fn encode_attempt<'a>(&self, message: &'a Message, address: &str) -> EncodedRequest<'a> {
+        let target = self.target(message.destination);
         let context: Context = serde_json::from_slice(&message.attributes).unwrap_or_default();
-        let (fields, body) = event::write(&context, &message.body, target.mode);
+        let (fields, body) = event::encode(&context, &message.body, target.mode);
         let mut head = format!("POST {} HTTP/1.1\r\nHost: {address}\r\n", target.path).into_bytes();
         for (name, value) in fields {
             head.extend(format!("{name}: {value}\r\n").into_bytes());
@@ -191,34 +228,50 @@
         head.extend(format!("Content-Length: {}\r\n\r\n", body.len()).into_bytes());
         (head, body)
     }
+
+    fn target(&self, destination: DestinationId) -> Target {
+        let destinations = self.destinations.borrow();
+        let encoding = destinations
+            .table
+            .entry(destination)
+            .map(|entry| usize::from(entry.encoding));
+        encoding
+            .and_then(|encoding| destinations.targets.get(encoding))
+            .cloned()
+            .unwrap_or_default()
+    }
 }
 
-/// What makes an event the same event: its source and its id, with the length of one so that no other pair
-/// reads the same.
+fn unknown(what: &str, name: &str) -> EventError {
+    EventError::unprocessable(format!("unknown {what} {name:?}"))
+}
+
+/// What makes an event the same event: its source and its id, with the length of one so that no other pair reads the
+/// same.
 fn identity(source: &str, id: &str) -> Vec<u8> {
     format!("{}:{source}{id}", source.len()).into_bytes()
 }
 
-/// What a receiver's answer says of its leg. Only a decline proves that the event was not taken in; a gateway
-/// in front of the receiver may answer for it after it ran. What else begins with 4 is about the event itself and
-/// would be answered alike each time, but for those that are about the moment (408, 423, 425) or about who asks
-/// (401, 403, 407), which an operator may put right while the event has time.
-pub fn judge(read: &Response<'_>) -> Ended {
-    let (outcome, disposition) = match read.status {
+/// What a response means for its attempt.
+///
+/// Only a rejection proves that the event was not executed; a gateway before the endpoint may respond for it after it
+/// was. Other statuses from 400 on are about the event itself and would be the same each time, except for those that are
+/// about the moment (408, 423, 425) or about the caller (401, 403, 407), which an operator may correct while the event
+/// has time.
+pub fn judge(response: &ResponseHead<'_>) -> AttemptOutcome {
+    let (outcome, disposition) = match response.status {
         200..=299 => (Outcome::Delivered, Disposition::Undecided),
-        429 | 503 => (
-            Outcome::Rejected {
-                retry_after: told_wait(read),
-            },
-            Disposition::Undecided,
-        ),
+        429 | 503 => {
+            let retry_after = retry_after(response);
+            (Outcome::Rejected { retry_after }, Disposition::Undecided)
+        }
         401 | 403 | 407 | 408 | 423 | 425 => (Outcome::Error, Disposition::Undecided),
         400..=499 => (Outcome::Error, Disposition::Failed),
         _ => (Outcome::Error, Disposition::Undecided),
     };
-    Ended {
+    AttemptOutcome {
         outcome,
         disposition,
-        report: RateLimitReport::default(),
+        rate_limit: RateLimitReport::default(),
     }
 }
--- a/crates/delivery/src/frontend/cloudevents/event.rs
+++ b/crates/delivery/src/frontend/cloudevents/event.rs
@@ -1,5 +1,6 @@
-//! A CloudEvent 1.0 and the two modes in which HTTP carries it. Attributes, extensions and data keep their
-//! meaning when an event comes in one mode and leaves in the other.
+//! A CloudEvent 1.0 and the two modes in which HTTP carries it.
+//!
+//! Attributes, extensions and data keep their meaning when an event comes in one mode and leaves in the other.
 
 use crate::net::http::Fields;
 use base64::prelude::{Engine, BASE64_STANDARD};
@@ -10,15 +11,16 @@
 use std::borrow::Cow;
 use std::collections::BTreeMap;
 
-/// What the HTTP binding has percent-encoded in a header value: all but printable ASCII, and these.
-const ENCODED: &AsciiSet = &CONTROLS.add(b' ').add(b'"').add(b'%').add(127);
-/// Names that are no attributes in the JSON format.
-const DATA: [&str; 2] = ["data", "data_base64"];
-const REQUIRED: [&str; 3] = ["id", "source", "type"];
+/// What the HTTP binding percent-encodes in a header value: all but printable ASCII, and these.
+const PERCENT_ENCODED: &AsciiSet = &CONTROLS.add(b' ').add(b'"').add(b'%').add(127);
+/// The members of the JSON format that hold the data, which are no attributes.
+const DATA: &str = "data";
+const DATA_BASE64: &str = "data_base64";
+const REQUIRED_ATTRIBUTES: [&str; 3] = ["id", "source", "type"];
 
-/// What the data was when it came, as far as its mode told.
+/// The format of the data when it came, as far as its mode says.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Form {
+pub enum DataFormat {
     /// There is none.
     #[default]
     Absent,
@@ -26,11 +28,11 @@
     Json,
     /// A JSON string whose text is the data.
     Text,
-    /// Bytes; in binary mode only the content type tells more.
+    /// Bytes; in binary mode only the content type says more.
     Bytes,
 }
 
-/// How an event travels.
+/// How HTTP carries an event.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Mode {
@@ -41,20 +43,49 @@
     Structured,
 }
 
-/// An event without its data.
+/// An event without its data. It is stored with its message: the serialized names do not change.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Context {
     /// All attributes and extensions: strings, booleans and whole numbers.
     pub attributes: BTreeMap<String, Value>,
-    /// What the data is.
-    pub form: Form,
+    /// The format of the data.
+    #[serde(rename = "form")]
+    pub data_format: DataFormat,
 }
 
-/// Why a request is no event, and the status that says so.
-pub type Fault = (u16, String);
+/// Why a request is no event that can be accepted.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{reason}")]
+pub struct EventError {
+    /// The status of the response.
+    pub status: u16,
+    /// The body of the response.
+    pub reason: String,
+}
 
-fn bad(why: impl Into<String>) -> Fault {
-    (400, why.into())
+impl EventError {
+    /// It is malformed.
+    pub fn malformed(reason: impl Into<String>) -> EventError {
+        EventError {
+            status: 400,
+            reason: reason.into(),
+        }
+    }
+
+    /// It is an event, but not one that the settings provide for.
+    pub fn unprocessable(reason: impl Into<String>) -> EventError {
+        EventError {
+            status: 422,
+            reason: reason.into(),
+        }
+    }
+
+    fn unsupported_media_type(media: &str) -> EventError {
+        EventError {
+            status: 415,
+            reason: format!("{media} is not taken: one event a request, in JSON or binary mode"),
+        }
+    }
 }
 
 impl Context {
@@ -66,373 +97,268 @@
         })
     }
 
-    fn checked(self) -> Result<Context, Fault> {
+    fn validate(self) -> Result<Context, EventError> {
         if self.text("specversion").as_deref() != Some("1.0") {
-            return Err(bad("specversion is not 1.0"));
+            return Err(EventError::malformed("specversion is not 1.0"));
         }
-        match REQUIRED
+        match REQUIRED_ATTRIBUTES
             .iter()
             .find(|name| self.text(name).is_none_or(|text| text.is_empty()))
         {
-            Some(name) => Err(bad(format!("no attribute {name}"))),
+            Some(name) => Err(EventError::malformed(format!("no attribute {name}"))),
             None => Ok(self),
         }
     }
 
-    fn set(&mut self, name: &str, value: Value) -> Result<(), Fault> {
-        let plain = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit();
-        if name.is_empty() || !name.bytes().all(plain) {
-            return Err(bad(format!("{name:?} cannot name an attribute")));
+    /// Adds an attribute.
+    fn insert(&mut self, name: &str, value: Value) -> Result<(), EventError> {
+        let is_allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit();
+        if name.is_empty() || !name.bytes().all(is_allowed) {
+            return Err(EventError::malformed(format!(
+                "{name:?} cannot name an attribute"
+            )));
         }
-        let whole =
+        let is_whole =
             |number: &serde_json::Number| number.as_i64().is_some_and(|n| i32::try_from(n).is_ok());
         match &value {
             // An attribute that is null is absent.
             Value::Null => return Ok(()),
             Value::String(_) | Value::Bool(_) => {}
-            Value::Number(number) if whole(number) => {}
+            Value::Number(number) if is_whole(number) => {}
             _ => {
-                return Err(bad(format!(
+                return Err(EventError::malformed(format!(
                     "attribute {name} is no string, boolean or whole number"
                 )))
             }
         }
         match self.attributes.insert(name.to_owned(), value) {
-            Some(_) => Err(bad(format!("attribute {name} is given twice"))),
+            Some(_) => Err(EventError::malformed(format!(
+                "attribute {name} is given twice"
+            ))),
             None => Ok(()),
         }
     }
 }
 
-/// Reads an event from a request, and its data.
-pub fn read<'a>(fields: &Fields<'_>, body: &'a [u8]) -> Result<(Context, Cow<'a, [u8]>), Fault> {
-    let content = fields.text("content-type").unwrap_or_default();
-    let media = content
-        .split(';')
-        .next()
-        .unwrap_or_default()
-        .trim()
-        .to_ascii_lowercase();
-    match media.as_str() {
-        "application/cloudevents+json" => structured(body),
-        other if other.starts_with("application/cloudevents") => Err((
-            415,
-            format!("{other} is not taken: one event a request, in JSON or binary mode"),
-        )),
-        _ => binary(fields, content, body),
+/// Decodes an event and its data from a request.
+///
+/// # Errors
+/// It is no event that can be accepted.
+pub fn decode<'a>(
+    fields: &Fields<'_>,
+    body: &'a [u8],
+) -> Result<(Context, Cow<'a, [u8]>), EventError> {
+    let content_type = fields.text("content-type").unwrap_or_default();
+    match media_type(content_type).as_str() {
+        "application/cloudevents+json" => decode_structured(body),
+        other if other.starts_with("application/cloudevents") => {
+            Err(EventError::unsupported_media_type(other))
+        }
+        _ => decode_binary(fields, content_type, body),
     }
 }
 
-fn binary<'a>(
+fn decode_binary<'a>(
     fields: &Fields<'_>,
-    content: &str,
+    content_type: &str,
     body: &'a [u8],
-) -> Result<(Context, Cow<'a, [u8]>), Fault> {
+) -> Result<(Context, Cow<'a, [u8]>), EventError> {
     let mut context = Context::default();
     for (name, value) in fields.iter() {
         let name = name.to_ascii_lowercase();
         let Some(name) = name.strip_prefix("ce-") else {
             continue;
         };
-        if DATA.contains(&name) || name == "datacontenttype" {
-            return Err(bad(format!("ce-{name} has no place in binary mode")));
+        if is_data_member(name) || name == "datacontenttype" {
+            return Err(EventError::malformed(format!(
+                "ce-{name} has no place in binary mode"
+            )));
         }
-        let value =
-            std::str::from_utf8(value).map_err(|_| bad(format!("ce-{name} is not text")))?;
+        let value = std::str::from_utf8(value)
+            .map_err(|_| EventError::malformed(format!("ce-{name} is not text")))?;
         // Some senders put a value between quotation marks, which are not part of it.
-        let bare = value
+        let unquoted = value
             .strip_prefix('"')
             .and_then(|rest| rest.strip_suffix('"'))
-            .map(unescape);
-        let bare = bare.unwrap_or_else(|| value.to_owned());
-        let text = percent_decode(bare.as_bytes()).decode_utf8();
-        let text = text.map_err(|_| bad(format!("ce-{name} is not UTF-8")))?;
-        context.set(name, Value::String(text.into_owned()))?;
+            .map_or_else(|| value.to_owned(), unescape);
+        let text = percent_decode(unquoted.as_bytes()).decode_utf8();
+        let text = text.map_err(|_| EventError::malformed(format!("ce-{name} is not UTF-8")))?;
+        context.insert(name, Value::String(text.into_owned()))?;
     }
-    if !content.is_empty() {
-        context.set("datacontenttype", Value::String(content.to_owned()))?;
+    if !content_type.is_empty() {
+        context.insert("datacontenttype", Value::String(content_type.to_owned()))?;
     }
-    context.form = if body.is_empty() {
-        Form::Absent
+    context.data_format = if body.is_empty() {
+        DataFormat::Absent
     } else {
-        Form::Bytes
+        DataFormat::Bytes
     };
-    Ok((context.checked()?, Cow::Borrowed(body)))
+    Ok((context.validate()?, Cow::Borrowed(body)))
 }
 
 fn unescape(quoted: &str) -> String {
     let mut escaped = false;
-    let keep = |c: &char| {
+    let is_kept = |c: &char| {
         escaped = *c == '\\' && !escaped;
         !escaped
     };
-    quoted.chars().filter(keep).collect()
+    quoted.chars().filter(is_kept).collect()
 }
 
-fn structured<'a>(body: &[u8]) -> Result<(Context, Cow<'a, [u8]>), Fault> {
-    let members: BTreeMap<String, Box<RawValue>> =
-        serde_json::from_slice(body).map_err(|error| bad(format!("no JSON object: {error}")))?;
+fn decode_structured<'a>(body: &[u8]) -> Result<(Context, Cow<'a, [u8]>), EventError> {
+    let members: BTreeMap<String, Box<RawValue>> = serde_json::from_slice(body)
+        .map_err(|error| EventError::malformed(format!("no JSON object: {error}")))?;
     let mut context = Context::default();
-    for (name, raw) in members
-        .iter()
-        .filter(|(name, _)| !DATA.contains(&name.as_str()))
-    {
-        let value =
-            serde_json::from_str(raw.get()).map_err(|error| bad(format!("{name}: {error}")))?;
-        context.set(name, value)?;
+    for (name, raw) in members.iter().filter(|(name, _)| !is_data_member(name)) {
+        let value = serde_json::from_str(raw.get())
+            .map_err(|error| EventError::malformed(format!("{name}: {error}")))?;
+        context.insert(name, value)?;
     }
     let given = |name: &str| members.get(name).filter(|raw| raw.get() != "null");
-    let data = match (given(DATA[0]), given(DATA[1])) {
-        (Some(_), Some(_)) => return Err(bad("both data and data_base64")),
+    let data = match (given(DATA), given(DATA_BASE64)) {
+        (Some(_), Some(_)) => return Err(EventError::malformed("both data and data_base64")),
         (None, None) => Vec::new(),
         (None, Some(raw)) => {
-            context.form = Form::Bytes;
-            let text: String =
-                serde_json::from_str(raw.get()).map_err(|_| bad("data_base64 is no string"))?;
-            BASE64_STANDARD
-                .decode(text)
-                .map_err(|_| bad("data_base64 is no base64"))?
-        }
-        (Some(raw), None) => {
-            let json = context
-                .text("datacontenttype")
-                .is_none_or(|media| is_json(&media));
-            let text = serde_json::from_str::<String>(raw.get())
-                .ok()
-                .filter(|_| !json);
-            context.form = if text.is_some() {
-                Form::Text
-            } else {
-                Form::Json
-            };
-            // Data without a declared type is JSON; binary mode must say so.
-            text.map_or_else(|| raw.get().as_bytes().to_vec(), String::into_bytes)
+            context.data_format = DataFormat::Bytes;
+            decode_base64(raw)?
         }
+        (Some(raw), None) => decode_data(raw, &mut context),
     };
-    Ok((context.checked()?, Cow::Owned(data)))
+    Ok((context.validate()?, Cow::Owned(data)))
+}
+
+fn decode_base64(raw: &RawValue) -> Result<Vec<u8>, EventError> {
+    let text: String = serde_json::from_str(raw.get())
+        .map_err(|_| EventError::malformed("data_base64 is no string"))?;
+    BASE64_STANDARD
+        .decode(text)
+        .map_err(|_| EventError::malformed("data_base64 is no base64"))
 }
 
-fn is_json(content: &str) -> bool {
-    let media = content
+/// Data without a declared type is JSON; binary mode must declare it.
+fn decode_data(raw: &RawValue, context: &mut Context) -> Vec<u8> {
+    let declared_json = context
+        .text("datacontenttype")
+        .is_none_or(|content_type| is_json(&content_type));
+    let text = serde_json::from_str::<String>(raw.get())
+        .ok()
+        .filter(|_| !declared_json);
+    match text {
+        Some(text) => {
+            context.data_format = DataFormat::Text;
+            text.into_bytes()
+        }
+        None => {
+            context.data_format = DataFormat::Json;
+            raw.get().as_bytes().to_vec()
+        }
+    }
+}
+
+fn is_data_member(name: &str) -> bool {
+    name == DATA || name == DATA_BASE64
+}
+
+fn is_json(content_type: &str) -> bool {
+    let media_type = media_type(content_type);
+    media_type.ends_with("/json") || media_type.ends_with("+json")
+}
+
+/// A content type without its parameters.
+fn media_type(content_type: &str) -> String {
+    content_type
         .split(';')
         .next()
         .unwrap_or_default()
         .trim()
-        .to_ascii_lowercase();
-    media.ends_with("/json") || media.ends_with("+json")
+        .to_ascii_lowercase()
 }
 
-/// The header fields and the body that carry an event in a mode.
-pub fn write<'a>(
+/// Encodes an event: the header fields and the body that carry it in a mode.
+pub fn encode<'a>(
     context: &Context,
     data: &'a [u8],
     mode: Mode,
 ) -> (Vec<(String, String)>, Cow<'a, [u8]>) {
-    let content_type = (
-        "Content-Type".to_owned(),
-        "application/cloudevents+json; charset=utf-8".to_owned(),
-    );
     match mode {
-        Mode::Structured => (vec![content_type], Cow::Owned(envelope(context, data))),
-        Mode::Binary => {
-            let mut fields = Vec::new();
-            for name in context
-                .attributes
-                .keys()
-                .filter(|name| *name != "datacontenttype")
-            {
-                let text = context.text(name).unwrap_or_default();
-                fields.push((
-                    format!("ce-{name}"),
-                    utf8_percent_encode(&text, ENCODED).to_string(),
-                ));
-            }
-            let implied = (context.form == Form::Json).then_some(Cow::Borrowed("application/json"));
-            if let Some(media) = context.text("datacontenttype").or(implied) {
-                // It came in JSON, where any character may stand; in a header it must not end the line.
-                let media = media.chars().filter(|c| !c.is_control()).collect();
-                fields.push(("Content-Type".to_owned(), media));
-            }
-            (fields, Cow::Borrowed(data))
+        Mode::Structured => {
+            let content_type = (
+                "Content-Type".to_owned(),
+                "application/cloudevents+json; charset=utf-8".to_owned(),
+            );
+            let body = encode_structured(context, data);
+            (vec![content_type], Cow::Owned(body))
         }
+        Mode::Binary => (binary_fields(context), Cow::Borrowed(data)),
     }
 }
 
-fn envelope(context: &Context, data: &[u8]) -> Vec<u8> {
+fn binary_fields(context: &Context) -> Vec<(String, String)> {
+    let mut fields = Vec::new();
+    for name in context
+        .attributes
+        .keys()
+        .filter(|name| *name != "datacontenttype")
+    {
+        let text = context.text(name).unwrap_or_default();
+        fields.push((
+            format!("ce-{name}"),
+            utf8_percent_encode(&text, PERCENT_ENCODED).to_string(),
+        ));
+    }
+    let implied =
+        (context.data_format == DataFormat::Json).then_some(Cow::Borrowed("application/json"));
+    if let Some(content_type) = context.text("datacontenttype").or(implied) {
+        // It came in JSON, where any character may stand; in a header it must not end the line.
+        let content_type = content_type.chars().filter(|c| !c.is_control()).collect();
+        fields.push(("Content-Type".to_owned(), content_type));
+    }
+    fields
+}
+
+fn encode_structured(context: &Context, data: &[u8]) -> Vec<u8> {
     let mut members = BTreeMap::new();
-    let raw = |text: String| RawValue::from_string(text).ok();
     for (name, value) in &context.attributes {
-        members.extend(raw(value.to_string()).map(|value| (name.as_str(), value)));
+        let value = raw_value(value.to_string());
+        members.extend(value.map(|value| (name.as_str(), value)));
     }
-    let text = std::str::from_utf8(data).ok();
-    let media = context.text("datacontenttype").unwrap_or_default();
-    // In binary mode only the content type says what the bytes are; what it does not explain stays bytes.
-    let plain = media.to_ascii_lowercase();
-    let is_text =
-        plain.starts_with("text/") && (!plain.contains("charset") || plain.contains("utf-8"));
-    let as_json = text
-        .filter(|_| context.form == Form::Json || context.form == Form::Bytes && is_json(&media));
-    let as_text =
-        text.filter(|_| context.form == Form::Text || context.form == Form::Bytes && is_text);
-    let json = as_json.and_then(|text| raw(text.trim().to_owned()));
-    let data = match (context.form, json, as_text) {
-        (Form::Absent, ..) => None,
-        (_, Some(json), _) => Some((DATA[0], Some(json))),
-        (_, None, Some(text)) => Some((DATA[0], raw(Value::from(text).to_string()))),
-        (_, None, None) => Some((
-            DATA[1],
-            raw(Value::from(BASE64_STANDARD.encode(data)).to_string()),
-        )),
-    };
-    members.extend(data.and_then(|(name, value)| Some((name, value?))));
+    members.extend(data_member(context, data));
     serde_json::to_vec(&members).unwrap_or_default()
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::net::http;
-
-    fn parse(head: &str, body: &[u8]) -> Result<(Context, Vec<u8>), Fault> {
-        let head = format!("POST /events HTTP/1.1\r\n{head}\r\n\r\n");
-        let request = http::request(head.as_bytes()).unwrap();
-        read(&request.fields, body).map(|(context, data)| (context, data.into_owned()))
-    }
-
-    /// Writes an event in a mode and reads what was written.
-    fn pass(context: &Context, data: &[u8], mode: Mode) -> (Context, Vec<u8>) {
-        let (fields, body) = write(context, data, mode);
-        let lines: Vec<String> = fields
-            .iter()
-            .map(|(name, value)| format!("{name}: {value}"))
-            .collect();
-        parse(&lines.join("\r\n"), &body).unwrap()
-    }
-
-    const JSON: &str = "Content-Type: application/cloudevents+json";
-
-    #[test]
-    fn a_structured_event_keeps_its_meaning_in_binary_mode_and_back() {
-        let body = r#"{"specversion":"1.0","id":"a b%\"ä€","source":"/s","type":"t","flag":true,"count":-7,
-            "gone":null,"data":{"n":1.50,"big":12345678901234567890123}}"#;
-        let (context, data) = parse(JSON, body.as_bytes()).unwrap();
-        assert_eq!(
-            data, br#"{"n":1.50,"big":12345678901234567890123}"#,
-            "JSON is kept to the letter"
-        );
-        let (fields, _) = write(&context, &data, Mode::Binary);
-        let field = |name: &str| {
-            fields
-                .iter()
-                .find(|(have, _)| have == name)
-                .map(|(_, value)| value.as_str())
-        };
-        assert_eq!(field("ce-id"), Some("a%20b%25%22%C3%A4%E2%82%AC"));
-        assert_eq!(
-            (field("ce-flag"), field("ce-count"), field("ce-gone")),
-            (Some("true"), Some("-7"), None)
-        );
-        assert_eq!(
-            field("Content-Type"),
-            Some("application/json"),
-            "data of no declared type is JSON"
-        );
-        let (binary, same) = pass(&context, &data, Mode::Binary);
-        assert_eq!((binary.text("id"), &same), (context.text("id"), &data));
-        let (back, again) = pass(&binary, &same, Mode::Structured);
-        assert_eq!((back.text("count").as_deref(), again), (Some("-7"), data));
-    }
-
-    #[test]
-    fn data_of_every_kind_survives_a_change_of_mode() {
-        let cases: [(&str, &[u8]); 5] = [
-            ("application/json", b"[1, 2]"),
-            ("application/json", b"not json \xff"),
-            ("text/plain", "grüß \"dich\"\n".as_bytes()),
-            ("application/octet-stream", b"\x00\xff\x01"),
-            ("application/octet-stream", b""),
-        ];
-        for (media, data) in cases {
-            let head = format!(
-                "ce-specversion: 1.0\r\nce-id: 1\r\nce-source: s\r\nce-type: t\r\nContent-Type: {media}"
-            );
-            let (context, had) = parse(&head, data).unwrap();
-            let (there, carried) = pass(&context, &had, Mode::Structured);
-            let (back, same) = pass(&there, &carried, Mode::Binary);
-            assert_eq!(
-                (back.attributes, same.as_slice()),
-                (context.attributes, data),
-                "{media}"
-            );
+/// The member that holds the data. In binary mode only the content type says what the bytes are; what it does not
+/// explain stays bytes.
+fn data_member(context: &Context, data: &[u8]) -> Option<(&'static str, Box<RawValue>)> {
+    let text = std::str::from_utf8(data).ok();
+    let content_type = context.text("datacontenttype").unwrap_or_default();
+    let declares = |is_declared: fn(&str) -> bool| {
+        context.data_format == DataFormat::Bytes && is_declared(&content_type)
+    };
+    let as_json = text
+        .filter(|_| context.data_format == DataFormat::Json || declares(is_json))
+        .and_then(|text| raw_value(text.trim().to_owned()));
+    let as_text =
+        text.filter(|_| context.data_format == DataFormat::Text || declares(is_utf8_text));
+    match (context.data_format, as_json, as_text) {
+        (DataFormat::Absent, ..) => None,
+        (_, Some(json), _) => Some((DATA, json)),
+        (_, None, Some(text)) => Some((DATA, raw_value(Value::from(text).to_string())?)),
+        (_, None, None) => {
+            let base64 = Value::from(BASE64_STANDARD.encode(data));
+            Some((DATA_BASE64, raw_value(base64.to_string())?))
         }
-        let body = r#"{"specversion":"1.0","id":"1","source":"s","type":"t","datacontenttype":"image/png","data_base64":"AP8B"}"#;
-        let (context, data) = parse(JSON, body.as_bytes()).unwrap();
-        assert_eq!(data, b"\x00\xff\x01");
-        assert_eq!(
-            pass(&context, &data, Mode::Structured),
-            (context.clone(), data.clone())
-        );
     }
+}
 
-    #[test]
-    fn what_is_no_event_is_told_why() {
-        let whole = "ce-specversion: 1.0\r\nce-id: 1\r\nce-source: s\r\nce-type: t";
-        assert!(parse(whole, b"").is_ok());
-        for (head, body, status) in [
-            (
-                "Content-Type: application/cloudevents-batch+json",
-                "[]",
-                415,
-            ),
-            ("Content-Type: application/cloudevents+xml", "<a/>", 415),
-            ("ce-id: 1\r\nce-source: s\r\nce-type: t", "", 400),
-            (
-                "ce-specversion: 0.3\r\nce-id: 1\r\nce-source: s\r\nce-type: t",
-                "",
-                400,
-            ),
-            ("ce-specversion: 1.0\r\nce-source: s\r\nce-type: t", "", 400),
-            (
-                "ce-specversion: 1.0\r\nce-id: %ff\r\nce-source: s\r\nce-type: t",
-                "",
-                400,
-            ),
-            (JSON, "{", 400),
-            (
-                JSON,
-                r#"{"specversion":"1.0","id":"1","source":"s","type":"t","Bad":"x"}"#,
-                400,
-            ),
-            (
-                JSON,
-                r#"{"specversion":"1.0","id":"1","source":"s","type":"t","ext":{}}"#,
-                400,
-            ),
-            (
-                JSON,
-                r#"{"specversion":"1.0","id":"1","source":"s","type":"t","data":1,"data_base64":""}"#,
-                400,
-            ),
-        ] {
-            assert_eq!(
-                parse(head, body.as_bytes()).unwrap_err().0,
-                status,
-                "{head} {body}"
-            );
-        }
-        assert!(
-            parse(&format!("{whole}\r\nce-id: 2"), b"").is_err(),
-            "an attribute given twice"
-        );
-    }
+fn is_utf8_text(content_type: &str) -> bool {
+    let content_type = content_type.to_ascii_lowercase();
+    let has_other_charset = content_type.contains("charset") && !content_type.contains("utf-8");
+    content_type.starts_with("text/") && !has_other_charset
+}
 
-    #[test]
-    fn an_attribute_cannot_add_a_header_line() {
-        let body = r#"{"specversion":"1.0","id":"1\r\nX: y","source":"s","type":"t","datacontenttype":"a/b\r\nX: y"}"#;
-        let (context, data) = parse(JSON, body.as_bytes()).unwrap();
-        let (fields, _) = write(&context, &data, Mode::Binary);
-        assert!(fields
-            .iter()
-            .all(|(_, value)| !value.contains(['\r', '\n'])));
-    }
+fn raw_value(json: String) -> Option<Box<RawValue>> {
+    RawValue::from_string(json).ok()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/delivery/src/frontend/platform.rs
+++ b/crates/delivery/src/frontend/platform.rs
@@ -1,63 +1,60 @@
-//! The platform's protocol: clients hand messages in by `POST /api`, endpoints take them by
-//! `POST /receive`, ends go out as notices. Nothing but translation.
+//! The platform's protocol: clients submit messages by `POST /api`, endpoints take them by `POST /receive`, and final
+//! outcomes are sent as notices.
 
 use crate::core::{Disposition, FinalOutcome, Message, Origin, SubmitResponse};
-use crate::net::http::{Request, Response};
-use crate::net::pool::{report, told_wait, Ended};
-use crate::seam::{Front, Reply, Take};
+use crate::net::frontend::{Frontend, ParsedRequest, Response};
+use crate::net::http::{Fields, RequestHead, ResponseHead};
+use crate::net::pool::{AttemptOutcome, EncodedRequest};
+use crate::net::response_fields::{rate_limit_report, retry_after};
 use marblefall_scheduler::{ClassId, DestinationId, Outcome};
 use std::borrow::Cow;
 use std::collections::BTreeMap;
-use std::fmt::Write;
 
-/// A time to live longer than this is taken for this, lest sums with it overflow.
-const LONGEST_BUDGET_MS: i64 = 24 * 3600 * 1000;
-
-/// Ids and keys longer than this are noise.
-const LONGEST_NAME: usize = 256;
+/// A longer time to live is taken for this, lest sums with it overflow.
+const MAX_BUDGET_MS: i64 = 24 * 3600 * 1000;
+/// Longer ids and keys are noise.
+const MAX_NAME_LEN: usize = 256;
 
 /// The client side of the platform's protocol.
 pub struct PlatformFrontend {
     /// The names of the classes, in their order.
-    pub classes: Vec<String>,
-    /// For each of them, whether its receivers drop repeats by key, so that a message must bring one.
-    pub keyed: Vec<bool>,
+    pub class_names: Vec<String>,
+    /// For each of them, whether its endpoints drop repeats by key, so that a message must have one.
+    pub requires_key: Vec<bool>,
     /// The destinations that clients' numbers stand for, where they are not the numbers themselves.
-    pub numbers: Option<BTreeMap<u64, DestinationId>>,
+    pub destinations_by_number: Option<BTreeMap<u64, DestinationId>>,
 }
 
-impl Front for PlatformFrontend {
-    fn take(&self, request: &Request<'_>, body: &[u8], now_ms: i64) -> Take {
+impl Frontend for PlatformFrontend {
+    fn parse(&self, request: &RequestHead<'_>, body: &[u8], now_ms: i64) -> ParsedRequest {
         match (request.method, request.path) {
-            ("GET", "/ready") => Take::Ready,
-            ("POST", "/api") => match self.message(request, body, now_ms) {
-                Ok(message) => Take::Offer(message),
-                Err(why) => Take::Reply(Reply::because(400, why)),
+            ("GET", "/ready") => ParsedRequest::Readiness,
+            ("POST", "/api") => match self.message(&request.fields, body, now_ms) {
+                Ok(message) => ParsedRequest::Submit(message),
+                Err(reason) => ParsedRequest::Respond(Response::with_reason(400, reason)),
             },
-            (_, "/ready" | "/api") => Take::Reply(Reply::of(405)),
-            _ => Take::Reply(Reply::of(404)),
+            (_, "/ready" | "/api") => ParsedRequest::Respond(Response::with_status(405)),
+            _ => ParsedRequest::Respond(Response::with_status(404)),
         }
     }
 
-    fn one_at_a_time(&self) -> bool {
+    fn one_request_at_a_time(&self) -> bool {
         true
     }
 
-    fn settled(&self, answer: SubmitResponse) -> Option<Reply> {
-        Some(match answer {
+    fn respond(&self, response: SubmitResponse) -> Option<Response> {
+        Some(match response {
             SubmitResponse::Accepted | SubmitResponse::Finished(FinalOutcome::Delivered) => {
-                Reply::of(202)
+                Response::with_status(202)
             }
-            SubmitResponse::Rejected {
-                retry_after_ms: after,
+            SubmitResponse::Rejected { retry_after_ms }
+            | SubmitResponse::Finished(FinalOutcome::Returned { retry_after_ms }) => {
+                Response::retry_after(503, retry_after_ms)
             }
-            | SubmitResponse::Finished(FinalOutcome::Returned {
-                retry_after_ms: after,
-            }) => Reply::come_back(503, after),
             SubmitResponse::Finished(FinalOutcome::Failed | FinalOutcome::Expired) => {
-                Reply::of(500)
+                Response::with_status(500)
             }
-            SubmitResponse::Conflict => Reply::of(409),
+            SubmitResponse::Conflict => Response::with_status(409),
         })
     }
 }
@@ -65,78 +62,91 @@
 impl PlatformFrontend {
     fn message(
         &self,
-        request: &Request<'_>,
+        fields: &Fields<'_>,
         body: &[u8],
         now_ms: i64,
     ) -> Result<Message, &'static str> {
-        let fields = &request.fields;
-        // What is passed on must come out as it came in, on the wire of a leg as in the line of a notice.
-        let plain = |name| {
-            fields
-                .get(name)
-                .filter(|text| text.len() <= LONGEST_NAME && is_plain(text))
-        };
-        let identity = plain("x-call-id").ok_or("no X-Call-Id")?;
-        let class = fields.text("x-call-class").ok_or("no X-Call-Class")?;
-        let class = self
-            .classes
-            .iter()
-            .position(|name| name == class)
-            .ok_or("unknown class")?;
-        let budget = fields.text("x-budget-ms").and_then(digits);
+        let identity = printable(fields, "x-call-id").ok_or("no X-Call-Id")?;
+        let class = self.class(fields)?;
+        let budget = fields.text("x-budget-ms").and_then(parse_digits);
         let budget = budget.ok_or("no X-Budget-Ms in whole milliseconds")?;
-        let idempotency_key = match fields.get("idempotency-key") {
-            None => None,
-            Some(_) => Some(
-                plain("idempotency-key").ok_or("an Idempotency-Key that cannot be passed on")?,
-            ),
-        };
-        if idempotency_key.is_none() && self.keyed.get(class) == Some(&true) {
-            // Without it no receiver could tell a repeat.
-            return Err("no Idempotency-Key in a class with keys");
-        }
-        let envelope = fields.text("x-envelope").ok_or("no X-Envelope")?;
-        let pairs = envelope
-            .split([',', ';', ' '])
-            .filter_map(|pair| pair.split_once('='));
-        let mut named = pairs.filter(|(name, _)| name.trim() == "dest");
-        let number = named.next().and_then(|(_, number)| digits(number.trim()));
-        let number = number.ok_or("no dest in X-Envelope")?;
-        let destination = match &self.numbers {
-            None => DestinationId(number),
-            Some(known) => *known.get(&number).ok_or("unknown dest")?,
-        };
+        let budget_ms =
+            i64::try_from(budget).map_or(MAX_BUDGET_MS, |budget| budget.min(MAX_BUDGET_MS));
+        let idempotency_key = self.idempotency_key(fields, class)?;
+        let destination = self.destination(fields)?;
         Ok(Message {
             origin: Origin::Platform,
             identity: identity.to_vec(),
-            idempotency_key: idempotency_key.map(<[u8]>::to_vec),
-            class: ClassId(class),
+            idempotency_key,
+            class,
             destination,
-            expires_ms: now_ms
-                + i64::try_from(budget).map_or(LONGEST_BUDGET_MS, |b| b.min(LONGEST_BUDGET_MS)),
+            expires_ms: now_ms + budget_ms,
             attributes: Vec::new(),
             body: body.to_vec(),
         })
     }
+
+    fn class(&self, fields: &Fields<'_>) -> Result<ClassId, &'static str> {
+        let name = fields.text("x-call-class").ok_or("no X-Call-Class")?;
+        self.class_names
+            .iter()
+            .position(|known| known == name)
+            .map(ClassId)
+            .ok_or("unknown class")
+    }
+
+    fn idempotency_key(
+        &self,
+        fields: &Fields<'_>,
+        class: ClassId,
+    ) -> Result<Option<Vec<u8>>, &'static str> {
+        if fields.get("idempotency-key").is_some() {
+            return printable(fields, "idempotency-key")
+                .map(|key| Some(key.to_vec()))
+                .ok_or("an Idempotency-Key that cannot be passed on");
+        }
+        if self.requires_key.get(class.0) == Some(&true) {
+            // Without it no endpoint could recognise a repeat.
+            return Err("no Idempotency-Key in a class with keys");
+        }
+        Ok(None)
+    }
+
+    fn destination(&self, fields: &Fields<'_>) -> Result<DestinationId, &'static str> {
+        let envelope = fields.text("x-envelope").ok_or("no X-Envelope")?;
+        let number = envelope
+            .split([',', ';', ' '])
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(name, _)| name.trim() == "dest")
+            .and_then(|(_, number)| parse_digits(number.trim()))
+            .ok_or("no dest in X-Envelope")?;
+        match &self.destinations_by_number {
+            None => Ok(DestinationId(number)),
+            Some(known) => known.get(&number).copied().ok_or("unknown dest"),
+        }
+    }
+}
+
+/// The value of a field that can be passed on as it came, in the head of an attempt as in the line of a notice.
+fn printable<'a>(fields: &Fields<'a>, name: &str) -> Option<&'a [u8]> {
+    fields.get(name).filter(|text| {
+        !text.is_empty() && text.len() <= MAX_NAME_LEN && text.iter().all(u8::is_ascii_graphic)
+    })
 }
 
-/// A number as the protocol writes it: digits alone, where Rust would read a sign as well.
-fn digits(text: &str) -> Option<u64> {
+/// A number as the protocol writes it: digits alone, where Rust would accept a sign as well.
+fn parse_digits(text: &str) -> Option<u64> {
     text.bytes()
         .all(|byte| byte.is_ascii_digit())
         .then(|| text.parse().ok())?
 }
 
-fn is_plain(text: &[u8]) -> bool {
-    !text.is_empty() && text.iter().all(u8::is_ascii_graphic)
-}
-
-/// The head and the body of a leg.
+/// The request of an attempt.
 pub fn encode_attempt<'a>(
     message: &'a Message,
     address: &str,
     budget_ms: u64,
-) -> (Vec<u8>, Cow<'a, [u8]>) {
+) -> EncodedRequest<'a> {
     let mut head = format!("POST /receive HTTP/1.1\r\nHost: {address}\r\nX-Call-Id: ").into_bytes();
     head.extend(&message.identity);
     if let Some(key) = &message.idempotency_key {
@@ -150,46 +160,41 @@
     (head, Cow::Borrowed(&message.body))
 }
 
-/// The protocol's table of outcomes: what an answer says of its leg.
-pub fn judge(read: &Response<'_>) -> Ended {
-    let (outcome, disposition) = match read.status {
+/// What a response means for its attempt, by the protocol's table.
+pub fn judge(response: &ResponseHead<'_>) -> AttemptOutcome {
+    let has_no_slot = response.fields.get("x-no-slot").is_some();
+    let (outcome, disposition) = match response.status {
         200 => (Outcome::Delivered, Disposition::Undecided),
-        503 if read.fields.get("x-no-slot").is_some() => (Outcome::NotSent, Disposition::Undecided),
-        429 | 503 => (
-            Outcome::Rejected {
-                retry_after: told_wait(read),
-            },
-            Disposition::Undecided,
-        ),
+        503 if has_no_slot => (Outcome::NotSent, Disposition::Undecided),
+        429 | 503 => {
+            let retry_after = retry_after(response);
+            (Outcome::Rejected { retry_after }, Disposition::Undecided)
+        }
         504 => (Outcome::NotSent, Disposition::Undecided),
         410 => (Outcome::NotSent, Disposition::Complete),
         _ => (Outcome::Error, Disposition::Undecided),
     };
-    let report = read
+    let rate_limit = response
         .fields
         .text("x-load-report")
-        .map(report)
+        .map(rate_limit_report)
         .unwrap_or_default();
-    Ended {
+    AttemptOutcome {
         outcome,
         disposition,
-        report,
+        rate_limit,
     }
 }
 
-/// The notice of how a message ended, as one line.
-pub fn notice(identity: &[u8], end: FinalOutcome) -> String {
+/// The notice of a message's final outcome, as one line.
+pub fn encode_notice(identity: &[u8], outcome: FinalOutcome) -> String {
     let id = serde_json::Value::from(String::from_utf8_lossy(identity));
-    let mut line = format!("{{\"id\":{id},\"state\":");
-    let _ = match end {
-        FinalOutcome::Returned {
-            retry_after_ms: after,
-        } => {
-            writeln!(line, "\"returned\",\"after_ms\":{after}}}")
+    match outcome {
+        FinalOutcome::Returned { retry_after_ms } => {
+            format!("{{\"id\":{id},\"state\":\"returned\",\"after_ms\":{retry_after_ms}}}\n")
         }
         FinalOutcome::Delivered | FinalOutcome::Failed | FinalOutcome::Expired => {
-            writeln!(line, "\"failed\"}}")
+            format!("{{\"id\":{id},\"state\":\"failed\"}}\n")
         }
-    };
-    line
+    }
 }
--- a/crates/delivery/src/instance/admin.rs
+++ b/crates/delivery/src/instance/admin.rs
@@ -1,161 +1,204 @@
-//! What operators' calls do to an instance: whether it is ready, clients sent away, endpoints kept out by
-//! hand. Which hosts are out lasts in the instance's folder, so that the next life of the process, beside
-//! which this one may still run, keeps them out from its start.
+//! What operators' calls change: whether the instance takes clients, and which endpoints are disabled.
+//!
+//! The disabled endpoints last in a file in the state folder, so that the next incarnation, beside which this one may be
+//! running, keeps them disabled from its start.
 
 use crate::core::engine::EngineEvent;
 use crate::hot_restart::driver::HotRestartInstance;
 use crate::log_line;
-use crate::net::admin::{Call, Operators};
+use crate::net::admin::{AdminCall, AdminHandler};
 use crate::net::server::ClientConnections;
 use async_channel::Sender;
 use marblefall_atomic_file::{replace, Outlasts, Real};
 use marblefall_scheduler::EndpointId;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::io;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
-/// The file in the lasting folder: one id a line.
+/// The file in the state folder: one id a line.
 const FILE: &str = "held-out.txt";
+const OK: u16 = 200;
+const NOT_FOUND: u16 = 404;
+const UNAVAILABLE: u16 = 503;
 
-/// Answers operators for one instance.
+/// What operators have set on one instance.
 pub struct AdminState {
     clients: Rc<ClientConnections>,
-    /// Where the engine hears of what is held out, ahead of other inputs.
-    news: Sender<EngineEvent>,
+    /// Where the engine receives the disabled endpoints, ahead of other events.
+    engine: Sender<EngineEvent>,
     path: PathBuf,
-    held: RefCell<BTreeSet<String>>,
-    /// The endpoints that are listed now, by the module's numbers.
+    disabled: RefCell<BTreeSet<String>>,
+    /// The names of the endpoints that are listed now.
     listed: RefCell<BTreeMap<EndpointId, String>>,
-    /// Whether the engine decides: before, nobody knows which hosts there are, and after, another process does.
-    pub started: Cell<bool>,
+    /// Whether the engine is active: before, the endpoints are not known, and after, another process decides.
+    is_active: Cell<bool>,
+}
+
+/// What an operator wants of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EndpointSwitch {
+    Disable,
+    Enable,
 }
 
 impl AdminState {
-    /// One for an instance whose lasting folder is `folder`. What an earlier life held out there is read once
-    /// this one holds the folder: until then another life may still change it.
+    /// For an instance with this state folder. What an earlier incarnation has left there is read by
+    /// [`AdminState::load_disabled`] once this one is active: until then another one may still change it.
     pub fn new(
         clients: Rc<ClientConnections>,
-        news: Sender<EngineEvent>,
+        engine: Sender<EngineEvent>,
         folder: &Path,
     ) -> AdminState {
-        let path = folder.join(FILE);
-        let (held, listed, started) = Default::default();
         AdminState {
             clients,
-            news,
-            path,
-            held,
-            listed,
-            started,
+            engine,
+            path: folder.join(FILE),
+            disabled: RefCell::default(),
+            listed: RefCell::default(),
+            is_active: Cell::default(),
         }
     }
 
-    /// Reads what is held out, as the lives before left it, and tells the engine.
-    pub fn reread(&self) {
-        let held = match std::fs::read_to_string(&self.path) {
-            Ok(text) => text
+    /// Reads which endpoints earlier incarnations have left disabled, and tells the engine.
+    pub fn load_disabled(&self) {
+        let disabled = self.read_disabled().unwrap_or_else(|error| {
+            log_line!(
+                code = "disabled-endpoints-unreadable",
+                "{}: {error}; none disabled",
+                self.path.display()
+            );
+            BTreeSet::new()
+        });
+        self.disabled.replace(disabled);
+        self.send_disabled();
+    }
+
+    fn read_disabled(&self) -> io::Result<BTreeSet<String>> {
+        match std::fs::read_to_string(&self.path) {
+            Ok(text) => Ok(text
                 .lines()
                 .map(str::trim)
                 .filter(|id| !id.is_empty())
                 .map(String::from)
-                .collect(),
-            Err(error) if error.kind() == std::io::ErrorKind::NotFound => BTreeSet::new(),
-            Err(error) => {
-                log_line!(
-                    code = "held-out-unread",
-                    "{}: {error}; none held out",
-                    self.path.display()
-                );
-                BTreeSet::new()
-            }
-        };
+                .collect()),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(BTreeSet::new()),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn send_disabled(&self) {
+        let disabled = self.disabled.borrow().clone();
+        // Fails only once the engine has ended.
         let _ = self
-            .news
-            .try_send(EngineEvent::EndpointsDisabled(held.clone()));
-        self.held.replace(held);
+            .engine
+            .try_send(EngineEvent::EndpointsDisabled(disabled));
     }
 
     /// An endpoint is listed now.
-    pub fn listed(&self, id: EndpointId, name: &str) {
+    pub fn endpoint_listed(&self, id: EndpointId, name: &str) {
         self.listed.borrow_mut().insert(id, name.to_owned());
     }
 
     /// An endpoint is no longer listed.
-    pub fn gone(&self, id: EndpointId) {
+    pub fn endpoint_removed(&self, id: EndpointId) {
         self.listed.borrow_mut().remove(&id);
     }
 
-    fn hold(&self, id: &str, out: bool) -> u16 {
-        if !self.started.get() {
-            return 503;
+    /// The engine is active from now on.
+    pub fn activate(&self) {
+        self.is_active.set(true);
+    }
+
+    /// Another process decides from now on.
+    pub fn deactivate(&self) {
+        self.is_active.set(false);
+    }
+
+    /// Disables or enables an endpoint; returns the status to respond with.
+    fn switch_endpoint(&self, name: &str, switch: EndpointSwitch) -> u16 {
+        if !self.is_active.get() {
+            return UNAVAILABLE;
         }
-        let known = self.listed.borrow().values().any(|name| name == id);
-        let mut held = self.held.borrow_mut();
-        let changed = if out {
-            known && held.insert(id.to_owned())
-        } else {
-            held.remove(id)
+        let is_listed = self.listed.borrow().values().any(|listed| listed == name);
+        let is_changed = match switch {
+            EndpointSwitch::Disable => {
+                is_listed && self.disabled.borrow_mut().insert(name.to_owned())
+            }
+            EndpointSwitch::Enable => self.disabled.borrow_mut().remove(name),
         };
-        if !known && !changed {
-            return 404;
+        if !is_changed {
+            return if is_listed { OK } else { NOT_FOUND };
         }
-        if changed {
-            let text: String = held.iter().map(|id| format!("{id}\n")).collect();
-            if let Err(error) = replace(&Real, &self.path, text.as_bytes(), Outlasts::Process) {
-                log_line!(
-                    code = "held-out-unwritten",
-                    "{}: {error}",
-                    self.path.display()
-                );
-                // Undone, so that what is said and what lasts stay the same.
-                if out {
-                    held.remove(id);
-                } else {
-                    held.insert(id.to_owned());
-                }
-                return 503;
-            }
-            let _ = self
-                .news
-                .try_send(EngineEvent::EndpointsDisabled(held.clone()));
+        if let Err(error) = self.write_disabled() {
             log_line!(
-                code = "held-out",
-                "endpoint {id} {}",
-                if out { "held out" } else { "let in" }
+                code = "disabled-endpoints-not-written",
+                "{}: {error}",
+                self.path.display()
             );
+            self.undo(name, switch);
+            return UNAVAILABLE;
+        }
+        self.send_disabled();
+        match switch {
+            EndpointSwitch::Disable => {
+                log_line!(code = "endpoint-disabled", "endpoint {name} disabled");
+            }
+            EndpointSwitch::Enable => {
+                log_line!(code = "endpoint-enabled", "endpoint {name} enabled");
+            }
+        }
+        OK
+    }
+
+    fn write_disabled(&self) -> io::Result<()> {
+        let disabled = self.disabled.borrow();
+        let text: String = disabled.iter().map(|name| format!("{name}\n")).collect();
+        replace(&Real, &self.path, text.as_bytes(), Outlasts::Process)
+    }
+
+    /// Undoes a change that could not be written, so that what is in force and what lasts stay the same.
+    fn undo(&self, name: &str, switch: EndpointSwitch) {
+        let mut disabled = self.disabled.borrow_mut();
+        match switch {
+            EndpointSwitch::Disable => {
+                disabled.remove(name);
+            }
+            EndpointSwitch::Enable => {
+                disabled.insert(name.to_owned());
+            }
         }
-        200
     }
 }
 
 impl HotRestartInstance for AdminState {
     fn load_operator_state(&self) {
-        self.reread();
+        self.load_disabled();
     }
 
     fn is_active(&self) -> bool {
-        self.started.get()
+        self.is_active.get()
     }
 }
 
-impl Operators for AdminState {
-    fn call(&self, call: Call<'_>) -> u16 {
+impl AdminHandler for AdminState {
+    fn handle(&self, call: AdminCall<'_>) -> u16 {
         match call {
-            // Operators can call only once clients are read: the listener for calls starts after theirs.
-            Call::Ready if !self.clients.is_drained() => 200,
-            Call::Ready => 503,
-            Call::Disable(id) => self.hold(id, true),
-            Call::Enable(id) => self.hold(id, false),
-            Call::Drain => {
-                self.clients.drain(true);
-                log_line!(code = "drained", "clients are sent away");
-                200
+            // Operators can call only once clients are served: their listener starts after the clients'.
+            AdminCall::Ready if self.clients.is_draining() => UNAVAILABLE,
+            AdminCall::Ready => OK,
+            AdminCall::Disable(name) => self.switch_endpoint(name, EndpointSwitch::Disable),
+            AdminCall::Enable(name) => self.switch_endpoint(name, EndpointSwitch::Enable),
+            AdminCall::Drain => {
+                self.clients.drain();
+                log_line!(code = "drained", "clients are drained");
+                OK
             }
-            Call::Undrain => {
-                self.clients.drain(false);
+            AdminCall::Undrain => {
+                self.clients.undrain();
                 log_line!(code = "undrained", "clients are taken again");
-                200
+                OK
             }
         }
     }
--- /dev/null
+++ b/crates/delivery/src/instance/command.rs
@@ -0,0 +1,137 @@
+//! What an instance is commanded from outside, and the loop that handles it.
+
+use super::shutdown::{Shutdown, Successor};
+use super::PolicyUpdate;
+use crate::core::destination_table::DestinationTable;
+use crate::core::engine::{EngineEvent, PolicyMismatch, ProposedPolicy};
+use crate::counters::Counters;
+use crate::frontend::cloudevents::{CloudEventsFrontend, Destinations, Target};
+use crate::frontend::platform::PlatformFrontend;
+use crate::frontend::SwappableFrontend;
+use crate::log_line;
+use crate::net::server::ClientConnections;
+use async_channel::{Receiver, Sender};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A command to a running instance.
+#[derive(Clone)]
+pub enum InstanceCommand {
+    /// Log the counters.
+    PrintCounters,
+    /// Read the configuration again.
+    ReloadConfig,
+    /// Discovery is at another address from now on.
+    DiscoveryMoved(SocketAddr),
+    /// The destinations are these from now on, and how events are sent to them.
+    ReplaceDestinations(Arc<DestinationTable>, Arc<Vec<Target>>),
+    /// Another policy, which the frontends and the engine put in force while they run; made on the instance's own thread.
+    UpdatePolicy(Arc<dyn Fn() -> PolicyUpdate + Send + Sync>),
+    /// Asks whether a proposed policy has room for what is pending.
+    CheckPolicy(ProposedPolicy, Sender<Result<(), PolicyMismatch>>),
+    /// The state of its lease has changed.
+    LeaseChanged,
+    /// Shut down.
+    Shutdown {
+        /// How long that may take.
+        timeout: Duration,
+        /// Another incarnation is started once this one has ended: no attempt is started any more.
+        restart: bool,
+    },
+}
+
+/// Handles commands for as long as the instance runs.
+pub(super) struct CommandLoop {
+    pub(super) counters: Rc<Counters>,
+    pub(super) clients: Rc<ClientConnections>,
+    pub(super) platform: Option<Rc<SwappableFrontend<PlatformFrontend>>>,
+    pub(super) cloudevents: Rc<SwappableFrontend<CloudEventsFrontend>>,
+    /// Events that go to the engine ahead of clients' requests.
+    pub(super) priority_events: Sender<EngineEvent>,
+    /// Where the tasks that speak with discovery receive its new address.
+    pub(super) discovery_changes: Vec<Sender<SocketAddr>>,
+    pub(super) shutdown: Rc<Shutdown>,
+}
+
+impl CommandLoop {
+    /// Runs until nobody sends commands any more.
+    pub(super) async fn run(self, commands: Receiver<InstanceCommand>) {
+        while let Ok(command) = commands.recv().await {
+            self.handle(command).await;
+        }
+    }
+
+    async fn handle(&self, command: InstanceCommand) {
+        match command {
+            InstanceCommand::PrintCounters => log_line!("{}", self.counters),
+            InstanceCommand::DiscoveryMoved(address) => self.move_discovery(address),
+            InstanceCommand::ReplaceDestinations(table, targets) => {
+                self.replace_destinations(table, targets).await;
+            }
+            InstanceCommand::UpdatePolicy(make_update) => self.update_policy(make_update()).await,
+            InstanceCommand::CheckPolicy(proposed, answer) => {
+                self.send(EngineEvent::CheckPolicy(proposed, answer)).await;
+            }
+            InstanceCommand::LeaseChanged => self.send(EngineEvent::LeaseChanged).await,
+            // An instance without a configuration file of its own has nothing to read.
+            InstanceCommand::ReloadConfig => {}
+            InstanceCommand::Shutdown { timeout, restart } => {
+                self.shut_down(timeout, restart).await;
+            }
+        }
+    }
+
+    fn move_discovery(&self, address: SocketAddr) {
+        for changes in &self.discovery_changes {
+            let _ = changes.try_send(address);
+        }
+    }
+
+    async fn replace_destinations(&self, table: Arc<DestinationTable>, targets: Arc<Vec<Target>>) {
+        let destinations = Destinations {
+            table: table.clone(),
+            targets,
+        };
+        self.cloudevents.get().destinations.replace(destinations);
+        self.send(EngineEvent::DestinationTableReplaced(table))
+            .await;
+    }
+
+    /// Puts another policy in force: in the frontends at once, in the engine with its next step.
+    async fn update_policy(&self, update: PolicyUpdate) {
+        let PolicyUpdate {
+            change,
+            platform,
+            cloudevents,
+        } = update;
+        if let (Some(frontend), Some(replacement)) = (&self.platform, platform) {
+            frontend.set(replacement);
+        }
+        if let Some(replacement) = cloudevents {
+            self.cloudevents.set(replacement);
+        }
+        self.send(EngineEvent::PolicyChanged(Box::new(change)))
+            .await;
+    }
+
+    async fn shut_down(&self, timeout: Duration, restart: bool) {
+        if self.shutdown.has_begun() {
+            return;
+        }
+        log_line!("shutdown requested");
+        let successor = if restart {
+            Successor::Restart
+        } else {
+            Successor::None
+        };
+        let event = self.shutdown.begin(timeout, successor);
+        self.clients.send(event).await;
+    }
+
+    async fn send(&self, event: EngineEvent) {
+        // Fails only once the engine has ended.
+        let _ = self.priority_events.send(event).await;
+    }
+}
--- a/crates/delivery/src/instance/config.rs
+++ b/crates/delivery/src/instance/config.rs
@@ -1,62 +1,85 @@
-//! What an instance is made of.
+//! What an instance is made of, whoever describes it.
 
 use crate::core::engine::{EngineEvent, EngineSettings, PolicyChange};
 use crate::frontend::cloudevents::CloudEventsFrontend;
 use crate::frontend::platform::PlatformFrontend;
 use crate::lease_guard::LeaseGuard;
-use crate::net::discovery::Names;
+use crate::net::discovery::ListWatch;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// What an instance is made of, whoever describes it.
+/// What an instance is made of.
 pub struct InstanceConfig {
     /// Its name.
     pub name: String,
-    /// The folder that lasts, and how many bytes it may hold.
-    pub state: (PathBuf, u64),
-    /// Descriptors it may hold.
-    pub sockets: usize,
-    /// For the module.
-    pub setup: EngineSettings,
+    /// Where its state lasts.
+    pub state_folder: StateFolder,
+    /// How many file descriptors it may hold.
+    pub max_sockets: usize,
+    /// The engine's settings.
+    pub engine: EngineSettings,
     /// The names of the classes, in their order.
-    pub classes: Vec<String>,
-    /// A connection that takes longer to come up has failed.
-    pub dial: Duration,
+    pub class_names: Vec<String>,
+    /// A connection to an endpoint that takes longer to be established has failed.
+    pub connect_timeout: Duration,
     /// Endpoints close a connection that has been idle for so long.
-    pub idle: Duration,
-    /// The endpoints as far as they are known.
-    pub hosts: EngineEvent,
-    /// The platform's front, if it is on.
-    pub relay: Option<PlatformFrontendConfig>,
-    /// The events front, if it is on.
-    pub events: Option<(TcpListener, CloudEventsFrontend)>,
+    pub idle_timeout: Duration,
+    /// The endpoints that are known at the start.
+    pub endpoints: EngineEvent,
+    /// The platform's frontend, if it is enabled.
+    pub platform: Option<PlatformFrontendConfig>,
+    /// The CloudEvents frontend, if it is enabled.
+    pub cloudevents: Option<CloudEventsFrontendConfig>,
     /// Where operators call, if anywhere.
-    pub mgmt: Option<TcpListener>,
-    /// What it may act under, where others decide on the policy as well: the gate, and the revision that this is of.
-    pub held: Option<(Arc<LeaseGuard>, u64)>,
+    pub admin_listener: Option<TcpListener>,
+    /// The lease that it needs to act, where a group decides on the policy.
+    pub lease: Option<LeaseConfig>,
 }
 
-/// Another policy for an instance that runs; its listeners, its folder and its network stay.
-pub struct PolicyUpdate {
-    /// What the core takes up.
-    pub change: PolicyChange,
-    /// The terms of the platform's front, if that is on.
-    pub relay: Option<PlatformFrontend>,
-    /// The terms of the events front, if that is on.
-    pub events: Option<CloudEventsFrontend>,
+/// The folder in which an instance's state lasts.
+pub struct StateFolder {
+    /// Where it is.
+    pub path: PathBuf,
+    /// How many bytes the journal may hold.
+    pub max_bytes: u64,
+}
+
+/// The lease under which an instance acts.
+pub struct LeaseConfig {
+    /// The guard, which the instances of a process share.
+    pub guard: Arc<LeaseGuard>,
+    /// The revision of the policy in the configuration.
+    pub revision: u64,
 }
 
-/// The platform's front of an instance.
+/// The platform's frontend of an instance.
 pub struct PlatformFrontendConfig {
     /// Where clients connect.
     pub listener: TcpListener,
-    /// What reads their requests.
-    pub front: PlatformFrontend,
-    /// Where ends are told.
-    pub notices: SocketAddr,
-    /// The names by which the list is watched there, and from which version on; otherwise the list is the one
-    /// given.
-    pub watch: Option<(Names, u64)>,
+    /// What parses their requests.
+    pub frontend: PlatformFrontend,
+    /// Where discovery is, which takes notices of final outcomes.
+    pub discovery: SocketAddr,
+    /// The endpoint list to watch there; otherwise the endpoints are those of the configuration.
+    pub watch: Option<ListWatch>,
+}
+
+/// The CloudEvents frontend of an instance.
+pub struct CloudEventsFrontendConfig {
+    /// Where clients connect.
+    pub listener: TcpListener,
+    /// What parses their requests.
+    pub frontend: CloudEventsFrontend,
+}
+
+/// Another policy for a running instance; its listeners, its folder and its network stay.
+pub struct PolicyUpdate {
+    /// The engine's part.
+    pub change: PolicyChange,
+    /// The platform's frontend, if it is enabled.
+    pub platform: Option<PlatformFrontend>,
+    /// The CloudEvents frontend, if it is enabled.
+    pub cloudevents: Option<CloudEventsFrontend>,
 }
--- /dev/null
+++ b/crates/delivery/src/instance/engine_loop.rs
@@ -0,0 +1,199 @@
+//! The engine's task: receives events, lets the engine step, executes its commands, and sleeps until there is more.
+
+use super::executor::Executor;
+use super::shutdown::Shutdown;
+use crate::core::engine::{Engine, EngineCommand, EngineEvent};
+use crate::core::SubmitResponse;
+use crate::hot_restart::driver;
+use crate::snapshot_store::SnapshotStore;
+use async_channel::Receiver;
+use async_io::Timer;
+use futures_lite::future;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How often what is known of destinations is written, at most.
+const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(1);
+/// How often a shutdown is looked at.
+const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// When requests that still wait at the end are to be sent again.
+const RETRY_AFTER_SHUTDOWN_MS: u64 = 1000;
+/// How long responses at the end have to be written.
+const LAST_WRITES: Duration = Duration::from_millis(30);
+
+/// Where the engine's events come from.
+pub(super) struct EventReceivers {
+    /// Those of clients and attempts.
+    pub(super) queue: Receiver<EngineEvent>,
+    /// Those that go ahead of them.
+    pub(super) priority: Receiver<EngineEvent>,
+}
+
+/// Writes snapshots of the destinations.
+pub(super) struct SnapshotWriter {
+    store: SnapshotStore,
+    written_at: Instant,
+}
+
+impl SnapshotWriter {
+    pub(super) fn new(store: SnapshotStore) -> SnapshotWriter {
+        SnapshotWriter {
+            store,
+            written_at: Instant::now(),
+        }
+    }
+}
+
+/// The engine and all that its loop needs.
+pub(super) struct EngineLoop {
+    pub(super) engine: Engine,
+    /// What the engine wants done at first.
+    pub(super) commands: Vec<EngineCommand>,
+    pub(super) executor: Rc<Executor>,
+    pub(super) events: EventReceivers,
+    pub(super) shutdown: Rc<Shutdown>,
+    pub(super) snapshots: Option<SnapshotWriter>,
+    /// Whether the first step is over.
+    pub(super) has_stepped: bool,
+}
+
+/// What a step was.
+struct StepSummary {
+    had_events: bool,
+    held_lease: bool,
+}
+
+impl EngineLoop {
+    /// Runs until the shutdown is complete.
+    pub(super) async fn run(mut self) {
+        let mut batch = Vec::new();
+        loop {
+            self.receive(&mut batch);
+            self.hand_over_if_requested(&mut batch);
+            self.count_notices(&batch);
+            let step = self.step(std::mem::take(&mut batch));
+            self.write_snapshot_if_due();
+            if self.shutdown.is_complete(&self.engine) {
+                return self.finish().await;
+            }
+            if self.engine.has_backlog() {
+                // The next batch must not have the same time as this one's last event.
+                future::yield_now().await;
+                continue;
+            }
+            batch.extend(self.next_event(&step).await);
+        }
+    }
+
+    /// All that waits goes in as one batch, priority events first.
+    fn receive(&self, batch: &mut Vec<EngineEvent>) {
+        while let Ok(event) = self.events.priority.try_recv() {
+            batch.push(event);
+        }
+        while let Ok(event) = self.events.queue.try_recv() {
+            batch.push(event);
+        }
+    }
+
+    /// Looks before anything is decided: another incarnation may decide already.
+    fn hand_over_if_requested(&self, batch: &mut Vec<EngineEvent>) {
+        if !self.engine.has_handed_over() && driver::must_hand_over(&self.executor.incarnation) {
+            batch.push(self.shutdown.hand_over());
+        }
+    }
+
+    fn count_notices(&self, batch: &[EngineEvent]) {
+        let acknowledged = batch
+            .iter()
+            .filter(|event| matches!(event, EngineEvent::NoticeAcknowledged(_)))
+            .count();
+        let counter = &self.executor.counters.notices_acknowledged;
+        counter.set(counter.get() + acknowledged as u64);
+    }
+
+    fn step(&mut self, batch: Vec<EngineEvent>) -> StepSummary {
+        let started_at = Instant::now();
+        let had_events = !batch.is_empty();
+        let held_lease = self
+            .executor
+            .step(&mut self.engine, batch, &mut self.commands);
+        // What is recovered before anybody is served keeps nobody waiting.
+        if std::mem::replace(&mut self.has_stepped, true) {
+            let longest = &self.executor.counters.longest_step_us;
+            let elapsed_us = started_at.elapsed().as_micros() as u64;
+            longest.set(longest.get().max(elapsed_us));
+        }
+        StepSummary {
+            had_events,
+            held_lease,
+        }
+    }
+
+    fn write_snapshot_if_due(&mut self) {
+        let is_due = self
+            .snapshots
+            .as_ref()
+            .is_some_and(|snapshots| snapshots.written_at.elapsed() >= SNAPSHOT_INTERVAL);
+        if is_due {
+            self.write_snapshot();
+        }
+    }
+
+    fn write_snapshot(&mut self) {
+        if let Some(snapshots) = &mut self.snapshots {
+            let now = self.executor.clock.now();
+            snapshots.store.write(&self.engine.destination_records(now));
+            snapshots.written_at = Instant::now();
+        }
+    }
+
+    async fn finish(mut self) {
+        self.executor
+            .clients
+            .respond_to_all(SubmitResponse::Rejected {
+                retry_after_ms: RETRY_AFTER_SHUTDOWN_MS,
+            });
+        self.write_snapshot();
+        Timer::after(LAST_WRITES).await;
+    }
+
+    /// Sleeps until an event comes or something is due.
+    async fn next_event(&self, step: &StepSummary) -> Option<EngineEvent> {
+        let sleep = async {
+            match self.wake_at(step) {
+                Some(at) => drop(Timer::at(at).await),
+                None => future::pending().await,
+            }
+            None
+        };
+        let receive = future::or(async { self.events.priority.recv().await.ok() }, async {
+            self.events.queue.recv().await.ok()
+        });
+        future::or(receive, sleep).await
+    }
+
+    fn wake_at(&self, step: &StepSummary) -> Option<Instant> {
+        let clock = self.executor.clock;
+        let engine = if step.held_lease {
+            self.engine.next_wake()
+        } else {
+            self.engine.next_wake_without_lease(clock.now())
+        };
+        let shutdown = self
+            .shutdown
+            .has_begun()
+            .then(|| Instant::now() + SHUTDOWN_POLL_INTERVAL);
+        // What has just changed is written also if nothing else happens.
+        let snapshot = self
+            .snapshots
+            .as_ref()
+            .filter(|_| step.had_events)
+            .map(|snapshots| snapshots.written_at + SNAPSHOT_INTERVAL);
+        engine
+            .map(|at| clock.instant(at))
+            .into_iter()
+            .chain(shutdown)
+            .chain(snapshot)
+            .min()
+    }
+}
--- /dev/null
+++ b/crates/delivery/src/instance/error.rs
@@ -0,0 +1,47 @@
+//! Why an instance cannot run.
+
+use super::platform_config::ConfigError;
+use std::io;
+use std::net::AddrParseError;
+use std::path::PathBuf;
+
+/// Why an instance cannot run.
+#[derive(Debug, thiserror::Error)]
+pub enum InstanceError {
+    /// The platform's configuration cannot be used.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// An address in the configuration is none.
+    #[error("{text}")]
+    Address {
+        /// What stands there.
+        text: String,
+        /// Why it is none.
+        #[source]
+        source: AddrParseError,
+    },
+    /// A listener cannot be opened.
+    #[error("{address}")]
+    Bind {
+        /// Where it was to listen.
+        address: String,
+        /// The system's error.
+        #[source]
+        source: io::Error,
+    },
+    /// A listener cannot be used.
+    #[error("a listener cannot be used")]
+    Listener(#[source] io::Error),
+    /// The state folder cannot be used.
+    #[error("{}", path.display())]
+    StateFolder {
+        /// The folder.
+        path: PathBuf,
+        /// The system's error.
+        #[source]
+        source: io::Error,
+    },
+    /// Signals cannot be registered.
+    #[error("signals cannot be watched")]
+    Signals(#[source] io::Error),
+}
--- a/crates/delivery/src/instance/executor.rs
+++ b/crates/delivery/src/instance/executor.rs
@@ -1,45 +1,114 @@
-//! Carries out what the engine orders: answers, legs, and what the network is told of endpoints.
+//! Executes what the engine wants done: responses, attempts, and what the network needs to know of endpoints.
+//!
+//! A step of the engine and the execution of its commands happen under one lease permit, if a lease is needed.
 
-use super::{Executor, PolicyUpdate};
+use super::admin::AdminState;
+use crate::clock::Clock;
+use crate::core::endpoint::ListedEndpoint;
 use crate::core::engine::{
     AttemptRequest, AttemptResult, Engine, EngineCommand, EngineEvent, LeaseState,
 };
-use crate::core::{FinalOutcome, Origin, SubmitResponse};
-use crate::counters::add;
-use crate::frontend::{cloudevents, platform};
+use crate::core::{FinalOutcome, Message, MessageId, Origin, RequestId, SubmitResponse};
+use crate::counters::{add, Counters};
+use crate::frontend::cloudevents::{self, CloudEventsFrontend};
+use crate::frontend::{platform, SwappableFrontend};
 use crate::hot_restart::driver;
-use crate::lease_guard::{self, LeasePermit};
+use crate::hot_restart::incarnation::Incarnation;
+use crate::lease_guard::{GuardState, LeaseGuard, LeasePermit};
 use crate::log_line;
-use crate::net::pool::{Call, Ended};
-use marblefall_scheduler::{EndpointStatus, Outcome};
+use crate::net::discovery::PendingNotice;
+use crate::net::pool::{Attempt, EncodedRequest, Pool};
+use crate::net::server::{ClientConnections, Spawner};
+use async_channel::Sender;
+use marblefall_scheduler::{EndpointId, Outcome};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::Arc;
+
+/// What the history says of an accepted message. Tools that check histories read it.
+const HISTORY_ACCEPTED: &str = "takes";
+/// What the history says of a started attempt. Tools that check histories read it.
+const HISTORY_ATTEMPT: &str = "leg";
+
+/// The lease under which an instance acts.
+pub(super) struct Lease {
+    /// The guard, if a lease is needed.
+    pub(super) guard: Option<Arc<LeaseGuard>>,
+    /// The revision of the policy that the engine decides by.
+    pub(super) revision: Cell<u64>,
+    /// The instance's name in the history.
+    pub(super) instance: String,
+}
+
+impl Lease {
+    /// A permit to act by the policy, if that is allowed at this moment.
+    fn acquire(&self) -> Option<LeasePermit<'_>> {
+        match &self.guard {
+            None => Some(LeasePermit::unconditional()),
+            Some(guard) => guard.acquire(self.revision.get()),
+        }
+    }
+
+    /// Why there is no permit.
+    fn state_without_permit(&self) -> LeaseState {
+        let Some(guard) = &self.guard else {
+            return LeaseState::Held;
+        };
+        match guard.state(self.revision.get()) {
+            GuardState::Suspended | GuardState::Open(_) => LeaseState::Suspended,
+            GuardState::Closed => LeaseState::Lost,
+        }
+    }
+
+    /// Writes into the history, if there is one.
+    fn record(&self, what: &str) {
+        if let Some(guard) = &self.guard {
+            guard.record(&self.instance, what, self.revision.get());
+        }
+    }
+}
+
+/// Executes the engine's commands.
+pub(super) struct Executor {
+    pub(super) clients: Rc<ClientConnections>,
+    pub(super) pool: Rc<Pool>,
+    pub(super) cloudevents: Rc<SwappableFrontend<CloudEventsFrontend>>,
+    pub(super) notices: Sender<PendingNotice>,
+    /// Where attempts report their results.
+    pub(super) events: Sender<EngineEvent>,
+    /// Events that go ahead of those.
+    pub(super) priority_events: Sender<EngineEvent>,
+    pub(super) clock: Clock,
+    pub(super) counters: Rc<Counters>,
+    pub(super) lease: Lease,
+    pub(super) endpoint_addresses: RefCell<BTreeMap<EndpointId, Rc<str>>>,
+    pub(super) tasks: Spawner,
+    pub(super) admin: Rc<AdminState>,
+    pub(super) incarnation: Rc<RefCell<Incarnation>>,
+}
 
 impl Executor {
-    /// Lets the engine decide, if it may act under its policy, and carries out what it orders. Gives whether it may.
+    /// Lets the engine decide, and executes its commands. Returns whether the lease was held.
     pub(super) fn step(
         self: &Rc<Self>,
         engine: &mut Engine,
         batch: Vec<EngineEvent>,
-        orders: &mut Vec<EngineCommand>,
+        commands: &mut Vec<EngineCommand>,
     ) -> bool {
-        let revision = self.revision.get();
-        // Held until all that was decided is carried out: the gate is shut only between two steps.
-        let act = self.enter();
-        let standing = match &self.gate {
-            Some(gate) if act.is_none() => match gate.state(revision) {
-                lease_guard::GuardState::Suspended | lease_guard::GuardState::Open(_) => {
-                    LeaseState::Suspended
-                }
-                lease_guard::GuardState::Closed => LeaseState::Lost,
-            },
-            _ => LeaseState::Held,
-        };
-        engine.set_lease(standing);
-        engine.step(self.clock.now(), batch, orders);
-        // The process may have been stopped in the midst of the step, and another one decide since.
-        let replaced = !engine.has_handed_over() && driver::must_hand_over(&self.life);
-        for order in orders.drain(..) {
-            if replaced && matches!(order, EngineCommand::SendNotice { .. }) {
+        // Held until all that was decided is executed: the guard closes only between two steps.
+        let permit = self.lease.acquire();
+        let has_permit = permit.is_some();
+        engine.set_lease(if has_permit {
+            LeaseState::Held
+        } else {
+            self.lease.state_without_permit()
+        });
+        engine.step(self.clock.now(), batch, commands);
+        // The process may have been stopped during the step, and another one decide since.
+        let is_fenced = !engine.has_handed_over() && driver::must_hand_over(&self.incarnation);
+        for command in commands.drain(..) {
+            if is_fenced && matches!(command, EngineCommand::SendNotice { .. }) {
                 // It is in the journal, where whoever took over before does not look for it.
                 log_line!(
                     code = "fenced-off",
@@ -47,192 +116,182 @@
                 );
                 continue;
             }
-            // While nobody acts, this is said only of what was taken on before.
-            if act.is_some() && matches!(order, EngineCommand::Respond(_, SubmitResponse::Accepted))
-            {
-                self.note("takes");
+            let is_acceptance =
+                matches!(command, EngineCommand::Respond(_, SubmitResponse::Accepted));
+            // Without the lease, this is said only of messages that were accepted before.
+            if has_permit && is_acceptance {
+                self.lease.record(HISTORY_ACCEPTED);
             }
-            self.carry_out(order);
-        }
-        act.is_some()
-    }
-
-    /// The pass under which something is done by the policy, if it may be at this moment.
-    fn enter(&self) -> Option<LeasePermit<'_>> {
-        self.gate
-            .as_ref()
-            .map_or(Some(LeasePermit::unconditional()), |gate| {
-                gate.acquire(self.revision.get())
-            })
-    }
-
-    /// Writes what is done into the history, if there is one.
-    fn note(&self, what: &str) {
-        self.gate
-            .iter()
-            .for_each(|gate| gate.record(&self.name, what, self.revision.get()));
-    }
-
-    /// Takes up another policy: the fronts at once, the core with its next step.
-    pub(super) async fn switch(&self, to: PolicyUpdate) {
-        let PolicyUpdate {
-            change,
-            relay,
-            events,
-        } = to;
-        if let (Some(front), Some(terms)) = (&self.relay_front, relay) {
-            front.set(terms);
+            self.execute(command);
         }
-        events.into_iter().for_each(|terms| self.events.set(terms));
-        let _ = self
-            .news
-            .send(EngineEvent::PolicyChanged(Box::new(change)))
-            .await;
-    }
-
-    fn carry_out(self: &Rc<Self>, order: EngineCommand) {
-        match order {
-            EngineCommand::Respond(ticket, answer) => {
-                match answer {
-                    SubmitResponse::Accepted => add(&self.counters.taken_on),
-                    SubmitResponse::Rejected { .. } => add(&self.counters.declined),
-                    SubmitResponse::Conflict | SubmitResponse::Finished(_) => {}
-                }
-                self.clients.answer(ticket, answer);
-            }
-            EngineCommand::StartAttempt(request) => {
-                let executor = self.clone();
-                let attempt = async move {
-                    let result = executor.attempt(request).await;
-                    let _ = executor
-                        .queue
-                        .send(EngineEvent::AttemptFinished(result))
-                        .await;
-                };
-                self.tasks.spawn(attempt);
-            }
+        has_permit
+    }
+
+    fn execute(self: &Rc<Self>, command: EngineCommand) {
+        match command {
+            EngineCommand::Respond(request, response) => self.respond(request, response),
+            EngineCommand::StartAttempt(request) => self.start_attempt(request),
             EngineCommand::SetBackoff(route, until) => {
-                self.pool.told(route, self.clock.instant(until))
+                self.pool.back_off(route, self.clock.instant(until));
             }
-            EngineCommand::CancelAttempt(seq) => self.pool.abandon(seq),
-            EngineCommand::CloseIdleConnections(host) => self.pool.close_idle(host),
-            EngineCommand::MessageFinished(end) => match end {
-                FinalOutcome::Delivered => {}
-                FinalOutcome::Returned { .. } => add(&self.counters.returned),
-                FinalOutcome::Expired => add(&self.counters.expired),
-                FinalOutcome::Failed => add(&self.counters.failed),
-            },
+            EngineCommand::CancelAttempt(id) => self.pool.cancel(id),
+            EngineCommand::CloseIdleConnections(endpoint) => self.pool.close_idle(endpoint),
+            EngineCommand::MessageFinished(outcome) => self.count_final_outcome(outcome),
             EngineCommand::SendNotice {
-                message_id: seq,
+                message_id,
                 message,
-                outcome: end,
-            } => {
-                let _ = self.owed.try_send((seq, message.identity.clone(), end));
-            }
-            EngineCommand::EndpointListed(id, host) => {
-                self.addresses
-                    .borrow_mut()
-                    .insert(id, host.address.as_str().into());
-                self.admin.listed(id, &host.name);
-                self.pool
-                    .place(id, &host.address, host.status == EndpointStatus::Active);
-            }
-            EngineCommand::EndpointRemoved(id) => {
-                self.addresses.borrow_mut().remove(&id);
-                self.admin.gone(id);
-                self.pool.gone(id);
-            }
+                outcome,
+            } => self.send_notice(message_id, &message, outcome),
+            EngineCommand::EndpointListed(id, endpoint) => self.endpoint_listed(id, &endpoint),
+            EngineCommand::EndpointRemoved(id) => self.endpoint_removed(id),
             EngineCommand::TookOver(messages) => {
-                self.counters.resumed.set(messages as u64);
-                self.admin.started.set(true);
-            }
-            EngineCommand::HandedOver => {
-                if let Err(error) = self.life.borrow_mut().mark_handed_over() {
-                    log_line!(
-                        code = "not-marked",
-                        "the next process does not see that this one has handed over: {error}"
-                    );
-                }
-                self.admin.started.set(false);
-                self.pool.leave();
-                log_line!(code = "handed-over", "another process decides from now on");
-            }
-            EngineCommand::PolicyInForce(revision) => {
-                self.revision.set(revision);
-                log_line!(code = "policy-taken-up", "decides by revision {revision}");
-                // What waited for it goes on in a step under its own pass.
-                let _ = self.news.try_send(EngineEvent::LeaseChanged);
+                self.counters.recovered.set(messages as u64);
+                self.admin.activate();
             }
+            EngineCommand::HandedOver => self.handed_over(),
+            EngineCommand::PolicyInForce(revision) => self.policy_in_force(revision),
             EngineCommand::Log(text) => log_line!("{text}"),
         }
     }
 
-    async fn attempt(&self, request: AttemptRequest) -> AttemptResult {
-        let AttemptRequest {
+    fn respond(&self, request: RequestId, response: SubmitResponse) {
+        match response {
+            SubmitResponse::Accepted => add(&self.counters.accepted),
+            SubmitResponse::Rejected { .. } => add(&self.counters.rejected),
+            SubmitResponse::Conflict | SubmitResponse::Finished(_) => {}
+        }
+        self.clients.respond(request, response);
+    }
+
+    fn count_final_outcome(&self, outcome: FinalOutcome) {
+        match outcome {
+            FinalOutcome::Delivered => {}
+            FinalOutcome::Returned { .. } => add(&self.counters.returned),
+            FinalOutcome::Expired => add(&self.counters.expired),
+            FinalOutcome::Failed => add(&self.counters.failed),
+        }
+    }
+
+    fn send_notice(&self, message_id: MessageId, message: &Message, outcome: FinalOutcome) {
+        let notice = PendingNotice {
             message_id,
-            attempt,
-            endpoint: host,
-            route,
-            message,
-            timeout_at: cut_at,
-            write_by,
-        } = request;
-        add(&self.counters.legs);
-        let begun = self.clock.now().monotonic;
-        let address = self
-            .addresses
-            .borrow()
-            .get(&host)
-            .cloned()
-            .unwrap_or_else(|| "".into());
-        let word = |budget_ms| match message.origin {
-            Origin::Platform => platform::encode_attempt(&message, &address, budget_ms),
-            Origin::CloudEvents => self.events.get().leg(&message, &address),
+            identity: message.identity.clone(),
+            outcome,
+        };
+        // Fails only where the platform's frontend is disabled.
+        let _ = self.notices.try_send(notice);
+    }
+
+    fn endpoint_listed(&self, id: EndpointId, endpoint: &ListedEndpoint) {
+        self.endpoint_addresses
+            .borrow_mut()
+            .insert(id, endpoint.address.as_str().into());
+        self.admin.endpoint_listed(id, &endpoint.name);
+        self.pool
+            .set_endpoint(id, &endpoint.address, endpoint.status);
+    }
+
+    fn endpoint_removed(&self, id: EndpointId) {
+        self.endpoint_addresses.borrow_mut().remove(&id);
+        self.admin.endpoint_removed(id);
+        self.pool.remove_endpoint(id);
+    }
+
+    fn handed_over(&self) {
+        if let Err(error) = self.incarnation.borrow_mut().mark_handed_over() {
+            log_line!(
+                code = "not-marked",
+                "the next process does not see that this one has handed over: {error}"
+            );
+        }
+        self.admin.deactivate();
+        self.pool.stop_reusing();
+        log_line!(code = "handed-over", "another process decides from now on");
+    }
+
+    fn policy_in_force(&self, revision: u64) {
+        self.lease.revision.set(revision);
+        log_line!(code = "policy-in-force", "decides by revision {revision}");
+        // What was deferred until then goes on in a step under a permit of its own.
+        let _ = self.priority_events.try_send(EngineEvent::LeaseChanged);
+    }
+
+    fn start_attempt(self: &Rc<Self>, request: AttemptRequest) {
+        let executor = self.clone();
+        self.tasks.spawn(async move {
+            let result = executor.run_attempt(request).await;
+            // Fails only once the engine has ended.
+            let _ = executor
+                .events
+                .send(EngineEvent::AttemptFinished(result))
+                .await;
+        });
+    }
+
+    async fn run_attempt(&self, request: AttemptRequest) -> AttemptResult {
+        let message = request.message;
+        add(&self.counters.attempts);
+        let started_at = self.clock.now().monotonic;
+        let address = self.address_of(request.endpoint);
+        let encode = |budget_ms| -> EncodedRequest<'_> {
+            match message.origin {
+                Origin::Platform => platform::encode_attempt(&message, &address, budget_ms),
+                Origin::CloudEvents => self.cloudevents.get().encode_attempt(&message, &address),
+            }
         };
         let judge = match message.origin {
             Origin::Platform => platform::judge,
             Origin::CloudEvents => cloudevents::judge,
         };
-        // Looked at as late as can be: a process that was stopped since this was decided finds the fence here.
-        let may = || {
-            driver::may_start_attempt(&self.life)
-                .then(|| self.enter())
-                .flatten()
-                .inspect(|_| self.note("leg"))
-        };
-        let call = Call {
-            route,
-            word: &word,
+        let attempt = Attempt {
+            message_id: request.message_id,
+            endpoint: request.endpoint,
+            route: request.route,
+            timeout_at: self.clock.instant(request.timeout_at),
+            write_by: self.clock.instant(request.write_by),
+            encode: &encode,
             judge,
-            may: &may,
+            permit: &|| self.attempt_permit(),
         };
-        let (cut_at, write_by) = (self.clock.instant(cut_at), self.clock.instant(write_by));
-        let Ended {
-            outcome,
-            disposition,
-            report,
-        } = self
-            .pool
-            .leg(message_id, host, call, cut_at, write_by)
-            .await;
+        let ended = self.pool.run_attempt(attempt).await;
+        self.count_attempt(&ended.outcome);
+        AttemptResult {
+            message_id: request.message_id,
+            attempt: request.attempt,
+            outcome: ended.outcome,
+            duration: self.clock.now().monotonic - started_at,
+            disposition: ended.disposition,
+            rate_limit: ended.rate_limit,
+        }
+    }
+
+    fn address_of(&self, id: EndpointId) -> Rc<str> {
+        let addresses = self.endpoint_addresses.borrow();
+        addresses.get(&id).cloned().unwrap_or_else(|| "".into())
+    }
+
+    /// A permit to start an attempt. Looked at as late as can be: a process that was stopped since the attempt was chosen
+    /// finds that it is fenced.
+    fn attempt_permit(&self) -> Option<LeasePermit<'_>> {
+        if !driver::may_start_attempt(&self.incarnation) {
+            return None;
+        }
+        let permit = self.lease.acquire()?;
+        self.lease.record(HISTORY_ATTEMPT);
+        Some(permit)
+    }
+
+    fn count_attempt(&self, outcome: &Outcome) {
         let counters = &self.counters;
         add(match outcome {
-            Outcome::Delivered => &counters.delivered,
-            Outcome::Error => &counters.errors,
-            Outcome::Rejected { .. } => &counters.turned_away,
-            Outcome::TimedOut => &counters.timed_out,
-            Outcome::ConnectFailed => &counters.unconnected,
-            Outcome::Reset | Outcome::StaleConnection => &counters.resets,
-            Outcome::Cancelled => &counters.cancelled,
-            Outcome::NotSent => &counters.not_begun,
+            Outcome::Delivered => &counters.attempts_delivered,
+            Outcome::Error => &counters.attempts_failed,
+            Outcome::Rejected { .. } => &counters.attempts_rejected,
+            Outcome::TimedOut => &counters.attempts_timed_out,
+            Outcome::ConnectFailed => &counters.attempts_unconnected,
+            Outcome::Reset | Outcome::StaleConnection => &counters.attempts_reset,
+            Outcome::Cancelled => &counters.attempts_cancelled,
+            Outcome::NotSent => &counters.attempts_not_sent,
         });
-        AttemptResult {
-            message_id,
-            attempt,
-            outcome,
-            duration: self.clock.now().monotonic - begun,
-            disposition,
-            rate_limit: report,
-        }
     }
 }
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -6,11 +6,13 @@
 pub mod clock;
 pub mod core;
 pub mod counters;
+mod error_chain;
 pub mod frontend;
 pub mod hot_restart;
 pub mod instance;
 pub mod lease_guard;
 pub mod log;
 pub mod net;
-pub mod seam;
 pub mod snapshot_store;
+
+pub use error_chain::error_chain;
--- a/crates/delivery/src/net/admin.rs
+++ b/crates/delivery/src/net/admin.rs
@@ -1,182 +1,153 @@
-//! Where operators call: HTTP/1.1, one call a connection, each answered within a second however the caller
-//! behaves. What a call means is the instance's affair, behind [`Operators`]; this file reads and answers.
+//! Operators' calls: HTTP/1.1, one call a connection, each responded to within a second however the caller behaves.
+//!
+//! What a call does is up to an [`AdminHandler`]; this module parses and responds.
 
+use super::connection::{before, Connection, ReadError};
 use super::http;
-use super::link::{until, Link, Stop};
-use super::server::Spawner;
+use super::spawner::Spawner;
 use crate::log_line;
-use async_io::Async;
-use std::net::TcpListener;
+use async_io::{Async, Timer};
+use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// A call is answered by then from its connection's start: operators' tools want an answer within 1 s, and
-/// some callers send nothing, or half a call, and stay.
-const ANSWER_BY: Duration = Duration::from_millis(800);
-/// The longest call: a head and an endpoint's id.
-const MOST: usize = 4 * 1024;
+/// A call is responded to by then from its connection's start: operators' tools want a response within 1 s, and some
+/// callers send nothing, or half a call, and stay.
+const RESPOND_WITHIN: Duration = Duration::from_millis(800);
+/// How long writing the response may take after that.
+const WRITE_GRACE: Duration = Duration::from_millis(200);
+/// The longest head and the longest body: an endpoint's id.
+const MAX_LEN: usize = 4 * 1024;
+/// How long the listener pauses after an error.
+const ERROR_PAUSE: Duration = Duration::from_millis(50);
 
 /// What operators ask of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Call<'a> {
+pub enum AdminCall<'a> {
     /// `GET /ready`: whether it takes clients.
     Ready,
     /// `POST /endpoints/disable` with an endpoint's id as the body: send it nothing new.
     Disable(&'a str),
-    /// `POST /endpoints/enable` with the id: it may serve again.
+    /// `POST /endpoints/enable` with the id: it may be used again.
     Enable(&'a str),
-    /// `POST /drain`: send clients away.
+    /// `POST /drain`: take no more clients.
     Drain,
     /// `POST /undrain`: take clients again.
     Undrain,
 }
 
-/// Carries calls out; gives the status to answer with: 2xx is yes, 4xx and 5xx no.
-pub trait Operators {
-    /// Carries out a call at once.
-    fn call(&self, call: Call<'_>) -> u16;
+/// Executes calls.
+pub trait AdminHandler {
+    /// Executes a call at once; returns the status to respond with.
+    fn handle(&self, call: AdminCall<'_>) -> u16;
 }
 
-/// What a request asks for, or the status that refuses it: 404 for a place that is not one, 405 for a wrong
-/// method there, 400 for an id that is empty or not text.
-pub fn call<'a>(method: &str, path: &str, body: &'a [u8]) -> Result<Call<'a>, u16> {
-    let id = || match std::str::from_utf8(body).map(str::trim) {
+/// Parses what a request asks for.
+///
+/// # Errors
+/// The status with which the request is rejected: 404 for an unknown path, 405 for a wrong method there, 400 for an id
+/// that is empty or not text.
+pub fn parse_call<'a>(method: &str, path: &str, body: &'a [u8]) -> Result<AdminCall<'a>, u16> {
+    let endpoint_id = || match std::str::from_utf8(body).map(str::trim) {
         Ok(id) if !id.is_empty() && !id.contains(char::is_whitespace) => Ok(id),
         _ => Err(400),
     };
-    let (wanted, call) = match path {
-        "/ready" => ("GET", Ok(Call::Ready)),
-        "/endpoints/disable" => ("POST", id().map(Call::Disable)),
-        "/endpoints/enable" => ("POST", id().map(Call::Enable)),
-        "/drain" => ("POST", Ok(Call::Drain)),
-        "/undrain" => ("POST", Ok(Call::Undrain)),
+    let (expected_method, call) = match path {
+        "/ready" => ("GET", Ok(AdminCall::Ready)),
+        "/endpoints/disable" => ("POST", endpoint_id().map(AdminCall::Disable)),
+        "/endpoints/enable" => ("POST", endpoint_id().map(AdminCall::Enable)),
+        "/drain" => ("POST", Ok(AdminCall::Drain)),
+        "/undrain" => ("POST", Ok(AdminCall::Undrain)),
         _ => return Err(404),
     };
-    if method != wanted {
+    if method != expected_method {
         return Err(405);
     }
     call
 }
 
 /// Accepts operators' connections for ever, each served in a task of its own.
-pub async fn listen(listener: Async<TcpListener>, operators: Rc<dyn Operators>, tasks: Spawner) {
+pub async fn serve(listener: Async<TcpListener>, handler: Rc<dyn AdminHandler>, tasks: Spawner) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let operators = operators.clone();
-                tasks.spawn(async move {
-                    let mut link = Link::new(stream);
-                    let by = Instant::now() + ANSWER_BY;
-                    let (status, code) =
-                        match until(by, read(&mut link)).await.unwrap_or(Err(Stop::Late)) {
-                            Ok((head, len)) => answer(
-                                &link.bytes()[..head],
-                                &link.bytes()[head..head + len],
-                                &*operators,
-                            ),
-                            Err(Stop::Late) => (408, "late"),
-                            Err(Stop::Fault(fault)) => (fault.status(), fault.code()),
-                            Err(stop) => {
-                                let code = stop.code();
-                                return log_line!(code, "operators' call ended unanswered");
-                            }
-                        };
-                    let head = format!(
-                        "HTTP/1.1 {status} {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
-                        http::phrase(status)
-                    );
-                    let _ = until(by + ANSWER_BY / 4, link.write(head.as_bytes(), b"")).await;
-                    log_line!(code, "operators' call answered with {status}");
-                });
-            }
+            Ok((stream, _)) => tasks.spawn(serve_call(stream, handler.clone())),
             Err(error) => {
                 log_line!("no operators' connection accepted: {error}");
-                async_io::Timer::after(Duration::from_millis(50)).await;
+                Timer::after(ERROR_PAUSE).await;
             }
         }
     }
 }
 
-async fn read(link: &mut Link) -> Result<(usize, usize), Stop> {
-    let head = link.head(MOST).await?;
-    let framing = http::request(&link.bytes()[..head])?.framing;
-    let len = link.body(head, framing, MOST).await?;
-    Ok((head, len))
+/// A status to respond with, and the reason code for the log.
+struct CallResult {
+    status: u16,
+    code: &'static str,
 }
 
-fn answer(head: &[u8], body: &[u8], operators: &dyn Operators) -> (u16, &'static str) {
-    let Ok(request) = http::request(head) else {
-        return (400, "malformed");
+async fn serve_call(stream: Async<TcpStream>, handler: Rc<dyn AdminHandler>) {
+    let mut connection = Connection::new(stream);
+    let respond_by = Instant::now() + RESPOND_WITHIN;
+    let read = before(respond_by, read_call(&mut connection))
+        .await
+        .unwrap_or(Err(ReadError::TimedOut));
+    let result = match read {
+        Ok(extent) => execute(connection.bytes(), extent, &*handler),
+        Err(ReadError::TimedOut) => CallResult {
+            status: 408,
+            code: "late",
+        },
+        Err(ReadError::Unparsable(error)) => CallResult {
+            status: error.status(),
+            code: error.code(),
+        },
+        Err(error @ (ReadError::Closed | ReadError::Truncated | ReadError::Io(_))) => {
+            let code = error.code();
+            return log_line!(code, "operators' call ended without a response");
+        }
     };
-    match call(request.method, request.path, body) {
-        Ok(call) => (operators.call(call), "called"),
-        Err(status) => (status, "not-a-call"),
-    }
+    let CallResult { status, code } = result;
+    let head = format!(
+        "HTTP/1.1 {status} {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+        http::reason_phrase(status)
+    );
+    let write_by = respond_by + WRITE_GRACE;
+    let _ = before(write_by, connection.write(head.as_bytes(), b"")).await;
+    log_line!(code, "operators' call: status {status}");
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use async_executor::LocalExecutor;
-    use std::cell::RefCell;
-
-    /// Says yes to all, and notes what it was asked.
-    #[derive(Default)]
-    struct Yes(RefCell<Vec<String>>);
-
-    impl Operators for Yes {
-        fn call(&self, call: Call<'_>) -> u16 {
-            self.0.borrow_mut().push(format!("{call:?}"));
-            200
-        }
-    }
+/// Where a call lies in its connection's buffer.
+struct CallExtent {
+    head: usize,
+    body: usize,
+}
 
-    async fn status(link: &mut Link) -> u16 {
-        let head = link.head(MOST).await.unwrap();
-        http::response(&link.bytes()[..head]).unwrap().status
-    }
+async fn read_call(connection: &mut Connection) -> Result<CallExtent, ReadError> {
+    let head = connection.read_head(MAX_LEN).await?;
+    let framing = http::request(&connection.bytes()[..head])?.framing;
+    let body = connection.read_body(head, framing, MAX_LEN).await?;
+    Ok(CallExtent { head, body })
+}
 
-    #[test]
-    fn who_sends_nothing_or_half_holds_up_nobody_and_is_answered_itself() {
-        let tasks = Rc::new(LocalExecutor::new());
-        let spawner = Spawner::new(&tasks);
-        async_io::block_on(tasks.run(async {
-            let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
-            let at = listener.get_ref().local_addr().unwrap();
-            let yes = Rc::new(Yes::default());
-            spawner
-                .clone()
-                .spawn(listen(listener, yes.clone(), spawner));
-            let mut silent = Link::connect(at).await.unwrap();
-            let mut half = Link::connect(at).await.unwrap();
-            half.write(
-                b"POST /endpoints/disable HTTP/1.1\r\nContent-Length: 8\r\n\r\ns-",
-                b"",
-            )
-            .await
-            .unwrap();
-            let mut whole = Link::connect(at).await.unwrap();
-            whole
-                .write(
-                    b"POST /endpoints/disable HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-1",
-                    b"",
-                )
-                .await
-                .unwrap();
-            assert_eq!(status(&mut whole).await, 200);
-            assert_eq!(
-                *yes.0.borrow(),
-                ["Disable(\"s-1\")"],
-                "answered while two others wait"
-            );
-            assert_eq!(status(&mut half).await, 408);
-            assert_eq!(status(&mut silent).await, 408);
-            let mut wrong = Link::connect(at).await.unwrap();
-            wrong
-                .write(b"DELETE /ready HTTP/1.1\r\n\r\n", b"")
-                .await
-                .unwrap();
-            assert_eq!(status(&mut wrong).await, 405);
-        }));
+fn execute(bytes: &[u8], extent: CallExtent, handler: &dyn AdminHandler) -> CallResult {
+    let (head, rest) = bytes.split_at(extent.head);
+    let Ok(request) = http::request(head) else {
+        return CallResult {
+            status: 400,
+            code: "malformed",
+        };
+    };
+    match parse_call(request.method, request.path, &rest[..extent.body]) {
+        Ok(call) => CallResult {
+            status: handler.handle(call),
+            code: "called",
+        },
+        Err(status) => CallResult {
+            status,
+            code: "not-a-call",
+        },
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/delivery/src/net/admin/tests.rs
@@ -0,0 +1,63 @@
+use super::*;
+use async_executor::LocalExecutor;
+use std::cell::RefCell;
+
+/// Accepts all calls, and records them.
+#[derive(Default)]
+struct RecordingHandler(RefCell<Vec<String>>);
+
+impl AdminHandler for RecordingHandler {
+    fn handle(&self, call: AdminCall<'_>) -> u16 {
+        self.0.borrow_mut().push(format!("{call:?}"));
+        200
+    }
+}
+
+async fn read_status(connection: &mut Connection) -> u16 {
+    let head = connection.read_head(MAX_LEN).await.unwrap();
+    http::response(&connection.bytes()[..head]).unwrap().status
+}
+
+#[test]
+fn unfinished_calls_time_out_without_delaying_others() {
+    let tasks = Rc::new(LocalExecutor::new());
+    let spawner = Spawner::new(&tasks);
+    async_io::block_on(tasks.run(async {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+        let address = listener.get_ref().local_addr().unwrap();
+        let handler = Rc::new(RecordingHandler::default());
+        spawner
+            .clone()
+            .spawn(serve(listener, handler.clone(), spawner));
+        let mut silent = Connection::connect(address).await.unwrap();
+        let mut half = Connection::connect(address).await.unwrap();
+        half.write(
+            b"POST /endpoints/disable HTTP/1.1\r\nContent-Length: 8\r\n\r\ns-",
+            b"",
+        )
+        .await
+        .unwrap();
+        let mut whole = Connection::connect(address).await.unwrap();
+        whole
+            .write(
+                b"POST /endpoints/disable HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-1",
+                b"",
+            )
+            .await
+            .unwrap();
+        assert_eq!(read_status(&mut whole).await, 200);
+        assert_eq!(
+            *handler.0.borrow(),
+            ["Disable(\"s-1\")"],
+            "responded to while two others wait"
+        );
+        assert_eq!(read_status(&mut half).await, 408);
+        assert_eq!(read_status(&mut silent).await, 408);
+        let mut wrong = Connection::connect(address).await.unwrap();
+        wrong
+            .write(b"DELETE /ready HTTP/1.1\r\n\r\n", b"")
+            .await
+            .unwrap();
+        assert_eq!(read_status(&mut wrong).await, 405);
+    }));
+}
--- a/crates/delivery/src/net/discovery/notices.rs
+++ b/crates/delivery/src/net/discovery/notices.rs
@@ -1,93 +1,169 @@
-//! Notices of ends to the platform, each sent until it is taken.
+//! Delivers notices of final outcomes to the platform, each until it is acknowledged.
 
-use super::{Home, BACKOFF, HEAD};
+use super::{next_backoff, DiscoveryEndpoint, MAX_HEAD, MIN_BACKOFF};
 use crate::core::engine::EngineEvent;
 use crate::core::{FinalOutcome, MessageId};
 use crate::log_line;
+use crate::net::connection::{before, Connection, ReadError};
 use crate::net::http;
-use crate::net::link::{until, Link, Stop};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-const NOTICE_PATIENCE: Duration = Duration::from_secs(2);
-/// Notices that go out together at most.
-const NOTICES: usize = 200;
+/// How long a request may take.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// The most notices in one request.
+const MAX_BATCH: usize = 200;
+const NO_CONTENT: u16 = 204;
 
-/// Tells the platform of ends, worded by the front that owes them, each until it is taken.
-pub async fn notices(
-    mut home: Home,
-    owed: Receiver<(MessageId, Vec<u8>, FinalOutcome)>,
-    taken: Sender<EngineEvent>,
-    word: fn(&[u8], FinalOutcome) -> String,
+/// A notice to be delivered.
+#[derive(Debug)]
+pub struct PendingNotice {
+    /// The message's id in the engine.
+    pub message_id: MessageId,
+    /// The identity that its client gave it.
+    pub identity: Vec<u8>,
+    /// How it ended.
+    pub outcome: FinalOutcome,
+}
+
+/// Words a notice as one line, given a message's identity and outcome.
+pub type EncodeNotice = fn(&[u8], FinalOutcome) -> String;
+
+/// Delivers the notices that come from `pending` until that is closed, and sends the engine an event for each that is
+/// acknowledged.
+pub async fn deliver_notices(
+    mut discovery: DiscoveryEndpoint,
+    pending: Receiver<PendingNotice>,
+    engine: Sender<EngineEvent>,
+    encode: EncodeNotice,
 ) {
-    let mut kept: Option<Link> = None;
-    let mut wait = BACKOFF.0;
-    let mut due: Vec<(MessageId, String)> = Vec::new();
+    let mut sender = NoticeSender {
+        connection: None,
+        backoff: MIN_BACKOFF,
+        batch: Vec::new(),
+        pending,
+        encode,
+    };
     loop {
-        let address = home.address;
-        let turn = async {
-            if due.is_empty() {
-                let (seq, id, end) = owed.recv().await.ok()?;
-                due.push((seq, word(&id, end)));
+        let sending = sender.send_batch(discovery.address);
+        match discovery.unless_moved(sending).await {
+            Some(BatchResult::QueueClosed) => return,
+            Some(BatchResult::Rejected) => {}
+            Some(BatchResult::Acknowledged) => {
+                for notice in sender.batch.drain(..) {
+                    let acknowledged = EngineEvent::NoticeAcknowledged(notice.message_id);
+                    let _ = engine.send(acknowledged).await;
+                }
             }
-            while due.len() < NOTICES {
-                let Ok((seq, id, end)) = owed.try_recv() else {
-                    break;
-                };
-                due.push((seq, word(&id, end)));
+            // The batch goes to the new address, also what the old one may have taken: a notice twice does no harm.
+            None => sender.reset(),
+        }
+    }
+}
+
+/// How sending a batch ended.
+enum BatchResult {
+    Acknowledged,
+    /// Not taken; it has been waited for since.
+    Rejected,
+    /// Nobody sends notices any more.
+    QueueClosed,
+}
+
+/// A notice as it is sent.
+struct EncodedNotice {
+    message_id: MessageId,
+    line: String,
+}
+
+struct NoticeSender {
+    /// Kept from one request to the next.
+    connection: Option<Connection>,
+    backoff: Duration,
+    batch: Vec<EncodedNotice>,
+    pending: Receiver<PendingNotice>,
+    encode: EncodeNotice,
+}
+
+impl NoticeSender {
+    fn reset(&mut self) {
+        self.connection = None;
+        self.backoff = MIN_BACKOFF;
+    }
+
+    async fn send_batch(&mut self, address: SocketAddr) -> BatchResult {
+        if self.fill_batch().await.is_err() {
+            return BatchResult::QueueClosed;
+        }
+        let body: String = self
+            .batch
+            .iter()
+            .map(|notice| notice.line.as_str())
+            .collect();
+        let deadline = Instant::now() + REQUEST_TIMEOUT;
+        let posted = before(deadline, post(&mut self.connection, address, &body)).await;
+        let code = match posted.unwrap_or(Err(ReadError::TimedOut)) {
+            Ok(NO_CONTENT) => {
+                self.backoff = MIN_BACKOFF;
+                return BatchResult::Acknowledged;
             }
-            let body: String = due.iter().map(|(_, line)| line.as_str()).collect();
-            let told = until(
-                Instant::now() + NOTICE_PATIENCE,
-                tell(&mut kept, address, &body),
-            )
-            .await;
-            let code = match told.unwrap_or(Err(Stop::Late)) {
-                Ok(204) => {
-                    wait = BACKOFF.0;
-                    return Some(true);
-                }
-                Ok(status) => status.to_string(),
-                Err(stop) => stop.code().to_owned(),
-            };
-            kept = None;
-            log_line!(code = %code, "discovery {address}: {} notices not taken", due.len());
-            Timer::after(wait).await;
-            wait = (wait * 2).min(BACKOFF.1);
-            Some(false)
+            Ok(status) => status.to_string(),
+            Err(error) => error.code().to_owned(),
         };
-        match home.unless_moved(turn).await {
-            Some(None) => return,
-            Some(Some(false)) => {}
-            Some(Some(true)) => {
-                for (seq, _) in due.drain(..) {
-                    let _ = taken.send(EngineEvent::NoticeAcknowledged(seq)).await;
-                }
-            }
-            // What is due goes to the new address, also what the old one may have taken: a notice does no harm.
-            None => (kept, wait) = (None, BACKOFF.0),
+        self.connection = None;
+        log_line!(code = %code, "discovery {address}: {} notices not taken", self.batch.len());
+        Timer::after(self.backoff).await;
+        self.backoff = next_backoff(self.backoff);
+        BatchResult::Rejected
+    }
+
+    /// Waits for a notice if there is none, and takes what else is there.
+    async fn fill_batch(&mut self) -> Result<(), async_channel::RecvError> {
+        if self.batch.is_empty() {
+            let notice = self.pending.recv().await?;
+            self.add(notice);
         }
+        while self.batch.len() < MAX_BATCH {
+            let Ok(notice) = self.pending.try_recv() else {
+                break;
+            };
+            self.add(notice);
+        }
+        Ok(())
+    }
+
+    fn add(&mut self, notice: PendingNotice) {
+        self.batch.push(EncodedNotice {
+            message_id: notice.message_id,
+            line: (self.encode)(&notice.identity, notice.outcome),
+        });
     }
 }
 
-/// Tells it over the connection that is kept or a new one, which is kept then if it can be.
-async fn tell(kept: &mut Option<Link>, address: SocketAddr, body: &str) -> Result<u16, Stop> {
-    let mut link = match kept.take().filter(Link::is_fresh) {
-        Some(link) => link,
-        None => Link::connect(address).await.map_err(Stop::Broke)?,
+/// Posts notices over the connection that is kept or a new one, which is kept then if it can be. Returns the status.
+async fn post(
+    kept: &mut Option<Connection>,
+    address: SocketAddr,
+    body: &str,
+) -> Result<u16, ReadError> {
+    let mut connection = match kept.take().filter(Connection::is_reusable) {
+        Some(connection) => connection,
+        None => Connection::connect(address).await.map_err(ReadError::Io)?,
     };
-    let len = body.len();
-    let head = format!("POST /status HTTP/1.1\r\nHost: {address}\r\nContent-Length: {len}\r\n\r\n");
-    link.write(head.as_bytes(), body.as_bytes())
+    let body_len = body.len();
+    let head =
+        format!("POST /status HTTP/1.1\r\nHost: {address}\r\nContent-Length: {body_len}\r\n\r\n");
+    connection
+        .write(head.as_bytes(), body.as_bytes())
         .await
-        .map_err(Stop::Broke)?;
-    let head = link.head(HEAD).await?;
-    let read = http::response(&link.bytes()[..head])?;
-    let (status, framing, keeps) = (read.status, read.framing, read.keeps);
-    let len = link.body(head, framing, HEAD).await?;
-    link.consume(head + len);
-    *kept = Some(link).filter(|_| keeps);
+        .map_err(ReadError::Io)?;
+    let head_len = connection.read_head(MAX_HEAD).await?;
+    let head = http::response(&connection.bytes()[..head_len])?;
+    let (status, framing, keep_alive) = (head.status, head.framing, head.keep_alive);
+    let body_len = connection.read_body(head_len, framing, MAX_HEAD).await?;
+    connection.consume(head_len + body_len);
+    *kept = Some(connection).filter(|_| keep_alive);
     Ok(status)
 }
--- /dev/null
+++ b/crates/delivery/src/net/listener/tests.rs
@@ -0,0 +1,39 @@
+use super::*;
+use std::net::TcpStream;
+
+#[test]
+fn shared_address_rejects_a_listener_without_the_option() {
+    let first = bind_shared(([127, 0, 0, 1], 0).into()).unwrap();
+    let address = first.local_addr().unwrap();
+    let second = bind_shared(address).unwrap();
+    assert_eq!(second.local_addr().unwrap(), address);
+    assert!(
+        TcpListener::bind(address).is_err(),
+        "a listener without the option may not bind"
+    );
+}
+
+#[test]
+fn preferred_listener_gets_all_connections_until_it_closes() {
+    let first = bind_shared(([127, 0, 0, 1], 0).into()).unwrap();
+    let address = first.local_addr().unwrap();
+    let second = bind_shared(address).unwrap();
+    prefer(&second, 1).unwrap();
+    let waiting = |listener: &TcpListener| {
+        listener.set_nonblocking(true).unwrap();
+        std::iter::from_fn(|| listener.accept().ok()).count()
+    };
+    let _open: Vec<_> = (0..50)
+        .map(|_| TcpStream::connect(address).unwrap())
+        .collect();
+    assert_eq!((waiting(&first), waiting(&second)), (0, 50));
+    drop(second);
+    let _open: Vec<_> = (0..50)
+        .map(|_| TcpStream::connect(address).unwrap())
+        .collect();
+    assert_eq!(waiting(&first), 50);
+    assert!(
+        prefer(&TcpListener::bind("127.0.0.1:0").unwrap(), 1).is_err(),
+        "its address is not shared"
+    );
+}
--- a/crates/delivery/src/net/pool.rs
+++ b/crates/delivery/src/net/pool.rs
@@ -1,128 +1,88 @@
-//! Legs to endpoints: connections are kept between legs, one leg at a time on each, and no leg is ever
-//! sent again by itself, since once its last byte is out it may have run.
+//! Attempts against endpoints, over connections that are reused from one attempt to the next.
+//!
+//! Each connection carries one attempt at a time. The pool never sends an attempt again by itself: once its last byte
+//! is written, the endpoint may have executed it.
 
-use super::http;
-use super::link::{until, Link, Stop};
-use crate::core::{Disposition, MessageId, Route};
+mod attempt;
+mod endpoint_connections;
+mod response;
+
+pub use attempt::{Attempt, AttemptOutcome, EncodedRequest};
+
+use super::connection::{before, Connection};
+use crate::core::{MessageId, Route};
 use crate::counters::{add, Counters};
-use crate::lease_guard::LeasePermit;
 use crate::log_line;
 use async_channel::{Receiver, Sender};
+use endpoint_connections::EndpointConnections;
 use futures_lite::future;
-use marblefall_scheduler::{EndpointId, Outcome, RateLimitReport, Span};
-use std::borrow::Cow;
+use marblefall_scheduler::{EndpointId, EndpointStatus, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime};
-
-/// An endpoint's answer has no use for a longer head.
-const HEAD: usize = 16 * 1024;
-/// Answers mean nothing beyond their head; a longer body than this is not worth its connection.
-const BODY: usize = 64 * 1024;
-/// Endpoints write an answer at once: what has not come so long after its first line is not going to.
-const REST: Duration = Duration::from_millis(400);
-/// ... nor is it waited for so long after the leg's time is up: its message's end may be due.
-const REST_LATE: Duration = Duration::from_millis(100);
-/// A kept connection that breaks within this time of its next use had been given up by its endpoint before.
-const AT_ONCE: Duration = Duration::from_millis(100);
-/// Interim answers before the one that counts.
-const INTERIM: usize = 32;
-/// A wait that is told for longer is taken for this: it must not overflow a clock, nor outlast the day.
-const LONGEST_WAIT_S: f64 = 3600.0;
-/// A report of more calls a second than this is noise.
-pub const MOST_RATE: f64 = 1e6;
-
-struct Place {
-    address: String,
-    open: bool,
-    idle: Vec<(Link, Instant)>,
-}
-
-impl Place {
-    /// Ends idle connections that went idle before a time.
-    fn end_idle(&mut self, id: EndpointId, before: Instant, code: &str) {
-        self.idle.retain(|(_, since)| {
-            let ends = *since < before;
-            if ends {
-                log_line!(host = id.0, code, "endpoint: connection ended");
-            }
-            !ends
-        });
-    }
-}
-
-/// What a front makes of a leg.
-pub struct Call<'a> {
-    /// It does not begin while this is to be left alone.
-    pub route: Route,
-    /// Words the head and the body for a number of milliseconds that will be waited.
-    pub word: &'a dyn Fn(u64) -> (Vec<u8>, Cow<'a, [u8]>),
-    /// What an answer says of the leg.
-    pub judge: fn(&http::Response<'_>) -> Ended,
-    /// Whether it may begin at this very moment; held while its first bytes go out.
-    pub may: &'a dyn Fn() -> Option<LeasePermit<'a>>,
-}
-
-/// How a leg ended.
-#[derive(Debug)]
-pub struct Ended {
-    /// Its outcome.
-    pub outcome: Outcome,
-    /// What becomes of the message.
-    pub disposition: Disposition,
-    /// What the answer told of the limit.
-    pub report: RateLimitReport,
-}
-
-impl From<Outcome> for Ended {
-    fn from(outcome: Outcome) -> Ended {
-        Ended {
-            outcome,
-            disposition: Disposition::Undecided,
-            report: RateLimitReport::default(),
-        }
-    }
-}
+use std::time::{Duration, Instant};
 
 /// What an instance may use.
 #[derive(Clone, Copy, Debug)]
-pub struct Limits {
-    /// A connection that takes longer to come up has failed.
-    pub dial: Duration,
+pub struct PoolLimits {
+    /// A connection that takes longer to be established has failed.
+    pub connect_timeout: Duration,
     /// A connection idle for longer is closed.
-    pub idle: Duration,
+    pub idle_timeout: Duration,
     /// Connections at once, idle ones counted.
-    pub connections: usize,
+    pub max_connections: usize,
 }
 
 /// The connections of one instance to all endpoints.
 pub struct Pool {
-    places: RefCell<BTreeMap<EndpointId, Place>>,
-    cancels: RefCell<HashMap<MessageId, Sender<()>>>,
-    /// Until when routes have asked to be left alone.
-    waits: RefCell<BTreeMap<Route, Instant>>,
-    limits: Limits,
-    connections: Rc<Cell<usize>>,
+    endpoints: RefCell<BTreeMap<EndpointId, EndpointConnections>>,
+    /// Takes the cancellation of each attempt that is running.
+    cancellations: RefCell<HashMap<MessageId, Sender<()>>>,
+    /// Until when routes are in backoff.
+    backoffs: RefCell<BTreeMap<Route, Instant>>,
+    limits: PoolLimits,
+    open_connections: Rc<Cell<usize>>,
     counters: Rc<Counters>,
-    /// No connection is kept any more.
-    leaving: Cell<bool>,
+    reuse: Cell<ReusePolicy>,
 }
 
-/// A connection for a leg.
-struct Opened {
-    link: Link,
-    /// Whether it was kept from an earlier one.
-    kept: bool,
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReusePolicy {
+    /// Connections are kept for the next attempt.
+    Keep,
+    /// Connections are closed after their attempt.
+    Close,
+}
+
+/// A connection for an attempt.
+struct PooledConnection {
+    connection: Connection,
+    origin: ConnectionOrigin,
     /// Where it leads.
-    to: SocketAddr,
+    address: SocketAddr,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionOrigin {
+    /// It was opened for this attempt.
+    New,
+    /// An earlier attempt has used it.
+    Reused,
 }
 
-/// Counts a connection for as long as it lasts.
-struct Counted(Rc<Cell<usize>>);
+/// Counts a connection for as long as it exists.
+struct OpenCount(Rc<Cell<usize>>);
 
-impl Drop for Counted {
+impl OpenCount {
+    fn new(count: &Rc<Cell<usize>>) -> OpenCount {
+        count.set(count.get() + 1);
+        OpenCount(count.clone())
+    }
+}
+
+impl Drop for OpenCount {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
     }
@@ -130,437 +90,210 @@
 
 impl Pool {
     /// An empty pool.
-    pub fn new(limits: Limits, counters: Rc<Counters>) -> Pool {
-        let (places, cancels, waits) = Default::default();
-        let (connections, leaving) = (Rc::default(), Cell::new(false));
+    pub fn new(limits: PoolLimits, counters: Rc<Counters>) -> Pool {
         Pool {
-            places,
-            cancels,
-            waits,
+            endpoints: RefCell::default(),
+            cancellations: RefCell::default(),
+            backoffs: RefCell::default(),
             limits,
-            connections,
+            open_connections: Rc::default(),
             counters,
-            leaving,
+            reuse: Cell::new(ReusePolicy::Keep),
         }
     }
 
-    /// What discovery says of an endpoint.
-    pub fn place(&self, id: EndpointId, address: &str, open: bool) {
-        let mut places = self.places.borrow_mut();
-        let place = places.entry(id).or_insert_with(|| Place {
-            address: address.to_owned(),
-            open,
-            idle: Vec::new(),
-        });
-        if place.address != address {
-            address.clone_into(&mut place.address);
-            place.end_idle(id, Instant::now(), "moved");
-        }
-        place.open = open;
-        if !open {
-            place.end_idle(id, Instant::now(), "draining");
-        }
+    /// Sets an endpoint's address and status, as listed.
+    pub fn set_endpoint(&self, id: EndpointId, address: &str, status: EndpointStatus) {
+        self.endpoints
+            .borrow_mut()
+            .entry(id)
+            .or_insert_with(|| EndpointConnections::new(address, status))
+            .update(id, address, status);
     }
 
-    /// The list no longer names an endpoint.
-    pub fn gone(&self, id: EndpointId) {
-        if let Some(mut place) = self.places.borrow_mut().remove(&id) {
-            place.end_idle(id, Instant::now(), "not-listed");
+    /// Removes an endpoint that is no longer listed.
+    pub fn remove_endpoint(&self, id: EndpointId) {
+        if let Some(mut endpoint) = self.endpoints.borrow_mut().remove(&id) {
+            endpoint.close_idle_before(id, Instant::now(), "not-listed");
         }
     }
 
-    /// Closes what is idle to an endpoint.
+    /// Closes the idle connections to an endpoint.
     pub fn close_idle(&self, id: EndpointId) {
-        if let Some(place) = self.places.borrow_mut().get_mut(&id) {
-            place.end_idle(id, Instant::now(), "told-to-close");
+        if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(&id) {
+            endpoint.close_idle_before(id, Instant::now(), "requested-close");
         }
     }
 
-    /// Keeps no connection from here on: the process that takes over needs the places that hosts have for them.
-    pub fn leave(&self) {
-        self.leaving.set(true);
-        for (id, place) in self.places.borrow_mut().iter_mut() {
-            place.end_idle(*id, Instant::now(), "handed-over");
+    /// Keeps no connection from here on: the process that takes over needs the connections that endpoints allow.
+    pub fn stop_reusing(&self) {
+        self.reuse.set(ReusePolicy::Close);
+        for (id, endpoint) in self.endpoints.borrow_mut().iter_mut() {
+            endpoint.close_idle_before(*id, Instant::now(), "handed-over");
         }
     }
 
-    /// Closes what has been idle too long: a leg written to a connection that the far side is closing ends as
-    /// a reset, and nobody can tell whether it ran.
-    pub fn retire(&self) {
-        let Some(before) = Instant::now().checked_sub(self.limits.idle) else {
+    /// Closes what has been idle too long: an attempt written to a connection that the endpoint is closing ends as a
+    /// reset, and nobody can tell whether it was executed.
+    pub fn close_expired(&self) {
+        let Some(before) = Instant::now().checked_sub(self.limits.idle_timeout) else {
             return;
         };
-        for (id, place) in self.places.borrow_mut().iter_mut() {
-            place.end_idle(*id, before, "idle");
+        for (id, endpoint) in self.endpoints.borrow_mut().iter_mut() {
+            endpoint.close_idle_before(*id, before, "idle");
         }
     }
 
-    /// Leaves a route alone until then. The module keeps what it chooses later from it; this is for what was chosen
-    /// before and is still on its way up.
-    pub fn told(&self, route: Route, until: Instant) {
-        let (mut waits, now) = (self.waits.borrow_mut(), Instant::now());
-        waits.retain(|_, until| *until > now);
-        let known = waits.entry(route).or_insert(until);
+    /// Sends nothing on a route until then. The scheduler avoids it for what it chooses later; this is for attempts that
+    /// were chosen before and are not sent yet.
+    pub fn back_off(&self, route: Route, until: Instant) {
+        let (mut backoffs, now) = (self.backoffs.borrow_mut(), Instant::now());
+        backoffs.retain(|_, until| *until > now);
+        let known = backoffs.entry(route).or_insert(until);
         *known = until.max(*known);
     }
 
-    fn must_wait(&self, route: Route, now: Instant) -> bool {
-        self.waits
+    fn in_backoff(&self, route: Route, now: Instant) -> bool {
+        self.backoffs
             .borrow()
             .get(&route)
             .is_some_and(|until| now < *until)
     }
 
-    /// Calls off the leg of a message.
-    pub fn abandon(&self, seq: MessageId) {
-        if let Some(cancel) = self.cancels.borrow().get(&seq) {
+    /// Cancels the attempt of a message.
+    pub fn cancel(&self, message_id: MessageId) {
+        if let Some(cancel) = self.cancellations.borrow().get(&message_id) {
             let _ = cancel.try_send(());
         }
     }
 
-    /// Runs one leg to its end.
-    pub async fn leg(
-        &self,
-        seq: MessageId,
-        id: EndpointId,
-        call: Call<'_>,
-        cut_at: Instant,
-        write_by: Instant,
-    ) -> Ended {
+    /// Runs one attempt to its end.
+    pub async fn run_attempt(&self, attempt: Attempt<'_>) -> AttemptOutcome {
+        let message_id = attempt.message_id;
         let (cancel, cancelled) = async_channel::bounded(1);
-        self.cancels.borrow_mut().insert(seq, cancel);
-        let ended = self.run(id, call, cut_at, write_by, &cancelled).await;
-        self.cancels.borrow_mut().remove(&seq);
-        ended
+        self.cancellations.borrow_mut().insert(message_id, cancel);
+        let outcome = self.run(&attempt, &cancelled).await;
+        self.cancellations.borrow_mut().remove(&message_id);
+        outcome
     }
 
-    async fn run(
+    /// An idle connection, or a new one.
+    async fn acquire(
         &self,
-        id: EndpointId,
-        call: Call<'_>,
-        cut_at: Instant,
-        write_by: Instant,
+        attempt: &Attempt<'_>,
         cancelled: &Receiver<()>,
-    ) -> Ended {
-        let Opened { mut link, kept, to } = match self.open(id, cut_at, cancelled).await {
-            Ok(opened) => opened,
-            Err(outcome) => return outcome.into(),
-        };
-        // The way up may have taken long: an endpoint may have begun to drain, moved or told another call to wait, a window
-        // may have closed.
-        let now = Instant::now();
-        if !self.is_open_at(id, to)
-            || now >= write_by
-            || now >= cut_at
-            || self.must_wait(call.route, now)
-        {
-            self.keep(id, to, link);
-            return Outcome::NotSent.into();
-        }
-        let (head, body) = (call.word)((cut_at - now).as_millis() as u64);
-        let begun = {
-            // Where the endpoint reads slowly, its last byte may be held up as long.
-            let whole = async {
-                let write = until(cut_at.min(write_by), link.write(&head, &body));
-                matches!(race(cancelled, write).await, Some(Some(Ok(()))))
-            };
-            let mut writing =
-                std::pin::pin!(unless(|| self.must_wait(call.route, Instant::now()), whole));
-            // What the first bytes do not take with them goes on without.
-            let first = match (call.may)() {
-                None => None,
-                Some(_act) => Some(future::poll_once(&mut writing).await),
-            };
-            match first {
-                Some(None) => Some(writing.await),
-                first => first.flatten(),
-            }
-        };
-        let Some(written) = begun else {
-            self.keep(id, to, link);
-            return Outcome::NotSent.into();
-        };
-        if written != Some(true) {
-            // Its last byte was never written, so it never ran; on a kept connection that tells nothing else.
-            let held_back = written.is_none() || Instant::now() >= write_by;
-            let code = if held_back {
-                "held-back-in-mid-write"
-            } else {
-                "write-failed"
-            };
-            log_line!(host = id.0, code, "endpoint: connection ended");
-            return if kept || held_back {
-                Outcome::NotSent
-            } else {
-                Outcome::ConnectFailed
-            }
-            .into();
-        }
-        let written = Instant::now();
-        let answered = race(cancelled, answer(&mut link, call.judge, cut_at)).await;
-        if let Some((
-            Ended {
-                outcome:
-                    Outcome::Rejected {
-                        retry_after: Some(wait),
-                    },
-                ..
-            },
-            _,
-        )) = &answered
-        {
-            self.told(
-                call.route,
-                Instant::now() + Duration::from_micros(wait.0.max(0) as u64),
-            );
-        }
-        let (ended, code) = match answered {
-            Some((ended, Ok(()))) => {
-                self.keep(id, to, link);
-                return ended;
-            }
-            Some((ended, Err(_)))
-                if ended.outcome == Outcome::Reset && kept && written.elapsed() < AT_ONCE =>
-            {
-                (Outcome::StaleConnection.into(), "reset-when-used-again")
-            }
-            // Turned away and closed over a connection that was opened for it: its endpoint takes no more connections, which
-            // says nothing of the calls that it would take.
-            Some((ended, Err("not-kept")))
-                if ended.outcome == Outcome::Rejected { retry_after: None } && !kept =>
-            {
-                (Outcome::ConnectFailed.into(), "no-place-left")
+    ) -> Result<PooledConnection, Outcome> {
+        let id = attempt.endpoint;
+        let address = {
+            let mut endpoints = self.endpoints.borrow_mut();
+            let endpoint = endpoints
+                .get_mut(&id)
+                .filter(|endpoint| endpoint.is_active())
+                .ok_or(Outcome::NotSent)?;
+            let address = endpoint.address().ok_or(Outcome::ConnectFailed)?;
+            if let Some(connection) = endpoint.take_idle(id, self.limits.idle_timeout) {
+                return Ok(PooledConnection {
+                    connection,
+                    origin: ConnectionOrigin::Reused,
+                    address,
+                });
             }
-            Some((ended, Err(code))) => (ended, code),
-            None => (Outcome::Cancelled.into(), "called-off"),
+            address
         };
-        log_line!(host = id.0, code, "endpoint: connection ended");
-        ended
+        self.make_room()?;
+        self.connect(attempt, address, cancelled).await
     }
 
-    /// A connection that is kept, or a new one.
-    async fn open(
+    async fn connect(
         &self,
-        id: EndpointId,
-        cut_at: Instant,
+        attempt: &Attempt<'_>,
+        address: SocketAddr,
         cancelled: &Receiver<()>,
-    ) -> Result<Opened, Outcome> {
-        let to: SocketAddr = {
-            let mut places = self.places.borrow_mut();
-            let place = places
-                .get_mut(&id)
-                .filter(|place| place.open)
-                .ok_or(Outcome::NotSent)?;
-            let to = place.address.parse().map_err(|_| Outcome::ConnectFailed)?;
-            while let Some((link, since)) = place.idle.pop() {
-                if since.elapsed() < self.limits.idle && link.is_fresh() {
-                    return Ok(Opened {
-                        link,
-                        kept: true,
-                        to,
-                    });
-                }
-                log_line!(
-                    host = id.0,
-                    code = "closed-while-idle",
-                    "endpoint: connection ended"
-                );
+    ) -> Result<PooledConnection, Outcome> {
+        // Counted from here on: many that are established together must not exceed the limit together.
+        let open_count = OpenCount::new(&self.open_connections);
+        add(&self.counters.connections_opened);
+        let connect_by = attempt
+            .timeout_at
+            .min(Instant::now() + self.limits.connect_timeout);
+        let connecting = before(connect_by, Connection::connect(address));
+        let code = match until_cancelled(cancelled, connecting).await {
+            Some(Some(Ok(connection))) => {
+                return Ok(PooledConnection {
+                    connection: connection.with_guard(Box::new(open_count)),
+                    origin: ConnectionOrigin::New,
+                    address,
+                })
             }
-            to
+            // Cancelled before anything was written.
+            None => return Err(Outcome::NotSent),
+            Some(Some(Err(_))) => "connect-failed",
+            Some(None) => "connect-timed-out",
         };
-        self.make_room()?;
-        // Counted from here on: many that come up together must not pass the cap together.
-        self.connections.set(self.connections.get() + 1);
-        let counted = Counted(self.connections.clone());
-        add(&self.counters.dialled);
-        let dial_by = cut_at.min(Instant::now() + self.limits.dial);
-        match race(cancelled, until(dial_by, Link::connect(to))).await {
-            Some(Some(Ok(link))) => Ok(Opened {
-                link: link.with(Box::new(counted)),
-                kept: false,
-                to,
-            }),
-            // Called off before anything was written.
-            None => Err(Outcome::NotSent),
-            Some(late) => {
-                let code = if late.is_some() {
-                    "refused"
-                } else {
-                    "dial-timed-out"
-                };
-                log_line!(host = id.0, code, "endpoint: no connection");
-                Err(Outcome::ConnectFailed)
-            }
-        }
+        log_line!(
+            endpoint = attempt.endpoint.0,
+            code,
+            "endpoint: no connection"
+        );
+        Err(Outcome::ConnectFailed)
     }
 
-    /// Keeps to the cap on sockets: the connection that has been idle longest makes room.
+    /// Keeps to the limit of connections: the one that has been idle longest makes room.
     fn make_room(&self) -> Result<(), Outcome> {
-        if self.connections.get() < self.limits.connections {
+        if self.open_connections.get() < self.limits.max_connections {
             return Ok(());
         }
-        let mut places = self.places.borrow_mut();
-        let oldest = places
+        let mut endpoints = self.endpoints.borrow_mut();
+        let oldest = endpoints
             .iter()
-            .filter_map(|(id, place)| Some((place.idle.first()?.1, *id)))
+            .filter_map(|(id, endpoint)| Some((endpoint.idle_since()?, *id)))
             .min();
         let (_, id) = oldest.ok_or(Outcome::ConnectFailed)?;
-        places
-            .get_mut(&id)
-            .into_iter()
-            .for_each(|place| drop(place.idle.remove(0)));
-        log_line!(
-            host = id.0,
-            code = "made-room",
-            "endpoint: connection ended"
-        );
+        if let Some(endpoint) = endpoints.get_mut(&id) {
+            endpoint.drop_oldest_idle();
+        }
+        log_ended(id, "made-room");
         Ok(())
     }
 
-    /// Whether an endpoint takes new legs, at that address: one that has moved may have left its own to another.
-    fn is_open_at(&self, id: EndpointId, to: SocketAddr) -> bool {
-        let places = self.places.borrow();
-        places
+    /// Whether an endpoint takes new attempts at that address: one that has moved may have left its own to another.
+    fn accepts_attempts_at(&self, id: EndpointId, address: SocketAddr) -> bool {
+        self.endpoints
+            .borrow()
             .get(&id)
-            .is_some_and(|place| place.open && place.address.parse() == Ok(to))
+            .is_some_and(|endpoint| endpoint.is_active() && endpoint.address() == Some(address))
     }
 
-    fn keep(&self, id: EndpointId, to: SocketAddr, link: Link) {
-        let keeps = self.is_open_at(id, to) && !self.leaving.get();
-        match self.places.borrow_mut().get_mut(&id).filter(|_| keeps) {
-            Some(place) => place.idle.push((link, Instant::now())),
-            None => log_line!(host = id.0, code = "not-kept", "endpoint: connection ended"),
+    fn return_to_pool(&self, id: EndpointId, pooled: PooledConnection) {
+        let is_usable =
+            self.accepts_attempts_at(id, pooled.address) && self.reuse.get() == ReusePolicy::Keep;
+        match self
+            .endpoints
+            .borrow_mut()
+            .get_mut(&id)
+            .filter(|_| is_usable)
+        {
+            Some(endpoint) => endpoint.add_idle(pooled.connection),
+            None => log_ended(id, "not-reused"),
         }
     }
 }
 
-/// Waits for something unless this is so when it could go on.
-async fn unless<T>(so: impl Fn() -> bool, what: impl future::Future<Output = T>) -> Option<T> {
-    let mut what = std::pin::pin!(what);
-    future::poll_fn(|context| match so() {
-        true => std::task::Poll::Ready(None),
-        false => what.as_mut().poll(context).map(Some),
-    })
-    .await
+fn log_ended(id: EndpointId, code: &str) {
+    log_line!(endpoint = id.0, code, "endpoint: connection ended");
 }
 
-/// Waits for something unless the leg is called off.
-async fn race<T>(cancelled: &Receiver<()>, what: impl future::Future<Output = T>) -> Option<T> {
-    future::or(async { Some(what.await) }, async {
+/// Awaits a future, unless the attempt is cancelled.
+async fn until_cancelled<T>(
+    cancelled: &Receiver<()>,
+    future: impl Future<Output = T>,
+) -> Option<T> {
+    future::or(async { Some(future.await) }, async {
         let _ = cancelled.recv().await;
         None
     })
     .await
 }
 
-/// Reads an answer: what it says of the leg, and whether its connection can be kept. An answer that cannot be
-/// read to its end proves nothing, also one whose head says that the leg never ran: the endpoint may have run it and
-/// spoilt its answer on the way. The one exception is a first line that says delivered, which stands whatever
-/// comes after it. What has begun is waited for a moment only, also past the time at which a silent leg is cut.
-async fn answer(
-    link: &mut Link,
-    judge: fn(&http::Response<'_>) -> Ended,
-    cut_at: Instant,
-) -> (Ended, Result<(), &'static str>) {
-    for _ in 0..INTERIM {
-        let status = match until(cut_at, link.status_line(HEAD)).await {
-            Some(Ok(status)) => status,
-            Some(Err(stop)) => return (unread(&stop).into(), Err(stop.code())),
-            None => return (Outcome::TimedOut.into(), Err("timed-out")),
-        };
-        let by = (Instant::now() + REST).min(cut_at + REST_LATE);
-        let read = until(by, rest(link, judge))
-            .await
-            .unwrap_or(Err(Stop::Late));
-        match read {
-            Ok(None) => continue,
-            Ok(Some((ended, true))) => return (ended, Ok(())),
-            Ok(Some((ended, false))) => return (ended, Err("not-kept")),
-            Err(stop) => {
-                let alone = http::Response::of(status);
-                let said = judge(&alone).outcome;
-                let outcome = if said == Outcome::Delivered {
-                    said
-                } else {
-                    unread(&stop)
-                };
-                return (outcome.into(), Err(stop.code()));
-            }
-        }
-    }
-    (Outcome::Error.into(), Err("interim-without-end"))
-}
-
-/// What an answer that cannot be read says of its leg.
-fn unread(stop: &Stop) -> Outcome {
-    match stop {
-        Stop::Fault(_) | Stop::Late => Outcome::Error,
-        Stop::FinalOutcome | Stop::Cut | Stop::Broke(_) => Outcome::Reset,
-    }
-}
-
-/// Reads what follows a status line; `None` where the answer proper is still to come.
-async fn rest(
-    link: &mut Link,
-    judge: fn(&http::Response<'_>) -> Ended,
-) -> Result<Option<(Ended, bool)>, Stop> {
-    let head = link.head(HEAD).await?;
-    let read = http::response(&link.bytes()[..head])?;
-    if read.status < 200 {
-        link.consume(head);
-        return Ok(None);
-    }
-    let (ended, framing, keeps) = (judge(&read), read.framing, read.keeps);
-    if !keeps && ended.outcome == Outcome::Delivered {
-        return Ok(Some((ended, false)));
-    }
-    let whole = link.body(head, framing, BODY).await;
-    match whole {
-        Ok(len) => {
-            link.consume(head + len);
-            // What comes behind an answer belongs to no leg, and the next leg must not take it for its own.
-            Ok(Some((ended, keeps && link.bytes().is_empty())))
-        }
-        // The report in a head that could be read counts even where the body is of no use.
-        Err(_) if ended.outcome == Outcome::Delivered => Ok(Some((ended, false))),
-        Err(stop) => Err(stop),
-    }
-}
-
-/// The wait that an answer tells: in seconds, with or without decimals, or up to a date.
-pub fn told_wait(read: &http::Response<'_>) -> Option<Span> {
-    let text = read.fields.text("retry-after")?.trim();
-    let until_date = |text| {
-        let date = httpdate::parse_http_date(text).ok()?;
-        Some(
-            date.duration_since(SystemTime::now())
-                .map_or(0.0, |left| left.as_secs_f64()),
-        )
-    };
-    let secs = text.parse::<f64>().ok().or_else(|| until_date(text))?;
-    let secs = Some(secs).filter(|secs| secs.is_finite() && *secs > 0.0)?;
-    Some(Span::from_ms(secs.min(LONGEST_WAIT_S) * 1000.0))
-}
-
-/// Reads a report such as `TEXT x0=0.4, x1=25`. One that cannot be read in full is left out in full: half of it
-/// may be as wrong as the rest.
-pub fn report(text: &str) -> RateLimitReport {
-    let read = || {
-        let mut report = RateLimitReport::default();
-        for pair in text.trim().strip_prefix("TEXT")?.split(',') {
-            let (name, value) = pair.split_once('=')?;
-            let value: f64 = value.trim().parse().ok()?;
-            match name.trim() {
-                "x0" if (0.0..=1.0).contains(&value) => report.remaining = Some(value),
-                "x1" if (0.0..=MOST_RATE).contains(&value) => report.limit = Some(value),
-                "x0" | "x1" => return None,
-                _ => {}
-            }
-        }
-        Some(report)
-    };
-    read().unwrap_or_default()
-}
-
 #[cfg(test)]
 mod tests;
