--- a/crates/delivery/src/net/pool/tests.rs
+++ b/crates/delivery/src/net/pool/tests.rs
@@ -1,53 +1,66 @@
+use super::response::{read_response, Reuse};
 use super::*;
 use crate::frontend::{cloudevents, platform};
 use crate::hot_restart::driver;
 use crate::hot_restart::incarnation::Incarnation;
+use crate::lease_guard::LeasePermit;
+use crate::net::http::ResponseHead;
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
-use marblefall_scheduler::DestinationId;
+use marblefall_scheduler::{DestinationId, Span};
+use std::borrow::Cow;
 use std::net::TcpListener;
 
-/// What a host's bytes, on a connection that stays open, say of their leg; and whether it is kept.
-fn read(bytes: &[u8], judge: fn(&http::Response<'_>) -> Ended) -> (Outcome, bool) {
+/// What an endpoint's bytes, on a connection that stays open, mean for the attempt; and whether it can be reused.
+fn read(bytes: &[u8], judge: fn(&ResponseHead<'_>) -> AttemptOutcome) -> (Outcome, bool) {
     async_io::block_on(async {
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
-        let dialled = Link::connect(listener.get_ref().local_addr().unwrap());
-        let (near, far) = future::zip(dialled, listener.accept()).await;
+        let connecting = Connection::connect(listener.get_ref().local_addr().unwrap());
+        let (near, far) = future::zip(connecting, listener.accept()).await;
         let (mut near, mut far) = (near.unwrap(), far.unwrap().0);
         far.write_all(bytes).await.unwrap();
-        let cut_at = Instant::now() + Duration::from_secs(20);
-        let (ended, keeps) = answer(&mut near, judge, cut_at).await;
-        (ended.outcome, keeps.is_ok())
+        let timeout_at = Instant::now() + Duration::from_secs(20);
+        let (outcome, reuse) = read_response(&mut near, judge, timeout_at).await;
+        (outcome.outcome, reuse == Reuse::Possible)
     })
 }
 
-/// A 503 that could not be read to its end was taken for one that never ran, and its message went out twice; a
-/// 200 whose body was shorter than it said was waited for until the leg timed out, and went out twice as well.
+/// A 503 that could not be read to its end was taken for an attempt that was not executed, and its message was sent
+/// twice; a 200 whose body was shorter than declared was awaited until the attempt timed out, and sent twice as well.
 #[test]
-fn a_spoilt_answer_may_have_run_unless_its_first_line_says_delivered() {
-    let (may, full) = (Outcome::Error, Outcome::Rejected { retry_after: None });
+fn unreadable_response_is_an_error_unless_delivered() {
+    let unknown = Outcome::Error;
+    let rejected = Outcome::Rejected { retry_after: None };
     let long = [b"HTTP/1.1 503 x\r\nX: ", &b"y".repeat(40_000)[..]].concat();
     let copy = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".repeat(2);
     let cases: [(&[u8], Outcome, bool); 12] = [
-        (b"HTTP/1.1 503 x\r\nContent-Length: 2\r\n\r\nab", full, true),
-        (b"HTTP/1.1 503 x\r\nContent-Length: 9\r\n\r\nab", may, false),
+        (
+            b"HTTP/1.1 503 x\r\nContent-Length: 2\r\n\r\nab",
+            rejected,
+            true,
+        ),
+        (
+            b"HTTP/1.1 503 x\r\nContent-Length: 9\r\n\r\nab",
+            unknown,
+            false,
+        ),
         (
             b"HTTP/1.1 503 x\r\nContent-Length: -1\r\n\r\nab",
-            may,
+            unknown,
             false,
         ),
         (
             b"HTTP/1.1 429 x\r\nRetry-After: 1\r\nContent-Length: 3000000000\r\n\r\nab",
-            may,
+            unknown,
             false,
         ),
         (
             b"HTTP/1.1 503 x\r\nno field\r\nContent-Length: 0\r\n\r\n",
-            may,
+            unknown,
             false,
         ),
-        (&long, may, false),
-        (b"\x00\x17noise", may, false),
+        (&long, unknown, false),
+        (b"\x00\x17noise", unknown, false),
         (
             b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab",
             Outcome::Delivered,
@@ -70,82 +83,83 @@
             true,
         ),
     ];
-    for (bytes, outcome, keeps) in cases {
+    for (bytes, outcome, is_reusable) in cases {
         for judge in [platform::judge, cloudevents::judge] {
-            let said = String::from_utf8_lossy(&bytes[..bytes.len().min(70)]);
-            assert_eq!(read(bytes, judge), (outcome, keeps), "{said}");
+            let start = String::from_utf8_lossy(&bytes[..bytes.len().min(70)]);
+            assert_eq!(read(bytes, judge), (outcome, is_reusable), "{start}");
         }
     }
 }
 
-fn pool(connections: usize, listener: &TcpListener) -> Pool {
-    let limits = Limits {
-        dial: Duration::from_secs(20),
-        idle: Duration::from_secs(20),
-        connections,
+fn pool(max_connections: usize, listener: &TcpListener) -> Pool {
+    let limits = PoolLimits {
+        connect_timeout: Duration::from_secs(20),
+        idle_timeout: Duration::from_secs(20),
+        max_connections,
     };
     let pool = Pool::new(limits, Rc::default());
-    pool.place(
+    pool.set_endpoint(
         EndpointId(0),
         &listener.local_addr().unwrap().to_string(),
-        true,
+        EndpointStatus::Active,
     );
     pool
 }
 
-/// The destination whose endpoints are no routes of their own.
+/// The route of a destination whose endpoints share one.
 const SHARED: Route = Route {
     destination: DestinationId(7),
     endpoint: None,
 };
 
-async fn leg(pool: &Pool, seq: u64) -> Outcome {
-    attempt(pool, seq, EndpointId(0), SHARED).await
+fn later() -> Instant {
+    Instant::now() + Duration::from_secs(20)
 }
 
-async fn attempt(pool: &Pool, seq: u64, endpoint: EndpointId, route: Route) -> Outcome {
-    attempt_with(
-        pool,
-        seq,
+async fn attempt(pool: &Pool, message: u64) -> Outcome {
+    attempt_at(pool, message, EndpointId(0), SHARED).await
+}
+
+async fn attempt_at(pool: &Pool, message: u64, endpoint: EndpointId, route: Route) -> Outcome {
+    let encode = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(&b""[..]));
+    let attempt = Attempt {
+        message_id: MessageId(message),
         endpoint,
         route,
-        b"",
-        Instant::now() + Duration::from_secs(20),
-    )
-    .await
+        timeout_at: later(),
+        write_by: later(),
+        encode: &encode,
+        judge: platform::judge,
+        permit: &|| Some(LeasePermit::unconditional()),
+    };
+    pool.run_attempt(attempt).await.outcome
 }
 
-async fn attempt_with(
-    pool: &Pool,
-    seq: u64,
-    endpoint: EndpointId,
-    route: Route,
-    body: &[u8],
-    write_by: Instant,
-) -> Outcome {
-    let word = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(body));
-    let cut_at = Instant::now() + Duration::from_secs(20);
-    let call = Call {
-        route,
-        word: &word,
+async fn attempt_with_body(pool: &Pool, body: &[u8], write_by: Instant) -> Outcome {
+    let encode = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(body));
+    let attempt = Attempt {
+        message_id: MessageId(1),
+        endpoint: EndpointId(0),
+        route: SHARED,
+        timeout_at: later(),
+        write_by,
+        encode: &encode,
         judge: platform::judge,
-        may: &|| Some(LeasePermit::unconditional()),
+        permit: &|| Some(LeasePermit::unconditional()),
     };
-    pool.leg(MessageId(seq), endpoint, call, cut_at, write_by)
-        .await
-        .outcome
+    pool.run_attempt(attempt).await.outcome
 }
 
-/// Taken for failures of their host, the resets of kept connections had hosts judged out that were well.
+/// Resets of reused connections were taken for failures of their endpoints, and healthy endpoints were ejected.
 #[test]
-fn a_reset_is_told_apart_by_whether_its_connection_was_kept() {
+fn reset_of_a_reused_connection_is_a_stale_connection() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let pool = pool(9, &listener);
     std::thread::spawn(move || {
         // Each connection ends with its second request, the last one with its first.
-        for answers in [1, 0] {
+        for responses in [1, 0] {
             let (mut stream, mut bytes) = (listener.accept().unwrap().0, [0; 256]);
-            for _ in 0..answers {
+            for _ in 0..responses {
                 let _ = std::io::Read::read(&mut stream, &mut bytes);
                 let _ = std::io::Write::write(
                     &mut stream,
@@ -157,9 +171,9 @@
     });
     let outcomes = async_io::block_on(async {
         [
-            leg(&pool, 1).await,
-            leg(&pool, 2).await,
-            leg(&pool, 3).await,
+            attempt(&pool, 1).await,
+            attempt(&pool, 2).await,
+            attempt(&pool, 3).await,
         ]
     });
     assert_eq!(
@@ -168,123 +182,102 @@
     );
 }
 
-/// Taken for a limit on calls, refused connections had couriers call ever more rarely while each kept its own idle ones:
-/// on `calm+mass` of many-ledgers (seed 5, 60 couriers) 840 of 894 calls that were turned away were of this kind.
+/// Refused connections were taken for a limit on calls, and instances called ever more rarely while each kept its own
+/// idle connections: on `calm+mass` of many-ledgers (seed 5, 60 instances) 840 of 894 rejected calls were of this kind.
 #[test]
-fn who_has_no_place_for_one_more_connection_is_told_from_who_turns_a_call_away() {
-    let closes = "HTTP/1.1 503 x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-    let stays = "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n";
-    let waits =
+fn rejection_that_closes_a_new_connection_is_connect_failed() {
+    let rejects_and_closes = "HTTP/1.1 503 x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    let rejects = "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n";
+    let retry_after_2_s =
         "HTTP/1.1 429 x\r\nRetry-After: 2\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-    let told = Outcome::Rejected {
+    let rejected_for_2_s = Outcome::Rejected {
         retry_after: Some(Span::from_ms(2000.0)),
     };
     let cases = [
-        // The second call goes over the connection that the first one opened.
-        (vec![closes], vec![Outcome::ConnectFailed]),
+        // The second attempt reuses the connection that the first one opened.
+        (vec![rejects_and_closes], vec![Outcome::ConnectFailed]),
         (
-            vec![stays, closes],
+            vec![rejects, rejects_and_closes],
             vec![
                 Outcome::Rejected { retry_after: None },
                 Outcome::Rejected { retry_after: None },
             ],
         ),
-        (vec![waits], vec![told]),
+        (vec![retry_after_2_s], vec![rejected_for_2_s]),
     ];
-    for (answers, expected) in cases {
+    for (responses, expected) in cases {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let pool = pool(9, &listener);
-        let host = std::thread::spawn(move || {
+        let endpoint = std::thread::spawn(move || {
             let (mut stream, mut bytes) = (listener.accept().unwrap().0, [0; 256]);
-            for answer in answers {
+            for response in responses {
                 let _ = std::io::Read::read(&mut stream, &mut bytes);
-                let _ = std::io::Write::write(&mut stream, answer.as_bytes());
+                let _ = std::io::Write::write(&mut stream, response.as_bytes());
             }
         });
         let outcomes: Vec<Outcome> = expected
             .iter()
-            .map(|_| async_io::block_on(leg(&pool, 1)))
+            .map(|_| async_io::block_on(attempt(&pool, 1)))
             .collect();
         assert_eq!(outcomes, expected);
-        host.join().unwrap();
+        endpoint.join().unwrap();
     }
 }
 
 #[test]
-fn connections_that_come_up_together_keep_to_the_cap() {
+fn concurrent_connects_keep_to_the_connection_limit() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let pool = pool(2, &listener);
     let all = async {
         let two = async {
-            let (first, _) = future::zip(leg(&pool, 1), leg(&pool, 2)).await;
+            let (first, _) = future::zip(attempt(&pool, 1), attempt(&pool, 2)).await;
             first
         };
-        // The third finds both places taken by legs that are still on the way up.
-        future::or(two, leg(&pool, 3)).await
+        // The third finds both connections taken by attempts that are still connecting.
+        future::or(two, attempt(&pool, 3)).await
     };
     assert_eq!(async_io::block_on(all), Outcome::ConnectFailed);
-    assert_eq!(pool.counters.dialled.get(), 2);
-}
-
-#[test]
-fn a_report_that_cannot_be_read_is_left_out_in_full() {
-    assert_eq!(
-        report("TEXT x0=0.4, x1=25"),
-        RateLimitReport {
-            remaining: Some(0.4),
-            limit: Some(25.0)
-        }
-    );
-    for spoilt in [
-        "",
-        "x0=0.4",
-        "TEXT x0=0.4, x1=",
-        "TEXT x0=0.4; x1=25",
-        "TEXT x0=7, x1=25",
-        "TEXT x1=1e99",
-    ] {
-        assert_eq!(report(spoilt), RateLimitReport::default(), "{spoilt}");
-    }
+    assert_eq!(pool.counters.connections_opened.get(), 2);
 }
 
-/// Attempts that were chosen before a wait was told, and whose connections came up after, went out all the same: on
-/// `zone+brink`, where a third of the connections come up late, 11 of 12 opening runs broke the rule on waits.
+/// Attempts that were chosen before a `Retry-After` came, and connected after, were sent all the same: on `zone+brink`,
+/// where a third of the connections are established late, 11 of 12 opening runs broke the rule on backoff.
 #[test]
-fn what_is_on_its_way_up_keeps_to_a_wait_that_is_told_meanwhile() {
-    let apart = |id| Route {
+fn retry_after_received_during_connect_is_honoured() {
+    let own_route = |id| Route {
         endpoint: Some(EndpointId(id)),
         ..SHARED
     };
     for (routes, expected) in [
         ([SHARED, SHARED], Outcome::NotSent),
-        ([apart(0), apart(1)], Outcome::Delivered),
+        ([own_route(0), own_route(1)], Outcome::Delivered),
     ] {
         let listeners = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
         let pool = pool(9, &listeners[0]);
-        pool.place(
+        pool.set_endpoint(
             EndpointId(1),
             &listeners[1].local_addr().unwrap().to_string(),
-            true,
+            EndpointStatus::Active,
         );
-        let hosts = std::thread::spawn(move || {
-            let serve = |listener: &TcpListener, answer: &[u8]| {
+        let endpoints = std::thread::spawn(move || {
+            let serve = |listener: &TcpListener, response: &[u8]| {
                 let (mut stream, mut bytes) = (listener.accept().unwrap().0, [0; 256]);
                 let read = std::io::Read::read(&mut stream, &mut bytes).unwrap_or(0);
-                let _ = std::io::Write::write(&mut stream, answer);
+                let _ = std::io::Write::write(&mut stream, response);
                 read
             };
-            let told = b"HTTP/1.1 429 x\r\nRetry-After: 15\r\nContent-Length: 0\r\n\r\n";
-            serve(&listeners[1], told);
+            let rejection = b"HTTP/1.1 429 x\r\nRetry-After: 15\r\nContent-Length: 0\r\n\r\n";
+            serve(&listeners[1], rejection);
             serve(
                 &listeners[0],
                 b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
             )
         });
         let first = async_io::block_on(async {
-            let mut first = std::pin::pin!(attempt(&pool, 1, EndpointId(0), routes[0]));
-            // Its connection is on the way up, and nobody looks at it until the wait has been told.
+            let mut first = std::pin::pin!(attempt_at(&pool, 1, EndpointId(0), routes[0]));
+            // It is connecting, and is not polled until the other route's response has come.
             assert!(future::poll_once(&mut first).await.is_none());
-            let second = attempt(&pool, 2, EndpointId(1), routes[1]).await;
+            let second = attempt_at(&pool, 2, EndpointId(1), routes[1]).await;
             assert_eq!(
                 second,
                 Outcome::Rejected {
@@ -296,42 +289,42 @@
         assert_eq!(first, expected);
         drop(pool);
         assert_eq!(
-            hosts.join().unwrap() > 0,
+            endpoints.join().unwrap() > 0,
             expected == Outcome::Delivered,
             "bytes at the first endpoint"
         );
     }
 }
 
-/// Reads an endpoint's first connection to its end; gives how many bytes came.
-fn read_out(listener: &TcpListener) -> usize {
-    let (mut stream, mut bytes, mut all) = (listener.accept().unwrap().0, vec![0; 1 << 16], 0);
+/// Reads an endpoint's first connection to its end; returns how many bytes came.
+fn read_to_end(listener: &TcpListener) -> usize {
+    let (mut stream, mut bytes, mut total) = (listener.accept().unwrap().0, vec![0; 1 << 16], 0);
     while let Ok(read @ 1..) = std::io::Read::read(&mut stream, &mut bytes) {
-        all += read;
+        total += read;
     }
-    all
+    total
 }
 
 /// More than the system holds for an endpoint that does not read.
 const LARGE: usize = 32 << 20;
 
-/// Once its first bytes were out, an attempt was written to its end whatever was told or had passed meanwhile: its last
-/// byte, at which the call begins, came within another call's wait, or after the window for repeats.
+/// Once its first bytes were written, an attempt was written to its end whatever came meanwhile: its last byte, at which
+/// execution begins, was written during a backoff, or after the window for repeats.
 #[test]
-fn what_is_partly_written_is_not_finished_within_a_wait_nor_after_its_window() {
+fn partial_write_stops_in_backoff_and_after_its_window() {
     let body = vec![b'x'; LARGE];
-    for waits in [true, false] {
+    for backs_off in [true, false] {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let pool = pool(9, &listener);
         let outcome = async_io::block_on(async {
-            let window = Duration::from_millis(if waits { 20_000 } else { 300 });
+            let window = Duration::from_millis(if backs_off { 20_000 } else { 300 });
             let write_by = Instant::now() + window;
-            let leg = attempt_with(&pool, 1, EndpointId(0), SHARED, &body, write_by);
-            let mut leg = std::pin::pin!(leg);
-            if !waits {
-                return leg.await;
+            let running = attempt_with_body(&pool, &body, write_by);
+            let mut running = std::pin::pin!(running);
+            if !backs_off {
+                return running.await;
             }
-            // Some of it is on its way once the endpoint has bytes to read.
+            // Some of it is written once the endpoint has bytes to read.
             let (stream, _) = future::or(
                 async {
                     Async::<TcpListener>::new(listener.try_clone().unwrap())
@@ -340,25 +333,30 @@
                         .await
                         .unwrap()
                 },
-                async { panic!("ended with {:?} before anything was read", (&mut leg).await) },
+                async {
+                    panic!(
+                        "ended with {:?} before anything was read",
+                        (&mut running).await
+                    )
+                },
             )
             .await;
             let begun = async { stream.readable().await.unwrap() };
             future::or(begun, async {
-                panic!("ended early with {:?}", (&mut leg).await)
+                panic!("ended early with {:?}", (&mut running).await)
             })
             .await;
-            pool.told(SHARED, Instant::now() + Duration::from_secs(60));
+            pool.back_off(SHARED, Instant::now() + Duration::from_secs(60));
             let reading = std::thread::spawn(move || {
-                let (mut stream, mut all) = (stream.into_inner().unwrap(), 0);
+                let (mut stream, mut total) = (stream.into_inner().unwrap(), 0);
                 stream.set_nonblocking(false).unwrap();
                 let mut bytes = vec![0; 1 << 16];
                 while let Ok(read @ 1..) = std::io::Read::read(&mut stream, &mut bytes) {
-                    all += read;
+                    total += read;
                 }
-                all
+                total
             });
-            let outcome = leg.await;
+            let outcome = running.await;
             assert!(
                 reading.join().unwrap() < LARGE,
                 "the endpoint has read all of it"
@@ -369,33 +367,33 @@
             outcome,
             Outcome::NotSent,
             "{}",
-            if waits {
-                "told to wait"
+            if backs_off {
+                "in backoff"
             } else {
                 "after its window"
             }
         );
-        if !waits {
+        if !backs_off {
             drop(pool);
             assert!(
-                read_out(&listener) < LARGE,
+                read_to_end(&listener) < LARGE,
                 "the endpoint has read all of it"
             );
         }
     }
 }
 
-/// A connection that was out or on its way up when its endpoint moved was used again for the next attempt: what listens
-/// at the old address now may be anybody's.
+/// A connection that was in use or connecting when its endpoint moved was reused for the next attempt: what listens at the
+/// old address now may be anybody's.
 #[test]
-fn no_attempt_goes_to_the_address_that_an_endpoint_has_left() {
+fn moved_endpoint_gets_nothing_at_its_old_address() {
     let [old, new] = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
-    let at = new.local_addr().unwrap().to_string();
+    let new_address = new.local_addr().unwrap().to_string();
     let pool = pool(9, &old);
     let (moved, has_moved) = std::sync::mpsc::channel();
     let (read, has_read) = async_channel::bounded(1);
     let ok = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-    let hosts = std::thread::spawn(move || {
+    let endpoints = std::thread::spawn(move || {
         let serve = |listener: &TcpListener, wait: &dyn Fn()| {
             let (mut stream, mut bytes) = (listener.accept().unwrap().0, [0; 256]);
             let _ = std::io::Read::read(&mut stream, &mut bytes);
@@ -408,77 +406,83 @@
             has_moved.recv().unwrap();
         });
         let _second = serve(&new, &|| ());
-        read_out(&old)
+        read_to_end(&old)
     });
     async_io::block_on(async {
-        let mut first = std::pin::pin!(leg(&pool, 1));
+        let mut first = std::pin::pin!(attempt(&pool, 1));
         let out = async { has_read.recv().await.unwrap() };
         future::or(async { panic!("ended with {:?}", (&mut first).await) }, out).await;
-        let mut rising = std::pin::pin!(leg(&pool, 2));
+        let mut connecting = std::pin::pin!(attempt(&pool, 2));
         assert!(
-            future::poll_once(&mut rising).await.is_none(),
-            "its connection is on the way up"
+            future::poll_once(&mut connecting).await.is_none(),
+            "it is connecting"
         );
-        pool.place(EndpointId(0), &at, true);
+        pool.set_endpoint(EndpointId(0), &new_address, EndpointStatus::Active);
         moved.send(()).unwrap();
         assert_eq!(first.await, Outcome::Delivered);
         assert_eq!(
-            leg(&pool, 3).await,
+            attempt(&pool, 3).await,
             Outcome::Delivered,
             "at the new address"
         );
-        assert_eq!(rising.await, Outcome::NotSent);
+        assert_eq!(connecting.await, Outcome::NotSent);
     });
     drop(pool);
-    assert_eq!(hosts.join().unwrap(), 0, "bytes at the old address");
+    assert_eq!(endpoints.join().unwrap(), 0, "bytes at the old address");
 }
 
-/// A process that was stopped after it had chosen, and that goes on after another one has taken over, began what it had
-/// chosen: two attempts of one message were out at once.
+/// A process that was stopped after it had chosen an attempt, and that goes on after another one has taken over, started
+/// that attempt: two attempts of one message were in flight at once.
 #[test]
-fn what_was_chosen_before_another_process_fenced_this_one_off_does_not_begin() {
+fn chosen_attempt_is_not_sent_once_fenced() {
     let folder = std::env::temp_dir().join(format!("marblefall-pool-fence-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&folder);
-    let life = RefCell::new(Incarnation::claim(&folder).unwrap());
+    let incarnation = RefCell::new(Incarnation::claim(&folder).unwrap());
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let pool = pool(9, &listener);
     let serving = listener.try_clone().unwrap();
-    let host = std::thread::spawn(move || {
+    let endpoint = std::thread::spawn(move || {
         let (mut stream, mut bytes) = (serving.accept().unwrap().0, [0; 256]);
         let _ = std::io::Read::read(&mut stream, &mut bytes);
         let _ = std::io::Write::write(&mut stream, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         std::io::Read::read(&mut stream, &mut bytes).unwrap_or(0)
     });
-    let word = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(&b""[..]));
-    let may = || driver::may_start_attempt(&life).then(LeasePermit::unconditional);
-    let by = Instant::now() + Duration::from_secs(20);
-    let run = |seq| {
-        let call = Call {
+    let encode = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(&b""[..]));
+    let permit = || driver::may_start_attempt(&incarnation).then(LeasePermit::unconditional);
+    let run = |message| {
+        pool.run_attempt(Attempt {
+            message_id: MessageId(message),
+            endpoint: EndpointId(0),
             route: SHARED,
-            word: &word,
+            timeout_at: later(),
+            write_by: later(),
+            encode: &encode,
             judge: platform::judge,
-            may: &may,
-        };
-        pool.leg(MessageId(seq), EndpointId(0), call, by, by)
+            permit: &permit,
+        })
     };
     async_io::block_on(async {
         assert_eq!(run(1).await.outcome, Outcome::Delivered);
-        let later = Incarnation::claim(&folder).unwrap();
-        let before = life.borrow().generation();
-        let kept = run(2);
-        later.fence(before).unwrap();
+        let successor = Incarnation::claim(&folder).unwrap();
+        let generation = incarnation.borrow().generation();
+        let reusing = run(2);
+        successor.fence(generation).unwrap();
         assert_eq!(
-            kept.await.outcome,
+            reusing.await.outcome,
             Outcome::NotSent,
-            "over a connection that is kept"
+            "over a reused connection"
         );
-        let mut rising = std::pin::pin!(async {
+        let mut connecting = std::pin::pin!(async {
             pool.close_idle(EndpointId(0));
             run(3).await.outcome
         });
-        assert_eq!((&mut rising).await, Outcome::NotSent, "over a new one");
+        assert_eq!(
+            (&mut connecting).await,
+            Outcome::NotSent,
+            "over a new connection"
+        );
     });
     drop(pool);
-    assert_eq!(host.join().unwrap(), 0, "bytes after the fence");
+    assert_eq!(endpoint.join().unwrap(), 0, "bytes after the fence");
     let _ = std::fs::remove_dir_all(&folder);
 }
--- /dev/null
+++ b/crates/delivery/src/net/response_fields/tests.rs
@@ -0,0 +1,26 @@
+use super::*;
+
+#[test]
+fn malformed_rate_limit_report_is_ignored_in_full() {
+    assert_eq!(
+        rate_limit_report("TEXT x0=0.4, x1=25"),
+        RateLimitReport {
+            remaining: Some(0.4),
+            limit: Some(25.0)
+        }
+    );
+    for malformed in [
+        "",
+        "x0=0.4",
+        "TEXT x0=0.4, x1=",
+        "TEXT x0=0.4; x1=25",
+        "TEXT x0=7, x1=25",
+        "TEXT x1=1e99",
+    ] {
+        assert_eq!(
+            rate_limit_report(malformed),
+            RateLimitReport::default(),
+            "{malformed}"
+        );
+    }
+}
