Name the delivery package's tests by condition and outcome; its log limit as a type

The flood limit of the log is a FloodWindow; its test is in a file of its own. The line 'asked to hand over' is now 'handover requested', policy-taken-up is policy-in-force, in the program's tests as well.

--- a/crates/cli/tests/events.rs
+++ b/crates/cli/tests/events.rs
@@ -433,7 +433,7 @@
     // So does what it decides by: no other life of it begins.
     apply(&folder, &file(new.at, old.at, 5500));
     wait_for("the change of a class", || {
-        program.log().contains("policy-taken-up")
+        program.log().contains("policy-in-force")
     });
     assert_eq!(program.log().matches(MARKER).count(), 1);
     assert_eq!(
--- a/crates/cli/tests/lives.rs
+++ b/crates/cli/tests/lives.rs
@@ -310,7 +310,7 @@
     wait_for("one of the two to give way", || {
         ended = two
             .iter()
-            .position(|one| one.log().contains("asked to hand over"));
+            .position(|one| one.log().contains("handover requested"));
         ended.is_some()
     });
     let first = ended.unwrap();
--- a/crates/delivery/benches/step.rs
+++ b/crates/delivery/benches/step.rs
@@ -1,4 +1,4 @@
-//! What a step of the engine costs beside idle destinations: `cargo bench -p marblefall-courier`.
+//! What a step of the engine costs beside idle destinations: `cargo bench -p marblefall-delivery`.
 
 // The macros write items without docs.
 #![allow(missing_docs)]
@@ -19,7 +19,7 @@
 fn destination_table(count: u64) -> Arc<DestinationTable> {
     let mut destination_table = DestinationTable::with_large_capacity();
     for number in 0..count {
-        let (name, own) = (format!("clinic-{number}"), format!("clinic-{number}-1"));
+        let (name, endpoint_name) = (format!("clinic-{number}"), format!("clinic-{number}-1"));
         let entry = DestinationEntry {
             name: &name,
             id: DestinationId(number),
@@ -28,20 +28,20 @@
             from_list: false,
         };
         let address = SocketAddr::from(([127, 0, 0, 1], 9));
-        let place = EndpointEntry {
-            name: &own,
+        let endpoint = EndpointEntry {
+            name: &endpoint_name,
             address,
             weight: None,
             active: true,
         };
         destination_table
-            .add(entry, std::iter::once(place))
+            .add(entry, std::iter::once(endpoint))
             .expect("room");
     }
     Arc::new(destination_table.build())
 }
 
-fn setup() -> EngineSettings {
+fn engine_settings() -> EngineSettings {
     let class = MessageClass {
         priority_weight: 1.0,
         latency_objective: Span::from_ms(2000.0),
@@ -50,7 +50,7 @@
         idempotency: Idempotency::Idempotent,
         ordered: false,
     };
-    let caps = Limits {
+    let limits = Limits {
         max_in_flight: 16,
         max_pending: 128,
         max_attempts: 8,
@@ -62,7 +62,7 @@
             separate_routes: false,
             max_batch: 1,
         }],
-        limits: caps,
+        limits,
         rate_hints: RateHints::Approximate,
         instances: 1,
         ..Settings::default()
@@ -75,26 +75,26 @@
     }
 }
 
-/// A message taken on and sent, then delivered: two steps.
-fn steps(criterion: &mut Criterion) {
+/// A message accepted and sent, then delivered: two steps.
+fn engine_steps(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("a message beside idle destinations");
     for count in [10, 10_000, 100_000] {
         let dir =
             std::env::temp_dir().join(format!("marblefall-step-{}-{count}", std::process::id()));
         let store =
             MessageStore::open(&dir, 64_000_000, vec!["free".to_owned()]).expect("a folder");
-        let (mut ms, mut orders) = (0, Vec::new());
-        let stamp = |ms: i64| Timestamp {
+        let (mut ms, mut commands) = (0, Vec::new());
+        let at = |ms: i64| Timestamp {
             monotonic: Time(ms * 1000),
             unix_ms: ms,
         };
-        let mut engine = Engine::new(setup(), store, stamp(0), &mut orders);
+        let mut engine = Engine::new(engine_settings(), store, at(0), &mut commands);
         engine.step(
-            stamp(0),
+            at(0),
             vec![EngineEvent::DestinationTableReplaced(destination_table(
                 count,
             ))],
-            &mut orders,
+            &mut commands,
         );
         group.bench_with_input(BenchmarkId::from_parameter(count), &count, |bench, _| {
             bench.iter(|| {
@@ -109,33 +109,34 @@
                     attributes: Vec::new(),
                     body: Vec::new(),
                 };
-                orders.clear();
+                commands.clear();
                 engine.step(
-                    stamp(ms),
+                    at(ms),
                     vec![EngineEvent::Submitted(RequestId(ms as u64), message)],
-                    &mut orders,
+                    &mut commands,
                 );
-                let leg = orders.iter().find_map(|order| match order {
+                let started = commands.iter().find_map(|command| match command {
                     EngineCommand::StartAttempt(request) => {
                         Some((request.message_id, request.attempt))
                     }
                     _ => None,
                 });
-                let (seq, copy) = leg.expect("it is sent at once");
-                let (outcome, took) = (Outcome::Delivered, Span::from_ms(1.0));
-                let (disposition, report) = (Disposition::Undecided, RateLimitReport::default());
+                let (id, attempt) = started.expect("it is sent at once");
+                let (outcome, duration) = (Outcome::Delivered, Span::from_ms(1.0));
+                let (disposition, rate_limit) =
+                    (Disposition::Undecided, RateLimitReport::default());
                 ms += 1;
                 engine.step(
-                    stamp(ms),
+                    at(ms),
                     vec![EngineEvent::AttemptFinished(AttemptResult {
-                        message_id: seq,
-                        attempt: copy,
+                        message_id: id,
+                        attempt,
                         outcome,
-                        duration: took,
+                        duration,
                         disposition,
-                        rate_limit: report,
+                        rate_limit,
                     })],
-                    &mut orders,
+                    &mut commands,
                 );
             });
         });
@@ -144,5 +145,5 @@
     group.finish();
 }
 
-criterion_group!(benches, steps);
+criterion_group!(benches, engine_steps);
 criterion_main!(benches);
--- a/crates/delivery/src/instance/shutdown.rs
+++ b/crates/delivery/src/instance/shutdown.rs
@@ -104,7 +104,7 @@
         if self.has_begun() {
             return self.engine_event(SHUTDOWN_TIMEOUT, Successor::Running);
         }
-        log_line!("asked to hand over");
+        log_line!("handover requested");
         self.begin(SHUTDOWN_TIMEOUT, Successor::None)
     }
 
--- a/crates/delivery/src/log.rs
+++ b/crates/delivery/src/log.rs
@@ -1,6 +1,8 @@
-//! Log lines go to standard error through one macro, as text or as JSON lines, with the reason code and what it is
-//! about as fields and the instance and connection as spans. A flood is cut: each second of an instance has room
-//! for so many lines, and the first one after says how many were left out.
+//! Log lines on standard error, as text or as JSON lines.
+//!
+//! All go through [`log_line!`](crate::log_line), with the reason code and what the line is about as fields, and the
+//! instance and connection as spans. A flood is limited: each second of an instance has room for so many lines, and the
+//! first one after it is preceded by the count of those that were dropped.
 
 #[doc(hidden)]
 pub use tracing;
@@ -15,12 +17,49 @@
 use tracing_subscriber::registry::LookupSpan;
 use tracing_subscriber::{Layer, Registry};
 
-const LINES_A_SECOND: u32 = 50;
+/// How many lines an instance may write in a second.
+const MAX_LINES_PER_SECOND: u32 = 50;
+
+const WINDOW_LENGTH: Duration = Duration::from_secs(1);
+
+/// The lines of one second.
+#[derive(Clone, Copy)]
+struct FloodWindow {
+    started_at: Option<Instant>,
+    lines: u32,
+    /// Dropped since the last line that was written.
+    dropped: u64,
+}
+
+impl FloodWindow {
+    const EMPTY: FloodWindow = FloodWindow {
+        started_at: None,
+        lines: 0,
+        dropped: 0,
+    };
+
+    /// Counts one more line; returns whether there is room for it.
+    fn admit(&mut self, now: Instant) -> bool {
+        let is_over = self
+            .started_at
+            .is_none_or(|started_at| now - started_at >= WINDOW_LENGTH);
+        if is_over {
+            self.started_at = Some(now);
+            self.lines = 1;
+            return true;
+        }
+        if self.lines < MAX_LINES_PER_SECOND {
+            self.lines += 1;
+            return true;
+        }
+        self.dropped += 1;
+        false
+    }
+}
 
 thread_local! {
-    /// Each instance has a thread of its own, and so a window of its own: when it began, lines written in it, and
-    /// lines left out since the last one that was written.
-    static WINDOW: Cell<(Option<Instant>, u32, u64)> = const { Cell::new((None, 0, 0)) };
+    /// Each instance has a thread of its own, and so a window of its own.
+    static WINDOW: Cell<FloodWindow> = const { Cell::new(FloodWindow::EMPTY) };
 }
 
 /// How log lines look.
@@ -35,33 +74,26 @@
 
 /// Whether one more line has room in this second.
 fn admit(now: Instant) -> bool {
-    WINDOW.with(|window| {
-        let (since, lines, dropped) = window.get();
-        if since.is_none_or(|since| now - since >= Duration::from_secs(1)) {
-            window.set((Some(now), 1, dropped));
-            return true;
-        }
-        let room = lines < LINES_A_SECOND;
-        window.set((since, lines + u32::from(room), dropped + u64::from(!room)));
-        room
-    })
+    let mut window = WINDOW.get();
+    let is_admitted = window.admit(now);
+    WINDOW.set(window);
+    is_admitted
 }
 
-/// How many lines were left out since this was last asked.
-fn left_out() -> u64 {
-    WINDOW.with(|window| {
-        let (since, lines, dropped) = window.get();
-        window.set((since, lines, 0));
-        dropped
-    })
+/// How many lines were dropped since the last call.
+fn take_dropped() -> u64 {
+    let mut window = WINDOW.get();
+    let dropped = std::mem::take(&mut window.dropped);
+    WINDOW.set(window);
+    dropped
 }
 
-/// Lets as many lines through as there is room for; spans cost nothing until a line stands in them.
+/// Lets as many lines through as there is room for; spans cost nothing until a line is written in them.
 struct FloodLimit;
 
 impl<S> Filter<S> for FloodLimit {
-    fn enabled(&self, told: &Metadata<'_>, _: &Context<'_, S>) -> bool {
-        *told.level() <= tracing::Level::INFO
+    fn enabled(&self, metadata: &Metadata<'_>, _: &Context<'_, S>) -> bool {
+        *metadata.level() <= tracing::Level::INFO
     }
 
     fn event_enabled(&self, _: &Event<'_>, _: &Context<'_, S>) -> bool {
@@ -69,10 +101,13 @@
     }
 }
 
-/// Writes before a line how many were left out.
-struct Counted<F>(Layout<F>, Format);
+/// Writes before a line how many were dropped.
+struct WithDropCount<F> {
+    layout: Layout<F>,
+    format: Format,
+}
 
-impl<S, N, F> FormatEvent<S, N> for Counted<F>
+impl<S, N, F> FormatEvent<S, N> for WithDropCount<F>
 where
     S: Subscriber + for<'a> LookupSpan<'a>,
     N: for<'a> FormatFields<'a> + 'static,
@@ -84,7 +119,7 @@
         mut writer: Writer<'_>,
         event: &Event<'_>,
     ) -> fmt::Result {
-        match (left_out(), self.1) {
+        match (take_dropped(), self.format) {
             (0, _) => {}
             (lines, Format::Text) => writeln!(writer, "log lines left out: {lines}")?,
             (lines, Format::Json) => {
@@ -94,39 +129,38 @@
                 )?;
             }
         }
-        self.0.format_event(context, writer, event)
+        self.layout.format_event(context, writer, event)
     }
 }
 
-/// From now on, lines of the whole process go to standard error in this form. The first call counts.
+/// Starts to write the log lines of the whole process in a format. The first call counts.
 pub fn start(format: Format) {
     let layout = tracing_subscriber::fmt::format()
         .with_target(false)
         .with_level(false);
+    let layer = tracing_subscriber::fmt::layer()
+        .with_writer(std::io::stderr)
+        .with_ansi(false);
     match format {
         Format::Text => {
-            let layer = tracing_subscriber::fmt::layer()
-                .with_writer(std::io::stderr)
-                .with_ansi(false);
-            let layer = layer
-                .event_format(Counted::<Full>(layout, format))
-                .with_filter(FloodLimit);
+            let counted = WithDropCount::<Full> { layout, format };
+            let layer = layer.event_format(counted).with_filter(FloodLimit);
             let _ = tracing::subscriber::set_global_default(Registry::default().with(layer));
         }
         Format::Json => {
-            let layer = tracing_subscriber::fmt::layer()
-                .with_writer(std::io::stderr)
-                .with_ansi(false);
-            let layer = layer.fmt_fields(JsonFields::new());
-            let counted = Counted::<Json>(layout.json().with_current_span(false), format);
-            let layer = layer.event_format(counted).with_filter(FloodLimit);
+            let layout = layout.json().with_current_span(false);
+            let counted = WithDropCount::<Json> { layout, format };
+            let layer = layer
+                .fmt_fields(JsonFields::new())
+                .event_format(counted)
+                .with_filter(FloodLimit);
             let _ = tracing::subscriber::set_global_default(Registry::default().with(layer));
         }
     }
 }
 
-/// Writes a line for those on call, unless too many came just now: fields such as `code = %code` first, then a
-/// text as in `format!`.
+/// Writes a line for operators, unless too many came just now: fields such as `code = %code` first, then a text as in
+/// `format!`.
 #[macro_export]
 macro_rules! log_line {
     ($($part:tt)*) => {
@@ -143,15 +177,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_flood_is_cut_and_counted_until_the_next_second() {
-        let start = Instant::now();
-        let admitted = (0..80).filter(|_| admit(start)).count();
-        assert_eq!(admitted, LINES_A_SECOND as usize);
-        assert!(admit(start + Duration::from_secs(1)));
-        assert_eq!((left_out(), left_out()), (30, 0));
-    }
-}
+mod tests;
--- a/crates/delivery/tests/common/mod.rs
+++ b/crates/delivery/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! What the tests of the core share: a folder of their own, classes and limits, a host, the end of a leg.
+//! What the tests of the core share: folders, classes and limits, an endpoint, and readers of commands.
 #![allow(dead_code)]
 
 use marblefall_delivery::core::endpoint::ListedEndpoint;
@@ -11,54 +11,57 @@
 
 /// When the tests begin, as Unix time in milliseconds.
 pub const START_MS: i64 = 1_800_000_000_000;
-/// Receivers drop repeats by key for 6 s.
+/// Endpoints drop repeats by key for 6 s.
 pub const KEYED: Idempotency = Idempotency::IdempotencyKey {
     scope: DeduplicationScope::All,
     window: Span(6_000_000),
 };
 
-/// A folder that is not there yet.
+/// A folder that does not exist yet.
 pub fn folder(name: &str) -> PathBuf {
     let path = std::env::temp_dir().join(format!("marblefall-core-{}-{name}", std::process::id()));
     let _ = std::fs::remove_dir_all(&path);
     path
 }
 
-/// A class wanted within 2 s and given up after 20.
-pub fn class(effect: Idempotency) -> MessageClass {
+/// A class with a latency objective of 2 s and a deadline of 20 s.
+pub fn class(idempotency: Idempotency) -> MessageClass {
     MessageClass {
         priority_weight: 1.0,
         latency_objective: Span::from_ms(2000.0),
         deadline: Span::from_ms(20_000.0),
         late_value: 0.3,
-        idempotency: effect,
+        idempotency,
         ordered: false,
     }
 }
 
-/// One courier with classes of these effects; nothing that ended is remembered.
-pub fn setup(effects: &[Idempotency], caps: Limits) -> EngineSettings {
+/// Settings of one instance with classes of these idempotencies; nothing is remembered after its final outcome.
+pub fn engine_settings(idempotencies: &[Idempotency], limits: Limits) -> EngineSettings {
     let settings = Settings {
-        classes: effects.iter().map(|effect| class(*effect)).collect(),
+        classes: idempotencies
+            .iter()
+            .map(|idempotency| class(*idempotency))
+            .collect(),
         kinds: vec![DestinationKind {
             separate_routes: false,
             max_batch: 1,
         }],
         value_decay: ValueDecay::Linear,
-        limits: caps,
+        limits,
         instances: 1,
         ..Settings::default()
     };
     EngineSettings {
         scheduler: settings,
         seed: 1,
-        remember_ms: vec![0; effects.len()],
+        remember_ms: vec![0; idempotencies.len()],
         max_remembered: 0,
     }
 }
 
-/// Limits of a small courier that may hold so many messages.
-pub fn caps(max_open: usize) -> Limits {
+/// Limits of a small instance that may have so many open messages.
+pub fn limits(max_open: usize) -> Limits {
     Limits {
         max_in_flight: 4,
         max_pending: max_open,
@@ -68,8 +71,8 @@
     }
 }
 
-/// A host of destination 7.
-pub fn host(name: &str) -> ListedEndpoint {
+/// An endpoint of destination 7.
+pub fn endpoint(name: &str) -> ListedEndpoint {
     ListedEndpoint {
         name: name.to_owned(),
         address: "127.0.0.1:1".to_owned(),
@@ -82,33 +85,33 @@
     }
 }
 
-/// A leg that was out for 100 ms.
-pub fn ended(seq: MessageId, copy: u32, outcome: Outcome) -> EngineEvent {
-    let took = Span::from_ms(100.0);
+/// The result of an attempt that was in flight for 100 ms.
+pub fn attempt_finished(id: MessageId, attempt: u32, outcome: Outcome) -> EngineEvent {
+    let duration = Span::from_ms(100.0);
     EngineEvent::AttemptFinished(AttemptResult {
-        message_id: seq,
-        attempt: copy,
+        message_id: id,
+        attempt,
         outcome,
-        duration: took,
+        duration,
         disposition: Disposition::Undecided,
         rate_limit: RateLimitReport::default(),
     })
 }
 
-/// The legs that are begun, each a message's number and which leg of it.
-pub fn legs(orders: &[EngineCommand]) -> Vec<(MessageId, u32)> {
-    let leg = |order: &EngineCommand| match order {
+/// The attempts that are started: each a message's id and which attempt of it.
+pub fn started_attempts(commands: &[EngineCommand]) -> Vec<(MessageId, u32)> {
+    let started = |command: &EngineCommand| match command {
         EngineCommand::StartAttempt(request) => Some((request.message_id, request.attempt)),
         _ => None,
     };
-    orders.iter().filter_map(leg).collect()
+    commands.iter().filter_map(started).collect()
 }
 
-/// The answers to hand-ins, by ticket.
-pub fn answers(orders: &[EngineCommand]) -> Vec<(u64, SubmitResponse)> {
-    let answer = |order: &EngineCommand| match order {
-        EngineCommand::Respond(ticket, answer) => Some((ticket.0, *answer)),
+/// The responses to submissions, by request.
+pub fn responses(commands: &[EngineCommand]) -> Vec<(u64, SubmitResponse)> {
+    let response = |command: &EngineCommand| match command {
+        EngineCommand::Respond(request, response) => Some((request.0, *response)),
         _ => None,
     };
-    orders.iter().filter_map(answer).collect()
+    commands.iter().filter_map(response).collect()
 }
--- /dev/null
+++ b/crates/delivery/tests/snapshot_store.rs
@@ -0,0 +1,80 @@
+//! The snapshot of destinations on a disk that fails at each of its changes.
+
+use marblefall_atomic_file::faulty_disk::{Fault, Rig, Unsynced};
+use marblefall_atomic_file::Disk;
+use marblefall_delivery::core::snapshot::{encode, DestinationRecord, VERSION};
+use marblefall_delivery::snapshot_store::{read, SnapshotStore};
+use std::path::Path;
+
+const FOLDER: &str = "/home/instances/one";
+
+fn records(count: u64) -> Vec<DestinationRecord> {
+    (0..count)
+        .map(|destination| DestinationRecord {
+            destination,
+            ejected_since_ms: Some(1_000),
+            ..DestinationRecord::default()
+        })
+        .collect()
+}
+
+#[test]
+fn fault_at_any_write_leaves_a_whole_snapshot_or_none() {
+    let folder = Path::new(FOLDER);
+    let length = encode(&records(2)).len();
+    let faults = (0..=length).flat_map(|cut| [Fault::Fails(cut), Fault::Dies(cut)]);
+    for fault in faults {
+        // One of them strikes the first snapshot, so that there is none before it.
+        for after in 0..4 {
+            let disk = Rig::new();
+            disk.strike(after, fault);
+            let (mut store, restored) = SnapshotStore::open(disk.clone(), folder);
+            assert_eq!(restored, []);
+            let (old, new) = (records(1), records(2));
+            store.write(&old);
+            store.write(&new);
+            for unsynced in [Unsynced::Kept, Unsynced::Lost, Unsynced::NamesOnly] {
+                let after_crash = store.disk().after(unsynced);
+                let (mut reopened, restored) = SnapshotStore::open(after_crash, folder);
+                assert!(
+                    restored.is_empty() || restored == old || restored == new,
+                    "{fault:?} at {after}, {unsynced:?}: {restored:?}"
+                );
+                if unsynced == Unsynced::Kept && after >= 2 {
+                    assert!(
+                        restored == old || restored == new,
+                        "what outlasts the process: {restored:?}"
+                    );
+                }
+                // The next incarnation writes its own over whatever is there.
+                reopened.write(&records(3));
+                assert_eq!(read(reopened.disk(), folder).unwrap(), records(3));
+            }
+            // A disk that was full for a moment takes the same records when they come again.
+            if matches!(fault, Fault::Fails(_)) {
+                store.write(&new);
+                assert_eq!(read(store.disk(), folder).unwrap(), new);
+            }
+        }
+    }
+}
+
+#[test]
+fn snapshot_of_a_newer_version_is_ignored_and_replaced() {
+    let (folder, disk) = (Path::new(FOLDER), Rig::new());
+    let mut bytes = encode(&records(2));
+    bytes[4..6].copy_from_slice(&(VERSION + 1).to_le_bytes());
+    disk.write(&folder.join("destinations.bin"), &bytes)
+        .expect("no fault");
+    let cause = read(&disk, folder).expect_err("another version");
+    assert!(
+        cause
+            .to_string()
+            .contains(&format!("version {}", VERSION + 1)),
+        "{cause}"
+    );
+    let (mut store, restored) = SnapshotStore::open(disk, folder);
+    assert_eq!(restored, []);
+    store.write(&records(1));
+    assert_eq!(read(store.disk(), folder).unwrap(), records(1));
+}
