--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -3,13 +3,16 @@
 //! [`core`] knows no wire; [`net`] is the network around it, [`frontend`] translates between the two, [`hot_restart`]
 //! is how one process takes over from another, and [`instance`] puts one together and runs it.
 
+pub mod clock;
 pub mod core;
 pub mod counters;
+mod error_chain;
 pub mod frontend;
 pub mod hot_restart;
 pub mod instance;
 pub mod lease_guard;
 pub mod log;
 pub mod net;
-pub mod seam;
 pub mod snapshot_store;
+
+pub use error_chain::error_chain;
