Make the supervisor a type with its steps as methods; typed errors in the control plane

supervise.rs's one function of 162 lines becomes Supervisor, whose loop reads as its list of steps, with InstanceHandle, FrontendListeners, Coordinated and the policy check in modules of their own. An instance's thread is owned by its handle and joined, in place of a channel that was closed with it. What an instance runs by is a type, InstanceManifest, in place of a Fleet with most fields empty. build.rs is instance_config.rs, listing.rs endpoint_directory.rs with CompactApplied, file.rs manifest.rs, watch.rs list_watcher.rs. Applied and Plan have typed errors; a plan's changes are shown by a module of its own.

Log lines: "takes up a change as it runs" is now "applies a change in place", "takes up a change" is "applies a change by a restart"; the tests that expect neither look for the part that both have.

--- a/crates/cli/src/destinations.rs
+++ b/crates/cli/src/destinations.rs
@@ -2,7 +2,7 @@
 
 use crate::words::{Form, State};
 use marblefall_atomic_file::Real;
-use marblefall_control_plane::listing;
+use marblefall_control_plane::endpoint_directory::CompactApplied;
 use marblefall_delivery::core::snapshot::DestinationRecord;
 use marblefall_delivery::snapshot_store;
 use serde_json::json;
@@ -12,8 +12,9 @@
 
 /// Prints it.
 pub fn show(home: &Path, state: Option<State>, format: Form) -> Result<(), String> {
-    let (_, fleet, listing) = listing::read(home)?;
-    let names: BTreeMap<u64, &str> = listing
+    let applied = CompactApplied::read(home).map_err(|error| error.to_string())?;
+    let names: BTreeMap<u64, &str> = applied
+        .directory
         .destination_table
         .entries()
         .map(|entry| (entry.id.0, entry.name))
@@ -23,12 +24,12 @@
         .map_or(0, |since| since.as_millis() as i64);
     let mut known: BTreeSet<u64> = BTreeSet::new();
     let mut rows: Vec<(&str, &str, State, DestinationRecord)> = Vec::new();
-    for instance in fleet.instances.keys() {
+    for instance in applied.manifest.instances.keys() {
         let folder = home.join("instances").join(instance);
         let records = snapshot_store::read(&Real, &folder)
             .map_err(|cause| format!("{}: {cause}", folder.display()))?;
         for record in records {
-            // What left the fleet is no longer of interest.
+            // What left the manifest is no longer of interest.
             let Some(name) = names.get(&record.destination) else {
                 continue;
             };
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,8 +6,8 @@
 mod words;
 
 use clap::{CommandFactory, Parser};
-use marblefall_control_plane::file::Fleet;
 use marblefall_control_plane::group::Membership;
+use marblefall_control_plane::manifest::Manifest;
 use marblefall_control_plane::plan::{Applied, Plan};
 use marblefall_delivery::instance::platform_config::PlatformConfig;
 use marblefall_delivery::log;
@@ -49,7 +49,8 @@
                 Form::Text => log::Format::Text,
                 Form::Json => log::Format::Json,
             });
-            marblefall_control_plane::supervise::run(&home, history.as_deref(), link)
+            marblefall_control_plane::supervisor::run(&home, history.as_deref(), link)
+                .map_err(|error| error.to_string())
         }
         Command::Destinations {
             home,
@@ -70,8 +71,11 @@
 }
 
 fn plan(file: &Path, home: &Path, out: Option<&Path>) -> Result<(), String> {
-    let target = Fleet::read(file)?;
-    let plan = Plan::new(Applied::read(home)?, target);
+    let target = Manifest::read(file)?;
+    let plan = Plan::new(
+        Applied::read(home).map_err(|error| error.to_string())?,
+        target,
+    );
     println!("{plan}");
     let Some(out) = out else { return Ok(()) };
     let saved = serde_json::to_vec_pretty(&plan).map_err(|error| error.to_string())?;
@@ -123,7 +127,7 @@
         }
         (None, None, None) => {}
     }
-    let applied = plan.apply(home)?;
+    let applied = plan.apply(home).map_err(|error| error.to_string())?;
     println!("applied as revision {}", applied.revision);
     Ok(())
 }
--- a/crates/cli/src/roster.rs
+++ b/crates/cli/src/roster.rs
@@ -1,9 +1,11 @@
 //! What staff do with rosters: check, show and compare them.
 
 use crate::words::{Form, Roster as Words};
-use marblefall_control_plane::file::Fleet;
+use marblefall_control_plane::list_watcher::{
+    files, kept, read_bounded, FileStatus, Standing, Status,
+};
+use marblefall_control_plane::manifest::Manifest;
 use marblefall_control_plane::plan::Applied;
-use marblefall_control_plane::watch::{files, kept, read_bounded, FileStatus, Standing, Status};
 use marblefall_endpoint_lists::{diff, Book, Change, Fault, Report, Roster, Step, Terms};
 use serde_json::json;
 use std::collections::BTreeSet;
@@ -34,8 +36,8 @@
     format: Form,
 ) -> Result<(), String> {
     let mut book = match (fleet, home) {
-        (Some(fleet), _) => Book::new(Fleet::read(fleet)?.terms()),
-        (None, Some(home)) => kept(home, &Applied::read(home)?.fleet)?.0,
+        (Some(fleet), _) => Book::new(Manifest::read(fleet)?.terms()),
+        (None, Some(home)) => kept(home, &applied_manifest(home)?)?.0,
         (None, None) => Book::new(Terms::default()),
     };
     let mut found: Vec<(String, PathBuf)> = Vec::new();
@@ -128,6 +130,11 @@
     Ok(())
 }
 
+fn applied_manifest(home: &Path) -> Result<Manifest, String> {
+    let applied = Applied::read(home).map_err(|error| error.to_string())?;
+    Ok(applied.manifest)
+}
+
 fn sum(changes: &[Change]) -> String {
     let count = |step| changes.iter().filter(|change| change.step == step).count();
     let changed = count(Step::Changed) + count(Step::Stopped);
@@ -139,8 +146,8 @@
 }
 
 fn show(home: &Path, endpoints: bool, format: Form) -> Result<(), String> {
-    let fleet = Applied::read(home)?.fleet;
-    let (book, spoilt) = kept(home, &fleet)?;
+    let manifest = applied_manifest(home)?;
+    let (book, spoilt) = kept(home, &manifest)?;
     let status = Status::read(home)?;
     let names: BTreeSet<&String> = book.rosters().keys().chain(status.files.keys()).collect();
     let standing = |name: &String| {
@@ -172,7 +179,7 @@
         );
         return Ok(());
     }
-    let path = fleet
+    let path = manifest
         .roster
         .as_ref()
         .map_or("no [roster] is applied".to_owned(), |at| {
--- a/crates/cli/tests/events.rs
+++ b/crates/cli/tests/events.rs
@@ -425,7 +425,7 @@
     );
     assert_eq!((old.count(), new.count()), (before, 2));
     assert!(
-        !program.log().contains("takes up a change"),
+        !program.log().contains("applies a change"),
         "{}",
         program.log()
     );
--- a/crates/cli/tests/rosters.rs
+++ b/crates/cli/tests/rosters.rs
@@ -295,7 +295,7 @@
     assert_eq!(runs.len(), handed_in, "lost");
     assert!(runs.values().all(|count| *count == 1), "doubled");
     assert!(
-        !program.log().contains("takes up a change"),
+        !program.log().contains("applies a change"),
         "the instance was started again"
     );
 }
@@ -532,7 +532,7 @@
         .count();
     assert_eq!(late, 0, "nothing new to what is drained");
     assert!(
-        !program.log().contains("takes up a change"),
+        !program.log().contains("applies a change"),
         "{}",
         program.log()
     );
--- /dev/null
+++ b/crates/control-plane/src/endpoint_directory.rs
@@ -0,0 +1,149 @@
+//! The endpoint directory: all destinations of the manifest and their endpoints, those of the endpoint lists in force
+//! included, in the compact form that all instances of the process share.
+
+mod compact_applied;
+
+pub use compact_applied::CompactApplied;
+
+use crate::manifest::{self, destination_number, Destination};
+use marblefall_delivery::core::destination_table::{
+    DestinationEntry, DestinationTable, EndpointEntry, TableError,
+};
+use marblefall_delivery::frontend::cloudevents::event::Mode;
+use marblefall_delivery::frontend::cloudevents::Target;
+use marblefall_endpoint_lists::{Book, Endpoint};
+use marblefall_scheduler::DestinationId;
+use serde::de::{Deserializer, Error, MapAccess, Visitor};
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::Arc;
+
+/// All destinations, and the few encodings in which events are sent to them.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointDirectory {
+    /// The destinations.
+    pub destination_table: Arc<DestinationTable>,
+    /// What their encodings stand for, by index.
+    pub targets: Arc<Vec<Target>>,
+}
+
+impl EndpointDirectory {
+    /// The same with the endpoints that the lists in force give.
+    ///
+    /// # Errors
+    /// Where the table has no room for them.
+    pub fn with_endpoint_lists(&self, lists: &Book) -> Result<EndpointDirectory, TableError> {
+        let mut listed: HashMap<&str, Vec<&Endpoint>> = HashMap::new();
+        for (destination, endpoint) in lists.endpoints() {
+            listed.entry(destination).or_default().push(endpoint);
+        }
+        let mut table = DestinationTable::with_large_capacity();
+        for entry in self.destination_table.entries() {
+            if entry.from_list {
+                let endpoints = listed.get(entry.name).into_iter().flatten();
+                table.add(entry, endpoints.map(|endpoint| listed_endpoint(endpoint)))?;
+            } else {
+                table.add(entry, self.destination_table.endpoints(entry.id))?;
+            }
+        }
+        Ok(EndpointDirectory {
+            destination_table: Arc::new(table.build()),
+            targets: self.targets.clone(),
+        })
+    }
+}
+
+fn listed_endpoint(endpoint: &Endpoint) -> EndpointEntry<'_> {
+    EndpointEntry {
+        name: &endpoint.name,
+        address: endpoint.address,
+        weight: Some(endpoint.weight as f32),
+        active: endpoint.serves(),
+    }
+}
+
+/// A directory while it is filled.
+struct DirectoryBuilder {
+    encodings: HashMap<(Mode, String), u16>,
+    targets: Vec<Target>,
+    table: DestinationTable,
+}
+
+impl DirectoryBuilder {
+    fn new() -> DirectoryBuilder {
+        DirectoryBuilder {
+            encodings: HashMap::new(),
+            targets: Vec::new(),
+            table: DestinationTable::with_large_capacity(),
+        }
+    }
+
+    fn add(&mut self, name: &str, destination: &Destination) -> Result<(), TableError> {
+        let entry = DestinationEntry {
+            name,
+            id: DestinationId(destination_number(name)),
+            encoding: self.encoding(destination)?,
+            rate: destination.rate as f32,
+            from_list: destination.endpoints.is_empty(),
+        };
+        let endpoints = destination.endpoints.iter().map(manifest_endpoint);
+        self.table.add(entry, endpoints)
+    }
+
+    /// The index of the encoding that a destination wants.
+    fn encoding(&mut self, destination: &Destination) -> Result<u16, TableError> {
+        let next = u16::try_from(self.targets.len()).map_err(|_| TableError::Encodings)?;
+        let key = (destination.mode, destination.path.clone());
+        let encoding = self.encodings.entry(key).or_insert_with(|| {
+            self.targets.push(Target {
+                mode: destination.mode,
+                path: destination.path.clone(),
+            });
+            next
+        });
+        Ok(*encoding)
+    }
+
+    fn build(self) -> EndpointDirectory {
+        EndpointDirectory {
+            destination_table: Arc::new(self.table.build()),
+            targets: Arc::new(self.targets),
+        }
+    }
+}
+
+fn manifest_endpoint(endpoint: &manifest::Endpoint) -> EndpointEntry<'_> {
+    EndpointEntry {
+        name: &endpoint.name,
+        address: endpoint.address,
+        weight: None,
+        active: !endpoint.draining,
+    }
+}
+
+impl<'de> Deserialize<'de> for EndpointDirectory {
+    /// Reads the destinations of an applied file one by one: a hundred thousand of them as values of their own would
+    /// take ten times the room that they need here, and an allocator does not give all of it back.
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<EndpointDirectory, D::Error> {
+        deserializer.deserialize_map(DestinationVisitor)
+    }
+}
+
+struct DestinationVisitor;
+
+impl<'de> Visitor<'de> for DestinationVisitor {
+    type Value = EndpointDirectory;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("destinations by name")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<EndpointDirectory, A::Error> {
+        let mut builder = DirectoryBuilder::new();
+        while let Some((name, destination)) = map.next_entry::<String, Destination>()? {
+            builder.add(&name, &destination).map_err(A::Error::custom)?;
+        }
+        Ok(builder.build())
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/endpoint_directory/compact_applied.rs
@@ -0,0 +1,115 @@
+//! What is applied in a home, read with its destinations straight into a directory.
+
+use super::EndpointDirectory;
+use crate::manifest::{Class, Group, Instance, Limits, Manifest, RosterSource};
+use crate::plan::{AppliedError, APPLIED_FILE};
+use marblefall_delivery::core::destination_table::DestinationEntry;
+use marblefall_endpoint_lists::Standing;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{self, BufReader};
+use std::path::Path;
+
+/// The size of the buffer through which the file is read.
+const READ_BUFFER: usize = 64 * 1024;
+
+/// What is applied, its destinations apart from the manifest in as little room as will do.
+#[derive(Clone, Debug, Default)]
+pub struct CompactApplied {
+    /// How many applies led to it.
+    pub revision: u64,
+    /// The manifest without its destinations.
+    pub manifest: Manifest,
+    /// The destinations.
+    pub directory: EndpointDirectory,
+}
+
+/// The stored form of [`Applied`](crate::plan::Applied); its names are those of earlier versions.
+#[derive(Deserialize)]
+struct StoredApplied {
+    revision: u64,
+    #[serde(rename = "fleet")]
+    manifest: StoredManifest,
+}
+
+#[derive(Deserialize)]
+struct StoredManifest {
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    classes: BTreeMap<String, Class>,
+    #[serde(default)]
+    destinations: EndpointDirectory,
+    #[serde(default)]
+    instances: BTreeMap<String, Instance>,
+    #[serde(default)]
+    elsewhere: usize,
+    #[serde(default)]
+    roster: Option<RosterSource>,
+    #[serde(default)]
+    group: Option<Group>,
+}
+
+impl CompactApplied {
+    /// Reads what is applied in a home; an empty manifest of revision 0 where nothing is.
+    ///
+    /// # Errors
+    /// Where the file cannot be read, or holds something else.
+    pub fn read(home: &Path) -> Result<CompactApplied, AppliedError> {
+        let path = home.join(APPLIED_FILE);
+        let file = match File::open(&path) {
+            Ok(file) => file,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => {
+                return Ok(CompactApplied::default())
+            }
+            Err(source) => return Err(AppliedError::Read { path, source }),
+        };
+        let reader = BufReader::with_capacity(READ_BUFFER, file);
+        let stored: StoredApplied = serde_json::from_reader(reader)
+            .map_err(|source| AppliedError::Parse { path, source })?;
+        Ok(stored.into())
+    }
+}
+
+impl From<StoredApplied> for CompactApplied {
+    fn from(stored: StoredApplied) -> CompactApplied {
+        let StoredManifest {
+            limits,
+            classes,
+            destinations: directory,
+            instances,
+            elsewhere,
+            roster,
+            group,
+        } = stored.manifest;
+        let rostered = roster.is_some().then(|| standings(&directory));
+        CompactApplied {
+            revision: stored.revision,
+            manifest: Manifest {
+                limits,
+                classes,
+                instances,
+                elsewhere,
+                roster,
+                group,
+                rostered,
+                ..Manifest::default()
+            },
+            directory,
+        }
+    }
+}
+
+/// Which destinations get their endpoints from lists.
+fn standings(directory: &EndpointDirectory) -> BTreeMap<String, Standing> {
+    let standing = |entry: &DestinationEntry<'_>| match entry.from_list {
+        true => Standing::Rostered,
+        false => Standing::Fixed,
+    };
+    directory
+        .destination_table
+        .entries()
+        .map(|entry| (entry.name.to_owned(), standing(&entry)))
+        .collect()
+}
--- a/crates/control-plane/src/group.rs
+++ b/crates/control-plane/src/group.rs
@@ -5,7 +5,7 @@
 
 pub use drive::News;
 
-use crate::file::{Fleet, Group, OnCut};
+use crate::manifest::{Group, Manifest, OnCut};
 use crate::plan::Applied;
 use marblefall_atomic_file::{replace, Disk, Outlasts, Real};
 use marblefall_coordination::words::{Member, Terms};
@@ -67,9 +67,10 @@
         let name = String::from_utf8_lossy(&name).trim().to_owned();
         let founded = file(home, FOUNDING);
         let founding = read(&founded)?;
-        let mut group = Applied::read(home)?.fleet.group;
+        let applied = Applied::read(home).map_err(|error| error.to_string())?;
+        let mut group = applied.manifest.group;
         if let (None, Some(text)) = (&group, &founding) {
-            let fleet: Result<Fleet, _> = serde_json::from_slice(text);
+            let fleet: Result<Manifest, _> = serde_json::from_slice(text);
             group = fleet
                 .map_err(|error| format!("{}: {error}", founded.display()))?
                 .group;
@@ -99,7 +100,7 @@
     ///
     /// # Errors
     /// Where the file names no such member, or the disk does not take it.
-    pub fn found(home: &Path, name: &str, fleet: &Fleet) -> Result<(), String> {
+    pub fn found(home: &Path, name: &str, fleet: &Manifest) -> Result<(), String> {
         let group = fleet.group.as_ref().ok_or("the file has no [group]")?;
         if place(group, name).is_none() {
             let names: Vec<&str> = group.members.keys().map(String::as_str).collect();
--- a/crates/control-plane/src/group/drive.rs
+++ b/crates/control-plane/src/group/drive.rs
@@ -2,8 +2,8 @@
 
 use super::link::{self, Event, Local, Told, Way};
 use super::{file, read, same_group, Membership, VOTES};
-use crate::file::Fleet;
-use crate::plan::{Applied, APPLIED};
+use crate::manifest::Manifest;
+use crate::plan::{Applied, APPLIED_FILE};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
@@ -35,7 +35,7 @@
     /// Whether instances may act has changed.
     Look,
     /// Has this policy room for what is held?
-    Check(Box<Fleet>, Sender<Result<(), String>>),
+    Check(Box<Manifest>, Sender<Result<(), String>>),
 }
 
 /// Something that happened.
@@ -145,7 +145,8 @@
             return Ok(None);
         }
         let path = file(home, VOTES);
-        let name = crate::file::number_of(&format!("{}/{}", self.group.name, self.name));
+        let name =
+            crate::manifest::destination_number(&format!("{}/{}", self.group.name, self.name));
         let kept = match read(&path)? {
             None => None,
             Some(bytes) => match Kept::decode(&bytes, name) {
@@ -359,7 +360,7 @@
     fn check(&self, proposal: Proposal, follows: Revision, policy: &[u8]) {
         let refuse = |why: String| drop(self.checks.try_send((proposal, Err(why))));
         let member = &self.membership;
-        let fleet: Fleet = match serde_json::from_slice(policy) {
+        let fleet: Manifest = match serde_json::from_slice(policy) {
             Ok(fleet) => fleet,
             Err(error) => {
                 return refuse(format!(
@@ -392,7 +393,7 @@
         if revision == Revision(0) {
             return;
         }
-        let fleet: Fleet = match serde_json::from_slice(policy) {
+        let fleet: Manifest = match serde_json::from_slice(policy) {
             Ok(fleet) => fleet,
             Err(error) => {
                 return say!(
@@ -404,13 +405,13 @@
         };
         let applied = Applied {
             revision: revision.0,
-            fleet,
+            manifest: fleet,
         };
         if Applied::read(&self.home).is_ok_and(|had| had == applied) {
             return;
         }
         let text = serde_json::to_vec_pretty(&applied).unwrap_or_default();
-        if let Err(error) = replace(&Real, &self.home.join(APPLIED), &text, Outlasts::Power) {
+        if let Err(error) = replace(&Real, &self.home.join(APPLIED_FILE), &text, Outlasts::Power) {
             // Until it does, instances stay under the policy that they have, which the gate shuts out.
             self.untaken = Some((revision, policy.clone()));
             return say!(
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -1,10 +1,13 @@
-//! The operators' side: the file that describes a fleet, plan and apply, the rosters that are watched, and the
-//! daemon that runs it all.
+//! The control plane: what operators declare, and what keeps the instances to it.
+//!
+//! [`manifest`] is what they declare, [`plan`] what a change to it would do and how it is applied,
+//! [`endpoint_directory`] the destinations of what is applied, [`list_watcher`] the endpoint lists beside it,
+//! [`supervisor`] what runs the instances, and [`group`] what makes several supervisors change together.
 
-pub mod build;
-pub mod file;
+pub mod endpoint_directory;
 pub mod group;
-pub mod listing;
+mod instance_config;
+pub mod list_watcher;
+pub mod manifest;
 pub mod plan;
-pub mod supervise;
-pub mod watch;
+pub mod supervisor;
--- a/crates/control-plane/src/watch.rs
+++ b/crates/control-plane/src/list_watcher.rs
@@ -4,7 +4,7 @@
 //! The system tells of changes where it can, and a slow look finds the rest. Nothing hangs on when a look comes: a file
 //! that is half written is found out by its form.
 
-use crate::file::{Fleet, RosterSource};
+use crate::manifest::{Manifest, RosterSource};
 use async_channel::{Receiver, Sender};
 use marblefall_atomic_file::{replace, Disk, Outlasts, Real};
 use marblefall_delivery::say;
@@ -87,7 +87,7 @@
 
 /// The lists that are kept in a fleet's folder, under what its applied file says; and what was not fit to be read
 /// back.
-pub fn kept(home: &Path, fleet: &Fleet) -> Result<(Book, Vec<Report>), String> {
+pub fn kept(home: &Path, fleet: &Manifest) -> Result<(Book, Vec<Report>), String> {
     let mut book = Book::new(fleet.terms());
     let mut spoilt = Vec::new();
     for (file, bytes) in Keep::at(&home.join(FOLDER))
@@ -177,17 +177,17 @@
 }
 
 /// The daemon's side of the watcher.
-pub struct Watch {
+pub struct ListWatcher {
     book: Arc<RwLock<Book>>,
     stirs: mpsc::Sender<Stir>,
     /// Filled when something was taken up since it was last emptied.
-    pub news: Receiver<()>,
+    pub changes: Receiver<()>,
     thread: Option<thread::JoinHandle<()>>,
 }
 
-impl Watch {
+impl ListWatcher {
     /// Takes up what is kept in a fleet's folder and what the files say now, then goes on watching them.
-    pub fn start(home: &Path, fleet: &Fleet) -> Result<Watch, String> {
+    pub fn start(home: &Path, fleet: &Manifest) -> Result<ListWatcher, String> {
         let (book, spoilt) = kept(home, fleet)?;
         for report in spoilt {
             say!(code = "kept-roster-spoilt", file = %report.file, "{}", report.first());
@@ -221,16 +221,16 @@
             .spawn(body);
         let thread = thread.map_err(|error| error.to_string())?;
         let _ = first_look.recv();
-        Ok(Watch {
+        Ok(ListWatcher {
             book,
             stirs,
-            news,
+            changes: news,
             thread: Some(thread),
         })
     }
 
     /// Goes on under another applied file. What it no longer lets rosters say counts for nothing from now on.
-    pub fn hold_to(&self, fleet: &Fleet) {
+    pub fn set_manifest(&self, fleet: &Manifest) {
         self.book
             .write()
             .unwrap_or_else(PoisonError::into_inner)
@@ -239,17 +239,17 @@
     }
 
     /// Looks at the files as if they had changed.
-    pub fn look(&self) {
+    pub fn rescan(&self) {
         let _ = self.stirs.send(Stir::Disk);
     }
 
     /// The lists in force.
-    pub fn with_book<T>(&self, read: impl FnOnce(&Book) -> T) -> T {
+    pub fn with_lists<T>(&self, read: impl FnOnce(&Book) -> T) -> T {
         read(&self.book.read().unwrap_or_else(PoisonError::into_inner))
     }
 }
 
-impl Drop for Watch {
+impl Drop for ListWatcher {
     fn drop(&mut self) {
         let _ = self.stirs.send(Stir::End);
         if let Some(thread) = self.thread.take() {
--- a/crates/control-plane/src/file.rs
+++ b/crates/control-plane/src/manifest.rs
@@ -2,8 +2,10 @@
 //! serve. What is unknown or contradicts itself is an error that names the line.
 
 mod group;
+mod instance_manifest;
 
 pub use group::{Group, Member, OnCut};
+pub use instance_manifest::InstanceManifest;
 
 use marblefall_delivery::frontend::cloudevents::event::Mode;
 use marblefall_endpoint_lists::{Standing, Terms};
@@ -209,7 +211,7 @@
 
 /// All that an operator's file says.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Fleet {
+pub struct Manifest {
     /// Limits of every instance that has none of its own.
     #[serde(default)]
     pub limits: Limits,
@@ -235,9 +237,6 @@
     /// How rosters stand to the destinations, once these themselves are kept elsewhere.
     #[serde(skip)]
     pub rostered: Option<BTreeMap<String, Standing>>,
-    /// In an instance's share: how many couriers serve the same destinations, for their parts of a rate.
-    #[serde(skip)]
-    pub couriers: usize,
 }
 
 fn is_none(count: &usize) -> bool {
@@ -277,19 +276,19 @@
 
 /// The number by which the core knows a destination: from its name, so that it stays the same when others
 /// come and go (64-bit FNV-1a).
-pub fn number_of(name: &str) -> u64 {
+pub fn destination_number(name: &str) -> u64 {
     let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
     // The journal keeps numbers as signed ones.
     name.bytes().fold(0xcbf2_9ce4_8422_2325, mix) >> 1
 }
 
-impl Fleet {
+impl Manifest {
     /// Reads an operator's file from disk; errors name it.
-    pub fn read(path: &Path) -> Result<Fleet, String> {
+    pub fn read(path: &Path) -> Result<Manifest, String> {
         let text = std::fs::read_to_string(path)
             .map_err(|error| format!("{}: {error}", path.display()))?;
         let mut fleet =
-            Fleet::parse(&text).map_err(|cause| format!("{}:\n{cause}", path.display()))?;
+            Manifest::parse(&text).map_err(|cause| format!("{}:\n{cause}", path.display()))?;
         if let Some(roster) = &mut fleet.roster {
             // The daemon may run in another folder than the operator who plans.
             let folder = path.parent().unwrap_or(Path::new(""));
@@ -300,7 +299,7 @@
     }
 
     /// Reads an operator's file.
-    pub fn parse(text: &str) -> Result<Fleet, String> {
+    pub fn parse(text: &str) -> Result<Manifest, String> {
         let file: File =
             toml::from_str(text).map_err(|error| error.to_string().trim_end().to_owned())?;
         // Found by halving: counted from the top for each entry, ten thousand took seconds.
@@ -328,7 +327,7 @@
             if !(destination.rate.is_finite() && destination.rate > 0.0) {
                 say("rate is not above 0".to_owned());
             }
-            if !numbers.insert(number_of(name)) {
+            if !numbers.insert(destination_number(name)) {
                 say("shares its number with another; it needs another name".to_owned());
             }
             for endpoint in &destination.endpoints {
@@ -386,7 +385,7 @@
                 .map(|(name, entry)| (name, entry.into_inner()))
                 .collect()
         }
-        Ok(Fleet {
+        Ok(Manifest {
             limits: file.limits,
             classes: bare(file.classes),
             destinations: bare(file.destinations),
@@ -394,37 +393,10 @@
             roster: file.roster.map(Spanned::into_inner),
             group: file.group.map(|group| group.into_inner().bare()),
             rostered: None,
-            couriers: 0,
             elsewhere: file.fleet.map_or(0, |fleet| fleet.into_inner().elsewhere),
         })
     }
 
-    /// All that one instance depends on: when this changes, the instance takes it up.
-    pub fn share_of(&self, name: &str) -> Option<Fleet> {
-        let mut instance = self.instances.get(name)?.clone();
-        let limits = instance
-            .limits
-            .take()
-            .unwrap_or_else(|| self.limits.clone());
-        let instances = BTreeMap::from([(name.to_owned(), instance)]);
-        // Destinations are in the directory, which changes while an instance runs.
-        let (classes, destinations) = (self.classes.clone(), BTreeMap::new());
-        // Where rosters are is the daemon's own matter: an instance takes their changes up as it runs.
-        let (roster, rostered, elsewhere, group) = (None, None, 0, None);
-        let couriers = self.instances.len() + self.elsewhere;
-        Some(Fleet {
-            limits,
-            classes,
-            destinations,
-            instances,
-            elsewhere,
-            roster,
-            group,
-            rostered,
-            couriers,
-        })
-    }
-
     /// What rosters must keep to under this file.
     pub fn terms(&self) -> Terms {
         let standing = |destination: &Destination| match destination.endpoints.is_empty() {
@@ -565,7 +537,7 @@
 
     #[test]
     fn the_file_under_deploy_is_sound() {
-        let fleet = Fleet::parse(GOOD).unwrap();
+        let fleet = Manifest::parse(GOOD).unwrap();
         assert!(
             !fleet.instances.is_empty() && fleet.instances.values().all(|i| i.events.is_some())
         );
@@ -616,7 +588,7 @@
         ] {
             let text = GOOD.replacen(from, to, 1);
             assert_ne!(text, GOOD, "{from}");
-            let said = Fleet::parse(&text).unwrap_err();
+            let said = Manifest::parse(&text).unwrap_err();
             let place = format!("line {}", line_of(&text, table));
             assert!(
                 said.contains(why) && said.contains(&place),
--- a/crates/control-plane/src/file/group.rs
+++ b/crates/control-plane/src/manifest/group.rs
@@ -215,13 +215,13 @@
 
 #[cfg(test)]
 mod tests {
-    use crate::file::Fleet;
+    use crate::manifest::Manifest;
 
     const GOOD: &str = include_str!("../../../../examples/group/fleet.toml");
 
     #[test]
     fn the_example_is_sound_and_its_voters_are_odd() {
-        let fleet = Fleet::parse(GOOD).unwrap();
+        let fleet = Manifest::parse(GOOD).unwrap();
         let group = fleet.group.unwrap();
         assert_eq!((group.members.len(), group.warning()), (3, None));
     }
@@ -282,14 +282,14 @@
         ] {
             let text = GOOD.replace(from, to);
             assert_ne!(text, GOOD, "{from}");
-            let said = Fleet::parse(&text).unwrap_err();
+            let said = Manifest::parse(&text).unwrap_err();
             assert!(
                 said.contains(why) && said.contains(&format!("line {line}")),
                 "{why}, line {line}: {said}"
             );
         }
         let even = GOOD.replacen("votes = true", "votes = false", 1);
-        let warning = Fleet::parse(&even)
+        let warning = Manifest::parse(&even)
             .unwrap()
             .group
             .unwrap()
--- /dev/null
+++ b/crates/control-plane/src/manifest/instance_manifest.rs
@@ -0,0 +1,62 @@
+//! The part of a manifest that one instance runs by.
+
+use super::{Class, EventsFront, Limits, Manifest, RelayFront};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// All that one instance depends on: when this changes, the instance applies it, in place or by a restart.
+///
+/// Destinations are not in it: they are in the endpoint directory, which changes while an instance runs. Where the
+/// endpoint lists are is the supervisor's own matter, and so is the group.
+#[derive(Clone, Debug, PartialEq)]
+pub struct InstanceManifest {
+    /// Its name.
+    pub name: String,
+    /// The events frontend, if it is on.
+    pub events: Option<EventsFront>,
+    /// The platform's frontend, if it is on.
+    pub platform: Option<RelayFront>,
+    /// What it may use.
+    pub limits: Limits,
+    /// Classes by name.
+    pub classes: BTreeMap<String, Class>,
+    /// How many instances serve the same destinations, for their parts of a rate.
+    pub total_instances: usize,
+}
+
+impl Manifest {
+    /// What an instance runs by; `None` where the manifest does not name it.
+    pub fn instance_manifest(&self, name: &str) -> Option<InstanceManifest> {
+        let instance = self.instances.get(name)?;
+        Some(InstanceManifest {
+            name: name.to_owned(),
+            events: instance.events.clone(),
+            platform: instance.relay.clone(),
+            limits: instance.limits.as_ref().unwrap_or(&self.limits).clone(),
+            classes: self.classes.clone(),
+            total_instances: self.instances.len() + self.elsewhere,
+        })
+    }
+}
+
+impl InstanceManifest {
+    /// Whether an instance that runs by this one can change to `new` without a restart: its listeners, its folder and its
+    /// connections stay.
+    pub fn can_update_in_place(&self, new: &InstanceManifest) -> bool {
+        self.events_address() == new.events_address()
+            && self.platform_addresses() == new.platform_addresses()
+            && self.limits.sockets == new.limits.sockets
+            && self.limits.disk_mb.to_bits() == new.limits.disk_mb.to_bits()
+            && self.limits.dial_ms == new.limits.dial_ms
+            && self.limits.idle_ms == new.limits.idle_ms
+    }
+
+    fn events_address(&self) -> Option<SocketAddr> {
+        self.events.as_ref().map(|events| events.listen)
+    }
+
+    fn platform_addresses(&self) -> Option<(SocketAddr, SocketAddr)> {
+        let platform = self.platform.as_ref()?;
+        Some((platform.listen, platform.notices))
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/plan/changes.rs
@@ -0,0 +1,97 @@
+//! What a plan changes, entry by entry, as an operator is shown it: by the manifest's own keys.
+
+use super::Plan;
+use crate::manifest::Manifest;
+use serde_json::{Map, Value};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// The keys of the manifest's tables, and what an entry of each is called.
+const TABLES: [(&str, &str); 3] = [
+    ("classes", "class"),
+    ("destinations", "destination"),
+    ("instances", "instance"),
+];
+
+/// What happens to an entry.
+enum Change<'a> {
+    Added,
+    Changed(&'a Value, &'a Value),
+    Removed,
+}
+
+/// The entries of a manifest, by what an operator calls them.
+fn entries(manifest: &Manifest) -> BTreeMap<String, Value> {
+    let mut entries = BTreeMap::new();
+    let whole = serde_json::to_value(manifest).unwrap_or_default();
+    for (table, entry) in TABLES {
+        for (name, value) in whole[table].as_object().into_iter().flatten() {
+            entries.insert(format!("{entry} {name}"), value.clone());
+        }
+    }
+    let has_entries = !entries.is_empty();
+    let mut add = |entry: &str, key: &str, is_set: bool| {
+        if is_set {
+            entries.insert(entry.to_owned(), whole[key].clone());
+        }
+    };
+    add("limits", "limits", has_entries);
+    add("fleet", "elsewhere", manifest.elsewhere > 0);
+    add("group", "group", manifest.group.is_some());
+    add("roster", "roster", manifest.roster.is_some());
+    entries
+}
+
+fn change<'a>(old: Option<&'a Value>, new: Option<&'a Value>) -> Option<Change<'a>> {
+    match (old, new) {
+        (None, Some(_)) => Some(Change::Added),
+        (Some(old), Some(new)) if old != new => Some(Change::Changed(old, new)),
+        (Some(_), None) => Some(Change::Removed),
+        (Some(_), Some(_)) | (None, None) => None,
+    }
+}
+
+fn write_changed_keys(f: &mut fmt::Formatter<'_>, old: &Value, new: &Value) -> fmt::Result {
+    let no_keys = Map::new();
+    let old = old.as_object().unwrap_or(&no_keys);
+    let new = new.as_object().unwrap_or(&no_keys);
+    let show = |value: Option<&Value>| value.map_or("-".to_owned(), Value::to_string);
+    for key in old.keys().chain(new.keys()).collect::<BTreeSet<_>>() {
+        let (old, new) = (old.get(key), new.get(key));
+        if old != new {
+            writeln!(f, "    {key}: {} -> {}", show(old), show(new))?;
+        }
+    }
+    Ok(())
+}
+
+impl fmt::Display for Plan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let old = entries(&self.base.manifest);
+        let new = entries(&self.target);
+        let names: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+        let (mut added, mut changed, mut removed) = (0, 0, 0);
+        for name in names {
+            match change(old.get(name), new.get(name)) {
+                Some(Change::Added) => {
+                    added += 1;
+                    writeln!(f, "+ {name}")?;
+                }
+                Some(Change::Changed(old, new)) => {
+                    changed += 1;
+                    writeln!(f, "~ {name}")?;
+                    write_changed_keys(f, old, new)?;
+                }
+                Some(Change::Removed) => {
+                    removed += 1;
+                    writeln!(f, "- {name}")?;
+                }
+                None => {}
+            }
+        }
+        write!(
+            f,
+            "{added} to add, {changed} to change, {removed} to remove"
+        )
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/supervisor/instance_handle.rs
@@ -0,0 +1,161 @@
+//! The supervisor's hold on an instance that runs on a thread of its own.
+
+use super::listeners::{FrontendListeners, ListenError};
+use crate::endpoint_directory::EndpointDirectory;
+use crate::instance_config::{ClassTable, InstanceConfigBuilder};
+use crate::manifest::InstanceManifest;
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use marblefall_delivery::instance::{self, InstanceCommand, InstanceConfig};
+use marblefall_delivery::lease_guard::LeaseGuard;
+use marblefall_delivery::net::server::Spawner;
+use marblefall_delivery::say;
+use std::io;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+/// The folder in a home that holds a folder for each instance.
+const INSTANCES_FOLDER: &str = "instances";
+
+/// Why an instance cannot be started.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum StartError {
+    #[error(transparent)]
+    Listen(#[from] ListenError),
+    #[error("{0}")]
+    Thread(#[from] io::Error),
+}
+
+/// What an instance is started with beside its own manifest.
+pub(super) struct StartContext<'a> {
+    pub home: &'a Path,
+    pub directory: &'a EndpointDirectory,
+    /// What it may act under, in a group.
+    pub lease_guard: Option<Arc<LeaseGuard>>,
+    /// The revision of its manifest.
+    pub revision: u64,
+}
+
+/// An instance and its thread.
+pub(super) struct InstanceHandle {
+    manifest: InstanceManifest,
+    /// The revision that the group knows it by; 0 outside a group.
+    revision: u64,
+    classes: ClassTable,
+    commands: Sender<InstanceCommand>,
+    thread: JoinHandle<()>,
+    shutting_down: bool,
+}
+
+impl InstanceHandle {
+    /// Opens the listeners and starts the thread.
+    pub fn start(
+        name: &str,
+        manifest: InstanceManifest,
+        context: StartContext<'_>,
+        listeners: &mut FrontendListeners,
+    ) -> Result<InstanceHandle, StartError> {
+        let mut classes = ClassTable::default();
+        classes.update(&manifest);
+        let lease = context.lease_guard.map(|guard| (guard, context.revision));
+        let revision = lease.as_ref().map_or(0, |(_, revision)| *revision);
+        let builder = InstanceConfigBuilder {
+            manifest: &manifest,
+            classes: &classes,
+            directory: context.directory,
+        };
+        let folder = context.home.join(INSTANCES_FOLDER).join(name);
+        let config = builder.config(folder, lease, listeners.open(&manifest)?);
+        let (commands, received) = async_channel::unbounded();
+        let thread_name = name.to_owned();
+        let thread = thread::Builder::new()
+            .name(name.to_owned())
+            .spawn(move || run_instance(&thread_name, config, received))?;
+        Ok(InstanceHandle {
+            manifest,
+            revision,
+            classes,
+            commands,
+            thread,
+            shutting_down: false,
+        })
+    }
+
+    /// What it runs by.
+    pub fn manifest(&self) -> &InstanceManifest {
+        &self.manifest
+    }
+
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    pub fn is_shutting_down(&self) -> bool {
+        self.shutting_down
+    }
+
+    /// Whether its thread ended, also by a panic.
+    pub fn has_ended(&self) -> bool {
+        self.thread.is_finished()
+    }
+
+    /// Waits for its thread, which has ended but for its last steps.
+    pub fn join(self) {
+        // A panic was printed by its hook; the other instances go on.
+        let _ = self.thread.join();
+    }
+
+    /// Sends a command; one that ended by itself no longer receives it.
+    pub fn send(&self, command: InstanceCommand) {
+        let _ = self.commands.try_send(command);
+    }
+
+    /// Tells it to end within `timeout`; `restart` if it is started again at once.
+    pub fn shut_down(&mut self, timeout: Duration, restart: bool) {
+        self.send(InstanceCommand::Shutdown { timeout, restart });
+        self.shutting_down = true;
+    }
+
+    /// Changes its policy as it runs.
+    pub fn update_policy(
+        &mut self,
+        manifest: InstanceManifest,
+        revision: u64,
+        directory: &EndpointDirectory,
+    ) {
+        self.classes.update(&manifest);
+        self.manifest = manifest.clone();
+        self.revision = revision;
+        let (classes, directory) = (self.classes.clone(), directory.clone());
+        let make_update = move || {
+            let builder = InstanceConfigBuilder {
+                manifest: &manifest,
+                classes: &classes,
+                directory: &directory,
+            };
+            builder.policy_update(revision)
+        };
+        self.send(InstanceCommand::UpdatePolicy(Arc::new(make_update)));
+    }
+
+    /// Gives it another directory under the policy that it has.
+    pub fn replace_destinations(&self, directory: &EndpointDirectory) {
+        self.send(InstanceCommand::ReplaceDestinations(
+            directory.destination_table.clone(),
+            directory.targets.clone(),
+        ));
+    }
+}
+
+/// The body of an instance's thread.
+fn run_instance(name: &str, config: InstanceConfig, commands: Receiver<InstanceCommand>) {
+    let _span = instance::instance_span(name).entered();
+    let tasks = Rc::new(LocalExecutor::new());
+    let running = instance::run_instance(config, commands, Spawner::new(&tasks));
+    if let Err(error) = async_io::block_on(tasks.run(running)) {
+        say!(code = "failed", "{error}");
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/supervisor/listeners.rs
@@ -0,0 +1,89 @@
+//! The sockets at which instances' frontends listen. The supervisor owns them, so that they outlive the instances.
+
+use crate::instance_config::InstanceListeners;
+use crate::manifest::{Instance, InstanceManifest};
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+
+/// An address that cannot be listened at.
+#[derive(Debug, thiserror::Error)]
+#[error("{address}: {source}")]
+pub(super) struct ListenError {
+    address: SocketAddr,
+    source: io::Error,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum FrontendKind {
+    Events,
+    Platform,
+}
+
+/// Who listens where: a port that the system picks is each instance's own.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct ListenerKey {
+    instance: String,
+    frontend: FrontendKind,
+    address: SocketAddr,
+}
+
+impl ListenerKey {
+    /// Those of an instance's frontends.
+    pub fn all_of(name: &str, instance: &Instance) -> Vec<ListenerKey> {
+        let events = instance.events.iter().map(|events| ListenerKey {
+            instance: name.to_owned(),
+            frontend: FrontendKind::Events,
+            address: events.listen,
+        });
+        let platform = instance.relay.iter().map(|platform| ListenerKey {
+            instance: name.to_owned(),
+            frontend: FrontendKind::Platform,
+            address: platform.listen,
+        });
+        events.chain(platform).collect()
+    }
+}
+
+/// All listeners of a supervisor.
+#[derive(Default)]
+pub(super) struct FrontendListeners(BTreeMap<ListenerKey, TcpListener>);
+
+impl FrontendListeners {
+    /// Closes those that are not used any more.
+    pub fn retain(&mut self, used: &BTreeSet<ListenerKey>) {
+        self.0.retain(|key, _| used.contains(key));
+    }
+
+    /// Opens an instance's listeners, or takes those that are open.
+    pub fn open(&mut self, manifest: &InstanceManifest) -> Result<InstanceListeners, ListenError> {
+        let events = manifest.events.as_ref().map(|events| events.listen);
+        let platform = manifest.platform.as_ref().map(|platform| platform.listen);
+        let mut open = |frontend, address: Option<SocketAddr>| {
+            address
+                .map(|address| {
+                    self.open_one(ListenerKey {
+                        instance: manifest.name.clone(),
+                        frontend,
+                        address,
+                    })
+                })
+                .transpose()
+        };
+        Ok(InstanceListeners {
+            events: open(FrontendKind::Events, events)?,
+            platform: open(FrontendKind::Platform, platform)?,
+        })
+    }
+
+    fn open_one(&mut self, key: ListenerKey) -> Result<TcpListener, ListenError> {
+        let address = key.address;
+        let failed = |source| ListenError { address, source };
+        let listener = match self.0.entry(key) {
+            Entry::Occupied(open) => open.into_mut(),
+            Entry::Vacant(vacant) => vacant.insert(TcpListener::bind(address).map_err(failed)?),
+        };
+        listener.try_clone().map_err(failed)
+    }
+}
--- a/crates/control-plane/tests/stored_data.rs
+++ b/crates/control-plane/tests/stored_data.rs
@@ -2,10 +2,10 @@
 //! its voter's log and the policy in force, and a fleet with the endpoint list in force. The fixtures were written by
 //! the version before the packages moved to `crates/`, and are never written anew.
 
-use marblefall_control_plane::file::number_of;
 use marblefall_control_plane::group::Membership;
+use marblefall_control_plane::list_watcher::{self, Standing, Status};
+use marblefall_control_plane::manifest::destination_number;
 use marblefall_control_plane::plan::Applied;
-use marblefall_control_plane::watch::{self, Standing, Status};
 use marblefall_coordination::store::Kept;
 use std::fs;
 use std::path::PathBuf;
@@ -22,11 +22,11 @@
     let applied = Applied::read(&home).unwrap();
     assert_eq!(applied.revision, 2);
     assert_eq!(
-        applied.fleet.instances.keys().collect::<Vec<_>>(),
+        applied.manifest.instances.keys().collect::<Vec<_>>(),
         ["east-1", "north-1", "south-1"]
     );
-    assert_eq!(applied.fleet.classes["refill-order"].wanted_ms, 2000);
-    assert_eq!(applied.fleet.limits.max_open, 128);
+    assert_eq!(applied.manifest.classes["refill-order"].wanted_ms, 2000);
+    assert_eq!(applied.manifest.limits.max_open, 128);
     let membership = Membership::read(&home).unwrap().unwrap();
     assert_eq!(
         (membership.name.as_str(), membership.group.name.as_str()),
@@ -42,7 +42,7 @@
 #[test]
 fn voters_log_is_read_and_written_byte_for_byte() {
     let bytes = fs::read(fixture("member/group/votes")).unwrap();
-    let kept = Kept::decode(&bytes, number_of("clinics/east")).unwrap();
+    let kept = Kept::decode(&bytes, destination_number("clinics/east")).unwrap();
     assert!(kept.length() >= 2, "{} lines", kept.length());
     assert!(!kept.is_ending());
     let mut book = kept.book();
@@ -59,11 +59,11 @@
 }
 
 #[test]
-fn list_in_force_is_read_under_the_applied_fleet() {
+fn list_in_force_is_read_under_the_applied_manifest() {
     let home = fixture("fleet");
     let applied = Applied::read(&home).unwrap();
     assert_eq!(applied.revision, 1);
-    let (book, unreadable) = watch::kept(&home, &applied.fleet).unwrap();
+    let (book, unreadable) = list_watcher::kept(&home, &applied.manifest).unwrap();
     assert!(unreadable.is_empty());
     let names: Vec<_> = book
         .endpoints()
