Split the list watcher by concern; typed errors, the scanner's wait and scan as steps

watch.rs of 628 lines becomes list_watcher.rs (the owner of the thread) with the scanner, the files' states and their log lines, the system's watch on folders, the reading of files with their fingerprints, the status file, and the lists that both threads share. Watch, Scout, Stir, Look, Seen and Standing are ListWatcher, Scanner, Wakeup, FileFingerprint, Observation and FileState; `whole: bool` is ScanScope. status.json stays as it is by serde's rename.

Log texts say endpoint list for roster; the codes stay.

--- a/crates/cli/src/roster.rs
+++ b/crates/cli/src/roster.rs
@@ -2,7 +2,7 @@
 
 use crate::words::{Form, Roster as Words};
 use marblefall_control_plane::list_watcher::{
-    files, kept, read_bounded, FileStatus, Standing, Status,
+    list_files, read_bounded, FileState, FileStatus, LastGoodLists, ListStatus,
 };
 use marblefall_control_plane::manifest::Manifest;
 use marblefall_control_plane::plan::Applied;
@@ -36,13 +36,13 @@
     format: Form,
 ) -> Result<(), String> {
     let mut book = match (fleet, home) {
-        (Some(fleet), _) => Book::new(Manifest::read(fleet)?.terms()),
-        (None, Some(home)) => kept(home, &applied_manifest(home)?)?.0,
+        (Some(fleet), _) => Book::new(Manifest::read(fleet)?.list_terms()),
+        (None, Some(home)) => last_good_lists(home, &applied_manifest(home)?)?.lists,
         (None, None) => Book::new(Terms::default()),
     };
     let mut found: Vec<(String, PathBuf)> = Vec::new();
     for path in given {
-        let some = files(path).map_err(|error| format!("{}: {error}", path.display()))?;
+        let some = list_files(path).map_err(|error| format!("{}: {error}", path.display()))?;
         if some.is_empty() {
             return Err(format!("{}: no file there ends in .toml", path.display()));
         }
@@ -135,6 +135,10 @@
     Ok(applied.manifest)
 }
 
+fn last_good_lists(home: &Path, manifest: &Manifest) -> Result<LastGoodLists, String> {
+    LastGoodLists::read(home, manifest).map_err(|error| error.to_string())
+}
+
 fn sum(changes: &[Change]) -> String {
     let count = |step| changes.iter().filter(|change| change.step == step).count();
     let changed = count(Step::Changed) + count(Step::Stopped);
@@ -147,13 +151,16 @@
 
 fn show(home: &Path, endpoints: bool, format: Form) -> Result<(), String> {
     let manifest = applied_manifest(home)?;
-    let (book, spoilt) = kept(home, &manifest)?;
-    let status = Status::read(home)?;
+    let LastGoodLists {
+        lists: book,
+        unreadable: spoilt,
+    } = last_good_lists(home, &manifest)?;
+    let status = ListStatus::read(home).map_err(|error| error.to_string())?;
     let names: BTreeSet<&String> = book.rosters().keys().chain(status.files.keys()).collect();
     let standing = |name: &String| {
         let told = status.files.get(name).cloned();
         told.unwrap_or(FileStatus {
-            standing: Standing::InForce,
+            state: FileState::InForce,
             revision: None,
         })
     };
@@ -166,7 +173,7 @@
                 .map(|roster| &roster.destinations);
             json!({
                 "file": name,
-                "standing": standing(name).standing,
+                "standing": standing(name).state,
                 "revision": roster.map(|roster| roster.revision),
                 "destinations": roster.map(|roster| roster.destinations.len()),
                 "endpoints": whole,
@@ -187,11 +194,11 @@
         });
     println!("rosters of {}: {path}", home.display());
     for name in names {
-        let said = match standing(name).standing {
-            Standing::InForce => "in force".to_owned(),
-            Standing::Refused { report } => format!("the file is refused:\n{report}\n"),
-            Standing::Unreadable { cause } => format!("the file cannot be read: {cause}"),
-            Standing::Missing => "the file is missing".to_owned(),
+        let said = match standing(name).state {
+            FileState::InForce => "in force".to_owned(),
+            FileState::Rejected { report } => format!("the file is refused:\n{report}\n"),
+            FileState::Unreadable { cause } => format!("the file cannot be read: {cause}"),
+            FileState::Missing => "the file is missing".to_owned(),
         };
         match book.rosters().get(name) {
             Some(roster) => {
--- /dev/null
+++ b/crates/control-plane/src/list_watcher/file_states.rs
@@ -0,0 +1,79 @@
+//! The state of each endpoint list's file, logged when it changes.
+
+use super::status::FileState;
+use marblefall_delivery::say;
+use std::collections::BTreeMap;
+
+/// Stands for the path itself, where it cannot be read.
+pub(super) const WHOLE_PATH: &str = "";
+
+/// What was last found of each file, by name.
+#[derive(Default)]
+pub(super) struct FileStates(BTreeMap<String, FileState>);
+
+impl FileStates {
+    pub fn get(&self, file: &str) -> Option<&FileState> {
+        self.0.get(file)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&String, &FileState)> {
+        self.0.iter()
+    }
+
+    pub fn clear(&mut self) {
+        self.0.clear();
+    }
+
+    pub fn remove(&mut self, file: &str) {
+        self.0.remove(file);
+    }
+
+    /// Forgets files; the state of the path itself stays.
+    pub fn retain_files(&mut self, keep: impl Fn(&str) -> bool) {
+        self.0.retain(|file, _| file == WHOLE_PATH || keep(file));
+    }
+
+    /// Notes a file's state; logs it if that is new.
+    pub fn record(&mut self, file: &str, state: FileState) {
+        if self.0.get(file) == Some(&state) {
+            return;
+        }
+        log_state(file, &state);
+        self.0.insert(file.to_owned(), state);
+    }
+}
+
+fn log_state(file: &str, state: &FileState) {
+    match state {
+        // Logged with its revision where it is put in force.
+        FileState::InForce => {}
+        FileState::Rejected { report } => log_rejected(file, report),
+        FileState::Unreadable { cause } => say!(
+            code = "roster-unreadable",
+            file,
+            "endpoint list cannot be read, the last good one stays in force: {cause}"
+        ),
+        FileState::Missing => say!(
+            code = "roster-missing",
+            file,
+            "endpoint list is missing, the last good one stays in force"
+        ),
+    }
+}
+
+fn log_rejected(file: &str, report: &str) {
+    let mut lines = report
+        .lines()
+        .map(str::trim)
+        .filter(|line| !line.is_empty());
+    let what = lines.next().unwrap_or_default();
+    // The file and the line follow the arrow in a report.
+    let place = lines
+        .find_map(|line| line.strip_prefix("--> "))
+        .unwrap_or(file);
+    say!(
+        code = "roster-refused",
+        file,
+        "endpoint list rejected, the last good one stays in force: {place}: {what}"
+    );
+}
--- /dev/null
+++ b/crates/control-plane/src/list_watcher/status.rs
@@ -0,0 +1,102 @@
+//! What the watcher last found, as a file for those who show it. Its names are those of earlier versions.
+
+use super::LISTS_FOLDER;
+use marblefall_atomic_file::{replace, Disk, Outlasts, Real};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+
+/// The status file's name in the lists' folder.
+const STATUS_FILE: &str = "status.json";
+
+/// Why the status cannot be read.
+#[derive(Debug, thiserror::Error)]
+pub enum StatusError {
+    /// The file cannot be read.
+    #[error("{}: {source}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// The file holds something else.
+    #[error("{}: {source}", path.display())]
+    Parse {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong, and where.
+        source: serde_json::Error,
+    },
+}
+
+/// The state of an endpoint list's file.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "state")]
+pub enum FileState {
+    /// What it says is in force.
+    InForce,
+    /// It is wrong; what was in force before still is.
+    #[serde(rename = "refused")]
+    Rejected {
+        /// Where, what and what to do, for people.
+        report: String,
+    },
+    /// It cannot be read.
+    Unreadable {
+        /// Why.
+        cause: String,
+    },
+    /// It is not there.
+    Missing,
+}
+
+/// What operators are shown of an endpoint list's file.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FileStatus {
+    /// The file's state.
+    #[serde(flatten)]
+    pub state: FileState,
+    /// The revision in force of what it said, if any is.
+    pub revision: Option<u64>,
+}
+
+/// What the watcher last found.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ListStatus {
+    /// The endpoint lists' files by name.
+    pub files: BTreeMap<String, FileStatus>,
+    /// Destinations without endpoints in the manifest that no list in force names: they are served nothing.
+    pub unlisted: Vec<String>,
+}
+
+impl ListStatus {
+    /// Where the status of a lists' folder is.
+    pub(super) fn path(folder: &Path) -> PathBuf {
+        folder.join(STATUS_FILE)
+    }
+
+    /// Reads what a watcher of this home last wrote; an empty status where none has run yet.
+    ///
+    /// # Errors
+    /// Where the file cannot be read, or holds something else.
+    pub fn read(home: &Path) -> Result<ListStatus, StatusError> {
+        let path = ListStatus::path(&home.join(LISTS_FOLDER));
+        match fs::read(&path) {
+            Ok(text) => {
+                serde_json::from_slice(&text).map_err(|source| StatusError::Parse { path, source })
+            }
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(ListStatus::default()),
+            Err(source) => Err(StatusError::Read { path, source }),
+        }
+    }
+
+    /// Replaces the file.
+    pub(super) fn write(&self, path: &Path) -> io::Result<()> {
+        Real.make_folder(path.parent().unwrap_or(Path::new(".")))?;
+        let text = serde_json::to_vec_pretty(self)?;
+        replace(&Real, path, &text, Outlasts::Process)
+    }
+}
--- a/crates/control-plane/src/manifest.rs
+++ b/crates/control-plane/src/manifest.rs
@@ -398,7 +398,7 @@
     }
 
     /// What rosters must keep to under this file.
-    pub fn terms(&self) -> Terms {
+    pub fn list_terms(&self) -> Terms {
         let standing = |destination: &Destination| match destination.endpoints.is_empty() {
             true => Standing::Rostered,
             false => Standing::Fixed,
