Split the manifest into document, checks, specs and errors; fields in the field's terms

Fleet is Manifest; its entries are specs (ClassSpec, DestinationSpec, InstanceSpec, ...). The file as it is written, its checks and the model are modules of their own; a fault is a type with its line and entry, in place of a string made on the spot.

--- a/crates/cli/src/group.rs
+++ b/crates/cli/src/group.rs
@@ -68,7 +68,7 @@
     fn is_heard(&self, place: &Place) -> Option<bool> {
         place
             .heard
-            .map(|micros| micros / 1000 <= self.member.group.term_ms as i64)
+            .map(|micros| micros / 1000 <= self.member.group.lease_ms as i64)
     }
 
     fn name(&self, member: Member) -> String {
@@ -174,7 +174,7 @@
         Err(why) => return Err(format!("withdrawn everywhere: {why}")),
     };
     // Nobody acts under another one any more; those that are there take it up within moments.
-    let by = Instant::now() + Duration::from_millis(line.member.group.term_ms);
+    let by = Instant::now() + Duration::from_millis(line.member.group.lease_ms);
     let mut behind;
     loop {
         let told = line.ask(&Request::Status)?;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -71,7 +71,7 @@
 }
 
 fn plan(file: &Path, home: &Path, out: Option<&Path>) -> Result<(), String> {
-    let target = Manifest::read(file)?;
+    let target = Manifest::read(file).map_err(|error| error.to_string())?;
     let plan = Plan::new(
         Applied::read(home).map_err(|error| error.to_string())?,
         target,
--- a/crates/cli/src/roster.rs
+++ b/crates/cli/src/roster.rs
@@ -36,7 +36,10 @@
     format: Form,
 ) -> Result<(), String> {
     let mut book = match (fleet, home) {
-        (Some(fleet), _) => Book::new(Manifest::read(fleet)?.list_terms()),
+        (Some(fleet), _) => {
+            let manifest = Manifest::read(fleet).map_err(|error| error.to_string())?;
+            Book::new(manifest.list_terms())
+        }
         (None, Some(home)) => last_good_lists(home, &applied_manifest(home)?)?.lists,
         (None, None) => Book::new(Terms::default()),
     };
@@ -187,7 +190,7 @@
         return Ok(());
     }
     let path = manifest
-        .roster
+        .list_source
         .as_ref()
         .map_or("no [roster] is applied".to_owned(), |at| {
             at.path.display().to_string()
--- a/crates/control-plane/src/endpoint_directory.rs
+++ b/crates/control-plane/src/endpoint_directory.rs
@@ -5,7 +5,7 @@
 
 pub use compact_applied::CompactApplied;
 
-use crate::manifest::{self, destination_number, Destination};
+use crate::manifest::{destination_number, DestinationSpec, EndpointSpec};
 use marblefall_delivery::core::destination_table::{
     DestinationEntry, DestinationTable, EndpointEntry, TableError,
 };
@@ -79,7 +79,7 @@
         }
     }
 
-    fn add(&mut self, name: &str, destination: &Destination) -> Result<(), TableError> {
+    fn add(&mut self, name: &str, destination: &DestinationSpec) -> Result<(), TableError> {
         let entry = DestinationEntry {
             name,
             id: DestinationId(destination_number(name)),
@@ -92,12 +92,12 @@
     }
 
     /// The index of the encoding that a destination wants.
-    fn encoding(&mut self, destination: &Destination) -> Result<u16, TableError> {
+    fn encoding(&mut self, destination: &DestinationSpec) -> Result<u16, TableError> {
         let next = u16::try_from(self.targets.len()).map_err(|_| TableError::Encodings)?;
-        let key = (destination.mode, destination.path.clone());
+        let key = (destination.content_mode, destination.path.clone());
         let encoding = self.encodings.entry(key).or_insert_with(|| {
             self.targets.push(Target {
-                mode: destination.mode,
+                mode: destination.content_mode,
                 path: destination.path.clone(),
             });
             next
@@ -113,7 +113,7 @@
     }
 }
 
-fn manifest_endpoint(endpoint: &manifest::Endpoint) -> EndpointEntry<'_> {
+fn manifest_endpoint(endpoint: &EndpointSpec) -> EndpointEntry<'_> {
     EndpointEntry {
         name: &endpoint.name,
         address: endpoint.address,
@@ -141,7 +141,7 @@
 
     fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<EndpointDirectory, A::Error> {
         let mut builder = DirectoryBuilder::new();
-        while let Some((name, destination)) = map.next_entry::<String, Destination>()? {
+        while let Some((name, destination)) = map.next_entry::<String, DestinationSpec>()? {
             builder.add(&name, &destination).map_err(A::Error::custom)?;
         }
         Ok(builder.build())
--- a/crates/control-plane/src/endpoint_directory/compact_applied.rs
+++ b/crates/control-plane/src/endpoint_directory/compact_applied.rs
@@ -1,7 +1,9 @@
 //! What is applied in a home, read with its destinations straight into a directory.
 
 use super::EndpointDirectory;
-use crate::manifest::{Class, Group, Instance, Limits, Manifest, RosterSource};
+use crate::manifest::{
+    ClassSpec, EndpointListSource, GroupSpec, InstanceLimits, InstanceSpec, Manifest,
+};
 use crate::plan::{AppliedError, APPLIED_FILE};
 use marblefall_delivery::core::destination_table::DestinationEntry;
 use marblefall_endpoint_lists::Standing;
@@ -36,19 +38,19 @@
 #[derive(Deserialize)]
 struct StoredManifest {
     #[serde(default)]
-    limits: Limits,
+    limits: InstanceLimits,
     #[serde(default)]
-    classes: BTreeMap<String, Class>,
+    classes: BTreeMap<String, ClassSpec>,
     #[serde(default)]
     destinations: EndpointDirectory,
     #[serde(default)]
-    instances: BTreeMap<String, Instance>,
+    instances: BTreeMap<String, InstanceSpec>,
+    #[serde(default, rename = "elsewhere")]
+    external_instances: usize,
+    #[serde(default, rename = "roster")]
+    list_source: Option<EndpointListSource>,
     #[serde(default)]
-    elsewhere: usize,
-    #[serde(default)]
-    roster: Option<RosterSource>,
-    #[serde(default)]
-    group: Option<Group>,
+    group: Option<GroupSpec>,
 }
 
 impl CompactApplied {
@@ -79,21 +81,21 @@
             classes,
             destinations: directory,
             instances,
-            elsewhere,
-            roster,
+            external_instances,
+            list_source,
             group,
         } = stored.manifest;
-        let rostered = roster.is_some().then(|| standings(&directory));
+        let endpoint_origins = list_source.is_some().then(|| endpoint_origins(&directory));
         CompactApplied {
             revision: stored.revision,
             manifest: Manifest {
                 limits,
                 classes,
                 instances,
-                elsewhere,
-                roster,
+                external_instances,
+                list_source,
                 group,
-                rostered,
+                endpoint_origins,
                 ..Manifest::default()
             },
             directory,
@@ -102,14 +104,14 @@
 }
 
 /// Which destinations get their endpoints from lists.
-fn standings(directory: &EndpointDirectory) -> BTreeMap<String, Standing> {
-    let standing = |entry: &DestinationEntry<'_>| match entry.from_list {
+fn endpoint_origins(directory: &EndpointDirectory) -> BTreeMap<String, Standing> {
+    let origin = |entry: &DestinationEntry<'_>| match entry.from_list {
         true => Standing::Rostered,
         false => Standing::Fixed,
     };
     directory
         .destination_table
         .entries()
-        .map(|entry| (entry.name.to_owned(), standing(&entry)))
+        .map(|entry| (entry.name.to_owned(), origin(&entry)))
         .collect()
 }
--- a/crates/control-plane/src/group.rs
+++ b/crates/control-plane/src/group.rs
@@ -5,7 +5,7 @@
 
 pub use drive::News;
 
-use crate::manifest::{Group, Manifest, OnCut};
+use crate::manifest::{GroupSpec as Group, Manifest, PartitionPolicy};
 use crate::plan::Applied;
 use marblefall_atomic_file::{replace, Disk, Outlasts, Real};
 use marblefall_coordination::words::{Member, Terms};
@@ -127,14 +127,14 @@
     fn terms(&self) -> Terms {
         let span = |ms: u64| Span(ms as i64 * 1000);
         Terms {
-            on_cut: match self.group.on_cut {
-                OnCut::Stop => marblefall_coordination::words::OnCut::Stop,
-                OnCut::Serve => marblefall_coordination::words::OnCut::Serve,
+            on_cut: match self.group.partition_policy {
+                PartitionPolicy::Stop => marblefall_coordination::words::OnCut::Stop,
+                PartitionPolicy::Serve => marblefall_coordination::words::OnCut::Serve,
             },
-            term: span(self.group.term_ms),
+            term: span(self.group.lease_ms),
             drift_percent: DRIFT_PERCENT,
-            check_for: span(self.group.check_ms),
-            stop_for: span(self.group.stop_ms),
+            check_for: span(self.group.check_timeout_ms),
+            stop_for: span(self.group.quiesce_timeout_ms),
             again: AGAIN,
         }
     }
--- a/crates/control-plane/src/instance_config.rs
+++ b/crates/control-plane/src/instance_config.rs
@@ -2,7 +2,7 @@
 //! force as it runs.
 
 use crate::endpoint_directory::EndpointDirectory;
-use crate::manifest::{destination_number, Class, InstanceManifest, Repeats};
+use crate::manifest::{destination_number, ClassSpec, IdempotencySpec, InstanceManifest};
 use marblefall_delivery::core::engine::{EngineEvent, EngineSettings, PolicyChange};
 use marblefall_delivery::frontend::cloudevents::{CloudEventsFrontend, EventClass};
 use marblefall_delivery::frontend::platform::PlatformFrontend;
@@ -29,7 +29,7 @@
 /// Classes in the order of their ids at an instance. One that the manifest no longer names keeps its id, so that what is
 /// pending stays of its class for as long as the instance runs.
 #[derive(Clone, Debug, Default)]
-pub struct ClassTable(Vec<(String, Class)>);
+pub struct ClassTable(Vec<(String, ClassSpec)>);
 
 impl ClassTable {
     /// Adds the manifest's new classes, and changes those that are known.
@@ -46,7 +46,7 @@
         self.0.iter().map(|(name, _)| name.clone()).collect()
     }
 
-    fn classes(&self) -> impl Iterator<Item = &Class> {
+    fn classes(&self) -> impl Iterator<Item = &ClassSpec> {
         self.0.iter().map(|(_, class)| class)
     }
 
@@ -91,11 +91,11 @@
         InstanceConfig {
             name: self.manifest.name.clone(),
             state: (folder, (limits.disk_mb * BYTES_PER_MB) as u64),
-            sockets: limits.sockets,
+            sockets: limits.max_sockets,
             setup: self.engine_settings(),
             classes: self.classes.names(),
-            dial: Duration::from_millis(limits.dial_ms),
-            idle: Duration::from_millis(limits.idle_ms),
+            dial: Duration::from_millis(limits.connect_timeout_ms),
+            idle: Duration::from_millis(limits.idle_timeout_ms),
             hosts: EngineEvent::DestinationTableReplaced(destination_table),
             relay: self.platform_config(listeners.platform),
             events: listeners.events.zip(self.events_frontend()),
@@ -122,7 +122,7 @@
         Some(PlatformFrontendConfig {
             listener: listener?,
             front: self.platform_frontend()?,
-            notices: self.manifest.platform.as_ref()?.notices,
+            notices: self.manifest.platform.as_ref()?.notice_address,
             watch: None,
         })
     }
@@ -130,12 +130,12 @@
     fn events_frontend(self) -> Option<CloudEventsFrontend> {
         let spec = self.manifest.events.as_ref()?;
         let types = spec
-            .types
+            .class_by_type
             .iter()
             .filter_map(|(event_type, class)| Some((event_type.clone(), self.classes.id(class)?)));
-        let event_class = |class: &Class| EventClass {
-            give_up_ms: class.give_up_ms as i64,
-            keyed: class.repeats == Repeats::Keyed,
+        let event_class = |class: &ClassSpec| EventClass {
+            give_up_ms: class.deadline_ms as i64,
+            keyed: class.idempotency == IdempotencySpec::IdempotencyKey,
         };
         let EndpointDirectory {
             destination_table,
@@ -155,7 +155,7 @@
         let spec = self.manifest.platform.as_ref()?;
         let destination = |name: &str| m::DestinationId(destination_number(name));
         let numbers = spec
-            .numbers
+            .destination_by_number
             .iter()
             .filter_map(|(number, name)| Some((number.parse().ok()?, destination(name))));
         // A class that the manifest no longer names is unknown to clients.
@@ -163,7 +163,7 @@
             true => name,
             false => String::new(),
         };
-        let is_keyed = |class: &Class| class.repeats == Repeats::Keyed;
+        let is_keyed = |class: &ClassSpec| class.idempotency == IdempotencySpec::IdempotencyKey;
         Some(PlatformFrontend {
             classes: self
                 .classes
@@ -178,12 +178,12 @@
 
     fn engine_settings(self) -> EngineSettings {
         let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-        let remember_ms = |class: &Class| class.remember_s as i64 * 1000;
+        let remember_ms = |class: &ClassSpec| class.remember_s as i64 * 1000;
         EngineSettings {
             scheduler: self.scheduler_settings(),
             seed: since_epoch.map_or(0, |since_epoch| since_epoch.as_nanos() as u64),
             remember_ms: self.classes.classes().map(remember_ms).collect(),
-            max_remembered: self.manifest.limits.remember,
+            max_remembered: self.manifest.limits.max_remembered,
         }
     }
 
@@ -214,30 +214,30 @@
     fn scheduler_limits(self) -> m::Limits {
         let limits = &self.manifest.limits;
         m::Limits {
-            max_in_flight: limits.slots,
+            max_in_flight: limits.max_in_flight,
             max_pending: limits.max_open,
             max_attempts: limits.max_attempts,
             streams_per_connection: 1,
-            idle_timeout: span(limits.idle_ms),
-            max_retry_after: span(limits.retry_after_ms),
+            idle_timeout: span(limits.idle_timeout_ms),
+            max_retry_after: span(limits.max_retry_after_ms),
             cancellation_allowed: true,
             health_checks_allowed: false,
         }
     }
 }
 
-fn message_class(class: &Class) -> m::MessageClass {
+fn message_class(class: &ClassSpec) -> m::MessageClass {
     m::MessageClass {
-        priority_weight: class.worth,
-        latency_objective: span(class.wanted_ms),
-        deadline: span(class.give_up_ms),
+        priority_weight: class.priority_weight,
+        latency_objective: span(class.latency_objective_ms),
+        deadline: span(class.deadline_ms),
         late_value: class.late_value,
-        idempotency: match class.repeats {
-            Repeats::Free => m::Idempotency::Idempotent,
-            Repeats::Never => m::Idempotency::NonIdempotent,
-            Repeats::Keyed => m::Idempotency::IdempotencyKey {
+        idempotency: match class.idempotency {
+            IdempotencySpec::Idempotent => m::Idempotency::Idempotent,
+            IdempotencySpec::NonIdempotent => m::Idempotency::NonIdempotent,
+            IdempotencySpec::IdempotencyKey => m::Idempotency::IdempotencyKey {
                 scope: m::DeduplicationScope::All,
-                window: span(class.window_ms.unwrap_or_default()),
+                window: span(class.deduplication_window_ms.unwrap_or_default()),
             },
         },
         ordered: false,
--- a/crates/control-plane/src/list_watcher.rs
+++ b/crates/control-plane/src/list_watcher.rs
@@ -92,7 +92,7 @@
             folder: home.join(LISTS_FOLDER),
             lists: lists.clone(),
             changes: change_sender,
-            source: manifest.roster.clone(),
+            source: manifest.list_source.clone(),
             wakeup_sender: wakeup_sender.clone(),
             wakeups,
         });
@@ -120,7 +120,7 @@
     pub fn set_manifest(&self, manifest: &Manifest) {
         self.lists
             .write(|lists| lists.hold_to(manifest.list_terms()));
-        self.wake(Wakeup::SourceChanged(manifest.roster.clone()));
+        self.wake(Wakeup::SourceChanged(manifest.list_source.clone()));
     }
 
     /// Scans the files as if they had changed.
--- a/crates/control-plane/src/list_watcher/scanner.rs
+++ b/crates/control-plane/src/list_watcher/scanner.rs
@@ -6,7 +6,7 @@
 use super::list_files::{list_files, read_bounded, FileFingerprint};
 use super::shared_lists::SharedLists;
 use super::status::{FileState, FileStatus, ListStatus};
-use crate::manifest::RosterSource;
+use crate::manifest::EndpointListSource;
 use async_channel::Sender;
 use marblefall_delivery::say;
 use marblefall_endpoint_lists::keep::{Keep, KeepError};
@@ -29,7 +29,7 @@
     /// A file changed, or may have.
     FilesChanged,
     /// The manifest gives another source.
-    SourceChanged(Option<RosterSource>),
+    SourceChanged(Option<EndpointListSource>),
     /// The watcher is dropped.
     Shutdown,
 }
@@ -59,7 +59,7 @@
     /// Filled when a list is put in force.
     pub changes: Sender<()>,
     /// Where the lists are; `None` where the manifest has none.
-    pub source: Option<RosterSource>,
+    pub source: Option<EndpointListSource>,
     pub wakeup_sender: mpsc::Sender<Wakeup>,
     pub wakeups: mpsc::Receiver<Wakeup>,
 }
@@ -70,7 +70,7 @@
     status_path: PathBuf,
     lists: SharedLists,
     changes: Sender<()>,
-    source: Option<RosterSource>,
+    source: Option<EndpointListSource>,
     wakeups: mpsc::Receiver<Wakeup>,
     folder_watch: FolderWatch,
     fingerprints: BTreeMap<String, FileFingerprint>,
@@ -106,10 +106,9 @@
 
     /// Waits until a scan is due; `None` at the end.
     fn wait(&mut self) -> Option<ScanScope> {
-        let poll_interval = self
-            .source
-            .as_ref()
-            .map_or(NO_POLL, |source| Duration::from_millis(source.poll_ms));
+        let poll_interval = self.source.as_ref().map_or(NO_POLL, |source| {
+            Duration::from_millis(source.poll_interval_ms)
+        });
         let mut scope = match self.wakeups.recv_timeout(poll_interval) {
             Ok(wakeup) => self.handle_wakeup(wakeup)?,
             Err(RecvTimeoutError::Timeout) => ScanScope::ChangedFiles,
@@ -153,8 +152,9 @@
         self.fingerprints.clear();
     }
 
-    fn scan_source(&mut self, source: &RosterSource, scope: ScanScope) {
-        self.folder_watch.follow(&source.path, source.poll_ms);
+    fn scan_source(&mut self, source: &EndpointListSource, scope: ScanScope) {
+        self.folder_watch
+            .follow(&source.path, source.poll_interval_ms);
         if scope == ScanScope::AllFiles {
             self.fingerprints.clear();
         }
@@ -166,7 +166,7 @@
         }
         self.fingerprints
             .retain(|file, _| present.contains_key(file));
-        self.scan_files(&present, source.max_kb * 1024);
+        self.scan_files(&present, source.max_bytes());
         self.record_missing(&present);
     }
 
--- /dev/null
+++ b/crates/control-plane/src/manifest/checks/group.rs
@@ -0,0 +1,121 @@
+//! Checks of the group: its times, its voters, and which member runs which instance.
+
+use super::entries::name_is_valid;
+use super::{Checker, Place};
+use crate::manifest::document::GroupSection;
+use crate::manifest::error::FaultCause;
+use crate::manifest::{MemberSpec, PartitionPolicy};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+const DURATIONS_MS: RangeInclusive<u64> = 200..=600_000;
+const MAX_VOTERS: usize = 9;
+
+/// What members have claimed so far.
+#[derive(Default)]
+struct Claims<'a> {
+    /// Who listens at an address.
+    links: BTreeMap<SocketAddr, &'a str>,
+    /// Who runs an instance.
+    instances: BTreeMap<&'a str, &'a str>,
+}
+
+impl Checker<'_> {
+    pub(super) fn check_group(&mut self) {
+        let Some(group) = &self.document.group else {
+            return;
+        };
+        let place = Place::only("group", group);
+        let group = group.get_ref();
+        if !name_is_valid(&group.name) {
+            self.report(place, FaultCause::InvalidName);
+        }
+        self.check_durations(place, group);
+        self.check_voters(place, group);
+        let mut claims = Claims::default();
+        for (name, member) in &group.members {
+            let place = Place::named("member", name, member);
+            self.check_member(place, name, member.get_ref(), &mut claims);
+        }
+        self.check_instances_are_run(&claims);
+    }
+
+    fn check_durations(&mut self, place: Place<'_>, group: &GroupSection) {
+        let timeouts = [
+            ("check_ms", group.check_timeout_ms),
+            ("stop_ms", group.quiesce_timeout_ms),
+        ];
+        for (key, ms) in [("term_ms", group.lease_ms)].into_iter().chain(timeouts) {
+            if !DURATIONS_MS.contains(&ms) {
+                self.report(place, FaultCause::DurationOutOfRange { key });
+            }
+        }
+        if group.partition_policy == PartitionPolicy::Serve {
+            return;
+        }
+        // A member that cannot be reached is passed over once its lease has run out, and not before.
+        let min_ms = group.lease_ms * 5 / 4 + 1000;
+        for (key, ms) in timeouts {
+            if ms < min_ms {
+                let lease_ms = group.lease_ms;
+                let cause = FaultCause::ShorterThanLease {
+                    key,
+                    min_ms,
+                    lease_ms,
+                };
+                self.report(place, cause);
+            }
+        }
+    }
+
+    fn check_voters(&mut self, place: Place<'_>, group: &GroupSection) {
+        let members = group.members.values();
+        let voters = members.filter(|member| member.get_ref().votes).count();
+        if voters == 0 {
+            self.report(place, FaultCause::NoVoters);
+        }
+        if voters > MAX_VOTERS {
+            self.report(place, FaultCause::TooManyVoters(voters));
+        }
+    }
+
+    fn check_member<'d>(
+        &mut self,
+        place: Place<'_>,
+        name: &'d str,
+        member: &'d MemberSpec,
+        claims: &mut Claims<'d>,
+    ) {
+        if !name_is_valid(name) {
+            self.report(place, FaultCause::InvalidName);
+        }
+        if member.link.port() == 0 {
+            self.report(place, FaultCause::LinkWithoutPort);
+        }
+        if let Some(other) = claims.links.insert(member.link, name) {
+            self.report(place, FaultCause::DuplicateLink(other.to_owned()));
+        }
+        for instance in &member.instances {
+            if !self.document.instances.contains_key(instance) {
+                self.report(place, FaultCause::UnknownInstance(instance.clone()));
+            }
+            if let Some(other) = claims.instances.insert(instance, name) {
+                let cause = FaultCause::InstanceRunTwice {
+                    instance: instance.clone(),
+                    member: other.to_owned(),
+                };
+                self.report(place, cause);
+            }
+        }
+    }
+
+    fn check_instances_are_run(&mut self, claims: &Claims<'_>) {
+        for (name, instance) in &self.document.instances {
+            if !claims.instances.contains_key(name.as_str()) {
+                let place = Place::named("instance", name, instance);
+                self.report(place, FaultCause::InstanceNotRun);
+            }
+        }
+    }
+}
--- a/crates/control-plane/src/manifest/instance_manifest.rs
+++ b/crates/control-plane/src/manifest/instance_manifest.rs
@@ -1,6 +1,6 @@
 //! The part of a manifest that one instance runs by.
 
-use super::{Class, EventsFront, Limits, Manifest, RelayFront};
+use super::{ClassSpec, EventsFrontendSpec, InstanceLimits, Manifest, PlatformFrontendSpec};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -13,13 +13,13 @@
     /// Its name.
     pub name: String,
     /// The events frontend, if it is on.
-    pub events: Option<EventsFront>,
+    pub events: Option<EventsFrontendSpec>,
     /// The platform's frontend, if it is on.
-    pub platform: Option<RelayFront>,
+    pub platform: Option<PlatformFrontendSpec>,
     /// What it may use.
-    pub limits: Limits,
+    pub limits: InstanceLimits,
     /// Classes by name.
-    pub classes: BTreeMap<String, Class>,
+    pub classes: BTreeMap<String, ClassSpec>,
     /// How many instances serve the same destinations, for their parts of a rate.
     pub total_instances: usize,
 }
@@ -31,10 +31,10 @@
         Some(InstanceManifest {
             name: name.to_owned(),
             events: instance.events.clone(),
-            platform: instance.relay.clone(),
+            platform: instance.platform.clone(),
             limits: instance.limits.as_ref().unwrap_or(&self.limits).clone(),
             classes: self.classes.clone(),
-            total_instances: self.instances.len() + self.elsewhere,
+            total_instances: self.instances.len() + self.external_instances,
         })
     }
 }
@@ -45,18 +45,18 @@
     pub fn can_update_in_place(&self, new: &InstanceManifest) -> bool {
         self.events_address() == new.events_address()
             && self.platform_addresses() == new.platform_addresses()
-            && self.limits.sockets == new.limits.sockets
+            && self.limits.max_sockets == new.limits.max_sockets
             && self.limits.disk_mb.to_bits() == new.limits.disk_mb.to_bits()
-            && self.limits.dial_ms == new.limits.dial_ms
-            && self.limits.idle_ms == new.limits.idle_ms
+            && self.limits.connect_timeout_ms == new.limits.connect_timeout_ms
+            && self.limits.idle_timeout_ms == new.limits.idle_timeout_ms
     }
 
     fn events_address(&self) -> Option<SocketAddr> {
-        self.events.as_ref().map(|events| events.listen)
+        self.events.as_ref().map(|events| events.listen_address)
     }
 
     fn platform_addresses(&self) -> Option<(SocketAddr, SocketAddr)> {
         let platform = self.platform.as_ref()?;
-        Some((platform.listen, platform.notices))
+        Some((platform.listen_address, platform.notice_address))
     }
 }
--- a/crates/control-plane/src/plan/changes.rs
+++ b/crates/control-plane/src/plan/changes.rs
@@ -36,9 +36,9 @@
         }
     };
     add("limits", "limits", has_entries);
-    add("fleet", "elsewhere", manifest.elsewhere > 0);
+    add("fleet", "elsewhere", manifest.external_instances > 0);
     add("group", "group", manifest.group.is_some());
-    add("roster", "roster", manifest.roster.is_some());
+    add("roster", "roster", manifest.list_source.is_some());
     entries
 }
 
--- a/crates/control-plane/src/supervisor.rs
+++ b/crates/control-plane/src/supervisor.rs
@@ -273,7 +273,7 @@
         self.changed = true;
         match &self.list_watcher {
             Some(watcher) => watcher.set_manifest(&self.manifest),
-            None if self.manifest.roster.is_some() => self.start_list_watcher(),
+            None if self.manifest.list_source.is_some() => self.start_list_watcher(),
             None => {}
         }
     }
--- a/crates/control-plane/src/supervisor/listeners.rs
+++ b/crates/control-plane/src/supervisor/listeners.rs
@@ -1,7 +1,7 @@
 //! The sockets at which instances' frontends listen. The supervisor owns them, so that they outlive the instances.
 
 use crate::instance_config::InstanceListeners;
-use crate::manifest::{Instance, InstanceManifest};
+use crate::manifest::{InstanceManifest, InstanceSpec};
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -31,16 +31,16 @@
 
 impl ListenerKey {
     /// Those of an instance's frontends.
-    pub fn all_of(name: &str, instance: &Instance) -> Vec<ListenerKey> {
+    pub fn all_of(name: &str, instance: &InstanceSpec) -> Vec<ListenerKey> {
         let events = instance.events.iter().map(|events| ListenerKey {
             instance: name.to_owned(),
             frontend: FrontendKind::Events,
-            address: events.listen,
+            address: events.listen_address,
         });
-        let platform = instance.relay.iter().map(|platform| ListenerKey {
+        let platform = instance.platform.iter().map(|platform| ListenerKey {
             instance: name.to_owned(),
             frontend: FrontendKind::Platform,
-            address: platform.listen,
+            address: platform.listen_address,
         });
         events.chain(platform).collect()
     }
@@ -58,8 +58,11 @@
 
     /// Opens an instance's listeners, or takes those that are open.
     pub fn open(&mut self, manifest: &InstanceManifest) -> Result<InstanceListeners, ListenError> {
-        let events = manifest.events.as_ref().map(|events| events.listen);
-        let platform = manifest.platform.as_ref().map(|platform| platform.listen);
+        let events = manifest.events.as_ref().map(|events| events.listen_address);
+        let platform = manifest
+            .platform
+            .as_ref()
+            .map(|platform| platform.listen_address);
         let mut open = |frontend, address: Option<SocketAddr>| {
             address
                 .map(|address| {
--- a/crates/control-plane/tests/stored_data.rs
+++ b/crates/control-plane/tests/stored_data.rs
@@ -25,7 +25,10 @@
         applied.manifest.instances.keys().collect::<Vec<_>>(),
         ["east-1", "north-1", "south-1"]
     );
-    assert_eq!(applied.manifest.classes["refill-order"].wanted_ms, 2000);
+    assert_eq!(
+        applied.manifest.classes["refill-order"].latency_objective_ms,
+        2000
+    );
     assert_eq!(applied.manifest.limits.max_open, 128);
     let membership = Membership::read(&home).unwrap().unwrap();
     assert_eq!(
