Read stored JSON files in one place; document each fault; two tests of stored data

What is applied and the lists' status were read by the same lines twice; json_file.rs has them once, with one error type. An instance is ended for good or for a restart by two methods in place of a bool. Tests: an applied file with every key is written as it was read, and what the supervisor reads equals what plan and apply read.

--- a/crates/control-plane/src/endpoint_directory/compact_applied.rs
+++ b/crates/control-plane/src/endpoint_directory/compact_applied.rs
@@ -1,10 +1,11 @@
 //! What is applied in a home, read with its destinations straight into a directory.
 
 use super::EndpointDirectory;
+use crate::json_file::JsonFileError;
 use crate::manifest::{
     ClassSpec, EndpointListSource, GroupSpec, InstanceLimits, InstanceSpec, Manifest,
 };
-use crate::plan::{AppliedError, APPLIED_FILE};
+use crate::plan::APPLIED_FILE;
 use marblefall_delivery::core::destination_table::DestinationEntry;
 use marblefall_endpoint_lists::Standing;
 use serde::Deserialize;
@@ -58,18 +59,18 @@
     ///
     /// # Errors
     /// Where the file cannot be read, or holds something else.
-    pub fn read(home: &Path) -> Result<CompactApplied, AppliedError> {
+    pub fn read(home: &Path) -> Result<CompactApplied, JsonFileError> {
         let path = home.join(APPLIED_FILE);
         let file = match File::open(&path) {
             Ok(file) => file,
             Err(error) if error.kind() == io::ErrorKind::NotFound => {
                 return Ok(CompactApplied::default())
             }
-            Err(source) => return Err(AppliedError::Read { path, source }),
+            Err(source) => return Err(JsonFileError::Read { path, source }),
         };
         let reader = BufReader::with_capacity(READ_BUFFER, file);
         let stored: StoredApplied = serde_json::from_reader(reader)
-            .map_err(|source| AppliedError::Parse { path, source })?;
+            .map_err(|source| JsonFileError::Parse { path, source })?;
         Ok(stored.into())
     }
 }
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -7,7 +7,10 @@
 pub mod endpoint_directory;
 pub mod group;
 mod instance_config;
+mod json_file;
 pub mod list_watcher;
 pub mod manifest;
 pub mod plan;
 pub mod supervisor;
+
+pub use json_file::JsonFileError;
--- a/crates/control-plane/src/list_watcher.rs
+++ b/crates/control-plane/src/list_watcher.rs
@@ -13,7 +13,7 @@
 mod status;
 
 pub use list_files::{list_files, read_bounded};
-pub use status::{FileState, FileStatus, ListStatus, StatusError};
+pub use status::{FileState, FileStatus, ListStatus};
 
 use crate::manifest::Manifest;
 use async_channel::Receiver;
--- a/crates/control-plane/src/list_watcher/status.rs
+++ b/crates/control-plane/src/list_watcher/status.rs
@@ -1,37 +1,16 @@
 //! What the watcher last found, as a file for those who show it. Its names are those of earlier versions.
 
 use super::LISTS_FOLDER;
+use crate::json_file::{self, JsonFileError};
 use marblefall_atomic_file::{replace, Disk, Outlasts, Real};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use std::fs;
 use std::io;
 use std::path::{Path, PathBuf};
 
 /// The status file's name in the lists' folder.
 const STATUS_FILE: &str = "status.json";
 
-/// Why the status cannot be read.
-#[derive(Debug, thiserror::Error)]
-pub enum StatusError {
-    /// The file cannot be read.
-    #[error("{}: {source}", path.display())]
-    Read {
-        /// The file.
-        path: PathBuf,
-        /// Why.
-        source: io::Error,
-    },
-    /// The file holds something else.
-    #[error("{}: {source}", path.display())]
-    Parse {
-        /// The file.
-        path: PathBuf,
-        /// What is wrong, and where.
-        source: serde_json::Error,
-    },
-}
-
 /// The state of an endpoint list's file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "state")]
@@ -82,15 +61,8 @@
     ///
     /// # Errors
     /// Where the file cannot be read, or holds something else.
-    pub fn read(home: &Path) -> Result<ListStatus, StatusError> {
-        let path = ListStatus::path(&home.join(LISTS_FOLDER));
-        match fs::read(&path) {
-            Ok(text) => {
-                serde_json::from_slice(&text).map_err(|source| StatusError::Parse { path, source })
-            }
-            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(ListStatus::default()),
-            Err(source) => Err(StatusError::Read { path, source }),
-        }
+    pub fn read(home: &Path) -> Result<ListStatus, JsonFileError> {
+        json_file::read_or_default(&ListStatus::path(&home.join(LISTS_FOLDER)))
     }
 
     /// Replaces the file.
--- a/crates/control-plane/src/plan.rs
+++ b/crates/control-plane/src/plan.rs
@@ -3,6 +3,7 @@
 
 mod changes;
 
+use crate::json_file::{self, JsonFileError};
 use crate::manifest::Manifest;
 use marblefall_atomic_file::{replace, Outlasts, Real};
 use serde::{Deserialize, Serialize};
@@ -15,27 +16,6 @@
 /// Locked for as long as a plan is applied.
 const LOCK_FILE: &str = "lock";
 
-/// Why what is applied cannot be read.
-#[derive(Debug, thiserror::Error)]
-pub enum AppliedError {
-    /// The file cannot be read.
-    #[error("{}: {source}", path.display())]
-    Read {
-        /// The file.
-        path: PathBuf,
-        /// Why.
-        source: io::Error,
-    },
-    /// The file holds something else.
-    #[error("{}: {source}", path.display())]
-    Parse {
-        /// The file.
-        path: PathBuf,
-        /// What is wrong, and where.
-        source: serde_json::Error,
-    },
-}
-
 /// Why a plan is not applied.
 #[derive(Debug, thiserror::Error)]
 pub enum ApplyError {
@@ -49,7 +29,7 @@
     },
     /// What is applied cannot be read.
     #[error(transparent)]
-    Applied(#[from] AppliedError),
+    Applied(#[from] JsonFileError),
     /// It cannot be written.
     #[error("{0}")]
     Encode(#[from] serde_json::Error),
@@ -78,15 +58,8 @@
     ///
     /// # Errors
     /// Where the file cannot be read, or holds something else.
-    pub fn read(home: &Path) -> Result<Applied, AppliedError> {
-        let path = home.join(APPLIED_FILE);
-        match fs::read(&path) {
-            Ok(text) => {
-                serde_json::from_slice(&text).map_err(|source| AppliedError::Parse { path, source })
-            }
-            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(Applied::default()),
-            Err(source) => Err(AppliedError::Read { path, source }),
-        }
+    pub fn read(home: &Path) -> Result<Applied, JsonFileError> {
+        json_file::read_or_default(&home.join(APPLIED_FILE))
     }
 }
 
--- a/crates/control-plane/src/supervisor.rs
+++ b/crates/control-plane/src/supervisor.rs
@@ -18,9 +18,10 @@
 
 use crate::endpoint_directory::{CompactApplied, EndpointDirectory};
 use crate::group::{Membership, News};
+use crate::json_file::JsonFileError;
 use crate::list_watcher::ListWatcher;
 use crate::manifest::Manifest;
-use crate::plan::{AppliedError, APPLIED_FILE};
+use crate::plan::APPLIED_FILE;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -56,7 +57,7 @@
     Signals(String),
     /// What is applied cannot be read.
     #[error(transparent)]
-    Applied(#[from] AppliedError),
+    Applied(#[from] JsonFileError),
     /// The home's place in its group cannot be read.
     #[error("{0}")]
     Membership(String),
@@ -298,9 +299,12 @@
                         watcher.rescan();
                     }
                 }
-                InstanceCommand::Shutdown { timeout, restart } => {
+                InstanceCommand::Shutdown {
+                    timeout,
+                    restart: _,
+                } => {
                     for instance in self.instances.values_mut() {
-                        instance.shut_down(timeout, restart);
+                        instance.shut_down(timeout);
                     }
                     self.phase = Phase::ShuttingDown;
                 }
@@ -392,11 +396,11 @@
                 Some(manifest) if manifest == *instance.manifest() => {}
                 Some(_) => {
                     say!("{name}: applies a change by a restart");
-                    instance.shut_down(RESTART_TIMEOUT, true);
+                    instance.end_for_restart(RESTART_TIMEOUT);
                 }
                 None => {
                     say!("{name}: leaves the manifest");
-                    instance.shut_down(SHUTDOWN_TIMEOUT, false);
+                    instance.shut_down(SHUTDOWN_TIMEOUT);
                 }
             }
         }
@@ -430,7 +434,7 @@
                 lease_guard: self.coordinated.as_ref().map(Coordinated::lease_guard),
                 revision: self.revision,
             };
-            match InstanceHandle::start(&name, manifest, context, &mut self.listeners) {
+            match InstanceHandle::start(manifest, context, &mut self.listeners) {
                 Ok(instance) => drop(self.instances.insert(name, instance)),
                 Err(error) => {
                     say!("{name}: not started, {error}");
--- a/crates/control-plane/src/supervisor/instance_handle.rs
+++ b/crates/control-plane/src/supervisor/instance_handle.rs
@@ -53,7 +53,6 @@
 impl InstanceHandle {
     /// Opens the listeners and starts the thread.
     pub fn start(
-        name: &str,
         manifest: InstanceManifest,
         context: StartContext<'_>,
         listeners: &mut FrontendListeners,
@@ -67,13 +66,13 @@
             classes: &classes,
             directory: context.directory,
         };
-        let folder = context.home.join(INSTANCES_FOLDER).join(name);
+        let folder = context.home.join(INSTANCES_FOLDER).join(&manifest.name);
         let config = builder.config(folder, lease, listeners.open(&manifest)?);
         let (commands, received) = async_channel::unbounded();
-        let thread_name = name.to_owned();
+        let name = manifest.name.clone();
         let thread = thread::Builder::new()
-            .name(name.to_owned())
-            .spawn(move || run_instance(&thread_name, config, received))?;
+            .name(name.clone())
+            .spawn(move || run_instance(&name, config, received))?;
         Ok(InstanceHandle {
             manifest,
             revision,
@@ -89,10 +88,12 @@
         &self.manifest
     }
 
+    /// The revision that the group knows it by; 0 outside a group.
     pub fn revision(&self) -> u64 {
         self.revision
     }
 
+    /// Whether it was told to end.
     pub fn is_shutting_down(&self) -> bool {
         self.shutting_down
     }
@@ -113,9 +114,21 @@
         let _ = self.commands.try_send(command);
     }
 
-    /// Tells it to end within `timeout`; `restart` if it is started again at once.
-    pub fn shut_down(&mut self, timeout: Duration, restart: bool) {
-        self.send(InstanceCommand::Shutdown { timeout, restart });
+    /// Tells it to end within `timeout`.
+    pub fn shut_down(&mut self, timeout: Duration) {
+        self.send(InstanceCommand::Shutdown {
+            timeout,
+            restart: false,
+        });
+        self.shutting_down = true;
+    }
+
+    /// Tells it to end within `timeout`, as it is started again then: it starts no more attempts.
+    pub fn end_for_restart(&mut self, timeout: Duration) {
+        self.send(InstanceCommand::Shutdown {
+            timeout,
+            restart: true,
+        });
         self.shutting_down = true;
     }
 
--- a/crates/control-plane/tests/stored_data.rs
+++ b/crates/control-plane/tests/stored_data.rs
@@ -2,6 +2,7 @@
 //! its voter's log and the policy in force, and a fleet with the endpoint list in force. The fixtures were written by
 //! the version before the packages moved to `crates/`, and are never written anew.
 
+use marblefall_control_plane::endpoint_directory::CompactApplied;
 use marblefall_control_plane::group::Membership;
 use marblefall_control_plane::list_watcher::{FileState, LastGoodLists, ListStatus};
 use marblefall_control_plane::manifest::destination_number;
@@ -79,3 +80,91 @@
     assert!(matches!(file.state, FileState::InForce));
     assert_eq!((file.revision, status.unlisted.len()), (Some(1), 0));
 }
+
+#[test]
+fn compact_reading_equals_whole_reading() {
+    for (home, origins) in [("member", 0), ("fleet", 1)] {
+        let whole = Applied::read(&fixture(home)).unwrap();
+        let compact = CompactApplied::read(&fixture(home)).unwrap();
+        let names: Vec<_> = compact
+            .directory
+            .destination_table
+            .entries()
+            .map(|entry| entry.name.to_owned())
+            .collect();
+        assert_eq!(names.len(), whole.manifest.destinations.len());
+        assert!(names
+            .iter()
+            .all(|name| whole.manifest.destinations.contains_key(name)));
+        assert_eq!(
+            compact.manifest.list_terms().partners.map(|all| all.len()),
+            Some(origins)
+        );
+        let mut manifest = whole.manifest;
+        manifest.destinations.clear();
+        manifest.endpoint_origins = compact.manifest.endpoint_origins.clone();
+        assert_eq!(
+            (compact.revision, compact.manifest),
+            (whole.revision, manifest)
+        );
+    }
+}
+
+#[test]
+fn every_key_of_an_applied_file_is_kept() {
+    let stored = serde_json::json!({
+        "revision": 7,
+        "fleet": {
+            "limits": {
+                "slots": 17, "max_open": 129, "max_attempts": 9, "sockets": 513, "disk_mb": 17.0,
+                "remember": 10001, "dial_ms": 1501, "idle_ms": 10002, "retry_after_ms": 30001
+            },
+            "classes": {
+                "keyed": {
+                    "repeats": "keyed", "window_ms": 6000, "worth": 2.0, "wanted_ms": 1000,
+                    "give_up_ms": 5000, "late_value": 0.5, "remember_s": 86401
+                },
+                "free": {
+                    "repeats": "free", "window_ms": null, "worth": 1.0, "wanted_ms": 1000,
+                    "give_up_ms": 5000, "late_value": 0.0, "remember_s": 86400
+                },
+                "never": {
+                    "repeats": "never", "window_ms": null, "worth": 1.0, "wanted_ms": 1000,
+                    "give_up_ms": 5000, "late_value": 0.0, "remember_s": 86400
+                }
+            },
+            "destinations": {
+                "toy": {
+                    "mode": "binary", "path": "/events", "rate": 20.0,
+                    "endpoints": [{ "name": "toy-1", "address": "127.0.0.1:9001", "draining": true }]
+                }
+            },
+            "instances": {
+                "first": {
+                    "events": {
+                        "listen": "127.0.0.1:8190", "path": "/events",
+                        "destination_attribute": "clinic", "types": { "status": "free" }
+                    },
+                    "relay": {
+                        "listen": "127.0.0.1:8191", "notices": "127.0.0.1:8192",
+                        "numbers": { "1": "toy" }
+                    },
+                    "limits": null
+                }
+            },
+            "elsewhere": 3,
+            "roster": {
+                "path": "/srv/rosters", "poll_ms": 2001, "max_kb": 8193,
+                "most_weight_lost": 0.25, "most_endpoints_lost": 0.75
+            },
+            "group": {
+                "name": "clinics", "on_cut": "serve", "term_ms": 3001, "check_ms": 5001, "stop_ms": 8001,
+                "members": {
+                    "east": { "link": "127.0.0.1:7301", "instances": ["first"], "votes": true }
+                }
+            }
+        }
+    });
+    let applied: Applied = serde_json::from_value(stored.clone()).unwrap();
+    assert_eq!(serde_json::to_value(&applied).unwrap(), stored);
+}
