--- a/crates/cli/src/roster.rs
+++ b/crates/cli/src/roster.rs
@@ -1,9 +1,11 @@
 //! What staff do with rosters: check, show and compare them.
 
 use crate::words::{Form, Roster as Words};
-use marblefall_control_plane::file::Fleet;
+use marblefall_control_plane::list_watcher::{
+    list_files, read_bounded, FileState, FileStatus, LastGoodLists, ListStatus,
+};
+use marblefall_control_plane::manifest::Manifest;
 use marblefall_control_plane::plan::Applied;
-use marblefall_control_plane::watch::{files, kept, read_bounded, FileStatus, Standing, Status};
 use marblefall_endpoint_lists::{
     diff, ActiveLists, ChangeKind, Diagnostic, EndpointChange, EndpointList, ListRules, Report,
 };
@@ -36,13 +38,16 @@
     format: Form,
 ) -> Result<(), String> {
     let mut book = match (fleet, home) {
-        (Some(fleet), _) => ActiveLists::new(Fleet::read(fleet)?.terms()),
-        (None, Some(home)) => kept(home, &Applied::read(home)?.fleet)?.0,
+        (Some(fleet), _) => {
+            let manifest = Manifest::read(fleet).map_err(|error| error.to_string())?;
+            ActiveLists::new(manifest.list_terms())
+        }
+        (None, Some(home)) => last_good_lists(home, &applied_manifest(home)?)?.lists,
         (None, None) => ActiveLists::new(ListRules::default()),
     };
     let mut found: Vec<(String, PathBuf)> = Vec::new();
     for path in given {
-        let some = files(path).map_err(|error| format!("{}: {error}", path.display()))?;
+        let some = list_files(path).map_err(|error| format!("{}: {error}", path.display()))?;
         if some.is_empty() {
             return Err(format!("{}: no file there ends in .toml", path.display()));
         }
@@ -133,6 +138,15 @@
     Ok(())
 }
 
+fn applied_manifest(home: &Path) -> Result<Manifest, String> {
+    let applied = Applied::read(home).map_err(|error| error.to_string())?;
+    Ok(applied.manifest)
+}
+
+fn last_good_lists(home: &Path, manifest: &Manifest) -> Result<LastGoodLists, String> {
+    LastGoodLists::read(home, manifest).map_err(|error| error.to_string())
+}
+
 fn sum(changes: &[EndpointChange]) -> String {
     let count = |step| changes.iter().filter(|change| change.kind == step).count();
     let changed = count(ChangeKind::Changed) + count(ChangeKind::Drained);
@@ -144,14 +158,17 @@
 }
 
 fn show(home: &Path, endpoints: bool, format: Form) -> Result<(), String> {
-    let fleet = Applied::read(home)?.fleet;
-    let (book, spoilt) = kept(home, &fleet)?;
-    let status = Status::read(home)?;
+    let manifest = applied_manifest(home)?;
+    let LastGoodLists {
+        lists: book,
+        unreadable: spoilt,
+    } = last_good_lists(home, &manifest)?;
+    let status = ListStatus::read(home).map_err(|error| error.to_string())?;
     let names: BTreeSet<&String> = book.lists().keys().chain(status.files.keys()).collect();
     let standing = |name: &String| {
         let told = status.files.get(name).cloned();
         told.unwrap_or(FileStatus {
-            standing: Standing::InForce,
+            state: FileState::InForce,
             revision: None,
         })
     };
@@ -164,7 +181,7 @@
                 .map(|roster| &roster.destinations);
             json!({
                 "file": name,
-                "standing": standing(name).standing,
+                "standing": standing(name).state,
                 "revision": roster.map(|roster| roster.revision),
                 "destinations": roster.map(|roster| roster.destinations.len()),
                 "endpoints": whole,
@@ -177,19 +194,19 @@
         );
         return Ok(());
     }
-    let path = fleet
-        .roster
+    let path = manifest
+        .list_source
         .as_ref()
         .map_or("no [roster] is applied".to_owned(), |at| {
             at.path.display().to_string()
         });
     println!("rosters of {}: {path}", home.display());
     for name in names {
-        let said = match standing(name).standing {
-            Standing::InForce => "in force".to_owned(),
-            Standing::Refused { report } => format!("the file is refused:\n{report}\n"),
-            Standing::Unreadable { cause } => format!("the file cannot be read: {cause}"),
-            Standing::Missing => "the file is missing".to_owned(),
+        let said = match standing(name).state {
+            FileState::InForce => "in force".to_owned(),
+            FileState::Rejected { report } => format!("the file is refused:\n{report}\n"),
+            FileState::Unreadable { cause } => format!("the file cannot be read: {cause}"),
+            FileState::Missing => "the file is missing".to_owned(),
         };
         match book.lists().get(name) {
             Some(roster) => {
--- /dev/null
+++ b/crates/control-plane/src/endpoint_directory/compact_applied.rs
@@ -0,0 +1,118 @@
+//! What is applied in a home, read with its destinations straight into a directory.
+
+use super::EndpointDirectory;
+use crate::json_file::JsonFileError;
+use crate::manifest::{
+    ClassSpec, EndpointListSource, GroupSpec, InstanceLimits, InstanceSpec, Manifest,
+};
+use crate::plan::APPLIED_FILE;
+use marblefall_delivery::core::destination_table::DestinationEntry;
+use marblefall_endpoint_lists::EndpointSource;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{self, BufReader};
+use std::path::Path;
+
+/// The size of the buffer through which the file is read.
+const READ_BUFFER: usize = 64 * 1024;
+
+/// What is applied, its destinations apart from the manifest in as little room as will do.
+#[derive(Clone, Debug, Default)]
+pub struct CompactApplied {
+    /// How many applies led to it.
+    pub revision: u64,
+    /// The manifest without its destinations.
+    pub manifest: Manifest,
+    /// The destinations.
+    pub directory: EndpointDirectory,
+}
+
+/// The stored form of [`Applied`](crate::plan::Applied); its names are those of earlier versions.
+#[derive(Deserialize)]
+struct StoredApplied {
+    revision: u64,
+    #[serde(rename = "fleet")]
+    manifest: StoredManifest,
+}
+
+#[derive(Deserialize)]
+struct StoredManifest {
+    #[serde(default)]
+    limits: InstanceLimits,
+    #[serde(default)]
+    classes: BTreeMap<String, ClassSpec>,
+    #[serde(default)]
+    destinations: EndpointDirectory,
+    #[serde(default)]
+    instances: BTreeMap<String, InstanceSpec>,
+    #[serde(default, rename = "elsewhere")]
+    external_instances: usize,
+    #[serde(default, rename = "roster")]
+    list_source: Option<EndpointListSource>,
+    #[serde(default)]
+    group: Option<GroupSpec>,
+}
+
+impl CompactApplied {
+    /// Reads what is applied in a home; an empty manifest of revision 0 where nothing is.
+    ///
+    /// # Errors
+    /// Where the file cannot be read, or holds something else.
+    pub fn read(home: &Path) -> Result<CompactApplied, JsonFileError> {
+        let path = home.join(APPLIED_FILE);
+        let file = match File::open(&path) {
+            Ok(file) => file,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => {
+                return Ok(CompactApplied::default())
+            }
+            Err(source) => return Err(JsonFileError::Read { path, source }),
+        };
+        let reader = BufReader::with_capacity(READ_BUFFER, file);
+        let stored: StoredApplied = serde_json::from_reader(reader)
+            .map_err(|source| JsonFileError::Parse { path, source })?;
+        Ok(stored.into())
+    }
+}
+
+impl From<StoredApplied> for CompactApplied {
+    fn from(stored: StoredApplied) -> CompactApplied {
+        let StoredManifest {
+            limits,
+            classes,
+            destinations: directory,
+            instances,
+            external_instances,
+            list_source,
+            group,
+        } = stored.manifest;
+        let endpoint_origins = list_source.is_some().then(|| endpoint_origins(&directory));
+        CompactApplied {
+            revision: stored.revision,
+            manifest: Manifest {
+                limits,
+                classes,
+                instances,
+                external_instances,
+                list_source,
+                group,
+                endpoint_origins,
+                ..Manifest::default()
+            },
+            directory,
+        }
+    }
+}
+
+/// Which destinations get their endpoints from lists.
+fn endpoint_origins(directory: &EndpointDirectory) -> BTreeMap<String, EndpointSource> {
+    let origin = |entry: &DestinationEntry<'_>| match entry.from_list {
+        true => EndpointSource::Lists,
+        false => EndpointSource::Manifest,
+    };
+    directory
+        .destination_table
+        .entries()
+        .map(|entry| (entry.name.to_owned(), origin(&entry)))
+        .collect()
+}
