--- a/crates/cli/src/group.rs
+++ b/crates/cli/src/group.rs
@@ -4,12 +4,14 @@
 use futures_lite::future::block_on;
 use futures_lite::io::AssertAsync;
 use futures_lite::StreamExt;
-use marblefall_control_plane::group::link::{self, Told};
+use marblefall_control_plane::group::transport::{
+    encode_frame, read_frame, Hello, OperatorResponse,
+};
 use marblefall_control_plane::group::Membership;
 use marblefall_control_plane::plan::Plan;
-use marblefall_coordination::book::Past;
-use marblefall_coordination::seat::{Place, Progress, Reply, Request, Standing};
-use marblefall_coordination::words::{Author, Member, Revision};
+use marblefall_coordination::identifiers::{Author, MemberId, Revision};
+use marblefall_coordination::node::{ChangePhase, GroupStatus, MemberStatus, Reply, Request};
+use marblefall_coordination::replicated_state::{ChangeOutcome, ResolvedChange};
 use marblefall_delivery::instance;
 use serde_json::{json, Value};
 use std::io::Write;
@@ -25,19 +27,21 @@
 const AGAIN: Duration = Duration::from_millis(400);
 
 /// A connection to the daemon of a home.
-struct Line {
+struct Connection {
     stream: TcpStream,
     member: Membership,
 }
 
-impl Line {
-    fn open(home: &Path) -> Result<Line, String> {
-        let member = Membership::read(home)?.ok_or_else(|| {
-            format!(
-                "{}: the home is of no group; see `marblefall apply --help`",
-                home.display()
-            )
-        })?;
+impl Connection {
+    fn open(home: &Path) -> Result<Connection, String> {
+        let member = Membership::read(home)
+            .map_err(|error| error.to_string())?
+            .ok_or_else(|| {
+                format!(
+                    "{}: the home is of no group; see `marblefall apply --help`",
+                    home.display()
+                )
+            })?;
         let at = member.group.members[&member.name].link;
         let fault = |error: std::io::Error| {
             format!(
@@ -49,29 +53,31 @@
         let stream = TcpStream::connect_timeout(&at, ANSWER).map_err(fault)?;
         stream.set_read_timeout(Some(ANSWER)).map_err(fault)?;
         (&stream)
-            .write_all(&link::hello(&member.group.name, None))
+            .write_all(&encode_frame(&Hello::from_operator(&member.group.name)))
             .map_err(fault)?;
-        Ok(Line { stream, member })
+        Ok(Connection { stream, member })
     }
 
-    fn ask(&mut self, request: &Request) -> Result<Told, String> {
+    fn ask(&mut self, request: &Request) -> Result<OperatorResponse, String> {
         let fault =
             |error: std::io::Error| format!("the daemon of this home does not answer: {error}");
         self.stream
-            .write_all(&link::encode(request))
+            .write_all(&encode_frame(request))
             .map_err(fault)?;
-        let read = block_on(link::read::<Told>(&mut AssertAsync::new(&mut self.stream)));
+        let read = block_on(read_frame::<OperatorResponse>(&mut AssertAsync::new(
+            &mut self.stream,
+        )));
         read.map_err(|fault| format!("the daemon of this home answers with {fault}"))
     }
 
     /// Whether the leader has heard a member within its term; `None` where it never did.
-    fn is_heard(&self, place: &Place) -> Option<bool> {
-        place
-            .heard
+    fn is_heard(&self, member: &MemberStatus) -> Option<bool> {
+        member
+            .last_heard
             .map(|micros| micros / 1000 <= self.member.group.term_ms as i64)
     }
 
-    fn name(&self, member: Member) -> String {
+    fn name(&self, member: MemberId) -> String {
         self.member
             .names()
             .get(member.0 as usize)
@@ -79,7 +85,7 @@
             .unwrap_or_else(|| member.0.to_string())
     }
 
-    fn names(&self, members: &[Member]) -> String {
+    fn names(&self, members: &[MemberId]) -> String {
         let names: Vec<String> = members.iter().map(|member| self.name(*member)).collect();
         names.join(", ")
     }
@@ -106,13 +112,13 @@
 
 /// Proposes a plan to the group, and waits for its outcome.
 pub fn apply(plan: &Plan, home: &Path) -> Result<(), String> {
-    let mut line = Line::open(home)?;
+    let mut connection = Connection::open(home)?;
     leave_to_group(home);
     let policy = serde_json::to_vec(&plan.target).map_err(|error| error.to_string())?;
     let operator = std::env::var("USER").unwrap_or_else(|_| "an operator".to_owned());
     let key = fastrand::u64(1..);
     let author = Author {
-        by: format!("{operator} at {}", line.member.name),
+        by: format!("{operator} at {}", connection.member.name),
         key,
     };
     let propose = Request::Propose {
@@ -129,31 +135,31 @@
     };
     let (mut request, mut proposed) = (propose.clone(), Instant::now());
     loop {
-        let told = line.ask(&request)?;
-        match told.reply {
+        let response = connection.ask(&request)?;
+        match response.reply {
             None => say("nobody leads the group just now; the change waits here".to_owned()),
             Some(Reply::Proposed) => {
                 say("proposed to the group".to_owned());
                 (request, proposed) = (Request::Outcome(key), Instant::now());
             }
-            Some(Reply::Open(progress, waits)) => {
-                let stage = match progress {
-                    Progress::Checking => "members check it",
-                    Progress::Stopping => "members stop acting under the policy in force",
+            Some(Reply::Pending(phase, awaited)) => {
+                let phase_name = match phase {
+                    ChangePhase::Checking => "members check it",
+                    ChangePhase::Quiescing => "members stop acting under the policy in force",
                 };
-                say(match waits.is_empty() {
-                    true => stage.to_owned(),
-                    false => format!("{stage}; waited for: {}", line.names(&waits)),
+                say(match awaited.is_empty() {
+                    true => phase_name.to_owned(),
+                    false => format!("{phase_name}; waited for: {}", connection.names(&awaited)),
                 });
                 request = Request::Outcome(key);
             }
-            Some(Reply::Done(past)) => return done(&mut line, &past),
+            Some(Reply::Resolved(change)) => return done(&mut connection, &change),
             // It died with the leader that took it on, before it stood in the log.
             Some(Reply::Unknown) if proposed.elapsed() >= AGAIN => request = propose.clone(),
-            Some(Reply::Stale(holds)) => {
+            Some(Reply::Stale(committed)) => {
                 return Err(format!(
                     "the plan is stale: it was made against revision {}, in force is revision {}; plan again",
-                    plan.base.revision, holds.0
+                    plan.base.revision, committed.0
                 ));
             }
             Some(Reply::Busy(author)) => {
@@ -168,32 +174,32 @@
     }
 }
 
-fn done(line: &mut Line, past: &Past) -> Result<(), String> {
-    let revision = match &past.outcome {
-        Ok(revision) => *revision,
-        Err(why) => return Err(format!("withdrawn everywhere: {why}")),
+fn done(connection: &mut Connection, change: &ResolvedChange) -> Result<(), String> {
+    let revision = match &change.outcome {
+        ChangeOutcome::InForce(revision) => *revision,
+        ChangeOutcome::Withdrawn(why) => return Err(format!("withdrawn everywhere: {why}")),
     };
     // Nobody acts under another one any more; those that are there take it up within moments.
-    let by = Instant::now() + Duration::from_millis(line.member.group.term_ms);
+    let by = Instant::now() + Duration::from_millis(connection.member.group.term_ms);
     let mut behind;
     loop {
-        let told = line.ask(&Request::Status)?;
-        let Some(Reply::Status(standing)) = told.reply else {
+        let response = connection.ask(&Request::Status)?;
+        let Some(Reply::Status(status)) = response.reply else {
             continue;
         };
-        let has = |place: &Place| place.has >= Some(revision);
-        behind = standing
+        let has = |member: &MemberStatus| member.applied >= Some(revision);
+        behind = status
             .members
             .iter()
-            .filter(|place| !has(place))
-            .map(|place| place.member)
+            .filter(|member| !has(member))
+            .map(|member| member.member)
             .collect::<Vec<_>>();
         // One that is not heard is not waited for: it learns what holds before it acts.
-        let waits = standing
+        let awaited = status
             .members
             .iter()
-            .any(|place| !has(place) && line.is_heard(place) == Some(true));
-        if !waits || Instant::now() >= by {
+            .any(|member| !has(member) && connection.is_heard(member) == Some(true));
+        if !awaited || Instant::now() >= by {
             break;
         }
         std::thread::sleep(ASK);
@@ -201,7 +207,7 @@
     if !behind.is_empty() {
         println!(
             "not heard, and takes it up before it acts again: {}",
-            line.names(&behind)
+            connection.names(&behind)
         );
     }
     println!("in force everywhere as revision {}", revision.0);
@@ -212,45 +218,47 @@
 pub fn obey(what: Group) -> Result<(), String> {
     match what {
         Group::Status { home, format } => {
-            let mut line = Line::open(&home)?;
-            let told = line.ask(&Request::Status)?;
-            let standing = match &told.reply {
-                Some(Reply::Status(standing)) => Some(standing.as_ref()),
+            let mut connection = Connection::open(&home)?;
+            let response = connection.ask(&Request::Status)?;
+            let status = match &response.reply {
+                Some(Reply::Status(status)) => Some(status.as_ref()),
                 _ => None,
             };
             match format {
-                Form::Text => status_text(&line, &told, standing),
-                Form::Json => println!("{:#}", status_json(&line, &told, standing)),
+                Form::Text => status_text(&connection, &response, status),
+                Form::Json => println!("{:#}", status_json(&connection, &response, status)),
             }
             Ok(())
         }
         Group::History { home, format } => {
-            let mut line = Line::open(&home)?;
-            let Some(Reply::History(past)) = line.ask(&Request::History)?.reply else {
-                return Err(nobody());
+            let mut connection = Connection::open(&home)?;
+            let Some(Reply::History(changes)) = connection.ask(&Request::History)?.reply else {
+                return Err(no_leader());
             };
             match format {
-                Form::Text => past.iter().for_each(|past| println!("{}", past_text(past))),
+                Form::Text => changes
+                    .iter()
+                    .for_each(|change| println!("{}", change_text(change))),
                 Form::Json => println!(
                     "{:#}",
-                    Value::from(past.iter().map(past_json).collect::<Vec<_>>())
+                    Value::from(changes.iter().map(change_json).collect::<Vec<_>>())
                 ),
             }
             Ok(())
         }
         Group::Withdraw { home } => {
-            match Line::open(&home)?.ask(&Request::Withdraw)?.reply {
-                Some(Reply::Taken) => {
+            match Connection::open(&home)?.ask(&Request::Withdraw)?.reply {
+                Some(Reply::Accepted) => {
                     println!("taken back, unless it was in force already; see `marblefall group history`");
                     Ok(())
                 }
-                Some(Reply::NothingOpen) => Err("no change is open".to_owned()),
-                _ => Err(nobody()),
+                Some(Reply::NothingPending) => Err("no change is open".to_owned()),
+                _ => Err(no_leader()),
             }
         }
         Group::Without { name, home } => {
-            let mut line = Line::open(&home)?;
-            let names = line.member.names();
+            let mut connection = Connection::open(&home)?;
+            let names = connection.member.names();
             let at = names.iter().position(|known| *known == name);
             let at = at.ok_or_else(|| {
                 format!(
@@ -258,141 +266,163 @@
                     names.join(", ")
                 )
             })?;
-            match line.ask(&Request::Without(Member(at as u32)))?.reply {
-                Some(Reply::Taken) => {
+            match connection
+                .ask(&Request::Exclude(MemberId(at as u32)))?
+                .reply
+            {
+                Some(Reply::Accepted) => {
                     println!("changes go on without {name}, until it asks again");
                     Ok(())
                 }
-                _ => Err(nobody()),
+                _ => Err(no_leader()),
             }
         }
     }
 }
 
-fn nobody() -> String {
+fn no_leader() -> String {
     "nobody leads the group just now: most of its voters cannot be reached from here".to_owned()
 }
 
-fn word(line: &Line, place: &Place, holds: Revision) -> &'static str {
-    match (place.without, line.is_heard(place)) {
+fn member_state(
+    connection: &Connection,
+    member: &MemberStatus,
+    committed: Revision,
+) -> &'static str {
+    match (member.excluded, connection.is_heard(member)) {
         (true, _) => "stopped",
         (_, None) => "not heard",
         (_, Some(false)) => "cut off",
-        _ if place.has != Some(holds) => "behind",
+        _ if member.applied != Some(committed) => "behind",
         _ => "in step",
     }
 }
 
-fn status_text(line: &Line, told: &Told, standing: Option<&Standing>) {
-    let local = &told.local;
-    let has = local.has.map_or("none".to_owned(), |has| has.to_string());
+fn status_text(connection: &Connection, response: &OperatorResponse, status: Option<&GroupStatus>) {
+    let local = &response.local;
+    let has = local
+        .applied
+        .map_or("none".to_owned(), |has| has.to_string());
     println!(
         "member {} of group {}: revision {has}, {}",
-        local.member, line.member.group.name, local.standing
+        local.member, connection.member.group.name, local.lease_state
     );
-    if let Some((takes_part, configuration)) = local.votes {
-        let part = if takes_part {
+    if let Some(voting) = local.voting {
+        let part = if voting.participates {
             "takes part"
         } else {
             "does not take part yet"
         };
-        println!("votes: {part}, configuration {configuration}");
+        println!("votes: {part}, configuration {}", voting.configuration);
     }
-    let Some(standing) = standing else {
-        match &local.leader {
-            Some((name, ms)) => println!("nobody leads just now; {name} did, heard {ms} ms ago"),
+    let Some(status) = status else {
+        match &local.last_leader {
+            Some(leader) => println!(
+                "nobody leads just now; {} did, heard {} ms ago",
+                leader.name, leader.heard_ms_ago
+            ),
             None => println!("nobody leads just now, and nobody did since this daemon started"),
         }
         return;
     };
     println!(
         "led by {}, revision {} in force",
-        line.name(standing.leader),
-        standing.holds.0
+        connection.name(status.leader),
+        status.committed.0
     );
-    if let Some((author, progress, waits)) = &standing.open {
+    if let Some(pending) = &status.pending {
         println!(
             "open: a change by {}, {}; waits for: {}",
-            author.by,
-            stage(*progress),
-            line.names(waits)
+            pending.author.by,
+            phase_name(pending.phase),
+            connection.names(&pending.awaited)
         );
     }
-    for place in &standing.members {
-        let has = place.has.map_or("-".to_owned(), |has| has.0.to_string());
-        let heard = place.heard.map_or("never".to_owned(), |heard| {
+    for member in &status.members {
+        let has = member
+            .applied
+            .map_or("-".to_owned(), |has| has.0.to_string());
+        let heard = member.last_heard.map_or("never".to_owned(), |heard| {
             format!("{} ms ago", heard / 1000)
         });
-        let votes = if place.votes { ", votes" } else { "" };
-        let name = line.name(place.member);
+        let votes = if member.votes { ", votes" } else { "" };
+        let name = connection.name(member.member);
         println!(
             "  {name}: {}, revision {has}, heard {heard}{votes}",
-            word(line, place, standing.holds)
+            member_state(connection, member, status.committed)
         );
     }
 }
 
-fn stage(progress: Progress) -> &'static str {
-    match progress {
-        Progress::Checking => "checking",
-        Progress::Stopping => "stopping",
+fn phase_name(phase: ChangePhase) -> &'static str {
+    match phase {
+        ChangePhase::Checking => "checking",
+        ChangePhase::Quiescing => "stopping",
     }
 }
 
-fn status_json(line: &Line, told: &Told, standing: Option<&Standing>) -> Value {
-    let local = &told.local;
-    let group = standing.map(|standing| {
-        let place = |place: &Place| {
+fn status_json(
+    connection: &Connection,
+    response: &OperatorResponse,
+    status: Option<&GroupStatus>,
+) -> Value {
+    let local = &response.local;
+    let group = status.map(|status| {
+        let member = |member: &MemberStatus| {
             json!({
-                "name": line.name(place.member),
-                "state": word(line, place, standing.holds),
-                "revision": place.has.map(|has| has.0),
-                "heard_ms_ago": place.heard.map(|heard| heard / 1000),
-                "votes": place.votes,
+                "name": connection.name(member.member),
+                "state": member_state(connection, member, status.committed),
+                "revision": member.applied.map(|has| has.0),
+                "heard_ms_ago": member.last_heard.map(|heard| heard / 1000),
+                "votes": member.votes,
             })
         };
-        let open = standing.open.as_ref().map(|(author, progress, waits)| {
-            let waits: Vec<String> = waits.iter().map(|member| line.name(*member)).collect();
-            json!({ "by": author.by, "stage": stage(*progress), "waits_for": waits })
+        let open = status.pending.as_ref().map(|pending| {
+            let awaited: Vec<String> = pending.awaited.iter().map(|member| connection.name(*member)).collect();
+            json!({ "by": pending.author.by, "stage": phase_name(pending.phase), "waits_for": awaited })
         });
         json!({
-            "leader": line.name(standing.leader),
-            "revision": standing.holds.0,
+            "leader": connection.name(status.leader),
+            "revision": status.committed.0,
             "open": open,
-            "members": standing.members.iter().map(place).collect::<Vec<_>>(),
+            "members": status.members.iter().map(member).collect::<Vec<_>>(),
         })
     });
     json!({
         "member": local.member,
-        "revision": local.has,
-        "standing": local.standing,
-        "votes": local.votes.map(|(part, configuration)| json!({ "takes_part": part, "configuration": configuration })),
+        "revision": local.applied,
+        "standing": local.lease_state,
+        "votes": local.voting.map(|voting| json!({ "takes_part": voting.participates, "configuration": voting.configuration })),
         "group": group,
     })
 }
 
-fn past_text(past: &Past) -> String {
-    let outcome = match &past.outcome {
-        Ok(revision) => format!("in force as revision {}", revision.0),
-        Err(why) => format!("withdrawn: {why}"),
+fn change_text(change: &ResolvedChange) -> String {
+    let outcome = match &change.outcome {
+        ChangeOutcome::InForce(revision) => format!("in force as revision {}", revision.0),
+        ChangeOutcome::Withdrawn(why) => format!("withdrawn: {why}"),
     };
-    let took = past.resolved_ms - past.proposed_ms;
+    let took = change.resolved_ms - change.proposed_ms;
     format!(
         "{}  change {} by {}: {outcome} (after {took} ms)",
-        when(past.proposed_ms),
-        past.proposal.0,
-        past.author.by
+        when(change.proposed_ms),
+        change.proposal.0,
+        change.author.by
     )
 }
 
-fn past_json(past: &Past) -> Value {
+fn change_json(change: &ResolvedChange) -> Value {
+    let (revision, withdrawn) = match &change.outcome {
+        ChangeOutcome::InForce(revision) => (Some(revision.0), None),
+        ChangeOutcome::Withdrawn(reason) => (None, Some(reason)),
+    };
     json!({
-        "change": past.proposal.0,
-        "by": past.author.by,
-        "proposed": when(past.proposed_ms),
-        "resolved": when(past.resolved_ms),
-        "revision": past.outcome.as_ref().ok().map(|revision| revision.0),
-        "withdrawn": past.outcome.as_ref().err(),
+        "change": change.proposal.0,
+        "by": change.author.by,
+        "proposed": when(change.proposed_ms),
+        "resolved": when(change.resolved_ms),
+        "revision": revision,
+        "withdrawn": withdrawn,
     })
 }
 
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -87,7 +87,7 @@
         return Ok(());
     }
     println!("{plan}");
-    let of_group = Membership::read(home)?;
+    let of_group = Membership::read(home).map_err(|error| error.to_string())?;
     match (of_group, member, &plan.target.group) {
         (Some(had), Some(name), _) if had.name != name => {
             return Err(format!(
@@ -98,7 +98,7 @@
         }
         (Some(_), ..) => return group::apply(&plan, home),
         (None, Some(name), Some(of)) if plan.base.revision == 0 => {
-            Membership::found(home, name, &plan.target)?;
+            Membership::found(home, name, &plan.target).map_err(|error| error.to_string())?;
             println!("founded as member {name} of group {}", of.name);
             println!(
                 "it is in force once the group's voters run and agree: marblefall run {}",
--- a/crates/cli/tests/group.rs
+++ b/crates/cli/tests/group.rs
@@ -450,7 +450,7 @@
         });
         let log = group.log(1);
         assert!(
-            log.contains("folder-forgets") && log.contains("let-in"),
+            log.contains("storage-amnesia") && log.contains("voter-admitted"),
             "{what}: {log}"
         );
         // It votes: with another one down the change still has its majority.
@@ -513,13 +513,14 @@
     let (mut group, _folder) = found("noise", 3, "stop", partner.at);
     group.start_all().unwrap();
     let link = group.link(0);
-    use marblefall_control_plane::group::link::{encode, hello};
-    let other = hello("strangers", None);
-    let later = encode(&(9u16, "clinics", 1u8));
-    let mut torn = hello("clinics", None);
+    use marblefall_control_plane::group::transport::{encode_frame, Hello};
+    use marblefall_coordination::identifiers::MemberId;
+    let other = encode_frame(&Hello::from_operator("strangers"));
+    let later = encode_frame(&(9u16, "clinics", 1u8));
+    let mut torn = encode_frame(&Hello::from_operator("clinics"));
     *torn.last_mut().unwrap() ^= 1;
     let long = [u32::MAX.to_le_bytes(), [0; 4]].concat();
-    let stranger = hello("clinics", Some(marblefall_coordination::words::Member(77)));
+    let stranger = encode_frame(&Hello::from_member("clinics", MemberId(77)));
     let codes = [
         "link-other-group",
         "link-version",
--- a/crates/control-plane/src/group.rs
+++ b/crates/control-plane/src/group.rs
@@ -1,168 +1,169 @@
-//! What makes a home a member of a group: its files, and the daemon's part in it.
+//! A home as a member of a group: its files, and the daemon's node in the group.
+//!
+//! The folder `group` in the home holds all of it: `member` names the member that the home is, `founding.json` is the
+//! manifest that it was founded with, and `votes` the state of its voter.
 
-mod drive;
-pub mod link;
+mod driver;
+mod error;
+pub mod transport;
 
-pub use drive::News;
+pub use driver::GroupEvent;
+pub use error::GroupError;
 
 use crate::file::{Fleet, Group, OnCut};
 use crate::plan::Applied;
 use marblefall_atomic_file::{replace, Disk, Outlasts, Real};
-use marblefall_coordination::words::{Member, Terms};
+use marblefall_coordination::identifiers::MemberId;
+use marblefall_coordination::settings::{CoordinationSettings, PartitionPolicy};
 use marblefall_scheduler::Span;
 use std::fs;
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::path::{Path, PathBuf};
 
 /// The folder in a home that holds all this.
 const FOLDER: &str = "group";
 /// Which member the home is.
-const MEMBER: &str = "member";
-/// What the home was founded with.
-const FOUNDING: &str = "founding.json";
-/// What its voter keeps.
-const VOTES: &str = "votes";
+const MEMBER_FILE: &str = "member";
+/// The manifest that the home was founded with.
+const INITIAL_MANIFEST_FILE: &str = "founding.json";
+/// The state of the home's voter.
+const VOTES_FILE: &str = "votes";
 
-/// Part by which the clocks of two machines may differ in speed, in hundredths.
-const DRIFT_PERCENT: i64 = 1;
-/// What was not answered is said again after this.
-const AGAIN: Span = Span(250_000);
+/// By how many hundredths the clocks of two machines may differ in speed.
+const CLOCK_DRIFT_PERCENT: i64 = 1;
+/// A message without a response is sent again after this.
+const RESEND_INTERVAL: Span = Span(250_000);
 
-/// A home's place in its group.
+/// A home as a member of its group.
 #[derive(Clone, Debug)]
 pub struct Membership {
     /// The member's name.
     pub name: String,
-    /// Its place among the names.
-    pub me: Member,
+    /// Its position among the names.
+    pub id: MemberId,
     /// The group as the home knows it.
     pub group: Group,
-    /// What the home was founded with.
-    founding: Option<Vec<u8>>,
-}
-
-fn file(home: &Path, name: &str) -> PathBuf {
-    home.join(FOLDER).join(name)
-}
-
-/// A file's bytes; `None` where there is no such file.
-fn read(path: &Path) -> Result<Option<Vec<u8>>, String> {
-    match fs::read(path) {
-        Ok(bytes) => Ok(Some(bytes)),
-        Err(error) if error.kind() == ErrorKind::NotFound => Ok(None),
-        Err(error) => Err(format!("{}: {error}", path.display())),
-    }
+    /// The manifest that the home was founded with.
+    initial_manifest: Option<Vec<u8>>,
 }
 
 impl Membership {
-    /// Reads a home's place; `None` where the home is of no group.
+    /// Reads a home's membership; `None` where the home is of no group.
     ///
     /// # Errors
     /// Where its files cannot be read, or do not fit each other.
-    pub fn read(home: &Path) -> Result<Option<Membership>, String> {
-        let path = file(home, MEMBER);
-        let Some(name) = read(&path)? else {
+    pub fn read(home: &Path) -> Result<Option<Membership>, GroupError> {
+        let path = group_file(home, MEMBER_FILE);
+        let Some(name) = read_if_present(&path)? else {
             return Ok(None);
         };
         let name = String::from_utf8_lossy(&name).trim().to_owned();
-        let founded = file(home, FOUNDING);
-        let founding = read(&founded)?;
-        let mut group = Applied::read(home)?.fleet.group;
-        if let (None, Some(text)) = (&group, &founding) {
-            let fleet: Result<Fleet, _> = serde_json::from_slice(text);
-            group = fleet
-                .map_err(|error| format!("{}: {error}", founded.display()))?
-                .group;
-        }
-        let group = group.ok_or_else(|| {
-            format!(
-                "{}: the home is a member, and neither what is applied nor {FOUNDING} says of what group",
-                path.display()
-            )
-        })?;
-        let me = place(&group, &name).ok_or_else(|| {
-            format!(
-                "{}: group {} has no member {name:?}",
-                path.display(),
-                group.name
-            )
-        })?;
+        let initial_path = group_file(home, INITIAL_MANIFEST_FILE);
+        let initial_manifest = read_if_present(&initial_path)?;
+        let applied = Applied::read(home).map_err(|error| GroupError::Applied(error.into()))?;
+        let group = match (applied.fleet.group, &initial_manifest) {
+            (Some(group), _) => Some(group),
+            (None, Some(text)) => group_of_manifest(&initial_path, text)?,
+            (None, None) => None,
+        };
+        let Some(group) = group else {
+            return Err(GroupError::UnknownGroup {
+                path,
+                initial_manifest: INITIAL_MANIFEST_FILE,
+            });
+        };
+        let Some(id) = member_id(&group, &name) else {
+            return Err(GroupError::NotAMember {
+                path,
+                group: group.name,
+                member: name,
+            });
+        };
         Ok(Some(Membership {
             name,
-            me,
+            id,
             group,
-            founding,
+            initial_manifest,
         }))
     }
 
-    /// Makes a home a member: with what it is founded, the group begins once its voters agree.
+    /// Makes a home a member. The group begins with the manifest once all its voters agree.
     ///
     /// # Errors
-    /// Where the file names no such member, or the disk does not take it.
-    pub fn found(home: &Path, name: &str, fleet: &Fleet) -> Result<(), String> {
-        let group = fleet.group.as_ref().ok_or("the file has no [group]")?;
-        if place(group, name).is_none() {
-            let names: Vec<&str> = group.members.keys().map(String::as_str).collect();
-            return Err(format!(
-                "group {} has no member {name:?}; it has {}",
-                group.name,
-                names.join(", ")
-            ));
+    /// Where the manifest has no such member, or its files cannot be written.
+    pub fn found(home: &Path, name: &str, manifest: &Fleet) -> Result<(), GroupError> {
+        let Some(group) = &manifest.group else {
+            return Err(GroupError::NoGroupInManifest);
+        };
+        if member_id(group, name).is_none() {
+            return Err(GroupError::NoSuchMember {
+                group: group.name.clone(),
+                member: name.to_owned(),
+                members: group.members.keys().cloned().collect(),
+            });
         }
-        let fault = |error: std::io::Error| format!("{}: {error}", home.join(FOLDER).display());
-        Real.make_folder(&home.join(FOLDER)).map_err(fault)?;
-        let text = serde_json::to_vec(fleet).map_err(|error| error.to_string())?;
-        replace(&Real, &file(home, FOUNDING), &text, Outlasts::Power).map_err(fault)?;
-        // Last: a home that has this is a member.
-        replace(&Real, &file(home, MEMBER), name.as_bytes(), Outlasts::Power).map_err(fault)
+        let folder = home.join(FOLDER);
+        let write_error = |source: io::Error| GroupError::Write {
+            path: folder.clone(),
+            source,
+        };
+        Real.make_folder(&folder).map_err(write_error)?;
+        let text = serde_json::to_vec(manifest).map_err(GroupError::EncodeManifest)?;
+        let initial_path = group_file(home, INITIAL_MANIFEST_FILE);
+        replace(&Real, &initial_path, &text, Outlasts::Power).map_err(write_error)?;
+        // Last: a home that has this file is a member.
+        let member_path = group_file(home, MEMBER_FILE);
+        replace(&Real, &member_path, name.as_bytes(), Outlasts::Power).map_err(write_error)
     }
 
-    /// The members' names, in their order.
+    /// The members' names, in the order of their identities.
     pub fn names(&self) -> Vec<String> {
         self.group.members.keys().cloned().collect()
     }
 
-    /// The group's figures.
-    fn terms(&self) -> Terms {
+    fn settings(&self) -> CoordinationSettings {
         let span = |ms: u64| Span(ms as i64 * 1000);
-        Terms {
-            on_cut: match self.group.on_cut {
-                OnCut::Stop => marblefall_coordination::words::OnCut::Stop,
-                OnCut::Serve => marblefall_coordination::words::OnCut::Serve,
+        CoordinationSettings {
+            partition_policy: match self.group.on_cut {
+                OnCut::Stop => PartitionPolicy::Stop,
+                OnCut::Serve => PartitionPolicy::Serve,
             },
-            term: span(self.group.term_ms),
-            drift_percent: DRIFT_PERCENT,
-            check_for: span(self.group.check_ms),
-            stop_for: span(self.group.stop_ms),
-            again: AGAIN,
+            lease_duration: span(self.group.term_ms),
+            clock_drift_percent: CLOCK_DRIFT_PERCENT,
+            check_timeout: span(self.group.check_ms),
+            quiesce_timeout: span(self.group.stop_ms),
+            resend_interval: RESEND_INTERVAL,
         }
     }
 }
 
-fn place(group: &Group, name: &str) -> Option<Member> {
-    group
-        .members
-        .keys()
-        .position(|known| known == name)
-        .map(|at| Member(at as u32))
+fn group_file(home: &Path, name: &str) -> PathBuf {
+    home.join(FOLDER).join(name)
 }
 
-/// What a change may not touch, as members could not agree on it while it changes: all of the group but which instances its
-/// members run.
-fn same_group(old: &Group, new: Option<&Group>) -> Result<(), String> {
-    let Some(new) = new else {
-        return Err("the file has no [group] any more".to_owned());
-    };
-    let fixed = |group: &Group| {
-        let mut group = group.clone();
-        group
-            .members
-            .values_mut()
-            .for_each(|member| member.instances.clear());
-        group
-    };
-    match fixed(old) == fixed(new) {
-        true => Ok(()),
-        false => Err("of [group], a change may only say which instances a member runs".to_owned()),
+/// A file's content; `None` where there is no such file.
+fn read_if_present(path: &Path) -> Result<Option<Vec<u8>>, GroupError> {
+    match fs::read(path) {
+        Ok(bytes) => Ok(Some(bytes)),
+        Err(error) if error.kind() == ErrorKind::NotFound => Ok(None),
+        Err(source) => Err(GroupError::Read {
+            path: path.to_owned(),
+            source,
+        }),
     }
 }
+
+fn group_of_manifest(path: &Path, text: &[u8]) -> Result<Option<Group>, GroupError> {
+    let manifest: Fleet =
+        serde_json::from_slice(text).map_err(|source| GroupError::InitialManifest {
+            path: path.to_owned(),
+            source,
+        })?;
+    Ok(manifest.group)
+}
+
+fn member_id(group: &Group, name: &str) -> Option<MemberId> {
+    let mut names = group.members.keys();
+    let position = names.position(|known| known == name)?;
+    Some(MemberId(position as u32))
+}
--- /dev/null
+++ b/crates/control-plane/src/group/driver/policy.rs
@@ -0,0 +1,124 @@
+//! Policies of the group: they are checked before they are agreed on, and stored in the home once they are in force.
+
+use super::{Driver, GroupEvent};
+use crate::file::{Fleet, Group};
+use crate::plan::{Applied, APPLIED};
+use marblefall_atomic_file::{replace, Outlasts, Real};
+use marblefall_coordination::identifiers::{Policy, ProposalId, Revision};
+use marblefall_coordination::message::PolicyVerdict;
+use marblefall_delivery::say;
+
+/// Why this member cannot act under a proposed policy.
+#[derive(Debug, thiserror::Error)]
+enum PolicyError {
+    #[error("the policy cannot be read: {0}")]
+    Undecodable(#[from] serde_json::Error),
+    #[error("the file has no [group] any more")]
+    NoGroup,
+    #[error("of [group], a change may only say which instances a member runs")]
+    OtherGroup,
+    #[error("its home was founded with another file")]
+    OtherInitialPolicy,
+}
+
+impl Driver {
+    /// Checks whether a proposed policy can be decoded, is one that this member can act under, and has room for the
+    /// messages that are held.
+    pub(super) fn check_policy(&self, proposal: ProposalId, follows: Revision, policy: &[u8]) {
+        let name = self.membership.name.clone();
+        let fleet = match self.check_form(follows, policy) {
+            Ok(fleet) => fleet,
+            Err(error) => {
+                let verdict = PolicyVerdict::Rejected(format!("member {name}: {error}"));
+                // Never full, and open for as long as this driver is.
+                let _ = self.verdicts.try_send((proposal, verdict));
+                return;
+            }
+        };
+        let (sender, verdict) = async_channel::bounded(1);
+        let check = GroupEvent::CheckPolicy(Box::new(fleet), sender);
+        let _ = self.group_events.try_send(check);
+        let verdicts = self.verdicts.clone();
+        self.tasks.spawn(async move {
+            let verdict = match verdict.recv().await {
+                Ok(PolicyVerdict::Accepted) => PolicyVerdict::Accepted,
+                Ok(PolicyVerdict::Rejected(reason)) => {
+                    PolicyVerdict::Rejected(format!("member {name}: {reason}"))
+                }
+                // The supervisor has ended: the leader asks again.
+                Err(_) => return,
+            };
+            let _ = verdicts.try_send((proposal, verdict));
+        });
+    }
+
+    /// Stores a policy that is in force in the home, and tells the supervisor.
+    pub(super) fn store_policy(&mut self, revision: Revision, policy: &Policy) {
+        if revision == Revision(0) {
+            return;
+        }
+        let number = revision.0;
+        let fleet: Fleet = match serde_json::from_slice(policy) {
+            Ok(fleet) => fleet,
+            Err(error) => {
+                return say!(
+                    code = "policy-unreadable",
+                    "group: revision {number} cannot be read: {error}"
+                )
+            }
+        };
+        let applied = Applied {
+            revision: number,
+            fleet,
+        };
+        if Applied::read(&self.home).is_ok_and(|stored| stored == applied) {
+            return;
+        }
+        let text = serde_json::to_vec_pretty(&applied).unwrap_or_default();
+        if let Err(error) = replace(&Real, &self.home.join(APPLIED), &text, Outlasts::Power) {
+            // Until it is stored, instances stay under their policy, for which the lease guard is closed.
+            self.unstored_policy = Some((revision, policy.clone()));
+            return say!(
+                code = "policy-not-written",
+                "group: revision {number}: {error}"
+            );
+        }
+        say!(
+            code = "policy-in-force",
+            "group: revision {number} is in force"
+        );
+        let _ = self.group_events.try_send(GroupEvent::PolicyInForce);
+    }
+
+    /// Stores a policy in force that could not be stored before.
+    pub(super) fn retry_storing_policy(&mut self) {
+        if let Some((revision, policy)) = self.unstored_policy.take() {
+            self.store_policy(revision, &policy);
+        }
+    }
+
+    /// Checks what does not depend on the instances.
+    fn check_form(&self, follows: Revision, policy: &[u8]) -> Result<Fleet, PolicyError> {
+        let fleet: Fleet = serde_json::from_slice(policy)?;
+        let group = fleet.group.as_ref().ok_or(PolicyError::NoGroup)?;
+        if fixed_settings(group) != fixed_settings(&self.membership.group) {
+            return Err(PolicyError::OtherGroup);
+        }
+        let initial_policy = self.initial_policy.as_deref();
+        let is_other_initial = initial_policy.is_some_and(|initial| initial != policy);
+        if follows == Revision(0) && is_other_initial {
+            return Err(PolicyError::OtherInitialPolicy);
+        }
+        Ok(fleet)
+    }
+}
+
+/// What a change may not touch, as members could not agree on it while it changes: all of the group but which instances
+/// its members run.
+fn fixed_settings(group: &Group) -> Group {
+    let mut group = group.clone();
+    for member in group.members.values_mut() {
+        member.instances.clear();
+    }
+    group
+}
--- /dev/null
+++ b/crates/control-plane/src/group/error.rs
@@ -0,0 +1,83 @@
+//! Why a home is no member of a group, or cannot take part in it.
+
+use std::error::Error;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Why a home is no member of a group, or cannot take part in it.
+#[derive(Debug, thiserror::Error)]
+pub enum GroupError {
+    /// A file cannot be read.
+    #[error("{}: {source}", path.display())]
+    Read {
+        /// Which file.
+        path: PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// A file, or the folder of the group, cannot be written.
+    #[error("{}: {source}", path.display())]
+    Write {
+        /// Which file or folder.
+        path: PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// What is applied in the home cannot be read.
+    #[error("{0}")]
+    Applied(#[source] Box<dyn Error + Send + Sync>),
+    /// The manifest that the home was founded with cannot be read.
+    #[error("{}: {source}", path.display())]
+    InitialManifest {
+        /// Its file.
+        path: PathBuf,
+        /// Why.
+        source: serde_json::Error,
+    },
+    /// The manifest cannot be encoded.
+    #[error("{0}")]
+    EncodeManifest(#[source] serde_json::Error),
+    /// The manifest that a home is to be founded with has no group.
+    #[error("the file has no [group]")]
+    NoGroupInManifest,
+    /// The group has no member of the name that a home is to be founded as.
+    #[error("group {group} has no member {member:?}; it has {}", members.join(", "))]
+    NoSuchMember {
+        /// The group.
+        group: String,
+        /// The name.
+        member: String,
+        /// The names of its members.
+        members: Vec<String>,
+    },
+    /// The home is a member, and no manifest in it has the group.
+    #[error(
+        "{}: the home is a member, and neither what is applied nor {initial_manifest} says of what group",
+        path.display()
+    )]
+    UnknownGroup {
+        /// The file that makes the home a member.
+        path: PathBuf,
+        /// The name of the file that the home was founded with.
+        initial_manifest: &'static str,
+    },
+    /// The group has no member of the home's name.
+    #[error("{}: group {group} has no member {member:?}", path.display())]
+    NotAMember {
+        /// The file that makes the home a member.
+        path: PathBuf,
+        /// The group.
+        group: String,
+        /// The home's name.
+        member: String,
+    },
+    /// The member's address cannot be listened at.
+    #[error("the group's link, {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+}
--- /dev/null
+++ b/crates/control-plane/src/group/transport/listener.rs
@@ -0,0 +1,162 @@
+//! Accepts the connections of members and of operators.
+
+use super::frame::{encode_frame, read_frame, FrameError};
+use super::{Hello, Peer, TransportEvent, VERSION};
+use async_channel::Sender;
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncWriteExt};
+use marblefall_coordination::identifiers::MemberId;
+use marblefall_coordination::node::{Frame, Request};
+use marblefall_delivery::net::server::Spawner;
+use marblefall_delivery::say;
+use std::cell::Cell;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Connections that are open at most.
+const MAX_CONNECTIONS: usize = 1200;
+/// A connection on which no [`Hello`] is received within this is closed.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
+/// After a connection could not be accepted, most likely for want of descriptors.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(100);
+/// Acknowledges a frame, the [`Hello`] among them.
+const ACKNOWLEDGEMENT: [u8; 1] = [1];
+
+/// What connections are accepted with.
+#[derive(Clone)]
+pub struct ListenerSetup {
+    /// The group's name: connections of other groups are closed.
+    pub group: String,
+    /// How many members the group has.
+    pub members: u32,
+    /// Who receives what is sent.
+    pub events: Sender<TransportEvent>,
+}
+
+/// Why a connection is closed.
+#[derive(Debug, thiserror::Error)]
+enum ConnectionError {
+    #[error("nothing came")]
+    NoHello,
+    #[error("it speaks version {0}, this is {VERSION}")]
+    OtherVersion(u16),
+    #[error("it is of group {0:?}")]
+    OtherGroup(String),
+    #[error("there is no member {}", .0 .0)]
+    NoSuchMember(MemberId),
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+}
+
+impl ConnectionError {
+    /// The reason code of its log line.
+    fn code(&self) -> &'static str {
+        match self {
+            ConnectionError::NoHello => "link-silent",
+            ConnectionError::OtherVersion(_) => "link-version",
+            ConnectionError::OtherGroup(_) => "link-other-group",
+            ConnectionError::NoSuchMember(_) => "link-no-member",
+            ConnectionError::Frame(error) => error.code(),
+        }
+    }
+}
+
+/// Accepts connections for as long as the task runs.
+pub async fn listen(listener: TcpListener, setup: ListenerSetup, tasks: Spawner) {
+    let Ok(listener) = Async::new(listener) else {
+        return;
+    };
+    let open = Rc::new(Cell::new(0));
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            // The connections that are open still work.
+            Timer::after(ACCEPT_BACKOFF).await;
+            continue;
+        };
+        if open.get() >= MAX_CONNECTIONS {
+            say!(
+                code = "link-too-many",
+                "link from {from} is closed: {MAX_CONNECTIONS} are open"
+            );
+            continue;
+        }
+        open.set(open.get() + 1);
+        let (setup, open) = (setup.clone(), open.clone());
+        tasks.spawn(async move {
+            serve(stream, from, &setup).await;
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+async fn serve(stream: Async<TcpStream>, from: SocketAddr, setup: &ListenerSetup) {
+    if let Err(error) = serve_connection(stream, setup).await {
+        say!(code = error.code(), "link from {from} is closed: {error}");
+    }
+}
+
+async fn serve_connection(
+    mut stream: Async<TcpStream>,
+    setup: &ListenerSetup,
+) -> Result<(), ConnectionError> {
+    let hello = read_hello(&mut stream).await?;
+    if hello.version != VERSION {
+        return Err(ConnectionError::OtherVersion(hello.version));
+    }
+    if hello.group != setup.group {
+        return Err(ConnectionError::OtherGroup(hello.group));
+    }
+    match hello.peer {
+        Peer::Operator => Ok(serve_operator(stream, setup).await?),
+        Peer::Member(member) if member.0 >= setup.members => {
+            Err(ConnectionError::NoSuchMember(member))
+        }
+        Peer::Member(member) => Ok(serve_member(stream, member, setup).await?),
+    }
+}
+
+async fn read_hello(stream: &mut Async<TcpStream>) -> Result<Hello, ConnectionError> {
+    let hello = async { Ok(read_frame::<Hello>(stream).await?) };
+    let timeout = async {
+        Timer::after(HELLO_TIMEOUT).await;
+        Err(ConnectionError::NoHello)
+    };
+    future::or(hello, timeout).await
+}
+
+async fn serve_member(
+    mut stream: Async<TcpStream>,
+    member: MemberId,
+    setup: &ListenerSetup,
+) -> Result<(), FrameError> {
+    loop {
+        stream.write_all(&ACKNOWLEDGEMENT).await?;
+        let frame = read_frame::<Frame>(&mut stream).await?;
+        let event = TransportEvent::Frame(member, frame);
+        if setup.events.send(event).await.is_err() {
+            return Ok(());
+        }
+    }
+}
+
+async fn serve_operator(
+    mut stream: Async<TcpStream>,
+    setup: &ListenerSetup,
+) -> Result<(), FrameError> {
+    loop {
+        let request = match read_frame::<Request>(&mut stream).await {
+            Err(FrameError::Connection(_)) => return Ok(()),
+            request => request?,
+        };
+        let (sender, response) = async_channel::bounded(1);
+        let event = TransportEvent::Request(request, sender);
+        if setup.events.send(event).await.is_err() {
+            return Ok(());
+        }
+        let Ok(response) = response.recv().await else {
+            return Ok(());
+        };
+        stream.write_all(&encode_frame(&response)).await?;
+    }
+}
--- a/crates/control-plane/src/supervise.rs
+++ b/crates/control-plane/src/supervise.rs
@@ -3,7 +3,7 @@
 
 use crate::build::{self, Classes};
 use crate::file::{number_of, Fleet};
-use crate::group::{self, News};
+use crate::group::{self, GroupEvent};
 use crate::listing::{self, Listing};
 use crate::plan::APPLIED;
 use crate::watch::Watch;
@@ -49,7 +49,7 @@
 pub fn run(home: &Path, history: Option<&Path>, link: Option<SocketAddr>) -> Result<(), String> {
     let signals = instance::signals()?;
     let early = (applied_at(home), listing::read(home)?);
-    let member = group::Membership::read(home)?;
+    let member = group::Membership::read(home).map_err(|error| error.to_string())?;
     // Two daemons over one folder would write into each other's journals.
     let lock = std::fs::File::create(home.join("run.lock")).map_err(|error| error.to_string())?;
     lock.try_lock().map_err(|error| {
@@ -76,7 +76,9 @@
             let gate = Arc::new(LeaseGuard::new(history.transpose()?));
             let (name, news) = (
                 member.name.clone(),
-                member.start(home, link, gate.clone(), &Spawner::new(&tasks))?,
+                member
+                    .start(home, link, gate.clone(), &Spawner::new(&tasks))
+                    .map_err(|error| error.to_string())?,
             );
             Some(Common {
                 member: name,
@@ -93,7 +95,7 @@
 struct Common {
     member: String,
     gate: Arc<LeaseGuard>,
-    news: Receiver<News>,
+    news: Receiver<GroupEvent>,
 }
 
 /// How long an instance may take to say whether a proposed policy has room for what it holds.
@@ -160,11 +162,11 @@
         while let Some(news) = arrived.take().or_else(heard) {
             match news {
                 // It is read from the folder, where it was just put.
-                News::TakenUp => seen = None,
-                News::Look => running
+                GroupEvent::PolicyInForce => seen = None,
+                GroupEvent::LeaseChanged => running
                     .values()
                     .for_each(|one| drop(one.commands.try_send(InstanceCommand::LeaseChanged))),
-                News::Check(proposed, answer) => {
+                GroupEvent::CheckPolicy(proposed, answer) => {
                     let destinations: BTreeSet<_> = proposed
                         .destinations
                         .keys()
@@ -195,7 +197,7 @@
                         .cloned()
                         .collect();
                     let verdict = fits(*proposed, asked, gone).await;
-                    let _ = answer.try_send(verdict);
+                    let _ = answer.try_send(verdict.into());
                 }
             }
         }
--- a/crates/control-plane/tests/stored_data.rs
+++ b/crates/control-plane/tests/stored_data.rs
@@ -6,7 +6,8 @@
 use marblefall_control_plane::group::Membership;
 use marblefall_control_plane::plan::Applied;
 use marblefall_control_plane::watch::{self, Standing, Status};
-use marblefall_coordination::store::Kept;
+use marblefall_coordination::persistent_state::PersistentState;
+use marblefall_coordination::replicated_state::ChangeOutcome;
 use std::fs;
 use std::path::PathBuf;
 
@@ -42,20 +43,23 @@
 #[test]
 fn voters_log_is_read_and_written_byte_for_byte() {
     let bytes = fs::read(fixture("member/group/votes")).unwrap();
-    let kept = Kept::decode(&bytes, number_of("clinics/east")).unwrap();
-    assert!(kept.length() >= 2, "{} lines", kept.length());
-    assert!(!kept.is_ending());
-    let mut book = kept.book();
-    for line in kept.since(0) {
-        book.take(line);
+    let stored = PersistentState::decode(&bytes, number_of("clinics/east")).unwrap();
+    assert!(stored.log_length() >= 2, "{} entries", stored.log_length());
+    assert!(!stored.is_configuration_ending());
+    let mut state = stored.base_state();
+    for entry in stored.entries_from(0) {
+        state.apply(entry);
     }
     assert_eq!(
-        (book.holds.0, book.voters.len(), book.past.len()),
+        (state.committed.0, state.voters.len(), state.history.len()),
         (2, 3, 2)
     );
-    assert!(book.open.is_none() && book.without.is_empty());
-    assert!(book.past.iter().all(|past| past.outcome.is_ok()));
-    assert_eq!(kept.encode(), bytes);
+    assert!(state.pending.is_none() && state.excluded.is_empty());
+    assert!(state
+        .history
+        .iter()
+        .all(|change| matches!(change.outcome, ChangeOutcome::InForce(_))));
+    assert_eq!(stored.encode(), bytes);
 }
 
 #[test]
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -1,372 +1,494 @@
-//! The leader: grants terms, and takes a proposed policy through the switch: check, stop, decide. It decides only once every
-//! member has confirmed that it is still, or has surely stopped by itself because its term has run out.
+//! The leader: grants leases, and takes a proposed policy through the two-phase change.
+//!
+//! A pending change goes through three phases: *checking*, in which every member gives its verdict on the policy;
+//! *quiescing*, in which every member stops acting; *deciding*, in which the outcome is in the log and not committed yet.
+//! The leader decides for the policy only once every member has confirmed that it is quiesced, or has surely stopped
+//! acting because its lease has expired. A negative verdict, a timeout or an operator withdraws the change.
 
-use crate::book::Book;
-use crate::words::*;
+use crate::identifiers::{
+    Epoch, MemberId, Micros, Policy, ProcessIncarnation, ProposalId, Revision,
+};
+use crate::message::{PolicyVerdict, ToLeader, ToMember};
+use crate::replicated_state::{LeaderEntry, ReplicatedState};
+use crate::settings::{CoordinationSettings, PartitionPolicy};
 use marblefall_scheduler::{Span, Time};
 use std::collections::BTreeMap;
 
-/// A member that was asked so often for its word on a change, and has not answered, gets no further term before it does.
-const ASKED: i64 = 3;
+/// After so many resend intervals without a verdict a member gets no further lease before it gives one.
+const MAX_RESENDS_BEFORE_NO_LEASE: i64 = 3;
 
-/// What the leader is to do.
+/// What the leader's driver must do.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Do {
-    /// Say this to a member.
-    Send(Member, ToMember),
-    /// Put this into the log.
-    Append(Entry),
+pub enum LeaderAction {
+    /// Send this to a member.
+    Send(MemberId, ToMember),
+    /// Append this to the log.
+    Append(LeaderEntry),
 }
 
-/// What is known of a member in one epoch.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-struct Known {
-    /// Its last term has surely run out by then; `None` is never.
-    expires: Option<Time>,
-    /// By the operators' word it is stopped.
-    without: bool,
-    checked: Option<Proposal>,
-    still: Option<Proposal>,
-    said: Option<Time>,
+/// What this leader knows of a member.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct MemberProgress {
+    /// When the member's last lease has surely expired; `None` is never.
+    lease_expires: Option<Time>,
+    /// Operators confirmed that it is stopped.
+    excluded: bool,
+    checked: Option<ProposalId>,
+    quiesced: Option<ProposalId>,
+    /// When the message of the current phase was last sent.
+    last_sent: Option<Time>,
 }
 
-impl Known {
-    /// Whether it has surely stopped by itself.
-    fn ran_out(&self, now: Time) -> bool {
-        self.without || self.expires.is_some_and(|expires| expires <= now)
+impl MemberProgress {
+    /// Whether the member has surely stopped acting by itself.
+    fn has_expired(&self, now: Time) -> bool {
+        self.excluded || self.lease_expires.is_some_and(|expires| expires <= now)
+    }
+
+    /// Whether the member has done what the phase asks for.
+    fn is_done(&self, change: &PendingChange) -> bool {
+        match change.phase {
+            Phase::Checking => self.checked == Some(change.proposal),
+            Phase::Quiescing => self.quiesced == Some(change.proposal),
+            Phase::Deciding => true,
+        }
     }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Stage {
+enum Phase {
     Checking,
-    Stopping,
+    Quiescing,
     /// An outcome is in the log, and not committed yet.
     Deciding,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Open {
-    proposal: Proposal,
+struct PendingChange {
+    proposal: ProposalId,
     policy: Policy,
-    stage: Stage,
+    phase: Phase,
+    /// When the phase began.
     since: Time,
 }
 
-/// One epoch of a leader.
+/// A member's request for a lease.
+struct LeaseRequest {
+    incarnation: ProcessIncarnation,
+    sent_at: Micros,
+    applied: Option<Revision>,
+}
+
+/// The leader of one epoch.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Leader {
-    terms: Terms,
+    settings: CoordinationSettings,
     epoch: Epoch,
-    lease: Time,
-    members: BTreeMap<Member, Known>,
-    holds: (Revision, Policy),
-    resolved: Proposal,
-    open: Option<Open>,
+    /// The end of its own lease: until then it is the only leader.
+    lease_end: Time,
+    members: BTreeMap<MemberId, MemberProgress>,
+    committed: Revision,
+    policy: Policy,
+    resolved: ProposalId,
+    pending: Option<PendingChange>,
 }
 
 impl Leader {
-    /// A leader that has just been elected, of a log that says this. What its predecessors granted may last for a whole term
-    /// from now.
+    /// A leader that was just elected, with the state of the log. A lease that an earlier leader granted may last for a
+    /// whole lease duration from now.
     pub fn elected(
-        terms: Terms,
+        settings: CoordinationSettings,
         epoch: Epoch,
         now: Time,
-        members: &[Member],
-        book: &Book,
+        members: &[MemberId],
+        state: &ReplicatedState,
     ) -> Leader {
-        let known = |member: &Member| {
-            let without = book.without.contains(member);
-            (
-                *member,
-                Known {
-                    expires: furthest(&terms, now),
-                    without,
-                    ..Known::default()
-                },
-            )
+        let progress = |member: &MemberId| MemberProgress {
+            lease_expires: latest_lease_expiry(&settings, now),
+            excluded: state.excluded.contains(member),
+            checked: None,
+            quiesced: None,
+            last_sent: None,
         };
-        let members = members.iter().map(known).collect();
-        let open = book.open.as_ref().map(|open| Open {
-            proposal: open.proposal,
-            policy: open.policy.clone(),
-            stage: Stage::Checking,
+        let pending = state.pending.as_ref().map(|change| PendingChange {
+            proposal: change.proposal,
+            policy: change.policy.clone(),
+            phase: Phase::Checking,
             since: now,
         });
-        let (holds, resolved) = ((book.holds, book.policy.clone()), book.resolved);
         Leader {
-            terms,
+            settings,
             epoch,
-            lease: now,
-            members,
-            holds,
-            resolved,
-            open,
+            lease_end: now,
+            members: members
+                .iter()
+                .map(|member| (*member, progress(member)))
+                .collect(),
+            committed: state.committed,
+            policy: state.policy.clone(),
+            resolved: state.resolved,
+            pending,
         }
     }
 
-    /// Which epoch it leads.
+    /// The epoch that it leads.
     pub fn epoch(&self) -> Epoch {
         self.epoch
     }
 
-    /// The revision in force, and the proposal that is open.
-    pub fn standing(&self) -> (Revision, Option<Proposal>) {
-        (self.holds.0, self.open.as_ref().map(|open| open.proposal))
+    /// The revision in force.
+    pub fn committed_revision(&self) -> Revision {
+        self.committed
+    }
+
+    /// The proposal that has no outcome yet.
+    pub fn pending_proposal(&self) -> Option<ProposalId> {
+        self.pending.as_ref().map(|change| change.proposal)
     }
 
-    /// Whether the open change is past the members' word on it, if there is one.
-    pub fn is_stopping(&self) -> bool {
-        self.open
+    /// Whether there is a pending change that is past its checking phase.
+    pub fn is_past_checking(&self) -> bool {
+        self.pending
             .as_ref()
-            .is_some_and(|open| open.stage != Stage::Checking)
+            .is_some_and(|change| change.phase != Phase::Checking)
     }
 
-    /// Members whose word the open change waits for.
-    pub fn waits_for(&self, now: Time) -> Vec<Member> {
-        let Some(open) = &self.open else {
-            return Vec::new();
-        };
-        let said = |known: &Known| match open.stage {
-            Stage::Checking => known.checked == Some(open.proposal),
-            Stage::Stopping => known.still == Some(open.proposal),
-            Stage::Deciding => true,
-        };
-        let waits = self
-            .members
-            .iter()
-            .filter(|(_, known)| !said(known) && !known.ran_out(now));
-        waits.map(|(member, _)| *member).collect()
+    /// Members that the pending change waits for.
+    pub fn awaited_members(&self, now: Time) -> Vec<MemberId> {
+        self.awaited(now).collect()
     }
 
-    /// Whether it is surely the only leader just now.
-    pub fn is_leased(&self, now: Time) -> bool {
-        now < self.lease
+    /// Whether it is surely the only leader at this moment.
+    pub fn holds_lease(&self, now: Time) -> bool {
+        now < self.lease_end
     }
 
     /// It is the only leader until then.
-    pub fn leased(&mut self, until: Time) {
-        self.lease = self.lease.max(until);
+    pub fn extend_lease(&mut self, until: Time) {
+        self.lease_end = self.lease_end.max(until);
     }
 
-    /// The number that a change proposed now would have, or the one that is in its way.
+    /// The number that a change proposed now would have.
     ///
     /// # Errors
-    /// The proposal that is open.
-    pub fn next_proposal(&self) -> Result<Proposal, Proposal> {
-        self.open
-            .as_ref()
-            .map_or(Ok(Proposal(self.resolved.0 + 1)), |open| Err(open.proposal))
+    /// The proposal that is pending, as there is at most one.
+    pub fn next_proposal(&self) -> Result<ProposalId, ProposalId> {
+        match &self.pending {
+            Some(change) => Err(change.proposal),
+            None => Ok(ProposalId(self.resolved.0 + 1)),
+        }
     }
 
-    /// An entry of the log is committed. The first outcome of a proposal is its outcome; what comes after changes nothing.
-    pub fn committed(&mut self, now: Time, entry: Entry, todo: &mut Vec<Do>) {
+    /// An entry of the log is committed. The first outcome of a proposal is its outcome; later ones change nothing.
+    pub fn handle_committed(
+        &mut self,
+        now: Time,
+        entry: LeaderEntry,
+        actions: &mut Vec<LeaderAction>,
+    ) {
         match entry {
-            Entry::Proposed(proposal, policy, _)
-                if self.open.is_none() && proposal > self.resolved =>
-            {
-                self.open = Some(Open {
-                    proposal,
-                    policy,
-                    stage: Stage::Checking,
-                    since: now,
-                });
-                self.members
-                    .values_mut()
-                    .for_each(|known| known.said = None);
+            LeaderEntry::Proposed(proposal, policy, _) => {
+                if self.pending.is_none() && proposal > self.resolved {
+                    self.begin_change(now, proposal, policy);
+                }
             }
-            Entry::InForce(proposal) => {
-                if let Some(open) = self.open.take_if(|open| open.proposal == proposal) {
-                    self.holds = (Revision(self.holds.0 .0 + 1), open.policy);
-                    self.resolve(proposal, todo);
+            LeaderEntry::InForce(proposal) => {
+                if let Some(change) = self.take_pending(proposal) {
+                    self.committed = Revision(self.committed.0 + 1);
+                    self.policy = change.policy;
+                    self.announce_resolved(proposal, actions);
                 }
             }
-            Entry::Withdrawn(proposal, _) => {
-                if self
-                    .open
-                    .take_if(|open| open.proposal == proposal)
-                    .is_some()
-                {
-                    self.resolve(proposal, todo);
+            LeaderEntry::Withdrawn(proposal, _) => {
+                if self.take_pending(proposal).is_some() {
+                    self.announce_resolved(proposal, actions);
                 }
             }
-            Entry::Without(member) => {
-                self.members
-                    .get_mut(&member)
-                    .into_iter()
-                    .for_each(|known| known.without = true);
+            LeaderEntry::Excluded(member) => {
+                if let Some(progress) = self.members.get_mut(&member) {
+                    progress.excluded = true;
+                }
             }
-            Entry::Back(member) => {
-                let expires = furthest(&self.terms, now);
-                if let Some(known) = self.members.get_mut(&member) {
-                    (known.without, known.expires) = (false, expires);
+            LeaderEntry::Readmitted(member) => {
+                if let Some(progress) = self.members.get_mut(&member) {
+                    progress.excluded = false;
+                    progress.lease_expires = latest_lease_expiry(&self.settings, now);
                 }
             }
-            Entry::Proposed(..) => {}
         }
-        self.tick(now, todo);
+        self.tick(now, actions);
     }
 
-    fn resolve(&mut self, proposal: Proposal, todo: &mut Vec<Do>) {
-        self.resolved = proposal;
-        todo.extend(
-            self.members
-                .keys()
-                .map(|member| Do::Send(*member, ToMember::Resolved(proposal))),
-        );
-    }
-
-    /// A member has spoken.
-    pub fn hear(&mut self, now: Time, from: Member, word: ToLeader, todo: &mut Vec<Do>) {
-        let Some(known) = self.members.get_mut(&from) else {
+    /// A member has sent a message.
+    pub fn handle_message(
+        &mut self,
+        now: Time,
+        from: MemberId,
+        message: ToLeader,
+        actions: &mut Vec<LeaderAction>,
+    ) {
+        let Some(progress) = self.members.get_mut(&from) else {
             return;
         };
-        match word {
-            ToLeader::Ask { life, asked, has } => {
-                // One that was still and asks may have been started anew: only the outcome lets it go on.
-                let stage = self.open.as_ref().map(|open| open.stage);
-                let proposal = self.open.as_ref().map(|open| open.proposal);
-                let unchecked = stage == Some(Stage::Checking) && known.checked != proposal;
-                // One that is heard and does not answer may hear nothing itself: its term must run out some time.
-                let asked_long = self.open.as_ref().is_some_and(|open| {
-                    now - open.since >= Span(self.terms.again.0 * ASKED)
-                        && self.terms.on_cut == OnCut::Stop
-                });
-                let ran_out = known.ran_out(now) || asked_long;
-                if known.without {
-                    // The next leader must know as well.
-                    return todo.push(Do::Append(Entry::Back(from)));
+        match message {
+            ToLeader::LeaseRequest { .. } if progress.excluded => {
+                // The next leader must know as well.
+                return actions.push(LeaderAction::Append(LeaderEntry::Readmitted(from)));
+            }
+            ToLeader::LeaseRequest {
+                incarnation,
+                sent_at,
+                applied,
+            } => {
+                let request = LeaseRequest {
+                    incarnation,
+                    sent_at,
+                    applied,
+                };
+                self.handle_lease_request(now, from, request, actions);
+            }
+            ToLeader::PolicyChecked(proposal, verdict) => {
+                self.handle_verdict(from, proposal, verdict, actions);
+            }
+            // From the first request to quiesce on, this leader grants no lease until the outcome: whichever process of
+            // the member responds to it, neither that one nor a later one holds a lease.
+            ToLeader::Quiesced(proposal, epoch) if epoch == self.epoch => {
+                progress.quiesced = Some(proposal);
+            }
+            ToLeader::Quiesced(..) => {}
+        }
+        self.tick(now, actions);
+    }
+
+    /// Operators withdraw the pending change.
+    pub fn withdraw_by_operator(&mut self, actions: &mut Vec<LeaderAction>) {
+        self.withdraw("withdrawn by an operator".to_owned(), actions);
+    }
+
+    /// Time has passed: moves the pending change on, and sends again what has no response.
+    pub fn tick(&mut self, now: Time, actions: &mut Vec<LeaderAction>) {
+        if self.is_phase_complete(now) {
+            self.begin_quiescing(now);
+        }
+        let Some(change) = &self.pending else { return };
+        let elapsed = now - change.since;
+        match change.phase {
+            Phase::Checking => {
+                let timed_out = self.settings.partition_policy == PartitionPolicy::Stop
+                    && elapsed >= self.settings.check_timeout;
+                if timed_out {
+                    let reason = "not every member has answered in time".to_owned();
+                    return self.withdraw(reason, actions);
                 }
-                if matches!(stage, Some(Stage::Stopping | Stage::Deciding)) || unchecked && ran_out
-                {
-                    // Said again what it waits for: it may not have heard, or have come back only now.
-                    known.said = None;
-                    todo.push(Do::Send(from, ToMember::Resolved(self.resolved)));
-                } else if let Some(length) = self.grant(now, from) {
-                    let (revision, policy) = &self.holds;
-                    let holds = (*revision, (has != Some(*revision)).then(|| policy.clone()));
-                    let (length, resolved) = (length.map(|length| length.0), self.resolved);
-                    todo.push(Do::Send(
-                        from,
-                        ToMember::Term {
-                            life,
-                            asked,
-                            length,
-                            holds,
-                            resolved,
-                        },
-                    ));
+            }
+            Phase::Quiescing if self.is_phase_complete(now) => return self.decide(actions),
+            Phase::Quiescing => {
+                if elapsed >= self.settings.quiesce_timeout {
+                    let reason = "not every member has stopped in time".to_owned();
+                    return self.withdraw(reason, actions);
                 }
             }
-            // A no counts for as long as nothing is decided, also from one that was not waited for.
-            ToLeader::Checked(proposal, verdict) => match verdict {
-                _ if self
-                    .open
-                    .as_ref()
-                    .is_none_or(|open| open.proposal != proposal) => {}
-                Ok(()) => known.checked = Some(proposal),
-                Err(reason) => self.withdraw(reason, todo),
-            },
-            // From its first word to be still on, this leader grants nothing until the outcome: whichever life of the member
-            // answers that word, it and all after it have no term.
-            ToLeader::Still(proposal, epoch) if epoch == self.epoch => known.still = Some(proposal),
-            ToLeader::Still(..) => {}
+            Phase::Deciding => return,
+        }
+        self.send_phase_messages(now, actions);
+    }
+
+    /// Grants a lease, unless the pending change stands against it.
+    fn handle_lease_request(
+        &mut self,
+        now: Time,
+        from: MemberId,
+        request: LeaseRequest,
+        actions: &mut Vec<LeaderAction>,
+    ) {
+        if self.change_forbids_lease(now, from) {
+            // Sends again what the change waits for: the member may not have received it, or has only just started.
+            if let Some(progress) = self.members.get_mut(&from) {
+                progress.last_sent = None;
+            }
+            let resolved = ToMember::Resolved(self.resolved);
+            return actions.push(LeaderAction::Send(from, resolved));
         }
-        self.tick(now, todo);
+        let Some(duration) = self.grant_lease(now, from) else {
+            return;
+        };
+        let policy = (request.applied != Some(self.committed)).then(|| self.policy.clone());
+        let granted = ToMember::LeaseGranted {
+            incarnation: request.incarnation,
+            sent_at: request.sent_at,
+            duration: duration.map(|duration| duration.0),
+            committed: (self.committed, policy),
+            resolved: self.resolved,
+        };
+        actions.push(LeaderAction::Send(from, granted));
     }
 
-    /// How long a term it may grant now, if any; notes it. Beyond its lease another one may lead.
-    fn grant(&mut self, now: Time, to: Member) -> Option<Option<Span>> {
-        let left = self.lease - now;
-        if left.0 <= 0 {
+    /// Whether a member gets no lease before the pending change is resolved, or before its verdict on it.
+    fn change_forbids_lease(&self, now: Time, member: MemberId) -> bool {
+        let (Some(change), Some(progress)) = (&self.pending, self.members.get(&member)) else {
+            return false;
+        };
+        match change.phase {
+            // A member that was quiesced and requests a lease may have restarted: only the outcome releases it.
+            Phase::Quiescing | Phase::Deciding => true,
+            Phase::Checking => {
+                // A member whose requests arrive and that gives no verdict may receive nothing: its lease must expire
+                // some time.
+                let resend_interval = self.settings.resend_interval.0;
+                let overdue = self.settings.partition_policy == PartitionPolicy::Stop
+                    && now - change.since >= Span(resend_interval * MAX_RESENDS_BEFORE_NO_LEASE);
+                !progress.is_done(change) && (progress.has_expired(now) || overdue)
+            }
+        }
+    }
+
+    /// The duration of the lease that may be granted now, if any; `Some(None)` is without end. Beyond the leader's own
+    /// lease there may be another leader.
+    fn grant_lease(&mut self, now: Time, to: MemberId) -> Option<Option<Span>> {
+        let remaining = self.lease_end - now;
+        if remaining.0 <= 0 {
             return None;
         }
-        let known = self.members.get_mut(&to)?;
-        match self.terms.on_cut {
-            OnCut::Serve => {
-                known.expires = None;
+        let progress = self.members.get_mut(&to)?;
+        match self.settings.partition_policy {
+            PartitionPolicy::Serve => {
+                progress.lease_expires = None;
                 Some(None)
             }
-            OnCut::Stop => {
-                let length = self.terms.term.min(left);
-                // It counts from when it asked, which was before now.
-                known.expires = known.expires.max(Some(now + self.terms.longest(length)));
-                Some(Some(length))
+            PartitionPolicy::Stop => {
+                let duration = self.settings.lease_duration.min(remaining);
+                // It counts from the request, which was before now.
+                let expires = now + self.settings.max_elapsed(duration);
+                progress.lease_expires = progress.lease_expires.max(Some(expires));
+                Some(Some(duration))
             }
         }
     }
 
-    fn withdraw(&mut self, reason: String, todo: &mut Vec<Do>) {
-        if let Some(open) = self
-            .open
-            .as_mut()
-            .filter(|open| open.stage != Stage::Deciding)
-        {
-            open.stage = Stage::Deciding;
-            todo.push(Do::Append(Entry::Withdrawn(open.proposal, reason)));
+    /// A rejection counts for as long as nothing is decided, also from a member that is not waited for.
+    fn handle_verdict(
+        &mut self,
+        from: MemberId,
+        proposal: ProposalId,
+        verdict: PolicyVerdict,
+        actions: &mut Vec<LeaderAction>,
+    ) {
+        if self.pending_proposal() != Some(proposal) {
+            return;
+        }
+        match verdict {
+            PolicyVerdict::Accepted => {
+                if let Some(progress) = self.members.get_mut(&from) {
+                    progress.checked = Some(proposal);
+                }
+            }
+            PolicyVerdict::Rejected(reason) => self.withdraw(reason, actions),
         }
     }
 
-    /// Operators take an open change back.
-    pub fn withdraw_by_operator(&mut self, todo: &mut Vec<Do>) {
-        self.withdraw("withdrawn by an operator".to_owned(), todo);
+    fn begin_change(&mut self, now: Time, proposal: ProposalId, policy: Policy) {
+        self.pending = Some(PendingChange {
+            proposal,
+            policy,
+            phase: Phase::Checking,
+            since: now,
+        });
+        self.forget_sent();
     }
 
-    /// Time has passed: moves the change on, and says again what was not answered.
-    pub fn tick(&mut self, now: Time, todo: &mut Vec<Do>) {
-        let Some(open) = self.open.as_mut() else {
-            return;
-        };
-        let proposal = open.proposal;
-        let waited = now - open.since;
-        match open.stage {
-            Stage::Checking => {
-                let done = |known: &Known| known.checked == Some(proposal) || known.ran_out(now);
-                if self.members.values().all(done) {
-                    (open.stage, open.since) = (Stage::Stopping, now);
-                    self.members
-                        .values_mut()
-                        .for_each(|known| known.said = None);
-                    return self.tick(now, todo);
-                }
-                if self.terms.on_cut == OnCut::Stop && waited >= self.terms.check_for {
-                    return self.withdraw("not every member has answered in time".to_owned(), todo);
-                }
+    /// Moves a change whose checking phase is complete to the next phase.
+    fn begin_quiescing(&mut self, now: Time) {
+        match &mut self.pending {
+            Some(change) if change.phase == Phase::Checking => {
+                change.phase = Phase::Quiescing;
+                change.since = now;
+                self.forget_sent();
             }
-            Stage::Stopping => {
-                let done = |known: &Known| known.still == Some(proposal) || known.ran_out(now);
-                if self.members.values().all(done) {
-                    open.stage = Stage::Deciding;
-                    return todo.push(Do::Append(Entry::InForce(proposal)));
-                }
-                if waited >= self.terms.stop_for {
-                    return self.withdraw("not every member has stopped in time".to_owned(), todo);
-                }
+            Some(_) | None => {}
+        }
+    }
+
+    fn decide(&mut self, actions: &mut Vec<LeaderAction>) {
+        if let Some(change) = &mut self.pending {
+            change.phase = Phase::Deciding;
+            actions.push(LeaderAction::Append(LeaderEntry::InForce(change.proposal)));
+        }
+    }
+
+    fn withdraw(&mut self, reason: String, actions: &mut Vec<LeaderAction>) {
+        match &mut self.pending {
+            Some(change) if change.phase != Phase::Deciding => {
+                change.phase = Phase::Deciding;
+                let withdrawn = LeaderEntry::Withdrawn(change.proposal, reason);
+                actions.push(LeaderAction::Append(withdrawn));
             }
-            Stage::Deciding => return,
+            Some(_) | None => {}
+        }
+    }
+
+    fn take_pending(&mut self, proposal: ProposalId) -> Option<PendingChange> {
+        self.pending.take_if(|change| change.proposal == proposal)
+    }
+
+    fn announce_resolved(&mut self, proposal: ProposalId, actions: &mut Vec<LeaderAction>) {
+        self.resolved = proposal;
+        let members = self.members.keys();
+        actions.extend(
+            members.map(|member| LeaderAction::Send(*member, ToMember::Resolved(proposal))),
+        );
+    }
+
+    /// The messages of a new phase are sent at once.
+    fn forget_sent(&mut self) {
+        for progress in self.members.values_mut() {
+            progress.last_sent = None;
         }
-        for (member, known) in &mut self.members {
-            let due = known.said.is_none_or(|said| now - said >= self.terms.again);
-            let word = match open.stage {
-                Stage::Checking if known.checked != Some(proposal) => {
-                    ToMember::Check(proposal, self.holds.0, open.policy.clone())
+    }
+
+    fn is_phase_complete(&self, now: Time) -> bool {
+        self.awaited(now).next().is_none()
+    }
+
+    /// Members that the pending change waits for: those that have not done what its phase asks for, and may still act.
+    fn awaited(&self, now: Time) -> impl Iterator<Item = MemberId> + '_ {
+        let members = self.pending.iter().flat_map(move |change| {
+            let members = self.members.iter();
+            members.filter(move |(_, progress)| {
+                !progress.is_done(change) && !progress.has_expired(now)
+            })
+        });
+        members.map(|(member, _)| *member)
+    }
+
+    /// Sends each member that has not done it what the phase asks for, once per resend interval.
+    fn send_phase_messages(&mut self, now: Time, actions: &mut Vec<LeaderAction>) {
+        let Some(change) = &self.pending else { return };
+        for (member, progress) in &mut self.members {
+            let due = progress
+                .last_sent
+                .is_none_or(|sent_at| now - sent_at >= self.settings.resend_interval);
+            if !due || progress.is_done(change) {
+                continue;
+            }
+            let message = match change.phase {
+                Phase::Checking => {
+                    ToMember::CheckPolicy(change.proposal, self.committed, change.policy.clone())
                 }
-                Stage::Stopping if known.still != Some(proposal) => ToMember::Stop(proposal),
-                _ => continue,
+                Phase::Quiescing => ToMember::Quiesce(change.proposal),
+                Phase::Deciding => continue,
             };
-            if due {
-                known.said = Some(now);
-                todo.push(Do::Send(*member, word));
-            }
+            progress.last_sent = Some(now);
+            actions.push(LeaderAction::Send(*member, message));
         }
     }
 }
 
-/// Until when a member may act that some leader granted a term up to now. A term ends with its leader's lease, so a new
-/// leader finds all run out where the leases hold; that they do is its driver's promise, and this does not lean on it.
-fn furthest(terms: &Terms, now: Time) -> Option<Time> {
-    match terms.on_cut {
-        OnCut::Stop => Some(now + terms.longest(terms.term)),
-        OnCut::Serve => None,
+/// When all leases have expired that some leader may have granted up to now; `None` is never. A lease ends with its
+/// leader's own, so a new leader finds all expired where those hold; that they do is its driver's guarantee, which this
+/// does not rely on.
+fn latest_lease_expiry(settings: &CoordinationSettings, now: Time) -> Option<Time> {
+    match settings.partition_policy {
+        PartitionPolicy::Stop => Some(now + settings.max_elapsed(settings.lease_duration)),
+        PartitionPolicy::Serve => None,
     }
 }
--- a/crates/coordination/src/member.rs
+++ b/crates/coordination/src/member.rs
@@ -1,171 +1,234 @@
-//! A member: whether it may act, and under which policy. It starts not knowing what holds, and acts only on a term that
-//! it asked for in this life. Once it has confirmed that it is still, only a word on the outcome lets it go on.
+//! A member: whether it may act, and under which policy.
+//!
+//! A process starts in [`LeaseState::Unknown`] and acts only while it holds a lease that it requested itself. Once it has
+//! confirmed that it is quiesced for a change, only the change's outcome releases it.
 
-use crate::words::*;
+use crate::identifiers::{Epoch, Micros, Policy, ProcessIncarnation, ProposalId, Revision};
+use crate::message::{ToLeader, ToMember};
+use crate::settings::CoordinationSettings;
 use marblefall_scheduler::{Span, Time};
 
-/// What the member is to do.
+/// What the member's driver must do.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Do {
-    /// Say this to the leader.
+pub enum MemberAction {
+    /// Send this to the leader.
     Send(ToLeader),
-    /// Check a proposed policy, which is to follow this revision, against what is held, and answer with [`ToLeader::Checked`].
-    Check(Proposal, Revision, Policy),
-    /// Write the policy down and take it up: it is the one in force.
-    TakeUp(Revision, Policy),
+    /// Check this policy, which is to follow this revision, against the messages that are held, and send the verdict with
+    /// [`ToLeader::PolicyChecked`].
+    CheckPolicy(ProposalId, Revision, Policy),
+    /// Store the policy and put it in force.
+    ApplyPolicy(Revision, Policy),
 }
 
-/// One that was let go has its term after one asking; if it has not after so many, it is cut off.
-const ASKED: i64 = 4;
+/// A member that was released gets a lease after one request; after so many without one it has lost the group.
+const MAX_REQUESTS_AFTER_RELEASE: i64 = 4;
+/// Requests within one lease: two responses may be lost.
+const REQUESTS_PER_LEASE: i64 = 3;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Standing {
-    /// It does not know what holds; it was let go on from being still then, if it was.
-    Learning(Option<Time>),
-    /// It may act until then; without end under [`OnCut::Serve`].
-    Acting(Option<Time>),
-    /// It is still, for a proposal.
-    Still(Proposal),
+enum LeaseState {
+    /// The policy in force is not known.
+    Unknown {
+        /// When the member was released from being quiesced, if it was.
+        released_at: Option<Time>,
+    },
+    /// The member may act.
+    Held {
+        /// When the lease ends; never under [`PartitionPolicy::Serve`](crate::settings::PartitionPolicy::Serve).
+        until: Option<Time>,
+    },
+    /// The member does not act until this proposal has its outcome.
+    Quiesced(ProposalId),
 }
 
-/// One life of a member.
+/// A lease as it was granted.
+struct Grant {
+    sent_at: Micros,
+    duration: Option<Micros>,
+    committed: (Revision, Option<Policy>),
+    resolved: ProposalId,
+}
+
+/// One process of a member.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct MemberState {
-    terms: Terms,
-    life: Life,
-    standing: Standing,
-    holds: Option<Revision>,
-    /// The latest leader heard.
+pub struct Member {
+    settings: CoordinationSettings,
+    incarnation: ProcessIncarnation,
+    lease: LeaseState,
+    applied: Option<Revision>,
+    /// The latest leader that sent anything.
     epoch: Epoch,
-    resolved: Proposal,
-    asked: Option<Time>,
+    resolved: ProposalId,
+    last_request: Option<Time>,
 }
 
-impl MemberState {
-    /// A life that begins.
-    pub fn new(terms: Terms, life: Life) -> MemberState {
-        let (standing, holds, epoch) = (Standing::Learning(None), None, Epoch(0));
-        MemberState {
-            terms,
-            life,
-            standing,
-            holds,
-            epoch,
-            resolved: Proposal(0),
-            asked: None,
+impl Member {
+    /// A process that starts.
+    pub fn new(settings: CoordinationSettings, incarnation: ProcessIncarnation) -> Member {
+        Member {
+            settings,
+            incarnation,
+            lease: LeaseState::Unknown { released_at: None },
+            applied: None,
+            epoch: Epoch(0),
+            resolved: ProposalId(0),
+            last_request: None,
         }
     }
 
-    /// The policy under which it may act at this moment. To be asked directly before each act: a process may have been
-    /// stopped since anything else was.
-    pub fn may_act(&self, now: Time) -> Option<Revision> {
-        match self.standing {
-            Standing::Acting(until) if until.is_none_or(|until| now < until) => self.holds,
-            _ => None,
+    /// The policy under which the member may act at this moment. To be called directly before each act: the process may
+    /// have been suspended since any earlier call.
+    pub fn holds_lease(&self, now: Time) -> Option<Revision> {
+        match self.lease {
+            LeaseState::Held { until } if until.is_none_or(|until| now < until) => self.applied,
+            LeaseState::Held { .. } | LeaseState::Unknown { .. } | LeaseState::Quiesced(_) => None,
         }
     }
 
-    /// Whether it is held still by a change that is under way, or has only just been let go and asks what holds: what is
-    /// handed in is held, not declined.
-    pub fn is_still(&self, now: Time) -> bool {
-        match self.standing {
-            Standing::Still(_) => true,
-            Standing::Learning(Some(since)) => now - since < Span(self.terms.again.0 * ASKED),
-            Standing::Learning(None) | Standing::Acting(_) => false,
+    /// Whether the member is quiesced for a change, or was just released and requests a lease: what is submitted waits
+    /// and is not rejected.
+    pub fn is_quiesced(&self, now: Time) -> bool {
+        match self.lease {
+            LeaseState::Quiesced(_) => true,
+            LeaseState::Unknown {
+                released_at: Some(released_at),
+            } => {
+                let resend_interval = self.settings.resend_interval.0;
+                now - released_at < Span(resend_interval * MAX_REQUESTS_AFTER_RELEASE)
+            }
+            LeaseState::Unknown { released_at: None } | LeaseState::Held { .. } => false,
         }
     }
 
-    /// Until when it may act, if it may: `Some(None)` is without end.
-    pub fn until(&self) -> Option<Option<Time>> {
-        match self.standing {
-            Standing::Acting(until) if self.holds.is_some() => Some(until),
-            _ => None,
+    /// The end of the lease, if one was granted: `Some(None)` is never.
+    pub fn lease_end(&self) -> Option<Option<Time>> {
+        match self.lease {
+            LeaseState::Held { until } if self.applied.is_some() => Some(until),
+            LeaseState::Held { .. } | LeaseState::Unknown { .. } | LeaseState::Quiesced(_) => None,
         }
     }
 
-    /// The policy that it last took up.
-    pub fn holds(&self) -> Option<Revision> {
-        self.holds
+    /// The policy that was last applied.
+    pub fn applied(&self) -> Option<Revision> {
+        self.applied
     }
 
-    /// When it wants to be woken.
-    pub fn wakes(&self, now: Time) -> Time {
-        self.asked.map_or(now, |asked| asked + self.pace())
-    }
-
-    /// It asks three times in a term, so that two answers may be lost.
-    fn pace(&self) -> Span {
-        match self.standing {
-            Standing::Acting(_) => Span(self.terms.term.0 / 3),
-            Standing::Learning(_) | Standing::Still(_) => self.terms.again,
-        }
+    /// When [`Member::tick`] must be called next.
+    pub fn next_wake(&self, now: Time) -> Time {
+        self.last_request
+            .map_or(now, |sent_at| sent_at + self.request_interval())
     }
 
     /// Time has passed.
-    pub fn tick(&mut self, now: Time, todo: &mut Vec<Do>) {
-        if self.wakes(now) <= now {
-            self.asked = Some(now);
-            todo.push(Do::Send(ToLeader::Ask {
-                life: self.life,
-                asked: now.0,
-                has: self.holds,
-            }));
+    pub fn tick(&mut self, now: Time, actions: &mut Vec<MemberAction>) {
+        if self.next_wake(now) <= now {
+            self.request_lease(now, actions);
         }
     }
 
-    /// A leader has spoken. What comes late, from a leader that is none any more or to an earlier life, changes nothing.
-    pub fn hear(&mut self, now: Time, epoch: Epoch, word: ToMember, todo: &mut Vec<Do>) {
+    /// The leader of this epoch has sent a message. What comes late, from a former leader or to an earlier process,
+    /// changes nothing.
+    pub fn handle_message(
+        &mut self,
+        now: Time,
+        epoch: Epoch,
+        message: ToMember,
+        actions: &mut Vec<MemberAction>,
+    ) {
         if epoch < self.epoch {
             return;
         }
         self.epoch = epoch;
-        match word {
-            ToMember::Check(proposal, follows, policy) if proposal > self.resolved => {
-                todo.push(Do::Check(proposal, follows, policy));
+        match message {
+            ToMember::CheckPolicy(proposal, follows, policy) if proposal > self.resolved => {
+                actions.push(MemberAction::CheckPolicy(proposal, follows, policy));
             }
-            ToMember::Stop(proposal) if proposal > self.resolved => {
-                self.standing = Standing::Still(proposal);
-                todo.push(Do::Send(ToLeader::Still(proposal, epoch)));
+            ToMember::Quiesce(proposal) if proposal > self.resolved => {
+                self.lease = LeaseState::Quiesced(proposal);
+                actions.push(MemberAction::Send(ToLeader::Quiesced(proposal, epoch)));
             }
-            ToMember::Resolved(proposal) => {
-                self.resolved = self.resolved.max(proposal);
-                if matches!(self.standing, Standing::Still(still) if still <= self.resolved) {
-                    self.standing = Standing::Learning(Some(now));
-                    self.asked = None;
-                    self.tick(now, todo);
-                }
-            }
-            ToMember::Term {
-                life,
-                asked,
-                length,
-                holds,
+            ToMember::Resolved(proposal) => self.handle_resolved(now, proposal, actions),
+            ToMember::LeaseGranted {
+                incarnation,
+                sent_at,
+                duration,
+                committed,
                 resolved,
-            } if life == self.life => {
-                // One that was granted before it was told to be still is void.
-                let void = matches!(self.standing, Standing::Still(still) if resolved < still);
-                let until = length.map(|length| Time(asked) + self.terms.shortest(Span(length)));
-                if void || resolved < self.resolved || until.is_some_and(|until| until <= now) {
-                    return;
-                }
-                let (revision, policy) = holds;
-                if self.holds != Some(revision) {
-                    // One that is not told what it says asks again.
-                    let Some(policy) = policy else { return };
-                    self.holds = Some(revision);
-                    todo.push(Do::TakeUp(revision, policy));
-                    // Says at once that it has it: whoever applied the change waits for that.
-                    self.asked = None;
-                    self.tick(now, todo);
-                }
-                self.resolved = resolved;
-                self.standing = Standing::Acting(match self.standing {
-                    // Answers may overtake each other.
-                    Standing::Acting(had) => had.max(until),
-                    _ => until,
-                });
+            } if incarnation == self.incarnation => {
+                let grant = Grant {
+                    sent_at,
+                    duration,
+                    committed,
+                    resolved,
+                };
+                self.handle_grant(now, grant, actions);
+            }
+            ToMember::CheckPolicy(..) | ToMember::Quiesce(_) | ToMember::LeaseGranted { .. } => {}
+        }
+    }
+
+    fn handle_resolved(
+        &mut self,
+        now: Time,
+        proposal: ProposalId,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        self.resolved = self.resolved.max(proposal);
+        match self.lease {
+            LeaseState::Quiesced(quiesced) if quiesced <= self.resolved => {
+                self.lease = LeaseState::Unknown {
+                    released_at: Some(now),
+                };
+                self.request_lease(now, actions);
             }
-            ToMember::Check(..) | ToMember::Stop(_) | ToMember::Term { .. } => {}
+            LeaseState::Quiesced(_) | LeaseState::Unknown { .. } | LeaseState::Held { .. } => {}
+        }
+    }
+
+    fn handle_grant(&mut self, now: Time, grant: Grant, actions: &mut Vec<MemberAction>) {
+        // One that was granted before the member was quiesced is void.
+        let void = match self.lease {
+            LeaseState::Quiesced(quiesced) => grant.resolved < quiesced,
+            LeaseState::Unknown { .. } | LeaseState::Held { .. } => false,
+        };
+        let until = grant
+            .duration
+            .map(|duration| Time(grant.sent_at) + self.settings.min_elapsed(Span(duration)));
+        let expired = until.is_some_and(|until| until <= now);
+        if void || grant.resolved < self.resolved || expired {
+            return;
+        }
+        let (revision, policy) = grant.committed;
+        if self.applied != Some(revision) {
+            // Without its content the policy is requested again.
+            let Some(policy) = policy else { return };
+            self.applied = Some(revision);
+            actions.push(MemberAction::ApplyPolicy(revision, policy));
+            // Reports the applied revision at once: whoever proposed the change waits for it.
+            self.request_lease(now, actions);
+        }
+        self.resolved = grant.resolved;
+        let until = match self.lease {
+            // Responses may overtake each other.
+            LeaseState::Held { until: earlier } => earlier.max(until),
+            LeaseState::Unknown { .. } | LeaseState::Quiesced(_) => until,
+        };
+        self.lease = LeaseState::Held { until };
+    }
+
+    fn request_lease(&mut self, now: Time, actions: &mut Vec<MemberAction>) {
+        self.last_request = Some(now);
+        actions.push(MemberAction::Send(ToLeader::LeaseRequest {
+            incarnation: self.incarnation,
+            sent_at: now.0,
+            applied: self.applied,
+        }));
+    }
+
+    fn request_interval(&self) -> Span {
+        match self.lease {
+            LeaseState::Held { .. } => Span(self.settings.lease_duration.0 / REQUESTS_PER_LEASE),
+            LeaseState::Unknown { .. } | LeaseState::Quiesced(_) => self.settings.resend_interval,
         }
     }
 }
--- /dev/null
+++ b/crates/coordination/src/voter/amnesia.rs
@@ -0,0 +1,244 @@
+//! Whether a voter's storage still has what it once acknowledged, and how a voter whose storage has not is admitted as a
+//! new one.
+//!
+//! A voter that starts shows its storage to the others ([`VoterMessage::Hello`]) and participates once enough of them
+//! know of no later state of it. If one does, the storage was lost or restored from an old copy: the voter takes a new
+//! [`StorageId`] and asks the leader to be admitted with it, by a configuration of its own.
+
+use super::{Participation, Voter, VoterAction, VoterMessage, HELLO_INTERVAL};
+use crate::identifiers::{MemberId, StorageId, StorageVersion};
+use crate::persistent_state::PersistentState;
+use crate::replicated_state::{LogEntry, ReplicatedState};
+use marblefall_scheduler::Time;
+use omnipaxos::messages::sequence_paxos::PaxosMsg;
+use omnipaxos::messages::Message;
+use std::collections::btree_map::Entry;
+use std::collections::BTreeMap;
+
+/// What another voter knows of this one's storage.
+pub(super) struct KnownStorage {
+    pub(super) own: StorageId,
+    pub(super) configuration: u32,
+    pub(super) known: StorageVersion,
+}
+
+impl Voter {
+    pub(super) fn handle_hello(
+        &mut self,
+        now: Time,
+        from: MemberId,
+        shown: StorageVersion,
+        configuration: u32,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        let mut state = self.storage.state_mut();
+        // Before a group is founded nobody has acknowledged anything: storage that was lost is as good as any other.
+        let is_replaced = |known: &StorageVersion| known.id != shown.id;
+        if state.configuration == 0 && state.peers.get(&from).is_some_and(is_replaced) {
+            state.peers.remove(&from);
+        }
+        let known = match state.peers.entry(from) {
+            Entry::Vacant(vacant) => {
+                self.storage.mark_unsaved();
+                *vacant.insert(shown)
+            }
+            Entry::Occupied(occupied) => {
+                let known = occupied.into_mut();
+                if known.id == shown.id {
+                    known.write_count = known.write_count.max(shown.write_count);
+                }
+                *known
+            }
+        };
+        let response = VoterMessage::KnownStorage {
+            own: state.storage.id,
+            configuration: state.configuration,
+            known,
+        };
+        let is_behind = configuration < state.configuration;
+        drop(state);
+        actions.push(VoterAction::Send(from, response));
+        if is_behind {
+            self.send_configuration(now, from, actions);
+        }
+    }
+
+    pub(super) fn handle_known_storage(
+        &mut self,
+        now: Time,
+        from: MemberId,
+        response: KnownStorage,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        let Participation::Recovering(responded) = &mut self.participation else {
+            return;
+        };
+        let mut state = self.storage.state_mut();
+        let own = state.storage;
+        if response.known.id != own.id || response.known.write_count > own.write_count {
+            drop(state);
+            return self.replace_storage(now, response.known, actions);
+        }
+        if let Entry::Vacant(unknown) = state.peers.entry(from) {
+            unknown.insert(StorageVersion {
+                id: response.own,
+                write_count: 0,
+            });
+            self.storage.mark_unsaved();
+        }
+        let is_founded = state.configuration > 0;
+        drop(state);
+        responded.insert(from);
+        let required = match is_founded {
+            true => self.voters.len() / 2,
+            // All must respond when a group is founded: one that is not known could be one that has lost its storage.
+            false if response.configuration == 0 => self.voters.len() - 1,
+            false => return,
+        };
+        if responded.len() >= required {
+            self.participate(now, actions);
+        }
+    }
+
+    /// Participates from now on, and founds the group if it has no configuration yet.
+    pub(super) fn participate(&mut self, now: Time, actions: &mut Vec<VoterAction>) {
+        let mut state = self.storage.state_mut();
+        if state.configuration == 0 {
+            let peers = state.peers.iter();
+            let mut voters: BTreeMap<MemberId, StorageId> = peers
+                .map(|(member, storage)| (*member, storage.id))
+                .collect();
+            voters.insert(self.own_id, state.storage.id);
+            state.begin_configuration(1, ReplicatedState::new(voters));
+            self.storage.mark_unsaved();
+        }
+        drop(state);
+        self.participation = Participation::Participating;
+        self.start_log(now);
+        actions.push(VoterAction::Log(
+            "voter-participates",
+            format!("in configuration {}", self.status().configuration),
+        ));
+    }
+
+    /// Sends the current configuration to a voter that does not know it, at most once per interval.
+    pub(super) fn send_configuration(
+        &mut self,
+        now: Time,
+        to: MemberId,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        let last_sent = self.configuration_sent.get(&to);
+        if last_sent.is_some_and(|sent_at| now - *sent_at < HELLO_INTERVAL) {
+            return;
+        }
+        let state = self.storage.state();
+        if let Some(base) = state.base.clone() {
+            self.configuration_sent.insert(to, now);
+            let message = VoterMessage::Configuration(state.configuration, Box::new(base));
+            actions.push(VoterAction::Send(to, message));
+        }
+    }
+
+    /// A configuration may be later than the one that is known here: its log begins with this state.
+    pub(super) fn handle_configuration(
+        &mut self,
+        now: Time,
+        configuration: u32,
+        base: ReplicatedState,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        let state = self.storage.state();
+        let is_admitted = base.voters.get(&self.own_id) == Some(&state.storage.id);
+        // Storage that may be an old copy could have participated in that configuration already.
+        let is_current = match &self.participation {
+            Participation::Recovering(responded) => {
+                state.configuration == 0 && responded.len() >= self.voters.len() / 2
+            }
+            Participation::Participating | Participation::AwaitingAdmission => true,
+        };
+        if configuration <= state.configuration || !is_admitted || !is_current {
+            return;
+        }
+        drop(state);
+        actions.push(VoterAction::Log(
+            "voter-admitted",
+            format!("participates in configuration {configuration}"),
+        ));
+        self.begin_configuration(now, configuration, base, actions);
+    }
+
+    /// A voter whose storage was replaced is admitted by a configuration of its own.
+    pub(super) fn handle_admission_request(
+        &mut self,
+        now: Time,
+        member: MemberId,
+        id: StorageId,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        if self.state.voters.get(&member) == Some(&id) {
+            return self.send_configuration(now, member, actions);
+        }
+        let mut voters = self.state.voters.clone();
+        voters.insert(member, id);
+        if self.reconfigure(voters) {
+            actions.push(VoterAction::Log(
+                "voter-admission",
+                format!("member {} is admitted with a new storage", member.0),
+            ));
+        }
+    }
+
+    /// Keeps how often another voter's storage had been written.
+    pub(super) fn note_write_count(
+        &mut self,
+        from: MemberId,
+        write_count: u64,
+        message: &Message<LogEntry>,
+    ) {
+        let mut state = self.storage.state_mut();
+        let known = state.peers.get_mut(&from);
+        let Some(known) = known.filter(|known| known.write_count < write_count) else {
+            return;
+        };
+        known.write_count = write_count;
+        // What a majority depends on must be known of those that form it, also after this voter's restart.
+        let acknowledges = match message {
+            Message::SequencePaxos(paxos) => {
+                matches!(paxos.msg, PaxosMsg::Accepted(_) | PaxosMsg::Promise(_))
+            }
+            Message::BLE(_) => false,
+        };
+        if acknowledges {
+            self.storage.mark_unsaved();
+        }
+    }
+
+    /// Neither the promises nor the log of this storage are known any more: the voter must not vote as if they were.
+    fn replace_storage(
+        &mut self,
+        now: Time,
+        known: StorageVersion,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        let mut state = self.storage.state_mut();
+        let cause = if known.id != state.storage.id {
+            "another storage"
+        } else {
+            "a later state of this storage"
+        };
+        *state = PersistentState::new(state.owner, StorageId(self.seed));
+        drop(state);
+        self.seed = self
+            .seed
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        self.storage.mark_unsaved();
+        self.participation = Participation::AwaitingAdmission;
+        self.next_hello = now;
+        actions.push(VoterAction::Log(
+            "storage-amnesia",
+            format!("another voter knows {cause}: no vote from here until it is admitted as new"),
+        ));
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/voter/replication.rs
@@ -0,0 +1,206 @@
+//! The replicated log: entries go in through the consensus library, and are applied to the state once it has decided them.
+//! A log that has grown long is cut by beginning another configuration of the same voters.
+
+use super::leadership::Leadership;
+use super::{Participation, Voter, VoterAction, VoterMessage};
+use crate::identifiers::{MemberId, StorageId};
+use crate::replicated_state::{LogEntry, ReplicatedState};
+use marblefall_scheduler::Time;
+use omnipaxos::messages::Message;
+use omnipaxos::util::LogEntry as PaxosEntry;
+use omnipaxos::{ClusterConfig, ServerConfig};
+use std::collections::BTreeMap;
+
+/// Ticks of one round of the library's heartbeats.
+const HEARTBEAT_TICKS: u64 = 4;
+/// Ticks after which the library sends again what was lost.
+const RESEND_TICKS: u64 = 8;
+/// Entries that the library buffers.
+const PAXOS_BUFFER: usize = 64;
+/// A log of so many entries is cut.
+const MAX_LOG_LENGTH: usize = 96;
+
+/// A message of the consensus library, with what it depends on.
+pub(super) struct Envelope {
+    pub(super) configuration: u32,
+    pub(super) write_count: u64,
+    pub(super) message: Message<LogEntry>,
+}
+
+impl Voter {
+    /// Appends to the log.
+    pub(super) fn propose(&mut self, entry: LogEntry) {
+        if self.is_only_voter {
+            self.storage.append_undisputed(entry);
+        } else if let Some(paxos) = &mut self.paxos {
+            // Fails where the configuration is ending; whoever proposed it asks again.
+            let _ = paxos.append(entry);
+        }
+    }
+
+    /// Ends the current configuration with one of these voters to follow; whether it may.
+    pub(super) fn reconfigure(&mut self, voters: BTreeMap<MemberId, StorageId>) -> bool {
+        let may = self.leadership.is_leading()
+            && self.participation == Participation::Participating
+            && !self.storage.state().is_configuration_ending();
+        if may {
+            self.propose(LogEntry::ConfigurationEnded(voters));
+        }
+        may
+    }
+
+    pub(super) fn handle_paxos(
+        &mut self,
+        now: Time,
+        from: MemberId,
+        envelope: Envelope,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        let configuration = self.storage.state().configuration;
+        if envelope.configuration < configuration {
+            return self.send_configuration(now, from, actions);
+        }
+        let participates = self.participation == Participation::Participating;
+        if envelope.configuration > configuration || !participates {
+            return;
+        }
+        let message = envelope.message;
+        self.note_write_count(from, envelope.write_count, &message);
+        let addressed = Some(message.get_sender()) == self.paxos_id(from)
+            && Some(message.get_receiver()) == self.paxos_id(self.own_id);
+        if let Some(paxos) = self.paxos.as_mut().filter(|_| addressed) {
+            paxos.handle_incoming(message);
+        }
+    }
+
+    /// Applies what the consensus library has decided, and hands out what it sends.
+    pub(super) fn advance(&mut self, now: Time, actions: &mut Vec<VoterAction>) {
+        if self.participation != Participation::Participating {
+            return;
+        }
+        if self.is_only_voter {
+            // What an earlier process left comes before this one's epoch.
+            self.apply_decided(now, actions);
+        }
+        self.update_leadership(actions);
+        self.apply_decided(now, actions);
+        self.send_paxos_messages(actions);
+    }
+
+    /// Begins a configuration with an empty log after this state.
+    pub(super) fn begin_configuration(
+        &mut self,
+        now: Time,
+        configuration: u32,
+        base: ReplicatedState,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        if self.leadership.is_leading() {
+            actions.push(VoterAction::Deposed);
+        }
+        self.leadership = Leadership::Follower;
+        self.storage
+            .state_mut()
+            .begin_configuration(configuration, base);
+        self.storage.mark_unsaved();
+        self.participation = Participation::Participating;
+        self.start_log(now);
+    }
+
+    /// Starts the consensus library on what is stored.
+    pub(super) fn start_log(&mut self, now: Time) {
+        let configuration = self.storage.state().configuration;
+        self.state = self.storage.state().base_state();
+        self.applied = 0;
+        self.leadership = Leadership::Follower;
+        self.next_tick = now;
+        self.next_lease_round = now;
+        self.lease_rounds.clear();
+        if self.is_only_voter {
+            return;
+        }
+        let cluster = ClusterConfig {
+            configuration_id: configuration,
+            nodes: (1..=self.voters.len() as u64).collect(),
+            flexible_quorum: None,
+        };
+        let server = ServerConfig {
+            pid: self.paxos_id(self.own_id).unwrap_or(1),
+            election_tick_timeout: HEARTBEAT_TICKS,
+            resend_message_tick_timeout: RESEND_TICKS,
+            buffer_size: PAXOS_BUFFER,
+            ..ServerConfig::default()
+        };
+        self.paxos = cluster.build_for_server(server, self.storage.clone()).ok();
+    }
+
+    fn apply_decided(&mut self, now: Time, actions: &mut Vec<VoterAction>) {
+        for entry in self.decided_entries() {
+            self.applied += 1;
+            let epoch_started = match &entry {
+                LogEntry::EpochStarted(epoch) => Some(*epoch),
+                LogEntry::Leader { .. } | LogEntry::ConfigurationEnded(_) => None,
+            };
+            let ended = matches!(entry, LogEntry::ConfigurationEnded(_));
+            actions.extend(self.state.apply(entry).map(VoterAction::Committed));
+            if ended {
+                return self.begin_next_configuration(now, actions);
+            }
+            if let Some(epoch) = epoch_started {
+                self.handle_epoch_started(now, epoch, actions);
+            }
+        }
+        let is_long = self.storage.state().log_length() >= MAX_LOG_LENGTH;
+        if is_long && self.state.pending.is_none() {
+            self.reconfigure(self.state.voters.clone());
+        }
+    }
+
+    /// Entries that are decided and not applied yet.
+    fn decided_entries(&self) -> Vec<LogEntry> {
+        let Some(paxos) = &self.paxos else {
+            return self.storage.state().entries_from(self.applied);
+        };
+        let decided = paxos.read_decided_suffix(self.applied).unwrap_or_default();
+        decided
+            .into_iter()
+            .filter_map(|entry| match entry {
+                PaxosEntry::Decided(entry) => Some(entry),
+                // Nothing else is ever put into this log.
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Begins the configuration that follows the one that has ended, and sends it to the others.
+    fn begin_next_configuration(&mut self, now: Time, actions: &mut Vec<VoterAction>) {
+        let configuration = self.storage.state().configuration + 1;
+        self.begin_configuration(now, configuration, self.state.clone(), actions);
+        let others: Vec<MemberId> = self.others().collect();
+        for other in others {
+            self.configuration_sent.remove(&other);
+            self.send_configuration(now, other, actions);
+        }
+    }
+
+    fn send_paxos_messages(&mut self, actions: &mut Vec<VoterAction>) {
+        let Some(paxos) = &mut self.paxos else { return };
+        let mut messages = Vec::new();
+        paxos.take_outgoing_messages(&mut messages);
+        let state = self.storage.state();
+        // They depend on the next write, if there is one to come.
+        let write_count = state.storage.write_count + u64::from(self.storage.is_unsaved());
+        for message in messages {
+            let position = message.get_receiver().saturating_sub(1) as usize;
+            let Some(receiver) = self.voters.iter().nth(position) else {
+                continue;
+            };
+            let message = VoterMessage::Paxos {
+                configuration: state.configuration,
+                write_count,
+                message,
+            };
+            actions.push(VoterAction::Send(*receiver, message));
+        }
+    }
+}
--- a/crates/coordination/tests/model.rs
+++ b/crates/coordination/tests/model.rs
@@ -2,10 +2,14 @@
 //! words that arrive late, out of order or never, members that die and begin anew, leaders that do not know that they are none
 //! any more, and clocks of different speeds.
 
-use marblefall_coordination::book::{Book, Line};
-use marblefall_coordination::leader::{self, Leader};
-use marblefall_coordination::member::{self, MemberState};
-use marblefall_coordination::words::*;
+use marblefall_coordination::identifiers::{
+    Author, Epoch, MemberId, Policy, ProcessIncarnation, Revision,
+};
+use marblefall_coordination::leader::{Leader, LeaderAction};
+use marblefall_coordination::member::{Member, MemberAction};
+use marblefall_coordination::message::{PolicyVerdict, ToLeader, ToMember};
+use marblefall_coordination::replicated_state::{LeaderEntry, LogEntry, ReplicatedState};
+use marblefall_coordination::settings::{CoordinationSettings, PartitionPolicy};
 use marblefall_scheduler::{Span, Time};
 use stateright::{Checker, Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
@@ -20,60 +24,60 @@
     /// Units of time that pass.
     time: i64,
     /// Members that die and begin anew.
-    deaths: u8,
+    restarts: u8,
     /// Leaders after the first.
     elections: u8,
     /// Words that may be on their way at once.
-    flying: usize,
+    max_in_flight: usize,
     /// A member acts on after its term: put in on purpose.
-    acts_on: bool,
+    acts_after_lease: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-enum Word {
-    Up(Member, ToLeader),
-    Down(Member, Epoch, ToMember),
+enum Message {
+    ToLeader(MemberId, ToLeader),
+    ToMember(MemberId, Epoch, ToMember),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct World {
+struct Simulation {
     now: i64,
-    book: Book,
+    state: ReplicatedState,
     /// The latest last: only its entries are committed.
     leaders: Vec<Leader>,
-    leased_until: i64,
+    lease_end: i64,
     /// Entries on their way.
-    appended: Vec<(Epoch, Entry)>,
-    members: Vec<MemberState>,
+    appended: Vec<(Epoch, LeaderEntry)>,
+    members: Vec<Member>,
     /// What each last acted under, for those that go wrong.
-    acted: Vec<Option<Revision>>,
-    lives: u64,
-    net: BTreeSet<Word>,
-    deaths: u8,
+    last_acted: Vec<Option<Revision>>,
+    starts: u64,
+    in_flight: BTreeSet<Message>,
+    restarts: u8,
     elections: u8,
     highest: Revision,
-    broken: bool,
+    is_broken: bool,
     proposed: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
 enum Action {
-    Arrives(Word),
-    Commits,
-    Proposes,
-    Passes,
-    Dies(usize),
-    Elects,
+    Deliver(Message),
+    Commit,
+    Propose,
+    AdvanceTime,
+    Restart(usize),
+    Elect,
 }
 
-fn terms() -> Terms {
-    Terms {
-        on_cut: OnCut::Stop,
-        term: Span(2 * UNIT),
-        drift_percent: 10,
-        check_for: Span(4 * UNIT),
-        stop_for: Span(4 * UNIT),
-        again: Span(2 * UNIT),
+fn settings() -> CoordinationSettings {
+    CoordinationSettings {
+        partition_policy: PartitionPolicy::Stop,
+        lease_duration: Span(2 * UNIT),
+        clock_drift_percent: 10,
+        check_timeout: Span(4 * UNIT),
+        quiesce_timeout: Span(4 * UNIT),
+        resend_interval: Span(2 * UNIT),
     }
 }
 
@@ -87,218 +91,260 @@
 }
 
 impl Group {
-    fn say(&self, world: &mut World, word: Word) {
+    fn send(&self, simulation: &mut Simulation, message: Message) {
         // One that finds no room is lost.
-        if world.net.len() < self.flying {
-            world.net.insert(word);
+        if simulation.in_flight.len() < self.max_in_flight {
+            simulation.in_flight.insert(message);
         }
     }
 
-    fn lead(
+    fn call_leader(
         &self,
-        world: &mut World,
+        simulation: &mut Simulation,
         which: usize,
-        act: impl FnOnce(&mut Leader, Time, &mut Vec<leader::Do>),
+        act: impl FnOnce(&mut Leader, Time, &mut Vec<LeaderAction>),
     ) {
-        let (now, mut todo) = (Time(world.now), Vec::new());
-        act(&mut world.leaders[which], now, &mut todo);
-        let epoch = world.leaders[which].epoch();
-        for todo in todo {
-            match todo {
-                leader::Do::Send(to, word) => self.say(world, Word::Down(to, epoch, word)),
-                leader::Do::Append(entry) if !world.appended.contains(&(epoch, entry.clone())) => {
-                    world.appended.push((epoch, entry));
+        let (now, mut actions) = (Time(simulation.now), Vec::new());
+        act(&mut simulation.leaders[which], now, &mut actions);
+        let epoch = simulation.leaders[which].epoch();
+        for actions in actions {
+            match actions {
+                LeaderAction::Send(to, message) => {
+                    self.send(simulation, Message::ToMember(to, epoch, message))
                 }
-                leader::Do::Append(_) => {}
+                LeaderAction::Append(entry)
+                    if !simulation.appended.contains(&(epoch, entry.clone())) =>
+                {
+                    simulation.appended.push((epoch, entry));
+                }
+                LeaderAction::Append(_) => {}
             }
         }
     }
 
-    fn live(
+    fn call_member(
         &self,
-        world: &mut World,
+        simulation: &mut Simulation,
         which: usize,
-        act: impl FnOnce(&mut MemberState, Time, &mut Vec<member::Do>),
+        act: impl FnOnce(&mut Member, Time, &mut Vec<MemberAction>),
     ) {
-        let (now, mut todo) = (clock(which, world.now), Vec::new());
-        act(&mut world.members[which], now, &mut todo);
-        let member = Member(which as u32);
-        for todo in todo {
-            match todo {
-                member::Do::Send(word) => self.say(world, Word::Up(member, word)),
-                member::Do::Check(proposal, ..) => {
-                    self.say(world, Word::Up(member, ToLeader::Checked(proposal, Ok(()))));
+        let (now, mut actions) = (clock(which, simulation.now), Vec::new());
+        act(&mut simulation.members[which], now, &mut actions);
+        let member = MemberId(which as u32);
+        for actions in actions {
+            match actions {
+                MemberAction::Send(message) => {
+                    self.send(simulation, Message::ToLeader(member, message))
+                }
+                MemberAction::CheckPolicy(proposal, ..) => {
+                    self.send(
+                        simulation,
+                        Message::ToLeader(
+                            member,
+                            ToLeader::PolicyChecked(proposal, PolicyVerdict::Accepted),
+                        ),
+                    );
                 }
-                member::Do::TakeUp(..) => {}
+                MemberAction::ApplyPolicy(..) => {}
             }
         }
     }
 
     /// Every member that may act does, at this very moment.
-    fn act(&self, world: &mut World) {
-        for which in 0..world.members.len() {
-            let may = world.members[which].may_act(clock(which, world.now));
+    fn act(&self, simulation: &mut Simulation) {
+        for which in 0..simulation.members.len() {
+            let may = simulation.members[which].holds_lease(clock(which, simulation.now));
             if may.is_some() {
-                world.acted[which] = may;
+                simulation.last_acted[which] = may;
             }
-            let acts = if self.acts_on {
-                may.or(world.acted[which])
+            let acts = if self.acts_after_lease {
+                may.or(simulation.last_acted[which])
             } else {
                 may
             };
             let Some(revision) = acts else { continue };
-            world.broken |= revision < world.highest;
-            world.highest = world.highest.max(revision);
+            simulation.is_broken |= revision < simulation.highest;
+            simulation.highest = simulation.highest.max(revision);
         }
     }
 
-    fn elect(&self, world: &mut World) {
-        world.leased_until = world.now + 2 * UNIT;
-        world.appended.clear();
-        let epoch = Epoch(world.book.epoch.0 + 1);
-        world.book.take(Line::Begins(epoch));
-        let members: Vec<Member> = (0..self.members).map(Member).collect();
-        let mut leader = Leader::elected(terms(), epoch, Time(world.now), &members, &world.book);
-        leader.leased(Time(world.leased_until));
-        world.leaders.push(leader);
-        if world.leaders.len() > 2 {
-            world.leaders.remove(0);
+    fn elect(&self, simulation: &mut Simulation) {
+        simulation.lease_end = simulation.now + 2 * UNIT;
+        simulation.appended.clear();
+        let epoch = Epoch(simulation.state.epoch.0 + 1);
+        simulation.state.apply(LogEntry::EpochStarted(epoch));
+        let members: Vec<MemberId> = (0..self.members).map(MemberId).collect();
+        let mut leader = Leader::elected(
+            settings(),
+            epoch,
+            Time(simulation.now),
+            &members,
+            &simulation.state,
+        );
+        leader.extend_lease(Time(simulation.lease_end));
+        simulation.leaders.push(leader);
+        if simulation.leaders.len() > 2 {
+            simulation.leaders.remove(0);
         }
     }
 }
 
 impl Model for Group {
-    type State = World;
+    type State = Simulation;
     type Action = Action;
 
-    fn init_states(&self) -> Vec<World> {
-        let member = |life| MemberState::new(terms(), Life(life));
-        let mut world = World {
+    fn init_states(&self) -> Vec<Simulation> {
+        let member = |life| Member::new(settings(), ProcessIncarnation(life));
+        let mut simulation = Simulation {
             now: 0,
-            book: Book::new(BTreeMap::new()),
+            state: ReplicatedState::new(BTreeMap::new()),
             leaders: Vec::new(),
-            leased_until: 0,
+            lease_end: 0,
             appended: Vec::new(),
             members: (0..u64::from(self.members)).map(member).collect(),
-            acted: vec![None; self.members as usize],
-            lives: u64::from(self.members),
-            net: BTreeSet::new(),
-            deaths: 0,
+            last_acted: vec![None; self.members as usize],
+            starts: u64::from(self.members),
+            in_flight: BTreeSet::new(),
+            restarts: 0,
             elections: 0,
             highest: Revision(0),
-            broken: false,
+            is_broken: false,
             proposed: false,
         };
-        self.elect(&mut world);
+        self.elect(&mut simulation);
         (0..self.members as usize).for_each(|which| {
-            self.live(&mut world, which, |state, now, todo| state.tick(now, todo))
+            self.call_member(&mut simulation, which, |state, now, actions| {
+                state.tick(now, actions)
+            })
         });
-        vec![world]
+        vec![simulation]
     }
 
-    fn actions(&self, world: &World, actions: &mut Vec<Action>) {
-        if world.broken {
+    fn actions(&self, simulation: &Simulation, actions: &mut Vec<Action>) {
+        if simulation.is_broken {
             return;
         }
-        actions.extend(world.net.iter().cloned().map(Action::Arrives));
-        if !world.appended.is_empty() {
-            actions.push(Action::Commits);
+        actions.extend(simulation.in_flight.iter().cloned().map(Action::Deliver));
+        if !simulation.appended.is_empty() {
+            actions.push(Action::Commit);
         }
-        if !world.proposed {
-            actions.push(Action::Proposes);
+        if !simulation.proposed {
+            actions.push(Action::Propose);
         }
-        if world.now < self.time * UNIT {
-            actions.push(Action::Passes);
+        if simulation.now < self.time * UNIT {
+            actions.push(Action::AdvanceTime);
         }
-        if world.deaths < self.deaths {
-            actions.extend((0..self.members as usize).map(Action::Dies));
+        if simulation.restarts < self.restarts {
+            actions.extend((0..self.members as usize).map(Action::Restart));
         }
-        if world.elections < self.elections && world.leased_until <= world.now {
-            actions.push(Action::Elects);
+        if simulation.elections < self.elections && simulation.lease_end <= simulation.now {
+            actions.push(Action::Elect);
         }
     }
 
-    fn next_state(&self, before: &World, action: Action) -> Option<World> {
-        let mut world = before.clone();
-        let latest = world.leaders.len() - 1;
+    fn next_state(&self, before: &Simulation, action: Action) -> Option<Simulation> {
+        let mut simulation = before.clone();
+        let latest = simulation.leaders.len() - 1;
         match action {
-            Action::Arrives(word) => {
-                world.net.remove(&word);
-                match word {
-                    Word::Up(member, word) => {
-                        for which in 0..world.leaders.len() {
-                            self.lead(&mut world, which, |leader, now, todo| {
-                                leader.hear(now, member, word.clone(), todo)
+            Action::Deliver(message) => {
+                simulation.in_flight.remove(&message);
+                match message {
+                    Message::ToLeader(member, message) => {
+                        for which in 0..simulation.leaders.len() {
+                            self.call_leader(&mut simulation, which, |leader, now, actions| {
+                                leader.handle_message(now, member, message.clone(), actions)
                             });
                         }
                     }
-                    Word::Down(member, epoch, word) => {
-                        self.live(&mut world, member.0 as usize, |state, now, todo| {
-                            state.hear(now, epoch, word, todo)
-                        });
+                    Message::ToMember(member, epoch, message) => {
+                        self.call_member(
+                            &mut simulation,
+                            member.0 as usize,
+                            |state, now, actions| {
+                                state.handle_message(now, epoch, message, actions)
+                            },
+                        );
                     }
                 }
             }
-            Action::Commits => {
-                let (epoch, entry) = world.appended.remove(0);
-                if let Some(entry) = world.book.take(Line::Says(epoch, 0, entry)) {
-                    self.lead(&mut world, latest, |leader, now, todo| {
-                        leader.committed(now, entry, todo)
+            Action::Commit => {
+                let (epoch, entry) = simulation.appended.remove(0);
+                if let Some(entry) = simulation.state.apply(LogEntry::Leader {
+                    epoch,
+                    unix_ms: 0,
+                    entry,
+                }) {
+                    self.call_leader(&mut simulation, latest, |leader, now, actions| {
+                        leader.handle_committed(now, entry, actions)
                     });
                 }
             }
-            Action::Proposes => {
-                world.proposed = true;
-                let proposal = world.leaders[latest].next_proposal().ok()?;
-                let epoch = world.leaders[latest].epoch();
-                let entry =
-                    Entry::Proposed(proposal, Policy::from(&b"second"[..]), Author::default());
-                world.appended.push((epoch, entry));
+            Action::Propose => {
+                simulation.proposed = true;
+                let proposal = simulation.leaders[latest].next_proposal().ok()?;
+                let epoch = simulation.leaders[latest].epoch();
+                let entry = LeaderEntry::Proposed(
+                    proposal,
+                    Policy::from(&b"second"[..]),
+                    Author::default(),
+                );
+                simulation.appended.push((epoch, entry));
             }
-            Action::Passes => {
-                world.now += UNIT;
+            Action::AdvanceTime => {
+                simulation.now += UNIT;
                 // Its voters hear a leader for as long as no other one is to come.
-                if world.elections >= self.elections {
-                    world.leased_until = world.now + 2 * UNIT;
-                    world.leaders[latest].leased(Time(world.leased_until));
+                if simulation.elections >= self.elections {
+                    simulation.lease_end = simulation.now + 2 * UNIT;
+                    simulation.leaders[latest].extend_lease(Time(simulation.lease_end));
                 }
-                for which in 0..world.leaders.len() {
-                    self.lead(&mut world, which, |leader, now, todo| {
-                        leader.tick(now, todo)
+                for which in 0..simulation.leaders.len() {
+                    self.call_leader(&mut simulation, which, |leader, now, actions| {
+                        leader.tick(now, actions)
                     });
                 }
-                for which in 0..world.members.len() {
-                    self.live(&mut world, which, |state, now, todo| state.tick(now, todo));
+                for which in 0..simulation.members.len() {
+                    self.call_member(&mut simulation, which, |state, now, actions| {
+                        state.tick(now, actions)
+                    });
                 }
             }
-            Action::Dies(which) => {
-                world.deaths += 1;
-                world.lives += 1;
-                world.members[which] = MemberState::new(terms(), Life(world.lives));
-                world.acted[which] = None;
-                self.live(&mut world, which, |state, now, todo| state.tick(now, todo));
+            Action::Restart(which) => {
+                simulation.restarts += 1;
+                simulation.starts += 1;
+                simulation.members[which] =
+                    Member::new(settings(), ProcessIncarnation(simulation.starts));
+                simulation.last_acted[which] = None;
+                self.call_member(&mut simulation, which, |state, now, actions| {
+                    state.tick(now, actions)
+                });
             }
-            Action::Elects => {
-                world.elections += 1;
-                self.elect(&mut world);
+            Action::Elect => {
+                simulation.elections += 1;
+                self.elect(&mut simulation);
             }
         }
-        self.act(&mut world);
-        Some(world)
+        self.act(&mut simulation);
+        Some(simulation)
     }
 
     fn properties(&self) -> Vec<Property<Self>> {
         vec![
-            Property::always("no mixture", |_, world: &World| !world.broken),
-            Property::sometimes("all act under the new policy", |_, world: &World| {
-                let acts =
-                    |(which, state): (usize, &MemberState)| state.may_act(clock(which, world.now));
-                world
-                    .members
-                    .iter()
-                    .enumerate()
-                    .all(|one| acts(one) == Some(Revision(1)))
+            Property::always("no mixture", |_, simulation: &Simulation| {
+                !simulation.is_broken
             }),
+            Property::sometimes(
+                "all act under the new policy",
+                |_, simulation: &Simulation| {
+                    let acts = |(which, state): (usize, &Member)| {
+                        state.holds_lease(clock(which, simulation.now))
+                    };
+                    simulation
+                        .members
+                        .iter()
+                        .enumerate()
+                        .all(|one| acts(one) == Some(Revision(1)))
+                },
+            ),
         ]
     }
 }
@@ -308,10 +354,10 @@
     let small = Group {
         members: 2,
         time: 2,
-        deaths: 1,
+        restarts: 1,
         elections: 1,
-        flying: 3,
-        acts_on: false,
+        max_in_flight: 3,
+        acts_after_lease: false,
     };
     match std::env::var("MODEL").as_deref() {
         Ok("large") => Group { time: 3, ..small },
@@ -345,7 +391,7 @@
 #[test]
 fn a_member_that_acts_on_after_its_term_is_found() {
     let checked = Group {
-        acts_on: true,
+        acts_after_lease: true,
         time: 4,
         ..bounds()
     }
--- a/crates/simulation/src/rig/relay.rs
+++ b/crates/simulation/src/rig/relay.rs
@@ -3,7 +3,7 @@
 use super::Fault;
 use futures_lite::future::block_on;
 use futures_lite::io::AssertAsync;
-use marblefall_control_plane::group::link::{self, Hello};
+use marblefall_control_plane::group::transport::{encode_frame, read_frame, Hello};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
@@ -97,9 +97,9 @@
 
 /// Passes one connection on; who opened it is read from its first frame.
 fn pass(mut near: TcpStream, to: u32, member: SocketAddr, ways: &Ways) -> std::io::Result<()> {
-    let hello = block_on(link::read::<Hello>(&mut AssertAsync::new(&mut near)));
+    let hello = block_on(read_frame::<Hello>(&mut AssertAsync::new(&mut near)));
     let hello = hello.map_err(|_| ErrorKind::InvalidData)?;
-    let from = hello.member();
+    let from = hello.member().map(|member| member.0);
     let (forth, back) = (ways.clone(), ways.clone());
     let does = move || forth.of(from, to);
     if does() == Does::Refuses {
@@ -109,7 +109,7 @@
     far.set_nodelay(true)?;
     near.set_nodelay(true)?;
     if does() != Does::Swallows {
-        far.write_all(&link::encode(&hello))?;
+        far.write_all(&encode_frame(&hello))?;
     }
     let (from_far, to_near) = (far.try_clone()?, near.try_clone()?);
     let counted = back.clone();
