Write the group's simulated tests in the field's terms, shared parts in tests/common

The simulations of whole nodes and of the policy change had copies of clocks, checkers, traces and policies that a member rejects: they stand once. Each simulation is split into machine, faults and run. No test was dropped; new: hello_and_response_are_encoded_as_before.

--- a/crates/control-plane/src/group/transport/tests.rs
+++ b/crates/control-plane/src/group/transport/tests.rs
@@ -41,3 +41,44 @@
         ));
     }));
 }
+
+/// Daemons of two versions of the program work in one group, and operators' commands with either.
+#[test]
+fn hello_and_response_are_encoded_as_before() {
+    // In the order of the fields of earlier versions.
+    let earlier_hello = |peer: (u8, Option<u32>)| match peer {
+        (tag, Some(member)) => encode_frame(&(1u16, "g", (tag, member))),
+        (tag, None) => encode_frame(&(1u16, "g", tag)),
+    };
+    let member = Hello::from_member("g", MemberId(300));
+    assert_eq!(encode_frame(&member), earlier_hello((0, Some(300))));
+    let operator = Hello::from_operator("g");
+    assert_eq!(encode_frame(&operator), earlier_hello((1, None)));
+    let response = OperatorResponse {
+        local: LocalStatus {
+            member: "east".to_owned(),
+            applied: Some(5),
+            lease_state: "acts".to_owned(),
+            last_leader: Some(LastLeader {
+                name: "north".to_owned(),
+                heard_ms_ago: 300,
+            }),
+            voting: Some(VotingStatus {
+                participates: true,
+                configuration: 2,
+            }),
+        },
+        reply: Some(Reply::Unknown),
+    };
+    let earlier_local = (
+        "east",
+        Some(5u64),
+        "acts",
+        Some(("north", 300u64)),
+        Some((true, 2u32)),
+    );
+    assert_eq!(
+        encode_frame(&response),
+        encode_frame(&(earlier_local, Some(Reply::Unknown)))
+    );
+}
--- a/crates/coordination/tests/model.rs
+++ b/crates/coordination/tests/model.rs
@@ -1,6 +1,6 @@
-//! The code of terms and switch that runs, checked over all orders of what can happen in a small group and a short time:
-//! words that arrive late, out of order or never, members that die and begin anew, leaders that do not know that they are none
-//! any more, and clocks of different speeds.
+//! Leases and the two-phase policy change, checked over all orders of events in a small group and a short time: messages
+//! that arrive late, out of order or never, members that restart, leaders that do not know that they are deposed, and
+//! clocks of different speeds.
 
 use marblefall_coordination::identifiers::{
     Author, Epoch, MemberId, Policy, ProcessIncarnation, Revision,
@@ -16,21 +16,30 @@
 
 /// A unit of time.
 const UNIT: i64 = 1000;
+/// How long a leader's own lease lasts.
+const LEADER_LEASE: i64 = 2 * UNIT;
 
-/// What is tried, and within which bounds.
+/// What is explored, and within which bounds.
 #[derive(Clone)]
-struct Group {
+struct GroupModel {
     members: u32,
     /// Units of time that pass.
     time: i64,
-    /// Members that die and begin anew.
+    /// Restarts of members.
     restarts: u8,
     /// Leaders after the first.
     elections: u8,
-    /// Words that may be on their way at once.
+    /// Messages that may be in flight at once.
     max_in_flight: usize,
-    /// A member acts on after its term: put in on purpose.
-    acts_after_lease: bool,
+    mutant: Mutant,
+}
+
+/// What is broken on purpose.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Mutant {
+    Unmodified,
+    /// A member acts on after its lease.
+    ActsAfterLease,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -40,16 +49,16 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Simulation {
+struct ModelState {
     now: i64,
-    state: ReplicatedState,
+    replicated: ReplicatedState,
     /// The latest last: only its entries are committed.
     leaders: Vec<Leader>,
     lease_end: i64,
-    /// Entries on their way.
+    /// Entries that are not committed yet.
     appended: Vec<(Epoch, LeaderEntry)>,
     members: Vec<Member>,
-    /// What each last acted under, for those that go wrong.
+    /// What each member last acted under, for the mutant.
     last_acted: Vec<Option<Revision>>,
     starts: u64,
     in_flight: BTreeSet<Message>,
@@ -57,7 +66,7 @@
     elections: u8,
     highest: Revision,
     is_broken: bool,
-    proposed: bool,
+    is_proposed: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -90,114 +99,177 @@
     })
 }
 
-impl Group {
-    fn send(&self, simulation: &mut Simulation, message: Message) {
+impl GroupModel {
+    fn send(&self, state: &mut ModelState, message: Message) {
         // One that finds no room is lost.
-        if simulation.in_flight.len() < self.max_in_flight {
-            simulation.in_flight.insert(message);
+        if state.in_flight.len() < self.max_in_flight {
+            state.in_flight.insert(message);
         }
     }
 
     fn call_leader(
         &self,
-        simulation: &mut Simulation,
-        which: usize,
-        act: impl FnOnce(&mut Leader, Time, &mut Vec<LeaderAction>),
+        state: &mut ModelState,
+        index: usize,
+        call: impl FnOnce(&mut Leader, Time, &mut Vec<LeaderAction>),
     ) {
-        let (now, mut actions) = (Time(simulation.now), Vec::new());
-        act(&mut simulation.leaders[which], now, &mut actions);
-        let epoch = simulation.leaders[which].epoch();
-        for actions in actions {
-            match actions {
+        let (now, mut actions) = (Time(state.now), Vec::new());
+        call(&mut state.leaders[index], now, &mut actions);
+        let epoch = state.leaders[index].epoch();
+        for action in actions {
+            match action {
                 LeaderAction::Send(to, message) => {
-                    self.send(simulation, Message::ToMember(to, epoch, message))
+                    self.send(state, Message::ToMember(to, epoch, message));
                 }
-                LeaderAction::Append(entry)
-                    if !simulation.appended.contains(&(epoch, entry.clone())) =>
-                {
-                    simulation.appended.push((epoch, entry));
+                LeaderAction::Append(entry) => {
+                    let appended = (epoch, entry);
+                    if !state.appended.contains(&appended) {
+                        state.appended.push(appended);
+                    }
                 }
-                LeaderAction::Append(_) => {}
             }
         }
     }
 
     fn call_member(
         &self,
-        simulation: &mut Simulation,
-        which: usize,
-        act: impl FnOnce(&mut Member, Time, &mut Vec<MemberAction>),
+        state: &mut ModelState,
+        index: usize,
+        call: impl FnOnce(&mut Member, Time, &mut Vec<MemberAction>),
     ) {
-        let (now, mut actions) = (clock(which, simulation.now), Vec::new());
-        act(&mut simulation.members[which], now, &mut actions);
-        let member = MemberId(which as u32);
-        for actions in actions {
-            match actions {
-                MemberAction::Send(message) => {
-                    self.send(simulation, Message::ToLeader(member, message))
-                }
+        let (now, mut actions) = (clock(index, state.now), Vec::new());
+        call(&mut state.members[index], now, &mut actions);
+        let member = MemberId(index as u32);
+        for action in actions {
+            let message = match action {
+                MemberAction::Send(message) => message,
                 MemberAction::CheckPolicy(proposal, ..) => {
-                    self.send(
-                        simulation,
-                        Message::ToLeader(
-                            member,
-                            ToLeader::PolicyChecked(proposal, PolicyVerdict::Accepted),
-                        ),
-                    );
+                    ToLeader::PolicyChecked(proposal, PolicyVerdict::Accepted)
                 }
-                MemberAction::ApplyPolicy(..) => {}
-            }
+                MemberAction::ApplyPolicy(..) => continue,
+            };
+            self.send(state, Message::ToLeader(member, message));
         }
     }
 
     /// Every member that may act does, at this very moment.
-    fn act(&self, simulation: &mut Simulation) {
-        for which in 0..simulation.members.len() {
-            let may = simulation.members[which].holds_lease(clock(which, simulation.now));
-            if may.is_some() {
-                simulation.last_acted[which] = may;
+    fn act(&self, state: &mut ModelState) {
+        for index in 0..state.members.len() {
+            let lease = state.members[index].holds_lease(clock(index, state.now));
+            if lease.is_some() {
+                state.last_acted[index] = lease;
             }
-            let acts = if self.acts_after_lease {
-                may.or(simulation.last_acted[which])
-            } else {
-                may
+            let acts = match self.mutant {
+                Mutant::Unmodified => lease,
+                Mutant::ActsAfterLease => lease.or(state.last_acted[index]),
             };
             let Some(revision) = acts else { continue };
-            simulation.is_broken |= revision < simulation.highest;
-            simulation.highest = simulation.highest.max(revision);
+            state.is_broken |= revision < state.highest;
+            state.highest = state.highest.max(revision);
         }
     }
 
-    fn elect(&self, simulation: &mut Simulation) {
-        simulation.lease_end = simulation.now + 2 * UNIT;
-        simulation.appended.clear();
-        let epoch = Epoch(simulation.state.epoch.0 + 1);
-        simulation.state.apply(LogEntry::EpochStarted(epoch));
+    fn elect(&self, state: &mut ModelState) {
+        state.lease_end = state.now + LEADER_LEASE;
+        state.appended.clear();
+        let epoch = Epoch(state.replicated.epoch.0 + 1);
+        state.replicated.apply(LogEntry::EpochStarted(epoch));
         let members: Vec<MemberId> = (0..self.members).map(MemberId).collect();
-        let mut leader = Leader::elected(
-            settings(),
+        let now = Time(state.now);
+        let mut leader = Leader::elected(settings(), epoch, now, &members, &state.replicated);
+        leader.extend_lease(Time(state.lease_end));
+        state.leaders.push(leader);
+        if state.leaders.len() > 2 {
+            state.leaders.remove(0);
+        }
+    }
+
+    fn deliver(&self, state: &mut ModelState, message: Message) {
+        state.in_flight.remove(&message);
+        match message {
+            Message::ToLeader(member, message) => {
+                for index in 0..state.leaders.len() {
+                    self.call_leader(state, index, |leader, now, actions| {
+                        leader.handle_message(now, member, message.clone(), actions);
+                    });
+                }
+            }
+            Message::ToMember(member, epoch, message) => {
+                self.call_member(state, member.0 as usize, |member, now, actions| {
+                    member.handle_message(now, epoch, message, actions);
+                });
+            }
+        }
+    }
+
+    fn commit(&self, state: &mut ModelState) {
+        let (epoch, entry) = state.appended.remove(0);
+        let entry = LogEntry::Leader {
             epoch,
-            Time(simulation.now),
-            &members,
-            &simulation.state,
-        );
-        leader.extend_lease(Time(simulation.lease_end));
-        simulation.leaders.push(leader);
-        if simulation.leaders.len() > 2 {
-            simulation.leaders.remove(0);
+            unix_ms: 0,
+            entry,
+        };
+        if let Some(entry) = state.replicated.apply(entry) {
+            let latest = state.leaders.len() - 1;
+            self.call_leader(state, latest, |leader, now, actions| {
+                leader.handle_committed(now, entry, actions);
+            });
         }
     }
+
+    fn advance_time(&self, state: &mut ModelState) {
+        state.now += UNIT;
+        // A leader keeps its voters for as long as no other leader is to come.
+        if state.elections >= self.elections {
+            state.lease_end = state.now + LEADER_LEASE;
+            let lease_end = Time(state.lease_end);
+            if let Some(leader) = state.leaders.last_mut() {
+                leader.extend_lease(lease_end);
+            }
+        }
+        for index in 0..state.leaders.len() {
+            self.call_leader(state, index, Leader::tick);
+        }
+        for index in 0..state.members.len() {
+            self.call_member(state, index, Member::tick);
+        }
+    }
+
+    fn restart(&self, state: &mut ModelState, index: usize) {
+        state.restarts += 1;
+        state.starts += 1;
+        state.members[index] = Member::new(settings(), ProcessIncarnation(state.starts));
+        state.last_acted[index] = None;
+        self.call_member(state, index, Member::tick);
+    }
 }
 
-impl Model for Group {
-    type State = Simulation;
+impl ModelState {
+    fn propose(&mut self) -> Option<()> {
+        self.is_proposed = true;
+        let leader = self.leaders.last()?;
+        let proposal = leader.next_proposal().ok()?;
+        let policy = Policy::from(&b"second"[..]);
+        let entry = LeaderEntry::Proposed(proposal, policy, Author::default());
+        self.appended.push((leader.epoch(), entry));
+        Some(())
+    }
+
+    fn all_act_under(&self, revision: Revision) -> bool {
+        let mut members = self.members.iter().enumerate();
+        members.all(|(index, member)| member.holds_lease(clock(index, self.now)) == Some(revision))
+    }
+}
+
+impl Model for GroupModel {
+    type State = ModelState;
     type Action = Action;
 
-    fn init_states(&self) -> Vec<Simulation> {
-        let member = |life| Member::new(settings(), ProcessIncarnation(life));
-        let mut simulation = Simulation {
+    fn init_states(&self) -> Vec<ModelState> {
+        let member = |incarnation| Member::new(settings(), ProcessIncarnation(incarnation));
+        let mut state = ModelState {
             now: 0,
-            state: ReplicatedState::new(BTreeMap::new()),
+            replicated: ReplicatedState::new(BTreeMap::new()),
             leaders: Vec::new(),
             lease_end: 0,
             appended: Vec::new(),
@@ -209,158 +281,76 @@
             elections: 0,
             highest: Revision(0),
             is_broken: false,
-            proposed: false,
+            is_proposed: false,
         };
-        self.elect(&mut simulation);
-        (0..self.members as usize).for_each(|which| {
-            self.call_member(&mut simulation, which, |state, now, actions| {
-                state.tick(now, actions)
-            })
-        });
-        vec![simulation]
+        self.elect(&mut state);
+        for index in 0..state.members.len() {
+            self.call_member(&mut state, index, Member::tick);
+        }
+        vec![state]
     }
 
-    fn actions(&self, simulation: &Simulation, actions: &mut Vec<Action>) {
-        if simulation.is_broken {
+    fn actions(&self, state: &ModelState, actions: &mut Vec<Action>) {
+        if state.is_broken {
             return;
         }
-        actions.extend(simulation.in_flight.iter().cloned().map(Action::Deliver));
-        if !simulation.appended.is_empty() {
+        actions.extend(state.in_flight.iter().cloned().map(Action::Deliver));
+        if !state.appended.is_empty() {
             actions.push(Action::Commit);
         }
-        if !simulation.proposed {
+        if !state.is_proposed {
             actions.push(Action::Propose);
         }
-        if simulation.now < self.time * UNIT {
+        if state.now < self.time * UNIT {
             actions.push(Action::AdvanceTime);
         }
-        if simulation.restarts < self.restarts {
+        if state.restarts < self.restarts {
             actions.extend((0..self.members as usize).map(Action::Restart));
         }
-        if simulation.elections < self.elections && simulation.lease_end <= simulation.now {
+        if state.elections < self.elections && state.lease_end <= state.now {
             actions.push(Action::Elect);
         }
     }
 
-    fn next_state(&self, before: &Simulation, action: Action) -> Option<Simulation> {
-        let mut simulation = before.clone();
-        let latest = simulation.leaders.len() - 1;
+    fn next_state(&self, before: &ModelState, action: Action) -> Option<ModelState> {
+        let mut state = before.clone();
         match action {
-            Action::Deliver(message) => {
-                simulation.in_flight.remove(&message);
-                match message {
-                    Message::ToLeader(member, message) => {
-                        for which in 0..simulation.leaders.len() {
-                            self.call_leader(&mut simulation, which, |leader, now, actions| {
-                                leader.handle_message(now, member, message.clone(), actions)
-                            });
-                        }
-                    }
-                    Message::ToMember(member, epoch, message) => {
-                        self.call_member(
-                            &mut simulation,
-                            member.0 as usize,
-                            |state, now, actions| {
-                                state.handle_message(now, epoch, message, actions)
-                            },
-                        );
-                    }
-                }
-            }
-            Action::Commit => {
-                let (epoch, entry) = simulation.appended.remove(0);
-                if let Some(entry) = simulation.state.apply(LogEntry::Leader {
-                    epoch,
-                    unix_ms: 0,
-                    entry,
-                }) {
-                    self.call_leader(&mut simulation, latest, |leader, now, actions| {
-                        leader.handle_committed(now, entry, actions)
-                    });
-                }
-            }
-            Action::Propose => {
-                simulation.proposed = true;
-                let proposal = simulation.leaders[latest].next_proposal().ok()?;
-                let epoch = simulation.leaders[latest].epoch();
-                let entry = LeaderEntry::Proposed(
-                    proposal,
-                    Policy::from(&b"second"[..]),
-                    Author::default(),
-                );
-                simulation.appended.push((epoch, entry));
-            }
-            Action::AdvanceTime => {
-                simulation.now += UNIT;
-                // Its voters hear a leader for as long as no other one is to come.
-                if simulation.elections >= self.elections {
-                    simulation.lease_end = simulation.now + 2 * UNIT;
-                    simulation.leaders[latest].extend_lease(Time(simulation.lease_end));
-                }
-                for which in 0..simulation.leaders.len() {
-                    self.call_leader(&mut simulation, which, |leader, now, actions| {
-                        leader.tick(now, actions)
-                    });
-                }
-                for which in 0..simulation.members.len() {
-                    self.call_member(&mut simulation, which, |state, now, actions| {
-                        state.tick(now, actions)
-                    });
-                }
-            }
-            Action::Restart(which) => {
-                simulation.restarts += 1;
-                simulation.starts += 1;
-                simulation.members[which] =
-                    Member::new(settings(), ProcessIncarnation(simulation.starts));
-                simulation.last_acted[which] = None;
-                self.call_member(&mut simulation, which, |state, now, actions| {
-                    state.tick(now, actions)
-                });
-            }
+            Action::Deliver(message) => self.deliver(&mut state, message),
+            Action::Commit => self.commit(&mut state),
+            Action::Propose => state.propose()?,
+            Action::AdvanceTime => self.advance_time(&mut state),
+            Action::Restart(index) => self.restart(&mut state, index),
             Action::Elect => {
-                simulation.elections += 1;
-                self.elect(&mut simulation);
+                state.elections += 1;
+                self.elect(&mut state);
             }
         }
-        self.act(&mut simulation);
-        Some(simulation)
+        self.act(&mut state);
+        Some(state)
     }
 
     fn properties(&self) -> Vec<Property<Self>> {
         vec![
-            Property::always("no mixture", |_, simulation: &Simulation| {
-                !simulation.is_broken
+            Property::always("no mixture", |_, state: &ModelState| !state.is_broken),
+            Property::sometimes("all act under the new policy", |_, state: &ModelState| {
+                state.all_act_under(Revision(1))
             }),
-            Property::sometimes(
-                "all act under the new policy",
-                |_, simulation: &Simulation| {
-                    let acts = |(which, state): (usize, &Member)| {
-                        state.holds_lease(clock(which, simulation.now))
-                    };
-                    simulation
-                        .members
-                        .iter()
-                        .enumerate()
-                        .all(|one| acts(one) == Some(Revision(1)))
-                },
-            ),
         ]
     }
 }
 
 /// The bounds in CI; `MODEL=large` takes minutes.
-fn bounds() -> Group {
-    let small = Group {
+fn bounds() -> GroupModel {
+    let small = GroupModel {
         members: 2,
         time: 2,
         restarts: 1,
         elections: 1,
         max_in_flight: 3,
-        acts_after_lease: false,
+        mutant: Mutant::Unmodified,
     };
     match std::env::var("MODEL").as_deref() {
-        Ok("large") => Group { time: 3, ..small },
+        Ok("large") => GroupModel { time: 3, ..small },
         _ => small,
     }
 }
@@ -389,15 +379,16 @@
 }
 
 #[test]
-fn a_member_that_acts_on_after_its_term_is_found() {
-    let checked = Group {
-        acts_after_lease: true,
+fn member_acting_after_its_lease_is_detected() {
+    let model = GroupModel {
+        mutant: Mutant::ActsAfterLease,
         time: 4,
         ..bounds()
-    }
-    .checker()
-    .target_state_count(3_000_000)
-    .spawn_bfs()
-    .join();
+    };
+    let checked = model
+        .checker()
+        .target_state_count(3_000_000)
+        .spawn_bfs()
+        .join();
     assert!(checked.discovery("no mixture").is_some());
 }
--- /dev/null
+++ b/crates/coordination/tests/policy_change/faults.rs
@@ -0,0 +1,46 @@
+//! What goes wrong in a simulated group.
+
+use super::common::MS;
+use super::simulation::{Mutant, Simulation, MAX_CLOCK_OFFSET};
+use marblefall_coordination::identifiers::MemberId;
+use rand::Rng;
+
+impl Simulation {
+    /// Most times nothing goes wrong.
+    pub fn inject_fault(&mut self) {
+        let id = MemberId(self.rng.random_range(0..self.members.len() as u32));
+        let duration = self.rng.random_range(20..1500) * MS;
+        let (until, ms) = (self.now + duration, duration / MS);
+        match self.rng.random_range(0..600u32) {
+            0 => {
+                self.log_line(&format!("{id:?} is restarted"));
+                self.start(id);
+                let offset = self.rng.random_range(0..MAX_CLOCK_OFFSET);
+                let member = self.member(id);
+                member.applied = None;
+                member.clock.offset = offset;
+            }
+            1 => {
+                self.log_line(&format!("{id:?} is suspended for {ms} ms"));
+                self.member(id).suspended_until = until;
+            }
+            2 => {
+                self.log_line(&format!("{id:?} is partitioned for {ms} ms"));
+                self.member(id).partitioned_until = until;
+            }
+            3 if self.mutant == Mutant::RestoresEarlierState => {
+                let member = self.member(id);
+                if member.earlier.is_some() {
+                    member.state = member.earlier.take();
+                }
+            }
+            4 if self.rng.random_bool(0.4) => {
+                // Another leader comes once its lease has surely expired.
+                self.log_line("the leader loses its voters");
+                self.is_deposed = true;
+                self.appended.clear();
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/policy_change/simulated_member.rs
@@ -0,0 +1,40 @@
+//! A simulated machine with its member and clock.
+
+use super::common::MemberClock;
+use super::simulation::Mutant;
+use marblefall_coordination::identifiers::Revision;
+use marblefall_coordination::member::Member;
+
+/// One member and its machine.
+pub struct SimulatedMember {
+    pub state: Option<Member>,
+    pub clock: MemberClock,
+    pub suspended_until: i64,
+    pub partitioned_until: i64,
+    /// Its state before it was last quiesced.
+    pub earlier: Option<Member>,
+    pub applied: Option<Revision>,
+}
+
+impl SimulatedMember {
+    pub fn new(clock: MemberClock) -> SimulatedMember {
+        SimulatedMember {
+            state: None,
+            clock,
+            suspended_until: 0,
+            partitioned_until: 0,
+            earlier: None,
+            applied: None,
+        }
+    }
+
+    /// What the member acts under at this moment, if it does.
+    pub fn acts_under(&self, now: i64, mutant: Mutant) -> Option<Revision> {
+        let state = self.state.as_ref()?;
+        let now = self.clock.reading(now);
+        match mutant {
+            Mutant::ActsAfterLease if !state.is_quiesced(now) => self.applied,
+            _ => state.holds_lease(now),
+        }
+    }
+}
