Give a member's lease one type in place of a revision and a nested option of its end

Member::lease(now) gives the revision and the end that belong together; the leader's grant has one option less.

--- a/crates/control-plane/src/group/driver/lease.rs
+++ b/crates/control-plane/src/group/driver/lease.rs
@@ -39,6 +39,7 @@
                 "{} under revision {revision}",
                 self.lease_state()
             );
+            // Fails where the supervisor has ended.
             let _ = self.group_events.try_send(GroupEvent::LeaseChanged);
         }
     }
@@ -56,10 +57,10 @@
 
     fn current_lease(&self) -> ShownLease {
         let now = self.clock.now().monotonic;
-        let state = match (self.node.holds_lease(now), self.node.lease_end()) {
-            (Some(_), Some(until)) => GuardState::Open(until.map(|at| self.clock.instant(at))),
-            _ if self.node.is_quiesced(now) => GuardState::Suspended,
-            _ => GuardState::Closed,
+        let state = match self.node.lease(now) {
+            Some(lease) => GuardState::Open(lease.until.map(|at| self.clock.instant(at))),
+            None if self.node.is_quiesced(now) => GuardState::Suspended,
+            None => GuardState::Closed,
         };
         ShownLease {
             revision: self.node.applied().unwrap_or_default().0,
--- a/crates/control-plane/src/group/driver/policy.rs
+++ b/crates/control-plane/src/group/driver/policy.rs
@@ -74,6 +74,7 @@
         if Applied::read(&self.home).is_ok_and(|stored| stored == applied) {
             return;
         }
+        // Cannot fail: all keys are strings.
         let text = serde_json::to_vec_pretty(&applied).unwrap_or_default();
         if let Err(error) = replace(&Real, &self.home.join(APPLIED), &text, Outlasts::Power) {
             // Until it is stored, instances stay under their policy, for which the lease guard is closed.
@@ -87,6 +88,7 @@
             code = "policy-in-force",
             "group: revision {number} is in force"
         );
+        // Fails where the supervisor has ended.
         let _ = self.group_events.try_send(GroupEvent::PolicyInForce);
     }
 
--- a/crates/control-plane/src/group/transport/frame.rs
+++ b/crates/control-plane/src/group/transport/frame.rs
@@ -42,6 +42,7 @@
 
 /// A frame as it is sent.
 pub fn encode_frame(content: &impl Serialize) -> Vec<u8> {
+    // Cannot fail: the length of each sequence is known.
     let body = postcard::to_allocvec(content).unwrap_or_default();
     let mut bytes = (body.len() as u32).to_le_bytes().to_vec();
     bytes.extend(crc32fast::hash(&body).to_le_bytes());
--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -309,9 +309,11 @@
             let resolved = ToMember::Resolved(self.resolved);
             return actions.push(LeaderAction::Send(from, resolved));
         }
-        let Some(duration) = self.grant_lease(now, from) else {
+        // Beyond the leader's own lease there may be another leader.
+        if !self.holds_lease(now) {
             return;
-        };
+        }
+        let duration = self.grant_lease(now, from);
         let policy = (request.applied != Some(self.committed)).then(|| self.policy.clone());
         let granted = ToMember::LeaseGranted {
             incarnation: request.incarnation,
@@ -342,27 +344,24 @@
         }
     }
 
-    /// The duration of the lease that may be granted now, if any; `Some(None)` is without end. Beyond the leader's own
-    /// lease there may be another leader.
-    fn grant_lease(&mut self, now: Time, to: MemberId) -> Option<Option<Span>> {
-        let remaining = self.lease_end - now;
-        if remaining.0 <= 0 {
-            return None;
-        }
-        let progress = self.members.get_mut(&to)?;
-        match self.settings.partition_policy {
-            PartitionPolicy::Serve => {
-                progress.lease_expires = None;
-                Some(None)
-            }
+    /// Grants a lease that ends with the leader's own at the latest; returns its duration, `None` is without end.
+    fn grant_lease(&mut self, now: Time, to: MemberId) -> Option<Span> {
+        let duration = match self.settings.partition_policy {
+            PartitionPolicy::Serve => None,
             PartitionPolicy::Stop => {
-                let duration = self.settings.lease_duration.min(remaining);
-                // It counts from the request, which was before now.
-                let expires = now + self.settings.max_elapsed(duration);
-                progress.lease_expires = progress.lease_expires.max(Some(expires));
-                Some(Some(duration))
+                let remaining = self.lease_end - now;
+                Some(self.settings.lease_duration.min(remaining))
             }
+        };
+        // It counts from the request, which was before now.
+        let expires = duration.map(|duration| now + self.settings.max_elapsed(duration));
+        if let Some(progress) = self.members.get_mut(&to) {
+            progress.lease_expires = match expires {
+                None => None,
+                Some(_) => progress.lease_expires.max(expires),
+            };
         }
+        duration
     }
 
     /// A rejection counts for as long as nothing is decided, also from a member that is not waited for.
--- a/crates/coordination/src/member.rs
+++ b/crates/coordination/src/member.rs
@@ -1,7 +1,7 @@
 //! A member: whether it may act, and under which policy.
 //!
-//! A process starts in [`LeaseState::Unknown`] and acts only while it holds a lease that it requested itself. Once it has
-//! confirmed that it is quiesced for a change, only the change's outcome releases it.
+//! A process starts without knowing which policy is in force, and acts only while it holds a lease that it requested
+//! itself. Once it has confirmed that it is quiesced for a change, only the change's outcome releases it.
 
 use crate::identifiers::{Epoch, Micros, Policy, ProcessIncarnation, ProposalId, Revision};
 use crate::message::{ToLeader, ToMember};
@@ -25,6 +25,15 @@
 /// Requests within one lease: two responses may be lost.
 const REQUESTS_PER_LEASE: i64 = 3;
 
+/// The permission to act under a policy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// The policy.
+    pub revision: Revision,
+    /// When the lease ends; never under [`PartitionPolicy::Serve`](crate::settings::PartitionPolicy::Serve).
+    pub until: Option<Time>,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum LeaseState {
     /// The policy in force is not known.
@@ -76,11 +85,13 @@
         }
     }
 
-    /// The policy under which the member may act at this moment. To be called directly before each act: the process may
-    /// have been suspended since any earlier call.
-    pub fn holds_lease(&self, now: Time) -> Option<Revision> {
+    /// The lease that the member holds at this moment. To be called directly before each act: the process may have been
+    /// suspended since any earlier call.
+    pub fn lease(&self, now: Time) -> Option<Lease> {
         match self.lease {
-            LeaseState::Held { until } if until.is_none_or(|until| now < until) => self.applied,
+            LeaseState::Held { until } if until.is_none_or(|until| now < until) => {
+                self.applied.map(|revision| Lease { revision, until })
+            }
             LeaseState::Held { .. } | LeaseState::Unknown { .. } | LeaseState::Quiesced(_) => None,
         }
     }
@@ -100,14 +111,6 @@
         }
     }
 
-    /// The end of the lease, if one was granted: `Some(None)` is never.
-    pub fn lease_end(&self) -> Option<Option<Time>> {
-        match self.lease {
-            LeaseState::Held { until } if self.applied.is_some() => Some(until),
-            LeaseState::Held { .. } | LeaseState::Unknown { .. } | LeaseState::Quiesced(_) => None,
-        }
-    }
-
     /// The policy that was last applied.
     pub fn applied(&self) -> Option<Revision> {
         self.applied
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -11,7 +11,7 @@
     Author, ClockReading, Epoch, MemberId, Policy, ProcessIncarnation, ProposalId, Revision,
 };
 use crate::leader::{Leader, LeaderAction};
-use crate::member::{Member, MemberAction};
+use crate::member::{Lease, Member, MemberAction};
 use crate::message::{PolicyVerdict, ToLeader, ToMember};
 use crate::persistent_state::PersistentState;
 use crate::replicated_state::LeaderEntry;
@@ -134,14 +134,9 @@
         }
     }
 
-    /// The policy under which this member may act at this moment.
-    pub fn holds_lease(&self, now: Time) -> Option<Revision> {
-        self.member.holds_lease(now)
-    }
-
-    /// The end of the lease, if one was granted: `Some(None)` is never.
-    pub fn lease_end(&self) -> Option<Option<Time>> {
-        self.member.lease_end()
+    /// The lease that this member holds at this moment.
+    pub fn lease(&self, now: Time) -> Option<Lease> {
+        self.member.lease(now)
     }
 
     /// Whether this member is quiesced for a change.
--- a/crates/coordination/src/persistent_state.rs
+++ b/crates/coordination/src/persistent_state.rs
@@ -114,6 +114,7 @@
 
     /// The content of the file.
     pub fn encode(&self) -> Vec<u8> {
+        // Cannot fail: the length of each sequence is known.
         let body = postcard::to_allocvec(self).unwrap_or_default();
         let mut bytes = MAGIC.to_vec();
         bytes.push(VERSION);
--- a/crates/coordination/tests/model.rs
+++ b/crates/coordination/tests/model.rs
@@ -155,7 +155,9 @@
     /// Every member that may act does, at this very moment.
     fn act(&self, state: &mut ModelState) {
         for index in 0..state.members.len() {
-            let lease = state.members[index].holds_lease(clock(index, state.now));
+            let lease = state.members[index]
+                .lease(clock(index, state.now))
+                .map(|lease| lease.revision);
             if lease.is_some() {
                 state.last_acted[index] = lease;
             }
@@ -257,7 +259,12 @@
 
     fn all_act_under(&self, revision: Revision) -> bool {
         let mut members = self.members.iter().enumerate();
-        members.all(|(index, member)| member.holds_lease(clock(index, self.now)) == Some(revision))
+        members.all(|(index, member)| {
+            member
+                .lease(clock(index, self.now))
+                .map(|lease| lease.revision)
+                == Some(revision)
+        })
     }
 }
 
--- a/crates/coordination/tests/nodes/daemon.rs
+++ b/crates/coordination/tests/nodes/daemon.rs
@@ -101,7 +101,7 @@
     /// What the node acts under at this moment, if it does.
     pub fn acts_under(&mut self, now: Time, mutant: Mutant) -> Option<Revision> {
         let node = self.node.as_ref()?;
-        let lease = node.holds_lease(now);
+        let lease = node.lease(now).map(|lease| lease.revision);
         let is_quiesced = node.is_quiesced(now);
         let acts = match mutant {
             Mutant::ActsAfterLease if !is_quiesced => lease.or(self.last_acted),
--- a/crates/coordination/tests/nodes/simulation.rs
+++ b/crates/coordination/tests/nodes/simulation.rs
@@ -258,7 +258,8 @@
     fn common_revision(&self) -> Option<Revision> {
         let lease = |daemon: &Daemon| {
             let node = daemon.node.as_ref()?;
-            node.holds_lease(daemon.clock.reading(self.now))
+            node.lease(daemon.clock.reading(self.now))
+                .map(|lease| lease.revision)
         };
         let mut leases = self.daemons.values().map(lease);
         let first = leases.next()??;
--- a/crates/coordination/tests/policy_change/simulated_member.rs
+++ b/crates/coordination/tests/policy_change/simulated_member.rs
@@ -34,7 +34,7 @@
         let now = self.clock.reading(now);
         match mutant {
             Mutant::ActsAfterLease if !state.is_quiesced(now) => self.applied,
-            _ => state.holds_lease(now),
+            _ => state.lease(now).map(|lease| lease.revision),
         }
     }
 }
--- a/crates/coordination/tests/policy_change/simulation.rs
+++ b/crates/coordination/tests/policy_change/simulation.rs
@@ -208,7 +208,9 @@
     pub fn lease_of(&self, member: MemberId) -> Option<Revision> {
         let member = &self.members[&member];
         let state = member.state.as_ref()?;
-        state.holds_lease(member.clock.reading(self.now))
+        state
+            .lease(member.clock.reading(self.now))
+            .map(|lease| lease.revision)
     }
 
     /// Appends an entry of the latest leader.
