Requests of attempts and the connection's fate after a response as types

EncodedRequest replaces the pair of head and body; AfterResponse replaces the bool with which responses were written.

--- a/crates/delivery/src/frontend/cloudevents.rs
+++ b/crates/delivery/src/frontend/cloudevents.rs
@@ -226,7 +226,7 @@
             head.extend(b"\r\n");
         }
         head.extend(format!("Content-Length: {}\r\n\r\n", body.len()).into_bytes());
-        (head, body)
+        EncodedRequest { head, body }
     }
 
     fn target(&self, destination: DestinationId) -> Target {
--- a/crates/delivery/src/frontend/platform.rs
+++ b/crates/delivery/src/frontend/platform.rs
@@ -157,7 +157,10 @@
     head.extend(
         format!("\r\nX-Budget-Ms: {budget_ms}\r\nContent-Length: {len}\r\n\r\n").into_bytes(),
     );
-    (head, Cow::Borrowed(&message.body))
+    EncodedRequest {
+        head,
+        body: Cow::Borrowed(&message.body),
+    }
 }
 
 /// What a response means for its attempt, by the protocol's table.
--- a/crates/delivery/src/instance/shutdown.rs
+++ b/crates/delivery/src/instance/shutdown.rs
@@ -18,7 +18,7 @@
 
 /// How long a process has from SIGTERM on.
 pub const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(3400);
-/// Without a successor, idle connections are closed after this, once new ones no longer come.
+/// Without a successor, idle connections are closed after this, when no new ones are expected.
 const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(500);
 /// Connections that have waited so long for a request are then closed.
 const IDLE_FOR: Duration = Duration::from_millis(150);
--- a/crates/delivery/src/net/pool/attempt.rs
+++ b/crates/delivery/src/net/pool/attempt.rs
@@ -18,8 +18,14 @@
 /// A reused connection that breaks within this time had been closed by its endpoint before.
 const STALE_WITHIN: Duration = Duration::from_millis(100);
 
-/// The head and the body of a request.
-pub type EncodedRequest<'a> = (Vec<u8>, Cow<'a, [u8]>);
+/// The request of an attempt as it is written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EncodedRequest<'a> {
+    /// The request line and the header fields, with the blank line.
+    pub head: Vec<u8>,
+    /// The body.
+    pub body: Cow<'a, [u8]>,
+}
 
 /// One attempt to deliver a message.
 pub struct Attempt<'a> {
@@ -125,7 +131,7 @@
         now: Instant,
     ) -> RequestWrite {
         let budget_ms = (attempt.timeout_at - now).as_millis() as u64;
-        let (head, body) = (attempt.encode)(budget_ms);
+        let EncodedRequest { head, body } = (attempt.encode)(budget_ms);
         // Where the endpoint reads slowly, the last byte may be held up for long.
         let write_all = async {
             let deadline = attempt.timeout_at.min(attempt.write_by);
--- a/crates/delivery/src/net/pool/tests.rs
+++ b/crates/delivery/src/net/pool/tests.rs
@@ -112,6 +112,13 @@
     endpoint: None,
 };
 
+fn post(body: &[u8]) -> EncodedRequest<'_> {
+    EncodedRequest {
+        head: b"POST / HTTP/1.1\r\n\r\n".to_vec(),
+        body: Cow::Borrowed(body),
+    }
+}
+
 fn later() -> Instant {
     Instant::now() + Duration::from_secs(20)
 }
@@ -121,7 +128,7 @@
 }
 
 async fn attempt_at(pool: &Pool, message: u64, endpoint: EndpointId, route: Route) -> Outcome {
-    let encode = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(&b""[..]));
+    let encode = |_| post(b"");
     let attempt = Attempt {
         message_id: MessageId(message),
         endpoint,
@@ -136,7 +143,7 @@
 }
 
 async fn attempt_with_body(pool: &Pool, body: &[u8], write_by: Instant) -> Outcome {
-    let encode = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(body));
+    let encode = |_| post(body);
     let attempt = Attempt {
         message_id: MessageId(1),
         endpoint: EndpointId(0),
@@ -447,7 +454,7 @@
         let _ = std::io::Write::write(&mut stream, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         std::io::Read::read(&mut stream, &mut bytes).unwrap_or(0)
     });
-    let encode = |_| (b"POST / HTTP/1.1\r\n\r\n".to_vec(), Cow::Borrowed(&b""[..]));
+    let encode = |_| post(b"");
     let permit = || driver::may_start_attempt(&incarnation).then(LeasePermit::unconditional);
     let run = |message| {
         pool.run_attempt(Attempt {
--- a/crates/delivery/src/net/server/client_connections.rs
+++ b/crates/delivery/src/net/server/client_connections.rs
@@ -12,10 +12,10 @@
 
 /// Where connections become many, those go that have been idle for so long.
 const EVICT_IDLE_AFTER: Duration = Duration::from_millis(2050);
-/// Many are more than this part of all that there may be: who asks once and stays must not use up the connections
-/// of those that still want to ask.
+/// Many are more than this part of all that there may be: clients that send one request and stay must not use up the
+/// connections of those that have a request to send.
 const MANY_FRACTION: usize = 4;
-/// A submission hears that its message is accepted and how it ended, and no more.
+/// A submission has at most two responses: accepted, and the final outcome.
 const MAX_RESPONSES: usize = 4;
 
 /// All connections of the client side, and the requests that wait for a response.
--- a/crates/delivery/src/net/server/session.rs
+++ b/crates/delivery/src/net/server/session.rs
@@ -29,6 +29,19 @@
 /// The reason code with which a session ends.
 type EndCode = &'static str;
 
+/// What becomes of a connection after a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AfterResponse {
+    KeepOpen,
+    Close,
+}
+
+/// A request, and what its client wants of the connection.
+struct ReceivedRequest {
+    request: ParsedRequest,
+    after_response: AfterResponse,
+}
+
 /// Where a request lies in the connection's buffer.
 struct RequestExtent {
     head: usize,
@@ -57,8 +70,8 @@
     clients: &'a ClientConnections,
     id: ConnectionId,
     read_timeout: ReadTimeout,
-    /// By when the request at hand must have come; the first one counts from the connection's opening, as who connects
-    /// and says nothing holds a connection just as long as who does not finish its request.
+    /// By when the request at hand must have come. The first one counts from the connection's opening, as a silent client
+    /// uses a connection just as long as one that does not finish its request.
     read_by: Instant,
     had_request: bool,
 }
@@ -97,9 +110,12 @@
             Ok(extent) => extent,
             Err(error) => return Err(self.reject(error).await),
         };
-        let (request, keep_alive) = self.parse(&extent)?;
+        let ReceivedRequest {
+            request,
+            after_response,
+        } = self.parse(&extent)?;
         let pending = self.process(request).await?;
-        self.write_response(pending, keep_alive).await
+        self.write_response(pending, after_response).await
     }
 
     /// Waits for the first bytes of a request.
@@ -148,27 +164,38 @@
         self.clients.table.set_phase(self.id, Phase::Lingering);
         let response = Response::with_status(status);
         let write_by = Instant::now() + self.read_timeout.0;
-        let _ = before(write_by, write_response(self.connection, &response, false)).await;
+        let _ = before(
+            write_by,
+            write_response(self.connection, &response, AfterResponse::Close),
+        )
+        .await;
         self.connection
             .linger(Instant::now() + LINGER_AFTER_REJECTION)
             .await;
         error.code()
     }
 
-    /// Parses and consumes a request; returns also whether its client keeps the connection open.
-    fn parse(&mut self, extent: &RequestExtent) -> Result<(ParsedRequest, bool), EndCode> {
+    /// Parses and consumes a request.
+    fn parse(&mut self, extent: &RequestExtent) -> Result<ReceivedRequest, EndCode> {
         let (head, rest) = self.connection.bytes().split_at(extent.head);
         // The head was parsed once for its framing; now that the body follows it, both are used in place.
         let Ok(head) = http::request(head) else {
             return Err(ParseError::Malformed.code());
         };
-        let keep_alive = head.keep_alive;
+        let after_response = if head.keep_alive {
+            AfterResponse::KeepOpen
+        } else {
+            AfterResponse::Close
+        };
         let request = self.frontend.parse(&head, &rest[..extent.body], unix_ms());
         self.connection.consume(extent.head + extent.body);
         self.clients
             .table
             .set_phase(self.id, Phase::AwaitingResponse);
-        Ok((request, keep_alive))
+        Ok(ReceivedRequest {
+            request,
+            after_response,
+        })
     }
 
     async fn process(&mut self, request: ParsedRequest) -> Result<PendingResponse, EndCode> {
@@ -224,13 +251,17 @@
     async fn write_response(
         &mut self,
         pending: PendingResponse,
-        keep_alive: bool,
+        requested: AfterResponse,
     ) -> Result<(), EndCode> {
-        let keep_alive = keep_alive && self.clients.keeps_connections();
+        let after_response = if self.clients.keeps_connections() {
+            requested
+        } else {
+            AfterResponse::Close
+        };
         let write_by = Instant::now() + self.read_timeout.0;
-        let writing = write_response(self.connection, &pending.response, keep_alive);
+        let writing = write_response(self.connection, &pending.response, after_response);
         match before(write_by, writing).await {
-            Some(Ok(())) if keep_alive => {
+            Some(Ok(())) if after_response == AfterResponse::KeepOpen => {
                 self.clients.table.set_phase(self.id, Phase::Idle);
                 Ok(())
             }
@@ -272,7 +303,7 @@
 async fn write_response(
     connection: &mut Connection,
     response: &Response,
-    keep_alive: bool,
+    after_response: AfterResponse,
 ) -> io::Result<()> {
     let status = response.status;
     let mut head = format!("HTTP/1.1 {status} {}\r\n", http::reason_phrase(status));
@@ -286,7 +317,7 @@
     if status != 204 {
         head.push_str(&format!("Content-Length: {}\r\n", response.body.len()));
     }
-    if !keep_alive {
+    if after_response == AfterResponse::Close {
         head.push_str("Connection: close\r\n");
     }
     head.push_str("\r\n");
