Name the supervisor's and the list watcher's reason codes by the field's terms

roster-taken, -refused, -warning, -missing, -unreadable are endpoint-list-in-force, -rejected, -warning, -missing, -unreadable; roster-not-kept last-good-list-not-written; kept-roster-spoilt last-good-list-unreadable; no-roster destination-unlisted; no-rosters list-watcher-not-started; no-room destination-table-full; no-watch file-watch-unavailable; status-not-written list-status-not-written; failed instance-failed. The test that expects no "no-roster", which held also against no-rosters, names both new codes.

--- a/crates/cli/tests/rosters.rs
+++ b/crates/cli/tests/rosters.rs
@@ -381,7 +381,7 @@
     let away = folder.0.join("away");
     fs::rename(&rosters, &away).unwrap();
     wait_for("the folder to be gone", || {
-        program.log().contains("roster-unreadable")
+        program.log().contains("endpoint-list-unreadable")
     });
     goes_to(at, "gone", &two);
 
@@ -554,13 +554,15 @@
     apply(&folder, &text);
     let program = daemon(&folder);
     program.address(MARKER, 0);
-    assert!(!program.log().contains("no-roster"), "{}", program.log());
+    for code in ["destination-unlisted", "list-watcher-not-started"] {
+        assert!(!program.log().contains(code), "{}", program.log());
+    }
     apply(
         &folder,
         &text.replace("[roster]", "[destination.late]\nrate = 1\n[roster]"),
     );
     wait_for("a line on the destination", || {
-        program.log().contains("no-roster")
+        program.log().contains("destination-unlisted")
     });
     let status = folder.0.join("home/rosters/status.json");
     assert!(fs::read_to_string(&status).unwrap().contains("roster.toml"));
--- a/crates/control-plane/src/list_watcher.rs
+++ b/crates/control-plane/src/list_watcher.rs
@@ -83,7 +83,7 @@
     pub fn start(home: &Path, manifest: &Manifest) -> Result<ListWatcher, ListWatcherError> {
         let last_good = LastGoodLists::read(home, manifest)?;
         for report in last_good.unreadable {
-            say!(code = "kept-roster-spoilt", file = %report.file, "{}", report.first());
+            say!(code = "last-good-list-unreadable", file = %report.file, "{}", report.first());
         }
         let lists = SharedLists::new(last_good.lists);
         let (wakeup_sender, wakeups) = mpsc::channel();
--- a/crates/control-plane/src/list_watcher/file_states.rs
+++ b/crates/control-plane/src/list_watcher/file_states.rs
@@ -49,12 +49,12 @@
         FileState::InForce => {}
         FileState::Rejected { report } => log_rejected(file, report),
         FileState::Unreadable { cause } => say!(
-            code = "roster-unreadable",
+            code = "endpoint-list-unreadable",
             file,
             "endpoint list cannot be read, the last good one stays in force: {cause}"
         ),
         FileState::Missing => say!(
-            code = "roster-missing",
+            code = "endpoint-list-missing",
             file,
             "endpoint list is missing, the last good one stays in force"
         ),
@@ -72,7 +72,7 @@
         .find_map(|line| line.strip_prefix("--> "))
         .unwrap_or(file);
     say!(
-        code = "roster-refused",
+        code = "endpoint-list-rejected",
         file,
         "endpoint list rejected, the last good one stays in force: {place}: {what}"
     );
--- a/crates/control-plane/src/list_watcher/folder_watch.rs
+++ b/crates/control-plane/src/list_watcher/folder_watch.rs
@@ -49,7 +49,7 @@
             Ok(watcher) => watcher,
             Err(error) => {
                 say!(
-                    code = "no-watch",
+                    code = "file-watch-unavailable",
                     "the system does not tell of changes, endpoint lists are polled every {poll_ms} ms: {error}"
                 );
                 self.active = None;
@@ -59,7 +59,10 @@
         for folder in folders.keys() {
             if let Err(error) = watcher.watch(folder, RecursiveMode::NonRecursive) {
                 let folder = folder.display();
-                say!(code = "no-watch", "{folder} is only polled: {error}");
+                say!(
+                    code = "file-watch-unavailable",
+                    "{folder} is only polled: {error}"
+                );
             }
         }
         self.active = Some(ActiveWatch {
--- a/crates/control-plane/src/list_watcher/scanner.rs
+++ b/crates/control-plane/src/list_watcher/scanner.rs
@@ -254,7 +254,7 @@
         let (revision, endpoint_changes) = (offer.revision(), offer.changes.len());
         self.lists.write(|lists| lists.take(offer));
         say!(
-            code = "roster-taken",
+            code = "endpoint-list-in-force",
             file,
             revision,
             "endpoint list in force: {endpoint_changes} endpoints change"
@@ -277,7 +277,7 @@
                 self.last_good.write(&file, list.print().as_bytes())
             };
             if let Err(error) = kept {
-                say!(code = "roster-not-kept", file = %file, "{error}");
+                say!(code = "last-good-list-not-written", file = %file, "{error}");
             }
         }
     }
@@ -299,7 +299,7 @@
         let unlisted: BTreeSet<String> = self.unlisted_now().into_iter().collect();
         for name in unlisted.difference(&self.unlisted) {
             say!(
-                code = "no-roster",
+                code = "destination-unlisted",
                 destination = %name,
                 "no endpoint list names it: nothing is served there"
             );
@@ -321,7 +321,7 @@
             Ok(()) => self.written_status = Some(status),
             Err(error) => {
                 let path = self.status_path.display();
-                say!(code = "status-not-written", "{path}: {error}");
+                say!(code = "list-status-not-written", "{path}: {error}");
             }
         }
     }
@@ -346,12 +346,16 @@
 }
 
 fn log_not_kept(file: &str, consequence: &str, error: &KeepError) {
-    say!(code = "roster-not-kept", file, "{consequence}: {error}");
+    say!(
+        code = "last-good-list-not-written",
+        file,
+        "{consequence}: {error}"
+    );
 }
 
 fn log_warning(file: &str, fault: &Fault) {
     say!(
-        code = "roster-warning",
+        code = "endpoint-list-warning",
         file,
         line = fault.line,
         "{}: {}",
--- a/crates/control-plane/src/supervisor.rs
+++ b/crates/control-plane/src/supervisor.rs
@@ -283,7 +283,7 @@
         match ListWatcher::start(&self.home, &self.manifest) {
             Ok(watcher) => self.list_watcher = Some(watcher),
             Err(error) => say!(
-                code = "no-rosters",
+                code = "list-watcher-not-started",
                 "endpoint lists are not watched: {error}"
             ),
         }
@@ -355,7 +355,10 @@
         };
         match watcher.with_lists(|lists| self.directory.with_endpoint_lists(lists)) {
             Ok(directory) => self.directory = directory,
-            Err(error) => say!(code = "no-room", "destinations kept as they were: {error}"),
+            Err(error) => say!(
+                code = "destination-table-full",
+                "destinations kept as they were: {error}"
+            ),
         }
     }
 
--- a/crates/control-plane/src/supervisor/instance_handle.rs
+++ b/crates/control-plane/src/supervisor/instance_handle.rs
@@ -169,6 +169,6 @@
     let tasks = Rc::new(LocalExecutor::new());
     let running = instance::run_instance(config, commands, Spawner::new(&tasks));
     if let Err(error) = async_io::block_on(tasks.run(running)) {
-        say!(code = "failed", "{error}");
+        say!(code = "instance-failed", "{error}");
     }
 }
