Name the contents of a group's messages, in place of copies of their fields

LeaseRequest, LeaseGrant, KnownStorage and PaxosMessage are what the messages carry and what handles them takes. postcard encodes a variant that holds a struct as one with these fields; tests/wire_format.rs holds, with one more test for the consensus library's messages.

--- a/crates/coordination/src/leader.rs
+++ b/crates/coordination/src/leader.rs
@@ -5,10 +5,8 @@
 //! The leader decides for the policy only once every member has confirmed that it is quiesced, or has surely stopped
 //! acting because its lease has expired. A negative verdict, a timeout or an operator withdraws the change.
 
-use crate::identifiers::{
-    Epoch, MemberId, Micros, Policy, ProcessIncarnation, ProposalId, Revision,
-};
-use crate::message::{PolicyVerdict, ToLeader, ToMember};
+use crate::identifiers::{Epoch, MemberId, Policy, ProposalId, Revision};
+use crate::message::{LeaseGrant, LeaseRequest, PolicyVerdict, ToLeader, ToMember};
 use crate::replicated_state::{LeaderEntry, ReplicatedState};
 use crate::settings::{CoordinationSettings, PartitionPolicy};
 use marblefall_scheduler::{Span, Time};
@@ -72,13 +70,6 @@
     since: Time,
 }
 
-/// A member's request for a lease.
-struct LeaseRequest {
-    incarnation: ProcessIncarnation,
-    sent_at: Micros,
-    applied: Option<Revision>,
-}
-
 /// The leader of one epoch.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Leader {
@@ -231,20 +222,11 @@
             return;
         };
         match message {
-            ToLeader::LeaseRequest { .. } if progress.excluded => {
+            ToLeader::LeaseRequest(_) if progress.excluded => {
                 // The next leader must know as well.
                 return actions.push(LeaderAction::Append(LeaderEntry::Readmitted(from)));
             }
-            ToLeader::LeaseRequest {
-                incarnation,
-                sent_at,
-                applied,
-            } => {
-                let request = LeaseRequest {
-                    incarnation,
-                    sent_at,
-                    applied,
-                };
+            ToLeader::LeaseRequest(request) => {
                 self.handle_lease_request(now, from, request, actions);
             }
             ToLeader::PolicyChecked(proposal, verdict) => {
@@ -315,13 +297,15 @@
         }
         let duration = self.grant_lease(now, from);
         let policy = (request.applied != Some(self.committed)).then(|| self.policy.clone());
-        let granted = ToMember::LeaseGranted {
+        let grant = LeaseGrant {
             incarnation: request.incarnation,
             sent_at: request.sent_at,
             duration: duration.map(|duration| duration.0),
-            committed: (self.committed, policy),
+            committed: self.committed,
+            policy,
             resolved: self.resolved,
         };
+        let granted = ToMember::LeaseGranted(grant);
         actions.push(LeaderAction::Send(from, granted));
     }
 
--- a/crates/coordination/src/member.rs
+++ b/crates/coordination/src/member.rs
@@ -3,8 +3,8 @@
 //! A process starts without knowing which policy is in force, and acts only while it holds a lease that it requested
 //! itself. Once it has confirmed that it is quiesced for a change, only the change's outcome releases it.
 
-use crate::identifiers::{Epoch, Micros, Policy, ProcessIncarnation, ProposalId, Revision};
-use crate::message::{ToLeader, ToMember};
+use crate::identifiers::{Epoch, Policy, ProcessIncarnation, ProposalId, Revision};
+use crate::message::{LeaseGrant, LeaseRequest, ToLeader, ToMember};
 use crate::settings::CoordinationSettings;
 use marblefall_scheduler::{Span, Time};
 
@@ -50,14 +50,6 @@
     Quiesced(ProposalId),
 }
 
-/// A lease as it was granted.
-struct Grant {
-    sent_at: Micros,
-    duration: Option<Micros>,
-    committed: (Revision, Option<Policy>),
-    resolved: ProposalId,
-}
-
 /// One process of a member.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Member {
@@ -151,22 +143,10 @@
                 actions.push(MemberAction::Send(ToLeader::Quiesced(proposal, epoch)));
             }
             ToMember::Resolved(proposal) => self.handle_resolved(now, proposal, actions),
-            ToMember::LeaseGranted {
-                incarnation,
-                sent_at,
-                duration,
-                committed,
-                resolved,
-            } if incarnation == self.incarnation => {
-                let grant = Grant {
-                    sent_at,
-                    duration,
-                    committed,
-                    resolved,
-                };
+            ToMember::LeaseGranted(grant) if grant.incarnation == self.incarnation => {
                 self.handle_grant(now, grant, actions);
             }
-            ToMember::CheckPolicy(..) | ToMember::Quiesce(_) | ToMember::LeaseGranted { .. } => {}
+            ToMember::CheckPolicy(..) | ToMember::Quiesce(_) | ToMember::LeaseGranted(_) => {}
         }
     }
 
@@ -188,7 +168,7 @@
         }
     }
 
-    fn handle_grant(&mut self, now: Time, grant: Grant, actions: &mut Vec<MemberAction>) {
+    fn handle_grant(&mut self, now: Time, grant: LeaseGrant, actions: &mut Vec<MemberAction>) {
         // One that was granted before the member was quiesced is void.
         let void = match self.lease {
             LeaseState::Quiesced(quiesced) => grant.resolved < quiesced,
@@ -201,12 +181,11 @@
         if void || grant.resolved < self.resolved || expired {
             return;
         }
-        let (revision, policy) = grant.committed;
-        if self.applied != Some(revision) {
+        if self.applied != Some(grant.committed) {
             // Without its content the policy is requested again.
-            let Some(policy) = policy else { return };
-            self.applied = Some(revision);
-            actions.push(MemberAction::ApplyPolicy(revision, policy));
+            let Some(policy) = grant.policy else { return };
+            self.applied = Some(grant.committed);
+            actions.push(MemberAction::ApplyPolicy(grant.committed, policy));
             // Reports the applied revision at once: whoever proposed the change waits for it.
             self.request_lease(now, actions);
         }
@@ -221,11 +200,11 @@
 
     fn request_lease(&mut self, now: Time, actions: &mut Vec<MemberAction>) {
         self.last_request = Some(now);
-        actions.push(MemberAction::Send(ToLeader::LeaseRequest {
+        actions.push(MemberAction::Send(ToLeader::LeaseRequest(LeaseRequest {
             incarnation: self.incarnation,
             sent_at: now.0,
             applied: self.applied,
-        }));
+        })));
     }
 
     fn request_interval(&self) -> Span {
--- a/crates/coordination/src/message.rs
+++ b/crates/coordination/src/message.rs
@@ -24,18 +24,40 @@
     }
 }
 
+/// A member's request for a lease.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LeaseRequest {
+    /// The member's process.
+    pub incarnation: ProcessIncarnation,
+    /// Its monotonic clock at the request, in microseconds.
+    pub sent_at: Micros,
+    /// The policy that it has applied: its content is not sent again.
+    pub applied: Option<Revision>,
+}
+
+/// A lease as the leader grants it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LeaseGrant {
+    /// The process that requested it.
+    pub incarnation: ProcessIncarnation,
+    /// That process's monotonic clock at the request, in microseconds.
+    pub sent_at: Micros,
+    /// Microseconds from the request, less the drift; without end under
+    /// [`PartitionPolicy::Serve`](crate::settings::PartitionPolicy::Serve).
+    pub duration: Option<Micros>,
+    /// The revision in force.
+    pub committed: Revision,
+    /// The policy in force, where the member has not applied it.
+    pub policy: Option<Policy>,
+    /// The last proposal whose outcome is known.
+    pub resolved: ProposalId,
+}
+
 /// From a member to the leader.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum ToLeader {
-    /// A request for a lease. The response repeats `incarnation` and `sent_at`.
-    LeaseRequest {
-        /// The member's process.
-        incarnation: ProcessIncarnation,
-        /// Its monotonic clock at the request, in microseconds.
-        sent_at: Micros,
-        /// The policy that it has applied: its content is not sent again.
-        applied: Option<Revision>,
-    },
+    /// A request for a lease.
+    LeaseRequest(LeaseRequest),
     /// The member's verdict on a proposed policy.
     PolicyChecked(ProposalId, PolicyVerdict),
     /// The member does not act any more, and will not before it learns the outcome of the proposal. Responds to the
@@ -48,19 +70,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum ToMember {
     /// The member may act under the policy in force.
-    LeaseGranted {
-        /// The process that requested it.
-        incarnation: ProcessIncarnation,
-        /// Its monotonic clock at the request, in microseconds.
-        sent_at: Micros,
-        /// Microseconds from the request, less the drift; without end under
-        /// [`PartitionPolicy::Serve`](crate::settings::PartitionPolicy::Serve).
-        duration: Option<Micros>,
-        /// The policy in force, with its content where the member has not applied it.
-        committed: (Revision, Option<Policy>),
-        /// The last proposal whose outcome is known.
-        resolved: ProposalId,
-    },
+    LeaseGranted(LeaseGrant),
     /// Check this policy, which is to follow this revision.
     CheckPolicy(ProposalId, Revision, Policy),
     /// Stop acting until the outcome is known.
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -283,10 +283,10 @@
         message: ToLeader,
         actions: &mut Vec<NodeAction>,
     ) {
-        if let ToLeader::LeaseRequest { applied, .. } = &message {
+        if let ToLeader::LeaseRequest(request) = &message {
             let report = MemberReport {
                 received_at: now.monotonic,
-                applied: *applied,
+                applied: request.applied,
             };
             self.reports.insert(from, report);
         }
--- a/crates/coordination/src/voter.rs
+++ b/crates/coordination/src/voter.rs
@@ -16,7 +16,7 @@
 mod message;
 mod replication;
 
-pub use message::VoterMessage;
+pub use message::{KnownStorage, PaxosMessage, VoterMessage};
 
 use crate::identifiers::{Epoch, MemberId};
 use crate::log_storage::LogStorage;
@@ -231,16 +231,7 @@
                 storage,
                 configuration,
             } => self.handle_hello(now, from, storage, configuration, actions),
-            VoterMessage::KnownStorage {
-                own,
-                configuration,
-                known,
-            } => {
-                let response = amnesia::KnownStorage {
-                    own,
-                    configuration,
-                    known,
-                };
+            VoterMessage::KnownStorage(response) => {
                 self.handle_known_storage(now, from, response, actions);
             }
             VoterMessage::AdmissionRequest(id) => {
@@ -249,17 +240,8 @@
             VoterMessage::Configuration(configuration, base) => {
                 self.handle_configuration(now, configuration, *base, actions);
             }
-            VoterMessage::Paxos {
-                configuration,
-                write_count,
-                message,
-            } => {
-                let envelope = replication::Envelope {
-                    configuration,
-                    write_count,
-                    message,
-                };
-                self.handle_paxos(now, from, envelope, actions);
+            VoterMessage::Paxos(received) => {
+                self.handle_paxos(now, from, received, actions);
             }
             VoterMessage::ConfirmLeader(epoch, round) => {
                 self.handle_confirm_leader(from, epoch, round, actions);
--- a/crates/coordination/src/voter/amnesia.rs
+++ b/crates/coordination/src/voter/amnesia.rs
@@ -5,7 +5,7 @@
 //! know of no later state of it. If one does, the storage was lost or restored from an old copy: the voter takes a new
 //! [`StorageId`] and asks the leader to be admitted with it, by a configuration of its own.
 
-use super::{Participation, Voter, VoterAction, VoterMessage, HELLO_INTERVAL};
+use super::{KnownStorage, Participation, Voter, VoterAction, VoterMessage, HELLO_INTERVAL};
 use crate::identifiers::{MemberId, StorageId, StorageVersion};
 use crate::persistent_state::PersistentState;
 use crate::replicated_state::{LogEntry, ReplicatedState};
@@ -15,13 +15,6 @@
 use std::collections::btree_map::Entry;
 use std::collections::BTreeMap;
 
-/// What another voter knows of this one's storage.
-pub(super) struct KnownStorage {
-    pub(super) own: StorageId,
-    pub(super) configuration: u32,
-    pub(super) known: StorageVersion,
-}
-
 impl Voter {
     pub(super) fn handle_hello(
         &mut self,
@@ -50,11 +43,11 @@
                 *known
             }
         };
-        let response = VoterMessage::KnownStorage {
+        let response = VoterMessage::KnownStorage(KnownStorage {
             own: state.storage.id,
             configuration: state.configuration,
             known,
-        };
+        });
         let is_behind = configuration < state.configuration;
         drop(state);
         actions.push(VoterAction::Send(from, response));
--- a/crates/coordination/src/voter/message.rs
+++ b/crates/coordination/src/voter/message.rs
@@ -19,29 +19,37 @@
         configuration: u32,
     },
     /// The response to [`VoterMessage::Hello`].
-    KnownStorage {
-        /// The responding voter's own storage.
-        own: StorageId,
-        /// The responding voter's configuration.
-        configuration: u32,
-        /// The asking voter's storage as it was last shown.
-        known: StorageVersion,
-    },
+    KnownStorage(KnownStorage),
     /// A voter whose storage has lost what it acknowledged asks to be admitted as a new one.
     AdmissionRequest(StorageId),
     /// The current configuration, and what its log began with.
     Configuration(u32, Box<ReplicatedState>),
     /// A message of the consensus library.
-    Paxos {
-        /// In which configuration.
-        configuration: u32,
-        /// The write of the sender's storage that it depends on.
-        write_count: u64,
-        /// The message.
-        message: Message<LogEntry>,
-    },
+    Paxos(PaxosMessage),
     /// Has the receiver promised to nobody but the leader of this epoch? With the number of the round.
     ConfirmLeader(Epoch, u64),
     /// It had not when it received the question of this round.
     LeaderConfirmed(Epoch, u64),
 }
+
+/// What a voter knows of the storage of another one.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct KnownStorage {
+    /// The responding voter's own storage.
+    pub own: StorageId,
+    /// The responding voter's configuration.
+    pub configuration: u32,
+    /// The asking voter's storage as it was last shown.
+    pub known: StorageVersion,
+}
+
+/// A message of the consensus library, with what it depends on.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PaxosMessage {
+    /// In which configuration.
+    pub configuration: u32,
+    /// The write of the sender's storage that it depends on.
+    pub write_count: u64,
+    /// The message.
+    pub message: Message<LogEntry>,
+}
--- a/crates/coordination/src/voter/replication.rs
+++ b/crates/coordination/src/voter/replication.rs
@@ -2,11 +2,10 @@
 //! A log that has grown long is cut by beginning another configuration of the same voters.
 
 use super::leadership::Leadership;
-use super::{Participation, Voter, VoterAction, VoterMessage};
+use super::{Participation, PaxosMessage, Voter, VoterAction, VoterMessage};
 use crate::identifiers::{MemberId, StorageId};
 use crate::replicated_state::{LogEntry, ReplicatedState};
 use marblefall_scheduler::Time;
-use omnipaxos::messages::Message;
 use omnipaxos::util::LogEntry as PaxosEntry;
 use omnipaxos::{ClusterConfig, ServerConfig};
 use std::collections::BTreeMap;
@@ -20,13 +19,6 @@
 /// A log of so many entries is cut.
 const MAX_LOG_LENGTH: usize = 96;
 
-/// A message of the consensus library, with what it depends on.
-pub(super) struct Envelope {
-    pub(super) configuration: u32,
-    pub(super) write_count: u64,
-    pub(super) message: Message<LogEntry>,
-}
-
 impl Voter {
     /// Appends to the log.
     pub(super) fn propose(&mut self, entry: LogEntry) {
@@ -53,19 +45,19 @@
         &mut self,
         now: Time,
         from: MemberId,
-        envelope: Envelope,
+        received: PaxosMessage,
         actions: &mut Vec<VoterAction>,
     ) {
         let configuration = self.storage.state().configuration;
-        if envelope.configuration < configuration {
+        if received.configuration < configuration {
             return self.send_configuration(now, from, actions);
         }
         let participates = self.participation == Participation::Participating;
-        if envelope.configuration > configuration || !participates {
+        if received.configuration > configuration || !participates {
             return;
         }
-        let message = envelope.message;
-        self.note_write_count(from, envelope.write_count, &message);
+        let message = received.message;
+        self.note_write_count(from, received.write_count, &message);
         let addressed = Some(message.get_sender()) == self.paxos_id(from)
             && Some(message.get_receiver()) == self.paxos_id(self.own_id);
         if let Some(paxos) = self.paxos.as_mut().filter(|_| addressed) {
@@ -195,11 +187,11 @@
             let Some(receiver) = self.voters.iter().nth(position) else {
                 continue;
             };
-            let message = VoterMessage::Paxos {
+            let message = VoterMessage::Paxos(PaxosMessage {
                 configuration: state.configuration,
                 write_count,
                 message,
-            };
+            });
             actions.push(VoterAction::Send(*receiver, message));
         }
     }
--- a/crates/coordination/tests/wire_format.rs
+++ b/crates/coordination/tests/wire_format.rs
@@ -6,14 +6,18 @@
     Author, Epoch, MemberId, Policy, ProcessIncarnation, ProposalId, Revision, StorageId,
     StorageVersion,
 };
-use marblefall_coordination::message::{PolicyVerdict, ToLeader, ToMember};
+use marblefall_coordination::message::{
+    LeaseGrant, LeaseRequest, PolicyVerdict, ToLeader, ToMember,
+};
 use marblefall_coordination::node::{
     ChangePhase, Frame, GroupStatus, MemberStatus, PendingStatus, Reply, Request, RequestNumber,
 };
 use marblefall_coordination::replicated_state::{
     ChangeOutcome, LeaderEntry, LogEntry, PendingChange, ReplicatedState, ResolvedChange,
 };
-use marblefall_coordination::voter::VoterMessage;
+use marblefall_coordination::voter::{KnownStorage, PaxosMessage, VoterMessage};
+use omnipaxos::messages::ballot_leader_election::{BLEMessage, HeartbeatMsg, HeartbeatRequest};
+use omnipaxos::messages::Message;
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -70,11 +74,11 @@
 
 #[test]
 fn messages_to_leader_are_encoded_as_before() {
-    let request = ToLeader::LeaseRequest {
+    let request = ToLeader::LeaseRequest(LeaseRequest {
         incarnation: ProcessIncarnation(1000),
         sent_at: -7,
         applied: Some(Revision(5)),
-    };
+    });
     let rejected = PolicyVerdict::Rejected("no".to_owned());
     let checked = |verdict| ToLeader::PolicyChecked(ProposalId(9), verdict);
     for (message, bytes) in [
@@ -89,13 +93,14 @@
 
 #[test]
 fn messages_to_member_are_encoded_as_before() {
-    let granted = ToMember::LeaseGranted {
+    let granted = ToMember::LeaseGranted(LeaseGrant {
         incarnation: ProcessIncarnation(1000),
         sent_at: -7,
         duration: Some(900),
-        committed: (Revision(5), Some(policy())),
+        committed: Revision(5),
+        policy: Some(policy()),
         resolved: ProposalId(8),
-    };
+    });
     let check = ToMember::CheckPolicy(ProposalId(9), Revision(5), policy());
     for (message, bytes) in [
         (granted, "020300e8070d01880e050106706f6c69637908"),
@@ -118,11 +123,11 @@
         storage: version(11, 4),
         configuration: 2,
     };
-    let known = VoterMessage::KnownStorage {
+    let known = VoterMessage::KnownStorage(KnownStorage {
         own: StorageId(12),
         configuration: 2,
         known: version(11, 3),
-    };
+    });
     for (message, bytes) in [
         (hello, "00000b0402"),
         (known, "00010c020b03"),
@@ -140,6 +145,22 @@
     }
 }
 
+/// The consensus library's own message is the last field.
+#[test]
+fn paxos_message_is_encoded_as_before() {
+    let message = Message::BLE(BLEMessage {
+        from: 1,
+        to: 2,
+        msg: HeartbeatMsg::Request(HeartbeatRequest { round: 300 }),
+    });
+    let frame = Frame::Voter(VoterMessage::Paxos(PaxosMessage {
+        configuration: 2,
+        write_count: 5,
+        message: message.clone(),
+    }));
+    assert_eq!(hex(&frame), format!("00040205{}", hex(&message)));
+}
+
 #[test]
 fn operators_requests_are_encoded_as_before() {
     let propose = Request::Propose {
