--- a/crates/cli/benches/group.rs
+++ b/crates/cli/benches/group.rs
@@ -1,10 +1,12 @@
 //! What a change of policy costs a group of processes: from `apply` to its end, from proposed to in force by the leader's
 //! clock, how long members are held still, and what a member costs at rest. `cargo bench -p marblefall --bench group`.
 
+#![allow(clippy::unwrap_used, reason = "a failed step ends the measurement")]
+
 #[path = "../tests/common/mod.rs"]
 mod common;
 
-use common::*;
+use common::{ok, run, wait_for, StandIn};
 use marblefall_simulation::rig::clients::Clients;
 use marblefall_simulation::rig::daemons::{Daemon, Group, Setting};
 use marblefall_simulation::rig::history::{Did, Seen};
--- a/crates/cli/benches/lives.rs
+++ b/crates/cli/benches/lives.rs
@@ -1,11 +1,17 @@
 //! How long a replacement of the process keeps messages waiting: from SIGTERM to the old process until the new one's first
 //! leg is at the partner, and the longest time without any leg there. `cargo bench -p marblefall --bench lives`.
 
+#![allow(
+    clippy::too_many_lines,
+    reason = "a measurement tells one course of events"
+)]
+#![allow(clippy::unwrap_used, reason = "a failed step ends the measurement")]
+
 #[path = "../tests/common/mod.rs"]
 mod common;
 
-use common::platform::*;
-use common::*;
+use common::platform::{hand, Site};
+use common::{ok, wait_for, StandIn};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
--- a/crates/cli/examples/measure.rs
+++ b/crates/cli/examples/measure.rs
@@ -14,6 +14,11 @@
 //! during the outage. `refusals`:
 //! what a partner gets that turns every fourth call away at random.
 
+#![allow(
+    clippy::too_many_lines,
+    reason = "a measurement tells one course of events"
+)]
+
 use std::error::Error;
 use std::fmt::Write as _;
 use std::fs;
--- a/crates/cli/src/words.rs
+++ b/crates/cli/src/arguments.rs
@@ -1,15 +1,15 @@
-//! The words of the command line. Without any, the program is the platform's courier.
+//! The command line's arguments. Without any, the program is one instance on the platform.
 
 use clap::{Parser, Subcommand, ValueEnum};
 use std::path::PathBuf;
 
-/// A courier of outbound messages.
+/// Delivers outbound messages.
 ///
-/// Without words it is one courier on the platform, as RELAY_CONFIG has it; with them it is the operators' tool.
-/// Exit codes: 0 done, 1 what was given is wrong or could not be done, 2 the words are wrong.
+/// Without arguments it is one instance on the platform, configured by RELAY_CONFIG; with them it is the operators' tool.
+/// Exit codes: 0 done, 1 what was given is wrong or could not be done, 2 the arguments are wrong.
 #[derive(Debug, Parser)]
 #[command(name = "marblefall", version, subcommand_required = true)]
-pub struct Words {
+pub struct Arguments {
     /// What to do.
     #[command(subcommand)]
     pub command: Command,
@@ -31,7 +31,7 @@
         #[arg(long, value_name = "PLAN")]
         out: Option<PathBuf>,
     },
-    /// Put a saved plan in force, unless what it stands on has changed.
+    /// Put a saved plan in force, unless the applied revision has changed since it was made.
     ///
     /// In a home that is a member of a group the change is proposed to all members: it comes into force at every one of
     /// them or at none, and the command ends once that is known.
@@ -54,32 +54,32 @@
         home: PathBuf,
         /// How log lines look.
         #[arg(long, value_name = "FORM", default_value = "text")]
-        log: Form,
-        /// In a group: where each message taken on and each leg begun is written, with the revision that it was under.
+        log: OutputFormat,
+        /// In a group: where each accepted message and each attempt is written, with the revision that it was under.
         #[arg(long, value_name = "FILE")]
         history: Option<PathBuf>,
-        /// In a group: where its link listens, if others reach it by the file's address through something between.
+        /// In a group: where its transport listens, if others reach it by the file's address through a proxy.
         #[arg(long, value_name = "ADDRESS")]
         link: Option<std::net::SocketAddr>,
     },
-    /// Ask how a group of daemons stands, and say a word on it.
+    /// Show the state of a group of daemons, and steer it.
     #[command(subcommand)]
-    Group(Group),
-    /// Show how destinations stand, as the instances wrote it down within the last second.
+    Group(GroupCommand),
+    /// Show the state of destinations, as the instances recorded it within the last second.
     #[command(after_help = "Example:\n  marblefall destinations /var/lib/marblefall --state out")]
     Destinations {
         /// The fleet's folder.
         home: PathBuf,
-        /// Only those that stand so.
+        /// Only those in this state.
         #[arg(long)]
-        state: Option<State>,
+        state: Option<DestinationState>,
         /// How it is printed.
         #[arg(long, value_name = "FORM", default_value = "text")]
-        format: Form,
+        format: OutputFormat,
     },
-    /// Check, show and compare rosters: lists of endpoints that are watched.
+    /// Check, show and compare watched endpoint lists.
     #[command(subcommand)]
-    Roster(Roster),
+    Roster(EndpointListCommand),
     /// Print completions for a shell.
     #[command(
         after_help = "Example:\n  marblefall completions bash > /etc/bash_completion.d/marblefall"
@@ -92,8 +92,8 @@
 
 /// What is asked of a group; the daemon of the home must run.
 #[derive(Debug, Subcommand)]
-pub enum Group {
-    /// Show the revision in force, the change that is open, and each member.
+pub enum GroupCommand {
+    /// Show the revision in force, the pending change, and each member.
     #[command(
         after_help = "Example:\n  marblefall group status /var/lib/marblefall --format json"
     )]
@@ -102,25 +102,25 @@
         home: PathBuf,
         /// How it is printed.
         #[arg(long, value_name = "FORM", default_value = "text")]
-        format: Form,
+        format: OutputFormat,
     },
-    /// Show who changed what when, and what became of it.
+    /// Show changes: who proposed them, when, and their outcomes.
     #[command(after_help = "Example:\n  marblefall group history /var/lib/marblefall")]
     History {
         /// The fleet's folder.
         home: PathBuf,
         /// How it is printed.
         #[arg(long, value_name = "FORM", default_value = "text")]
-        format: Form,
+        format: OutputFormat,
     },
-    /// Take the open change back, whoever made it.
+    /// Withdraw the pending change, whoever proposed it.
     #[command(after_help = "Example:\n  marblefall group withdraw /var/lib/marblefall")]
     Withdraw {
         /// The fleet's folder.
         home: PathBuf,
     },
-    /// Say that a member is stopped: changes no longer wait for it, until it asks again. Where that is not so, two policies
-    /// are in use at once.
+    /// Declare a member stopped: changes no longer wait for it, until it asks for a lease again. If it is not stopped, two
+    /// policies are in use at once.
     #[command(after_help = "Example:\n  marblefall group without south /var/lib/marblefall")]
     Without {
         /// The member.
@@ -130,59 +130,59 @@
     },
 }
 
-/// How a destination stands.
+/// The state of a destination.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
-pub enum State {
-    /// It asked to be left alone.
+pub enum DestinationState {
+    /// It asked for a backoff that has not ended.
     Waiting,
-    /// It does not answer.
+    /// It is ejected: its calls fail.
     Out,
-    /// It is back and gets a little more each moment.
+    /// It answers again, and its rate is ramped up.
     Easing,
-    /// It is well, and messages went there lately.
+    /// It is healthy, and was called lately.
     InUse,
-    /// Nothing went there lately.
+    /// It was not called lately.
     Idle,
 }
 
-impl State {
-    /// The word for it.
-    pub fn word(self) -> &'static str {
+impl DestinationState {
+    /// Its name in output.
+    pub fn name(self) -> &'static str {
         match self {
-            State::Waiting => "waiting",
-            State::Out => "out",
-            State::Easing => "easing",
-            State::InUse => "in-use",
-            State::Idle => "idle",
+            DestinationState::Waiting => "waiting",
+            DestinationState::Out => "out",
+            DestinationState::Easing => "easing",
+            DestinationState::InUse => "in-use",
+            DestinationState::Idle => "idle",
         }
     }
 }
 
-/// What is done with rosters.
+/// What is done with endpoint lists.
 #[derive(Debug, Subcommand)]
-pub enum Roster {
-    /// Say whether rosters would be taken, and why not; what a pre-commit job calls.
+pub enum EndpointListCommand {
+    /// Check whether lists would be put in force, and why not; meant for pre-commit jobs.
     #[command(after_help = "Examples:
   marblefall roster check rosters/                              by their form alone
   marblefall roster check bole.toml --fleet partners.toml       also against the operators' file
   marblefall roster check bole.toml --home /var/lib/marblefall  also against what is applied and in force
 
-All files given are checked together: a destination in two of them is a fault.")]
+All files given are checked together: a destination in two of them is an error.")]
     Check {
-        /// Rosters, or folders of them.
+        /// Endpoint lists, or folders of them.
         #[arg(required = true, value_name = "FILE")]
         files: Vec<PathBuf>,
-        /// The operators' file whose partners and limits count.
+        /// The operators' file whose destinations and limits apply.
         #[arg(long, value_name = "FILE", conflicts_with = "home")]
         fleet: Option<PathBuf>,
-        /// The fleet's folder: what is applied and in force there counts.
+        /// The fleet's folder, whose applied policy and lists in force apply.
         #[arg(long)]
         home: Option<PathBuf>,
         /// How the outcome is printed.
         #[arg(long, value_name = "FORM", default_value = "text")]
-        format: Form,
+        format: OutputFormat,
     },
-    /// Show which lists are in force in HOME, and what became of newer ones.
+    /// Show which lists are in force in HOME, and the state of newer ones.
     #[command(after_help = "Example:\n  marblefall roster show /var/lib/marblefall --endpoints")]
     Show {
         /// The fleet's folder.
@@ -192,24 +192,24 @@
         endpoints: bool,
         /// How it is printed.
         #[arg(long, value_name = "FORM", default_value = "text")]
-        format: Form,
+        format: OutputFormat,
     },
-    /// Print what leads from one roster to another.
+    /// Print the changes from one list to another.
     #[command(after_help = "Example:\n  marblefall roster diff bole.toml.orig bole.toml")]
     Diff {
-        /// The roster before.
+        /// The list before.
         old: PathBuf,
-        /// The roster after.
+        /// The list after.
         new: PathBuf,
         /// How it is printed.
         #[arg(long, value_name = "FORM", default_value = "text")]
-        format: Form,
+        format: OutputFormat,
     },
 }
 
-/// How something is printed.
+/// The format of output.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
-pub enum Form {
+pub enum OutputFormat {
     /// For people.
     Text,
     /// For programs.
--- a/crates/cli/src/destinations.rs
+++ b/crates/cli/src/destinations.rs
@@ -1,103 +1,147 @@
-//! What staff are shown of destinations: how each stands at each instance that knows something of it.
+//! Shows the state of destinations at each instance that has a record of them.
 
-use crate::words::{Form, State};
+use crate::arguments::{DestinationState, OutputFormat};
+use crate::error::CommandError;
 use marblefall_atomic_file::LocalDisk;
 use marblefall_control_plane::endpoint_directory::CompactApplied;
 use marblefall_delivery::core::snapshot::DestinationRecord;
 use marblefall_delivery::snapshot_store;
-use serde_json::json;
+use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-/// Prints it.
-pub fn show(home: &Path, state: Option<State>, format: Form) -> Result<(), String> {
-    let applied = CompactApplied::read(home).map_err(|error| error.to_string())?;
-    let names: BTreeMap<u64, &str> = applied
-        .directory
-        .destination_table
-        .entries()
-        .map(|entry| (entry.id.0, entry.name))
-        .collect();
-    let now = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |since| since.as_millis() as i64);
-    let mut known: BTreeSet<u64> = BTreeSet::new();
-    let mut rows: Vec<(&str, &str, State, DestinationRecord)> = Vec::new();
+/// A destination as one instance last recorded it.
+struct Row<'a> {
+    destination: &'a str,
+    instance: &'a str,
+    state: DestinationState,
+    record: DestinationRecord,
+}
+
+/// Prints the destinations of a home, or those in one state.
+pub fn show(
+    home: &Path,
+    state: Option<DestinationState>,
+    format: OutputFormat,
+) -> Result<(), CommandError> {
+    let applied = CompactApplied::read(home)?;
+    let entries = applied.directory.destination_table.entries();
+    let names: BTreeMap<u64, &str> = entries.map(|entry| (entry.id.0, entry.name)).collect();
+    let now = now_ms();
+    let mut rows = read_rows(home, &applied, &names, now)?;
+    let recorded: BTreeSet<&str> = rows.iter().map(|row| row.destination).collect();
+    let idle = names.len() - recorded.len();
+    rows.retain(|row| state.is_none_or(|wanted| wanted == row.state));
+    match format {
+        OutputFormat::Json => print_json(&rows, idle, now),
+        OutputFormat::Text => {
+            rows.iter()
+                .for_each(|row| println!("{}", row_text(row, now)));
+            println!(
+                "{} destinations, {idle} of them idle with nothing to be said",
+                names.len()
+            );
+            if state == Some(DestinationState::Idle) {
+                let unrecorded = names.values().filter(|name| !recorded.contains(*name));
+                unrecorded.for_each(|name| println!("{name}"));
+            }
+        }
+    }
+    Ok(())
+}
+
+fn now_ms() -> i64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |since| since.as_millis() as i64)
+}
+
+/// The records of all instances, by destination and instance.
+fn read_rows<'a>(
+    home: &Path,
+    applied: &'a CompactApplied,
+    names: &BTreeMap<u64, &'a str>,
+    now: i64,
+) -> Result<Vec<Row<'a>>, CommandError> {
+    let mut rows = Vec::new();
     for instance in applied.manifest.instances.keys() {
         let folder = home.join("instances").join(instance);
         let records = snapshot_store::read(&LocalDisk, &folder)
-            .map_err(|cause| format!("{}: {cause}", folder.display()))?;
-        for record in records {
-            // What left the manifest is no longer of interest.
-            let Some(name) = names.get(&record.destination) else {
-                continue;
-            };
-            known.insert(record.destination);
-            rows.push((name, instance, state_of(&record, now), record));
-        }
-    }
-    rows.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
-    rows.retain(|(.., is, _)| state.is_none_or(|wanted| wanted == *is));
-    let idle = names.len() - known.len();
-    if format == Form::Json {
-        let row = |(name, instance, state, record): &(&str, &str, State, DestinationRecord)| {
-            json!({"destination": name, "instance": instance, "state": state.word(), "since_ms": since(record),
-                "wait_left_ms": record.backoff_until_ms.map(|until| (until - now).max(0)), "mean_ms": record.mean_latency_ms,
-                "per_s": record.baseline_rate, "held": record.pending, "out": record.in_flight})
-        };
-        let rows: Vec<_> = rows.iter().map(row).collect();
-        println!("{}", json!({"destinations": rows, "idle": idle}));
-        return Ok(());
-    }
-    for (name, instance, state, record) in &rows {
-        let ago = |at: i64| format!(" for {:.1} s", (now - at).max(0) as f64 / 1000.0);
-        let since = since(record).map_or(String::new(), ago);
-        let mean = record
-            .mean_latency_ms
-            .map_or(String::new(), |mean| format!(", {mean:.0} ms a call"));
-        let left = record.backoff_until_ms.filter(|until| *until > now);
-        let wait = left.map_or(String::new(), |until| {
-            format!(", to be left alone for {} ms", until - now)
+            .map_err(|source| CommandError::Snapshot { folder, source })?;
+        // A destination that left the manifest is no longer of interest.
+        let known = records.into_iter().filter_map(|record| {
+            let destination = names.get(&record.destination).copied()?;
+            Some(Row {
+                destination,
+                instance,
+                state: state_of(&record, now),
+                record,
+            })
         });
-        let (held, out, usual) = (record.pending, record.in_flight, record.baseline_rate);
-        let word = state.word();
-        println!(
-            "{name} at {instance}: {word}{since}{wait}, {held} held, {out} out, {usual:.2} a second{mean}"
-        );
-    }
-    println!(
-        "{} destinations, {idle} of them idle with nothing to be said",
-        names.len()
-    );
-    if state == Some(State::Idle) {
-        names
-            .iter()
-            .filter(|(number, _)| !known.contains(number))
-            .for_each(|(_, name)| println!("{name}"));
+        rows.extend(known);
     }
-    Ok(())
+    rows.sort_by(|a, b| (a.destination, a.instance).cmp(&(b.destination, b.instance)));
+    Ok(rows)
+}
+
+fn print_json(rows: &[Row], idle: usize, now: i64) {
+    let rows: Vec<Value> = rows.iter().map(|row| row_json(row, now)).collect();
+    println!("{}", json!({"destinations": rows, "idle": idle}));
+}
+
+fn row_json(row: &Row, now: i64) -> Value {
+    let record = &row.record;
+    let backoff_left = record.backoff_until_ms.map(|until| (until - now).max(0));
+    json!({
+        "destination": row.destination,
+        "instance": row.instance,
+        "state": row.state.name(),
+        "since_ms": since_ms(record),
+        "wait_left_ms": backoff_left,
+        "mean_ms": record.mean_latency_ms,
+        "per_s": record.baseline_rate,
+        "held": record.pending,
+        "out": record.in_flight,
+    })
+}
+
+fn row_text(row: &Row, now: i64) -> String {
+    let record = &row.record;
+    let seconds_ago = |at: i64| format!(" for {:.1} s", (now - at).max(0) as f64 / 1000.0);
+    let since = since_ms(record).map_or(String::new(), seconds_ago);
+    let backoff_until = record.backoff_until_ms.filter(|until| *until > now);
+    let backoff = backoff_until.map_or(String::new(), |until| {
+        format!(", to be left alone for {} ms", until - now)
+    });
+    let mean_latency = record.mean_latency_ms;
+    let latency = mean_latency.map_or(String::new(), |mean| format!(", {mean:.0} ms a call"));
+    format!(
+        "{} at {}: {}{since}{backoff}, {} held, {} out, {:.2} a second{latency}",
+        row.destination,
+        row.instance,
+        row.state.name(),
+        record.pending,
+        record.in_flight,
+        record.baseline_rate,
+    )
 }
 
-fn since(record: &DestinationRecord) -> Option<i64> {
+/// When its outage or its recovery began.
+fn since_ms(record: &DestinationRecord) -> Option<i64> {
     record.ejected_since_ms.or(record.recovering_since_ms)
 }
 
-fn state_of(record: &DestinationRecord, now: i64) -> State {
-    match record {
-        DestinationRecord {
-            backoff_until_ms: Some(until),
-            ..
-        } if *until > now => State::Waiting,
-        DestinationRecord {
-            ejected_since_ms: Some(_),
-            ..
-        } => State::Out,
-        DestinationRecord {
-            recovering_since_ms: Some(_),
-            ..
-        } => State::Easing,
-        DestinationRecord { active: true, .. } => State::InUse,
-        _ => State::Idle,
+fn state_of(record: &DestinationRecord, now: i64) -> DestinationState {
+    let in_backoff = record.backoff_until_ms.is_some_and(|until| until > now);
+    if in_backoff {
+        DestinationState::Waiting
+    } else if record.ejected_since_ms.is_some() {
+        DestinationState::Out
+    } else if record.recovering_since_ms.is_some() {
+        DestinationState::Easing
+    } else if record.active {
+        DestinationState::InUse
+    } else {
+        DestinationState::Idle
     }
 }
--- /dev/null
+++ b/crates/cli/src/error.rs
@@ -0,0 +1,164 @@
+//! Why a command fails.
+
+use marblefall_control_plane::group::transport::FrameError;
+use marblefall_control_plane::group::GroupError;
+use marblefall_control_plane::manifest::ManifestError;
+use marblefall_control_plane::plan::ApplyError;
+use marblefall_control_plane::supervisor::SupervisorError;
+use marblefall_control_plane::JsonFileError;
+use marblefall_delivery::error_chain;
+use marblefall_delivery::instance::InstanceError;
+use marblefall_delivery::snapshot_store;
+use marblefall_endpoint_lists::last_good_store::StoreError;
+use marblefall_endpoint_lists::Report;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Why a command fails.
+#[derive(Debug, thiserror::Error)]
+pub enum CommandError {
+    /// The output of the command tells it already.
+    #[error("it is told in the output")]
+    Reported,
+    /// The instance on the platform ended with an error.
+    #[error("{}", error_chain(.0))]
+    Instance(#[from] InstanceError),
+    /// The daemon of a fleet ended with an error.
+    #[error(transparent)]
+    Supervisor(#[from] SupervisorError),
+    /// The operators' file cannot be used.
+    #[error(transparent)]
+    Manifest(#[from] ManifestError),
+    /// A stored file of the home cannot be read.
+    #[error(transparent)]
+    JsonFile(#[from] JsonFileError),
+    /// A plan cannot be applied.
+    #[error(transparent)]
+    Apply(#[from] ApplyError),
+    /// The home is no member of a group, or cannot become one.
+    #[error(transparent)]
+    Group(#[from] GroupError),
+    /// The last good lists cannot be read.
+    #[error(transparent)]
+    LastGoodLists(#[from] StoreError),
+    /// A value cannot be encoded.
+    #[error(transparent)]
+    Encode(#[from] serde_json::Error),
+    /// A file or folder cannot be read or written.
+    #[error("{}: {source}", path.display())]
+    File {
+        /// Which.
+        path: PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// A saved plan is none.
+    #[error("{}: {source}", path.display())]
+    Plan {
+        /// Its file.
+        path: PathBuf,
+        /// What is wrong, and where.
+        source: serde_json::Error,
+    },
+    /// An instance's snapshot cannot be read.
+    #[error("{}: {source}", folder.display())]
+    Snapshot {
+        /// The instance's folder.
+        folder: PathBuf,
+        /// Why.
+        source: snapshot_store::ReadError,
+    },
+    /// The home is a member under another name.
+    #[error("{}: it is member {member} already", home.display())]
+    OtherMember {
+        /// The home.
+        home: PathBuf,
+        /// Its name in the group.
+        member: String,
+    },
+    /// A member was named where none can be founded.
+    #[error("--member goes with an empty home and a file that has [group]")]
+    MemberNotExpected,
+    /// No member was named for an empty home.
+    #[error("the file has [group]: say which member this home is, with --member NAME")]
+    MemberExpected,
+    /// The home has a policy of its own.
+    #[error(
+        "the file has [group]: a home that runs by itself cannot join; begin with an empty one"
+    )]
+    CannotJoin,
+    /// The home is of no group.
+    #[error("{}: the home is of no group; see `marblefall apply --help`", .0.display())]
+    NoGroup(PathBuf),
+    /// The daemon cannot be connected to.
+    #[error(
+        "member {member} does not answer at {address} ({source}); is `marblefall run {}` up?",
+        home.display()
+    )]
+    DaemonUnreachable {
+        /// The home's name in the group.
+        member: String,
+        /// The daemon's address.
+        address: SocketAddr,
+        /// The home.
+        home: PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// A request cannot be sent to the daemon.
+    #[error("the daemon of this home does not answer: {0}")]
+    RequestNotSent(#[source] io::Error),
+    /// The daemon's answer cannot be read.
+    #[error("the daemon of this home answers with {0}")]
+    Response(#[source] FrameError),
+    /// No leader could be reached.
+    #[error("nobody leads the group just now: most of its voters cannot be reached from here")]
+    NoLeader,
+    /// There is nothing to withdraw.
+    #[error("no change is open")]
+    NothingPending,
+    /// The group has no such member.
+    #[error("the group has no member {member:?}; it has {}", members.join(", "))]
+    NoSuchMember {
+        /// The name.
+        member: String,
+        /// The names of its members.
+        members: Vec<String>,
+    },
+    /// The plan was made against another revision.
+    #[error(
+        "the plan is stale: it was made against revision {base}, in force is revision {committed}; plan again"
+    )]
+    StalePlan {
+        /// The revision that the plan was made against.
+        base: u64,
+        /// The revision in force.
+        committed: u64,
+    },
+    /// Another change is pending.
+    #[error("a change by {0} has no outcome yet; plan again once it has")]
+    OtherChangePending(String),
+    /// The change was withdrawn.
+    #[error("withdrawn everywhere: {0}")]
+    Withdrawn(String),
+    /// A folder has no endpoint lists.
+    #[error("{}: no file there ends in .toml", .0.display())]
+    NoLists(PathBuf),
+    /// Endpoint lists are rejected.
+    #[error("{0} refused")]
+    ListsRejected(usize),
+    /// An endpoint list cannot be parsed.
+    #[error("\n{0}")]
+    List(Box<Report>),
+}
+
+impl CommandError {
+    /// An error of a file or folder.
+    pub fn of_file(path: &Path) -> impl Fn(io::Error) -> CommandError + '_ {
+        move |source| CommandError::File {
+            path: path.to_owned(),
+            source,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/group/propose.rs
@@ -0,0 +1,188 @@
+//! Proposes a plan to the group, and waits for its outcome.
+
+use super::connection::Connection;
+use crate::error::CommandError;
+use futures_lite::future::block_on;
+use futures_lite::StreamExt;
+use marblefall_control_plane::plan::Plan;
+use marblefall_coordination::identifiers::{Author, MemberId, Revision};
+use marblefall_coordination::node::{ChangePhase, MemberStatus, Reply, Request};
+use marblefall_coordination::replicated_state::{ChangeOutcome, ResolvedChange};
+use marblefall_delivery::instance;
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How often the outcome of a pending change is asked for.
+const POLL_INTERVAL: Duration = Duration::from_millis(40);
+/// A change that the group does not know any more is proposed again after this.
+const PROPOSE_AGAIN_AFTER: Duration = Duration::from_millis(400);
+
+/// Proposes a plan to the group, and waits for its outcome.
+pub fn propose(plan: &Plan, home: &Path) -> Result<(), CommandError> {
+    let connection = Connection::open(home)?;
+    end_on_signal(home);
+    Proposal::new(plan, connection)?.run()
+}
+
+/// Ends the process once an operator does not want to wait any more, and tells where the outcome can be seen.
+fn end_on_signal(home: &Path) {
+    let home = home.to_owned();
+    thread::spawn(move || {
+        let Ok(mut signals) = instance::signals() else {
+            return;
+        };
+        if block_on(signals.next()).is_some() {
+            eprintln!(
+                "not waited for any more: what becomes of the change is the group's to say; \
+                 ask with `marblefall group history {}`",
+                home.display()
+            );
+            std::process::exit(1);
+        }
+    });
+}
+
+/// A change that is proposed.
+struct Proposal {
+    connection: Connection,
+    /// The revision that the plan was made against.
+    base: u64,
+    /// The request that proposes it.
+    request: Request,
+    /// Identifies it in requests for its outcome.
+    key: u64,
+    proposed_at: Instant,
+    last_printed: String,
+}
+
+impl Proposal {
+    fn new(plan: &Plan, connection: Connection) -> Result<Proposal, CommandError> {
+        let policy = serde_json::to_vec(&plan.target)?;
+        let operator = std::env::var("USER").unwrap_or_else(|_| "an operator".to_owned());
+        let key = fastrand::u64(1..);
+        let author = Author {
+            by: format!("{operator} at {}", connection.membership().name),
+            key,
+        };
+        let base = plan.base.revision;
+        let request = Request::Propose {
+            base: Revision(base),
+            policy: policy.into(),
+            author,
+        };
+        Ok(Proposal {
+            connection,
+            base,
+            request,
+            key,
+            proposed_at: Instant::now(),
+            last_printed: String::new(),
+        })
+    }
+
+    /// Asks until the change is resolved.
+    fn run(mut self) -> Result<(), CommandError> {
+        let mut request = self.request.clone();
+        loop {
+            let reply = self.connection.ask(&request)?.reply;
+            if let Some(Reply::Resolved(change)) = reply {
+                return self.finish(&change);
+            }
+            if let Some(next) = self.handle(reply)? {
+                request = next;
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Handles the reply to a change that is not resolved; the request to go on with, if it is another one.
+    fn handle(&mut self, reply: Option<Reply>) -> Result<Option<Request>, CommandError> {
+        match reply {
+            None => {
+                self.print("nobody leads the group just now; the change waits here".to_owned());
+                Ok(None)
+            }
+            Some(Reply::Proposed) => {
+                self.print("proposed to the group".to_owned());
+                self.proposed_at = Instant::now();
+                Ok(Some(Request::Outcome(self.key)))
+            }
+            Some(Reply::Pending(phase, awaited)) => {
+                self.print_pending(phase, &awaited);
+                Ok(Some(Request::Outcome(self.key)))
+            }
+            // It was lost with a leader that had accepted it and not yet written it to the log.
+            Some(Reply::Unknown) if self.proposed_at.elapsed() >= PROPOSE_AGAIN_AFTER => {
+                Ok(Some(self.request.clone()))
+            }
+            Some(Reply::Stale(committed)) => Err(CommandError::StalePlan {
+                base: self.base,
+                committed: committed.0,
+            }),
+            Some(Reply::Busy(author)) => Err(CommandError::OtherChangePending(author.by)),
+            Some(_) => Ok(None),
+        }
+    }
+
+    /// Prints a line, unless it is the same as the last one.
+    fn print(&mut self, line: String) {
+        if line != self.last_printed {
+            println!("{line}");
+            self.last_printed = line;
+        }
+    }
+
+    fn print_pending(&mut self, phase: ChangePhase, awaited: &[MemberId]) {
+        let phase = match phase {
+            ChangePhase::Checking => "members check it",
+            ChangePhase::Quiescing => "members stop acting under the policy in force",
+        };
+        let line = if awaited.is_empty() {
+            phase.to_owned()
+        } else {
+            format!("{phase}; waited for: {}", self.connection.names(awaited))
+        };
+        self.print(line);
+    }
+
+    /// Prints the outcome. Where it is in force, members that are heard apply it within moments, and are waited for.
+    fn finish(mut self, change: &ResolvedChange) -> Result<(), CommandError> {
+        let revision = match &change.outcome {
+            ChangeOutcome::InForce(revision) => *revision,
+            ChangeOutcome::Withdrawn(reason) => {
+                return Err(CommandError::Withdrawn(reason.to_string()))
+            }
+        };
+        let behind = self.wait_for_members(revision)?;
+        if !behind.is_empty() {
+            println!(
+                "not heard, and takes it up before it acts again: {}",
+                self.connection.names(&behind)
+            );
+        }
+        println!("in force everywhere as revision {}", revision.0);
+        Ok(())
+    }
+
+    /// Waits until all members that are heard have applied a revision, at most for a lease; those that have not.
+    fn wait_for_members(&mut self, revision: Revision) -> Result<Vec<MemberId>, CommandError> {
+        let lease = Duration::from_millis(self.connection.membership().group.lease_ms);
+        let deadline = Instant::now() + lease;
+        loop {
+            let response = self.connection.ask(&Request::Status)?;
+            let Some(Reply::Status(status)) = response.reply else {
+                continue;
+            };
+            let is_behind = |member: &&MemberStatus| member.applied < Some(revision);
+            let behind: Vec<&MemberStatus> = status.members.iter().filter(is_behind).collect();
+            // One that is not heard is not waited for: it learns of the revision before it acts.
+            let mut heard = behind.iter().map(|member| self.connection.is_heard(member));
+            let is_awaited = heard.any(|heard| heard == Some(true));
+            if !is_awaited || Instant::now() >= deadline {
+                return Ok(behind.iter().map(|member| member.member).collect());
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+}
--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -1,6 +1,6 @@
 //! The platform round one courier: discovery with its notices, the configuration, and a client.
 
-use super::*;
+use super::{post, text, Act, Arc, Folder, Message, Mutex, Program, SocketAddr, StandIn};
 use std::cell::Cell;
 
 /// Discovery with its watch and notices; the first notices are not taken.
--- a/crates/cli/tests/destinations.rs
+++ b/crates/cli/tests/destinations.rs
@@ -1,5 +1,8 @@
 //! What staff are shown of destinations, while the daemon runs and when it is down.
 
+#![allow(clippy::too_many_lines, reason = "a test tells one course of events")]
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 mod common;
 
 use common::*;
--- a/crates/cli/tests/events.rs
+++ b/crates/cli/tests/events.rs
@@ -1,6 +1,9 @@
 //! CloudEvents over HTTP: whole paths from a partner's request to its answer, between stand-in partners on
 //! loopback that count every effect.
 
+#![allow(clippy::too_many_lines, reason = "a test tells one course of events")]
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 mod common;
 
 use common::*;
--- a/crates/cli/tests/group.rs
+++ b/crates/cli/tests/group.rs
@@ -1,6 +1,8 @@
 //! A group of daemons changes its policy at every one or at none: several processes, relays on every link between them,
 //! clients that hand events in all along, and faults in the middle.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 mod common;
 
 use common::*;
--- a/crates/cli/tests/lives.rs
+++ b/crates/cli/tests/lives.rs
@@ -1,6 +1,8 @@
 //! Processes that replace each other over one folder and one address, with faults between them: stopped, killed, started
 //! in numbers, told to wait in the middle of it. Clients write on all the while.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 mod common;
 
 use common::platform::*;
--- a/crates/cli/tests/relay.rs
+++ b/crates/cli/tests/relay.rs
@@ -1,5 +1,7 @@
 //! The platform's protocol over sockets: the program as a process between stand-ins.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 mod common;
 
 use common::platform::*;
--- a/crates/cli/tests/rig.rs
+++ b/crates/cli/tests/rig.rs
@@ -1,6 +1,8 @@
 //! Scenarios for processes under schedules from fixed seeds: whatever is struck, every promise is kept. More seeds, longer, are
 //! played by `lab hunt --on processes`.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 use marblefall_simulation::rig::play::play;
 use marblefall_simulation::rig::schedule::{Form, Schedule};
 use std::path::Path;
--- a/crates/cli/tests/rosters.rs
+++ b/crates/cli/tests/rosters.rs
@@ -1,6 +1,9 @@
 //! Watched rosters over whole processes: traffic follows the last good list and no other, whatever is done to the
 //! file, and nothing held is lost.
 
+#![allow(clippy::too_many_lines, reason = "a test tells one course of events")]
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 mod common;
 
 use common::*;
--- a/crates/coordination/tests/nodes.rs
+++ b/crates/coordination/tests/nodes.rs
@@ -3,6 +3,8 @@
 //! restored from an old copy, and disks that are full. The checkers must find mutants too. A failure names its seed and
 //! ends with its trace.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 mod common;
 #[path = "nodes/daemon.rs"]
 mod daemon;
--- a/crates/coordination/tests/policy_change.rs
+++ b/crates/coordination/tests/policy_change.rs
@@ -2,6 +2,8 @@
 //! suspended or restarted, leaders that are deposed, messages that are lost or late, clocks of different speeds. The
 //! checkers of the guarantees in `docs/design/group.md` must find mutants too.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 mod common;
 #[path = "policy_change/faults.rs"]
 mod faults;
--- a/crates/coordination/tests/wire_format.rs
+++ b/crates/coordination/tests/wire_format.rs
@@ -2,6 +2,8 @@
 //! two versions work in one group, and a voter reads the log that an earlier version wrote. The bytes were written by the
 //! version before the types were renamed, and are never written anew.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 use marblefall_coordination::identifiers::{
     Author, Epoch, MemberId, Policy, ProcessIncarnation, ProposalId, Revision, StorageId,
     StorageVersion,
--- a/crates/delivery/benches/step.rs
+++ b/crates/delivery/benches/step.rs
@@ -1,5 +1,9 @@
 //! What a step of the engine costs beside idle destinations: `cargo bench -p marblefall-delivery`.
 
+#![allow(
+    clippy::too_many_lines,
+    reason = "a measurement tells one course of events"
+)]
 // The macros write items without docs.
 #![allow(missing_docs)]
 
@@ -12,7 +16,10 @@
 };
 use marblefall_delivery::core::message_store::MessageStore;
 use marblefall_delivery::core::{Disposition, Message, Origin, RequestId, Timestamp};
-use marblefall_scheduler::*;
+use marblefall_scheduler::{
+    ClassId, DestinationId, DestinationKind, Idempotency, Limits, MessageClass, Outcome, RateHints,
+    RateLimitReport, Settings, Span, Time,
+};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
--- a/crates/delivery/src/net/pool/tests.rs
+++ b/crates/delivery/src/net/pool/tests.rs
@@ -318,6 +318,7 @@
 /// Once its first bytes were written, an attempt was written to its end whatever came meanwhile: its last byte, at which
 /// execution begins, was written during a backoff, or after the window for repeats.
 #[test]
+#[allow(clippy::too_many_lines, reason = "a test tells one course of events")]
 fn partial_write_stops_in_backoff_and_after_its_window() {
     let body = vec![b'x'; LARGE];
     for backs_off in [true, false] {
--- a/crates/delivery/tests/engine.rs
+++ b/crates/delivery/tests/engine.rs
@@ -1,5 +1,8 @@
 //! The engine over a journal, without any wire, with a clock set by the tests.
 
+#![allow(clippy::too_many_lines, reason = "a test tells one course of events")]
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 mod common;
 
 use common::{
--- a/crates/delivery/tests/hot_restart.rs
+++ b/crates/delivery/tests/hot_restart.rs
@@ -1,6 +1,8 @@
 //! Two incarnations of the engine over one folder, with a clock set by the tests: what one takes over from the other, and
 //! whole random histories of starts, handovers and crashes.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 mod common;
 
 use common::{attempt_finished, endpoint, engine_settings, folder, limits, START_MS};
--- a/crates/delivery/tests/idle_destinations.rs
+++ b/crates/delivery/tests/idle_destinations.rs
@@ -1,6 +1,8 @@
 //! Many idle destinations: only those in use are known to the scheduler, and what must not be forgotten of the others is
 //! kept.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 mod common;
 
 use common::{class, START_MS};
--- a/crates/delivery/tests/policy_change.rs
+++ b/crates/delivery/tests/policy_change.rs
@@ -1,6 +1,9 @@
 //! The engine under a policy that a group decides on: suspended, without its lease, and with a policy that changes while it
 //! runs. Without any wire, with a clock set by the tests.
 
+#![allow(clippy::too_many_lines, reason = "a test tells one course of events")]
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 mod common;
 
 use common::{
--- a/crates/delivery/tests/restart_backlog.rs
+++ b/crates/delivery/tests/restart_backlog.rs
@@ -1,6 +1,8 @@
 //! Messages that a restart finds accepted and not attempted, with a clock set by the tests: they are still attempted, whatever
 //! the list, the endpoints and the other instances do.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 mod common;
 
 use common::{
--- a/crates/delivery/tests/stored_data.rs
+++ b/crates/delivery/tests/stored_data.rs
@@ -2,6 +2,9 @@
 //! generations, the marks of two incarnations, and a snapshot of destinations. The fixtures were written by the version
 //! before the packages moved to `crates/`, and are never written anew.
 
+#![allow(clippy::too_many_lines, reason = "a test tells one course of events")]
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 use marblefall_atomic_file::LocalDisk;
 use marblefall_delivery::core::journal::Generation;
 use marblefall_delivery::core::message_record::{AttemptRecord, MessageRecord, MessageState};
--- a/crates/endpoint-lists/tests/endpoint_lists.rs
+++ b/crates/endpoint-lists/tests/endpoint_lists.rs
@@ -1,5 +1,7 @@
 //! Lists by their form, by what surrounds them, and over crashes; random ones from fixed seeds.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 use marblefall_endpoint_lists::last_good_store::LastGoodStore;
 use marblefall_endpoint_lists::{
     diff, ActiveLists, Candidate, ChangeKind, Destination, Endpoint, EndpointList, EndpointSource,
--- a/crates/scheduler/tests/many_instances.rs
+++ b/crates/scheduler/tests/many_instances.rs
@@ -1,5 +1,7 @@
 //! What one instance does, done by hundreds at once: sums over instances that share nothing but a route.
 
+#![allow(clippy::too_many_lines, reason = "a test tells one course of events")]
+
 mod common;
 
 use common::*;
--- a/crates/scheduler/tests/random_events.rs
+++ b/crates/scheduler/tests/random_events.rs
@@ -1,6 +1,8 @@
 //! Legal random events with fixed seeds; the rules are asserted on every action. No model of servers: any
 //! outcome may follow any send.
 
+#![allow(clippy::too_many_lines, reason = "a test tells one course of events")]
+
 mod common;
 
 use common::*;
--- a/crates/scheduler/tests/recovery_model.rs
+++ b/crates/scheduler/tests/recovery_model.rs
@@ -1,6 +1,8 @@
 //! The return controller, model-checked: every order of events up to a bound, by the controller alone and by the whole
 //! scheduler. The rules are kept here once more, from what is seen from outside.
 
+#![allow(clippy::too_many_lines, reason = "a test tells one course of events")]
+
 mod common;
 
 use common::*;
--- a/crates/scheduler/tests/recovery_over_time.rs
+++ b/crates/scheduler/tests/recovery_over_time.rs
@@ -1,5 +1,7 @@
 //! Instances and destinations over time: what comes back, what flaps, what rejects calls with and without a limit.
 
+#![allow(clippy::too_many_lines, reason = "a test tells one course of events")]
+
 mod common;
 
 use common::*;
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -4,6 +4,15 @@
 //! seed with the decision module that serves, by its real interface; [`check`] watches from outside whether a rule is
 //! broken, and [`tally`] counts what came of it. The same scenario and seed give the same bytes.
 
+#![allow(
+    clippy::missing_panics_doc,
+    reason = "this package is not yet written in the style of the others; see docs/ROADMAP.md"
+)]
+#![allow(
+    clippy::too_many_lines,
+    reason = "this package is not yet written in the style of the others; see docs/ROADMAP.md"
+)]
+
 pub mod bodies;
 pub mod capacity;
 pub mod chart;
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -1,5 +1,10 @@
 //! `lab`: plays scenarios in virtual time and judges them.
 
+#![allow(
+    clippy::too_many_lines,
+    reason = "this package is not yet written in the style of the others; see docs/ROADMAP.md"
+)]
+
 mod on_processes;
 
 use clap::{Parser, Subcommand};
--- a/crates/simulation/tests/cored.rs
+++ b/crates/simulation/tests/cored.rs
@@ -1,5 +1,7 @@
 //! Whole days on the courier's core: engine, ledger and journal, over deaths of its process, judged from outside.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 use marblefall_simulation::check::{judge, Rule};
 use marblefall_simulation::cored::Cores;
 use marblefall_simulation::figures::{measure, Figures};
--- a/crates/simulation/tests/experiments.rs
+++ b/crates/simulation/tests/experiments.rs
@@ -1,6 +1,8 @@
 //! Experiments: cells that are played once, differences that are named only when there is one, loads that are borne,
 //! scenarios that shrink, and pages.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 use marblefall_simulation::capacity::{capacity, Bears, Search};
 use marblefall_simulation::check::{judge, Rule};
 use marblefall_simulation::compare::{Comparison, Difference};
--- a/crates/simulation/tests/worlds.rs
+++ b/crates/simulation/tests/worlds.rs
@@ -1,5 +1,8 @@
 //! Whole runs: the same each time, judged as they should be, and scenario files that are wrong.
 
+#![allow(clippy::too_many_lines, reason = "a test tells one course of events")]
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 use marblefall_scheduler::{Outcome, Span, Time};
 use marblefall_simulation::bodies;
 use marblefall_simulation::check::{judge, Watch};
