--- a/crates/control-plane/src/supervisor.rs
+++ b/crates/control-plane/src/supervisor.rs
@@ -4,7 +4,7 @@
 //! It is one loop. Each round handles the group's events, reads what was applied since, handles commands, passes
 //! changes on to the instances that run, and then brings the set of instances to what the manifest wants: those that
 //! ended are started again after a pause, those that left or that cannot change as they run are shut down, and
-//! missing ones are started. A round begins every [`POLL_INTERVAL`], or earlier when the group or an endpoint list
+//! missing ones are started. A round begins every `POLL_INTERVAL`, or earlier when the group or an endpoint list
 //! has news.
 //!
 //! There is one way out: after a shutdown command nothing is started, and the loop ends with the last instance.
--- a/crates/delivery/src/core/engine.rs
+++ b/crates/delivery/src/core/engine.rs
@@ -4,7 +4,7 @@
 //! and only then responses and attempts are ordered. So everything the scheduler is told is in the journal, and
 //! everything it decides is carried out once.
 //!
-//! An engine has a [`Role`]: it stands by beside an active incarnation, is active itself, or has handed over. Where a
+//! An engine has a `Role`: it stands by beside an active incarnation, is active itself, or has handed over. Where a
 //! group decides on the policy, it also has a [`LeaseState`]: without the lease it starts nothing.
 
 mod acceptance;
--- a/crates/scheduler/src/interface/action.rs
+++ b/crates/scheduler/src/interface/action.rs
@@ -30,7 +30,7 @@
     },
     /// End the message as failed.
     Fail(MessageId),
-    /// Report `token` with [`Event::TimerFired`] at that time.
+    /// Report `token` with [`Event::TimerFired`](crate::Event::TimerFired) at that time.
     SetTimer {
         /// When.
         at: Time,
--- a/crates/scheduler/src/interface/endpoint.rs
+++ b/crates/scheduler/src/interface/endpoint.rs
@@ -27,7 +27,7 @@
     pub zone: ZoneId,
     /// Whether it may be used.
     pub status: EndpointStatus,
-    /// A rate in calls per second, as [`Settings::rate_hints`] says.
+    /// A rate in calls per second, as [`Settings::rate_hints`](crate::Settings::rate_hints) says.
     pub advertised_rate: f64,
     /// Its share of the destination's calls relative to the other endpoints' weights, where the list gives weights;
     /// above 0.
--- a/crates/scheduler/src/interface/ids.rs
+++ b/crates/scheduler/src/interface/ids.rs
@@ -12,19 +12,19 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct DestinationId(pub u64);
 
-/// Index of a class in [`Settings::classes`].
+/// Index of a class in [`Settings::classes`](crate::Settings::classes).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClassId(pub usize);
 
-/// Index of a tenant in [`Settings::tenants`].
+/// Index of a tenant in [`Settings::tenants`](crate::Settings::tenants).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TenantId(pub usize);
 
-/// Index of a kind of destination in [`Settings::kinds`].
+/// Index of a kind of destination in [`Settings::kinds`](crate::Settings::kinds).
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct KindId(pub usize);
 
-/// Index of a zone in [`Settings::zone_fees`].
+/// Index of a zone in [`Settings::zone_fees`](crate::Settings::zone_fees).
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneId(pub usize);
 
--- a/crates/scheduler/src/interface/settings.rs
+++ b/crates/scheduler/src/interface/settings.rs
@@ -49,7 +49,7 @@
     Subscribe,
 }
 
-/// What [`EndpointUpdate::advertised_rate`] means.
+/// What [`EndpointUpdate::advertised_rate`](crate::EndpointUpdate::advertised_rate) means.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum RateHints {
     /// Nothing.
