--- a/crates/delivery/src/instance.rs
+++ b/crates/delivery/src/instance.rs
@@ -1,6 +1,6 @@
 //! One instance: puts the core, the network and the frontends together and runs them on one thread.
 //!
-//! [`run_instance`] goes through [`assembly`], which starts all tasks, and then runs the engine's loop until the instance
+//! [`run_instance`] goes through the assembly, which starts all tasks, and then runs the engine's loop until the instance
 //! has shut down. The command loop takes an [`InstanceCommand`] at a time; the executor executes what the engine wants
 //! done; all that ends an instance goes through the shutdown. [`run_on_platform`] is the instance that the platform
 //! configures by environment variables and a file.
--- a/crates/delivery/src/net/server.rs
+++ b/crates/delivery/src/net/server.rs
@@ -1,6 +1,6 @@
 //! The client side: accepts connections, reads requests one at a time, and responds as the frontend words it.
 //!
-//! Each connection is a task that runs a [`session`]. All of them are known to one [`ClientConnections`], by which the
+//! Each connection is a task that runs a session. All of them are known to one [`ClientConnections`], by which the
 //! engine's responses reach them, and through which connections are evicted when there are too many and closed when
 //! the process ends.
 
