--- a/crates/delivery/src/frontend/platform.rs
+++ b/crates/delivery/src/frontend/platform.rs
@@ -15,6 +15,38 @@
 /// Longer ids and keys are noise.
 const MAX_NAME_LEN: usize = 256;
 
+/// Why a request is no message. The text is the body of the response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+enum RequestError {
+    /// The id is missing or cannot be passed on.
+    #[error("no X-Call-Id")]
+    MissingId,
+    /// The class is missing.
+    #[error("no X-Call-Class")]
+    MissingClass,
+    /// The class is none of the settings.
+    #[error("unknown class")]
+    UnknownClass,
+    /// The time to live is missing or no number.
+    #[error("no X-Budget-Ms in whole milliseconds")]
+    MissingBudget,
+    /// The idempotency key cannot be passed on.
+    #[error("an Idempotency-Key that cannot be passed on")]
+    UnusableKey,
+    /// The idempotency key is missing where the class requires one.
+    #[error("no Idempotency-Key in a class with keys")]
+    MissingKey,
+    /// The envelope is missing.
+    #[error("no X-Envelope")]
+    MissingEnvelope,
+    /// The envelope names no destination.
+    #[error("no dest in X-Envelope")]
+    MissingDestination,
+    /// The destination is none of the settings.
+    #[error("unknown dest")]
+    UnknownDestination,
+}
+
 /// The client side of the platform's protocol.
 pub struct PlatformFrontend {
     /// The names of the classes, in their order.
@@ -31,7 +63,7 @@
             ("GET", "/ready") => ParsedRequest::Readiness,
             ("POST", "/api") => match self.message(&request.fields, body, now_ms) {
                 Ok(message) => ParsedRequest::Submit(message),
-                Err(reason) => ParsedRequest::Respond(Response::with_reason(400, reason)),
+                Err(error) => ParsedRequest::Respond(Response::with_reason(400, error.to_string())),
             },
             (_, "/ready" | "/api") => ParsedRequest::Respond(Response::with_status(405)),
             _ => ParsedRequest::Respond(Response::with_status(404)),
@@ -65,11 +97,11 @@
         fields: &Fields<'_>,
         body: &[u8],
         now_ms: i64,
-    ) -> Result<Message, &'static str> {
-        let identity = printable(fields, "x-call-id").ok_or("no X-Call-Id")?;
+    ) -> Result<Message, RequestError> {
+        let identity = printable(fields, "x-call-id").ok_or(RequestError::MissingId)?;
         let class = self.class(fields)?;
         let budget = fields.text("x-budget-ms").and_then(parse_digits);
-        let budget = budget.ok_or("no X-Budget-Ms in whole milliseconds")?;
+        let budget = budget.ok_or(RequestError::MissingBudget)?;
         let budget_ms =
             i64::try_from(budget).map_or(MAX_BUDGET_MS, |budget| budget.min(MAX_BUDGET_MS));
         let idempotency_key = self.idempotency_key(fields, class)?;
@@ -86,43 +118,50 @@
         })
     }
 
-    fn class(&self, fields: &Fields<'_>) -> Result<ClassId, &'static str> {
-        let name = fields.text("x-call-class").ok_or("no X-Call-Class")?;
+    fn class(&self, fields: &Fields<'_>) -> Result<ClassId, RequestError> {
+        let name = fields
+            .text("x-call-class")
+            .ok_or(RequestError::MissingClass)?;
         self.class_names
             .iter()
             .position(|known| known == name)
             .map(ClassId)
-            .ok_or("unknown class")
+            .ok_or(RequestError::UnknownClass)
     }
 
     fn idempotency_key(
         &self,
         fields: &Fields<'_>,
         class: ClassId,
-    ) -> Result<Option<Vec<u8>>, &'static str> {
+    ) -> Result<Option<Vec<u8>>, RequestError> {
         if fields.get("idempotency-key").is_some() {
             return printable(fields, "idempotency-key")
                 .map(|key| Some(key.to_vec()))
-                .ok_or("an Idempotency-Key that cannot be passed on");
+                .ok_or(RequestError::UnusableKey);
         }
         if self.requires_key.get(class.0) == Some(&true) {
             // Without it no endpoint could recognise a repeat.
-            return Err("no Idempotency-Key in a class with keys");
+            return Err(RequestError::MissingKey);
         }
         Ok(None)
     }
 
-    fn destination(&self, fields: &Fields<'_>) -> Result<DestinationId, &'static str> {
-        let envelope = fields.text("x-envelope").ok_or("no X-Envelope")?;
+    fn destination(&self, fields: &Fields<'_>) -> Result<DestinationId, RequestError> {
+        let envelope = fields
+            .text("x-envelope")
+            .ok_or(RequestError::MissingEnvelope)?;
         let number = envelope
             .split([',', ';', ' '])
             .filter_map(|pair| pair.split_once('='))
             .find(|(name, _)| name.trim() == "dest")
             .and_then(|(_, number)| parse_digits(number.trim()))
-            .ok_or("no dest in X-Envelope")?;
+            .ok_or(RequestError::MissingDestination)?;
         match &self.destinations_by_number {
             None => Ok(DestinationId(number)),
-            Some(known) => known.get(&number).copied().ok_or("unknown dest"),
+            Some(known) => known
+                .get(&number)
+                .copied()
+                .ok_or(RequestError::UnknownDestination),
         }
     }
 }
