--- a/crates/delivery/src/net/discovery/watch/line_buffer.rs
+++ b/crates/delivery/src/net/discovery/watch/line_buffer.rs
@@ -4,8 +4,25 @@
 
 /// The longest line: a list of some thousand endpoints.
 const MAX_LINE: usize = 4 * 1024 * 1024;
-/// The reason code of a line that is neither empty nor a list.
-const MALFORMED: &str = "malformed";
+
+/// Why a line cannot be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(super) enum LineError {
+    #[error("neither empty nor a list")]
+    Malformed,
+    #[error("too long")]
+    TooLong,
+}
+
+impl LineError {
+    /// The reason code for the log.
+    pub(super) fn code(self) -> &'static str {
+        match self {
+            LineError::Malformed => "malformed",
+            LineError::TooLong => "line-too-long",
+        }
+    }
+}
 
 /// What comes next in the lines of a watch.
 pub(super) enum WatchLine {
@@ -30,8 +47,8 @@
     /// Takes the next line.
     ///
     /// # Errors
-    /// The reason code, if the line is malformed or too long.
-    pub(super) fn next(&mut self) -> Result<WatchLine, &'static str> {
+    /// The line is malformed or too long.
+    pub(super) fn next(&mut self) -> Result<WatchLine, LineError> {
         while let Some(line_len) = self.bytes[self.incomplete_len..]
             .iter()
             .position(|byte| *byte == b'\n')
@@ -47,7 +64,7 @@
             }
         }
         if self.bytes.len() > MAX_LINE {
-            return Err("line-too-long");
+            return Err(LineError::TooLong);
         }
         Ok(WatchLine::Incomplete)
     }
@@ -55,16 +72,16 @@
 
 /// Parses what may be a whole list. `None` where it is the start of one: a list is parsed once it may be whole, not with
 /// each of its lines.
-fn parse(text: &[u8]) -> Result<Option<WatchLine>, &'static str> {
+fn parse(text: &[u8]) -> Result<Option<WatchLine>, LineError> {
     match (text.first(), text.last()) {
         (None, _) => Ok(Some(WatchLine::Empty)),
         (Some(b'{'), Some(b'}')) => match serde_json::from_slice(text) {
             Ok(list) => Ok(Some(WatchLine::List(list))),
             Err(error) if error.is_eof() => Ok(None),
-            Err(_) => Err(MALFORMED),
+            Err(_) => Err(LineError::Malformed),
         },
         (Some(b'{'), _) => Ok(None),
-        (Some(_), _) => Err(MALFORMED),
+        (Some(_), _) => Err(LineError::Malformed),
     }
 }
 
--- a/crates/delivery/src/net/discovery/watch/stream.rs
+++ b/crates/delivery/src/net/discovery/watch/stream.rs
@@ -101,7 +101,7 @@
     lines: &mut LineBuffer,
 ) -> Result<(), EndCode> {
     loop {
-        let list = match lines.next()? {
+        let list = match lines.next().map_err(|error| error.code())? {
             WatchLine::Incomplete => return Ok(()),
             WatchLine::Empty => None,
             WatchLine::List(list) => Some(list),
