--- a/crates/control-plane/src/group/driver.rs
+++ b/crates/control-plane/src/group/driver.rs
@@ -25,8 +25,8 @@
 use marblefall_coordination::persistent_state::PersistentState;
 use marblefall_delivery::instance::Clock;
 use marblefall_delivery::lease_guard::LeaseGuard;
+use marblefall_delivery::log_line;
 use marblefall_delivery::net::server::Spawner;
-use marblefall_delivery::say;
 use marblefall_scheduler::Time;
 use operators::{OpenRequest, RESPONSE_TIMEOUT};
 use std::collections::BTreeMap;
@@ -99,7 +99,7 @@
         tasks: &Spawner,
     ) -> Result<Receiver<GroupEvent>, GroupError> {
         if let Some(warning) = self.group.warning() {
-            say!(code = "even-voters", "{warning}");
+            log_line!(code = "even-voters", "{warning}");
         }
         let (transport_events, transport) = async_channel::bounded(EVENT_QUEUE);
         self.listen(listen, transport_events.clone(), tasks)?;
@@ -144,7 +144,7 @@
         let listener =
             TcpListener::bind(address).map_err(|source| GroupError::Listen { address, source })?;
         let (group, name) = (&self.group.name, &self.name);
-        say!("group {group}: member {name}, link at {address}");
+        log_line!("group {group}: member {name}, link at {address}");
         let setup = ListenerSetup {
             group: self.group.name.clone(),
             members: self.group.members.len() as u32,
@@ -187,7 +187,7 @@
             return Ok(Some(new()));
         };
         let state = PersistentState::decode(&bytes, owner).unwrap_or_else(|error| {
-            say!(
+            log_line!(
                 code = "votes-unreadable",
                 "{}: {error}; this voter asks to be admitted as a new one",
                 path.display()
@@ -283,7 +283,7 @@
                 }
                 NodeAction::ApplyPolicy(..) => {}
                 NodeAction::Reply(number, reply) => self.respond(number, Some(reply)),
-                NodeAction::Log(code, text) => say!(code, "group: {text}"),
+                NodeAction::Log(code, text) => log_line!(code, "group: {text}"),
             }
         }
         for frame in own_frames {
@@ -297,14 +297,14 @@
         match write_file(&path, bytes) {
             Ok(()) => {
                 if std::mem::take(&mut self.write_failing) {
-                    say!(code = "votes-written", "votes can be written again");
+                    log_line!(code = "votes-written", "votes can be written again");
                 }
                 true
             }
             Err(error) => {
                 self.node.handle_write_failed();
                 if !std::mem::replace(&mut self.write_failing, true) {
-                    say!(
+                    log_line!(
                         code = "votes-not-written",
                         "{}: {error}; this voter sends nothing until it can be written",
                         path.display()
--- a/crates/control-plane/src/group/driver/lease.rs
+++ b/crates/control-plane/src/group/driver/lease.rs
@@ -2,7 +2,7 @@
 
 use super::{Driver, GroupEvent};
 use marblefall_delivery::lease_guard::GuardState;
-use marblefall_delivery::say;
+use marblefall_delivery::log_line;
 use std::time::Instant;
 
 /// What the lease guard was last set to.
@@ -34,7 +34,7 @@
         self.shown_lease = Some(lease);
         if changed {
             let revision = lease.revision;
-            say!(
+            log_line!(
                 code = "lease-guard",
                 "{} under revision {revision}",
                 self.lease_state()
--- a/crates/control-plane/src/group/driver/policy.rs
+++ b/crates/control-plane/src/group/driver/policy.rs
@@ -6,7 +6,7 @@
 use marblefall_atomic_file::{replace, Durability, LocalDisk};
 use marblefall_coordination::identifiers::{Policy, ProposalId, Revision};
 use marblefall_coordination::message::PolicyVerdict;
-use marblefall_delivery::say;
+use marblefall_delivery::log_line;
 
 /// Why this member cannot act under a proposed policy.
 #[derive(Debug, thiserror::Error)]
@@ -61,7 +61,7 @@
         let manifest: Manifest = match serde_json::from_slice(policy) {
             Ok(manifest) => manifest,
             Err(error) => {
-                return say!(
+                return log_line!(
                     code = "policy-unreadable",
                     "group: revision {number} cannot be read: {error}"
                 )
@@ -84,12 +84,12 @@
         ) {
             // Until it is stored, instances stay under their policy, for which the lease guard is closed.
             self.unstored_policy = Some((revision, policy.clone()));
-            return say!(
+            return log_line!(
                 code = "policy-not-written",
                 "group: revision {number}: {error}"
             );
         }
-        say!(
+        log_line!(
             code = "policy-in-force",
             "group: revision {number} is in force"
         );
--- a/crates/control-plane/src/group/transport/listener.rs
+++ b/crates/control-plane/src/group/transport/listener.rs
@@ -7,8 +7,8 @@
 use futures_lite::{future, AsyncWriteExt};
 use marblefall_coordination::identifiers::MemberId;
 use marblefall_coordination::node::{Frame, Request};
+use marblefall_delivery::log_line;
 use marblefall_delivery::net::server::Spawner;
-use marblefall_delivery::say;
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -75,7 +75,7 @@
             continue;
         };
         if open.get() >= MAX_CONNECTIONS {
-            say!(
+            log_line!(
                 code = "link-too-many",
                 "link from {from} is closed: {MAX_CONNECTIONS} are open"
             );
@@ -92,7 +92,7 @@
 
 async fn serve(stream: Async<TcpStream>, from: SocketAddr, setup: &ListenerSetup) {
     if let Err(error) = serve_connection(stream, setup).await {
-        say!(code = error.code(), "link from {from} is closed: {error}");
+        log_line!(code = error.code(), "link from {from} is closed: {error}");
     }
 }
 
--- a/crates/control-plane/src/list_watcher.rs
+++ b/crates/control-plane/src/list_watcher.rs
@@ -17,7 +17,7 @@
 
 use crate::manifest::Manifest;
 use async_channel::Receiver;
-use marblefall_delivery::say;
+use marblefall_delivery::log_line;
 use marblefall_endpoint_lists::last_good_store::{LastGoodStore, StoreError};
 use marblefall_endpoint_lists::{ActiveLists, Report};
 use scanner::{ScanScope, Scanner, ScannerConfig, Wakeup};
@@ -83,7 +83,7 @@
     pub fn start(home: &Path, manifest: &Manifest) -> Result<ListWatcher, ListWatcherError> {
         let last_good = LastGoodLists::read(home, manifest)?;
         for report in last_good.unreadable {
-            say!(code = "last-good-list-unreadable", file = %report.file, "{}", report.summary());
+            log_line!(code = "last-good-list-unreadable", file = %report.file, "{}", report.summary());
         }
         let lists = SharedLists::new(last_good.lists);
         let (wakeup_sender, wakeups) = mpsc::channel();
--- a/crates/control-plane/src/list_watcher/file_states.rs
+++ b/crates/control-plane/src/list_watcher/file_states.rs
@@ -1,7 +1,7 @@
 //! The state of each endpoint list's file, logged when it changes.
 
 use super::status::FileState;
-use marblefall_delivery::say;
+use marblefall_delivery::log_line;
 use std::collections::BTreeMap;
 
 /// Stands for the path itself, where it cannot be read.
@@ -48,12 +48,12 @@
         // Logged with its revision where it is put in force.
         FileState::InForce => {}
         FileState::Rejected { report } => log_rejected(file, report),
-        FileState::Unreadable { cause } => say!(
+        FileState::Unreadable { cause } => log_line!(
             code = "endpoint-list-unreadable",
             file,
             "endpoint list cannot be read, the last good one stays in force: {cause}"
         ),
-        FileState::Missing => say!(
+        FileState::Missing => log_line!(
             code = "endpoint-list-missing",
             file,
             "endpoint list is missing, the last good one stays in force"
@@ -71,7 +71,7 @@
     let place = lines
         .find_map(|line| line.strip_prefix("--> "))
         .unwrap_or(file);
-    say!(
+    log_line!(
         code = "endpoint-list-rejected",
         file,
         "endpoint list rejected, the last good one stays in force: {place}: {what}"
--- a/crates/control-plane/src/list_watcher/folder_watch.rs
+++ b/crates/control-plane/src/list_watcher/folder_watch.rs
@@ -1,7 +1,7 @@
 //! The system's watch on the folders in which endpoint lists may change.
 
 use super::scanner::Wakeup;
-use marblefall_delivery::say;
+use marblefall_delivery::log_line;
 use notify::event::{AccessKind, AccessMode};
 use notify::{Event, EventKind, RecommendedWatcher, RecursiveMode, Watcher};
 use std::collections::BTreeMap;
@@ -48,7 +48,7 @@
         let mut watcher = match notify::recommended_watcher(wake_on_change(self.wakeups.clone())) {
             Ok(watcher) => watcher,
             Err(error) => {
-                say!(
+                log_line!(
                     code = "file-watch-unavailable",
                     "the system does not tell of changes, endpoint lists are polled every {poll_ms} ms: {error}"
                 );
@@ -59,7 +59,7 @@
         for folder in folders.keys() {
             if let Err(error) = watcher.watch(folder, RecursiveMode::NonRecursive) {
                 let folder = folder.display();
-                say!(
+                log_line!(
                     code = "file-watch-unavailable",
                     "{folder} is only polled: {error}"
                 );
--- a/crates/control-plane/src/list_watcher/scanner.rs
+++ b/crates/control-plane/src/list_watcher/scanner.rs
@@ -8,7 +8,7 @@
 use super::status::{FileState, FileStatus, ListStatus};
 use crate::manifest::EndpointListSource;
 use async_channel::Sender;
-use marblefall_delivery::say;
+use marblefall_delivery::log_line;
 use marblefall_endpoint_lists::last_good_store::{LastGoodStore, StoreError};
 use marblefall_endpoint_lists::{Candidate, Diagnostic};
 use std::collections::{BTreeMap, BTreeSet};
@@ -253,7 +253,7 @@
         }
         let (revision, endpoint_changes) = (offer.revision(), offer.changes.len());
         self.lists.write(|lists| lists.put_in_force(offer));
-        say!(
+        log_line!(
             code = "endpoint-list-in-force",
             file,
             revision,
@@ -277,7 +277,7 @@
                 self.last_good.write(&file, list.to_toml().as_bytes())
             };
             if let Err(error) = kept {
-                say!(code = "last-good-list-not-written", file = %file, "{error}");
+                log_line!(code = "last-good-list-not-written", file = %file, "{error}");
             }
         }
     }
@@ -298,7 +298,7 @@
     fn log_unlisted(&mut self) {
         let unlisted: BTreeSet<String> = self.unlisted_now().into_iter().collect();
         for name in unlisted.difference(&self.unlisted) {
-            say!(
+            log_line!(
                 code = "destination-unlisted",
                 destination = %name,
                 "no endpoint list names it: nothing is served there"
@@ -326,7 +326,7 @@
             Ok(()) => self.written_status = Some(status),
             Err(error) => {
                 let path = self.status_path.display();
-                say!(code = "list-status-not-written", "{path}: {error}");
+                log_line!(code = "list-status-not-written", "{path}: {error}");
             }
         }
     }
@@ -351,7 +351,7 @@
 }
 
 fn log_not_kept(file: &str, consequence: &str, error: &StoreError) {
-    say!(
+    log_line!(
         code = "last-good-list-not-written",
         file,
         "{consequence}: {error}"
@@ -359,7 +359,7 @@
 }
 
 fn log_warning(file: &str, fault: &Diagnostic) {
-    say!(
+    log_line!(
         code = "endpoint-list-warning",
         file,
         line = fault.line,
--- a/crates/control-plane/src/supervisor.rs
+++ b/crates/control-plane/src/supervisor.rs
@@ -31,8 +31,8 @@
 use listeners::{FrontendListeners, ListenerKey};
 use marblefall_coordination::message::PolicyVerdict;
 use marblefall_delivery::instance::{self, InstanceCommand, SHUTDOWN_TIMEOUT};
+use marblefall_delivery::log_line;
 use marblefall_delivery::net::server::Spawner;
-use marblefall_delivery::say;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{File, TryLockError};
 use std::io;
@@ -261,13 +261,13 @@
         };
         match applied {
             Ok(applied) => self.adopt(applied),
-            Err(error) => say!("manifest: kept as it was, {error}"),
+            Err(error) => log_line!("manifest: kept as it was, {error}"),
         }
     }
 
     fn adopt(&mut self, applied: CompactApplied) {
         let instance_count = applied.manifest.instances.len();
-        say!(
+        log_line!(
             "manifest: revision {}, {instance_count} instances",
             applied.revision
         );
@@ -285,7 +285,7 @@
     fn start_list_watcher(&mut self) {
         match ListWatcher::start(&self.home, &self.manifest) {
             Ok(watcher) => self.list_watcher = Some(watcher),
-            Err(error) => say!(
+            Err(error) => log_line!(
                 code = "list-watcher-not-started",
                 "endpoint lists are not watched: {error}"
             ),
@@ -344,7 +344,7 @@
             });
             match changed {
                 Some(manifest) => {
-                    say!("{name}: applies a change in place");
+                    log_line!("{name}: applies a change in place");
                     instance.update_policy(manifest, self.revision, &self.directory);
                 }
                 None => instance.replace_destinations(&self.directory),
@@ -358,7 +358,7 @@
         };
         match watcher.with_lists(|lists| self.directory.with_endpoint_lists(lists)) {
             Ok(directory) => self.directory = directory,
-            Err(error) => say!(
+            Err(error) => log_line!(
                 code = "destination-table-full",
                 "destinations kept as they were: {error}"
             ),
@@ -378,7 +378,7 @@
                 continue;
             };
             if !instance.is_shutting_down() {
-                say!("{name}: ended by itself, is started again");
+                log_line!("{name}: ended by itself, is started again");
                 self.back_off(&name);
             }
             instance.join();
@@ -401,11 +401,11 @@
             match manifest {
                 Some(manifest) if manifest == *instance.manifest() => {}
                 Some(_) => {
-                    say!("{name}: applies a change by a restart");
+                    log_line!("{name}: applies a change by a restart");
                     instance.end_for_restart(RESTART_TIMEOUT);
                 }
                 None => {
-                    say!("{name}: leaves the manifest");
+                    log_line!("{name}: leaves the manifest");
                     instance.shut_down(SHUTDOWN_TIMEOUT);
                 }
             }
@@ -443,7 +443,7 @@
             match InstanceHandle::start(manifest, context, &mut self.listeners) {
                 Ok(instance) => drop(self.instances.insert(name, instance)),
                 Err(error) => {
-                    say!("{name}: not started, {error}");
+                    log_line!("{name}: not started, {error}");
                     self.back_off(&name);
                 }
             }
--- a/crates/control-plane/src/supervisor/instance_handle.rs
+++ b/crates/control-plane/src/supervisor/instance_handle.rs
@@ -8,8 +8,8 @@
 use async_executor::LocalExecutor;
 use marblefall_delivery::instance::{self, InstanceCommand, InstanceConfig, LeaseConfig};
 use marblefall_delivery::lease_guard::LeaseGuard;
+use marblefall_delivery::log_line;
 use marblefall_delivery::net::server::Spawner;
-use marblefall_delivery::say;
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
@@ -172,6 +172,6 @@
     let tasks = Rc::new(LocalExecutor::new());
     let running = instance::run_instance(config, commands, Spawner::new(&tasks));
     if let Err(error) = async_io::block_on(tasks.run(running)) {
-        say!(code = "instance-failed", "{error}");
+        log_line!(code = "instance-failed", "{error}");
     }
 }
--- a/crates/delivery/src/log.rs
+++ b/crates/delivery/src/log.rs
@@ -168,13 +168,5 @@
     };
 }
 
-/// The former name of [`log_line!`], for packages that still use it.
-#[macro_export]
-macro_rules! say {
-    ($($part:tt)*) => {
-        $crate::log_line!($($part)*)
-    };
-}
-
 #[cfg(test)]
 mod tests;
