--- a/crates/cli/src/endpoint_lists/check.rs
+++ b/crates/cli/src/endpoint_lists/check.rs
@@ -34,7 +34,7 @@
     fn active_lists(self) -> Result<ActiveLists, CommandError> {
         match self {
             Reference::Form => Ok(ActiveLists::new(ListRules::default())),
-            Reference::File(file) => Ok(ActiveLists::new(Manifest::read(file)?.list_terms())),
+            Reference::File(file) => Ok(ActiveLists::new(Manifest::read(file)?.list_rules())),
             Reference::Home(home) => Ok(last_good_lists(home, &applied_manifest(home)?)?.lists),
         }
     }
--- a/crates/control-plane/src/list_watcher.rs
+++ b/crates/control-plane/src/list_watcher.rs
@@ -57,7 +57,7 @@
     /// # Errors
     /// Where the folder or a file cannot be read.
     pub fn read(home: &Path, manifest: &Manifest) -> Result<LastGoodLists, StoreError> {
-        let mut lists = ActiveLists::new(manifest.list_terms());
+        let mut lists = ActiveLists::new(manifest.list_rules());
         let mut unreadable = Vec::new();
         for (file, bytes) in LastGoodStore::at(&home.join(LISTS_FOLDER)).read()? {
             unreadable.extend(lists.restore(&file, &bytes).err());
@@ -119,7 +119,7 @@
     /// Goes on under another manifest. What it no longer lets lists say counts for nothing from now on.
     pub fn set_manifest(&self, manifest: &Manifest) {
         self.lists
-            .write(|lists| lists.set_rules(manifest.list_terms()));
+            .write(|lists| lists.set_rules(manifest.list_rules()));
         self.wake(Wakeup::SourceChanged(manifest.list_source.clone()));
     }
 
--- a/crates/control-plane/src/manifest.rs
+++ b/crates/control-plane/src/manifest.rs
@@ -103,7 +103,7 @@
     }
 
     /// What endpoint lists must keep to under this manifest.
-    pub fn list_terms(&self) -> ListRules {
+    pub fn list_rules(&self) -> ListRules {
         let origins = self.endpoint_origins.clone();
         let terms = ListRules {
             destinations: Some(origins.unwrap_or_else(|| self.own_endpoint_origins())),
--- a/crates/control-plane/tests/stored_data.rs
+++ b/crates/control-plane/tests/stored_data.rs
@@ -103,7 +103,7 @@
         assert_eq!(
             compact
                 .manifest
-                .list_terms()
+                .list_rules()
                 .destinations
                 .map(|all| all.len()),
             Some(origins)
