--- a/crates/control-plane/src/supervisor.rs
+++ b/crates/control-plane/src/supervisor.rs
@@ -17,7 +17,7 @@
 pub use coordinated::CoordinationError;
 
 use crate::endpoint_directory::{CompactApplied, EndpointDirectory};
-use crate::group::{GroupEvent, Membership};
+use crate::group::{GroupError, GroupEvent, Membership};
 use crate::json_file::JsonFileError;
 use crate::list_watcher::ListWatcher;
 use crate::manifest::Manifest;
@@ -30,7 +30,8 @@
 use instance_handle::{InstanceHandle, StartContext};
 use listeners::{FrontendListeners, ListenerKey};
 use marblefall_coordination::message::PolicyVerdict;
-use marblefall_delivery::instance::{self, InstanceCommand, SHUTDOWN_TIMEOUT};
+use marblefall_delivery::error_chain;
+use marblefall_delivery::instance::{self, InstanceCommand, InstanceError, SHUTDOWN_TIMEOUT};
 use marblefall_delivery::log_line;
 use marblefall_delivery::net::server::Spawner;
 use std::collections::{BTreeMap, BTreeSet};
@@ -54,14 +55,14 @@
 #[derive(Debug, thiserror::Error)]
 pub enum SupervisorError {
     /// The process's signals cannot be watched.
-    #[error("{0}")]
-    Signals(String),
+    #[error("{}", error_chain(.0))]
+    Signals(#[from] InstanceError),
     /// What is applied cannot be read.
     #[error(transparent)]
     Applied(#[from] JsonFileError),
     /// The home's place in its group cannot be read.
-    #[error("{0}")]
-    Membership(String),
+    #[error(transparent)]
+    Membership(#[from] GroupError),
     /// The lock file cannot be created.
     #[error("{0}")]
     LockFile(#[source] io::Error),
@@ -89,14 +90,12 @@
     history: Option<&Path>,
     link: Option<SocketAddr>,
 ) -> Result<(), SupervisorError> {
-    let signals =
-        instance::signals().map_err(|error| SupervisorError::Signals(error.to_string()))?;
+    let signals = instance::signals()?;
     let preloaded = Preloaded {
         modified: applied_modified(home),
         applied: CompactApplied::read(home)?,
     };
-    let membership =
-        Membership::read(home).map_err(|error| SupervisorError::Membership(error.to_string()))?;
+    let membership = Membership::read(home)?;
     let _lock = lock_home(home)?;
     let (command_sender, commands) = async_channel::unbounded();
     let tasks = Rc::new(LocalExecutor::new());
--- a/crates/control-plane/src/supervisor/coordinated.rs
+++ b/crates/control-plane/src/supervisor/coordinated.rs
@@ -1,7 +1,7 @@
 //! What a supervisor has in common with others of its group: its member's name, the lease under which its instances
 //! act, and the group's events.
 
-use crate::group::{GroupEvent, Membership};
+use crate::group::{GroupError, GroupEvent, Membership};
 use crate::manifest::Manifest;
 use async_channel::Receiver;
 use marblefall_delivery::lease_guard::LeaseGuard;
@@ -24,8 +24,8 @@
         source: io::Error,
     },
     /// The member's node cannot be started.
-    #[error("{0}")]
-    Member(String),
+    #[error(transparent)]
+    Member(#[from] GroupError),
 }
 
 /// A supervisor's part in its group.
@@ -48,9 +48,7 @@
         let history = history.map(open_history).transpose()?;
         let lease_guard = Arc::new(LeaseGuard::new(history));
         let member = membership.name.clone();
-        let events = membership
-            .start(home, link, lease_guard.clone(), tasks)
-            .map_err(|error| CoordinationError::Member(error.to_string()))?;
+        let events = membership.start(home, link, lease_guard.clone(), tasks)?;
         Ok(Coordinated {
             member,
             lease_guard,
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -1,4 +1,4 @@
-//! `lab`: plays scenarios in virtual time and judges them.
+//! `marblefall-simulation`: plays scenarios in virtual time and judges them.
 
 #![allow(
     clippy::too_many_lines,
@@ -29,7 +29,7 @@
 ///
 /// Exit codes: 0 all rules were kept, 1 one was broken or a file is wrong, 2 the words are wrong.
 #[derive(Debug, Parser)]
-#[command(name = "lab", version)]
+#[command(name = "marblefall-simulation", version)]
 struct Words {
     #[command(subcommand)]
     command: Command,
