--- a/examples/first-steps/toy_partner.rs
+++ b/examples/first-steps/toy_partner.rs
@@ -1,5 +1,5 @@
 //! A toy partner for a first try: takes events at the address given, prints them, and goes wrong now and then so
-//! that the courier has something to do. Start it with `cargo run --example toy_partner`.
+//! that the instance has something to do. Start it with `cargo run --example toy_partner`.
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
