--- a/crates/cli/benches/lives.rs
+++ b/crates/cli/benches/lives.rs
@@ -1,5 +1,5 @@
 //! How long a replacement of the process keeps messages waiting: from SIGTERM to the old process until the new one's first
-//! leg is at the partner, and the longest time without any leg there. `cargo bench -p marblefall --bench lives`.
+//! attempt is at the partner, and the longest time without any attempt there. `cargo bench -p marblefall --bench incarnations`.
 
 #![allow(
     clippy::too_many_lines,
@@ -66,7 +66,7 @@
         );
         let told = Instant::now();
         old.signal("TERM");
-        wait_for("the first leg", || came(&id).is_some());
+        wait_for("the first attempt", || came(&id).is_some());
         first.push(came(&id).expect("it came").saturating_duration_since(told));
         assert!(old.ended(), "{}", old.log());
         ask_on(100);
@@ -87,9 +87,15 @@
             all.len()
         );
     };
-    show("from SIGTERM to the new process's first leg", &mut first);
-    show("longest time without a leg over a replacement", &mut gaps);
-    show("longest time without a leg in calm", &mut calm);
+    show(
+        "from SIGTERM to the new process's first attempt",
+        &mut first,
+    );
+    show(
+        "longest time without an attempt over a replacement",
+        &mut gaps,
+    );
+    show("longest time without an attempt in calm", &mut calm);
 }
 
 fn longest_gap(host: &StandIn, from: Instant, to: Instant) -> Duration {
--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -1,4 +1,4 @@
-//! The platform round one courier: discovery with its notices, the configuration, and a client.
+//! The platform round one instance: discovery with its notices, the configuration, and a client.
 
 use super::{post, text, Act, Arc, Folder, Message, Mutex, Program, SocketAddr, StandIn};
 use std::cell::Cell;
--- a/crates/cli/tests/destinations.rs
+++ b/crates/cli/tests/destinations.rs
@@ -11,7 +11,7 @@
 use std::thread;
 
 #[test]
-fn a_partner_that_is_out_is_shown_also_when_the_daemon_is_down() {
+fn ejected_destination_is_shown_also_when_daemon_is_down() {
     let well = StandIn::start(|_| ok());
     // Nobody listens there.
     let dead = TcpListener::bind("127.0.0.1:0")
@@ -76,7 +76,7 @@
         (0, &"dead".into(), &100.into())
     );
 
-    // Known in the next life as well, before anything was sent there.
+    // Known in the next incarnation as well, before anything was sent there.
     let program = daemon(&folder);
     program.address("takes events at ", 0);
     assert!(shown(&["--state", "out"]).1.contains("dead at one"));
--- a/crates/cli/tests/events.rs
+++ b/crates/cli/tests/events.rs
@@ -46,7 +46,7 @@
 }
 
 #[test]
-fn events_change_their_mode_on_the_way_and_keep_their_meaning() {
+fn event_keeps_its_meaning_in_either_content_mode() {
     let (a, b) = (
         StandIn::start(|_| ok()),
         StandIn::start(|_| Act::Answer(204, String::new())),
@@ -65,8 +65,8 @@
     )
     .unwrap();
     assert_eq!(answer.status(), 204);
-    let leg = a.first();
-    assert_eq!(leg.first, "POST /in HTTP/1.1");
+    let attempt = a.first();
+    assert_eq!(attempt.first, "POST /in HTTP/1.1");
     let fields = [
         "ce-id",
         "ce-source",
@@ -76,7 +76,7 @@
         "content-type",
         "idempotency-key",
     ];
-    let values = fields.map(|name| leg.field(name).unwrap_or_default());
+    let values = fields.map(|name| attempt.field(name).unwrap_or_default());
     assert_eq!(
         values,
         [
@@ -89,7 +89,7 @@
             "key/1"
         ]
     );
-    assert_eq!(leg.body, br#"{"n":1}"#);
+    assert_eq!(attempt.body, br#"{"n":1}"#);
 
     assert_eq!(
         event(at, "%C3%A9 2", "status", "b", "", b"[1]")
@@ -97,12 +97,12 @@
             .status(),
         204
     );
-    let leg = b.first();
+    let attempt = b.first();
     assert_eq!(
-        leg.field("content-type"),
+        attempt.field("content-type"),
         Some("application/cloudevents+json; charset=utf-8")
     );
-    let whole: serde_json::Value = serde_json::from_slice(&leg.body).unwrap();
+    let whole: serde_json::Value = serde_json::from_slice(&attempt.body).unwrap();
     let want = r#"{"specversion":"1.0","id":"é 2","source":"/clinic","type":"status","clinic":"b",
         "datacontenttype":"application/json","data":[1]}"#;
     assert_eq!(
@@ -112,7 +112,7 @@
 }
 
 #[test]
-fn what_cannot_be_taken_is_told_why() {
+fn unacceptable_event_is_rejected_with_reason() {
     let a = StandIn::start(|_| ok());
     let folder = Folder::new("rejects");
     apply(&folder, &file(a.at, a.at, 6000));
@@ -144,7 +144,7 @@
 }
 
 #[test]
-fn a_repeat_joins_the_first_and_gets_its_end_but_never_a_leg() {
+fn repeated_event_joins_the_first_without_another_attempt() {
     let gate = Arc::new(AtomicBool::new(false));
     let opened = gate.clone();
     let a = StandIn::start(move |_| {
@@ -201,7 +201,7 @@
 }
 
 #[test]
-fn an_event_given_up_is_answered_at_once_with_when_to_come_back() {
+fn returned_event_is_answered_at_once_with_retry_after() {
     let a = StandIn::start(|_| Act::Answer(429, "Retry-After: 40\r\n".to_owned()));
     let folder = Folder::new("given-up-event");
     apply(&folder, &file(a.at, a.at, 6000));
@@ -219,8 +219,8 @@
 
 /// Each further try would have been answered alike, until the event's time ran out.
 #[test]
-fn an_event_that_its_receiver_will_not_have_ends_at_once() {
-    let a = StandIn::start(|leg| match leg.field("ce-id") {
+fn permanently_rejected_event_ends_at_once() {
+    let a = StandIn::start(|attempt| match attempt.field("ce-id") {
         Some("bad") => Act::Answer(422, String::new()),
         _ => ok(),
     });
@@ -244,15 +244,15 @@
     assert_eq!(a.count(), 2);
 }
 
-/// The window that the courier is told, and the one that partners keep: a busy machine may bring a leg late.
+/// The window that the instance is told, and the one that partners keep: a busy machine may bring an attempt late.
 const TOLD: Duration = Duration::from_millis(3000);
 const WINDOW: Duration = Duration::from_millis(4000);
 
 /// A partner that counts effects and goes wrong in turns. Its contract: a keyed event has an effect unless its
 /// key was seen within the window; a free one may come again only while nobody has heard of its delivery.
-/// Within one life of the courier, one leg is out at a time and none follows an answer.
-/// Each life finds the partner at an address of its own: what a killed courier left in its connections may be read
-/// long after its end, and must count for its own life.
+/// Within one incarnation of the instance, one attempt is out at a time and none follows an answer.
+/// Each incarnation finds the partner at an address of its own: what a killed instance left in its connections may be read
+/// long after its end, and must count for its own incarnation.
 #[derive(Default)]
 struct Partner {
     wrong: Mutex<Vec<String>>,
@@ -265,9 +265,9 @@
 }
 
 impl Partner {
-    fn leg(&self, life: usize, leg: &Message) -> Act {
-        let id = leg.field("ce-id").unwrap().to_owned();
-        let here = (life, id.clone());
+    fn attempt(&self, incarnation: usize, attempt: &Message) -> Act {
+        let id = attempt.field("ce-id").unwrap().to_owned();
+        let here = (incarnation, id.clone());
         let say = |what: &str| self.wrong.lock().unwrap().push(format!("{id} {what}"));
         if self.heard.lock().unwrap().contains(&id) {
             say("came again after its end was heard");
@@ -280,7 +280,7 @@
         }
         let turn = self.turn.fetch_add(1, Ordering::SeqCst) % 5;
         // Turned away in its first turn: it never runs. In any other turn it has run, whatever is answered.
-        if let (Some(key), true) = (leg.field("idempotency-key"), turn != 0) {
+        if let (Some(key), true) = (attempt.field("idempotency-key"), turn != 0) {
             let (mut keys, now) = (self.keys.lock().unwrap(), Instant::now());
             if keys.get(key).is_none_or(|at| now - *at >= WINDOW) {
                 keys.insert(key.to_owned(), now);
@@ -307,10 +307,10 @@
 fn no_effect_doubles_through_resets_errors_kills_and_restarts() {
     let partner = Arc::new(Partner::default());
     let folder = Folder::new("doubles");
-    // The partner as one life of the courier meets it.
-    let met_in = |life: usize| {
+    // The partner as one incarnation of the instance meets it.
+    let met_in = |incarnation: usize| {
         let serving = partner.clone();
-        let server = StandIn::start(move |leg| serving.leg(life, leg));
+        let server = StandIn::start(move |attempt| serving.attempt(incarnation, attempt));
         apply(
             &folder,
             &file(server.at, server.at, TOLD.as_millis() as u64),
@@ -346,12 +346,12 @@
             })
         })
         .collect();
-    // Three lives end while legs are out; the last one serves what is left.
-    for life in 1..=3 {
-        let server = met_in(life);
+    // Three incarnations end while attempts are out; the last one serves what is left.
+    for incarnation in 1..=3 {
+        let server = met_in(incarnation);
         let program = daemon(&folder);
         *current.lock().unwrap() = Some(program.address(MARKER, 0));
-        wait_for("legs of this life", || server.count() >= 3);
+        wait_for("attempts of this life", || server.count() >= 3);
         program.kill();
     }
     let _server = met_in(4);
@@ -380,7 +380,7 @@
 }
 
 #[test]
-fn a_plan_shows_what_changes_and_a_running_instance_takes_it_up() {
+fn running_instance_applies_planned_change() {
     let (old, new) = (StandIn::start(|_| ok()), StandIn::start(|_| ok()));
     let folder = Folder::new("takes-up");
     let said = apply(&folder, &file(old.at, old.at, 6000));
@@ -433,7 +433,7 @@
         program.log()
     );
 
-    // So does what it decides by: no other life of it begins.
+    // So does what it decides by: no other incarnation of it begins.
     apply(&folder, &file(new.at, old.at, 5500));
     wait_for("the change of a class", || {
         program.log().contains("policy-in-force")
@@ -444,7 +444,7 @@
         204,
         "known across the change"
     );
-    // What its folder may hold changes with another life. The port was the system's choice: the listener stays, and so
+    // What its folder may hold changes with another incarnation. The port was the system's choice: the listener stays, and so
     // does the address.
     apply(
         &folder,
@@ -471,7 +471,7 @@
 }
 
 #[test]
-fn clients_without_manners_keep_nobody_else_out() {
+fn misbehaving_clients_do_not_starve_others() {
     let host = StandIn::start(|_| ok());
     let folder = Folder::new("manners");
     apply(
@@ -492,11 +492,11 @@
             .status(),
         204
     );
-    wait_for("both legs", || host.count() == 2);
+    wait_for("both attempts", || host.count() == 2);
 }
 
 #[test]
-fn both_fronts_of_one_instance_serve_the_same_destinations() {
+fn both_frontends_of_one_instance_serve_the_same_destinations() {
     let host = StandIn::start(|_| ok());
     let folder = Folder::new("both");
     let notices = StandIn::start(|_| Act::Answer(204, String::new()));
@@ -526,13 +526,13 @@
         204
     );
     assert_eq!((hand("m-1", "dest=3"), hand("m-2", "dest=5")), (202, 400));
-    wait_for("both legs", || host.count() == 2);
+    wait_for("both attempts", || host.count() == 2);
     let paths: Vec<String> = host
         .seen
         .lock()
         .unwrap()
         .iter()
-        .map(|leg| leg.first.clone())
+        .map(|attempt| attempt.first.clone())
         .collect();
     assert_eq!(paths, ["POST /in HTTP/1.1", "POST /receive HTTP/1.1"]);
     assert_eq!(hand("m-3", "dest=4"), 202);
--- a/crates/cli/tests/group.rs
+++ b/crates/cli/tests/group.rs
@@ -113,7 +113,7 @@
 }
 
 #[test]
-fn twenty_changes_under_traffic_each_take_hold_everywhere_at_once() {
+fn twenty_changes_under_traffic_each_take_effect_everywhere_at_once() {
     let _alone = alone();
     let effects = Effects::default();
     let partner = effects.partner();
@@ -150,7 +150,7 @@
 }
 
 #[test]
-fn a_change_goes_on_without_a_member_that_is_down_and_it_takes_it_up_before_it_acts() {
+fn change_proceeds_without_stopped_member_which_applies_it_before_acting() {
     let _alone = alone();
     let effects = Effects::default();
     let partner = effects.partner();
@@ -177,7 +177,7 @@
 }
 
 #[test]
-fn a_member_that_was_stopped_across_a_change_does_nothing_under_the_old_policy() {
+fn member_suspended_across_a_change_does_nothing_under_the_old_policy() {
     let _alone = alone();
     let effects = Effects::default();
     let partner = effects.partner();
@@ -196,7 +196,7 @@
 }
 
 #[test]
-fn a_member_that_is_cut_off_stops_at_its_term_and_the_others_change_without_it() {
+fn partitioned_member_stops_at_its_lease_and_others_change_without_it() {
     let _alone = alone();
     let effects = Effects::default();
     let partner = effects.partner();
@@ -244,7 +244,7 @@
 }
 
 #[test]
-fn links_that_are_slow_or_flap_delay_a_change_and_do_not_mix_policies() {
+fn slow_or_flapping_links_delay_a_change_and_do_not_mix_policies() {
     let _alone = alone();
     let effects = Effects::default();
     let partner = effects.partner();
@@ -285,7 +285,7 @@
 }
 
 #[test]
-fn one_no_withdraws_a_change_everywhere() {
+fn one_rejection_withdraws_a_change_everywhere() {
     let _alone = alone();
     // Destination b does not answer, so that messages for it are held.
     let partner = StandIn::start(|message| match message.field("ce-clinic") {
@@ -332,7 +332,7 @@
 }
 
 #[test]
-fn two_operators_at_once_and_a_stale_plan() {
+fn of_two_concurrent_changes_one_is_applied_and_stale_plan_is_rejected() {
     let _alone = alone();
     let partner = StandIn::start(|_| ok());
     let (mut group, _folder) = found("operators", 3, "stop", partner.at);
@@ -374,7 +374,7 @@
 }
 
 #[test]
-fn where_members_serve_on_a_change_waits_until_an_operator_says_that_one_is_stopped() {
+fn under_serve_policy_change_waits_until_stopped_member_is_excluded() {
     let _alone = alone();
     let effects = Effects::default();
     let partner = effects.partner();
@@ -420,7 +420,7 @@
 }
 
 #[test]
-fn folders_that_are_lost_old_or_torn_do_not_vote_and_are_let_in_again() {
+fn lost_old_or_torn_storage_does_not_vote_and_is_readmitted() {
     let _alone = alone();
     let effects = Effects::default();
     let partner = effects.partner();
@@ -467,7 +467,7 @@
 }
 
 #[test]
-fn a_whole_group_that_is_killed_in_a_switch_comes_back_in_any_order_with_one_outcome() {
+fn group_killed_within_a_change_recovers_in_any_order_with_one_outcome() {
     let _alone = alone();
     let effects = Effects::default();
     let partner = effects.partner();
@@ -508,7 +508,7 @@
 }
 
 #[test]
-fn what_is_no_word_of_the_group_closes_its_link_and_nothing_else() {
+fn malformed_frame_closes_its_connection_only() {
     use std::io::{Read, Write};
     let _alone = alone();
     let partner = StandIn::start(|_| ok());
--- a/crates/cli/tests/lives.rs
+++ b/crates/cli/tests/lives.rs
@@ -159,7 +159,7 @@
 }
 
 #[test]
-fn sixty_clients_hear_an_answer_to_every_request_through_three_replacements() {
+fn sixty_clients_get_every_response_through_three_replacements() {
     let host = StandIn::start(|_| ok());
     let site = Site::new("sixty", host.at, "6000", 0);
     let (mut old, at) = site.first();
@@ -192,7 +192,7 @@
 }
 
 #[test]
-fn a_stopped_process_is_fenced_off_and_does_no_harm_when_it_goes_on() {
+fn suspended_process_is_fenced_and_does_no_harm_when_continued() {
     // Stopped before it is told to end, or as soon as it is told.
     for told_first in [false, true] {
         let host = StandIn::start(|_| ok());
@@ -214,7 +214,7 @@
             log.contains("code=\"fenced-off\"") && log.contains("code=\"takes-over\"")
         });
         let before = host.count();
-        wait_for("legs of the new one", || host.count() > before + 20);
+        wait_for("attempts of the new one", || host.count() > before + 20);
         old.signal("CONT");
         assert!(old.ended(), "{}", old.log());
         wait_for("the end of the change", || {
@@ -229,7 +229,7 @@
 }
 
 #[test]
-fn whoever_dies_at_whatever_moment_every_message_has_an_end() {
+fn every_message_has_an_outcome_whichever_process_is_killed() {
     let host = StandIn::start(|_| ok());
     let site = Site::new("dies", host.at, "6000", 0);
     let (mut old, at) = site.first();
@@ -296,7 +296,7 @@
 }
 
 #[test]
-fn two_that_come_up_at_once_agree_on_one_that_serves() {
+fn of_two_concurrent_starts_one_serves() {
     let host = StandIn::start(|_| ok());
     let site = Site::new("two", host.at, "6000", 0);
     let (mut old, at) = site.first();
@@ -319,7 +319,7 @@
     assert!(two[first].ended(), "{}", two[first].log());
     let before = host.count();
     clients.ask_on(60);
-    wait_for("legs of the one that is left", || {
+    wait_for("attempts of the one that is left", || {
         host.count() > before + 40
     });
     let heard = clients.end();
@@ -332,7 +332,7 @@
 }
 
 #[test]
-fn a_wait_that_the_old_process_is_told_after_it_handed_over_binds_the_new_one() {
+fn backoff_learned_after_handover_binds_the_new_process() {
     // The first call is answered once the new process decides; those after it at once.
     let (release, answered) = (
         Arc::<AtomicBool>::default(),
@@ -355,9 +355,9 @@
             .status(),
         202
     );
-    // Shown only once it is decided, so the leg is seen by its counter.
+    // Shown only once it is decided, so the attempt is seen by its counter.
     old.signal("USR1");
-    wait_for("the leg", || {
+    wait_for("the attempt", || {
         old.signal("USR1");
         old.log().contains(" legs=1 ")
     });
@@ -386,7 +386,7 @@
 }
 
 #[test]
-fn a_full_journal_is_taken_up_and_nothing_of_it_is_lost_or_doubled() {
+fn full_journal_is_taken_over_without_loss_or_duplicates() {
     let open = Arc::<AtomicBool>::default();
     let serving = open.clone();
     let host = StandIn::start(move |_| match serving.load(Ordering::SeqCst) {
@@ -448,7 +448,7 @@
 }
 
 #[test]
-fn the_marks_of_lives_that_have_ended_hold_nobody_up() {
+fn marks_of_exited_processes_delay_nobody() {
     let host = StandIn::start(|_| ok());
     let site = Site::new("marks", host.at, "6000", 0);
     let state = site.folder.0.join("state");
@@ -463,7 +463,7 @@
         hand(at, "one", "refill-status", "5000").unwrap().status(),
         202
     );
-    wait_for("its leg", || host.count() == 1);
+    wait_for("its attempt", || host.count() == 1);
     program.signal("TERM");
     assert!(program.ended(), "{}", program.log());
     assert!(
@@ -476,7 +476,7 @@
         hand(at, "two", "refill-status", "5000").unwrap().status(),
         202
     );
-    wait_for("its leg", || host.count() == 2);
+    wait_for("its attempt", || host.count() == 2);
     next.signal("TERM");
     assert!(next.ended());
 }
--- a/crates/cli/tests/relay.rs
+++ b/crates/cli/tests/relay.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, Mutex};
 
 #[test]
-fn a_message_passes_unchanged_and_the_program_ends_cleanly() {
+fn message_passes_unchanged_and_program_ends_cleanly() {
     let host = StandIn::start(|_| ok());
     let site = Site::new("passes", host.at, "6000", 0);
     let mut program = site.start();
@@ -25,15 +25,22 @@
         hand(at, "m-1", "refill-order", "9000").unwrap().status(),
         202
     );
-    wait_for("the leg", || host.count() == 1);
-    let leg = host.first();
-    assert_eq!(leg.first, "POST /receive HTTP/1.1");
+    wait_for("the attempt", || host.count() == 1);
+    let attempt = host.first();
+    assert_eq!(attempt.first, "POST /receive HTTP/1.1");
     assert_eq!(
-        (leg.field("x-call-id"), leg.field("idempotency-key")),
+        (attempt.field("x-call-id"), attempt.field("idempotency-key")),
         (Some("m-1"), Some("key-of-m-1"))
     );
-    assert_eq!(leg.body, b"two boxes\0\xff");
-    assert!(leg.field("x-budget-ms").unwrap().parse::<u64>().unwrap() <= 9000);
+    assert_eq!(attempt.body, b"two boxes\0\xff");
+    assert!(
+        attempt
+            .field("x-budget-ms")
+            .unwrap()
+            .parse::<u64>()
+            .unwrap()
+            <= 9000
+    );
     program.signal("USR1");
     wait_for("the counters", || {
         program.log().contains("offered=1 taken_on=1 declined=0 ")
@@ -48,7 +55,7 @@
 }
 
 #[test]
-fn a_message_given_up_is_told_at_once_with_when_to_come_back_until_it_is_taken() {
+fn returned_message_is_notified_at_once_until_acknowledged() {
     let closed = std::net::TcpListener::bind("127.0.0.1:0")
         .unwrap()
         .local_addr()
@@ -69,8 +76,8 @@
 }
 
 #[test]
-fn what_was_taken_on_outlives_the_process_and_is_repeated_only_as_its_class_permits() {
-    // The first legs of a life get no answer; those of the next are served.
+fn accepted_message_outlives_the_process_and_is_repeated_only_as_its_class_permits() {
+    // The first attempts of an incarnation get no answer; those of the next are served.
     let silent = Arc::new(Mutex::new(true));
     let quiet = silent.clone();
     let host = StandIn::start(move |_| {
@@ -80,7 +87,7 @@
             ok()
         }
     });
-    // The keyed class's window is over by the time the courier is back, so its message must not go out again.
+    // The keyed class's window is over by the time the instance is back, so its message must not go out again.
     let site = Site::new("outlives", host.at, "1", 0);
     let program = site.start();
     let at = program.address(MARKER, 0);
@@ -94,7 +101,7 @@
             .status(),
         202
     );
-    wait_for("both legs", || host.count() == 2);
+    wait_for("both attempts", || host.count() == 2);
     program.kill();
     *silent.lock().unwrap() = false;
     let program = site.start();
@@ -121,7 +128,7 @@
     ];
     assert_eq!(post(at, "/api", &fields, b"").unwrap().status(), 503);
     program.kill();
-    // All is over: a third life has nothing to do.
+    // All is over: a third incarnation has nothing to do.
     let mut program = site.start();
     program.address(MARKER, 0);
     program.signal("TERM");
@@ -131,7 +138,7 @@
 }
 
 #[test]
-fn a_new_configuration_moves_discovery_and_nothing_held_is_lost() {
+fn new_configuration_moves_discovery_without_losing_pending_messages() {
     let refusing = std::net::TcpListener::bind("127.0.0.1:0")
         .unwrap()
         .local_addr()
@@ -181,13 +188,13 @@
         .any(|seen| seen.first.contains("since=0 ")));
     // Once the news is in, the listed host is the one that is called.
     let mut n = 0;
-    wait_for("a leg to the host listed there", || {
+    wait_for("an attempt to the host listed there", || {
         n += 1;
         hand(at, &format!("m-{n}"), "refill-status", "3000").unwrap();
         host.count() > 0
     });
 
-    // The next life starts from the file, not from the environment that names the first address.
+    // The next incarnation starts from the file, not from the environment that names the first address.
     let before = second.server.count();
     program.kill();
     let program = site.start();
@@ -196,7 +203,7 @@
 }
 
 #[test]
-fn nothing_new_goes_to_a_host_that_drains() {
+fn draining_endpoint_gets_no_new_attempts() {
     let host = StandIn::start(|_| ok());
     let site = Site::new("drains", host.at, "6000", 0);
     let program = site.start();
@@ -207,7 +214,7 @@
             .status(),
         202
     );
-    wait_for("a leg", || host.count() == 1);
+    wait_for("an attempt", || host.count() == 1);
     let news = format!(
         "{{\"revision\":42,\"complete\":false,\"members\":[{}]}}\n",
         member(host.at, "DRAINING")
@@ -228,7 +235,7 @@
 }
 
 #[test]
-fn a_connection_that_the_far_side_has_closed_carries_no_further_leg() {
+fn connection_closed_by_peer_carries_no_further_attempt() {
     let host = StandIn::start(|_| Act::Last);
     let site = Site::new("closed", host.at, "6000", 0);
     let mut program = site.start();
@@ -240,7 +247,7 @@
                 .status(),
             202
         );
-        // Only once it is closed does the next leg find it so.
+        // Only once it is closed does the next attempt find it so.
         wait_for("the connection's end", || {
             host.closed.load(Ordering::SeqCst) == n
         });
@@ -255,7 +262,7 @@
 }
 
 #[test]
-fn told_to_end_it_leaves_what_it_holds_to_its_next_life() {
+fn shutdown_leaves_pending_messages_to_the_next_incarnation() {
     let open = Arc::new(Mutex::new(false));
     let serving = open.clone();
     let host = StandIn::start(move |_| {
@@ -272,7 +279,7 @@
         hand(at, "held", "refill-status", "20000").unwrap().status(),
         202
     );
-    wait_for("the leg that is turned away", || host.count() == 1);
+    wait_for("the attempt that is turned away", || host.count() == 1);
     program.signal("TERM");
     assert!(program.ended(), "{}", program.log());
     *open.lock().unwrap() = true;
@@ -290,7 +297,7 @@
 /// A process that ended took no leave of its listener: whoever had just been let in by the system, or connected in the
 /// last moments and asked, was reset.
 #[test]
-fn a_process_stops_listening_and_answers_all_that_wait_before_it_ends() {
+fn process_stops_listening_and_answers_all_that_wait_before_exit() {
     let host = StandIn::start(|_| ok());
     for busy in [true, false] {
         let site = Site::new("last-clients", host.at, "6000", 0);
@@ -319,7 +326,7 @@
 }
 
 #[test]
-fn clients_without_manners_keep_nobody_else_out() {
+fn misbehaving_clients_do_not_starve_others() {
     let host = StandIn::start(|_| ok());
     let site = Site::new("manners", host.at, "6000", 0);
     let program = site.start();
@@ -337,11 +344,11 @@
     }
     assert_eq!(host.count(), 0);
     assert_eq!(raw(at, one.as_bytes()).unwrap().status(), 202);
-    wait_for("the leg", || host.count() == 1);
+    wait_for("the attempt", || host.count() == 1);
 }
 
 #[test]
-fn what_cannot_be_read_or_used_is_answered_and_harms_nobody() {
+fn malformed_request_is_answered_and_harms_nobody() {
     let host = StandIn::start(|_| ok());
     let site = Site::new("bad", host.at, "6000", 0);
     let program = site.start();
@@ -397,6 +404,6 @@
         b"POST /api HTTP/1.1\r\nX-Call-Id: c\r\nX-Call-Class: refill-status\r\nX-Budget-Ms: 900\r\n\
         X-Envelope: dest=3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n";
     assert_eq!(raw(at, chunked).unwrap().status(), 202);
-    wait_for("the leg", || host.count() == 1);
+    wait_for("the attempt", || host.count() == 1);
     assert_eq!(host.first().body, b"abcde");
 }
--- a/crates/cli/tests/rig.rs
+++ b/crates/cli/tests/rig.rs
@@ -42,12 +42,12 @@
 }
 
 #[test]
-fn promises_are_kept_under_drawn_faults() {
+fn invariants_hold_under_random_faults() {
     plays("changes.toml", 1);
     plays("changes.toml", 7);
 }
 
 #[test]
-fn promises_are_kept_where_members_serve_on_in_a_cut() {
+fn invariants_hold_under_serve_policy_in_a_partition() {
     plays("serve.toml", 3);
 }
--- a/crates/cli/tests/rosters.rs
+++ b/crates/cli/tests/rosters.rs
@@ -306,7 +306,7 @@
 }
 
 #[test]
-fn whatever_becomes_of_the_file_the_last_good_list_stays() {
+fn last_good_list_stays_whatever_happens_to_its_file() {
     let (one, two) = (StandIn::start(|_| ok()), StandIn::start(|_| ok()));
     let folder = Folder::new("ways");
     let rosters = folder.0.join("rosters");
@@ -416,7 +416,7 @@
 }
 
 #[test]
-fn a_start_without_any_list_says_so_and_serves_nothing_there() {
+fn start_without_lists_is_logged_and_serves_no_listed_destination() {
     let one = StandIn::start(|_| ok());
     let folder = Folder::new("nothing");
     apply(&folder, &file("rosters", LOOSE));
@@ -443,10 +443,10 @@
 }
 
 #[test]
-fn a_drain_leaves_64_legs_to_finish_and_brings_nothing_new() {
+fn drain_lets_64_attempts_finish_and_starts_none() {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     // Answered all the while: a route with calls that nobody answers would be left alone without any news of it. The
-    // pause is this partner's service time, so that all callers have a leg out at any moment.
+    // pause is this partner's service time, so that all callers have an attempt out at any moment.
     let one = StandIn::start(|_| {
         thread::sleep(Duration::from_millis(60));
         ok()
@@ -511,7 +511,7 @@
         })
         .collect();
     let calls = |standin: &StandIn| standin.seen.lock().unwrap().len();
-    wait_for("64 legs out, again and again", || calls(&one) > 640);
+    wait_for("64 attempts out, again and again", || calls(&one) > 640);
     let before = calls(&two);
     let second = list(2, 0.0);
     fs::write(&path, &second).unwrap();
@@ -544,7 +544,7 @@
 }
 
 #[test]
-fn what_comes_without_a_list_is_said_and_what_is_no_longer_watched_is_not_shown() {
+fn unlisted_destination_is_logged_and_unwatched_lists_are_not_shown() {
     let one = StandIn::start(|_| ok());
     let folder = Folder::new("unlisted");
     let list = roster(
@@ -583,7 +583,7 @@
 }
 
 #[test]
-fn the_words_for_staff_tell_and_end_as_they_should() {
+fn list_commands_print_and_exit_as_documented() {
     let folder = Folder::new("words");
     let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
     let list = |revision, weight| {
