--- a/crates/cli/benches/lives.rs
+++ b/crates/cli/benches/lives.rs
@@ -21,8 +21,8 @@
 const CLIENTS: usize = 20;
 
 fn main() {
-    let host = StandIn::start(|_| ok());
-    let site = Site::new("bench", host.at, "6000", 0);
+    let endpoint = StandIn::start(|_| ok());
+    let site = Site::new("bench", endpoint.at, "6000", 0);
     let (mut old, at) = site.first();
     let (over, asked) = (Arc::<AtomicBool>::default(), Arc::<AtomicUsize>::default());
     let clients: Vec<_> = (0..CLIENTS)
@@ -41,7 +41,7 @@
         })
         .collect();
     let came = |id: &str| {
-        let seen = host.seen.lock().unwrap();
+        let seen = endpoint.seen.lock().unwrap();
         seen.iter()
             .find(|call| call.field("x-call-id") == Some(id))
             .and_then(|call| call.came)
@@ -54,7 +54,7 @@
     for round in 0..ROUNDS {
         let before = Instant::now();
         ask_on(200);
-        calm.push(longest_gap(&host, before, Instant::now()));
+        calm.push(longest_gap(&endpoint, before, Instant::now()));
         let new = site.beside();
         // New connections are the new process's: it takes this on and cannot send it yet.
         let id = format!("probe-{round}");
@@ -70,7 +70,7 @@
         first.push(came(&id).expect("it came").saturating_duration_since(told));
         assert!(old.ended(), "{}", old.log());
         ask_on(100);
-        gaps.push(longest_gap(&host, told, Instant::now()));
+        gaps.push(longest_gap(&endpoint, told, Instant::now()));
         old = new;
     }
     over.store(true, Ordering::SeqCst);
@@ -98,8 +98,8 @@
     show("longest time without an attempt in calm", &mut calm);
 }
 
-fn longest_gap(host: &StandIn, from: Instant, to: Instant) -> Duration {
-    let seen = host.seen.lock().unwrap();
+fn longest_gap(endpoint: &StandIn, from: Instant, to: Instant) -> Duration {
+    let seen = endpoint.seen.lock().unwrap();
     let mut at: Vec<Instant> = seen
         .iter()
         .filter_map(|call| call.came)
--- a/crates/cli/tests/cloudevents.rs
+++ b/crates/cli/tests/cloudevents.rs
@@ -472,11 +472,14 @@
 
 #[test]
 fn misbehaving_clients_do_not_starve_others() {
-    let host = StandIn::start(|_| ok());
+    let endpoint = StandIn::start(|_| ok());
     let folder = Folder::new("manners");
     apply(
         &folder,
-        &format!("[limits]\nsockets = 256\n{}", file(host.at, host.at, 6000)),
+        &format!(
+            "[limits]\nsockets = 256\n{}",
+            file(endpoint.at, endpoint.at, 6000)
+        ),
     );
     let program = daemon(&folder);
     let at = program.address(MARKER, 0);
@@ -492,19 +495,19 @@
             .status(),
         204
     );
-    wait_for("both attempts", || host.count() == 2);
+    wait_for("both attempts", || endpoint.count() == 2);
 }
 
 #[test]
 fn both_frontends_of_one_instance_serve_the_same_destinations() {
-    let host = StandIn::start(|_| ok());
+    let endpoint = StandIn::start(|_| ok());
     let folder = Folder::new("both");
     let notices = StandIn::start(|_| Act::Answer(204, String::new()));
     let front = format!(
         "relay = {{ listen = \"127.0.0.1:0\", notices = \"{}\", numbers = {{ 3 = \"a\", 4 = \"b\" }} }}\n",
         notices.at
     );
-    apply(&folder, &(file(host.at, free(), 6000) + &front));
+    apply(&folder, &(file(endpoint.at, free(), 6000) + &front));
     let program = daemon(&folder);
     let (plain, events) = (
         program.address("listens at ", 0),
@@ -526,8 +529,8 @@
         204
     );
     assert_eq!((hand("m-1", "dest=3"), hand("m-2", "dest=5")), (202, 400));
-    wait_for("both attempts", || host.count() == 2);
-    let paths: Vec<String> = host
+    wait_for("both attempts", || endpoint.count() == 2);
+    let paths: Vec<String> = endpoint
         .seen
         .lock()
         .unwrap()
--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -66,20 +66,20 @@
 pub struct Site {
     pub folder: Folder,
     pub discovery: Discovery,
-    pub host: SocketAddr,
+    pub endpoint: SocketAddr,
     window_ms: String,
     /// Where processes listen for clients: a port that the system picks for the first, which its successors share.
     pub listen: Cell<SocketAddr>,
 }
 
 impl Site {
-    pub fn new(name: &str, host: SocketAddr, window_ms: &str, refusals: usize) -> Site {
+    pub fn new(name: &str, endpoint: SocketAddr, window_ms: &str, refusals: usize) -> Site {
         let (folder, discovery) = (Folder::new(name), Discovery::start(refusals));
         let listen = Cell::new(SocketAddr::from(([127, 0, 0, 1], 0)));
         let site = Site {
             folder,
             discovery,
-            host,
+            endpoint,
             window_ms: window_ms.to_owned(),
             listen,
         };
@@ -96,7 +96,7 @@
             "known":{{"revision":41,"complete":true,"members":[{}]}},"settings":{settings}}}"#,
             self.listen.get(),
             discovery.server.at,
-            member(self.host, "SERVING"),
+            member(self.endpoint, "SERVING"),
         );
         self.folder.file("config.json", &config);
     }
--- a/crates/cli/tests/hot_restart.rs
+++ b/crates/cli/tests/hot_restart.rs
@@ -121,9 +121,9 @@
 }
 
 /// How often each message ran at the partner.
-fn runs(host: &StandIn) -> BTreeMap<String, usize> {
+fn runs(endpoint: &StandIn) -> BTreeMap<String, usize> {
     let mut runs = BTreeMap::new();
-    for call in host.seen.lock().unwrap().iter() {
+    for call in endpoint.seen.lock().unwrap().iter() {
         *runs
             .entry(call.field("x-call-id").unwrap().to_owned())
             .or_default() += 1;
@@ -132,7 +132,7 @@
 }
 
 /// Every message that was taken on has run or was ended by a notice.
-fn all_end(site: &Site, host: &StandIn, heard: &BTreeMap<String, Heard>) {
+fn all_end(site: &Site, endpoint: &StandIn, heard: &BTreeMap<String, Heard>) {
     let taken: BTreeSet<&String> = heard
         .iter()
         .filter(|(_, heard)| **heard == Heard::TakenOn)
@@ -144,7 +144,7 @@
         taken.len()
     );
     wait_for("an end of every message", || {
-        let (runs, told) = (runs(host), site.discovery.told());
+        let (runs, told) = (runs(endpoint), site.discovery.told());
         taken
             .iter()
             .all(|id| runs.contains_key(*id) || told.contains(&format!("\"{id}\"")))
@@ -160,8 +160,8 @@
 
 #[test]
 fn sixty_clients_get_every_response_through_three_replacements() {
-    let host = StandIn::start(|_| ok());
-    let site = Site::new("sixty", host.at, "6000", 0);
+    let endpoint = StandIn::start(|_| ok());
+    let site = Site::new("sixty", endpoint.at, "6000", 0);
     let (mut old, at) = site.first();
     let clients = Clients::start(at, 60, "refill-order");
     clients.ask_on(200);
@@ -184,9 +184,9 @@
         unheard(&heard),
         heard.len()
     );
-    all_end(&site, &host, &heard);
+    all_end(&site, &endpoint, &heard);
     assert!(
-        runs(&host).values().all(|runs| *runs == 1),
+        runs(&endpoint).values().all(|runs| *runs == 1),
         "nothing failed, so nothing goes out twice"
     );
 }
@@ -195,8 +195,8 @@
 fn suspended_process_is_fenced_and_does_no_harm_when_continued() {
     // Stopped before it is told to end, or as soon as it is told.
     for told_first in [false, true] {
-        let host = StandIn::start(|_| ok());
-        let site = Site::new(&format!("stopped-{told_first}"), host.at, "6000", 0);
+        let endpoint = StandIn::start(|_| ok());
+        let site = Site::new(&format!("stopped-{told_first}"), endpoint.at, "6000", 0);
         let (mut old, at) = site.first();
         let clients = Clients::start(at, 8, "refill-order");
         clients.ask_on(40);
@@ -213,8 +213,8 @@
             let log = new.log();
             log.contains("code=\"fenced-off\"") && log.contains("code=\"takes-over\"")
         });
-        let before = host.count();
-        wait_for("attempts of the new one", || host.count() > before + 20);
+        let before = endpoint.count();
+        wait_for("attempts of the new one", || endpoint.count() > before + 20);
         old.signal("CONT");
         assert!(old.ended(), "{}", old.log());
         wait_for("the end of the change", || {
@@ -222,16 +222,19 @@
         });
         clients.ask_on(40);
         let heard = clients.end();
-        all_end(&site, &host, &heard);
-        let doubled = runs(&host).into_values().filter(|runs| *runs > 1).count();
+        all_end(&site, &endpoint, &heard);
+        let doubled = runs(&endpoint)
+            .into_values()
+            .filter(|runs| *runs > 1)
+            .count();
         assert_eq!(doubled, 0, "a fenced process sends nothing again");
     }
 }
 
 #[test]
 fn every_message_has_an_outcome_whichever_process_is_killed() {
-    let host = StandIn::start(|_| ok());
-    let site = Site::new("dies", host.at, "6000", 0);
+    let endpoint = StandIn::start(|_| ok());
+    let site = Site::new("dies", endpoint.at, "6000", 0);
     let (mut old, at) = site.first();
     let clients = Clients::start(at, 12, "refill-order");
     let mut rng = Pcg64::seed_from_u64(22);
@@ -282,10 +285,10 @@
     }
     clients.ask_on(60);
     let heard = clients.end();
-    all_end(&site, &host, &heard);
+    all_end(&site, &endpoint, &heard);
     // The receiver drops what comes again under the same key; it must come within its window.
     let mut first: BTreeMap<String, Instant> = BTreeMap::new();
-    for call in host.seen.lock().unwrap().iter() {
+    for call in endpoint.seen.lock().unwrap().iter() {
         let (id, came) = (call.field("x-call-id").unwrap(), call.came.unwrap());
         let first = *first.entry(id.to_owned()).or_insert(came);
         assert!(
@@ -297,8 +300,8 @@
 
 #[test]
 fn of_two_concurrent_starts_one_serves() {
-    let host = StandIn::start(|_| ok());
-    let site = Site::new("two", host.at, "6000", 0);
+    let endpoint = StandIn::start(|_| ok());
+    let site = Site::new("two", endpoint.at, "6000", 0);
     let (mut old, at) = site.first();
     let clients = Clients::start(at, 8, "refill-order");
     clients.ask_on(30);
@@ -317,17 +320,17 @@
     });
     let first = ended.unwrap();
     assert!(two[first].ended(), "{}", two[first].log());
-    let before = host.count();
+    let before = endpoint.count();
     clients.ask_on(60);
     wait_for("attempts of the one that is left", || {
-        host.count() > before + 40
+        endpoint.count() > before + 40
     });
     let heard = clients.end();
-    all_end(&site, &host, &heard);
+    all_end(&site, &endpoint, &heard);
     assert!(
-        runs(&host).values().all(|runs| *runs == 1),
+        runs(&endpoint).values().all(|runs| *runs == 1),
         "{:?}",
-        runs(&host)
+        runs(&endpoint)
     );
 }
 
@@ -339,7 +342,7 @@
         Arc::<Mutex<Option<Instant>>>::default(),
     );
     let (held, at_last) = (release.clone(), answered.clone());
-    let host = StandIn::start(move |message| {
+    let endpoint = StandIn::start(move |message| {
         if message.field("x-call-id") != Some("first") || at_last.lock().unwrap().is_some() {
             return ok();
         }
@@ -347,7 +350,7 @@
         *at_last.lock().unwrap() = Some(Instant::now());
         Act::Answer(429, "Retry-After: 2.5\r\n".to_owned())
     });
-    let site = Site::new("wait", host.at, "6000", 0);
+    let site = Site::new("wait", endpoint.at, "6000", 0);
     let (mut old, at) = site.first();
     assert_eq!(
         hand(at, "first", "refill-status", "15000")
@@ -374,9 +377,9 @@
             .status(),
         202
     );
-    wait_for("both deliveries", || host.count() == 3);
+    wait_for("both deliveries", || endpoint.count() == 3);
     let told = answered.lock().unwrap().unwrap();
-    for call in &host.seen.lock().unwrap()[1..] {
+    for call in &endpoint.seen.lock().unwrap()[1..] {
         let after = call.came.unwrap() - told;
         assert!(
             after >= Duration::from_millis(2500),
@@ -389,11 +392,11 @@
 fn full_journal_is_taken_over_without_loss_or_duplicates() {
     let open = Arc::<AtomicBool>::default();
     let serving = open.clone();
-    let host = StandIn::start(move |_| match serving.load(Ordering::SeqCst) {
+    let endpoint = StandIn::start(move |_| match serving.load(Ordering::SeqCst) {
         true => ok(),
         false => Act::Answer(429, "Retry-After: 0.5\r\n".to_owned()),
     });
-    let site = Site::new("full", host.at, "20000", 0);
+    let site = Site::new("full", endpoint.at, "20000", 0);
     let (mut old, at) = site.first();
     let fields = |id: &str| {
         format!(
@@ -424,10 +427,10 @@
         .map(|file| file.unwrap().metadata().unwrap().len())
         .sum();
     assert!(size <= 3_000_000, "{size} bytes in the folder");
-    let turned_away = host.count();
+    let turned_away = endpoint.count();
     open.store(true, Ordering::SeqCst);
     wait_for("an end of each", || {
-        let seen = host.seen.lock().unwrap();
+        let seen = endpoint.seen.lock().unwrap();
         let served: BTreeSet<_> = seen[turned_away..]
             .iter()
             .filter_map(|call| call.field("x-call-id"))
@@ -438,7 +441,7 @@
             .all(|id| served.contains(id.as_str()) || told.contains(&format!("\"{id}\"")))
     });
     let mut served = BTreeMap::<String, usize>::new();
-    for call in &host.seen.lock().unwrap()[turned_away..] {
+    for call in &endpoint.seen.lock().unwrap()[turned_away..] {
         *served
             .entry(call.field("x-call-id").unwrap().to_owned())
             .or_default() += 1;
@@ -449,8 +452,8 @@
 
 #[test]
 fn marks_of_exited_processes_delay_nobody() {
-    let host = StandIn::start(|_| ok());
-    let site = Site::new("marks", host.at, "6000", 0);
+    let endpoint = StandIn::start(|_| ok());
+    let site = Site::new("marks", endpoint.at, "6000", 0);
     let state = site.folder.0.join("state");
     std::fs::create_dir_all(&state).unwrap();
     // Of one before and of one after, none of which runs; and what an earlier program left.
@@ -463,7 +466,7 @@
         hand(at, "one", "refill-status", "5000").unwrap().status(),
         202
     );
-    wait_for("its attempt", || host.count() == 1);
+    wait_for("its attempt", || endpoint.count() == 1);
     program.signal("TERM");
     assert!(program.ended(), "{}", program.log());
     assert!(
@@ -476,7 +479,7 @@
         hand(at, "two", "refill-status", "5000").unwrap().status(),
         202
     );
-    wait_for("its attempt", || host.count() == 2);
+    wait_for("its attempt", || endpoint.count() == 2);
     next.signal("TERM");
     assert!(next.ended());
 }
--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -13,8 +13,8 @@
 
 #[test]
 fn message_passes_unchanged_and_program_ends_cleanly() {
-    let host = StandIn::start(|_| ok());
-    let site = Site::new("passes", host.at, "6000", 0);
+    let endpoint = StandIn::start(|_| ok());
+    let site = Site::new("passes", endpoint.at, "6000", 0);
     let mut program = site.start();
     let at = program.address(MARKER, 0);
     assert_eq!(
@@ -25,8 +25,8 @@
         hand(at, "m-1", "refill-order", "9000").unwrap().status(),
         202
     );
-    wait_for("the attempt", || host.count() == 1);
-    let attempt = host.first();
+    wait_for("the attempt", || endpoint.count() == 1);
+    let attempt = endpoint.first();
     assert_eq!(attempt.first, "POST /receive HTTP/1.1");
     assert_eq!(
         (attempt.field("x-call-id"), attempt.field("idempotency-key")),
@@ -80,7 +80,7 @@
     // The first attempts of an incarnation get no answer; those of the next are served.
     let silent = Arc::new(Mutex::new(true));
     let quiet = silent.clone();
-    let host = StandIn::start(move |_| {
+    let endpoint = StandIn::start(move |_| {
         if *quiet.lock().unwrap() {
             Act::Silence
         } else {
@@ -88,7 +88,7 @@
         }
     });
     // The keyed class's window is over by the time the instance is back, so its message must not go out again.
-    let site = Site::new("outlives", host.at, "1", 0);
+    let site = Site::new("outlives", endpoint.at, "1", 0);
     let program = site.start();
     let at = program.address(MARKER, 0);
     assert_eq!(
@@ -101,20 +101,20 @@
             .status(),
         202
     );
-    wait_for("both attempts", || host.count() == 2);
+    wait_for("both attempts", || endpoint.count() == 2);
     program.kill();
     *silent.lock().unwrap() = false;
     let program = site.start();
     let at = program.address(MARKER, 0);
-    wait_for("the free one's repeat", || host.count() == 3);
+    wait_for("the free one's repeat", || endpoint.count() == 3);
     wait_for("the keyed one's end", || {
         site.discovery.told().contains("\"order\"")
     });
     assert_eq!(
-        host.seen.lock().unwrap()[2].field("x-call-id"),
+        endpoint.seen.lock().unwrap()[2].field("x-call-id"),
         Some("status")
     );
-    // Killed before it has noted the answer that the host gave, it would rightly resume what may have run.
+    // Killed before it has noted the answer that the endpoint gave, it would rightly resume what may have run.
     wait_for("the answer to be read", || {
         program.signal("USR1");
         program.log().contains("delivered=1 ")
@@ -134,7 +134,7 @@
     program.signal("TERM");
     assert!(program.ended());
     assert!(program.log().contains("resumed=0 "), "{}", program.log());
-    assert_eq!(host.count(), 3);
+    assert_eq!(endpoint.count(), 3);
 }
 
 #[test]
@@ -170,10 +170,10 @@
     wait_for("the notice at the new address", || {
         second.told().contains("\"owed\"")
     });
-    let host = StandIn::start(|_| ok());
+    let endpoint = StandIn::start(|_| ok());
     let news = format!(
         "{{\"revision\":1,\"complete\":true,\"members\":[{}]}}\n",
-        member(host.at, "SERVING")
+        member(endpoint.at, "SERVING")
     );
     second.lines.lock().unwrap().extend(news.into_bytes());
     wait_for("the watch at the new address", || {
@@ -186,12 +186,12 @@
         .unwrap()
         .iter()
         .any(|seen| seen.first.contains("since=0 ")));
-    // Once the news is in, the listed host is the one that is called.
+    // Once the news is in, the listed endpoint is the one that is called.
     let mut n = 0;
-    wait_for("an attempt to the host listed there", || {
+    wait_for("an attempt to the endpoint listed there", || {
         n += 1;
         hand(at, &format!("m-{n}"), "refill-status", "3000").unwrap();
-        host.count() > 0
+        endpoint.count() > 0
     });
 
     // The next incarnation starts from the file, not from the environment that names the first address.
@@ -204,8 +204,8 @@
 
 #[test]
 fn draining_endpoint_gets_no_new_attempts() {
-    let host = StandIn::start(|_| ok());
-    let site = Site::new("drains", host.at, "6000", 0);
+    let endpoint = StandIn::start(|_| ok());
+    let site = Site::new("drains", endpoint.at, "6000", 0);
     let program = site.start();
     let at = program.address(MARKER, 0);
     assert_eq!(
@@ -214,10 +214,10 @@
             .status(),
         202
     );
-    wait_for("an attempt", || host.count() == 1);
+    wait_for("an attempt", || endpoint.count() == 1);
     let news = format!(
         "{{\"revision\":42,\"complete\":false,\"members\":[{}]}}\n",
-        member(host.at, "DRAINING")
+        member(endpoint.at, "DRAINING")
     );
     site.discovery
         .lines
@@ -225,19 +225,19 @@
         .unwrap()
         .extend(news.into_bytes());
     wait_for("the drain", || program.log().contains("code=\"draining\""));
-    let before = host.count();
+    let before = endpoint.count();
     assert_eq!(
         hand(at, "after", "refill-status", "1500").unwrap().status(),
         202
     );
     wait_for("its end", || site.discovery.told().contains("\"after\""));
-    assert_eq!(host.count(), before);
+    assert_eq!(endpoint.count(), before);
 }
 
 #[test]
 fn connection_closed_by_peer_carries_no_further_attempt() {
-    let host = StandIn::start(|_| Act::Last);
-    let site = Site::new("closed", host.at, "6000", 0);
+    let endpoint = StandIn::start(|_| Act::Last);
+    let site = Site::new("closed", endpoint.at, "6000", 0);
     let mut program = site.start();
     let at = program.address(MARKER, 0);
     for n in 1..=4 {
@@ -249,7 +249,7 @@
         );
         // Only once it is closed does the next attempt find it so.
         wait_for("the connection's end", || {
-            host.closed.load(Ordering::SeqCst) == n
+            endpoint.closed.load(Ordering::SeqCst) == n
         });
     }
     program.signal("TERM");
@@ -265,30 +265,30 @@
 fn shutdown_leaves_pending_messages_to_the_next_incarnation() {
     let open = Arc::new(Mutex::new(false));
     let serving = open.clone();
-    let host = StandIn::start(move |_| {
+    let endpoint = StandIn::start(move |_| {
         if *serving.lock().unwrap() {
             ok()
         } else {
             Act::Answer(429, "Retry-After: 8\r\n".to_owned())
         }
     });
-    let site = Site::new("leaves", host.at, "6000", 0);
+    let site = Site::new("leaves", endpoint.at, "6000", 0);
     let mut program = site.start();
     let at = program.address(MARKER, 0);
     assert_eq!(
         hand(at, "held", "refill-status", "20000").unwrap().status(),
         202
     );
-    wait_for("the attempt that is turned away", || host.count() == 1);
+    wait_for("the attempt that is turned away", || endpoint.count() == 1);
     program.signal("TERM");
     assert!(program.ended(), "{}", program.log());
     *open.lock().unwrap() = true;
     // A restart ends the wait that was told.
     let program = site.start();
     program.address(MARKER, 0);
-    wait_for("its delivery in the next life", || host.count() == 2);
+    wait_for("its delivery in the next life", || endpoint.count() == 2);
     assert_eq!(
-        host.seen.lock().unwrap()[1].field("x-call-id"),
+        endpoint.seen.lock().unwrap()[1].field("x-call-id"),
         Some("held")
     );
     assert_eq!(site.discovery.told(), "");
@@ -298,9 +298,9 @@
 /// last moments and asked, was reset.
 #[test]
 fn process_stops_listening_and_answers_all_that_wait_before_exit() {
-    let host = StandIn::start(|_| ok());
+    let endpoint = StandIn::start(|_| ok());
     for busy in [true, false] {
-        let site = Site::new("last-clients", host.at, "6000", 0);
+        let site = Site::new("last-clients", endpoint.at, "6000", 0);
         let mut program = site.start();
         let at = program.address(MARKER, 0);
         // Half a request holds the process to the last moment that it has.
@@ -327,8 +327,8 @@
 
 #[test]
 fn misbehaving_clients_do_not_starve_others() {
-    let host = StandIn::start(|_| ok());
-    let site = Site::new("manners", host.at, "6000", 0);
+    let endpoint = StandIn::start(|_| ok());
+    let site = Site::new("manners", endpoint.at, "6000", 0);
     let program = site.start();
     let at = program.address(MARKER, 0);
     bears_bad_clients(at, "/api");
@@ -342,15 +342,15 @@
             400
         );
     }
-    assert_eq!(host.count(), 0);
+    assert_eq!(endpoint.count(), 0);
     assert_eq!(raw(at, one.as_bytes()).unwrap().status(), 202);
-    wait_for("the attempt", || host.count() == 1);
+    wait_for("the attempt", || endpoint.count() == 1);
 }
 
 #[test]
 fn malformed_request_is_answered_and_harms_nobody() {
-    let host = StandIn::start(|_| ok());
-    let site = Site::new("bad", host.at, "6000", 0);
+    let endpoint = StandIn::start(|_| ok());
+    let site = Site::new("bad", endpoint.at, "6000", 0);
     let program = site.start();
     let at = program.address(MARKER, 0);
     let long = format!("GET /ready HTTP/1.1\r\nX: {}\r\n\r\n", "y".repeat(20_000));
@@ -404,6 +404,6 @@
         b"POST /api HTTP/1.1\r\nX-Call-Id: c\r\nX-Call-Class: refill-status\r\nX-Budget-Ms: 900\r\n\
         X-Envelope: dest=3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n";
     assert_eq!(raw(at, chunked).unwrap().status(), 202);
-    wait_for("the attempt", || host.count() == 1);
-    assert_eq!(host.first().body, b"abcde");
+    wait_for("the attempt", || endpoint.count() == 1);
+    assert_eq!(endpoint.first().body, b"abcde");
 }
