One member lookup, one error of JSON files; re-exports of old paths gone

Read back: the command line looked a member up by itself beside the control plane's lookup, and copied all names for each one it printed; a saved plan had an error of its own with the text of a stored file's; Clock and Spawner were kept under their former paths; a verdict was made text before a conversion that does so.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -30,7 +30,7 @@
     /// The operators' file cannot be used.
     #[error(transparent)]
     Manifest(#[from] ManifestError),
-    /// A stored file of the home cannot be read.
+    /// A saved plan, or a stored file of the home, cannot be read.
     #[error(transparent)]
     JsonFile(#[from] JsonFileError),
     /// A plan cannot be applied.
@@ -53,14 +53,6 @@
         /// Why.
         source: io::Error,
     },
-    /// A saved plan is none.
-    #[error("{}: {source}", path.display())]
-    Plan {
-        /// Its file.
-        path: PathBuf,
-        /// What is wrong, and where.
-        source: serde_json::Error,
-    },
     /// An instance's snapshot cannot be read.
     #[error("{}: {source}", folder.display())]
     Snapshot {
--- a/crates/cli/src/group.rs
+++ b/crates/cli/src/group.rs
@@ -10,7 +10,6 @@
 use crate::arguments::{GroupCommand, OutputFormat};
 use crate::error::CommandError;
 use connection::Connection;
-use marblefall_coordination::identifiers::MemberId;
 use marblefall_coordination::node::{Reply, Request};
 use std::path::Path;
 
@@ -59,14 +58,13 @@
 
 fn exclude(name: &str, home: &Path) -> Result<(), CommandError> {
     let mut connection = Connection::open(home)?;
-    let members = connection.membership().names();
-    let Some(position) = members.iter().position(|known| known == name) else {
+    let Some(member) = connection.membership().member_id(name) else {
         return Err(CommandError::NoSuchMember {
             member: name.to_owned(),
-            members,
+            members: connection.membership().names(),
         });
     };
-    let request = Request::Exclude(MemberId(position as u32));
+    let request = Request::Exclude(member);
     match connection.ask(&request)?.reply {
         Some(Reply::Accepted) => {
             println!("changes go on without {name}, until it asks again");
--- a/crates/cli/src/group/connection.rs
+++ b/crates/cli/src/group/connection.rs
@@ -66,8 +66,8 @@
 
     /// A member's name.
     pub fn name(&self, member: MemberId) -> String {
-        let names = self.membership.names();
-        let name = names.get(member.0 as usize).cloned();
+        let mut names = self.membership.group.members.keys();
+        let name = names.nth(member.0 as usize).cloned();
         name.unwrap_or_else(|| member.0.to_string())
     }
 
--- a/crates/cli/src/policy.rs
+++ b/crates/cli/src/policy.rs
@@ -5,6 +5,7 @@
 use marblefall_control_plane::group::Membership;
 use marblefall_control_plane::manifest::Manifest;
 use marblefall_control_plane::plan::{Applied, Plan};
+use marblefall_control_plane::JsonFileError;
 use std::fs;
 use std::path::Path;
 
@@ -41,9 +42,12 @@
 
 fn read_plan(path: &Path) -> Result<Plan, CommandError> {
     let text = fs::read(path).map_err(CommandError::of_file(path))?;
-    serde_json::from_slice(&text).map_err(|source| CommandError::Plan {
-        path: path.to_owned(),
-        source,
+    serde_json::from_slice(&text).map_err(|source| {
+        JsonFileError::Parse {
+            path: path.to_owned(),
+            source,
+        }
+        .into()
     })
 }
 
--- a/crates/control-plane/src/group.rs
+++ b/crates/control-plane/src/group.rs
@@ -122,6 +122,11 @@
         .map_err(write_error)
     }
 
+    /// The member of a name.
+    pub fn member_id(&self, name: &str) -> Option<MemberId> {
+        member_id(&self.group, name)
+    }
+
     /// The members' names, in the order of their identities.
     pub fn names(&self) -> Vec<String> {
         self.group.members.keys().cloned().collect()
--- a/crates/control-plane/src/group/driver.rs
+++ b/crates/control-plane/src/group/driver.rs
@@ -23,10 +23,10 @@
 use marblefall_coordination::message::PolicyVerdict;
 use marblefall_coordination::node::{Frame, Node, NodeAction, NodeSetup, RequestNumber};
 use marblefall_coordination::persistent_state::PersistentState;
-use marblefall_delivery::instance::Clock;
+use marblefall_delivery::clock::Clock;
 use marblefall_delivery::lease_guard::LeaseGuard;
 use marblefall_delivery::log_line;
-use marblefall_delivery::net::server::Spawner;
+use marblefall_delivery::net::spawner::Spawner;
 use marblefall_scheduler::Time;
 use operators::{OpenRequest, RESPONSE_TIMEOUT};
 use std::collections::BTreeMap;
--- a/crates/control-plane/src/group/transport/channel.rs
+++ b/crates/control-plane/src/group/transport/channel.rs
@@ -9,7 +9,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use marblefall_coordination::identifiers::MemberId;
-use marblefall_delivery::net::server::Spawner;
+use marblefall_delivery::net::spawner::Spawner;
 use std::cell::Cell;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
--- a/crates/control-plane/src/group/transport/listener.rs
+++ b/crates/control-plane/src/group/transport/listener.rs
@@ -8,7 +8,7 @@
 use marblefall_coordination::identifiers::MemberId;
 use marblefall_coordination::node::{Frame, Request};
 use marblefall_delivery::log_line;
-use marblefall_delivery::net::server::Spawner;
+use marblefall_delivery::net::spawner::Spawner;
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
--- a/crates/control-plane/src/group/transport/tests.rs
+++ b/crates/control-plane/src/group/transport/tests.rs
@@ -3,7 +3,7 @@
 use async_io::Async;
 use marblefall_coordination::identifiers::{Epoch, ProposalId};
 use marblefall_coordination::message::ToMember;
-use marblefall_delivery::net::server::Spawner;
+use marblefall_delivery::net::spawner::Spawner;
 use std::net::TcpListener;
 use std::rc::Rc;
 
--- a/crates/control-plane/src/supervisor.rs
+++ b/crates/control-plane/src/supervisor.rs
@@ -33,7 +33,7 @@
 use marblefall_delivery::error_chain;
 use marblefall_delivery::instance::{self, InstanceCommand, InstanceError, SHUTDOWN_TIMEOUT};
 use marblefall_delivery::log_line;
-use marblefall_delivery::net::server::Spawner;
+use marblefall_delivery::net::spawner::Spawner;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{File, TryLockError};
 use std::io;
@@ -237,7 +237,7 @@
         let expected: Vec<&str> = self.own_instances().collect();
         let verdict = policy_check::check_policy(proposed, &self.instances, &expected).await;
         // One that no longer waits has withdrawn the proposal.
-        let _ = answer.try_send(verdict.map_err(|error| error.to_string()).into());
+        let _ = answer.try_send(verdict.into());
     }
 
     fn broadcast(&self, command: &InstanceCommand) {
--- a/crates/control-plane/src/supervisor/coordinated.rs
+++ b/crates/control-plane/src/supervisor/coordinated.rs
@@ -5,7 +5,7 @@
 use crate::manifest::Manifest;
 use async_channel::Receiver;
 use marblefall_delivery::lease_guard::LeaseGuard;
-use marblefall_delivery::net::server::Spawner;
+use marblefall_delivery::net::spawner::Spawner;
 use std::fs::File;
 use std::io;
 use std::net::SocketAddr;
--- a/crates/control-plane/src/supervisor/instance_handle.rs
+++ b/crates/control-plane/src/supervisor/instance_handle.rs
@@ -9,7 +9,7 @@
 use marblefall_delivery::instance::{self, InstanceCommand, InstanceConfig, LeaseConfig};
 use marblefall_delivery::lease_guard::LeaseGuard;
 use marblefall_delivery::log_line;
-use marblefall_delivery::net::server::Spawner;
+use marblefall_delivery::net::spawner::Spawner;
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
--- a/crates/delivery/src/instance.rs
+++ b/crates/delivery/src/instance.rs
@@ -17,7 +17,6 @@
 mod shutdown;
 mod signals;
 
-pub use crate::clock::Clock;
 pub use command::InstanceCommand;
 pub use config::{
     CloudEventsFrontendConfig, InstanceConfig, LeaseConfig, PlatformFrontendConfig, PolicyUpdate,
@@ -29,7 +28,7 @@
 pub use signals::{signals, watch_signals};
 
 use crate::log_line;
-use crate::net::server::Spawner;
+use crate::net::spawner::Spawner;
 use async_channel::Receiver;
 
 /// The span of all log lines of an instance; its thread enters it once.
--- a/crates/delivery/src/instance/assembly.rs
+++ b/crates/delivery/src/instance/assembly.rs
@@ -27,7 +27,8 @@
 };
 use crate::net::frontend::Frontend;
 use crate::net::pool::{Pool, PoolLimits};
-use crate::net::server::{self, ClientConnections, ReadTimeout, Server, Spawner};
+use crate::net::server::{self, ClientConnections, ReadTimeout, Server};
+use crate::net::spawner::Spawner;
 use crate::net::{admin as admin_calls, listener};
 use crate::snapshot_store::SnapshotStore;
 use async_channel::{Receiver, Sender};
--- a/crates/delivery/src/instance/platform.rs
+++ b/crates/delivery/src/instance/platform.rs
@@ -11,7 +11,7 @@
 use crate::log_line;
 use crate::net::discovery::{ListWatch, NameIndex};
 use crate::net::listener;
-use crate::net::server::Spawner;
+use crate::net::spawner::Spawner;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use marblefall_scheduler::{Idempotency, MessageClass};
--- a/crates/delivery/src/net.rs
+++ b/crates/delivery/src/net.rs
@@ -14,4 +14,4 @@
 pub mod pool;
 pub mod response_fields;
 pub mod server;
-mod spawner;
+pub mod spawner;
--- a/crates/delivery/src/net/server.rs
+++ b/crates/delivery/src/net/server.rs
@@ -8,7 +8,7 @@
 mod connection_table;
 mod session;
 
-pub use super::spawner::Spawner;
+use super::spawner::Spawner;
 pub use client_connections::ClientConnections;
 pub use session::MAX_BODY;
 
