A held-up step tells no acceptance after its lease; a proposal sent again is not Busy

Cause, first: Executor::step in crates/delivery/src/instance/executor.rs takes its lease permit before the step, which journals, and tells acceptances after it. A process stopped in between told them once it went on, under a revision that was no longer in force. Each acceptance is now told only while the lease behind the permit still holds, else under the next one. Ruled out: attempts, which ask for a permit of their own right before their first byte. Cause, second: reply_to_proposal in crates/coordination/src/node/operator.rs knew only that some proposal was on its way into the log; apply, which proposes again after 400 ms, was told that another operator's change was pending. It knows whose now.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -14,6 +14,8 @@
 //! state, and what an earlier leader appended is committed before that or never; and it is the only leader until the end
 //! of the lease that it is given.
 
+#![forbid(unsafe_code)]
+
 pub mod identifiers;
 pub mod leader;
 mod log_storage;
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -102,7 +102,7 @@
     voter: Option<Voter>,
     leader: Option<Leader>,
     /// A proposal was appended and is not committed yet.
-    proposal_in_flight: bool,
+    proposal_in_flight: Option<Author>,
     last_leader: Option<LeaderContact>,
     /// As leader: what members last reported.
     reports: BTreeMap<MemberId, MemberReport>,
@@ -127,7 +127,7 @@
             voter: voter_setup.map(|voter_setup| Voter::new(voter_setup, now)),
             setup,
             leader: None,
-            proposal_in_flight: false,
+            proposal_in_flight: None,
             last_leader: None,
             reports: BTreeMap::new(),
             next_initial_proposal: now,
@@ -399,7 +399,7 @@
     ) {
         actions.push(NodeAction::Log("log-commit", describe(&entry)));
         if matches!(entry, LeaderEntry::Proposed(..)) {
-            self.proposal_in_flight = false;
+            self.proposal_in_flight = None;
         }
         self.lead(now, actions, |leader, actions| {
             leader.handle_committed(now.monotonic, entry, actions)
@@ -416,7 +416,7 @@
             &members,
             voter.state(),
         ));
-        self.proposal_in_flight = false;
+        self.proposal_in_flight = None;
         self.next_initial_proposal = now.monotonic;
         self.reports.clear();
         let text = format!("this daemon leads the group, epoch {:x}", epoch.0);
@@ -428,7 +428,10 @@
         let Some(leader) = &self.leader else { return };
         let is_empty =
             leader.committed_revision() == Revision(0) && leader.pending_proposal().is_none();
-        if !is_empty || self.proposal_in_flight || now.monotonic < self.next_initial_proposal {
+        if !is_empty
+            || self.proposal_in_flight.is_some()
+            || now.monotonic < self.next_initial_proposal
+        {
             return;
         }
         self.next_initial_proposal = now.monotonic + INITIAL_PROPOSAL_INTERVAL;
@@ -451,7 +454,7 @@
         let Some(Ok(proposal)) = self.leader.as_ref().map(Leader::next_proposal) else {
             return;
         };
-        self.proposal_in_flight = true;
+        self.proposal_in_flight = Some(author.clone());
         let proposed = LeaderAction::Append(LeaderEntry::Proposed(proposal, policy, author));
         self.lead(now, actions, |_, actions| actions.push(proposed));
     }
--- a/crates/coordination/src/node/operator.rs
+++ b/crates/coordination/src/node/operator.rs
@@ -209,13 +209,12 @@
         author: Author,
         actions: &mut Vec<NodeAction>,
     ) -> Reply {
-        if self.proposal_in_flight {
-            return Reply::Busy(Author {
-                by: "another operator".to_owned(),
-                key: 0,
-            });
+        match &self.proposal_in_flight {
+            // An operator who has heard nothing for a while proposes the same change again.
+            Some(in_flight) if in_flight.key == author.key => {}
+            Some(in_flight) => return Reply::Busy(in_flight.clone()),
+            None => self.propose(now, policy, author, actions),
         }
-        self.propose(now, policy, author, actions);
         Reply::Proposed
     }
 
--- a/crates/delivery/src/instance/assembly.rs
+++ b/crates/delivery/src/instance/assembly.rs
@@ -432,6 +432,7 @@
             tasks: self.tasks,
             admin: self.admin,
             incarnation: self.incarnation,
+            withheld: RefCell::default(),
         }
     }
 }
--- a/crates/delivery/src/instance/executor.rs
+++ b/crates/delivery/src/instance/executor.rs
@@ -87,6 +87,8 @@
     pub(super) tasks: Spawner,
     pub(super) admin: Rc<AdminState>,
     pub(super) incarnation: Rc<RefCell<Incarnation>>,
+    /// Acceptances whose lease ended within their step; they are told under the next one.
+    pub(super) withheld: RefCell<Vec<EngineCommand>>,
 }
 
 impl Executor {
@@ -105,6 +107,9 @@
         } else {
             self.lease.state_without_permit()
         });
+        if has_permit {
+            commands.extend(self.withheld.borrow_mut().drain(..));
+        }
         engine.step(self.clock.now(), batch, commands);
         // The process may have been stopped during the step, and another one decide since.
         let is_fenced = !engine.has_handed_over() && driver::must_hand_over(&self.incarnation);
@@ -120,7 +125,12 @@
             let is_acceptance =
                 matches!(command, EngineCommand::Respond(_, SubmitResponse::Accepted));
             // Without the lease, this is said only of messages that were accepted before.
-            if has_permit && is_acceptance {
+            if let (Some(permit), true) = (&permit, is_acceptance) {
+                if !permit.is_valid() {
+                    // The process was held up in the step. What it journalled goes on under the next lease.
+                    self.withheld.borrow_mut().push(command);
+                    continue;
+                }
                 self.lease.record(HISTORY_ACCEPTED);
             }
             self.execute(command);
--- a/crates/delivery/src/lease_guard.rs
+++ b/crates/delivery/src/lease_guard.rs
@@ -24,6 +24,15 @@
     state: GuardState,
 }
 
+impl Lease {
+    fn is_open_at(&self, now: Instant) -> bool {
+        match self.state {
+            GuardState::Open(until) => until.is_none_or(|until| now < until),
+            GuardState::Suspended | GuardState::Closed => false,
+        }
+    }
+}
+
 /// The lease guard of all instances of a process.
 #[derive(Debug)]
 pub struct LeaseGuard {
@@ -33,13 +42,20 @@
 
 /// Held while something is done behind the guard: it closes only once no permit is held.
 pub struct LeasePermit<'a> {
-    _lease: Option<RwLockReadGuard<'a, Lease>>,
+    lease: Option<RwLockReadGuard<'a, Lease>>,
 }
 
 impl LeasePermit<'_> {
     /// A permit where no lease is needed.
     pub fn unconditional() -> LeasePermit<'static> {
-        LeasePermit { _lease: None }
+        LeasePermit { lease: None }
+    }
+
+    /// Whether it still holds at this very moment: the lease behind it may have ended since it was given.
+    pub fn is_valid(&self) -> bool {
+        self.lease
+            .as_ref()
+            .is_none_or(|lease| lease.is_open_at(Instant::now()))
     }
 }
 
@@ -72,13 +88,8 @@
     /// A permit to act under a revision, if it may be given at this very moment.
     pub fn acquire(&self, revision: u64) -> Option<LeasePermit<'_>> {
         let lease = self.lease.read().unwrap_or_else(PoisonError::into_inner);
-        let open = match lease.state {
-            GuardState::Open(until) => until.is_none_or(|until| Instant::now() < until),
-            GuardState::Suspended | GuardState::Closed => false,
-        };
-        (open && lease.revision == revision).then_some(LeasePermit {
-            _lease: Some(lease),
-        })
+        let is_open = lease.is_open_at(Instant::now());
+        (is_open && lease.revision == revision).then_some(LeasePermit { lease: Some(lease) })
     }
 
     /// The state towards whoever has this revision. To one that is about to take over the revision in force it is
--- a/crates/delivery/src/lease_guard/tests.rs
+++ b/crates/delivery/src/lease_guard/tests.rs
@@ -20,6 +20,19 @@
     assert!(guard.acquire(3).is_none());
 }
 
+#[test]
+fn permit_ends_with_the_lease_behind_it() {
+    let guard = LeaseGuard::new(None);
+    let until = Instant::now() + Duration::from_millis(30);
+    guard.set(1, GuardState::Open(Some(until)));
+    let permit = guard.acquire(1).unwrap();
+    while Instant::now() < until {
+        assert!(guard.acquire(1).is_some() || Instant::now() >= until);
+    }
+    assert!(!permit.is_valid());
+    assert!(LeasePermit::unconditional().is_valid());
+}
+
 #[test]
 fn closing_waits_for_held_permits() {
     let guard = std::sync::Arc::new(LeaseGuard::new(None));
