--- a/crates/atomic-file/src/lib.rs
+++ b/crates/atomic-file/src/lib.rs
@@ -1,6 +1,8 @@
 //! Files replaced atomically. Every file of state that is not a journal is written by [`replace`]; tests use a
 //! [`faulty_disk::FaultyDisk`] in place of the disk, which fails, tears writes and loses power where they say.
 
+#![forbid(unsafe_code)]
+
 pub mod faulty_disk;
 
 use std::fs::{self, File};
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,7 @@
 //! The program: one instance on the platform, or the operators' tool for a fleet of them.
 
+#![forbid(unsafe_code)]
+
 mod arguments;
 mod destinations;
 mod endpoint_lists;
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod platform;
+pub mod shim;
 
 use marblefall_simulation::rig::daemons::Daemon;
 use std::io::{BufReader, Read, Write};
--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -1,6 +1,8 @@
 //! The platform round one instance: discovery with its notices, the configuration, and a client.
 
+use super::shim::Shim;
 use super::{post, text, Act, Arc, Folder, Message, Mutex, Program, SocketAddr, StandIn};
+use marblefall_fault_plan::Fault;
 use std::cell::Cell;
 
 /// Discovery with its watch and notices; the first notices are not taken.
@@ -102,17 +104,29 @@
     }
 
     pub fn start(&self) -> Program {
+        self.start_with(&[])
+    }
+
+    /// Starts a process whose system calls fail as a plan has it.
+    pub fn start_under(&self, faults: &[Fault]) -> (Program, Shim) {
+        let shim = Shim::new(&self.folder, "shim", &self.folder.0.join("state"), faults);
+        let program = self.start_with(&shim.env());
+        (program, shim)
+    }
+
+    fn start_with(&self, more: &[(&str, &str)]) -> Program {
         let (config, state) = (
             self.folder.0.join("config.json"),
             self.folder.0.join("state"),
         );
         // The environment keeps naming the first address, whatever the file says later.
         let at = self.discovery.server.at.to_string();
-        let env = [
+        let mut env = vec![
             ("RELAY_CONFIG", text(&config)),
             ("RELAY_STATE", text(&state)),
-            ("RELAY_DISCOVERY", &at),
+            ("RELAY_DISCOVERY", at.as_str()),
         ];
+        env.extend(more);
         Program::start(&[], &env)
     }
 }
--- /dev/null
+++ b/crates/cli/tests/system_faults.rs
@@ -0,0 +1,186 @@
+//! One process on the platform whose system calls fail and whose wall clock steps, as Linux documents it, by a preloaded
+//! shim. A test in which its fault never struck fails.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod common;
+
+use common::platform::*;
+use common::shim::*;
+use common::*;
+use marblefall_fault_plan::FaultKind;
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+const NOW: Duration = Duration::ZERO;
+const LONG: Duration = Duration::from_secs(3600);
+
+/// An endpoint that answers nothing until it is told to.
+fn endpoint_silent_until(open: &Arc<AtomicBool>) -> StandIn {
+    let open = open.clone();
+    StandIn::start(move |_| {
+        if open.load(Ordering::SeqCst) {
+            ok()
+        } else {
+            Act::Silence
+        }
+    })
+}
+
+/// An endpoint that turns all away until it is told to take them.
+fn endpoint_rejecting_until(open: &Arc<AtomicBool>) -> StandIn {
+    let open = open.clone();
+    StandIn::start(move |_| {
+        if open.load(Ordering::SeqCst) {
+            ok()
+        } else {
+            Act::Answer(503, String::new())
+        }
+    })
+}
+
+#[test]
+fn wall_clock_an_hour_ahead_after_a_restart_expires_nothing() {
+    let open = Arc::new(AtomicBool::new(false));
+    let endpoint = endpoint_rejecting_until(&open);
+    let site = Site::new("ahead", endpoint.at, "6000", 0);
+    let program = site.start();
+    let at = program.address(MARKER, 0);
+    let answer = hand(at, "held", "refill-status", "20000").unwrap();
+    assert_eq!(answer.status(), 202);
+    wait_for("an attempt", || endpoint.count() > 0);
+    program.kill();
+    open.store(true, Ordering::SeqCst);
+    let before = endpoint.count();
+    let (_program, shim) =
+        site.start_under(&[fault(FaultKind::WallClockStepped, NOW, LONG, HOUR_MS)]);
+    wait_for("the message's attempt or notice", || {
+        endpoint.count() > before || !site.discovery.told().is_empty()
+    });
+    assert_eq!(site.discovery.told(), "", "the message had 20 s");
+    assert!(shim.struck(FaultKind::WallClockStepped) > 0);
+}
+
+#[test]
+fn wall_clock_an_hour_back_after_a_restart_does_not_reopen_a_window() {
+    let open = Arc::new(AtomicBool::new(false));
+    let endpoint = endpoint_silent_until(&open);
+    let site = Site::new("back", endpoint.at, "1", 0);
+    let program = site.start();
+    let at = program.address(MARKER, 0);
+    let answer = hand(at, "order", "refill-order", "20000").unwrap();
+    assert_eq!(answer.status(), 202);
+    wait_for("its attempt", || endpoint.count() == 1);
+    program.kill();
+    open.store(true, Ordering::SeqCst);
+    let (_program, shim) =
+        site.start_under(&[fault(FaultKind::WallClockStepped, NOW, LONG, -HOUR_MS)]);
+    wait_for("its notice or a repeat", || {
+        endpoint.count() > 1 || site.discovery.told().contains("\"order\"")
+    });
+    assert_eq!(endpoint.count(), 1, "its window was over");
+    assert!(shim.struck(FaultKind::WallClockStepped) > 0);
+}
+
+#[test]
+fn messages_accepted_after_a_disk_fault_outlive_the_process() {
+    let open = Arc::new(AtomicBool::new(false));
+    let endpoint = endpoint_rejecting_until(&open);
+    let site = Site::new("disk", endpoint.at, "6000", 0);
+    let lasts = Duration::from_millis(1500);
+    let (program, shim) = site.start_under(&[fault(FaultKind::DiskError, lasts, lasts, ALWAYS)]);
+    let at = program.address(MARKER, 0);
+    wait_for("the fault", || {
+        hand(at, "in-fault", "refill-status", "20000").unwrap();
+        shim.struck(FaultKind::DiskError) > 8
+    });
+    let mut accepted = 0;
+    let mut n = 0;
+    wait_for("the disk to take messages again", || {
+        n += 1;
+        let answer = hand(at, &format!("m-{n}"), "refill-status", "20000").unwrap();
+        accepted += usize::from(answer.status() == 202);
+        accepted >= 5
+    });
+    program.kill();
+    open.store(true, Ordering::SeqCst);
+    let program = site.start();
+    program.address(MARKER, 0);
+    wait_for("the count of messages taken over", || {
+        program.signal("USR1");
+        program.log().contains("resumed=")
+    });
+    let log = program.log();
+    let resumed: usize = log
+        .split("resumed=")
+        .nth(1)
+        .and_then(|rest| rest.split(' ').next()?.parse().ok())
+        .unwrap();
+    assert!(resumed >= accepted, "{resumed} of {accepted}");
+}
+
+#[test]
+fn held_messages_keep_their_attempts_through_a_disk_fault() {
+    let open = Arc::new(AtomicBool::new(false));
+    let endpoint = endpoint_rejecting_until(&open);
+    let site = Site::new("held", endpoint.at, "6000", 0);
+    let after = Duration::from_millis(1000);
+    let lasts = Duration::from_millis(1500);
+    let (program, shim) = site.start_under(&[fault(FaultKind::DiskFull, after, lasts, ALWAYS)]);
+    let at = program.address(MARKER, 0);
+    for n in 0..3 {
+        let answer = hand(at, &format!("m-{n}"), "refill-status", "20000").unwrap();
+        assert_eq!(answer.status(), 202);
+    }
+    wait_for("the fault", || shim.struck(FaultKind::DiskFull) > 3);
+    open.store(true, Ordering::SeqCst);
+    wait_for("all ends", || {
+        program.signal("USR1");
+        let log = program.log();
+        log.contains("delivered=3 ") || !site.discovery.told().is_empty()
+    });
+    assert_eq!(site.discovery.told(), "", "{}", program.log());
+}
+
+/// Connections wait in the queue of a process that has been stopped; when it goes on, it is told to end, and the system
+/// refuses to give them to it for a moment.
+#[test]
+fn connections_that_wait_at_the_end_survive_failing_accepts() {
+    let endpoint = StandIn::start(|_| ok());
+    for (kind, amount) in [
+        (FaultKind::AcceptNoFiles, ALWAYS),
+        (FaultKind::AcceptInterrupted, 700),
+    ] {
+        let site = Site::new("accepts", endpoint.at, "6000", 0);
+        let (mut program, shim) = site.start_under(&[fault(
+            kind,
+            Duration::from_secs(2),
+            Duration::from_millis(1500),
+            amount,
+        )]);
+        let at = program.address(MARKER, 0);
+        wait_for("the fault", || {
+            let _ = TcpStream::connect(at);
+            shim.struck(kind) > 0
+        });
+        program.signal("TERM");
+        let request = b"GET /ready HTTP/1.1\r\n\r\n";
+        let mut waiting: Vec<TcpStream> = (0..4).map(|_| TcpStream::connect(at).unwrap()).collect();
+        for stream in &mut waiting {
+            stream.set_read_timeout(Some(BOUND)).unwrap();
+            stream.write_all(request).unwrap();
+        }
+        for (n, stream) in waiting.iter().enumerate() {
+            let answer = Message::read(&mut BufReader::new(stream));
+            assert!(
+                answer.is_some(),
+                "{kind:?}, connection {n}: {}",
+                program.log()
+            );
+        }
+        assert!(program.ended());
+    }
+}
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -4,6 +4,8 @@
 //! [`endpoint_directory`] the destinations of what is applied, [`list_watcher`] the endpoint lists beside it,
 //! [`supervisor`] what runs the instances, and [`group`] what makes several supervisors change together.
 
+#![forbid(unsafe_code)]
+
 pub mod endpoint_directory;
 pub mod group;
 mod instance_config;
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -3,6 +3,8 @@
 //! [`core`] knows no wire; [`net`] is the network around it, [`frontend`] translates between the two, [`hot_restart`]
 //! is how one process takes over from another, and [`instance`] puts one together and runs it.
 
+#![forbid(unsafe_code)]
+
 pub mod clock;
 pub mod core;
 pub mod counters;
--- a/crates/endpoint-lists/src/lib.rs
+++ b/crates/endpoint-lists/src/lib.rs
@@ -4,6 +4,8 @@
 //! operators' manifest and the list in force; [`mod@diff`] says what one changes; [`active_lists`] are the lists in force and
 //! the only way to change them; [`last_good_store`] is their copy on disk. Nothing here knows sockets, clocks or tasks.
 
+#![forbid(unsafe_code)]
+
 pub mod active_lists;
 pub mod check;
 pub mod diagnostic;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -66,6 +66,8 @@
 //!   at once; an unknown kind is one without routes apart or shared calls; an unknown zone has no fee.
 //! - Two schedulers share nothing.
 
+#![forbid(unsafe_code)]
+
 mod interface;
 mod pending_queue;
 mod policy;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,6 +4,8 @@
 //! The keys of the JSON form are the platform's; where a field has a better name here, `rename` gives the key. Absent
 //! keys have the careful default; keys that are not known are ignored.
 
+#![forbid(unsafe_code)]
+
 mod class;
 mod scheduler;
 
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -4,6 +4,7 @@
 //! seed with the decision module that serves, by its real interface; [`check`] watches from outside whether a rule is
 //! broken, and [`tally`] counts what came of it. The same scenario and seed give the same bytes.
 
+#![forbid(unsafe_code)]
 #![allow(
     clippy::missing_panics_doc,
     reason = "this package is not yet written in the style of the others; see docs/ROADMAP.md"
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -1,5 +1,6 @@
 //! `marblefall-simulation`: plays scenarios in virtual time and judges them.
 
+#![forbid(unsafe_code)]
 #![allow(
     clippy::too_many_lines,
     reason = "this package is not yet written in the style of the others; see docs/ROADMAP.md"
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -1,6 +1,8 @@
 //! Puts the scheduler on the simulator's wire: batches of events on standard input, one reply for each on standard
 //! output. Input that cannot be used ends the program with one line on standard error, which names the input's line.
 
+#![forbid(unsafe_code)]
+
 mod adapter;
 mod instance;
 mod names;
