Deadlines, windows and backoffs count by a clock that does not step

Stepped an hour ahead, all that was held expired untried; stepped back, a keyed message went out again after its receiver's window: two executions. Within one process the window for a repeat and a noted backoff moved with it, too (attempts.rs, window_end and note_backoff).

Change: SteadyClock, Unix time as the wall clock had it once, carried on by CLOCK_MONOTONIC, which all processes of the machine share; what relates the two lasts in the state folder (file clock) with the machine's boot id. An expirytime, and a Retry-After that is a date, are turned into spans by the clock they were written by. Folders without the file are read as before.

--- a/crates/control-plane/src/group/driver.rs
+++ b/crates/control-plane/src/group/driver.rs
@@ -23,7 +23,7 @@
 use marblefall_coordination::message::PolicyVerdict;
 use marblefall_coordination::node::{Frame, Node, NodeAction, NodeSetup, RequestNumber};
 use marblefall_coordination::persistent_state::PersistentState;
-use marblefall_delivery::clock::Clock;
+use marblefall_delivery::clock::{Clock, SteadyClock};
 use marblefall_delivery::lease_guard::LeaseGuard;
 use marblefall_delivery::log_line;
 use marblefall_delivery::net::spawner::Spawner;
@@ -112,7 +112,7 @@
             node: Node::new(setup, Time(0)),
             membership: self,
             home: home.to_owned(),
-            clock: Clock::start(),
+            clock: Clock::start(SteadyClock::from_wall_clock()),
             lease_guard,
             shown_lease: None,
             channels: BTreeMap::new(),
--- /dev/null
+++ b/crates/delivery/src/clock/tests.rs
@@ -0,0 +1,62 @@
+//! The steady clock and the file that it lasts in.
+
+use super::*;
+
+fn folder(name: &str) -> std::path::PathBuf {
+    let path = std::env::temp_dir().join(format!("marblefall-clock-{}-{name}", std::process::id()));
+    let _ = fs::remove_dir_all(&path);
+    fs::create_dir_all(&path).unwrap();
+    path
+}
+
+fn write(folder: &Path, boot_id: &str, unix_ms_at_boot: i64) {
+    let record = ClockRecord {
+        boot_id: boot_id.to_owned(),
+        unix_ms_at_boot,
+    };
+    fs::write(folder.join(FILE), serde_json::to_vec(&record).unwrap()).unwrap();
+}
+
+#[test]
+fn folder_first_used_an_hour_ago_by_the_wall_clock_keeps_its_time() {
+    let folder = folder("stepped");
+    let hour_ms = 3_600_000;
+    // What a process left whose wall clock was an hour behind: it has been stepped since.
+    write(
+        &folder,
+        &boot_id(),
+        wall_unix_ms() - monotonic_ms() - hour_ms,
+    );
+    let clock = SteadyClock::open(&folder).unwrap();
+    let behind_ms = wall_unix_ms() - clock.unix_ms();
+    assert!((behind_ms - hour_ms).abs() < 1000, "{behind_ms} ms behind");
+}
+
+#[test]
+fn processes_that_share_a_folder_share_its_clock() {
+    let folder = folder("shared");
+    let first = SteadyClock::open(&folder).unwrap();
+    assert_eq!(SteadyClock::open(&folder).unwrap(), first);
+    assert_eq!(SteadyClock::of_folder(&folder), Some(first));
+}
+
+#[test]
+fn clock_of_another_start_of_the_machine_or_torn_is_set_anew() {
+    let folder = folder("reboot");
+    write(&folder, "another start", 12);
+    let behind_ms = wall_unix_ms() - SteadyClock::open(&folder).unwrap().unix_ms();
+    assert!(behind_ms.abs() < 1000, "{behind_ms} ms behind");
+    fs::write(folder.join(FILE), b"{\"boot_id\":").unwrap();
+    assert_eq!(SteadyClock::of_folder(&folder), None);
+    SteadyClock::open(&folder).unwrap();
+    assert!(SteadyClock::of_folder(&folder).is_some());
+}
+
+#[test]
+fn date_in_a_request_counts_by_the_wall_clock_it_was_taken_from() {
+    let received_at = ReceivedAt {
+        steady_ms: 5_000,
+        wall_ms: 3_605_000,
+    };
+    assert_eq!(received_at.steady_ms_of(3_606_500), 6_500);
+}
--- a/crates/delivery/src/frontend.rs
+++ b/crates/delivery/src/frontend.rs
@@ -5,6 +5,7 @@
 pub mod cloudevents;
 pub mod platform;
 
+use crate::clock::ReceivedAt;
 use crate::core::SubmitResponse;
 use crate::net::frontend::{Frontend, ParsedRequest, Response};
 use crate::net::http::RequestHead;
@@ -37,8 +38,8 @@
 }
 
 impl<F: Frontend> Frontend for SwappableFrontend<F> {
-    fn parse(&self, request: &RequestHead<'_>, body: &[u8], now_ms: i64) -> ParsedRequest {
-        self.get().parse(request, body, now_ms)
+    fn parse(&self, request: &RequestHead<'_>, body: &[u8], at: ReceivedAt) -> ParsedRequest {
+        self.get().parse(request, body, at)
     }
 
     fn one_request_at_a_time(&self) -> bool {
--- a/crates/delivery/src/frontend/cloudevents.rs
+++ b/crates/delivery/src/frontend/cloudevents.rs
@@ -3,6 +3,7 @@
 
 pub mod event;
 
+use crate::clock::ReceivedAt;
 use crate::core::destination_table::DestinationTable;
 use crate::core::{Disposition, FinalOutcome, Message, Origin, SubmitResponse};
 use crate::net::frontend::{Frontend, ParsedRequest, Response};
@@ -63,16 +64,14 @@
 }
 
 impl Frontend for CloudEventsFrontend {
-    fn parse(&self, request: &RequestHead<'_>, body: &[u8], now_ms: i64) -> ParsedRequest {
+    fn parse(&self, request: &RequestHead<'_>, body: &[u8], at: ReceivedAt) -> ParsedRequest {
         match (request.method, request.path) {
-            ("POST", path) if path == self.path => {
-                match self.message(&request.fields, body, now_ms) {
-                    Ok(message) => ParsedRequest::Submit(message),
-                    Err(error) => {
-                        ParsedRequest::Respond(Response::with_reason(error.status, error.reason))
-                    }
+            ("POST", path) if path == self.path => match self.message(&request.fields, body, at) {
+                Ok(message) => ParsedRequest::Submit(message),
+                Err(error) => {
+                    ParsedRequest::Respond(Response::with_reason(error.status, error.reason))
                 }
-            }
+            },
             ("GET", "/ready") => ParsedRequest::Readiness,
             (_, path) if path == self.path || path == "/ready" => {
                 ParsedRequest::Respond(Response::with_status(405))
@@ -121,7 +120,7 @@
         &self,
         fields: &Fields<'_>,
         body: &[u8],
-        now_ms: i64,
+        at: ReceivedAt,
     ) -> Result<Message, EventError> {
         let (context, data) = event::decode(fields, body)?;
         let event_type = context.text("type").unwrap_or_default();
@@ -131,7 +130,7 @@
             .ok_or_else(|| unknown("type", &event_type))?;
         let destination = self.destination_of(&context)?;
         let idempotency_key = self.idempotency_key(fields, class, &event_type)?;
-        let expires_ms = self.expiry(&context, class, now_ms)?;
+        let expires_ms = self.expiry(&context, class, at)?;
         let source = context.text("source").unwrap_or_default();
         let id = context.text("id").unwrap_or_default();
         let attributes = serde_json::to_vec(&context)
@@ -195,18 +194,20 @@
         Ok(key)
     }
 
-    /// The deadline, as Unix time in milliseconds.
-    fn expiry(&self, context: &Context, class: ClassId, now_ms: i64) -> Result<i64, EventError> {
+    /// The deadline, as Unix time in milliseconds on the steady clock.
+    fn expiry(&self, context: &Context, class: ClassId, at: ReceivedAt) -> Result<i64, EventError> {
         match context.text("expirytime") {
             Some(text) => {
                 let time: jiff::Timestamp = text
                     .parse()
                     .map_err(|_| EventError::malformed("expirytime is no RFC 3339 time"))?;
-                Ok(time.as_millisecond().min(now_ms + MAX_TIME_TO_LIVE_MS))
+                Ok(at
+                    .steady_ms_of(time.as_millisecond())
+                    .min(at.steady_ms + MAX_TIME_TO_LIVE_MS))
             }
             None => {
                 let class = self.classes.get(class.0);
-                Ok(now_ms + class.map_or(0, |class| class.default_time_to_live_ms))
+                Ok(at.steady_ms + class.map_or(0, |class| class.default_time_to_live_ms))
             }
         }
     }
--- a/crates/delivery/src/frontend/platform.rs
+++ b/crates/delivery/src/frontend/platform.rs
@@ -1,6 +1,7 @@
 //! The platform's protocol: clients submit messages by `POST /api`, endpoints take them by `POST /receive`, and final
 //! outcomes are sent as notices.
 
+use crate::clock::ReceivedAt;
 use crate::core::{Disposition, FinalOutcome, Message, Origin, SubmitResponse};
 use crate::net::frontend::{Frontend, ParsedRequest, Response};
 use crate::net::http::{Fields, RequestHead, ResponseHead};
@@ -58,10 +59,10 @@
 }
 
 impl Frontend for PlatformFrontend {
-    fn parse(&self, request: &RequestHead<'_>, body: &[u8], now_ms: i64) -> ParsedRequest {
+    fn parse(&self, request: &RequestHead<'_>, body: &[u8], at: ReceivedAt) -> ParsedRequest {
         match (request.method, request.path) {
             ("GET", "/ready") => ParsedRequest::Readiness,
-            ("POST", "/api") => match self.message(&request.fields, body, now_ms) {
+            ("POST", "/api") => match self.message(&request.fields, body, at.steady_ms) {
                 Ok(message) => ParsedRequest::Submit(message),
                 Err(error) => ParsedRequest::Respond(Response::with_reason(400, error.to_string())),
             },
--- a/crates/delivery/src/instance/assembly.rs
+++ b/crates/delivery/src/instance/assembly.rs
@@ -12,7 +12,7 @@
     CloudEventsFrontendConfig, InstanceConfig, InstanceError, LeaseConfig, PlatformFrontendConfig,
     StateFolder,
 };
-use crate::clock::Clock;
+use crate::clock::{Clock, SteadyClock};
 use crate::core::engine::{Engine, EngineCommand, EngineEvent, EngineSettings};
 use crate::core::message_store::MessageStore;
 use crate::counters::Counters;
@@ -68,9 +68,9 @@
     mut config: InstanceConfig,
     tasks: Spawner,
 ) -> Result<Instance, InstanceError> {
-    let clock = Clock::start();
     let class_names = std::mem::take(&mut config.class_names);
     let claimed = ClaimedState::claim(&config.state_folder, class_names)?;
+    let clock = Clock::start(claimed.clock);
     let (senders, receivers) = channels();
     let schedule = poll_schedule(&config.engine);
     // On the platform the list is known as a whole, and its disk is small.
@@ -117,6 +117,7 @@
     incarnation: Incarnation,
     predecessors: Option<RunningPredecessors>,
     store: MessageStore,
+    clock: SteadyClock,
 }
 
 impl ClaimedState {
@@ -127,6 +128,7 @@
         let path = &folder.path;
         let failed = |source| folder_error(path, source);
         let mut incarnation = Incarnation::claim(path).map_err(failed)?;
+        let clock = SteadyClock::open(path).map_err(failed)?;
         let predecessors = driver::announce(&mut incarnation).map_err(failed)?;
         let generation = incarnation.generation();
         let store =
@@ -135,6 +137,7 @@
             incarnation,
             predecessors,
             store,
+            clock,
         })
     }
 }
@@ -347,6 +350,7 @@
             frontend,
             clients: self.clients.clone(),
             read_timeout,
+            clock: self.clock,
             tasks: self.tasks.clone(),
         };
         self.tasks.spawn(server.serve(listener));
--- a/crates/delivery/src/net/frontend.rs
+++ b/crates/delivery/src/net/frontend.rs
@@ -1,6 +1,7 @@
 //! What the network knows of a frontend: how a request is parsed, and how the core's response is worded.
 
 use super::http::RequestHead;
+use crate::clock::ReceivedAt;
 use crate::core::{Message, SubmitResponse};
 
 /// An HTTP response to a client.
@@ -56,8 +57,8 @@
 
 /// The translation of one protocol.
 pub trait Frontend {
-    /// Parses a request that arrived at a Unix time in milliseconds.
-    fn parse(&self, request: &RequestHead<'_>, body: &[u8], now_ms: i64) -> ParsedRequest;
+    /// Parses a request that was read just now.
+    fn parse(&self, request: &RequestHead<'_>, body: &[u8], at: ReceivedAt) -> ParsedRequest;
 
     /// Whether its clients wait for each response before they send the next request on a connection.
     fn one_request_at_a_time(&self) -> bool {
--- a/crates/delivery/src/net/response_fields.rs
+++ b/crates/delivery/src/net/response_fields.rs
@@ -14,7 +14,13 @@
     let text = response.fields.text("retry-after")?.trim();
     let until_date = |text| {
         let date = httpdate::parse_http_date(text).ok()?;
-        let left = date.duration_since(SystemTime::now());
+        // Counted by the clock that it was written by, as this machine's may show something else.
+        let written_at = response
+            .fields
+            .text("date")
+            .and_then(|text| httpdate::parse_http_date(text.trim()).ok())
+            .unwrap_or_else(SystemTime::now);
+        let left = date.duration_since(written_at);
         Some(left.map_or(0.0, |left| left.as_secs_f64()))
     };
     let seconds = text.parse::<f64>().ok().or_else(|| until_date(text))?;
--- a/crates/delivery/src/net/server.rs
+++ b/crates/delivery/src/net/server.rs
@@ -14,6 +14,7 @@
 
 use super::connection::Connection;
 use super::frontend::Frontend;
+use crate::clock::Clock;
 use crate::log_line;
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -48,6 +49,8 @@
     pub clients: Rc<ClientConnections>,
     /// How long a request may take.
     pub read_timeout: ReadTimeout,
+    /// The instance's clock.
+    pub clock: Clock,
     /// Owns the connections' tasks.
     pub tasks: Spawner,
 }
@@ -111,7 +114,7 @@
     /// Serves a connection in a task of its own.
     fn spawn_session(&self, stream: Async<TcpStream>, peer: SocketAddr) {
         let (frontend, clients) = (self.frontend.clone(), self.clients.clone());
-        let read_timeout = self.read_timeout;
+        let (read_timeout, clock) = (self.read_timeout, self.clock);
         let (id, close_requests) = clients.table.register();
         let span = tracing::info_span!("connection", peer = %peer);
         let serving = async move {
@@ -126,7 +129,14 @@
                     }
                 }
             };
-            let session = Session::new(&mut connection, &*frontend, &clients, id, read_timeout);
+            let session = Session::new(
+                &mut connection,
+                &*frontend,
+                &clients,
+                id,
+                read_timeout,
+                clock,
+            );
             let code = future::or(closed, session.run()).await;
             clients.table.remove(id);
             log_line!(code, "client side: connection ended");
--- a/crates/delivery/src/net/server/session.rs
+++ b/crates/delivery/src/net/server/session.rs
@@ -4,7 +4,7 @@
 
 use super::connection_table::{ConnectionId, Phase};
 use super::{ClientConnections, ReadTimeout};
-use crate::clock::unix_ms;
+use crate::clock::Clock;
 use crate::core::engine::EngineEvent;
 use crate::core::{Message, RequestId};
 use crate::counters::add;
@@ -70,6 +70,7 @@
     clients: &'a ClientConnections,
     id: ConnectionId,
     read_timeout: ReadTimeout,
+    clock: Clock,
     /// By when the request at hand must have come. The first one counts from the connection's opening, as a silent client
     /// uses a connection just as long as one that does not finish its request.
     read_by: Instant,
@@ -83,6 +84,7 @@
         clients: &'a ClientConnections,
         id: ConnectionId,
         read_timeout: ReadTimeout,
+        clock: Clock,
     ) -> Session<'a, F> {
         Session {
             connection,
@@ -90,6 +92,7 @@
             clients,
             id,
             read_timeout,
+            clock,
             read_by: Instant::now() + read_timeout.0,
             had_request: false,
         }
@@ -187,7 +190,10 @@
         } else {
             AfterResponse::Close
         };
-        let request = self.frontend.parse(&head, &rest[..extent.body], unix_ms());
+        let received_at = self.clock.received_at();
+        let request = self
+            .frontend
+            .parse(&head, &rest[..extent.body], received_at);
         self.connection.consume(extent.head + extent.body);
         self.clients
             .table
--- a/crates/delivery/src/net/server/tests.rs
+++ b/crates/delivery/src/net/server/tests.rs
@@ -2,6 +2,7 @@
 use super::connection_table::{ConnectionId, ConnectionTable, Phase};
 use super::session::MAX_HEAD;
 use super::*;
+use crate::clock::SteadyClock;
 use crate::frontend::platform::PlatformFrontend;
 use crate::net::http;
 use async_executor::LocalExecutor;
@@ -56,6 +57,7 @@
             }),
             clients: clients.clone(),
             read_timeout: ReadTimeout(read_timeout),
+            clock: Clock::start(SteadyClock::from_wall_clock()),
             tasks: spawner.clone(),
         };
         spawner.spawn(server.serve(listener));
