Two failing tests: a process that starts while its disk fails

Both fail: the process exits with the first error of its state folder (ENOSPC, EIO), and what an earlier one accepted is left.

--- a/crates/cli/tests/system_faults.rs
+++ b/crates/cli/tests/system_faults.rs
@@ -145,6 +145,32 @@
     assert_eq!(site.discovery.told(), "", "{}", program.log());
 }
 
+#[test]
+fn process_that_starts_on_a_failing_disk_waits_for_it() {
+    let endpoint = StandIn::start(|_| ok());
+    for kind in [FaultKind::DiskFull, FaultKind::DiskError] {
+        let site = Site::new("starts", endpoint.at, "6000", 0);
+        let (program, shim) =
+            site.start_under(&[fault(kind, NOW, Duration::from_millis(1200), ALWAYS)]);
+        let at = program.address(MARKER, 0);
+        let answer = hand(at, "m", "refill-status", "9000").unwrap();
+        assert_eq!(answer.status(), 202);
+        assert!(shim.struck(kind) > 0);
+    }
+}
+
+#[test]
+fn process_that_is_shut_down_before_its_disk_works_ends_cleanly() {
+    let endpoint = StandIn::start(|_| ok());
+    let site = Site::new("term-early", endpoint.at, "6000", 0);
+    let (mut program, shim) = site.start_under(&[fault(FaultKind::DiskFull, NOW, LONG, ALWAYS)]);
+    wait_for("the fault", || {
+        shim.exists() && shim.struck(FaultKind::DiskFull) > 0
+    });
+    program.signal("TERM");
+    assert!(program.ended(), "{}", program.log());
+}
+
 /// Connections wait in the queue of a process that has been stopped; when it goes on, it is told to end, and the system
 /// refuses to give them to it for a moment.
 #[test]
