--- a/crates/cli/tests/system_faults.rs
+++ b/crates/cli/tests/system_faults.rs
@@ -91,8 +91,11 @@
     let endpoint = endpoint_rejecting_until(&open);
     let site = Site::new("disk", endpoint.at, "6000", 0);
     let lasts = Duration::from_millis(1500);
-    let (program, shim) = site.start_under(&[fault(FaultKind::DiskError, lasts, lasts, ALWAYS)]);
+    let failing = fault(FaultKind::DiskError, lasts, lasts, ALWAYS);
+    let (program, shim) = site.start_under(&[failing]);
     let at = program.address(MARKER, 0);
+    // What was accepted before would fill the instance's room.
+    wait_for("the fault's time", || failing.is_in_force(monotonic_ms()));
     wait_for("the fault", || {
         hand(at, "in-fault", "refill-status", "20000").unwrap();
         shim.struck(FaultKind::DiskError) > 8
--- a/crates/delivery/src/core/journal.rs
+++ b/crates/delivery/src/core/journal.rs
@@ -87,6 +87,9 @@
     segment_len: u64,
     segments: VecDeque<Segment>,
     head: File,
+    /// Whether a write that failed may have left a part of a record at the head's end. Nothing is written behind it: a
+    /// reader stops there.
+    head_is_torn: bool,
 }
 
 impl Journal {
@@ -106,6 +109,7 @@
             segment_len,
             segments,
             head,
+            head_is_torn: false,
         })
     }
 
@@ -130,12 +134,7 @@
     /// # Errors
     /// The segment cannot be made.
     pub fn renew(&mut self, generation: Generation) -> io::Result<()> {
-        self.head = create(&self.folder, generation.first_segment())?;
-        self.segments.push_back(Segment {
-            number: generation.first_segment(),
-            len: 0,
-        });
-        Ok(())
+        self.begin_segment(generation.first_segment())
     }
 
     /// Takes over the segments of all earlier incarnations, in their order, and passes their records to `replay`. Of
@@ -143,7 +142,7 @@
     /// followed.
     ///
     /// # Errors
-    /// A segment cannot be read, or a torn one not be cut.
+    /// A segment cannot be read.
     pub fn take_over(
         &mut self,
         running: &[Generation],
@@ -178,7 +177,7 @@
                 });
                 continue;
             }
-            self.adopt_segment(number, at, bytes.len() as u64)?;
+            self.adopt_segment(number, at, bytes.len() as u64);
         }
         Ok(tails)
     }
@@ -205,7 +204,7 @@
             if !next {
                 return Ok(());
             }
-            self.adopt_segment(tail.segment, tail.offset, tail.offset)?;
+            self.adopt_segment(tail.segment, tail.offset, tail.offset);
             (tail.segment, tail.offset) = (tail.segment + 1, 0);
         }
     }
@@ -213,7 +212,7 @@
     /// Reads the rest of the log of an incarnation that has exited; its last segment is this one's from now on.
     ///
     /// # Errors
-    /// A segment cannot be read or cut.
+    /// A segment cannot be read.
     pub fn finish_following(
         &mut self,
         mut tail: Tail,
@@ -221,20 +220,26 @@
     ) -> io::Result<()> {
         self.follow(&mut tail, replay)?;
         let len = fs::metadata(path_of(&self.folder, tail.segment))?.len();
-        self.adopt_segment(tail.segment, tail.offset, len)
+        self.adopt_segment(tail.segment, tail.offset, len);
+        Ok(())
     }
 
-    /// Counts a segment as this incarnation's, with its torn end cut off.
-    fn adopt_segment(&mut self, number: u64, len: u64, found: u64) -> io::Result<()> {
-        if len < found {
+    /// Counts a segment as this incarnation's, with its torn end cut off if the disk lets it: nothing is written there any
+    /// more, so that what stays only takes room.
+    fn adopt_segment(&mut self, number: u64, len: u64, found: u64) {
+        let cut = || {
             OpenOptions::new()
                 .write(true)
                 .open(path_of(&self.folder, number))?
-                .set_len(len)?;
-        }
+                .set_len(len)
+        };
+        let len = if len < found && cut().is_err() {
+            found
+        } else {
+            len
+        };
         let place = self.segments.partition_point(|have| have.number < number);
         self.segments.insert(place, Segment { number, len });
-        Ok(())
     }
 
     /// Bytes that all files take, in whole blocks.
@@ -266,6 +271,7 @@
     /// # Panics
     /// Never: there is always a segment to write to.
     pub fn append(&mut self, payload: &[u8]) -> io::Result<u64> {
+        self.repair_head()?;
         let last = self.segments.back().expect("there is always a head");
         if last.len > 0 && last.len + (HEADER_BYTES + payload.len()) as u64 > self.segment_len {
             self.roll()?;
@@ -274,15 +280,13 @@
         record.extend((payload.len() as u32).to_le_bytes());
         record.extend(crc32fast::hash(payload).to_le_bytes());
         record.extend(payload);
-        let written = self.head.write_all(&record);
-        let last = self.segments.back_mut().expect("there is always a head");
-        if let Err(error) = written {
-            // A part of it may have been written: without the cut, all that follows would be lost with it.
-            if self.head.set_len(last.len).is_err() {
-                self.roll()?;
-            }
+        if let Err(error) = self.head.write_all(&record) {
+            self.head_is_torn = true;
+            // Where that fails as well, the next record tries again first.
+            let _ = self.repair_head();
             return Err(error);
         }
+        let last = self.segments.back_mut().expect("there is always a head");
         last.len += record.len() as u64;
         Ok(last.number)
     }
@@ -293,11 +297,26 @@
     /// The segment cannot be made.
     pub fn roll(&mut self) -> io::Result<()> {
         let next = self.segments.back().map_or(1, |last| last.number + 1);
-        self.head = create(&self.folder, next)?;
-        self.segments.push_back(Segment {
-            number: next,
-            len: 0,
-        });
+        self.begin_segment(next)
+    }
+
+    fn begin_segment(&mut self, number: u64) -> io::Result<()> {
+        self.head = create(&self.folder, number)?;
+        self.head_is_torn = false;
+        self.segments.push_back(Segment { number, len: 0 });
+        Ok(())
+    }
+
+    /// Cuts off what a failed write left at the head's end, or goes on in another segment.
+    fn repair_head(&mut self) -> io::Result<()> {
+        if !self.head_is_torn {
+            return Ok(());
+        }
+        let len = self.segments.back().map_or(0, |last| last.len);
+        if self.head.set_len(len).is_err() {
+            return self.roll();
+        }
+        self.head_is_torn = false;
         Ok(())
     }
 
--- a/crates/delivery/src/instance.rs
+++ b/crates/delivery/src/instance.rs
@@ -16,6 +16,7 @@
 pub mod platform_config;
 mod shutdown;
 mod signals;
+mod state_folder;
 
 pub use command::InstanceCommand;
 pub use config::{
@@ -30,6 +31,7 @@
 use crate::log_line;
 use crate::net::spawner::Spawner;
 use async_channel::Receiver;
+use state_folder::Claim;
 
 /// The span of all log lines of an instance; its thread enters it once.
 pub fn instance_span(name: &str) -> tracing::Span {
@@ -41,13 +43,24 @@
 /// # Errors
 /// Its state folder or a listener cannot be used.
 pub async fn run_instance(
-    config: InstanceConfig,
+    mut config: InstanceConfig,
     commands: Receiver<InstanceCommand>,
     tasks: Spawner,
 ) -> Result<(), InstanceError> {
-    let instance = assembly::assemble(config, tasks.clone())?;
+    let class_names = std::mem::take(&mut config.class_names);
+    let mut claim = Claim {
+        folder: &config.state_folder,
+        commands: &commands,
+        early_commands: Vec::new(),
+    };
+    let claimed = claim.run(&class_names).await?;
+    let early_commands = claim.early_commands;
+    let Some(claimed) = claimed else {
+        return Ok(());
+    };
+    let instance = assembly::assemble(config, claimed, tasks.clone())?;
     let counters = instance.counters.clone();
-    tasks.spawn(instance.command_loop.run(commands));
+    tasks.spawn(instance.command_loop.run(early_commands, commands));
     instance.engine_loop.run().await;
     log_line!("{counters}");
     Ok(())
--- a/crates/delivery/src/instance/assembly.rs
+++ b/crates/delivery/src/instance/assembly.rs
@@ -8,11 +8,11 @@
 use super::engine_loop::{EngineLoop, EventReceivers, SnapshotWriter};
 use super::executor::{Executor, Lease};
 use super::shutdown::Shutdown;
+use super::state_folder::ClaimedState;
 use super::{
     CloudEventsFrontendConfig, InstanceConfig, InstanceError, LeaseConfig, PlatformFrontendConfig,
-    StateFolder,
 };
-use crate::clock::{Clock, SteadyClock};
+use crate::clock::Clock;
 use crate::core::engine::{Engine, EngineCommand, EngineEvent, EngineSettings};
 use crate::core::message_store::MessageStore;
 use crate::counters::Counters;
@@ -35,9 +35,8 @@
 use async_io::{Async, Timer};
 use marblefall_atomic_file::LocalDisk;
 use std::cell::{Cell, RefCell};
-use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -65,11 +64,10 @@
 
 /// Puts an instance together and starts its tasks, except for those of the returned loops.
 pub(super) fn assemble(
-    mut config: InstanceConfig,
+    config: InstanceConfig,
+    claimed: ClaimedState,
     tasks: Spawner,
 ) -> Result<Instance, InstanceError> {
-    let class_names = std::mem::take(&mut config.class_names);
-    let claimed = ClaimedState::claim(&config.state_folder, class_names)?;
     let clock = Clock::start(claimed.clock);
     let (senders, receivers) = channels();
     let schedule = poll_schedule(&config.engine);
@@ -112,43 +110,6 @@
     })
 }
 
-/// What an incarnation owns of the state folder.
-struct ClaimedState {
-    incarnation: Incarnation,
-    predecessors: Option<RunningPredecessors>,
-    store: MessageStore,
-    clock: SteadyClock,
-}
-
-impl ClaimedState {
-    fn claim(
-        folder: &StateFolder,
-        class_names: Vec<String>,
-    ) -> Result<ClaimedState, InstanceError> {
-        let path = &folder.path;
-        let failed = |source| folder_error(path, source);
-        let mut incarnation = Incarnation::claim(path).map_err(failed)?;
-        let clock = SteadyClock::open(path).map_err(failed)?;
-        let predecessors = driver::announce(&mut incarnation).map_err(failed)?;
-        let generation = incarnation.generation();
-        let store =
-            MessageStore::begin(path, folder.max_bytes, class_names, generation).map_err(failed)?;
-        Ok(ClaimedState {
-            incarnation,
-            predecessors,
-            store,
-            clock,
-        })
-    }
-}
-
-fn folder_error(path: &Path, source: io::Error) -> InstanceError {
-    InstanceError::StateFolder {
-        path: path.to_owned(),
-        source,
-    }
-}
-
 struct Senders {
     queue: Sender<EngineEvent>,
     priority: Sender<EngineEvent>,
@@ -368,7 +329,10 @@
         let mut commands = Vec::new();
         store
             .take_over(&[], None)
-            .map_err(|source| folder_error(&self.folder, source))?;
+            .map_err(|source| InstanceError::StateFolder {
+                path: self.folder.clone(),
+                source,
+            })?;
         // A standby reads them once its predecessors no longer change them.
         self.admin.load_disabled();
         let engine = Engine::new(settings, store, self.clock.now(), &mut commands);
--- a/crates/delivery/src/instance/command.rs
+++ b/crates/delivery/src/instance/command.rs
@@ -56,8 +56,15 @@
 }
 
 impl CommandLoop {
-    /// Runs until nobody sends commands any more.
-    pub(super) async fn run(self, commands: Receiver<InstanceCommand>) {
+    /// Runs until nobody sends commands any more; those that came before it go first.
+    pub(super) async fn run(
+        self,
+        early_commands: Vec<InstanceCommand>,
+        commands: Receiver<InstanceCommand>,
+    ) {
+        for command in early_commands {
+            self.handle(command).await;
+        }
         while let Ok(command) = commands.recv().await {
             self.handle(command).await;
         }
