--- a/crates/cli/tests/system_faults.rs
+++ b/crates/cli/tests/system_faults.rs
@@ -174,6 +174,37 @@
     assert!(program.ended(), "{}", program.log());
 }
 
+#[test]
+fn interrupted_and_short_transfers_lose_nothing() {
+    let endpoint = StandIn::start(|_| ok());
+    let site = Site::new("short", endpoint.at, "6000", 0);
+    let plan = [
+        fault(FaultKind::ReceiveInterrupted, NOW, LONG, 300),
+        fault(FaultKind::ReceiveShort, NOW, LONG, 300),
+        fault(FaultKind::SendInterrupted, NOW, LONG, 300),
+        fault(FaultKind::SendShort, NOW, LONG, 300),
+    ];
+    let (program, shim) = site.start_under(&plan);
+    let at = program.address(MARKER, 0);
+    for n in 0..20 {
+        let answer = hand(at, &format!("m-{n}"), "refill-order", "9000");
+        assert_eq!(
+            answer.map(|answer| answer.status()),
+            Some(202),
+            "message {n}"
+        );
+    }
+    wait_for("all deliveries", || {
+        program.signal("USR1");
+        program.log().contains("delivered=20 ")
+    });
+    assert!(program.log().contains("resets=0 "), "{}", program.log());
+    assert_eq!(endpoint.count(), 20);
+    for fault in plan {
+        assert!(shim.struck(fault.kind) > 0, "{fault} never struck");
+    }
+}
+
 /// Connections wait in the queue of a process that has been stopped; when it goes on, it is told to end, and the system
 /// refuses to give them to it for a moment.
 #[test]
@@ -213,3 +244,46 @@
         assert!(program.ended());
     }
 }
+
+#[test]
+fn delivery_answered_during_a_disk_fault_is_not_repeated_after_a_restart() {
+    let open = Arc::new(AtomicBool::new(false));
+    let answering = open.clone();
+    let endpoint = StandIn::start(move |_| {
+        wait_for("the fault", || answering.load(Ordering::SeqCst));
+        ok()
+    });
+    let site = Site::new("ends", endpoint.at, "6000", 0);
+    let after = Duration::from_millis(1200);
+    let lasts = Duration::from_millis(1200);
+    let failing = fault(FaultKind::DiskError, after, lasts, ALWAYS);
+    let (program, shim) = site.start_under(&[failing]);
+    let at = program.address(MARKER, 0);
+    let answer = hand(at, "m", "refill-status", "20000").unwrap();
+    assert_eq!(answer.status(), 202);
+    wait_for("the fault's time", || failing.is_in_force(monotonic_ms()));
+    open.store(true, Ordering::SeqCst);
+    wait_for("the delivery", || {
+        program.signal("USR1");
+        program.log().contains("delivered=1 ")
+    });
+    assert!(shim.struck(FaultKind::DiskError) > 0);
+    wait_for("the disk to work again", || {
+        let answer = hand(at, "after", "refill-status", "20000").unwrap();
+        answer.status() == 202
+    });
+    wait_for("the second delivery", || {
+        program.signal("USR1");
+        program.log().contains("delivered=2 ")
+    });
+    program.kill();
+    let mut program = site.start();
+    program.address(MARKER, 0);
+    program.signal("TERM");
+    assert!(program.ended());
+    let seen = endpoint.seen.lock().unwrap();
+    let of_first = seen
+        .iter()
+        .filter(|attempt| attempt.field("x-call-id") == Some("m"));
+    assert_eq!(of_first.count(), 1);
+}
--- /dev/null
+++ b/crates/delivery/tests/journal_replay.rs
@@ -0,0 +1,85 @@
+//! What a restart reads back is what the process knew, however often the journal was compacted on the way.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod common;
+
+use common::folder;
+use marblefall_delivery::core::message_record::AttemptRecord;
+use marblefall_delivery::core::message_store::MessageStore;
+use marblefall_delivery::core::{FinalOutcome, Message, MessageId, Origin};
+use marblefall_scheduler::{ClassId, DestinationId};
+use std::path::Path;
+use std::rc::Rc;
+
+/// Small, so that the journal is compacted every few thousand records, and messages live through that.
+const DISK: u64 = 800_000;
+const STEPS: usize = 60_000;
+const STEPS_BETWEEN_CHECKS: usize = 1500;
+const MAX_OPEN: usize = 30;
+
+fn message(number: u64) -> Rc<Message> {
+    Rc::new(Message {
+        origin: Origin::Platform,
+        identity: format!("m-{number}").into_bytes(),
+        idempotency_key: None,
+        class: ClassId(0),
+        destination: DestinationId(number % 3),
+        expires_ms: i64::MAX / 2,
+        attributes: Vec::new(),
+        body: vec![7; (number % 900) as usize],
+    })
+}
+
+fn attempt(started_ms: i64) -> AttemptRecord {
+    AttemptRecord {
+        started_ms,
+        endpoint: "s-1".to_owned(),
+    }
+}
+
+/// What a process would read that started now.
+fn read_back(folder: &Path) -> MessageStore {
+    let copy = folder.with_extension("copy");
+    let _ = std::fs::remove_dir_all(&copy);
+    std::fs::create_dir_all(&copy).unwrap();
+    for file in std::fs::read_dir(folder).unwrap() {
+        let file = file.unwrap();
+        std::fs::copy(file.path(), copy.join(file.file_name())).unwrap();
+    }
+    MessageStore::open(&copy, DISK, vec!["status".to_owned()]).unwrap()
+}
+
+/// A compaction within the note of an attempt copied the attempt, and the note behind it was read as a second one: the
+/// first counted as one that may have been executed, and its message was never repeated.
+#[test]
+fn replayed_messages_are_what_the_process_knew() {
+    let folder = folder("replay");
+    let mut store = MessageStore::open(&folder, DISK, vec!["status".to_owned()]).unwrap();
+    let mut random = fastrand::Rng::with_seed(11);
+    let mut open: Vec<MessageId> = Vec::new();
+    for step in 0..STEPS {
+        let number = step as u64;
+        if open.len() < MAX_OPEN {
+            let id = store.allocate_id();
+            store.accept(id, message(number), None).unwrap();
+            open.push(id);
+        }
+        let at = random.usize(..open.len());
+        let id = open[at];
+        store.attempt_started(id, attempt(step as i64)).unwrap();
+        match random.u16(..2000) {
+            0 => {
+                store.finish(id, FinalOutcome::Delivered, false, 0).unwrap();
+                store.forget(id).unwrap();
+                open.swap_remove(at);
+            }
+            1..=10 => store.attempt_finished(id, true).unwrap(),
+            _ => store.attempt_finished(id, false).unwrap(),
+        }
+        if step % STEPS_BETWEEN_CHECKS == 0 {
+            let again = read_back(&folder);
+            assert_eq!(again.messages(), store.messages(), "after step {step}");
+        }
+    }
+}
