--- a/crates/delivery/src/core/engine.rs
+++ b/crates/delivery/src/core/engine.rs
@@ -16,6 +16,7 @@
 mod hot_restart;
 mod policy_change;
 mod settings;
+mod unjournalled;
 
 pub use command::{AttemptRequest, EngineCommand};
 pub use event::{AttemptResult, EngineEvent};
@@ -34,6 +35,7 @@
 use settings::Policy;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use unjournalled::UnjournalledAttempt;
 
 /// How long a rejected client should stay away where nothing better is known, in milliseconds.
 const DEFAULT_RETRY_AFTER_MS: u64 = 1000;
@@ -68,6 +70,8 @@
     in_flight_elsewhere: BTreeSet<MessageId>,
     /// ... and those which it is not told of before, as their endpoint is not listed any more.
     parked: BTreeSet<MessageId>,
+    /// Attempts that wait for the journal.
+    unjournalled: Vec<UnjournalledAttempt>,
     /// Attempts in flight.
     in_flight: usize,
     lease: LeaseState,
@@ -135,6 +139,7 @@
             role: Role::Standby,
             in_flight_elsewhere: BTreeSet::new(),
             parked: BTreeSet::new(),
+            unjournalled: Vec::new(),
             in_flight: 0,
             lease: LeaseState::Held,
             deferred: Vec::new(),
@@ -192,6 +197,7 @@
         commands: &mut Vec<EngineCommand>,
     ) {
         self.recent_completions.sweep(now.monotonic);
+        self.retry_journal(now, commands);
         let mut batch = Batch::new(now, commands);
         let events = self.handle_endpoint_changes(events, &mut batch);
         batch.scheduler_events.append(&mut self.backlog);
--- a/crates/delivery/src/core/engine/attempts.rs
+++ b/crates/delivery/src/core/engine/attempts.rs
@@ -2,9 +2,8 @@
 
 use super::acceptance::failed;
 use super::settings::DEDUPLICATION_MARGIN;
-use super::{
-    log_journal_error, AttemptRequest, AttemptResult, Batch, Engine, EngineCommand, STEP_TIMER,
-};
+use super::unjournalled::UnjournalledAttempt;
+use super::{log_journal_error, AttemptRequest, AttemptResult, Batch, Engine, EngineCommand};
 use crate::core::message_record::AttemptRecord;
 use crate::core::{
     Disposition, FinalOutcome, Message, MessageId, Origin, Route, SubmitResponse, Timestamp,
@@ -72,11 +71,21 @@
                 endpoint,
                 timeout_at,
             } => {
-                let journalled = !not_journalled.contains(&message);
-                self.start_attempt(now, message, endpoint, timeout_at, journalled, commands);
+                if not_journalled.contains(&message) {
+                    // It was rejected in this very step.
+                    return self.report_not_sent(now, message);
+                }
+                let attempt = UnjournalledAttempt {
+                    message,
+                    endpoint,
+                    timeout_at,
+                };
+                self.start_attempt(now, attempt, commands);
             }
             m::Action::Cancel { message, .. } => {
-                commands.push(EngineCommand::CancelAttempt(message))
+                if !self.drop_unjournalled(now, message) {
+                    commands.push(EngineCommand::CancelAttempt(message));
+                }
             }
             m::Action::Reject {
                 message,
@@ -106,17 +115,19 @@
         }
     }
 
-    /// Notes an attempt in the journal and orders it. What the journal does not know of must not go out: the scheduler
-    /// is told that it was not sent.
-    fn start_attempt(
+    /// Notes an attempt in the journal and orders it. What the journal does not know of must not go out: it waits until
+    /// the journal takes it.
+    pub(super) fn start_attempt(
         &mut self,
         now: Timestamp,
-        id: MessageId,
-        endpoint: m::EndpointId,
-        timeout_at: m::Time,
-        journalled: bool,
+        chosen: UnjournalledAttempt,
         commands: &mut Vec<EngineCommand>,
     ) {
+        let UnjournalledAttempt {
+            message: id,
+            endpoint,
+            timeout_at,
+        } = chosen;
         let record = AttemptRecord {
             started_ms: now.unix_ms,
             endpoint: self
@@ -126,27 +137,14 @@
                 .unwrap_or_default(),
         };
         let attempt = self.store.get(id).map_or(0, |record| record.attempts);
-        let noted = if journalled {
-            self.store.attempt_started(id, record)
-        } else {
-            Ok(())
-        };
-        let message = self
-            .store
-            .get(id)
-            .filter(|record| noted.is_ok() && record.is_open());
-        let Some(record) = message else {
+        let noted = self.store.attempt_started(id, record);
+        if noted.is_err() {
             log_journal_error(noted, commands);
-            self.backlog.push(m::Event::AttemptFinished {
-                message: id,
-                attempt: m::AttemptNumber(attempt),
-                outcome: m::Outcome::NotSent,
-                duration: m::Span::ZERO,
-                is_final: false,
-                rate_limit: m::RateLimitReport::default(),
-            });
-            self.timers.insert((now.monotonic, STEP_TIMER));
-            return;
+            return self.keep_unjournalled(now, chosen);
+        }
+        let open = self.store.get(id).filter(|record| record.is_open());
+        let Some(record) = open else {
+            return self.report_not_sent(now, id);
         };
         let message = record.message.clone();
         let window = self.policy.deduplication_window(message.class);
--- a/crates/delivery/src/core/engine/hot_restart.rs
+++ b/crates/delivery/src/core/engine/hot_restart.rs
@@ -276,6 +276,8 @@
             commands.push(EngineCommand::HandedOver);
         }
         self.role = Role::HandedOver;
+        // The successor chooses anew what was not started.
+        self.unjournalled.clear();
         self.backlog.clear();
         self.timers.clear();
     }
--- a/crates/delivery/src/core/engine/policy_change.rs
+++ b/crates/delivery/src/core/engine/policy_change.rs
@@ -203,6 +203,8 @@
         let updates = self.endpoints.apply(listed, ListScope::Changes, commands);
         // Told at once: what waits for the next step came later.
         self.backlog.clear();
+        // The new scheduler chooses for itself.
+        self.unjournalled.clear();
         self.tell_scheduler(now, &[m::Event::EndpointsUpdated(updates)], commands);
         self.reactivate(now, routes);
         commands.push(EngineCommand::PolicyInForce(revision));
--- a/crates/delivery/src/core/message_record.rs
+++ b/crates/delivery/src/core/message_record.rs
@@ -129,11 +129,6 @@
         true
     }
 
-    /// Forgets the attempt in flight, as one that was never sent.
-    pub(super) fn discard_attempt(&mut self) {
-        self.take_in_flight();
-    }
-
     /// Gives it its final outcome. The body and the attributes are needed no more.
     pub(super) fn finish(&mut self, outcome: FinalOutcome, notice_owed: bool, keep_until_ms: i64) {
         let unreported = self.take_in_flight();
--- a/crates/delivery/src/core/message_store.rs
+++ b/crates/delivery/src/core/message_store.rs
@@ -47,6 +47,8 @@
     backoffs: BTreeMap<(DestinationId, String), i64>,
     /// The logs of incarnations that have handed over and still run.
     tails: Vec<Tail>,
+    /// Messages of which the journal did not take what was last noted.
+    unwritten: BTreeSet<MessageId>,
     /// Another incarnation reads what this one still writes.
     handed_over: bool,
     /// What this incarnation's part of the journal may take while it is the only one, in bytes.
@@ -171,16 +173,19 @@
     /// Notes an attempt before its first byte goes out.
     ///
     /// # Errors
-    /// The journal is full or cannot be written. The attempt must not be sent then, and does not count later as one
-    /// that may have been executed.
+    /// The journal is full or cannot be written. The attempt must not be sent then; it was none.
     pub fn attempt_started(&mut self, id: MessageId, attempt: AttemptRecord) -> io::Result<()> {
-        let noted = self.note(id, JournalRecord::AttemptStarted(attempt));
-        if noted.is_err() {
-            if let Some(record) = self.messages.get_mut(&id) {
-                record.discard_attempt();
-            }
+        if !self.messages.contains_key(&id) {
+            return Ok(());
         }
-        noted
+        if self.unwritten.contains(&id) {
+            self.write_whole(id)?;
+        }
+        // Written first: a compaction on the way would copy an attempt that is then noted once more.
+        let record = JournalRecord::AttemptStarted(attempt);
+        self.write(&record.encode(id, &self.class_names))?;
+        record.apply(id, &mut self.messages);
+        Ok(())
     }
 
     /// Notes that the attempt in flight ended, and whether it may have been executed.
@@ -310,13 +315,51 @@
     }
 
     /// Notes something of a message, in memory first: what happened has happened, even where the disk does not take it.
+    /// The journal is then told later, by [`MessageStore::retry_unwritten`].
     fn note(&mut self, id: MessageId, record: JournalRecord) -> io::Result<()> {
         if !self.messages.contains_key(&id) {
             return Ok(());
         }
         let bytes = record.encode(id, &self.class_names);
         record.apply(id, &mut self.messages);
-        self.write(&bytes).map(|_| ())
+        if self.unwritten.contains(&id) {
+            // Behind a gap, a note alone would be read as of another state.
+            return self.write_whole(id);
+        }
+        let written = self.write(&bytes);
+        if written.is_err() {
+            self.unwritten.insert(id);
+        }
+        written.map(|_| ())
+    }
+
+    /// Whether there is something that the journal did not take.
+    pub fn has_unwritten(&self) -> bool {
+        !self.unwritten.is_empty()
+    }
+
+    /// Writes what the journal did not take when it was noted.
+    ///
+    /// # Errors
+    /// The journal is full or cannot be written; the rest is kept for the next call.
+    pub fn retry_unwritten(&mut self) -> io::Result<()> {
+        while let Some(id) = self.unwritten.first().copied() {
+            self.write_whole(id)?;
+        }
+        Ok(())
+    }
+
+    /// Writes all that is known of a message, in place of what the journal did not take.
+    fn write_whole(&mut self, id: MessageId) -> io::Result<()> {
+        let known = self.messages.get(&id).cloned();
+        let is_known = known.is_some();
+        let record = known.map_or(JournalRecord::Forgotten, JournalRecord::Message);
+        let segment = self.write(&record.encode(id, &self.class_names))?;
+        if is_known {
+            self.segments.insert(id, segment);
+        }
+        self.unwritten.remove(&id);
+        Ok(())
     }
 
     /// Writes a record, compacting first where it would not fit; gives its segment.
@@ -351,8 +394,7 @@
             let segment = self.journal.append(&record.encode(id, &self.class_names))?;
             self.segments.insert(id, segment);
         }
-        self.journal.remove_oldest()?;
-        // Backoffs may have stood there; there are no more of them than endpoints.
+        // Backoffs may stand there; there are no more of them than endpoints.
         for ((destination, endpoint), until_ms) in self.backoffs.clone() {
             let record = JournalRecord::Backoff(BackoffRecord {
                 destination,
@@ -362,6 +404,7 @@
             self.journal
                 .append(&record.encode(NO_MESSAGE, &self.class_names))?;
         }
+        self.journal.remove_oldest()?;
         Ok(true)
     }
 }
--- a/crates/delivery/src/core/message_store/hot_restart.rs
+++ b/crates/delivery/src/core/message_store/hot_restart.rs
@@ -8,7 +8,7 @@
 };
 use crate::core::MessageId;
 use marblefall_scheduler::DestinationId;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::path::Path;
 
@@ -59,13 +59,13 @@
         class_names: Vec<String>,
         generation: Generation,
     ) -> io::Result<MessageStore> {
-        let journal = Journal::begin(folder, SEGMENT_BYTES, generation)?;
         let whole = disk.saturating_sub(RESERVED_BYTES);
         let successor = (disk / 4).min(MAX_SUCCESSOR_BYTES);
         let mut used = 0;
         for file in std::fs::read_dir(folder)? {
             used += file?.metadata().map_or(0, |file| file.len());
         }
+        let journal = Journal::begin(folder, SEGMENT_BYTES, generation)?;
         let for_compaction = COMPACTION_SEGMENTS * SEGMENT_BYTES;
         let unused = whole.saturating_sub(used + AFTER_HANDOVER_BYTES);
         let standby_limit = successor.saturating_sub(for_compaction).min(unused);
@@ -85,6 +85,7 @@
             class_names,
             backoffs: BTreeMap::new(),
             tails: Vec::new(),
+            unwritten: BTreeSet::new(),
             handed_over: false,
             exclusive_limit: whole.saturating_sub(successor),
         })
@@ -95,8 +96,10 @@
     /// `first_concurrent` on ran when this one began: the backoffs they were asked for bind it, and what they knew of
     /// routes is returned. Those of incarnations that ended before do not: a restart ends a backoff.
     ///
+    /// What the journal does not take meanwhile is left to [`MessageStore::retry_unwritten`].
+    ///
     /// # Errors
-    /// The journal cannot be read or written; what was read before the error is taken over.
+    /// The journal cannot be read; what was read before the error is taken over.
     pub fn take_over(
         &mut self,
         running: &[Generation],
@@ -125,10 +128,11 @@
         for &id in &found {
             self.index(id);
         }
-        let in_flight_elsewhere = self.settle_in_flight(found, some_still_run)?;
+        let in_flight_elsewhere = self.settle_in_flight(found, some_still_run);
         // Said again here, so that the next incarnation need not know when this one began.
         for ((destination, endpoint), until_ms) in replayed.backoffs {
-            self.note_backoff(destination, endpoint, until_ms)?;
+            // Where it is not written it binds this incarnation alone, and a restart ends a backoff.
+            let _ = self.note_backoff(destination, endpoint, until_ms);
         }
         let routes = replayed.routes;
         read.map(|()| Recovered {
@@ -172,11 +176,7 @@
 
     /// Attempts that were in flight when their process ended may have been executed; those at incarnations that still
     /// run are given back.
-    fn settle_in_flight(
-        &mut self,
-        found: Vec<MessageId>,
-        some_still_run: bool,
-    ) -> io::Result<Vec<MessageId>> {
+    fn settle_in_flight(&mut self, found: Vec<MessageId>, some_still_run: bool) -> Vec<MessageId> {
         let mut elsewhere = Vec::new();
         for id in found {
             if self.messages[&id].in_flight().is_none() {
@@ -185,10 +185,11 @@
             if some_still_run {
                 elsewhere.push(id);
             } else {
-                self.attempt_finished(id, true)?;
+                // Where it is not written it stays in flight there, which the next incarnation takes for the same.
+                let _ = self.attempt_finished(id, true);
             }
         }
-        Ok(elsewhere)
+        elsewhere
     }
 
     /// Reads on what incarnations that have handed over still write. Returned are messages that they accepted, which
@@ -266,6 +267,8 @@
     /// # Errors
     /// The journal cannot be written; it is handed over all the same.
     pub fn hand_over(&mut self, routes: Vec<RouteRecord>) -> io::Result<()> {
+        // The successor reads what is in the journal: the last chance for what it did not take.
+        let _ = self.retry_unwritten();
         self.handed_over = true;
         self.hard_limit = self.journal.size() + AFTER_HANDOVER_BYTES;
         self.journal.roll()?;
