--- a/crates/cli/tests/system_faults.rs
+++ b/crates/cli/tests/system_faults.rs
@@ -205,6 +205,27 @@
     }
 }
 
+#[test]
+fn signals_are_taken_after_an_interrupted_read() {
+    let endpoint = StandIn::start(|_| ok());
+    let site = Site::new("signals", endpoint.at, "6000", 0);
+    let lasts = Duration::from_millis(2500);
+    let (mut program, shim) =
+        site.start_under(&[fault(FaultKind::ReceiveInterrupted, NOW, lasts, 500)]);
+    program.address(MARKER, 0);
+    let struck = shim.struck(FaultKind::ReceiveInterrupted);
+    for _ in 0..20 {
+        program.signal("USR1");
+        std::thread::yield_now();
+    }
+    wait_for("the fault", || {
+        program.signal("USR1");
+        shim.struck(FaultKind::ReceiveInterrupted) > struck + 3
+    });
+    program.signal("TERM");
+    assert!(program.ended(), "{}", program.log());
+}
+
 /// Connections wait in the queue of a process that has been stopped; when it goes on, it is told to end, and the system
 /// refuses to give them to it for a moment.
 #[test]
--- a/crates/delivery/src/net/server/tests.rs
+++ b/crates/delivery/src/net/server/tests.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::clock::SteadyClock;
 use crate::frontend::platform::PlatformFrontend;
+use crate::net::connection::before;
 use crate::net::http;
 use async_executor::LocalExecutor;
 use std::io::Write;
@@ -196,3 +197,33 @@
         assert_eq!(clients.counters().submitted.get(), 0);
     });
 }
+
+/// The last part of a request had come when its connection was closed to make room, and nobody answered it.
+#[test]
+fn last_part_of_a_request_that_crosses_its_eviction_is_answered() {
+    served(8, Duration::from_secs(5), |address, clients| async move {
+        let (first, rest) = READY.split_at(9);
+        let (mut connection, mut socket) = idle_connection(address).await;
+        socket.write_all(first).unwrap();
+        let is_reading = || {
+            let connections = clients.table.connections.borrow();
+            connections
+                .values()
+                .any(|entry| entry.phase == Phase::Reading)
+        };
+        while !is_reading() {
+            future::yield_now().await;
+        }
+        let earlier = Instant::now().checked_sub(Duration::from_secs(1)).unwrap();
+        for entry in clients.table.connections.borrow_mut().values_mut() {
+            entry.since = earlier;
+        }
+        socket.write_all(rest).unwrap();
+        clients.evict(1);
+        let answer = before(
+            Instant::now() + Duration::from_secs(5),
+            connection.read_head(MAX_HEAD),
+        );
+        assert!(matches!(answer.await, Some(Ok(_))), "closed unanswered");
+    });
+}
