--- a/crates/delivery/src/net/admin.rs
+++ b/crates/delivery/src/net/admin.rs
@@ -4,9 +4,10 @@
 
 use super::connection::{before, Connection, ReadError};
 use super::http;
+use super::server::pause_after;
 use super::spawner::Spawner;
 use crate::log_line;
-use async_io::{Async, Timer};
+use async_io::Async;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -18,8 +19,6 @@
 const WRITE_GRACE: Duration = Duration::from_millis(200);
 /// The longest head and the longest body: an endpoint's id.
 const MAX_LEN: usize = 4 * 1024;
-/// How long the listener pauses after an error.
-const ERROR_PAUSE: Duration = Duration::from_millis(50);
 
 /// What operators ask of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,8 +71,11 @@
         match listener.accept().await {
             Ok((stream, _)) => tasks.spawn(serve_call(stream, handler.clone())),
             Err(error) => {
-                log_line!("no operators' connection accepted: {error}");
-                Timer::after(ERROR_PAUSE).await;
+                log_line!(
+                    code = "not-accepted",
+                    "no operators' connection accepted: {error}"
+                );
+                pause_after(&error).await;
             }
         }
     }
--- a/crates/delivery/src/net/connection.rs
+++ b/crates/delivery/src/net/connection.rs
@@ -80,10 +80,17 @@
 impl UnreadProbe {
     /// Whether bytes have come that nobody has read yet.
     pub fn has_unread(&self) -> bool {
-        self.stream
-            .get_ref()
-            .peek(&mut [0])
-            .is_ok_and(|available| available > 0)
+        peek(&self.stream).is_ok_and(|available| available > 0)
+    }
+}
+
+/// Looks for an unread byte without waiting; 0 once the peer has closed its side.
+fn peek(stream: &Async<TcpStream>) -> io::Result<usize> {
+    loop {
+        match stream.get_ref().peek(&mut [0]) {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            peeked => return peeked,
+        }
     }
 }
 
@@ -144,9 +151,13 @@
         if self.buffer.len() < self.filled + READ_SIZE {
             self.buffer.resize(self.filled + READ_SIZE, 0);
         }
-        let read = (&*self.stream)
-            .read(&mut self.buffer[self.filled..])
-            .await?;
+        let read = loop {
+            match (&*self.stream).read(&mut self.buffer[self.filled..]).await {
+                // Nothing was read, and nothing is wrong with the connection.
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                read => break read?,
+            }
+        };
         self.filled += read;
         Ok(read > 0)
     }
@@ -158,7 +169,10 @@
     pub async fn write(&mut self, mut head: &[u8], mut body: &[u8]) -> io::Result<()> {
         while !head.is_empty() || !body.is_empty() {
             let parts = [io::IoSlice::new(head), io::IoSlice::new(body)];
-            let written = (&*self.stream).write_vectored(&parts).await?;
+            let written = match (&*self.stream).write_vectored(&parts).await {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                written => written?,
+            };
             if written == 0 {
                 return Err(io::ErrorKind::WriteZero.into());
             }
@@ -295,8 +309,7 @@
     /// Whether an idle connection can be used: open, and without unrequested bytes.
     pub fn is_reusable(&self) -> bool {
         let is_silent = |error: io::Error| error.kind() == io::ErrorKind::WouldBlock;
-        let peeked = self.stream.get_ref().peek(&mut [0]);
-        self.bytes().is_empty() && peeked.err().is_some_and(is_silent)
+        self.bytes().is_empty() && peek(&self.stream).err().is_some_and(is_silent)
     }
 
     /// Whether more than so many bytes have come.
--- a/crates/delivery/src/net/listener.rs
+++ b/crates/delivery/src/net/listener.rs
@@ -3,7 +3,7 @@
 //! While a standby starts and the active process still serves, both listen at the clients' address, and the system
 //! distributes new connections among them.
 
-use nix::libc::{sock_filter, sock_fprog};
+use nix::libc::{self, sock_filter, sock_fprog};
 use nix::sys::socket::{setsockopt, sockopt::AttachReusePortCbpf};
 use rustix::net::{sockopt, AddressFamily, SocketAddrAny, SocketType};
 use std::io;
@@ -32,6 +32,30 @@
     Ok(TcpListener::from(socket))
 }
 
+/// Whether a failed `accept` says something of the connection that waited, or of nothing at all: the next one can be
+/// accepted at once. Linux passes on errors that were already pending on a new connection. Other errors are of the
+/// system, which is short of something, and the connection waits on.
+pub fn concerns_one_connection(error: &io::Error) -> bool {
+    const OF_ONE_CONNECTION: &[i32] = &[
+        libc::ECONNABORTED,
+        libc::ECONNRESET,
+        libc::EINTR,
+        libc::EPROTO,
+        libc::ENETDOWN,
+        libc::ENETUNREACH,
+        libc::ENOPROTOOPT,
+        libc::EHOSTDOWN,
+        libc::EHOSTUNREACH,
+        libc::ENONET,
+        libc::EOPNOTSUPP,
+        libc::ETIMEDOUT,
+        libc::EPERM,
+    ];
+    error
+        .raw_os_error()
+        .is_some_and(|number| OF_ONE_CONNECTION.contains(&number))
+}
+
 /// The packet filter instruction that ends a program with a constant.
 const BPF_RETURN: u16 = 0x06;
 
--- a/crates/delivery/src/net/server.rs
+++ b/crates/delivery/src/net/server.rs
@@ -14,6 +14,7 @@
 
 use super::connection::Connection;
 use super::frontend::Frontend;
+use super::listener::concerns_one_connection;
 use crate::clock::Clock;
 use crate::log_line;
 use async_io::{Async, Timer};
@@ -33,7 +34,7 @@
 /// How long the listener pauses while all connections are in use.
 const FULL_PAUSE: Duration = Duration::from_millis(1);
 /// How long it pauses after an error: without descriptors, trying at once again would only spin.
-const ERROR_PAUSE: Duration = Duration::from_millis(50);
+const ERROR_PAUSE: Duration = Duration::from_millis(10);
 /// How often idle connections are evicted where there are many.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -69,10 +70,10 @@
             match self.accept(&listener).await {
                 Some(Ok((stream, peer))) => self.spawn_session(stream, peer),
                 Some(Err(error)) => {
-                    log_line!("no connection accepted: {error}");
-                    Timer::after(ERROR_PAUSE).await;
+                    log_line!(code = "not-accepted", "no connection accepted: {error}");
+                    pause_after(&error).await;
                 }
-                None => return self.close(listener),
+                None => return self.close(listener).await,
             }
         }
     }
@@ -99,11 +100,17 @@
         future::or(async { Some(listener.accept().await) }, stopped).await
     }
 
-    /// Takes the connections that wait in the system's queue, and closes the listener, which would reset them.
-    fn close(self, listener: Async<TcpListener>) {
-        while let Ok((stream, peer)) = listener.get_ref().accept() {
-            if let Ok(stream) = Async::new(stream) {
-                self.spawn_session(stream, peer);
+    /// Takes the connections that wait in the system's queue, and closes the listener, which would reset them. While the
+    /// system does not give them out they wait, at most until the process ends.
+    async fn close(self, listener: Async<TcpListener>) {
+        loop {
+            match listener.get_ref().accept() {
+                Ok((stream, peer)) => match Async::new(stream) {
+                    Ok(stream) => self.spawn_session(stream, peer),
+                    Err(error) => log_line!(code = "not-accepted", "connection lost: {error}"),
+                },
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) => pause_after(&error).await,
             }
         }
         drop(listener);
@@ -123,8 +130,9 @@
             let closed = async {
                 loop {
                     let code = close_requests.recv().await.unwrap_or("leaving");
-                    // A request that crossed the close, or waits behind others' to be read, is served.
-                    if !(clients.table.awaits_request(id) && probe.has_unread()) {
+                    // A request that crossed the close, or waits behind others' to be read, is served; the last part of
+                    // one that had begun as well.
+                    if !(clients.table.may_send_request(id) && probe.has_unread()) {
                         return code;
                     }
                 }
@@ -145,6 +153,15 @@
     }
 }
 
+/// What is due after a connection could not be accepted: nothing where the next one may be, else a pause.
+pub(super) async fn pause_after(error: &io::Error) {
+    if concerns_one_connection(error) {
+        future::yield_now().await;
+    } else {
+        Timer::after(ERROR_PAUSE).await;
+    }
+}
+
 /// Evicts idle connections for ever, where there are many.
 pub async fn evict_idle(clients: Rc<ClientConnections>) {
     loop {
--- a/crates/delivery/src/net/server/connection_table.rs
+++ b/crates/delivery/src/net/server/connection_table.rs
@@ -89,11 +89,11 @@
         }
     }
 
-    /// Whether a connection waits for a request to begin.
-    pub(super) fn awaits_request(&self, id: ConnectionId) -> bool {
+    /// Whether bytes that come on a connection may be a request or the rest of one.
+    pub(super) fn may_send_request(&self, id: ConnectionId) -> bool {
         let connections = self.connections.borrow();
         let phase = connections.get(&id).map(|entry| entry.phase);
-        matches!(phase, Some(Phase::Silent | Phase::Idle))
+        matches!(phase, Some(Phase::Silent | Phase::Idle | Phase::Reading))
     }
 
     pub(super) fn len(&self) -> usize {
