--- a/crates/delivery/src/net/server/tests.rs
+++ b/crates/delivery/src/net/server/tests.rs
@@ -3,6 +3,7 @@
 use super::session::MAX_HEAD;
 use super::*;
 use crate::clock::SteadyClock;
+use crate::core::SubmitResponse;
 use crate::frontend::platform::PlatformFrontend;
 use crate::net::connection::before;
 use crate::net::http;
@@ -52,8 +53,8 @@
         let address = listener.get_ref().local_addr().unwrap();
         let server = Server {
             frontend: Rc::new(PlatformFrontend {
-                class_names: vec![],
-                requires_key: vec![],
+                class_names: vec!["status".to_owned()],
+                requires_key: vec![false],
                 destinations_by_number: None,
             }),
             clients: clients.clone(),
@@ -227,3 +228,21 @@
         assert!(matches!(answer.await, Some(Ok(_))), "closed unanswered");
     });
 }
+
+/// The engine had ended, and a request that was read in the last moments of the process got no answer.
+#[test]
+fn request_read_after_the_engine_has_ended_is_rejected() {
+    served(8, Duration::from_secs(5), |address, clients| async move {
+        let (mut connection, _) = idle_connection(address).await;
+        clients.respond_to_all(SubmitResponse::Rejected {
+            retry_after_ms: 1000,
+        });
+        let submission = b"POST /api HTTP/1.1\r\nX-Call-Id: m\r\nX-Call-Class: status\r\n\
+            X-Budget-Ms: 900\r\nX-Envelope: dest=1\r\nContent-Length: 0\r\n\r\n";
+        let answer = before(
+            Instant::now() + Duration::from_secs(5),
+            request(&mut connection, submission),
+        );
+        assert_eq!(answer.await.map(|(status, _)| status), Some(503));
+    });
+}
