What is read after the engine's last step is rejected, and answers are waited for

Cause: EngineLoop::finish in instance/engine_loop.rs gave all that waited its answer and slept 30 ms, in which Session::submit went on handing requests to a queue that nobody read. Change: from then on each submission is rejected at once, and the process ends once no request is open, 150 ms later at most.

--- a/crates/delivery/src/instance/engine_loop.rs
+++ b/crates/delivery/src/instance/engine_loop.rs
@@ -19,7 +19,9 @@
 /// When requests that still wait at the end are to be sent again.
 const RETRY_AFTER_SHUTDOWN_MS: u64 = 1000;
 /// How long responses at the end have to be written.
-const LAST_WRITES: Duration = Duration::from_millis(30);
+const LAST_WRITES: Duration = Duration::from_millis(150);
+/// How often it is looked whether they are.
+const LAST_WRITES_POLL: Duration = Duration::from_millis(10);
 
 /// Where the engine's events come from.
 pub(super) struct EventReceivers {
@@ -154,7 +156,14 @@
                 retry_after_ms: RETRY_AFTER_SHUTDOWN_MS,
             });
         self.write_snapshot();
-        Timer::after(LAST_WRITES).await;
+        let until = Instant::now() + LAST_WRITES;
+        loop {
+            Timer::after(LAST_WRITES_POLL).await;
+            let is_over = Instant::now() >= until;
+            if is_over || !self.executor.clients.has_open_requests() {
+                return;
+            }
+        }
     }
 
     /// Sleeps until an event comes or something is due.
--- a/crates/delivery/src/net/server/client_connections.rs
+++ b/crates/delivery/src/net/server/client_connections.rs
@@ -29,6 +29,8 @@
     pub(super) table: ConnectionTable,
     max_connections: usize,
     counters: Rc<Counters>,
+    /// What a request is answered once the engine has ended.
+    final_response: Cell<Option<SubmitResponse>>,
     /// Closed once no connection is accepted any more.
     accepting: Sender<()>,
     accepting_watch: Receiver<()>,
@@ -54,6 +56,7 @@
             table: ConnectionTable::default(),
             max_connections,
             counters,
+            final_response: Cell::default(),
             accepting,
             accepting_watch,
             listeners: Cell::default(),
@@ -122,13 +125,25 @@
         }
     }
 
-    /// Responds to all requests that wait.
+    /// Gives all requests that wait a response, and from now on each that is read the same: the engine takes none any
+    /// more.
     pub fn respond_to_all(&self, response: SubmitResponse) {
+        self.final_response.set(Some(response));
         for waiting in self.waiting.borrow().values() {
             let _ = waiting.try_send(response);
         }
     }
 
+    /// The response to a submission that the engine does not take any more.
+    pub(super) fn final_response(&self) -> Option<SubmitResponse> {
+        self.final_response.get()
+    }
+
+    /// Whether a request is being read or waits for its response.
+    pub fn has_open_requests(&self) -> bool {
+        self.table.has_open_requests()
+    }
+
     /// Queues an event for the engine.
     pub async fn send(&self, event: EngineEvent) {
         let _ = self.events.send(event).await;
--- a/crates/delivery/src/net/server/connection_table.rs
+++ b/crates/delivery/src/net/server/connection_table.rs
@@ -96,6 +96,14 @@
         matches!(phase, Some(Phase::Silent | Phase::Idle | Phase::Reading))
     }
 
+    /// Whether requests are open: a part of one has come, or its response is due.
+    pub(super) fn has_open_requests(&self) -> bool {
+        let connections = self.connections.borrow();
+        connections
+            .values()
+            .any(|entry| matches!(entry.phase, Phase::Reading | Phase::AwaitingResponse))
+    }
+
     pub(super) fn len(&self) -> usize {
         self.connections.borrow().len()
     }
--- a/crates/delivery/src/net/server/session.rs
+++ b/crates/delivery/src/net/server/session.rs
@@ -223,6 +223,10 @@
     /// Submits a message and waits for its response, unless the client goes first.
     async fn submit(&mut self, message: Message) -> Result<PendingResponse, EndCode> {
         add(&self.clients.counters().submitted);
+        let at_the_end = self.clients.final_response();
+        if let Some(response) = at_the_end.and_then(|response| self.frontend.respond(response)) {
+            return Ok(response.into());
+        }
         let (request, responses) = self.clients.register_request();
         self.clients
             .send(EngineEvent::Submitted(request, message))
