Rules of sending, repeating and closing in one module, checked as the program runs

A start that would break a rule is refused, counted (violations) and logged (invariant-violated), as is a request whose connection ends with no answer and a last byte that went out within a backoff or after a window. The simulation on the core ends where a rule would be broken.

--- a/crates/delivery/src/core/engine.rs
+++ b/crates/delivery/src/core/engine.rs
@@ -18,7 +18,7 @@
 mod settings;
 mod unjournalled;
 
-pub use command::{AttemptRequest, EngineCommand};
+pub use command::{AttemptRequest, EngineCommand, RejectReason};
 pub use event::{AttemptResult, EngineEvent};
 pub use policy_change::LeaseState;
 pub use settings::{EngineSettings, PolicyChange, PolicyMismatch, ProposedPolicy};
@@ -70,6 +70,8 @@
     in_flight_elsewhere: BTreeSet<MessageId>,
     /// ... and those which it is not told of before, as their endpoint is not listed any more.
     parked: BTreeSet<MessageId>,
+    /// Submissions rejected since that was last asked for.
+    rejections: Vec<(RequestId, RejectReason)>,
     /// Attempts that wait for the journal.
     unjournalled: Vec<UnjournalledAttempt>,
     /// Attempts in flight.
@@ -139,6 +141,7 @@
             role: Role::Standby,
             in_flight_elsewhere: BTreeSet::new(),
             parked: BTreeSet::new(),
+            rejections: Vec::new(),
             unjournalled: Vec::new(),
             in_flight: 0,
             lease: LeaseState::Held,
--- a/crates/delivery/src/core/engine/acceptance.rs
+++ b/crates/delivery/src/core/engine/acceptance.rs
@@ -2,7 +2,7 @@
 
 use super::hot_restart::Role;
 use super::{
-    log_journal_error, Batch, Engine, EngineCommand, DEFAULT_RETRY_AFTER_MS,
+    log_journal_error, Batch, Engine, EngineCommand, RejectReason, DEFAULT_RETRY_AFTER_MS,
     LAST_ACCEPTED_BEFORE_END,
 };
 use crate::core::message_record::AttemptRecord;
@@ -45,7 +45,8 @@
             }
             Lookup::Conflict => return batch.respond(request, SubmitResponse::Conflict),
         };
-        if !self.admits(&message, batch) {
+        if let Some(reason) = self.objection(&message, batch) {
+            self.rejections.push((request, reason));
             let rejected = SubmitResponse::Rejected {
                 retry_after_ms: DEFAULT_RETRY_AFTER_MS,
             };
@@ -75,18 +76,23 @@
         });
     }
 
-    /// Whether one more message may be accepted. The list may be late, so a message for a destination that it has not
+    /// Why one more message may not be accepted, if so. The list may be late, so a message for a destination that it has not
     /// named is rejected rather than failed. What is accepted while another incarnation is active is delivered by that
     /// one.
-    fn admits(&self, message: &Message, batch: &Batch<'_>) -> bool {
+    fn objection(&self, message: &Message, batch: &Batch<'_>) -> Option<RejectReason> {
         let full = self.role != Role::HandedOver
             && self.store.open_count() + batch.submissions.len() >= self.policy.max_open;
         let ending =
             self.role == Role::Active && self.ends_within(batch.now, LAST_ACCEPTED_BEFORE_END);
-        self.is_known_destination(message.destination)
-            && !full
-            && !ending
-            && self.store.has_room(message)
+        if !self.is_known_destination(message.destination) {
+            Some(RejectReason::UnknownDestination)
+        } else if ending {
+            Some(RejectReason::Ending)
+        } else if full || !self.store.has_room(message) {
+            Some(RejectReason::Full)
+        } else {
+            None
+        }
     }
 
     /// A submission joins an open message. The platform's clients give each submission an id of its own: who brings a
@@ -206,6 +212,7 @@
                 .find_map(|action| self.given_up(now, &submission, action));
             if let Some(response) = given_up {
                 // Given up before it was accepted: the response itself says so, and nothing is owed.
+                self.note_rejected(id, RejectReason::Scheduler);
                 self.respond_all(id, response, commands);
                 continue;
             }
@@ -219,6 +226,7 @@
                 commands.push(EngineCommand::Log(format!(
                     "the journal does not take a message: {error}"
                 )));
+                self.note_rejected(id, RejectReason::NotJournalled);
                 not_journalled.insert(id);
                 self.backlog.push(m::Event::Cancelled(id));
                 let rejected = SubmitResponse::Rejected {
@@ -238,6 +246,17 @@
         not_journalled
     }
 
+    fn note_rejected(&mut self, id: MessageId, reason: RejectReason) {
+        let requests = self.waiting_clients.get(&id).into_iter().flatten();
+        self.rejections
+            .extend(requests.map(|request| (*request, reason)));
+    }
+
+    /// The submissions that were rejected since the last call, and why.
+    pub fn take_rejections(&mut self) -> Vec<(RequestId, RejectReason)> {
+        std::mem::take(&mut self.rejections)
+    }
+
     /// The response to a submission that an action gives up in the step it came in.
     fn given_up(
         &self,
--- a/crates/delivery/src/core/engine/attempts.rs
+++ b/crates/delivery/src/core/engine/attempts.rs
@@ -8,6 +8,7 @@
 use crate::core::{
     Disposition, FinalOutcome, Message, MessageId, Origin, Route, SubmitResponse, Timestamp,
 };
+use crate::rules;
 use marblefall_scheduler as m;
 use std::collections::BTreeSet;
 
@@ -137,6 +138,13 @@
                 .unwrap_or_default(),
         };
         let attempt = self.store.get(id).map_or(0, |record| record.attempts);
+        if let Some(known) = self.store.get(id).filter(|record| record.is_open()) {
+            let class = self.policy.classes.get(known.message.class.0);
+            if let Err(rule) = rules::may_start(known, class, now) {
+                commands.push(EngineCommand::RuleViolated(rule, id));
+                return self.report_not_sent(now, id);
+            }
+        }
         let noted = self.store.attempt_started(id, record);
         if noted.is_err() {
             log_journal_error(noted, commands);
--- a/crates/delivery/src/core/engine/command.rs
+++ b/crates/delivery/src/core/engine/command.rs
@@ -2,6 +2,7 @@
 
 use crate::core::endpoint::ListedEndpoint;
 use crate::core::{FinalOutcome, Message, MessageId, RequestId, Route, SubmitResponse};
+use crate::rules::Rule;
 use marblefall_scheduler as m;
 use std::rc::Rc;
 
@@ -24,6 +25,21 @@
     pub write_by: m::Time,
 }
 
+/// Why a submission is rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RejectReason {
+    /// As many messages are open as may be, or the journal is full.
+    Full,
+    /// The process ends.
+    Ending,
+    /// No endpoint list has named its destination.
+    UnknownDestination,
+    /// The journal could not be written.
+    NotJournalled,
+    /// The scheduler gave it up in the step in which it came.
+    Scheduler,
+}
+
 /// Something to be done outside the engine.
 #[derive(Debug)]
 pub enum EngineCommand {
@@ -58,6 +74,8 @@
     HandedOver,
     /// The policy with this revision is in force.
     PolicyInForce(u64),
+    /// An action was refused that would have broken a rule.
+    RuleViolated(Rule, MessageId),
     /// Write a log line.
     Log(String),
 }
--- a/crates/delivery/src/counters.rs
+++ b/crates/delivery/src/counters.rs
@@ -2,6 +2,8 @@
 //!
 //! Where the printed name differs from the field's, operators' tools read the printed one.
 
+use crate::log_line;
+use crate::rules::Rule;
 use std::cell::Cell;
 use std::fmt;
 
@@ -63,10 +65,30 @@
     expired = "expired",
     /// Notices that the platform has acknowledged.
     notices_acknowledged = "notices",
+    /// Submissions rejected as the instance holds as many messages as it may, or its journal is full.
+    rejected_full = "rejected_full",
+    /// Submissions rejected as the process ends.
+    rejected_ending = "rejected_ending",
+    /// Submissions rejected as no endpoint list has named their destination.
+    rejected_unknown = "rejected_unknown",
+    /// Submissions rejected as the journal could not be written.
+    rejected_unjournalled = "rejected_unjournalled",
+    /// Submissions rejected as the scheduler had no use for them.
+    rejected_by_scheduler = "rejected_by_scheduler",
+    /// Rules that were broken, or would have been had the action not been refused.
+    violations = "violations",
     /// The longest that the engine kept everything else of the instance waiting, in microseconds: no count.
     longest_step_us = "longest_step_us",
 }
 
+impl Counters {
+    /// Counts and logs a rule that was broken, or would have been.
+    pub fn violated(&self, rule: Rule, what: &dyn fmt::Display) {
+        add(&self.violations);
+        log_line!(code = "invariant-violated", rule = rule.name(), "{what}");
+    }
+}
+
 /// Adds one.
 pub fn add(counter: &Cell<u64>) {
     counter.set(counter.get() + 1);
--- a/crates/delivery/src/instance/executor.rs
+++ b/crates/delivery/src/instance/executor.rs
@@ -6,7 +6,7 @@
 use crate::clock::Clock;
 use crate::core::endpoint::ListedEndpoint;
 use crate::core::engine::{
-    AttemptRequest, AttemptResult, Engine, EngineCommand, EngineEvent, LeaseState,
+    AttemptRequest, AttemptResult, Engine, EngineCommand, EngineEvent, LeaseState, RejectReason,
 };
 use crate::core::{FinalOutcome, Message, MessageId, Origin, RequestId, SubmitResponse};
 use crate::counters::{add, Counters};
@@ -15,11 +15,11 @@
 use crate::hot_restart::driver;
 use crate::hot_restart::incarnation::Incarnation;
 use crate::lease_guard::{GuardState, LeaseGuard, LeasePermit};
-use crate::log_line;
 use crate::net::discovery::PendingNotice;
 use crate::net::pool::{Attempt, EncodedRequest, Pool};
 use crate::net::server::ClientConnections;
 use crate::net::spawner::Spawner;
+use crate::{log_line, message_line};
 use async_channel::Sender;
 use marblefall_scheduler::{EndpointId, Outcome};
 use std::cell::{Cell, RefCell};
@@ -111,6 +111,9 @@
             commands.extend(self.withheld.borrow_mut().drain(..));
         }
         engine.step(self.clock.now(), batch, commands);
+        for (request, reason) in engine.take_rejections() {
+            self.count_rejected(request, reason);
+        }
         // The process may have been stopped during the step, and another one decide since.
         let is_fenced = !engine.has_handed_over() && driver::must_hand_over(&self.incarnation);
         for command in commands.drain(..) {
@@ -161,6 +164,10 @@
             }
             EngineCommand::HandedOver => self.handed_over(),
             EngineCommand::PolicyInForce(revision) => self.policy_in_force(revision),
+            EngineCommand::RuleViolated(rule, id) => {
+                let what = format!("message {}: attempt refused", id.0);
+                self.counters.violated(rule, &what);
+            }
             EngineCommand::Log(text) => log_line!("{text}"),
         }
     }
@@ -174,6 +181,22 @@
         self.clients.respond(request, response);
     }
 
+    fn count_rejected(&self, request: RequestId, reason: RejectReason) {
+        let counters = &self.counters;
+        add(match reason {
+            RejectReason::Full => &counters.rejected_full,
+            RejectReason::Ending => &counters.rejected_ending,
+            RejectReason::UnknownDestination => &counters.rejected_unknown,
+            RejectReason::NotJournalled => &counters.rejected_unjournalled,
+            RejectReason::Scheduler => &counters.rejected_by_scheduler,
+        });
+        message_line!(
+            code = "submission-rejected",
+            request = request.0,
+            "{reason:?}"
+        );
+    }
+
     fn count_final_outcome(&self, outcome: FinalOutcome) {
         match outcome {
             FinalOutcome::Delivered => {}
@@ -184,6 +207,11 @@
     }
 
     fn send_notice(&self, message_id: MessageId, message: &Message, outcome: FinalOutcome) {
+        message_line!(
+            code = "final-outcome",
+            message = message_id.0,
+            "{outcome:?}"
+        );
         let notice = PendingNotice {
             message_id,
             identity: message.identity.clone(),
@@ -266,6 +294,16 @@
         };
         let ended = self.pool.run_attempt(attempt).await;
         self.count_attempt(&ended.outcome);
+        if ended.outcome != Outcome::Delivered {
+            message_line!(
+                code = "attempt-ended",
+                message = request.message_id.0,
+                attempt = request.attempt,
+                endpoint = request.endpoint.0,
+                "{:?}",
+                ended.outcome
+            );
+        }
         AttemptResult {
             message_id: request.message_id,
             attempt: request.attempt,
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod lease_guard;
 pub mod log;
 pub mod net;
+pub mod rules;
 pub mod snapshot_store;
 
 pub use error_chain::error_chain;
--- a/crates/delivery/src/log.rs
+++ b/crates/delivery/src/log.rs
@@ -10,7 +10,7 @@
 use std::cell::Cell;
 use std::fmt;
 use std::time::{Duration, Instant};
-use tracing::{Event, Metadata, Subscriber};
+use tracing::{Event, Level, Metadata, Subscriber};
 use tracing_subscriber::fmt::format::{Format as Layout, Full, Json, JsonFields, Writer};
 use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields};
 use tracing_subscriber::layer::{Context, Filter, SubscriberExt};
@@ -19,6 +19,8 @@
 
 /// How many lines an instance may write in a second.
 const MAX_LINES_PER_SECOND: u32 = 50;
+/// How many lines more about single messages, which come in floods and must not crowd out the others.
+const MAX_MESSAGE_LINES_PER_SECOND: u32 = 20;
 
 const WINDOW_LENGTH: Duration = Duration::from_secs(1);
 
@@ -38,8 +40,8 @@
         dropped: 0,
     };
 
-    /// Counts one more line; returns whether there is room for it.
-    fn admit(&mut self, now: Instant) -> bool {
+    /// Counts one more line; returns whether there is room for it among so many in a second.
+    fn admit(&mut self, now: Instant, max_lines: u32) -> bool {
         let is_over = self
             .started_at
             .is_none_or(|started_at| now - started_at >= WINDOW_LENGTH);
@@ -48,7 +50,7 @@
             self.lines = 1;
             return true;
         }
-        if self.lines < MAX_LINES_PER_SECOND {
+        if self.lines < max_lines {
             self.lines += 1;
             return true;
         }
@@ -60,6 +62,8 @@
 thread_local! {
     /// Each instance has a thread of its own, and so a window of its own.
     static WINDOW: Cell<FloodWindow> = const { Cell::new(FloodWindow::EMPTY) };
+    /// The same for the lines about single messages.
+    static MESSAGE_WINDOW: Cell<FloodWindow> = const { Cell::new(FloodWindow::EMPTY) };
 }
 
 /// How log lines look.
@@ -72,20 +76,30 @@
     Json,
 }
 
-/// Whether one more line has room in this second.
-fn admit(now: Instant) -> bool {
-    let mut window = WINDOW.get();
-    let is_admitted = window.admit(now);
-    WINDOW.set(window);
+/// Whether one more line of a level has room in this second.
+fn admit(level: &Level, now: Instant) -> bool {
+    let (cell, max_lines) = if *level <= Level::INFO {
+        (&WINDOW, MAX_LINES_PER_SECOND)
+    } else {
+        (&MESSAGE_WINDOW, MAX_MESSAGE_LINES_PER_SECOND)
+    };
+    let mut window = cell.get();
+    let is_admitted = window.admit(now, max_lines);
+    cell.set(window);
     is_admitted
 }
 
 /// How many lines were dropped since the last call.
 fn take_dropped() -> u64 {
-    let mut window = WINDOW.get();
-    let dropped = std::mem::take(&mut window.dropped);
-    WINDOW.set(window);
-    dropped
+    [&WINDOW, &MESSAGE_WINDOW]
+        .into_iter()
+        .map(|cell| {
+            let mut window = cell.get();
+            let dropped = std::mem::take(&mut window.dropped);
+            cell.set(window);
+            dropped
+        })
+        .sum()
 }
 
 /// Lets as many lines through as there is room for; spans cost nothing until a line is written in them.
@@ -93,11 +107,12 @@
 
 impl<S> Filter<S> for FloodLimit {
     fn enabled(&self, metadata: &Metadata<'_>, _: &Context<'_, S>) -> bool {
-        *metadata.level() <= tracing::Level::INFO
+        *metadata.level() <= Level::INFO
+            || *metadata.level() == Level::DEBUG && metadata.target().starts_with("marblefall")
     }
 
-    fn event_enabled(&self, _: &Event<'_>, _: &Context<'_, S>) -> bool {
-        admit(Instant::now())
+    fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
+        admit(event.metadata().level(), Instant::now())
     }
 }
 
@@ -168,5 +183,13 @@
     };
 }
 
+/// Writes a line about a single message, unless too many of those came just now. They have room of their own.
+#[macro_export]
+macro_rules! message_line {
+    ($($part:tt)*) => {
+        $crate::log::tracing::debug!($($part)*)
+    };
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/delivery/src/net/pool.rs
+++ b/crates/delivery/src/net/pool.rs
@@ -159,11 +159,8 @@
         *known = until.max(*known);
     }
 
-    fn in_backoff(&self, route: Route, now: Instant) -> bool {
-        self.backoffs
-            .borrow()
-            .get(&route)
-            .is_some_and(|until| now < *until)
+    fn backoff_until(&self, route: Route) -> Option<Instant> {
+        self.backoffs.borrow().get(&route).copied()
     }
 
     /// Cancels the attempt of a message.
--- a/crates/delivery/src/net/pool/attempt.rs
+++ b/crates/delivery/src/net/pool/attempt.rs
@@ -4,8 +4,10 @@
 use super::{log_ended, until_cancelled, ConnectionOrigin, Pool, PooledConnection};
 use crate::core::{Disposition, MessageId, Route};
 use crate::lease_guard::LeasePermit;
+use crate::message_line;
 use crate::net::connection::before;
 use crate::net::http::ResponseHead;
+use crate::rules::{Rule, SendConditions, Withheld};
 use async_channel::Receiver;
 use futures_lite::future;
 use marblefall_scheduler::{EndpointId, Outcome, RateLimitReport};
@@ -18,6 +20,9 @@
 /// A reused connection that breaks within this time had been closed by its endpoint before.
 const STALE_WITHIN: Duration = Duration::from_millis(100);
 
+/// A process may be held up so long between a look at its clock and a write; windows leave more than that.
+const HOLD_UP: Duration = Duration::from_millis(150);
+
 /// The request of an attempt as it is written.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EncodedRequest<'a> {
@@ -97,7 +102,13 @@
             Err(outcome) => return outcome.into(),
         };
         let now = Instant::now();
-        if !self.may_send(attempt, pooled.address, now) {
+        if let Err(withheld) = self.conditions(attempt, pooled.address).may_begin(now) {
+            message_line!(
+                code = "attempt-withheld",
+                endpoint = attempt.endpoint.0,
+                message = attempt.message_id.0,
+                "{withheld:?}"
+            );
             self.return_to_pool(attempt.endpoint, pooled);
             return Outcome::NotSent.into();
         }
@@ -105,7 +116,10 @@
             .write_request(&mut pooled, attempt, cancelled, now)
             .await
         {
-            RequestWrite::Complete => self.await_response(pooled, attempt, cancelled).await,
+            RequestWrite::Complete => {
+                self.check_sent(attempt, pooled.address);
+                self.await_response(pooled, attempt, cancelled).await
+            }
             RequestWrite::NotStarted => {
                 self.return_to_pool(attempt.endpoint, pooled);
                 Outcome::NotSent.into()
@@ -114,13 +128,27 @@
         }
     }
 
-    /// Whether an attempt may still be sent. Getting its connection may have taken long: its endpoint may have begun to
-    /// drain or moved, its route may be in backoff, its time may be up.
-    fn may_send(&self, attempt: &Attempt<'_>, address: SocketAddr, now: Instant) -> bool {
-        self.accepts_attempts_at(attempt.endpoint, address)
-            && now < attempt.write_by
-            && now < attempt.timeout_at
-            && !self.in_backoff(attempt.route, now)
+    /// What decides whether an attempt may be sent. Getting its connection may have taken long: its endpoint may have
+    /// begun to drain or moved, its route may be in backoff, its time may be up.
+    fn conditions(&self, attempt: &Attempt<'_>, address: SocketAddr) -> SendConditions {
+        SendConditions {
+            endpoint_accepts: self.accepts_attempts_at(attempt.endpoint, address),
+            backoff_until: self.backoff_until(attempt.route),
+            write_by: attempt.write_by.min(attempt.timeout_at),
+        }
+    }
+
+    /// A request's last byte is written: looks whether it might be, as the process may have been held up on the way.
+    fn check_sent(&self, attempt: &Attempt<'_>, address: SocketAddr) {
+        let conditions = self.conditions(attempt, address);
+        let rule = match conditions.may_go_on(Instant::now()) {
+            Err(Withheld::Backoff) => Rule::BackoffKept,
+            // A window ends so much later than it is taken to.
+            Err(Withheld::Late) if attempt.write_by.elapsed() > HOLD_UP => Rule::RepeatWithinWindow,
+            _ => return,
+        };
+        self.counters
+            .violated(rule, &format!("message {}", attempt.message_id.0));
     }
 
     async fn write_request(
@@ -132,14 +160,18 @@
     ) -> RequestWrite {
         let budget_ms = (attempt.timeout_at - now).as_millis() as u64;
         let EncodedRequest { head, body } = (attempt.encode)(budget_ms);
+        let address = pooled.address;
         // Where the endpoint reads slowly, the last byte may be held up for long.
         let write_all = async {
             let deadline = attempt.timeout_at.min(attempt.write_by);
             let write = before(deadline, pooled.connection.write(&head, &body));
             matches!(until_cancelled(cancelled, write).await, Some(Some(Ok(()))))
         };
-        let in_backoff = || self.in_backoff(attempt.route, Instant::now());
-        let mut writing = std::pin::pin!(unless(in_backoff, write_all));
+        let is_withheld = || {
+            let conditions = self.conditions(attempt, address);
+            conditions.may_go_on(Instant::now()) == Err(Withheld::Backoff)
+        };
+        let mut writing = std::pin::pin!(unless(is_withheld, write_all));
         // What the first bytes do not take with them goes on without the permit.
         let first_poll = match (attempt.permit)() {
             None => return RequestWrite::NotStarted,
--- a/crates/delivery/src/net/server.rs
+++ b/crates/delivery/src/net/server.rs
@@ -17,9 +17,11 @@
 use super::listener::concerns_one_connection;
 use crate::clock::Clock;
 use crate::log_line;
+use crate::rules::{CloseConditions, Rule};
 use async_io::{Async, Timer};
+use connection_table::Phase;
 use futures_lite::future;
-use session::Session;
+use session::{Session, CLIENT_GONE, RESPONSE_NOT_TAKEN};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -132,7 +134,11 @@
                     let code = close_requests.recv().await.unwrap_or("leaving");
                     // A request that crossed the close, or waits behind others' to be read, is served; the last part of
                     // one that had begun as well.
-                    if !(clients.table.may_send_request(id) && probe.has_unread()) {
+                    let conditions = CloseConditions {
+                        may_send_request: clients.table.may_send_request(id),
+                        has_unread: probe.has_unread(),
+                    };
+                    if conditions.may_close() {
                         return code;
                     }
                 }
@@ -146,13 +152,20 @@
                 clock,
             );
             let code = future::or(closed, session.run()).await;
-            clients.table.remove(id);
+            if clients.table.remove(id) == Some(Phase::AwaitingResponse) && !is_clients_end(code) {
+                clients.counters().violated(Rule::RequestAnswered, &code);
+            }
             log_line!(code, "client side: connection ended");
         };
         self.tasks.spawn(serving.instrument(span));
     }
 }
 
+/// Whether a connection with an open request ended by its client's doing.
+fn is_clients_end(code: &str) -> bool {
+    matches!(code, CLIENT_GONE | RESPONSE_NOT_TAKEN)
+}
+
 /// What is due after a connection could not be accepted: nothing where the next one may be, else a pause.
 pub(super) async fn pause_after(error: &io::Error) {
     if concerns_one_connection(error) {
--- a/crates/delivery/src/net/server/connection_table.rs
+++ b/crates/delivery/src/net/server/connection_table.rs
@@ -79,8 +79,10 @@
         (id, close_requests)
     }
 
-    pub(super) fn remove(&self, id: ConnectionId) {
-        self.connections.borrow_mut().remove(&id);
+    /// Removes a connection; returns what it was doing.
+    pub(super) fn remove(&self, id: ConnectionId) -> Option<Phase> {
+        let removed = self.connections.borrow_mut().remove(&id);
+        removed.map(|entry| entry.phase)
     }
 
     pub(super) fn set_phase(&self, id: ConnectionId, phase: Phase) {
--- a/crates/delivery/src/net/server/session.rs
+++ b/crates/delivery/src/net/server/session.rs
@@ -26,6 +26,11 @@
 /// ... and one that has its response for so long.
 const LINGER_AFTER_RESPONSE: Duration = Duration::from_millis(500);
 
+/// The client left before its response.
+pub(super) const CLIENT_GONE: &str = "client-gone";
+/// The client did not read its response.
+pub(super) const RESPONSE_NOT_TAKEN: &str = "response-not-taken";
+
 /// The reason code with which a session ends.
 type EndCode = &'static str;
 
@@ -253,7 +258,7 @@
             }),
             None => {
                 self.clients.send(EngineEvent::ClientGone(request)).await;
-                Err("client-gone")
+                Err(CLIENT_GONE)
             }
         }
     }
@@ -286,7 +291,7 @@
                 if let Some(request) = pending.submission {
                     self.clients.send(EngineEvent::ClientGone(request)).await;
                 }
-                Err("response-not-taken")
+                Err(RESPONSE_NOT_TAKEN)
             }
         }
     }
--- a/crates/simulation/src/cored.rs
+++ b/crates/simulation/src/cored.rs
@@ -267,6 +267,10 @@
                             .map(|endpoint| Action::CloseIdleConnections(*endpoint)),
                     );
                 }
+                // A fault of the program, which a run must not survive.
+                EngineCommand::RuleViolated(rule, id) => {
+                    panic!("{rule} would have been broken at message {}", id.0)
+                }
                 EngineCommand::Log(text) => actions.push(Action::Log(text)),
                 // Nothing is called off under the lab's settings, and numbers of hosts are not used again.
                 EngineCommand::CancelAttempt(_)
