--- a/crates/scheduler/tests/recovery_over_time.rs
+++ b/crates/scheduler/tests/recovery_over_time.rs
@@ -330,3 +330,88 @@
         "the last was served {last:.1} s after its return"
     );
 }
+
+/// Calls that a recovering destination may get within the overload window where the settings allow it so many: as many,
+/// and something for chance.
+fn slow_start_budget(allowed: f64) -> f64 {
+    if allowed < 30.0 {
+        allowed + 3.0 * allowed.sqrt() + 3.0
+    } else {
+        allowed + 2.0 * allowed.sqrt() + 2.0
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Outage {
+    Down,
+    Hangs,
+    Shut,
+    Errors,
+}
+
+impl Outage {
+    fn answer(self) -> (Outcome, f64) {
+        match self {
+            Outage::Down => (Outcome::ConnectFailed, 5.0),
+            Outage::Hangs => (Outcome::TimedOut, 1500.0),
+            Outage::Shut => (Outcome::Rejected { retry_after: None }, 5.0),
+            Outage::Errors => (Outcome::Error, 20.0),
+        }
+    }
+}
+
+/// The largest part of its budget that a destination got within any overload window of the ramp after an outage.
+fn largest_part_of_budget(instances: usize, full: f64, listed: f64, outage: Outage, s: f64) -> f64 {
+    let mut set = three();
+    set.instances = instances;
+    if listed == 0.0 {
+        set.rate_hints = RateHints::Absent;
+    }
+    (set.limits.max_in_flight, set.limits.max_pending) = (9, 60);
+    let (down, back) = (20.0, 20.0 + s);
+    let scene = Scene {
+        set,
+        destinations: 1,
+        share: listed * full,
+        seconds: back + 15.0,
+        offered: 0.9 * full,
+        until: back + 15.0,
+    };
+    let seen = scene.play(|at, _| {
+        if at < down || at >= back {
+            (Outcome::Delivered, 60.0)
+        } else {
+            outage.answer()
+        }
+    });
+    let can = |at: f64| full * (0.27 + 0.73 * ((at - back) / 10.0).clamp(0.0, 1.0));
+    let times: Vec<f64> = seen.calls.iter().map(|(at, ..)| *at).collect();
+    let in_ramp = times.iter().filter(|at| (back..back + 10.0).contains(*at));
+    let parts = in_ramp.map(|start| {
+        let window = times
+            .iter()
+            .filter(|at| (*start..start + 2.0).contains(*at));
+        window.count() as f64 / slow_start_budget(1.5 * 2.0 * can(*start))
+    });
+    parts.fold(0.0, f64::max)
+}
+
+/// Where each of several instances met less than six rejections of a destination that was shut, none of them took it for
+/// out of service, and it got up to 1.6 times its budget when it opened.
+#[test]
+fn slow_start_budget_is_kept_however_few_instances_share_it() {
+    for instances in [1, 2, 4, 6, 10] {
+        for (full, listed) in [(2.0, 1.3), (4.0, 1.3), (4.0, 0.0), (16.0, 0.6)] {
+            for outage in [Outage::Down, Outage::Hangs, Outage::Shut, Outage::Errors] {
+                for lasts in [5.0, 12.0] {
+                    let part = largest_part_of_budget(instances, full, listed, outage, lasts);
+                    assert!(
+                        part <= 1.0,
+                        "{part:.2} of the budget: {instances} instances, {full} a second, listed {listed} \
+                         times that, {outage:?} for {lasts} s"
+                    );
+                }
+            }
+        }
+    }
+}
