A destination that rejected all for 2.5 s is ramped up at its first success

Cause: Route::rejected in crates/scheduler/src/state/route.rs ejects a route after six rejections over 2.5 s; where six or ten instances share a small destination each met fewer before it opened, took the first success for a limit's next window, and all of them sent at their usual rates: up to 1.6 times the budget of a server in slow start.

Change: a success after 2.5 s of nothing but rejections begins the recovery ramp, however few they were. No limit rejects all for so long.

--- a/crates/scheduler/src/policy/health.rs
+++ b/crates/scheduler/src/policy/health.rs
@@ -114,6 +114,9 @@
                 route.ramp.answered_after_silence(now);
             }
         }
+        if route.was_rejecting(now) {
+            route.ramp.answered_after_silence(now);
+        }
         route.succeeded(now, sent, self.settings.rules.ramp_duration, view);
         self.rejection_holds.remove(&route_id.destination);
     }
--- a/crates/scheduler/src/state/route.rs
+++ b/crates/scheduler/src/state/route.rs
@@ -147,6 +147,14 @@
         self.backoff_until = self.backoff_until.max(Some(until));
     }
 
+    /// Whether it has rejected all for longer than a limit does: it was out of service, though too few calls of this
+    /// instance met that to eject it.
+    pub fn was_rejecting(&self, now: Time) -> bool {
+        self.rejections
+            .as_ref()
+            .is_some_and(|run| now - run.since >= REJECTED_FOR)
+    }
+
     /// Notes a success.
     pub fn succeeded(
         &mut self,
