--- a/crates/cli/tests/system_faults.rs
+++ b/crates/cli/tests/system_faults.rs
@@ -308,3 +308,20 @@
         .filter(|attempt| attempt.field("x-call-id") == Some("m"));
     assert_eq!(of_first.count(), 1);
 }
+
+/// A lock that the system could not give for a moment was taken for one that nobody held: two processes were active.
+#[test]
+fn process_that_gets_no_lock_for_a_moment_does_not_act_beside_the_active_one() {
+    let endpoint = StandIn::start(|_| ok());
+    let site = Site::new("locks", endpoint.at, "6000", 0);
+    let (mut old, _) = site.first();
+    let lasts = Duration::from_millis(400);
+    let (new, shim) = site.start_under(&[fault(FaultKind::LockFails, NOW, lasts, ALWAYS)]);
+    new.address(MARKER, 0);
+    assert!(shim.struck(FaultKind::LockFails) > 0);
+    assert_eq!(new.log().matches("takes-over").count(), 0, "{}", new.log());
+    old.signal("TERM");
+    assert!(old.ended(), "{}", old.log());
+    assert!(old.log().contains("code=\"handed-over\""), "{}", old.log());
+    wait_for("the takeover", || new.log().contains("takes-over"));
+}
--- a/crates/delivery/src/hot_restart/takeover/tests.rs
+++ b/crates/delivery/src/hot_restart/takeover/tests.rs
@@ -92,3 +92,20 @@
         ]
     );
 }
+
+/// A fence whose mark the disk did not take was never written again: behind a predecessor that was stopped, the standby
+/// accepted messages for ever and delivered none.
+#[test]
+fn fence_is_repeated_while_a_predecessor_stays_active() {
+    let mut takeover = Takeover::new(Time(0));
+    let mut fences = 0;
+    for ms in (0..6000).step_by(10) {
+        let view = if fences < 3 { ACTIVE } else { HANDED_OVER };
+        match takeover.next_step(Time(ms * 1000), view) {
+            TakeoverStep::Fence => fences += 1,
+            TakeoverStep::TakeOver => return,
+            _ => {}
+        }
+    }
+    panic!("never taken over, {fences} fences");
+}
--- a/crates/fault-plan/src/lib.rs
+++ b/crates/fault-plan/src/lib.rs
@@ -76,6 +76,8 @@
     DiskError = "disk-eio",
     /// A write in the folder is cut in the middle and the process killed right behind it.
     TornWriteAndKill = "disk-torn-kill",
+    /// `flock` fails with ENOLCK.
+    LockFails = "flock-enolck",
     /// The wall clock shows another time.
     WallClockStepped = "wall-step",
 }
--- a/crates/fault-shim/src/calls.rs
+++ b/crates/fault-shim/src/calls.rs
@@ -295,6 +295,20 @@
     unsafe { next(file) }
 }
 
+type Lock = unsafe extern "C" fn(c_int, c_int) -> c_int;
+
+/// # Safety
+/// As of the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn flock(file: c_int, operation: c_int) -> c_int {
+    if operation & libc::LOCK_UN == 0 && strikes(FaultKind::LockFails) {
+        return fail(libc::ENOLCK);
+    }
+    let next = next_function!(flock: Lock);
+    // SAFETY: the caller's arguments are passed on.
+    unsafe { next(file, operation) }
+}
+
 type Truncate = unsafe extern "C" fn(c_int, off64_t) -> c_int;
 
 /// # Safety
--- a/crates/simulation/src/rig/daemons.rs
+++ b/crates/simulation/src/rig/daemons.rs
@@ -96,6 +96,12 @@
         killed.map(drop).map_err(Fault::at("a process's end"))
     }
 
+    /// How it has ended, if it has: whether well.
+    pub fn has_ended(&mut self) -> Option<bool> {
+        let status = self.child.try_wait().ok().flatten()?;
+        Some(status.success())
+    }
+
     /// Waits until it has ended by itself; gives whether it did so well.
     ///
     /// # Errors
@@ -140,7 +146,10 @@
 
 /// Ports that stay free while nobody listens at them: on a loopback address of this process's own, from which no
 /// connection is opened.
-fn ports(many: usize) -> Result<Vec<SocketAddr>, Fault> {
+///
+/// # Errors
+/// Where none is free.
+pub fn ports(many: usize) -> Result<Vec<SocketAddr>, Fault> {
     let pid = std::process::id();
     let own = Ipv4Addr::new(
         127,
