A lock or mark that fails for a moment leaves one process active, and one to take over

Causes: incarnation.rs took any failure of flock for a lock that nobody holds, so that after ENOLCK two processes decided at once; Takeover::choose_step in takeover.rs asked for the fence once, whether or not its mark was written, and behind a stopped process a standby accepted for ever and delivered nothing. Read with them: platform.rs ended the process where the system had no descriptor for its listener for a moment.

Change: only a system without locks goes on without; any other failure is tried again. A fence is written every 100 ms while a predecessor stays active. Listeners wait out a shortage, 25 s at most.

--- a/crates/delivery/src/hot_restart/incarnation.rs
+++ b/crates/delivery/src/hot_restart/incarnation.rs
@@ -186,9 +186,10 @@
             .filter(|found| *found > self.generation)
             .rev()
             .any(|later| {
+                // One whose lock cannot be looked at may run.
                 matches!(
                     try_lock(&self.folder, later),
-                    Ok(LockAttempt::HeldByOther(_))
+                    Ok(LockAttempt::HeldByOther(_)) | Err(_)
                 )
             })
     }
@@ -251,8 +252,15 @@
             Err(error) => return Err(error),
         };
         match file.try_lock() {
-            // Where the system has no such locks, the platform sees to it that one incarnation runs at a time.
-            Ok(()) | Err(TryLockError::Error(_)) => return Ok((generation, file)),
+            Ok(()) => return Ok((generation, file)),
+            Err(TryLockError::Error(error)) if has_no_locks(&error) => {
+                return Ok((generation, file))
+            }
+            Err(TryLockError::Error(error)) => {
+                // Without its lock it would be taken for that of an incarnation that has exited.
+                let _ = std::fs::remove_file(lock_path(folder, generation));
+                return Err(error);
+            }
             // Another incarnation found the file before it was locked, and takes its owner for exited.
             Err(TryLockError::WouldBlock) => continue,
         }
@@ -277,10 +285,19 @@
         Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(LockAttempt::NoFile),
         Err(error) => return Err(error),
     };
-    Ok(match file.try_lock() {
-        Ok(()) | Err(TryLockError::Error(_)) => LockAttempt::Acquired(file),
-        Err(TryLockError::WouldBlock) => LockAttempt::HeldByOther(file),
-    })
+    match file.try_lock() {
+        Ok(()) => Ok(LockAttempt::Acquired(file)),
+        Err(TryLockError::WouldBlock) => Ok(LockAttempt::HeldByOther(file)),
+        Err(TryLockError::Error(error)) if has_no_locks(&error) => Ok(LockAttempt::Acquired(file)),
+        // Whoever holds it may run: nothing is known.
+        Err(TryLockError::Error(error)) => Err(error),
+    }
+}
+
+/// Whether a lock failed because the system has no such locks: then the platform sees to it that one incarnation runs at
+/// a time. Any other failure passes.
+fn has_no_locks(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::Unsupported
 }
 
 fn read_marks(file: &mut File) -> io::Result<Vec<u8>> {
--- a/crates/delivery/src/hot_restart/takeover.rs
+++ b/crates/delivery/src/hot_restart/takeover.rs
@@ -16,6 +16,9 @@
 /// has not reacted by then does not run, or hardly.
 pub const FENCE_AFTER: Span = Span(700_000);
 
+/// How often a predecessor that is still active is fenced again: the disk may not have taken the mark.
+pub const FENCE_AGAIN_AFTER: Span = Span(100_000);
+
 /// How many predecessors are running.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PredecessorView {
@@ -44,7 +47,7 @@
 enum TakeoverStage {
     Standby { since: Time },
     HandoverRequested { since: Time },
-    Fenced,
+    Fenced { since: Time },
     Active,
 }
 
@@ -72,7 +75,7 @@
         let step = self.choose_step(now, predecessors);
         self.stage = match step {
             TakeoverStep::RequestHandover => TakeoverStage::HandoverRequested { since: now },
-            TakeoverStep::Fence => TakeoverStage::Fenced,
+            TakeoverStep::Fence => TakeoverStage::Fenced { since: now },
             TakeoverStep::TakeOver => TakeoverStage::Active,
             TakeoverStep::Wait | TakeoverStep::Follow => self.stage,
         };
@@ -85,7 +88,7 @@
             TakeoverStage::Active => TakeoverStep::Wait,
             TakeoverStage::Standby { .. }
             | TakeoverStage::HandoverRequested { .. }
-            | TakeoverStage::Fenced
+            | TakeoverStage::Fenced { .. }
                 if predecessors.active == 0 =>
             {
                 TakeoverStep::TakeOver
@@ -96,9 +99,12 @@
             TakeoverStage::HandoverRequested { since } if now - since >= FENCE_AFTER => {
                 TakeoverStep::Fence
             }
+            TakeoverStage::Fenced { since } if now - since >= FENCE_AGAIN_AFTER => {
+                TakeoverStep::Fence
+            }
             TakeoverStage::Standby { .. }
             | TakeoverStage::HandoverRequested { .. }
-            | TakeoverStage::Fenced => TakeoverStep::Wait,
+            | TakeoverStage::Fenced { .. } => TakeoverStep::Wait,
         }
     }
 }
--- a/crates/delivery/src/instance/platform.rs
+++ b/crates/delivery/src/instance/platform.rs
@@ -1,6 +1,7 @@
 //! The instance that the platform configures.
 
 use super::platform_config::PlatformConfig;
+use super::state_folder::passes_by_itself;
 use super::{
     instance_span, run_instance, signals, watch_signals, InstanceCommand, InstanceConfig,
     InstanceError, PlatformFrontendConfig, StateFolder,
@@ -15,15 +16,21 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use marblefall_scheduler::{Idempotency, MessageClass};
+use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Where the platform gives no time to establish a connection.
 const DEFAULT_CONNECT_TIMEOUT_MS: f64 = 1500.0;
 /// Where it gives no time after which endpoints close idle connections.
 const DEFAULT_IDLE_TIMEOUT_MS: f64 = 10_000.0;
 
+/// How long a shortage of descriptors or memory is waited out at the start ...
+const MAX_SHORTAGE: Duration = Duration::from_secs(25);
+/// ... and how often it is looked whether it is over.
+const SHORTAGE_PAUSE: Duration = Duration::from_millis(20);
+
 /// Runs an instance on the platform until it is shut down.
 ///
 /// # Errors
@@ -111,8 +118,22 @@
     Duration::from_secs_f64(if ms > 0.0 { ms } else { default_ms } / 1000.0)
 }
 
+/// Tries until the system gives what it was short of for a moment: a process that starts just then must not end.
+fn while_short<T>(mut attempt: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    let give_up_at = Instant::now() + MAX_SHORTAGE;
+    loop {
+        match attempt() {
+            Err(error) if passes_by_itself(&error) && Instant::now() < give_up_at => {
+                log_line!(code = "listener-deferred", "{error}; tried again");
+                std::thread::sleep(SHORTAGE_PAUSE);
+            }
+            result => return result,
+        }
+    }
+}
+
 fn bind_clients(address: SocketAddr) -> Result<TcpListener, InstanceError> {
-    listener::bind_shared(address).map_err(|source| InstanceError::Bind {
+    while_short(|| listener::bind_shared(address)).map_err(|source| InstanceError::Bind {
         address: address.to_string(),
         source,
     })
@@ -122,7 +143,8 @@
     let Some(text) = listen.filter(|text| !text.is_empty()) else {
         return Ok(None);
     };
-    let listener = TcpListener::bind(parse_address(text)?);
+    let address = parse_address(text)?;
+    let listener = while_short(|| TcpListener::bind(address));
     listener.map(Some).map_err(|source| InstanceError::Bind {
         address: text.to_owned(),
         source,
--- a/crates/delivery/src/instance/state_folder.rs
+++ b/crates/delivery/src/instance/state_folder.rs
@@ -27,6 +27,8 @@
     libc::ENFILE,
     libc::EMFILE,
     libc::ENOMEM,
+    libc::ENOBUFS,
+    libc::ENOLCK,
 ];
 
 /// What an incarnation owns of the state folder.
@@ -119,7 +121,8 @@
     }
 }
 
-fn passes_by_itself(error: &io::Error) -> bool {
+/// Whether an error is one that passes without anybody's doing.
+pub(super) fn passes_by_itself(error: &io::Error) -> bool {
     error
         .raw_os_error()
         .is_some_and(|number| PASSING_ERRORS.contains(&number))
