--- a/crates/fault-soak/src/oracle.rs
+++ b/crates/fault-soak/src/oracle.rs
@@ -131,6 +131,14 @@
         was_away || away_since.is_some_and(|since| since - LATE <= until)
     }
 
+    /// Whether the system may have broken connections of a process within a span.
+    fn was_broken(&self, process: usize, from: Micros, until: Micros) -> bool {
+        let spans = self.record.broken.iter();
+        spans
+            .filter(|(broken, ..)| *broken == process)
+            .any(|(_, begins, ends)| begins - LATE <= until && from <= ends + LATE)
+    }
+
     /// A request that was read has its answer within its time and half a second.
     fn requests_are_answered(&mut self) {
         for request in &self.record.requests {
@@ -142,7 +150,9 @@
                 }
                 Heard::Answer { .. } | Heard::Reset { .. } => continue,
             };
-            if !self.was_away(request.process, request.sent_at, at) {
+            let is_excused = self.was_away(request.process, request.sent_at, at)
+                || self.was_broken(request.process, request.sent_at, at);
+            if !is_excused {
                 let (from, until) = (self.ms(request.sent_at), self.ms(at));
                 self.tell(
                     "answer",
@@ -268,8 +278,18 @@
         }
     }
 
-    /// When a process counts as told of a change: discovery may have been down or its watch silent.
-    fn told_at(&self, process: usize, change: &ListChange) -> Micros {
+    /// When a process counts as told of a change before it sent something: discovery may have been down or its watch
+    /// silent, and to a new process all is told at its first moment.
+    fn told_at(&self, process: usize, change: &ListChange, sent_at: Micros) -> Micros {
+        let starts = self
+            .lives(process)
+            .filter(|(_, what)| *what == Life::Started);
+        let started_at = starts.map(|(at, _)| at).filter(|at| *at <= sent_at).max();
+        self.told_by_watch_at(process, change)
+            .max(started_at.unwrap_or(0))
+    }
+
+    fn told_by_watch_at(&self, process: usize, change: &ListChange) -> Micros {
         let gaps = self.record.gaps.iter().filter(|gap| gap.process == process);
         gaps.filter(|gap| (gap.from..gap.until).contains(&change.at))
             .map(|gap| gap.until.min(gap.from + TOLD_ANYWAY).max(change.at))
@@ -295,8 +315,9 @@
             };
             let of_endpoint = |change: &&ListChange| change.endpoint == call.endpoint;
             let changes = self.record.list_changes.iter().filter(of_endpoint);
+            // The list may be written down a little after the processes were told of it.
             let Some(latest) = changes
-                .filter(|change| change.at <= call.first_byte_at)
+                .filter(|change| change.at <= call.first_byte_at + SLACK)
                 .max_by_key(|change| change.at)
             else {
                 continue;
@@ -304,7 +325,7 @@
             if latest.is_active {
                 continue;
             }
-            let told_at = self.told_at(request.process, latest);
+            let told_at = self.told_at(request.process, latest, call.first_byte_at);
             let over_by = call.first_byte_at - (told_at + DRAIN_GRACE + SLACK);
             if over_by > LATE && !self.was_disturbed(call) {
                 let what = format!(
--- a/crates/fault-soak/src/record.rs
+++ b/crates/fault-soak/src/record.rs
@@ -204,6 +204,8 @@
     pub outages: Vec<Outage>,
     /// Times in which a proxy before an endpoint disturbed what passed.
     pub disturbed: Vec<(usize, Micros, Micros)>,
+    /// Times in which the system broke connections of a process.
+    pub broken: Vec<(usize, Micros, Micros)>,
     /// What was found in a process itself: violations that it counted, panics, resources.
     pub complaints: Vec<String>,
 }
--- a/crates/fault-soak/src/run.rs
+++ b/crates/fault-soak/src/run.rs
@@ -4,7 +4,7 @@
 use crate::discovery::{phase_of, Agent, Phase};
 use crate::endpoint::{self, World, DESTINATIONS, ENDPOINTS_EACH};
 use crate::oracle::{Oracle, Violation};
-use crate::plan::{DiscoveryTrouble, Plan, TroubleKind};
+use crate::plan::{DiscoveryTrouble, Plan, SystemFault, TroubleKind};
 use crate::process::Keeper;
 use crate::proxy;
 use crate::record::{DiscoveryGap, ListChange, Micros, Outage, Record, SharedRecord, MS};
@@ -216,6 +216,11 @@
                     until: until + more,
                 });
             }
+            TroubleKind::System(SystemFault(
+                FaultKind::AcceptAborted | FaultKind::ReceiveTimedOut | FaultKind::SendUnreachable,
+            )) => record
+                .broken
+                .push((trouble.target % processes, from, until)),
             TroubleKind::Proxy(_) => record.disturbed.push((
                 trouble.target % (DESTINATIONS * ENDPOINTS_EACH),
                 from,
