The soak replaces processes too, and a fault that never struck is no pass

A plan gives faults an occasion: a restart within a failing disk, lock, socket or clock, idle connections that end where connects fail. A process may be started beside the running one, as operators replace it. Runs in which a planned fault struck nowhere are counted apart and fail the command.

--- a/crates/fault-soak/src/main.rs
+++ b/crates/fault-soak/src/main.rs
@@ -16,6 +16,7 @@
 use clap::Parser;
 use plan::Plan;
 use run::{play, Report, Setting};
+use std::fmt;
 use std::fs;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -25,7 +26,7 @@
 /// Each seed gives a plan: signals, failing system calls by a preloaded shim, a proxy that disturbs connections,
 /// endpoints, discovery and clients that misbehave. A plan is written beside a run that fails, and can be played again.
 ///
-/// Exit codes: 0 all rules were kept, 1 one was broken, 2 the arguments are wrong.
+/// Exit codes: 0 all rules were kept and each planned fault struck, 1 otherwise, 2 the arguments are wrong.
 #[derive(Debug, Parser)]
 #[command(name = "marblefall-fault-soak", version)]
 struct Arguments {
@@ -74,10 +75,13 @@
 
 fn main() -> ExitCode {
     match soak(&Arguments::parse()) {
-        Ok(0) => ExitCode::SUCCESS,
-        Ok(failed) => {
-            println!("{failed} runs broke a rule");
-            ExitCode::FAILURE
+        Ok(tally) => {
+            println!("{tally}");
+            if tally.broken + tally.inconclusive == 0 {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
         }
         Err(error) => {
             eprintln!("marblefall-fault-soak: {error}");
@@ -86,8 +90,29 @@
     }
 }
 
-/// Plays all that is asked for; returns how many runs broke a rule.
-fn soak(arguments: &Arguments) -> Result<usize, SoakError> {
+/// How the runs ended.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    /// All rules were kept, and each planned fault struck.
+    passed: usize,
+    /// All rules were kept, but a planned fault never struck: that proves nothing of it.
+    inconclusive: usize,
+    /// A rule was broken.
+    broken: usize,
+}
+
+impl fmt::Display for Tally {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} runs passed, {} kept all rules with a fault that never struck, {} broke a rule",
+            self.passed, self.inconclusive, self.broken
+        )
+    }
+}
+
+/// Plays all that is asked for.
+fn soak(arguments: &Arguments) -> Result<Tally, SoakError> {
     for file in [&arguments.program, &arguments.shim] {
         if !file.is_file() {
             return Err(SoakError::Missing(file.clone()));
@@ -99,14 +124,19 @@
             .map(|seed| Plan::draw(seed, arguments.processes as usize, arguments.seconds))
             .collect(),
     };
-    let mut failed = 0;
+    let mut tally = Tally::default();
     for plan in plans {
         let report = play_in(arguments, plan.clone())?;
         print_report(&plan, &report);
         if report.violations.is_empty() {
+            if report.idle_faults.is_empty() {
+                tally.passed += 1;
+            } else {
+                tally.inconclusive += 1;
+            }
             continue;
         }
-        failed += 1;
+        tally.broken += 1;
         if arguments.shrink {
             let rule = report.violations[0].rule;
             let least = shrink(arguments, plan, rule)?;
@@ -114,10 +144,10 @@
                 "the least that still breaks \"{rule}\":\n{}",
                 text_of(&least)
             );
-            return Ok(failed);
+            return Ok(tally);
         }
     }
-    Ok(failed)
+    Ok(tally)
 }
 
 fn read_plan(path: &PathBuf) -> Result<Plan, SoakError> {
--- a/crates/fault-soak/src/plan.rs
+++ b/crates/fault-soak/src/plan.rs
@@ -22,6 +22,8 @@
     Terminate,
     /// A process is killed and started 0.6 s later.
     Kill,
+    /// A process is started beside the running one, which is then told to end.
+    Replace,
     /// A process is stopped for a tenth of a second.
     HoldUp,
     /// A process reads its configuration again.
@@ -166,9 +168,12 @@
         let mut rng = Pcg64Mcg::new(u128::from(seed) << 32 | 0x5eed);
         let count = (seconds as f64 * TROUBLES_PER_SECOND) as usize;
         let last_ms = (seconds * 1000).saturating_sub(LAST_MS).max(FIRST_MS + 1);
-        let mut troubles: Vec<Trouble> = (0..count)
-            .map(|_| draw_trouble(&mut rng, last_ms))
-            .collect();
+        let mut troubles = Vec::new();
+        while troubles.len() < count {
+            let trouble = draw_trouble(&mut rng, last_ms);
+            troubles.extend(occasion(&trouble));
+            troubles.push(trouble);
+        }
         troubles.sort_by_key(|trouble| trouble.from_ms);
         Plan {
             seed,
@@ -195,15 +200,17 @@
         TroubleKind::System(SystemFault(FaultKind::TornWriteAndKill)) => 20,
         TroubleKind::System(SystemFault(
             FaultKind::ReceiveTimedOut | FaultKind::SendUnreachable,
-        )) => rng.random_range(10..60),
+        )) => rng.random_range(30..90),
         TroubleKind::System(SystemFault(FaultKind::DiskFull | FaultKind::DiskError)) => {
             [300, 1000][rng.random_range(0..2)]
         }
-        _ => rng.random_range(100..700),
+        _ => rng.random_range(200..800),
     };
     let is_outage = matches!(kind, TroubleKind::Endpoint(trouble) if trouble.is_outage());
     let lasts_ms = if is_outage {
         rng.random_range(5000..8000)
+    } else if matches!(kind, TroubleKind::System(_)) {
+        rng.random_range(1200..4500)
     } else {
         rng.random_range(400..3500)
     };
@@ -216,11 +223,46 @@
     }
 }
 
+/// What gives a fault an occasion to strike: files and locks are opened at a start, connections where idle ones end.
+fn occasion(trouble: &Trouble) -> Option<Trouble> {
+    let TroubleKind::System(SystemFault(fault)) = trouble.kind else {
+        return None;
+    };
+    let kind = match fault {
+        FaultKind::LockFails
+        | FaultKind::DiskFull
+        | FaultKind::DiskError
+        | FaultKind::SocketNoFiles
+        | FaultKind::SocketNoBuffers
+        | FaultKind::WallClockStepped => TroubleKind::Kill,
+        FaultKind::AcceptAborted
+        | FaultKind::AcceptNoFiles
+        | FaultKind::AcceptNoBuffers
+        | FaultKind::AcceptInterrupted => TroubleKind::Clients(ClientTrouble::LeaveEarly),
+        FaultKind::ConnectNoAddress | FaultKind::ConnectUnreachable => {
+            TroubleKind::Proxy(ProxyTrouble::ClosesIdle)
+        }
+        _ => return None,
+    };
+    // A process is back within its fault, and starts under it.
+    let from_ms = if kind == TroubleKind::Kill {
+        trouble.from_ms.saturating_sub(300)
+    } else {
+        trouble.from_ms
+    };
+    Some(Trouble {
+        from_ms,
+        kind,
+        ..*trouble
+    })
+}
+
 fn draw_kind(rng: &mut Pcg64Mcg) -> TroubleKind {
     use {ClientTrouble as C, DiscoveryTrouble as D, EndpointTrouble as E, ProxyTrouble as P};
     match rng.random_range(0..20) {
-        0..=2 => TroubleKind::Terminate,
-        3..=4 => TroubleKind::Kill,
+        0..=1 => TroubleKind::Terminate,
+        2..=3 => TroubleKind::Kill,
+        4 => TroubleKind::Replace,
         5 => TroubleKind::HoldUp,
         6 => TroubleKind::Reload,
         7..=11 => {
--- a/crates/fault-soak/src/process.rs
+++ b/crates/fault-soak/src/process.rs
@@ -24,6 +24,10 @@
 const KILL_AFTER: Micros = 3700 * MS;
 /// When it is started again after its end.
 const RESTART_AFTER: Duration = Duration::from_millis(600);
+/// What a process logs once it listens.
+const LISTENING: &str = "listens at ";
+/// A process that is started beside another must listen within this.
+const REPLACED_WITHIN: Micros = 10_000 * MS;
 /// How long a process is held up.
 const HOLD_UP: Duration = Duration::from_millis(100);
 const POLL: Duration = Duration::from_millis(5);
@@ -130,6 +134,12 @@
     }
 
     fn start(&self) -> Result<Daemon, RigFault> {
+        let daemon = self.start_beside()?;
+        self.note(Life::Started);
+        Ok(daemon)
+    }
+
+    fn start_beside(&self) -> Result<Daemon, RigFault> {
         let path = |name: &str| self.folder.join(name).display().to_string();
         let seed = (self.schedule.plan().seed * 1000 + self.process as u64).to_string();
         let env: Vec<(&str, String)> = vec![
@@ -145,9 +155,7 @@
             .iter()
             .map(|(name, value)| (*name, value.as_str()))
             .collect();
-        let daemon = Daemon::start(&self.program, &[], &env)?;
-        self.note(Life::Started);
-        Ok(daemon)
+        Daemon::start(&self.program, &[], &env)
     }
 
     /// Keeps the process until it is to end for good.
@@ -176,6 +184,10 @@
                 continue;
             }
             let signal = due.remove(0);
+            if signal.kind == TroubleKind::Replace {
+                daemon = self.replace(daemon, &mut logs)?;
+                continue;
+            }
             if self.send(&signal.kind, &mut daemon)? {
                 daemon = self.start_again(&daemon, &mut logs)?;
                 is_ready = false;
@@ -194,6 +206,7 @@
                 trouble.kind,
                 TroubleKind::Terminate
                     | TroubleKind::Kill
+                    | TroubleKind::Replace
                     | TroubleKind::HoldUp
                     | TroubleKind::Reload
             );
@@ -232,6 +245,37 @@
         }
     }
 
+    /// Starts a process beside the running one, and tells that to end once the new one listens. Whatever crosses it, all
+    /// rules hold for both together.
+    fn replace(&self, mut old: Daemon, logs: &mut String) -> Result<Daemon, RigFault> {
+        let mut new = self.start_beside()?;
+        let give_up_at = micros() + REPLACED_WITHIN;
+        while !new.log().contains(LISTENING) {
+            thread::sleep(POLL);
+            if new.has_ended().is_some() || micros() >= give_up_at {
+                // It never served anybody; the old one goes on.
+                self.note_unexpected_end(&new);
+                self.note(Life::Started);
+                logs.push_str(&new.log());
+                new.kill()?;
+                return Ok(old);
+            }
+        }
+        old.signal("TERM");
+        let kill_at = micros() + KILL_AFTER;
+        while old.has_ended().is_none() {
+            if micros() >= kill_at {
+                self.note(Life::Killed);
+                old.kill()?;
+                self.note(Life::Started);
+                self.note(Life::Ready);
+            }
+            thread::sleep(POLL);
+        }
+        logs.push_str(&old.log());
+        Ok(new)
+    }
+
     /// Tells the process to end, and kills it if it has not by its time.
     fn terminate(&self, daemon: &mut Daemon) -> Result<(), RigFault> {
         self.note(Life::Terminated);
