--- a/crates/fault-soak/src/client.rs
+++ b/crates/fault-soak/src/client.rs
@@ -22,6 +22,8 @@
 const PAUSE_MS: std::ops::Range<u64> = 40..400;
 /// Part of its connections that a client keeps after an answer.
 const KEPT_PART: f64 = 0.8;
+/// How long the answer of a closed connection to bytes that came late takes on loopback, at most.
+const RESET_COMES_WITHIN: Duration = Duration::from_millis(5);
 /// Connections of a crowd.
 const CROWD: usize = 60;
 
@@ -169,7 +171,7 @@
         let read = stream.read(&mut buffer);
         let at = micros();
         match read {
-            Ok(0) if answer.is_empty() => return (Heard::Closed { at }, false),
+            Ok(0) if answer.is_empty() => return (closed_or_reset(stream, at), false),
             Err(error) if answer.is_empty() && is_timeout(&error) => {
                 return (Heard::Silence { at }, false)
             }
@@ -187,6 +189,16 @@
     }
 }
 
+/// A connection that was closed before the request came answers it with a reset: then nothing of it was read, and the
+/// client would send it again. One that was closed after the request was read says nothing more.
+fn closed_or_reset(stream: &TcpStream, at: Micros) -> Heard {
+    thread::sleep(RESET_COMES_WITHIN);
+    match stream.take_error() {
+        Ok(None) => Heard::Closed { at },
+        Ok(Some(_)) | Err(_) => Heard::Reset { at },
+    }
+}
+
 fn is_timeout(error: &io::Error) -> bool {
     matches!(
         error.kind(),
