Tests of crossings that were only read: drains in a connect, unasked bytes, two SIGTERMs

Three rows of the table of crossings in docs/measured/acceptance.md said that they were looked for in the code only: a drain while an attempt's connection is coming up, bytes that come unasked on an idle connection, a second SIGTERM. A short run of the soak is a test; docs/operators/soak.md says how to run it.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -407,3 +407,26 @@
     wait_for("the attempt", || endpoint.count() == 1);
     assert_eq!(endpoint.first().body, b"abcde");
 }
+
+#[test]
+fn second_sigterm_changes_nothing_of_the_shutdown() {
+    let endpoint = StandIn::start(|_| ok());
+    let site = Site::new("twice", endpoint.at, "6000", 0);
+    let mut program = site.start();
+    let at = program.address(MARKER, 0);
+    let ready = || {
+        let mut stream = TcpStream::connect(at).unwrap();
+        stream.set_read_timeout(Some(BOUND)).unwrap();
+        stream.write_all(b"GET /ready HTTP/1.1\r\n\r\n").unwrap();
+        Message::read(&mut std::io::BufReader::new(stream)).map(|answer| answer.status())
+    };
+    program.signal("TERM");
+    wait_for("the first signal", || {
+        program.log().contains("shutdown requested")
+    });
+    program.signal("TERM");
+    program.signal("INT");
+    assert_eq!(ready(), Some(200), "clients that do not know of it yet");
+    assert!(program.ended());
+    assert_eq!(program.log().matches("shutdown requested").count(), 1);
+}
--- a/crates/delivery/src/net/pool/tests.rs
+++ b/crates/delivery/src/net/pool/tests.rs
@@ -494,3 +494,60 @@
     assert_eq!(endpoint.join().unwrap(), 0, "bytes after the fence");
     let _ = std::fs::remove_dir_all(&folder);
 }
+
+#[test]
+fn attempt_whose_endpoint_drains_during_connect_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    for status in [EndpointStatus::Draining, EndpointStatus::Removed] {
+        let pool = pool(9, &listener);
+        async_io::block_on(async {
+            let mut connecting = std::pin::pin!(attempt(&pool, 1));
+            assert!(
+                future::poll_once(&mut connecting).await.is_none(),
+                "it is connecting"
+            );
+            match status {
+                EndpointStatus::Removed => pool.remove_endpoint(EndpointId(0)),
+                _ => pool.set_endpoint(EndpointId(0), &address, status),
+            }
+            assert_eq!(connecting.await, Outcome::NotSent);
+        });
+        drop(pool);
+        assert_eq!(read_to_end(&listener), 0, "bytes to a draining endpoint");
+    }
+}
+
+#[test]
+fn idle_connection_with_unrequested_bytes_carries_no_attempt() {
+    const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    for unrequested in [OK, b"HTTP/1.1 50", b"\r\n"] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let pool = pool(9, &listener);
+        let (sent, has_sent) = std::sync::mpsc::channel();
+        let (go_on, may_go_on) = std::sync::mpsc::channel();
+        let endpoint = std::thread::spawn(move || {
+            let mut bytes = [0; 256];
+            let mut first = listener.accept().unwrap().0;
+            let _ = std::io::Read::read(&mut first, &mut bytes);
+            std::io::Write::write_all(&mut first, OK).unwrap();
+            may_go_on.recv().unwrap();
+            std::io::Write::write_all(&mut first, unrequested).unwrap();
+            sent.send(()).unwrap();
+            let mut second = listener.accept().unwrap().0;
+            let _ = std::io::Read::read(&mut second, &mut bytes);
+            std::io::Write::write_all(&mut second, OK).unwrap();
+            // What comes on the first after its answer: nothing but its end.
+            std::io::Read::read(&mut first, &mut bytes).unwrap_or(0)
+        });
+        let outcomes = async_io::block_on(async {
+            let first = attempt(&pool, 1).await;
+            go_on.send(()).unwrap();
+            has_sent.recv().unwrap();
+            (first, attempt(&pool, 2).await)
+        });
+        assert_eq!(outcomes, (Outcome::Delivered, Outcome::Delivered));
+        drop(pool);
+        assert_eq!(endpoint.join().unwrap(), 0, "bytes on the first connection");
+    }
+}
--- /dev/null
+++ b/crates/fault-soak/tests/short_run.rs
@@ -0,0 +1,42 @@
+//! A short run of the soak on the programs as `cargo` builds them, so that the soak itself stays in working order. Longer runs
+//! over many seeds, on a program all of whose calls the shim sees, are in `docs/operators/soak.md`.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::path::Path;
+use std::process::Command;
+
+#[test]
+fn short_run_keeps_all_rules() {
+    let soak = Path::new(env!("CARGO_BIN_EXE_marblefall-fault-soak"));
+    let target = soak.ancestors().nth(2).unwrap();
+    let built = Command::new(env!("CARGO"))
+        .args(["build", "--locked", "-p", "marblefall"])
+        .args(["-p", "marblefall-fault-shim", "--target-dir"])
+        .arg(target)
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .status()
+        .unwrap();
+    assert!(built.success());
+    let built_at = target.join("debug");
+    let keep = std::env::temp_dir().join(format!("marblefall-short-run-{}", std::process::id()));
+    let run = Command::new(soak)
+        .arg("--program")
+        .arg(built_at.join("marblefall"))
+        .arg("--shim")
+        .arg(built_at.join("libmarblefall_fault_shim.so"))
+        .args(["--processes", "4", "--seconds", "8", "--seed", "2"])
+        .arg("--keep")
+        .arg(&keep)
+        .output()
+        .unwrap();
+    let said = String::from_utf8_lossy(&run.stdout);
+    assert!(said.contains(" 0 broke a rule"), "{said}");
+    let requests: usize = said
+        .split("troubles; ")
+        .nth(1)
+        .and_then(|rest| rest.split(' ').next()?.parse().ok())
+        .unwrap();
+    assert!(requests > 100, "too little was done to tell: {said}");
+    let _ = std::fs::remove_dir_all(&keep);
+}
