--- a/crates/cli/tests/system_faults.rs
+++ b/crates/cli/tests/system_faults.rs
@@ -325,3 +325,50 @@
     assert!(old.log().contains("code=\"handed-over\""), "{}", old.log());
     wait_for("the takeover", || new.log().contains("takes-over"));
 }
+
+/// A process whose disk fails at its start listened all the same, and answered nobody until the disk worked.
+#[test]
+fn process_that_waits_for_its_disk_refuses_connections() {
+    let endpoint = StandIn::start(|_| ok());
+    let site = Site::new("refuses", endpoint.at, "6000", 0);
+    let (first, at) = site.first();
+    first.kill();
+    let (_program, shim) = site.start_under(&[fault(FaultKind::DiskFull, NOW, LONG, ALWAYS)]);
+    wait_for("the fault", || {
+        shim.exists() && shim.struck(FaultKind::DiskFull) > 2
+    });
+    assert!(TcpStream::connect(at).is_err());
+}
+
+/// What its configuration says of the endpoints is old once it has waited for its disk: discovery counts as heard from
+/// the first moment of a process, and a draining endpoint was called.
+#[test]
+fn process_that_has_waited_for_its_disk_calls_no_endpoint_that_drained_meanwhile() {
+    let open = Arc::new(AtomicBool::new(false));
+    let endpoint = endpoint_rejecting_until(&open);
+    let site = Site::new("stale", endpoint.at, "6000", 0);
+    let (program, at) = site.first();
+    let answer = hand(at, "held", "refill-status", "20000").unwrap();
+    assert_eq!(answer.status(), 202);
+    program.kill();
+    open.store(true, Ordering::SeqCst);
+    let news = format!(
+        "{{\"revision\":42,\"complete\":true,\"members\":[{}]}}\n",
+        member(endpoint.at, "DRAINING")
+    );
+    let before = endpoint.count();
+    site.discovery
+        .lines
+        .lock()
+        .unwrap()
+        .extend(news.into_bytes());
+    let lasts = Duration::from_millis(1500);
+    let (program, shim) = site.start_under(&[fault(FaultKind::DiskFull, NOW, lasts, ALWAYS)]);
+    program.address(MARKER, 0);
+    assert!(shim.struck(FaultKind::DiskFull) > 0);
+    wait_for("an answer about the destination", || {
+        let answer = hand(at, "new", "refill-status", "1500").unwrap();
+        answer.status() == 202 || endpoint.count() > before
+    });
+    assert_eq!(endpoint.count(), before);
+}
