A process that waits for its disk refuses clients, and starts by the list as it is now

Cause: listener::bind_shared listened at once, before the state folder was claimed, so that clients of a process that waits for its disk waited with it; and the engine started by the list of the configuration, however long ago the process had begun.

The listener's tests listen after they bind, and assert what they did. The tests' discovery tells the whole list to who asks for it.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -93,6 +93,8 @@
     Answer(u16, String),
     /// Answers with 200 and ends the connection without having said so.
     Last,
+    /// Answers with 200 and a body.
+    Body(String),
     /// Ends the connection without an answer.
     Drop,
     /// Keeps silent for as long as the connection lasts.
@@ -170,6 +172,15 @@
                 closed.fetch_add(1, Ordering::SeqCst);
                 return;
             }
+            Act::Body(body) => {
+                let text = format!(
+                    "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+                    body.len()
+                );
+                if writer.write_all(text.as_bytes()).is_err() {
+                    return;
+                }
+            }
             Act::Drop => return,
             Act::Silence => drop(reader.read(&mut [0])),
             Act::Stream(lines) => {
--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -10,6 +10,8 @@
     pub server: StandIn,
     pub lines: Arc<Mutex<Vec<u8>>>,
     pub told: Arc<Mutex<Vec<String>>>,
+    /// The whole list, for who asks for it; nobody is answered while it is empty.
+    pub list: Arc<Mutex<String>>,
 }
 
 impl Discovery {
@@ -18,7 +20,9 @@
             Arc::<Mutex<Vec<u8>>>::default(),
             Arc::<Mutex<Vec<String>>>::default(),
         );
+        let list = Arc::<Mutex<String>>::default();
         let (stream, notices, left) = (lines.clone(), told.clone(), Mutex::new(refusals));
+        let whole = list.clone();
         let server = StandIn::start(move |message| {
             if message
                 .first
@@ -26,6 +30,14 @@
             {
                 return Act::Stream(stream.clone());
             }
+            if message.first == "GET /v1/endpoints HTTP/1.1" {
+                let list = whole.lock().unwrap().clone();
+                return if list.is_empty() {
+                    Act::Drop
+                } else {
+                    Act::Body(list)
+                };
+            }
             assert_eq!(message.first, "POST /status HTTP/1.1");
             let mut left = left.lock().unwrap();
             if *left > 0 {
@@ -42,6 +54,7 @@
             server,
             lines,
             told,
+            list,
         }
     }
 
--- a/crates/cli/tests/system_faults.rs
+++ b/crates/cli/tests/system_faults.rs
@@ -352,16 +352,11 @@
     assert_eq!(answer.status(), 202);
     program.kill();
     open.store(true, Ordering::SeqCst);
-    let news = format!(
-        "{{\"revision\":42,\"complete\":true,\"members\":[{}]}}\n",
+    *site.discovery.list.lock().unwrap() = format!(
+        "{{\"revision\":42,\"complete\":true,\"members\":[{}]}}",
         member(endpoint.at, "DRAINING")
     );
     let before = endpoint.count();
-    site.discovery
-        .lines
-        .lock()
-        .unwrap()
-        .extend(news.into_bytes());
     let lasts = Duration::from_millis(1500);
     let (program, shim) = site.start_under(&[fault(FaultKind::DiskFull, NOW, lasts, ALWAYS)]);
     program.address(MARKER, 0);
--- a/crates/delivery/src/instance.rs
+++ b/crates/delivery/src/instance.rs
@@ -32,6 +32,11 @@
 use crate::net::spawner::Spawner;
 use async_channel::Receiver;
 use state_folder::Claim;
+use std::time::{Duration, Instant};
+
+/// The list of endpoints in the configuration is good for so long after the process has started: discovery counts as heard
+/// from its first moment, and what drained may be called for 250 ms after that.
+const CONFIGURED_LIST_IS_FRESH: Duration = Duration::from_millis(150);
 
 /// The span of all log lines of an instance; its thread enters it once.
 pub fn instance_span(name: &str) -> tracing::Span {
@@ -53,11 +58,15 @@
         commands: &commands,
         early_commands: Vec::new(),
     };
+    let started_at = Instant::now();
     let claimed = claim.run(&class_names).await?;
     let early_commands = claim.early_commands;
     let Some(claimed) = claimed else {
         return Ok(());
     };
+    if started_at.elapsed() > CONFIGURED_LIST_IS_FRESH {
+        config.refresh_configured_list().await;
+    }
     let instance = assembly::assemble(config, claimed, tasks.clone())?;
     let counters = instance.counters.clone();
     tasks.spawn(instance.command_loop.run(early_commands, commands));
--- a/crates/delivery/src/instance/assembly.rs
+++ b/crates/delivery/src/instance/assembly.rs
@@ -256,11 +256,15 @@
             self.tasks
                 .spawn(watch_endpoints(discovery, watch, schedule, engine));
         }
+        listener::listen(&config.listener).map_err(|source| InstanceError::Bind {
+            address: address_of(&config.listener),
+            source,
+        })?;
         self.prefer_over_predecessors(&config.listener);
         let listener = open_listener(config.listener)?;
         let frontend = Rc::new(SwappableFrontend::new(config.frontend));
         self.platform = Some(frontend.clone());
-        log_line!("listens at {}", address_of(&listener));
+        log_line!("listens at {}", address_of(listener.get_ref()));
         self.serve(listener, frontend, PLATFORM_READ_TIMEOUT);
         Ok(())
     }
@@ -286,7 +290,7 @@
 
     fn start_admin(&self, listener: TcpListener) -> Result<(), InstanceError> {
         let listener = open_listener(listener)?;
-        log_line!("operators call at {}", address_of(&listener));
+        log_line!("operators call at {}", address_of(listener.get_ref()));
         let handler = self.admin.clone();
         self.tasks
             .spawn(admin_calls::serve(listener, handler, self.tasks.clone()));
@@ -296,7 +300,7 @@
     fn start_cloudevents(&self, config: CloudEventsFrontendConfig) -> Result<(), InstanceError> {
         self.cloudevents.set(config.frontend);
         let listener = open_listener(config.listener)?;
-        log_line!("takes events at {}", address_of(&listener));
+        log_line!("takes events at {}", address_of(listener.get_ref()));
         self.serve(listener, self.cloudevents.clone(), CLOUDEVENTS_READ_TIMEOUT);
         Ok(())
     }
@@ -409,9 +413,8 @@
     Async::new(listener).map_err(InstanceError::Listener)
 }
 
-fn address_of(listener: &Async<TcpListener>) -> String {
+fn address_of(listener: &TcpListener) -> String {
     listener
-        .get_ref()
         .local_addr()
         .map_or_else(|error| error.to_string(), |address| address.to_string())
 }
--- a/crates/delivery/src/instance/config.rs
+++ b/crates/delivery/src/instance/config.rs
@@ -4,7 +4,7 @@
 use crate::frontend::cloudevents::CloudEventsFrontend;
 use crate::frontend::platform::PlatformFrontend;
 use crate::lease_guard::LeaseGuard;
-use crate::net::discovery::ListWatch;
+use crate::net::discovery::{fetch_list, ListWatch};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -38,6 +38,22 @@
     pub lease: Option<LeaseConfig>,
 }
 
+impl InstanceConfig {
+    /// Replaces the list of the configuration by what discovery has, if it responds.
+    pub(super) async fn refresh_configured_list(&mut self) {
+        let Some(platform) = &mut self.platform else {
+            return;
+        };
+        let Some(watch) = &mut platform.watch else {
+            return;
+        };
+        if let Some(list) = fetch_list(platform.discovery).await {
+            watch.since_revision = list.revision;
+            self.endpoints = list.into_event(&watch.names);
+        }
+    }
+}
+
 /// The folder in which an instance's state lasts.
 pub struct StateFolder {
     /// Where it is.
--- a/crates/delivery/src/net/connection.rs
+++ b/crates/delivery/src/net/connection.rs
@@ -4,13 +4,17 @@
 //! dropped before it is over loses nothing.
 
 use super::http::{self, Chunks, Framing, ParseError, Piece};
+use crate::log_line;
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use nix::libc;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+/// How long connecting pauses where this machine is short of something.
+const LOCAL_ERROR_PAUSE: Duration = Duration::from_millis(20);
 /// How many bytes a read asks the system for at once.
 const READ_SIZE: usize = 16 * 1024;
 /// How much room an empty buffer keeps.
@@ -116,6 +120,36 @@
         Async::<TcpStream>::connect(to).await.map(Connection::new)
     }
 
+    /// Opens a connection. While this machine has no descriptor, address or route for it, the peer is not to blame: it is
+    /// tried again until whoever awaits it gives up.
+    ///
+    /// # Errors
+    /// The peer cannot be reached.
+    pub async fn connect_once_possible(to: SocketAddr) -> io::Result<Connection> {
+        const OF_THIS_MACHINE: &[i32] = &[
+            libc::EADDRNOTAVAIL,
+            libc::EAGAIN,
+            libc::EINTR,
+            libc::EMFILE,
+            libc::ENETUNREACH,
+            libc::ENFILE,
+            libc::ENOBUFS,
+            libc::ENOMEM,
+        ];
+        loop {
+            let error = match Connection::connect(to).await {
+                Err(error) => error,
+                connected => return connected,
+            };
+            let number = error.raw_os_error().unwrap_or_default();
+            if !OF_THIS_MACHINE.contains(&number) {
+                return Err(error);
+            }
+            log_line!(code = "connect-deferred", "{to}: {error}");
+            Timer::after(LOCAL_ERROR_PAUSE).await;
+        }
+    }
+
     /// Ties something to the connection that is dropped with it.
     pub fn with_guard(mut self, guard: Box<dyn std::any::Any>) -> Connection {
         self.guard = Some(guard);
--- a/crates/delivery/src/net/discovery.rs
+++ b/crates/delivery/src/net/discovery.rs
@@ -4,6 +4,7 @@
 //! and abandons what is under way at the old one.
 
 mod endpoint_list;
+mod fetch;
 mod notices;
 mod poll_schedule;
 #[cfg(test)]
@@ -11,6 +12,7 @@
 mod watch;
 
 pub use endpoint_list::{EndpointList, NameIndex};
+pub use fetch::fetch_list;
 pub use notices::{deliver_notices, PendingNotice};
 pub use poll_schedule::PollSchedule;
 pub use watch::{watch_endpoints, ListWatch};
--- a/crates/delivery/src/net/discovery/notices.rs
+++ b/crates/delivery/src/net/discovery/notices.rs
@@ -150,7 +150,9 @@
 ) -> Result<u16, ReadError> {
     let mut connection = match kept.take().filter(Connection::is_reusable) {
         Some(connection) => connection,
-        None => Connection::connect(address).await.map_err(ReadError::Io)?,
+        None => Connection::connect_once_possible(address)
+            .await
+            .map_err(ReadError::Io)?,
     };
     let body_len = body.len();
     let head =
--- a/crates/delivery/src/net/discovery/watch/stream.rs
+++ b/crates/delivery/src/net/discovery/watch/stream.rs
@@ -71,7 +71,7 @@
 /// Sends the request and reads the head of its response.
 async fn open(request: &StreamRequest<'_>) -> Result<Connection, EndCode> {
     let address = request.address;
-    let Ok(mut connection) = Connection::connect(address).await else {
+    let Ok(mut connection) = Connection::connect_once_possible(address).await else {
         return Err("no-connection");
     };
     let revision = request.since_revision.get();
--- a/crates/delivery/src/net/listener.rs
+++ b/crates/delivery/src/net/listener.rs
@@ -12,8 +12,8 @@
 /// The backlog until the server sets its own when it starts to accept.
 const INITIAL_BACKLOG: i32 = 128;
 
-/// Binds a TCP listener with `SO_REUSEADDR` and `SO_REUSEPORT`, so that another process of the same user may bind the
-/// same address at the same time.
+/// Binds a TCP socket with `SO_REUSEADDR` and `SO_REUSEPORT`, so that another process of the same user may bind the
+/// same address at the same time. Until [`listen`] is called, connections are refused.
 ///
 /// # Errors
 /// What the system reports for the socket, the options or the bind: the address is taken by a socket without
@@ -28,10 +28,17 @@
     sockopt::set_socket_reuseaddr(&socket, true)?;
     sockopt::set_socket_reuseport(&socket, true)?;
     rustix::net::bind(&socket, &SocketAddrAny::from(address))?;
-    rustix::net::listen(&socket, INITIAL_BACKLOG)?;
     Ok(TcpListener::from(socket))
 }
 
+/// Has the system take connections for a socket from now on; they wait until they are accepted.
+///
+/// # Errors
+/// What the system reports: another socket listens at the address without `SO_REUSEPORT`, say.
+pub fn listen(listener: &TcpListener) -> io::Result<()> {
+    Ok(rustix::net::listen(listener, INITIAL_BACKLOG)?)
+}
+
 /// Whether a failed `accept` says something of the connection that waited, or of nothing at all: the next one can be
 /// accepted at once. Linux passes on errors that were already pending on a new connection. Other errors are of the
 /// system, which is short of something, and the connection waits on.
--- a/crates/delivery/src/net/listener/tests.rs
+++ b/crates/delivery/src/net/listener/tests.rs
@@ -1,11 +1,27 @@
 use super::*;
 use std::net::TcpStream;
 
+/// A shared listener that takes connections.
+fn listening(address: SocketAddr) -> TcpListener {
+    let listener = bind_shared(address).unwrap();
+    listen(&listener).unwrap();
+    listener
+}
+
+#[test]
+fn bound_socket_refuses_connections_until_it_listens() {
+    let bound = bind_shared(([127, 0, 0, 1], 0).into()).unwrap();
+    let address = bound.local_addr().unwrap();
+    assert!(TcpStream::connect(address).is_err());
+    listen(&bound).unwrap();
+    assert!(TcpStream::connect(address).is_ok());
+}
+
 #[test]
 fn shared_address_rejects_a_listener_without_the_option() {
-    let first = bind_shared(([127, 0, 0, 1], 0).into()).unwrap();
+    let first = listening(([127, 0, 0, 1], 0).into());
     let address = first.local_addr().unwrap();
-    let second = bind_shared(address).unwrap();
+    let second = listening(address);
     assert_eq!(second.local_addr().unwrap(), address);
     assert!(
         TcpListener::bind(address).is_err(),
@@ -15,9 +31,9 @@
 
 #[test]
 fn preferred_listener_gets_all_connections_until_it_closes() {
-    let first = bind_shared(([127, 0, 0, 1], 0).into()).unwrap();
+    let first = listening(([127, 0, 0, 1], 0).into());
     let address = first.local_addr().unwrap();
-    let second = bind_shared(address).unwrap();
+    let second = listening(address);
     prefer(&second, 1).unwrap();
     let waiting = |listener: &TcpListener| {
         listener.set_nonblocking(true).unwrap();
--- a/crates/delivery/src/net/pool.rs
+++ b/crates/delivery/src/net/pool.rs
@@ -14,22 +14,16 @@
 use crate::counters::{add, Counters};
 use crate::log_line;
 use async_channel::{Receiver, Sender};
-use async_io::Timer;
 use endpoint_connections::EndpointConnections;
 use futures_lite::future;
 use marblefall_scheduler::{EndpointId, EndpointStatus, Outcome};
-use nix::libc;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::future::Future;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How long connecting pauses where this machine is short of something.
-const LOCAL_ERROR_PAUSE: Duration = Duration::from_millis(20);
-
 /// What an instance may use.
 #[derive(Clone, Copy, Debug)]
 pub struct PoolLimits {
@@ -219,7 +213,7 @@
         let connect_by = attempt
             .timeout_at
             .min(Instant::now() + self.limits.connect_timeout);
-        let connecting = before(connect_by, connect_unless_refused(address));
+        let connecting = before(connect_by, Connection::connect_once_possible(address));
         let code = match until_cancelled(cancelled, connecting).await {
             Some(Some(Ok(connection))) => {
                 return Ok(PooledConnection {
@@ -286,33 +280,6 @@
     log_line!(endpoint = id.0, code, "endpoint: connection ended");
 }
 
-/// Opens a connection. While this machine has no descriptor, address or route for it, the endpoint is not to blame and
-/// the message's attempt not used up: it is tried again until whoever awaits it gives up.
-async fn connect_unless_refused(address: SocketAddr) -> io::Result<Connection> {
-    const OF_THIS_MACHINE: &[i32] = &[
-        libc::EADDRNOTAVAIL,
-        libc::EAGAIN,
-        libc::EINTR,
-        libc::EMFILE,
-        libc::ENETUNREACH,
-        libc::ENFILE,
-        libc::ENOBUFS,
-        libc::ENOMEM,
-    ];
-    loop {
-        let error = match Connection::connect(address).await {
-            Err(error) => error,
-            connected => return connected,
-        };
-        let number = error.raw_os_error().unwrap_or_default();
-        if !OF_THIS_MACHINE.contains(&number) {
-            return Err(error);
-        }
-        log_line!(code = "connect-deferred", "endpoint {address}: {error}");
-        Timer::after(LOCAL_ERROR_PAUSE).await;
-    }
-}
-
 /// Awaits a future, unless the attempt is cancelled.
 async fn until_cancelled<T>(
     cancelled: &Receiver<()>,
--- a/crates/delivery/src/net/server.rs
+++ b/crates/delivery/src/net/server.rs
@@ -36,7 +36,7 @@
 /// How long the listener pauses while all connections are in use.
 const FULL_PAUSE: Duration = Duration::from_millis(1);
 /// How long it pauses after an error: without descriptors, trying at once again would only spin.
-const ERROR_PAUSE: Duration = Duration::from_millis(10);
+const ERROR_PAUSE: Duration = Duration::from_millis(2);
 /// How often idle connections are evicted where there are many.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(100);
 
--- a/crates/fault-soak/src/discovery.rs
+++ b/crates/fault-soak/src/discovery.rs
@@ -106,6 +106,10 @@
         let mut reader = BufReader::new(stream.try_clone()?);
         let mut writer = stream;
         while let Some(message) = Message::read(&mut reader) {
+            if message.first.starts_with("GET /v1/endpoints HTTP") {
+                self.tell_whole_list(&mut writer)?;
+                continue;
+            }
             if message.first.starts_with("GET /v1/endpoints") {
                 return self.watch(&mut writer);
             }
@@ -133,6 +137,23 @@
             .collect()
     }
 
+    fn tell_whole_list(&self, writer: &mut TcpStream) -> io::Result<()> {
+        while self.has(DiscoveryTrouble::Down) {
+            thread::sleep(POLL);
+        }
+        let phases = self.phases();
+        let listed = phases
+            .iter()
+            .enumerate()
+            .filter(|(_, phase)| **phase != Phase::Removed);
+        let list = self.list(42, true, listed);
+        let len = list.len();
+        write!(
+            writer,
+            "HTTP/1.1 200 OK\r\nContent-Length: {len}\r\n\r\n{list}"
+        )
+    }
+
     /// Pushes the list and its changes until the watch ends, or for ever nothing once it has fallen silent.
     fn watch(&self, writer: &mut TcpStream) -> io::Result<()> {
         while self.has(DiscoveryTrouble::Down) {
@@ -174,20 +195,29 @@
         }
     }
 
-    fn write<'a>(
+    fn list<'a>(
         &self,
-        writer: &mut TcpStream,
         revision: u64,
         is_whole: bool,
         phases: impl Iterator<Item = (usize, &'a Phase)>,
-    ) -> io::Result<()> {
+    ) -> String {
         let entries: Vec<String> = phases
             .map(|(endpoint, phase)| entry(endpoint, self.endpoints[endpoint], *phase))
             .collect();
-        let line = format!(
+        format!(
             "{{\"revision\":{revision},\"complete\":{is_whole},\"members\":[{}]}}\n",
             entries.join(",")
-        );
+        )
+    }
+
+    fn write<'a>(
+        &self,
+        writer: &mut TcpStream,
+        revision: u64,
+        is_whole: bool,
+        phases: impl Iterator<Item = (usize, &'a Phase)>,
+    ) -> io::Result<()> {
+        let line = self.list(revision, is_whole, phases);
         write!(writer, "{:x}\r\n{line}\r\n", line.len())
     }
 }
