--- a/crates/fault-soak/src/plan.rs
+++ b/crates/fault-soak/src/plan.rs
@@ -197,7 +197,11 @@
         TroubleKind::System(SystemFault(FaultKind::WallClockStepped)) => {
             CLOCK_STEPS_MS[rng.random_range(0..CLOCK_STEPS_MS.len())]
         }
-        TroubleKind::System(SystemFault(FaultKind::TornWriteAndKill)) => 20,
+        TroubleKind::System(SystemFault(FaultKind::TornWriteAndKill)) => 40,
+        // Few calls come to these.
+        TroubleKind::System(SystemFault(
+            FaultKind::ConnectNoAddress | FaultKind::ConnectUnreachable | FaultKind::LockFails,
+        )) => rng.random_range(700..1000),
         TroubleKind::System(SystemFault(
             FaultKind::ReceiveTimedOut | FaultKind::SendUnreachable,
         )) => rng.random_range(30..90),
