--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -271,6 +271,10 @@
         found.unwrap()
     }
 
+    pub fn pid(&self) -> u32 {
+        self.0.pid()
+    }
+
     pub fn kill(mut self) {
         self.0.kill().unwrap();
     }
--- a/crates/cli/tests/system_faults.rs
+++ b/crates/cli/tests/system_faults.rs
@@ -367,3 +367,44 @@
     });
     assert_eq!(endpoint.count(), before);
 }
+
+/// Processor time that a process has taken, in clock ticks of a hundredth of a second.
+fn processor_ticks(program: &Program) -> u64 {
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", program.pid())).unwrap();
+    let after_name = stat.rsplit(')').next().unwrap();
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap()
+}
+
+/// Each step that found the journal failing set a timer of its own for the next try, and each of those another: after
+/// some seconds the process did nothing else.
+#[test]
+fn failing_disk_does_not_keep_the_processor_busy() {
+    let open = Arc::new(AtomicBool::new(false));
+    let answering = open.clone();
+    let endpoint = StandIn::start(move |_| {
+        wait_for("the fault", || answering.load(Ordering::SeqCst));
+        ok()
+    });
+    let site = Site::new("busy", endpoint.at, "6000", 0);
+    let after = Duration::from_millis(1000);
+    let lasts = Duration::from_millis(3000);
+    let failing = fault(FaultKind::DiskError, after, lasts, ALWAYS);
+    let (program, _shim) = site.start_under(&[failing]);
+    let at = program.address(MARKER, 0);
+    for n in 0..20 {
+        hand(at, &format!("held-{n}"), "refill-status", "20000").unwrap();
+    }
+    wait_for("the fault's time", || failing.is_in_force(monotonic_ms()));
+    // What is delivered now cannot be noted.
+    open.store(true, Ordering::SeqCst);
+    let before = processor_ticks(&program);
+    let mut n = 0;
+    wait_for("the end of the fault", || {
+        n += 1;
+        let _ = hand(at, &format!("in-fault-{n}"), "refill-status", "20000");
+        !failing.is_in_force(monotonic_ms())
+    });
+    let ticks = processor_ticks(&program) - before;
+    assert!(ticks < 100, "{ticks} of 300 ticks, {n} requests");
+}
