--- a/crates/delivery/src/core/engine.rs
+++ b/crates/delivery/src/core/engine.rs
@@ -74,6 +74,8 @@
     rejections: Vec<(RequestId, RejectReason)>,
     /// Attempts that wait for the journal.
     unjournalled: Vec<UnjournalledAttempt>,
+    /// The journal is not asked again for those, and for what else it did not take, before then.
+    journal_retry_at: m::Time,
     /// Attempts in flight.
     in_flight: usize,
     lease: LeaseState,
@@ -143,6 +145,7 @@
             parked: BTreeSet::new(),
             rejections: Vec::new(),
             unjournalled: Vec::new(),
+            journal_retry_at: m::Time(i64::MIN),
             in_flight: 0,
             lease: LeaseState::Held,
             deferred: Vec::new(),
--- a/crates/delivery/src/core/engine/policy_change.rs
+++ b/crates/delivery/src/core/engine/policy_change.rs
@@ -205,6 +205,7 @@
         self.backlog.clear();
         // The new scheduler chooses for itself.
         self.unjournalled.clear();
+        self.journal_retry_at = now.monotonic;
         self.tell_scheduler(now, &[m::Event::EndpointsUpdated(updates)], commands);
         self.reactivate(now, routes);
         commands.push(EngineCommand::PolicyInForce(revision));
--- a/crates/delivery/src/core/engine/unjournalled.rs
+++ b/crates/delivery/src/core/engine/unjournalled.rs
@@ -25,13 +25,19 @@
         self.wake_for_journal(now);
     }
 
+    /// Has the engine stepped when the journal is next asked: one timer at a time, however many steps find it failing.
     fn wake_for_journal(&mut self, now: Timestamp) {
-        self.timers
-            .insert((now.monotonic + RETRY_INTERVAL, STEP_TIMER));
+        if self.journal_retry_at <= now.monotonic {
+            self.journal_retry_at = now.monotonic + RETRY_INTERVAL;
+            self.timers.insert((self.journal_retry_at, STEP_TIMER));
+        }
     }
 
-    /// Asks the journal again for what it did not take.
+    /// Asks the journal again for what it did not take, once that is due.
     pub(super) fn retry_journal(&mut self, now: Timestamp, commands: &mut Vec<EngineCommand>) {
+        if now.monotonic < self.journal_retry_at {
+            return;
+        }
         if self.store.has_unwritten() {
             let written = self.store.retry_unwritten();
             if written.is_err() {
