--- a/crates/delivery/src/clock.rs
+++ b/crates/delivery/src/clock.rs
@@ -72,11 +72,6 @@
         Ok(clock)
     }
 
-    /// The clock of a state folder that a process of this machine uses or has used, if any.
-    pub fn of_folder(folder: &Path) -> Option<SteadyClock> {
-        read(folder, &boot_id()).ok().flatten()
-    }
-
     /// What it shows now, as Unix time in milliseconds.
     pub fn unix_ms(self) -> i64 {
         self.unix_ms_at_boot + monotonic_ms()
@@ -128,14 +123,6 @@
 }
 
 impl ReceivedAt {
-    /// A moment in which both clocks show the same.
-    pub fn same(unix_ms: i64) -> ReceivedAt {
-        ReceivedAt {
-            steady_ms: unix_ms,
-            wall_ms: unix_ms,
-        }
-    }
-
     /// The steady clock's time at a date that was taken from the wall clock.
     pub fn steady_ms_of(self, wall_ms: i64) -> i64 {
         self.steady_ms
--- a/crates/delivery/src/clock/tests.rs
+++ b/crates/delivery/src/clock/tests.rs
@@ -37,7 +37,7 @@
     let folder = folder("shared");
     let first = SteadyClock::open(&folder).unwrap();
     assert_eq!(SteadyClock::open(&folder).unwrap(), first);
-    assert_eq!(SteadyClock::of_folder(&folder), Some(first));
+    assert_eq!(read(&folder, &boot_id()).unwrap(), Some(first));
 }
 
 #[test]
@@ -47,9 +47,9 @@
     let behind_ms = wall_unix_ms() - SteadyClock::open(&folder).unwrap().unix_ms();
     assert!(behind_ms.abs() < 1000, "{behind_ms} ms behind");
     fs::write(folder.join(FILE), b"{\"boot_id\":").unwrap();
-    assert_eq!(SteadyClock::of_folder(&folder), None);
+    assert_eq!(read(&folder, &boot_id()).unwrap(), None);
     SteadyClock::open(&folder).unwrap();
-    assert!(SteadyClock::of_folder(&folder).is_some());
+    assert!(read(&folder, &boot_id()).unwrap().is_some());
 }
 
 #[test]
