--- a/crates/delivery/src/net/admin/tests.rs
+++ b/crates/delivery/src/net/admin/tests.rs
@@ -61,3 +61,25 @@
         assert_eq!(read_status(&mut wrong).await, 405);
     }));
 }
+
+/// The call was rejected at its head, and its connection closed over the rest: the reset took the response with it.
+#[test]
+fn call_that_is_too_long_reads_its_response() {
+    let tasks = Rc::new(LocalExecutor::new());
+    let spawner = Spawner::new(&tasks);
+    async_io::block_on(tasks.run(async {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+        let address = listener.get_ref().local_addr().unwrap();
+        let handler = Rc::new(RecordingHandler::default());
+        spawner.clone().spawn(serve(listener, handler, spawner));
+        let mut caller = Connection::connect(address).await.unwrap();
+        let body = vec![b'x'; 8 << 20];
+        let head = format!(
+            "POST /endpoints/disable HTTP/1.1\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        let written = caller.write(head.as_bytes(), &body).await;
+        assert!(written.is_ok(), "cut off while sending: {written:?}");
+        assert_eq!(read_status(&mut caller).await, 413);
+    }));
+}
--- a/crates/delivery/src/net/discovery/notices.rs
+++ b/crates/delivery/src/net/discovery/notices.rs
@@ -169,3 +169,6 @@
     *kept = Some(connection).filter(|_| keep_alive);
     Ok(status)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/delivery/src/net/server/tests.rs
+++ b/crates/delivery/src/net/server/tests.rs
@@ -2,12 +2,15 @@
 use super::connection_table::{ConnectionId, ConnectionTable, Phase};
 use super::session::MAX_HEAD;
 use super::*;
-use crate::clock::SteadyClock;
-use crate::core::SubmitResponse;
+use crate::clock::{ReceivedAt, SteadyClock};
+use crate::core::engine::EngineEvent;
+use crate::core::{Message, Origin, SubmitResponse};
 use crate::frontend::platform::PlatformFrontend;
 use crate::net::connection::before;
+use crate::net::frontend::{ParsedRequest, Response};
 use crate::net::http;
 use async_executor::LocalExecutor;
+use marblefall_scheduler::{ClassId, DestinationId};
 use std::io::Write;
 use std::time::Instant;
 
@@ -246,3 +249,74 @@
         assert_eq!(answer.await.map(|(status, _)| status), Some(503));
     });
 }
+
+/// A frontend whose responses are longer than what the system takes at once.
+struct LongResponses;
+
+/// Bytes of such a response.
+const LONG_RESPONSE: usize = 64 << 20;
+
+impl Frontend for LongResponses {
+    fn parse(
+        &self,
+        _request: &http::RequestHead<'_>,
+        body: &[u8],
+        at: ReceivedAt,
+    ) -> ParsedRequest {
+        ParsedRequest::Submit(Message {
+            origin: Origin::Platform,
+            identity: b"m".to_vec(),
+            idempotency_key: None,
+            class: ClassId(0),
+            destination: DestinationId(1),
+            expires_ms: at.steady_ms + 1000,
+            attributes: Vec::new(),
+            body: body.to_vec(),
+        })
+    }
+
+    fn respond(&self, _response: SubmitResponse) -> Option<Response> {
+        Some(Response::with_reason(202, "x".repeat(LONG_RESPONSE)))
+    }
+}
+
+/// The client had read that its message is accepted when its connection broke within the response: the message was given
+/// up all the same, and nobody was told.
+#[test]
+fn response_that_breaks_off_leaves_its_message_accepted() {
+    let tasks = Rc::new(LocalExecutor::new());
+    let spawner = Spawner::new(&tasks);
+    async_io::block_on(tasks.run(async {
+        let (events, received) = async_channel::unbounded();
+        let clients = Rc::new(ClientConnections::new(events, 8, Rc::default()));
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+        let address = listener.get_ref().local_addr().unwrap();
+        let server = Server {
+            frontend: Rc::new(LongResponses),
+            clients: clients.clone(),
+            read_timeout: ReadTimeout(Duration::from_secs(30)),
+            clock: Clock::start(SteadyClock::from_wall_clock()),
+            tasks: spawner.clone(),
+        };
+        spawner.spawn(server.serve(listener));
+        let mut client = Connection::connect(address).await.unwrap();
+        client
+            .write(b"POST /api HTTP/1.1\r\n\r\n", b"")
+            .await
+            .unwrap();
+        let Ok(EngineEvent::Submitted(request, _)) = received.recv().await else {
+            panic!("the message was not submitted");
+        };
+        clients.respond(request, SubmitResponse::Accepted);
+        client.read_head(MAX_HEAD).await.unwrap();
+        drop(client);
+        while clients.connections() > 0 {
+            future::yield_now().await;
+        }
+        assert!(
+            received.is_empty(),
+            "given up: {:?}",
+            received.try_recv().ok()
+        );
+    }));
+}
