Responses that break off keep their message; silent notices and operators' calls

Cause: Session::write_response sent ClientGone also where a part of the response had gone out, so that an accepted message was given up without a notice; NoticeSender::send_batch waited 2 s on a connection that says nothing, and every notice behind it with it; net/admin.rs closed a call's connection over unread bytes, and the reset took the response.

Change: Connection counts the bytes that the system took, and only a client that got none of its response is gone; a notice's response is awaited for 120 ms at first, doubled with each silence, and sent again on another connection; an operators' call lingers for a second as clients' connections do.

--- a/crates/delivery/src/net/admin.rs
+++ b/crates/delivery/src/net/admin.rs
@@ -17,6 +17,9 @@
 const RESPOND_WITHIN: Duration = Duration::from_millis(800);
 /// How long writing the response may take after that.
 const WRITE_GRACE: Duration = Duration::from_millis(200);
+/// A caller may go on sending for so long after its response: a connection closed over unread bytes is reset, which takes
+/// the response with it.
+const LINGER_AFTER_RESPONSE: Duration = Duration::from_secs(1);
 /// The longest head and the longest body: an endpoint's id.
 const MAX_LEN: usize = 4 * 1024;
 
@@ -116,6 +119,9 @@
     let write_by = respond_by + WRITE_GRACE;
     let _ = before(write_by, connection.write(head.as_bytes(), b"")).await;
     log_line!(code, "operators' call: status {status}");
+    connection
+        .linger(Instant::now() + LINGER_AFTER_RESPONSE)
+        .await;
 }
 
 /// Where a call lies in its connection's buffer.
--- a/crates/delivery/src/net/connection.rs
+++ b/crates/delivery/src/net/connection.rs
@@ -72,6 +72,8 @@
     consumed: usize,
     /// Up to here the buffer holds what was read; beyond it is room.
     filled: usize,
+    /// Bytes that the system has taken to be sent.
+    bytes_sent: u64,
     /// Dropped with the connection.
     guard: Option<Box<dyn std::any::Any>>,
 }
@@ -108,6 +110,7 @@
             buffer: Vec::new(),
             consumed: 0,
             filled: 0,
+            bytes_sent: 0,
             guard: None,
         }
     }
@@ -161,6 +164,11 @@
         &self.buffer[self.consumed..self.filled]
     }
 
+    /// How many bytes the system has taken to be sent, also of writes that did not succeed as a whole.
+    pub fn bytes_sent(&self) -> u64 {
+        self.bytes_sent
+    }
+
     /// Marks bytes as consumed; the buffer is reused once all are.
     pub fn consume(&mut self, len: usize) {
         self.consumed += len;
@@ -210,6 +218,7 @@
             if written == 0 {
                 return Err(io::ErrorKind::WriteZero.into());
             }
+            self.bytes_sent += written as u64;
             let of_head = written.min(head.len());
             (head, body) = (&head[of_head..], &body[written - of_head..]);
         }
--- a/crates/delivery/src/net/discovery/notices.rs
+++ b/crates/delivery/src/net/discovery/notices.rs
@@ -11,8 +11,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// How long a request may take.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a response is awaited at first. Discovery responds at once, so that a connection which says nothing for longer
+/// is broken, and a notice that is sent again does no harm, while one that comes late is lost ...
+const MIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(120);
+/// ... which doubles with each further silence, up to this.
+const MAX_RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The most notices in one request.
 const MAX_BATCH: usize = 200;
 const NO_CONTENT: u16 = 204;
@@ -42,6 +45,7 @@
     let mut sender = NoticeSender {
         connection: None,
         backoff: MIN_BACKOFF,
+        response_timeout: MIN_RESPONSE_TIMEOUT,
         batch: Vec::new(),
         pending,
         encode,
@@ -82,6 +86,7 @@
     /// Kept from one request to the next.
     connection: Option<Connection>,
     backoff: Duration,
+    response_timeout: Duration,
     batch: Vec<EncodedNotice>,
     pending: Receiver<PendingNotice>,
     encode: EncodeNotice,
@@ -90,7 +95,12 @@
 impl NoticeSender {
     fn reset(&mut self) {
         self.connection = None;
+        self.reset_waits();
+    }
+
+    fn reset_waits(&mut self) {
         self.backoff = MIN_BACKOFF;
+        self.response_timeout = MIN_RESPONSE_TIMEOUT;
     }
 
     async fn send_batch(&mut self, address: SocketAddr) -> BatchResult {
@@ -102,20 +112,26 @@
             .iter()
             .map(|notice| notice.line.as_str())
             .collect();
-        let deadline = Instant::now() + REQUEST_TIMEOUT;
+        let deadline = Instant::now() + self.response_timeout;
         let posted = before(deadline, post(&mut self.connection, address, &body)).await;
-        let code = match posted.unwrap_or(Err(ReadError::TimedOut)) {
-            Ok(NO_CONTENT) => {
-                self.backoff = MIN_BACKOFF;
+        let code = match &posted {
+            Some(Ok(NO_CONTENT)) => {
+                self.reset_waits();
                 return BatchResult::Acknowledged;
             }
-            Ok(status) => status.to_string(),
-            Err(error) => error.code().to_owned(),
+            Some(Ok(status)) => status.to_string(),
+            Some(Err(error)) => error.code().to_owned(),
+            None => ReadError::TimedOut.code().to_owned(),
         };
         self.connection = None;
         log_line!(code = %code, "discovery {address}: {} notices not taken", self.batch.len());
-        Timer::after(self.backoff).await;
-        self.backoff = next_backoff(self.backoff);
+        if posted.is_none() {
+            // It has been waited for already.
+            self.response_timeout = (self.response_timeout * 2).min(MAX_RESPONSE_TIMEOUT);
+        } else {
+            Timer::after(self.backoff).await;
+            self.backoff = next_backoff(self.backoff);
+        }
         BatchResult::Rejected
     }
 
--- a/crates/delivery/src/net/server/session.rs
+++ b/crates/delivery/src/net/server/session.rs
@@ -274,6 +274,7 @@
             AfterResponse::Close
         };
         let write_by = Instant::now() + self.read_timeout.0;
+        let sent_before = self.connection.bytes_sent();
         let writing = write_response(self.connection, &pending.response, after_response);
         match before(write_by, writing).await {
             Some(Ok(())) if after_response == AfterResponse::KeepOpen => {
@@ -288,7 +289,9 @@
                 Err("closed-after-response")
             }
             Some(Err(_)) | None => {
-                if let Some(request) = pending.submission {
+                // A client that got a part of its response may have read that its message is accepted.
+                let got_nothing = self.connection.bytes_sent() == sent_before;
+                if let Some(request) = pending.submission.filter(|_| got_nothing) {
                     self.clients.send(EngineEvent::ClientGone(request)).await;
                 }
                 Err(RESPONSE_NOT_TAKEN)
