--- a/crates/cli/tests/common/shim.rs
+++ b/crates/cli/tests/common/shim.rs
@@ -41,8 +41,10 @@
     marblefall_simulation::rig::micros() / 1000
 }
 
-/// A fault from now on.
+/// A fault whose time counts from now on, with the library built before: on a clean checkout that takes longer than
+/// most faults last.
 pub fn fault(kind: FaultKind, after: Duration, lasts: Duration, amount: i64) -> Fault {
+    library();
     let from_ms = monotonic_ms() + after.as_millis() as i64;
     Fault {
         kind,
--- a/crates/cli/tests/system_faults.rs
+++ b/crates/cli/tests/system_faults.rs
@@ -17,6 +17,8 @@
 
 const NOW: Duration = Duration::ZERO;
 const LONG: Duration = Duration::from_secs(3600);
+/// Half of all calls are struck.
+const HALF: i64 = 500;
 
 /// An endpoint that answers nothing until it is told to.
 fn endpoint_silent_until(open: &Arc<AtomicBool>) -> StandIn {
@@ -408,3 +410,83 @@
     let ticks = processor_ticks(&program) - before;
     assert!(ticks < 100, "{ticks} of 300 ticks, {n} requests");
 }
+
+/// One file of the journal that could not be opened for a moment ended the process that started.
+#[test]
+fn process_that_can_open_files_only_at_times_starts_with_its_messages() {
+    let open = Arc::new(AtomicBool::new(false));
+    let endpoint = endpoint_rejecting_until(&open);
+    let site = Site::new("opens", endpoint.at, "6000", 0);
+    let (program, at) = site.first();
+    let answer = hand(at, "held", "refill-status", "20000").unwrap();
+    assert_eq!(answer.status(), 202);
+    program.kill();
+    // Each process leaves a file of its own.
+    for _ in 0..5 {
+        let program = site.start();
+        program.address(MARKER, 0);
+        program.kill();
+    }
+    open.store(true, Ordering::SeqCst);
+    let before = endpoint.count();
+    let lasts = Duration::from_secs(4);
+    let (_program, shim) = site.start_under(&[fault(FaultKind::OpenNoFiles, NOW, lasts, HALF)]);
+    wait_for("the message's attempt", || endpoint.count() > before);
+    assert!(shim.struck(FaultKind::OpenNoFiles) > 0);
+}
+
+/// What operators had disabled was taken for nothing where its file could not be opened, and the endpoint was called.
+#[test]
+fn disabled_endpoint_stays_disabled_where_its_file_opens_only_at_times() {
+    let endpoint = StandIn::start(|_| ok());
+    let site = Site::new("disabled", endpoint.at, "6000", 0);
+    let (program, at) = site.first();
+    program.kill();
+    std::fs::write(site.folder.0.join("state/held-out.txt"), "s-1\n").unwrap();
+    for n in 0..8 {
+        let lasts = Duration::from_secs(4);
+        let (mut program, _shim) =
+            site.start_under(&[fault(FaultKind::OpenNoFiles, NOW, lasts, HALF)]);
+        program.address(MARKER, 0);
+        hand(at, &format!("m-{n}"), "refill-status", "700").unwrap();
+        program.signal("TERM");
+        assert!(program.ended(), "{}", program.log());
+        assert_eq!(endpoint.count(), 0, "{}", program.log());
+    }
+}
+
+/// A standby that could not open a file of the journal as it took over left the messages in it, and those after it, to
+/// the next start.
+#[test]
+fn standby_that_can_open_files_only_at_times_takes_over_all_messages() {
+    let open = Arc::new(AtomicBool::new(false));
+    let endpoint = endpoint_rejecting_until(&open);
+    let site = Site::new("standby-opens", endpoint.at, "6000", 0);
+    let (first, at) = site.first();
+    let mut accepted = Vec::new();
+    let mut submit = |id: String| {
+        let answer = hand(at, &id, "refill-status", "20000").unwrap();
+        assert_eq!(answer.status(), 202);
+        accepted.push(id);
+    };
+    submit("of-first".to_owned());
+    first.kill();
+    let mut old = site.start();
+    old.address(MARKER, 0);
+    submit("of-old".to_owned());
+    let lasts = Duration::from_secs(6);
+    let (new, shim) = site.start_under(&[fault(FaultKind::OpenNoFiles, NOW, lasts, HALF)]);
+    new.address(MARKER, 0);
+    submit("of-either".to_owned());
+    old.signal("TERM");
+    assert!(old.ended(), "{}", old.log());
+    open.store(true, Ordering::SeqCst);
+    let before = endpoint.count();
+    let is_delivered = |id: &String| {
+        let seen = endpoint.seen.lock().unwrap();
+        let mut later = seen[before..].iter();
+        later.any(|attempt| attempt.field("x-call-id") == Some(id))
+    };
+    wait_for("all messages", || accepted.iter().all(is_delivered));
+    assert!(shim.struck(FaultKind::OpenNoFiles) > 0, "{}", new.log());
+}
--- a/crates/fault-plan/src/lib.rs
+++ b/crates/fault-plan/src/lib.rs
@@ -80,6 +80,8 @@
     LockFails = "flock-enolck",
     /// The wall clock shows another time.
     WallClockStepped = "wall-step",
+    /// Opening a file in the folder fails with ENFILE.
+    OpenNoFiles = "open-enfile",
 }
 
 impl FaultKind {
--- a/crates/fault-shim/src/calls.rs
+++ b/crates/fault-shim/src/calls.rs
@@ -347,9 +347,11 @@
 #[no_mangle]
 pub unsafe extern "C" fn open64(path: *const c_char, flags: c_int, mode: mode_t) -> c_int {
     // SAFETY: the caller's path is a string with its end.
-    let is_new = flags & libc::O_CREAT != 0
-        && any_in_force(DISK_FAULTS)
-        && is_in_folder(unsafe { path_bytes(path) });
+    let in_folder = || is_in_folder(unsafe { path_bytes(path) });
+    if any_in_force(&[FaultKind::OpenNoFiles]) && in_folder() && strikes(FaultKind::OpenNoFiles) {
+        return fail(libc::ENFILE);
+    }
+    let is_new = flags & libc::O_CREAT != 0 && any_in_force(DISK_FAULTS) && in_folder();
     if is_new {
         if let Some(error) = disk_error() {
             return fail(error);
--- a/crates/fault-soak/src/plan.rs
+++ b/crates/fault-soak/src/plan.rs
@@ -238,6 +238,7 @@
         | FaultKind::DiskError
         | FaultKind::SocketNoFiles
         | FaultKind::SocketNoBuffers
+        | FaultKind::OpenNoFiles
         | FaultKind::WallClockStepped => TroubleKind::Kill,
         FaultKind::AcceptAborted
         | FaultKind::AcceptNoFiles
