Steps that fail for want of a descriptor are taken again, and nothing is left out

Cause: only the claim of the state folder was tried again.

What is transient is said in system_error.rs, for disks and for connects.

--- a/crates/delivery/src/core/engine.rs
+++ b/crates/delivery/src/core/engine.rs
@@ -15,6 +15,7 @@
 mod event;
 mod hot_restart;
 mod policy_change;
+mod postponed;
 mod settings;
 mod unjournalled;
 
@@ -32,6 +33,7 @@
 use endpoint_registry::EndpointRegistry;
 use hot_restart::Role;
 use marblefall_scheduler as m;
+use postponed::Postponed;
 use settings::Policy;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -66,6 +68,8 @@
     /// Whether the end is too near to start anything.
     starts_nothing_more: bool,
     role: Role,
+    /// What the journal could not be read or written for yet.
+    postponed: Postponed,
     /// Messages whose attempt is in flight at another incarnation, which the scheduler knows ...
     in_flight_elsewhere: BTreeSet<MessageId>,
     /// ... and those which it is not told of before, as their endpoint is not listed any more.
@@ -141,6 +145,7 @@
             shutdown_at: None,
             starts_nothing_more: false,
             role: Role::Standby,
+            postponed: Postponed::default(),
             in_flight_elsewhere: BTreeSet::new(),
             parked: BTreeSet::new(),
             rejections: Vec::new(),
@@ -154,13 +159,15 @@
 
     /// When the engine wants to be stepped even if nothing comes in.
     pub fn next_wake(&self) -> Option<m::Time> {
+        let postponed = self.postponed.next_try();
         if self.role != Role::Active {
-            return None;
+            return postponed;
         }
         let timer = self.timers.first().map(|(at, _)| *at);
         timer
             .into_iter()
             .chain(self.active_destinations.next_check())
+            .chain(postponed)
             .min()
     }
 
@@ -181,6 +188,7 @@
         events: Vec<EngineEvent>,
         commands: &mut Vec<EngineCommand>,
     ) {
+        let events = self.postponed.take_due(now.monotonic, events);
         let mut events = self.apply_policy_changes(now, events, commands);
         if self.role != Role::Active || events.iter().any(EngineEvent::belongs_to_hot_restart) {
             return self.step_in_hot_restart(now, events, commands);
--- a/crates/delivery/src/core/engine/hot_restart.rs
+++ b/crates/delivery/src/core/engine/hot_restart.rs
@@ -11,8 +11,10 @@
 use crate::core::message_record::MessageState;
 use crate::core::message_store::{PredecessorEvent, Recovered};
 use crate::core::{Disposition, FinalOutcome, MessageId, SubmitResponse, Timestamp};
+use crate::system_error::is_transient;
 use marblefall_scheduler as m;
 use std::collections::BTreeSet;
+use std::io;
 
 /// Which incarnation decides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -140,6 +142,9 @@
         rest: &mut Vec<EngineEvent>,
         commands: &mut Vec<EngineCommand>,
     ) {
+        if self.postponed.holds_back(&event) {
+            return self.postponed.push(now.monotonic, event);
+        }
         match (self.role, event) {
             (
                 Role::Standby,
@@ -147,7 +152,7 @@
                     running,
                     first_concurrent,
                 },
-            ) => self.take_over(now, &running, first_concurrent, commands),
+            ) => self.take_over(now, running, first_concurrent, commands),
             (Role::Active, EngineEvent::FollowPredecessors) => {
                 let mut found = Vec::new();
                 log_journal_error(self.store.follow(&mut found), commands);
@@ -155,10 +160,10 @@
             }
             (Role::Active, EngineEvent::PredecessorExited(generation)) => {
                 let mut found = Vec::new();
-                log_journal_error(
-                    self.store.finish_following(generation, &mut found),
-                    commands,
-                );
+                let read = self.store.finish_following(generation, &mut found);
+                let event = EngineEvent::PredecessorExited(generation);
+                self.postpone_if_transient(now, event, read.as_ref().err());
+                log_journal_error(read, commands);
                 self.handle_predecessor_events(now, found, rest, commands);
                 if !self.store.is_following() {
                     self.reset_attempts_elsewhere(now, rest);
@@ -184,22 +189,43 @@
     fn take_over(
         &mut self,
         now: Timestamp,
-        running: &[Generation],
+        running: Vec<Generation>,
         first_concurrent: Option<Generation>,
         commands: &mut Vec<EngineCommand>,
     ) {
-        let recovered = self
-            .store
-            .take_over(running, first_concurrent)
-            .unwrap_or_else(|error| {
+        let recovered = match self.store.take_over(&running, first_concurrent) {
+            Ok(recovered) => recovered,
+            Err(error) => {
                 commands.push(EngineCommand::Log(format!(
                     "the journal is not taken over whole: {error}"
                 )));
+                let event = EngineEvent::TakeOver {
+                    running,
+                    first_concurrent,
+                };
+                if self.postpone_if_transient(now, event, Some(&error)) {
+                    return;
+                }
                 Recovered::default()
-            });
+            }
+        };
         self.activate(now, &recovered, commands);
     }
 
+    /// Has a step taken again later that failed by an error which passes by itself; returns whether it is.
+    fn postpone_if_transient(
+        &mut self,
+        now: Timestamp,
+        event: EngineEvent,
+        error: Option<&io::Error>,
+    ) -> bool {
+        let is_postponed = error.is_some_and(is_transient);
+        if is_postponed {
+            self.postponed.push(now.monotonic, event);
+        }
+        is_postponed
+    }
+
     /// What an incarnation wrote that has handed over: what it accepted is resumed, and its attempts end as if this
     /// incarnation had sent them.
     fn handle_predecessor_events(
@@ -259,6 +285,8 @@
         let before: BTreeSet<MessageId> = self.store.messages().keys().copied().collect();
         let renewed = self.store.renew(generation);
         let recovered = renewed.and_then(|()| self.store.take_over(&[], None));
+        let event = EngineEvent::StandbyExited(generation);
+        self.postpone_if_transient(now, event, recovered.as_ref().err());
         log_journal_error(recovered.map(|_| ()), commands);
         let all = self.store.messages().keys().copied();
         let found: Vec<MessageId> = all.filter(|id| !before.contains(id)).collect();
@@ -276,6 +304,7 @@
             commands.push(EngineCommand::HandedOver);
         }
         self.role = Role::HandedOver;
+        self.postponed.clear();
         // The successor chooses anew what was not started.
         self.unjournalled.clear();
         self.backlog.clear();
--- a/crates/delivery/src/core/journal.rs
+++ b/crates/delivery/src/core/journal.rs
@@ -4,6 +4,7 @@
 //! Each incarnation of the process writes segments of its own, numbered from its generation on: two incarnations may
 //! write beside each other in one folder, and read in the order of their numbers their segments are one log.
 
+use crate::system_error::is_transient;
 use std::collections::VecDeque;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Seek, SeekFrom, Write};
@@ -134,40 +135,40 @@
     /// # Errors
     /// The segment cannot be made.
     pub fn renew(&mut self, generation: Generation) -> io::Result<()> {
+        if self.generation() == generation {
+            return Ok(());
+        }
         self.begin_segment(generation.first_segment())
     }
 
+    /// The generation that this log is written under.
+    fn generation(&self) -> Generation {
+        Generation::of(self.segments.back().map_or(0, |head| head.number))
+    }
+
     /// Takes over the segments of all earlier incarnations, in their order, and passes their records to `replay`. Of
     /// incarnations that still run (`running`) the latest segment stays theirs; a tail of each is returned, to be
     /// followed.
     ///
     /// # Errors
-    /// A segment cannot be read.
+    /// A segment cannot be read. Where that passes by itself, nothing is taken over; else what stands before it is.
     pub fn take_over(
         &mut self,
         running: &[Generation],
         mut replay: impl FnMut(u64, &[u8]),
     ) -> io::Result<Vec<Tail>> {
-        let own = Generation::of(self.segments.back().map_or(0, |head| head.number));
+        let own = self.generation();
         let numbers: Vec<u64> = segments(&self.folder)?
             .into_iter()
             .filter(|n| Generation::of(*n) < own)
             .collect();
+        // All is read before any of it is applied: a state that lacks the middle of the log can not be gone on from.
+        let (read, unreadable) = self.read_unadopted(&numbers)?;
         let mut tails = Vec::new();
-        for &number in &numbers {
-            if self.segments.iter().any(|have| have.number == number) {
-                continue;
-            }
+        for (number, bytes) in read {
             let generation = Generation::of(number);
             let latest =
                 numbers.iter().rfind(|n| Generation::of(**n) == generation) == Some(&number);
-            let mut bytes = Vec::new();
-            match File::open(path_of(&self.folder, number)) {
-                Ok(mut file) => drop(file.read_to_end(&mut bytes)?),
-                // An incarnation that runs may have copied it forward meanwhile.
-                Err(error) if error.kind() == io::ErrorKind::NotFound => continue,
-                Err(error) => return Err(error),
-            }
             let at = records(&bytes, |record| replay(number, record)) as u64;
             if latest && running.contains(&generation) {
                 tails.push(Tail {
@@ -179,7 +180,27 @@
             }
             self.adopt_segment(number, at, bytes.len() as u64);
         }
-        Ok(tails)
+        unreadable.map_or(Ok(tails), Err)
+    }
+
+    /// The content of those segments that are not this incarnation's yet, up to one that can never be read, and why that is
+    /// so.
+    fn read_unadopted(
+        &self,
+        numbers: &[u64],
+    ) -> io::Result<(Vec<(u64, Vec<u8>)>, Option<io::Error>)> {
+        let mut read = Vec::new();
+        let is_adopted = |number: u64| self.segments.iter().any(|have| have.number == number);
+        for &number in numbers.iter().filter(|number| !is_adopted(**number)) {
+            match fs::read(path_of(&self.folder, number)) {
+                Ok(bytes) => read.push((number, bytes)),
+                // An incarnation that runs may have copied it forward meanwhile.
+                Err(error) if error.kind() == io::ErrorKind::NotFound => {}
+                Err(error) if is_transient(&error) => return Err(error),
+                Err(error) => return Ok((read, Some(error))),
+            }
+        }
+        Ok((read, None))
     }
 
     /// Reads on in the log of an incarnation that still runs.
@@ -212,13 +233,13 @@
     /// Reads the rest of the log of an incarnation that has exited; its last segment is this one's from now on.
     ///
     /// # Errors
-    /// A segment cannot be read.
+    /// A segment cannot be read; the tail says where reading goes on.
     pub fn finish_following(
         &mut self,
-        mut tail: Tail,
+        tail: &mut Tail,
         replay: impl FnMut(u64, &[u8]),
     ) -> io::Result<()> {
-        self.follow(&mut tail, replay)?;
+        self.follow(tail, replay)?;
         let len = fs::metadata(path_of(&self.folder, tail.segment))?.len();
         self.adopt_segment(tail.segment, tail.offset, len);
         Ok(())
--- a/crates/delivery/src/core/message_store/hot_restart.rs
+++ b/crates/delivery/src/core/message_store/hot_restart.rs
@@ -7,6 +7,7 @@
     AttemptReport, BackoffRecord, JournalRecord, RouteRecord, NO_MESSAGE,
 };
 use crate::core::MessageId;
+use crate::system_error::is_transient;
 use marblefall_scheduler::DestinationId;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -99,7 +100,8 @@
     /// What the journal does not take meanwhile is left to [`MessageStore::retry_unwritten`].
     ///
     /// # Errors
-    /// The journal cannot be read; what was read before the error is taken over.
+    /// The journal cannot be read. Where that passes by itself, nothing is taken over; else what stands before the error
+    /// is.
     pub fn take_over(
         &mut self,
         running: &[Generation],
@@ -111,6 +113,7 @@
         // What was read before a fault is this incarnation's, and nothing of it is known to be in flight elsewhere.
         let (tails, read) = match replay {
             Ok(tails) => (tails, Ok(())),
+            Err(error) if is_transient(&error) => return Err(error),
             Err(error) => (Vec::new(), Err(error)),
         };
         let some_still_run = !tails.is_empty();
@@ -214,7 +217,7 @@
     /// Reads the rest of what an incarnation has written that has exited.
     ///
     /// # Errors
-    /// The journal cannot be read.
+    /// The journal cannot be read. Where that passes by itself, the next call reads on.
     pub fn finish_following(
         &mut self,
         generation: Generation,
@@ -225,12 +228,17 @@
             .iter()
             .position(|tail| tail.generation == generation)
         {
-            let tail = self.tails.remove(at);
+            let mut tail = self.tails.remove(at);
             let mut read = Vec::new();
-            let done = self.journal.finish_following(tail, |segment, payload| {
-                read.push((segment, payload.to_vec()));
-            });
+            let done = self
+                .journal
+                .finish_following(&mut tail, |segment, payload| {
+                    read.push((segment, payload.to_vec()));
+                });
             self.absorb(read, found);
+            if done.as_ref().is_err_and(is_transient) {
+                self.tails.insert(at, tail);
+            }
             done?;
         }
         Ok(())
--- a/crates/delivery/src/hot_restart/driver.rs
+++ b/crates/delivery/src/hot_restart/driver.rs
@@ -32,7 +32,10 @@
 /// What the driver needs of the instance it belongs to.
 pub trait HotRestartInstance {
     /// Reads what operators have set and sends it to the engine. Called right before the takeover.
-    fn load_operator_state(&self);
+    ///
+    /// # Errors
+    /// It cannot be read for a moment.
+    fn load_operator_state(&self) -> io::Result<()>;
 
     /// Whether the engine is active.
     fn is_active(&self) -> bool;
@@ -105,8 +108,13 @@
                 }
             };
             self.report_exited(&mut followed);
-            let step = takeover.next_step(self.clock.now().monotonic, view(&predecessors));
-            self.execute(step, &predecessors, &mut followed);
+            let mut next = takeover;
+            let step = next.next_step(self.clock.now().monotonic, view(&predecessors));
+            // A step that cannot be taken yet is chosen again.
+            match self.execute(step, &predecessors, &mut followed) {
+                Ok(()) => takeover = next,
+                Err(error) => log_line!(code = "state-folder-unreadable", "{error}"),
+            }
             if takeover.is_active() {
                 self.incarnation.borrow_mut().forget_exited();
                 if followed.is_empty() {
@@ -138,7 +146,7 @@
         step: TakeoverStep,
         predecessors: &[Predecessor],
         followed: &mut BTreeSet<Generation>,
-    ) {
+    ) -> io::Result<()> {
         match step {
             TakeoverStep::Wait => {}
             TakeoverStep::RequestHandover => {
@@ -151,9 +159,10 @@
                     own.fence(generation)
                 });
             }
-            TakeoverStep::TakeOver => self.take_over(predecessors, followed),
+            TakeoverStep::TakeOver => self.take_over(predecessors, followed)?,
             TakeoverStep::Follow => self.send(EngineEvent::FollowPredecessors),
         }
+        Ok(())
     }
 
     /// Leaves a mark for each predecessor that may still decide.
@@ -176,9 +185,13 @@
         }
     }
 
-    fn take_over(&self, predecessors: &[Predecessor], followed: &mut BTreeSet<Generation>) {
+    fn take_over(
+        &self,
+        predecessors: &[Predecessor],
+        followed: &mut BTreeSet<Generation>,
+    ) -> io::Result<()> {
         // Disabled endpoints are known before anything is decided.
-        self.instance.load_operator_state();
+        self.instance.load_operator_state()?;
         let running: Vec<_> = predecessors
             .iter()
             .map(|predecessor| predecessor.generation)
@@ -193,6 +206,7 @@
             running,
             first_concurrent: Some(self.first_concurrent),
         });
+        Ok(())
     }
 
     fn send(&self, event: EngineEvent) {
--- a/crates/delivery/src/instance/admin.rs
+++ b/crates/delivery/src/instance/admin.rs
@@ -8,6 +8,7 @@
 use crate::log_line;
 use crate::net::admin::{AdminCall, AdminHandler};
 use crate::net::server::ClientConnections;
+use crate::system_error::is_transient;
 use async_channel::Sender;
 use marblefall_atomic_file::{replace, Durability, LocalDisk};
 use marblefall_scheduler::EndpointId;
@@ -28,7 +29,7 @@
     clients: Rc<ClientConnections>,
     /// Where the engine receives the disabled endpoints, ahead of other events.
     engine: Sender<EngineEvent>,
-    path: PathBuf,
+    folder: PathBuf,
     disabled: RefCell<BTreeSet<String>>,
     /// The names of the endpoints that are listed now.
     listed: RefCell<BTreeMap<EndpointId, String>>,
@@ -44,8 +45,8 @@
 }
 
 impl AdminState {
-    /// For an instance with this state folder. What an earlier incarnation has left there is read by
-    /// [`AdminState::load_disabled`] once this one is active: until then another one may still change it.
+    /// For an instance with this state folder. What earlier incarnations have left there is given by
+    /// [`AdminState::set_disabled`] once this one is active: until then another one may still change it.
     pub fn new(
         clients: Rc<ClientConnections>,
         engine: Sender<EngineEvent>,
@@ -54,40 +55,19 @@
         AdminState {
             clients,
             engine,
-            path: folder.join(FILE),
+            folder: folder.to_owned(),
             disabled: RefCell::default(),
             listed: RefCell::default(),
             is_active: Cell::default(),
         }
     }
 
-    /// Reads which endpoints earlier incarnations have left disabled, and tells the engine.
-    pub fn load_disabled(&self) {
-        let disabled = self.read_disabled().unwrap_or_else(|error| {
-            log_line!(
-                code = "disabled-endpoints-unreadable",
-                "{}: {error}; none disabled",
-                self.path.display()
-            );
-            BTreeSet::new()
-        });
+    /// Takes what earlier incarnations have left disabled, and tells the engine.
+    pub fn set_disabled(&self, disabled: BTreeSet<String>) {
         self.disabled.replace(disabled);
         self.send_disabled();
     }
 
-    fn read_disabled(&self) -> io::Result<BTreeSet<String>> {
-        match std::fs::read_to_string(&self.path) {
-            Ok(text) => Ok(text
-                .lines()
-                .map(str::trim)
-                .filter(|id| !id.is_empty())
-                .map(String::from)
-                .collect()),
-            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(BTreeSet::new()),
-            Err(error) => Err(error),
-        }
-    }
-
     fn send_disabled(&self) {
         let disabled = self.disabled.borrow().clone();
         // Fails only once the engine has ended.
@@ -135,7 +115,7 @@
             log_line!(
                 code = "disabled-endpoints-not-written",
                 "{}: {error}",
-                self.path.display()
+                self.folder.join(FILE).display()
             );
             self.undo(name, switch);
             return UNAVAILABLE;
@@ -157,7 +137,7 @@
         let text: String = disabled.iter().map(|name| format!("{name}\n")).collect();
         replace(
             &LocalDisk,
-            &self.path,
+            &self.folder.join(FILE),
             text.as_bytes(),
             Durability::ProcessDeath,
         )
@@ -177,9 +157,37 @@
     }
 }
 
+/// The endpoints that earlier incarnations have left disabled in a state folder. A file that can never be read disables
+/// none.
+///
+/// # Errors
+/// The file cannot be read for a moment.
+pub(super) fn read_disabled(folder: &Path) -> io::Result<BTreeSet<String>> {
+    let path = folder.join(FILE);
+    match std::fs::read_to_string(&path) {
+        Ok(text) => Ok(text
+            .lines()
+            .map(str::trim)
+            .filter(|id| !id.is_empty())
+            .map(String::from)
+            .collect()),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(BTreeSet::new()),
+        Err(error) if is_transient(&error) => Err(error),
+        Err(error) => {
+            log_line!(
+                code = "disabled-endpoints-unreadable",
+                "{}: {error}; none disabled",
+                path.display()
+            );
+            Ok(BTreeSet::new())
+        }
+    }
+}
+
 impl HotRestartInstance for AdminState {
-    fn load_operator_state(&self) {
-        self.load_disabled();
+    fn load_operator_state(&self) -> io::Result<()> {
+        self.set_disabled(read_disabled(&self.folder)?);
+        Ok(())
     }
 
     fn is_active(&self) -> bool {
--- a/crates/delivery/src/instance/assembly.rs
+++ b/crates/delivery/src/instance/assembly.rs
@@ -87,7 +87,11 @@
     if let Some(cloudevents) = config.cloudevents {
         assembly.start_cloudevents(cloudevents)?;
     }
-    let (mut engine, commands) = assembly.start_engine(config.engine, claimed.store)?;
+    if claimed.predecessors.is_none() {
+        // A standby reads them once its predecessors no longer change them.
+        assembly.admin.set_disabled(claimed.disabled_endpoints);
+    }
+    let (mut engine, commands) = assembly.start_engine(config.engine, claimed.store);
     let snapshots = keeps_snapshots.then(|| assembly.restore_snapshot(&mut engine));
     assembly.start_hot_restart();
     let lease = lease(config.name, config.lease);
@@ -325,22 +329,14 @@
     fn start_engine(
         &self,
         settings: EngineSettings,
-        mut store: MessageStore,
-    ) -> Result<(Engine, Vec<EngineCommand>), InstanceError> {
-        if self.predecessors.is_some() {
-            return Ok((Engine::standby(settings, store), Vec::new()));
-        }
+        store: MessageStore,
+    ) -> (Engine, Vec<EngineCommand>) {
         let mut commands = Vec::new();
-        store
-            .take_over(&[], None)
-            .map_err(|source| InstanceError::StateFolder {
-                path: self.folder.clone(),
-                source,
-            })?;
-        // A standby reads them once its predecessors no longer change them.
-        self.admin.load_disabled();
-        let engine = Engine::new(settings, store, self.clock.now(), &mut commands);
-        Ok((engine, commands))
+        let engine = match self.predecessors {
+            Some(_) => Engine::standby(settings, store),
+            None => Engine::new(settings, store, self.clock.now(), &mut commands),
+        };
+        (engine, commands)
     }
 
     fn restore_snapshot(&self, engine: &mut Engine) -> SnapshotWriter {
--- a/crates/delivery/src/instance/platform.rs
+++ b/crates/delivery/src/instance/platform.rs
@@ -1,7 +1,6 @@
 //! The instance that the platform configures.
 
 use super::platform_config::PlatformConfig;
-use super::state_folder::passes_by_itself;
 use super::{
     instance_span, run_instance, signals, watch_signals, InstanceCommand, InstanceConfig,
     InstanceError, PlatformFrontendConfig, StateFolder,
@@ -13,6 +12,7 @@
 use crate::net::discovery::{ListWatch, NameIndex};
 use crate::net::listener;
 use crate::net::spawner::Spawner;
+use crate::system_error::is_transient;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use marblefall_scheduler::{Idempotency, MessageClass};
@@ -123,7 +123,7 @@
     let give_up_at = Instant::now() + MAX_SHORTAGE;
     loop {
         match attempt() {
-            Err(error) if passes_by_itself(&error) && Instant::now() < give_up_at => {
+            Err(error) if is_transient(&error) && Instant::now() < give_up_at => {
                 log_line!(code = "listener-deferred", "{error}; tried again");
                 std::thread::sleep(SHORTAGE_PAUSE);
             }
--- a/crates/delivery/src/instance/state_folder.rs
+++ b/crates/delivery/src/instance/state_folder.rs
@@ -3,40 +3,31 @@
 //! A process that gave up because its disk was full for a moment would leave what an earlier one accepted. It waits
 //! instead, accepts nothing meanwhile, and ends if it is told to.
 
+use super::admin::read_disabled;
 use super::{InstanceCommand, InstanceError, StateFolder};
 use crate::clock::SteadyClock;
 use crate::core::message_store::MessageStore;
 use crate::hot_restart::driver::{self, RunningPredecessors};
 use crate::hot_restart::incarnation::Incarnation;
 use crate::log_line;
+use crate::system_error::is_transient;
 use async_channel::Receiver;
 use async_io::Timer;
-use nix::libc;
+use std::collections::BTreeSet;
 use std::io;
 use std::time::Duration;
 
 /// How often a disk that fails is tried again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
-/// Errors that pass without anybody's doing: of a disk, and of a system short of something for a moment.
-const PASSING_ERRORS: &[i32] = &[
-    libc::ENOSPC,
-    libc::EDQUOT,
-    libc::EIO,
-    libc::EINTR,
-    libc::EAGAIN,
-    libc::ENFILE,
-    libc::EMFILE,
-    libc::ENOMEM,
-    libc::ENOBUFS,
-    libc::ENOLCK,
-];
-
 /// What an incarnation owns of the state folder.
 pub(super) struct ClaimedState {
     pub(super) incarnation: Incarnation,
     pub(super) predecessors: Option<RunningPredecessors>,
+    /// With what earlier incarnations left, unless some of them are running.
     pub(super) store: MessageStore,
     pub(super) clock: SteadyClock,
+    /// Endpoints that operators have disabled, unless earlier incarnations are running, which may still change them.
+    pub(super) disabled_endpoints: BTreeSet<String>,
 }
 
 /// Claims the folder, and keeps the commands that come meanwhile.
@@ -70,17 +61,38 @@
         let generation = incarnation.generation();
         let max_bytes = self.folder.max_bytes;
         let begin = || MessageStore::begin(path, max_bytes, class_names.to_vec(), generation);
-        let Some(store) = self.retry(begin).await? else {
+        let Some(mut store) = self.retry(begin).await? else {
             return Ok(None);
         };
+        let mut disabled_endpoints = BTreeSet::new();
+        if predecessors.is_none() {
+            let Some(disabled) = self.take_over(&mut store).await? else {
+                return Ok(None);
+            };
+            disabled_endpoints = disabled;
+        }
         Ok(Some(ClaimedState {
             incarnation,
             predecessors,
             store,
             clock,
+            disabled_endpoints,
         }))
     }
 
+    /// Takes over what earlier incarnations left, none of which is running; returns the endpoints that are disabled.
+    async fn take_over(
+        &mut self,
+        store: &mut MessageStore,
+    ) -> Result<Option<BTreeSet<String>>, InstanceError> {
+        let taken_over = self.retry(|| store.take_over(&[], None)).await?;
+        if taken_over.is_none() {
+            return Ok(None);
+        }
+        let path = &self.folder.path;
+        self.retry(|| read_disabled(path)).await
+    }
+
     /// Tries until it succeeds; `None` if the process is to end first.
     async fn retry<T>(
         &mut self,
@@ -91,7 +103,7 @@
                 Ok(done) => return Ok(Some(done)),
                 Err(error) => error,
             };
-            if !passes_by_itself(&error) {
+            if !is_transient(&error) {
                 return Err(InstanceError::StateFolder {
                     path: self.folder.path.clone(),
                     source: error,
@@ -120,10 +132,3 @@
         false
     }
 }
-
-/// Whether an error is one that passes without anybody's doing.
-pub(super) fn passes_by_itself(error: &io::Error) -> bool {
-    error
-        .raw_os_error()
-        .is_some_and(|number| PASSING_ERRORS.contains(&number))
-}
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod net;
 pub mod rules;
 pub mod snapshot_store;
+mod system_error;
 
 pub use error_chain::error_chain;
--- a/crates/delivery/src/net/connection.rs
+++ b/crates/delivery/src/net/connection.rs
@@ -5,9 +5,9 @@
 
 use super::http::{self, Chunks, Framing, ParseError, Piece};
 use crate::log_line;
+use crate::system_error::is_of_this_machine;
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
-use nix::libc;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -129,23 +129,12 @@
     /// # Errors
     /// The peer cannot be reached.
     pub async fn connect_once_possible(to: SocketAddr) -> io::Result<Connection> {
-        const OF_THIS_MACHINE: &[i32] = &[
-            libc::EADDRNOTAVAIL,
-            libc::EAGAIN,
-            libc::EINTR,
-            libc::EMFILE,
-            libc::ENETUNREACH,
-            libc::ENFILE,
-            libc::ENOBUFS,
-            libc::ENOMEM,
-        ];
         loop {
             let error = match Connection::connect(to).await {
                 Err(error) => error,
                 connected => return connected,
             };
-            let number = error.raw_os_error().unwrap_or_default();
-            if !OF_THIS_MACHINE.contains(&number) {
+            if !is_of_this_machine(&error) {
                 return Err(error);
             }
             log_line!(code = "connect-deferred", "{to}: {error}");
--- a/crates/delivery/tests/hot_restart.rs
+++ b/crates/delivery/tests/hot_restart.rs
@@ -413,6 +413,88 @@
     let _ = fs::remove_dir_all(&dir);
 }
 
+/// A file of the journal that cannot be read for a while.
+struct UnreadableSegment {
+    path: PathBuf,
+    hidden: PathBuf,
+}
+
+impl UnreadableSegment {
+    /// Makes the first segment of a generation unreadable: reading what stands in its place fails with EIO.
+    fn of(dir: &Path, generation: Generation) -> UnreadableSegment {
+        let all = segments(dir).unwrap();
+        let number = all
+            .iter()
+            .find(|number| Generation::of(**number) == generation)
+            .unwrap();
+        let path = dir.join(format!("journal-{number:010}"));
+        let hidden = dir.join("hidden");
+        fs::rename(&path, &hidden).unwrap();
+        std::os::unix::fs::symlink("/proc/self/mem", &path).unwrap();
+        UnreadableSegment { path, hidden }
+    }
+
+    fn can_be_read_again(self) {
+        fs::remove_file(&self.path).unwrap();
+        fs::rename(&self.hidden, &self.path).unwrap();
+    }
+}
+
+/// Steps an engine over a span, delivers what it starts, and returns the names of what was started.
+fn delivered_within(incarnation: &mut TestIncarnation, ms: std::ops::Range<i64>) -> Vec<String> {
+    let mut names = Vec::new();
+    let mut events = Vec::new();
+    for ms in ms {
+        for (id, attempt, name) in
+            started_attempts(&incarnation.step(ms, std::mem::take(&mut events)))
+        {
+            events.push(attempt_finished(id, attempt, Outcome::Delivered));
+            names.push(name);
+        }
+    }
+    names.sort_unstable();
+    names
+}
+
+#[test]
+fn journal_that_cannot_be_read_for_a_moment_is_taken_over_later() {
+    let dir = folder("read-later");
+    let (mut predecessor, _) = TestIncarnation::start_alone(&dir, 0);
+    predecessor.submit(10, "a", FREE);
+    let mut successor = TestIncarnation::standby(&dir, 50);
+    successor.submit(60, "b", FREE);
+    let generation = predecessor.generation;
+    drop(predecessor);
+    let unreadable = UnreadableSegment::of(&dir, generation);
+    let commands = successor.take_over(70, &[], generation);
+    assert_eq!(started_attempts(&commands), [], "nothing is known yet");
+    assert!(
+        accepted(&successor.submit(80, "c", FREE)),
+        "it goes on accepting"
+    );
+    assert!(successor.engine.next_wake().is_some(), "it tries again");
+    unreadable.can_be_read_again();
+    assert_eq!(delivered_within(&mut successor, 90..800), ["a", "b", "c"]);
+    let _ = fs::remove_dir_all(&dir);
+}
+
+/// The active process heard of it once, and did not look at that journal again.
+#[test]
+fn exited_standby_whose_journal_cannot_be_read_is_adopted_later() {
+    let dir = folder("adopted-later");
+    let (mut active, _) = TestIncarnation::start_alone(&dir, 0);
+    let mut standby = TestIncarnation::standby(&dir, 50);
+    assert!(accepted(&standby.submit(60, "a", FREE)));
+    let generation = standby.generation;
+    drop(standby);
+    let unreadable = UnreadableSegment::of(&dir, generation);
+    let exited = EngineEvent::StandbyExited(generation.next());
+    assert_eq!(started_attempts(&active.step(70, vec![exited])), []);
+    unreadable.can_be_read_again();
+    assert_eq!(delivered_within(&mut active, 80..800), ["a"]);
+    let _ = fs::remove_dir_all(&dir);
+}
+
 #[test]
 fn handed_over_engine_rejects_beyond_its_last_room() {
     let dir = folder("last-room");
