--- a/crates/cli/tests/destinations.rs
+++ b/crates/cli/tests/destinations.rs
@@ -5,10 +5,13 @@
 
 mod common;
 
+use common::shim::*;
 use common::*;
+use marblefall_fault_plan::FaultKind;
 use std::fs;
 use std::net::TcpListener;
 use std::thread;
+use std::time::Duration;
 
 #[test]
 fn ejected_destination_is_shown_also_when_daemon_is_down() {
@@ -101,3 +104,48 @@
     );
     wait_for("a new one", || shown(&[]).1.contains("well at one"));
 }
+
+/// What a daemon writes down counts by a clock that does not step; its age was told by the wall clock.
+#[test]
+fn outage_is_shown_as_old_as_it_is_after_a_step_of_the_clock() {
+    let dead = TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let folder = Folder::new("outage-age");
+    let file = format!(
+        r#"[class.status]
+repeats = "free"
+wanted_ms = 1000
+give_up_ms = 8000
+[destination.dead]
+endpoints = [{{ name = "dead-1", address = "{dead}" }}]
+[instance.one]
+events = {{ listen = "127.0.0.1:0", path = "/events", destination_attribute = "clinic", types = {{ status = "status" }} }}
+"#
+    );
+    apply(&folder, &file);
+    let home = folder.0.join("home");
+    // Its wall clock is an hour ahead of that of the command.
+    let hour = Duration::from_secs(3600);
+    let stepped = fault(FaultKind::WallClockStepped, Duration::ZERO, hour, HOUR_MS);
+    let shim = Shim::new(&folder, "shim", &home, &[stepped]);
+    let program = Program::start(&["run", text(&home)], &shim.env());
+    let at = program.address("takes events at ", 0);
+    let asked: Vec<_> = (0..4)
+        .map(|n| thread::spawn(move || event(at, &format!("dead-{n}"), "status", "dead", "", b"")))
+        .collect();
+    let mut shown = String::new();
+    wait_for("an outage of some seconds", || {
+        shown = run(&["destinations", text(&home)]).1;
+        let seconds = shown
+            .split("dead at one: out for ")
+            .nth(1)
+            .and_then(|rest| rest.split(' ').next()?.parse::<f64>().ok());
+        seconds.is_some_and(|seconds| (1.0..600.0).contains(&seconds))
+    });
+    assert!(shim.struck(FaultKind::WallClockStepped) > 0, "{shown}");
+    for one in asked {
+        assert!(one.join().unwrap().is_some(), "each has an end");
+    }
+}
--- a/crates/delivery/src/net/server/tests.rs
+++ b/crates/delivery/src/net/server/tests.rs
@@ -320,3 +320,32 @@
         );
     }));
 }
+
+/// The engine's queue was full when it took its last events: a request that waited for room there got no answer.
+#[test]
+fn request_that_waits_for_room_in_the_queue_is_rejected_at_the_end() {
+    // The queue of these tests has room for one event, and nobody takes it.
+    served(8, Duration::from_secs(5), |address, clients| async move {
+        let submission = b"POST /api HTTP/1.1\r\nX-Call-Id: m\r\nX-Call-Class: status\r\n\
+            X-Budget-Ms: 900\r\nX-Envelope: dest=1\r\nContent-Length: 0\r\n\r\n";
+        let mut waiting = Vec::new();
+        for _ in 0..3 {
+            let mut connection = Connection::connect(address).await.unwrap();
+            connection.write(submission, b"").await.unwrap();
+            waiting.push(connection);
+        }
+        while clients.counters().submitted.get() < 3 {
+            future::yield_now().await;
+        }
+        clients.respond_to_all(SubmitResponse::Rejected {
+            retry_after_ms: 1000,
+        });
+        for connection in &mut waiting {
+            let answer = before(
+                Instant::now() + Duration::from_secs(5),
+                request(connection, b""),
+            );
+            assert_eq!(answer.await.map(|(status, _)| status), Some(503));
+        }
+    });
+}
