Sessions that wait for room hear of the end; ages by the steady clock; manifests reread

Cause: Session::submit awaited room in the engine's queue and nothing else; destinations.rs subtracted the records' steady times from SystemTime::now; Supervisor::reload_applied remembered the file's time before it had read it.

Change: the response and the client's end are awaited beside the queue; SteadyClock::of_folder reads the clock that a folder's records count by; a manifest that cannot be read is read again with the next round.

--- a/crates/cli/src/destinations.rs
+++ b/crates/cli/src/destinations.rs
@@ -4,12 +4,12 @@
 use crate::error::CommandError;
 use marblefall_atomic_file::LocalDisk;
 use marblefall_control_plane::endpoint_directory::CompactApplied;
+use marblefall_delivery::clock::SteadyClock;
 use marblefall_delivery::core::snapshot::DestinationRecord;
 use marblefall_delivery::snapshot_store;
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// A destination as one instance last recorded it.
 struct Row<'a> {
@@ -17,6 +17,8 @@
     instance: &'a str,
     state: DestinationState,
     record: DestinationRecord,
+    /// Now, by the clock that the instance's records count by, in milliseconds.
+    now_ms: i64,
 }
 
 /// Prints the destinations of a home, or those in one state.
@@ -28,16 +30,14 @@
     let applied = CompactApplied::read(home)?;
     let entries = applied.directory.destination_table.entries();
     let names: BTreeMap<u64, &str> = entries.map(|entry| (entry.id.0, entry.name)).collect();
-    let now = now_ms();
-    let mut rows = read_rows(home, &applied, &names, now)?;
+    let mut rows = read_rows(home, &applied, &names)?;
     let recorded: BTreeSet<&str> = rows.iter().map(|row| row.destination).collect();
     let idle = names.len() - recorded.len();
     rows.retain(|row| state.is_none_or(|wanted| wanted == row.state));
     match format {
-        OutputFormat::Json => print_json(&rows, idle, now),
+        OutputFormat::Json => print_json(&rows, idle),
         OutputFormat::Text => {
-            rows.iter()
-                .for_each(|row| println!("{}", row_text(row, now)));
+            rows.iter().for_each(|row| println!("{}", row_text(row)));
             println!(
                 "{} destinations, {idle} of them idle with nothing to be said",
                 names.len()
@@ -51,21 +51,16 @@
     Ok(())
 }
 
-fn now_ms() -> i64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.map_or(0, |since| since.as_millis() as i64)
-}
-
 /// The records of all instances, by destination and instance.
 fn read_rows<'a>(
     home: &Path,
     applied: &'a CompactApplied,
     names: &BTreeMap<u64, &'a str>,
-    now: i64,
 ) -> Result<Vec<Row<'a>>, CommandError> {
     let mut rows = Vec::new();
     for instance in applied.manifest.instances.keys() {
         let folder = home.join("instances").join(instance);
+        let now_ms = SteadyClock::of_folder(&folder).unix_ms();
         let records = snapshot_store::read(&LocalDisk, &folder)
             .map_err(|source| CommandError::Snapshot { folder, source })?;
         // A destination that left the manifest is no longer of interest.
@@ -74,8 +69,9 @@
             Some(Row {
                 destination,
                 instance,
-                state: state_of(&record, now),
+                state: state_of(&record, now_ms),
                 record,
+                now_ms,
             })
         });
         rows.extend(known);
@@ -84,14 +80,16 @@
     Ok(rows)
 }
 
-fn print_json(rows: &[Row], idle: usize, now: i64) {
-    let rows: Vec<Value> = rows.iter().map(|row| row_json(row, now)).collect();
+fn print_json(rows: &[Row], idle: usize) {
+    let rows: Vec<Value> = rows.iter().map(row_json).collect();
     println!("{}", json!({"destinations": rows, "idle": idle}));
 }
 
-fn row_json(row: &Row, now: i64) -> Value {
+fn row_json(row: &Row) -> Value {
     let record = &row.record;
-    let backoff_left = record.backoff_until_ms.map(|until| (until - now).max(0));
+    let backoff_left = record
+        .backoff_until_ms
+        .map(|until| (until - row.now_ms).max(0));
     json!({
         "destination": row.destination,
         "instance": row.instance,
@@ -105,8 +103,8 @@
     })
 }
 
-fn row_text(row: &Row, now: i64) -> String {
-    let record = &row.record;
+fn row_text(row: &Row) -> String {
+    let (record, now) = (&row.record, row.now_ms);
     let seconds_ago = |at: i64| format!(" for {:.1} s", (now - at).max(0) as f64 / 1000.0);
     let since = since_ms(record).map_or(String::new(), seconds_ago);
     let backoff_until = record.backoff_until_ms.filter(|until| *until > now);
--- a/crates/control-plane/src/supervisor.rs
+++ b/crates/control-plane/src/supervisor.rs
@@ -260,7 +260,13 @@
         };
         match applied {
             Ok(applied) => self.adopt(applied),
-            Err(error) => log_line!("manifest: kept as it was, {error}"),
+            Err(error) => {
+                log_line!("manifest: kept as it was, {error}");
+                if matches!(error, JsonFileError::Read { .. }) {
+                    // What could not be read now may be in a moment, and is not changed again for that.
+                    self.applied_modified = None;
+                }
+            }
         }
     }
 
--- a/crates/delivery/src/clock.rs
+++ b/crates/delivery/src/clock.rs
@@ -72,6 +72,13 @@
         Ok(clock)
     }
 
+    /// The clock that processes of a state folder count by, for who only reads what they wrote; the wall clock where the
+    /// folder has none of this machine's.
+    pub fn of_folder(folder: &Path) -> SteadyClock {
+        let known = read(folder, &boot_id()).ok().flatten();
+        known.unwrap_or_else(SteadyClock::from_wall_clock)
+    }
+
     /// What it shows now, as Unix time in milliseconds.
     pub fn unix_ms(self) -> i64 {
         self.unix_ms_at_boot + monotonic_ms()
--- a/crates/delivery/src/net/server/session.rs
+++ b/crates/delivery/src/net/server/session.rs
@@ -233,9 +233,12 @@
             return Ok(response.into());
         }
         let (request, responses) = self.clients.register_request();
-        self.clients
-            .send(EngineEvent::Submitted(request, message))
-            .await;
+        let clients = self.clients;
+        // Where the queue is full, the end may come before there is room.
+        let submitted = async {
+            clients.send(EngineEvent::Submitted(request, message)).await;
+            future::pending().await
+        };
         let frontend = self.frontend;
         let responded = async {
             loop {
@@ -249,7 +252,7 @@
             self.connection.closed().await;
             None
         };
-        let response = future::or(responded, gone).await;
+        let response = future::or(responded, future::or(submitted, gone)).await;
         self.clients.forget_request(request);
         match response {
             Some(response) => Ok(PendingResponse {
