Standbys are announced before they listen; a message's time allows for a late reading

Cause: driver::announce logged a mark that was not written and went on; PlatformFrontend::message counted a budget from the reading of its message, so that a message whose attempt hangs to its end was noticed up to 0.4 s late behind two hold-ups of 0.15 s and a response that had begun (REST_GRACE).

Change: a mark that meets a transient error is written again before the process listens; of a budget up to 75 ms, and at most a twentieth, are kept for the way before the reading; a response that has begun is awaited for 50 ms past its time.

--- a/crates/delivery/src/frontend/platform.rs
+++ b/crates/delivery/src/frontend/platform.rs
@@ -13,6 +13,12 @@
 
 /// A longer time to live is taken for this, lest sums with it overflow.
 const MAX_BUDGET_MS: i64 = 24 * 3600 * 1000;
+/// A budget counts from when its message was sent, which is known only when it is read. A process may be held up in between
+/// and again before it writes the notice of the message's end, each time for 150 ms, while a notice counts as late 300 ms
+/// after the message's time: so much of the budget is kept for the rest of the way, in milliseconds ...
+const MAX_READ_DELAY_MS: i64 = 75;
+/// ... but no more than this part of it.
+const READ_DELAY_DIVISOR: i64 = 20;
 /// Longer ids and keys are noise.
 const MAX_NAME_LEN: usize = 256;
 
@@ -113,7 +119,7 @@
             idempotency_key,
             class,
             destination,
-            expires_ms: now_ms + budget_ms,
+            expires_ms: now_ms + budget_ms - read_delay_ms(budget_ms),
             attributes: Vec::new(),
             body: body.to_vec(),
         })
@@ -167,6 +173,11 @@
     }
 }
 
+/// How long before it was read a message with this budget may have been sent, in milliseconds.
+fn read_delay_ms(budget_ms: i64) -> i64 {
+    (budget_ms / READ_DELAY_DIVISOR).min(MAX_READ_DELAY_MS)
+}
+
 /// The value of a field that can be passed on as it came, in the head of an attempt as in the line of a notice.
 fn printable<'a>(fields: &Fields<'a>, name: &str) -> Option<&'a [u8]> {
     fields.get(name).filter(|text| {
--- a/crates/delivery/src/hot_restart/driver.rs
+++ b/crates/delivery/src/hot_restart/driver.rs
@@ -7,6 +7,7 @@
 use crate::core::engine::EngineEvent;
 use crate::core::journal::Generation;
 use crate::log_line;
+use crate::system_error::is_transient;
 use async_channel::Sender;
 use async_io::Timer;
 use std::cell::RefCell;
@@ -44,18 +45,22 @@
 /// Announces an incarnation to the predecessors that are running, if any.
 ///
 /// # Errors
-/// The folder cannot be read.
+/// The folder cannot be read, or an error that passes by itself kept a mark from being written: it is announced again
+/// then, which does no harm.
 pub fn announce(incarnation: &mut Incarnation) -> io::Result<Option<RunningPredecessors>> {
     let predecessors = incarnation.running_predecessors()?;
     incarnation.forget_exited();
     for predecessor in &predecessors {
         let generation = predecessor.generation;
-        if let Err(error) = incarnation.announce(generation) {
-            log_line!(
+        match incarnation.announce(generation) {
+            Ok(()) => {}
+            // Unannounced, this incarnation would not be adopted if it died.
+            Err(error) if is_transient(&error) => return Err(error),
+            Err(error) => log_line!(
                 code = "not-announced",
                 "predecessor {}: {error}",
                 generation.0
-            );
+            ),
         }
     }
     let first = predecessors
--- a/crates/delivery/src/net/pool/response.rs
+++ b/crates/delivery/src/net/pool/response.rs
@@ -17,7 +17,7 @@
 /// Endpoints write a response at once: what has not come so long after its status line is not going to come ...
 const REST_TIMEOUT: Duration = Duration::from_millis(400);
 /// ... nor is it awaited for so long after the attempt's timeout: its message's deadline may be due.
-const REST_GRACE: Duration = Duration::from_millis(100);
+const REST_GRACE: Duration = Duration::from_millis(50);
 /// The most interim responses before the final one.
 const MAX_INTERIM: usize = 32;
 /// The reason code of a response after which the endpoint closes the connection.
