--- a/crates/cli/tests/destinations.rs
+++ b/crates/cli/tests/destinations.rs
@@ -13,6 +13,15 @@
 use std::thread;
 use std::time::Duration;
 
+/// A class, and an instance that takes events.
+const ONE_INSTANCE: &str = r#"[class.status]
+repeats = "free"
+wanted_ms = 1000
+give_up_ms = 8000
+[instance.one]
+events = { listen = "127.0.0.1:0", path = "/events", destination_attribute = "clinic", types = { status = "status" } }
+"#;
+
 #[test]
 fn ejected_destination_is_shown_also_when_daemon_is_down() {
     let well = StandIn::start(|_| ok());
@@ -22,17 +31,12 @@
         .local_addr()
         .unwrap();
     let folder = Folder::new("destinations");
-    let mut file = format!(
-        r#"[class.status]
-repeats = "free"
-wanted_ms = 1000
-give_up_ms = 8000
-[destination.well]
+    let mut file = String::from(ONE_INSTANCE);
+    file += &format!(
+        r#"[destination.well]
 endpoints = [{{ name = "well-1", address = "{}" }}]
 [destination.dead]
 endpoints = [{{ name = "dead-1", address = "{dead}" }}]
-[instance.one]
-events = {{ listen = "127.0.0.1:0", path = "/events", destination_attribute = "clinic", types = {{ status = "status" }} }}
 "#,
         well.at
     );
@@ -113,18 +117,10 @@
         .local_addr()
         .unwrap();
     let folder = Folder::new("outage-age");
-    let file = format!(
-        r#"[class.status]
-repeats = "free"
-wanted_ms = 1000
-give_up_ms = 8000
-[destination.dead]
-endpoints = [{{ name = "dead-1", address = "{dead}" }}]
-[instance.one]
-events = {{ listen = "127.0.0.1:0", path = "/events", destination_attribute = "clinic", types = {{ status = "status" }} }}
-"#
+    let destination = format!(
+        "[destination.dead]\nendpoints = [{{ name = \"dead-1\", address = \"{dead}\" }}]\n"
     );
-    apply(&folder, &file);
+    apply(&folder, &format!("{ONE_INSTANCE}{destination}"));
     let home = folder.0.join("home");
     // Its wall clock is an hour ahead of that of the command.
     let hour = Duration::from_secs(3600);
--- a/crates/delivery/src/core/journal.rs
+++ b/crates/delivery/src/core/journal.rs
@@ -45,6 +45,20 @@
     len: u64,
 }
 
+/// What a segment of another incarnation holds.
+struct SegmentContent {
+    number: u64,
+    bytes: Vec<u8>,
+}
+
+/// The segments that are to be taken over.
+#[derive(Default)]
+struct UnadoptedSegments {
+    segments: Vec<SegmentContent>,
+    /// Why the next one can never be read.
+    unreadable: Option<io::Error>,
+}
+
 /// The segments that a folder holds, by number.
 ///
 /// # Errors
@@ -162,10 +176,13 @@
             .into_iter()
             .filter(|n| Generation::of(*n) < own)
             .collect();
-        // All is read before any of it is applied: a state that lacks the middle of the log can not be gone on from.
-        let (read, unreadable) = self.read_unadopted(&numbers)?;
+        // All is read before any of it is applied: nothing can go on from a state that lacks the middle of the log.
+        let UnadoptedSegments {
+            segments,
+            unreadable,
+        } = self.read_unadopted(&numbers)?;
         let mut tails = Vec::new();
-        for (number, bytes) in read {
+        for SegmentContent { number, bytes } in segments {
             let generation = Generation::of(number);
             let latest =
                 numbers.iter().rfind(|n| Generation::of(**n) == generation) == Some(&number);
@@ -183,24 +200,23 @@
         unreadable.map_or(Ok(tails), Err)
     }
 
-    /// The content of those segments that are not this incarnation's yet, up to one that can never be read, and why that is
-    /// so.
-    fn read_unadopted(
-        &self,
-        numbers: &[u64],
-    ) -> io::Result<(Vec<(u64, Vec<u8>)>, Option<io::Error>)> {
-        let mut read = Vec::new();
+    /// Reads those segments that are not this incarnation's yet, up to one that can never be read.
+    fn read_unadopted(&self, numbers: &[u64]) -> io::Result<UnadoptedSegments> {
+        let mut read = UnadoptedSegments::default();
         let is_adopted = |number: u64| self.segments.iter().any(|have| have.number == number);
         for &number in numbers.iter().filter(|number| !is_adopted(**number)) {
             match fs::read(path_of(&self.folder, number)) {
-                Ok(bytes) => read.push((number, bytes)),
+                Ok(bytes) => read.segments.push(SegmentContent { number, bytes }),
                 // An incarnation that runs may have copied it forward meanwhile.
                 Err(error) if error.kind() == io::ErrorKind::NotFound => {}
                 Err(error) if is_transient(&error) => return Err(error),
-                Err(error) => return Ok((read, Some(error))),
+                Err(error) => {
+                    read.unreadable = Some(error);
+                    break;
+                }
             }
         }
-        Ok((read, None))
+        Ok(read)
     }
 
     /// Reads on in the log of an incarnation that still runs.
--- a/crates/delivery/src/net/admin/tests.rs
+++ b/crates/delivery/src/net/admin/tests.rs
@@ -1,6 +1,8 @@
 use super::*;
 use async_executor::LocalExecutor;
 use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
 
 /// Accepts all calls, and records them.
 #[derive(Default)]
@@ -18,8 +20,8 @@
     http::response(&connection.bytes()[..head]).unwrap().status
 }
 
-#[test]
-fn unfinished_calls_time_out_without_delaying_others() {
+/// Runs a test against operators' calls served on loopback.
+fn served<F: Future<Output = ()>>(test: impl FnOnce(SocketAddr, Rc<RecordingHandler>) -> F) {
     let tasks = Rc::new(LocalExecutor::new());
     let spawner = Spawner::new(&tasks);
     async_io::block_on(tasks.run(async {
@@ -29,6 +31,13 @@
         spawner
             .clone()
             .spawn(serve(listener, handler.clone(), spawner));
+        test(address, handler).await;
+    }));
+}
+
+#[test]
+fn unfinished_calls_time_out_without_delaying_others() {
+    served(|address, handler| async move {
         let mut silent = Connection::connect(address).await.unwrap();
         let mut half = Connection::connect(address).await.unwrap();
         half.write(
@@ -59,19 +68,13 @@
             .await
             .unwrap();
         assert_eq!(read_status(&mut wrong).await, 405);
-    }));
+    });
 }
 
 /// The call was rejected at its head, and its connection closed over the rest: the reset took the response with it.
 #[test]
 fn call_that_is_too_long_reads_its_response() {
-    let tasks = Rc::new(LocalExecutor::new());
-    let spawner = Spawner::new(&tasks);
-    async_io::block_on(tasks.run(async {
-        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
-        let address = listener.get_ref().local_addr().unwrap();
-        let handler = Rc::new(RecordingHandler::default());
-        spawner.clone().spawn(serve(listener, handler, spawner));
+    served(|address, _| async move {
         let mut caller = Connection::connect(address).await.unwrap();
         let body = vec![b'x'; 8 << 20];
         let head = format!(
@@ -81,5 +84,5 @@
         let written = caller.write(head.as_bytes(), &body).await;
         assert!(written.is_ok(), "cut off while sending: {written:?}");
         assert_eq!(read_status(&mut caller).await, 413);
-    }));
+    });
 }
--- a/crates/fault-soak/src/plan.rs
+++ b/crates/fault-soak/src/plan.rs
@@ -227,26 +227,27 @@
     }
 }
 
-/// What gives a fault an occasion to strike: files and locks are opened at a start, connections where idle ones end.
+/// What gives a fault an occasion to strike: files and locks are opened at a start and at a takeover, connections after a
+/// start.
 fn occasion(trouble: &Trouble) -> Option<Trouble> {
     let TroubleKind::System(SystemFault(fault)) = trouble.kind else {
         return None;
     };
     let kind = match fault {
+        FaultKind::OpenNoFiles if trouble.target.is_multiple_of(2) => TroubleKind::Replace,
         FaultKind::LockFails
         | FaultKind::DiskFull
         | FaultKind::DiskError
         | FaultKind::SocketNoFiles
         | FaultKind::SocketNoBuffers
+        | FaultKind::ConnectNoAddress
+        | FaultKind::ConnectUnreachable
         | FaultKind::OpenNoFiles
         | FaultKind::WallClockStepped => TroubleKind::Kill,
         FaultKind::AcceptAborted
         | FaultKind::AcceptNoFiles
         | FaultKind::AcceptNoBuffers
         | FaultKind::AcceptInterrupted => TroubleKind::Clients(ClientTrouble::LeaveEarly),
-        FaultKind::ConnectNoAddress | FaultKind::ConnectUnreachable => {
-            TroubleKind::Proxy(ProxyTrouble::ClosesIdle)
-        }
         _ => return None,
     };
     // A process is back within its fault, and starts under it.
--- a/crates/simulation/benches/speed.rs
+++ b/crates/simulation/benches/speed.rs
@@ -6,8 +6,8 @@
 use criterion::{criterion_group, criterion_main, Criterion, Throughput};
 use marblefall_simulation::check::Watch;
 use marblefall_simulation::scenario::Scenario;
+use marblefall_simulation::simulation::{in_service, play};
 use marblefall_simulation::tally::Tally;
-use marblefall_simulation::world::{in_service, play};
 
 const CALM: &str = r#"
 seconds = 10
--- a/crates/simulation/src/capacity.rs
+++ b/crates/simulation/src/capacity.rs
@@ -2,7 +2,7 @@
 
 use crate::figures::measure;
 use crate::scenario::{Draft, Unfit};
-use crate::world::in_service;
+use crate::simulation::in_service;
 use rayon::prelude::*;
 use std::collections::BTreeMap;
 
--- a/crates/simulation/src/check.rs
+++ b/crates/simulation/src/check.rs
@@ -2,7 +2,7 @@
 
 use crate::scenario::Scenario;
 use crate::seen::{End, Seen};
-use crate::world::{play, Make};
+use crate::simulation::{play, Make};
 use marblefall_scheduler::{EndpointStatus, Idempotency, Outcome, Span, Time};
 use std::collections::HashMap;
 use std::fmt;
--- a/crates/simulation/src/cored.rs
+++ b/crates/simulation/src/cored.rs
@@ -1,7 +1,7 @@
 //! The courier's core in the place of the bare decision module: engine, ledger and a journal on disk, which its next life
 //! opens again. What the world says of an earlier life is not listened to: the journal must know.
 
-use crate::world::{Life, Node};
+use crate::simulation::{Life, Node};
 use marblefall_delivery::core::endpoint::ListedEndpoint;
 use marblefall_delivery::core::engine::{
     AttemptRequest, AttemptResult, Engine, EngineCommand, EngineEvent, EngineSettings,
--- a/crates/simulation/src/doubles.rs
+++ b/crates/simulation/src/doubles.rs
@@ -2,7 +2,7 @@
 //! nobody checks.
 
 use crate::check::Rule;
-use crate::world::Node;
+use crate::simulation::Node;
 use marblefall_scheduler::{
     Action, EndpointStatus, Event, Idempotency, Outcome, Scheduler, Settings, Span, Time,
 };
--- a/crates/simulation/src/experiment.rs
+++ b/crates/simulation/src/experiment.rs
@@ -5,7 +5,7 @@
 
 use crate::figures::{measure, Figures};
 use crate::scenario::{line, Draft, Scenario};
-use crate::world::in_service;
+use crate::simulation::in_service;
 use indicatif::{ProgressBar, ProgressStyle};
 use marblefall_atomic_file::{replace, Durability, LocalDisk};
 use rayon::prelude::*;
--- a/crates/simulation/src/figures.rs
+++ b/crates/simulation/src/figures.rs
@@ -2,8 +2,8 @@
 
 use crate::check::{Verdict, Watch};
 use crate::scenario::Scenario;
+use crate::simulation::{play, Make};
 use crate::tally::{Ends, Tally};
-use crate::world::{play, Make};
 use serde::{Deserialize, Serialize};
 
 /// What came of one class.
--- a/crates/simulation/src/hunt.rs
+++ b/crates/simulation/src/hunt.rs
@@ -3,7 +3,7 @@
 use crate::check::Rule;
 use crate::figures::{measure, Figures};
 use crate::scenario::{Draft, Unfit};
-use crate::world::{Life, Make, Node};
+use crate::simulation::{Life, Make, Node};
 use rayon::prelude::*;
 use std::ops::RangeInclusive;
 use toml::{Table, Value};
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -1,6 +1,6 @@
 //! The lab: a world around the courier in virtual time.
 //!
-//! A [`scenario`] says what partners there are, what clients bring and what goes wrong. [`world`] plays it from one
+//! A [`scenario`] says what partners there are, what clients bring and what goes wrong. [`simulation`] plays it from one
 //! seed with the decision module that serves, by its real interface; [`check`] watches from outside whether a rule is
 //! broken, and [`tally`] counts what came of it. The same scenario and seed give the same bytes.
 
@@ -31,7 +31,7 @@
 pub mod rig;
 pub mod scenario;
 pub mod seen;
+pub mod simulation;
 pub mod tally;
 pub mod trace;
 pub mod wires;
-pub mod world;
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -20,7 +20,7 @@
 use marblefall_simulation::report;
 use marblefall_simulation::rig::schedule::Form;
 use marblefall_simulation::scenario::{Draft, Scenario};
-use marblefall_simulation::world::in_service;
+use marblefall_simulation::simulation::in_service;
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
--- a/crates/simulation/tests/cored.rs
+++ b/crates/simulation/tests/cored.rs
@@ -6,7 +6,7 @@
 use marblefall_simulation::cored::Cores;
 use marblefall_simulation::figures::{measure, Figures};
 use marblefall_simulation::scenario::Scenario;
-use marblefall_simulation::world::{in_service, Life};
+use marblefall_simulation::simulation::{in_service, Life};
 use std::collections::HashSet;
 use std::path::Path;
 use std::sync::Mutex;
--- a/crates/simulation/tests/experiments.rs
+++ b/crates/simulation/tests/experiments.rs
@@ -12,7 +12,7 @@
 use marblefall_simulation::hunt::{hunt, shrink, text, Failing};
 use marblefall_simulation::report::{of_folder, Run};
 use marblefall_simulation::scenario::{Draft, Scenario};
-use marblefall_simulation::world::{in_service, Life};
+use marblefall_simulation::simulation::{in_service, Life};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::fs;
