--- a/crates/cli/tests/fleet_faults.rs
+++ b/crates/cli/tests/fleet_faults.rs
@@ -7,6 +7,7 @@
 use common::shim::*;
 use common::*;
 use marblefall_fault_plan::FaultKind;
+use std::fs;
 use std::time::Duration;
 
 /// A manifest with these instances.
@@ -45,3 +46,46 @@
     program.address("takes events at ", 1);
     assert!(shim.struck(FaultKind::OpenNoFiles) > 0, "{}", program.log());
 }
+
+/// A list that was in force and could not be stored was not stored later either: the next start found the one before,
+/// where the file itself was gone by then.
+#[test]
+fn list_that_the_disk_did_not_take_is_stored_later() {
+    let folder = Folder::new("stored-later");
+    let lists = folder.0.join("lists");
+    fs::create_dir_all(&lists).unwrap();
+    let write_list = |revision: u32| {
+        let list = format!(
+            "revision = {revision}\n[destination.well]\nendpoints = [{{ name = \"well-{revision}\", address = \"127.0.0.1:9\" }}]\n[end]\nrevision = {revision}\n"
+        );
+        fs::write(lists.join("all.toml"), list).unwrap();
+    };
+    write_list(1);
+    let with_lists = manifest(&["one"]).replace(
+        "[destination.well]\nendpoints = [{ name = \"well-1\", address = \"127.0.0.1:9\" }]\n",
+        "[destination.well]\nrate = 20\n[roster]\npath = \"lists\"\npoll_ms = 200\nmost_weight_lost = 1.0\nmost_endpoints_lost = 1.0\n",
+    );
+    apply(&folder, &with_lists);
+    let (home, stored) = (
+        folder.0.join("home"),
+        folder.0.join("home/rosters/all.toml.good"),
+    );
+    let (after, lasts) = (Duration::from_secs(3), Duration::from_secs(3));
+    let failing = fault(FaultKind::DiskError, after, lasts, ALWAYS);
+    let shim = Shim::new(&folder, "shim", &home.join("rosters"), &[failing]);
+    let program = Program::start(&["run", text(&home)], &shim.env());
+    let is_stored = |revision: u32| {
+        let text = fs::read_to_string(&stored).unwrap_or_default();
+        text.contains(&format!("revision = {revision}\n"))
+    };
+    wait_for("the first list", || is_stored(1));
+    wait_for("the fault's time", || failing.is_in_force(monotonic_ms()));
+    write_list(2);
+    wait_for("the second list in force", || {
+        assert!(failing.is_in_force(monotonic_ms()), "{}", program.log());
+        program.log().contains("last-good-list-not-written")
+    });
+    assert!(!is_stored(2));
+    wait_for("the second list on disk", || is_stored(2));
+    assert!(shim.struck(FaultKind::DiskError) > 0, "{}", program.log());
+}
