Last good lists that the disk did not take are stored with the next scan

Cause: Scanner::adopt and keep_reduced_lists logged that a list was not stored and forgot it: the file is unchanged from then on.

Change: Scanner::store remembers what the disk did not take, of a list or of its removal, and each scan tries it first.

--- a/crates/control-plane/src/list_watcher/scanner.rs
+++ b/crates/control-plane/src/list_watcher/scanner.rs
@@ -74,6 +74,8 @@
     wakeups: mpsc::Receiver<Wakeup>,
     folder_watch: FolderWatch,
     fingerprints: BTreeMap<String, FileFingerprint>,
+    /// What the disk did not take of files' last good lists: the list, or `None` for its removal.
+    unstored: BTreeMap<String, Option<Vec<u8>>>,
     states: FileStates,
     written_status: Option<ListStatus>,
     /// Destinations that no list in force names, as last logged.
@@ -91,6 +93,7 @@
             wakeups: config.wakeups,
             folder_watch: FolderWatch::new(config.wakeup_sender),
             fingerprints: BTreeMap::new(),
+            unstored: BTreeMap::new(),
             states: FileStates::default(),
             written_status: None,
             unlisted: BTreeSet::new(),
@@ -137,6 +140,7 @@
 
     /// Scans the source's files once.
     pub fn scan(&mut self, scope: ScanScope) {
+        self.store_unstored();
         match self.source.clone() {
             Some(source) => self.scan_source(&source, scope),
             None => self.forget_source(),
@@ -247,9 +251,13 @@
         for fault in &offer.report.diagnostics {
             log_warning(file, fault);
         }
-        self.keep_reduced_lists(&offer);
-        if let Err(error) = self.last_good.write(file, bytes) {
-            log_not_kept(file, "in force, but not kept for the next start", &error);
+        self.store_reduced_lists(&offer);
+        if let Err(error) = self.store(file, Some(bytes.to_vec())) {
+            log_not_stored(
+                file,
+                "in force, but not stored yet for the next start",
+                &error,
+            );
         }
         let (revision, endpoint_changes) = (offer.revision(), offer.changes.len());
         self.lists.write(|lists| lists.put_in_force(offer));
@@ -263,21 +271,41 @@
         let _ = self.changes.try_send(());
         // Only now: traffic must not follow an old list for as long as a busy disk takes.
         if let Err(error) = self.last_good.sync() {
-            log_not_kept(file, "a loss of power may restore the list before", &error);
+            log_not_stored(file, "a loss of power may restore the list before", &error);
         }
         self.states.record(file, FileState::InForce);
     }
 
-    /// Keeps what is left of missing files' lists once a new one names their destinations.
-    fn keep_reduced_lists(&self, offer: &Candidate) {
+    /// Stores what is left of missing files' lists once a new one names their destinations.
+    fn store_reduced_lists(&mut self, offer: &Candidate) {
         for (file, list) in self.lists.read(|lists| lists.superseded(offer)) {
-            let kept = if list.destinations.is_empty() {
-                self.last_good.remove(&file)
-            } else {
-                self.last_good.write(&file, list.to_toml().as_bytes())
-            };
-            if let Err(error) = kept {
-                log_line!(code = "last-good-list-not-written", file = %file, "{error}");
+            let list = (!list.destinations.is_empty()).then(|| list.to_toml().into_bytes());
+            if let Err(error) = self.store(&file, list) {
+                log_not_stored(&file, "the next start may find the list before", &error);
+            }
+        }
+    }
+
+    /// Stores a file's last good list, or removes it. What the disk does not take is tried again with the next scan.
+    fn store(&mut self, file: &str, list: Option<Vec<u8>>) -> Result<(), StoreError> {
+        let stored = match &list {
+            Some(bytes) => self.last_good.write(file, bytes),
+            None => self.last_good.remove(file),
+        };
+        if stored.is_ok() {
+            self.unstored.remove(file);
+        } else {
+            self.unstored.insert(file.to_owned(), list);
+        }
+        stored
+    }
+
+    /// Stores what the disk did not take before.
+    fn store_unstored(&mut self) {
+        for (file, list) in std::mem::take(&mut self.unstored) {
+            match self.store(&file, list) {
+                Ok(()) => log_line!(code = "last-good-list-written", file, "stored after all"),
+                Err(error) => log_not_stored(&file, "still not stored", &error),
             }
         }
     }
@@ -350,7 +378,7 @@
     }
 }
 
-fn log_not_kept(file: &str, consequence: &str, error: &StoreError) {
+fn log_not_stored(file: &str, consequence: &str, error: &StoreError) {
     log_line!(
         code = "last-good-list-not-written",
         file,
