--- a/crates/delivery/src/frontend/platform.rs
+++ b/crates/delivery/src/frontend/platform.rs
@@ -16,9 +16,9 @@
 /// A budget counts from when its message was sent, which is known only when it is read. A process may be held up in between
 /// and again before it writes the notice of the message's end, each time for 150 ms, while a notice counts as late 300 ms
 /// after the message's time: so much of the budget is kept for the rest of the way, in milliseconds ...
-const MAX_READ_DELAY_MS: i64 = 75;
+const MAX_READ_DELAY_MS: i64 = 30;
 /// ... but no more than this part of it.
-const READ_DELAY_DIVISOR: i64 = 20;
+const READ_DELAY_DIVISOR: i64 = 40;
 /// Longer ids and keys are noise.
 const MAX_NAME_LEN: usize = 256;
 
--- a/crates/delivery/src/frontend/platform/tests.rs
+++ b/crates/delivery/src/frontend/platform/tests.rs
@@ -30,7 +30,7 @@
 /// read the message, and before it writes the notice of its end, which is late 0.3 s after the message's time.
 #[test]
 fn time_of_a_message_allows_for_a_hold_up_before_it_was_read() {
-    for (budget_ms, left_ms) in [(20_000, 19_925), (1000, 950), (20, 19), (0, 0)] {
+    for (budget_ms, left_ms) in [(20_000, 19_970), (1000, 975), (40, 39), (0, 0)] {
         assert_eq!(time_left_ms(budget_ms), left_ms, "of {budget_ms} ms");
     }
 }
