--- a/crates/delivery/src/net/discovery/watch/tests.rs
+++ b/crates/delivery/src/net/discovery/watch/tests.rs
@@ -1,5 +1,8 @@
 use super::super::test_lists::list;
 use super::*;
+use crate::net::connection::{before, Connection};
+use crate::net::discovery::MAX_HEAD;
+use async_io::Async;
 use marblefall_scheduler::EndpointStatus;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -169,3 +172,46 @@
         [EndpointStatus::Active, EndpointStatus::Draining]
     );
 }
+
+/// A process that read its configuration again, by which discovery had not moved, closed its watch and opened it anew some
+/// time later: an endpoint that was removed meanwhile was called.
+#[test]
+fn reload_without_a_move_keeps_the_watch_open() {
+    async_io::block_on(async {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+        let address = listener.get_ref().local_addr().unwrap();
+        let (engine, events) = async_channel::unbounded();
+        let (moves, changes) = async_channel::unbounded();
+        let schedule = PollSchedule::new(1, 7, Duration::ZERO);
+        let discovery = DiscoveryEndpoint { address, changes };
+        let watch = ListWatch {
+            names: NameIndex::default(),
+            since_revision: 0,
+        };
+        let test = async {
+            let (stream, _) = listener.accept().await.unwrap();
+            let mut connection = Connection::new(stream);
+            connection.read_head(MAX_HEAD).await.unwrap();
+            let first = format!("{RESPONSE_HEAD}{}", chunk(&list(1, true, "SERVING")));
+            connection.write(first.as_bytes(), b"").await.unwrap();
+            events.recv().await.unwrap();
+            moves.try_send(address).unwrap();
+            while !moves.is_empty() {
+                future::yield_now().await;
+            }
+            let second = chunk(&list(2, false, "DRAINING"));
+            connection.write(second.as_bytes(), b"").await.unwrap();
+            events.recv().await.unwrap()
+        };
+        let watching = async {
+            watch_endpoints(discovery, watch, schedule, engine).await;
+            None
+        };
+        let bounded = before(Instant::now() + Duration::from_secs(5), test);
+        let received = future::or(bounded, watching).await;
+        assert!(
+            matches!(received, Some(EngineEvent::EndpointsUpdated(_))),
+            "{received:?}"
+        );
+    });
+}
