A reload that does not move discovery leaves its watch and notices alone

Cause: DiscoveryEndpoint::unless_moved took each address that a reload sends for another one, ended what was under way, and watch_endpoints opened the next watch after the delay by which many instances spread their requests (up to 2.5 s).

Change: the address that is known already is not a move.

--- a/crates/delivery/src/net/discovery.rs
+++ b/crates/delivery/src/net/discovery.rs
@@ -47,9 +47,13 @@
     /// for, as that one no longer responds.
     async fn unless_moved<T>(&mut self, future: impl future::Future<Output = T>) -> Option<T> {
         let moved = async {
-            match self.changes.recv().await {
-                Ok(address) => Err(address),
-                Err(_) => future::pending().await,
+            loop {
+                match self.changes.recv().await {
+                    // The configuration was read again, and says the same: what is under way goes on.
+                    Ok(address) if address == self.address => {}
+                    Ok(address) => return Err(address),
+                    Err(_) => return future::pending().await,
+                }
             }
         };
         match future::or(moved, async { Ok(future.await) }).await {
