--- a/crates/fault-soak/src/plan.rs
+++ b/crates/fault-soak/src/plan.rs
@@ -168,7 +168,11 @@
         let mut rng = Pcg64Mcg::new(u128::from(seed) << 32 | 0x5eed);
         let count = (seconds as f64 * TROUBLES_PER_SECOND) as usize;
         let last_ms = (seconds * 1000).saturating_sub(LAST_MS).max(FIRST_MS + 1);
-        let mut troubles = Vec::new();
+        // An endpoint drains in each run: left to the draw, half of them had none.
+        let mut troubles = vec![Trouble {
+            kind: TroubleKind::Discovery(DiscoveryTrouble::Drains),
+            ..draw_trouble(&mut rng, last_ms)
+        }];
         while troubles.len() < count {
             let trouble = draw_trouble(&mut rng, last_ms);
             troubles.extend(occasion(&trouble));
@@ -235,8 +239,8 @@
     };
     let kind = match fault {
         FaultKind::OpenNoFiles if trouble.target.is_multiple_of(2) => TroubleKind::Replace,
-        FaultKind::LockFails
-        | FaultKind::DiskFull
+        FaultKind::LockFails => TroubleKind::Replace,
+        FaultKind::DiskFull
         | FaultKind::DiskError
         | FaultKind::SocketNoFiles
         | FaultKind::SocketNoBuffers
--- a/crates/simulation/src/scenario/reader.rs
+++ b/crates/simulation/src/scenario/reader.rs
@@ -2,7 +2,7 @@
 
 use super::form::{
     ArrivalsForm, ClassForm, CouriersForm, CrashForm, Form, LoadForm, NetworkForm, NewsForm,
-    Number, PartitionForm, PartnerForm, Rate, Repeats, RulesForm, ShapeForm, StateForm,
+    Number, OutageForm, PartitionForm, PartnerForm, Rate, Repeats, RulesForm, ShapeForm, StateForm,
     TroubleForm,
 };
 use super::{Arrivals, Class, Crash, Load, Network, News, Scenario, Unfit, LONGEST_S};
@@ -365,12 +365,48 @@
         rules: &m::Rules,
     ) -> Partner {
         let path = |field: &str| format!("partner.{group}.{field}");
+        let service = self.service(&path, form);
+        let limit = self.limit(&path, form);
+        let topples = form.topples.unwrap_or(true);
+        let cold = Cold {
+            from: rules.ramp_start,
+            length: rules.ramp_duration,
+            multiple: rules.overload_factor,
+            over: rules.overload_window,
+            stays_down: self.span(&path("stays_down_s"), form.stays_down_s, 10.0),
+        };
+        let mut outages = Vec::new();
+        for (place, outage) in form.outage.iter().enumerate() {
+            outages.extend(self.outages(&path(&format!("outage.{place}")), outage));
+        }
+        Partner {
+            name,
+            wire: self.connections(&path, form),
+            endpoints: self.count(&path("endpoints"), form.endpoints, 1, 1, 10_000),
+            service,
+            servers: self.count(&path("servers"), form.servers, 8, 1, 100_000),
+            queue: self.count(&path("queue"), form.queue, 1000, 0, 10_000_000),
+            limit,
+            tells_wait: form.tells_wait.unwrap_or(false),
+            counts_refused: form.counts_refused.unwrap_or(false),
+            refuses: self.number(&path("refuses"), form.refuses, 0.0, 0.0, 1.0),
+            outages,
+            cold: topples.then_some(cold),
+            listed: form
+                .listed
+                .map(|listed| self.number(&path("listed"), Some(listed), 1.0, 0.001, 1e9)),
+        }
+    }
+
+    /// How long a partner's servers take for a call.
+    fn service(&mut self, path: &dyn Fn(&str) -> String, form: &PartnerForm) -> Service {
+        let (usual_ms, most_ms) = (50.0, 3_600_000.0);
         let mean_ms = self.number(
             &path("service_ms"),
             form.service_ms,
-            50.0,
+            usual_ms,
             0.001,
-            3_600_000.0,
+            most_ms,
         );
         let shape = match form.shape {
             None | Some(ShapeForm::Constant) => Shape::Constant,
@@ -382,8 +418,13 @@
                 Shape::Pareto(self.number(&path("spread"), form.spread, 2.5, 1.01, 100.0))
             }
         };
-        let window = self.span(&path("window_s"), form.window_s, 1.0);
-        let limit = match (form.rate, form.window_calls) {
+        Service { mean_ms, shape }
+    }
+
+    /// How many calls a partner takes.
+    fn limit(&mut self, path: &dyn Fn(&str) -> String, form: &PartnerForm) -> Option<Limit> {
+        let length = self.span(&path("window_s"), form.window_s, 1.0);
+        match (form.rate, form.window_calls) {
             (Some(_), Some(_)) => {
                 self.say(
                     &path("window_calls"),
@@ -398,86 +439,58 @@
             }
             (None, Some(calls)) => {
                 let calls = self.count(&path("window_calls"), Some(calls), 1, 1, 1_000_000) as u32;
-                Some(Limit::Window {
-                    calls,
-                    length: window,
-                })
+                Some(Limit::Window { calls, length })
             }
             (None, None) => None,
+        }
+    }
+
+    /// An outage as often as it comes.
+    fn outages(&mut self, path: &str, form: &OutageForm) -> Vec<Outage> {
+        let first = self.time(&format!("{path}.from_s"), form.from_s);
+        let length = self.span(&format!("{path}.for_s"), Some(form.for_s), 0.0);
+        let part = self.number(&format!("{path}.part"), form.part, 1.0, 0.0, 1.0);
+        let every = self.span(&format!("{path}.every_s"), form.every_s, 0.0);
+        let times = self.count(&format!("{path}.times"), form.times, 1, 1, 10_000);
+        if times > 1 && every <= length {
+            self.say(
+                &format!("{path}.every_s"),
+                "is longer than for_s, or it would never end",
+            );
+        }
+        let trouble = match form.kind {
+            TroubleForm::Refuse => Trouble::Refuse,
+            TroubleForm::Reset => Trouble::Reset,
+            TroubleForm::Hang => Trouble::Hang,
+            TroubleForm::Fail => Trouble::Fail,
+            TroubleForm::Shut => Trouble::Shut,
         };
-        let topples = form.topples.unwrap_or(true);
-        let stays_down = self.span(&path("stays_down_s"), form.stays_down_s, 10.0);
-        let cold = Cold {
-            from: rules.ramp_start,
-            length: rules.ramp_duration,
-            multiple: rules.overload_factor,
-            over: rules.overload_window,
-            stays_down,
-        };
-        let mut outages = Vec::new();
-        for (place, outage) in form.outage.iter().enumerate() {
-            let path = format!("partner.{group}.outage.{place}");
-            let from = self.time(&format!("{path}.from_s"), outage.from_s);
-            let length = self.span(&format!("{path}.for_s"), Some(outage.for_s), 0.0);
-            let part = self.number(&format!("{path}.part"), outage.part, 1.0, 0.0, 1.0);
-            let every = self.span(&format!("{path}.every_s"), outage.every_s, 0.0);
-            let times = self.count(&format!("{path}.times"), outage.times, 1, 1, 10_000);
-            if times > 1 && every <= length {
-                self.say(
-                    &format!("{path}.every_s"),
-                    "is longer than for_s, or it would never end",
-                );
-            }
-            let trouble = match outage.kind {
-                TroubleForm::Refuse => Trouble::Refuse,
-                TroubleForm::Reset => Trouble::Reset,
-                TroubleForm::Hang => Trouble::Hang,
-                TroubleForm::Fail => Trouble::Fail,
-                TroubleForm::Shut => Trouble::Shut,
-            };
-            for time in 0..times as i64 {
-                let from = from + Span(every.0 * time);
-                outages.push(Outage {
-                    trouble,
-                    from,
-                    until: from + length,
-                    part,
-                });
+        let occurrences = (0..times as i64).map(|time| {
+            let from = first + Span(every.0 * time);
+            Outage {
+                trouble,
+                from,
+                until: from + length,
+                part,
             }
-        }
-        let wire = match (form.connections, form.idle_close_s, form.connect_ms) {
-            (None, None, None) => None,
-            (most, closes, connect) => Some(Wire {
-                most: most
-                    .map(|most| self.count(&path("connections"), Some(most), 1, 1, 1_000_000)),
-                idle_close: closes
-                    .map(|closes| self.span(&path("idle_close_s"), Some(closes), 0.0)),
-                connect: Span::from_ms(self.number(
-                    &path("connect_ms"),
-                    connect,
-                    0.0,
-                    0.0,
-                    60_000.0,
-                )),
-            }),
+        });
+        occurrences.collect()
+    }
+
+    /// How a partner keeps connections, where the scenario says anything of that.
+    fn connections(&mut self, path: &dyn Fn(&str) -> String, form: &PartnerForm) -> Option<Wire> {
+        let (most, closes, connect) = match (form.connections, form.idle_close_s, form.connect_ms) {
+            (None, None, None) => return None,
+            given => given,
         };
-        Partner {
-            name,
-            wire,
-            endpoints: self.count(&path("endpoints"), form.endpoints, 1, 1, 10_000),
-            service: Service { mean_ms, shape },
-            servers: self.count(&path("servers"), form.servers, 8, 1, 100_000),
-            queue: self.count(&path("queue"), form.queue, 1000, 0, 10_000_000),
-            limit,
-            tells_wait: form.tells_wait.unwrap_or(false),
-            counts_refused: form.counts_refused.unwrap_or(false),
-            refuses: self.number(&path("refuses"), form.refuses, 0.0, 0.0, 1.0),
-            outages,
-            cold: topples.then_some(cold),
-            listed: form
-                .listed
-                .map(|listed| self.number(&path("listed"), Some(listed), 1.0, 0.001, 1e9)),
-        }
+        let most = most.map(|most| self.count(&path("connections"), Some(most), 1, 1, 1_000_000));
+        let idle_close = closes.map(|closes| self.span(&path("idle_close_s"), Some(closes), 0.0));
+        let connect_ms = self.number(&path("connect_ms"), connect, 0.0, 0.0, 60_000.0);
+        Some(Wire {
+            most,
+            idle_close,
+            connect: Span::from_ms(connect_ms),
+        })
     }
 
     fn load(
