--- a/crates/simulation/src/simulation.rs
+++ b/crates/simulation/src/simulation.rs
@@ -3,8 +3,8 @@
 //! The couriers are reached through the scheduler's own interface, as the program embeds it: what came in as events, what
 //! is to be done as actions. What a courier would have in its journal is kept here for its next incarnation.
 //!
-//! [`event_queue`] says what is to happen when, [`clients`] hand messages in, [`couriers`] are started, told and obeyed, and
-//! [`attempts`] travel to endpoints and back.
+//! `event_queue` says what is to happen when, `clients` hand messages in, `couriers` are started, told and obeyed, and
+//! `attempts` travel to endpoints and back.
 
 mod attempts;
 mod clients;
