Read back: a last good list is copied only where the disk did not take it

Cause: Scanner::store took an owned list, so that each adopted one was copied before it was in force.

Change: it borrows, and copies what it has to remember. Also a blank line between two items of state_folder.rs. Nothing else changes.

--- a/crates/control-plane/src/list_watcher/scanner.rs
+++ b/crates/control-plane/src/list_watcher/scanner.rs
@@ -252,7 +252,7 @@
             log_warning(file, fault);
         }
         self.store_reduced_lists(&offer);
-        if let Err(error) = self.store(file, Some(bytes.to_vec())) {
+        if let Err(error) = self.store(file, Some(bytes)) {
             log_not_stored(
                 file,
                 "in force, but not stored yet for the next start",
@@ -280,22 +280,23 @@
     fn store_reduced_lists(&mut self, offer: &Candidate) {
         for (file, list) in self.lists.read(|lists| lists.superseded(offer)) {
             let list = (!list.destinations.is_empty()).then(|| list.to_toml().into_bytes());
-            if let Err(error) = self.store(&file, list) {
+            if let Err(error) = self.store(&file, list.as_deref()) {
                 log_not_stored(&file, "the next start may find the list before", &error);
             }
         }
     }
 
     /// Stores a file's last good list, or removes it. What the disk does not take is tried again with the next scan.
-    fn store(&mut self, file: &str, list: Option<Vec<u8>>) -> Result<(), StoreError> {
-        let stored = match &list {
+    fn store(&mut self, file: &str, list: Option<&[u8]>) -> Result<(), StoreError> {
+        let stored = match list {
             Some(bytes) => self.last_good.write(file, bytes),
             None => self.last_good.remove(file),
         };
         if stored.is_ok() {
             self.unstored.remove(file);
         } else {
-            self.unstored.insert(file.to_owned(), list);
+            self.unstored
+                .insert(file.to_owned(), list.map(<[u8]>::to_vec));
         }
         stored
     }
@@ -303,7 +304,7 @@
     /// Stores what the disk did not take before.
     fn store_unstored(&mut self) {
         for (file, list) in std::mem::take(&mut self.unstored) {
-            match self.store(&file, list) {
+            match self.store(&file, list.as_deref()) {
                 Ok(()) => log_line!(code = "last-good-list-written", file, "stored after all"),
                 Err(error) => log_not_stored(&file, "still not stored", &error),
             }
--- a/crates/delivery/src/instance/state_folder.rs
+++ b/crates/delivery/src/instance/state_folder.rs
@@ -19,6 +19,7 @@
 
 /// How often a disk that fails is tried again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
 /// What an incarnation owns of the state folder.
 pub(super) struct ClaimedState {
     pub(super) incarnation: Incarnation,
