Harness: an exchange says why it has no response, logs are complete, ports are held

For the known red, misbehaving_clients_do_not_starve_others, the evidence could not tell its causes apart: `exchange` turned every failure into `None`. It returns a typed error now, with the step (connect, write, read), the system's error, the local port and the time that it took; the tests print it, and their assertions are as they were. One assertion of the harness itself is stricter: a closed connection is told from other failures.

--- a/crates/cli/examples/measure/idle.rs
+++ b/crates/cli/examples/measure/idle.rs
@@ -59,8 +59,7 @@
         idempotency_key: "",
         body: b"",
     };
-    let response = pending.submit(daemon.address, WAIT_LIMIT);
-    response.ok_or("no response to the message for a dead endpoint")?;
+    pending.submit(daemon.address, WAIT_LIMIT)?;
     thread::sleep(WAIT);
     let waited = daemon.resource_usage()?;
     println!(
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -9,8 +9,9 @@
 pub mod platform;
 pub mod shim;
 
+use error_reporter::Report;
 use marblefall_process_harness::cloud_events::CloudEvent;
-use marblefall_process_harness::http::{self, Request};
+use marblefall_process_harness::http::{self, ExchangeError, Request};
 use marblefall_process_harness::{run_command, Process, ResourceUsage};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -82,9 +83,16 @@
     marblefall_process_harness::network::unused_address().unwrap()
 }
 
+/// The response of an exchange; `None` where there is none, for a reason that the output of a failed test shows.
+pub fn response_of(exchanged: Result<Message, ExchangeError>) -> Option<Message> {
+    exchanged
+        .inspect_err(|error| eprintln!("{}", Report::new(error)))
+        .ok()
+}
+
 /// Sends raw bytes on a connection of their own, and returns the response if there is one.
 pub fn exchange(address: SocketAddr, bytes: &[u8]) -> Option<Message> {
-    http::exchange(address, bytes, WAIT_LIMIT)
+    response_of(http::exchange(address, bytes, WAIT_LIMIT))
 }
 
 /// Posts a body with header fields.
@@ -98,7 +106,7 @@
     let request = fields.iter().fold(request, |request, (name, value)| {
         request.header(name, value)
     });
-    request.send(address, WAIT_LIMIT)
+    response_of(request.send(address, WAIT_LIMIT))
 }
 
 /// Submits an event in binary mode, and waits for its outcome; `None` where the connection breaks first.
@@ -117,7 +125,7 @@
         idempotency_key,
         data,
     };
-    event.submit(address, WAIT_LIMIT)
+    response_of(event.submit(address, WAIT_LIMIT))
 }
 
 /// Misbehaving clients must neither keep others from the process nor the responses from themselves.
--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -1,7 +1,7 @@
 //! The platform around one instance: discovery with its notices, the configuration, and a client.
 
 use super::shim;
-use super::{new_folder, text, write_file, Message, Program, WAIT_LIMIT};
+use super::{new_folder, response_of, text, write_file, Message, Program, WAIT_LIMIT};
 use marblefall_fault_plan::Fault;
 use marblefall_process_harness::discovery::{
     Discovery, DiscoverySource, EndpointList, EndpointPhase, ListedEndpoint, Watch,
@@ -16,7 +16,7 @@
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -202,7 +202,12 @@
 
     /// Starts a process into whose system calls faults are injected.
     pub fn start_with_faults(&self, faults: &[Fault]) -> (Program, FaultShim) {
-        let shim = shim::new_shim(&self.folder, &self.state_folder(), faults);
+        self.start_with_faults_in(&self.state_folder(), faults)
+    }
+
+    /// The same for a process whose files in another folder may fail.
+    pub fn start_with_faults_in(&self, folder: &Path, faults: &[Fault]) -> (Program, FaultShim) {
+        let shim = shim::new_shim(&self.folder, folder, faults);
         let program = self.start_with(&shim.environment());
         (program, shim)
     }
@@ -254,7 +259,7 @@
         idempotency_key: &format!("key-of-{id}"),
         body: BODY,
     };
-    message.submit(address, WAIT_LIMIT)
+    response_of(message.submit(address, WAIT_LIMIT))
 }
 
 /// Submits a message, and returns the status of the response.
--- a/crates/cli/tests/hot_restart_faults.rs
+++ b/crates/cli/tests/hot_restart_faults.rs
@@ -197,7 +197,7 @@
             body: &[b'x'; LARGE_BODY_BYTES],
         };
         let response = message.submit(address, WAIT_LIMIT);
-        response.is_some_and(|response| response.status() == 202)
+        response.is_ok_and(|response| response.status() == 202)
     };
     let accepted: Vec<String> = (0..36)
         .map(|n| format!("m{n}"))
--- a/crates/process-harness/src/cloud_events.rs
+++ b/crates/process-harness/src/cloud_events.rs
@@ -1,7 +1,7 @@
 //! CloudEvents over HTTP, as clients submit them in binary mode.
 
 use crate::headers;
-use crate::http::{Message, Request};
+use crate::http::{ExchangeError, Message, Request};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -39,8 +39,11 @@
             .body(self.data)
     }
 
-    /// Submits it, and waits for its outcome; `None` where none is received within a timeout.
-    pub fn submit(&self, address: SocketAddr, timeout: Duration) -> Option<Message> {
+    /// Submits it, and waits for its outcome.
+    ///
+    /// # Errors
+    /// No response is received, or not within a timeout.
+    pub fn submit(&self, address: SocketAddr, timeout: Duration) -> Result<Message, ExchangeError> {
         self.to_request().send(address, timeout)
     }
 }
--- a/crates/process-harness/src/http.rs
+++ b/crates/process-harness/src/http.rs
@@ -1,8 +1,12 @@
 //! As much of HTTP/1.1 as stand-ins and clients need.
 
+mod exchange;
+
+pub use exchange::{exchange, ExchangeError, ExchangeStep};
+
 use crate::headers;
-use std::io::{self, BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{self, BufRead, Write};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// A request or a response that was received.
@@ -34,7 +38,15 @@
 
     /// Reads one message, whose body has the length that its head declares; `None` where the connection ends first.
     pub fn read(reader: &mut impl BufRead) -> Option<Message> {
-        reader.fill_buf().ok()?;
+        Message::try_read(reader).ok()
+    }
+
+    /// Reads one message, whose body has the length that its head declares.
+    ///
+    /// # Errors
+    /// The connection fails, or ends before the message does.
+    pub fn try_read(reader: &mut impl BufRead) -> io::Result<Message> {
+        reader.fill_buf()?;
         let received_at = Some(Instant::now());
         let start_line = read_line(reader)?;
         let mut headers = Vec::new();
@@ -43,7 +55,9 @@
             if line.is_empty() {
                 break;
             }
-            let (name, value) = line.split_once(": ")?;
+            let (name, value) = line
+                .split_once(": ")
+                .ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, line.clone()))?;
             headers.push((name.to_owned(), value.to_owned()));
         }
         let mut message = Message {
@@ -55,15 +69,17 @@
         let len = message.header(headers::CONTENT_LENGTH);
         let len = len.and_then(|len| len.parse().ok()).unwrap_or(0);
         message.body.resize(len, 0);
-        reader.read_exact(&mut message.body).ok()?;
-        Some(message)
+        reader.read_exact(&mut message.body)?;
+        Ok(message)
     }
 }
 
-fn read_line(reader: &mut impl BufRead) -> Option<String> {
+fn read_line(reader: &mut impl BufRead) -> io::Result<String> {
     let mut line = String::new();
-    let len = reader.read_line(&mut line).ok()?;
-    (len > 0).then(|| line.trim_end().to_owned())
+    if reader.read_line(&mut line)? == 0 {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    Ok(line.trim_end().to_owned())
 }
 
 /// A request to be sent.
@@ -139,21 +155,15 @@
         [head.as_bytes(), &self.body].concat()
     }
 
-    /// Sends it on a connection of its own; `None` where no response is received, or not within a timeout.
-    pub fn send(&self, address: SocketAddr, timeout: Duration) -> Option<Message> {
+    /// Sends it on a connection of its own, and returns the response.
+    ///
+    /// # Errors
+    /// No response is received, or not within a timeout.
+    pub fn send(&self, address: SocketAddr, timeout: Duration) -> Result<Message, ExchangeError> {
         exchange(address, &self.to_bytes(), timeout)
     }
 }
 
-/// Sends bytes on a connection of their own, and returns the response; `None` where none is received, or not within a
-/// timeout.
-pub fn exchange(address: SocketAddr, bytes: &[u8], timeout: Duration) -> Option<Message> {
-    let mut stream = TcpStream::connect_timeout(&address, timeout).ok()?;
-    stream.set_read_timeout(Some(timeout)).ok()?;
-    stream.write_all(bytes).ok()?;
-    Message::read(&mut BufReader::new(stream))
-}
-
 /// A status that has no body and declares no length.
 const NO_CONTENT: u16 = 204;
 
--- a/crates/process-harness/src/http/tests.rs
+++ b/crates/process-harness/src/http/tests.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use super::*;
+use crate::network::unused_address;
 use crate::server::{Reply, TestServer};
 use crate::WAIT_LIMIT;
 
@@ -24,7 +25,11 @@
 #[test]
 fn closed_connection_has_no_response() {
     let server = TestServer::start(|_| Reply::Close).unwrap();
-    assert!(Request::get("/").send(server.address, WAIT_LIMIT).is_none());
+    let error = Request::get("/")
+        .send(server.address, WAIT_LIMIT)
+        .unwrap_err();
+    assert_eq!(error.step, ExchangeStep::Read);
+    assert_eq!(error.source.kind(), io::ErrorKind::UnexpectedEof);
     assert_eq!(server.request_count(), 1);
 }
 
@@ -33,3 +38,11 @@
     let mut bytes: &[u8] = b"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab";
     assert!(Message::read(&mut bytes).is_none());
 }
+
+#[test]
+fn refused_connection_is_told_from_a_closed_one() {
+    let refusing = unused_address().unwrap();
+    let error = Request::get("/").send(refusing, WAIT_LIMIT).unwrap_err();
+    assert_eq!(error.step, ExchangeStep::Connect);
+    assert_eq!(error.source.kind(), io::ErrorKind::ConnectionRefused);
+}
--- a/crates/process-harness/src/network.rs
+++ b/crates/process-harness/src/network.rs
@@ -1,7 +1,11 @@
 //! Addresses on loopback.
 
 use crate::HarnessError;
+use rustix::net::{self, AddressFamily, SocketFlags, SocketType};
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
+use std::sync::{Mutex, PoisonError};
 
 /// Process ids are spread over this many addresses in each of the last two bytes.
 const ADDRESSES_PER_BYTE: u32 = 250;
@@ -22,14 +26,28 @@
     addresses.map_err(HarnessError::io("a port"))
 }
 
-/// Returns an address at which nobody listens at the moment.
+/// Sockets of addresses that nobody may listen at, held until the process ends.
+static HELD_SOCKETS: Mutex<Vec<OwnedFd>> = Mutex::new(Vec::new());
+
+/// Returns an address that refuses connections until the process ends: its port is bound, and nobody listens there. A
+/// port that was given back to the system could be given to another test.
 ///
 /// # Errors
 /// No port is free.
 pub fn unused_address() -> Result<SocketAddr, HarnessError> {
-    let listener = TcpListener::bind("127.0.0.1:0");
-    let address = listener.and_then(|listener| listener.local_addr());
-    address.map_err(HarnessError::io("a port"))
+    let bound = bind_without_listening();
+    let (socket, address) = bound.map_err(HarnessError::io("a port"))?;
+    let mut held = HELD_SOCKETS.lock().unwrap_or_else(PoisonError::into_inner);
+    held.push(socket);
+    Ok(address)
+}
+
+fn bind_without_listening() -> io::Result<(OwnedFd, SocketAddr)> {
+    let flags = SocketFlags::CLOEXEC;
+    let socket = net::socket_with(AddressFamily::INET, SocketType::STREAM, flags, None)?;
+    net::bind(&socket, &SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+    let address = SocketAddr::try_from(net::getsockname(&socket)?)?;
+    Ok((socket, address))
 }
 
 fn own_loopback_address() -> Ipv4Addr {
--- a/crates/process-harness/src/platform.rs
+++ b/crates/process-harness/src/platform.rs
@@ -2,7 +2,7 @@
 
 use crate::discovery::{EndpointList, ListedEndpoint};
 use crate::headers;
-use crate::http::{Message, Request};
+use crate::http::{ExchangeError, Message, Request};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -49,8 +49,11 @@
             .body(self.body)
     }
 
-    /// Submits it; `None` where no response is received within a timeout.
-    pub fn submit(&self, address: SocketAddr, timeout: Duration) -> Option<Message> {
+    /// Submits it, and returns the response.
+    ///
+    /// # Errors
+    /// No response is received, or not within a timeout.
+    pub fn submit(&self, address: SocketAddr, timeout: Duration) -> Result<Message, ExchangeError> {
         self.to_request().send(address, timeout)
     }
 }
@@ -58,7 +61,7 @@
 /// Whether an instance reports that it is ready.
 pub fn is_ready(address: SocketAddr, timeout: Duration) -> bool {
     let response = Request::get(READY_PATH).send(address, timeout);
-    response.is_some_and(|response| response.status() == 200)
+    response.is_ok_and(|response| response.status() == 200)
 }
 
 /// The configuration of an instance on the platform.
--- a/crates/process-harness/src/process.rs
+++ b/crates/process-harness/src/process.rs
@@ -13,13 +13,15 @@
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::thread;
+use std::thread::{self, JoinHandle};
 
 /// A process whose log is collected. It is killed when this is dropped.
 #[derive(Debug)]
 pub struct Process {
     child: Child,
     log: Arc<Mutex<String>>,
+    /// The thread that collects the log; it ends with the last writer of the process's standard error.
+    log_collector: Option<JoinHandle<()>>,
 }
 
 impl Process {
@@ -42,10 +44,13 @@
         let child = command.spawn();
         let mut child = child.map_err(HarnessError::io(program.display().to_string()))?;
         let log = Arc::<Mutex<String>>::default();
-        if let Some(stderr) = child.stderr.take() {
-            collect_lines(stderr, Arc::clone(&log));
-        }
-        Ok(Process { child, log })
+        let stderr = child.stderr.take();
+        let log_collector = stderr.map(|stderr| collect_lines(stderr, Arc::clone(&log)));
+        Ok(Process {
+            child,
+            log,
+            log_collector,
+        })
     }
 
     /// Its log until now.
@@ -102,16 +107,20 @@
         self.child.try_wait().ok().flatten()
     }
 
-    /// Waits until it has ended by itself, and returns its exit status.
+    /// Waits until it has ended by itself and its log is complete, and returns its exit status.
     ///
     /// # Errors
-    /// It does not end in time.
+    /// It does not end in time, or another process holds its standard error open.
     pub fn wait_for_exit(&mut self) -> Result<ExitStatus, HarnessError> {
         let mut status = None;
         wait_for("the program's end", || {
             status = self.exit_status();
             status.is_some()
         })?;
+        wait_for("the end of the program's log", || {
+            let mut collector = self.log_collector.iter();
+            collector.all(JoinHandle::is_finished)
+        })?;
         status.ok_or_else(|| HarnessError::TimedOut {
             condition: "the program's end".to_owned(),
         })
@@ -130,14 +139,14 @@
     }
 }
 
-fn collect_lines(from: impl Read + Send + 'static, into: Arc<Mutex<String>>) {
+fn collect_lines(from: impl Read + Send + 'static, into: Arc<Mutex<String>>) -> JoinHandle<()> {
     thread::spawn(move || {
         for line in BufReader::new(from).lines().map_while(Result::ok) {
             let mut log = into.lock().unwrap_or_else(PoisonError::into_inner);
             log.push_str(&line);
             log.push('\n');
         }
-    });
+    })
 }
 
 /// How a command ended.
@@ -176,3 +185,6 @@
         f.write_str(&self.text)
     }
 }
+
+#[cfg(test)]
+mod tests;
