Client connections: the line of each end has phase, age, bytes received and unread

Each line has them now, and the counter `closed_unread` counts the connections that were closed over unread bytes, as the rate of lines is limited. No behaviour changes.

--- a/crates/delivery/src/counters.rs
+++ b/crates/delivery/src/counters.rs
@@ -71,6 +71,8 @@
     rejected_unjournalled = "rejected_unjournalled",
     /// Submissions rejected by the scheduler.
     rejected_by_scheduler = "rejected_by_scheduler",
+    /// Client connections that were closed over unread bytes, which resets them.
+    connections_closed_unread = "closed_unread",
     /// Invariants that an action broke, or would have broken had it not been refused.
     violations = "violations",
     /// Duration of the engine's longest step, in microseconds.
--- a/crates/delivery/src/net/connection.rs
+++ b/crates/delivery/src/net/connection.rs
@@ -25,6 +25,8 @@
 const MAX_RETAINED_CAPACITY: usize = 2 * READ_SIZE;
 /// The most bytes that are read while the peer awaits its response.
 const MAX_READ_AHEAD: usize = 4 * READ_SIZE;
+/// The most unread bytes that are counted.
+const MAX_UNREAD_COUNTED: usize = 1024;
 
 /// Awaits a future until a deadline; `None` if that passes first.
 pub async fn with_deadline<T>(
@@ -46,6 +48,8 @@
     consumed: usize,
     /// The end of the bytes that were read; the rest of the buffer is free.
     filled: usize,
+    /// Bytes that were read from the system.
+    bytes_received: u64,
     /// Bytes that the system has accepted for sending.
     bytes_sent: u64,
     /// Dropped with the connection.
@@ -60,14 +64,20 @@
 impl UnreadDetector {
     /// Whether the system has received bytes that are not read yet.
     pub fn has_unread(&self) -> bool {
-        peek(&self.stream).is_ok_and(|available| available > 0)
+        peek(&self.stream, &mut [0]).is_ok_and(|available| available > 0)
+    }
+
+    /// How many bytes the system has received that are not read yet, up to [`MAX_UNREAD_COUNTED`]. Closing the connection
+    /// over them resets it.
+    pub fn unread_len(&self) -> usize {
+        peek(&self.stream, &mut [0; MAX_UNREAD_COUNTED]).unwrap_or(0)
     }
 }
 
-/// Peeks at the next unread byte without waiting; 0 once the peer has closed its sending side.
-fn peek(stream: &Async<TcpStream>) -> io::Result<usize> {
+/// Peeks at unread bytes without waiting; 0 once the peer has closed its sending side.
+fn peek(stream: &Async<TcpStream>, buffer: &mut [u8]) -> io::Result<usize> {
     loop {
-        match stream.get_ref().peek(&mut [0]) {
+        match stream.get_ref().peek(buffer) {
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
             peeked => return peeked,
         }
@@ -84,6 +94,7 @@
             buffer: Vec::new(),
             consumed: 0,
             filled: 0,
+            bytes_received: 0,
             bytes_sent: 0,
             guard: None,
         }
@@ -127,6 +138,11 @@
         &self.buffer[self.consumed..self.filled]
     }
 
+    /// How many bytes were read from the system.
+    pub fn bytes_received(&self) -> u64 {
+        self.bytes_received
+    }
+
     /// How many bytes the system has accepted for sending, including those of writes that then failed.
     pub fn bytes_sent(&self) -> u64 {
         self.bytes_sent
@@ -164,6 +180,7 @@
             }
         };
         self.filled += read;
+        self.bytes_received += read as u64;
         Ok(read > 0)
     }
 
@@ -191,7 +208,7 @@
     /// Whether an idle connection can be reused: it is open and has received no unrequested bytes.
     pub fn is_reusable(&self) -> bool {
         let would_block = |error: io::Error| error.kind() == io::ErrorKind::WouldBlock;
-        self.bytes().is_empty() && peek(&self.stream).err().is_some_and(would_block)
+        self.bytes().is_empty() && peek(&self.stream, &mut [0]).err().is_some_and(would_block)
     }
 
     /// Whether more than `len` unconsumed bytes have been received.
--- a/crates/delivery/src/net/server.rs
+++ b/crates/delivery/src/net/server.rs
@@ -17,6 +17,7 @@
 use super::listener::wait_after_accept_error;
 use super::spawner::Spawner;
 use crate::clock::Clock;
+use crate::counters::add;
 use crate::log_line;
 use crate::rules::{CloseConditions, Rule};
 use async_channel::Receiver;
@@ -28,7 +29,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing::Instrument;
 
 /// One in this many slots is kept free by eviction. A flood of clients that connect and send nothing, or keep their
@@ -145,6 +146,7 @@
     close_requests: Receiver<CloseReason>,
 ) {
     let clients = context.clients.clone();
+    let opened_at = Instant::now();
     let mut connection = Connection::new(stream);
     let unread = connection.unread_detector();
     let closed = async {
@@ -153,12 +155,27 @@
     };
     let session = Session::new(context, &mut connection, id);
     let end = future::or(closed, session.run()).await;
-    if clients.table.remove(id) == Some(Phase::AwaitingResponse) && !end.is_by_client() {
-        clients
-            .counters()
-            .violated(Rule::RequestAnswered, &end.code());
+    let unread = if end.is_by_server() {
+        unread.unread_len()
+    } else {
+        0
+    };
+    let phase = clients.table.remove(id);
+    let counters = clients.counters();
+    if phase == Some(Phase::AwaitingResponse) && !end.is_by_client() {
+        counters.violated(Rule::RequestAnswered, &end.code());
+    }
+    if unread > 0 {
+        add(&counters.connections_closed_unread);
     }
-    log_line!(code = end.code(), "client side: connection ended");
+    log_line!(
+        code = end.code(),
+        phase = phase.map_or("", Phase::name),
+        age_ms = opened_at.elapsed().as_millis() as u64,
+        received = connection.bytes_received(),
+        unread,
+        "client side: connection ended"
+    );
 }
 
 /// Waits for a request to close a connection that may be granted. A request of the client that crosses the close is
--- a/crates/delivery/src/net/server/connection_table.rs
+++ b/crates/delivery/src/net/server/connection_table.rs
@@ -36,6 +36,17 @@
 }
 
 impl Phase {
+    /// Its name in log lines.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Phase::Lingering => "lingering",
+            Phase::New => "new",
+            Phase::Idle => "idle",
+            Phase::Reading => "reading",
+            Phase::AwaitingResponse => "awaiting-response",
+        }
+    }
+
     /// How long a connection must have been in the phase before it may be evicted, so that a client that has just
     /// connected can send its request. `None` for phases that are never evicted.
     fn min_time_before_eviction(self) -> Option<Duration> {
--- a/crates/delivery/src/net/server/session_end.rs
+++ b/crates/delivery/src/net/server/session_end.rs
@@ -63,6 +63,14 @@
         }
     }
 
+    /// Whether the server closes a connection on which the client may send a request in this moment.
+    pub(super) fn is_by_server(&self) -> bool {
+        matches!(
+            self,
+            SessionEnd::Closed(_) | SessionEnd::NoRequest | SessionEnd::IdleTimeout
+        )
+    }
+
     /// Whether the client ended the session, so that an open request needs no response.
     pub(super) fn is_by_client(&self) -> bool {
         matches!(self, SessionEnd::ClientGone | SessionEnd::ResponseNotRead)
