--- a/crates/process-harness/src/process/tests.rs
+++ b/crates/process-harness/src/process/tests.rs
@@ -3,13 +3,28 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use super::*;
+use std::sync::mpsc;
+use std::time::Duration;
+
+/// A wait that is too short for nothing but a wait that returns at once.
+const MOMENT: Duration = Duration::from_millis(300);
 
 /// Regression: the last lines of a process were missing from its log right after its exit.
 #[test]
-fn log_is_complete_once_the_process_has_ended() {
-    const LINES: usize = 20_000;
-    let script = format!("seq {LINES} >&2");
-    let mut process = Process::start(Path::new("/bin/sh"), &["-c", &script], &[]).unwrap();
-    assert!(process.wait_for_exit().unwrap().success());
-    assert_eq!(process.log().lines().count(), LINES);
+fn exit_is_awaited_until_the_log_is_complete() {
+    let mut process = Process::start(Path::new("/bin/sh"), &["-c", "echo last >&2"], &[]).unwrap();
+    let log = Arc::clone(&process.log);
+    let (exited_sender, exited) = mpsc::channel();
+    // The collector cannot add a line meanwhile.
+    let held = log.lock().unwrap();
+    let waiting = thread::spawn(move || {
+        let status = process.wait_for_exit().unwrap();
+        exited_sender.send(()).unwrap();
+        (status, process)
+    });
+    assert!(exited.recv_timeout(MOMENT).is_err(), "the log lacks a line");
+    drop(held);
+    let (status, process) = waiting.join().unwrap();
+    assert!(status.success());
+    assert_eq!(process.log(), "last\n");
 }
