Listeners: one backlog of 1,024 from the start, so that no early client waits a second

Cause: sockets listened with room for 128 connections until their server began to accept and listened again with room for 1,024; the system drops the SYN of a connection without room, and the client's system sends it again a second later. Evidence: with the old number, burst_before_the_first_accept_is_queued stops at the 130th of 600 connections, on both ways of binding.

The backlog is a constant of the listener and set where a socket begins to listen; the server does not listen again.

--- a/crates/delivery/src/instance/assembly/frontends.rs
+++ b/crates/delivery/src/instance/assembly/frontends.rs
@@ -68,10 +68,7 @@
             self.tasks
                 .spawn(watch_endpoints(discovery, watch, schedule, engine));
         }
-        listener::listen(&config.listener).map_err(|source| InstanceError::Bind {
-            address: address_of(&config.listener),
-            source,
-        })?;
+        listen(&config.listener)?;
         self.prefer_over_predecessors(&config.listener);
         let listener = open_listener(config.listener)?;
         let frontend = Rc::new(SwappableFrontend::new(config.frontend));
@@ -102,6 +99,7 @@
     }
 
     fn start_admin(&self, listener: TcpListener) -> Result<(), InstanceError> {
+        listen(&listener)?;
         let listener = open_listener(listener)?;
         log_line!("operators call at {}", address_of(listener.get_ref()));
         let handler = self.admin.clone();
@@ -112,6 +110,7 @@
 
     fn start_cloudevents(&self, config: CloudEventsFrontendConfig) -> Result<(), InstanceError> {
         self.cloudevents.set(config.frontend);
+        listen(&config.listener)?;
         let listener = open_listener(config.listener)?;
         log_line!("takes events at {}", address_of(listener.get_ref()));
         self.serve(listener, self.cloudevents.clone(), CLOUDEVENTS_READ_TIMEOUT);
@@ -135,6 +134,14 @@
     }
 }
 
+/// Starts to listen, which is not done before the instance can serve: until then connections are refused.
+fn listen(listener: &TcpListener) -> Result<(), InstanceError> {
+    listener::listen(listener).map_err(|source| InstanceError::Bind {
+        address: address_of(listener),
+        source,
+    })
+}
+
 fn open_listener(listener: TcpListener) -> Result<Async<TcpListener>, InstanceError> {
     Async::new(listener).map_err(InstanceError::Listener)
 }
--- a/crates/delivery/src/net/listener.rs
+++ b/crates/delivery/src/net/listener.rs
@@ -7,13 +7,14 @@
 use futures_lite::future;
 use nix::libc::{self, sock_filter, sock_fprog};
 use nix::sys::socket::{setsockopt, sockopt::AttachReusePortCbpf};
-use rustix::net::{sockopt, AddressFamily, SocketAddrAny, SocketType};
+use rustix::net::{sockopt, AddressFamily, SocketAddrAny, SocketFlags, SocketType};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
 use std::time::Duration;
 
-/// The backlog until the server sets its own when it starts to accept.
-const INITIAL_BACKLOG: i32 = 128;
+/// Connections that the system queues; a client that finds the queue full retries a second later.
+const BACKLOG: i32 = 1024;
 /// The delay after an `accept` that failed for lack of a resource, where an immediate retry would spin.
 const SYSTEM_ERROR_DELAY: Duration = Duration::from_millis(2);
 /// The code of the packet filter instruction that ends a program with a constant result.
@@ -26,24 +27,42 @@
 /// The system's error for the socket, its options or the bind: the address is bound by a socket without
 /// `SO_REUSEPORT`, for example, or does not belong to this machine.
 pub fn bind_shared(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = open_socket(address)?;
+    sockopt::set_socket_reuseport(&socket, true)?;
+    bind(socket, address)
+}
+
+/// Binds a TCP socket with `SO_REUSEADDR`. Connections are refused until [`listen`] is called.
+///
+/// # Errors
+/// The system's error for the socket, its options or the bind: another socket listens at the address, for example, or it
+/// does not belong to this machine.
+pub fn bind_exclusive(address: SocketAddr) -> io::Result<TcpListener> {
+    bind(open_socket(address)?, address)
+}
+
+fn open_socket(address: SocketAddr) -> io::Result<OwnedFd> {
     let family = if address.is_ipv4() {
         AddressFamily::INET
     } else {
         AddressFamily::INET6
     };
-    let socket = rustix::net::socket(family, SocketType::STREAM, None)?;
+    let socket = rustix::net::socket_with(family, SocketType::STREAM, SocketFlags::CLOEXEC, None)?;
     sockopt::set_socket_reuseaddr(&socket, true)?;
-    sockopt::set_socket_reuseport(&socket, true)?;
+    Ok(socket)
+}
+
+fn bind(socket: OwnedFd, address: SocketAddr) -> io::Result<TcpListener> {
     rustix::net::bind(&socket, &SocketAddrAny::from(address))?;
     Ok(TcpListener::from(socket))
 }
 
-/// Starts to listen: the system queues connections until they are accepted.
+/// Starts to listen: the system queues connections until they are accepted. Has no effect on a socket that listens.
 ///
 /// # Errors
 /// The system's error: another socket listens on the address without `SO_REUSEPORT`, for example.
 pub fn listen(listener: &TcpListener) -> io::Result<()> {
-    Ok(rustix::net::listen(listener, INITIAL_BACKLOG)?)
+    Ok(rustix::net::listen(listener, BACKLOG)?)
 }
 
 /// Errors of `accept` that belong to the waiting connection, which Linux reports in place of it, or to nothing at all.
--- a/crates/delivery/src/net/listener/tests.rs
+++ b/crates/delivery/src/net/listener/tests.rs
@@ -53,3 +53,19 @@
         "its address is not shared"
     );
 }
+
+/// Regression: the backlog was 128 until the server began to accept, and a client beyond it waited for a second.
+#[test]
+fn burst_before_the_first_accept_is_queued() {
+    const BURST: usize = 600;
+    const FAILURE_TIMEOUT: Duration = Duration::from_secs(5);
+    for bound in [bind_shared, bind_exclusive] {
+        let listener = bound(([127, 0, 0, 1], 0).into()).unwrap();
+        listen(&listener).unwrap();
+        let address = listener.local_addr().unwrap();
+        let connected = (0..BURST)
+            .map_while(|_| TcpStream::connect_timeout(&address, FAILURE_TIMEOUT).ok())
+            .collect::<Vec<_>>();
+        assert_eq!(connected.len(), BURST);
+    }
+}
--- a/crates/delivery/src/net/server.rs
+++ b/crates/delivery/src/net/server.rs
@@ -35,8 +35,6 @@
 /// One in this many slots is kept free by eviction. A flood of clients that connect and send nothing, or keep their
 /// connection after one request, must not delay clients with a request, which give up after 400 ms.
 const FREE_SLOTS_DIVISOR: usize = 6;
-/// Connections that the system queues; a client that finds the queue full retries a second later.
-const LISTEN_BACKLOG: i32 = 1024;
 /// How often the server checks for a free slot while all are in use.
 const FULL_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 /// How often idle connections are evicted while many are open.
@@ -64,7 +62,6 @@
 impl<F: Frontend + 'static> Server<F> {
     /// Accepts connections until [`ClientConnections::stop_accepting`].
     pub async fn serve(self, listener: Async<TcpListener>) {
-        let _ = rustix::net::listen(listener.get_ref(), LISTEN_BACKLOG);
         self.clients.listener_opened();
         loop {
             self.evict_for_next();
