Supervisor: an instance listens once it has its folder; connections are refused before

What callers saw: a daemon was started while the disk of an instance's state folder failed; the instance's clients connected, sent their requests and had no response for as long as the disk failed. Cause: the supervisor listened (`TcpListener::bind` in supervisor/listeners.rs) before the instance claimed its folder. Evidence: instance_that_waits_for_its_disk_refuses_connections fails with that line put back, as a connect during the fault succeeds.

The supervisor binds, and the instance listens with its frontends. The listener for operators' calls is opened the same way. Open: an instance that is restarted for a change keeps listening, also if its disk fails just then.

--- a/crates/cli/tests/fleet_faults.rs
+++ b/crates/cli/tests/fleet_faults.rs
@@ -7,11 +7,21 @@
 use common::shim::*;
 use common::*;
 use marblefall_fault_plan::{FaultKind, EVERY_CALL};
+use marblefall_process_harness::network::reserve_addresses;
 use std::fs;
+use std::net::TcpStream;
 use std::time::Duration;
 
+/// Any free port.
+const ANY_PORT: &str = "127.0.0.1:0";
+
 /// A manifest with these instances.
 fn manifest(instances: &[&str]) -> String {
+    manifest_at(ANY_PORT, instances)
+}
+
+/// A manifest with these instances, each of which listens at an address.
+fn manifest_at(listen: &str, instances: &[&str]) -> String {
     let mut file = r#"[class.status]
 repeats = "free"
 wanted_ms = 1000
@@ -23,13 +33,21 @@
     for name in instances {
         file += &format!(
             r#"[instance.{name}]
-events = {{ listen = "127.0.0.1:0", path = "/events", destination_attribute = "clinic", types = {{ status = "status" }} }}
+events = {{ listen = "{listen}", path = "/events", destination_attribute = "clinic", types = {{ status = "status" }} }}
 "#
         );
     }
     file
 }
 
+/// A manifest with one instance, whose destination is in the endpoint lists of the folder `lists`.
+fn manifest_with_lists() -> String {
+    manifest(&["one"]).replace(
+        "[destination.well]\nendpoints = [{ name = \"well-1\", address = \"127.0.0.1:9\" }]\n",
+        "[destination.well]\nrate = 20\n[roster]\npath = \"lists\"\npoll_ms = 200\nmost_weight_lost = 1.0\nmost_endpoints_lost = 1.0\n",
+    )
+}
+
 /// Regression: the daemon read the applied manifest once, could not open it, and did not retry.
 #[test]
 fn manifest_applied_while_no_file_opens_is_put_in_force_later() {
@@ -65,11 +83,7 @@
         fs::write(lists.join("all.toml"), list).unwrap();
     };
     write_list(1);
-    let with_lists = manifest(&["one"]).replace(
-        "[destination.well]\nendpoints = [{ name = \"well-1\", address = \"127.0.0.1:9\" }]\n",
-        "[destination.well]\nrate = 20\n[roster]\npath = \"lists\"\npoll_ms = 200\nmost_weight_lost = 1.0\nmost_endpoints_lost = 1.0\n",
-    );
-    apply(&folder, &with_lists);
+    apply(&folder, &manifest_with_lists());
     let (home, stored) = (
         home(&folder),
         folder.path().join("home/rosters/all.toml.good"),
@@ -93,3 +107,23 @@
     wait_for("the second list on disk", || is_stored(2));
     assert!(shim.injected(FaultKind::DiskError) > 0, "{}", program.log());
 }
+
+/// Regression: the supervisor listened before the instance had its state folder, and clients had no response for as long
+/// as the disk failed.
+#[test]
+fn instance_that_waits_for_its_disk_refuses_connections() {
+    let folder = new_folder("instance-waits");
+    let listen = reserve_addresses(1).unwrap()[0];
+    apply(&folder, &manifest_at(&listen.to_string(), &["one"]));
+    let home = home(&folder);
+    let shim = new_shim(
+        &folder,
+        &home.join("instances"),
+        &[fault(FaultKind::DiskFull, NOW, LONG, EVERY_CALL)],
+    );
+    let program = Program::start(&["run", text(&home)], &shim.environment());
+    wait_for("the fault", || {
+        shim.is_loaded() && shim.injected(FaultKind::DiskFull) > 2
+    });
+    assert!(TcpStream::connect(listen).is_err(), "{}", program.log());
+}
--- a/crates/control-plane/src/supervisor/listeners.rs
+++ b/crates/control-plane/src/supervisor/listeners.rs
@@ -3,6 +3,7 @@
 
 use crate::instance_config::InstanceListeners;
 use crate::manifest::{InstanceManifest, InstanceSpec};
+use marblefall_delivery::net::listener::bind_exclusive;
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -57,7 +58,8 @@
         self.0.retain(|key, _| used.contains(key));
     }
 
-    /// Opens an instance's listeners, or shares those that are open.
+    /// Opens an instance's listeners, or shares those that are open. A new one refuses connections until its instance
+    /// listens.
     ///
     /// # Errors
     /// An address cannot be listened at.
@@ -89,7 +91,7 @@
         let failed = |source| ListenError { address, source };
         let listener = match self.0.entry(key) {
             Entry::Occupied(open) => open.into_mut(),
-            Entry::Vacant(vacant) => vacant.insert(TcpListener::bind(address).map_err(failed)?),
+            Entry::Vacant(vacant) => vacant.insert(bind_exclusive(address).map_err(failed)?),
         };
         listener.try_clone().map_err(failed)
     }
--- a/crates/delivery/src/instance/platform.rs
+++ b/crates/delivery/src/instance/platform.rs
@@ -174,7 +174,7 @@
         return Ok(None);
     };
     let address = parse_address(text)?;
-    let listener = retry_while_short(|| TcpListener::bind(address));
+    let listener = retry_while_short(|| listener::bind_exclusive(address));
     listener.map(Some).map_err(|source| InstanceError::Bind {
         address: text.to_owned(),
         source,
