--- a/crates/delivery/src/core/engine.rs
+++ b/crates/delivery/src/core/engine.rs
@@ -51,7 +51,7 @@
 use settings::Policy;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use unjournalled::UnjournalledAttempt;
+use unjournalled::{UnjournalledAttempt, UnjournalledOutcomes};
 
 /// The token of timers that only cause a step.
 const STEP_TIMER: u64 = u64::MAX;
@@ -83,6 +83,8 @@
     rejections: Vec<Rejection>,
     /// Attempts that wait for the journal.
     unjournalled: Vec<UnjournalledAttempt>,
+    /// Final outcomes that wait for the journal.
+    unjournalled_outcomes: UnjournalledOutcomes,
     /// The earliest time at which the journal is tried again with what it did not accept.
     journal_retry_at: m::Time,
     /// How many attempts are in flight.
@@ -162,6 +164,7 @@
             predecessor_attempts: PredecessorAttempts::default(),
             rejections: Vec::new(),
             unjournalled: Vec::new(),
+            unjournalled_outcomes: UnjournalledOutcomes::default(),
             journal_retry_at: m::Time::MIN,
             in_flight: 0,
             lease: LeaseState::Held,
@@ -173,7 +176,7 @@
     pub fn next_wake(&self) -> Option<m::Time> {
         let postponed = self.postponed.next_retry();
         if self.role != Role::Active {
-            return postponed;
+            return postponed.into_iter().chain(self.next_report_retry()).min();
         }
         let timer = self.timers.first().map(|(at, _)| *at);
         timer
--- a/crates/delivery/src/core/engine/final_outcome.rs
+++ b/crates/delivery/src/core/engine/final_outcome.rs
@@ -70,8 +70,8 @@
         self.finish(now, id, outcome, commands);
     }
 
-    /// Gives a message its final outcome in the store, responds to its waiting clients, and sends the platform a notice
-    /// of anything but a delivery.
+    /// Gives a message its final outcome, and reports it. Where the journal does not accept an outcome that another
+    /// incarnation could contradict, it is reported later.
     pub(super) fn finish(
         &mut self,
         now: Timestamp,
@@ -90,19 +90,41 @@
             NoticeState::NotRequired
         };
         let retain_until_ms = now.unix_ms + self.policy.retention_ms(message.class);
-        match self.store.finish(id, outcome, notice, retain_until_ms) {
-            Ok(false) => return,
-            finished => log_journal_error(finished.map(|_| ()), commands),
+        let finished = self.store.finish(id, outcome, notice, retain_until_ms);
+        if matches!(finished, Ok(false)) {
+            return;
         }
         commands.push(EngineCommand::MessageFinished(outcome));
+        let is_journalled = finished.is_ok();
+        log_journal_error(finished.map(|_| ()), commands);
+        let may_be_contradicted =
+            outcome != FinalOutcome::Delivered && now.unix_ms < message.expires_ms;
+        if !is_journalled && may_be_contradicted {
+            self.defer_outcome(now, id, outcome, message.expires_ms);
+        } else {
+            self.report_outcome(now, id, outcome, commands);
+        }
+    }
+
+    /// Responds to the clients that wait for a finished message, and sends the platform the notice that is pending.
+    pub(super) fn report_outcome(
+        &mut self,
+        now: Timestamp,
+        id: MessageId,
+        outcome: FinalOutcome,
+        commands: &mut Vec<EngineCommand>,
+    ) {
         self.respond_all(id, SubmitResponse::Finished(outcome), commands);
-        if notice == NoticeState::Pending {
+        let Some(record) = self.store.get(id) else {
+            return;
+        };
+        if record.has_pending_notice() {
             commands.push(EngineCommand::SendNotice {
                 message_id: id,
-                message,
+                message: record.message.clone(),
                 outcome,
             });
-        } else if from_platform {
+        } else if record.message.origin == Origin::Platform {
             self.remove_message(now, id, commands);
         }
     }
--- a/crates/delivery/src/core/engine/hot_restart.rs
+++ b/crates/delivery/src/core/engine/hot_restart.rs
@@ -149,8 +149,9 @@
         }
         self.role = Role::HandedOver;
         self.postponed.clear();
-        // The successor chooses again for messages whose attempt was not started.
+        // The successor chooses again for messages whose attempt was not started, or whose outcome was not reported.
         self.unjournalled.clear();
+        self.unjournalled_outcomes.clear();
         self.backlog.clear();
         self.timers.clear();
     }
--- a/crates/delivery/src/core/engine/lease.rs
+++ b/crates/delivery/src/core/engine/lease.rs
@@ -52,6 +52,7 @@
         self.backlog = batch.scheduler_events;
         self.reject_overdue_submissions(now, commands);
         self.expire_messages(now, commands);
+        self.retry_journal_without_lease(now, commands);
     }
 
     fn handle_or_defer(&mut self, event: EngineEvent, batch: &mut Batch<'_>) {
@@ -135,6 +136,7 @@
             .map(|(_, record)| now.monotonic_of(record.message.expires_ms + 1))
             .min();
         let check = (!self.deferred.is_empty()).then(|| now.monotonic + DEFERRED_CHECK_INTERVAL);
-        expiry.into_iter().chain(check).min()
+        let retry = (!self.unjournalled_outcomes.is_empty()).then_some(self.journal_retry_at);
+        expiry.into_iter().chain(check).chain(retry).min()
     }
 }
--- a/crates/delivery/src/core/engine/lookup.rs
+++ b/crates/delivery/src/core/engine/lookup.rs
@@ -13,7 +13,7 @@
         /// That attempt.
         first_possible_execution: Option<AttemptRecord>,
     },
-    /// It is open already.
+    /// It is open already, or its outcome is not reported yet.
     Open(MessageId),
     /// It has its final outcome.
     Finished(MessageId, FinalOutcome),
@@ -35,7 +35,14 @@
             };
         }
         match self.find_stored(message) {
-            Some((id, record)) => look_up_stored(message, id, record),
+            Some((id, record)) => match look_up_stored(message, id, record) {
+                Lookup::New { .. } | Lookup::Finished(..)
+                    if self.unjournalled_outcomes.contains(id) =>
+                {
+                    Lookup::Open(id)
+                }
+                found => found,
+            },
             // A delivered message that is sent again would be executed twice.
             None if self.finished_recently(message) => Lookup::Conflict,
             None => Lookup::New {
--- a/crates/delivery/src/core/engine/unjournalled.rs
+++ b/crates/delivery/src/core/engine/unjournalled.rs
@@ -1,12 +1,17 @@
 //! Records that the journal does not accept while its disk is full or fails. They are written again until it succeeds.
 //!
+//! A final outcome that is not in the journal is not reported, unless it is a delivery: the next incarnation would find the
+//! message open and could deliver it, while its client already acts on the outcome. It waits here until the journal accepts
+//! it, and at most until the message expires, as no incarnation attempts it after that.
+//!
 //! An attempt that is not in the journal is not sent. It is not reported to the scheduler as unsent either, which would
 //! choose it again at once and use up the message's attempts. It waits here until the journal accepts it.
 
 use super::shutdown::LAST_ATTEMPT_BEFORE_END;
 use super::{log_journal_error, Engine, EngineCommand, STEP_TIMER};
-use crate::core::{MessageId, Timestamp};
+use crate::core::{FinalOutcome, MessageId, Timestamp};
 use marblefall_scheduler as m;
+use std::collections::BTreeMap;
 
 /// Delay before a journal that failed is written again.
 const RETRY_INTERVAL: m::Span = m::Span(20_000);
@@ -19,7 +24,65 @@
     pub(super) timeout_at: m::Time,
 }
 
+/// A final outcome that is neither in the journal nor reported.
+#[derive(Clone, Copy, Debug)]
+struct DeferredOutcome {
+    outcome: FinalOutcome,
+    /// When its message expires, as Unix time in milliseconds.
+    expires_ms: i64,
+}
+
+/// The final outcomes that wait for the journal, by message.
+#[derive(Debug, Default)]
+pub(super) struct UnjournalledOutcomes(BTreeMap<MessageId, DeferredOutcome>);
+
+impl UnjournalledOutcomes {
+    /// Whether none waits.
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Whether that of a message waits.
+    pub(super) fn contains(&self, id: MessageId) -> bool {
+        self.0.contains_key(&id)
+    }
+
+    /// Forgets all.
+    pub(super) fn clear(&mut self) {
+        self.0.clear();
+    }
+}
+
 impl Engine {
+    /// Defers the report of a final outcome until the journal accepts it or its message expires.
+    pub(super) fn defer_outcome(
+        &mut self,
+        now: Timestamp,
+        id: MessageId,
+        outcome: FinalOutcome,
+        expires_ms: i64,
+    ) {
+        let deferred = DeferredOutcome {
+            outcome,
+            expires_ms,
+        };
+        self.unjournalled_outcomes.0.insert(id, deferred);
+        self.wake_for_journal(now);
+    }
+
+    /// Reports the outcomes that the journal has accepted meanwhile, and those of messages that have expired.
+    fn report_deferred_outcomes(&mut self, now: Timestamp, commands: &mut Vec<EngineCommand>) {
+        let all = std::mem::take(&mut self.unjournalled_outcomes.0);
+        let (waiting, due): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            all.into_iter().partition(|(id, deferred)| {
+                self.store.is_unwritten(*id) && now.unix_ms < deferred.expires_ms
+            });
+        self.unjournalled_outcomes.0 = waiting;
+        for (id, deferred) in due {
+            self.report_outcome(now, id, deferred.outcome, commands);
+        }
+    }
+
     /// Defers an attempt until the journal accepts it.
     pub(super) fn defer_unjournalled(&mut self, now: Timestamp, attempt: UnjournalledAttempt) {
         self.unjournalled.push(attempt);
@@ -40,13 +103,7 @@
         if now.monotonic < self.journal_retry_at {
             return;
         }
-        if self.store.has_unwritten() {
-            let written = self.store.retry_unwritten();
-            if written.is_err() {
-                self.wake_for_journal(now);
-            }
-            log_journal_error(written, commands);
-        }
+        self.retry_records(now, commands);
         for attempt in std::mem::take(&mut self.unjournalled) {
             let is_open = self
                 .store
@@ -62,6 +119,29 @@
         }
     }
 
+    /// Writes again what the journal did not accept, and reports the outcomes that it accepts.
+    fn retry_records(&mut self, now: Timestamp, commands: &mut Vec<EngineCommand>) {
+        if self.store.has_unwritten() {
+            let written = self.store.retry_unwritten();
+            if written.is_err() {
+                self.wake_for_journal(now);
+            }
+            log_journal_error(written, commands);
+        }
+        self.report_deferred_outcomes(now, commands);
+    }
+
+    /// The same for an engine without the lease, which starts no attempts.
+    pub(super) fn retry_journal_without_lease(
+        &mut self,
+        now: Timestamp,
+        commands: &mut Vec<EngineCommand>,
+    ) {
+        if !self.unjournalled_outcomes.is_empty() && now.monotonic >= self.journal_retry_at {
+            self.retry_records(now, commands);
+        }
+    }
+
     /// Cancels a message's attempt that waits for the journal; returns whether there was one.
     pub(super) fn cancel_unjournalled(&mut self, now: Timestamp, message: MessageId) -> bool {
         let before = self.unjournalled.len();
--- a/crates/delivery/src/core/message_store/journalling.rs
+++ b/crates/delivery/src/core/message_store/journalling.rs
@@ -33,6 +33,11 @@
         !self.unwritten.is_empty()
     }
 
+    /// Whether the journal did not accept the last record of a message.
+    pub fn is_unwritten(&self, id: MessageId) -> bool {
+        self.unwritten.contains(&id)
+    }
+
     /// Journals the messages whose records the journal did not accept.
     ///
     /// # Errors
--- a/crates/delivery/tests/common/mod.rs
+++ b/crates/delivery/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 pub mod destinations;
+pub mod full_journal;
 pub mod incarnation;
 pub mod policy;
 pub mod restarting_engine;
--- /dev/null
+++ b/crates/delivery/tests/unjournalled_outcomes.rs
@@ -0,0 +1,125 @@
+//! Final outcomes while the journal accepts no record: what a client was told is not contradicted by the next incarnation.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod common;
+
+use common::full_journal::FullJournal;
+use common::restarting_engine::{message, submission, RestartingEngine, IDEMPOTENT_CLASS};
+use common::{attempt_finished, folder as temporary_folder, notice_outcomes, started_attempts};
+use marblefall_delivery::core::engine::{EngineCommand, EngineEvent};
+use marblefall_delivery::core::{MessageId, Origin, RequestId};
+use marblefall_scheduler::{Outcome, Span};
+
+/// A wait that ends after every message of these tests has expired.
+const RETRY_AFTER: Span = Span(30_000_000);
+/// When the messages expire, in milliseconds after the start.
+const EXPIRY_MS: i64 = 20_000;
+
+/// An engine with the message "m" in flight, whose journal accepts nothing more.
+struct FailingJournal {
+    incarnation: RestartingEngine,
+    message: MessageId,
+    attempt: u32,
+    journal: FullJournal,
+}
+
+impl FailingJournal {
+    fn new(name: &str) -> FailingJournal {
+        let (mut incarnation, _) = RestartingEngine::start(temporary_folder(name), 0);
+        let commands = incarnation.step(
+            0,
+            vec![submission(1, "m", Origin::Platform, IDEMPOTENT_CLASS)],
+        );
+        let (message, attempt) = started_attempts(&commands)[0];
+        let folder = incarnation.folder.clone();
+        let mut request = 1;
+        let journal = FullJournal::fill(&folder, |name, body| {
+            request += 1;
+            let filler = self::message(name, Origin::Platform, IDEMPOTENT_CLASS, body);
+            let submitted = EngineEvent::Submitted(RequestId(request), filler);
+            incarnation.step(1, vec![submitted]);
+        });
+        FailingJournal {
+            incarnation,
+            message,
+            attempt,
+            journal,
+        }
+    }
+
+    /// Ends the attempt by a response that asks to wait beyond the message's expiry.
+    fn reject_attempt(&mut self) -> Vec<EngineCommand> {
+        let outcome = Outcome::Rejected {
+            retry_after: Some(RETRY_AFTER),
+        };
+        let result = attempt_finished(self.message, self.attempt, outcome);
+        let mut commands = self.incarnation.step(10, vec![result]);
+        for ms in 11..100 {
+            commands.extend(self.incarnation.step(ms, Vec::new()));
+        }
+        assert!(
+            commands
+                .iter()
+                .any(|command| matches!(command, EngineCommand::MessageFinished(_))),
+            "the message has its outcome"
+        );
+        commands
+    }
+
+    /// Kills the incarnation, and starts the next one.
+    fn restart(self, ms: i64) -> Vec<EngineCommand> {
+        let folder = self.incarnation.folder.clone();
+        drop(self.incarnation);
+        RestartingEngine::start(folder, ms).1
+    }
+}
+
+/// How many notices of a message are sent.
+fn notices_of(id: MessageId, commands: &[EngineCommand]) -> usize {
+    let is_notice = |command: &&EngineCommand| matches!(command, EngineCommand::SendNotice { message_id, .. } if *message_id == id);
+    commands.iter().filter(is_notice).count()
+}
+
+/// Regression: a notice was sent at once, and the next incarnation found the message open and attempted it.
+#[test]
+fn outcome_that_is_not_journalled_is_not_reported_before_a_crash() {
+    let mut failing = FailingJournal::new("not-reported");
+    let id = failing.message;
+    let commands = failing.reject_attempt();
+    failing.journal.repair();
+    let restarted = failing.restart(200);
+    let is_attempted = started_attempts(&restarted)
+        .iter()
+        .any(|(message, _)| *message == id);
+    assert!(is_attempted, "the next incarnation has the message");
+    assert_eq!(notice_outcomes(&commands), []);
+}
+
+#[test]
+fn outcome_is_reported_once_the_journal_accepts_it() {
+    let mut failing = FailingJournal::new("reported-later");
+    let id = failing.message;
+    failing.reject_attempt();
+    failing.journal.repair();
+    let later = failing.incarnation.step(140, Vec::new());
+    assert_eq!(notices_of(id, &later), 1);
+    let restarted = failing.restart(200);
+    assert_eq!(notices_of(id, &restarted), 1, "not acknowledged yet");
+    assert!(started_attempts(&restarted)
+        .iter()
+        .all(|(message, _)| *message != id));
+}
+
+#[test]
+fn outcome_of_an_expired_message_is_reported_without_the_journal() {
+    let mut failing = FailingJournal::new("reported-at-expiry");
+    let id = failing.message;
+    failing.reject_attempt();
+    let before = failing.incarnation.step(EXPIRY_MS - 100, Vec::new());
+    assert_eq!(notice_outcomes(&before), []);
+    let wake = failing.incarnation.engine.next_wake().unwrap();
+    assert!(wake.0 <= (EXPIRY_MS - 50) * 1000, "it looks again in time");
+    let after = failing.incarnation.step(EXPIRY_MS, Vec::new());
+    assert_eq!(notices_of(id, &after), 1);
+}
