--- a/crates/delivery/src/core/engine.rs
+++ b/crates/delivery/src/core/engine.rs
@@ -29,6 +29,7 @@
 mod settings;
 mod shutdown;
 mod unjournalled;
+mod unwritten_reports;
 
 pub use super::attempt_result::AttemptResult;
 pub use command::{AttemptRequest, EngineCommand, RejectReason, Rejection};
@@ -38,6 +39,7 @@
 
 use super::active_destinations::ActiveDestinations;
 use super::destination_table::DestinationTable;
+use super::journal_record::AttemptReport;
 use super::message_store::{MessageStore, Recovered};
 use super::recent_completions::RecentCompletions;
 use super::{MessageId, RequestId, SubmitResponse, Timestamp};
@@ -85,6 +87,8 @@
     unjournalled: Vec<UnjournalledAttempt>,
     /// Final outcomes that wait for the journal.
     unjournalled_outcomes: UnjournalledOutcomes,
+    /// Results of attempts that the journal did not accept.
+    unwritten_reports: BTreeMap<MessageId, AttemptReport>,
     /// The earliest time at which the journal is tried again with what it did not accept.
     journal_retry_at: m::Time,
     /// How many attempts are in flight.
@@ -165,6 +169,7 @@
             rejections: Vec::new(),
             unjournalled: Vec::new(),
             unjournalled_outcomes: UnjournalledOutcomes::default(),
+            unwritten_reports: BTreeMap::new(),
             journal_retry_at: m::Time::MIN,
             in_flight: 0,
             lease: LeaseState::Held,
--- a/crates/delivery/src/core/engine/attempts.rs
+++ b/crates/delivery/src/core/engine/attempts.rs
@@ -19,11 +19,13 @@
         if let Some(destination) = self.store.get(id).map(|record| record.message.destination) {
             self.use_destination(destination, batch);
         }
-        log_journal_error(
-            self.store
-                .attempt_finished(id, Execution::after(result.outcome)),
-            batch.commands,
-        );
+        let journalled = self
+            .store
+            .attempt_finished(id, Execution::after(result.outcome));
+        if journalled.is_err() {
+            self.keep_result(batch.now, &result);
+        }
+        log_journal_error(journalled, batch.commands);
         batch.scheduler_events.push(scheduler_result(&result));
         self.conclude_attempt(id, &result, batch);
     }
--- a/crates/delivery/src/core/engine/hot_restart.rs
+++ b/crates/delivery/src/core/engine/hot_restart.rs
@@ -145,6 +145,8 @@
         if self.role == Role::Active {
             let routes = self.route_records(now);
             log_journal_error(self.store.hand_over(routes), commands);
+            self.forget_written_results();
+            self.journal_retry_at = now.monotonic;
             commands.push(EngineCommand::HandedOver);
         }
         self.role = Role::HandedOver;
--- a/crates/delivery/src/core/engine/passive.rs
+++ b/crates/delivery/src/core/engine/passive.rs
@@ -4,8 +4,7 @@
 //! scheduler, and reads both from the journal.
 
 use super::role::Role;
-use super::{log_journal_error, AttemptResult, Batch, Engine, EngineCommand, EngineEvent};
-use crate::core::journal_record::AttemptReport;
+use super::{AttemptResult, Batch, Engine, EngineCommand, EngineEvent};
 use crate::core::{FinalOutcome, RequestId, SubmitResponse, Timestamp};
 use marblefall_scheduler as m;
 
@@ -17,6 +16,7 @@
         events: Vec<EngineEvent>,
         commands: &mut Vec<EngineCommand>,
     ) {
+        self.retry_reports(now, commands);
         let mut batch = Batch::new(now, commands);
         let events = self.handle_endpoint_changes(events, &mut batch);
         let endpoint_changes = std::mem::take(&mut batch.scheduler_events);
@@ -60,18 +60,12 @@
         result: &AttemptResult,
         commands: &mut Vec<EngineCommand>,
     ) {
-        let id = result.message_id;
-        let class = self.store.get(id).map(|record| record.message.class);
-        let retention_ms = class.map_or(0, |class| self.policy.retention_ms(class));
-        let report = AttemptReport {
-            result: *result,
-            retain_until_ms: now.unix_ms + retention_ms,
-        };
-        log_journal_error(self.store.report_attempt(report), commands);
+        self.report_result(now, result, commands);
         if result.outcome == m::Outcome::Delivered {
             let delivered = FinalOutcome::Delivered;
             commands.push(EngineCommand::MessageFinished(delivered));
-            self.respond_all(id, SubmitResponse::Finished(delivered), commands);
+            let response = SubmitResponse::Finished(delivered);
+            self.respond_all(result.message_id, response, commands);
         }
     }
 }
--- a/crates/delivery/src/core/engine/unjournalled.rs
+++ b/crates/delivery/src/core/engine/unjournalled.rs
@@ -14,7 +14,7 @@
 use std::collections::BTreeMap;
 
 /// Delay before a journal that failed is written again.
-const RETRY_INTERVAL: m::Span = m::Span(20_000);
+pub(super) const RETRY_INTERVAL: m::Span = m::Span(20_000);
 
 /// An attempt that was chosen and is not in the journal yet.
 #[derive(Clone, Copy, Debug)]
@@ -128,6 +128,7 @@
             }
             log_journal_error(written, commands);
         }
+        self.forget_written_results();
         self.report_deferred_outcomes(now, commands);
     }
 
--- /dev/null
+++ b/crates/delivery/src/core/engine/unwritten_reports.rs
@@ -0,0 +1,78 @@
+//! Results of attempts that the journal did not accept.
+//!
+//! While this incarnation is active, the messages' records are written again until the journal accepts them. Once it has
+//! handed over, the active incarnation has the messages, and the results are reported to it instead: without them it would
+//! count what was delivered as unknown.
+
+use super::unjournalled::RETRY_INTERVAL;
+use super::{log_journal_error, AttemptResult, Engine, EngineCommand};
+use crate::core::journal_record::AttemptReport;
+use crate::core::Timestamp;
+use marblefall_scheduler as m;
+
+impl Engine {
+    /// The report of an attempt's result.
+    fn report_of(&self, now: Timestamp, result: &AttemptResult) -> AttemptReport {
+        let class = self
+            .store
+            .get(result.message_id)
+            .map(|record| record.message.class);
+        let retention_ms = class.map_or(0, |class| self.policy.retention_ms(class));
+        AttemptReport {
+            result: *result,
+            retain_until_ms: now.unix_ms + retention_ms,
+        }
+    }
+
+    /// Keeps a result that the journal did not accept.
+    pub(super) fn keep_result(&mut self, now: Timestamp, result: &AttemptResult) {
+        let report = self.report_of(now, result);
+        self.unwritten_reports.insert(result.message_id, report);
+    }
+
+    /// Forgets the results of messages that the journal has accepted meanwhile.
+    pub(super) fn forget_written_results(&mut self) {
+        let store = &self.store;
+        self.unwritten_reports
+            .retain(|id, _| store.is_unwritten(*id));
+    }
+
+    /// Reports the result of an attempt to the active incarnation. If the journal does not accept it, it is reported later.
+    pub(super) fn report_result(
+        &mut self,
+        now: Timestamp,
+        result: &AttemptResult,
+        commands: &mut Vec<EngineCommand>,
+    ) {
+        self.keep_result(now, result);
+        self.journal_retry_at = now.monotonic;
+        self.retry_reports(now, commands);
+    }
+
+    /// Reports the results that the journal did not accept, if that is due.
+    pub(super) fn retry_reports(&mut self, now: Timestamp, commands: &mut Vec<EngineCommand>) {
+        if now.monotonic < self.journal_retry_at {
+            return;
+        }
+        while let Some((id, report)) = self.unwritten_reports.pop_first() {
+            let reported = self.store.report_attempt(report);
+            let is_reported = reported.is_ok();
+            log_journal_error(reported, commands);
+            if !is_reported {
+                self.unwritten_reports.insert(id, report);
+                self.journal_retry_at = now.monotonic + RETRY_INTERVAL;
+                return;
+            }
+        }
+    }
+
+    /// When results are reported again, if any were not.
+    pub(super) fn next_report_retry(&self) -> Option<m::Time> {
+        (!self.unwritten_reports.is_empty()).then_some(self.journal_retry_at)
+    }
+
+    /// Whether the journal lacks results of attempts.
+    pub fn has_unwritten_reports(&self) -> bool {
+        !self.unwritten_reports.is_empty()
+    }
+}
--- a/crates/delivery/src/instance/shutdown.rs
+++ b/crates/delivery/src/instance/shutdown.rs
@@ -130,6 +130,7 @@
         // After a handover, open messages are the successor's, and only attempts and connections are waited for.
         let is_idle = load.in_flight == 0
             && (load.open_messages == 0 || engine.has_handed_over())
+            && !engine.has_unwritten_reports()
             && self.clients.connections() == 0;
         // Clients may connect until they are notified of the shutdown.
         let is_done = is_idle
