Hot restart: an attempt is not started while new marks of a successor cannot be read

What callers could see: a message sent by a process and by its successor at once. Cause: `Incarnation::successor_requests` took a file that could not be read for an empty one, and the permit of an attempt asks it whether there is a fence.

Marks are only appended: those that were read still hold, the file is read when it has grown, and until that succeeds no attempt is started. Open: a stop between this look and the first byte, which no look from inside can close.

--- a/crates/delivery/src/hot_restart/driver.rs
+++ b/crates/delivery/src/hot_restart/driver.rs
@@ -79,7 +79,7 @@
 
 /// Whether an attempt of this incarnation may be started at this moment. The successor sends the message otherwise.
 pub fn may_start_attempt(incarnation: &RefCell<Incarnation>) -> bool {
-    !must_hand_over(incarnation)
+    incarnation.borrow_mut().may_act()
 }
 
 /// Drives a standby from its start until its last predecessor has exited.
--- a/crates/delivery/src/hot_restart/incarnation.rs
+++ b/crates/delivery/src/hot_restart/incarnation.rs
@@ -51,6 +51,8 @@
 pub struct Incarnation {
     folder: PathBuf,
     own: LockedGeneration,
+    /// The marks in the own file, as it was last read.
+    marks: Vec<u8>,
     /// The generations of incarnations that have exited, which are locked until this one has their messages.
     exited: Vec<LockedGeneration>,
 }
@@ -65,6 +67,7 @@
         Ok(Incarnation {
             folder: folder.to_owned(),
             own: claim_generation(folder, UNNUMBERED)?,
+            marks: Vec::new(),
             exited: Vec::new(),
         })
     }
@@ -157,19 +160,33 @@
         self.own.file.write_all(&[HANDED_OVER])
     }
 
-    /// The marks of successors. Where there has been none, only the length of a file is read. A file that cannot be read
-    /// counts as empty.
+    /// The marks of successors, as far as they can be read.
     pub fn successor_requests(&mut self) -> SuccessorRequests {
-        if self.own.file.metadata().map_or(0, |file| file.len()) == 0 {
-            return SuccessorRequests::default();
-        }
-        let marks = read_marks(&mut self.own.file).unwrap_or_default();
+        // If it fails, those that were read before still hold, as marks are only appended.
+        let _ = self.read_new_marks();
         SuccessorRequests {
-            standby_started: marks.contains(&STANDBY_STARTED),
-            hand_over: marks
-                .iter()
-                .any(|mark| [HANDOVER_REQUESTED, FENCED].contains(mark)),
+            standby_started: self.marks.contains(&STANDBY_STARTED),
+            hand_over: self.is_replaced(),
+        }
+    }
+
+    /// Whether this incarnation surely has not been asked to hand over. A mark that cannot be read may be a fence.
+    pub fn may_act(&mut self) -> bool {
+        self.read_new_marks().is_ok() && !self.is_replaced()
+    }
+
+    fn is_replaced(&self) -> bool {
+        let mut marks = self.marks.iter();
+        marks.any(|mark| [HANDOVER_REQUESTED, FENCED].contains(mark))
+    }
+
+    /// Reads the own file if it has grown: where there is no successor, only its length.
+    fn read_new_marks(&mut self) -> io::Result<()> {
+        let len = self.own.file.metadata()?.len();
+        if len != self.marks.len() as u64 {
+            self.marks = read_marks(&mut self.own.file)?;
         }
+        Ok(())
     }
 
     /// Whether a later incarnation is running.
@@ -213,6 +230,7 @@
         let claimed = claim_generation(&self.folder, self.own.generation)?;
         let generation = claimed.generation;
         exited.push(std::mem::replace(&mut self.own, claimed));
+        self.marks.clear();
         self.exited.extend(exited);
         Ok(Some(generation))
     }
