Supervisor: a home that cannot be read for a moment is read again, and ends no daemon

What operators saw: a daemon that was out of descriptors (ENFILE), or whose disk failed, as it started exited, and none of its instances ran: messages of the processes before stayed undelivered. Cause: `supervisor::run` read the applied manifest, the membership and the lock once. Evidence: daemon_that_cannot_open_its_home_for_a_moment_starts_later fails without the retry: the daemon has exited.

The home is opened again every 50 ms while the cause may pass by itself, and a shutdown ends that. A lock that fails for a moment is no longer reported as another daemon.

--- a/crates/cli/tests/fleet_faults.rs
+++ b/crates/cli/tests/fleet_faults.rs
@@ -127,3 +127,43 @@
     });
     assert!(TcpStream::connect(listen).is_err(), "{}", program.log());
 }
+
+/// Regression: a daemon that could not open its home for a moment exited.
+#[test]
+fn daemon_that_cannot_open_its_home_for_a_moment_starts_later() {
+    let folder = new_folder("home-later");
+    apply(&folder, &manifest(&["one"]));
+    let home = home(&folder);
+    let lasts = Duration::from_millis(1200);
+    let shim = new_shim(
+        &folder,
+        &home,
+        &[fault(FaultKind::OpenNoFiles, NOW, lasts, EVERY_CALL)],
+    );
+    let program = Program::start(&["run", text(&home)], &shim.environment());
+    let address = program.address(EVENTS_MARKER, 0);
+    assert_eq!(exchange(address, READY_REQUEST).unwrap().status(), 200);
+    assert!(
+        shim.injected(FaultKind::OpenNoFiles) > 0,
+        "{}",
+        program.log()
+    );
+}
+
+#[test]
+fn daemon_that_is_shut_down_before_its_home_opens_ends_cleanly() {
+    let folder = new_folder("home-never");
+    apply(&folder, &manifest(&["one"]));
+    let home = home(&folder);
+    let shim = new_shim(
+        &folder,
+        &home,
+        &[fault(FaultKind::OpenNoFiles, NOW, LONG, EVERY_CALL)],
+    );
+    let mut program = Program::start(&["run", text(&home)], &shim.environment());
+    wait_for("the fault", || {
+        shim.is_loaded() && shim.injected(FaultKind::OpenNoFiles) > 2
+    });
+    program.signal(Signal::TERM);
+    assert!(program.wait_for_exit(), "{}", program.log());
+}
--- a/crates/control-plane/src/supervisor.rs
+++ b/crates/control-plane/src/supervisor.rs
@@ -12,6 +12,7 @@
 mod applied_file;
 mod desired_state;
 mod group_member;
+mod home;
 mod instance_handle;
 mod instance_set;
 mod listeners;
@@ -20,7 +21,7 @@
 pub use group_member::CoordinationError;
 
 use crate::endpoint_directory::CompactApplied;
-use crate::group::{GroupError, GroupEvent, Membership};
+use crate::group::{GroupError, GroupEvent};
 use crate::json_file::JsonFileError;
 use crate::list_watcher::ListWatcher;
 use crate::manifest::Manifest;
@@ -31,12 +32,13 @@
 use desired_state::DesiredState;
 use futures_lite::future;
 use group_member::GroupMember;
+use home::OpenedHome;
 use instance_set::InstanceSet;
 use marblefall_coordination::message::PolicyVerdict;
 use marblefall_delivery::instance::{self, InstanceCommand, InstanceError};
 use marblefall_delivery::log_line;
 use marblefall_delivery::net::spawner::Spawner;
-use std::fs::{File, TryLockError};
+use std::fs::TryLockError;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -45,8 +47,6 @@
 
 /// Maximum time between two rounds.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
-/// The file that the supervisor of a home holds locked.
-const LOCK_FILE: &str = "run.lock";
 
 /// Why a supervisor does not run.
 #[derive(Debug, thiserror::Error)]
@@ -60,7 +60,7 @@
     /// The home's membership in its group cannot be read.
     #[error(transparent)]
     Membership(#[from] GroupError),
-    /// The lock file cannot be created.
+    /// The lock file cannot be created or locked.
     #[error("{0}")]
     LockFile(#[source] io::Error),
     /// Another process supervises the same home.
@@ -88,29 +88,22 @@
     link: Option<SocketAddr>,
 ) -> Result<(), SupervisorError> {
     let signals = instance::signals()?;
-    let applied_file = AppliedFile::preload(home)?;
-    let membership = Membership::read(home)?;
-    let _lock = lock_home(home)?;
     let (command_sender, commands) = async_channel::unbounded();
     let tasks = Rc::new(LocalExecutor::new());
     let _signal_task = tasks.spawn(instance::watch_signals(signals, command_sender));
     let spawner = Spawner::new(&tasks);
-    let start = |membership| GroupMember::start(membership, home, history, link, &spawner);
-    let group_member = membership.map(start).transpose()?;
-    let supervisor = Supervisor::new(home, commands, applied_file, group_member);
-    async_io::block_on(tasks.run(supervisor.run()));
-    Ok(())
-}
-
-/// Locks the home: two supervisors of one home would write to each other's journals.
-fn lock_home(home: &Path) -> Result<File, SupervisorError> {
-    let lock = File::create(home.join(LOCK_FILE)).map_err(SupervisorError::LockFile)?;
-    lock.try_lock()
-        .map_err(|source| SupervisorError::AlreadyRunning {
-            home: home.to_owned(),
-            source,
-        })?;
-    Ok(lock)
+    let supervising = async {
+        let Some(opened) = OpenedHome::open(home, &commands).await? else {
+            return Ok(());
+        };
+        let start = |membership| GroupMember::start(membership, home, history, link, &spawner);
+        let group_member = opened.membership.map(start).transpose()?;
+        let _lock = opened.lock;
+        let supervisor = Supervisor::new(home, commands.clone(), opened.applied_file, group_member);
+        supervisor.run().await;
+        Ok(())
+    };
+    async_io::block_on(tasks.run(supervising))
 }
 
 /// Whether instances are still started.
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -16,4 +16,4 @@
 pub mod net;
 pub mod rules;
 pub mod snapshot_store;
-mod system_error;
+pub mod system_error;
