Supervisor: endpoint lists that do not open at the start are opened again

What callers saw: a daemon whose last good lists did not open at its start went on without any list, and rejected the messages of all listed destinations until something else was applied. Cause: `Supervisor::adopt` started the list watcher once and logged its error. Evidence: lists_that_cannot_be_opened_at_the_start_are_in_force_later waits in vain for a delivery without the retry.

The start is tried again every second.

--- a/crates/cli/tests/fleet_faults.rs
+++ b/crates/cli/tests/fleet_faults.rs
@@ -167,3 +167,44 @@
     program.signal(Signal::TERM);
     assert!(program.wait_for_exit(), "{}", program.log());
 }
+
+/// Regression: a daemon whose last good lists did not open at its start went on without any list.
+#[test]
+fn lists_that_cannot_be_opened_at_the_start_are_in_force_later() {
+    let endpoint = start_healthy_server();
+    let folder = new_folder("lists-later");
+    let lists = folder.path().join("lists");
+    fs::create_dir_all(&lists).unwrap();
+    let list = format!(
+        "revision = 1\n[destination.well]\nendpoints = [{{ name = \"well-1\", address = \"{}\" }}]\n[end]\nrevision = 1\n",
+        endpoint.address
+    );
+    fs::write(lists.join("all.toml"), list).unwrap();
+    apply(&folder, &manifest_with_lists());
+    let (home, stored) = (
+        home(&folder),
+        folder.path().join("home/rosters/all.toml.good"),
+    );
+    let first = start_daemon(&folder);
+    wait_for("the list on disk", || stored.exists());
+    first.kill();
+    fs::remove_dir_all(&lists).unwrap();
+    let lasts = Duration::from_millis(1500);
+    let shim = new_shim(
+        &folder,
+        &home.join("rosters"),
+        &[fault(FaultKind::OpenNoFiles, NOW, lasts, EVERY_CALL)],
+    );
+    let program = Program::start(&["run", text(&home)], &shim.environment());
+    let address = program.address(EVENTS_MARKER, 0);
+    let mut n = 0;
+    wait_for("a delivery by the list", || {
+        n += 1;
+        event_status(address, &n.to_string(), "status", "well", "") == 204
+    });
+    assert!(
+        shim.injected(FaultKind::OpenNoFiles) > 0,
+        "{}",
+        program.log()
+    );
+}
--- a/crates/control-plane/src/supervisor.rs
+++ b/crates/control-plane/src/supervisor.rs
@@ -43,10 +43,12 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Maximum time between two rounds.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Delay before the list watcher is started again after a failure.
+const LIST_WATCHER_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Why a supervisor does not run.
 #[derive(Debug, thiserror::Error)]
@@ -131,6 +133,8 @@
     /// Whether the manifest or an endpoint list has changed since the last change was passed on to the instances.
     has_changed: bool,
     list_watcher: Option<ListWatcher>,
+    /// The earliest time at which the list watcher is started.
+    list_watcher_start_at: Instant,
     instances: InstanceSet,
 }
 
@@ -153,6 +157,7 @@
             },
             has_changed: false,
             list_watcher: None,
+            list_watcher_start_at: Instant::now(),
             instances: InstanceSet::default(),
         }
     }
@@ -162,6 +167,7 @@
         loop {
             self.handle_group_events().await;
             self.reload_applied();
+            self.start_list_watcher_if_due();
             self.handle_commands();
             self.push_changes();
             self.instances.reap();
@@ -217,20 +223,33 @@
         self.desired.applied = applied;
         self.has_changed = true;
         let manifest = &self.desired.applied.manifest;
-        match &self.list_watcher {
-            Some(watcher) => watcher.set_manifest(manifest),
-            None if manifest.list_source.is_some() => self.start_list_watcher(),
-            None => {}
+        if let Some(watcher) = &self.list_watcher {
+            watcher.set_manifest(manifest);
         }
     }
 
-    fn start_list_watcher(&mut self) {
-        match ListWatcher::start(&self.desired.home, &self.desired.applied.manifest) {
-            Ok(watcher) => self.list_watcher = Some(watcher),
-            Err(error) => log_line!(
-                code = "list-watcher-not-started",
-                "endpoint lists are not watched: {error}"
-            ),
+    /// Starts the list watcher if the manifest has endpoint lists. A start that fails is repeated after a delay.
+    fn start_list_watcher_if_due(&mut self) {
+        let manifest = &self.desired.applied.manifest;
+        let is_due = self.list_watcher.is_none()
+            && manifest.list_source.is_some()
+            && self.phase == Phase::Running
+            && self.list_watcher_start_at <= Instant::now();
+        if !is_due {
+            return;
+        }
+        match ListWatcher::start(&self.desired.home, manifest) {
+            Ok(watcher) => {
+                self.list_watcher = Some(watcher);
+                self.has_changed = true;
+            }
+            Err(error) => {
+                log_line!(
+                    code = "list-watcher-not-started",
+                    "endpoint lists are not watched: {error}; tried again"
+                );
+                self.list_watcher_start_at = Instant::now() + LIST_WATCHER_RETRY_INTERVAL;
+            }
         }
     }
 
