Platform: a configuration that does not open for a moment is read again

What operators saw: an instance that could not open its configuration (ENFILE) exited at its start; at SIGHUP it kept the address of discovery from before, for good. Cause: `PlatformConfig::from_env` was called once, and `discovery_moved` logged its error. Evidence: the two tests on the configuration in open_faults.rs fail without the retry.

Signals are watched before the configuration is read: a SIGHUP in the first moment killed the process (by reading, not tried).

--- a/crates/cli/tests/open_faults.rs
+++ b/crates/cli/tests/open_faults.rs
@@ -134,3 +134,34 @@
         });
     }
 }
+
+/// Regression: a process that could not open its configuration for a moment exited.
+#[test]
+fn process_that_cannot_open_its_configuration_for_a_moment_starts_later() {
+    let endpoint = start_healthy_server();
+    let platform = Platform::new("config-later", endpoint.address, "6000");
+    let lasts = Duration::from_millis(800);
+    let failing = fault(FaultKind::OpenNoFiles, NOW, lasts, EVERY_CALL);
+    let (program, shim) = platform.start_with_faults_in(platform.folder.path(), &[failing]);
+    program.address(LISTENING_MARKER, 0);
+    assert!(shim.injected(FaultKind::OpenNoFiles) > 0);
+}
+
+/// Regression: a configuration that could not be opened at SIGHUP was not read again, and discovery stayed where it was.
+#[test]
+fn configuration_that_cannot_be_opened_at_a_reload_is_read_later() {
+    let endpoint = start_healthy_server();
+    let platform = Platform::new("reload-later", endpoint.address, "6000");
+    let (after, lasts) = (Duration::from_millis(1500), Duration::from_millis(1500));
+    let failing = fault(FaultKind::OpenNoFiles, after, lasts, EVERY_CALL);
+    let (program, shim) = platform.start_with_faults_in(platform.folder.path(), &[failing]);
+    program.address(LISTENING_MARKER, 0);
+    let second = TestDiscovery::start(0);
+    platform.configure(&second);
+    wait_for("the fault's time", || failing.is_active(monotonic_ms()));
+    program.signal(Signal::HUP);
+    wait_for("the fault", || shim.injected(FaultKind::OpenNoFiles) > 0);
+    wait_for("a request at the new address", || {
+        second.server().request_count() > 0
+    });
+}
--- a/crates/delivery/src/instance/platform.rs
+++ b/crates/delivery/src/instance/platform.rs
@@ -1,6 +1,6 @@
 //! The instance that the platform configures, and its start.
 
-use super::platform_config::PlatformConfig;
+use super::platform_config::{ConfigError, PlatformConfig};
 use super::{
     instance_span, run_instance, signals, watch_signals, InstanceCommand, InstanceConfig,
     InstanceError, PlatformFrontendConfig, StateFolder,
@@ -14,7 +14,9 @@
 use crate::system_error::is_transient;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
+use async_io::Timer;
 use error_reporter::Report;
+use futures_lite::future;
 use marblefall_scheduler::{Idempotency, MessageClass};
 use marblefall_settings::InstanceSettings;
 use std::io;
@@ -40,8 +42,8 @@
 /// # Errors
 /// The configuration, the state folder or a listener cannot be used.
 pub fn run_on_platform() -> Result<(), InstanceError> {
-    let config = PlatformConfig::from_env()?;
     let signals = signals()?;
+    let config = read_config()?;
     let config = instance_config(config)?;
     let (signal_sender, signalled) = async_channel::unbounded();
     let (command_sender, commands) = async_channel::unbounded();
@@ -53,6 +55,20 @@
     async_io::block_on(executor.run(run_instance(config, commands, tasks)))
 }
 
+/// Reads the configuration, and retries while the system is short of a resource.
+fn read_config() -> Result<PlatformConfig, ConfigError> {
+    let deadline = Instant::now() + MAX_SHORTAGE;
+    loop {
+        match PlatformConfig::from_env() {
+            Err(error) if error.is_transient() && Instant::now() < deadline => {
+                log_line!(code = "configuration-fails", "{error}; tried again");
+                std::thread::sleep(SHORTAGE_RETRY_INTERVAL);
+            }
+            result => return result,
+        }
+    }
+}
+
 fn instance_config(config: PlatformConfig) -> Result<InstanceConfig, InstanceError> {
     let listen = parse_address(&config.listen)?;
     let discovery = config.discovery_address()?;
@@ -189,17 +205,32 @@
 }
 
 /// Forwards commands. A reload of the configuration is replaced by the new address of discovery. A configuration that
-/// cannot be read changes nothing.
+/// cannot be read changes nothing; if that may pass by itself, it is read again until it succeeds.
 async fn reload_configuration(
     signalled: Receiver<InstanceCommand>,
     commands: Sender<InstanceCommand>,
 ) {
-    while let Ok(command) = signalled.recv().await {
+    let mut reload_is_due = false;
+    loop {
+        let received = if reload_is_due {
+            let retry = async {
+                Timer::after(SHORTAGE_RETRY_INTERVAL).await;
+                Ok(InstanceCommand::ReloadConfig)
+            };
+            future::or(signalled.recv(), retry).await
+        } else {
+            signalled.recv().await
+        };
+        let Ok(command) = received else { return };
         let command = match command {
-            InstanceCommand::ReloadConfig => match discovery_moved() {
-                Some(moved) => moved,
-                None => continue,
-            },
+            InstanceCommand::ReloadConfig => {
+                let reload = reload();
+                reload_is_due = matches!(reload, Reload::TryAgain);
+                match reload {
+                    Reload::DiscoveryAt(address) => InstanceCommand::DiscoveryMoved(address),
+                    Reload::Unchanged | Reload::TryAgain => continue,
+                }
+            }
             other => other,
         };
         if commands.send(command).await.is_err() {
@@ -208,16 +239,29 @@
     }
 }
 
-fn discovery_moved() -> Option<InstanceCommand> {
-    match PlatformConfig::from_env().and_then(|config| config.discovery_address()) {
+/// What came of reading the configuration again.
+enum Reload {
+    /// Discovery is at this address.
+    DiscoveryAt(SocketAddr),
+    /// The configuration cannot be used.
+    Unchanged,
+    /// It cannot be read at the moment.
+    TryAgain,
+}
+
+fn reload() -> Reload {
+    let error = match PlatformConfig::from_env().and_then(|config| config.discovery_address()) {
         Ok(address) => {
             log_line!("configuration read again: discovery is at {address}");
-            Some(InstanceCommand::DiscoveryMoved(address))
-        }
-        Err(error) => {
-            let cause = Report::new(&error);
-            log_line!("configuration kept as it was, {cause}");
-            None
+            return Reload::DiscoveryAt(address);
         }
+        Err(error) => error,
+    };
+    let cause = Report::new(&error);
+    if error.is_transient() {
+        log_line!(code = "configuration-fails", "{cause}; tried again");
+        return Reload::TryAgain;
     }
+    log_line!("configuration kept as it was, {cause}");
+    Reload::Unchanged
 }
--- a/crates/delivery/src/instance/platform_config.rs
+++ b/crates/delivery/src/instance/platform_config.rs
@@ -1,6 +1,7 @@
 //! The configuration of an instance on the platform: environment variables, and the JSON file that one of them names.
 
 use crate::net::discovery::EndpointList;
+use crate::system_error::is_transient;
 use marblefall_settings::InstanceSettings;
 use serde::Deserialize;
 use std::net::{AddrParseError, SocketAddr};
@@ -50,6 +51,13 @@
     },
 }
 
+impl ConfigError {
+    /// Whether the cause may pass by itself.
+    pub fn is_transient(&self) -> bool {
+        matches!(self, ConfigError::Unreadable { source, .. } if is_transient(source))
+    }
+}
+
 /// The limits that the platform sets.
 #[derive(Clone, Debug, Deserialize)]
 pub struct PlatformLimits {
