Platform frontend: a class that was removed has no name, and no request selects it

What a caller could see: a request with an empty `X-Call-Class` was accepted under a class that operators had removed from the manifest. Cause: instance_config.rs gave such a class an empty name. The name is an option now.

--- a/crates/control-plane/src/instance_config.rs
+++ b/crates/control-plane/src/instance_config.rs
@@ -137,10 +137,8 @@
             .iter()
             .filter_map(|(number, name)| Some((number.parse().ok()?, destination(name))));
         // Clients cannot use a class that was removed from the manifest.
-        let accepted_name = |name: String| match self.manifest.classes.contains_key(&name) {
-            true => name,
-            false => String::new(),
-        };
+        let accepted_name =
+            |name: String| Some(name).filter(|name| self.manifest.classes.contains_key(name));
         let is_keyed = |class: &ClassSpec| class.idempotency == IdempotencySpec::IdempotencyKey;
         let names = self.classes.names().into_iter().map(accepted_name);
         Some(PlatformFrontend {
--- a/crates/delivery/src/frontend/platform.rs
+++ b/crates/delivery/src/frontend/platform.rs
@@ -65,8 +65,8 @@
 /// A class of messages.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlatformClass {
-    /// The name by which clients select the class.
-    pub name: String,
+    /// The name by which clients select the class; `None` for one that no new message may have.
+    pub name: Option<String>,
     /// Whether its endpoints drop repeated attempts by key, so that messages must have one.
     pub requires_key: bool,
 }
@@ -148,7 +148,7 @@
             .ok_or(RequestError::MissingClass)?;
         self.classes
             .iter()
-            .position(|class| class.name == name)
+            .position(|class| class.name.as_deref() == Some(name))
             .map(ClassId)
             .ok_or(RequestError::UnknownClass)
     }
--- a/crates/delivery/src/frontend/platform/tests.rs
+++ b/crates/delivery/src/frontend/platform/tests.rs
@@ -4,7 +4,7 @@
 fn frontend() -> PlatformFrontend {
     PlatformFrontend {
         classes: vec![PlatformClass {
-            name: "status".to_owned(),
+            name: Some("status".to_owned()),
             requires_key: false,
         }],
         destinations_by_number: None,
@@ -78,3 +78,25 @@
         );
     }
 }
+
+/// Regression: a class that was removed had an empty name, which a request could give.
+#[test]
+fn removed_class_is_not_selected_by_an_empty_name() {
+    let mut frontend = frontend();
+    frontend.classes[0].name = None;
+    for class in ["", "status"] {
+        let head = format!(
+            "POST /api HTTP/1.1\r\nX-Call-Id: m\r\nX-Call-Class: {class}\r\nX-Budget-Ms: 900\r\n\
+             X-Envelope: dest=1\r\n\r\n"
+        );
+        let request = http::parse_request(head.as_bytes()).unwrap();
+        let at = ReceivedAt {
+            steady_ms: 1_000_000,
+            wall_ms: 5_000_000,
+        };
+        let ParsedRequest::Respond(response) = frontend.parse(&request, b"", at) else {
+            panic!("accepted: {head}");
+        };
+        assert_eq!(response.status, status::BAD_REQUEST);
+    }
+}
--- a/crates/delivery/src/instance/platform.rs
+++ b/crates/delivery/src/instance/platform.rs
@@ -149,7 +149,7 @@
         .iter()
         .zip(classes)
         .map(|(name, class)| PlatformClass {
-            name: name.clone(),
+            name: Some(name.clone()),
             requires_key: requires_key(class),
         })
         .collect()
--- a/crates/delivery/src/net/server/tests.rs
+++ b/crates/delivery/src/net/server/tests.rs
@@ -56,7 +56,7 @@
         ));
         let frontend = PlatformFrontend {
             classes: vec![PlatformClass {
-                name: "status".to_owned(),
+                name: Some("status".to_owned()),
                 requires_key: false,
             }],
             destinations_by_number: None,
