Manifest: an absurd lease is reported, and overflows nothing

`lease_ms * 5 / 4` overflowed for an absurd `term_ms`: `plan` panicked in a debug build, and named a wrong least timeout in a release build. absurd_lease_is_an_error panicked before. The sums stay in range.

--- a/crates/control-plane/src/manifest/checks/group.rs
+++ b/crates/control-plane/src/manifest/checks/group.rs
@@ -127,5 +127,7 @@
 /// The shortest timeout for a lease of this duration. A change completes without an unreachable member only after the
 /// member's lease has expired, for which a quarter more is allowed.
 fn min_timeout_ms(lease_ms: u64) -> u64 {
-    lease_ms * 5 / 4 + TIMEOUT_MARGIN_MS
+    lease_ms
+        .saturating_add(lease_ms / 4)
+        .saturating_add(TIMEOUT_MARGIN_MS)
 }
--- a/crates/control-plane/src/manifest/group/tests.rs
+++ b/crates/control-plane/src/manifest/group/tests.rs
@@ -112,3 +112,12 @@
         .unwrap();
     assert!(warning.starts_with("2 members vote"), "{warning}");
 }
+
+/// Regression: the shortest timeout for such a lease was computed beyond the range of its type.
+#[test]
+fn absurd_lease_is_an_error() {
+    let text = GOOD.replace("term_ms = 3000", &format!("term_ms = {}", i64::MAX));
+    let message = Manifest::parse(&text).unwrap_err().to_string();
+    assert!(message.contains("term_ms"), "{message}");
+    assert!(message.contains("check_ms"), "{message}");
+}
