Supervisor: the channel of a thread that has panicked does not wake it again and again

A closed channel woke `Supervisor::wait_for_wakeup` at once, every time, and the daemon used a whole core. It waits for the poll instead. The test is of the new function and cannot be run on the code before; that the wait returned at once follows from `recv` of a closed channel.

--- a/crates/control-plane/src/supervisor.rs
+++ b/crates/control-plane/src/supervisor.rs
@@ -118,7 +118,7 @@
 /// The cause of a new round.
 enum Wakeup {
     Poll,
-    GroupEvent(Option<GroupEvent>),
+    GroupEvent(GroupEvent),
     ListsChanged,
 }
 
@@ -313,23 +313,35 @@
         };
         let group_event = async {
             match &self.desired.group_member {
-                Some(member) => Wakeup::GroupEvent(member.events.recv().await.ok()),
+                Some(member) => Wakeup::GroupEvent(receive_or_wait(&member.events).await),
                 None => future::pending().await,
             }
         };
         let lists_changed = async {
             match &self.list_watcher {
-                Some(watcher) => match watcher.changes.recv().await {
-                    Ok(()) => Wakeup::ListsChanged,
-                    Err(_) => Wakeup::Poll,
-                },
+                Some(watcher) => {
+                    receive_or_wait(&watcher.changes).await;
+                    Wakeup::ListsChanged
+                }
                 None => future::pending().await,
             }
         };
         match future::or(future::or(poll, group_event), lists_changed).await {
             Wakeup::Poll => {}
-            Wakeup::GroupEvent(event) => self.pending_event = event,
+            Wakeup::GroupEvent(event) => self.pending_event = Some(event),
             Wakeup::ListsChanged => self.has_changed = true,
         }
     }
 }
+
+/// Receives the next message of a channel. Waits for ever where its sender's thread has panicked: the supervisor continues
+/// by its poll.
+async fn receive_or_wait<T>(channel: &Receiver<T>) -> T {
+    match channel.recv().await {
+        Ok(message) => message,
+        Err(_) => future::pending().await,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/control-plane/src/supervisor/tests.rs
@@ -0,0 +1,16 @@
+//! The supervisor's wait for its next round.
+
+use super::receive_or_wait;
+use futures_lite::future;
+
+/// Regression: the supervisor was woken at once, and again in each round, by the channel of a thread that had panicked.
+#[test]
+fn channel_of_an_ended_thread_does_not_wake_the_supervisor() {
+    let (sender, receiver) = async_channel::bounded::<u32>(1);
+    sender.try_send(1).unwrap();
+    drop(sender);
+    async_io::block_on(async {
+        assert_eq!(receive_or_wait(&receiver).await, 1);
+        assert_eq!(future::poll_once(receive_or_wait(&receiver)).await, None);
+    });
+}
