Scheduler: a failed list request is not retried where lists are pushed

Under `DiscoveryMode::Push` a failed request left a retry time that only a subscription clears, and the scheduler set a timer for it in every step.

--- a/crates/scheduler/src/scheduler/endpoint_list.rs
+++ b/crates/scheduler/src/scheduler/endpoint_list.rs
@@ -1,7 +1,7 @@
 //! The endpoint list: its entries, removed endpoints, and failed requests for it.
 
 use super::Scheduler;
-use crate::interface::{EndpointStatus, EndpointUpdate, Time};
+use crate::interface::{DiscoveryMode, EndpointStatus, EndpointUpdate, Time};
 use crate::state::{Endpoint, Route, RouteId};
 
 /// Purpose of the random numbers of subscription retries, apart from all others.
@@ -88,6 +88,10 @@
 
     /// Schedules a retry after the request for the list failed or the subscription broke.
     pub(super) fn list_request_failed(&mut self, now: Time) {
+        if self.settings.discovery != DiscoveryMode::Subscribe {
+            // Lists that are pushed are not requested, and a retry would never be cleared.
+            return;
+        }
         let failures = self.subscription.consecutive_failures() as u64;
         let jitter = self.seeded_fraction(RESUBSCRIBE_PURPOSE ^ failures);
         let max_poll_interval = self.settings.rules.max_poll_interval;
--- a/crates/scheduler/tests/robustness.rs
+++ b/crates/scheduler/tests/robustness.rs
@@ -204,3 +204,11 @@
     }
     assert_eq!(answered, [first.message]);
 }
+
+/// Regression: a failed request for a list that is pushed left a retry time that was never cleared, and the scheduler set
+/// a timer for it in every step.
+#[test]
+fn failed_list_request_sets_no_timer_where_lists_are_pushed() {
+    let mut scheduler = TestScheduler::with_destinations(settings(), 1);
+    assert_eq!(scheduler.handle(Event::EndpointListFailed), []);
+}
