--- a/crates/simulation/src/plot.rs
+++ b/crates/simulation/src/plot.rs
@@ -98,6 +98,15 @@
     MARKERS[index % MARKERS.len()]
 }
 
+/// The SVG that a function draws.
+fn drawn_by(
+    draw: impl FnOnce(&mut String) -> Result<(), Box<dyn Error>>,
+) -> Result<String, PlotError> {
+    let mut svg = String::new();
+    draw(&mut svg).map_err(|error| PlotError(error.to_string().into()))?;
+    Ok(svg)
+}
+
 /// A line.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Line {
@@ -139,10 +148,7 @@
     /// # Errors
     /// If it cannot be drawn.
     pub fn svg(&self) -> Result<String, PlotError> {
-        let mut svg = String::new();
-        self.draw(&mut svg)
-            .map_err(|error| PlotError(error.to_string().into()))?;
-        Ok(svg)
+        drawn_by(|svg| self.draw(svg))
     }
 
     fn draw(&self, svg: &mut String) -> Result<(), Box<dyn Error>> {
@@ -226,10 +232,7 @@
     /// # Errors
     /// If it cannot be drawn.
     pub fn svg(&self) -> Result<String, PlotError> {
-        let mut svg = String::new();
-        self.draw(&mut svg)
-            .map_err(|error| PlotError(error.to_string().into()))?;
-        Ok(svg)
+        drawn_by(|svg| self.draw(svg))
     }
 
     fn draw(&self, svg: &mut String) -> Result<(), Box<dyn Error>> {
--- a/crates/simulation/src/scenario/error.rs
+++ b/crates/simulation/src/scenario/error.rs
@@ -2,6 +2,7 @@
 
 use crate::rate_expression::RateExpressionError;
 use crate::trace::TraceFileError;
+use error_reporter::Report;
 use std::error::Error;
 use std::fmt;
 use std::io;
@@ -17,12 +18,7 @@
             if index > 0 {
                 f.write_str("\n")?;
             }
-            write!(f, "{problem}")?;
-            let mut cause = problem.source();
-            while let Some(error) = cause {
-                write!(f, ": {error}")?;
-                cause = error.source();
-            }
+            write!(f, "{}", Report::new(problem))?;
         }
         Ok(())
     }
