--- a/crates/fault-soak/src/proxy.rs
+++ b/crates/fault-soak/src/proxy.rs
@@ -4,7 +4,7 @@
 use crate::plan::{PlannedFaultKind, ProxyFault};
 use crate::schedule::Schedule;
 use marblefall_process_harness::http::is_timeout;
-use marblefall_process_harness::{HarnessError, Listener};
+use marblefall_process_harness::{uninterrupted, HarnessError, Listener};
 use rustix::net::sockopt::set_socket_linger;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -109,7 +109,7 @@
             if fault == Some(ProxyFault::CloseIdle) && is_idle {
                 return Ok(());
             }
-            let len = match from.read(&mut buffer) {
+            let len = match uninterrupted(|| from.read(&mut buffer)) {
                 Ok(0) => return Ok(()),
                 Ok(len) => len,
                 Err(error) if is_timeout(&error) => continue,
--- a/crates/process-harness/src/http.rs
+++ b/crates/process-harness/src/http.rs
@@ -4,7 +4,7 @@
 
 pub use exchange::{exchange, ExchangeError, ExchangeStep};
 
-use crate::headers;
+use crate::{headers, uninterrupted};
 use std::io::{self, BufRead, Write};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -46,7 +46,8 @@
     /// # Errors
     /// The connection fails, or ends before the message does.
     pub fn try_read(reader: &mut impl BufRead) -> io::Result<Message> {
-        reader.fill_buf()?;
+        // Unlike the other reads of a `BufRead`, this one does not repeat an interrupted call itself.
+        uninterrupted(|| reader.fill_buf().map(drop))?;
         let received_at = Some(Instant::now());
         let start_line = read_line(reader)?;
         let mut headers = Vec::new();
--- a/crates/process-harness/src/http/tests.rs
+++ b/crates/process-harness/src/http/tests.rs
@@ -46,3 +46,31 @@
     assert_eq!(error.step, ExchangeStep::Connect);
     assert_eq!(error.source.kind(), io::ErrorKind::ConnectionRefused);
 }
+
+/// A reader whose first read a signal interrupts.
+struct InterruptedOnce<'a> {
+    rest: &'a [u8],
+    was_interrupted: bool,
+}
+
+impl io::Read for InterruptedOnce<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        if std::mem::replace(&mut self.was_interrupted, true) {
+            self.rest.read(buffer)
+        } else {
+            Err(io::ErrorKind::Interrupted.into())
+        }
+    }
+}
+
+/// Regression: a client took an interrupted read for the end of its connection, and a test failed beside others that
+/// started and ended processes.
+#[test]
+fn interrupted_read_is_repeated() {
+    let reader = InterruptedOnce {
+        rest: b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+        was_interrupted: false,
+    };
+    let message = Message::try_read(&mut io::BufReader::new(reader)).unwrap();
+    assert_eq!((message.status(), &*message.body), (200, &b"ab"[..]));
+}
--- a/crates/process-harness/src/lib.rs
+++ b/crates/process-harness/src/lib.rs
@@ -9,6 +9,7 @@
 mod clock;
 mod error;
 mod folder;
+mod interrupts;
 mod listener;
 mod process;
 mod wait;
@@ -30,6 +31,7 @@
 pub use clock::{monotonic_micros, monotonic_ms, Micros, MILLISECOND};
 pub use error::HarnessError;
 pub use folder::TemporaryFolder;
+pub use interrupts::uninterrupted;
 pub use listener::Listener;
 pub use process::{run_command, CommandOutput, Process, ResourceUsage, Signal};
 pub use wait::{wait_for, WAIT_LIMIT};
--- a/crates/process-harness/src/link_proxy.rs
+++ b/crates/process-harness/src/link_proxy.rs
@@ -1,6 +1,6 @@
 //! Proxies in front of the members of a group, which disturb what one member sends to another.
 
-use crate::{HarnessError, Listener};
+use crate::{uninterrupted, HarnessError, Listener};
 use futures_lite::future::block_on;
 use futures_lite::io::AssertAsync;
 use marblefall_control_plane::group::transport::{encode_frame, read_frame, Hello};
@@ -160,7 +160,7 @@
             LinkState::Throttle(max_len) => max_len.clamp(1, buffer.len()),
             _ => buffer.len(),
         };
-        let len = match from.read(&mut buffer[..max_len]) {
+        let len = match uninterrupted(|| from.read(&mut buffer[..max_len])) {
             Ok(0) => return Ok(()),
             Ok(len) => len,
             Err(error) if error.kind() == ErrorKind::WouldBlock => continue,
--- a/crates/process-harness/src/listener.rs
+++ b/crates/process-harness/src/listener.rs
@@ -1,6 +1,6 @@
 //! A listener on a free loopback port that serves each connection in a thread.
 
-use crate::{wait_for, HarnessError};
+use crate::{uninterrupted, wait_for, HarnessError};
 use std::io::Read;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -56,7 +56,7 @@
         probe
             .and_then(|mut probe| {
                 probe.shutdown(Shutdown::Write)?;
-                probe.read(&mut [0])
+                uninterrupted(|| probe.read(&mut [0]))
             })
             .map_err(HarnessError::io(self.address.to_string()))?;
         wait_for("all connections to be closed", || {
--- a/crates/process-harness/src/server.rs
+++ b/crates/process-harness/src/server.rs
@@ -1,7 +1,7 @@
 //! An HTTP server in place of a system outside.
 
 use crate::http::{is_timeout, write_response, Message};
-use crate::{HarnessError, Listener};
+use crate::{uninterrupted, HarnessError, Listener};
 use std::io::{self, BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -104,7 +104,7 @@
             } => write_response(&mut writer, status, &header_lines, b"")?,
             Reply::Body(body) => write_response(&mut writer, 200, "", body.as_bytes())?,
             Reply::Close => return Ok(()),
-            Reply::Hang => drop(reader.read(&mut [0])),
+            Reply::Hang => drop(uninterrupted(|| reader.read(&mut [0]))),
             Reply::Custom(respond) => respond(&mut writer)?,
         }
     }
@@ -124,8 +124,8 @@
         if handler.is_down() {
             return Ok(None);
         }
-        match reader.fill_buf() {
-            Ok([]) => return Ok(None),
+        match uninterrupted(|| reader.fill_buf().map(<[u8]>::len)) {
+            Ok(0) => return Ok(None),
             Ok(_) => break,
             Err(error) if is_timeout(&error) => {}
             Err(error) => return Err(error),
