Fault soak: open connections are used until the kill, signals in series, crowds

The soak's clients hardly met a shutdown: a signal that was due while a process was being shut down waited for its end, and each client had one connection. Now sixteen connections rest at each process, and from SIGTERM on their clients send on each that stays open, up to the kill 3.7 s later; each plan has a SIGTERM with one to three more signals around it (SIGTERM, SIGHUP, a stop, a successor that is started during the shutdown); in a third of the plans a crowd of 120 stays meanwhile. A run prints how many requests met a shutdown, and with none it is inconclusive. A seed's other faults are drawn as before.

Two checks are stricter: only SIGKILL and a crash excuse a request that was read and has no response (a process that ends by itself was excused as well), and for slow start a process counts as informed also if it accepted a message for the destination during the outage, as an endpoint that closes all connections reads no calls. Both have reasons in the code.

--- a/crates/fault-soak/src/client.rs
+++ b/crates/fault-soak/src/client.rs
@@ -1,12 +1,15 @@
 //! The clients of a process: correct ones, whose requests are judged, and misbehaving ones.
 
+mod resting;
+
 use crate::endpoint::DESTINATIONS;
 use crate::plan::{ClientFault, PlannedFaultKind};
-use crate::record::{Class, ClientResult, Request, SharedRecord};
+use crate::process::ShutdownWindow;
+use crate::record::{self, Class, ClientResult, SharedRecord};
 use crate::schedule::Schedule;
-use marblefall_process_harness::http::is_timeout;
-use marblefall_process_harness::platform::{PlatformMessage, SUBMIT_PATH};
-use marblefall_process_harness::{headers, monotonic_micros, Micros, MILLISECOND};
+use marblefall_process_harness::http::{is_timeout, Request};
+use marblefall_process_harness::platform::{PlatformMessage, READY_PATH, SUBMIT_PATH};
+use marblefall_process_harness::{headers, monotonic_micros, uninterrupted, Micros, MILLISECOND};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use std::io::{self, Read, Write};
@@ -35,6 +38,8 @@
 const MAX_RESET_DELAY: Duration = Duration::from_millis(5);
 /// The most connections that misbehaving clients keep open.
 const MAX_OPEN_CONNECTIONS: usize = 60;
+/// The most connections of a crowd: more than a process has places for clients.
+const CROWD_CONNECTIONS: usize = 120;
 /// Pause between two misbehaving connections.
 const MISBEHAVIOUR_PAUSE: Duration = Duration::from_millis(15);
 /// How often misbehaving clients look at the plan.
@@ -57,13 +62,14 @@
     pub record: SharedRecord,
     /// Set once clients are to stop.
     pub stop: Arc<AtomicBool>,
+    /// The process's shutdown.
+    pub shutdown: ShutdownWindow,
 }
 
 impl Clients {
     /// Runs a correct client with a number of its own until it is stopped.
     pub fn run_correct(&self, number: u64) {
-        let seed = self.schedule.plan().seed;
-        let mut rng = Pcg64Mcg::new(u128::from(seed << 16 | number) << 8 | self.process as u128);
+        let mut rng = self.client_rng(number);
         let mut reusable_connection: Option<TcpStream> = None;
         let mut count = 0;
         while !self.stop.load(Ordering::SeqCst) {
@@ -85,6 +91,12 @@
         }
     }
 
+    /// The draws of a client.
+    fn client_rng(&self, number: u64) -> Pcg64Mcg {
+        let seed = self.schedule.plan().seed;
+        Pcg64Mcg::new(u128::from(seed << 16 | number) << 8 | self.process as u128)
+    }
+
     /// Sends one message, and waits for its response. Returns the connection if it can be used again.
     fn submit(
         &self,
@@ -103,7 +115,7 @@
         send(&mut stream, &bytes, rng)?;
         let sent_at = monotonic_micros();
         let received = receive(&mut stream);
-        self.record.lock().requests.push(Request {
+        self.record.lock().requests.push(record::Request {
             id: id.to_owned(),
             process: self.process,
             class,
@@ -136,7 +148,11 @@
                 continue;
             };
             count += 1;
-            if open.len() > MAX_OPEN_CONNECTIONS {
+            if fault == ClientFault::IdleConnections && open.len() >= CROWD_CONNECTIONS {
+                thread::sleep(POLL_INTERVAL);
+                continue;
+            }
+            if fault != ClientFault::IdleConnections && open.len() > MAX_OPEN_CONNECTIONS {
                 open.clear();
             }
             // Whatever the process does with the connection is allowed.
@@ -152,6 +168,12 @@
         let mut stream = TcpStream::connect_timeout(&self.address, RESPONSE_TIMEOUT)?;
         match fault {
             ClientFault::SilentConnections => Ok(Some(stream)),
+            ClientFault::IdleConnections => {
+                stream.set_read_timeout(Some(RESPONSE_TIMEOUT))?;
+                stream.write_all(&Request::get(READY_PATH).to_bytes())?;
+                receive(&mut stream);
+                Ok(Some(stream))
+            }
             ClientFault::HalfRequests => {
                 let length = headers::CONTENT_LENGTH;
                 let half = format!("POST {SUBMIT_PATH} HTTP/1.1\r\n{length}: 50\r\n\r\nhalf");
@@ -213,7 +235,7 @@
     let mut response = Vec::new();
     let mut buffer = [0; 2048];
     loop {
-        let read = stream.read(&mut buffer);
+        let read = uninterrupted(|| stream.read(&mut buffer));
         let ended_at = monotonic_micros();
         let without_response = |result| Received {
             result,
--- a/crates/fault-soak/src/oracle.rs
+++ b/crates/fault-soak/src/oracle.rs
@@ -133,6 +133,17 @@
         was_down || down_since.is_some_and(|since| since - OBSERVATION_DELAY <= until)
     }
 
+    /// Whether a process was killed or crashed within a span. One that ends by itself owes a response to each request that it
+    /// has read.
+    fn was_killed(&self, process: usize, from: Micros, until: Micros) -> bool {
+        let span = from - OBSERVATION_DELAY..=until + OBSERVATION_DELAY;
+        let mut events = self.process_events(process);
+        events.any(|(at, kind)| {
+            matches!(kind, ProcessEventKind::Killed | ProcessEventKind::Crashed)
+                && span.contains(&at)
+        })
+    }
+
     /// Whether the system may have broken connections of a process within a span.
     fn were_connections_broken(&self, process: usize, from: Micros, until: Micros) -> bool {
         any_overlaps(&self.record.broken_processes, process, from, until)
@@ -149,3 +160,6 @@
     let mut periods = periods.iter().filter(|period| period.subject == subject);
     periods.any(|period| period.interval.overlaps(from, until, OBSERVATION_DELAY))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/fault-soak/src/oracle/outcomes.rs
+++ b/crates/fault-soak/src/oracle/outcomes.rs
@@ -24,7 +24,7 @@
                 ClientResult::Response(_) | ClientResult::Reset => continue,
             };
             let (sent_at, ended_at) = (request.sent_at, request.ended_at);
-            let is_excused = self.was_down(request.process, sent_at, ended_at)
+            let is_excused = self.was_killed(request.process, sent_at, ended_at)
                 || self.were_connections_broken(request.process, sent_at, ended_at);
             if !is_excused {
                 let observed = format!(
--- a/crates/fault-soak/src/oracle/recovery.rs
+++ b/crates/fault-soak/src/oracle/recovery.rs
@@ -4,6 +4,7 @@
 use crate::endpoint::{destination_of, RATE};
 use crate::record::{Call, Period};
 use marblefall_process_harness::{Micros, MILLISECOND};
+use std::collections::BTreeSet;
 
 /// How long a destination warms up after an outage.
 const WARM_UP: Micros = 10_000 * MILLISECOND;
@@ -16,6 +17,9 @@
 /// A budget below this many calls has a wider margin.
 const SMALL_BUDGET: f64 = 30.0;
 
+/// How long before the end of an outage a message must be accepted to have been tried within it.
+const TIME_TO_TRY: Micros = 1000 * MILLISECOND;
+
 /// The worst window after an outage.
 struct WorstWindow {
     from: Micros,
@@ -42,17 +46,32 @@
         }
     }
 
+    /// The processes that had a call at a destination during its outage, or accepted a message for it early enough to have
+    /// tried it: an endpoint that closes all connections reads no calls.
+    fn processes_that_saw(&self, outage: &Period, calls: &[&Call]) -> BTreeSet<usize> {
+        let interval = outage.interval;
+        let called = calls
+            .iter()
+            .filter(|call| interval.contains(call.last_byte_at))
+            .filter_map(|call| self.request_of(call).map(|request| request.process));
+        let tried = interval.from..interval.until - TIME_TO_TRY;
+        let accepted = self.record.requests.iter().filter(|request| {
+            request.is_accepted()
+                && request.destination == outage.subject
+                && tried.contains(&request.sent_at)
+        });
+        called
+            .chain(accepted.map(|request| request.process))
+            .collect()
+    }
+
     /// The window with the highest load in which at least two thirds of the calls are of processes that saw the outage.
     fn worst_window(&self, outage: &Period) -> Option<WorstWindow> {
         let recovered_at = outage.interval.until;
         let to_destination = |call: &&Call| destination_of(call.endpoint) == outage.subject;
         let calls: Vec<&Call> = self.record.calls.iter().filter(to_destination).collect();
         let process_of = |call: &Call| self.request_of(call).map(|request| request.process);
-        let saw_outage: Vec<usize> = calls
-            .iter()
-            .filter(|call| outage.interval.contains(call.last_byte_at))
-            .filter_map(|call| process_of(call))
-            .collect();
+        let saw_outage = self.processes_that_saw(outage, &calls);
         let ramp = recovered_at..recovered_at + WARM_UP;
         let starts = calls.iter().map(|call| call.last_byte_at);
         let mut worst: Option<WorstWindow> = None;
--- a/crates/fault-soak/src/plan.rs
+++ b/crates/fault-soak/src/plan.rs
@@ -9,7 +9,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum PlannedFaultKind {
-    /// A process gets SIGTERM, SIGKILL if it has not ended 3.7 s later, and is restarted 0.6 s after its end.
+    /// A process gets SIGTERM, SIGKILL if it has not ended 3.7 s later, and is restarted 0.6 s after its end. Signals of
+    /// other faults that are due meanwhile follow in a series.
     Terminate,
     /// A process gets SIGKILL, and is restarted 0.6 s later.
     Kill,
@@ -166,6 +167,8 @@
     SilentConnections,
     /// They send bytes that are no request.
     Garbage,
+    /// A crowd of them sends one request each and stays connected.
+    IdleConnections,
 }
 
 /// One fault of a plan.
--- a/crates/fault-soak/src/plan/draw.rs
+++ b/crates/fault-soak/src/plan/draw.rs
@@ -20,6 +20,18 @@
 const TORN_WRITE_SHARE: i64 = 40;
 /// Time by which a process is killed before a fault that its restart is to meet, in milliseconds.
 const KILL_LEAD_MS: u64 = 300;
+/// The most signals that surround one SIGTERM.
+const MAX_SERIES_SIGNALS: usize = 3;
+/// Time over which the signals around a SIGTERM are spread, in milliseconds.
+const SERIES_MS: u64 = 3600;
+/// How long before a SIGTERM its series begins, in milliseconds.
+const SERIES_LEAD_MS: u64 = 200;
+/// Share of plans in which a crowd of idle clients meets a shutdown.
+const CROWD_SHARE: f64 = 0.35;
+/// How long before the SIGTERM the crowd begins to connect, in milliseconds.
+const CROWD_LEAD_MS: u64 = 1500;
+/// How long the crowd stays, in milliseconds.
+const CROWD_MS: u64 = 6000;
 /// Exclusive upper bound of the drawn target numbers.
 const TARGETS: usize = 1000;
 
@@ -41,6 +53,7 @@
             faults.extend(trigger(&fault));
             faults.push(fault);
         }
+        faults.extend(draw_shutdowns(seed, &faults, last_ms));
         faults.sort_by_key(|fault| fault.from_ms);
         Plan {
             seed,
@@ -51,6 +64,43 @@
     }
 }
 
+/// Draws what meets the shutdowns of a plan: series of signals around each SIGTERM, and in some plans a crowd of clients.
+/// The draws are apart from the others, so that a seed's other faults do not depend on them.
+fn draw_shutdowns(seed: u64, faults: &[PlannedFault], last_ms: u64) -> Vec<PlannedFault> {
+    let mut rng = Pcg64Mcg::new(u128::from(seed) << 32 | 0x51_6e);
+    let is_shutdown = |fault: &&PlannedFault| fault.kind == PlannedFaultKind::Terminate;
+    let mut shutdowns: Vec<PlannedFault> = faults.iter().filter(is_shutdown).copied().collect();
+    let mut drawn = Vec::new();
+    if shutdowns.is_empty() {
+        let fault = PlannedFault {
+            kind: PlannedFaultKind::Terminate,
+            ..draw_fault(&mut rng, last_ms)
+        };
+        shutdowns.push(fault);
+        drawn.push(fault);
+    }
+    for shutdown in &shutdowns {
+        for _ in 0..rng.random_range(1..=MAX_SERIES_SIGNALS) {
+            drawn.push(PlannedFault {
+                from_ms: (shutdown.from_ms + rng.random_range(0..SERIES_MS))
+                    .saturating_sub(SERIES_LEAD_MS),
+                kind: draw_one(&mut rng, SERIES_SIGNALS),
+                ..*shutdown
+            });
+        }
+    }
+    if rng.random_bool(CROWD_SHARE) {
+        let shutdown = draw_one(&mut rng, &shutdowns);
+        drawn.push(PlannedFault {
+            from_ms: shutdown.from_ms.saturating_sub(CROWD_LEAD_MS),
+            duration_ms: CROWD_MS,
+            kind: PlannedFaultKind::Clients(ClientFault::IdleConnections),
+            ..shutdown
+        });
+    }
+    drawn
+}
+
 fn draw_fault(rng: &mut Pcg64Mcg, last_ms: u64) -> PlannedFault {
     let kind = draw_kind(rng);
     let amount = draw_amount(rng, kind);
@@ -172,3 +222,10 @@
     ClientFault::SilentConnections,
     ClientFault::Garbage,
 ];
+
+const SERIES_SIGNALS: &[PlannedFaultKind] = &[
+    PlannedFaultKind::Terminate,
+    PlannedFaultKind::Reload,
+    PlannedFaultKind::Replace,
+    PlannedFaultKind::Suspend,
+];
--- a/crates/fault-soak/src/plan/tests.rs
+++ b/crates/fault-soak/src/plan/tests.rs
@@ -67,3 +67,17 @@
     let text = toml::to_string(&plan).unwrap();
     assert_eq!(toml::from_str::<Plan>(&text).unwrap(), plan);
 }
+
+#[test]
+fn every_plan_has_a_shutdown_among_other_signals_to_the_same_process() {
+    for seed in 1..40 {
+        let plan = Plan::draw(seed, 12, 20);
+        let faults = || plan.faults.iter();
+        let shutdown = faults().find(|fault| fault.kind == PlannedFaultKind::Terminate);
+        let shutdown = shutdown.unwrap();
+        let to_same = faults()
+            .filter(|fault| fault.kind.is_process_fault() && fault.target == shutdown.target);
+        assert!(to_same.count() > 1, "seed {seed}");
+        assert!(faults().is_sorted_by_key(|fault| fault.from_ms));
+    }
+}
--- a/crates/fault-soak/src/process.rs
+++ b/crates/fault-soak/src/process.rs
@@ -1,6 +1,13 @@
 //! The owner of one process: it starts the process, injects the plan's signals, restarts it, and records how it ended.
 
 mod settings;
+mod shutdown;
+mod shutdown_window;
+mod signals;
+
+pub use shutdown_window::ShutdownWindow;
+
+use signals::{DueSignal, DueSignals};
 
 use crate::discovery::list_entry;
 use crate::plan::{PlannedFault, PlannedFaultKind};
@@ -15,7 +22,6 @@
 use marblefall_process_harness::{
     monotonic_micros, HarnessError, Micros, Process, Signal, MILLISECOND,
 };
-use std::collections::VecDeque;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -69,6 +75,8 @@
     pub record: SharedRecord,
     /// Set once the process is to end for good.
     pub stop: Arc<AtomicBool>,
+    /// Tells clients between SIGTERM and the end of the process.
+    pub shutdown: ShutdownWindow,
 }
 
 impl ProcessOwner {
@@ -189,63 +197,56 @@
                 is_known_ready = true;
                 self.record_event(ProcessEventKind::Ready);
             }
-            let is_due = |signal: &DueSignal| signal.at <= monotonic_micros();
-            let Some(signal) = due.pop_front_if_due(is_due) else {
+            let Some(kind) = due.pop_due() else {
                 continue;
             };
-            if signal.kind == PlannedFaultKind::Replace {
-                process = self.replace(process, &mut ended_logs)?;
-            } else if self.inject(signal.kind, &mut process)? == AfterSignal::Ended {
-                process = self.restart(&process, &mut ended_logs)?;
+            process = self.carry_out(kind, process, &mut due, &mut ended_logs)?;
+            if matches!(kind, PlannedFaultKind::Terminate | PlannedFaultKind::Kill) {
                 is_known_ready = false;
             }
         }
         self.check_resources(&process);
-        self.terminate(&mut process)?;
+        self.terminate(&mut process, &mut DueSignals::default())?;
         ended_logs.push_str(&process.log());
         self.check_logs(&ended_logs);
         Ok(())
     }
 
-    fn due_signals(&self) -> DueSignals {
-        let signals = self
-            .planned_faults()
-            .filter(|fault| fault.kind.is_process_fault())
-            .map(|fault| DueSignal {
-                at: self.schedule.interval(fault).from,
-                kind: fault.kind,
-            });
-        DueSignals(signals.collect())
-    }
-
-    /// Sends the signals of a fault.
-    fn inject(
+    /// Carries out a fault of the process, and returns the process that runs afterwards.
+    fn carry_out(
         &self,
         kind: PlannedFaultKind,
-        process: &mut Process,
-    ) -> Result<AfterSignal, HarnessError> {
+        mut process: Process,
+        due: &mut DueSignals,
+        logs: &mut String,
+    ) -> Result<Process, HarnessError> {
         match kind {
+            PlannedFaultKind::Replace => return self.replace(process, logs),
             PlannedFaultKind::Terminate => {
-                self.terminate(process)?;
-                Ok(AfterSignal::Ended)
+                let successor = self.terminate(&mut process, due)?;
+                return self.continue_with(successor, &process, logs);
             }
             PlannedFaultKind::Kill => {
-                self.record_event(ProcessEventKind::Killed);
-                process.kill()?;
-                Ok(AfterSignal::Ended)
-            }
-            PlannedFaultKind::Suspend => {
-                self.record_event(ProcessEventKind::Suspended);
-                process.signal(Signal::STOP);
-                thread::sleep(SUSPENSION);
-                process.signal(Signal::CONT);
-                Ok(AfterSignal::Running)
+                self.kill(&mut process)?;
+                return self.restart(&process, logs);
             }
+            PlannedFaultKind::Suspend => self.suspend(&process),
             _ => {
                 process.signal(Signal::HUP);
-                Ok(AfterSignal::Running)
             }
         }
+        Ok(process)
+    }
+
+    fn due_signals(&self) -> DueSignals {
+        let signals = self
+            .planned_faults()
+            .filter(|fault| fault.kind.is_process_fault())
+            .map(|fault| DueSignal {
+                at: self.schedule.interval(fault).from,
+                kind: fault.kind,
+            });
+        DueSignals(signals.collect())
     }
 
     /// Starts a process beside the running one, and terminates that once the new one listens. Whatever happens meanwhile,
@@ -279,30 +280,6 @@
         Ok(new)
     }
 
-    /// Sends SIGTERM, and SIGKILL if the process has not ended in time.
-    fn terminate(&self, process: &mut Process) -> Result<(), HarnessError> {
-        self.record_event(ProcessEventKind::Terminated);
-        process.signal(Signal::TERM);
-        let kill_at = monotonic_micros() + SHUTDOWN_LIMIT;
-        loop {
-            match process.exit_status() {
-                Some(status) if status.success() => {
-                    self.record_event(ProcessEventKind::Ended);
-                    return Ok(());
-                }
-                Some(_) => {
-                    self.record_unexpected_end(process);
-                    return Ok(());
-                }
-                None if monotonic_micros() >= kill_at => {
-                    self.record_event(ProcessEventKind::Killed);
-                    return process.kill();
-                }
-                None => thread::sleep(POLL_INTERVAL),
-            }
-        }
-    }
-
     /// Records an end without a signal. The shim may have killed the process in the middle of a write; any other end is a
     /// crash.
     fn record_unexpected_end(&self, process: &Process) {
@@ -355,29 +332,3 @@
 pub fn shim_seed(seed: u64, process: usize) -> u64 {
     seed * 1000 + process as u64
 }
-
-/// Whether a process has ended by a signal.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum AfterSignal {
-    Ended,
-    Running,
-}
-
-/// A signal of the plan.
-struct DueSignal {
-    at: Micros,
-    kind: PlannedFaultKind,
-}
-
-/// The signals of the plan that were not sent, in the order of their times.
-struct DueSignals(VecDeque<DueSignal>);
-
-impl DueSignals {
-    fn pop_front_if_due(&mut self, is_due: impl Fn(&DueSignal) -> bool) -> Option<DueSignal> {
-        if self.0.front().is_some_and(is_due) {
-            self.0.pop_front()
-        } else {
-            None
-        }
-    }
-}
--- a/crates/fault-soak/src/run.rs
+++ b/crates/fault-soak/src/run.rs
@@ -5,9 +5,9 @@
 use crate::endpoint::{Destinations, DESTINATIONS, ENDPOINTS};
 use crate::oracle::{Oracle, Violation};
 use crate::plan::{DiscoveryFault, Plan, PlannedFault, PlannedFaultKind, SystemFault};
-use crate::process::{shim_seed, ProcessOwner};
+use crate::process::{shim_seed, ProcessOwner, ShutdownWindow};
 use crate::proxy;
-use crate::record::{ClientResult, Period, Record, SharedRecord};
+use crate::record::{ClientResult, Period, ProcessEventKind, Record, Request, SharedRecord};
 use crate::schedule::{Interval, Schedule};
 use marblefall_fault_plan::{Counts, FaultKind};
 use marblefall_process_harness::discovery::Discovery;
@@ -58,6 +58,15 @@
     pub counts: Counts,
     /// Planned faults that were never injected: the run is inconclusive about them.
     pub idle_faults: Vec<&'static str>,
+    /// Requests of correct clients between the first SIGTERM to a process and its end.
+    pub requests_in_shutdown: usize,
+}
+
+impl Report {
+    /// Whether the run shows something about each of its faults, and about shutdowns.
+    pub fn is_conclusive(&self) -> bool {
+        self.idle_faults.is_empty() && self.requests_in_shutdown > 0
+    }
 }
 
 /// Plays a plan, and judges what was recorded.
@@ -148,6 +157,7 @@
             schedule: schedule.clone(),
             record: record.clone(),
             stop: Arc::clone(stop),
+            shutdown: ShutdownWindow::default(),
         };
         owner.prepare()?;
         owners.push(owner);
@@ -163,9 +173,13 @@
         schedule: owner.schedule.clone(),
         record: owner.record.clone(),
         stop: Arc::clone(stop),
+        shutdown: owner.shutdown.clone(),
     };
-    let misbehaving = clients.clone();
-    let mut threads = vec![thread::spawn(move || misbehaving.run_misbehaving())];
+    let (misbehaving, resting) = (clients.clone(), clients.clone());
+    let mut threads = vec![
+        thread::spawn(move || misbehaving.run_misbehaving()),
+        thread::spawn(move || resting.run_resting()),
+    ];
     for number in 0..CLIENTS_PER_PROCESS {
         let correct = clients.clone();
         threads.push(thread::spawn(move || correct.run_correct(number)));
@@ -234,5 +248,20 @@
         notices: record.notices.len(),
         counts,
         idle_faults,
+        requests_in_shutdown: requests_in_shutdown(record),
     }
 }
+
+/// Counts the requests that were sent between a process's first SIGTERM and its end.
+fn requests_in_shutdown(record: &Record) -> usize {
+    let in_shutdown = |request: &&Request| {
+        let mut events = record.process_events.iter().rev();
+        let last_before = events.find(|event| {
+            event.process == request.process
+                && event.at <= request.sent_at
+                && event.kind != ProcessEventKind::Suspended
+        });
+        last_before.is_some_and(|event| event.kind == ProcessEventKind::Terminated)
+    };
+    record.requests.iter().filter(in_shutdown).count()
+}
--- a/crates/fault-soak/src/soak.rs
+++ b/crates/fault-soak/src/soak.rs
@@ -44,7 +44,7 @@
 pub struct Summary {
     /// Runs in which all rules were kept and each planned fault was injected.
     passed: usize,
-    /// Runs in which all rules were kept, but a planned fault was never injected.
+    /// Runs in which all rules were kept, but a planned fault was never injected or no request met a shutdown.
     inconclusive: usize,
     /// Runs in which a rule was broken.
     failed: usize,
@@ -59,7 +59,7 @@
     fn add(&mut self, report: &Report) {
         if !report.violations.is_empty() {
             self.failed += 1;
-        } else if !report.idle_faults.is_empty() {
+        } else if !report.is_conclusive() {
             self.inconclusive += 1;
         } else {
             self.passed += 1;
@@ -71,7 +71,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} runs passed, {} kept all rules with a fault that was never injected, {} broke a rule",
+            "{} runs passed, {} kept all rules with a fault that was never injected or no request in a shutdown, {} broke a rule",
             self.passed, self.inconclusive, self.failed
         )
     }
@@ -217,6 +217,10 @@
         report.notices,
         report.violations.len()
     );
+    println!(
+        "  requests between SIGTERM and the end of a process: {}",
+        report.requests_in_shutdown
+    );
     let injected: Vec<String> = report
         .counts
         .iter()
--- a/crates/fault-soak/tests/short_run.rs
+++ b/crates/fault-soak/tests/short_run.rs
@@ -25,18 +25,27 @@
         .arg(built_at.join("marblefall"))
         .arg("--shim")
         .arg(built_at.join("libmarblefall_fault_shim.so"))
-        .args(["--processes", "4", "--seconds", "8", "--seed", "2"])
+        .args(["--processes", "4", "--seconds", "8"])
+        .args(["--seed", "2", "--seeds", "4"])
         .arg("--keep")
         .arg(&keep)
         .output()
         .unwrap();
     let said = String::from_utf8_lossy(&run.stdout);
     assert!(said.contains(" 0 broke a rule"), "{said}");
-    let requests: usize = said
-        .split("faults; ")
-        .nth(1)
-        .and_then(|rest| rest.split(' ').next()?.parse().ok())
-        .unwrap();
-    assert!(requests > 100, "too little was done to tell: {said}");
+    for run in said.split("faults; ").skip(1) {
+        assert!(number(run) > 100, "too little was done to tell: {said}");
+    }
+    let shutdowns = said.split("the end of a process: ").skip(1);
+    assert!(
+        shutdowns.map(number).all(|requests| requests > 0),
+        "no request met a shutdown: {said}"
+    );
     let _ = std::fs::remove_dir_all(&keep);
 }
+
+/// The number that a text begins with.
+fn number(text: &str) -> usize {
+    let digits = text.split([' ', '\n']).next();
+    digits.and_then(|digits| digits.parse().ok()).unwrap()
+}
