Hot restart: a standby that is shut down leaves the active process in charge

What callers saw: a process waited for files that did not open; another was started beside it, and SIGTERM sent to the first. Both ended, clients were refused until the next start, and what had been accepted waited for that.

Cause: both had waited, and the first claimed its generation after the second, so that it was the standby by its claim; and a standby went on with its takeover while it was shut down (`StandbyDriver::run`): it asked the active process to hand over, fenced it, took over and ended.

While it is shut down, a standby asks for nothing and fences nobody as long as a predecessor is active, and ends as one that has handed over; the active process adopts what it had accepted.

--- a/crates/cli/tests/open_faults.rs
+++ b/crates/cli/tests/open_faults.rs
@@ -165,3 +165,41 @@
         second.server().request_count() > 0
     });
 }
+
+/// A process that is shut down before it takes over must leave the active one in charge. One that has waited for files claims
+/// its folder later than the one that was started to replace it, asks that to hand over, and both end.
+#[test]
+fn process_that_is_shut_down_as_a_standby_leaves_the_active_one_in_charge() {
+    let open = Arc::new(AtomicBool::new(false));
+    let endpoint = start_server_rejecting_until(&open);
+    let platform = Platform::new("both-end", endpoint.address, "6000");
+    let (first, address) = platform.start_first();
+    first.kill();
+    let lasts = Duration::from_millis(1500);
+    let (mut waiting, shim) =
+        platform.start_with_faults(&[fault(FaultKind::OpenNoFiles, NOW, lasts, EVERY_CALL)]);
+    wait_for("the fault", || {
+        shim.is_loaded() && shim.injected(FaultKind::OpenNoFiles) > 0
+    });
+    let replacement = platform.start();
+    replacement.address(LISTENING_MARKER, 0);
+    waiting.address(LISTENING_MARKER, 0);
+    // The later listener has all new connections; what it has accepted keeps it from ending at once.
+    assert_eq!(
+        submit_status(address, "held", IDEMPOTENT_CLASS, "20000"),
+        202
+    );
+    waiting.signal(Signal::TERM);
+    assert!(waiting.wait_for_exit(), "{}", waiting.log());
+    assert_eq!(
+        replacement.log().matches("code=\"handed-over\"").count(),
+        0,
+        "{}",
+        waiting.log()
+    );
+    open.store(true, Ordering::SeqCst);
+    wait_for("the delivery", || {
+        replacement.signal(Signal::USR1);
+        replacement.log().contains("delivered=1 ")
+    });
+}
--- a/crates/delivery/src/hot_restart/driver.rs
+++ b/crates/delivery/src/hot_restart/driver.rs
@@ -40,6 +40,9 @@
 
     /// Whether the engine is active.
     fn is_active(&self) -> bool;
+
+    /// Whether the instance is being shut down.
+    fn is_shutting_down(&self) -> bool;
 }
 
 /// Announces an incarnation to the predecessors that are running, if any. It may be announced more than once.
@@ -111,8 +114,13 @@
                 }
             };
             self.report_exited(&mut followed);
+            let seen = view(&predecessors);
+            if self.instance.is_shutting_down() && seen.active > 0 {
+                // The active incarnation stays in charge, and adopts the messages of this one.
+                continue;
+            }
             let mut next = takeover;
-            let step = next.next_step(self.clock.now().monotonic, view(&predecessors));
+            let step = next.next_step(self.clock.now().monotonic, seen);
             // A step that fails is chosen again.
             match self.execute(step, &predecessors, &mut followed) {
                 Ok(()) => takeover = next,
--- a/crates/delivery/src/hot_restart/incarnation.rs
+++ b/crates/delivery/src/hot_restart/incarnation.rs
@@ -106,6 +106,14 @@
         Ok(running)
     }
 
+    /// Whether a predecessor is running that may still decide.
+    pub fn has_active_predecessor(&mut self) -> bool {
+        let running = self.running_predecessors().unwrap_or_default();
+        running
+            .iter()
+            .any(|predecessor| predecessor.state == PredecessorState::Active)
+    }
+
     /// Whether a predecessor has exited.
     pub fn has_exited(&self, generation: Generation) -> bool {
         self.exited
--- a/crates/delivery/src/instance/admin.rs
+++ b/crates/delivery/src/instance/admin.rs
@@ -189,6 +189,10 @@
     fn is_active(&self) -> bool {
         self.is_active.get()
     }
+
+    fn is_shutting_down(&self) -> bool {
+        self.clients.clients_notified_at().is_some()
+    }
 }
 
 impl AdminHandler for AdminState {
--- a/crates/delivery/src/instance/shutdown.rs
+++ b/crates/delivery/src/instance/shutdown.rs
@@ -45,6 +45,8 @@
     Restart,
     /// An incarnation that is running.
     Running,
+    /// The active incarnation beside which this one is a standby. It adopts the messages of this one once that has ended.
+    ActivePredecessor,
 }
 
 impl Successor {
@@ -52,7 +54,7 @@
     fn takes_over(self) -> bool {
         match self {
             Successor::None => false,
-            Successor::Restart | Successor::Running => true,
+            Successor::Restart | Successor::Running | Successor::ActivePredecessor => true,
         }
     }
 }
@@ -80,6 +82,8 @@
             driver::must_hand_over(&self.incarnation) || self.incarnation.borrow().has_successor();
         let successor = if has_running_successor {
             Successor::Running
+        } else if self.incarnation.borrow_mut().has_active_predecessor() {
+            Successor::ActivePredecessor
         } else {
             successor
         };
@@ -161,7 +165,9 @@
                 SUCCESSOR_IDLE_FOR,
                 self.begun_at + SUCCESSOR_CLOSE_ALL_AFTER,
             ),
-            Successor::None | Successor::Restart => (IDLE_FOR, self.begun_at + self.timeout),
+            Successor::None | Successor::Restart | Successor::ActivePredecessor => {
+                (IDLE_FOR, self.begun_at + self.timeout)
+            }
         };
         let stop_accepting_at = end
             .checked_sub(STOP_ACCEPTING_BEFORE_END)
@@ -186,7 +192,7 @@
                 Timer::at(self.begun_at + CLOSE_IDLE_AFTER).await;
                 self.clients.close_idle();
             }
-            Successor::Restart => {}
+            Successor::Restart | Successor::ActivePredecessor => {}
         }
     }
 }
