--- a/crates/delivery/src/net/connection.rs
+++ b/crates/delivery/src/net/connection.rs
@@ -67,7 +67,7 @@
         peek(&self.stream, &mut [0]).is_ok_and(|available| available > 0)
     }
 
-    /// How many bytes the system has received that are not read yet, up to [`MAX_UNREAD_COUNTED`]. Closing the connection
+    /// How many bytes the system has received that are not read yet, up to 1,024. Closing the connection
     /// over them resets it.
     pub fn unread_len(&self) -> usize {
         peek(&self.stream, &mut [0; MAX_UNREAD_COUNTED]).unwrap_or(0)
