--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -210,9 +210,16 @@
         self.process.wait()
         self.log.close()
 
-    def copy_log(self, lines=60):
+    def copy_log(self, last=25):
+        """Copies the lines about a panic, and the last ones, into the record."""
         with open(self.log_path, encoding="utf-8", errors="replace") as log:
-            for line in log.read().splitlines()[-lines:]:
+            lines = log.read().splitlines()
+        shown = set(range(len(lines) - last, len(lines)))
+        for number, line in enumerate(lines):
+            if "panicked" in line or "ended unexpectedly" in line:
+                shown |= {number, number + 1}
+        for number, line in enumerate(lines):
+            if number in shown:
                 self.record.write(f"log of {self.name}: {line}")
 
 
