--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -4,6 +4,8 @@
 """
 
 import http.client
+import http.server
+import json
 import os
 import shutil
 import signal
@@ -105,6 +107,7 @@
             lines.append("Content-Length: 0")
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
         writer.flush()
+        call["answered"] = time.monotonic()
         self.record.write(f"partner {self.name}: answers {status} to event {call['event']}")
         return True
 
@@ -113,6 +116,76 @@
             return sum(1 for call in self.calls if call["event"] == event)
 
 
+    def answered_at(self, event):
+        """Returns when a 200 was first written for an event or message, or None."""
+        with self.lock:
+            times = [call["answered"] for call in self.calls if call["event"] == event and "answered" in call]
+        return min(times, default=None)
+
+
+class Platform:
+    """The platform's place for notices: POST /status, one JSON object a line, answered 204 at once."""
+
+    def __init__(self, record):
+        self.record, self.notices, self.lock = record, {}, threading.Lock()
+        platform = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_POST(self):
+                body = self.rfile.read(int(self.headers.get("Content-Length", "0")))
+                for line in body.decode().splitlines():
+                    platform.note(json.loads(line))
+                self.send_response(204)
+                self.end_headers()
+
+            def log_message(self, *arguments):
+                pass
+
+        class Server(http.server.ThreadingHTTPServer):
+            daemon_threads = True
+
+        self.server = Server(("127.0.0.1", 0), Handler)
+        self.address = "127.0.0.1:%d" % self.server.server_address[1]
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def note(self, notice):
+        self.record.write(f"platform: notice {notice}")
+        with self.lock:
+            self.notices.setdefault(notice["id"], time.monotonic())
+
+    def ended_at(self, message):
+        with self.lock:
+            return self.notices.get(message)
+
+
+def hand_in(port, message, kind, destination, budget_ms, key=""):
+    """Hands in one message by the platform's protocol. Returns the status, or None without an answer in 400 ms."""
+    body = b"refill"
+    head = [
+        "POST /api HTTP/1.1",
+        "Host: backend.local",
+        f"X-Call-Id: {message}",
+        f"X-Call-Class: {kind}",
+        f"X-Budget-Ms: {budget_ms}",
+        f"Content-Length: {len(body)}",
+        f"X-Envelope: dest={destination}",
+    ]
+    if key:
+        head.append(f"Idempotency-Key: {key}")
+    try:
+        with socket.create_connection(("127.0.0.1", port), timeout=0.4) as connection:
+            connection.settimeout(0.4)
+            connection.sendall("\r\n".join(head).encode() + b"\r\n\r\n" + body)
+            response = http.client.HTTPResponse(connection)
+            response.begin()
+            response.read()
+            return response.status
+    except (OSError, http.client.HTTPException):
+        return None
+
+
 def send_event(port, event, kind, destination, key="", timeout=30.0):
     """Sends one event on a connection of its own. Returns (status, Retry-After), or None if the connection ended
     without an answer although the whole request was written. Raises OSError if the request could not be written."""
