--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib"))
 from standins import Daemon, Partner, free_port, main, plan_and_apply, send_event  # noqa: E402
 
-PAYMENTS = 12
+PAYMENTS = 9
 ANSWER_S = 1.5
 SIGTERM_AFTER_S = 1.0
 START_AGAIN_AFTER_S = 0.6
