Keep outcomes of a running predecessor's messages through compaction

Cause: MessageStore::compact (message_store/journalling.rs) removes the oldest adopted segment. Evidence: the folder before the kill had the predecessor's segment and the successor's from the 21st on. Ruled out: the handover, as each message was sent once until the kill; lost results, as all were journalled in the removed segments.

Change: before a segment is removed beside an older one, what supersedes the older one's records is copied forward: full records of stored messages, removals of the others (message_store/followed_records.rs).

--- a/crates/delivery/src/core/journal.rs
+++ b/crates/delivery/src/core/journal.rs
@@ -120,6 +120,12 @@
         self.closed.front().map(|segment| segment.number)
     }
 
+    /// Returns whether a segment is one that this incarnation has written or taken over.
+    pub fn has_adopted(&self, number: u64) -> bool {
+        let mut segments = self.closed.iter().chain([&self.head.segment]);
+        segments.any(|segment| segment.number == number)
+    }
+
     /// Returns the number of segments, including the head.
     pub fn segment_count(&self) -> usize {
         self.closed.len() + 1
--- a/crates/delivery/src/core/journal/adoption.rs
+++ b/crates/delivery/src/core/journal/adoption.rs
@@ -75,8 +75,7 @@
     /// Reads the segments that have not been taken over yet, up to the first with a permanent error.
     fn read_unadopted(&self, numbers: &[u64]) -> io::Result<UnadoptedSegments> {
         let mut unadopted = UnadoptedSegments::default();
-        let is_adopted = |number: u64| self.closed.iter().any(|segment| segment.number == number);
-        for &number in numbers.iter().filter(|number| !is_adopted(**number)) {
+        for &number in numbers.iter().filter(|number| !self.has_adopted(**number)) {
             match fs::read(path_of(&self.folder, number)) {
                 Ok(bytes) => unadopted.segments.push(SegmentContent { number, bytes }),
                 // A running incarnation may have removed the segment by compaction meanwhile.
--- a/crates/delivery/src/core/message_store.rs
+++ b/crates/delivery/src/core/message_store.rs
@@ -4,6 +4,7 @@
 //! repeats of it no longer need to be recognised.
 
 mod backoffs;
+mod followed_records;
 mod following;
 mod handover;
 mod index;
@@ -20,6 +21,7 @@
     NoticeState,
 };
 use super::{FinalOutcome, Message, MessageId};
+use followed_records::FollowedRecords;
 use marblefall_scheduler::DestinationId;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io;
@@ -61,6 +63,8 @@
     backoffs: BTreeMap<(DestinationId, String), i64>,
     /// Read positions in the journals of predecessors that are still running.
     tails: Vec<Tail>,
+    /// Full records that remain in the journal although later segments are removed.
+    followed_records: FollowedRecords,
     /// Messages whose latest records could not be journalled.
     unwritten: BTreeSet<MessageId>,
     /// Whether this incarnation has handed over, so that a successor follows its journal.
@@ -255,6 +259,7 @@
             return Ok(());
         }
         self.unindex(id);
+        self.followed_records.message_removed(id);
         self.update(id, JournalRecord::Removed)
     }
 
--- a/crates/delivery/src/core/message_store/following.rs
+++ b/crates/delivery/src/core/message_store/following.rs
@@ -73,9 +73,11 @@
     fn apply_followed(&mut self, records: Vec<(u64, Vec<u8>)>, events: &mut Vec<PredecessorEvent>) {
         for (segment, payload) in records {
             match JournalRecord::decode(&payload, &self.class_names) {
-                Some((id, record @ JournalRecord::Message(_)))
-                    if !self.messages.contains_key(&id) =>
-                {
+                Some((id, record @ JournalRecord::Message(_))) => {
+                    self.followed_records.insert(segment, id);
+                    if self.messages.contains_key(&id) {
+                        continue;
+                    }
                     record.apply(id, &mut self.messages);
                     self.segments.insert(id, segment);
                     self.index(id);
--- a/crates/delivery/src/core/message_store/journalling.rs
+++ b/crates/delivery/src/core/message_store/journalling.rs
@@ -81,26 +81,43 @@
 
     /// Copies the live records of the oldest segment to the end of the journal and removes the segment. Returns whether
     /// there was a segment to remove.
+    ///
+    /// An older segment remains while a running predecessor writes to it. What supersedes the records in it is copied as
+    /// well, as it may be in the segment that is removed.
     fn compact(&mut self) -> io::Result<bool> {
         let Some(oldest) = self.journal.oldest() else {
             return Ok(false);
         };
-        let in_oldest = self
+        let until_oldest = self
             .segments
             .iter()
-            .filter(|(_, segment)| **segment == oldest);
-        let live: Vec<MessageId> = in_oldest.map(|(id, _)| *id).collect();
+            .filter(|(_, segment)| **segment <= oldest);
+        let live: Vec<MessageId> = until_oldest.map(|(id, _)| *id).collect();
         for id in live {
             let record = JournalRecord::Message(self.messages[&id].clone());
             let segment = self.journal.append(&record.encode(id, &self.class_names))?;
             self.segments.insert(id, segment);
         }
+        self.copy_removals_forward(oldest)?;
         self.copy_backoffs_forward()?;
         self.journal.remove_oldest()?;
+        self.followed_records.segment_removed(oldest);
         Ok(true)
     }
 
-    /// Writes all backoffs again, as their records may be in the oldest segment. Each endpoint has at most one.
+    /// Writes the removals again that may be in no segment after `oldest`, and that supersede records in a segment which
+    /// remains.
+    fn copy_removals_forward(&mut self, oldest: u64) -> io::Result<()> {
+        for id in self.followed_records.removals_until(oldest) {
+            let removal = JournalRecord::Removed.encode(id, &self.class_names);
+            let segment = self.journal.append(&removal)?;
+            self.followed_records.removal_copied(id, segment);
+        }
+        Ok(())
+    }
+
+    /// Writes all backoffs again, as their records may be in a segment that is removed, or of an earlier generation. Each
+    /// endpoint has at most one.
     fn copy_backoffs_forward(&mut self) -> io::Result<()> {
         for ((destination, endpoint), until_ms) in self.backoffs.clone() {
             let record = JournalRecord::Backoff(BackoffRecord {
--- a/crates/delivery/src/core/message_store/takeover.rs
+++ b/crates/delivery/src/core/message_store/takeover.rs
@@ -38,6 +38,8 @@
     routes: Vec<RouteRecord>,
     backoffs: BTreeMap<(DestinationId, String), i64>,
     segments: BTreeMap<MessageId, u64>,
+    /// Messages with a full record in each segment.
+    full_records: BTreeMap<u64, BTreeSet<MessageId>>,
 }
 
 impl MessageStore {
@@ -80,6 +82,7 @@
             class_names,
             backoffs: BTreeMap::new(),
             tails: Vec::new(),
+            followed_records: Default::default(),
             unwritten: BTreeSet::new(),
             handed_over: false,
             active_limit: usable_bytes.saturating_sub(successor_bytes),
@@ -118,6 +121,7 @@
             .segments
             .retain(|id, _| self.messages.contains_key(id));
         self.segments.extend(replayed.segments);
+        self.remember_followed_records(replayed.full_records);
         let all_ids = self.messages.keys().copied();
         let recovered_ids: Vec<MessageId> = all_ids
             .filter(|id| own_ids.binary_search(id).is_err())
@@ -131,6 +135,17 @@
         replay_result.map(|()| Recovered { routes, in_flight })
     }
 
+    /// Remembers the full records in replayed segments that have not been adopted.
+    fn remember_followed_records(&mut self, mut full_records: BTreeMap<u64, BTreeSet<MessageId>>) {
+        full_records.retain(|segment, _| !self.journal.has_adopted(*segment));
+        self.followed_records.extend(full_records);
+        for id in self.followed_records.ids() {
+            if !self.messages.contains_key(&id) {
+                self.followed_records.message_removed(id);
+            }
+        }
+    }
+
     /// Sets the size limits of an incarnation that has taken over.
     fn use_active_limit(&mut self) {
         self.hard_limit = self.active_limit;
@@ -175,6 +190,7 @@
                 JournalRecord::Backoff(_) | JournalRecord::Route(_) => {}
                 JournalRecord::Message(_) => {
                     replayed.segments.insert(id, segment);
+                    replayed.full_records.entry(segment).or_default().insert(id);
                     record.apply(id, messages);
                 }
                 record => record.apply(id, messages),
