Respect a backoff in a takeover that follows the adoption of a standby

Destinations saw a call within their Retry-After.

Change: renew writes the backoffs again. backoff_survives_adoption_of_a_standby_and_a_takeover failed before and passes.

A standby that still waits at the end of a history's restarts takes over, as the driver would.

--- a/crates/delivery/src/core/message_store/journalling.rs
+++ b/crates/delivery/src/core/message_store/journalling.rs
@@ -118,7 +118,7 @@
 
     /// Writes all backoffs again, as their records may be in a segment that is removed, or of an earlier generation. Each
     /// endpoint has at most one.
-    fn copy_backoffs_forward(&mut self) -> io::Result<()> {
+    pub(super) fn copy_backoffs_forward(&mut self) -> io::Result<()> {
         for ((destination, endpoint), until_ms) in self.backoffs.clone() {
             let record = JournalRecord::Backoff(BackoffRecord {
                 destination,
--- a/crates/delivery/src/core/message_store/takeover.rs
+++ b/crates/delivery/src/core/message_store/takeover.rs
@@ -221,13 +221,14 @@
     }
 
     /// Continues the journal under a later generation, so that messages of the generations in between can be recovered.
+    /// Backoffs are written again: a successor respects only those in the generations that ran beside it.
     ///
     /// # Errors
     /// The journal cannot be written.
     pub fn renew(&mut self, generation: Generation) -> io::Result<()> {
         self.journal.renew(generation)?;
         self.next_id = first_id(generation);
-        Ok(())
+        self.copy_backoffs_forward()
     }
 }
 
--- a/crates/delivery/tests/common/incarnation.rs
+++ b/crates/delivery/tests/common/incarnation.rs
@@ -50,7 +50,16 @@
 impl TestIncarnation {
     /// Starts an incarnation while no other is running, with the endpoint "h".
     pub fn start_alone(folder: &Path, ms: i64) -> (TestIncarnation, Vec<EngineCommand>) {
-        let store = MessageStore::open(folder, MAX_BYTES, classes()).unwrap();
+        TestIncarnation::start_alone_within(MAX_BYTES, folder, ms)
+    }
+
+    /// Starts an incarnation while no other is running, in a folder of at most `max_bytes` bytes, with the endpoint "h".
+    pub fn start_alone_within(
+        max_bytes: u64,
+        folder: &Path,
+        ms: i64,
+    ) -> (TestIncarnation, Vec<EngineCommand>) {
+        let store = MessageStore::open(folder, max_bytes, classes()).unwrap();
         let generation = latest_generation(folder).unwrap();
         let mut commands = Vec::new();
         let now = timestamp_of(ms, ms);
@@ -65,8 +74,14 @@
 
     /// Starts a standby while other incarnations are running, with the endpoint "h".
     pub fn standby(folder: &Path, ms: i64) -> TestIncarnation {
+        TestIncarnation::standby_within(MAX_BYTES, folder, ms)
+    }
+
+    /// Starts a standby while other incarnations are running, in a folder of at most `max_bytes` bytes, with the endpoint
+    /// "h".
+    pub fn standby_within(max_bytes: u64, folder: &Path, ms: i64) -> TestIncarnation {
         let generation = latest_generation(folder).unwrap().next();
-        let store = MessageStore::begin(folder, MAX_BYTES, classes(), generation).unwrap();
+        let store = MessageStore::begin(folder, max_bytes, classes(), generation).unwrap();
         let mut incarnation = TestIncarnation {
             engine: Engine::standby(settings(), store),
             generation,
--- a/crates/delivery/tests/hot_restart.rs
+++ b/crates/delivery/tests/hot_restart.rs
@@ -256,3 +256,30 @@
     );
     let _ = fs::remove_dir_all(&folder);
 }
+
+/// Guards against calls during a backoff: after the active incarnation had adopted the messages of a standby, its next
+/// successor did not respect the backoffs that were journalled before.
+#[test]
+fn backoff_survives_adoption_of_a_standby_and_a_takeover() {
+    let folder = temporary_folder("backoff-adoption");
+    let (mut active, _) = TestIncarnation::start_alone(&folder, 0);
+    let (id, attempt, _) = started_attempts(&active.submit(10, "a", IDEMPOTENT_CLASS))[0].clone();
+    let rejection = Outcome::Rejected {
+        retry_after: Some(Span::from_ms(3000.0)),
+    };
+    active.step(100, vec![attempt_finished(id, attempt, rejection)]);
+    let standby = TestIncarnation::standby(&folder, 110);
+    let renewed = standby.generation.next();
+    drop(standby);
+    active.step(120, vec![EngineEvent::StandbyExited(renewed)]);
+    let mut successor = TestIncarnation::standby(&folder, 130);
+    drop(active);
+    let mut commands = successor.take_over(140, &[], renewed);
+    for ms in (150..3100).step_by(10) {
+        commands.extend(successor.step(ms, vec![]));
+    }
+    assert_eq!(started_attempts(&commands), [], "the backoff has not ended");
+    let names = successor.deliver_all(3100..4000);
+    assert_eq!(names, ["a"]);
+    let _ = fs::remove_dir_all(&folder);
+}
--- a/crates/delivery/tests/restart_histories/history.rs
+++ b/crates/delivery/tests/restart_histories/history.rs
@@ -17,8 +17,6 @@
 const LAST_SUBMISSION_MS: i64 = 8000;
 /// Time after which incarnations are no longer started, handed over or killed, in ms.
 const LAST_RESTART_MS: i64 = 9000;
-/// Upper bound of an attempt's duration, in ms.
-const MAX_ATTEMPT_MS: i64 = 400;
 /// The deduplication window of [`common::KEYED`], in ms.
 const DEDUPLICATION_WINDOW_MS: i64 = 6000;
 
@@ -38,10 +36,28 @@
     Successor,
 }
 
+/// The parameters of a history.
+#[derive(Clone, Copy)]
+pub struct HistoryParameters {
+    /// Maximum size of the folder, in bytes.
+    pub max_bytes: u64,
+    /// Length of the body of each message, in bytes.
+    pub body_bytes: usize,
+    /// Steps after which a predecessor without attempts exits, on average.
+    pub steps_before_exit: u16,
+    /// Steps between two submissions, on average.
+    pub steps_between_submissions: u8,
+    /// Upper bound of an attempt's duration, in ms.
+    pub max_attempt_ms: i64,
+    /// Number of accepted messages that a history must exceed, as it proves little otherwise.
+    pub min_accepted: usize,
+}
+
 /// A history of one instance and its destination, in which incarnations start, hand over and are killed at random. The
 /// instance is checked against the records of its destination and its clients.
 pub struct RestartHistory {
     pub folder: PathBuf,
+    parameters: HistoryParameters,
     rng: fastrand::Rng,
     /// The active incarnation, or the one that has handed over to the successor.
     predecessor: Option<TestIncarnation>,
@@ -63,11 +79,13 @@
 
 impl RestartHistory {
     /// Starts a history with one active incarnation.
-    pub fn new(seed: u64) -> RestartHistory {
-        let folder = temporary_folder(&format!("history-{seed}"));
-        let (predecessor, _) = TestIncarnation::start_alone(&folder, 0);
+    pub fn new(seed: u64, parameters: HistoryParameters) -> RestartHistory {
+        let folder = temporary_folder(&format!("history-{seed}-{}", parameters.body_bytes));
+        let (predecessor, _) =
+            TestIncarnation::start_alone_within(parameters.max_bytes, &folder, 0);
         RestartHistory {
             folder,
+            parameters,
             rng: fastrand::Rng::with_seed(seed),
             predecessor: Some(predecessor),
             successor: None,
@@ -108,7 +126,7 @@
                         self.ms >= self.backoff_until_ms,
                         "an attempt is sent during a backoff"
                     );
-                    let duration = self.rng.i64(5..MAX_ATTEMPT_MS);
+                    let duration = self.rng.i64(5..self.parameters.max_attempt_ms);
                     self.in_flight.push(InFlightAttempt {
                         id,
                         attempt,
@@ -179,7 +197,7 @@
                 );
             }
             (false, _) => {
-                let (incarnation, commands) = TestIncarnation::start_alone(&self.folder, self.ms);
+                let (incarnation, commands) = self.start_alone();
                 self.record("another incarnation starts alone");
                 // A restart ends a backoff.
                 self.backoff_until_ms = 0;
@@ -190,6 +208,10 @@
         self.promote_successor();
     }
 
+    fn start_alone(&self) -> (TestIncarnation, Vec<EngineCommand>) {
+        TestIncarnation::start_alone_within(self.parameters.max_bytes, &self.folder, self.ms)
+    }
+
     /// Drops the attempts of a killed incarnation. Each is executed at the destination or not, at random, and has no result.
     fn drop_attempts(&mut self, sender: Role) {
         let (dropped, remaining): (Vec<_>, Vec<_>) = std::mem::take(&mut self.in_flight)
@@ -216,7 +238,7 @@
             // The predecessor has handed over, so it exits. A third incarnation recovers the messages of both.
             self.drop_attempts(Role::Predecessor);
             self.predecessor = None;
-            let (incarnation, commands) = TestIncarnation::start_alone(&self.folder, self.ms);
+            let (incarnation, commands) = self.start_alone();
             self.record("a third incarnation starts alone");
             self.backoff_until_ms = 0;
             self.predecessor = Some(incarnation);
@@ -296,7 +318,7 @@
         };
         let event = EngineEvent::Submitted(
             RequestId(self.next_message_number as u64),
-            message(&name, class, self.ms, 50),
+            message(&name, class, self.ms, self.parameters.body_bytes),
         );
         let commands = self.step(receiver, vec![event]);
         if is_accepted(&commands) {
@@ -314,15 +336,20 @@
     pub fn advance(&mut self) {
         self.ms += STEP_MS;
         self.finish_attempts();
-        if self.ms < LAST_SUBMISSION_MS && self.rng.u8(0..3) == 0 {
+        if self.ms < LAST_SUBMISSION_MS
+            && self.rng.u8(0..self.parameters.steps_between_submissions) == 0
+        {
             self.submit_message();
         }
         if self.ms < LAST_RESTART_MS {
             self.restart_at_random();
+        } else if self.successor.is_some() && !self.successor_is_active {
+            // A standby requests the handover if its predecessor is not shut down.
+            self.hand_over();
         }
         if self.successor_is_active
             && !self.has_attempts_in_flight(Role::Predecessor)
-            && self.rng.u8(0..20) == 0
+            && self.rng.u16(0..self.parameters.steps_before_exit) == 0
         {
             self.exit_predecessor();
         }
@@ -348,7 +375,11 @@
         match self.rng.u16(0..600) {
             0..=5 if self.successor.is_none() => {
                 self.record("a standby starts");
-                self.successor = Some(TestIncarnation::standby(&self.folder, self.ms));
+                self.successor = Some(TestIncarnation::standby_within(
+                    self.parameters.max_bytes,
+                    &self.folder,
+                    self.ms,
+                ));
             }
             6..=25 if self.successor.is_some() && !self.successor_is_active => self.hand_over(),
             26..=28 => self.kill_predecessor(),
@@ -395,7 +426,7 @@
                     let span_ms =
                         executions.last().unwrap_or(&0) - executions.first().unwrap_or(&0);
                     assert!(
-                        span_ms < DEDUPLICATION_WINDOW_MS + MAX_ATTEMPT_MS,
+                        span_ms < DEDUPLICATION_WINDOW_MS + self.parameters.max_attempt_ms,
                         "{name} was executed again after its deduplication window"
                     );
                 }
