--- a/crates/delivery/src/core/journal.rs
+++ b/crates/delivery/src/core/journal.rs
@@ -86,7 +86,7 @@
     ) -> io::Result<Journal> {
         fs::create_dir_all(folder)?;
         let mut journal = Journal::begin(folder, segment_len, latest_generation(folder)?.next())?;
-        journal.take_over(&[], replay)?;
+        journal.take_over(&[], &[], replay)?;
         Ok(journal)
     }
 
--- a/crates/delivery/src/core/journal/adoption.rs
+++ b/crates/delivery/src/core/journal/adoption.rs
@@ -15,6 +15,13 @@
     offset: u64,
 }
 
+impl Tail {
+    /// Returns whether a segment is read by following this tail.
+    fn covers(&self, number: u64) -> bool {
+        Generation::of(number) == self.generation && number >= self.segment
+    }
+}
+
 /// The content of a segment of another incarnation.
 struct SegmentContent {
     number: u64,
@@ -32,19 +39,21 @@
 impl Journal {
     /// Takes over the segments of all earlier incarnations in their order, and passes their records to `replay` with the
     /// number of their segment. The latest segment of each `running` incarnation is not taken over. Returns the tails of
-    /// these segments, which are to be followed.
+    /// these segments, which are to be followed. Segments that are `followed` already are not read again.
     ///
     /// # Errors
     /// A segment cannot be read. After a transient error nothing is taken over; otherwise the preceding segments are.
     pub fn take_over(
         &mut self,
         running: &[Generation],
+        followed: &[Tail],
         mut replay: impl FnMut(u64, &[u8]),
     ) -> io::Result<Vec<Tail>> {
         let own_generation = self.generation();
         let numbers: Vec<u64> = segment_numbers(&self.folder)?
             .into_iter()
             .filter(|number| Generation::of(*number) < own_generation)
+            .filter(|number| !followed.iter().any(|tail| tail.covers(*number)))
             .collect();
         // All segments are read before any is replayed, as a state without the middle of the log would be useless.
         let UnadoptedSegments {
--- a/crates/delivery/src/core/message_store/takeover.rs
+++ b/crates/delivery/src/core/message_store/takeover.rs
@@ -175,27 +175,28 @@
         let messages = &mut self.messages;
         let was_concurrent =
             |segment: u64| first_concurrent.is_some_and(|first| Generation::of(segment) >= first);
-        self.journal.take_over(running, |segment, payload| {
-            let Some((id, record)) = JournalRecord::decode(payload, class_names) else {
-                return;
-            };
-            match record {
-                JournalRecord::Backoff(backoff) if was_concurrent(segment) => {
-                    let route = (backoff.destination, backoff.endpoint);
-                    replayed.backoffs.insert(route, backoff.until_ms);
+        self.journal
+            .take_over(running, &self.tails, |segment, payload| {
+                let Some((id, record)) = JournalRecord::decode(payload, class_names) else {
+                    return;
+                };
+                match record {
+                    JournalRecord::Backoff(backoff) if was_concurrent(segment) => {
+                        let route = (backoff.destination, backoff.endpoint);
+                        replayed.backoffs.insert(route, backoff.until_ms);
+                    }
+                    JournalRecord::Route(route) if was_concurrent(segment) => {
+                        replayed.routes.push(route)
+                    }
+                    JournalRecord::Backoff(_) | JournalRecord::Route(_) => {}
+                    JournalRecord::Message(_) => {
+                        replayed.segments.insert(id, segment);
+                        replayed.full_records.entry(segment).or_default().insert(id);
+                        record.apply(id, messages);
+                    }
+                    record => record.apply(id, messages),
                 }
-                JournalRecord::Route(route) if was_concurrent(segment) => {
-                    replayed.routes.push(route)
-                }
-                JournalRecord::Backoff(_) | JournalRecord::Route(_) => {}
-                JournalRecord::Message(_) => {
-                    replayed.segments.insert(id, segment);
-                    replayed.full_records.entry(segment).or_default().insert(id);
-                    record.apply(id, messages);
-                }
-                record => record.apply(id, messages),
-            }
-        })
+            })
     }
 
     /// Ends the attempts in flight as possibly executed, as their incarnations have exited. If some incarnations are still
--- a/crates/delivery/tests/hot_restart.rs
+++ b/crates/delivery/tests/hot_restart.rs
@@ -283,3 +283,35 @@
     assert_eq!(names, ["a"]);
     let _ = fs::remove_dir_all(&folder);
 }
+
+/// Guards against repeated deliveries: an incarnation that adopted the messages of a standby read the journal of a
+/// predecessor that was still running from its start again.
+#[test]
+fn adopting_a_standby_forgets_no_outcome_of_messages_of_a_running_predecessor() {
+    let folder = temporary_folder("adoption-beside-predecessor");
+    let (mut predecessor, _) = TestIncarnation::start_alone(&folder, 0);
+    let mut active = TestIncarnation::standby(&folder, 10);
+    predecessor.hand_over(20);
+    assert!(is_accepted(&predecessor.submit(30, "a", IDEMPOTENT_CLASS)));
+    let commands = active.take_over(40, &[predecessor.generation], predecessor.generation);
+    let (id, attempt, name) = started_attempts(&commands)[0].clone();
+    let mut names = vec![name];
+    active.step(45, vec![attempt_finished(id, attempt, Outcome::Delivered)]);
+    let follow = || vec![EngineEvent::FollowPredecessors];
+    assert!(is_accepted(&predecessor.submit(50, "b", IDEMPOTENT_CLASS)));
+    names.extend(active.deliver_all_after(follow(), 60..200));
+    let mut standby = TestIncarnation::standby(&folder, 200);
+    assert!(is_accepted(&standby.submit(210, "c", IDEMPOTENT_CLASS)));
+    let renewed = standby.generation.next();
+    drop(standby);
+    names.extend(active.deliver_all_after(vec![EngineEvent::StandbyExited(renewed)], 220..400));
+    assert!(is_accepted(&predecessor.submit(400, "d", IDEMPOTENT_CLASS)));
+    names.extend(active.deliver_all_after(follow(), 410..600));
+    let exited = vec![EngineEvent::PredecessorExited(predecessor.generation)];
+    names.extend(active.deliver_all_after(exited, 600..800));
+    assert_eq!(names, ["a", "b", "c", "d"], "each message is sent once");
+    drop((active, predecessor));
+    let (mut next, _) = TestIncarnation::start_alone(&folder, 800);
+    assert_eq!(next.deliver_all(801..1000), Vec::<String>::new());
+    let _ = fs::remove_dir_all(&folder);
+}
