End events whose clients wait before their process ends, and answer after it

Evidence: one payment followed through the record: accepted, 429 at 4.66 s, called by the restarted courier at 5.44 s and by the other at 5.66 s. Ruled out: requests that the engine never read, and retries, as each courier called once.

Restarts for a setting still hand over, and answer 500 where they answered 429.

--- /dev/null
+++ b/crates/cli/tests/event_restart.rs
@@ -0,0 +1,74 @@
+//! A planned restart of a daemon while clients wait for the outcomes of their events.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod common;
+
+use common::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+
+/// Number of clients, each with one event.
+const CLIENTS: usize = 9;
+/// Number of calls that may be in flight.
+const SLOTS: usize = 3;
+
+/// Returns the manifest of one instance with a class whose events must not be executed twice.
+fn payment_manifest(endpoint: SocketAddr) -> String {
+    format!(
+        r#"[limits]
+slots = {SLOTS}
+[class.payment]
+repeats = "never"
+wanted_ms = 2500
+give_up_ms = 24000
+[destination.a]
+path = "/in"
+rate = 50
+endpoints = [{{ name = "a-1", address = "{endpoint}" }}]
+[instance.one]
+events = {{ listen = "127.0.0.1:0", path = "/events", destination_attribute = "clinic", types = {{ payment = "payment" }} }}
+"#
+    )
+}
+
+/// Guards against duplicated effects: events that waited when the daemon ended were answered 429, and delivered by the next
+/// process all the same.
+#[test]
+fn event_refused_at_a_restart_is_not_delivered_after_it() {
+    let open = Arc::new(AtomicBool::new(false));
+    let endpoint = start_server_silent_until(&open);
+    let folder = new_folder("event-restart");
+    apply(&folder, &payment_manifest(endpoint.address));
+    let mut program = start_daemon(&folder);
+    let address = program.address(EVENTS_MARKER, 0);
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|client| {
+            thread::spawn(move || event_status(address, &format!("e{client}"), "payment", "a", ""))
+        })
+        .collect();
+    program.wait_for_counter(&format!("taken_on={CLIENTS} "));
+    wait_for("calls of the first process", || {
+        endpoint.request_count() > 0
+    });
+    program.signal(Signal::TERM);
+    let mut statuses = BTreeMap::<u16, usize>::new();
+    for client in clients {
+        *statuses.entry(client.join().unwrap()).or_default() += 1;
+    }
+    assert!(program.wait_for_exit());
+    let called = endpoint.request_count();
+    // An event whose call had no response may have been executed, so it fails.
+    assert_eq!(
+        statuses,
+        BTreeMap::from([(502, called), (503, CLIENTS - called)])
+    );
+    open.store(true, Ordering::SeqCst);
+    let program = start_daemon(&folder);
+    let address = program.address(EVENTS_MARKER, 0);
+    assert_eq!(event_status(address, "new", "payment", "a", ""), 204);
+    assert_eq!(endpoint.request_count(), called + 1);
+}
--- a/crates/delivery/src/core.rs
+++ b/crates/delivery/src/core.rs
@@ -151,4 +151,6 @@
     Conflict,
     /// The message already has its final outcome.
     Finished(FinalOutcome),
+    /// The message is journalled without a final outcome, and this incarnation ends. A later one may still deliver it.
+    Undetermined,
 }
--- a/crates/delivery/src/core/engine.rs
+++ b/crates/delivery/src/core/engine.rs
@@ -260,6 +260,7 @@
         for action in actions {
             self.execute_action(now, action, &not_journalled, commands);
         }
+        self.end_pending_events(now, commands);
         self.compact_idle_destinations(now, commands);
     }
 
--- a/crates/delivery/src/frontend/cloudevents.rs
+++ b/crates/delivery/src/frontend/cloudevents.rs
@@ -96,6 +96,10 @@
                 "this event came before with another Idempotency-Key",
             )),
             SubmitResponse::Finished(outcome) => Some(final_response(outcome)),
+            SubmitResponse::Undetermined => Some(Response::with_reason(
+                status::INTERNAL_SERVER_ERROR,
+                "the outcome is not known; the event may still be delivered",
+            )),
         }
     }
 }
--- a/crates/delivery/src/frontend/platform.rs
+++ b/crates/delivery/src/frontend/platform.rs
@@ -110,9 +110,8 @@
             | SubmitResponse::Finished(FinalOutcome::Returned { retry_after_ms }) => {
                 Response::retry_after(status::SERVICE_UNAVAILABLE, retry_after_ms)
             }
-            SubmitResponse::Finished(FinalOutcome::Failed | FinalOutcome::Expired) => {
-                Response::with_status(status::INTERNAL_SERVER_ERROR)
-            }
+            SubmitResponse::Finished(FinalOutcome::Failed | FinalOutcome::Expired)
+            | SubmitResponse::Undetermined => Response::with_status(status::INTERNAL_SERVER_ERROR),
             SubmitResponse::Conflict => Response::with_status(status::CONFLICT),
         })
     }
--- a/crates/delivery/src/instance/engine_loop.rs
+++ b/crates/delivery/src/instance/engine_loop.rs
@@ -151,7 +151,10 @@
         }
     }
 
+    /// Responds to all clients, and waits until the responses are written.
     async fn finish(mut self) {
+        self.end_engine();
+        // The remaining requests were never passed to the engine, or are deferred without a journal record.
         self.executor
             .clients
             .respond_to_all(SubmitResponse::Rejected {
@@ -168,6 +171,16 @@
         }
     }
 
+    fn end_engine(&mut self) {
+        // Another incarnation may have become active since the last step.
+        let mut batch = Vec::new();
+        self.hand_over_if_requested(&mut batch);
+        if !batch.is_empty() {
+            self.step(batch);
+        }
+        self.executor.end(&mut self.engine, &mut self.commands);
+    }
+
     /// Waits for the next event. Returns `None` if the engine, the shutdown or the snapshot is due first.
     async fn next_event(&self, step: &StepSummary) -> Option<EngineEvent> {
         let sleep = async {
--- a/crates/delivery/src/instance/executor.rs
+++ b/crates/delivery/src/instance/executor.rs
@@ -90,6 +90,14 @@
         permit.is_some()
     }
 
+    /// Ends the engine and executes its last commands.
+    pub(super) fn end(self: &Rc<Self>, engine: &mut Engine, commands: &mut Vec<EngineCommand>) {
+        engine.end(self.clock.now(), commands);
+        for command in commands.drain(..) {
+            self.execute(command);
+        }
+    }
+
     /// Executes a command, under a lease permit if there is one. The lease may have ended since the permit was given, if the
     /// process was stopped in between. An acceptance is then withheld, and its message continues under the next lease.
     /// Without a permit, only messages that were accepted before are reported as accepted.
@@ -140,7 +148,9 @@
         match response {
             SubmitResponse::Accepted => add(&self.counters.accepted),
             SubmitResponse::Rejected { .. } => add(&self.counters.rejected),
-            SubmitResponse::Conflict | SubmitResponse::Finished(_) => {}
+            SubmitResponse::Conflict
+            | SubmitResponse::Finished(_)
+            | SubmitResponse::Undetermined => {}
         }
         self.clients.respond(request, response);
     }
--- a/crates/delivery/src/rules.rs
+++ b/crates/delivery/src/rules.rs
@@ -7,7 +7,7 @@
 
 use crate::core::message_record::MessageRecord;
 use crate::core::Timestamp;
-use marblefall_scheduler::{Idempotency, MessageClass};
+use marblefall_scheduler::{DeduplicationScope, Idempotency, MessageClass};
 use std::fmt;
 use std::time::Instant;
 
@@ -80,6 +80,25 @@
     }
 }
 
+/// Returns whether a client may be told to submit a message again. It may submit the message to another instance, which
+/// knows nothing of the attempts of this one.
+pub fn may_return(record: &MessageRecord, class: Option<&MessageClass>) -> bool {
+    let may_have_been_executed =
+        record.first_possible_execution.is_some() || record.in_flight().is_some();
+    let idempotency = class.map(|class| class.idempotency);
+    match idempotency {
+        _ if !may_have_been_executed => true,
+        Some(
+            Idempotency::Idempotent
+            | Idempotency::IdempotencyKey {
+                scope: DeduplicationScope::All,
+                ..
+            },
+        ) => true,
+        Some(Idempotency::IdempotencyKey { .. } | Idempotency::NonIdempotent) | None => false,
+    }
+}
+
 /// The reason for which the bytes of an attempt are withheld. The names of the variants are written to log lines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Withheld {
--- a/crates/delivery/tests/common/restarting_engine.rs
+++ b/crates/delivery/tests/common/restarting_engine.rs
@@ -16,10 +16,12 @@
 pub const KEYED_CLASS: usize = 0;
 /// Index of the class whose messages are idempotent.
 pub const IDEMPOTENT_CLASS: usize = 1;
+/// Index of the class whose messages must not be executed twice.
+pub const NON_IDEMPOTENT_CLASS: usize = 2;
 
 /// Returns the names of the classes.
 pub fn classes() -> Vec<String> {
-    class_names(&["keyed", "free"])
+    class_names(&["keyed", "free", "never"])
 }
 
 /// Opens the store in a folder that no other incarnation writes to.
@@ -62,10 +64,11 @@
         cancellation_allowed: true,
         ..limits(50)
     };
+    let idempotencies = [KEYED, Idempotency::Idempotent, Idempotency::NonIdempotent];
     EngineSettings {
-        retention_ms: vec![60_000; 2],
+        retention_ms: vec![60_000; classes().len()],
         max_retained: 100,
-        ..engine_settings(&[KEYED, Idempotency::Idempotent], limits)
+        ..engine_settings(&idempotencies, limits)
     }
 }
 
--- a/crates/simulation/src/core_driver.rs
+++ b/crates/simulation/src/core_driver.rs
@@ -292,7 +292,9 @@
                 retry_after: Span::from_ms(*retry_after_ms as f64),
             }),
             SubmitResponse::Finished(_) if self.accepted.remove(&request) => None,
-            SubmitResponse::Finished(_) | SubmitResponse::Conflict => Some(Action::Fail(message)),
+            SubmitResponse::Finished(_)
+            | SubmitResponse::Conflict
+            | SubmitResponse::Undetermined => Some(Action::Fail(message)),
         }
     }
 
