Give an endpoint's name an id of its own at each destination

Callers' requests ended without an answer: plan and apply moved endpoints' names to other destinations, and the instance's thread panicked.

Cause: EndpointRegistry gave a name one id at all destinations. Scheduler::update_endpoint kept the route of a known id and added it to the new destination's list; purge_removed_endpoints cleaned the old one's only, and active_routes found no endpoint. Ruled out: the plan, whose result is right.

Change: the registry's ids belong to a name at a destination; a move removes one endpoint and adds another, in whatever order destinations are visited. A Retry-After stays with its endpoint and holds when the name returns. The scheduler ignores an entry that would move a known id.

--- a/crates/delivery/src/core/engine/acceptance.rs
+++ b/crates/delivery/src/core/engine/acceptance.rs
@@ -75,7 +75,11 @@
             Some(attempt) => {
                 let prior = scheduler::PriorAttempts {
                     attempts: 0,
-                    first_possible_execution: Some(self.attempt_start(batch.now, attempt)),
+                    first_possible_execution: Some(self.attempt_start(
+                        batch.now,
+                        message.destination,
+                        attempt,
+                    )),
                     in_flight: None,
                 };
                 scheduler::Event::Resumed(new_message, prior)
--- a/crates/delivery/src/core/engine/attempts.rs
+++ b/crates/delivery/src/core/engine/attempts.rs
@@ -159,7 +159,7 @@
             commands,
         );
         // The network layer has already set the backoff if this incarnation sent the attempt, but not if another one did.
-        let endpoint = self.endpoints.get_or_assign_id(&name);
+        let endpoint = self.endpoints.get_or_assign_id(destination, &name);
         let route = self.route(destination, endpoint);
         commands.push(EngineCommand::SetBackoff(route, now.monotonic_of(until_ms)));
     }
--- a/crates/delivery/src/core/engine/endpoint_registry.rs
+++ b/crates/delivery/src/core/engine/endpoint_registry.rs
@@ -1,4 +1,8 @@
 //! Registry of the known endpoints: their ids, their listings, and the ones that operators have disabled.
+//!
+//! An id belongs to one name at one destination. If a name moves to another destination, the endpoint at the old one is
+//! removed and the one at the new one gets an id of its own: connections, failures and results of attempts belong to the
+//! destination that they were made at.
 
 use super::EngineCommand;
 use crate::core::endpoint::ListedEndpoint;
@@ -10,15 +14,21 @@
 pub(super) enum ListScope {
     /// The list contains all endpoints. Known endpoints that are not in it are removed.
     Complete,
-    /// The list contains only the endpoints that changed.
+    /// The list contains only the endpoints that changed. A name belongs to at most one destination, so an entry also
+    /// removes the endpoint with its name at any other destination.
     Changes,
+    /// The list contains endpoints of some destinations. Endpoints of other destinations are not affected, even if they
+    /// have the same names.
+    Destinations,
 }
 
 /// All endpoints that are listed or that an open message was sent to.
 #[derive(Debug, Default)]
 pub(super) struct EndpointRegistry {
-    ids: HashMap<String, scheduler::EndpointId>,
-    names: BTreeMap<scheduler::EndpointId, String>,
+    /// The ids by name, for each destination at which the name is known.
+    ids: HashMap<String, BTreeMap<scheduler::DestinationId, scheduler::EndpointId>>,
+    /// The name and the destination of each id.
+    names: BTreeMap<scheduler::EndpointId, (String, scheduler::DestinationId)>,
     next_id: u32,
     /// Destinations that have, or have had, an endpoint in the list.
     destinations: BTreeSet<scheduler::DestinationId>,
@@ -29,21 +39,32 @@
 }
 
 impl EndpointRegistry {
-    /// Returns the id of an endpoint, and assigns a new one if the name is unknown.
-    pub fn get_or_assign_id(&mut self, name: &str) -> scheduler::EndpointId {
-        if let Some(id) = self.ids.get(name) {
+    /// Returns the id of an endpoint of a destination, and assigns a new one if the endpoint is unknown.
+    pub fn get_or_assign_id(
+        &mut self,
+        destination: scheduler::DestinationId,
+        name: &str,
+    ) -> scheduler::EndpointId {
+        let known = self.ids.get(name);
+        if let Some(id) = known.and_then(|ids| ids.get(&destination)) {
             return *id;
         }
         let id = scheduler::EndpointId(self.next_id);
         self.next_id += 1;
-        self.ids.insert(name.to_owned(), id);
-        self.names.insert(id, name.to_owned());
+        let ids = self.ids.entry(name.to_owned()).or_default();
+        ids.insert(destination, id);
+        self.names.insert(id, (name.to_owned(), destination));
         id
     }
 
+    /// Returns the id that the next unknown endpoint is assigned.
+    pub fn next_id(&self) -> scheduler::EndpointId {
+        scheduler::EndpointId(self.next_id)
+    }
+
     /// Returns the name of an endpoint.
     pub fn name_of(&self, id: scheduler::EndpointId) -> Option<&String> {
-        self.names.get(&id)
+        self.names.get(&id).map(|(name, _)| name)
     }
 
     /// Returns the last listing of an endpoint, unless it was removed.
@@ -74,7 +95,8 @@
             .collect();
         self.disabled = names;
         let ids = changed.iter().filter_map(|name| self.ids.get(name));
-        ids.filter_map(|id| self.listings.get(id).cloned())
+        ids.flat_map(BTreeMap::values)
+            .filter_map(|id| self.listings.get(id).cloned())
             .collect()
     }
 
@@ -85,16 +107,36 @@
         scope: ListScope,
         commands: &mut Vec<EngineCommand>,
     ) -> Vec<scheduler::EndpointUpdate> {
-        let updates: Vec<_> = endpoints
-            .into_iter()
-            .map(|endpoint| self.apply_one(endpoint, commands))
-            .collect();
+        let mut updates = Vec::new();
+        for endpoint in endpoints {
+            if scope == ListScope::Changes {
+                let moved = self.listings_elsewhere(&endpoint);
+                updates.extend(
+                    moved
+                        .into_iter()
+                        .map(|endpoint| self.apply_one(endpoint, commands)),
+                );
+            }
+            updates.push(self.apply_one(endpoint, commands));
+        }
         for id in self.removed_ids(&updates, scope) {
             self.remove(id, commands);
         }
         updates
     }
 
+    /// Returns the endpoints with the name of an entry at other destinations, as removed ones.
+    fn listings_elsewhere(&self, entry: &ListedEndpoint) -> Vec<ListedEndpoint> {
+        let ids = self.ids.get(&entry.name).into_iter().flatten();
+        ids.filter(|(destination, _)| **destination != entry.destination)
+            .filter_map(|(_, id)| self.listings.get(id))
+            .map(|listing| ListedEndpoint {
+                status: scheduler::EndpointStatus::Removed,
+                ..listing.clone()
+            })
+            .collect()
+    }
+
     /// Returns the known endpoints that a list removes.
     fn removed_ids(
         &self,
@@ -117,7 +159,7 @@
                     .filter(|id| !listed.contains(id))
                     .collect()
             }
-            ListScope::Changes => {
+            ListScope::Changes | ListScope::Destinations => {
                 let removed = updates.iter().filter(|update| !is_listed(update));
                 removed.map(|update| update.endpoint).collect()
             }
@@ -129,7 +171,7 @@
         mut endpoint: ListedEndpoint,
         commands: &mut Vec<EngineCommand>,
     ) -> scheduler::EndpointUpdate {
-        let id = self.get_or_assign_id(&endpoint.name);
+        let id = self.get_or_assign_id(endpoint.destination, &endpoint.name);
         self.destinations.insert(endpoint.destination);
         match endpoint.status {
             scheduler::EndpointStatus::Removed => drop(self.listings.remove(&id)),
@@ -158,10 +200,20 @@
     /// Removes an endpoint and its id. New endpoint names appear for as long as the process runs, so a removed endpoint
     /// must not occupy memory.
     pub fn remove(&mut self, id: scheduler::EndpointId, commands: &mut Vec<EngineCommand>) {
-        if let Some(name) = self.names.remove(&id) {
-            self.ids.remove(&name);
+        if let Some((name, destination)) = self.names.remove(&id) {
+            self.forget_name(&name, destination);
         }
         self.listings.remove(&id);
         commands.push(EngineCommand::EndpointRemoved(id));
     }
+
+    fn forget_name(&mut self, name: &str, destination: scheduler::DestinationId) {
+        let Some(ids) = self.ids.get_mut(name) else {
+            return;
+        };
+        ids.remove(&destination);
+        if ids.is_empty() {
+            self.ids.remove(name);
+        }
+    }
 }
--- a/crates/delivery/src/core/engine/endpoints.rs
+++ b/crates/delivery/src/core/engine/endpoints.rs
@@ -27,12 +27,14 @@
                 EngineEvent::EndpointsReplaced(endpoints) => {
                     self.replace_all_endpoints(endpoints, batch);
                 }
-                EngineEvent::EndpointsUpdated(endpoints) => self.update_endpoints(endpoints, batch),
+                EngineEvent::EndpointsUpdated(endpoints) => {
+                    self.update_endpoints(endpoints, ListScope::Changes, batch)
+                }
                 EngineEvent::DestinationTableReplaced(table) => self.replace_table(table, batch),
                 EngineEvent::EndpointsDisabled(names) => {
                     let changed = self.endpoints.set_disabled(names);
                     if !changed.is_empty() {
-                        self.update_endpoints(changed, batch);
+                        self.update_endpoints(changed, ListScope::Destinations, batch);
                     }
                 }
                 _ => {}
@@ -43,22 +45,62 @@
 
     /// Replaces all endpoints with a complete list.
     fn replace_all_endpoints(&mut self, endpoints: Vec<ListedEndpoint>, batch: &mut Batch<'_>) {
+        let first_new = self.endpoints.next_id();
         let updates = self
             .endpoints
             .apply(endpoints, ListScope::Complete, batch.commands);
+        let backoffs = self.backoffs_of_new(first_new, &updates, batch);
         batch
             .scheduler_events
             .push(scheduler::Event::EndpointsReplaced(updates));
+        batch.scheduler_events.extend(backoffs);
     }
 
     /// Applies changes to the endpoint list.
-    fn update_endpoints(&mut self, endpoints: Vec<ListedEndpoint>, batch: &mut Batch<'_>) {
-        let updates = self
-            .endpoints
-            .apply(endpoints, ListScope::Changes, batch.commands);
+    fn update_endpoints(
+        &mut self,
+        endpoints: Vec<ListedEndpoint>,
+        scope: ListScope,
+        batch: &mut Batch<'_>,
+    ) {
+        let first_new = self.endpoints.next_id();
+        let updates = self.endpoints.apply(endpoints, scope, batch.commands);
+        let backoffs = self.backoffs_of_new(first_new, &updates, batch);
         batch
             .scheduler_events
             .push(scheduler::Event::EndpointsUpdated(updates));
+        batch.scheduler_events.extend(backoffs);
+    }
+
+    /// Restores the backoffs of endpoints that have got a new id, as they may have been listed before. Returns the events for
+    /// the scheduler.
+    fn backoffs_of_new(
+        &self,
+        first_new: scheduler::EndpointId,
+        updates: &[scheduler::EndpointUpdate],
+        batch: &mut Batch<'_>,
+    ) -> Vec<scheduler::Event> {
+        let new = updates.iter().filter(|update| {
+            update.endpoint >= first_new && update.status != scheduler::EndpointStatus::Removed
+        });
+        let mut events = Vec::new();
+        for update in new {
+            let name = self.endpoints.name_of(update.endpoint);
+            let until_ms = name.and_then(|name| {
+                let backoffs = self.store.backoffs();
+                backoffs.get(&(update.destination, name.clone())).copied()
+            });
+            if let Some(until_ms) = until_ms.filter(|until_ms| *until_ms > batch.now.unix_ms) {
+                events.push(self.restore_backoff(
+                    batch.now,
+                    update.destination,
+                    update.endpoint,
+                    until_ms,
+                    batch.commands,
+                ));
+            }
+        }
+        events
     }
 
     /// Replaces the destination table. Changed endpoints of destinations in use are applied as changes to the list.
@@ -105,7 +147,7 @@
         let all_removed = endpoints
             .iter()
             .all(|endpoint| endpoint.status == scheduler::EndpointStatus::Removed);
-        self.update_endpoints(endpoints, batch);
+        self.update_endpoints(endpoints, ListScope::Destinations, batch);
         if all_removed {
             self.endpoints.remove_destination(id);
         }
@@ -119,7 +161,7 @@
             .filter(|table| table.entry(id).is_some());
         let Some(table) = table.cloned() else { return };
         if self.active_destinations.touch(batch.now.monotonic, id) {
-            self.update_endpoints(table.listed_endpoints(id), batch);
+            self.update_endpoints(table.listed_endpoints(id), ListScope::Destinations, batch);
             if let Some(record) = self.active_destinations.take_record(id) {
                 let route = scheduler::KnownRoute {
                     destination: id,
--- a/crates/delivery/src/core/engine/policy_change.rs
+++ b/crates/delivery/src/core/engine/policy_change.rs
@@ -84,7 +84,9 @@
             self.schedule_step_at_attempt_cutoff(shutdown_at);
         }
         let listed = self.endpoints.all_listings();
-        let updates = self.endpoints.apply(listed, ListScope::Changes, commands);
+        let updates = self
+            .endpoints
+            .apply(listed, ListScope::Destinations, commands);
         // Events for the old scheduler are dropped: the new one receives the endpoints now, before the events of the next
         // step, which include all open messages.
         self.backlog.clear();
--- a/crates/delivery/src/core/engine/recovery.rs
+++ b/crates/delivery/src/core/engine/recovery.rs
@@ -49,7 +49,7 @@
             let endpoint = route
                 .endpoint
                 .as_ref()
-                .map(|name| self.endpoints.get_or_assign_id(name));
+                .map(|name| self.endpoints.get_or_assign_id(route.destination, name));
             let known = scheduler::KnownRoute {
                 destination: route.destination,
                 endpoint,
@@ -61,15 +61,28 @@
 
     fn restore_backoffs(&mut self, now: Timestamp, commands: &mut Vec<EngineCommand>) {
         for ((destination, name), until_ms) in self.store.backoffs().clone() {
-            let endpoint = self.endpoints.get_or_assign_id(&name);
-            let until = now.monotonic_of(until_ms);
-            let route = self.route(destination, endpoint);
-            commands.push(EngineCommand::SetBackoff(route, until));
-            self.backlog.push(scheduler::Event::BackoffNotified {
-                destination,
-                endpoint,
-                until,
-            });
+            let endpoint = self.endpoints.get_or_assign_id(destination, &name);
+            let notified = self.restore_backoff(now, destination, endpoint, until_ms, commands);
+            self.backlog.push(notified);
+        }
+    }
+
+    /// Restores a backoff in the network layer. Returns the event that restores it in the scheduler.
+    pub(super) fn restore_backoff(
+        &self,
+        now: Timestamp,
+        destination: scheduler::DestinationId,
+        endpoint: scheduler::EndpointId,
+        until_ms: i64,
+        commands: &mut Vec<EngineCommand>,
+    ) -> scheduler::Event {
+        let until = now.monotonic_of(until_ms);
+        let route = self.route(destination, endpoint);
+        commands.push(EngineCommand::SetBackoff(route, until));
+        scheduler::Event::BackoffNotified {
+            destination,
+            endpoint,
+            until,
         }
     }
 
@@ -95,7 +108,8 @@
         let attempt = record
             .in_flight()
             .filter(|_| recorded_attempt == RecordedAttempt::InFlight);
-        let in_flight = attempt.map(|attempt| self.attempt_start(now, attempt));
+        let destination = record.message.destination;
+        let in_flight = attempt.map(|attempt| self.attempt_start(now, destination, attempt));
         if let Some(start) = in_flight {
             self.in_flight += 1;
             if self.endpoints.listing(start.endpoint).is_none() {
@@ -107,7 +121,8 @@
         let first = record.first_possible_execution.as_ref();
         let prior = scheduler::PriorAttempts {
             attempts: record.attempts,
-            first_possible_execution: first.map(|attempt| self.attempt_start(now, attempt)),
+            first_possible_execution: first
+                .map(|attempt| self.attempt_start(now, destination, attempt)),
             in_flight,
         };
         let message = scheduler_message(id, &record.message, now);
--- a/crates/delivery/src/core/engine/scheduler_input.rs
+++ b/crates/delivery/src/core/engine/scheduler_input.rs
@@ -22,15 +22,18 @@
 }
 
 impl Engine {
-    /// Converts an attempt to the scheduler's type.
+    /// Converts an attempt of a message for a destination to the scheduler's type.
     pub(super) fn attempt_start(
         &mut self,
         now: Timestamp,
+        destination: scheduler::DestinationId,
         attempt: &AttemptRecord,
     ) -> scheduler::AttemptStart {
         scheduler::AttemptStart {
             sent: now.monotonic_of(attempt.started_ms),
-            endpoint: self.endpoints.get_or_assign_id(&attempt.endpoint),
+            endpoint: self
+                .endpoints
+                .get_or_assign_id(destination, &attempt.endpoint),
         }
     }
 }
--- a/crates/scheduler/src/scheduler/endpoint_list.rs
+++ b/crates/scheduler/src/scheduler/endpoint_list.rs
@@ -28,7 +28,17 @@
         }
     }
 
+    /// Applies one entry. An endpoint belongs to one destination for as long as it is known, so an entry with another one is
+    /// ignored.
     fn update_endpoint(&mut self, update: &EndpointUpdate) {
+        let known = self.endpoints.get(&update.endpoint);
+        if known.is_some_and(|endpoint| endpoint.route.destination != update.destination) {
+            self.log_lines.push(format!(
+                "endpoint {} is known at another destination",
+                update.endpoint.0
+            ));
+            return;
+        }
         self.has_removed_endpoints |= update.status == EndpointStatus::Removed;
         let kind = self.settings.kinds.get(update.kind.0);
         let is_separate = kind.is_some_and(|kind| kind.separate_routes);
