Run a removed instance until what it has accepted has ended

Ruled out: the attempts, all of which the destination answered.

Change: ShutdownReason::Removal. The instance accepts nothing more (EngineEvent::StopAccepting), closes its listeners, and ends once no message is open and its notices are acknowledged. apply stores its manifest in HOME/removed before the change is in force (removed_instances.rs); a daemon resumes it at its start without listeners, and deletes the file when it has ended. Groups are not changed.

--- a/crates/control-plane/src/instance_config.rs
+++ b/crates/control-plane/src/instance_config.rs
@@ -24,10 +24,11 @@
 const BYTES_PER_MB: f64 = 1e6;
 
 /// The listeners of an instance's frontends.
+#[derive(Default)]
 pub struct InstanceListeners {
-    /// The listener of the CloudEvents frontend; `None` if the frontend is disabled.
+    /// The listener of the CloudEvents frontend; `None` if the frontend is disabled, or the instance is removed.
     pub events: Option<TcpListener>,
-    /// The listener of the platform's frontend; `None` if the frontend is disabled.
+    /// The listener of the platform's frontend; `None` if the frontend is disabled, or the instance is removed.
     pub platform: Option<TcpListener>,
 }
 
@@ -87,7 +88,7 @@
 
     fn platform_config(self, listener: Option<TcpListener>) -> Option<PlatformFrontendConfig> {
         Some(PlatformFrontendConfig {
-            listener: listener?,
+            listener,
             frontend: self.platform_frontend()?,
             discovery: self.manifest.platform.as_ref()?.notice_address,
             watch: None,
@@ -96,7 +97,7 @@
 
     fn events_config(self, listener: Option<TcpListener>) -> Option<CloudEventsFrontendConfig> {
         Some(CloudEventsFrontendConfig {
-            listener: listener?,
+            listener,
             frontend: self.events_frontend()?,
         })
     }
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod list_watcher;
 pub mod manifest;
 pub mod plan;
+mod removed_instances;
 pub mod supervisor;
 
 pub use json_file::JsonFileError;
--- a/crates/control-plane/src/manifest/instance_manifest.rs
+++ b/crates/control-plane/src/manifest/instance_manifest.rs
@@ -1,14 +1,16 @@
 //! The part of a manifest that concerns one instance.
 
 use super::{ClassSpec, EventsFrontendSpec, InstanceLimits, Manifest, PlatformFrontendSpec};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// The part of a manifest that concerns one instance. The instance applies a change of it in place or by a restart.
 ///
 /// It does not contain the destinations, which are in the endpoint directory and change while an instance runs. Nor does it
-/// contain the source of the endpoint lists and the group, which concern only the supervisor.
-#[derive(Clone, Debug, PartialEq)]
+/// contain the source of the endpoint lists and the group, which concern only the supervisor. It is stored while an instance
+/// that was removed still holds messages.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct InstanceManifest {
     /// The instance's name.
     pub name: String,
--- a/crates/control-plane/src/plan.rs
+++ b/crates/control-plane/src/plan.rs
@@ -5,6 +5,7 @@
 
 use crate::json_file::{self, JsonFileError};
 use crate::manifest::Manifest;
+use crate::removed_instances;
 use marblefall_atomic_file::{replace, Durability, LocalDisk};
 use serde::{Deserialize, Serialize};
 use std::fs::{self, File};
@@ -115,6 +116,8 @@
             revision: current.revision + 1,
             manifest: self.target.clone(),
         };
+        // Stored first: if this process ends in between, the files concern declared instances and have no effect.
+        removed_instances::store(home, &current.manifest, &self.target).map_err(home_error)?;
         applied.write(home).map_err(home_error)?;
         Ok(applied)
     }
--- a/crates/control-plane/src/supervisor.rs
+++ b/crates/control-plane/src/supervisor.rs
@@ -164,13 +164,15 @@
 
     /// Runs until the last instance has ended after a shutdown command.
     async fn run(mut self) {
+        self.reload_applied();
+        self.instances.start_removed(&self.desired);
         loop {
             self.handle_group_events().await;
             self.reload_applied();
             self.start_list_watcher_if_due();
             self.handle_commands();
             self.push_changes();
-            self.instances.reap();
+            self.instances.reap(&self.desired.home);
             match self.phase {
                 Phase::ShuttingDown if self.instances.is_empty() => return,
                 Phase::ShuttingDown => {}
--- a/crates/control-plane/src/supervisor/instance_handle.rs
+++ b/crates/control-plane/src/supervisor/instance_handle.rs
@@ -2,7 +2,7 @@
 
 use super::listeners::{FrontendListeners, ListenError};
 use crate::endpoint_directory::EndpointDirectory;
-use crate::instance_config::{ClassTable, InstanceConfigBuilder};
+use crate::instance_config::{ClassTable, InstanceConfigBuilder, InstanceListeners};
 use crate::manifest::InstanceManifest;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -21,6 +21,8 @@
 
 /// Name of the folder in a home that contains each instance's state folder.
 const INSTANCES_FOLDER: &str = "instances";
+/// Maximum time for which an instance that is removed delivers its messages. Events live for seven days at most.
+const REMOVAL_TIMEOUT: Duration = Duration::from_secs(8 * 24 * 3600);
 
 /// An error that prevents an instance from starting.
 #[derive(Debug, thiserror::Error)]
@@ -51,7 +53,16 @@
     classes: ClassTable,
     commands: Sender<InstanceCommand>,
     thread: JoinHandle<()>,
-    shutting_down: bool,
+    lifecycle: Lifecycle,
+}
+
+/// Whether an instance serves clients, or on which command it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Lifecycle {
+    Running,
+    /// The instance is removed. It ends once its messages have ended.
+    Removed,
+    ShuttingDown,
 }
 
 impl InstanceHandle {
@@ -63,6 +74,29 @@
         manifest: InstanceManifest,
         context: StartContext<'_>,
         listeners: &mut FrontendListeners,
+    ) -> Result<InstanceHandle, StartError> {
+        let listeners = listeners.open(&manifest)?;
+        InstanceHandle::start_thread(manifest, context, listeners)
+    }
+
+    /// Starts the thread of an instance that is removed, without listeners. It ends once all of its messages have ended.
+    ///
+    /// # Errors
+    /// The thread cannot be started.
+    pub fn start_removed(
+        manifest: InstanceManifest,
+        context: StartContext<'_>,
+    ) -> Result<InstanceHandle, StartError> {
+        let no_listeners = InstanceListeners::default();
+        let mut instance = InstanceHandle::start_thread(manifest, context, no_listeners)?;
+        instance.remove();
+        Ok(instance)
+    }
+
+    fn start_thread(
+        manifest: InstanceManifest,
+        context: StartContext<'_>,
+        listeners: InstanceListeners,
     ) -> Result<InstanceHandle, StartError> {
         let mut classes = ClassTable::default();
         classes.update(&manifest);
@@ -77,7 +111,7 @@
             directory: context.directory,
         };
         let folder = context.home.join(INSTANCES_FOLDER).join(&manifest.name);
-        let config = builder.config(folder, lease, listeners.open(&manifest)?);
+        let config = builder.config(folder, lease, listeners);
         let (commands, received) = async_channel::unbounded();
         let name = manifest.name.clone();
         let thread = thread::Builder::new()
@@ -89,7 +123,7 @@
             classes,
             commands,
             thread,
-            shutting_down: false,
+            lifecycle: Lifecycle::Running,
         })
     }
 
@@ -103,9 +137,19 @@
         self.revision
     }
 
-    /// Returns whether a shutdown command was sent to the instance.
+    /// Returns whether the instance serves clients.
+    pub fn is_running(&self) -> bool {
+        self.lifecycle == Lifecycle::Running
+    }
+
+    /// Returns whether the instance is removed, and ends once its messages have ended.
+    pub fn is_removed(&self) -> bool {
+        self.lifecycle == Lifecycle::Removed
+    }
+
+    /// Returns whether the instance ends within a time-out.
     pub fn is_shutting_down(&self) -> bool {
-        self.shutting_down
+        self.lifecycle == Lifecycle::ShuttingDown
     }
 
     /// Returns whether the instance's thread has ended, by a return or a panic.
@@ -113,10 +157,11 @@
         self.thread.is_finished()
     }
 
-    /// Joins the instance's thread. Call this only once [`InstanceHandle::has_ended`] returns true: otherwise it blocks.
-    pub fn join(self) {
+    /// Joins the instance's thread, and returns whether it ended without a panic. Call this only once
+    /// [`InstanceHandle::has_ended`] returns true: otherwise it blocks.
+    pub fn join(self) -> bool {
         // A panic was already printed by the panic hook. The other instances continue.
-        let _ = self.thread.join();
+        self.thread.join().is_ok()
     }
 
     /// Sends a command to the instance. The command is lost if the instance has ended.
@@ -130,7 +175,16 @@
             timeout,
             reason: ShutdownReason::Stop,
         });
-        self.shutting_down = true;
+        self.lifecycle = Lifecycle::ShuttingDown;
+    }
+
+    /// Removes the instance. It accepts nothing more, and ends once all of its messages have ended.
+    pub fn remove(&mut self) {
+        self.send(InstanceCommand::Shutdown {
+            timeout: REMOVAL_TIMEOUT,
+            reason: ShutdownReason::Removal,
+        });
+        self.lifecycle = Lifecycle::Removed;
     }
 
     /// Shuts the instance down within `timeout` for a restart. It starts no further attempts.
@@ -139,7 +193,7 @@
             timeout,
             reason: ShutdownReason::Restart,
         });
-        self.shutting_down = true;
+        self.lifecycle = Lifecycle::ShuttingDown;
     }
 
     /// Updates the policy of the running instance.
--- a/crates/control-plane/src/supervisor/instance_set.rs
+++ b/crates/control-plane/src/supervisor/instance_set.rs
@@ -6,10 +6,12 @@
 use super::listeners::{FrontendListeners, ListenerKey};
 use super::policy_check;
 use crate::manifest::Manifest;
+use crate::removed_instances;
 use marblefall_coordination::message::PolicyVerdict;
 use marblefall_delivery::instance::{InstanceCommand, SHUTDOWN_TIMEOUT};
 use marblefall_delivery::log_line;
 use std::collections::{BTreeMap, BTreeSet};
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 /// Delay before an instance that failed, or could not be started, is started again.
@@ -62,6 +64,11 @@
             if instance.is_shutting_down() {
                 continue;
             }
+            if instance.is_removed() {
+                // Its messages must not be sent to endpoints that are no longer listed.
+                instance.replace_destinations(&applied.directory);
+                continue;
+            }
             let revision_changed = is_in_group && instance.revision() != applied.revision;
             let manifest = applied.manifest.instance_manifest(name);
             let changed = manifest.filter(|manifest| {
@@ -79,7 +86,7 @@
     }
 
     /// Removes instances that have ended. Those that were not shut down are started again after a backoff.
-    pub fn reap(&mut self) {
+    pub fn reap(&mut self, home: &Path) {
         let ended: Vec<String> = self
             .instances
             .iter()
@@ -90,11 +97,42 @@
             let Some(instance) = self.instances.remove(&name) else {
                 continue;
             };
-            if !instance.is_shutting_down() {
+            if instance.is_running() {
                 log_line!("{name}: ended unexpectedly, restarting");
                 self.back_off(&name);
             }
-            instance.join();
+            let is_removed = instance.is_removed();
+            let ended_regularly = instance.join();
+            if is_removed && ended_regularly {
+                log_line!(code = "instance-removed", "{name}: its removal is complete");
+                forget_removed(home, &name);
+            }
+        }
+    }
+
+    /// Starts the instances that were removed, and did not end all of their messages before the supervisor started.
+    pub fn start_removed(&mut self, desired: &DesiredState) {
+        for stored in removed_instances::read_all(&desired.home) {
+            let manifest = match stored {
+                Ok(manifest) => manifest,
+                Err(error) => {
+                    log_line!(
+                        code = "removed-instance-unreadable",
+                        "the messages of a removed instance are not resumed: {error}"
+                    );
+                    continue;
+                }
+            };
+            let instances = &desired.applied.manifest.instances;
+            if instances.contains_key(&manifest.name) || desired.group_member.is_some() {
+                continue;
+            }
+            let name = manifest.name.clone();
+            log_line!("{name}: no longer declared, resumes the messages that it has accepted");
+            match InstanceHandle::start_removed(manifest, start_context(desired)) {
+                Ok(instance) => drop(self.instances.insert(name, instance)),
+                Err(error) => log_line!("{name}: cannot be started: {error}"),
+            }
         }
     }
 
@@ -112,12 +150,25 @@
                 continue;
             }
             let manifest = desired.applied.manifest.instance_manifest(name);
+            let is_declared = manifest.is_some();
             match manifest.filter(|_| desired.runs_here(name)) {
+                Some(_) if instance.is_removed() => {
+                    log_line!("{name}: declared again, restarting");
+                    instance.shut_down_for_restart(RESTART_TIMEOUT);
+                }
                 Some(manifest) if manifest == *instance.manifest() => {}
                 Some(_) => {
                     log_line!("{name}: applies a change by a restart");
                     instance.shut_down_for_restart(RESTART_TIMEOUT);
                 }
+                None if instance.is_removed() => {}
+                // In a group, an instance acts only under the policy in force, which no longer has it.
+                None if !is_declared && desired.group_member.is_none() => {
+                    log_line!(
+                        "{name}: no longer declared, delivers the messages that it has accepted"
+                    );
+                    instance.remove();
+                }
                 None => {
                     log_line!("{name}: no longer declared here, shutting down");
                     instance.shut_down(SHUTDOWN_TIMEOUT);
@@ -154,14 +205,10 @@
         let Some(manifest) = desired.applied.manifest.instance_manifest(name) else {
             return;
         };
-        let context = StartContext {
-            home: &desired.home,
-            directory: &desired.applied.directory,
-            lease_guard: desired.group_member.as_ref().map(GroupMember::lease_guard),
-            revision: desired.applied.revision,
-        };
-        match InstanceHandle::start(manifest, context, &mut self.listeners) {
+        match InstanceHandle::start(manifest, start_context(desired), &mut self.listeners) {
             Ok(instance) => {
+                // An instance of this name may have been removed before. This one continues its messages.
+                forget_removed(&desired.home, name);
                 self.instances.insert(name.to_owned(), instance);
             }
             Err(error) => {
@@ -176,3 +223,18 @@
         self.restart_at.insert(name.to_owned(), restart_at);
     }
 }
+
+fn start_context(desired: &DesiredState) -> StartContext<'_> {
+    StartContext {
+        home: &desired.home,
+        directory: &desired.applied.directory,
+        lease_guard: desired.group_member.as_ref().map(GroupMember::lease_guard),
+        revision: desired.applied.revision,
+    }
+}
+
+fn forget_removed(home: &Path, name: &str) {
+    if let Err(error) = removed_instances::forget(home, name) {
+        log_line!("{name}: the file of its removal cannot be deleted: {error}");
+    }
+}
--- a/crates/delivery/src/core/engine.rs
+++ b/crates/delivery/src/core/engine.rs
@@ -76,6 +76,8 @@
     backlog: Vec<scheduler::Event>,
     /// The latest time at which the process ends; absent until a shutdown or a handover is requested.
     shutdown_at: Option<scheduler::Time>,
+    /// Whether the instance is removed, so that it accepts no message any more.
+    stops_accepting: bool,
     /// Whether the shutdown is too close to start another attempt.
     attempts_stopped: bool,
     role: Role,
@@ -164,6 +166,7 @@
             timers: BTreeSet::new(),
             backlog: Vec::new(),
             shutdown_at: None,
+            stops_accepting: false,
             attempts_stopped: false,
             role: Role::Standby,
             postponed_events: PostponedEvents::default(),
@@ -201,6 +204,12 @@
         }
     }
 
+    /// Returns whether the platform has not acknowledged the notices of some final outcomes.
+    pub fn has_pending_notices(&self) -> bool {
+        let mut records = self.store.messages().values();
+        records.any(|record| record.has_pending_notice())
+    }
+
     /// Returns whether another step is due immediately, because the scheduler has not handled all its events yet.
     pub fn has_backlog(&self) -> bool {
         self.lease == LeaseState::Held && !self.backlog.is_empty()
@@ -275,6 +284,7 @@
                 self.remove_message(batch.now, id, batch.commands)
             }
             EngineEvent::Shutdown { deadline } => self.prepare_shutdown(deadline),
+            EngineEvent::StopAccepting => self.stops_accepting = true,
             EngineEvent::CheckPolicy(proposed, result_sender) => {
                 // The receiver may have been dropped.
                 let _ = result_sender.try_send(self.check_policy(&proposed));
--- a/crates/delivery/src/core/engine/acceptance.rs
+++ b/crates/delivery/src/core/engine/acceptance.rs
@@ -94,8 +94,9 @@
     fn reject_reason(&self, message: &Message, batch: &Batch<'_>) -> Option<RejectReason> {
         let is_full = self.role != Role::HandedOver
             && self.store.open_count() + batch.submissions.len() >= self.policy.max_open;
-        let is_shutting_down = self.role == Role::Active
-            && self.ends_within(batch.now, ACCEPTANCE_CUTOFF_BEFORE_SHUTDOWN);
+        let is_shutting_down = self.stops_accepting
+            || self.role == Role::Active
+                && self.ends_within(batch.now, ACCEPTANCE_CUTOFF_BEFORE_SHUTDOWN);
         if !self.is_known_destination(message.destination) {
             Some(RejectReason::UnknownDestination)
         } else if is_shutting_down {
--- a/crates/delivery/src/core/engine/event.rs
+++ b/crates/delivery/src/core/engine/event.rs
@@ -58,6 +58,8 @@
         /// The latest time at which the process ends.
         deadline: scheduler::Time,
     },
+    /// The instance is removed: it accepts no further message, and delivers those that it has accepted.
+    StopAccepting,
     /// This incarnation shuts down, and a successor takes over, either while this one still runs or afterwards.
     HandOver {
         /// The latest time at which the process ends.
--- a/crates/delivery/src/instance/assembly.rs
+++ b/crates/delivery/src/instance/assembly.rs
@@ -267,6 +267,8 @@
             clock: self.clock,
             tasks: self.tasks.clone(),
             deadline: Cell::new(None),
+            is_removal: Cell::new(false),
+            settled_at: Cell::new(None),
         }
     }
 
--- a/crates/delivery/src/instance/assembly/frontends.rs
+++ b/crates/delivery/src/instance/assembly/frontends.rs
@@ -68,11 +68,14 @@
             self.tasks
                 .spawn(watch_endpoints(discovery, watch, schedule, engine));
         }
-        listen(&config.listener)?;
-        self.prefer_over_predecessors(&config.listener);
-        let listener = open_listener(config.listener)?;
         let frontend = Rc::new(SwappableFrontend::new(config.frontend));
         self.platform = Some(frontend.clone());
+        let Some(listener) = config.listener else {
+            return Ok(());
+        };
+        listen(&listener)?;
+        self.prefer_over_predecessors(&listener);
+        let listener = open_listener(listener)?;
         log_line!("listens at {}", address_of(listener.get_ref()));
         self.serve(listener, frontend, PLATFORM_READ_TIMEOUT);
         Ok(())
@@ -110,8 +113,11 @@
 
     fn start_cloudevents(&self, config: CloudEventsFrontendConfig) -> Result<(), InstanceError> {
         self.cloudevents.set(config.frontend);
-        listen(&config.listener)?;
-        let listener = open_listener(config.listener)?;
+        let Some(listener) = config.listener else {
+            return Ok(());
+        };
+        listen(&listener)?;
+        let listener = open_listener(listener)?;
         log_line!("takes events at {}", address_of(listener.get_ref()));
         self.serve(listener, self.cloudevents.clone(), CLOUDEVENTS_READ_TIMEOUT);
         Ok(())
--- a/crates/delivery/src/instance/command.rs
+++ b/crates/delivery/src/instance/command.rs
@@ -49,6 +49,9 @@
     Stop,
     /// Another incarnation is started once this one has ended. No further attempt is started.
     Restart,
+    /// The instance is removed, and no other incarnation follows. It accepts no message, and ends once every message that it
+    /// has accepted has its final outcome and the platform has acknowledged the notices.
+    Removal,
 }
 
 /// Handles the commands to a running instance.
@@ -134,13 +137,14 @@
     }
 
     async fn shut_down(&self, timeout: Duration, reason: ShutdownReason) {
-        if self.shutdown.has_begun() {
+        if self.shutdown.has_begun() && !self.shutdown.is_removal() {
             return;
         }
         log_line!("shutdown requested");
         let successor = match reason {
             ShutdownReason::Stop => Successor::None,
             ShutdownReason::Restart => Successor::Restart,
+            ShutdownReason::Removal => Successor::Never,
         };
         let event = self.shutdown.begin(timeout, successor);
         self.clients.send(event).await;
--- a/crates/delivery/src/instance/config.rs
+++ b/crates/delivery/src/instance/config.rs
@@ -72,8 +72,8 @@
 
 /// The configuration of an instance's platform frontend.
 pub struct PlatformFrontendConfig {
-    /// The listener for clients.
-    pub listener: TcpListener,
+    /// The listener for clients; `None` for an instance that is removed and only sends notices.
+    pub listener: Option<TcpListener>,
     /// The frontend that parses clients' requests.
     pub frontend: PlatformFrontend,
     /// The address of discovery, which also receives notices of final outcomes.
@@ -84,8 +84,8 @@
 
 /// The configuration of an instance's CloudEvents frontend.
 pub struct CloudEventsFrontendConfig {
-    /// The listener for clients.
-    pub listener: TcpListener,
+    /// The listener for clients; `None` for an instance that is removed.
+    pub listener: Option<TcpListener>,
     /// The frontend that parses clients' requests.
     pub frontend: CloudEventsFrontend,
 }
--- a/crates/delivery/src/instance/platform.rs
+++ b/crates/delivery/src/instance/platform.rs
@@ -90,7 +90,7 @@
     };
     let admin_listener = bind_admin(config.admin_listen.as_deref())?;
     let platform = PlatformFrontendConfig {
-        listener: bind_clients(listen)?,
+        listener: Some(bind_clients(listen)?),
         frontend,
         discovery,
         watch: Some(watch),
--- a/crates/delivery/src/instance/shutdown.rs
+++ b/crates/delivery/src/instance/shutdown.rs
@@ -32,6 +32,9 @@
 const SUCCESSOR_MIN_IDLE_TIME: Duration = Duration::from_millis(400);
 /// With a running successor, all remaining idle connections are closed after this time.
 const SUCCESSOR_CLOSE_ALL_AFTER: Duration = Duration::from_millis(3100);
+/// Time for which an instance that is removed waits for acknowledgements of its notices once all messages have their final
+/// outcomes.
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time before its end at which a process closes its listeners. Until then it serves the connections in the operating
 /// system's queue, as the end of the process would reset them.
 const STOP_ACCEPTING_BEFORE_END: Duration = Duration::from_millis(400);
@@ -41,6 +44,8 @@
 pub(super) enum Successor {
     /// No successor is known.
     None,
+    /// No incarnation follows, as the instance is removed.
+    Never,
     /// An incarnation that is started once this one has ended.
     Restart,
     /// An incarnation that is running.
@@ -54,10 +59,15 @@
     /// Returns whether the successor delivers the messages that are still open.
     fn takes_over(self) -> bool {
         match self {
-            Successor::None => false,
+            Successor::None | Successor::Never => false,
             Successor::Restart | Successor::Running | Successor::ActivePredecessor => true,
         }
     }
+
+    /// Returns whether clients may still connect to this incarnation for a while.
+    fn leaves_clients_here(self) -> bool {
+        self == Successor::None
+    }
 }
 
 /// The shutdown of one instance.
@@ -68,6 +78,10 @@
     pub(super) tasks: Spawner,
     /// Latest time at which the instance ends; `None` until the shutdown begins.
     pub(super) deadline: Cell<Option<Instant>>,
+    /// Whether the instance shuts down because it is removed.
+    pub(super) is_removal: Cell<bool>,
+    /// Time at which an instance that is removed was first found without an open message.
+    pub(super) settled_at: Cell<Option<Instant>>,
 }
 
 impl Shutdown {
@@ -75,6 +89,11 @@
         self.deadline.get().is_some()
     }
 
+    /// Returns whether the instance shuts down because it is removed. Another shutdown may then replace this one.
+    pub(super) fn is_removal(&self) -> bool {
+        self.is_removal.get()
+    }
+
     /// Begins the shutdown, which takes at most `timeout`, and returns the event for the engine. If another incarnation is
     /// running, it replaces the given successor.
     pub(super) fn begin(&self, timeout: Duration, successor: Successor) -> EngineEvent {
@@ -89,12 +108,13 @@
             successor
         };
         self.deadline.set(Some(now + timeout));
-        if successor.takes_over() {
-            // The successor serves new connections from now on.
+        self.is_removal.set(successor == Successor::Never);
+        if successor.leaves_clients_here() {
+            self.clients.begin_closing(now + CLOSE_IDLE_AFTER);
+        } else {
+            // Another incarnation, or none, serves new connections from now on.
             self.clients.begin_closing(now);
             self.clients.stop_accepting();
-        } else {
-            self.clients.begin_closing(now + CLOSE_IDLE_AFTER);
         }
         let closing = ClientClosing {
             clients: self.clients.clone(),
@@ -117,7 +137,9 @@
 
     fn engine_event(&self, timeout: Duration, successor: Successor) -> EngineEvent {
         let deadline = self.clock.now().monotonic + Span(timeout.as_micros() as i64);
-        if successor.takes_over() {
+        if successor == Successor::Never {
+            EngineEvent::StopAccepting
+        } else if successor.takes_over() {
             EngineEvent::HandOver { deadline }
         } else {
             EngineEvent::Shutdown { deadline }
@@ -137,7 +159,8 @@
         let is_idle = load.in_flight == 0
             && (load.open_messages == 0 || engine.has_handed_over())
             && !engine.has_unwritten_reports()
-            && self.clients.connections() == 0;
+            && self.clients.connections() == 0
+            && !(self.is_removal() && self.awaits_acknowledgements(engine, now));
         // Clients may connect until they are notified of the shutdown.
         let is_done = is_idle
             && self
@@ -151,6 +174,18 @@
     }
 }
 
+impl Shutdown {
+    /// Returns whether an instance that is removed still waits for acknowledgements of its notices. The platform may be gone
+    /// as well, so it does not wait forever.
+    fn awaits_acknowledgements(&self, engine: &Engine, now: Instant) -> bool {
+        let settled_at = self.settled_at.get().unwrap_or(now);
+        if engine.load().open_messages == 0 {
+            self.settled_at.set(Some(settled_at));
+        }
+        engine.has_pending_notices() && now < settled_at + ACKNOWLEDGEMENT_TIMEOUT
+    }
+}
+
 /// Closes the connections of clients during a shutdown.
 struct ClientClosing {
     clients: Rc<ClientConnections>,
@@ -167,9 +202,10 @@
                 SUCCESSOR_MIN_IDLE_TIME,
                 self.begun_at + SUCCESSOR_CLOSE_ALL_AFTER,
             ),
-            Successor::None | Successor::Restart | Successor::ActivePredecessor => {
-                (MIN_IDLE_TIME, self.begun_at + self.timeout)
-            }
+            Successor::None
+            | Successor::Never
+            | Successor::Restart
+            | Successor::ActivePredecessor => (MIN_IDLE_TIME, self.begun_at + self.timeout),
         };
         let stop_accepting_at = end
             .checked_sub(STOP_ACCEPTING_BEFORE_END)
@@ -194,7 +230,7 @@
                 Timer::at(self.begun_at + CLOSE_IDLE_AFTER).await;
                 self.clients.close_idle();
             }
-            Successor::Restart | Successor::ActivePredecessor => {}
+            Successor::Never | Successor::Restart | Successor::ActivePredecessor => {}
         }
     }
 }
--- a/crates/delivery/src/instance/state_folder.rs
+++ b/crates/delivery/src/instance/state_folder.rs
@@ -4,7 +4,7 @@
 //! instead. Meanwhile it accepts no messages, and can be shut down.
 
 use super::admin::read_disabled;
-use super::{InstanceCommand, InstanceError, StateFolder};
+use super::{InstanceCommand, InstanceError, ShutdownReason, StateFolder};
 use crate::clock::SteadyClock;
 use crate::core::message_store::MessageStore;
 use crate::hot_restart::driver::{self, RunningPredecessors};
@@ -117,10 +117,18 @@
         }
     }
 
-    /// Returns whether a command to shut down was received. Queues other commands.
+    /// Returns whether a command to shut down was received. Queues other commands. An instance that is removed must claim its
+    /// folder, as it delivers the messages in it.
     fn is_shut_down(&mut self) -> bool {
         while let Ok(command) = self.commands.try_recv() {
-            if matches!(command, InstanceCommand::Shutdown { .. }) {
+            let ends_at_once = matches!(
+                command,
+                InstanceCommand::Shutdown {
+                    reason: ShutdownReason::Stop | ShutdownReason::Restart,
+                    ..
+                }
+            );
+            if ends_at_once {
                 return true;
             }
             self.early_commands.push(command);
