Report the exit of a predecessor also if another process found it first

Callers' messages got neither call nor notice where a process was replaced again before its predecessor had ended.

Cause: a process that has handed over removes the lock file of an exited predecessor (Incarnation::release_exited); the active one reported only exits whose lock it took itself (StandbyDriver::report_exited), so attempts without a result stayed in flight. Evidence: the test plays that order of polls. Change: a followed incarnation that is not running any more has exited.

exit_that_another_incarnation_has_found_first_is_reported failed before (no exit within 5 s) and passes. Not run with real processes.

--- a/crates/delivery/src/hot_restart/driver.rs
+++ b/crates/delivery/src/hot_restart/driver.rs
@@ -118,7 +118,7 @@
                     continue;
                 }
             };
-            self.report_exited(&mut followed);
+            self.report_exited(&predecessors, &mut followed);
             let view = summarize(&predecessors);
             if self.instance.is_shutting_down() && view.active > 0 {
                 // The active incarnation remains active, and adopts the messages of this one.
@@ -143,12 +143,17 @@
         }
     }
 
-    fn report_exited(&self, followed: &mut BTreeSet<Generation>) {
-        let incarnation = self.incarnation.borrow();
+    /// Reports the followed incarnations that are no longer running. Another incarnation may have found their end first, and
+    /// removed their lock files.
+    fn report_exited(&self, running: &[Predecessor], followed: &mut BTreeSet<Generation>) {
+        let is_running = |generation: &Generation| {
+            let mut running = running.iter();
+            running.any(|predecessor| predecessor.generation == *generation)
+        };
         let exited: Vec<_> = followed
             .iter()
             .copied()
-            .filter(|generation| incarnation.has_exited(*generation))
+            .filter(|generation| !is_running(generation))
             .collect();
         for generation in exited {
             followed.remove(&generation);
@@ -289,3 +294,6 @@
         ),
     }
 }
+
+#[cfg(test)]
+mod tests;
