Apply a predecessor's report also to a later copy of its message

Callers' delivered message was sent again, or failed, where the successor had copied it by compaction with its attempt in flight and was killed before it had read the report. Cause: the copy is in a later segment than the report, so that a replay overwrote the reported state. Ruled out: the removals that are copied forward, as the message was not removed.

Change: after a replay, MessageStore::apply_superseded_reports applies a report whose attempt, by its number, is still in flight, and journals the result. report_holds_for_a_message_that_was_copied_before_it failed before (sent again) and passes.

--- a/crates/delivery/src/core/journal_record.rs
+++ b/crates/delivery/src/core/journal_record.rs
@@ -8,7 +8,7 @@
 mod report;
 mod route;
 
-pub use report::AttemptReport;
+pub use report::{AttemptReport, ReportConclusion};
 pub use route::{BackoffRecord, RouteRecord};
 
 use super::message_record::{AttemptRecord, Execution, MessageRecord, NoticeState};
--- a/crates/delivery/src/core/journal_record/report.rs
+++ b/crates/delivery/src/core/journal_record/report.rs
@@ -17,6 +17,32 @@
     pub retain_until_ms: i64,
 }
 
+/// The effect of a report on its message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportConclusion {
+    /// The message waits for its next attempt or its final outcome.
+    Open,
+    /// The message is delivered or complete, and its record is not needed any more.
+    Removed,
+    /// The message is delivered, and its record is retained.
+    Delivered,
+}
+
+impl AttemptReport {
+    /// Returns the effect of this report on its message.
+    pub(in crate::core) fn conclusion(&self, record: &MessageRecord) -> ReportConclusion {
+        let is_delivered = self.result.outcome == Outcome::Delivered;
+        let is_complete = is_delivered || self.result.disposition == Disposition::Complete;
+        if is_complete && record.message.origin == Origin::Platform {
+            ReportConclusion::Removed
+        } else if is_delivered {
+            ReportConclusion::Delivered
+        } else {
+            ReportConclusion::Open
+        }
+    }
+}
+
 /// Outcomes in the order of their numbers in the journal.
 const OUTCOMES: [Outcome; 9] = [
     Outcome::Delivered,
@@ -48,20 +74,17 @@
     let Some(record) = messages.get_mut(&id) else {
         return;
     };
-    let result = &report.result;
-    if !record.finish_attempt(Execution::after(result.outcome)) {
+    if !record.finish_attempt(Execution::after(report.result.outcome)) {
         return;
     }
-    let is_delivered = result.outcome == Outcome::Delivered;
-    let is_complete = is_delivered || result.disposition == Disposition::Complete;
-    if is_complete && record.message.origin == Origin::Platform {
-        messages.remove(&id);
-    } else if is_delivered {
-        record.finish(
+    match report.conclusion(record) {
+        ReportConclusion::Open => {}
+        ReportConclusion::Removed => drop(messages.remove(&id)),
+        ReportConclusion::Delivered => record.finish(
             FinalOutcome::Delivered,
             NoticeState::NotRequired,
             report.retain_until_ms,
-        );
+        ),
     }
 }
 
--- a/crates/delivery/src/core/message_store/takeover.rs
+++ b/crates/delivery/src/core/message_store/takeover.rs
@@ -2,9 +2,9 @@
 
 use super::{MessageStore, RESERVED_BYTES, SEGMENT_BYTES};
 use crate::core::journal::{Generation, Journal, Tail};
-use crate::core::journal_record::{JournalRecord, RouteRecord};
-use crate::core::message_record::Execution;
-use crate::core::MessageId;
+use crate::core::journal_record::{AttemptReport, JournalRecord, ReportConclusion, RouteRecord};
+use crate::core::message_record::{Execution, NoticeState};
+use crate::core::{FinalOutcome, MessageId};
 use crate::system_error::is_transient;
 use marblefall_scheduler::DestinationId;
 use std::collections::{BTreeMap, BTreeSet};
@@ -40,6 +40,8 @@
     segments: BTreeMap<MessageId, u64>,
     /// Messages with a full record in each segment.
     full_records: BTreeMap<u64, BTreeSet<MessageId>>,
+    /// The last report on an attempt of each message.
+    reports: BTreeMap<MessageId, AttemptReport>,
 }
 
 impl MessageStore {
@@ -129,12 +131,40 @@
         for &id in &recovered_ids {
             self.index(id);
         }
+        self.apply_superseded_reports(replayed.reports);
         let in_flight = self.resolve_in_flight(recovered_ids, has_running_predecessors);
         self.rejournal_backoffs(replayed.backoffs);
         let routes = replayed.routes;
         replay_result.map(|()| Recovered { routes, in_flight })
     }
 
+    /// Applies reports on attempts that are still in flight according to the replay. The full record of a message may have
+    /// been copied to a later segment than that of the report before the report was handled, and then replaces the
+    /// reported state.
+    fn apply_superseded_reports(&mut self, reports: BTreeMap<MessageId, AttemptReport>) {
+        for (id, report) in reports {
+            let result = &report.result;
+            let is_superseded = self.messages.get(&id).is_some_and(|record| {
+                record.in_flight().is_some() && record.attempts == result.attempt + 1
+            });
+            if !is_superseded {
+                continue;
+            }
+            // Errors are ignored: the result is in force, and records that are not journalled are written again.
+            let _ = self.attempt_finished(id, Execution::after(result.outcome));
+            match report.conclusion(&self.messages[&id]) {
+                ReportConclusion::Open => {}
+                ReportConclusion::Removed => drop(self.remove(id)),
+                ReportConclusion::Delivered => drop(self.finish(
+                    id,
+                    FinalOutcome::Delivered,
+                    NoticeState::NotRequired,
+                    report.retain_until_ms,
+                )),
+            }
+        }
+    }
+
     /// Remembers the full records in replayed segments that have not been adopted.
     fn remember_followed_records(&mut self, mut full_records: BTreeMap<u64, BTreeSet<MessageId>>) {
         full_records.retain(|segment, _| !self.journal.has_adopted(*segment));
@@ -194,6 +224,10 @@
                         replayed.full_records.entry(segment).or_default().insert(id);
                         record.apply(id, messages);
                     }
+                    JournalRecord::AttemptReported(report) => {
+                        replayed.reports.insert(id, *report);
+                        JournalRecord::AttemptReported(report).apply(id, messages);
+                    }
                     record => record.apply(id, messages),
                 }
             })
@@ -208,7 +242,11 @@
     ) -> Vec<MessageId> {
         let mut in_flight = Vec::new();
         for id in recovered_ids {
-            if self.messages[&id].in_flight().is_none() {
+            let is_in_flight = self
+                .messages
+                .get(&id)
+                .is_some_and(|record| record.in_flight().is_some());
+            if !is_in_flight {
                 continue;
             }
             if has_running_predecessors {
--- a/crates/delivery/tests/compaction.rs
+++ b/crates/delivery/tests/compaction.rs
@@ -133,3 +133,31 @@
         let _ = fs::remove_dir_all(&folder);
     }
 }
+
+/// Guards against repeated deliveries: the successor copied a message whose attempt was in flight at the predecessor, and was
+/// killed before it had read the predecessor's report. The copy is later in the journal than the report.
+#[test]
+fn report_holds_for_a_message_that_was_copied_before_it() {
+    let folder = temporary_folder("compaction-report");
+    let (mut predecessor, _) = TestIncarnation::start_alone(&folder, 0);
+    let submitted = predecessor.submit(5, "done", IDEMPOTENT_CLASS);
+    let mut successor = TestIncarnation::standby(&folder, 10);
+    predecessor.hand_over(20);
+    successor.take_over(40, &[predecessor.generation], predecessor.generation);
+    let ms = compact_journal(&mut successor, 70);
+    predecessor.step(ms, finish_attempts(&submitted, Outcome::Delivered));
+    drop((successor, predecessor));
+    // The next process is killed as well, once it has removed the older segments.
+    let (mut next, mut commands) = TestIncarnation::start_alone(&folder, ms + 10);
+    compact_journal(&mut next, ms + 20);
+    drop(next);
+    let ms = ms + 15_000;
+    let (mut last, more) = TestIncarnation::start_alone(&folder, ms);
+    commands.extend(more);
+    for after in 1..100 {
+        commands.extend(last.step(ms + after * 10, vec![]));
+    }
+    assert_eq!(started_attempts(&commands), []);
+    assert_eq!(notice_outcomes(&commands), []);
+    let _ = fs::remove_dir_all(&folder);
+}
