Return waiting events at once when an instance restarts for a setting

Callers' events with 5 s to deliver were answered after 8.6 s: a change of idle_ms restarted their instance.

Cause: a restart handed over to a successor that does not run yet, so nothing was scheduled, while the connections of waiting clients kept the instance from ending until its time-out. Ruled out: attempts in flight, which had ended long before.

Change: EngineEvent::Restart.

restart_for_a_setting_answers_waiting_events_at_once failed before (500 for 503) and passes; restart_returns_waiting_events_at_once_and_finishes_attempts is new. Open: a destination that answers nothing holds up the restart for 8 s at most.

--- a/crates/cli/tests/event_restart.rs
+++ b/crates/cli/tests/event_restart.rs
@@ -72,3 +72,37 @@
     assert_eq!(event_status(address, "new", "payment", "a", ""), 204);
     assert_eq!(endpoint.request_count(), called + 1);
 }
+
+/// Guards against late answers: events that waited while an instance restarted for a setting got no answer for 8 s.
+#[test]
+fn restart_for_a_setting_answers_waiting_events_at_once() {
+    let open = Arc::new(AtomicBool::new(false));
+    let endpoint = start_server_silent_until(&open);
+    let folder = new_folder("setting-restart");
+    let manifest = payment_manifest(endpoint.address);
+    apply(&folder, &manifest);
+    let program = start_daemon(&folder);
+    let address = program.address(EVENTS_MARKER, 0);
+    let (sender, statuses) = std::sync::mpsc::channel();
+    for client in 0..CLIENTS {
+        let sender = sender.clone();
+        thread::spawn(move || {
+            let status = event_status(address, &format!("e{client}"), "payment", "a", "");
+            sender.send(status).unwrap();
+        });
+    }
+    program.wait_for_counter(&format!("taken_on={CLIENTS} "));
+    wait_for("calls", || endpoint.request_count() > 0);
+    apply(&folder, &manifest.replace("slots", "idle_ms = 4000\nslots"));
+    let called = endpoint.request_count();
+    // The calls have no response until all events that wait are answered, nor after that.
+    for _ in called..CLIENTS {
+        assert_eq!(statuses.recv_timeout(WAIT_LIMIT), Ok(503));
+    }
+    open.store(true, Ordering::SeqCst);
+    for _ in 0..called {
+        assert_eq!(statuses.recv_timeout(WAIT_LIMIT), Ok(502));
+    }
+    assert_eq!(event_status(address, "new", "payment", "a", ""), 204);
+    assert_eq!(endpoint.request_count(), called + 1);
+}
--- a/crates/delivery/src/core/engine.rs
+++ b/crates/delivery/src/core/engine.rs
@@ -284,6 +284,7 @@
                 self.remove_message(batch.now, id, batch.commands)
             }
             EngineEvent::Shutdown { deadline } => self.prepare_shutdown(deadline),
+            EngineEvent::Restart { deadline } => self.prepare_restart(deadline),
             EngineEvent::StopAccepting => self.stops_accepting = true,
             EngineEvent::CheckPolicy(proposed, result_sender) => {
                 // The receiver may have been dropped.
--- a/crates/delivery/src/core/engine/acceptance.rs
+++ b/crates/delivery/src/core/engine/acceptance.rs
@@ -95,6 +95,7 @@
         let is_full = self.role != Role::HandedOver
             && self.store.open_count() + batch.submissions.len() >= self.policy.max_open;
         let is_shutting_down = self.stops_accepting
+            || self.attempts_stopped
             || self.role == Role::Active
                 && self.ends_within(batch.now, ACCEPTANCE_CUTOFF_BEFORE_SHUTDOWN);
         if !self.is_known_destination(message.destination) {
--- a/crates/delivery/src/core/engine/event.rs
+++ b/crates/delivery/src/core/engine/event.rs
@@ -58,9 +58,14 @@
         /// The latest time at which the process ends.
         deadline: scheduler::Time,
     },
+    /// This incarnation shuts down, and another one is started once it has ended. No further attempt is started.
+    Restart {
+        /// The latest time at which this incarnation ends.
+        deadline: scheduler::Time,
+    },
     /// The instance is removed: it accepts no further message, and delivers those that it has accepted.
     StopAccepting,
-    /// This incarnation shuts down, and a successor takes over, either while this one still runs or afterwards.
+    /// This incarnation shuts down, and a successor that runs already takes over.
     HandOver {
         /// The latest time at which the process ends.
         deadline: scheduler::Time,
--- a/crates/delivery/src/core/engine/passive.rs
+++ b/crates/delivery/src/core/engine/passive.rs
@@ -41,7 +41,9 @@
                 self.report_attempt(batch.now, &result, batch.commands);
             }
             EngineEvent::ClientGone(request) => self.remove_waiting_client(request),
-            EngineEvent::Shutdown { deadline } => self.shutdown_at = Some(deadline),
+            EngineEvent::Shutdown { deadline } | EngineEvent::Restart { deadline } => {
+                self.shutdown_at = Some(deadline);
+            }
             _ => {}
         }
     }
--- a/crates/delivery/src/core/engine/shutdown.rs
+++ b/crates/delivery/src/core/engine/shutdown.rs
@@ -25,6 +25,18 @@
         self.schedule_step_at_attempt_cutoff(deadline);
     }
 
+    /// Records the latest time at which this incarnation ends for a restart, and starts no further attempt.
+    pub(super) fn prepare_restart(&mut self, deadline: scheduler::Time) {
+        self.shutdown_at = Some(deadline);
+        self.attempts_stopped = true;
+    }
+
+    /// Returns whether a restart still waits for an attempt, or for the journal to accept an outcome. Other open messages
+    /// are continued by the next incarnation.
+    pub fn delays_restart(&self) -> bool {
+        self.in_flight > 0 || !self.unjournalled_outcomes.is_empty() || self.store.has_unwritten()
+    }
+
     /// Schedules a step at the time from which no attempt may be started any more.
     pub(super) fn schedule_step_at_attempt_cutoff(&mut self, shutdown_at: scheduler::Time) {
         self.timers.insert((
--- a/crates/delivery/src/instance/assembly.rs
+++ b/crates/delivery/src/instance/assembly.rs
@@ -267,7 +267,7 @@
             clock: self.clock,
             tasks: self.tasks.clone(),
             deadline: Cell::new(None),
-            is_removal: Cell::new(false),
+            successor: Cell::new(None),
             settled_at: Cell::new(None),
         }
     }
--- a/crates/delivery/src/instance/shutdown.rs
+++ b/crates/delivery/src/instance/shutdown.rs
@@ -56,14 +56,6 @@
 }
 
 impl Successor {
-    /// Returns whether the successor delivers the messages that are still open.
-    fn takes_over(self) -> bool {
-        match self {
-            Successor::None | Successor::Never => false,
-            Successor::Restart | Successor::Running | Successor::ActivePredecessor => true,
-        }
-    }
-
     /// Returns whether clients may still connect to this incarnation for a while.
     fn leaves_clients_here(self) -> bool {
         self == Successor::None
@@ -78,8 +70,8 @@
     pub(super) tasks: Spawner,
     /// Latest time at which the instance ends; `None` until the shutdown begins.
     pub(super) deadline: Cell<Option<Instant>>,
-    /// Whether the instance shuts down because it is removed.
-    pub(super) is_removal: Cell<bool>,
+    /// The successor of this incarnation; `None` until the shutdown begins.
+    pub(super) successor: Cell<Option<Successor>>,
     /// Time at which an instance that is removed was first found without an open message.
     pub(super) settled_at: Cell<Option<Instant>>,
 }
@@ -91,7 +83,7 @@
 
     /// Returns whether the instance shuts down because it is removed. Another shutdown may then replace this one.
     pub(super) fn is_removal(&self) -> bool {
-        self.is_removal.get()
+        self.successor.get() == Some(Successor::Never)
     }
 
     /// Begins the shutdown, which takes at most `timeout`, and returns the event for the engine. If another incarnation is
@@ -108,7 +100,7 @@
             successor
         };
         self.deadline.set(Some(now + timeout));
-        self.is_removal.set(successor == Successor::Never);
+        self.successor.set(Some(successor));
         if successor.leaves_clients_here() {
             self.clients.begin_closing(now + CLOSE_IDLE_AFTER);
         } else {
@@ -137,12 +129,11 @@
 
     fn engine_event(&self, timeout: Duration, successor: Successor) -> EngineEvent {
         let deadline = self.clock.now().monotonic + Span(timeout.as_micros() as i64);
-        if successor == Successor::Never {
-            EngineEvent::StopAccepting
-        } else if successor.takes_over() {
-            EngineEvent::HandOver { deadline }
-        } else {
-            EngineEvent::Shutdown { deadline }
+        match successor {
+            Successor::None => EngineEvent::Shutdown { deadline },
+            Successor::Never => EngineEvent::StopAccepting,
+            Successor::Restart => EngineEvent::Restart { deadline },
+            Successor::Running | Successor::ActivePredecessor => EngineEvent::HandOver { deadline },
         }
     }
 
@@ -154,10 +145,12 @@
         };
         let load = engine.load();
         let now = Instant::now();
-        // After a handover the successor delivers the open messages, so this instance waits only for its attempts, the
-        // reports of their results, and its connections.
+        // After a handover or for a restart, the next incarnation delivers the open messages, so this one waits only for its
+        // attempts, the records of their results, and its connections.
+        let is_restart = self.successor.get() == Some(Successor::Restart);
+        let next_continues = engine.has_handed_over() || is_restart && !engine.delays_restart();
         let is_idle = load.in_flight == 0
-            && (load.open_messages == 0 || engine.has_handed_over())
+            && (load.open_messages == 0 || next_continues)
             && !engine.has_unwritten_reports()
             && self.clients.connections() == 0
             && !(self.is_removal() && self.awaits_acknowledgements(engine, now));
--- a/crates/delivery/tests/shutdown.rs
+++ b/crates/delivery/tests/shutdown.rs
@@ -148,6 +148,48 @@
     }
 }
 
+/// Guards against late answers: events that waited while an instance restarted for a setting got no answer for 8 s.
+#[test]
+fn restart_returns_waiting_events_at_once_and_finishes_attempts() {
+    let (mut engine, _) = RestartingEngine::start(temporary_folder("shutdown-restart"), 0);
+    let never = NON_IDEMPOTENT_CLASS;
+    let first = submission(1, "a", Origin::CloudEvents, never);
+    let started = started_attempts(&engine.step(10, vec![first]));
+    let second = submission(2, "b", Origin::CloudEvents, IDEMPOTENT_CLASS);
+    let retried = started_attempts(&engine.step(10, vec![second]));
+    let waiting = submission(3, "c", Origin::CloudEvents, never);
+    assert_eq!(started_attempts(&engine.step(20, vec![waiting])), []);
+    let accepted = message("d", Origin::Platform, IDEMPOTENT_CLASS, 9);
+    engine.step(25, vec![EngineEvent::Submitted(RequestId(4), accepted)]);
+    let restart = EngineEvent::Restart {
+        deadline: Time(END_MS * 1000),
+    };
+    let commands = engine.step(30, vec![restart]);
+    assert_eq!(responses(&commands), [(3, RETURNED)]);
+    assert!(engine.engine.delays_restart(), "attempts are in flight");
+    let late = submission(5, "e", Origin::CloudEvents, never);
+    let commands = engine.step(40, vec![late]);
+    assert_eq!(responses(&commands), [(5, common::REJECTED)]);
+    let commands = engine.step(
+        50,
+        vec![
+            attempt_finished(started[0], Outcome::Delivered),
+            attempt_finished(retried[0], Outcome::Error),
+        ],
+    );
+    let delivered = SubmitResponse::Finished(FinalOutcome::Delivered);
+    let answered: BTreeMap<_, _> = responses(&commands).into_iter().collect();
+    assert_eq!(answered, BTreeMap::from([(1, delivered), (2, RETURNED)]));
+    assert!(!engine.engine.delays_restart());
+    let already_answered = BTreeMap::from([(4, SubmitResponse::Undetermined)]);
+    assert_eq!(end(&mut engine), already_answered);
+    assert_eq!(
+        attempts_of_next_incarnation(engine),
+        1,
+        "only the accepted message"
+    );
+}
+
 /// The next incarnation delivers what the journal has as open. Its clients must not be told to submit it elsewhere.
 #[test]
 fn event_whose_outcome_is_not_journalled_is_not_refused() {
