--- a/crates/control-plane/src/supervisor/instance_handle.rs
+++ b/crates/control-plane/src/supervisor/instance_handle.rs
@@ -7,7 +7,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use marblefall_delivery::instance::{
-    self, InstanceCommand, InstanceConfig, LeaseConfig, ShutdownReason,
+    self, InstanceCommand, InstanceConfig, InstanceError, LeaseConfig, ShutdownReason,
 };
 use marblefall_delivery::lease_guard::LeaseGuard;
 use marblefall_delivery::log_line;
@@ -52,7 +52,7 @@
     revision: u64,
     classes: ClassTable,
     commands: Sender<InstanceCommand>,
-    thread: JoinHandle<()>,
+    thread: JoinHandle<Result<(), InstanceError>>,
     lifecycle: Lifecycle,
 }
 
@@ -157,11 +157,11 @@
         self.thread.is_finished()
     }
 
-    /// Joins the instance's thread, and returns whether it ended without a panic. Call this only once
+    /// Joins the instance's thread, and returns whether it ended without an error or a panic. Call this only once
     /// [`InstanceHandle::has_ended`] returns true: otherwise it blocks.
     pub fn join(self) -> bool {
-        // A panic was already printed by the panic hook. The other instances continue.
-        self.thread.join().is_ok()
+        // Both were already logged. The other instances continue.
+        matches!(self.thread.join(), Ok(Ok(())))
     }
 
     /// Sends a command to the instance. The command is lost if the instance has ended.
@@ -227,12 +227,15 @@
     }
 }
 
-/// Runs an instance on the current thread until it ends.
-fn run_instance(name: &str, config: InstanceConfig, commands: Receiver<InstanceCommand>) {
+/// Runs an instance on the current thread until it ends. Logs its error.
+fn run_instance(
+    name: &str,
+    config: InstanceConfig,
+    commands: Receiver<InstanceCommand>,
+) -> Result<(), InstanceError> {
     let _span = instance::instance_span(name).entered();
     let tasks = Rc::new(LocalExecutor::new());
     let running = instance::run_instance(config, commands, Spawner::new(&tasks));
-    if let Err(error) = async_io::block_on(tasks.run(running)) {
-        log_line!(code = "instance-failed", "{error}");
-    }
+    async_io::block_on(tasks.run(running))
+        .inspect_err(|error| log_line!(code = "instance-failed", "{error}"))
 }
--- a/crates/control-plane/src/supervisor/instance_set.rs
+++ b/crates/control-plane/src/supervisor/instance_set.rs
@@ -106,6 +106,9 @@
             if is_removed && ended_regularly {
                 log_line!(code = "instance-removed", "{name}: its removal is complete");
                 forget_removed(home, &name);
+            } else if is_removed {
+                // Its file remains, so that the next start of the supervisor resumes its messages.
+                log_line!("{name}: ended unexpectedly before its removal was complete");
             }
         }
     }
--- a/crates/delivery/src/instance/shutdown.rs
+++ b/crates/delivery/src/instance/shutdown.rs
@@ -165,9 +165,7 @@
         }
         now >= deadline || is_done && !self.clients.is_listening()
     }
-}
 
-impl Shutdown {
     /// Returns whether an instance that is removed still waits for acknowledgements of its notices. The platform may be gone
     /// as well, so it does not wait forever.
     fn awaits_acknowledgements(&self, engine: &Engine, now: Instant) -> bool {
