Log the connection, ordinal and idle time of each exchange with an endpoint

Connections to endpoints have a number, age, idle time and count of requests, which their last line reports; unrequested-bytes is a code of its own, with length and status. attempt-ended has the client's id and the exchange, also for delivered attempts, of which ten a second are written under a limit of their own. Counters: reused, unrequested.

--- a/crates/delivery/src/counters.rs
+++ b/crates/delivery/src/counters.rs
@@ -37,6 +37,10 @@
     attempts = "legs",
     /// Connections opened to endpoints.
     connections_opened = "dialled",
+    /// Attempts for which an idle connection was reused.
+    connections_reused = "reused",
+    /// Connections closed because of bytes that no request had asked for.
+    connections_unrequested = "unrequested",
     /// Attempts whose response reports the delivery.
     attempts_delivered = "delivered",
     /// Attempts that were rejected.
--- a/crates/delivery/src/frontend/cloudevents/attempt.rs
+++ b/crates/delivery/src/frontend/cloudevents/attempt.rs
@@ -52,5 +52,6 @@
         outcome,
         disposition,
         rate_limit: RateLimitReport::default(),
+        exchange: None,
     }
 }
--- a/crates/delivery/src/frontend/platform/attempt.rs
+++ b/crates/delivery/src/frontend/platform/attempt.rs
@@ -53,5 +53,6 @@
         outcome,
         disposition,
         rate_limit,
+        exchange: None,
     }
 }
--- a/crates/delivery/src/instance/executor.rs
+++ b/crates/delivery/src/instance/executor.rs
@@ -184,7 +184,8 @@
     fn send_notice(&self, message_id: MessageId, message: &Message, outcome: FinalOutcome) {
         message_line!(
             code = "final-outcome",
-            message = message_id.0,
+            message_id = message_id.0,
+            call = %String::from_utf8_lossy(&message.identity),
             "{outcome:?}"
         );
         let notice = PendingNotice {
--- a/crates/delivery/src/instance/executor/attempt_execution.rs
+++ b/crates/delivery/src/instance/executor/attempt_execution.rs
@@ -2,13 +2,13 @@
 
 use super::Executor;
 use crate::core::engine::{AttemptRequest, AttemptResult, EngineEvent};
-use crate::core::Origin;
+use crate::core::{Message, Origin};
 use crate::counters::add;
 use crate::frontend::{cloudevents, platform};
 use crate::hot_restart::driver;
 use crate::lease_guard::LeasePermit;
-use crate::message_line;
-use crate::net::pool::{Attempt, EncodedRequest};
+use crate::net::pool::{Attempt, EncodedRequest, Exchange};
+use crate::{delivery_line, message_line};
 use marblefall_scheduler::{EndpointId, Outcome};
 use std::rc::Rc;
 
@@ -66,7 +66,13 @@
             rate_limit: attempt_outcome.rate_limit,
         };
         self.count_attempt(&result.outcome);
-        log_unless_delivered(&result, request.endpoint);
+        let ended = EndedAttempt {
+            result: &result,
+            message: &message,
+            endpoint: request.endpoint,
+            exchange: attempt_outcome.exchange,
+        };
+        ended.log();
         result
     }
 
@@ -101,17 +107,41 @@
     }
 }
 
-/// Writes a log line about an attempt that did not deliver its message.
-fn log_unless_delivered(result: &AttemptResult, endpoint: EndpointId) {
-    if result.outcome == Outcome::Delivered {
-        return;
+/// An attempt that has ended, for its log line.
+struct EndedAttempt<'a> {
+    result: &'a AttemptResult,
+    message: &'a Message,
+    endpoint: EndpointId,
+    exchange: Option<Exchange>,
+}
+
+impl EndedAttempt<'_> {
+    /// Writes a log line. Lines about deliveries have a limit of their own.
+    fn log(&self) {
+        let result = self.result;
+        let call = String::from_utf8_lossy(&self.message.identity);
+        let exchange = self.exchange.map(|exchange| exchange.to_string());
+        if result.outcome == Outcome::Delivered {
+            delivery_line!(
+                code = "attempt-ended",
+                message_id = result.message_id.0,
+                call = %call,
+                attempt = result.attempt,
+                endpoint = self.endpoint.0,
+                exchange,
+                "Delivered"
+            );
+        } else {
+            message_line!(
+                code = "attempt-ended",
+                message_id = result.message_id.0,
+                call = %call,
+                attempt = result.attempt,
+                endpoint = self.endpoint.0,
+                exchange,
+                "{:?}",
+                result.outcome
+            );
+        }
     }
-    message_line!(
-        code = "attempt-ended",
-        message = result.message_id.0,
-        attempt = result.attempt,
-        endpoint = endpoint.0,
-        "{:?}",
-        result.outcome
-    );
 }
--- a/crates/delivery/src/log.rs
+++ b/crates/delivery/src/log.rs
@@ -1,7 +1,7 @@
 //! Log lines on standard error, as text or as JSON lines.
 //!
-//! All lines are written by [`log_line!`](crate::log_line) and [`message_line!`](crate::message_line), with the reason code
-//! and the subject as fields, and the instance and connection as spans. The rate of lines is limited for each instance.
+//! All lines are written by [`log_line!`](crate::log_line), [`message_line!`](crate::message_line) and
+//! [`delivery_line!`](crate::delivery_line), with the reason code and the subject as fields, and the instance and connection as spans. The rate of lines is limited for each instance.
 //! After some lines were dropped, the next line is preceded by the number of dropped lines.
 
 #[doc(hidden)]
@@ -22,6 +22,9 @@
 /// Maximum number of lines about single messages that an instance may write in a second. They have a separate limit, so
 /// that they do not displace other lines.
 const MAX_MESSAGE_LINES_PER_SECOND: u32 = 20;
+/// Maximum number of lines about delivered attempts that an instance may write in a second. They have a separate limit, so
+/// that they do not displace lines about attempts that failed.
+const MAX_DELIVERY_LINES_PER_SECOND: u32 = 10;
 /// Length of the window in which lines are counted.
 const WINDOW_LENGTH: Duration = Duration::from_secs(1);
 
@@ -65,6 +68,8 @@
     static WINDOW: Cell<LineWindow> = const { Cell::new(LineWindow::EMPTY) };
     /// Window of the instance for lines about single messages.
     static MESSAGE_WINDOW: Cell<LineWindow> = const { Cell::new(LineWindow::EMPTY) };
+    /// Window of the instance for lines about delivered attempts.
+    static DELIVERY_WINDOW: Cell<LineWindow> = const { Cell::new(LineWindow::EMPTY) };
 }
 
 /// The format of log lines.
@@ -81,8 +86,10 @@
 fn admit(level: &Level, now: Instant) -> bool {
     let (cell, max_lines) = if *level <= Level::INFO {
         (&WINDOW, MAX_LINES_PER_SECOND)
-    } else {
+    } else if *level == Level::DEBUG {
         (&MESSAGE_WINDOW, MAX_MESSAGE_LINES_PER_SECOND)
+    } else {
+        (&DELIVERY_WINDOW, MAX_DELIVERY_LINES_PER_SECOND)
     };
     let mut window = cell.get();
     let is_admitted = window.admit(now, max_lines);
@@ -92,6 +99,7 @@
 
 /// Returns the number of dropped lines since the last call.
 fn take_dropped() -> u64 {
+    // Lines about deliveries are a sample, so those that are left out are not counted.
     [&WINDOW, &MESSAGE_WINDOW]
         .into_iter()
         .map(|cell| {
@@ -108,8 +116,7 @@
 
 impl<S> Filter<S> for LineLimit {
     fn enabled(&self, metadata: &Metadata<'_>, _: &Context<'_, S>) -> bool {
-        *metadata.level() <= Level::INFO
-            || *metadata.level() == Level::DEBUG && metadata.target().starts_with("marblefall")
+        *metadata.level() <= Level::INFO || metadata.target().starts_with("marblefall")
     }
 
     fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
@@ -192,5 +199,13 @@
     };
 }
 
+/// Writes a line about a delivered attempt, unless the limit of the current second for such lines is reached.
+#[macro_export]
+macro_rules! delivery_line {
+    ($($part:tt)*) => {
+        $crate::log::tracing::trace!($($part)*)
+    };
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/delivery/src/log/tests.rs
+++ b/crates/delivery/src/log/tests.rs
@@ -18,3 +18,11 @@
     assert_eq!(admitted, MAX_MESSAGE_LINES_PER_SECOND as usize);
     assert!(admit(&Level::INFO, start));
 }
+
+#[test]
+fn delivery_lines_leave_room_for_message_lines() {
+    let start = Instant::now();
+    let admitted = (0..500).filter(|_| admit(&Level::TRACE, start)).count();
+    assert_eq!(admitted, MAX_DELIVERY_LINES_PER_SECOND as usize);
+    assert!(admit(&Level::DEBUG, start));
+}
--- a/crates/delivery/src/net/connection.rs
+++ b/crates/delivery/src/net/connection.rs
@@ -9,9 +9,11 @@
 pub use read_error::ReadError;
 
 use crate::log_line;
+use crate::net::http;
 use crate::system_error::is_local_resource_error;
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use std::fmt;
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -40,6 +42,46 @@
     .await
 }
 
+/// The state of a connection on which no response is awaited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdleState {
+    /// The connection is open and nothing was received.
+    Quiet,
+    /// The peer has closed the connection, or it failed.
+    Closed,
+    /// Bytes were received that no request has asked for.
+    Unrequested(UnrequestedBytes),
+}
+
+/// Bytes that were received without a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnrequestedBytes {
+    /// Number of bytes, of which 1,024 are counted at most.
+    pub len: usize,
+    /// The status, if the bytes begin with a status line.
+    pub status: Option<u16>,
+}
+
+impl UnrequestedBytes {
+    fn new(bytes: &[u8]) -> UnrequestedBytes {
+        let status_line = http::parse_status_line(bytes).ok().flatten();
+        UnrequestedBytes {
+            len: bytes.len(),
+            status: status_line.map(|line| line.status),
+        }
+    }
+}
+
+impl fmt::Display for UnrequestedBytes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} bytes, ", self.len)?;
+        match self.status {
+            Some(status) => write!(f, "status {status}"),
+            None => f.write_str("no status line"),
+        }
+    }
+}
+
 /// A connection, and the bytes that were read from it but are not consumed yet.
 pub struct Connection {
     stream: Rc<Async<TcpStream>>,
@@ -213,8 +255,20 @@
     /// Returns whether an idle connection can be reused, which requires that it is open and has received no unrequested
     /// bytes.
     pub fn is_reusable(&self) -> bool {
-        let would_block = |error: io::Error| error.kind() == io::ErrorKind::WouldBlock;
-        self.bytes().is_empty() && peek(&self.stream, &mut [0]).err().is_some_and(would_block)
+        self.idle_state() == IdleState::Quiet
+    }
+
+    /// Returns the state of a connection on which no response is awaited.
+    pub fn idle_state(&self) -> IdleState {
+        if !self.bytes().is_empty() {
+            return IdleState::Unrequested(UnrequestedBytes::new(self.bytes()));
+        }
+        let mut unread = [0; MAX_UNREAD_COUNTED];
+        match peek(&self.stream, &mut unread) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => IdleState::Quiet,
+            Ok(0) | Err(_) => IdleState::Closed,
+            Ok(len) => IdleState::Unrequested(UnrequestedBytes::new(&unread[..len])),
+        }
     }
 
     /// Returns whether more than `len` unconsumed bytes are in the buffer, or any unread bytes in the socket.
--- a/crates/delivery/src/net/pool.rs
+++ b/crates/delivery/src/net/pool.rs
@@ -7,10 +7,12 @@
 mod attempt;
 mod connection_end;
 mod endpoint_connections;
+mod pooled_connection;
 mod response;
 mod run;
 
 pub use attempt::{Attempt, AttemptOutcome, EncodedRequest};
+pub use pooled_connection::{ConnectionId, Exchange};
 
 use crate::core::{MessageId, Route};
 use crate::counters::Counters;
@@ -78,7 +80,7 @@
         self.endpoints
             .borrow_mut()
             .entry(id)
-            .or_insert_with(|| EndpointConnections::new(id, address, status))
+            .or_insert_with(|| EndpointConnections::new(id, address, status, self.counters.clone()))
             .update(address, status);
     }
 
--- a/crates/delivery/src/net/pool/acquire.rs
+++ b/crates/delivery/src/net/pool/acquire.rs
@@ -1,6 +1,7 @@
 //! Acquisition of a connection for an attempt: an idle connection, or else a new one within the connection limit.
 
 use super::connection_end::ConnectionEnd;
+use super::pooled_connection::{ConnectionId, PooledConnection};
 use super::{until_cancelled, Attempt, Pool, ReusePolicy};
 use crate::counters::add;
 use crate::log_line;
@@ -12,23 +13,6 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-/// A connection that carries an attempt.
-pub(super) struct PooledConnection {
-    pub(super) connection: Connection,
-    pub(super) origin: ConnectionOrigin,
-    /// The peer's address.
-    pub(super) address: SocketAddr,
-}
-
-/// The origin of the connection that an attempt uses.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ConnectionOrigin {
-    /// The connection was opened for this attempt.
-    New,
-    /// The connection has carried an earlier attempt.
-    Reused,
-}
-
 /// A slot of the connection limit, which a connection occupies from its creation until it is dropped.
 struct ConnectionSlot {
     open_connections: Rc<Cell<usize>>,
@@ -64,12 +48,9 @@
                 .filter(|endpoint| endpoint.is_active())
                 .ok_or(Outcome::NotSent)?;
             let address = endpoint.address().ok_or(Outcome::ConnectFailed)?;
-            if let Some(connection) = endpoint.take_idle(self.limits.idle_timeout) {
-                return Ok(PooledConnection {
-                    connection,
-                    origin: ConnectionOrigin::Reused,
-                    address,
-                });
+            if let Some(pooled) = endpoint.take_idle(self.limits.idle_timeout) {
+                add(&self.counters.connections_reused);
+                return Ok(pooled);
             }
             address
         };
@@ -86,17 +67,15 @@
         // The slot is occupied before the connection is established, so that concurrent connects respect the limit.
         let slot = ConnectionSlot::occupy(&self.open_connections);
         add(&self.counters.connections_opened);
+        let id = ConnectionId(self.counters.connections_opened.get());
         let connect_by = attempt
             .timeout_at
             .min(Instant::now() + self.limits.connect_timeout);
         let connecting = with_deadline(connect_by, Connection::connect_with_retry(address));
         let code = match until_cancelled(cancelled, connecting).await {
             Some(Some(Ok(connection))) => {
-                return Ok(PooledConnection {
-                    connection: connection.with_guard(Box::new(slot)),
-                    origin: ConnectionOrigin::New,
-                    address,
-                })
+                let connection = connection.with_guard(Box::new(slot));
+                return Ok(PooledConnection::new(connection, address, id));
             }
             // Cancelled before anything was written.
             None => return Err(Outcome::NotSent),
@@ -139,8 +118,8 @@
             .get_mut(&id)
             .filter(|_| is_usable)
         {
-            Some(endpoint) => endpoint.add_idle(pooled.connection),
-            None => ConnectionEnd::NotReused.log(id),
+            Some(endpoint) => endpoint.add_idle(pooled),
+            None => pooled.log_end(id, &ConnectionEnd::NotReused),
         }
     }
 }
--- a/crates/delivery/src/net/pool/attempt.rs
+++ b/crates/delivery/src/net/pool/attempt.rs
@@ -1,5 +1,6 @@
 //! An attempt to deliver a message, and its outcome.
 
+use super::pooled_connection::Exchange;
 use crate::core::{Disposition, MessageId, Route};
 use crate::lease_guard::LeasePermit;
 use crate::net::http::ResponseHead;
@@ -46,6 +47,8 @@
     pub disposition: Disposition,
     /// The endpoint's rate limit, as far as the response reports it.
     pub rate_limit: RateLimitReport,
+    /// The exchange on the connection; `None` if the request was not written completely.
+    pub exchange: Option<Exchange>,
 }
 
 impl From<Outcome> for AttemptOutcome {
@@ -54,6 +57,7 @@
             outcome,
             disposition: Disposition::Undecided,
             rate_limit: RateLimitReport::default(),
+            exchange: None,
         }
     }
 }
--- a/crates/delivery/src/net/pool/connection_end.rs
+++ b/crates/delivery/src/net/pool/connection_end.rs
@@ -1,8 +1,6 @@
 //! The reasons for which connections to endpoints end, and their reason codes in log lines.
 
-use crate::log_line;
-use crate::net::connection::ReadError;
-use marblefall_scheduler::EndpointId;
+use crate::net::connection::{ReadError, UnrequestedBytes};
 
 /// The reason for which a connection to an endpoint ended.
 #[derive(Debug)]
@@ -19,8 +17,10 @@
     HandedOver,
     /// The connection was idle for longer than the idle time-out.
     IdleTimeout,
-    /// The connection was not usable any more when an attempt was to reuse it.
+    /// The peer had closed the connection when an attempt was to reuse it.
     ClosedWhileIdle,
+    /// The endpoint sent bytes that no request had asked for.
+    Unrequested(UnrequestedBytes),
     /// The slot of the connection was needed for another connection.
     Evicted,
     /// The pool does not keep the connection after its attempt, because the endpoint no longer accepts attempts at its
@@ -38,7 +38,7 @@
     Unreadable(ReadError),
     /// The endpoint sent interim responses without a final one.
     InterimWithoutEnd,
-    /// The endpoint does not keep the connection open after its response, or the response does not end cleanly.
+    /// The endpoint does not keep the connection open after its response.
     NotKeptAlive,
     /// The endpoint had closed the connection while it was idle, which the next attempt detected by a reset.
     ResetWhenReused,
@@ -48,7 +48,7 @@
 
 impl ConnectionEnd {
     /// Returns the reason code for the log.
-    fn code(&self) -> &'static str {
+    pub(super) fn code(&self) -> &'static str {
         match self {
             ConnectionEnd::Moved => "moved",
             ConnectionEnd::Draining => "draining",
@@ -57,6 +57,7 @@
             ConnectionEnd::HandedOver => "handed-over",
             ConnectionEnd::IdleTimeout => "idle",
             ConnectionEnd::ClosedWhileIdle => "closed-while-idle",
+            ConnectionEnd::Unrequested(_) => "unrequested-bytes",
             ConnectionEnd::Evicted => "evicted",
             ConnectionEnd::NotReused => "not-reused",
             ConnectionEnd::Cancelled => "cancelled",
@@ -71,12 +72,11 @@
         }
     }
 
-    /// Logs the end of a connection to an endpoint.
-    pub(super) fn log(&self, endpoint: EndpointId) {
-        log_line!(
-            endpoint = endpoint.0,
-            code = self.code(),
-            "endpoint: connection ended"
-        );
+    /// Returns the unrequested bytes that ended the connection, if there were any.
+    pub(super) fn unrequested(&self) -> Option<UnrequestedBytes> {
+        match self {
+            ConnectionEnd::Unrequested(bytes) => Some(*bytes),
+            _ => None,
+        }
     }
 }
--- a/crates/delivery/src/net/pool/endpoint_connections.rs
+++ b/crates/delivery/src/net/pool/endpoint_connections.rs
@@ -1,13 +1,16 @@
 //! The idle connections to one endpoint.
 
 use super::connection_end::ConnectionEnd;
-use crate::net::connection::Connection;
+use super::pooled_connection::PooledConnection;
+use crate::counters::{add, Counters};
+use crate::net::connection::IdleState;
 use marblefall_scheduler::{EndpointId, EndpointStatus};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 struct IdleConnection {
-    connection: Connection,
+    pooled: PooledConnection,
     /// The time at which the connection became idle.
     since: Instant,
 }
@@ -19,6 +22,7 @@
     status: EndpointStatus,
     /// The idle connections in the order in which they became idle.
     idle: Vec<IdleConnection>,
+    counters: Rc<Counters>,
 }
 
 impl EndpointConnections {
@@ -26,12 +30,14 @@
         id: EndpointId,
         address: &str,
         status: EndpointStatus,
+        counters: Rc<Counters>,
     ) -> EndpointConnections {
         EndpointConnections {
             id,
             address: address.to_owned(),
             status,
             idle: Vec::new(),
+            counters,
         }
     }
 
@@ -58,21 +64,30 @@
         self.address.parse().ok()
     }
 
-    pub(super) fn add_idle(&mut self, connection: Connection) {
+    pub(super) fn add_idle(&mut self, pooled: PooledConnection) {
         self.idle.push(IdleConnection {
-            connection,
+            pooled,
             since: Instant::now(),
         });
     }
 
     /// Removes and returns the usable connection that became idle last. Closes unusable connections that became idle
     /// after it.
-    pub(super) fn take_idle(&mut self, idle_timeout: Duration) -> Option<Connection> {
-        while let Some(idle) = self.idle.pop() {
-            if idle.since.elapsed() < idle_timeout && idle.connection.is_reusable() {
-                return Some(idle.connection);
-            }
-            ConnectionEnd::ClosedWhileIdle.log(self.id);
+    pub(super) fn take_idle(&mut self, idle_timeout: Duration) -> Option<PooledConnection> {
+        while let Some(mut idle) = self.idle.pop() {
+            idle.pooled.set_idle(idle.since.elapsed());
+            let end = match idle.pooled.connection.idle_state() {
+                IdleState::Unrequested(bytes) => {
+                    add(&self.counters.connections_unrequested);
+                    ConnectionEnd::Unrequested(bytes)
+                }
+                IdleState::Closed => ConnectionEnd::ClosedWhileIdle,
+                IdleState::Quiet if idle.since.elapsed() >= idle_timeout => {
+                    ConnectionEnd::IdleTimeout
+                }
+                IdleState::Quiet => return Some(idle.pooled),
+            };
+            idle.pooled.log_end(self.id, &end);
         }
         None
     }
@@ -84,8 +99,8 @@
 
     /// Closes the connection that has been idle longest.
     pub(super) fn evict_oldest_idle(&mut self) {
-        self.idle.remove(0);
-        ConnectionEnd::Evicted.log(self.id);
+        let evicted = self.idle.remove(0);
+        evicted.pooled.log_end(self.id, &ConnectionEnd::Evicted);
     }
 
     /// Closes all idle connections.
@@ -98,7 +113,7 @@
         self.idle.retain(|idle| {
             let is_closed = idle.since < before;
             if is_closed {
-                end.log(self.id);
+                idle.pooled.log_end(self.id, end);
             }
             !is_closed
         });
--- a/crates/delivery/src/net/pool/run.rs
+++ b/crates/delivery/src/net/pool/run.rs
@@ -1,7 +1,7 @@
 //! Execution of one attempt: acquires a connection, writes the request, and reads the response.
 
-use super::acquire::{ConnectionOrigin, PooledConnection};
 use super::connection_end::ConnectionEnd;
+use super::pooled_connection::{ConnectionOrigin, Exchange, PooledConnection};
 use super::response::{read_response, Reuse};
 use super::{until_cancelled, Attempt, AttemptOutcome, EncodedRequest, Pool};
 use crate::core::Route;
@@ -49,6 +49,7 @@
         attempt: &Attempt<'_>,
         cancelled: &Receiver<()>,
     ) -> AttemptOutcome {
+        let started_at = Instant::now();
         let mut pooled = match self.acquire(attempt, cancelled).await {
             Ok(pooled) => pooled,
             Err(outcome) => return outcome.into(),
@@ -65,7 +66,20 @@
         {
             RequestWrite::Complete => {
                 self.check_sent(attempt, pooled.address);
-                self.await_response(pooled, attempt, cancelled).await
+                let origin = pooled.origin();
+                let exchange = pooled.request_written(started_at);
+                let written_at = Instant::now();
+                let request = WrittenRequest { origin, written_at };
+                let outcome = self
+                    .await_response(pooled, request, attempt, cancelled)
+                    .await;
+                AttemptOutcome {
+                    exchange: Some(Exchange {
+                        answered_after: Some(written_at.elapsed()),
+                        ..exchange
+                    }),
+                    ..outcome
+                }
             }
             RequestWrite::NotStarted => {
                 self.return_to_pool(attempt.endpoint, pooled);
@@ -143,17 +157,17 @@
     async fn await_response(
         &self,
         mut pooled: PooledConnection,
+        request: WrittenRequest,
         attempt: &Attempt<'_>,
         cancelled: &Receiver<()>,
     ) -> AttemptOutcome {
-        let written_at = Instant::now();
         let reading = read_response(
             &mut pooled.connection,
             attempt.classify_response,
             attempt.timeout_at,
         );
         let Some(response) = until_cancelled(cancelled, reading).await else {
-            ConnectionEnd::Cancelled.log(attempt.endpoint);
+            pooled.log_end(attempt.endpoint, &ConnectionEnd::Cancelled);
             return Outcome::Cancelled.into();
         };
         let outcome = response.outcome;
@@ -165,8 +179,8 @@
             }
             Reuse::Impossible(end) => {
                 let closed = ClosedConnection {
-                    origin: pooled.origin,
-                    written_at,
+                    pooled,
+                    request,
                     end,
                 };
                 closed.adjust_outcome(outcome, attempt.endpoint)
@@ -185,20 +199,28 @@
     }
 }
 
-/// A connection that cannot be reused after its attempt.
-struct ClosedConnection {
+/// A request that was written completely.
+#[derive(Clone, Copy)]
+struct WrittenRequest {
+    /// The origin of its connection.
     origin: ConnectionOrigin,
-    /// The time at which the last byte of the request was written.
+    /// The time at which its last byte was written.
     written_at: Instant,
+}
+
+/// A connection that cannot be reused after its attempt.
+struct ClosedConnection {
+    pooled: PooledConnection,
+    request: WrittenRequest,
     end: ConnectionEnd,
 }
 
 impl ClosedConnection {
     /// Replaces the outcome if the connection rather than the call has failed, and logs the end of the connection.
     fn adjust_outcome(self, outcome: AttemptOutcome, endpoint: EndpointId) -> AttemptOutcome {
-        let (outcome, end) = match (self.origin, outcome.outcome, self.end) {
+        let (outcome, end) = match (self.request.origin, outcome.outcome, self.end) {
             (ConnectionOrigin::Reused, Outcome::Reset, _)
-                if self.written_at.elapsed() < STALE_RESET_WINDOW =>
+                if self.request.written_at.elapsed() < STALE_RESET_WINDOW =>
             {
                 (
                     Outcome::StaleConnection.into(),
@@ -217,7 +239,7 @@
             ),
             (_, _, end) => (outcome, end),
         };
-        end.log(endpoint);
+        self.pooled.log_end(endpoint, &end);
         outcome
     }
 }
@@ -231,8 +253,8 @@
     } else {
         ConnectionEnd::WriteFailed
     };
-    end.log(attempt.endpoint);
-    if pooled.origin == ConnectionOrigin::Reused || was_withheld {
+    pooled.log_end(attempt.endpoint, &end);
+    if pooled.origin() == ConnectionOrigin::Reused || was_withheld {
         Outcome::NotSent
     } else {
         Outcome::ConnectFailed
@@ -243,7 +265,7 @@
     message_line!(
         code = "attempt-withheld",
         endpoint = attempt.endpoint.0,
-        message = attempt.message_id.0,
+        message_id = attempt.message_id.0,
         "{withheld:?}"
     );
 }
