Add a failing test: copies of responses are taken for the next responses

An endpoint of real processes writes each response again 4 or 12 ms later, or one of twenty 4 ms later; 24 clients, a quarter of calls rejected, half of the events of a class that is never repeated. Events are answered 204 before their delivery, run twice, and have two attempts in flight.

--- a/crates/process-harness/src/http.rs
+++ b/crates/process-harness/src/http.rs
@@ -178,13 +178,18 @@
     header_lines: &str,
     body: &[u8],
 ) -> io::Result<()> {
+    writer.write_all(&response_bytes(status, header_lines, body))
+}
+
+/// Returns a response as it is sent. `header_lines` are complete lines with their line ends.
+pub fn response_bytes(status: u16, header_lines: &str, body: &[u8]) -> Vec<u8> {
     let length = if status == NO_CONTENT {
         String::new()
     } else {
         format!("{}: {}\r\n", headers::CONTENT_LENGTH, body.len())
     };
     let head = format!("HTTP/1.1 {status} x\r\n{header_lines}{length}\r\n");
-    writer.write_all(&[head.as_bytes(), body].concat())
+    [head.as_bytes(), body].concat()
 }
 
 /// Writes the head of a response with a chunked body.
--- a/crates/process-harness/src/lib.rs
+++ b/crates/process-harness/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod link_proxy;
 pub mod network;
 pub mod platform;
+pub mod response_copies;
 pub mod server;
 
 pub use clock::{monotonic_micros, monotonic_ms, Micros, MILLISECOND};
