Give log lines about ended connections a limit of their own

Each kind of line has its own window now; lines about deliveries, a sample, are not counted as dropped.

--- a/crates/delivery/src/log.rs
+++ b/crates/delivery/src/log.rs
@@ -1,7 +1,7 @@
 //! Log lines on standard error, as text or as JSON lines.
 //!
-//! All lines are written by [`log_line!`](crate::log_line), [`message_line!`](crate::message_line) and
-//! [`delivery_line!`](crate::delivery_line), with the reason code and the subject as fields, and the instance and connection as spans. The rate of lines is limited for each instance.
+//! All lines are written by [`log_line!`](crate::log_line), [`connection_line!`](crate::connection_line),
+//! [`message_line!`](crate::message_line) and [`delivery_line!`](crate::delivery_line), with the reason code and the subject as fields, and the instance and connection as spans. The rate of lines is limited for each instance.
 //! After some lines were dropped, the next line is preceded by the number of dropped lines.
 
 #[doc(hidden)]
@@ -17,14 +17,46 @@
 use tracing_subscriber::registry::LookupSpan;
 use tracing_subscriber::{Layer, Registry};
 
-/// Maximum number of lines that an instance may write in a second.
-const MAX_LINES_PER_SECOND: u32 = 50;
-/// Maximum number of lines about single messages that an instance may write in a second. They have a separate limit, so
-/// that they do not displace other lines.
-const MAX_MESSAGE_LINES_PER_SECOND: u32 = 20;
-/// Maximum number of lines about delivered attempts that an instance may write in a second. They have a separate limit, so
-/// that they do not displace lines about attempts that failed.
-const MAX_DELIVERY_LINES_PER_SECOND: u32 = 10;
+/// The target of lines about connections that ended.
+#[doc(hidden)]
+pub const CONNECTION_TARGET: &str = "marblefall_connection";
+
+/// The kinds of lines. Each has a limit of its own, so that frequent lines do not displace rare ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LineKind {
+    /// Lines for operators about the instance.
+    Instance,
+    /// Lines about connections that ended.
+    Connection,
+    /// Lines about single messages.
+    Message,
+    /// Lines about delivered attempts and other events that are expected for each message.
+    Delivery,
+}
+
+impl LineKind {
+    fn of(metadata: &Metadata<'_>) -> LineKind {
+        if *metadata.level() == Level::DEBUG {
+            LineKind::Message
+        } else if *metadata.level() == Level::TRACE {
+            LineKind::Delivery
+        } else if metadata.target() == CONNECTION_TARGET {
+            LineKind::Connection
+        } else {
+            LineKind::Instance
+        }
+    }
+
+    /// Maximum number of lines of the kind that an instance may write in a second.
+    fn max_lines_per_second(self) -> u32 {
+        match self {
+            LineKind::Instance | LineKind::Connection => 50,
+            LineKind::Message => 20,
+            LineKind::Delivery => 10,
+        }
+    }
+}
+
 /// Length of the window in which lines are counted.
 const WINDOW_LENGTH: Duration = Duration::from_secs(1);
 
@@ -64,12 +96,8 @@
 }
 
 thread_local! {
-    /// Window of the instance. It is thread-local, as each instance has its own thread.
-    static WINDOW: Cell<LineWindow> = const { Cell::new(LineWindow::EMPTY) };
-    /// Window of the instance for lines about single messages.
-    static MESSAGE_WINDOW: Cell<LineWindow> = const { Cell::new(LineWindow::EMPTY) };
-    /// Window of the instance for lines about delivered attempts.
-    static DELIVERY_WINDOW: Cell<LineWindow> = const { Cell::new(LineWindow::EMPTY) };
+    /// Windows of the instance by [`LineKind`]. They are thread-local, as each instance has its own thread.
+    static WINDOWS: Cell<[LineWindow; 4]> = const { Cell::new([LineWindow::EMPTY; 4]) };
 }
 
 /// The format of log lines.
@@ -82,33 +110,24 @@
     Json,
 }
 
-/// Counts a line of a level. Returns whether it may be written.
-fn admit(level: &Level, now: Instant) -> bool {
-    let (cell, max_lines) = if *level <= Level::INFO {
-        (&WINDOW, MAX_LINES_PER_SECOND)
-    } else if *level == Level::DEBUG {
-        (&MESSAGE_WINDOW, MAX_MESSAGE_LINES_PER_SECOND)
-    } else {
-        (&DELIVERY_WINDOW, MAX_DELIVERY_LINES_PER_SECOND)
-    };
-    let mut window = cell.get();
-    let is_admitted = window.admit(now, max_lines);
-    cell.set(window);
+/// Counts a line of a kind. Returns whether it may be written.
+fn admit(kind: LineKind, now: Instant) -> bool {
+    let mut windows = WINDOWS.get();
+    let is_admitted = windows[kind as usize].admit(now, kind.max_lines_per_second());
+    WINDOWS.set(windows);
     is_admitted
 }
 
-/// Returns the number of dropped lines since the last call.
+/// Returns the number of dropped lines since the last call, without those of [`LineKind::Delivery`], which are a sample.
 fn take_dropped() -> u64 {
-    // Lines about deliveries are a sample, so those that are left out are not counted.
-    [&WINDOW, &MESSAGE_WINDOW]
-        .into_iter()
-        .map(|cell| {
-            let mut window = cell.get();
-            let dropped = std::mem::take(&mut window.dropped);
-            cell.set(window);
-            dropped
-        })
-        .sum()
+    let mut windows = WINDOWS.get();
+    let counted = [LineKind::Instance, LineKind::Connection, LineKind::Message];
+    let dropped = counted
+        .map(|kind| std::mem::take(&mut windows[kind as usize].dropped))
+        .iter()
+        .sum();
+    WINDOWS.set(windows);
+    dropped
 }
 
 /// A filter that drops lines above the limits. Spans are not counted.
@@ -120,7 +139,7 @@
     }
 
     fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
-        admit(event.metadata().level(), Instant::now())
+        admit(LineKind::of(event.metadata()), Instant::now())
     }
 }
 
@@ -191,6 +210,14 @@
     };
 }
 
+/// Writes a line about a connection that ended, unless the limit of the current second for such lines is reached.
+#[macro_export]
+macro_rules! connection_line {
+    ($($part:tt)*) => {
+        $crate::log::tracing::info!(target: $crate::log::CONNECTION_TARGET, $($part)*)
+    };
+}
+
 /// Writes a line about a single message, unless the limit of the current second for such lines is reached.
 #[macro_export]
 macro_rules! message_line {
--- a/crates/delivery/src/net/server.rs
+++ b/crates/delivery/src/net/server.rs
@@ -19,8 +19,8 @@
 use super::spawner::Spawner;
 use crate::clock::Clock;
 use crate::counters::add;
-use crate::log_line;
 use crate::rules::{CloseConditions, Rule};
+use crate::{connection_line, log_line};
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use connection_table::{ConnectionId, Phase};
@@ -170,7 +170,7 @@
     if unread > 0 {
         add(&counters.connections_closed_unread);
     }
-    log_line!(
+    connection_line!(
         code = end.code(),
         phase = phase.map_or("", Phase::name),
         age_ms = opened_at.elapsed().as_millis() as u64,
