Reuse connections to endpoints only once they were quiet for 100 ms

Cause: take_idle reused the connection that had become idle last, within microseconds of its response. Connection::is_reusable saw only what was there before the write. A copy in one write with the response was taken for an endpoint that lacks connection slots (ClosedConnection::adjust_outcome).

Change: an idle connection carries the next request 100 ms after its response, the longest idle first. An attempt waits for that if the wait is no longer than a call of that endpoint and half of its remaining time; else it opens a connection. Bytes on a connection that was quiet before, or a second response on a reused one, stop all reuse for that endpoint for ten minutes. Of several responses on a reused connection the outcome counts if they agree, otherwise the attempt may have been executed; Retry-After of either is respected. Bytes behind the first response of a connection close it and change no outcome.

Why this works: a copy within the quiet time is found before the next request is written, in the step that writes it. Later ones can harm only until the endpoint's first is seen.

The pool's tests are new but for two: a read of several responses has the origin of its connection as a parameter.

--- a/crates/delivery/src/instance/assembly.rs
+++ b/crates/delivery/src/instance/assembly.rs
@@ -48,6 +48,9 @@
 const IDLE_TIMEOUT_FRACTION: f64 = 0.85;
 /// Interval at which expired connections are closed.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which a connection to an endpoint must have been quiet after a response before it is reused. A copy of that
+/// response which arrives within this time is noticed.
+const MIN_QUIET_TIME: Duration = Duration::from_millis(100);
 
 /// An assembled instance, whose two loops are not running yet.
 pub(super) struct Instance {
@@ -176,6 +179,7 @@
         let max_clients = (config.max_sockets / CLIENT_SOCKETS_DIVISOR).max(1);
         let pool_limits = PoolLimits {
             connect_timeout: config.connect_timeout,
+            min_quiet_time: MIN_QUIET_TIME,
             idle_timeout: config.idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION),
             max_connections: config
                 .max_sockets
--- a/crates/delivery/src/instance/executor/attempt_execution.rs
+++ b/crates/delivery/src/instance/executor/attempt_execution.rs
@@ -20,12 +20,14 @@
     pub(super) fn start_attempt(self: &Rc<Self>, request: AttemptRequest) {
         let executor = self.clone();
         self.tasks.spawn(async move {
+            let endpoint = request.endpoint;
             let result = executor.run_attempt(request).await;
             // Fails only once the engine has ended.
             let _ = executor
                 .events
                 .send(EngineEvent::AttemptFinished(result))
                 .await;
+            executor.pool.check_quiet(endpoint).await;
         });
     }
 
--- a/crates/delivery/src/net/pool.rs
+++ b/crates/delivery/src/net/pool.rs
@@ -17,6 +17,7 @@
 use crate::core::{MessageId, Route};
 use crate::counters::Counters;
 use async_channel::{Receiver, Sender};
+use async_io::Timer;
 use connection_end::ConnectionEnd;
 use endpoint_connections::EndpointConnections;
 use futures_lite::future;
@@ -33,6 +34,8 @@
 pub struct PoolLimits {
     /// Maximum time to establish a connection.
     pub connect_timeout: Duration,
+    /// Time for which a connection must have been quiet after a response before it is reused.
+    pub min_quiet_time: Duration,
     /// Maximum time for which a connection may be idle.
     pub idle_timeout: Duration,
     /// Maximum number of open connections, idle ones included.
@@ -107,15 +110,21 @@
         }
     }
 
-    /// Closes connections that have been idle for longer than the idle time-out. If an endpoint closes an idle
+    /// Closes connections that have been idle for longer than the idle time-out, or that received anything. If an endpoint closes an idle
     /// connection first, the next attempt on it may end with a reset, after which it is unknown whether the attempt was
     /// executed.
     pub fn close_expired(&self) {
-        let Some(before) = Instant::now().checked_sub(self.limits.idle_timeout) else {
-            return;
-        };
         for endpoint in self.endpoints.borrow_mut().values_mut() {
-            endpoint.close_idle_before(before, &ConnectionEnd::IdleTimeout);
+            endpoint.close_expired(&self.limits);
+        }
+    }
+
+    /// Waits for the time in which connections must be quiet after a response, and then closes those to the endpoint on
+    /// which bytes were received.
+    pub async fn check_quiet(&self, id: EndpointId) {
+        Timer::after(self.limits.min_quiet_time).await;
+        if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(&id) {
+            endpoint.close_expired(&self.limits);
         }
     }
 
--- a/crates/delivery/src/net/pool/acquire.rs
+++ b/crates/delivery/src/net/pool/acquire.rs
@@ -1,18 +1,23 @@
 //! Acquisition of a connection for an attempt: an idle connection, or else a new one within the connection limit.
 
 use super::connection_end::ConnectionEnd;
+use super::endpoint_connections::IdleConnection;
 use super::pooled_connection::{ConnectionId, PooledConnection};
 use super::{until_cancelled, Attempt, Pool, ReusePolicy};
 use crate::counters::add;
 use crate::log_line;
 use crate::net::connection::{with_deadline, Connection};
 use async_channel::Receiver;
+use async_io::Timer;
 use marblefall_scheduler::{EndpointId, Outcome};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 
+/// An attempt waits for an idle connection for at most the time until its deadline divided by this.
+const MAX_WAIT_DIVISOR: u32 = 2;
+
 /// A slot of the connection limit, which a connection occupies from its creation until it is dropped.
 struct ConnectionSlot {
     open_connections: Rc<Cell<usize>>,
@@ -34,28 +39,53 @@
 }
 
 impl Pool {
-    /// Acquires an idle connection to the attempt's endpoint, or opens a new one. Fails with the outcome of the
-    /// attempt.
+    /// Acquires a connection to the attempt's endpoint: an idle one, after the time for which it must have been quiet, or
+    /// else a new one. Fails with the outcome of the attempt.
     pub(super) async fn acquire(
         &self,
         attempt: &Attempt<'_>,
         cancelled: &Receiver<()>,
     ) -> Result<PooledConnection, Outcome> {
-        let address = {
-            let mut endpoints = self.endpoints.borrow_mut();
-            let endpoint = endpoints
-                .get_mut(&attempt.endpoint)
-                .filter(|endpoint| endpoint.is_active())
-                .ok_or(Outcome::NotSent)?;
-            let address = endpoint.address().ok_or(Outcome::ConnectFailed)?;
-            if let Some(pooled) = endpoint.take_idle(self.limits.idle_timeout) {
+        loop {
+            let (address, idle) = self.take_idle(attempt)?;
+            let Some(idle) = idle else {
+                self.ensure_free_slot()?;
+                return self.connect(attempt, address, cancelled).await;
+            };
+            let quiet = Timer::at(idle.quiet_at(&self.limits));
+            if until_cancelled(cancelled, quiet).await.is_none() {
+                idle.into_reused()
+                    .log_end(attempt.endpoint, &ConnectionEnd::Cancelled);
+                return Err(Outcome::NotSent);
+            }
+            if let Some(idle) = self.keep_if_usable(attempt.endpoint, idle) {
                 add(&self.counters.connections_reused);
-                return Ok(pooled);
+                return Ok(idle.into_reused());
             }
-            address
-        };
-        self.ensure_free_slot()?;
-        self.connect(attempt, address, cancelled).await
+        }
+    }
+
+    /// Takes an idle connection for an attempt, if there is one that is worth the wait. Returns the endpoint's address too.
+    fn take_idle(
+        &self,
+        attempt: &Attempt<'_>,
+    ) -> Result<(SocketAddr, Option<IdleConnection>), Outcome> {
+        let write_by = attempt.timeout_at.min(attempt.write_by);
+        let remaining = write_by.saturating_duration_since(Instant::now());
+        let mut endpoints = self.endpoints.borrow_mut();
+        let endpoint = endpoints
+            .get_mut(&attempt.endpoint)
+            .filter(|endpoint| endpoint.is_active())
+            .ok_or(Outcome::NotSent)?;
+        let address = endpoint.address().ok_or(Outcome::ConnectFailed)?;
+        let idle = endpoint.take_idle(&self.limits, remaining / MAX_WAIT_DIVISOR);
+        Ok((address, idle))
+    }
+
+    /// Returns a connection that an attempt has waited for, if the endpoint is still listed and nothing was received.
+    fn keep_if_usable(&self, id: EndpointId, idle: IdleConnection) -> Option<IdleConnection> {
+        let mut endpoints = self.endpoints.borrow_mut();
+        endpoints.get_mut(&id)?.keep_if_usable(idle)
     }
 
     async fn connect(
--- a/crates/delivery/src/net/pool/attempt.rs
+++ b/crates/delivery/src/net/pool/attempt.rs
@@ -6,6 +6,7 @@
 use crate::net::http::ResponseHead;
 use marblefall_scheduler::{EndpointId, Outcome, RateLimitReport};
 use std::borrow::Cow;
+use std::mem::discriminant;
 use std::time::Instant;
 
 /// An attempt's request in its encoding for the wire.
@@ -51,6 +52,14 @@
     pub exchange: Option<Exchange>,
 }
 
+impl AttemptOutcome {
+    /// Returns whether two responses mean the same for the message.
+    pub(super) fn agrees_with(&self, other: &AttemptOutcome) -> bool {
+        self.disposition == other.disposition
+            && discriminant(&self.outcome) == discriminant(&other.outcome)
+    }
+}
+
 impl From<Outcome> for AttemptOutcome {
     fn from(outcome: Outcome) -> AttemptOutcome {
         AttemptOutcome {
--- a/crates/delivery/src/net/pool/connection_end.rs
+++ b/crates/delivery/src/net/pool/connection_end.rs
@@ -23,6 +23,10 @@
     Unrequested(UnrequestedBytes),
     /// The slot of the connection was needed for another connection.
     Evicted,
+    /// The endpoint has sent unrequested bytes or several responses, so that the connection is not reused.
+    Distrusted,
+    /// Enough connections to the endpoint are idle.
+    EnoughIdle,
     /// The pool does not keep the connection after its attempt, because the endpoint no longer accepts attempts at its
     /// address or another process takes over.
     NotReused,
@@ -38,6 +42,8 @@
     Unreadable(ReadError),
     /// The endpoint sent interim responses without a final one.
     InterimWithoutEnd,
+    /// The endpoint sent one response after the other.
+    ResponsesWithoutEnd,
     /// The endpoint does not keep the connection open after its response.
     NotKeptAlive,
     /// The endpoint had closed the connection while it was idle, which the next attempt detected by a reset.
@@ -59,6 +65,8 @@
             ConnectionEnd::ClosedWhileIdle => "closed-while-idle",
             ConnectionEnd::Unrequested(_) => "unrequested-bytes",
             ConnectionEnd::Evicted => "evicted",
+            ConnectionEnd::Distrusted => "distrusted",
+            ConnectionEnd::EnoughIdle => "enough-idle",
             ConnectionEnd::NotReused => "not-reused",
             ConnectionEnd::Cancelled => "cancelled",
             ConnectionEnd::WriteWithheld => "write-withheld",
@@ -66,6 +74,7 @@
             ConnectionEnd::TimedOut => "timed-out",
             ConnectionEnd::Unreadable(error) => error.code(),
             ConnectionEnd::InterimWithoutEnd => "interim-without-end",
+            ConnectionEnd::ResponsesWithoutEnd => "responses-without-end",
             ConnectionEnd::NotKeptAlive => "not-kept-alive",
             ConnectionEnd::ResetWhenReused => "reset-when-reused",
             ConnectionEnd::NoConnectionSlot => "no-connection-slot",
--- a/crates/delivery/src/net/pool/endpoint_connections.rs
+++ b/crates/delivery/src/net/pool/endpoint_connections.rs
@@ -1,18 +1,51 @@
-//! The idle connections to one endpoint.
+//! The idle connections to one endpoint, and the decision whether one of them may carry the next request.
+//!
+//! HTTP/1.1 assigns responses to requests by their order on the connection alone. A copy of a response that arrives after
+//! the next request was written would therefore be taken for the response to that request, and all later responses on the
+//! connection would be assigned to the wrong requests. No check before the write can rule this out. A connection is reused
+//! only once it was quiet for a minimum time, the one that was idle longest first. An endpoint that sends bytes on a
+//! connection that was quiet for that time, or several responses on a reused connection, may do so again at any time. For
+//! [`DISTRUST_DURATION`] none of its connections is reused.
 
 use super::connection_end::ConnectionEnd;
 use super::pooled_connection::PooledConnection;
+use super::PoolLimits;
 use crate::counters::{add, Counters};
 use crate::net::connection::IdleState;
+use crate::net::http::status;
 use marblefall_scheduler::{EndpointId, EndpointStatus};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-struct IdleConnection {
-    pooled: PooledConnection,
+/// Time for which no connection to an endpoint is reused after the endpoint has sent bytes on a quiet connection.
+const DISTRUST_DURATION: Duration = Duration::from_secs(600);
+/// Maximum number of idle connections to an endpoint. At a high rate of short calls, most connections are needed again
+/// before they were quiet. Further ones are closed after their attempt, since idle ones occupy slots of the endpoint.
+const MAX_IDLE_CONNECTIONS: usize = 64;
+/// Weight of the last call in the moving average of call times.
+const CALL_TIME_WEIGHT: f64 = 0.25;
+
+/// A connection that carries no request.
+pub(super) struct IdleConnection {
+    pub(super) pooled: PooledConnection,
     /// The time at which the connection became idle.
     since: Instant,
+    /// Whether nothing was received for the minimum quiet time.
+    was_quiet: bool,
+}
+
+impl IdleConnection {
+    /// Returns the time from which the connection may be reused if it stays quiet.
+    pub(super) fn quiet_at(&self, limits: &PoolLimits) -> Instant {
+        self.since + limits.min_quiet_time
+    }
+
+    /// Prepares the connection for the next request.
+    pub(super) fn into_reused(mut self) -> PooledConnection {
+        self.pooled.set_idle(self.since.elapsed());
+        self.pooled
+    }
 }
 
 /// An endpoint's address and status as listed, and the idle connections to it.
@@ -22,6 +55,10 @@
     status: EndpointStatus,
     /// The idle connections in the order in which they became idle.
     idle: Vec<IdleConnection>,
+    /// The end of the time in which no connection is reused.
+    distrusted_until: Option<Instant>,
+    /// Moving average of the time from a request to the response that reports its delivery.
+    call_time: Option<Duration>,
     counters: Rc<Counters>,
 }
 
@@ -37,6 +74,8 @@
             address: address.to_owned(),
             status,
             idle: Vec::new(),
+            distrusted_until: None,
+            call_time: None,
             counters,
         }
     }
@@ -64,34 +103,92 @@
         self.address.parse().ok()
     }
 
+    /// Keeps a connection for reuse, unless the endpoint is distrusted or enough connections are idle.
     pub(super) fn add_idle(&mut self, pooled: PooledConnection) {
-        self.idle.push(IdleConnection {
-            pooled,
-            since: Instant::now(),
-        });
+        let end = if self.is_distrusted() {
+            ConnectionEnd::Distrusted
+        } else if self.idle.len() >= MAX_IDLE_CONNECTIONS {
+            ConnectionEnd::EnoughIdle
+        } else {
+            return self.idle.push(IdleConnection {
+                pooled,
+                since: Instant::now(),
+                was_quiet: false,
+            });
+        };
+        pooled.log_end(self.id, &end);
     }
 
-    /// Removes and returns the usable connection that became idle last. Closes unusable connections that became idle
-    /// after it.
-    pub(super) fn take_idle(&mut self, idle_timeout: Duration) -> Option<PooledConnection> {
-        while let Some(mut idle) = self.idle.pop() {
-            idle.pooled.set_idle(idle.since.elapsed());
-            let end = match idle.pooled.connection.idle_state() {
-                IdleState::Unrequested(bytes) => {
-                    add(&self.counters.connections_unrequested);
-                    ConnectionEnd::Unrequested(bytes)
-                }
-                IdleState::Closed => ConnectionEnd::ClosedWhileIdle,
-                IdleState::Quiet if idle.since.elapsed() >= idle_timeout => {
-                    ConnectionEnd::IdleTimeout
-                }
-                IdleState::Quiet => return Some(idle.pooled),
-            };
-            idle.pooled.log_end(self.id, &end);
+    /// Removes and returns the connection that has been idle longest, for an attempt that may wait until it was quiet.
+    /// Returns `None` if the attempt should open a connection, since the wait would take longer than `max_wait` or than a
+    /// call of this endpoint.
+    pub(super) fn take_idle(
+        &mut self,
+        limits: &PoolLimits,
+        max_wait: Duration,
+    ) -> Option<IdleConnection> {
+        let now = Instant::now();
+        self.close_expired(limits);
+        let quiet_at = self.idle.first()?.quiet_at(limits);
+        let max_wait = max_wait.min(self.call_time.unwrap_or_default());
+        (quiet_at <= now + max_wait).then(|| self.idle.remove(0))
+    }
+
+    /// Closes idle connections that have expired, that the endpoint has closed, or on which it has sent bytes.
+    pub(super) fn close_expired(&mut self, limits: &PoolLimits) {
+        if let Some(before) = Instant::now().checked_sub(limits.idle_timeout) {
+            self.close_idle_before(before, &ConnectionEnd::IdleTimeout);
+        }
+        let now = Instant::now();
+        let idle = std::mem::take(&mut self.idle);
+        self.idle = idle
+            .into_iter()
+            .filter_map(|idle| self.keep_if_usable(idle))
+            .collect();
+        for idle in &mut self.idle {
+            idle.was_quiet |= idle.quiet_at(limits) <= now;
         }
+        if self.is_distrusted() {
+            self.close_idle(&ConnectionEnd::Distrusted);
+        }
+    }
+
+    /// Returns an idle connection if it is open and nothing was received. Otherwise closes it, and distrusts the endpoint
+    /// if it has sent bytes after the connection was quiet.
+    pub(super) fn keep_if_usable(&mut self, idle: IdleConnection) -> Option<IdleConnection> {
+        let end = match idle.pooled.connection.idle_state() {
+            IdleState::Quiet => return Some(idle),
+            IdleState::Closed => ConnectionEnd::ClosedWhileIdle,
+            IdleState::Unrequested(bytes) => {
+                add(&self.counters.connections_unrequested);
+                // A server may announce with 408 that it closes an idle connection.
+                if idle.was_quiet && bytes.status != Some(status::REQUEST_TIMEOUT) {
+                    self.distrust();
+                }
+                ConnectionEnd::Unrequested(bytes)
+            }
+        };
+        idle.pooled.log_end(self.id, &end);
         None
     }
 
+    /// Reuses no connection for [`DISTRUST_DURATION`].
+    pub(super) fn distrust(&mut self) {
+        self.distrusted_until = Some(Instant::now() + DISTRUST_DURATION);
+    }
+
+    fn is_distrusted(&self) -> bool {
+        self.distrusted_until
+            .is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Records the time from a request to the response that reports its delivery.
+    pub(super) fn record_call_time(&mut self, call_time: Duration) {
+        let average = self.call_time.unwrap_or(call_time);
+        let weighted_average = average.mul_f64(1.0 - CALL_TIME_WEIGHT);
+        self.call_time = Some(weighted_average + call_time.mul_f64(CALL_TIME_WEIGHT));
+    }
+
     /// Returns the time at which the connection that has been idle longest became idle.
     pub(super) fn oldest_idle_since(&self) -> Option<Instant> {
         self.idle.first().map(|idle| idle.since)
@@ -105,11 +202,13 @@
 
     /// Closes all idle connections.
     pub(super) fn close_idle(&mut self, end: &ConnectionEnd) {
-        self.close_idle_before(Instant::now(), end);
+        for idle in self.idle.drain(..) {
+            idle.pooled.log_end(self.id, end);
+        }
     }
 
     /// Closes the connections that became idle before a time.
-    pub(super) fn close_idle_before(&mut self, before: Instant, end: &ConnectionEnd) {
+    fn close_idle_before(&mut self, before: Instant, end: &ConnectionEnd) {
         self.idle.retain(|idle| {
             let is_closed = idle.since < before;
             if is_closed {
--- a/crates/delivery/src/net/pool/pooled_connection.rs
+++ b/crates/delivery/src/net/pool/pooled_connection.rs
@@ -1,8 +1,8 @@
 //! A connection of the pool, with the history that log lines report.
 
 use super::connection_end::ConnectionEnd;
-use crate::log_line;
 use crate::net::connection::Connection;
+use crate::{connection_line, delivery_line};
 use marblefall_scheduler::EndpointId;
 use std::fmt;
 use std::net::SocketAddr;
@@ -79,7 +79,17 @@
 
     /// Logs the end of the connection.
     pub(super) fn log_end(&self, endpoint: EndpointId, end: &ConnectionEnd) {
-        log_line!(
+        if matches!(end, ConnectionEnd::EnoughIdle) {
+            // At a high rate of calls, most connections end like this.
+            delivery_line!(
+                endpoint = endpoint.0,
+                code = end.code(),
+                connection = self.id.0,
+                "endpoint: connection ended"
+            );
+            return;
+        }
+        connection_line!(
             endpoint = endpoint.0,
             code = end.code(),
             connection = self.id.0,
--- a/crates/delivery/src/net/pool/response.rs
+++ b/crates/delivery/src/net/pool/response.rs
@@ -3,12 +3,17 @@
 //! A response that cannot be read to its end is not trusted, even if its head reports that the attempt was not
 //! executed: the response may be corrupt, and the endpoint may have executed the attempt. The exception is a status
 //! line that reports delivery, which is final regardless of the bytes that follow it.
+//!
+//! On a reused connection, a response may also be a copy of an earlier one. If others follow it, any of them may be the
+//! response to the request. Their outcome counts if they agree. Otherwise, and if a response cannot be read to its end, it
+//! is only known that the attempt may have been executed.
 
 use super::connection_end::ConnectionEnd;
+use super::pooled_connection::ConnectionOrigin;
 use super::AttemptOutcome;
-use crate::net::connection::{with_deadline, Connection, ReadError};
+use crate::net::connection::{with_deadline, Connection, IdleState, ReadError, UnrequestedBytes};
 use crate::net::http::{self, status, ResponseHead};
-use marblefall_scheduler::Outcome;
+use marblefall_scheduler::{Outcome, Span};
 use std::time::{Duration, Instant};
 
 /// Maximum length of a response's head in bytes.
@@ -31,10 +36,23 @@
     Impossible(ConnectionEnd),
 }
 
+/// A request whose response is awaited.
+#[derive(Clone, Copy)]
+pub(super) struct AwaitedResponse {
+    /// Derives the outcome from the head of a response.
+    pub(super) classify: fn(&ResponseHead<'_>) -> AttemptOutcome,
+    /// The deadline for the status line.
+    pub(super) timeout_at: Instant,
+    /// The origin of the connection. On a reused one, a response may be a copy of an earlier one.
+    pub(super) origin: ConnectionOrigin,
+}
+
 /// The result of reading a response.
 pub(super) struct ReadResponse {
     pub(super) outcome: AttemptOutcome,
     pub(super) reuse: Reuse,
+    /// The longest `Retry-After` of the responses before the last one.
+    retry_after: Option<Span>,
 }
 
 impl ReadResponse {
@@ -43,6 +61,45 @@
         ReadResponse {
             outcome: outcome.into(),
             reuse: Reuse::Impossible(end),
+            retry_after: None,
+        }
+    }
+
+    /// Combines a response with the one behind it. Either of them may be the response to the request.
+    fn followed_by(self, next: ReadResponse) -> ReadResponse {
+        let retry_after = self.requested_backoff().max(next.requested_backoff());
+        let outcome = if self.outcome.agrees_with(&next.outcome) {
+            next.outcome
+        } else {
+            Outcome::Error.into()
+        };
+        let reuse = match next.reuse {
+            Reuse::Possible => Reuse::Impossible(ConnectionEnd::Distrusted),
+            impossible => impossible,
+        };
+        ReadResponse {
+            outcome,
+            reuse,
+            retry_after,
+        }
+    }
+
+    /// Returns the longest `Retry-After` of the responses that were read.
+    pub(super) fn requested_backoff(&self) -> Option<Span> {
+        match self.outcome.outcome {
+            Outcome::Rejected { retry_after } => retry_after.max(self.retry_after),
+            _ => self.retry_after,
+        }
+    }
+
+    /// Returns the bytes behind this response, if it was read to its end and the connection is open.
+    fn unrequested_behind(&self, connection: &Connection) -> Option<UnrequestedBytes> {
+        match (&self.reuse, connection.idle_state()) {
+            (
+                Reuse::Possible | Reuse::Impossible(ConnectionEnd::Distrusted),
+                IdleState::Unrequested(bytes),
+            ) => Some(bytes),
+            _ => None,
         }
     }
 }
@@ -55,34 +112,55 @@
     Final(ReadResponse),
 }
 
-/// Reads a response. The status line is awaited until `timeout_at`. The rest of the response may arrive up to
-/// [`REST_GRACE`] later.
-pub(super) async fn read_response(
-    connection: &mut Connection,
-    classify_response: fn(&ResponseHead<'_>) -> AttemptOutcome,
-    timeout_at: Instant,
-) -> ReadResponse {
-    for _ in 0..MAX_RESPONSES {
-        let reading = connection.read_status_line(MAX_HEAD_LEN);
-        let status = match with_deadline(timeout_at, reading).await {
-            Some(Ok(status)) => status,
-            Some(Err(error)) => return unreadable(error),
-            None => return ReadResponse::closed(Outcome::TimedOut, ConnectionEnd::TimedOut),
-        };
-        let rest_deadline = (Instant::now() + REST_TIMEOUT).min(timeout_at + REST_GRACE);
-        let rest = with_deadline(rest_deadline, read_rest(connection, classify_response))
-            .await
-            .unwrap_or(Err(ReadError::TimedOut));
-        match rest {
-            Ok(ResponseRest::Interim) => {}
-            Ok(ResponseRest::Final(response)) => return response,
-            Err(error) if is_delivered(status, classify_response) => {
-                return ReadResponse::closed(Outcome::Delivered, ConnectionEnd::Unreadable(error))
+impl AwaitedResponse {
+    /// Reads the response. The status line is awaited until `timeout_at`. The rest of the response may arrive up to
+    /// [`REST_GRACE`] later.
+    pub(super) async fn read(&self, connection: &mut Connection) -> ReadResponse {
+        let mut response = self.read_final(connection, self.timeout_at).await;
+        for _ in 0..MAX_RESPONSES {
+            let Some(unrequested) = response.unrequested_behind(connection) else {
+                return response;
+            };
+            if self.origin == ConnectionOrigin::New {
+                response.reuse = Reuse::Impossible(ConnectionEnd::Unrequested(unrequested));
+                return response;
             }
-            Err(error) => return unreadable(error),
+            let deadline = self.timeout_at.min(Instant::now() + REST_TIMEOUT);
+            let next = self.read_final(connection, deadline).await;
+            response = response.followed_by(next);
         }
+        ReadResponse::closed(Outcome::Error, ConnectionEnd::ResponsesWithoutEnd)
+    }
+
+    /// Reads responses up to the first one that is not an interim response.
+    async fn read_final(&self, connection: &mut Connection, deadline: Instant) -> ReadResponse {
+        for _ in 0..MAX_RESPONSES {
+            let reading = connection.read_status_line(MAX_HEAD_LEN);
+            let status = match with_deadline(deadline, reading).await {
+                Some(Ok(status)) => status,
+                Some(Err(error)) => return unreadable(error),
+                None => return ReadResponse::closed(Outcome::TimedOut, ConnectionEnd::TimedOut),
+            };
+            let rest_deadline = (Instant::now() + REST_TIMEOUT).min(self.timeout_at + REST_GRACE);
+            let rest = with_deadline(rest_deadline, read_rest(connection, self.classify))
+                .await
+                .unwrap_or(Err(ReadError::TimedOut));
+            return match rest {
+                Ok(ResponseRest::Interim) => continue,
+                Ok(ResponseRest::Final(response)) => response,
+                Err(error) if self.is_final_delivery(status) => {
+                    ReadResponse::closed(Outcome::Delivered, ConnectionEnd::Unreadable(error))
+                }
+                Err(error) => unreadable(error),
+            };
+        }
+        ReadResponse::closed(Outcome::Error, ConnectionEnd::InterimWithoutEnd)
+    }
+
+    /// Returns whether a status line alone reports the delivery of this request.
+    fn is_final_delivery(&self, status: u16) -> bool {
+        self.origin == ConnectionOrigin::New && is_delivered(status, self.classify)
     }
-    ReadResponse::closed(Outcome::Error, ConnectionEnd::InterimWithoutEnd)
 }
 
 /// Returns whether a status line alone reports delivery.
@@ -120,14 +198,14 @@
     match connection.read_body(head_len, framing, MAX_BODY_LEN).await {
         Ok(body_len) => {
             connection.consume(head_len + body_len);
-            // Bytes that follow a response belong to no attempt, and the next attempt must not read them as its
-            // response.
-            if keep_alive && connection.bytes().is_empty() {
-                let reuse = Reuse::Possible;
-                Ok(ResponseRest::Final(ReadResponse { outcome, reuse }))
-            } else {
-                Ok(not_kept_alive(outcome))
+            if !keep_alive {
+                return Ok(not_kept_alive(outcome));
             }
+            Ok(ResponseRest::Final(ReadResponse {
+                outcome,
+                reuse: Reuse::Possible,
+                retry_after: None,
+            }))
         }
         // The rate limit report of a readable head is used even if the body cannot be read.
         Err(_) if is_delivered => Ok(not_kept_alive(outcome)),
--- a/crates/delivery/src/net/pool/run.rs
+++ b/crates/delivery/src/net/pool/run.rs
@@ -2,9 +2,10 @@
 
 use super::connection_end::ConnectionEnd;
 use super::pooled_connection::{ConnectionOrigin, Exchange, PooledConnection};
-use super::response::{read_response, Reuse};
+use super::response::{AwaitedResponse, ReadResponse, Reuse};
 use super::{until_cancelled, Attempt, AttemptOutcome, EncodedRequest, Pool};
 use crate::core::Route;
+use crate::counters::add;
 use crate::message_line;
 use crate::net::connection::with_deadline;
 use crate::rules::{Rule, SendConditions, Withheld};
@@ -161,17 +162,19 @@
         attempt: &Attempt<'_>,
         cancelled: &Receiver<()>,
     ) -> AttemptOutcome {
-        let reading = read_response(
-            &mut pooled.connection,
-            attempt.classify_response,
-            attempt.timeout_at,
-        );
+        let awaited = AwaitedResponse {
+            classify: attempt.classify_response,
+            timeout_at: attempt.timeout_at,
+            origin: request.origin,
+        };
+        let reading = awaited.read(&mut pooled.connection);
         let Some(response) = until_cancelled(cancelled, reading).await else {
             pooled.log_end(attempt.endpoint, &ConnectionEnd::Cancelled);
             return Outcome::Cancelled.into();
         };
+        self.observe_response(attempt.endpoint, request, &response);
+        self.back_off_if_requested(attempt.route, &response);
         let outcome = response.outcome;
-        self.back_off_if_requested(attempt.route, outcome.outcome);
         match response.reuse {
             Reuse::Possible => {
                 self.return_to_pool(attempt.endpoint, pooled);
@@ -188,11 +191,34 @@
         }
     }
 
-    fn back_off_if_requested(&self, route: Route, outcome: Outcome) {
-        if let Outcome::Rejected {
-            retry_after: Some(delay),
-        } = outcome
-        {
+    /// Records what the response to a request shows of its endpoint.
+    fn observe_response(
+        &self,
+        endpoint: EndpointId,
+        request: WrittenRequest,
+        response: &ReadResponse,
+    ) {
+        let mut endpoints = self.endpoints.borrow_mut();
+        let Some(endpoint) = endpoints.get_mut(&endpoint) else {
+            return;
+        };
+        match response.reuse {
+            Reuse::Impossible(ConnectionEnd::Unrequested(_)) => {
+                add(&self.counters.connections_unrequested);
+            }
+            Reuse::Impossible(ConnectionEnd::Distrusted) => {
+                add(&self.counters.connections_unrequested);
+                endpoint.distrust();
+            }
+            _ => {}
+        }
+        if response.outcome.outcome == Outcome::Delivered {
+            endpoint.record_call_time(request.written_at.elapsed());
+        }
+    }
+
+    fn back_off_if_requested(&self, route: Route, response: &ReadResponse) {
+        if let Some(delay) = response.requested_backoff() {
             let delay = Duration::from_micros(delay.0.max(0) as u64);
             self.back_off(route, Instant::now() + delay);
         }
--- a/crates/delivery/src/net/pool/tests.rs
+++ b/crates/delivery/src/net/pool/tests.rs
@@ -32,10 +32,19 @@
     TcpListener::bind("127.0.0.1:0").unwrap()
 }
 
-/// Creates a pool that lists [`ENDPOINT`] at a listener's address.
+/// Creates a pool that lists [`ENDPOINT`] at a listener's address, and reuses connections at once.
 fn pool(max_connections: usize, listener: &TcpListener) -> Pool {
+    pool_with_quiet_time(max_connections, Duration::ZERO, listener)
+}
+
+fn pool_with_quiet_time(
+    max_connections: usize,
+    min_quiet_time: Duration,
+    listener: &TcpListener,
+) -> Pool {
     let limits = PoolLimits {
         connect_timeout: TEST_TIMEOUT,
+        min_quiet_time,
         idle_timeout: TEST_TIMEOUT,
         max_connections,
     };
--- a/crates/delivery/src/net/pool/tests/responses.rs
+++ b/crates/delivery/src/net/pool/tests/responses.rs
@@ -1,4 +1,5 @@
-use super::super::response::{read_response, Reuse};
+use super::super::pooled_connection::ConnectionOrigin;
+use super::super::response::{AwaitedResponse, Reuse};
 use super::*;
 use crate::frontend::cloudevents;
 use crate::net::connection::Connection;
@@ -11,36 +12,48 @@
 
 const REUSABLE: bool = true;
 const CLOSED: bool = false;
+const REJECTED: Outcome = Outcome::Rejected { retry_after: None };
+const REJECTION: &[u8] = b"HTTP/1.1 503 x\r\nContent-Length: 2\r\n\r\nab";
 
 /// Reads a response from a connection that the endpoint keeps open.
-fn read(bytes: &[u8], classify_response: fn(&ResponseHead<'_>) -> AttemptOutcome) -> Expected {
+fn read(
+    bytes: &[u8],
+    classify: fn(&ResponseHead<'_>) -> AttemptOutcome,
+    origin: ConnectionOrigin,
+) -> Expected {
     async_io::block_on(async {
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
         let connecting = Connection::connect(listener.get_ref().local_addr().unwrap());
         let (client, endpoint) = future::zip(connecting, listener.accept()).await;
         let (mut client, mut endpoint) = (client.unwrap(), endpoint.unwrap().0);
         endpoint.write_all(bytes).await.unwrap();
-        let response = read_response(&mut client, classify_response, test_deadline()).await;
+        let awaited = AwaitedResponse {
+            classify,
+            timeout_at: test_deadline(),
+            origin,
+        };
+        let response = awaited.read(&mut client).await;
         let is_reusable = matches!(response.reuse, Reuse::Possible);
         (response.outcome.outcome, is_reusable)
     })
 }
 
 fn assert_read(bytes: &[u8], expected: Expected) {
-    for classify_response in [platform::classify_response, cloudevents::classify_response] {
-        let start = String::from_utf8_lossy(&bytes[..bytes.len().min(70)]);
-        assert_eq!(read(bytes, classify_response), expected, "{start}");
+    assert_read_on(ConnectionOrigin::New, bytes, expected);
+}
+
+fn assert_read_on(origin: ConnectionOrigin, bytes: &[u8], expected: Expected) {
+    for classify in [platform::classify_response, cloudevents::classify_response] {
+        let start = String::from_utf8_lossy(&bytes[..bytes.len().min(90)]);
+        let read = read(bytes, classify, origin);
+        assert_eq!(read, expected, "{origin:?}: {start}");
     }
 }
 
 /// An unreadable 503 does not prove that the attempt was not executed, so its message must not be sent again.
 #[test]
 fn unreadable_rejection_is_an_error() {
-    let rejected = Outcome::Rejected { retry_after: None };
-    assert_read(
-        b"HTTP/1.1 503 x\r\nContent-Length: 2\r\n\r\nab",
-        (rejected, REUSABLE),
-    );
+    assert_read(REJECTION, (REJECTED, REUSABLE));
     let long_head = [b"HTTP/1.1 503 x\r\nX: ", &b"y".repeat(40_000)[..]].concat();
     let unreadable: [&[u8]; 6] = [
         b"HTTP/1.1 503 x\r\nContent-Length: 9\r\n\r\nab",
@@ -74,6 +87,91 @@
     );
 }
 
+/// On a reused connection, either of two responses may be a copy of an earlier one. A message is neither finished nor free
+/// to be repeated unless both have the same outcome.
+#[test]
+fn responses_on_a_reused_connection_count_if_they_agree() {
+    let interim: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+    let error: &[u8] = b"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n";
+    let cases: [(&[&[u8]], Outcome); 9] = [
+        (&[OK_RESPONSE, OK_RESPONSE], Outcome::Delivered),
+        (&[REJECTION, REJECTION], REJECTED),
+        (&[OK_RESPONSE, REJECTION], Outcome::Error),
+        (&[REJECTION, OK_RESPONSE], Outcome::Error),
+        (&[OK_RESPONSE, OK_RESPONSE, REJECTION], Outcome::Error),
+        (&[OK_RESPONSE, interim, REJECTION], Outcome::Error),
+        (&[REJECTION, error], Outcome::Error),
+        (&[OK_RESPONSE, b"noise"], Outcome::Error),
+        (&[REJECTION, b"HTTP/1.1 5"], Outcome::Error),
+    ];
+    for (responses, expected) in cases {
+        let bytes = responses.concat();
+        assert_read_on(ConnectionOrigin::Reused, &bytes, (expected, CLOSED));
+    }
+    assert_read_on(
+        ConnectionOrigin::Reused,
+        OK_RESPONSE,
+        (Outcome::Delivered, REUSABLE),
+    );
+}
+
+/// The start of a copy may precede the response on a reused connection.
+#[test]
+fn unreadable_delivery_on_a_reused_connection_is_an_error() {
+    for unreadable in [
+        &b"HTTP/1.1 200 OK\r\nno field\r\n\r\n"[..],
+        b"HTTP/1.1 200 OK\r\nContHTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n",
+    ] {
+        let expected = (Outcome::Error, CLOSED);
+        assert_read_on(ConnectionOrigin::Reused, unreadable, expected);
+    }
+}
+
+/// If one of two responses requests a backoff, it applies, whichever of them is a copy.
+#[test]
+fn retry_after_of_a_disputed_response_is_honoured() {
+    let listener = listen();
+    let pool = pool(9, &listener);
+    let endpoint = std::thread::spawn(move || {
+        let mut stream = accept(&listener);
+        receive(&mut stream);
+        send(&mut stream, OK_RESPONSE);
+        receive(&mut stream);
+        let retry_after_9_s = b"HTTP/1.1 429 x\r\nRetry-After: 9\r\nContent-Length: 0\r\n\r\n";
+        send(&mut stream, &[retry_after_9_s, OK_RESPONSE].concat());
+    });
+    let outcomes =
+        async_io::block_on(async { [run_attempt(&pool, 1).await, run_attempt(&pool, 2).await] });
+    assert_eq!(outcomes, [Outcome::Delivered, Outcome::Error]);
+    let in_8_s = Instant::now() + Duration::from_secs(8);
+    assert!(pool.backoff_until(SHARED_ROUTE) > Some(in_8_s));
+    endpoint.join().unwrap();
+}
+
+/// The first response on a connection answers its first request, whatever follows it.
+#[test]
+fn first_response_of_a_new_connection_is_trusted() {
+    for (response, outcome) in [(OK_RESPONSE, Outcome::Delivered), (REJECTION, REJECTED)] {
+        for behind in [OK_RESPONSE, REJECTION, b"HTTP/1.1 2"] {
+            assert_read(&[response, behind].concat(), (outcome, CLOSED));
+        }
+    }
+}
+
+/// A connection that the pool closes because of a copy does not show that the endpoint lacks connection slots.
+#[test]
+fn rejection_with_its_copy_is_no_lack_of_connection_slots() {
+    let listener = listen();
+    let pool = pool(9, &listener);
+    let endpoint = std::thread::spawn(move || {
+        let mut stream = accept(&listener);
+        receive(&mut stream);
+        send(&mut stream, &REJECTION.repeat(2));
+    });
+    assert_eq!(async_io::block_on(run_attempt(&pool, 1)), REJECTED);
+    endpoint.join().unwrap();
+}
+
 /// An endpoint that rejects the first request of a connection and closes it lacks connection slots. This does not show
 /// that it has reached its limit on calls.
 #[test]
@@ -82,14 +180,13 @@
     let rejects = "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n";
     let retry_after_2_s =
         "HTTP/1.1 429 x\r\nRetry-After: 2\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-    let rejected = Outcome::Rejected { retry_after: None };
     let rejected_for_2_s = Outcome::Rejected {
         retry_after: Some(Span::from_ms(2000.0)),
     };
     let cases = [
         (vec![rejects_and_closes], vec![Outcome::ConnectFailed]),
         // The second attempt reuses the connection that the first one opened.
-        (vec![rejects, rejects_and_closes], vec![rejected, rejected]),
+        (vec![rejects, rejects_and_closes], vec![REJECTED, REJECTED]),
         (vec![retry_after_2_s], vec![rejected_for_2_s]),
     ];
     for (responses, expected) in cases {
