Ignore a list that is older than the last one of its watch

A late copy of a line of discovery would have replaced the newer state of its endpoints: a draining endpoint became active and got calls again. StreamRequest took over the revision of every line; within one watch a lower revision is ignored and logged (stale-list) now. The first list of a watch counts whatever its revision, since discovery may have lost its state.

--- a/crates/delivery/src/net/discovery/watch/stream.rs
+++ b/crates/delivery/src/net/discovery/watch/stream.rs
@@ -5,6 +5,7 @@
 use super::line_buffer::{LineBuffer, LineError, WatchLine};
 use super::open_watch::WatchProgress;
 use crate::core::engine::EngineEvent;
+use crate::log_line;
 use crate::net::connection::{Connection, ReadError};
 use crate::net::http::{
     self, header, status, ChunkedDecoder, DecodeStep, Framing, HeadWriter, ParseError,
@@ -85,6 +86,7 @@
     let mut connection = open(&request).await?;
     let mut decoder = ChunkedDecoder::default();
     let mut lines = LineBuffer::default();
+    let mut newest_revision = None;
     loop {
         match decoder.next(connection.bytes())? {
             DecodeStep::Done => return Err(ReadError::Closed.into()),
@@ -97,7 +99,7 @@
             DecodeStep::Content(len) => {
                 lines.push(&connection.bytes()[..len]);
                 connection.consume(len);
-                receive_lines(&request, progress, &mut lines)?;
+                receive_lines(&request, progress, &mut lines, &mut newest_revision)?;
             }
         }
     }
@@ -130,11 +132,13 @@
     Ok(connection)
 }
 
-/// Processes the complete lines in the buffer.
+/// Processes the complete lines in the buffer. A list that is older than the newest one of the same watch is a late copy and
+/// is ignored. The first list of a watch counts whatever its revision, as discovery may have lost its state.
 fn receive_lines(
     request: &StreamRequest<'_>,
     progress: &Cell<WatchProgress>,
     lines: &mut LineBuffer,
+    newest_revision: &mut Option<u64>,
 ) -> Result<(), WatchEnd> {
     loop {
         let list = match lines.next()? {
@@ -152,6 +156,15 @@
             },
         });
         let Some(list) = list else { continue };
+        if newest_revision.is_some_and(|newest| list.revision < newest) {
+            log_line!(
+                code = "stale-list",
+                revision = list.revision,
+                "ignored a list that is older than the last one of its watch"
+            );
+            continue;
+        }
+        *newest_revision = Some(list.revision);
         request.since_revision.set(list.revision);
         // The engine's queue is unbounded, so that the list is sent without an await. If the watch were dropped at an
         // await, the list would be lost.
--- a/crates/delivery/src/net/discovery/watch/tests.rs
+++ b/crates/delivery/src/net/discovery/watch/tests.rs
@@ -173,6 +173,36 @@
     );
 }
 
+/// A late copy of an older line would make a draining endpoint active again. The first list of a watch may be older than the
+/// last one of the watch before.
+#[test]
+fn older_list_of_the_same_watch_is_ignored() {
+    let first = [
+        list(5, true, "SERVING"),
+        list(6, false, "DRAINING"),
+        list(5, true, "SERVING"),
+        list(6, false, "DRAINING"),
+    ];
+    let first: Script = Box::new(move |stream| {
+        let lines = first.map(|line| chunk(&line)).concat();
+        let text = format!("{RESPONSE_HEAD}{lines}0\r\n\r\n");
+        stream.write_all(text.as_bytes()).unwrap();
+    });
+    let second = send_script(format!(
+        "{RESPONSE_HEAD}{}",
+        chunk(&list(2, true, "SERVING"))
+    ));
+    assert_eq!(
+        received_statuses(vec![first, second], 4),
+        [
+            EndpointStatus::Active,
+            EndpointStatus::Draining,
+            EndpointStatus::Draining,
+            EndpointStatus::Active,
+        ]
+    );
+}
+
 /// A reload of the configuration must not interrupt the watch if the address of discovery has not changed.
 #[test]
 fn reload_without_a_move_keeps_the_watch_open() {
