Write no request on a connection that has received bytes before it

A response that an endpoint sends before any request (408, or 503 as it takes no more connections) was read as the response to the first request: after such a 503 the message was repeated, although the request behind it may run. The state of a connection is checked in the step that writes the first byte, for new ones too; with bytes there, the attempt ends as not connected. Bytes that come later than this check and before the response cannot be told from it.

response_before_the_first_request_answers_no_request failed before and passes.

--- a/crates/delivery/src/net/pool/run.rs
+++ b/crates/delivery/src/net/pool/run.rs
@@ -7,7 +7,7 @@
 use crate::core::Route;
 use crate::counters::add;
 use crate::message_line;
-use crate::net::connection::with_deadline;
+use crate::net::connection::{with_deadline, IdleState};
 use crate::rules::{Rule, SendConditions, Withheld};
 use async_channel::Receiver;
 use futures_lite::future;
@@ -55,6 +55,11 @@
             Ok(pooled) => pooled,
             Err(outcome) => return outcome.into(),
         };
+        if let IdleState::Unrequested(bytes) = pooled.connection.idle_state() {
+            add(&self.counters.connections_unrequested);
+            pooled.log_end(attempt.endpoint, &ConnectionEnd::Unrequested(bytes));
+            return Outcome::ConnectFailed.into();
+        }
         let now = Instant::now();
         if let Err(withheld) = self.send_conditions(attempt, pooled.address).may_begin(now) {
             log_withheld(attempt, withheld);
--- a/crates/delivery/src/net/pool/tests/responses.rs
+++ b/crates/delivery/src/net/pool/tests/responses.rs
@@ -207,3 +207,21 @@
         endpoint.join().unwrap();
     }
 }
+
+/// A response that an endpoint sends before any request, for example because it accepts no more connections, is not the
+/// response to the request that is written after it.
+#[test]
+fn response_before_the_first_request_answers_no_request() {
+    for response in [REJECTION, OK_RESPONSE, b"HTTP/1.1 4"] {
+        let listener = listen();
+        let pool = pool(9, &listener);
+        let outcome = async_io::block_on(async {
+            let mut connecting = std::pin::pin!(run_attempt(&pool, 1));
+            assert!(future::poll_once(&mut connecting).await.is_none());
+            let mut stream = accept(&listener);
+            stream.write_all(response).unwrap();
+            (connecting.await, receive(&mut stream))
+        });
+        assert_eq!(outcome, (Outcome::ConnectFailed, 0));
+    }
+}
