Close a client's connection on which the last request comes once more

On the platform each submission has an id of its own, so that the same id again on a connection is a copy on the way. It was answered a second time, which the client takes for the response to its next request, and once the message was delivered and forgotten, it was run again. The connection is closed without a response (request-repeated, counter repeated): the message has its response, and a next request that crosses the close is sent again on a new connection, as the protocol says.

copy_of_a_clients_request_is_neither_run_nor_answered (real processes) failed before and passes.

--- a/crates/cli/tests/repeated_responses.rs
+++ b/crates/cli/tests/repeated_responses.rs
@@ -1,15 +1,18 @@
-//! Endpoints whose responses come more than once on the same connection.
+//! Responses of endpoints and requests of clients that come more than once on the same connection.
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod common;
 
+use common::platform::*;
 use common::*;
 use marblefall_process_harness::http::response_bytes;
+use marblefall_process_harness::platform::PlatformMessage;
 use marblefall_process_harness::response_copies::{CopyLength, ResponseCopies};
 use marblefall_process_harness::{monotonic_micros, Micros, Workers};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -173,3 +176,37 @@
     };
     check_outcomes("unfinished-copies", copies, 5);
 }
+
+/// On the platform, each submission has an id of its own.
+#[test]
+fn copy_of_a_clients_request_is_neither_run_nor_answered() {
+    let endpoint = start_healthy_server();
+    let platform = Platform::new("repeated-request", endpoint.address, "6000");
+    let (_program, address) = platform.start_first();
+    let message = PlatformMessage {
+        id: "once",
+        class: KEYED_CLASS,
+        budget_ms: "15000",
+        destination: DESTINATION,
+        idempotency_key: "key-of-once",
+        body: b"two boxes",
+    };
+    let request = message.to_request().to_bytes();
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(&request).unwrap();
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    assert_eq!(Message::read(&mut reader).unwrap().status(), 202);
+    wait_for("the delivery", || endpoint.request_count() == 1);
+    stream.write_all(&request).unwrap();
+    assert!(Message::read(&mut reader).is_none(), "a second response");
+    assert_eq!(
+        submit_status(address, "next", KEYED_CLASS, "15000"),
+        202,
+        "on a new connection"
+    );
+    wait_for("the delivery of the next message", || {
+        let requests = endpoint.requests();
+        requests.iter().any(|call| message_id(call) == Some("next"))
+    });
+    assert_eq!(endpoint.request_count(), 2);
+}
--- a/crates/delivery/src/counters.rs
+++ b/crates/delivery/src/counters.rs
@@ -33,6 +33,8 @@
     recovered = "resumed",
     /// Requests that could not be parsed or were invalid.
     unreadable_requests = "rejected",
+    /// Client connections closed because the last request came once more.
+    requests_repeated = "repeated",
     /// Attempts started.
     attempts = "legs",
     /// Connections opened to endpoints.
--- a/crates/delivery/src/net/server/session.rs
+++ b/crates/delivery/src/net/server/session.rs
@@ -83,6 +83,8 @@
     read_by: Instant,
     /// Whether the first bytes of a request have been received on this connection.
     had_request: bool,
+    /// The identity of the message that was submitted last on this connection.
+    last_identity: Vec<u8>,
 }
 
 impl<'a, F: Frontend> Session<'a, F> {
@@ -98,6 +100,7 @@
             id,
             read_by,
             had_request: false,
+            last_identity: Vec::new(),
         }
     }
 
@@ -216,8 +219,27 @@
                 }
                 Ok(response.into())
             }
-            ParsedRequest::Submit(message) => self.submit(message).await,
+            ParsedRequest::Submit(message) => {
+                self.check_not_repeated(&message)?;
+                self.submit(message).await
+            }
+        }
+    }
+
+    /// Ends the session if a message is the last one of this connection once more. If clients use a new identity for each
+    /// submission, the request is a copy on the way. It has its response, and a second response would be taken for that to
+    /// the client's next request.
+    fn check_not_repeated(&mut self, message: &Message) -> Result<(), SessionEnd> {
+        if !self.context.frontend.one_request_at_a_time() {
+            return Ok(());
+        }
+        if self.last_identity == message.identity {
+            add(&self.clients().counters().requests_repeated);
+            self.set_phase(Phase::Lingering);
+            return Err(SessionEnd::RequestRepeated);
         }
+        self.last_identity.clone_from(&message.identity);
+        Ok(())
     }
 
     /// Submits a message and waits for its response, or until the client closes the connection.
--- a/crates/delivery/src/net/server/session_end.rs
+++ b/crates/delivery/src/net/server/session_end.rs
@@ -45,6 +45,8 @@
     ClientGone,
     /// The response could not be written to the client.
     ResponseNotRead,
+    /// The client sent its last request once more.
+    RequestRepeated,
     /// The server closed the connection after a response that announced this.
     ClosedAfterResponse,
 }
@@ -59,6 +61,7 @@
             SessionEnd::Unreadable(error) => error.code(),
             SessionEnd::ClientGone => "client-gone",
             SessionEnd::ResponseNotRead => "response-not-taken",
+            SessionEnd::RequestRepeated => "request-repeated",
             SessionEnd::ClosedAfterResponse => "closed-after-response",
         }
     }
