--- a/crates/fault-soak/src/arguments.rs
+++ b/crates/fault-soak/src/arguments.rs
@@ -31,6 +31,9 @@
     /// Time in which clients send requests in each run, in seconds.
     #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(6..=600))]
     pub seconds: u64,
+    /// Adds bursts of requests, and responses, acknowledgements, lists and requests that come twice on their connection.
+    #[arg(long)]
+    pub repeats: bool,
     /// File with a stored plan, which is run in place of plans drawn from seeds.
     #[arg(long, value_name = "FILE")]
     pub plan: Option<PathBuf>,
--- a/crates/fault-soak/src/client.rs
+++ b/crates/fault-soak/src/client.rs
@@ -3,7 +3,7 @@
 mod keep_alive;
 
 use crate::endpoint::DESTINATIONS;
-use crate::plan::{ClientFault, PlannedFaultKind};
+use crate::plan::{ClientFault, PlannedFaultKind, RepeatFault};
 use crate::process::ShutdownWindow;
 use crate::record::{self, Class, ClientResult, SharedRecord};
 use crate::schedule::Schedule;
@@ -26,6 +26,8 @@
 const BUDGET_MS: Range<i64> = 1500..3000;
 /// Pauses of a client between two requests, in milliseconds.
 const PAUSE_MS: Range<u64> = 40..400;
+/// Pauses of a client between two requests of a burst, in milliseconds.
+const BURST_PAUSE_MS: Range<u64> = 2..12;
 /// Lengths of bodies, in bytes.
 const BODY_BYTES: Range<usize> = 0..400;
 /// Probability that a client keeps a connection open after a response.
@@ -73,7 +75,11 @@
         let mut reusable_connection: Option<TcpStream> = None;
         let mut count = 0;
         while !self.stop.load(Ordering::SeqCst) {
-            thread::sleep(Duration::from_millis(rng.random_range(PAUSE_MS)));
+            let pauses_ms = match self.burst_destination() {
+                Some(_) => BURST_PAUSE_MS,
+                None => PAUSE_MS,
+            };
+            thread::sleep(Duration::from_millis(rng.random_range(pauses_ms)));
             count += 1;
             let id = format!("{}-{number}-{count}", self.process);
             let stream = match reusable_connection.take() {
@@ -105,7 +111,8 @@
         rng: &mut Pcg64Mcg,
     ) -> io::Result<Option<TcpStream>> {
         let class = Class::ALL[rng.random_range(0..Class::ALL.len())];
-        let destination = rng.random_range(0..DESTINATIONS);
+        let drawn_destination = rng.random_range(0..DESTINATIONS);
+        let destination = self.burst_destination().unwrap_or(drawn_destination);
         let budget_ms = rng.random_range(BUDGET_MS);
         let body_len = rng.random_range(BODY_BYTES);
         let bytes = request_bytes(id, class, destination, budget_ms, body_len);
@@ -125,11 +132,36 @@
             result: received.result,
             ended_at: received.ended_at,
         });
+        if let Some(delay) = self.copy_delay().filter(|_| received.is_reusable) {
+            thread::sleep(delay);
+            // Fails if the process has closed the connection.
+            let _ = stream.write_all(&bytes);
+            self.record.lock().copies += 1;
+        }
         Ok(received.is_reusable.then_some(stream))
     }
 
+    /// Returns the delay of copies if requests are written twice.
+    fn copy_delay(&self) -> Option<Duration> {
+        self.schedule.active(|fault| {
+            let is_active = fault.kind == PlannedFaultKind::Repeat(RepeatFault::Requests)
+                && fault.is_for(self.process, self.processes);
+            is_active.then(|| fault.delay())
+        })
+    }
+
+    /// Returns the destination of a burst, if there is one.
+    fn burst_destination(&self) -> Option<usize> {
+        self.schedule.active(|fault| {
+            let is_active = fault.kind == PlannedFaultKind::Clients(ClientFault::Burst)
+                && fault.is_for(self.process, self.processes);
+            is_active.then(|| fault.target / self.processes % DESTINATIONS)
+        })
+    }
+
     fn active_fault(&self) -> Option<ClientFault> {
         self.schedule.active(|fault| match fault.kind {
+            PlannedFaultKind::Clients(ClientFault::Burst) => None,
             PlannedFaultKind::Clients(kind) if fault.is_for(self.process, self.processes) => {
                 Some(kind)
             }
@@ -167,7 +199,7 @@
     fn misbehave(&self, fault: ClientFault, count: u64) -> io::Result<Option<TcpStream>> {
         let mut stream = TcpStream::connect_timeout(&self.address, RESPONSE_TIMEOUT)?;
         match fault {
-            ClientFault::SilentConnections => Ok(Some(stream)),
+            ClientFault::SilentConnections | ClientFault::Burst => Ok(Some(stream)),
             ClientFault::IdleConnections => {
                 stream.set_read_timeout(Some(RESPONSE_TIMEOUT))?;
                 stream.write_all(&Request::get(READY_PATH).to_bytes())?;
--- a/crates/fault-soak/src/discovery.rs
+++ b/crates/fault-soak/src/discovery.rs
@@ -1,15 +1,18 @@
 //! The discovery of one process. It sends the endpoint list, receives notices, and fails as the plan specifies.
 
-use crate::endpoint::{destination_of, ENDPOINTS, RATE};
-use crate::plan::{DiscoveryFault, PlannedFault, PlannedFaultKind};
+use crate::endpoint::{destination_of, ENDPOINTS};
+use crate::plan::{DiscoveryFault, PlannedFault, PlannedFaultKind, RepeatFault};
 use crate::record::{ListChange, Notice, SharedRecord};
 use crate::schedule::Schedule;
 use marblefall_process_harness::discovery::{
     DiscoverySource, EndpointList, EndpointPhase, ListedEndpoint, Watch,
 };
+use marblefall_process_harness::response_copies::ResponseCopies;
 use marblefall_process_harness::{monotonic_micros, Micros};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -35,6 +38,8 @@
     pub schedule: Schedule,
     /// Record that receives the notices.
     pub record: SharedRecord,
+    /// Number of requests with notices.
+    pub notice_requests: Arc<AtomicUsize>,
 }
 
 /// Returns the phase of an endpoint in the list at a given time.
@@ -86,9 +91,14 @@
 }
 
 /// Returns the list entry of an endpoint.
-pub fn list_entry(endpoint: usize, address: SocketAddr, phase: EndpointPhase) -> ListedEndpoint {
+pub fn list_entry(
+    endpoint: usize,
+    address: SocketAddr,
+    phase: EndpointPhase,
+    rate: f64,
+) -> ListedEndpoint {
     let id = format!("s-{endpoint}");
-    ListedEndpoint::new(&id, address, destination_of(endpoint), RATE).in_phase(phase)
+    ListedEndpoint::new(&id, address, destination_of(endpoint), rate).in_phase(phase)
 }
 
 impl ProcessDiscovery {
@@ -97,6 +107,18 @@
         self.schedule.is_active(kind, self.process, self.processes)
     }
 
+    /// Returns the delay of copies if a fault of this kind is active for any process that `is_affected` selects.
+    fn copy_delay(
+        &self,
+        kind: RepeatFault,
+        is_affected: impl Fn(&PlannedFault) -> bool,
+    ) -> Option<Duration> {
+        self.schedule.active(|fault| {
+            let is_active = fault.kind == PlannedFaultKind::Repeat(kind) && is_affected(fault);
+            is_active.then(|| fault.delay())
+        })
+    }
+
     fn wait_while_down(&self) {
         while self.is_fault_active(DiscoveryFault::Down) {
             thread::sleep(POLL_INTERVAL);
@@ -128,7 +150,10 @@
             revision,
             is_complete,
             endpoints: included
-                .map(|endpoint| list_entry(endpoint, self.endpoints[endpoint], phases[endpoint]))
+                .map(|endpoint| {
+                    let (address, phase) = (self.endpoints[endpoint], phases[endpoint]);
+                    list_entry(endpoint, address, phase, self.schedule.plan().rate())
+                })
                 .collect(),
         }
     }
@@ -148,7 +173,8 @@
     fn watch(&self, watch: &mut Watch) -> io::Result<()> {
         let mut sent = self.current_phases();
         let mut revision = FIRST_REVISION;
-        watch.send_list(&self.all_listed(&sent))?;
+        let mut last_sent = self.all_listed(&sent);
+        watch.send_list(&last_sent)?;
         let mut sent_at = Instant::now();
         loop {
             thread::sleep(POLL_INTERVAL);
@@ -163,7 +189,14 @@
             if phases != sent {
                 revision += 1;
                 let has_changed = |endpoint: usize| phases[endpoint] != sent[endpoint];
-                watch.send_list(&self.list(revision, false, &phases, has_changed))?;
+                let change = self.list(revision, false, &phases, has_changed);
+                watch.send_list(&change)?;
+                if let Some(delay) = self.copy_delay(RepeatFault::Lists, |_| true) {
+                    thread::sleep(delay);
+                    watch.send_list(&last_sent)?;
+                    self.record.lock().copies += 1;
+                }
+                last_sent = change;
                 sent = phases;
                 sent_at = Instant::now();
             } else if sent_at.elapsed() >= HEARTBEAT_INTERVAL {
@@ -174,15 +207,28 @@
     }
 
     fn receive_notices(&self, notices: &str) -> bool {
+        let is_copied = self.acknowledgement_copies().is_some();
+        let number = self.notice_requests.fetch_add(1, Ordering::SeqCst);
+        if is_copied && !number.is_multiple_of(2) {
+            return false;
+        }
         let received_at = monotonic_micros();
         let ids = notices.lines().filter_map(|line| {
             let notice: serde_json::Value = serde_json::from_str(line).ok()?;
             Some(notice["id"].as_str()?.to_owned())
         });
         let notices = ids.map(|id| Notice { id, received_at });
-        self.record.lock().notices.extend(notices);
+        let mut record = self.record.lock();
+        record.notices.extend(notices);
+        record.copies += usize::from(is_copied);
         true
     }
+
+    fn acknowledgement_copies(&self) -> Option<ResponseCopies> {
+        let is_affected = |fault: &PlannedFault| fault.is_for(self.process, self.processes);
+        self.copy_delay(RepeatFault::Acknowledgements, is_affected)
+            .map(ResponseCopies::one_after)
+    }
 }
 
 #[cfg(test)]
--- a/crates/fault-soak/src/endpoint.rs
+++ b/crates/fault-soak/src/endpoint.rs
@@ -1,12 +1,13 @@
 //! The endpoints of destinations. They execute and record calls, and misbehave as the plan specifies.
 
-use crate::plan::{EndpointFault, PlannedFaultKind};
+use crate::plan::{EndpointFault, PlannedFaultKind, RepeatFault};
 use crate::record::{Call, CallResult, SharedRecord};
 use crate::schedule::Schedule;
-use marblefall_process_harness::http::{is_timeout, write_response, Message};
+use marblefall_process_harness::http::{is_timeout, response_bytes, Message};
+use marblefall_process_harness::response_copies::{CopyLength, ResponseCopies};
 use marblefall_process_harness::server::{self, Reply, RequestHandler};
 use marblefall_process_harness::{headers, monotonic_micros, HarnessError, Micros, MILLISECOND};
-use std::io;
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -18,11 +19,9 @@
 pub const ENDPOINTS_PER_DESTINATION: usize = 2;
 /// Number of endpoints in a run.
 pub const ENDPOINTS: usize = DESTINATIONS * ENDPOINTS_PER_DESTINATION;
-/// Calls per second that a destination accepts from all processes together, as stated in the endpoint list.
-pub const RATE: f64 = 30.0;
-/// Length of the window in which calls are counted against [`RATE`].
+/// Length of the window in which calls are counted against the rate of the plan.
 const RATE_WINDOW: Micros = 1000 * MILLISECOND;
-/// Retry-After of a call above [`RATE`], in milliseconds.
+/// Retry-After of a call above that rate, in milliseconds.
 const RATE_RETRY_AFTER_MS: i64 = 300;
 /// The shortest Retry-After of an endpoint fault, in milliseconds.
 const MIN_RETRY_AFTER_MS: i64 = 200;
@@ -83,7 +82,7 @@
             .unwrap_or_else(PoisonError::into_inner);
         let accepted_at = &mut all[destination];
         accepted_at.retain(|at| now - at < RATE_WINDOW);
-        let is_accepted = (accepted_at.len() as f64) < RATE;
+        let is_accepted = (accepted_at.len() as f64) < self.schedule.plan().rate();
         if is_accepted {
             accepted_at.push(now);
         }
@@ -164,25 +163,68 @@
                 CallResult::Broken
             }
             Some((EndpointFault::Down, _)) => CallResult::Broken,
-            Some((EndpointFault::InternalError, _)) => respond(stream, 500, None),
-            Some((EndpointFault::RejectAll, _)) => respond(stream, 503, None),
+            Some((EndpointFault::InternalError, _)) => self.respond(stream, 500, None),
+            Some((EndpointFault::RejectAll, _)) => self.respond(stream, 503, None),
             Some((EndpointFault::RetryAfter, amount_ms)) => {
-                respond(stream, 429, Some(amount_ms.max(MIN_RETRY_AFTER_MS)))
+                self.respond(stream, 429, Some(amount_ms.max(MIN_RETRY_AFTER_MS)))
             }
-            Some((EndpointFault::Slow, _)) => serve(stream, SLOW_SERVICE_TIME),
+            Some((EndpointFault::Slow, _)) => self.serve(stream, SLOW_SERVICE_TIME),
             None if !self.destinations.accept_call(self.destination()) => {
-                respond(stream, 429, Some(RATE_RETRY_AFTER_MS))
+                self.respond(stream, 429, Some(RATE_RETRY_AFTER_MS))
             }
-            None => serve(stream, SERVICE_TIME),
+            None => self.serve(stream, SERVICE_TIME),
+        }
+    }
+
+    fn serve(&self, stream: &mut TcpStream, service_time: Duration) -> CallResult {
+        let until = monotonic_micros() + service_time.as_micros() as Micros;
+        match wait_while(stream, || monotonic_micros() < until) {
+            WaitResult::ConditionEnded => self.respond(stream, 200, None),
+            WaitResult::CallerGone => CallResult::Broken,
         }
     }
-}
 
-fn serve(stream: &mut TcpStream, service_time: Duration) -> CallResult {
-    let until = monotonic_micros() + service_time.as_micros() as Micros;
-    match wait_while(stream, || monotonic_micros() < until) {
-        WaitResult::ConditionEnded => respond(stream, 200, None),
-        WaitResult::CallerGone => CallResult::Broken,
+    fn respond(
+        &self,
+        stream: &mut TcpStream,
+        status: u16,
+        retry_after_ms: Option<i64>,
+    ) -> CallResult {
+        let header_line = retry_after_ms.map_or_else(String::new, |ms| {
+            format!("{}: {:.3}\r\n", headers::RETRY_AFTER, ms as f64 / 1000.0)
+        });
+        let response = response_bytes(status, &header_line, b"");
+        let written = match self.copies() {
+            Some(copies) => {
+                self.destinations.record.lock().copies += 1;
+                copies.write(stream, &response)
+            }
+            None => stream.write_all(&response),
+        };
+        match written {
+            Ok(()) => CallResult::Response {
+                status,
+                retry_after_ms,
+            },
+            Err(_) => CallResult::Broken,
+        }
+    }
+
+    /// Returns the copies of responses that the destination's endpoints write now.
+    fn copies(&self) -> Option<ResponseCopies> {
+        self.destinations.schedule.active(|fault| {
+            let length = match fault.kind {
+                PlannedFaultKind::Repeat(RepeatFault::Responses) => CopyLength::Complete,
+                PlannedFaultKind::Repeat(RepeatFault::ResponseHalves) => CopyLength::Half,
+                _ => return None,
+            };
+            fault
+                .is_for(self.destination(), DESTINATIONS)
+                .then(|| ResponseCopies {
+                    length,
+                    ..ResponseCopies::one_after(fault.delay())
+                })
+        })
     }
 }
 
@@ -207,16 +249,3 @@
     };
     stream.set_nonblocking(false).is_err() || is_closed
 }
-
-fn respond(stream: &mut TcpStream, status: u16, retry_after_ms: Option<i64>) -> CallResult {
-    let header_line = retry_after_ms.map_or_else(String::new, |ms| {
-        format!("{}: {:.3}\r\n", headers::RETRY_AFTER, ms as f64 / 1000.0)
-    });
-    match write_response(stream, status, &header_line, b"") {
-        Ok(()) => CallResult::Response {
-            status,
-            retry_after_ms,
-        },
-        Err(_) => CallResult::Broken,
-    }
-}
--- a/crates/fault-soak/src/oracle.rs
+++ b/crates/fault-soak/src/oracle.rs
@@ -38,6 +38,8 @@
 pub struct Oracle<'a> {
     record: &'a Record,
     started_at: Micros,
+    /// Calls per second that each destination accepts.
+    rate: f64,
     requests_by_id: HashMap<&'a str, &'a Request>,
     /// The calls of each message, in the order in which they were read.
     calls_by_id: BTreeMap<&'a str, Vec<&'a Call>>,
@@ -46,8 +48,9 @@
 
 impl<'a> Oracle<'a> {
     /// Returns the violations in the record of a run. Times in their texts are relative to `started_at`.
-    pub fn check(record: &'a Record, started_at: Micros) -> Vec<Violation> {
-        let mut oracle = Oracle::new(record, started_at);
+    /// Each destination accepts `rate` calls per second.
+    pub fn check(record: &'a Record, started_at: Micros, rate: f64) -> Vec<Violation> {
+        let mut oracle = Oracle::new(record, started_at, rate);
         oracle.check_responses();
         oracle.check_outcomes();
         oracle.check_duplicates();
@@ -63,7 +66,7 @@
         oracle.violations
     }
 
-    fn new(record: &'a Record, started_at: Micros) -> Oracle<'a> {
+    fn new(record: &'a Record, started_at: Micros, rate: f64) -> Oracle<'a> {
         let requests = record.requests.iter();
         let mut calls_by_id: BTreeMap<&str, Vec<&Call>> = BTreeMap::new();
         for call in &record.calls {
@@ -75,6 +78,7 @@
         Oracle {
             record,
             started_at,
+            rate,
             requests_by_id: requests
                 .map(|request| (request.id.as_str(), request))
                 .collect(),
--- a/crates/fault-soak/src/oracle/recovery.rs
+++ b/crates/fault-soak/src/oracle/recovery.rs
@@ -1,7 +1,7 @@
 //! Rule for slow starts: a recovering destination receives no more calls than its budget in any window.
 
 use super::Oracle;
-use crate::endpoint::{destination_of, RATE};
+use crate::endpoint::destination_of;
 use crate::record::{Call, Period};
 use marblefall_process_harness::{Micros, MILLISECOND};
 use std::collections::BTreeSet;
@@ -87,7 +87,7 @@
                 .iter()
                 .filter(|call| process_of(call).is_some_and(|process| observers.contains(&process)))
                 .count();
-            let load = in_window.len() as f64 / budget(from - recovered_at);
+            let load = in_window.len() as f64 / self.budget(from - recovered_at);
             let is_worse = worst.as_ref().is_none_or(|worst| load > worst.load);
             if from_observers * 3 > in_window.len() * 2 && is_worse {
                 worst = Some(WorstWindow {
@@ -99,16 +99,16 @@
         }
         worst
     }
-}
 
-/// Returns the number of calls that a destination may receive in the window that begins this long after its recovery.
-fn budget(since_recovery: Micros) -> f64 {
-    let progress = (since_recovery as f64 / SLOW_START_DURATION as f64).clamp(0.0, 1.0);
-    let capacity = RATE * (COLD_SHARE + (1.0 - COLD_SHARE) * progress);
-    let expected = OVERLOAD_FACTOR * capacity * WINDOW as f64 / 1e6;
-    if expected < SMALL_BUDGET {
-        expected + 3.0 * expected.sqrt() + 3.0
-    } else {
-        expected + 2.0 * expected.sqrt() + 2.0
+    /// Returns the number of calls that a destination may receive in the window that begins this long after its recovery.
+    fn budget(&self, since_recovery: Micros) -> f64 {
+        let progress = (since_recovery as f64 / SLOW_START_DURATION as f64).clamp(0.0, 1.0);
+        let capacity = self.rate * (COLD_SHARE + (1.0 - COLD_SHARE) * progress);
+        let expected = OVERLOAD_FACTOR * capacity * WINDOW as f64 / 1e6;
+        if expected < SMALL_BUDGET {
+            expected + 3.0 * expected.sqrt() + 3.0
+        } else {
+            expected + 2.0 * expected.sqrt() + 2.0
+        }
     }
 }
--- a/crates/fault-soak/src/oracle/tests.rs
+++ b/crates/fault-soak/src/oracle/tests.rs
@@ -28,7 +28,7 @@
         process_events: vec![ended],
         ..Record::default()
     };
-    Oracle::check(&record, 0).len()
+    Oracle::check(&record, 0, 30.0).len()
 }
 
 #[test]
--- a/crates/fault-soak/src/plan.rs
+++ b/crates/fault-soak/src/plan.rs
@@ -4,6 +4,12 @@
 
 use marblefall_fault_plan::FaultKind;
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Calls per second that a destination accepts from all processes together.
+const RATE: f64 = 30.0;
+/// The same in a plan with bursts, so that calls follow each other on a connection.
+const BURST_RATE: f64 = 600.0;
 
 /// Kind of a planned fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,6 +37,8 @@
     Discovery(DiscoveryFault),
     /// Clients of a process misbehave.
     Clients(ClientFault),
+    /// Messages come more than once on their connection, after the fault's amount in milliseconds.
+    Repeat(RepeatFault),
 }
 
 impl PlannedFaultKind {
@@ -169,6 +177,24 @@
     Garbage,
     /// Open many connections, send one request on each and stay connected.
     IdleConnections,
+    /// Correct clients send requests to one destination at a high rate.
+    Burst,
+}
+
+/// Messages that come more than once on their connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RepeatFault {
+    /// Endpoints of a destination write each response twice.
+    Responses,
+    /// Endpoints of a destination write the first half of each response again.
+    ResponseHalves,
+    /// Discovery writes each acknowledgement of notices twice, and loses every second request with notices.
+    Acknowledgements,
+    /// Discovery writes the list before a change again after the change, for all processes.
+    Lists,
+    /// Clients of a process write each request again after its response.
+    Requests,
 }
 
 /// A fault of a plan.
@@ -188,6 +214,11 @@
 }
 
 impl PlannedFault {
+    /// Returns the amount as a delay in milliseconds.
+    pub fn delay(&self) -> Duration {
+        Duration::from_millis(self.amount.unsigned_abs())
+    }
+
     /// Returns whether the fault is injected into `target`, one of `count` targets.
     pub fn is_for(&self, target: usize, count: usize) -> bool {
         self.target % count == target
@@ -209,6 +240,22 @@
 }
 
 impl Plan {
+    /// Returns the calls per second that each destination accepts from all processes together.
+    pub fn rate(&self) -> f64 {
+        let burst = PlannedFaultKind::Clients(ClientFault::Burst);
+        if self.faults.iter().any(|fault| fault.kind == burst) {
+            BURST_RATE
+        } else {
+            RATE
+        }
+    }
+
+    /// Returns whether messages come more than once.
+    pub fn has_repeats(&self) -> bool {
+        let mut kinds = self.faults.iter().map(|fault| fault.kind);
+        kinds.any(|kind| matches!(kind, PlannedFaultKind::Repeat(_)))
+    }
+
     /// Returns the plan without the fault at an index.
     pub fn without(&self, index: usize) -> Plan {
         let mut plan = self.clone();
--- a/crates/fault-soak/src/plan/draw.rs
+++ b/crates/fault-soak/src/plan/draw.rs
@@ -2,11 +2,13 @@
 
 use super::{
     ClientFault, DiscoveryFault, EndpointFault, Plan, PlannedFault, PlannedFaultKind, ProxyFault,
-    SystemFault,
+    RepeatFault, SystemFault,
 };
+use crate::endpoint::DESTINATIONS;
 use marblefall_fault_plan::FaultKind;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
+use std::ops::Range;
 
 /// Number of faults per second of a run. At this rate two or three faults overlap.
 const FAULTS_PER_SECOND: f64 = 1.4;
@@ -32,6 +34,12 @@
 const IDLE_CONNECTIONS_LEAD_MS: u64 = 1500;
 /// Time for which these connections stay open, in milliseconds.
 const IDLE_CONNECTIONS_MS: u64 = 6000;
+/// Number of drawn faults in which messages come more than once.
+const REPEAT_FAULTS: usize = 6;
+/// Delays of copies, in milliseconds: most are shorter than connections rest.
+const COPY_DELAY_MS: Range<i64> = 0..30;
+/// Durations of bursts and of faults in which messages come more than once, in milliseconds.
+const REPEAT_DURATION_MS: Range<u64> = 2500..6000;
 /// Exclusive upper bound of the drawn target numbers.
 const TARGETS: usize = 1000;
 
@@ -64,6 +72,50 @@
     }
 }
 
+impl Plan {
+    /// Adds bursts of requests, and messages that come more than once. A generator of its own keeps the other faults of the
+    /// seed independent of these draws.
+    #[must_use]
+    pub fn with_repeats(mut self) -> Plan {
+        let mut rng = Pcg64Mcg::new(u128::from(self.seed) << 32 | 0x7e_9e);
+        let last_ms = (self.seconds * 1000).saturating_sub(QUIET_END_MS);
+        for process in 0..self.processes {
+            let burst = PlannedFaultKind::Clients(ClientFault::Burst);
+            let target = process + self.processes * rng.random_range(0..TARGETS);
+            self.faults
+                .push(draw_repeat(&mut rng, burst, target, last_ms));
+        }
+        for _ in 0..REPEAT_FAULTS {
+            let kind = PlannedFaultKind::Repeat(choose(&mut rng, REPEATS));
+            let target = rng.random_range(0..TARGETS);
+            self.faults
+                .push(draw_repeat(&mut rng, kind, target, last_ms));
+        }
+        for destination in 0..DESTINATIONS {
+            let kind = PlannedFaultKind::Repeat(RepeatFault::Responses);
+            self.faults
+                .push(draw_repeat(&mut rng, kind, destination, last_ms));
+        }
+        self.faults.sort_by_key(|fault| fault.from_ms);
+        self
+    }
+}
+
+fn draw_repeat(
+    rng: &mut Pcg64Mcg,
+    kind: PlannedFaultKind,
+    target: usize,
+    last_ms: u64,
+) -> PlannedFault {
+    PlannedFault {
+        from_ms: rng.random_range(FIRST_FAULT_MS..last_ms.max(FIRST_FAULT_MS + 1)),
+        duration_ms: rng.random_range(REPEAT_DURATION_MS),
+        target,
+        amount: rng.random_range(COPY_DELAY_MS),
+        kind,
+    }
+}
+
 /// Draws the faults that coincide with the shutdowns of a plan: signals around each SIGTERM, and in some plans many idle
 /// connections. A generator of its own keeps the other faults of the seed independent of these draws.
 fn draw_shutdowns(seed: u64, faults: &[PlannedFault], last_ms: u64) -> Vec<PlannedFault> {
@@ -223,6 +275,14 @@
     ClientFault::Garbage,
 ];
 
+const REPEATS: &[RepeatFault] = &[
+    RepeatFault::Responses,
+    RepeatFault::ResponseHalves,
+    RepeatFault::Acknowledgements,
+    RepeatFault::Lists,
+    RepeatFault::Requests,
+];
+
 const SHUTDOWN_SIGNALS: &[PlannedFaultKind] = &[
     PlannedFaultKind::Terminate,
     PlannedFaultKind::Reload,
--- a/crates/fault-soak/src/plan/tests.rs
+++ b/crates/fault-soak/src/plan/tests.rs
@@ -81,3 +81,18 @@
         assert!(faults().is_sorted_by_key(|fault| fault.from_ms));
     }
 }
+
+#[test]
+fn repeats_leave_the_other_faults_of_a_seed_unchanged() {
+    let plan = Plan::draw(7, 12, 20);
+    let with_repeats = Plan::draw(7, 12, 20).with_repeats();
+    let is_drawn_before = |fault: &&PlannedFault| {
+        let burst = PlannedFaultKind::Clients(ClientFault::Burst);
+        !matches!(fault.kind, PlannedFaultKind::Repeat(_)) && fault.kind != burst
+    };
+    let others = with_repeats.faults.iter().filter(is_drawn_before);
+    assert_eq!(others.copied().collect::<Vec<_>>(), plan.faults);
+    assert!(with_repeats.has_repeats() && !plan.has_repeats());
+    let text = toml::to_string(&with_repeats).unwrap();
+    assert_eq!(toml::from_str::<Plan>(&text).unwrap(), with_repeats);
+}
--- a/crates/fault-soak/src/process.rs
+++ b/crates/fault-soak/src/process.rs
@@ -126,6 +126,7 @@
 
     fn config(&self) -> InstanceConfig {
         let endpoints = self.endpoints.iter().enumerate();
+        let rate = self.schedule.plan().rate();
         InstanceConfig {
             name: format!("n{}", self.process),
             listen: self.listen,
@@ -134,9 +135,11 @@
             memory_mb: MEMORY_MB,
             sockets: MAX_SOCKETS,
             endpoints: endpoints
-                .map(|(endpoint, address)| list_entry(endpoint, *address, EndpointPhase::Serving))
+                .map(|(endpoint, address)| {
+                    list_entry(endpoint, *address, EndpointPhase::Serving, rate)
+                })
                 .collect(),
-            settings: settings::settings(self.process, self.processes),
+            settings: settings::settings(self.process, self.processes, rate),
         }
     }
 
--- a/crates/fault-soak/src/process/settings.rs
+++ b/crates/fault-soak/src/process/settings.rs
@@ -1,10 +1,9 @@
 //! The settings of the processes of a run.
 
-use crate::endpoint::RATE;
 use crate::record::{Class, DEDUPLICATION_WINDOW_MS};
 
 /// Returns the settings of a process as JSON, with the field names of the configuration file.
-pub fn settings(process: usize, processes: usize) -> String {
+pub fn settings(process: usize, processes: usize, rate: f64) -> String {
     let [idempotent, keyed, non_idempotent] = [
         class(Class::Idempotent, "pure", 1.0),
         class(Class::Keyed, "token", 2.0),
@@ -18,7 +17,7 @@
         "host_types":["clinic"],"my_number":{process},"peers_total":{processes},
         "rules":{{"answer_slack_ms":20.0,"cold_from":0.27,"cold_ms":10000.0,"fall_multiple":1.5,
         "stop_sending_within_ms":250.0,"tip_after_ms":2000.0}},
-        "tick_ms":5.0,"weights":"nominal","zones":["a"],"rate":{RATE}}}"#
+        "tick_ms":5.0,"weights":"nominal","zones":["a"],"rate":{rate}}}"#
     )
 }
 
--- a/crates/fault-soak/src/record.rs
+++ b/crates/fault-soak/src/record.rs
@@ -203,6 +203,8 @@
     pub disturbed_endpoints: Vec<Period>,
     /// Periods in which system call faults broke connections of a process.
     pub broken_processes: Vec<Period>,
+    /// Number of responses, acknowledgements, lists and requests that were written again.
+    pub copies: usize,
     /// Problems of the processes themselves: violated invariants and panics in their logs, crashes, and excessive use of
     /// resources.
     pub process_problems: Vec<String>,
--- a/crates/fault-soak/src/run.rs
+++ b/crates/fault-soak/src/run.rs
@@ -60,12 +60,15 @@
     pub idle_faults: Vec<&'static str>,
     /// Number of requests of correct clients between the first SIGTERM to a process and its end.
     pub requests_in_shutdown: usize,
+    /// Number of messages that were written again, if the plan has such faults.
+    pub copies: Option<usize>,
 }
 
 impl Report {
-    /// Returns whether each planned system call fault was injected and some request was sent during a shutdown.
+    /// Returns whether each planned system call fault was injected, some request was sent during a shutdown, and some message
+    /// was written again if this was planned.
     pub fn is_conclusive(&self) -> bool {
-        self.idle_faults.is_empty() && self.requests_in_shutdown > 0
+        self.idle_faults.is_empty() && self.requests_in_shutdown > 0 && self.copies != Some(0)
     }
 }
 
@@ -141,6 +144,7 @@
             endpoints: endpoints.to_vec(),
             schedule: schedule.clone(),
             record: record.clone(),
+            notice_requests: Arc::default(),
         }))?;
         let folder = ProcessOwner::folder_of(&files.folder, process);
         let state = ProcessOwner::state_folder(&folder);
@@ -241,7 +245,7 @@
         .iter()
         .filter(|request| request.result == ClientResult::Response(202));
     Report {
-        violations: Oracle::check(record, schedule.started_at()),
+        violations: Oracle::check(record, schedule.started_at(), schedule.plan().rate()),
         requests: record.requests.len(),
         accepted: accepted.count(),
         calls: record.calls.len(),
@@ -249,6 +253,7 @@
         counts,
         idle_faults,
         requests_in_shutdown: requests_in_shutdown(record),
+        copies: schedule.plan().has_repeats().then_some(record.copies),
     }
 }
 
--- a/crates/fault-soak/src/soak.rs
+++ b/crates/fault-soak/src/soak.rs
@@ -122,13 +122,20 @@
             seeds,
             processes,
             seconds,
+            repeats,
             ..
         } = self.arguments;
+        let draw = |seed| {
+            let plan = Plan::draw(seed, processes as usize, seconds);
+            if repeats {
+                plan.with_repeats()
+            } else {
+                plan
+            }
+        };
         match &self.arguments.plan {
             Some(path) => Ok(vec![read_plan(path)?]),
-            None => Ok((seed..seed + seeds)
-                .map(|seed| Plan::draw(seed, processes as usize, seconds))
-                .collect()),
+            None => Ok((seed..seed + seeds).map(draw).collect()),
         }
     }
 
@@ -221,6 +228,9 @@
         "  requests between SIGTERM and the end of a process: {}",
         report.requests_in_shutdown
     );
+    if let Some(copies) = report.copies {
+        println!("  messages written again: {copies}");
+    }
     let injected: Vec<String> = report
         .counts
         .iter()
--- a/crates/fault-soak/tests/short_run.rs
+++ b/crates/fault-soak/tests/short_run.rs
@@ -8,6 +8,31 @@
 
 #[test]
 fn short_run_keeps_all_rules() {
+    let output = run_soak(&["--seconds", "8", "--seed", "2", "--seeds", "4"]);
+    check_output(&output);
+}
+
+#[test]
+fn short_run_with_copies_keeps_all_rules() {
+    let output = run_soak(&[
+        "--repeats",
+        "--seconds",
+        "10",
+        "--seed",
+        "5401",
+        "--seeds",
+        "2",
+    ]);
+    check_output(&output);
+    let copies = output.split("written again: ").skip(1);
+    assert!(
+        copies.map(number).all(|copies| copies > 100),
+        "too few copies for a conclusive run: {output}"
+    );
+}
+
+/// Runs the soak with four processes, and returns its output.
+fn run_soak(arguments: &[&str]) -> String {
     let soak = Path::new(env!("CARGO_BIN_EXE_marblefall-fault-soak"));
     let target = soak.ancestors().nth(2).unwrap();
     let built = Command::new(env!("CARGO"))
@@ -19,19 +44,28 @@
         .unwrap();
     assert!(built.success());
     let built_at = target.join("debug");
-    let keep = std::env::temp_dir().join(format!("marblefall-short-run-{}", std::process::id()));
+    let name = format!(
+        "marblefall-short-run-{}{}",
+        std::process::id(),
+        arguments.len()
+    );
+    let keep = std::env::temp_dir().join(name);
     let run = Command::new(soak)
         .arg("--program")
         .arg(built_at.join("marblefall"))
         .arg("--shim")
         .arg(built_at.join("libmarblefall_fault_shim.so"))
-        .args(["--processes", "4", "--seconds", "8"])
-        .args(["--seed", "2", "--seeds", "4"])
+        .args(["--processes", "4"])
+        .args(arguments)
         .arg("--keep")
         .arg(&keep)
         .output()
         .unwrap();
-    let output = String::from_utf8_lossy(&run.stdout);
+    let _ = std::fs::remove_dir_all(&keep);
+    String::from_utf8_lossy(&run.stdout).into_owned()
+}
+
+fn check_output(output: &str) {
     assert!(output.contains(" 0 broke a rule"), "{output}");
     for run in output.split("faults; ").skip(1) {
         assert!(
@@ -44,7 +78,6 @@
         shutdowns.map(number).all(|requests| requests > 0),
         "no request was sent during a shutdown: {output}"
     );
-    let _ = std::fs::remove_dir_all(&keep);
 }
 
 /// Parses the number at the start of a text.
--- a/crates/process-harness/src/discovery.rs
+++ b/crates/process-harness/src/discovery.rs
@@ -1,6 +1,7 @@
 //! A stand-in for the platform's discovery service: it serves the endpoint list and watches of it, and accepts notices.
 
-use crate::http::{start_chunked_response, write_chunk, Message};
+use crate::http::{response_bytes, start_chunked_response, write_chunk, Message};
+use crate::response_copies::ResponseCopies;
 use crate::server::{Reply, TestServer};
 use crate::HarnessError;
 use serde::Serialize;
@@ -142,6 +143,11 @@
 
     /// Receives notices, one per line. Returns `true` to acknowledge them, or `false` to close the connection.
     fn receive_notices(&self, notices: &str) -> bool;
+
+    /// Returns the copies of an acknowledgement of notices. There are none by default.
+    fn acknowledgement_copies(&self) -> Option<ResponseCopies> {
+        None
+    }
 }
 
 /// A running stand-in for discovery.
@@ -181,11 +187,16 @@
             Reply::Custom(Box::new(move |stream| serve_watch(stream, &*source)))
         }
         (Some("POST"), NOTICE_PATH) => {
-            if source.receive_notices(&String::from_utf8_lossy(&request.body)) {
-                Reply::status(204)
-            } else {
-                Reply::Close
+            if !source.receive_notices(&String::from_utf8_lossy(&request.body)) {
+                return Reply::Close;
             }
+            let Some(copies) = source.acknowledgement_copies() else {
+                return Reply::status(204);
+            };
+            let acknowledgement = response_bytes(204, "", b"");
+            Reply::Custom(Box::new(move |stream| {
+                copies.write(stream, &acknowledgement)
+            }))
         }
         _ => Reply::status(404),
     }
