Apply a Retry-After as soon as it is read, before the bytes behind it

The backoff is set when a rejection is read now. retry_after_of_a_disputed_response_is_honoured_at_once awaits the backoff while the attempt still runs; it replaces a test of the same name without "at once".

A connection that was waited for is not reused if its endpoint became distrusted meanwhile.

--- a/crates/delivery/src/net/connection.rs
+++ b/crates/delivery/src/net/connection.rs
@@ -252,8 +252,8 @@
         Ok(())
     }
 
-    /// Returns whether an idle connection can be reused, which requires that it is open and has received no unrequested
-    /// bytes.
+    /// Returns whether an idle connection can carry a request, which requires that it is open and has received no
+    /// unrequested bytes.
     pub fn is_reusable(&self) -> bool {
         self.idle_state() == IdleState::Quiet
     }
--- a/crates/delivery/src/net/discovery/notices.rs
+++ b/crates/delivery/src/net/discovery/notices.rs
@@ -1,7 +1,7 @@
 //! Delivery of notices of final outcomes to the platform. Each notice is sent again until it is acknowledged.
 //!
 //! Each request has a connection of its own. On a reused one, a copy of an earlier acknowledgement would be taken for that
-//! of a request which discovery has not received.
+//! of a request which discovery has not received. The connection is opened before there are notices, as they are due soon.
 
 use super::{next_backoff, DiscoveryEndpoint, MAX_HEAD_LEN, MIN_BACKOFF, NOTICES_PATH};
 use crate::core::engine::EngineEvent;
@@ -11,6 +11,7 @@
 use crate::net::http::{self, header, status, HeadWriter};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
+use futures_lite::future;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -58,7 +59,10 @@
                 }
             }
             // The batch is sent to the new address, although the old one may have received it.
-            None => sender.reset(),
+            None => {
+                sender.unused_connection = None;
+                sender.reset();
+            }
         }
     }
 }
@@ -80,6 +84,8 @@
 
 /// Sends one batch of notices at a time.
 struct NoticeSender {
+    /// A connection that has carried no request yet.
+    unused_connection: Option<Connection>,
     /// The delay after the next failure.
     backoff: Duration,
     response_timeout: Duration,
@@ -92,6 +98,7 @@
 impl NoticeSender {
     fn new(pending: Receiver<PendingNotice>, encode: EncodeNotice) -> NoticeSender {
         NoticeSender {
+            unused_connection: None,
             backoff: MIN_BACKOFF,
             response_timeout: MIN_RESPONSE_TIMEOUT,
             batch: Vec::new(),
@@ -108,7 +115,7 @@
 
     /// Sends the unacknowledged notices and those that are queued, in one request. Waits for a notice if there is none.
     async fn send_batch(&mut self, address: SocketAddr) -> BatchResult {
-        if self.fill_batch().await.is_err() {
+        if self.fill_batch(address).await.is_err() {
             return BatchResult::QueueClosed;
         }
         let body: String = self
@@ -143,9 +150,10 @@
     }
 
     /// Waits for a notice if the batch is empty, and adds queued notices up to [`MAX_BATCH_LEN`].
-    async fn fill_batch(&mut self) -> Result<(), async_channel::RecvError> {
+    async fn fill_batch(&mut self, address: SocketAddr) -> Result<(), async_channel::RecvError> {
         if self.batch.is_empty() {
-            let notice = self.pending.recv().await?;
+            let pending = self.pending.clone();
+            let notice = future::or(pending.recv(), self.open_connection(address)).await?;
             self.add(notice);
         }
         while self.batch.len() < MAX_BATCH_LEN {
@@ -157,6 +165,15 @@
         Ok(())
     }
 
+    /// Opens the connection of the next request. Never returns.
+    async fn open_connection<T>(&mut self, address: SocketAddr) -> T {
+        if self.unused_connection.is_none() {
+            // After an error, the next request opens its connection itself.
+            self.unused_connection = Connection::connect_with_retry(address).await.ok();
+        }
+        future::pending().await
+    }
+
     fn add(&mut self, notice: PendingNotice) {
         self.batch.push(EncodedNotice {
             message_id: notice.message_id,
@@ -164,11 +181,15 @@
         });
     }
 
-    /// Posts notices over a new connection. Returns the status of the response.
-    async fn post(&self, address: SocketAddr, body: &str) -> Result<u16, ReadError> {
-        let mut connection = Connection::connect_with_retry(address)
-            .await
-            .map_err(ReadError::Io)?;
+    /// Posts notices over a connection that has carried no request. Returns the status of the response.
+    async fn post(&mut self, address: SocketAddr, body: &str) -> Result<u16, ReadError> {
+        let unused = self.unused_connection.take();
+        let mut connection = match unused.filter(Connection::is_reusable) {
+            Some(connection) => connection,
+            None => Connection::connect_with_retry(address)
+                .await
+                .map_err(ReadError::Io)?,
+        };
         let head = HeadWriter::request("POST", NOTICES_PATH)
             .field(header::HOST, address.to_string())
             .field(header::CONNECTION, "close")
--- a/crates/delivery/src/net/discovery/notices/tests.rs
+++ b/crates/delivery/src/net/discovery/notices/tests.rs
@@ -1,7 +1,6 @@
 use super::*;
 use async_executor::LocalExecutor;
 use async_io::Async;
-use futures_lite::future;
 use std::net::TcpListener;
 use std::rc::Rc;
 
@@ -14,11 +13,9 @@
     Connection::new(stream)
 }
 
-/// Reads one request with notices, and returns its body.
-async fn read_notices(connection: &mut Connection) -> String {
-    let Ok(head_len) = connection.read_head(MAX_HEAD_LEN).await else {
-        return future::pending().await;
-    };
+/// Reads one request with notices, and returns its body. Returns `None` if the connection is closed without a request.
+async fn read_notices(connection: &mut Connection) -> Option<String> {
+    let head_len = connection.read_head(MAX_HEAD_LEN).await.ok()?;
     let framing = http::parse_request(&connection.bytes()[..head_len])
         .unwrap()
         .framing;
@@ -28,7 +25,17 @@
         .unwrap();
     let body = connection.bytes()[head_len..head_len + body_len].to_vec();
     connection.consume(head_len + body_len);
-    String::from_utf8(body).unwrap()
+    Some(String::from_utf8(body).unwrap())
+}
+
+/// Accepts connections until one of them has a request with notices, and returns its body.
+async fn accept_notices(listener: &Async<TcpListener>) -> (Connection, String) {
+    loop {
+        let mut connection = accept(listener).await;
+        if let Some(notices) = read_notices(&mut connection).await {
+            return (connection, notices);
+        }
+    }
 }
 
 /// Neither a peer that no longer responds on a connection nor a copy of its last acknowledgement concerns a later notice.
@@ -52,8 +59,8 @@
             outcome: FinalOutcome::Failed,
         };
         sender.try_send(notice(1)).unwrap();
-        let mut first = accept(&listener).await;
-        assert_eq!(read_notices(&mut first).await, "m1\n");
+        let (mut first, notices) = accept_notices(&listener).await;
+        assert_eq!(notices, "m1\n");
         first
             .write(b"HTTP/1.1 204 No Content\r\n\r\n", b"")
             .await
@@ -61,14 +68,15 @@
         acknowledged.recv().await.unwrap();
         sender.try_send(notice(2)).unwrap();
         let copied = async {
-            read_notices(&mut first).await;
+            if read_notices(&mut first).await.is_none() {
+                return future::pending().await;
+            }
             let _ = first.write(b"HTTP/1.1 204 No Content\r\n\r\n", b"").await;
             future::pending().await
         };
         let deadline = Instant::now() + DELIVERY_TIMEOUT;
         let second = with_deadline(deadline, async {
-            let mut second = accept(&listener).await;
-            let notices = read_notices(&mut second).await;
+            let (mut second, notices) = accept_notices(&listener).await;
             assert!(acknowledged.is_empty(), "acknowledged before its response");
             second
                 .write(b"HTTP/1.1 204 No Content\r\n\r\n", b"")
--- a/crates/delivery/src/net/pool.rs
+++ b/crates/delivery/src/net/pool.rs
@@ -120,11 +120,11 @@
     }
 
     /// Waits for the time in which connections must be quiet after a response, and then closes those to the endpoint on
-    /// which bytes were received.
+    /// which bytes were received. Must be called after each attempt.
     pub async fn check_quiet(&self, id: EndpointId) {
         Timer::after(self.limits.min_quiet_time).await;
         if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(&id) {
-            endpoint.close_expired(&self.limits);
+            endpoint.check_quiet(&self.limits);
         }
     }
 
--- a/crates/delivery/src/net/pool/acquire.rs
+++ b/crates/delivery/src/net/pool/acquire.rs
@@ -58,7 +58,7 @@
                     .log_end(attempt.endpoint, &ConnectionEnd::Cancelled);
                 return Err(Outcome::NotSent);
             }
-            if let Some(idle) = self.keep_if_usable(attempt.endpoint, idle) {
+            if let Some(idle) = self.keep_if_reusable(attempt.endpoint, idle) {
                 add(&self.counters.connections_reused);
                 return Ok(idle.into_reused());
             }
@@ -82,10 +82,10 @@
         Ok((address, idle))
     }
 
-    /// Returns a connection that an attempt has waited for, if the endpoint is still listed and nothing was received.
-    fn keep_if_usable(&self, id: EndpointId, idle: IdleConnection) -> Option<IdleConnection> {
+    /// Returns a connection that an attempt has waited for, if the endpoint is still listed and the connection can be reused.
+    fn keep_if_reusable(&self, id: EndpointId, idle: IdleConnection) -> Option<IdleConnection> {
         let mut endpoints = self.endpoints.borrow_mut();
-        endpoints.get_mut(&id)?.keep_if_usable(idle)
+        endpoints.get_mut(&id)?.keep_if_reusable(idle)
     }
 
     async fn connect(
--- a/crates/delivery/src/net/pool/endpoint_connections.rs
+++ b/crates/delivery/src/net/pool/endpoint_connections.rs
@@ -127,35 +127,67 @@
         limits: &PoolLimits,
         max_wait: Duration,
     ) -> Option<IdleConnection> {
-        let now = Instant::now();
-        self.close_expired(limits);
-        let quiet_at = self.idle.first()?.quiet_at(limits);
-        let max_wait = max_wait.min(self.call_time.unwrap_or_default());
-        (quiet_at <= now + max_wait).then(|| self.idle.remove(0))
+        let latest_quiet_at = Instant::now() + max_wait.min(self.call_time.unwrap_or_default());
+        self.close_timed_out(limits);
+        while self.idle.first()?.quiet_at(limits) <= latest_quiet_at {
+            let idle = self.idle.remove(0);
+            if let Some(idle) = self.keep_if_reusable(idle) {
+                return Some(idle);
+            }
+        }
+        None
     }
 
-    /// Closes idle connections that have expired, that the endpoint has closed, or on which it has sent bytes.
+    /// Closes idle connections that have timed out, that the endpoint has closed, or on which it has sent bytes.
     pub(super) fn close_expired(&mut self, limits: &PoolLimits) {
+        self.close_timed_out(limits);
+        let idle = std::mem::take(&mut self.idle);
+        self.check(idle, limits);
+    }
+
+    /// Checks the connections that have been idle for the minimum quiet time since the last check.
+    pub(super) fn check_quiet(&mut self, limits: &PoolLimits) {
+        let now = Instant::now();
+        let checked = self.idle.partition_point(|idle| idle.was_quiet);
+        let due = self
+            .idle
+            .partition_point(|idle| idle.quiet_at(limits) <= now);
+        let later = self.idle.split_off(due.max(checked));
+        let unchecked = self.idle.split_off(checked);
+        self.check(unchecked, limits);
+        self.idle.extend(later);
+    }
+
+    /// Returns connections to the idle ones if they can be reused, and closes the others.
+    fn check(&mut self, connections: Vec<IdleConnection>, limits: &PoolLimits) {
+        let now = Instant::now();
+        for idle in connections {
+            if let Some(mut idle) = self.keep_if_reusable(idle) {
+                idle.was_quiet |= idle.quiet_at(limits) <= now;
+                self.idle.push(idle);
+            }
+        }
+    }
+
+    fn close_timed_out(&mut self, limits: &PoolLimits) {
         if let Some(before) = Instant::now().checked_sub(limits.idle_timeout) {
             self.close_idle_before(before, &ConnectionEnd::IdleTimeout);
         }
-        let now = Instant::now();
-        let idle = std::mem::take(&mut self.idle);
-        self.idle = idle
-            .into_iter()
-            .filter_map(|idle| self.keep_if_usable(idle))
-            .collect();
-        for idle in &mut self.idle {
-            idle.was_quiet |= idle.quiet_at(limits) <= now;
-        }
-        if self.is_distrusted() {
-            self.close_idle(&ConnectionEnd::Distrusted);
+    }
+
+    /// Returns an idle connection if it is open, nothing was received and the endpoint is trusted. Otherwise closes it.
+    pub(super) fn keep_if_reusable(&mut self, idle: IdleConnection) -> Option<IdleConnection> {
+        let idle = self.keep_if_usable(idle)?;
+        if !self.is_distrusted() {
+            return Some(idle);
         }
+        idle.pooled.log_end(self.id, &ConnectionEnd::Distrusted);
+        None
     }
 
     /// Returns an idle connection if it is open and nothing was received. Otherwise closes it, and distrusts the endpoint
     /// if it has sent bytes after the connection was quiet.
-    pub(super) fn keep_if_usable(&mut self, idle: IdleConnection) -> Option<IdleConnection> {
+    fn keep_if_usable(&mut self, idle: IdleConnection) -> Option<IdleConnection> {
         let end = match idle.pooled.connection.idle_state() {
             IdleState::Quiet => return Some(idle),
             IdleState::Closed => ConnectionEnd::ClosedWhileIdle,
--- a/crates/delivery/src/net/pool/response.rs
+++ b/crates/delivery/src/net/pool/response.rs
@@ -38,21 +38,22 @@
 
 /// A request whose response is awaited.
 #[derive(Clone, Copy)]
-pub(super) struct AwaitedResponse {
+pub(super) struct AwaitedResponse<'a> {
     /// Derives the outcome from the head of a response.
     pub(super) classify: fn(&ResponseHead<'_>) -> AttemptOutcome,
     /// The deadline for the status line.
     pub(super) timeout_at: Instant,
     /// The origin of the connection. On a reused one, a response may be a copy of an earlier one.
     pub(super) origin: ConnectionOrigin,
+    /// Is called with the `Retry-After` of each rejection as soon as it is read, whether or not it is the response to this
+    /// request.
+    pub(super) back_off: &'a dyn Fn(Span),
 }
 
 /// The result of reading a response.
 pub(super) struct ReadResponse {
     pub(super) outcome: AttemptOutcome,
     pub(super) reuse: Reuse,
-    /// The longest `Retry-After` of the responses before the last one.
-    retry_after: Option<Span>,
 }
 
 impl ReadResponse {
@@ -61,13 +62,11 @@
         ReadResponse {
             outcome: outcome.into(),
             reuse: Reuse::Impossible(end),
-            retry_after: None,
         }
     }
 
     /// Combines a response with the one behind it. Either of them may be the response to the request.
     fn followed_by(self, next: ReadResponse) -> ReadResponse {
-        let retry_after = self.requested_backoff().max(next.requested_backoff());
         let outcome = if self.outcome.agrees_with(&next.outcome) {
             next.outcome
         } else {
@@ -77,19 +76,7 @@
             Reuse::Possible => Reuse::Impossible(ConnectionEnd::Distrusted),
             impossible => impossible,
         };
-        ReadResponse {
-            outcome,
-            reuse,
-            retry_after,
-        }
-    }
-
-    /// Returns the longest `Retry-After` of the responses that were read.
-    pub(super) fn requested_backoff(&self) -> Option<Span> {
-        match self.outcome.outcome {
-            Outcome::Rejected { retry_after } => retry_after.max(self.retry_after),
-            _ => self.retry_after,
-        }
+        ReadResponse { outcome, reuse }
     }
 
     /// Returns the bytes behind this response, if it was read to its end and the connection is open.
@@ -112,7 +99,7 @@
     Final(ReadResponse),
 }
 
-impl AwaitedResponse {
+impl AwaitedResponse<'_> {
     /// Reads the response. The status line is awaited until `timeout_at`. The rest of the response may arrive up to
     /// [`REST_GRACE`] later.
     pub(super) async fn read(&self, connection: &mut Connection) -> ReadResponse {
@@ -147,7 +134,10 @@
                 .unwrap_or(Err(ReadError::TimedOut));
             return match rest {
                 Ok(ResponseRest::Interim) => continue,
-                Ok(ResponseRest::Final(response)) => response,
+                Ok(ResponseRest::Final(response)) => {
+                    self.back_off_if_requested(&response);
+                    response
+                }
                 Err(error) if self.is_final_delivery(status) => {
                     ReadResponse::closed(Outcome::Delivered, ConnectionEnd::Unreadable(error))
                 }
@@ -157,6 +147,15 @@
         ReadResponse::closed(Outcome::Error, ConnectionEnd::InterimWithoutEnd)
     }
 
+    fn back_off_if_requested(&self, response: &ReadResponse) {
+        if let Outcome::Rejected {
+            retry_after: Some(delay),
+        } = response.outcome.outcome
+        {
+            (self.back_off)(delay);
+        }
+    }
+
     /// Returns whether a status line alone reports the delivery of this request.
     fn is_final_delivery(&self, status: u16) -> bool {
         self.origin == ConnectionOrigin::New && is_delivered(status, self.classify)
@@ -204,7 +203,6 @@
             Ok(ResponseRest::Final(ReadResponse {
                 outcome,
                 reuse: Reuse::Possible,
-                retry_after: None,
             }))
         }
         // The rate limit report of a readable head is used even if the body cannot be read.
--- a/crates/delivery/src/net/pool/run.rs
+++ b/crates/delivery/src/net/pool/run.rs
@@ -11,7 +11,7 @@
 use crate::rules::{Rule, SendConditions, Withheld};
 use async_channel::Receiver;
 use futures_lite::future;
-use marblefall_scheduler::{EndpointId, Outcome};
+use marblefall_scheduler::{EndpointId, Outcome, Span};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::task::Poll;
@@ -167,10 +167,12 @@
         attempt: &Attempt<'_>,
         cancelled: &Receiver<()>,
     ) -> AttemptOutcome {
+        let back_off = |delay: Span| self.back_off_for(attempt.route, delay);
         let awaited = AwaitedResponse {
             classify: attempt.classify_response,
             timeout_at: attempt.timeout_at,
             origin: request.origin,
+            back_off: &back_off,
         };
         let reading = awaited.read(&mut pooled.connection);
         let Some(response) = until_cancelled(cancelled, reading).await else {
@@ -178,7 +180,6 @@
             return Outcome::Cancelled.into();
         };
         self.observe_response(attempt.endpoint, request, &response);
-        self.back_off_if_requested(attempt.route, &response);
         let outcome = response.outcome;
         match response.reuse {
             Reuse::Possible => {
@@ -222,11 +223,9 @@
         }
     }
 
-    fn back_off_if_requested(&self, route: Route, response: &ReadResponse) {
-        if let Some(delay) = response.requested_backoff() {
-            let delay = Duration::from_micros(delay.0.max(0) as u64);
-            self.back_off(route, Instant::now() + delay);
-        }
+    fn back_off_for(&self, route: Route, delay: Span) {
+        let delay = Duration::from_micros(delay.0.max(0) as u64);
+        self.back_off(route, Instant::now() + delay);
     }
 }
 
--- a/crates/delivery/src/net/pool/tests/responses.rs
+++ b/crates/delivery/src/net/pool/tests/responses.rs
@@ -31,6 +31,7 @@
             classify,
             timeout_at: test_deadline(),
             origin,
+            back_off: &|_| (),
         };
         let response = awaited.read(&mut client).await;
         let is_reusable = matches!(response.reuse, Reuse::Possible);
@@ -127,9 +128,9 @@
     }
 }
 
-/// If one of two responses requests a backoff, it applies, whichever of them is a copy.
+/// If one of two responses requests a backoff, it applies from when it is read, whichever of them is a copy.
 #[test]
-fn retry_after_of_a_disputed_response_is_honoured() {
+fn retry_after_of_a_disputed_response_is_honoured_at_once() {
     let listener = listen();
     let pool = pool(9, &listener);
     let endpoint = std::thread::spawn(move || {
@@ -138,13 +139,23 @@
         send(&mut stream, OK_RESPONSE);
         receive(&mut stream);
         let retry_after_9_s = b"HTTP/1.1 429 x\r\nRetry-After: 9\r\nContent-Length: 0\r\n\r\n";
-        send(&mut stream, &[retry_after_9_s, OK_RESPONSE].concat());
+        send(&mut stream, &[retry_after_9_s, &b"HTTP/1.1 4"[..]].concat());
+        // The connection stays open until the other side closes it.
+        receive(&mut stream);
+    });
+    async_io::block_on(async {
+        assert_eq!(run_attempt(&pool, 1).await, Outcome::Delivered);
+        let mut disputed = std::pin::pin!(run_attempt(&pool, 2));
+        let backed_off = async {
+            while pool.backoff_until(SHARED_ROUTE).is_none() {
+                Timer::after(Duration::from_millis(1)).await;
+            }
+        };
+        await_while_running(&mut disputed, backed_off).await;
+        let in_8_s = Instant::now() + Duration::from_secs(8);
+        assert!(pool.backoff_until(SHARED_ROUTE) > Some(in_8_s));
+        assert_eq!(disputed.await, Outcome::Error);
     });
-    let outcomes =
-        async_io::block_on(async { [run_attempt(&pool, 1).await, run_attempt(&pool, 2).await] });
-    assert_eq!(outcomes, [Outcome::Delivered, Outcome::Error]);
-    let in_8_s = Instant::now() + Duration::from_secs(8);
-    assert!(pool.backoff_until(SHARED_ROUTE) > Some(in_8_s));
     endpoint.join().unwrap();
 }
 
--- a/crates/delivery/src/net/pool/tests/reuse.rs
+++ b/crates/delivery/src/net/pool/tests/reuse.rs
@@ -141,6 +141,7 @@
         pool.check_quiet(ENDPOINT).await;
         send_copy.send(()).unwrap();
         wait_for_copy.recv().await.unwrap();
+        pool.close_expired();
         for message in [3, 4] {
             assert_eq!(run_attempt(&pool, message).await, Outcome::Delivered);
         }
