Keep a delivery with a spoilt rest, and reuse behind several responses

Responses of which one part is spoilt are common at some endpoints. Both rules go: a status line that reports the delivery is final again (the protocol's definition), and only bytes on a quiet connection stop the reuse for an endpoint. Several responses still count only if they agree, and close their connection.

What is given up: an unfinished copy that comes later than 100 ms and begins with a delivery ends the wrong message.

--- a/crates/delivery/src/net/pool/connection_end.rs
+++ b/crates/delivery/src/net/pool/connection_end.rs
@@ -23,7 +23,9 @@
     Unrequested(UnrequestedBytes),
     /// The slot of the connection was needed for another connection.
     Evicted,
-    /// The endpoint has sent unrequested bytes or several responses, so that the connection is not reused.
+    /// The endpoint sent several responses to one request, or a copy of an earlier one.
+    SeveralResponses,
+    /// The endpoint has sent bytes on a quiet connection, so that its connections are not reused.
     Distrusted,
     /// Enough connections to the endpoint are idle.
     EnoughIdle,
@@ -65,6 +67,7 @@
             ConnectionEnd::ClosedWhileIdle => "closed-while-idle",
             ConnectionEnd::Unrequested(_) => "unrequested-bytes",
             ConnectionEnd::Evicted => "evicted",
+            ConnectionEnd::SeveralResponses => "several-responses",
             ConnectionEnd::Distrusted => "distrusted",
             ConnectionEnd::EnoughIdle => "enough-idle",
             ConnectionEnd::NotReused => "not-reused",
--- a/crates/delivery/src/net/pool/endpoint_connections.rs
+++ b/crates/delivery/src/net/pool/endpoint_connections.rs
@@ -4,8 +4,8 @@
 //! the next request was written would therefore be taken for the response to that request, and all later responses on the
 //! connection would be assigned to the wrong requests. No check before the write can rule this out. A connection is reused
 //! only once it was quiet for a minimum time, the one that was idle longest first. An endpoint that sends bytes on a
-//! connection that was quiet for that time, or several responses on a reused connection, may do so again at any time. For
-//! [`DISTRUST_DURATION`] none of its connections is reused.
+//! connection that was quiet for that time may do so again at any time. For [`DISTRUST_DURATION`] none of its connections
+//! is reused.
 
 use super::connection_end::ConnectionEnd;
 use super::pooled_connection::PooledConnection;
@@ -195,7 +195,7 @@
                 add(&self.counters.connections_unrequested);
                 // A server may announce with 408 that it closes an idle connection.
                 if idle.was_quiet && bytes.status != Some(status::REQUEST_TIMEOUT) {
-                    self.distrust();
+                    self.distrusted_until = Some(Instant::now() + DISTRUST_DURATION);
                 }
                 ConnectionEnd::Unrequested(bytes)
             }
@@ -204,11 +204,6 @@
         None
     }
 
-    /// Reuses no connection for [`DISTRUST_DURATION`].
-    pub(super) fn distrust(&mut self) {
-        self.distrusted_until = Some(Instant::now() + DISTRUST_DURATION);
-    }
-
     fn is_distrusted(&self) -> bool {
         self.distrusted_until
             .is_some_and(|until| Instant::now() < until)
--- a/crates/delivery/src/net/pool/response.rs
+++ b/crates/delivery/src/net/pool/response.rs
@@ -5,8 +5,8 @@
 //! line that reports delivery, which is final regardless of the bytes that follow it.
 //!
 //! On a reused connection, a response may also be a copy of an earlier one. If others follow it, any of them may be the
-//! response to the request. Their outcome counts if they agree. Otherwise, and if a response cannot be read to its end, it
-//! is only known that the attempt may have been executed.
+//! response to the request. Their outcome counts if they agree. Otherwise it is only known that the attempt may have been
+//! executed.
 
 use super::connection_end::ConnectionEnd;
 use super::pooled_connection::ConnectionOrigin;
@@ -73,7 +73,7 @@
             Outcome::Error.into()
         };
         let reuse = match next.reuse {
-            Reuse::Possible => Reuse::Impossible(ConnectionEnd::Distrusted),
+            Reuse::Possible => Reuse::Impossible(ConnectionEnd::SeveralResponses),
             impossible => impossible,
         };
         ReadResponse { outcome, reuse }
@@ -83,7 +83,7 @@
     fn unrequested_behind(&self, connection: &Connection) -> Option<UnrequestedBytes> {
         match (&self.reuse, connection.idle_state()) {
             (
-                Reuse::Possible | Reuse::Impossible(ConnectionEnd::Distrusted),
+                Reuse::Possible | Reuse::Impossible(ConnectionEnd::SeveralResponses),
                 IdleState::Unrequested(bytes),
             ) => Some(bytes),
             _ => None,
@@ -138,7 +138,7 @@
                     self.back_off_if_requested(&response);
                     response
                 }
-                Err(error) if self.is_final_delivery(status) => {
+                Err(error) if is_delivered(status, self.classify) => {
                     ReadResponse::closed(Outcome::Delivered, ConnectionEnd::Unreadable(error))
                 }
                 Err(error) => unreadable(error),
@@ -155,11 +155,6 @@
             (self.back_off)(delay);
         }
     }
-
-    /// Returns whether a status line alone reports the delivery of this request.
-    fn is_final_delivery(&self, status: u16) -> bool {
-        self.origin == ConnectionOrigin::New && is_delivered(status, self.classify)
-    }
 }
 
 /// Returns whether a status line alone reports delivery.
--- a/crates/delivery/src/net/pool/run.rs
+++ b/crates/delivery/src/net/pool/run.rs
@@ -208,15 +208,11 @@
         let Some(endpoint) = endpoints.get_mut(&endpoint) else {
             return;
         };
-        match response.reuse {
-            Reuse::Impossible(ConnectionEnd::Unrequested(_)) => {
-                add(&self.counters.connections_unrequested);
-            }
-            Reuse::Impossible(ConnectionEnd::Distrusted) => {
-                add(&self.counters.connections_unrequested);
-                endpoint.distrust();
-            }
-            _ => {}
+        if matches!(
+            response.reuse,
+            Reuse::Impossible(ConnectionEnd::Unrequested(_) | ConnectionEnd::SeveralResponses)
+        ) {
+            add(&self.counters.connections_unrequested);
         }
         if response.outcome.outcome == Outcome::Delivered {
             endpoint.record_call_time(request.written_at.elapsed());
