--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -191,7 +191,7 @@
         for name in sorted(os.listdir(self.temporary)):
             if name.endswith(".log"):
                 with open(self.path(name), errors="replace") as log:
-                    lines = log.read().splitlines()
+                    lines = log.read().replace(self.temporary, "TMP").replace(ROOT, ".").splitlines()
                 self.record_file.write(f"--- {name}, the last {min(len(lines), 80)} lines\n")
                 self.record_file.writelines(line[:300] + "\n" for line in lines[-80:])
         self.record_file.close()
