Recognise an event as a repeat of the newest message of its identity or key

Callers saw: two events with one Idempotency-Key are answered 503 at a planned restart, come again, and each is delivered.

Cause: the store's indexes named one message for each identity and key. The second event's id stayed an alias of the returned message, and the lookup stopped at the identity: it found the returned message, and took the event for new, although a newer message held the key. The order of the two makes no difference.

Change: the index holds every message of an identity or key, and the newest decides; the earliest attempt that may have been executed limits the window over all of them. An identity that is known with another key is a conflict also as an alias, and within one step. The index depends on the stored messages alone, so replay, compaction and old journals give what the live run gave. Submission and Lookup stand in a module of their own.

--- a/crates/delivery/src/core/engine.rs
+++ b/crates/delivery/src/core/engine.rs
@@ -28,6 +28,7 @@
 mod scheduler_input;
 mod settings;
 mod shutdown;
+mod submission;
 mod unjournalled;
 mod unwritten_reports;
 
@@ -43,7 +44,6 @@
 use super::message_store::{MessageStore, Recovered};
 use super::recent_completions::RecentCompletions;
 use super::{MessageId, RequestId, SubmitResponse, Timestamp};
-use acceptance::Submission;
 use endpoint_registry::EndpointRegistry;
 use lease::DeferredEvent;
 use marblefall_scheduler as scheduler;
@@ -53,6 +53,7 @@
 use settings::Policy;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use submission::Submission;
 use unjournalled::{SelectedAttempt, UnjournalledOutcomes};
 
 /// The token of timers whose only effect is a step.
--- a/crates/delivery/src/core/engine/acceptance.rs
+++ b/crates/delivery/src/core/engine/acceptance.rs
@@ -1,10 +1,10 @@
 //! Accepts or rejects submissions, and responds to the clients that wait for them.
 
 use super::final_outcome::outcome_of_failure;
-use super::lookup::Lookup;
 use super::role::Role;
 use super::scheduler_input::scheduler_message;
 use super::shutdown::ACCEPTANCE_CUTOFF_BEFORE_SHUTDOWN;
+use super::submission::{Lookup, Submission};
 use super::{log_journal_error, Batch, Engine, EngineCommand, RejectReason, Rejection};
 use crate::core::message_record::AttemptRecord;
 use crate::core::{FinalOutcome, Message, MessageId, Origin, RequestId, SubmitResponse, Timestamp};
@@ -20,16 +20,6 @@
     retry_after_ms: DEFAULT_RETRY_AFTER_MS,
 };
 
-/// A message that was submitted in the current batch and is not accepted yet.
-pub(super) struct Submission {
-    pub(super) id: MessageId,
-    pub(super) message: Rc<Message>,
-    /// The first attempt of an earlier submission of this message that may have been executed.
-    first_possible_execution: Option<AttemptRecord>,
-    /// Other identities under which the message was submitted in the same batch.
-    aliases: Vec<Vec<u8>>,
-}
-
 impl Engine {
     /// Handles a submission: responds to it, joins it to an earlier one, or offers it to the scheduler.
     pub(super) fn submit(&mut self, request: RequestId, message: Message, batch: &mut Batch<'_>) {
--- a/crates/delivery/src/core/engine/lease.rs
+++ b/crates/delivery/src/core/engine/lease.rs
@@ -2,7 +2,7 @@
 //! attempts are journalled and messages past their deadline expire.
 
 use super::acceptance::REJECTED;
-use super::lookup::Lookup;
+use super::submission::Lookup;
 use super::{Batch, Engine, EngineCommand, EngineEvent};
 use crate::core::{FinalOutcome, MessageId, Timestamp};
 use marblefall_scheduler as scheduler;
--- a/crates/delivery/src/core/engine/lookup.rs
+++ b/crates/delivery/src/core/engine/lookup.rs
@@ -1,47 +1,36 @@
 //! Determines whether a submitted message is new or repeats a known one.
+//!
+//! A message repeats all stored messages that have its identity, or its key at its destination. Of these, a returned message
+//! is superseded by any later one, so that the newest message decides.
 
-use super::acceptance::Submission;
+use super::submission::{deduplication_key, Lookup, Submission};
 use super::Engine;
 use crate::core::message_record::{AttemptRecord, MessageRecord};
 use crate::core::{FinalOutcome, Message, MessageId, Origin};
+use std::collections::BTreeMap;
 
-/// The result of looking up a submitted message among the known ones.
-pub(super) enum Lookup {
-    /// The message is new, or is submitted again after it was returned.
-    New {
-        /// The first attempt of the returned submission that may have been executed. Its deduplication window still
-        /// limits further attempts.
-        first_possible_execution: Option<AttemptRecord>,
-    },
-    /// The message is already open, or its outcome has not been reported yet.
-    Open(MessageId),
-    /// The message has its final outcome.
-    Finished(MessageId, FinalOutcome),
-    /// The message was submitted with another idempotency key before, or finished recently.
-    Conflict,
-}
+/// The stored messages that a submission repeats, ordered by id: later messages have higher ids.
+type RepeatedMessages<'a> = BTreeMap<MessageId, &'a MessageRecord>;
 
 impl Engine {
     /// Looks up a message among the submissions of this step and the stored messages.
     pub(super) fn look_up(&self, message: &Message, submissions: &[Submission]) -> Lookup {
-        let earlier = submissions
-            .iter()
-            .find(|submission| is_repeat(message, &submission.message));
-        if let Some(submission) = earlier {
-            return if submission.message.idempotency_key == message.idempotency_key {
-                Lookup::Open(submission.id)
-            } else {
-                Lookup::Conflict
-            };
+        if self.is_known_with_another_key(message, submissions) {
+            return Lookup::Conflict;
+        }
+        let mut submissions = submissions.iter();
+        if let Some(submission) = submissions.find(|earlier| earlier.is_repeated_by(message)) {
+            return Lookup::Open(submission.id);
         }
-        match self.find_stored(message) {
-            Some((id, record)) => match look_up_stored(message, id, record) {
-                Lookup::New { .. } | Lookup::Finished(..)
-                    if self.unjournalled_outcomes.contains(id) =>
-                {
-                    Lookup::Open(id)
-                }
-                found => found,
+        let repeated = self.repeated_messages(message);
+        match deciding_message(&repeated) {
+            Some((id, _)) if self.unjournalled_outcomes.contains(id) => Lookup::Open(id),
+            Some((id, record)) => match record.completion().map(|completion| completion.outcome) {
+                None => Lookup::Open(id),
+                Some(FinalOutcome::Returned { .. }) => Lookup::New {
+                    first_possible_execution: first_possibly_executed(&repeated).cloned(),
+                },
+                Some(outcome) => Lookup::Finished(id, outcome),
             },
             // If a delivered message were sent again, it would be executed twice.
             None if self.finished_recently(message) => Lookup::Conflict,
@@ -51,44 +40,49 @@
         }
     }
 
-    fn find_stored(&self, message: &Message) -> Option<(MessageId, &MessageRecord)> {
-        let by_key = || {
-            self.store
-                .by_idempotency_key(message.destination, deduplication_key(message)?)
-        };
-        let id = self.store.by_identity(&message.identity).or_else(by_key)?;
-        Some((id, self.store.get(id)?))
+    /// Returns whether the identity of a message is known with another idempotency key.
+    fn is_known_with_another_key(&self, message: &Message, submissions: &[Submission]) -> bool {
+        let identity = &message.identity;
+        let submitted = submissions
+            .iter()
+            .filter(|submission| submission.has_identity(identity))
+            .map(|submission| &submission.message);
+        let stored = self.store.with_identity(identity);
+        submitted
+            .chain(stored.map(|(_, record)| &record.message))
+            .any(|known| known.idempotency_key != message.idempotency_key)
     }
 
-    fn finished_recently(&self, message: &Message) -> bool {
-        message.origin != Origin::CloudEvents && self.recent_completions.contains(&message.identity)
+    fn repeated_messages(&self, message: &Message) -> RepeatedMessages<'_> {
+        let by_identity = self.store.with_identity(&message.identity);
+        let by_key = deduplication_key(message)
+            .into_iter()
+            .flat_map(|key| self.store.with_idempotency_key(message.destination, key));
+        by_identity.chain(by_key).collect()
     }
-}
 
-fn look_up_stored(message: &Message, id: MessageId, record: &MessageRecord) -> Lookup {
-    if record.message.idempotency_key != message.idempotency_key {
-        return Lookup::Conflict;
-    }
-    match record.completion().map(|completion| completion.outcome) {
-        None => Lookup::Open(id),
-        Some(FinalOutcome::Returned { .. }) => Lookup::New {
-            first_possible_execution: record.first_possible_execution.clone(),
-        },
-        Some(outcome) => Lookup::Finished(id, outcome),
+    fn finished_recently(&self, message: &Message) -> bool {
+        message.origin != Origin::CloudEvents && self.recent_completions.contains(&message.identity)
     }
 }
 
-/// Returns the key by which a submission is recognised as a repeat, in addition to its identity. Only events can have one.
-fn deduplication_key(message: &Message) -> Option<&Vec<u8>> {
-    message
-        .idempotency_key
-        .as_ref()
-        .filter(|_| message.origin == Origin::CloudEvents)
+/// Returns the message whose state is that of all its repeats: the newest one. A message that was not returned counts before
+/// later ones, which only a journal of an earlier version can contain.
+fn deciding_message<'a>(repeated: &RepeatedMessages<'a>) -> Option<(MessageId, &'a MessageRecord)> {
+    let newest_first = || repeated.iter().rev().map(|(id, record)| (*id, *record));
+    let is_returned = |record: &MessageRecord| {
+        record
+            .completion()
+            .is_some_and(|completion| matches!(completion.outcome, FinalOutcome::Returned { .. }))
+    };
+    newest_first()
+        .find(|(_, record)| !is_returned(record))
+        .or_else(|| newest_first().next())
 }
 
-/// Returns whether a message repeats an earlier one: same identity, or same deduplication key and destination.
-fn is_repeat(message: &Message, earlier: &Message) -> bool {
-    let key = deduplication_key(message);
-    let same_key = key.is_some() && earlier.idempotency_key.as_ref() == key;
-    earlier.identity == message.identity || earlier.destination == message.destination && same_key
+fn first_possibly_executed<'a>(repeated: &RepeatedMessages<'a>) -> Option<&'a AttemptRecord> {
+    let attempts = repeated
+        .values()
+        .filter_map(|record| record.first_possibly_executed());
+    attempts.min_by_key(|attempt| attempt.started_ms)
 }
--- a/crates/delivery/src/core/message_record.rs
+++ b/crates/delivery/src/core/message_record.rs
@@ -103,6 +103,17 @@
         }
     }
 
+    /// Returns all identities under which the message was submitted.
+    pub fn identities(&self) -> impl Iterator<Item = &[u8]> {
+        let all = [&self.message.identity].into_iter().chain(&self.aliases);
+        all.map(Vec::as_slice)
+    }
+
+    /// Returns whether the message was submitted under an identity.
+    pub fn has_identity(&self, identity: &[u8]) -> bool {
+        self.identities().any(|known| known == identity)
+    }
+
     /// Returns the final outcome, if the message has one.
     pub fn completion(&self) -> Option<&Completion> {
         match &self.state {
@@ -131,6 +142,12 @@
         }
     }
 
+    /// Returns the first attempt that may have been executed, also if its result has not been reported.
+    pub fn first_possibly_executed(&self) -> Option<&AttemptRecord> {
+        let ended = self.first_possible_execution.as_ref();
+        ended.or_else(|| self.in_flight())
+    }
+
     /// Starts an attempt. If an earlier attempt is still in flight, its process ended before the result was known. That
     /// attempt is recorded as possibly executed: otherwise a repeat could be sent after the receiver's deduplication
     /// window.
--- a/crates/delivery/src/core/message_store.rs
+++ b/crates/delivery/src/core/message_store.rs
@@ -9,6 +9,7 @@
 mod handover;
 mod index;
 mod journalling;
+mod repeat_index;
 mod takeover;
 
 pub use following::PredecessorEvent;
@@ -23,7 +24,8 @@
 use super::{FinalOutcome, Message, MessageId};
 use followed_records::FollowedRecords;
 use marblefall_scheduler::DestinationId;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use repeat_index::RepeatIndex;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
@@ -46,9 +48,8 @@
     messages: BTreeMap<MessageId, MessageRecord>,
     /// Number of the segment with each message's latest full record.
     segments: BTreeMap<MessageId, u64>,
-    /// Messages by identity, including aliases.
-    identities: HashMap<Vec<u8>, MessageId>,
-    idempotency_keys: HashMap<(DestinationId, Vec<u8>), MessageId>,
+    /// Messages by identity and idempotency key.
+    repeats: RepeatIndex,
     /// Estimated size of all live records in the journal, in bytes.
     live_bytes: u64,
     /// Number of messages without a final outcome.
@@ -118,16 +119,35 @@
         self.messages.get(&id)
     }
 
-    /// Returns the message that has an identity, also as an alias.
+    /// Returns the newest message that has an identity, also as an alias.
     pub fn by_identity(&self, identity: &[u8]) -> Option<MessageId> {
-        self.identities.get(identity).copied()
+        self.repeats.with_identity(identity).next_back()
     }
 
-    /// Returns the message with an idempotency key at a destination.
+    /// Returns the newest message with an idempotency key at a destination.
     pub fn by_idempotency_key(&self, destination: DestinationId, key: &[u8]) -> Option<MessageId> {
-        self.idempotency_keys
-            .get(&(destination, key.to_vec()))
-            .copied()
+        self.repeats
+            .with_idempotency_key(destination, key)
+            .next_back()
+    }
+
+    /// Returns the messages that have an identity, also as an alias, the newest last.
+    pub fn with_identity(
+        &self,
+        identity: &[u8],
+    ) -> impl DoubleEndedIterator<Item = (MessageId, &MessageRecord)> {
+        let ids = self.repeats.with_identity(identity);
+        ids.filter_map(|id| Some((id, self.messages.get(&id)?)))
+    }
+
+    /// Returns the messages with an idempotency key at a destination, the newest last.
+    pub fn with_idempotency_key(
+        &self,
+        destination: DestinationId,
+        key: &[u8],
+    ) -> impl DoubleEndedIterator<Item = (MessageId, &MessageRecord)> {
+        let ids = self.repeats.with_idempotency_key(destination, key);
+        ids.filter_map(|id| Some((id, self.messages.get(&id)?)))
     }
 
     /// Returns the number of messages without a final outcome.
@@ -179,10 +199,11 @@
     /// # Errors
     /// The journal is full or cannot be written. The alias is still in force in this incarnation.
     pub fn add_alias(&mut self, id: MessageId, identity: &[u8]) -> io::Result<()> {
-        if !self.messages.contains_key(&id) || self.identities.contains_key(identity) {
+        let stored = self.messages.get(&id);
+        if stored.is_none_or(|record| record.has_identity(identity)) {
             return Ok(());
         }
-        self.identities.insert(identity.to_vec(), id);
+        self.repeats.add_identity(id, identity);
         let bytes = estimated_alias_bytes(identity);
         self.live_bytes += bytes;
         if !self.messages[&id].is_open() {
