Deliver what an instance has accepted before it leaves its member of a group

Cause: an instance that its member no longer runs was shut down within 3.4 s as if its process were to start again; removal was for daemons without a group only. It could not have gone on either, as it kept its revision, for which the lease guard is closed after the change, and nothing stored its manifest, as the group's node replaces the applied manifest without apply.

Change: the old member removes the instance as a daemon without a group does, updates it in place to each revision in force with its own frontends and limits, and resumes it after a restart. The coordination node stores its manifest before it replaces the policy.

--- a/crates/control-plane/src/group/driver/policy.rs
+++ b/crates/control-plane/src/group/driver/policy.rs
@@ -2,11 +2,14 @@
 
 use super::inbox::CheckedProposal;
 use super::{Driver, GroupEvent};
+use crate::json_file::JsonFileError;
 use crate::manifest::{GroupSpec, Manifest};
 use crate::plan::Applied;
+use crate::removed_instances;
 use marblefall_coordination::identifiers::{Policy, ProposalId, Revision};
 use marblefall_coordination::message::PolicyVerdict;
 use marblefall_delivery::log_line;
+use std::io;
 
 /// The reason why this member cannot act under a proposed policy.
 #[derive(Debug, thiserror::Error)]
@@ -21,6 +24,14 @@
     InitialPolicyMismatch,
 }
 
+/// The effect of storing the policy in force.
+enum StoredPolicy {
+    /// The policy was already stored.
+    Unchanged,
+    /// The policy has replaced another one.
+    Replaced,
+}
+
 impl Driver {
     /// Checks whether a proposed policy can be decoded, whether this member can act under it, and whether it permits the
     /// instances' open messages. The verdict arrives as an event.
@@ -99,16 +110,17 @@
             revision: number,
             manifest,
         };
-        if Applied::read(&self.home).is_ok_and(|stored| stored == applied) {
-            return;
-        }
-        if let Err(error) = applied.write(&self.home) {
-            // Until the new policy is stored, instances keep the previous one, for which the lease guard is closed.
-            self.unstored_policy = Some((revision, policy.clone()));
-            return log_line!(
-                code = "policy-not-written",
-                "group: revision {number} cannot be stored: {error}"
-            );
+        match self.replace_applied(&applied) {
+            Ok(StoredPolicy::Unchanged) => return,
+            Ok(StoredPolicy::Replaced) => {}
+            Err(error) => {
+                // Until the new policy is stored, instances keep the previous one, for which the lease guard is closed.
+                self.unstored_policy = Some((revision, policy.clone()));
+                return log_line!(
+                    code = "policy-not-written",
+                    "group: revision {number} cannot be stored: {error}"
+                );
+            }
         }
         log_line!(
             code = "policy-in-force",
@@ -118,6 +130,30 @@
         let _ = self.group_events.try_send(GroupEvent::PolicyInForce);
     }
 
+    /// Replaces the applied manifest of the home. Before, it stores the instances that this member runs under the previous
+    /// manifest and no longer under the new one, so that their messages are not forgotten whenever the process ends.
+    fn replace_applied(&self, applied: &Applied) -> io::Result<StoredPolicy> {
+        match Applied::read(&self.home) {
+            Ok(stored) if stored == *applied => return Ok(StoredPolicy::Unchanged),
+            Ok(stored) => removed_instances::store(
+                &self.home,
+                &stored.manifest,
+                &applied.manifest,
+                |manifest, instance| {
+                    let group = manifest.group.as_ref();
+                    group.is_some_and(|group| group.runs(&self.membership.name, instance))
+                },
+            )?,
+            Err(JsonFileError::Read { source, .. }) => return Err(source),
+            Err(error @ JsonFileError::Parse { .. }) => log_line!(
+                code = "applied-unreadable",
+                "group: the previous policy cannot be decoded and is replaced: {error}"
+            ),
+        }
+        applied.write(&self.home)?;
+        Ok(StoredPolicy::Replaced)
+    }
+
     /// Retries storing the policy in force if storing it has failed.
     pub(super) fn retry_storing_policy(&mut self) {
         if let Some((revision, policy)) = self.unstored_policy.take() {
--- a/crates/control-plane/src/manifest/group.rs
+++ b/crates/control-plane/src/manifest/group.rs
@@ -102,6 +102,12 @@
 }
 
 impl GroupSpec {
+    /// Returns whether a member runs an instance.
+    pub fn runs(&self, member: &str, instance: &str) -> bool {
+        let member = self.members.get(member);
+        member.is_some_and(|member| member.instances.contains(instance))
+    }
+
     /// Returns a warning if the number of voters is valid but probably a mistake.
     pub fn warning(&self) -> Option<String> {
         let voters = self.members.values().filter(|member| member.votes).count();
--- a/crates/control-plane/src/manifest/instance_manifest.rs
+++ b/crates/control-plane/src/manifest/instance_manifest.rs
@@ -36,9 +36,13 @@
             platform: instance.platform.clone(),
             limits: instance.limits.as_ref().unwrap_or(&self.limits).clone(),
             classes: self.classes.clone(),
-            total_instances: self.instances.len() + self.external_instances,
+            total_instances: self.total_instances(),
         })
     }
+
+    fn total_instances(&self) -> usize {
+        self.instances.len() + self.external_instances
+    }
 }
 
 impl InstanceManifest {
@@ -53,6 +57,18 @@
             && self.limits.idle_timeout_ms == new.limits.idle_timeout_ms
     }
 
+    /// Returns the manifest of this instance, which is removed, under the manifest in force. It keeps its frontends and its
+    /// limits, which its messages were accepted under, and the classes that are no longer declared.
+    pub fn removed_under(&self, manifest: &Manifest) -> InstanceManifest {
+        let mut classes = self.classes.clone();
+        classes.extend(manifest.classes.clone());
+        InstanceManifest {
+            classes,
+            total_instances: manifest.total_instances(),
+            ..self.clone()
+        }
+    }
+
     fn events_address(&self) -> Option<SocketAddr> {
         self.events.as_ref().map(|events| events.listen_address)
     }
--- a/crates/control-plane/src/plan.rs
+++ b/crates/control-plane/src/plan.rs
@@ -117,7 +117,10 @@
             manifest: self.target.clone(),
         };
         // Stored first: if this process ends in between, the files concern declared instances and have no effect.
-        removed_instances::store(home, &current.manifest, &self.target).map_err(home_error)?;
+        let runs_here =
+            |manifest: &Manifest, instance: &str| manifest.instances.contains_key(instance);
+        removed_instances::store(home, &current.manifest, &self.target, runs_here)
+            .map_err(home_error)?;
         applied.write(home).map_err(home_error)?;
         Ok(applied)
     }
--- a/crates/control-plane/src/removed_instances.rs
+++ b/crates/control-plane/src/removed_instances.rs
@@ -1,8 +1,9 @@
-//! The instances that were removed from the manifest and may still hold messages.
+//! The instances that a home no longer runs and that may still hold messages: they were removed from the manifest, or moved
+//! to another member of the group.
 //!
-//! Applying a plan stores the manifest of each instance that it removes, before the change is in force. The supervisor runs
-//! these instances until their messages have ended, also after a restart, and deletes the files then. The file of an
-//! instance that is declared again has no effect.
+//! Whoever replaces the manifest of a home first stores the manifest of each instance that the home no longer runs. The
+//! supervisor runs these instances until their messages have ended, also after a restart, and deletes the files then. The
+//! file of an instance that the home runs again has no effect.
 
 use crate::json_file::JsonFileError;
 use crate::manifest::{InstanceManifest, Manifest};
@@ -16,10 +17,16 @@
 /// Extension of the files.
 const EXTENSION: &str = "json";
 
-/// Stores the manifests of the instances of `before` that are not declared in `after`.
-pub(crate) fn store(home: &Path, before: &Manifest, after: &Manifest) -> io::Result<()> {
+/// Stores the manifests of the instances that a home runs under the manifest `before`, and no longer under `after`.
+/// `runs_here` returns whether a manifest has the home run an instance.
+pub(crate) fn store(
+    home: &Path,
+    before: &Manifest,
+    after: &Manifest,
+    runs_here: impl Fn(&Manifest, &str) -> bool,
+) -> io::Result<()> {
     let names = before.instances.keys();
-    let removed = names.filter(|name| !after.instances.contains_key(*name));
+    let removed = names.filter(|name| runs_here(before, name) && !runs_here(after, name));
     for manifest in removed.filter_map(|name| before.instance_manifest(name)) {
         fs::create_dir_all(home.join(FOLDER))?;
         replace(
--- a/crates/control-plane/src/supervisor/desired_state.rs
+++ b/crates/control-plane/src/supervisor/desired_state.rs
@@ -2,6 +2,7 @@
 
 use super::group_member::GroupMember;
 use crate::endpoint_directory::CompactApplied;
+use crate::manifest::{InstanceManifest, Manifest};
 use std::path::PathBuf;
 
 /// The desired state that the supervisor reconciles its instances with.
@@ -17,9 +18,27 @@
 impl DesiredState {
     /// Returns whether an instance, if the manifest declares it, is assigned to this supervisor.
     pub fn runs_here(&self, instance: &str) -> bool {
-        self.group_member
-            .as_ref()
-            .is_none_or(|member| member.runs(&self.applied.manifest, instance))
+        self.would_run(&self.applied.manifest, instance)
+    }
+
+    /// Returns whether an instance, if `manifest` declares it, would be assigned to this supervisor under it.
+    pub fn would_run(&self, manifest: &Manifest, instance: &str) -> bool {
+        let member = self.group_member.as_ref();
+        member.is_none_or(|member| member.runs(manifest, instance))
+    }
+
+    /// Returns whether this supervisor runs an instance: the manifest declares it, and it is assigned to this supervisor.
+    pub fn runs(&self, instance: &str) -> bool {
+        self.applied.manifest.instances.contains_key(instance) && self.runs_here(instance)
+    }
+
+    /// Returns the manifest of an instance that runs under `current`. An instance that this supervisor no longer runs is
+    /// removed and keeps its frontends.
+    pub fn manifest_of(&self, instance: &str, current: &InstanceManifest) -> InstanceManifest {
+        let declared = self.applied.manifest.instance_manifest(instance);
+        declared
+            .filter(|_| self.runs_here(instance))
+            .unwrap_or_else(|| current.removed_under(&self.applied.manifest))
     }
 
     /// Returns the names of the manifest's instances that this supervisor runs.
--- a/crates/control-plane/src/supervisor/group_member.rs
+++ b/crates/control-plane/src/supervisor/group_member.rs
@@ -67,8 +67,7 @@
     /// Returns whether the manifest assigns an instance to this member.
     pub fn runs(&self, manifest: &Manifest, instance: &str) -> bool {
         let group = manifest.group.as_ref();
-        let member = group.and_then(|group| group.members.get(&self.name));
-        member.is_some_and(|member| member.instances.contains(instance))
+        group.is_some_and(|group| group.runs(&self.name, instance))
     }
 }
 
--- a/crates/control-plane/src/supervisor/instance_set.rs
+++ b/crates/control-plane/src/supervisor/instance_set.rs
@@ -8,7 +8,7 @@
 use crate::manifest::Manifest;
 use crate::removed_instances;
 use marblefall_coordination::message::PolicyVerdict;
-use marblefall_delivery::instance::{InstanceCommand, SHUTDOWN_TIMEOUT};
+use marblefall_delivery::instance::InstanceCommand;
 use marblefall_delivery::log_line;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
@@ -50,8 +50,7 @@
 
     /// Checks with all instances whether they can act under a proposed policy.
     pub async fn check_policy(&self, proposed: &Manifest, desired: &DesiredState) -> PolicyVerdict {
-        let expected: Vec<&str> = desired.instances().collect();
-        let result = policy_check::check_policy(proposed, &self.instances, &expected).await;
+        let result = policy_check::check_policy(proposed, &self.instances, desired).await;
         result.into()
     }
 
@@ -64,23 +63,14 @@
             if instance.is_shutting_down() {
                 continue;
             }
-            if instance.is_removed() {
-                // Its messages must not be sent to endpoints that are no longer listed.
+            let is_outdated = is_in_group && instance.revision() != applied.revision;
+            let manifest = desired.manifest_of(name, instance.manifest());
+            let can_update = instance.manifest().can_update_in_place(&manifest);
+            if (is_outdated || manifest != *instance.manifest()) && can_update {
+                log_line!("{name}: applies a change in place");
+                instance.update_policy(manifest, applied.revision, &applied.directory);
+            } else {
                 instance.replace_destinations(&applied.directory);
-                continue;
-            }
-            let revision_changed = is_in_group && instance.revision() != applied.revision;
-            let manifest = applied.manifest.instance_manifest(name);
-            let changed = manifest.filter(|manifest| {
-                (revision_changed || manifest != instance.manifest())
-                    && instance.manifest().can_update_in_place(manifest)
-            });
-            match changed {
-                Some(manifest) => {
-                    log_line!("{name}: applies a change in place");
-                    instance.update_policy(manifest, applied.revision, &applied.directory);
-                }
-                None => instance.replace_destinations(&applied.directory),
             }
         }
     }
@@ -126,12 +116,12 @@
                     continue;
                 }
             };
-            let instances = &desired.applied.manifest.instances;
-            if instances.contains_key(&manifest.name) || desired.group_member.is_some() {
+            if desired.runs(&manifest.name) {
                 continue;
             }
+            let manifest = desired.manifest_of(&manifest.name, &manifest);
             let name = manifest.name.clone();
-            log_line!("{name}: no longer declared, resumes the messages that it has accepted");
+            log_line!("{name}: no longer declared here, resumes the messages that it has accepted");
             match InstanceHandle::start_removed(manifest, start_context(desired)) {
                 Ok(instance) => drop(self.instances.insert(name, instance)),
                 Err(error) => log_line!("{name}: cannot be started: {error}"),
@@ -146,36 +136,27 @@
         self.start_missing(desired);
     }
 
-    /// Shuts down instances that are no longer assigned to this supervisor, or whose manifest has changed.
+    /// Removes instances that are no longer assigned to this supervisor, and restarts those whose manifest has changed.
     fn shut_down_outdated(&mut self, desired: &DesiredState) {
         for (name, instance) in &mut self.instances {
             if instance.is_shutting_down() {
                 continue;
             }
-            let manifest = desired.applied.manifest.instance_manifest(name);
-            let is_declared = manifest.is_some();
-            match manifest.filter(|_| desired.runs_here(name)) {
-                Some(_) if instance.is_removed() => {
-                    log_line!("{name}: declared again, restarting");
-                    instance.shut_down_for_restart(RESTART_TIMEOUT);
-                }
-                Some(manifest) if manifest == *instance.manifest() => {}
-                Some(_) => {
-                    log_line!("{name}: applies a change by a restart");
-                    instance.shut_down_for_restart(RESTART_TIMEOUT);
-                }
-                None if instance.is_removed() => {}
-                // In a group, an instance acts only under the policy in force, which no longer has it.
-                None if !is_declared && desired.group_member.is_none() => {
+            if !desired.runs(name) {
+                if !instance.is_removed() {
                     log_line!(
-                        "{name}: no longer declared, delivers the messages that it has accepted"
+                        "{name}: no longer declared here, delivers the messages that it has accepted"
                     );
                     instance.remove();
                 }
-                None => {
-                    log_line!("{name}: no longer declared here, shutting down");
-                    instance.shut_down(SHUTDOWN_TIMEOUT);
-                }
+                continue;
+            }
+            if instance.is_removed() {
+                log_line!("{name}: declared again, restarting");
+                instance.shut_down_for_restart(RESTART_TIMEOUT);
+            } else if desired.manifest_of(name, instance.manifest()) != *instance.manifest() {
+                log_line!("{name}: applies a change by a restart");
+                instance.shut_down_for_restart(RESTART_TIMEOUT);
             }
         }
     }
--- a/crates/control-plane/src/supervisor/policy_check.rs
+++ b/crates/control-plane/src/supervisor/policy_check.rs
@@ -1,5 +1,6 @@
 //! Checks with the instances whether a proposed policy permits their open messages.
 
+use super::desired_state::DesiredState;
 use super::instance_handle::InstanceHandle;
 use crate::manifest::{name_hash, Manifest};
 use async_io::Timer;
@@ -27,32 +28,37 @@
     },
 }
 
-/// Checks a proposed policy with all running instances.
+/// Checks a proposed policy with all running instances. An instance that is removed, or that the policy assigns to another
+/// member, has to deliver its messages under the policy as well; its number of open messages is not limited by it.
 ///
 /// # Errors
-/// One of the `expected` instances does not run, or an instance that the policy declares does not respond or cannot act
-/// under the policy.
+/// One of the desired instances does not run, or an instance that the policy declares does not respond or cannot act under
+/// the policy.
 pub(super) async fn check_policy(
     proposed: &Manifest,
     instances: &BTreeMap<String, InstanceHandle>,
-    expected: &[&str],
+    desired: &DesiredState,
 ) -> Result<(), PolicyCheckError> {
-    if let Some(name) = expected.iter().find(|name| !instances.contains_key(**name)) {
-        return Err(PolicyCheckError::Starting((*name).to_owned()));
+    if let Some(name) = desired
+        .instances()
+        .find(|name| !instances.contains_key(*name))
+    {
+        return Err(PolicyCheckError::Starting(name.to_owned()));
     }
     let names = proposed.destinations.keys();
     let destinations: BTreeSet<_> = names.map(|name| DestinationId(name_hash(name))).collect();
     let classes: BTreeSet<String> = proposed.classes.keys().cloned().collect();
     for (name, instance) in instances {
         let manifest = proposed.instance_manifest(name);
+        let stays = manifest.filter(|_| desired.would_run(proposed, name));
         let policy = ProposedPolicy {
             classes: classes.clone(),
             destinations: destinations.clone(),
-            max_open: manifest.map_or(usize::MAX, |manifest| manifest.limits.max_open),
+            max_open: stays.map_or(usize::MAX, |manifest| manifest.limits.max_open),
         };
         let verdict = request_verdict(name, instance, policy).await;
-        // An instance that the policy removes completes its messages while it shuts down.
-        if proposed.instances.contains_key(name) {
+        // Messages of an instance that the policy does not declare at all end by their deadlines.
+        if proposed.instances.contains_key(name) && !instance.has_ended() {
             verdict?;
         }
     }
