Resume removed instances from their stored files in each round of the supervisor

Callers saw: a change restarts an instance that holds twelve messages, and a second one removes it 0.4 s later.

Cause: the removal reached an instance only if it was running at that moment; HOME/removed was read once, at the daemon's start.

Change: each round starts what has a file in HOME/removed, is not to run here and does not run, with the backoff of failed starts. On the same path: the file of an instance that runs again is deleted only while no plan is being applied and its revision is in force, as it could be that of the next removal; an instance that runs and is no longer declared is stored if nobody did.

Before the change 5 of the new tests fail: removal during a restart, twice within one, with its port taken, with an unreadable file, and at a member of a group that is down. All pass with it.

--- a/crates/cli/tests/group_moves.rs
+++ b/crates/cli/tests/group_moves.rs
@@ -195,6 +195,20 @@
     desk.check(1);
 }
 
+/// Guards against lost messages: the member was down when the change came into force, and then could not start the instance
+/// before it learned of the change.
+#[test]
+fn messages_of_moved_instance_survive_a_change_while_its_member_is_down() {
+    let _serial = serial();
+    let mut desk = Desk::start("moved-down");
+    desk.group.kill(MEMBERS[0]);
+    desk.assign(Some(MEMBERS[1]));
+    desk.group.start(MEMBERS[0]).unwrap();
+    desk.wait_for_removal();
+    // One attempt is in flight at the kill.
+    desk.check(1);
+}
+
 /// An instance that moves back before it has delivered all messages continues them.
 #[test]
 fn instance_that_moves_back_delivers_what_it_has_accepted() {
--- a/crates/cli/tests/removed_instance.rs
+++ b/crates/cli/tests/removed_instance.rs
@@ -49,6 +49,20 @@
     )
 }
 
+/// Submits all messages to a platform instance.
+fn submit_messages(address: SocketAddr) {
+    for message in 0..MESSAGES {
+        let id = format!("m{message}");
+        let fields = [
+            ("X-Call-Id", id.as_str()),
+            ("X-Call-Class", "status"),
+            ("X-Budget-Ms", "20000"),
+            ("X-Envelope", "dest=1"),
+        ];
+        assert_eq!(post(address, "/api", &fields, b"x").unwrap().status(), 202);
+    }
+}
+
 /// Guards against lost messages: an instance that was removed ended within 3.4 s, and nobody continued its messages.
 #[test]
 fn removed_instance_delivers_what_it_has_accepted() {
@@ -94,16 +108,7 @@
         apply(&folder, &both);
         let mut program = start_daemon(&folder);
         let address = program.address(PLATFORM_MARKER, 0);
-        for message in 0..MESSAGES {
-            let id = format!("m{message}");
-            let fields = [
-                ("X-Call-Id", id.as_str()),
-                ("X-Call-Class", "status"),
-                ("X-Budget-Ms", "20000"),
-                ("X-Envelope", "dest=1"),
-            ];
-            assert_eq!(post(address, "/api", &fields, b"x").unwrap().status(), 202);
-        }
+        submit_messages(address);
         if is_running {
             apply(&folder, &one);
             wait_for("the removal", || {
@@ -139,3 +144,132 @@
         assert_eq!(std::fs::read_dir(removed).unwrap().count(), 0);
     }
 }
+
+/// A daemon with a platform instance "two" that holds messages, whose destination responds once it is opened.
+struct Held {
+    folder: TemporaryFolder,
+    is_open: Arc<AtomicBool>,
+    endpoint: TestServer,
+    program: Program,
+    /// The manifests without the instance and with it.
+    one: String,
+    both: String,
+}
+
+impl Held {
+    fn start(name: &str) -> Held {
+        let is_open = Arc::new(AtomicBool::new(false));
+        let opened = is_open.clone();
+        let endpoint = start_server(move |_| {
+            while !opened.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(10));
+            }
+            Reply::ok()
+        });
+        let platform = start_healthy_server();
+        let folder = new_folder(name);
+        let one = format!("{}{}", manifest(endpoint.address), events_instance("one"));
+        let both = format!("{one}{}", platform_instance("two", platform.address));
+        apply(&folder, &both);
+        let program = start_daemon(&folder);
+        submit_messages(program.address(PLATFORM_MARKER, 0));
+        Held {
+            folder,
+            is_open,
+            endpoint,
+            program,
+            one,
+            both,
+        }
+    }
+
+    /// Applies a manifest, and waits until the daemon has read it.
+    fn apply(&self, manifest: &str, revision: u64) {
+        apply(&self.folder, manifest);
+        wait_for("the revision", || {
+            let log = self.program.log();
+            log.contains(&format!("manifest: revision {revision},"))
+        });
+    }
+
+    /// Opens the destination, and checks that each message is called before the removed instance ends.
+    fn check_deliveries(&self) {
+        self.is_open.store(true, Ordering::SeqCst);
+        wait_for("the end of the instance", || {
+            self.program.log().contains(REMOVAL_COMPLETE)
+        });
+        assert_eq!(self.endpoint.request_count(), MESSAGES);
+    }
+
+    fn restarting(manifest: &str) -> String {
+        manifest.replace("[limits]", "[limits]\ndial_ms = 1400")
+    }
+}
+
+/// Guards against lost messages: an instance that was removed while it restarted for an earlier change was never resumed.
+#[test]
+fn instance_removed_while_it_restarts_delivers_what_it_has_accepted() {
+    let held = Held::start("removed-during-restart");
+    held.apply(&Held::restarting(&held.both), 2);
+    held.apply(&Held::restarting(&held.one), 3);
+    held.check_deliveries();
+}
+
+/// Guards against lost messages: the instance was removed, declared and removed again within one restart.
+#[test]
+fn instance_removed_twice_within_a_restart_delivers_what_it_has_accepted() {
+    let held = Held::start("removed-twice");
+    held.apply(&Held::restarting(&held.both), 2);
+    held.apply(&Held::restarting(&held.one), 3);
+    held.apply(&Held::restarting(&held.both), 4);
+    held.apply(&Held::restarting(&held.one), 5);
+    held.check_deliveries();
+}
+
+/// Guards against lost messages: an instance that could not be started was removed, and nobody read its journal.
+#[test]
+fn instance_removed_while_its_port_is_taken_delivers_what_it_has_accepted() {
+    let mut held = Held::start("removed-unstarted");
+    held.program.signal(Signal::KILL);
+    held.program.wait_for_exit();
+    let port_in_use = unused_address();
+    let listen = "relay = { listen = \"127.0.0.1:0\"";
+    let taken = format!("relay = {{ listen = \"{port_in_use}\"");
+    apply(&held.folder, &held.both.replace(listen, &taken));
+    held.endpoint = start_server(|_| Reply::ok());
+    let moved = |manifest: &str| {
+        let address = format!("address = \"{}\"", held.endpoint.address);
+        let at = manifest.find("address = ").unwrap();
+        let end = at + manifest[at..].find(" }").unwrap();
+        manifest.replace(&manifest[at..end], &address)
+    };
+    held.program = start_daemon(&held.folder);
+    wait_for("the failed start", || {
+        held.program.log().contains("two: cannot be started")
+    });
+    held.apply(&moved(&held.one), 3);
+    held.check_deliveries();
+}
+
+/// Guards against lost messages: a removal whose file could not be read when the daemon started was never resumed.
+#[test]
+fn removed_instance_is_resumed_once_its_file_can_be_read() {
+    let mut held = Held::start("removed-unreadable");
+    held.program.signal(Signal::KILL);
+    held.program.wait_for_exit();
+    apply(&held.folder, &held.one);
+    let file = home(&held.folder).join("removed/two.json");
+    let content = std::fs::read(&file).unwrap();
+    std::fs::write(&file, b"{").unwrap();
+    held.program = start_daemon(&held.folder);
+    wait_for("the failed read", || {
+        held.program.log().contains("removed-instance-unreadable")
+    });
+    std::fs::write(&file, content).unwrap();
+    held.is_open.store(true, Ordering::SeqCst);
+    wait_for("the end of the instance", || {
+        held.program.log().contains(REMOVAL_COMPLETE)
+    });
+    // The attempt that was in flight at the kill is sent again.
+    assert!(held.endpoint.request_count() >= MESSAGES);
+}
--- a/crates/control-plane/src/json_file.rs
+++ b/crates/control-plane/src/json_file.rs
@@ -31,15 +31,22 @@
 where
     T: DeserializeOwned + Default,
 {
-    match fs::read(path) {
-        Ok(text) => serde_json::from_slice(&text).map_err(|source| JsonFileError::Parse {
-            path: path.to_owned(),
-            source,
-        }),
-        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(T::default()),
-        Err(source) => Err(JsonFileError::Read {
-            path: path.to_owned(),
-            source,
-        }),
+    match read(path) {
+        Err(JsonFileError::Read { source, .. }) if source.kind() == io::ErrorKind::NotFound => {
+            Ok(T::default())
+        }
+        result => result,
     }
 }
+
+/// Reads a file that must exist.
+pub(crate) fn read<T: DeserializeOwned>(path: &Path) -> Result<T, JsonFileError> {
+    let text = fs::read(path).map_err(|source| JsonFileError::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    serde_json::from_slice(&text).map_err(|source| JsonFileError::Parse {
+        path: path.to_owned(),
+        source,
+    })
+}
--- a/crates/control-plane/src/plan.rs
+++ b/crates/control-plane/src/plan.rs
@@ -8,7 +8,7 @@
 use crate::removed_instances;
 use marblefall_atomic_file::{replace, Durability, LocalDisk};
 use serde::{Deserialize, Serialize};
-use std::fs::{self, File};
+use std::fs::{self, File, TryLockError};
 use std::io;
 use std::path::{Path, PathBuf};
 
@@ -72,6 +72,21 @@
     }
 }
 
+/// Locks a home against plans, if no plan is being applied and `revision` is still applied. The lock is released when the file
+/// is dropped.
+pub(crate) fn try_lock_revision(home: &Path, revision: u64) -> Result<Option<File>, ApplyError> {
+    let home_error = |source| ApplyError::Home {
+        home: home.to_owned(),
+        source,
+    };
+    let lock = File::create(home.join(LOCK_FILE)).map_err(home_error)?;
+    match lock.try_lock() {
+        Ok(()) => Ok((Applied::read(home)?.revision == revision).then_some(lock)),
+        Err(TryLockError::WouldBlock) => Ok(None),
+        Err(TryLockError::Error(error)) => Err(home_error(error)),
+    }
+}
+
 /// The change from the applied manifest to another one. Its `Display` output lists the changed entries.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
--- a/crates/control-plane/src/removed_instances.rs
+++ b/crates/control-plane/src/removed_instances.rs
@@ -2,12 +2,13 @@
 //! to another member of the group.
 //!
 //! Whoever replaces the manifest of a home first stores the manifest of each instance that the home no longer runs. The
-//! supervisor runs these instances until their messages have ended, also after a restart, and deletes the files then. The
-//! file of an instance that the home runs again has no effect.
+//! supervisor runs the instances of all files until their messages have ended, whatever ended them before, and deletes the
+//! files then. The file of an instance that the home runs again has no effect, and is deleted.
 
-use crate::json_file::JsonFileError;
+use crate::json_file::{self, JsonFileError};
 use crate::manifest::{InstanceManifest, Manifest};
 use marblefall_atomic_file::{replace, Durability, LocalDisk};
+use std::ffi::OsStr;
 use std::fs;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -28,35 +29,49 @@
     let names = before.instances.keys();
     let removed = names.filter(|name| runs_here(before, name) && !runs_here(after, name));
     for manifest in removed.filter_map(|name| before.instance_manifest(name)) {
-        fs::create_dir_all(home.join(FOLDER))?;
-        replace(
-            &LocalDisk,
-            &path_of(home, &manifest.name),
-            &serde_json::to_vec_pretty(&manifest)?,
-            Durability::PowerLoss,
-        )?;
+        write(home, &manifest)?;
     }
     Ok(())
 }
 
-/// Reads the manifests of all removed instances. Files that cannot be read are returned as errors.
-pub(crate) fn read_all(home: &Path) -> Vec<Result<InstanceManifest, JsonFileError>> {
-    let folder = home.join(FOLDER);
-    let files = match fs::read_dir(&folder) {
+/// Stores the manifest of a removed instance that has no file.
+pub(crate) fn store_if_missing(home: &Path, manifest: &InstanceManifest) -> io::Result<()> {
+    if path_of(home, &manifest.name).try_exists()? {
+        return Ok(());
+    }
+    write(home, manifest)
+}
+
+fn write(home: &Path, manifest: &InstanceManifest) -> io::Result<()> {
+    fs::create_dir_all(home.join(FOLDER))?;
+    replace(
+        &LocalDisk,
+        &path_of(home, &manifest.name),
+        &serde_json::to_vec_pretty(manifest)?,
+        Durability::PowerLoss,
+    )
+}
+
+/// Returns the names of the instances with a file, in no particular order.
+pub(crate) fn names(home: &Path) -> io::Result<Vec<String>> {
+    let files = match fs::read_dir(home.join(FOLDER)) {
         Ok(files) => files,
-        Err(error) if error.kind() == io::ErrorKind::NotFound => return Vec::new(),
-        Err(source) => {
-            return vec![Err(JsonFileError::Read {
-                path: folder,
-                source,
-            })]
-        }
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(Vec::new()),
+        Err(error) => return Err(error),
     };
-    let paths = files.filter_map(|file| Some(file.ok()?.path()));
-    paths
-        .filter(|path| path.extension().is_some_and(|found| found == EXTENSION))
-        .map(|path| read(&path))
-        .collect()
+    let mut names = Vec::new();
+    for file in files {
+        let path = file?.path();
+        let is_manifest = path.extension().is_some_and(|found| found == EXTENSION);
+        let name = path.file_stem().and_then(OsStr::to_str);
+        names.extend(name.filter(|_| is_manifest).map(str::to_owned));
+    }
+    Ok(names)
+}
+
+/// Reads the manifest of a removed instance.
+pub(crate) fn read(home: &Path, name: &str) -> Result<InstanceManifest, JsonFileError> {
+    json_file::read(&path_of(home, name))
 }
 
 /// Deletes the file of a removed instance, if there is one.
@@ -67,17 +82,6 @@
     }
 }
 
-fn read(path: &Path) -> Result<InstanceManifest, JsonFileError> {
-    let text = fs::read(path).map_err(|source| JsonFileError::Read {
-        path: path.to_owned(),
-        source,
-    })?;
-    serde_json::from_slice(&text).map_err(|source| JsonFileError::Parse {
-        path: path.to_owned(),
-        source,
-    })
-}
-
 fn path_of(home: &Path, name: &str) -> PathBuf {
     home.join(FOLDER).join(format!("{name}.{EXTENSION}"))
 }
--- a/crates/control-plane/src/supervisor.rs
+++ b/crates/control-plane/src/supervisor.rs
@@ -165,7 +165,6 @@
     /// Runs until the last instance has ended after a shutdown command.
     async fn run(mut self) {
         self.reload_applied();
-        self.instances.start_removed(&self.desired);
         loop {
             self.handle_group_events().await;
             self.reload_applied();
--- a/crates/control-plane/src/supervisor/instance_set.rs
+++ b/crates/control-plane/src/supervisor/instance_set.rs
@@ -6,6 +6,7 @@
 use super::listeners::{FrontendListeners, ListenerKey};
 use super::policy_check;
 use crate::manifest::Manifest;
+use crate::plan;
 use crate::removed_instances;
 use marblefall_coordination::message::PolicyVerdict;
 use marblefall_delivery::instance::InstanceCommand;
@@ -95,45 +96,39 @@
             let ended_regularly = instance.join();
             if is_removed && ended_regularly {
                 log_line!(code = "instance-removed", "{name}: its removal is complete");
-                forget_removed(home, &name);
+                self.forget_removed(home, &name);
             } else if is_removed {
-                // Its file remains, so that the next start of the supervisor resumes its messages.
-                log_line!("{name}: ended unexpectedly before its removal was complete");
-            }
-        }
-    }
-
-    /// Starts the instances that were removed, and did not end all of their messages before the supervisor started.
-    pub fn start_removed(&mut self, desired: &DesiredState) {
-        for stored in removed_instances::read_all(&desired.home) {
-            let manifest = match stored {
-                Ok(manifest) => manifest,
-                Err(error) => {
-                    log_line!(
-                        code = "removed-instance-unreadable",
-                        "the messages of a removed instance are not resumed: {error}"
-                    );
-                    continue;
-                }
-            };
-            if desired.runs(&manifest.name) {
-                continue;
-            }
-            let manifest = desired.manifest_of(&manifest.name, &manifest);
-            let name = manifest.name.clone();
-            log_line!("{name}: no longer declared here, resumes the messages that it has accepted");
-            match InstanceHandle::start_removed(manifest, start_context(desired)) {
-                Ok(instance) => drop(self.instances.insert(name, instance)),
-                Err(error) => log_line!("{name}: cannot be started: {error}"),
+                log_line!("{name}: ended unexpectedly before its removal was complete, restarting");
+                self.back_off(&name);
             }
         }
     }
 
     /// Shuts down outdated instances, closes unused listeners, and starts missing instances.
     pub fn reconcile(&mut self, desired: &DesiredState) {
+        self.store_undeclared(desired);
         self.shut_down_outdated(desired);
         self.close_unused_listeners(desired);
         self.start_missing(desired);
+        self.reconcile_removed(desired);
+    }
+
+    /// Stores the running instances that this supervisor no longer runs, if the process that replaced the manifest did not.
+    fn store_undeclared(&self, desired: &DesiredState) {
+        let undeclared = self
+            .instances
+            .iter()
+            .filter(|(name, _)| !desired.runs(name));
+        for (name, instance) in undeclared {
+            if let Err(error) =
+                removed_instances::store_if_missing(&desired.home, instance.manifest())
+            {
+                log_line!(
+                    code = "removed-instance-not-stored",
+                    "{name}: a restart would not resume its messages: {error}"
+                );
+            }
+        }
     }
 
     /// Removes instances that are no longer assigned to this supervisor, and restarts those whose manifest has changed.
@@ -174,27 +169,91 @@
     }
 
     fn start_missing(&mut self, desired: &DesiredState) {
-        let now = Instant::now();
         let missing: Vec<&str> = desired
             .instances()
-            .filter(|name| !self.instances.contains_key(*name))
-            .filter(|name| self.restart_at.get(*name).is_none_or(|at| *at <= now))
+            .filter(|name| self.is_start_due(name))
             .collect();
         for name in missing {
             self.start(name, desired);
         }
     }
 
+    /// Returns whether an instance does not run, and is not to be started later.
+    fn is_start_due(&self, name: &str) -> bool {
+        let restart_at = self.restart_at.get(name);
+        !self.instances.contains_key(name) && restart_at.is_none_or(|at| *at <= Instant::now())
+    }
+
+    /// Resumes the removed instances that do not run, whatever has ended them, and forgets the removal of instances that run
+    /// here again.
+    fn reconcile_removed(&mut self, desired: &DesiredState) {
+        let names = match removed_instances::names(&desired.home) {
+            Ok(names) => names,
+            Err(error) => {
+                return log_line!(
+                    code = "removed-instance-unreadable",
+                    "the messages of removed instances are not resumed yet: {error}"
+                )
+            }
+        };
+        for name in names {
+            if desired.runs(&name) {
+                self.forget_redeclared(&name, desired);
+            } else if self.is_start_due(&name) {
+                self.start_removed(&name, desired);
+            }
+        }
+    }
+
+    /// Starts an instance that was removed and has not ended all of its messages.
+    fn start_removed(&mut self, name: &str, desired: &DesiredState) {
+        let manifest = match removed_instances::read(&desired.home, name) {
+            Ok(manifest) => desired.manifest_of(name, &manifest),
+            Err(error) => {
+                log_line!(
+                    code = "removed-instance-unreadable",
+                    "the messages of a removed instance are not resumed yet: {error}"
+                );
+                return self.back_off(name);
+            }
+        };
+        log_line!("{name}: no longer declared here, resumes the messages that it has accepted");
+        match InstanceHandle::start_removed(manifest, start_context(desired)) {
+            Ok(instance) => drop(self.instances.insert(name.to_owned(), instance)),
+            Err(error) => {
+                log_line!("{name}: cannot be started: {error}");
+                self.back_off(name);
+            }
+        }
+    }
+
+    /// Forgets the removal of an instance that runs here again and continues its messages. While a plan is being applied the
+    /// file may concern a further removal, so it is deleted later.
+    fn forget_redeclared(&mut self, name: &str, desired: &DesiredState) {
+        let instance = self.instances.get(name);
+        if !instance.is_some_and(InstanceHandle::is_running) {
+            return;
+        }
+        match plan::try_lock_revision(&desired.home, desired.applied.revision) {
+            Ok(Some(_lock)) => self.forget_removed(&desired.home, name),
+            Ok(None) => {}
+            Err(error) => log_line!("{name}: the file of its removal is not deleted yet: {error}"),
+        }
+    }
+
+    fn forget_removed(&mut self, home: &Path, name: &str) {
+        if let Err(error) = removed_instances::forget(home, name) {
+            log_line!("{name}: the file of its removal cannot be deleted: {error}");
+            self.back_off(name);
+        }
+    }
+
     fn start(&mut self, name: &str, desired: &DesiredState) {
         let Some(manifest) = desired.applied.manifest.instance_manifest(name) else {
             return;
         };
         match InstanceHandle::start(manifest, start_context(desired), &mut self.listeners) {
-            Ok(instance) => {
-                // An instance of this name may have been removed before. This one continues its messages.
-                forget_removed(&desired.home, name);
-                self.instances.insert(name.to_owned(), instance);
-            }
+            Ok(instance) => drop(self.instances.insert(name.to_owned(), instance)),
             Err(error) => {
                 log_line!("{name}: cannot be started: {error}");
                 self.back_off(name);
@@ -216,9 +275,3 @@
         revision: desired.applied.revision,
     }
 }
-
-fn forget_removed(home: &Path, name: &str) {
-    if let Err(error) = removed_instances::forget(home, name) {
-        log_line!("{name}: the file of its removal cannot be deleted: {error}");
-    }
-}
