Count removed instances among those that share a destination's rate

What callers could see: while a removed instance delivers what it holds, the instances that stay take its share of each destination's rate and slow start, so that a recovering destination gets more than its budget.

Cause: the number of instances came from the manifest alone, which no longer has the removed one. Change: a daemon adds the removed instances that it still runs, for those as for the others, and updates all in place when one is removed and when it has ended.

--- a/crates/control-plane/src/manifest/instance_manifest.rs
+++ b/crates/control-plane/src/manifest/instance_manifest.rs
@@ -58,7 +58,8 @@
     }
 
     /// Returns the manifest of this instance, which is removed, under the manifest in force. It keeps its frontends and its
-    /// limits, which its messages were accepted under, and the classes that are no longer declared.
+    /// limits, which its messages were accepted under, and the classes that are no longer declared. The removed instances
+    /// are not among the total number of instances yet.
     pub fn removed_under(&self, manifest: &Manifest) -> InstanceManifest {
         let mut classes = self.classes.clone();
         classes.extend(manifest.classes.clone());
--- a/crates/control-plane/src/supervisor.rs
+++ b/crates/control-plane/src/supervisor.rs
@@ -130,7 +130,8 @@
     phase: Phase,
     applied_file: AppliedFile,
     desired: DesiredState,
-    /// Whether the manifest or an endpoint list has changed since changes were last sent to the instances.
+    /// Whether the manifest, an endpoint list or the number of instances has changed since changes were last sent to the
+    /// instances.
     has_unpushed_changes: bool,
     list_watcher: Option<ListWatcher>,
     /// The earliest time at which the list watcher is started.
@@ -154,6 +155,7 @@
                 home: home.to_owned(),
                 applied: CompactApplied::default(),
                 group_member,
+                removed_instances: 0,
             },
             has_unpushed_changes: false,
             list_watcher: None,
@@ -281,8 +283,11 @@
         }
     }
 
-    /// Sends a changed manifest or endpoint list to the running instances.
+    /// Sends a changed manifest, endpoint list or number of instances to the running instances.
     fn push_changes(&mut self) {
+        let removed_instances = self.instances.removed_count();
+        self.has_unpushed_changes |= removed_instances != self.desired.removed_instances;
+        self.desired.removed_instances = removed_instances;
         self.has_unpushed_changes |= self
             .list_watcher
             .as_ref()
--- a/crates/control-plane/src/supervisor/desired_state.rs
+++ b/crates/control-plane/src/supervisor/desired_state.rs
@@ -13,6 +13,8 @@
     pub applied: CompactApplied,
     /// The member of a group that this supervisor runs; `None` without a group, in which case it runs all instances.
     pub group_member: Option<GroupMember>,
+    /// Number of removed instances that this supervisor still runs. They share the rates of destinations with the others.
+    pub removed_instances: usize,
 }
 
 impl DesiredState {
@@ -32,13 +34,24 @@
         self.applied.manifest.instances.contains_key(instance) && self.runs_here(instance)
     }
 
+    /// Returns the manifest of an instance that this supervisor runs; `None` if it runs no such instance.
+    pub fn declared_manifest(&self, instance: &str) -> Option<InstanceManifest> {
+        let declared = self.applied.manifest.instance_manifest(instance);
+        let mut manifest = declared.filter(|_| self.runs_here(instance))?;
+        manifest.total_instances += self.removed_instances;
+        Some(manifest)
+    }
+
     /// Returns the manifest of an instance that runs under `current`. An instance that this supervisor no longer runs is
     /// removed and keeps its frontends.
     pub fn manifest_of(&self, instance: &str, current: &InstanceManifest) -> InstanceManifest {
-        let declared = self.applied.manifest.instance_manifest(instance);
-        declared
-            .filter(|_| self.runs_here(instance))
-            .unwrap_or_else(|| current.removed_under(&self.applied.manifest))
+        let declared = self.declared_manifest(instance);
+        declared.unwrap_or_else(|| {
+            let mut manifest = current.removed_under(&self.applied.manifest);
+            // The instance itself is removed, although it may not be counted yet.
+            manifest.total_instances += self.removed_instances.max(1);
+            manifest
+        })
     }
 
     /// Returns the names of the manifest's instances that this supervisor runs.
@@ -47,3 +60,6 @@
         names.filter(|name| self.runs_here(name))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/control-plane/src/supervisor/instance_set.rs
+++ b/crates/control-plane/src/supervisor/instance_set.rs
@@ -35,6 +35,12 @@
         self.instances.is_empty()
     }
 
+    /// Returns the number of removed instances that run until their messages have ended.
+    pub fn removed_count(&self) -> usize {
+        let instances = self.instances.values();
+        instances.filter(|instance| instance.is_removed()).count()
+    }
+
     /// Sends a command to all instances.
     pub fn broadcast(&self, command: &InstanceCommand) {
         for instance in self.instances.values() {
@@ -249,7 +255,7 @@
     }
 
     fn start(&mut self, name: &str, desired: &DesiredState) {
-        let Some(manifest) = desired.applied.manifest.instance_manifest(name) else {
+        let Some(manifest) = desired.declared_manifest(name) else {
             return;
         };
         match InstanceHandle::start(manifest, start_context(desired), &mut self.listeners) {
