Say in a plan which instances end only once they have delivered what they hold

plan and apply showed a removal as - instance NAME, and a move within a group as a change of [group] alone.

--- a/crates/control-plane/src/manifest/group.rs
+++ b/crates/control-plane/src/manifest/group.rs
@@ -108,6 +108,14 @@
         member.is_some_and(|member| member.instances.contains(instance))
     }
 
+    /// Returns the name of the member that runs an instance.
+    pub fn member_of(&self, instance: &str) -> Option<&str> {
+        let mut members = self.members.keys();
+        members
+            .find(|member| self.runs(member, instance))
+            .map(String::as_str)
+    }
+
     /// Returns a warning if the number of voters is valid but probably a mistake.
     pub fn warning(&self) -> Option<String> {
         let voters = self.members.values().filter(|member| member.votes).count();
--- a/crates/control-plane/src/plan/changes.rs
+++ b/crates/control-plane/src/plan/changes.rs
@@ -70,6 +70,32 @@
     Ok(())
 }
 
+/// Writes what becomes of the messages of instances that are removed or move to another member.
+fn write_drained_instances(
+    f: &mut fmt::Formatter<'_>,
+    old: &Manifest,
+    new: &Manifest,
+) -> fmt::Result {
+    for name in old.instances.keys() {
+        if !new.instances.contains_key(name) {
+            writeln!(
+                f,
+                "instance {name} accepts nothing more, and ends once it has delivered what it holds"
+            )?;
+            continue;
+        }
+        let before = old.group.as_ref().and_then(|group| group.member_of(name));
+        let after = new.group.as_ref().and_then(|group| group.member_of(name));
+        if let (Some(before), Some(after)) = (before, after.filter(|_| before != after)) {
+            writeln!(
+                f,
+                "instance {name} moves to {after}; at {before} it ends once it has delivered what it holds"
+            )?;
+        }
+    }
+    Ok(())
+}
+
 impl fmt::Display for Plan {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let old = entries(&self.base.manifest);
@@ -94,9 +120,13 @@
                 None => {}
             }
         }
+        write_drained_instances(f, &self.base.manifest, &self.target)?;
         write!(
             f,
             "{added} to add, {changed} to change, {removed} to remove"
         )
     }
 }
+
+#[cfg(test)]
+mod tests;
