--- a/crates/delivery/src/core/message_store.rs
+++ b/crates/delivery/src/core/message_store.rs
@@ -171,8 +171,8 @@
         id
     }
 
-    /// Accepts a message, which is in the journal when this returns. `first_possible_execution` is an attempt that was
-    /// started for an earlier submission of the same message.
+    /// Accepts a message, which is in the journal when this returns, as are all records that the journal did not accept
+    /// before. `first_possible_execution` is an attempt that was started for an earlier submission of the same message.
     ///
     /// # Errors
     /// The journal is full or cannot be written. The message is not accepted.
@@ -182,6 +182,9 @@
         message: Rc<Message>,
         first_possible_execution: Option<AttemptRecord>,
     ) -> io::Result<()> {
+        if !self.handed_over {
+            self.retry_unwritten()?;
+        }
         let record = MessageRecord {
             first_possible_execution,
             ..MessageRecord::new(message)
@@ -223,6 +226,8 @@
         if self.unwritten.contains(&id) {
             self.journal_full_record(id)?;
         }
+        // Errors are ignored: the attempt depends on the records of its own message only.
+        let _ = self.retry_unwritten();
         // The record is written before it is applied. Otherwise a compaction during the write would copy the message with
         // the attempt, and a replay of the attempt's own record would count it twice.
         let record = JournalRecord::AttemptStarted(attempt);
--- a/crates/delivery/tests/unjournalled_outcomes.rs
+++ b/crates/delivery/tests/unjournalled_outcomes.rs
@@ -7,9 +7,11 @@
 
 use common::full_journal::FullJournal;
 use common::restarting_engine::{message, submission, RestartingEngine, IDEMPOTENT_CLASS};
-use common::{attempt_finished, folder as temporary_folder, notice_outcomes, started_attempts};
+use common::{
+    attempt_finished, folder as temporary_folder, notice_outcomes, responses, started_attempts,
+};
 use marblefall_delivery::core::engine::{EngineCommand, EngineEvent};
-use marblefall_delivery::core::{MessageId, Origin, RequestId};
+use marblefall_delivery::core::{MessageId, Origin, RequestId, SubmitResponse};
 use marblefall_scheduler::{Outcome, Span};
 
 /// A Retry-After that ends after all messages of these tests have expired.
@@ -128,3 +130,23 @@
     let after = fixture.incarnation.step(EXPIRY_MS, Vec::new());
     assert_eq!(notices_of(id, &after), 1);
 }
+
+/// Guards against a repeated delivery: a message was accepted and delivered once the journal worked again, and a kill right
+/// behind it came before the delivery that the journal did not accept was written again.
+#[test]
+fn acceptance_comes_after_the_deliveries_that_the_journal_lacks() {
+    let mut fixture = EngineWithFullJournal::new("delivery-before-acceptance");
+    let id = fixture.message;
+    let delivered = attempt_finished(fixture.message, fixture.attempt, Outcome::Delivered);
+    fixture.incarnation.step(10, vec![delivered]);
+    fixture.journal.repair();
+    let after = submission(100, "after", Origin::Platform, IDEMPOTENT_CLASS);
+    let commands = fixture.incarnation.step(11, vec![after]);
+    assert_eq!(responses(&commands), [(100, SubmitResponse::Accepted)]);
+    let restarted = fixture.restart(200);
+    let mut attempted = started_attempts(&restarted).into_iter();
+    assert!(
+        attempted.all(|(message, _)| message != id),
+        "the delivered message is attempted again"
+    );
+}
