Let only the client that submitted a message withdraw it

Cause: handle_disconnect cancelled a message for whichever client was the last to wait. After a restart that is the event's. Change: the requests that wait are a type of their own that knows the submitter; only its disconnect cancels.

event_that_joins_a_platform_message_cannot_cancel_it failed before (0 open messages after the disconnect in place of 1).

--- a/crates/delivery/src/core/engine.rs
+++ b/crates/delivery/src/core/engine.rs
@@ -31,6 +31,7 @@
 mod submission;
 mod unjournalled;
 mod unwritten_reports;
+mod waiting_clients;
 
 pub use super::attempt_result::AttemptResult;
 pub use command::{AttemptRequest, EngineCommand, RejectReason, Rejection};
@@ -55,6 +56,7 @@
 use std::sync::Arc;
 use submission::Submission;
 use unjournalled::{SelectedAttempt, UnjournalledOutcomes};
+use waiting_clients::WaitingClients;
 
 /// The token of timers whose only effect is a step.
 const STEP_TIMER_TOKEN: u64 = u64::MAX;
@@ -71,7 +73,7 @@
     /// Identities of the platform's messages that finished recently.
     recent_completions: RecentCompletions,
     /// The submissions that wait for a response, by message.
-    waiting_clients: BTreeMap<MessageId, Vec<RequestId>>,
+    waiting_clients: BTreeMap<MessageId, WaitingClients>,
     timers: BTreeSet<(scheduler::Time, u64)>,
     /// Scheduler events that were generated while commands were collected. The next batch starts with them.
     backlog: Vec<scheduler::Event>,
--- a/crates/delivery/src/core/engine/acceptance.rs
+++ b/crates/delivery/src/core/engine/acceptance.rs
@@ -5,6 +5,7 @@
 use super::scheduler_input::scheduler_message;
 use super::shutdown::ACCEPTANCE_CUTOFF_BEFORE_SHUTDOWN;
 use super::submission::{Lookup, Submission};
+use super::waiting_clients::WaitingClients;
 use super::{log_journal_error, Batch, Engine, EngineCommand, RejectReason, Rejection};
 use crate::core::message_record::AttemptRecord;
 use crate::core::{FinalOutcome, Message, MessageId, Origin, RequestId, SubmitResponse, Timestamp};
@@ -42,7 +43,8 @@
         let id = self.store.allocate_id();
         let event = self.submission_event(id, &message, first_possible_execution.as_ref(), batch);
         batch.scheduler_events.push(event);
-        self.waiting_clients.insert(id, vec![request]);
+        self.waiting_clients
+            .insert(id, WaitingClients::of_submitter(request));
         batch.submissions.push(Submission {
             id,
             message: Rc::new(message),
@@ -117,7 +119,10 @@
             };
             return batch.respond(request, response);
         }
-        self.waiting_clients.entry(id).or_default().push(request);
+        self.waiting_clients
+            .entry(id)
+            .or_default()
+            .add_repeat(request);
         match batch
             .submissions
             .iter_mut()
@@ -133,18 +138,19 @@
 
     /// Handles a client that disconnected before its response.
     ///
-    /// Its message is cancelled if it was submitted over the platform's protocol and no other client waits for it. An
-    /// event is not cancelled, because its client can submit it again.
+    /// Its message is cancelled if the client submitted it over the platform's protocol and no other client waits for it. A
+    /// client that repeats a message does not cancel it: the message was accepted from another client. An event is not
+    /// cancelled, because its client can submit it again.
     pub(super) fn handle_disconnect(&mut self, request: RequestId, batch: &mut Batch<'_>) {
         let waiting = self
             .waiting_clients
             .iter_mut()
-            .find(|(_, requests)| requests.contains(&request));
-        let Some((&id, requests)) = waiting else {
+            .find(|(_, clients)| clients.contains(request));
+        let Some((&id, clients)) = waiting else {
             return;
         };
-        requests.retain(|other| *other != request);
-        if !requests.is_empty() {
+        let was_submitter = clients.remove(request);
+        if !was_submitter || !clients.is_empty() {
             return;
         }
         let is_platform = |message: &Message| message.origin == Origin::Platform;
@@ -217,9 +223,10 @@
         for alias in aliases {
             log_journal_error(self.store.add_alias(id, &alias), commands);
         }
-        let requests = self.waiting_clients.get(&id).into_iter().flatten();
+        let clients = self.waiting_clients.get(&id).into_iter();
+        let requests = clients.flat_map(WaitingClients::requests);
         commands.extend(
-            requests.map(|request| EngineCommand::Respond(*request, SubmitResponse::Accepted)),
+            requests.map(|request| EngineCommand::Respond(request, SubmitResponse::Accepted)),
         );
         Ok(())
     }
@@ -232,11 +239,10 @@
     }
 
     fn record_rejection(&mut self, id: MessageId, reason: RejectReason) {
-        let requests = self.waiting_clients.get(&id).into_iter().flatten();
-        self.rejections.extend(requests.map(|request| Rejection {
-            request: *request,
-            reason,
-        }));
+        let clients = self.waiting_clients.get(&id).into_iter();
+        let requests = clients.flat_map(WaitingClients::requests);
+        self.rejections
+            .extend(requests.map(|request| Rejection { request, reason }));
     }
 
     /// Takes the submissions that were rejected since the last call.
@@ -281,10 +287,10 @@
         response: SubmitResponse,
         commands: &mut Vec<EngineCommand>,
     ) {
-        let requests = self.waiting_clients.remove(&id).unwrap_or_default();
+        let clients = self.waiting_clients.remove(&id).unwrap_or_default();
         commands.extend(
-            requests
-                .into_iter()
+            clients
+                .requests()
                 .map(|request| EngineCommand::Respond(request, response)),
         );
     }
--- a/crates/delivery/src/core/engine/passive.rs
+++ b/crates/delivery/src/core/engine/passive.rs
@@ -51,8 +51,8 @@
     /// Removes a client that disconnected before its response. Its message belongs to the active incarnation, and is not
     /// cancelled.
     fn remove_waiting_client(&mut self, request: RequestId) {
-        for requests in self.waiting_clients.values_mut() {
-            requests.retain(|other| *other != request);
+        for clients in self.waiting_clients.values_mut() {
+            clients.remove(request);
         }
     }
 
--- a/crates/delivery/src/core/engine/shutdown.rs
+++ b/crates/delivery/src/core/engine/shutdown.rs
@@ -87,18 +87,20 @@
         }
         let awaited = std::mem::take(&mut self.waiting_clients).into_iter();
         let undetermined = awaited.filter(|(id, _)| self.store.get(*id).is_some());
-        commands.extend(
-            undetermined
-                .flat_map(|(_, requests)| requests)
-                .map(|request| EngineCommand::Respond(request, SubmitResponse::Undetermined)),
-        );
+        for (_, clients) in undetermined {
+            let requests = clients.requests();
+            commands.extend(
+                requests
+                    .map(|request| EngineCommand::Respond(request, SubmitResponse::Undetermined)),
+            );
+        }
     }
 
     /// Returns the open events whose clients wait.
     fn awaited_events(&self) -> Vec<MessageId> {
         let awaited = self.waiting_clients.iter();
         awaited
-            .filter(|(_, requests)| !requests.is_empty())
+            .filter(|(_, clients)| !clients.is_empty())
             .map(|(id, _)| *id)
             .filter(|id| {
                 self.store.get(*id).is_some_and(|record| {
--- a/crates/delivery/tests/acceptance.rs
+++ b/crates/delivery/tests/acceptance.rs
@@ -134,6 +134,28 @@
     );
 }
 
+/// Guards against a lost message: an event with the key of a platform message joined it after a restart, and its client
+/// withdrew the message by disconnecting.
+#[test]
+fn event_that_joins_a_platform_message_cannot_cancel_it() {
+    let (mut incarnation, _) = RestartingEngine::start(temporary_folder("joined-by-event"), 0);
+    let mut accepted = message("m", Origin::Platform, KEYED_CLASS, 9);
+    accepted.idempotency_key = Some(b"shared key".to_vec());
+    let commands = incarnation.step(0, vec![EngineEvent::Submitted(RequestId(1), accepted)]);
+    assert_eq!(responses(&commands), [(1, SubmitResponse::Accepted)]);
+    let event = |request| submission_with_key(request, "event", b"shared key");
+    // In the same incarnation, and in one that does not know the client of the message.
+    incarnation.step(10, vec![event(2)]);
+    incarnation.step(20, vec![EngineEvent::ClientGone(RequestId(2))]);
+    assert_eq!(incarnation.engine.load().open_messages, 1);
+    let (mut incarnation, _) = RestartingEngine::start(incarnation.folder.clone(), 100);
+    incarnation.step(10, vec![event(3), event(4)]);
+    for request in [3, 4] {
+        incarnation.step(20, vec![EngineEvent::ClientGone(RequestId(request))]);
+        assert_eq!(incarnation.engine.load().open_messages, 1);
+    }
+}
+
 #[test]
 fn submission_to_unlisted_destination_is_rejected() {
     let (mut incarnation, _) = RestartingEngine::start(temporary_folder("unlisted"), 0);
