Identify an event at its destination

Cause: a submission was looked up by the event's identity alone. Change: the identity of an event holds at its destination, within a step and among stored messages; platform ids hold everywhere as before.

event_for_two_destinations_is_delivered_to_both failed before (one attempt in place of two).

--- a/crates/delivery/src/core/engine/lookup.rs
+++ b/crates/delivery/src/core/engine/lookup.rs
@@ -1,9 +1,10 @@
 //! Determines whether a submitted message is new or repeats a known one.
 //!
-//! A message repeats all stored messages that have its identity, or its key at its destination. Of these, a returned message
+//! A message repeats all stored messages that have its identity, or its key at its destination. The identity of an event
+//! holds at its destination as well. Of these, a returned message
 //! is superseded by any later one, so that the newest message decides.
 
-use super::submission::{deduplication_key, Lookup, Submission};
+use super::submission::{deduplication_key, share_identities, Lookup, Submission};
 use super::Engine;
 use crate::core::message_record::{AttemptRecord, MessageRecord};
 use crate::core::{FinalOutcome, Message, MessageId, Origin};
@@ -42,19 +43,26 @@
 
     /// Returns whether the identity of a message is known with another idempotency key.
     fn is_known_with_another_key(&self, message: &Message, submissions: &[Submission]) -> bool {
-        let identity = &message.identity;
         let submitted = submissions
             .iter()
-            .filter(|submission| submission.has_identity(identity))
+            .filter(|submission| submission.has_identity_of(message))
             .map(|submission| &submission.message);
-        let stored = self.store.with_identity(identity);
+        let stored = self.with_identity_of(message);
         submitted
             .chain(stored.map(|(_, record)| &record.message))
             .any(|known| known.idempotency_key != message.idempotency_key)
     }
 
-    fn repeated_messages(&self, message: &Message) -> RepeatedMessages<'_> {
-        let by_identity = self.store.with_identity(&message.identity);
+    fn with_identity_of<'a>(
+        &'a self,
+        message: &'a Message,
+    ) -> impl Iterator<Item = (MessageId, &'a MessageRecord)> {
+        let stored = self.store.with_identity(&message.identity);
+        stored.filter(|(_, record)| share_identities(&record.message, message))
+    }
+
+    fn repeated_messages<'a>(&'a self, message: &'a Message) -> RepeatedMessages<'a> {
+        let by_identity = self.with_identity_of(message);
         let by_key = deduplication_key(message)
             .into_iter()
             .flat_map(|key| self.store.with_idempotency_key(message.destination, key));
--- a/crates/delivery/src/core/engine/submission.rs
+++ b/crates/delivery/src/core/engine/submission.rs
@@ -31,18 +31,18 @@
 }
 
 impl Submission {
-    /// Returns whether the message was submitted under an identity in this batch.
-    pub(super) fn has_identity(&self, identity: &[u8]) -> bool {
-        let mut aliases = self.aliases.iter();
-        self.message.identity == identity || aliases.any(|alias| alias == identity)
+    /// Returns whether the message was submitted under the identity of another one in this batch.
+    pub(super) fn has_identity_of(&self, message: &Message) -> bool {
+        let mut identities = self.aliases.iter().chain([&self.message.identity]);
+        share_identities(&self.message, message)
+            && identities.any(|identity| *identity == message.identity)
     }
 
     /// Returns whether a message repeats this one: same identity, or same deduplication key and destination.
     pub(super) fn is_repeated_by(&self, message: &Message) -> bool {
         let key = deduplication_key(message);
         let same_key = key.is_some() && self.message.idempotency_key.as_ref() == key;
-        self.has_identity(&message.identity)
-            || self.message.destination == message.destination && same_key
+        self.has_identity_of(message) || self.message.destination == message.destination && same_key
     }
 }
 
@@ -53,3 +53,10 @@
         .as_ref()
         .filter(|_| message.origin == Origin::CloudEvents)
 }
+
+/// Returns whether the same identity means the same message for both. The identity of an event holds at its destination: the
+/// same event for another destination is another message. A message of the platform has an identity of its own everywhere.
+pub(super) fn share_identities(known: &Message, message: &Message) -> bool {
+    let are_events = known.origin == Origin::CloudEvents && message.origin == Origin::CloudEvents;
+    !are_events || known.destination == message.destination
+}
--- a/crates/delivery/tests/repeated_events.rs
+++ b/crates/delivery/tests/repeated_events.rs
@@ -8,18 +8,24 @@
     attempt_finished, message, open_store, RestartingEngine, IDEMPOTENT_CLASS, KEYED_CLASS,
     NON_IDEMPOTENT_CLASS,
 };
-use common::{folder as temporary_folder, responses, started_attempts, timestamp_of, START_MS};
+use common::{
+    endpoint, folder as temporary_folder, responses, started_attempts, timestamp_of, START_MS,
+};
+use marblefall_delivery::core::endpoint::ListedEndpoint;
 use marblefall_delivery::core::engine::{EngineCommand, EngineEvent};
 use marblefall_delivery::core::message_record::NoticeState;
 use marblefall_delivery::core::message_store::MessageStore;
-use marblefall_delivery::core::{FinalOutcome, MessageId, Origin, RequestId, SubmitResponse};
-use marblefall_scheduler::{Outcome, Span, Time};
+use marblefall_delivery::core::{
+    FinalOutcome, Message, MessageId, Origin, RequestId, SubmitResponse,
+};
+use marblefall_scheduler::{DestinationId, Outcome, Span, Time};
 use std::collections::BTreeMap;
 use std::fs;
 use std::rc::Rc;
 
 const KEY: &[u8] = b"key";
 const DELIVERED: SubmitResponse = SubmitResponse::Finished(FinalOutcome::Delivered);
+const FAILED: SubmitResponse = SubmitResponse::Finished(FinalOutcome::Failed);
 /// Duration of a restart, in ms.
 const RESTART_MS: i64 = 200;
 /// The deduplication window of [`common::KEYED`], in ms.
@@ -171,6 +177,70 @@
     }
 }
 
+/// Guards against a delivery that never was: the same event for a second destination was answered with the outcome at the
+/// first one.
+#[test]
+fn event_for_two_destinations_is_delivered_to_both() {
+    let other = DestinationId(8);
+    let class = NON_IDEMPOTENT_CLASS;
+    let lists = || {
+        let elsewhere = ListedEndpoint {
+            destination: other,
+            ..endpoint("other")
+        };
+        EngineEvent::EndpointsReplaced(vec![endpoint("h"), elsewhere])
+    };
+    let for_other = |request, key: &[u8]| match event(request, "e", key, class, 9) {
+        EngineEvent::Submitted(request, message) => {
+            let destination = other;
+            EngineEvent::Submitted(
+                request,
+                Message {
+                    destination,
+                    ..message
+                },
+            )
+        }
+        event => event,
+    };
+    for (name, other_key) in [("one-key", KEY), ("two-keys", b"other key")] {
+        let folder = temporary_folder(&format!("two-destinations-{name}"));
+        let (mut engine, _) = RestartingEngine::start(folder, 0);
+        engine.step(0, vec![lists()]);
+        // In one step, and again while both are open.
+        let commands = engine.step(
+            10,
+            vec![event(1, "e", KEY, class, 9), for_other(2, other_key)],
+        );
+        let attempts = started_attempts(&commands);
+        assert_eq!(attempts.len(), 2, "{name}");
+        let commands = engine.step(
+            20,
+            vec![event(3, "e", KEY, class, 9), for_other(4, other_key)],
+        );
+        assert_eq!(started_attempts(&commands), []);
+        // Each client gets the outcome at its own destination.
+        let failed = attempt_finished(attempts[1], Outcome::Reset);
+        let commands = engine.step(
+            30,
+            vec![attempt_finished(attempts[0], Outcome::Delivered), failed],
+        );
+        let mut received = responses(&commands);
+        received.sort_by_key(|(request, _)| *request);
+        assert_eq!(
+            received,
+            [(1, DELIVERED), (2, FAILED), (3, DELIVERED), (4, FAILED)]
+        );
+        let (mut engine, _) = RestartingEngine::start(engine.folder.clone(), 1000);
+        engine.step(0, vec![lists()]);
+        let repeats = vec![event(5, "e", KEY, class, 9), for_other(6, other_key)];
+        assert_eq!(
+            responses(&engine.step(10, repeats)),
+            [(5, DELIVERED), (6, FAILED)]
+        );
+    }
+}
+
 /// An attempt at the destination, which executes the message or not.
 struct Attempt {
     id: (MessageId, u32),
