--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -20,5 +20,7 @@
 pub mod plan;
 mod removed_instances;
 pub mod supervisor;
+#[cfg(test)]
+mod test_manifests;
 
 pub use json_file::JsonFileError;
--- a/crates/control-plane/src/plan/changes/tests.rs
+++ b/crates/control-plane/src/plan/changes/tests.rs
@@ -2,22 +2,11 @@
 
 use crate::manifest::Manifest;
 use crate::plan::{Applied, Plan};
+use crate::test_manifests::{events_instance, CLASS_AND_DESTINATION};
 
 /// Returns the manifest of a group in which a member runs instance "desk", or in which no member does.
 fn manifest(member_of_desk: Option<&str>) -> Manifest {
-    let mut text = r#"
-[class.status]
-repeats = "free"
-wanted_ms = 1000
-give_up_ms = 5000
-[destination.a]
-path = "/in"
-rate = 5
-endpoints = [{ name = "a-1", address = "127.0.0.1:9" }]
-[group]
-name = "clinics"
-"#
-    .to_owned();
+    let mut text = format!("{CLASS_AND_DESTINATION}[group]\nname = \"clinics\"\n");
     for (member, port) in [("east", 7001), ("north", 7002), ("south", 7003)] {
         let desk = if member_of_desk == Some(member) {
             ", \"desk\""
@@ -30,9 +19,7 @@
     }
     let instances = ["east-1", "north-1", "south-1"].into_iter();
     for name in instances.chain(member_of_desk.map(|_| "desk")) {
-        text += &format!(
-            "[instance.{name}]\nevents = {{ listen = \"127.0.0.1:0\", path = \"/events\", destination_attribute = \"clinic\", types = {{ status = \"status\" }} }}\n"
-        );
+        text += &events_instance(name);
     }
     Manifest::parse(&text).unwrap()
 }
--- a/crates/control-plane/src/supervisor/desired_state/tests.rs
+++ b/crates/control-plane/src/supervisor/desired_state/tests.rs
@@ -3,25 +3,11 @@
 use super::DesiredState;
 use crate::endpoint_directory::CompactApplied;
 use crate::manifest::Manifest;
-
-const MANIFEST: &str = r#"
-[class.status]
-repeats = "free"
-wanted_ms = 1000
-give_up_ms = 5000
-[destination.a]
-path = "/in"
-rate = 5
-endpoints = [{ name = "a-1", address = "127.0.0.1:9" }]
-"#;
+use crate::test_manifests::{events_instance, CLASS_AND_DESTINATION};
 
 fn manifest(instances: &[&str]) -> Manifest {
-    let instances = instances.iter().map(|name| {
-        format!(
-            "[instance.{name}]\nevents = {{ listen = \"127.0.0.1:0\", path = \"/events\", destination_attribute = \"clinic\", types = {{ status = \"status\" }} }}\n"
-        )
-    });
-    Manifest::parse(&format!("{MANIFEST}{}", instances.collect::<String>())).unwrap()
+    let instances: String = instances.iter().map(|name| events_instance(name)).collect();
+    Manifest::parse(&format!("{CLASS_AND_DESTINATION}{instances}")).unwrap()
 }
 
 /// Guards against an overloaded destination: while a removed instance delivers its messages, the others took its share.
