Shorten a restart's wait for its calls when the process shuts down

Cause: an instance ignored the shutdown that comes during its restart, and waited for up to 8 s. Change: a later shutdown shortens one that has begun, and the engine gets the new deadline.

shutdown_during_a_restart_answers_all_requests_before_the_kill failed before (1 of 3 answered at 3.7 s).

--- a/crates/cli/tests/event_restart.rs
+++ b/crates/cli/tests/event_restart.rs
@@ -10,9 +10,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
+use std::time::{Duration, Instant};
 
 /// Number of clients, each with one event.
 const CLIENTS: usize = 9;
+/// The earliest time of SIGKILL after SIGTERM.
+const EARLIEST_KILL: Duration = Duration::from_millis(3700);
 /// Number of calls that may be in flight.
 const SLOTS: usize = 3;
 
@@ -106,3 +109,52 @@
     assert_eq!(event_status(address, "new", "payment", "a", ""), 204);
     assert_eq!(endpoint.request_count(), called + 1);
 }
+
+/// Guards against requests without an answer: SIGTERM did not shorten the 8 s for which an instance that restarts for a
+/// setting waits for its calls, and SIGKILL came first.
+#[test]
+fn shutdown_during_a_restart_answers_all_requests_before_the_kill() {
+    let endpoint = start_server_silent_until(&Arc::new(AtomicBool::new(false)));
+    let folder = new_folder("setting-restart-term");
+    let manifest = payment_manifest(endpoint.address);
+    apply(&folder, &manifest);
+    let program = start_daemon(&folder);
+    let address = program.address(EVENTS_MARKER, 0);
+    let (sender, statuses) = std::sync::mpsc::channel();
+    for client in 0..SLOTS {
+        let sender = sender.clone();
+        thread::spawn(move || {
+            let id = format!("e{client}");
+            let response = submit_event(address, &id, "payment", "a", "", b"1");
+            sender.send(response.map(|response| response.status()))
+        });
+    }
+    program.wait_for_counter(&format!("taken_on={SLOTS} "));
+    wait_for("a call", || endpoint.request_count() > 0);
+    apply(&folder, &manifest.replace("slots", "idle_ms = 4000\nslots"));
+    wait_for("the restart", || {
+        program.log().contains("applies a change by a restart")
+    });
+    program.signal(Signal::TERM);
+    let killed_at = Instant::now() + EARLIEST_KILL;
+    let mut received = Vec::new();
+    while received.len() < SLOTS {
+        let remaining = killed_at.saturating_duration_since(Instant::now());
+        let Ok(status) = statuses.recv_timeout(remaining) else {
+            break;
+        };
+        received.push(status);
+    }
+    program.kill();
+    let called = endpoint.request_count();
+    let is_failed = |status: &&Option<u16>| **status == Some(502);
+    assert_eq!(received.len(), SLOTS, "{received:?}");
+    assert_eq!(
+        received.iter().filter(is_failed).count(),
+        called,
+        "{received:?}"
+    );
+    assert!(received
+        .iter()
+        .all(|status| matches!(status, Some(502 | 503))));
+}
--- a/crates/delivery/src/instance/command.rs
+++ b/crates/delivery/src/instance/command.rs
@@ -138,6 +138,11 @@
 
     async fn shut_down(&self, timeout: Duration, reason: ShutdownReason) {
         if self.shutdown.has_begun() && !self.shutdown.is_removal() {
+            // The process may end before the time that a restart was given.
+            if let Some(event) = self.shutdown.shorten(timeout) {
+                log_line!("shutdown requested during a shutdown, which is shortened");
+                self.clients.send(event).await;
+            }
             return;
         }
         log_line!("shutdown requested");
--- a/crates/delivery/src/instance/shutdown.rs
+++ b/crates/delivery/src/instance/shutdown.rs
@@ -118,6 +118,19 @@
         self.engine_event(timeout, successor)
     }
 
+    /// Shortens a shutdown that has begun to `timeout` from now, and returns the event for the engine; `None` if it ends earlier
+    /// anyway.
+    pub(super) fn shorten(&self, timeout: Duration) -> Option<EngineEvent> {
+        let deadline = Instant::now() + timeout;
+        let is_shorter = self
+            .deadline
+            .get()
+            .is_some_and(|current| deadline < current);
+        let successor = self.successor.get().filter(|_| is_shorter)?;
+        self.deadline.set(Some(deadline));
+        Some(self.engine_event(timeout, successor))
+    }
+
     /// Hands over to the successor that requested it, and returns the event for the engine.
     pub(super) fn hand_over(&self) -> EngineEvent {
         if self.has_begun() {
